Follow a new discovery on SIGHUP instead of dying of it

Cause: cmd/laddertide registered SIGTERM and SIGINT only (signal.NotifyContext in main.go), and by default SIGHUP ends a Go program. Ruled out: limits (28 of 384 descriptors, 1 MB) and discovery itself, as the node was gone before its old watch had ended.

Now: SIGHUP rereads the file. Its address of discovery wins over flag and environment. A second watch starts at once from the whole list, beside the old one's silence or backoff; with its first list it takes over, under one mutex, and the old one's late news is dropped. A file that makes no sense is logged and changes nothing.

Tests: TestReload (program: two discoveries, SIGHUP, a broken file between), TestHear.

--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -75,15 +75,41 @@
 		fmt.Fprintf(out, "%s: usable; %d providers known, %d classes\n", *config, len(cfg.Known.Entries), len(cfg.Settings.Classes))
 		return nil
 	}
-	s, err := scheduler.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv})))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
+	s, err := scheduler.New(cfg, log)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// One that waits is enough: the file is read after it. While stopping, discovery may still move.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	serving, served := context.WithCancel(context.Background())
+	defer served()
+	go reload(serving, hup, *config, s, log)
 	return s.Serve(ctx)
 }
 
+// reload rereads the file at every SIGHUP; left alone, that signal ends a Go program. The file's address
+// of discovery wins here over the flag and the environment, which still hold the one of the start.
+func reload(ctx context.Context, hup <-chan os.Signal, path string, s *scheduler.Scheduler, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := scheduler.Load(path)
+		if err == nil {
+			err = s.Reload(cfg)
+		}
+		if err != nil {
+			log.Error("cannot reread the configuration: nothing changes", "err", err)
+		}
+	}
+}
+
 // version is the one that the build has stamped on the program.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/cmd/laddertide/main_test.go
+++ b/cmd/laddertide/main_test.go
@@ -1,10 +1,18 @@
 package main
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"ryepulley/httpwire"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -32,3 +40,91 @@
 		}
 	}
 }
+
+// discovery takes connections and hands on the target of each request that comes on them.
+func discovery(t *testing.T) (string, <-chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	asked := make(chan string, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					h, err := httpwire.ReadRequestHead(br)
+					if err != nil {
+						return
+					}
+					asked <- h.Target
+					if strings.Contains(h.Target, "watch") {
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+						continue
+					}
+					list := `{"index":7,"snapshot":true,"endpoints":[]}`
+					c.Write(httpwire.AppendResponse(nil, 200, nil, []byte(list), false))
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), asked
+}
+
+// SIGHUP ends a Go program that does not take it. Here the file's new discovery is followed from its whole
+// list, over what the environment said at the start; a file that makes no sense changes nothing.
+func TestReload(t *testing.T) {
+	example, err := os.ReadFile("../../deploy/config.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, askedFirst := discovery(t)
+	second, askedSecond := discovery(t)
+	file := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(asked <-chan string, want string) {
+		t.Helper()
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Fatalf("asked for %s, want %s", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("not asked for %s", want)
+		}
+	}
+	signal := func(s syscall.Signal) {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(example))
+	t.Setenv("GW_DISCOVERY", first)
+	ended := make(chan error, 1)
+	go func() { ended <- run([]string{"serve", "-c", file, "--listen", "127.0.0.1:0"}, io.Discard) }()
+	expect(askedFirst, "/catalog/members?watch=1&after=41")
+	write("{")
+	signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond) // signals that wait are one
+	write(strings.Replace(string(example), `"127.0.0.1:8500"`, fmt.Sprintf("%q", second), 1))
+	signal(syscall.SIGHUP)
+	expect(askedSecond, "/catalog/members")
+	expect(askedSecond, "/catalog/members?watch=1&after=7")
+	signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if len(askedFirst) != 0 {
+		t.Fatal("the old discovery was asked again")
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -86,10 +86,9 @@
 type Watcher struct {
 	Address string
 	Index   uint64 // the version that is known already
+	Whole   bool   // the next watch starts from the whole list, whatever is known
 	Deliver func(List)
 	Log     *slog.Logger
-
-	whole bool // the next watch starts from the whole list
 }
 
 // Run follows the list until ctx ends. What was delivered stays valid while discovery is away.
@@ -128,8 +127,8 @@
 	defer stop()
 	conn = &patient{conn, silence}
 	br := bufio.NewReader(conn)
-	if w.whole {
-		// What came last made no sense, so changes to it cannot be trusted either.
+	if w.Whole {
+		// The address is new, or what came last made no sense: changes to what is known cannot be trusted.
 		if err := w.fetch(conn, br); err != nil {
 			return false, err
 		}
@@ -156,7 +155,7 @@
 		}
 		list, err := parse(line)
 		if err != nil {
-			w.whole = true
+			w.Whole = true
 			return got, err
 		}
 		got = true
@@ -198,7 +197,7 @@
 	if !list.Snapshot {
 		return errors.New("directory: the whole list is not marked as one")
 	}
-	w.whole = false
+	w.Whole = false
 	w.accept(list)
 	if head.Close {
 		return errors.New("discovery closed the connection after the whole list")
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -76,8 +76,8 @@
 // Check reports what makes a configuration unusable.
 func (c *Config) Check() error {
 	for _, a := range []struct{ what, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if _, _, err := net.SplitHostPort(a.address); err != nil {
-			return fmt.Errorf("config: %s: %w", a.what, err)
+		if err := checkAddress(a.what, a.address); err != nil {
+			return err
 		}
 	}
 	if c.Limits.Sockets < fewSockets {
@@ -88,3 +88,10 @@
 	}
 	return c.Settings.Validate()
 }
+
+func checkAddress(what, address string) error {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return fmt.Errorf("config: %s: %w", what, err)
+	}
+	return nil
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"ryepulley"
@@ -26,6 +27,18 @@
 	log  *slog.Logger
 	desk *decide.Desk
 	pool *provider.Pool
+
+	// mu keeps the directory's news in one order, whichever watch they come from.
+	mu       sync.Mutex
+	watching context.Context // set once serving; its end ends all watches
+	current  *watch          // the one that the list comes from
+	next     *watch          // the one that takes over with its first list
+}
+
+// watch is a directory that is followed.
+type watch struct {
+	address string
+	stop    context.CancelFunc
 }
 
 // New returns a Scheduler that knows the providers of the configuration's list.
@@ -91,18 +104,10 @@
 	// by the same rules.
 	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	watcher := &directory.Watcher{
-		Address: s.cfg.Discovery, Index: s.cfg.Known.Index, Log: s.log,
-		Deliver: func(list directory.List) {
-			kind := ryepulley.ListDelta
-			if list.Snapshot {
-				kind = ryepulley.ListFull
-			}
-			s.log.Debug("directory news", "index", list.Index, "whole", list.Snapshot, "entries", len(list.Entries))
-			s.deliver(kind, list)
-		},
-	}
-	go watcher.Run(watching)
+	s.mu.Lock()
+	s.watching = watching
+	s.follow(s.cfg.Discovery, s.cfg.Known.Index, false)
+	s.mu.Unlock()
 	server := &consumer.Server{
 		Settings: s.cfg.Settings, Desk: s.desk, Pool: s.pool, Log: s.log,
 		Conns: s.cfg.Limits.Sockets * 5 / 8,
@@ -117,6 +122,64 @@
 	return nil
 }
 
+// Reload takes from a new configuration what can change without a restart: where discovery is. The list,
+// the jobs and all other connections stay. It may be called from any goroutine.
+func (s *Scheduler) Reload(cfg Config) error {
+	if err := checkAddress("discovery", cfg.Discovery); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.cfg.Discovery
+	s.cfg.Discovery = cfg.Discovery
+	s.log.Info("configuration reread", "discovery", cfg.Discovery, "before", newest)
+	if s.watching != nil && newest != cfg.Discovery {
+		// What was heard before says nothing about this one's versions, so it starts from its whole list.
+		s.follow(cfg.Discovery, 0, true)
+	}
+	return nil
+}
+
+// follow starts a watch at once, whatever the present one waits for. That goes on until the new one has
+// brought a list, so that nothing it still has to tell is missed. Called under mu.
+func (s *Scheduler) follow(address string, index uint64, whole bool) {
+	if s.next != nil {
+		s.next.stop()
+	}
+	ctx, stop := context.WithCancel(s.watching)
+	w := &watch{address, stop}
+	s.next = w
+	watcher := &directory.Watcher{
+		Address: address, Index: index, Whole: whole, Log: s.log,
+		Deliver: func(list directory.List) { s.hear(w, list) },
+	}
+	go watcher.Run(ctx)
+}
+
+// hear takes a list from a watch and tells whether it counts: late news of a directory that another has
+// taken the place of must not undo what that one said.
+func (s *Scheduler) hear(w *watch, list directory.List) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch w {
+	case s.next:
+		if s.current != nil {
+			s.current.stop()
+		}
+		s.current, s.next = w, nil
+	case s.current:
+	default:
+		return false
+	}
+	kind := ryepulley.ListDelta
+	if list.Snapshot {
+		kind = ryepulley.ListFull
+	}
+	s.log.Debug("directory news", "from", w.address, "index", list.Index, "whole", list.Snapshot, "entries", len(list.Entries))
+	s.deliver(kind, list)
+	return true
+}
+
 // summaryEvery is how often the log tells what goes on, as single requests are not in it.
 const summaryEvery = 30 * time.Second
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ryepulley"
+	"ryepulley/directory"
 )
 
 // config is the example that the README points to.
@@ -95,3 +96,40 @@
 		t.Fatal("served on an address that is taken")
 	}
 }
+
+// A new watch takes over with its first list; what the old one says after that does not count, and one
+// that never spoke gives way to a newer one.
+func TestHear(t *testing.T) {
+	cfg, err := Parse([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	watching, stop := context.WithCancel(context.Background())
+	stop() // the watches themselves do nothing here
+	s.watching = watching
+	follow := func(address string) *watch {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.follow(address, 0, true)
+		return s.next
+	}
+	expect := func(w *watch, want bool) {
+		t.Helper()
+		if got := s.hear(w, directory.List{Snapshot: true}); got != want {
+			t.Fatalf("news of %s: taken %t, want %t", w.address, got, want)
+		}
+	}
+	first := follow("a:1")
+	expect(first, true)
+	silent := follow("b:1")
+	last := follow("c:1")
+	expect(silent, false)
+	expect(first, true)
+	expect(last, true)
+	expect(first, false)
+	expect(last, true)
+}
