--- a/dispatcher.go
+++ b/dispatcher.go
@@ -433,7 +433,7 @@
 	return acts
 }
 
-// Stop takes the word that the host ends at by. What is open then, or comes later, has its final answer at once.
+// Stop takes the word that the host ends at by. What is open then, or comes later, is answered at once.
 func (d *Dispatcher) Stop(by time.Duration, acts []Action) []Action {
 	d.stopBy = by
 	return append(acts, Action{Kind: SetTimer, Token: tokenStop, At: by})
--- a/estimate.go
+++ b/estimate.go
@@ -20,6 +20,7 @@
 	cutAfter     = 3    // failed connections in a row that show a zone cut off
 	slowStep     = 0.1  // part by which one run moves the slowdown of the moment
 	homeSlack    = 0.1  // how much more may be turned away in the own zone than elsewhere
+	away         = 0.5  // queue for each slot that makes another zone as dear as the own one
 	waitWeight   = 0.08 // weight of one answer in the mean wait
 	waitMost     = 0.5  // mean wait, as part of what the aims allow, that is taken for overload
 	tenantMemory = 15.0 // seconds in which a tenant's arrivals fade to 1/e
--- a/failures_test.go
+++ b/failures_test.go
@@ -484,3 +484,35 @@
 		t.Fatalf("after the end: %v", got)
 	}
 }
+
+// Of the workers below their targets the first drawn was taken, though others had nothing to do; jobs queued
+// behind each other at half load. Another zone is worth its price only for a queue that is shorter by more.
+func TestJoinsTheShortestQueue(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Second
+	list := fleet(4)
+	for i := range list {
+		list[i].Kind, list[i].Zone = 0, d.set.Zone
+	}
+	list[3].Zone = 1
+	d.List(now, ListFull, list, nil)
+	d.arrived, d.seen = 1000, 5 // targets are high: all are in G
+	d.resolve(now)
+	for _, c := range []struct {
+		held [4]float64
+		want int
+	}{{[4]float64{2, 1, 3, 1}, 1}, {[4]float64{3, 2, 1, 0}, 2}} {
+		for i, h := range c.held {
+			d.workers[i].held, d.workers[i].target = h, 100
+		}
+		for id := range RequestID(20) {
+			r := &request{id: id, slots: 1, work: 0.05, deadline: time.Hour}
+			if got := d.draw(now, r); got != c.want {
+				t.Fatalf("held %v: worker %d, want %d", c.held, got, c.want)
+			}
+		}
+	}
+	if near, far := &d.workers[0], &d.workers[3]; d.queue(far) <= d.queue(&d.workers[2]) || d.queue(far) >= d.queue(near) {
+		t.Fatalf("the other zone's queue counts as %v, this one's as %v", d.queue(far), d.queue(near))
+	}
+}
--- a/split.go
+++ b/split.go
@@ -190,9 +190,9 @@
 	}
 }
 
-// draw picks a worker for r, or -1. G holds the workers whose occupancy is below target, so drawing
-// by ξ until one of G comes up is drawing inside G by ξ_i/Σ_G ξ_j; after the last of a few draws G
-// counts as empty, and the best of those drawn by ξ_i/Ξ is taken.
+// draw picks a worker for r, or -1. G holds the workers whose occupancy is below target, and drawing by ξ
+// until some of G come up is drawing inside G by ξ_i/Σ_G ξ_j; of those drawn r joins the shortest queue. If
+// none of a few draws is in G it counts as empty, and the same is done with those drawn by ξ_i/Ξ.
 func (d *Dispatcher) draw(now time.Duration, r *request) int {
 	sums, from := d.all, 0
 	if k := d.set.Classes[r.class].Kind; k >= 0 {
@@ -209,15 +209,12 @@
 	if !(total > 0) {
 		return d.scan(now, r)
 	}
-	best, bestRank := -1, rankBarred
+	best, bestRank, least := -1, rankBarred, 0.0
 	for range maxDraws {
 		i := int(d.order[from+d.pick(sums)])
-		rank := d.rank(now, r, i)
-		if rank < bestRank {
-			best, bestRank = i, rank
-			if rank == rankRoom {
-				break
-			}
+		rank, queue := d.rank(now, r, i), d.queue(&d.workers[i])
+		if rank < bestRank || rank == bestRank && rank < rankBarred && queue < least {
+			best, bestRank, least = i, rank, queue
 		}
 	}
 	if best < 0 {
@@ -226,6 +223,16 @@
 	return best
 }
 
+// queue is what this dispatcher has at w, for each slot. A worker of another zone counts as longer, for the
+// price of sending there. Speeds are not in it: ξ has them already, and the queues that others see differ.
+func (d *Dispatcher) queue(w *worker) float64 {
+	jobs := w.held / d.slots(w)
+	if w.zone != d.set.Zone && d.set.CrossZone > 0 {
+		jobs += away
+	}
+	return jobs
+}
+
 // pick draws a place in running sums of weights.
 func (d *Dispatcher) pick(sums []float64) int {
 	u := d.rng.Float64() * sums[len(sums)-1]
