Keep the limit on held slots at this scheduler's part of the slots, or over

Now the limit stops at the dispatcher's part (1/B) of the slots of the workers that are not shut out: holding that much makes nobody wait.

Test: TestLimitLeavesNoWorkerIdle.

--- a/estimate.go
+++ b/estimate.go
@@ -395,7 +395,7 @@
 			p.limit = p.held + 1
 		}
 		if p.held > p.limit*0.7 {
-			p.limit = max(1, p.limit*0.9)
+			p.limit = max(1, d.part(p), p.limit*0.9)
 		}
 	case p.limit > 0:
 		grow := 1.05
@@ -409,6 +409,23 @@
 	}
 }
 
+// part is this dispatcher's part of the slots that p's work can go to. What it holds may well fill these: the
+// waits that the start notes tell of are those of jobs sent long ago, and would starve idle workers.
+func (d *Dispatcher) part(p *pool) float64 {
+	sum := 0.0
+	for k, sp := range d.spans {
+		if p != &d.pools[0] && p != &d.pools[k+1] {
+			continue
+		}
+		for _, i := range d.order[sp.from:sp.to] {
+			if w := &d.workers[i]; w.shutFor == 0 {
+				sum += d.slots(w)
+			}
+		}
+	}
+	return sum / float64(d.set.Balancers)
+}
+
 // lean moves the part of the claims that is made in this zone: less while more is turned away here
 // than elsewhere, as where a zone has lost workers or has more clients than others. In the same way
 // unbound work, which can go elsewhere, leaves a kind whose bound work waits or is turned away.
--- a/failures_test.go
+++ b/failures_test.go
@@ -516,3 +516,22 @@
 		t.Fatalf("the other zone's queue counts as %v, this one's as %v", d.queue(far), d.queue(near))
 	}
 }
+
+// In a jam the limit on held slots followed the waits of jobs sent long before down to a single one: 87% were
+// refused while most workers stood idle. It stays at this dispatcher's part of their slots.
+func TestLimitLeavesNoWorkerIdle(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Second
+	d.List(now, ListFull, fleet(6), nil)
+	d.resolve(now)
+	p := &d.pools[0]
+	p.wait, p.held, p.limit = 1, 20, 20
+	for range 50 {
+		now += time.Second
+		p.held = p.limit
+		d.adjust(p, now)
+	}
+	if want := 6 * 4.0 / 4; p.limit < want || p.limit > want*1.1 {
+		t.Fatalf("limit %v, want %v", p.limit, want)
+	}
+}
--- a/split.go
+++ b/split.go
@@ -224,13 +224,13 @@
 }
 
 // queue is what this dispatcher has at w, for each slot. A worker of another zone counts as longer, for the
-// price of sending there. Speeds are not in it: ξ has them already, and the queues that others see differ.
+// price of sending there. Speeds count by their root: ξ and the lengths of queues have them already.
 func (d *Dispatcher) queue(w *worker) float64 {
 	jobs := w.held / d.slots(w)
 	if w.zone != d.set.Zone && d.set.CrossZone > 0 {
 		jobs += away
 	}
-	return jobs
+	return jobs * math.Sqrt(d.slowness(w))
 }
 
 // pick draws a place in running sums of weights.
