See others' jobs in what does not start; distrust connections that are idle too long

Each scheduler counts its own jobs only and has no reports. queue in split.go took a worker for empty whose slots others held, while an own job there waited for its start.

Ruled out: providers (all resets hit reused connections). What it costs: a handshake for each job while the age is short. Not measured apart.

Tests: TestWaitingShowsAFullWorker, TestForgottenConnections.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -5,7 +5,6 @@
 // paper's target rates and the draw) and estimate.go (speed, slots, occupancy and health).
 
 import (
-	"encoding/binary"
 	"time"
 )
 
@@ -288,6 +287,8 @@
 	r.pool.turned.sent++
 	d.zoned(w).sent++
 	w.tries++
+	w.waiting++
+	w.sentAt = now
 	r.out++
 	r.attempts = append(r.attempts, attempt{worker: int32(i), out: true, held: r.slots, sent: now, blamed: 1})
 	var timeout time.Duration
@@ -334,6 +335,9 @@
 	r.out--
 	w.held = max(0, w.held-a.held)
 	w.tries--
+	if a.started == 0 {
+		w.waiting--
+	}
 	p := r.pool
 	p.held = max(0, p.held-a.held)
 	d.report(w, now, o.Report)
@@ -411,28 +415,13 @@
 	a := &r.attempts[n.Attempt]
 	if n.Started && a.out && a.started == 0 {
 		a.started = now
+		d.workers[a.worker].waiting--
 		run := seconds(r.work * d.fastest())
 		d.waited(r.pool, &d.workers[a.worker], now-a.sent, r.aim-r.born-run)
 	}
 	return acts
 }
 
-// First takes the start of a streamed answer, which settles the request.
-func (d *Dispatcher) First(now time.Duration, n Note, acts []Action) []Action {
-	r := d.requests[n.Request]
-	if r == nil || n.Attempt < 0 || n.Attempt >= len(r.attempts) || r.ended {
-		return acts
-	}
-	r.ended = true
-	for k := range r.attempts {
-		if k != n.Attempt && r.attempts[k].out && d.set.Cancel {
-			acts = append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
-		}
-	}
-	d.drop(r)
-	return acts
-}
-
 // Stop takes the word that the host ends at by. What is open then, or comes later, is answered at once.
 func (d *Dispatcher) Stop(by time.Duration, acts []Action) []Action {
 	d.stopBy = by
@@ -450,26 +439,6 @@
 	return acts
 }
 
-// Probed takes what a probe found.
-func (d *Dispatcher) Probed(now time.Duration, p Probed, acts []Action) []Action {
-	if i, ok := d.index[p.Worker]; ok {
-		d.workers[i].probing = false
-		d.report(&d.workers[i], now, p.Report)
-	}
-	return acts
-}
-
-// Peer takes a message of another dispatcher.
-func (d *Dispatcher) Peer(now time.Duration, from int, data []byte, acts []Action) []Action {
-	if len(data) != 9 || data[0] != messageFails {
-		return acts
-	}
-	if i, ok := d.index[WorkerID(binary.LittleEndian.Uint64(data[1:]))]; ok {
-		d.failed(&d.workers[i], now, 1)
-	}
-	return acts
-}
-
 // Timer takes a timer that came due.
 func (d *Dispatcher) Timer(now time.Duration, token uint64, acts []Action) []Action {
 	switch token {
--- a/estimate.go
+++ b/estimate.go
@@ -29,6 +29,7 @@
 	fewReports   = 20   // reports that show a kind's slots
 	maxDraws     = 20
 	minLeft      = 50 * time.Millisecond // least time that an attempt is given
+	prompt       = 20 * time.Millisecond // in which a job starts where a slot is free
 	freshLook    = 100 * time.Millisecond
 	minShut      = time.Second
 	mostShut     = 16 * time.Second
--- a/failures_test.go
+++ b/failures_test.go
@@ -512,8 +512,8 @@
 			}
 		}
 	}
-	if near, far := &d.workers[0], &d.workers[3]; d.queue(far) <= d.queue(&d.workers[2]) || d.queue(far) >= d.queue(near) {
-		t.Fatalf("the other zone's queue counts as %v, this one's as %v", d.queue(far), d.queue(near))
+	if near, far := &d.workers[0], &d.workers[3]; d.queue(now, far) <= d.queue(now, &d.workers[2]) || d.queue(now, far) >= d.queue(now, near) {
+		t.Fatalf("the other zone's queue counts as %v, this one's as %v", d.queue(now, far), d.queue(now, near))
 	}
 }
 
@@ -535,3 +535,28 @@
 		t.Fatalf("limit %v, want %v", p.limit, want)
 	}
 }
+
+// Reports tell nothing here, and each dispatcher sees its own jobs only: one that does not start, where own
+// slots would be free, was not taken for the sign of others' jobs that it is.
+func TestWaitingShowsAFullWorker(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Second
+	d.List(now, ListFull, fleet(1), nil)
+	first := sends(d.Request(now, job(1, 0), nil))[0]
+	w := &d.workers[0]
+	empty := d.queue(now, w)
+	now += prompt + time.Millisecond
+	if full := d.queue(now, w); full <= 1 || full <= empty {
+		t.Fatalf("a queue of %v, %v just after the send", full, empty)
+	}
+	d.Note(now, Note{Request: 1, Worker: first.Worker, Started: true}, nil)
+	if got := d.queue(now, w); got != empty || w.waiting != 0 {
+		t.Fatalf("a queue of %v and %d waiting after the start, want %v", got, w.waiting, empty)
+	}
+	d.Request(now, job(2, 0), nil)
+	d.Outcome(now, Outcome{Request: 1, Worker: first.Worker, Status: OK}, nil)
+	d.Outcome(now, Outcome{Request: 2, Worker: first.Worker, Status: TimedOut}, nil)
+	if w.waiting != 0 {
+		t.Fatalf("%d are waiting with none out", w.waiting)
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -189,8 +189,11 @@
 		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
 		return decide.Silent, nil
 	case err != nil:
+		if conn.reused {
+			p.forgotten(conn)
+		}
 		p.log.Debug("connection broke before the acknowledgement", "provider", v.Provider,
-			"reused", conn.reused, "err", err)
+			"reused", conn.reused, "idle", conn.age, "err", err)
 		return decide.Broken, nil
 	case reply.end != accepted:
 		return reply.end, nil
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -32,6 +33,9 @@
 	open      int                  // connections, those being made included
 	calls     map[string]*call     // by request id
 	closed    bool
+
+	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
+	brokeAt  time.Time     // the last of them
 }
 
 type provider struct {
@@ -49,6 +53,8 @@
 	of     *provider
 	expiry *time.Timer
 	reused bool
+	since  time.Time     // when it last fell idle
+	age    time.Duration // how long it had been idle when it was last taken
 }
 
 // NewPool returns a Pool without providers.
@@ -125,6 +131,11 @@
 	}
 }
 
+const (
+	leastIdle  = 20 * time.Millisecond // idle for less, no connection has been forgotten
+	trustAgain = 15 * time.Second      // in which the trusted age doubles
+)
+
 var (
 	errUnknown    = errors.New("provider is not in the directory")
 	errNotServing = errors.New("provider drains or is gone")
@@ -146,7 +157,8 @@
 	for n := len(pr.idle); n > 0; n = len(pr.idle) {
 		c := pr.idle[n-1]
 		pr.idle = pr.idle[:n-1]
-		if !c.expiry.Stop() || !c.alive() {
+		c.age = time.Since(c.since)
+		if !c.expiry.Stop() || c.age > p.trusted() || !c.alive() {
 			p.open--
 			c.Close()
 			continue
@@ -176,6 +188,25 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 2048), of: pr}, nil
 }
 
+// trusted is how long a connection may have been idle to carry a job. Something on the way may forget idle
+// connections far sooner than the settings say and tell nobody: then each job written to one ends as a reset.
+// What was seen is forgotten by and by. Called under mu.
+func (p *Pool) trusted() time.Duration {
+	if p.idleMost == 0 {
+		return p.limits.Idle
+	}
+	grown := float64(p.idleMost) * math.Exp2(float64(time.Since(p.brokeAt))/float64(trustAgain))
+	return time.Duration(min(float64(p.limits.Idle), grown))
+}
+
+// forgotten notes that a connection broke under a job after it had been idle.
+func (p *Pool) forgotten(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleMost = max(leastIdle, min(p.trusted(), c.age/2))
+	p.brokeAt = time.Now()
+}
+
 // reclaim closes the idle connection of the provider that has most of them.
 func (p *Pool) reclaim() bool {
 	var most *provider
@@ -206,7 +237,7 @@
 		c.Close()
 		return
 	}
-	c.reused = true
+	c.reused, c.since = true, time.Now()
 	// Retired well before the provider's machine would: a job written to a connection that closes at
 	// that moment ends as a reset, which may have run.
 	c.expiry = time.AfterFunc(p.limits.Idle, func() { p.expire(c) })
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -323,3 +323,26 @@
 		}
 	}
 }
+
+// Something between here and the providers may forget idle connections long before the settings say. One job
+// that breaks is enough to learn that: the next ones do not go out on connections that stood idle as long.
+func TestForgottenConnections(t *testing.T) {
+	onConn := make(map[net.Conn]int)
+	f := newFake(t, func(_ int, c net.Conn) bool {
+		if onConn[c]++; onConn[c] > 1 {
+			return false // forgotten
+		}
+		return say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")(0, c)
+	})
+	p := pool(f.ln.Addr().String())
+	for _, want := range []decide.End{decide.Failed, decide.Broken, decide.Failed, decide.Failed, decide.Failed} {
+		invoke(t, p, verdict(context.Background(), 5*time.Second), want)
+		time.Sleep(3 * leastIdle)
+	}
+	p.mu.Lock()
+	p.idleMost, p.brokeAt = leastIdle, time.Now().Add(-time.Hour)
+	if got := p.trusted(); got != p.limits.Idle {
+		t.Errorf("after an hour %v is trusted, want %v", got, p.limits.Idle)
+	}
+	p.mu.Unlock()
+}
--- a/split.go
+++ b/split.go
@@ -212,7 +212,7 @@
 	best, bestRank, least := -1, rankBarred, 0.0
 	for range maxDraws {
 		i := int(d.order[from+d.pick(sums)])
-		rank, queue := d.rank(now, r, i), d.queue(&d.workers[i])
+		rank, queue := d.rank(now, r, i), d.queue(now, &d.workers[i])
 		if rank < bestRank || rank == bestRank && rank < rankBarred && queue < least {
 			best, bestRank, least = i, rank, queue
 		}
@@ -225,8 +225,12 @@
 
 // queue is what this dispatcher has at w, for each slot. A worker of another zone counts as longer, for the
 // price of sending there. Speeds count by their root: ξ and the lengths of queues have them already.
-func (d *Dispatcher) queue(w *worker) float64 {
+func (d *Dispatcher) queue(now time.Duration, w *worker) float64 {
 	jobs := w.held / d.slots(w)
+	if d.set.TellsStart && w.waiting > 0 && now-w.sentAt > prompt {
+		// What has not started by now waits for others' jobs: no slot is free.
+		jobs = max(jobs, 1+float64(w.waiting)/d.slots(w))
+	}
 	if w.zone != d.set.Zone && d.set.CrossZone > 0 {
 		jobs += away
 	}
--- a/state.go
+++ b/state.go
@@ -99,8 +99,10 @@
 	listed  bool
 	started time.Duration
 
-	held    float64 // s: own slots held
-	tries   int     // own attempts out
+	held    float64       // s: own slots held
+	tries   int           // own attempts out
+	waiting int           // of them, those that have not started
+	sentAt  time.Duration // the last of them
 	probing bool
 
 	// Solved: ξ, ξ/μ, L and T.
@@ -246,6 +248,42 @@
 	}
 }
 
+// First takes the start of a streamed answer, which settles the request.
+func (d *Dispatcher) First(now time.Duration, n Note, acts []Action) []Action {
+	r := d.requests[n.Request]
+	if r == nil || n.Attempt < 0 || n.Attempt >= len(r.attempts) || r.ended {
+		return acts
+	}
+	r.ended = true
+	for k := range r.attempts {
+		if k != n.Attempt && r.attempts[k].out && d.set.Cancel {
+			acts = append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
+		}
+	}
+	d.drop(r)
+	return acts
+}
+
+// Probed takes what a probe found.
+func (d *Dispatcher) Probed(now time.Duration, p Probed, acts []Action) []Action {
+	if i, ok := d.index[p.Worker]; ok {
+		d.workers[i].probing = false
+		d.report(&d.workers[i], now, p.Report)
+	}
+	return acts
+}
+
+// Peer takes a message of another dispatcher.
+func (d *Dispatcher) Peer(now time.Duration, from int, data []byte, acts []Action) []Action {
+	if len(data) != 9 || data[0] != messageFails {
+		return acts
+	}
+	if i, ok := d.index[WorkerID(binary.LittleEndian.Uint64(data[1:]))]; ok {
+		d.failed(&d.workers[i], now, 1)
+	}
+	return acts
+}
+
 // jitter is a random part of t.
 func (d *Dispatcher) jitter(t time.Duration) time.Duration {
 	return time.Duration(d.rng.Float64() * float64(t))
