Send jobs of vanished providers elsewhere once the directory drops them

They wait for their deadlines, settle 25 s, while the directory drops the provider after 4 to 13 s. List in dispatcher.go only stopped new sends there.

Now: when a provider leaves the list, or has started anew since the send, what may be repeated is withdrawn (CancelSend) and placed again when its end is reported. The pool tells the provider, or finds that it cannot within its limits, before it reports that end (ErrElsewhere), so a job never has two calls out.

Tests: TestVanishedWorkersJobsGoElsewhere, TestElsewhere.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -83,6 +84,10 @@
 	RetryAfter time.Duration   // Rejection: how long to stay away; 0: not told
 }
 
+// ErrElsewhere is the cause of a call's withdrawal if the job is to go to another provider: its end must not
+// be reported before the first one has been told, as it may not have two calls out.
+var ErrElsewhere = errors.New("the job goes to another provider")
+
 // Desk owns the module. All its methods may be called from any goroutine.
 type Desk struct {
 	set ryepulley.Settings
@@ -193,7 +198,7 @@
 	out      bool // an invoker call is to be reported
 	provider ryepulley.WorkerID
 	sent     time.Duration
-	withdraw context.CancelFunc
+	withdraw context.CancelCauseFunc
 	final    bool
 }
 
@@ -268,7 +273,7 @@
 	}
 	t.out = false
 	d.counts.Ends[end]++
-	t.withdraw()
+	t.withdraw(nil)
 	switch {
 	case t.final:
 	case end == Served:
@@ -328,7 +333,7 @@
 		}
 	}
 	var ctx context.Context
-	ctx, t.withdraw = context.WithCancel(context.Background())
+	ctx, t.withdraw = context.WithCancelCause(context.Background())
 	t.verdicts <- Verdict{Kind: Call, Provider: d.names[a.Worker], Until: until, TakenIn: a.TakenIn, Context: ctx}
 }
 
@@ -367,7 +372,11 @@
 		}
 		t := d.tickets[a.Request]
 		if a.Kind == ryepulley.CancelSend && t != nil && t.out && a.Attempt == t.attempts-1 {
-			t.withdraw()
+			if t.final {
+				t.withdraw(nil)
+			} else {
+				t.withdraw(ErrElsewhere)
+			}
 		}
 		if t == nil || t.final {
 			continue
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -51,6 +51,23 @@
 		d.entry(now, &entries[i])
 	}
 	d.dirty = true
+	return d.abandon(acts)
+}
+
+// abandon gives up the attempts at workers that have left the list, or started anew, since. One that vanished
+// says nothing, and what it had taken would wait for its deadline; what may be repeated goes elsewhere.
+func (d *Dispatcher) abandon(acts []Action) []Action {
+	for _, r := range d.open {
+		if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
+			continue
+		}
+		for k := range r.attempts {
+			a := &r.attempts[k]
+			if w := &d.workers[a.worker]; a.out && (!w.listed || a.sent < w.started) {
+				acts = append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
+			}
+		}
+	}
 	return acts
 }
 
--- a/failures_test.go
+++ b/failures_test.go
@@ -560,3 +560,32 @@
 		t.Fatalf("%d are waiting with none out", w.waiting)
 	}
 }
+
+// Jobs that a worker had taken before it vanished waited for their deadlines, 25 s for some, though the list had
+// long dropped it. What may be repeated goes elsewhere then, also if the worker is back by that time.
+func TestVanishedWorkersJobsGoElsewhere(t *testing.T) {
+	for class, again := range map[int]bool{0: true, 2: true, 5: false} {
+		for _, news := range []Entry{{State: Gone}, {State: Ready, Weight: 4, Started: 2 * time.Second}} {
+			d := newTest(t, func(s *Settings) { s.SecondCopies = false })
+			now := time.Second
+			d.List(now, ListFull, fleet(6), nil)
+			first := sends(d.Request(now, job(1, class), nil))[0]
+			now += 100 * time.Millisecond
+			news.ID = first.Worker
+			acts := d.List(now, ListDelta, []Entry{news}, nil)
+			if !again {
+				if len(acts) != 0 {
+					t.Fatalf("class %d: %+v", class, acts)
+				}
+				continue
+			}
+			if len(acts) != 1 || acts[0].Kind != CancelSend || acts[0].Request != 1 || acts[0].Attempt != 0 {
+				t.Fatalf("class %d: %+v", class, acts)
+			}
+			acts = d.Outcome(now, Outcome{Request: 1, Worker: first.Worker, Status: Cancelled}, nil)
+			if next := sends(acts); len(next) != 1 || next[0].Worker == first.Worker {
+				t.Fatalf("class %d: %+v", class, acts)
+			}
+		}
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -209,9 +209,12 @@
 		end = decide.Withdrawn
 	case <-timer.C:
 	}
-	// Not waited for: a silent provider would make the consumer's answer late, and the module sends
-	// a job no further after either end.
-	go p.giveUp(job, v.Provider)
+	if context.Cause(v.Context) == decide.ErrElsewhere {
+		p.giveUp(job, v.Provider) // a provider that cannot be told in time is no more
+	} else {
+		// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
+		go p.giveUp(job, v.Provider)
+	}
 	return end, nil
 }
 
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -346,3 +346,19 @@
 	}
 	p.mu.Unlock()
 }
+
+// A job that is to go elsewhere has no second call out: its first provider is told before that call has ended.
+func TestElsewhere(t *testing.T) {
+	f := newFake(t, say(taken))
+	p := pool(f.ln.Addr().String())
+	ctx, withdraw := context.WithCancelCause(context.Background())
+	go func() {
+		<-f.lines                          // the job
+		time.Sleep(100 * time.Millisecond) // acknowledged by now: else the connection's end would tell
+		withdraw(decide.ErrElsewhere)
+	}()
+	invoke(t, p, verdict(ctx, 5*time.Second), decide.Withdrawn)
+	if len(f.lines) != 1 || <-f.lines != "DELETE /jobs/id-1" {
+		t.Fatal("the call ended before its provider was told")
+	}
+}
