Leave providers alone at once to which no connection comes up, however many they are

Cause: failed in estimate.go shuts a worker out by its share of failures, and not at all once over 40% are (crowded, maxShut); and a dead worker, having no jobs, has the shortest queue in split.go. Ruled out: the limit on held slots (not in force then), the pool (refusals are seen in 50 us), the listener.

Now a connection that does not come up leaves that worker out at once for 0.25 s, doubling up to 4 s until it serves again; then one job finds out. Health by shares stays for answers. A call for which our own limit leaves no descriptor ends as not sent, so it marks no provider.

Tests: TestDeadWorkersAreLeftAlone; TestNotConnected has the own limit.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -282,7 +282,7 @@
 			return false
 		}
 	}
-	if d.cut(w, now) {
+	if w.awayUntil > now || d.cut(w, now) {
 		return false
 	}
 	// Health: not while shut out, and one job at a time on the way back.
@@ -306,6 +306,9 @@
 	w.tries++
 	w.waiting++
 	w.sentAt = now
+	if w.awayFor > 0 {
+		w.awayUntil = now + w.awayFor // one job finds out
+	}
 	r.out++
 	r.attempts = append(r.attempts, attempt{worker: int32(i), out: true, held: r.slots, sent: now, blamed: 1})
 	var timeout time.Duration
@@ -407,6 +410,7 @@
 		r.pool.turned.full++
 		d.turnedDown(w, now)
 	case ConnectFailed:
+		d.away(w, now)
 		d.zoned(w).full++
 		if !d.unreached(w, now) {
 			d.failed(w, now, 1)
--- a/estimate.go
+++ b/estimate.go
@@ -20,7 +20,7 @@
 	cutAfter     = 3    // failed connections in a row that show a zone cut off
 	slowStep     = 0.1  // part by which one run moves the slowdown of the moment
 	homeSlack    = 0.1  // how much more may be turned away in the own zone than elsewhere
-	away         = 0.5  // queue for each slot that makes another zone as dear as the own one
+	zoneAway     = 0.5  // queue for each slot that makes another zone as dear as the own one
 	waitWeight   = 0.08 // weight of one answer in the mean wait
 	waitMost     = 0.5  // mean wait, as part of what the aims allow, that is taken for overload
 	tenantMemory = 15.0 // seconds in which a tenant's arrivals fade to 1/e
@@ -33,6 +33,8 @@
 	freshLook    = 100 * time.Millisecond
 	minShut      = time.Second
 	mostShut     = 16 * time.Second
+	minAway      = 250 * time.Millisecond
+	mostAway     = 4 * time.Second
 	solvePeriod  = time.Second
 )
 
@@ -210,55 +212,6 @@
 	return max(1, w.weight)
 }
 
-// report reads a load report. Values that make no sense are passed over.
-func (d *Dispatcher) report(w *worker, now time.Duration, values []float64) {
-	free, queue, inflight, util := d.set.read(values)
-	k := &d.kinds[w.kind]
-	if free > 0 {
-		k.shown++
-		k.countSlots(free, inflight, util, w.weight)
-	}
-	switch {
-	case inflight >= 0:
-		w.occ = inflight
-	case free >= 0:
-		w.occ = max(0, d.slots(w)-free) + max(0, queue)
-	case queue >= 0:
-		w.occ = d.slots(w) + queue
-		if queue == 0 {
-			return
-		}
-	default:
-		return
-	}
-	w.occHeld, w.occAt, w.occSeen = w.held, now, true
-	if !d.set.TellsStart {
-		c := d.slots(w)
-		wait := max(0, w.occ+1-c) / c * d.meanWork * k.base * d.slowdown
-		p := &d.pools[0]
-		d.waited(p, w, seconds(wait), d.budget)
-	}
-}
-
-// countSlots learns a kind's slot count from a report with free slots. The design takes the largest
-// free count plus B times our held slots. Among many dispatchers one held slot would count as B, and
-// a worker under load never shows all its slots free. Where the report tells what is taken, as requests
-// in work or as the busy share, that is added instead; else the largest count is taken, or the listed
-// weight where that is larger.
-func (k *kindStats) countSlots(free, inflight, util, listed float64) {
-	const weight = 0.05
-	switch {
-	case inflight >= 0:
-		k.slots += (free + inflight - k.slots) * max(weight, 1/float64(k.shown))
-	case util >= 0 && util < 0.7:
-		k.slots += (free/(1-util) - k.slots) * max(weight, 1/float64(k.shown))
-	case util >= 0:
-		k.shown--
-	default:
-		k.slots += max(0, max(free, listed)-k.slots) * 0.2
-	}
-}
-
 // known is the occupancy of a worker by all dispatchers while evidence of it is fresh. Evidence
 // lasts a run time, longer where a queue must drain first.
 func (d *Dispatcher) known(w *worker, now time.Duration) (float64, bool) {
@@ -325,6 +278,14 @@
 	return true
 }
 
+// away notes that no connection to w comes up. That is no matter of shares, as failures are, which any worker
+// may have: it is left alone at once, however many others are, and tried with one job now and then.
+func (d *Dispatcher) away(w *worker, now time.Duration) {
+	d.dirty = d.dirty || w.awayFor == 0
+	w.awayFor = min(max(2*w.awayFor, minAway), mostAway)
+	w.awayUntil = now + w.awayFor/2 + d.jitter(w.awayFor)
+}
+
 // cut tells whether w's zone cannot be reached.
 func (d *Dispatcher) cut(w *worker, now time.Duration) bool {
 	return w.zone < len(d.zones) && d.zones[w.zone].until > now
@@ -352,6 +313,7 @@
 	if w.zone < len(d.zones) {
 		d.zones[w.zone] = zone{}
 	}
+	w.awayFor = 0
 	w.oks++
 	d.oks++
 	if w.shutFor > 0 {
@@ -419,7 +381,7 @@
 			continue
 		}
 		for _, i := range d.order[sp.from:sp.to] {
-			if w := &d.workers[i]; w.shutFor == 0 {
+			if w := &d.workers[i]; w.shutFor == 0 && w.awayFor == 0 {
 				sum += d.slots(w)
 			}
 		}
--- a/failures_test.go
+++ b/failures_test.go
@@ -589,3 +589,37 @@
 		}
 	}
 }
+
+// Half of the workers died at once. That is too many to be shut out for bad health, and having no jobs they had the
+// shortest queues: a job used up its attempts on them within a millisecond and was refused.
+func TestDeadWorkersAreLeftAlone(t *testing.T) {
+	d := newTest(t, func(s *Settings) { s.Zones, s.CrossZone = 1, 0 })
+	now := time.Second
+	list := fleet(12)
+	for i := range list {
+		list[i].Kind, list[i].Zone = 0, 1
+	}
+	d.List(now, ListFull, list, nil)
+	failed := 0
+	for id := RequestID(1); id <= 100; id++ {
+		now += 2 * time.Millisecond
+		acts := d.Request(now, job(id, 0), nil)
+		for attempt := 0; ; attempt++ {
+			sent := sends(acts)
+			if len(sent) == 0 {
+				t.Fatalf("job %d after %d attempts: %+v", id, attempt, acts)
+			}
+			o := Outcome{Request: id, Attempt: attempt, Worker: sent[0].Worker, Status: OK, Elapsed: time.Millisecond}
+			if o.Worker%2 == 0 {
+				o.Status, failed = ConnectFailed, failed+1
+			}
+			acts = d.Outcome(now, o, nil)
+			if o.Status == OK {
+				break
+			}
+		}
+	}
+	if failed > 12 { // each is tried once, and again after a while
+		t.Fatalf("%d attempts went to dead workers", failed)
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -127,7 +127,7 @@
 	conn, err := p.acquire(v.Context, v.Provider, true, v.Until)
 	if err != nil {
 		p.log.Debug("no connection", "provider", v.Provider, "err", err)
-		if v.Context.Err() != nil {
+		if v.Context.Err() != nil || errors.Is(err, errCrowded) { // our own limit says nothing of the provider
 			return decide.NotSent, nil
 		}
 		return decide.NotConnected, nil
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -130,6 +130,8 @@
 	f.ln.Close()
 	p.Directory([]directory.Entry{{Name: "s-1", Address: f.ln.Addr().String(), Status: directory.Serving}}, false)
 	invoke(t, p, verdict(context.Background(), time.Second), decide.NotConnected) // refused
+	p.limits.Conns = 0
+	invoke(t, p, verdict(context.Background(), time.Second), decide.NotSent) // our own limit, not its fault
 	p.Directory(nil, true)
 	invoke(t, p, verdict(context.Background(), time.Second), decide.NotConnected) // left the list
 	if p.open != 0 {
--- a/split.go
+++ b/split.go
@@ -121,7 +121,7 @@
 		warm := d.warmth(w, now)
 		limit := mu * nearly
 		switch {
-		case w.shutUntil > now && !d.crowded || d.cut(w, now):
+		case w.shutUntil > now && !d.crowded || w.awayUntil > now || d.cut(w, now):
 			mu, limit = 0, 0
 		case warm < 1:
 			// The paper's Ξθ_i: a cold worker takes this dispatcher's part of what it can do now.
@@ -232,7 +232,7 @@
 		jobs = max(jobs, 1+float64(w.waiting)/d.slots(w))
 	}
 	if w.zone != d.set.Zone && d.set.CrossZone > 0 {
-		jobs += away
+		jobs += zoneAway
 	}
 	return jobs * math.Sqrt(d.slowness(w))
 }
--- a/state.go
+++ b/state.go
@@ -120,6 +120,9 @@
 	shutFor    time.Duration
 	shutUntil  time.Duration
 
+	awayFor   time.Duration // no connection came up since it last served; 0: none failed
+	awayUntil time.Duration // not tried before
+
 	credit   float64 // slot-seconds that may be sent while it is cold
 	creditAt time.Duration
 }
@@ -243,6 +246,7 @@
 		w.started = e.Started
 		w.slowSum, w.slowN, w.fails, w.oks = 0, 0, 0, 0
 		w.shutFor, w.shutUntil, w.occSeen = 0, 0, false
+		w.awayFor, w.awayUntil = 0, 0
 		w.creditAt = now
 		w.credit = -d.rng.Float64() * d.meanWork * d.slowness(w)
 	}
@@ -284,6 +288,55 @@
 	return acts
 }
 
+// report reads a load report. Values that make no sense are passed over.
+func (d *Dispatcher) report(w *worker, now time.Duration, values []float64) {
+	free, queue, inflight, util := d.set.read(values)
+	k := &d.kinds[w.kind]
+	if free > 0 {
+		k.shown++
+		k.countSlots(free, inflight, util, w.weight)
+	}
+	switch {
+	case inflight >= 0:
+		w.occ = inflight
+	case free >= 0:
+		w.occ = max(0, d.slots(w)-free) + max(0, queue)
+	case queue >= 0:
+		w.occ = d.slots(w) + queue
+		if queue == 0 {
+			return
+		}
+	default:
+		return
+	}
+	w.occHeld, w.occAt, w.occSeen = w.held, now, true
+	if !d.set.TellsStart {
+		c := d.slots(w)
+		wait := max(0, w.occ+1-c) / c * d.meanWork * k.base * d.slowdown
+		p := &d.pools[0]
+		d.waited(p, w, seconds(wait), d.budget)
+	}
+}
+
+// countSlots learns a kind's slot count from a report with free slots. The design takes the largest
+// free count plus B times our held slots. Among many dispatchers one held slot would count as B, and
+// a worker under load never shows all its slots free. Where the report tells what is taken, as requests
+// in work or as the busy share, that is added instead; else the largest count is taken, or the listed
+// weight where that is larger.
+func (k *kindStats) countSlots(free, inflight, util, listed float64) {
+	const weight = 0.05
+	switch {
+	case inflight >= 0:
+		k.slots += (free + inflight - k.slots) * max(weight, 1/float64(k.shown))
+	case util >= 0 && util < 0.7:
+		k.slots += (free/(1-util) - k.slots) * max(weight, 1/float64(k.shown))
+	case util >= 0:
+		k.shown--
+	default:
+		k.slots += max(0, max(free, listed)-k.slots) * 0.2
+	}
+}
+
 // jitter is a random part of t.
 func (d *Dispatcher) jitter(t time.Duration) time.Duration {
 	return time.Duration(d.rng.Float64() * float64(t))
