Send what must not run twice where nothing has failed of late

Jobs that may be repeated go out again and lose nothing; each card-issue among them is lost. Ruled out: idle connections (20 of 26 logged breaks are on new ones), dead providers (they serve meanwhile), the list.

Now rank in split.go puts a worker with a failure in the last 12 s or so (fading count over 0.3) behind all others for a class that must not run twice. It is still used when there is no other room.

Test: TestWhatRunsOnceAvoidsFailures.

--- a/estimate.go
+++ b/estimate.go
@@ -15,6 +15,7 @@
 	kindPrior    = 4.0  // samples of a kind that weigh as much as the fleet's
 	sampleCap    = 4.0  // a run counts as this many times its kind's mean at the most
 	maxShut      = 0.4  // share of the fleet that may be shut out for bad health
+	fewFails     = 0.3  // fading count of failures from which a worker is no place for what runs once
 	comeback     = 0.3  // part of its rate that a worker on its way back is given
 	homeward     = 0.8  // largest part of its claims that a dispatcher makes in its own zone
 	cutAfter     = 3    // failed connections in a row that show a zone cut off
--- a/failures_test.go
+++ b/failures_test.go
@@ -623,3 +623,28 @@
 		t.Fatalf("%d attempts went to dead workers", failed)
 	}
 }
+
+// Some workers broke a fifth of their connections, too few to be shut out. A job that must not run twice was lost
+// with each of them; it goes where nothing failed of late, as long as there is room.
+func TestWhatRunsOnceAvoidsFailures(t *testing.T) {
+	d := newTest(t, func(s *Settings) { s.Zones, s.CrossZone = 1, 0 })
+	now := time.Second
+	d.List(now, ListFull, fleet(6), nil)
+	d.resolve(now)
+	for i := range d.workers {
+		d.workers[i].target, d.workers[i].held = 100, 1
+		d.workers[i].oks = 10
+	}
+	d.workers[2].fails, d.workers[2].held = 1, 0 // the shortest queue, but for that
+	drawn := func(class int) (n int) {
+		for range 50 {
+			if d.draw(now, &request{class: class, work: 0.05, slots: 1, deadline: time.Hour}) == 2 {
+				n++
+			}
+		}
+		return n
+	}
+	if once, again := drawn(5), drawn(0); once != 0 || again < 25 {
+		t.Fatalf("the failing worker had %d jobs that run once and %d others of 50", once, again)
+	}
+}
--- a/split.go
+++ b/split.go
@@ -288,6 +288,9 @@
 	if w.held >= w.target {
 		return rankOver
 	}
+	if w.fails > fewFails && d.set.Classes[r.class].Effect == Unsafe {
+		return rankOver // a break here is the end of it, while others may be sent again
+	}
 	occ, ok := d.known(w, now)
 	if !ok {
 		if w.held >= w.xi*w.run+1 {
