--- a/consumer/server.go
+++ b/consumer/server.go
@@ -71,7 +71,7 @@
 	writeLimit  = 5 * time.Second
 	partLimit   = 500 * time.Millisecond // for a peer to take its last answer before the connection closes
 	partBytes   = 8 << 20                // what may still come in that time
-	newcomers   = 1200 * time.Millisecond
+	newcomers   = 2200 * time.Millisecond
 	strangers   = time.Second          // for a new connection's first byte while stopping
 	lastLook    = 5 * time.Millisecond // for a request that is on its way while its connection closes
 	retryAccept = 10 * time.Millisecond
