--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -398,7 +398,8 @@
 	}
 	j := parse("X-Request-Id: id\r\nX-Class: settle\r\nIdempotency-Key: k\r\nX-Tenant: b\r\nX-Deadline-Ms: 480\r\n" +
 		"X-Cost-Hint: 1500\r\nX-Extras: memory=0.5, slots=2\r\nConnection: X-Hop\r\nX-Hop: 1\r\n")
-	want := decide.Job{Class: 1, Tenant: 1, Left: 480*time.Millisecond - margin, Hint: 1500 * time.Microsecond, Slots: 2}
+	want := decide.Job{Class: 1, Tenant: 1, Left: 480*time.Millisecond - margin, Hint: 1500 * time.Microsecond, Slots: 2,
+		ID: "id", Party: "b", Deadline: 480 * time.Millisecond}
 	m := j.call.Message
 	if j.facts != want || j.call.ID != "id" || m.Target != "/api/x?y" || string(m.Body) != "body" ||
 		m.Fields.Get("Idempotency-Key") != "k" || m.Fields.Get("X-Hop") != "" || m.Fields.Get("X-Deadline-Ms") != "" {
@@ -407,7 +408,8 @@
 	// Without a deadline the class's counts; a tenant that nobody knows has no share; a deadline that is
 	// over leaves nothing.
 	j = parse("X-Request-Id: id\r\nX-Class: settle\r\nIdempotency-Key: k\r\nX-Tenant: z\r\n")
-	if want := (decide.Job{Class: 1, Tenant: 2, Left: 25*time.Second - margin, Slots: 1}); j.facts != want {
+	if want := (decide.Job{Class: 1, Tenant: 2, Left: 25*time.Second - margin, Slots: 1,
+		ID: "id", Party: "z", Deadline: 25 * time.Second}); j.facts != want {
 		t.Fatalf("%+v", j.facts)
 	}
 	if j = parse("X-Request-Id: id\r\nX-Class: check\r\nX-Deadline-Ms: 3\r\n"); j.facts.Left != 0 {
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -164,6 +164,7 @@
 	}
 	// A tenant that the settings do not know has no share to go past; it is served as any other.
 	j.facts.Tenant = index(len(set.Tenants), func(i int) bool { return set.Tenants[i].Name == f.Get("X-Tenant") })
+	j.facts.ID, j.facts.Party = j.call.ID, f.Get("X-Tenant")
 	class := &set.Classes[j.facts.Class]
 	if class.Effect == ryepulley.Keyed && f.Get("Idempotency-Key") == "" {
 		return nil, "Idempotency-Key is missing"
@@ -176,7 +177,7 @@
 		}
 		left = min(left, time.Duration(ms)*time.Millisecond) // longer than its class waits nobody does
 	}
-	j.facts.Left = max(0, left-margin)
+	j.facts.Deadline, j.facts.Left = left, max(0, left-margin)
 	if v := f.Get("X-Cost-Hint"); v != "" {
 		us, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(us >= 0 && us < math.MaxInt32) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,10 @@
 	Left          time.Duration // until the consumer must have its answer
 	Hint          time.Duration // 0: not told
 	Slots         float64
+
+	// As the consumer put it, for observers; no decision reads it.
+	ID, Party string // Party is the tenant's name, known or not
+	Deadline  time.Duration
 }
 
 // VerdictKind says what is to be done with a job.
@@ -105,6 +109,9 @@
 	names   []string // by WorkerID
 	closed  bool
 	counts  Counts
+
+	observer Observer // nil: none
+	event    Event    // what it is being told, here so that no event costs an allocation
 }
 
 // Counts tell what has happened since they were last taken, and how many jobs are open.
@@ -190,6 +197,7 @@
 type Ticket struct {
 	desk     *Desk
 	id       ryepulley.RequestID
+	job      Job
 	deadline time.Time
 	verdicts chan Verdict
 
@@ -198,6 +206,7 @@
 	out      bool // an invoker call is to be reported
 	provider ryepulley.WorkerID
 	sent     time.Duration
+	taken    time.Duration // with an observer only
 	withdraw context.CancelCauseFunc
 	final    bool
 }
@@ -209,8 +218,9 @@
 	defer d.mu.Unlock()
 	d.next++
 	d.counts.Jobs++
-	t := &Ticket{desk: d, id: d.next, deadline: time.Now().Add(job.Left), verdicts: make(chan Verdict, 2)}
+	t := &Ticket{desk: d, id: d.next, job: job, deadline: time.Now().Add(job.Left), verdicts: make(chan Verdict, 2)}
 	d.tickets[t.id] = t
+	d.tell(t, Event{Kind: Taken})
 	d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
 		t.deadline = d.at(now + job.Left)
 		return d.disp.Request(now, ryepulley.Request{
@@ -254,6 +264,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t.out {
+		d.tell(t, Event{Kind: Started})
 		d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
 			return d.disp.Note(now, ryepulley.Note{
 				Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Started: true,
@@ -274,6 +285,7 @@
 	t.out = false
 	d.counts.Ends[end]++
 	t.withdraw(nil)
+	d.tell(t, Event{Kind: Ended, End: end})
 	switch {
 	case t.final:
 	case end == Served:
@@ -311,6 +323,7 @@
 func (d *Desk) settle(t *Ticket, v Verdict) {
 	t.final = true
 	d.counts.Verdicts[v.Kind]++
+	d.tell(t, Event{Kind: Decided, Verdict: v.Kind})
 	t.verdicts <- v // has room for a last call and for this
 	d.drop(t)
 }
@@ -334,6 +347,7 @@
 	}
 	var ctx context.Context
 	ctx, t.withdraw = context.WithCancelCause(context.Background())
+	d.tell(t, Event{Kind: Sent})
 	t.verdicts <- Verdict{Kind: Call, Provider: d.names[a.Worker], Until: until, TakenIn: a.TakenIn, Context: ctx}
 }
 
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,160 @@
+// Package operator reads the operator's file: YAML, a section a feature. It is strict, as a setting that is
+// misspelt or out of range would otherwise be noticed on the day on which it counts.
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"sigs.k8s.io/yaml"
+)
+
+// File is the operator's file.
+type File struct {
+	path     string
+	sections map[string]json.RawMessage
+}
+
+// Load reads a file that may have the named sections and nothing else.
+func Load(path string, known ...string) (*File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	f := &File{path: path}
+	fail := func(why string) error {
+		return fmt.Errorf("%s: %s", path, strings.Join(strings.Fields(why), " ")) // the library's span lines
+	}
+	if many(raw) {
+		return nil, fail("holds more than one document")
+	}
+	asJSON, err := yaml.YAMLToJSONStrict(raw)
+	if err != nil {
+		return nil, fail(err.Error())
+	}
+	if err := json.Unmarshal(asJSON, &f.sections); err != nil {
+		return nil, fail("is not a mapping of sections")
+	}
+	for _, name := range keys(f.sections) {
+		if !slices.Contains(known, name) {
+			return nil, fail(name + ": no such section; there are " + strings.Join(known, ", "))
+		}
+	}
+	return f, nil
+}
+
+// many tells whether there is more than one document, as the library reads the first and passes over the others.
+func many(raw []byte) bool {
+	marks, documents, fresh := 0, 0, true
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, " \t\r\n")
+		if bytes.HasPrefix(line, []byte("---")) {
+			marks++
+			fresh, line = true, line[3:]
+		} else if bytes.Equal(line, []byte("...")) {
+			fresh, line = true, nil
+		}
+		if fresh && len(line) > 0 && line[0] != '#' && line[0] != '%' {
+			documents++
+			fresh = false
+		}
+	}
+	return marks > 1 || documents > 1
+}
+
+func keys(m map[string]json.RawMessage) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Section is one feature's part of a file. Its methods note the first thing that is wrong; Done tells it.
+type Section struct {
+	path, name string
+	values     map[string]json.RawMessage
+	asked      []string
+	err        error
+}
+
+// Section returns a part of the file, or nil if it is not there. One without settings is there all the same.
+func (f *File) Section(name string) *Section {
+	raw, ok := f.sections[name]
+	if !ok {
+		return nil
+	}
+	s := &Section{path: f.path, name: name}
+	if json.Unmarshal(raw, &s.values) != nil {
+		s.err = fmt.Errorf("%s: %s: is not a mapping of settings", f.path, name)
+	}
+	return s
+}
+
+// Fail notes what is wrong with a setting.
+func (s *Section) Fail(key, format string, args ...any) {
+	if s.err == nil {
+		why := s.name + "." + key + ": " + fmt.Sprintf(format, args...)
+		s.err = fmt.Errorf("%s: %s", s.path, strings.Join(strings.Fields(why), " ")) // one line, whatever is in the file
+	}
+}
+
+// Done returns the first thing that was wrong. A setting that nobody asked for is.
+func (s *Section) Done() error {
+	for _, key := range keys(s.values) {
+		if !slices.Contains(s.asked, key) {
+			s.Fail(key, "no such setting; there are %s", strings.Join(s.asked, ", "))
+		}
+	}
+	return s.err
+}
+
+// read takes a setting and tells whether it is there.
+func (s *Section) read(key string, to any, kind string) bool {
+	s.asked = append(s.asked, key)
+	raw, ok := s.values[key]
+	if !ok {
+		return false
+	}
+	if bytes.Equal(raw, []byte("null")) {
+		s.Fail(key, "has no value")
+	} else if json.Unmarshal(raw, to) != nil {
+		s.Fail(key, "%s is not %s", raw, kind)
+	}
+	return true
+}
+
+// Whole reads a whole number from lo to hi; left out, v stays as it is.
+func (s *Section) Whole(key string, v *int, lo, hi int) {
+	if s.read(key, v, "a whole number") && (*v < lo || *v > hi) {
+		s.Fail(key, "%d is not within %d and %d", *v, lo, hi)
+	}
+}
+
+// Text reads a text; left out, v stays as it is. An empty one says nothing.
+func (s *Section) Text(key string, v *string) {
+	if s.read(key, v, "a text") && *v == "" {
+		s.Fail(key, "is empty")
+	}
+}
+
+// Word reads one of a few words; left out, v stays as it is.
+func (s *Section) Word(key string, v *string, words ...string) {
+	if s.read(key, v, "a text") && !slices.Contains(words, *v) {
+		s.Fail(key, "%q is not one of %s", *v, strings.Join(words, ", "))
+	}
+}
+
+// Need notes those settings that are left out and have no default.
+func (s *Section) Need(keys ...string) {
+	for _, key := range keys {
+		if _, ok := s.values[key]; !ok {
+			s.Fail(key, "is missing, and has no default")
+		}
+	}
+}
