--- /dev/null
+++ b/tlsport/tlsport_test.go
@@ -0,0 +1,116 @@
+package tlsport
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// listen opens the port with a certificate that signs itself.
+func listen(t *testing.T) *Listener {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, cert, cert, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	set := Settings{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), ClientCA: filepath.Join(dir, "cert")}
+	for path, block := range map[string]*pem.Block{set.Cert: {Type: "CERTIFICATE", Bytes: der}, set.Key: {Type: "PRIVATE KEY", Bytes: raw}} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l, err := Listen(set, "127.0.0.1:9000", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// pair is a connection with its handshakes made.
+func pair(t *testing.T, l *Listener) (*Conn, *tls.Conn) {
+	greeted := make(chan *Conn, 1)
+	go func() {
+		if nc, err := l.Accept(); err == nil {
+			c := nc.(*Conn)
+			c.Greet()
+			greeted <- c
+		}
+	}()
+	peer, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return <-greeted, peer
+}
+
+// A deadline that ends a read ends no later one, nor does one of a write long gone harm what a read has to write.
+func TestDeadlines(t *testing.T) {
+	c, peer := pair(t, listen(t))
+	b := make([]byte, 1)
+	for range 3 {
+		c.SetReadDeadline(time.Unix(1, 0))
+		if _, err := c.Read(b); !os.IsTimeout(err) {
+			t.Fatalf("the read ended with %v", err)
+		}
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		peer.Write([]byte("x"))
+		if _, err := c.Read(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.SetWriteDeadline(time.Now().Add(-time.Second))
+	if _, err := c.Write([]byte("y")); err != nil { // stands for the answer to new keys
+		t.Fatal(err)
+	}
+}
+
+// A peer that takes nothing does not hold up the end of its connection.
+func TestCloseAtOnce(t *testing.T) {
+	c, _ := pair(t, listen(t))
+	c.tcp.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	for b := make([]byte, 1<<16); ; {
+		if _, err := c.tcp.Write(b); err != nil { // until no buffer on the way has room
+			break
+		}
+	}
+	began := time.Now()
+	c.Close()
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("took %v", took)
+	}
+	if _, err := c.tcp.Write(nil); err == nil {
+		c.tcp.SetReadDeadline(time.Now())
+		if _, err := c.tcp.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+			t.Fatal("still open")
+		}
+	}
+}
+
+// The port is bound on the host of the plain address alone.
+func TestHost(t *testing.T) {
+	if host, _, _ := net.SplitHostPort(listen(t).Addr().String()); host != "127.0.0.1" {
+		t.Fatal(host)
+	}
+}
