--- a/state.go
+++ b/state.go
@@ -9,6 +9,7 @@
 // Dispatcher decides for one scheduler. Its zero value is not usable; see [New].
 type Dispatcher struct {
 	set Settings
+	src *rand.PCG // of rng, for checkpoints
 	rng *rand.Rand
 
 	workers  []worker
@@ -191,9 +192,11 @@
 	for _, c := range s.Classes {
 		kinds = max(kinds, c.Kind+1)
 	}
+	src := rand.NewPCG(s.Seed, uint64(s.Me)+1)
 	d := &Dispatcher{
 		set:       s,
-		rng:       rand.New(rand.NewPCG(s.Seed, uint64(s.Me)+1)),
+		src:       src,
+		rng:       rand.New(src),
 		index:     make(map[WorkerID]int32),
 		requests:  make(map[RequestID]*request),
 		kinds:     make([]kindStats, kinds),
