--- /dev/null
+++ b/capture/capture.go
@@ -0,0 +1,269 @@
+// Package capture records what the decisions were made from, and replays it: each call of the module, in order, with its
+// exact clock, and what the module answered. Old lines make room for new ones in whole segments. Each segment
+// begins with the module's state, so that a replay needs none of what is gone.
+package capture
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"ryepulley"
+	"ryepulley/decide"
+	"ryepulley/operator"
+)
+
+// Settings are the operator's.
+type Settings struct {
+	MaxBytes int
+	Dir      string // empty: the ring is kept in memory
+	Files    int
+}
+
+const (
+	leastSegment = 32 << 10
+	mostBytes    = 1 << 30
+	mostFiles    = 1000
+)
+
+// Parse reads the section of the operator's file.
+func Parse(s *operator.Section) (Settings, error) {
+	set := Settings{MaxBytes: 768 << 10, Files: 4}
+	s.Whole("max_bytes", &set.MaxBytes, 2*leastSegment, mostBytes)
+	s.Text("dir", &set.Dir)
+	s.Whole("files", &set.Files, 2, mostFiles)
+	if err := s.Done(); err != nil {
+		return set, err
+	}
+	if set.segment() < leastSegment {
+		s.Fail("max_bytes", "%d bytes in %d files are under %d for each", set.MaxBytes, set.Files, leastSegment)
+	}
+	return set, s.Done()
+}
+
+// CheckDir reports if the folder cannot be used.
+func (set *Settings) CheckDir() error {
+	if set.Dir == "" {
+		return nil
+	}
+	if info, err := os.Stat(set.Dir); err != nil {
+		return fmt.Errorf("capture.dir: %w", err)
+	} else if !info.IsDir() {
+		return fmt.Errorf("capture.dir: %s is not a folder", set.Dir)
+	}
+	return nil
+}
+
+// segment is how large one may become; all of them together fill MaxBytes.
+func (set *Settings) segment() int { return set.MaxBytes / set.Files }
+
+// Memory and Descriptors are what a Recorder holds at the most: the ring with a segment on its way out, or what waits
+// for the disk; and lines and checkpoints in the making.
+func (set *Settings) Memory() int {
+	if set.Dir != "" {
+		return 2*queueBytes + stateBytes
+	}
+	return set.MaxBytes + set.segment() + stateBytes
+}
+
+// Descriptors is how many files are open at a time.
+func (set *Settings) Descriptors() int {
+	if set.Dir == "" {
+		return 0
+	}
+	return 1
+}
+
+const (
+	retryAfter = time.Second // for a segment that could not begin
+	queueBytes = 512 << 10   // what waits for the disk
+	stateBytes = 256 << 10   // for heads in the making
+)
+
+// segment is a head and the lines after it. Its text is only ever appended to; on disk it is not kept.
+type segment struct {
+	number int
+	size   int
+	text   []byte
+}
+
+// Recorder is the ring. It observes a desk.
+type Recorder struct {
+	set  Settings
+	log  *slog.Logger
+	disk *disk // nil: in memory
+
+	mu      sync.Mutex
+	w       writer
+	of      ryepulley.Settings
+	seed    string
+	ring    []*segment // oldest first; the last one is being written, unless closed. On disk: the last alone
+	closed  bool       // no segment is open: what comes is lost until one can begin
+	number  int        // of the last segment
+	gap     int        // events lost since the last one that was recorded
+	retryAt time.Duration
+	told    bool // the log has been told why no segment can begin
+	scratch []byte
+}
+
+// New returns a Recorder that records what it observes. With a folder it writes nothing before Start.
+func New(set Settings, log *slog.Logger) *Recorder {
+	r := &Recorder{set: set, log: log, closed: true}
+	if set.Dir != "" {
+		r.disk = newDisk(set, log, r.notWritten)
+	}
+	return r
+}
+
+// Start begins to write files, until Close.
+func (r *Recorder) Start() {
+	if r.disk != nil {
+		r.disk.start()
+	}
+}
+
+// Close writes what is left, for a moment at the most.
+func (r *Recorder) Close() {
+	if r.disk != nil {
+		r.disk.close()
+	}
+}
+
+// Observe implements decide.Observer. It writes to memory only.
+func (r *Recorder) Observe(ev *decide.Event) {
+	if ev.Kind != decide.Stepped {
+		return
+	}
+	s := ev.Step
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Input == decide.None {
+		r.of = s.Settings()
+		r.seed = fmt.Sprintf("%016x", r.of.Seed)
+		r.of.Seed = 0 // it is told once, as seed
+		r.w = writer{set: &r.of, origin: s.Now}
+		r.begin(s)
+		return
+	}
+	r.w.providers = s.Providers()
+	if s.Input == decide.List && s.List != ryepulley.ListFailed {
+		r.w.index = s.Index
+	}
+	if r.closed {
+		r.gap++
+		if s.Now >= r.retryAt {
+			r.begin(s)
+		}
+		return
+	}
+	r.scratch = r.w.line(r.scratch[:0], s)
+	if !r.add(r.scratch) {
+		// The segment ends before this event, and the next one begins after it.
+		r.gap++
+		r.closed = true
+		r.begin(s)
+		return
+	}
+	if r.ring[len(r.ring)-1].size > r.set.segment()-r.set.segment()/16 {
+		r.begin(s) // while there is room for a long line
+	}
+}
+
+// add appends to the segment that is open, if there is room.
+func (r *Recorder) add(text []byte) bool {
+	last := r.ring[len(r.ring)-1]
+	if last.size+len(text) > r.set.segment() {
+		return false
+	}
+	if r.disk != nil {
+		if !r.disk.add(text, false) {
+			return false
+		}
+	} else {
+		last.text = append(last.text, text...)
+	}
+	last.size += len(text)
+	return true
+}
+
+// begin begins a segment with the state after s.
+func (r *Recorder) begin(s *decide.Step) {
+	r.closed, r.retryAt = true, s.Now+retryAfter
+	r.scratch = s.Checkpoint(r.scratch[:0])
+	text, err := json.Marshal(head{Capture: version, Segment: r.number + 1, Gap: r.gap, Origin: int64(r.w.origin),
+		T: json.Number(appendMillis(nil, s.Now-r.w.origin)), Seed: r.seed, Index: r.w.index, Settings: r.of,
+		Providers: s.Providers(), State: r.scratch})
+	text = append(text, '\n')
+	if err != nil || len(text) > min(r.set.segment(), queueBytes)/2 {
+		if !r.told {
+			r.told = true
+			r.log.Error("the state is too large for a segment of the capture: events are lost", "setting", "capture.max_bytes",
+				"bytes", len(text), "err", err)
+		}
+		return
+	}
+	seg := &segment{number: r.number + 1, size: len(text)}
+	if r.disk == nil {
+		seg.text = append(make([]byte, 0, r.set.segment()), text...)
+		if len(r.ring) >= r.set.Files {
+			r.ring = append(r.ring[:0], r.ring[1:]...)
+		}
+		r.ring = append(r.ring, seg)
+	} else {
+		if !r.disk.add(text, true) {
+			return
+		}
+		r.ring = append(r.ring[:0], seg)
+	}
+	r.number++
+	r.gap, r.closed, r.told = 0, false, false
+}
+
+// notWritten notes that the disk did not take that many events: the file ends before them.
+func (r *Recorder) notWritten(events int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gap += events
+	r.closed = true
+}
+
+// Dump hands the ring to write, piece by piece and only whole lines, oldest first. It holds up nobody else: a segment
+// that is dropped meanwhile is left out, which a replay sees by the numbers. It ends early if write says false.
+func (r *Recorder) Dump(write func([]byte) bool) error {
+	if r.disk != nil {
+		return fmt.Errorf("the capture is in the files of %s", r.set.Dir)
+	}
+	for done := 0; ; {
+		r.mu.Lock()
+		var text []byte
+		for _, seg := range r.ring {
+			if seg.number > done {
+				done, text = seg.number, seg.text[:len(seg.text):len(seg.text)]
+				break
+			}
+		}
+		r.mu.Unlock()
+		if text == nil {
+			return nil
+		}
+		for len(text) > 0 {
+			n := len(text)
+			if n > pieceBytes {
+				if n = bytes.LastIndexByte(text[:pieceBytes], '\n') + 1; n == 0 { // a long line goes whole
+					n = bytes.IndexByte(text, '\n') + 1
+				}
+			}
+			if !write(text[:n]) {
+				return io.ErrClosedPipe
+			}
+			text = text[n:]
+		}
+	}
+}
+
+const pieceBytes = 8 << 10
--- /dev/null
+++ b/capture/capture_test.go
@@ -0,0 +1,324 @@
+package capture
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryepulley"
+	"ryepulley/decide"
+	"ryepulley/operator"
+)
+
+// TestMain pins rapid's seed, as that of httpwire does.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// desk returns a desk with providers, and what records it.
+func desk(t *testing.T, set Settings, log *slog.Logger) (*decide.Desk, *Recorder) {
+	t.Helper()
+	d, err := decide.New(ryepulley.Settings{
+		Seed: 0xfedcba9876543210, Balancers: 2, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, MaxRetryAfter: time.Second,
+		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second, Probes: true, Subscribe: true,
+		Classes: []ryepulley.Class{{Name: "check", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
+			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 8, Effect: ryepulley.Unsafe, Kind: -1}},
+	}, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	r := New(set, log)
+	d.Observe(r)
+	d.Directory(ryepulley.ListCached, 41, []ryepulley.Entry{{Weight: 2}, {Weight: 3, Zone: 1}, {Weight: 2, Kind: 1}}, []string{"a", "b", "c \"\n"})
+	return d, r
+}
+
+// work is a good many jobs, several at a time, that end in all ways.
+func work(d *decide.Desk, jobs int) {
+	var open []*decide.Ticket
+	for i := range jobs {
+		open = append(open, d.Take(decide.Job{ID: fmt.Sprintf("j%d", i), Class: i % 2, Party: "x\ny\"\xff", Left: 5 * time.Second,
+			Deadline: 5 * time.Second, Hint: time.Duration(i) * time.Millisecond, Slots: 0.1 + float64(i%3)}))
+		if len(open) < 8 {
+			continue
+		}
+		t := open[0]
+		open = open[1:]
+		end := decide.Served
+		if i%5 == 0 && i < 100 { // all of them twice; to be left alone or shut out takes providers their time
+			end = decide.End(i / 5 % int(decide.Withdrawn+1))
+		}
+		for ; ; end = decide.Served {
+			if i%11 == 0 {
+				t.Leave()
+			}
+			if v := t.Pick(); v.Kind != decide.Call {
+				break
+			}
+			t.Started()
+			t.Report(end)
+		}
+	}
+	d.Stop(time.Now().Add(time.Minute))
+}
+
+func (r *Recorder) text() []byte {
+	var b bytes.Buffer
+	r.Dump(func(p []byte) bool { b.Write(p); return true })
+	return b.Bytes()
+}
+
+func check(t *testing.T, text []byte, lines int) Result {
+	t.Helper()
+	var out strings.Builder
+	res, err := Replay(bytes.NewReader(text), &out)
+	if err != nil || res.Differences+res.Bad+res.Skipped > 0 || res.Cut || res.Lines < lines {
+		t.Fatalf("%+v, %v\n%.2000s", res, err, out.String())
+	}
+	return res
+}
+
+// All that the module was told is there: a replay decides the same over segments that came and went, whose states
+// are those that the lines lead to, and the ring stays within its bytes.
+func TestRing(t *testing.T) {
+	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 3}, quiet)
+	work(d, 30)
+	if res := check(t, r.text(), 60); res.Segments != 1 || res.Gaps != 0 {
+		t.Fatalf("%+v", res)
+	}
+	work(d, 600)
+	text := r.text()
+	if res := check(t, text, 150); res.Segments != 3 || res.Gaps != 0 || len(text) > 128<<10 {
+		t.Fatalf("%+v in %d bytes", res, len(text))
+	}
+	if r.ring[0].number < 3 {
+		t.Fatalf("begins with segment %d", r.ring[0].number)
+	}
+	// A segment that is missing, and a state that is not what the lines lead to, are found.
+	second := bytes.Index(text, []byte("\n{\"capture\"")) + 1
+	third := second + bytes.Index(text[second:], []byte("\n{\"capture\"")) + 1
+	if res := check(t, append(text[:second:second], text[third:]...), 50); res.Gaps != 1 {
+		t.Fatalf("%+v", res)
+	}
+	line := bytes.LastIndexByte(text[:second-1], '\n') + 1
+	if res, _ := Replay(bytes.NewReader(append(text[:line:line], text[second:]...)), io.Discard); res.Differences == 0 {
+		t.Fatal("a missing line is not found")
+	}
+}
+
+// Every line is JSON by itself, with the keys that tell what happened.
+func TestLines(t *testing.T) {
+	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
+	d.Take(decide.Job{ID: "9b1f03aa5c7e2d41", Party: "willamette-crews", Left: time.Second, Deadline: 5 * time.Second, Slots: 1})
+	lines := bytes.Split(bytes.TrimSpace(r.text()), []byte("\n"))
+	var got struct {
+		T                          json.Number
+		ID, Class, Tenant, To, Out string
+		DeadlineMS                 float64 `json:"deadline_ms"`
+		Index                      int
+	}
+	if err := json.Unmarshal(lines[len(lines)-1], &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.ID != "9b1f03aa5c7e2d41" || got.Class != "check" || got.Tenant != "willamette-crews" || got.DeadlineMS != 5000 ||
+		got.Index != 41 || got.To == "" || got.T == "" {
+		t.Fatalf("%+v", got)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var back string
+		text := rapid.OneOf(rapid.String(), rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })).Draw(t, "text")
+		line := appendString(nil, text)
+		if err := json.Unmarshal(line, &back); err != nil || back != strings.ToValidUTF8(text, "\ufffd") && !strings.Contains(back, "\ufffd") ||
+			bytes.ContainsAny(line, "\n\r") {
+			t.Fatalf("%q: %s, %v", text, line, err)
+		}
+		at := time.Duration(rapid.Int64Range(-1e15, 1e15).Draw(t, "t"))
+		if got, err := parseMillis(string(appendMillis(nil, at))); err != nil || got != at {
+			t.Fatalf("%d: %s, %v", at, appendMillis(nil, at), err)
+		}
+	})
+}
+
+// A replay of whatever is no capture ends, says so, and never passes for one without a difference.
+func TestGarbage(t *testing.T) {
+	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
+	work(d, 30)
+	sound := r.text()
+	rapid.Check(t, func(t *rapid.T) {
+		text := bytes.Clone(sound)
+		for range rapid.IntRange(1, 5).Draw(t, "changes") {
+			text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		Replay(bytes.NewReader(text), io.Discard)
+		text = rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "garbage")
+		res, _ := Replay(bytes.NewReader(text), io.Discard)
+		if res.Segments > 0 || res.Bad == 0 && !res.Cut {
+			t.Fatalf("%+v", res)
+		}
+	})
+}
+
+func files(t *testing.T, dir string) (texts [][]byte) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts = append(texts, b)
+	}
+	return texts
+}
+
+// With a folder the ring is its files: each is replayed by itself, and a restart goes on after the old ones.
+func TestFiles(t *testing.T) {
+	set := Settings{MaxBytes: 160 << 10, Files: 4, Dir: t.TempDir()}
+	for range 2 {
+		d, r := desk(t, set, quiet)
+		r.Start()
+		for range 4 {
+			work(d, 100)
+			time.Sleep(writeEvery + 50*time.Millisecond) // so that no more waits than may
+		}
+		r.Close()
+	}
+	texts, total := files(t, set.Dir), 0
+	for _, text := range texts {
+		if res := check(t, text, 1); res.Segments != 1 || res.Gaps != 0 {
+			t.Errorf("%+v", res)
+		}
+		total += len(text)
+	}
+	if len(texts) != 4 || total > set.MaxBytes || total < set.MaxBytes/2 {
+		t.Fatalf("%d files, %d bytes", len(texts), total)
+	}
+	if last := texts[3]; !bytes.Contains(last[len(last)-200:], []byte(`"event":"stop"`)) {
+		t.Fatalf("ends with %s", last[len(last)-200:])
+	}
+}
+
+// A folder that is gone is logged and harms nothing else; once it is back there is a file, which tells of the gap.
+func TestDiskGone(t *testing.T) {
+	set := Settings{MaxBytes: 160 << 10, Files: 4, Dir: filepath.Join(t.TempDir(), "captures")}
+	var log bytes.Buffer
+	d, r := desk(t, set, slog.New(slog.NewTextHandler(&log, nil)))
+	r.Start()
+	work(d, 20)
+	time.Sleep(2 * writeEvery)
+	if err := os.Mkdir(set.Dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(retryAfter)
+	work(d, 20)
+	r.Close()
+	if !strings.Contains(log.String(), "capture not written") {
+		t.Errorf("the log: %s", log.String())
+	}
+	texts := files(t, set.Dir)
+	if len(texts) != 1 {
+		t.Fatalf("%d files", len(texts))
+	}
+	if res := check(t, texts[0], 20); res.Gaps != 1 {
+		t.Fatalf("%+v", res)
+	}
+}
+
+// A disk that takes nothing costs memory up to a bound, and events that the next segment tells of.
+func TestDiskStuck(t *testing.T) {
+	set := Settings{MaxBytes: 4 << 20, Files: 4, Dir: t.TempDir()}
+	d, r := desk(t, set, quiet)
+	for range 10 {
+		work(d, 500) // nothing is started, so nothing is written
+	}
+	r.mu.Lock()
+	waits, gap := r.disk.bytes, r.gap
+	r.mu.Unlock()
+	if waits > queueBytes || waits < queueBytes/2 || gap == 0 {
+		t.Fatalf("%d bytes wait, %d events are lost", waits, gap)
+	}
+	r.Start()
+	time.Sleep(retryAfter + 2*writeEvery)
+	work(d, 20)
+	r.Close()
+	gaps := 0
+	for _, text := range files(t, set.Dir) {
+		gaps += check(t, text, 0).Gaps
+	}
+	if gaps != 1 {
+		t.Fatalf("%d gaps", gaps)
+	}
+}
+
+// A state too large for a segment is told once, and nothing is recorded; it must not cost the jobs anything.
+func TestStateTooLarge(t *testing.T) {
+	var log bytes.Buffer
+	d, r := desk(t, Settings{MaxBytes: 64 << 10, Files: 2}, slog.New(slog.NewTextHandler(&log, nil)))
+	entries, names := make([]ryepulley.Entry, 300), make([]string, 300)
+	for i := range names {
+		names[i] = fmt.Sprintf("s-%d", i)
+	}
+	d.Directory(ryepulley.ListFull, 42, entries, names)
+	work(d, 300)
+	if n := strings.Count(log.String(), "too large"); n != 1 {
+		t.Fatalf("told %d times: %s", n, log.String())
+	}
+	if text := r.text(); len(text) > 64<<10 {
+		t.Fatalf("%d bytes", len(text))
+	}
+}
+
+func TestSettings(t *testing.T) {
+	dir := t.TempDir()
+	parse := func(text string) (Settings, error) {
+		path := filepath.Join(dir, "fleet.yaml")
+		if err := os.WriteFile(path, []byte("capture:\n"+text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := operator.Load(path, "capture")
+		if err != nil {
+			t.Fatal(err)
+		}
+		set, err := Parse(f.Section("capture"))
+		if err == nil {
+			err = set.CheckDir()
+		}
+		return set, err
+	}
+	if got, err := parse(""); err != nil || got != (Settings{MaxBytes: 786432, Files: 4}) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if got, err := parse("  dir: " + dir + "\n"); err != nil || got.Dir != dir {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for text, key := range map[string]string{
+		"max_bytes: 1000": "max_bytes", "max_bytes: 768KiB": "max_bytes", "files: 1": "files", "files: 0": "files", "files: 100": "max_bytes",
+		"dir: " + dir + "/none": "dir", "dir: " + dir + "/fleet.yaml": "dir", "dir:": "dir", "file: 3": "file",
+	} {
+		if _, err := parse("  " + text + "\n"); err == nil || !strings.Contains(err.Error(), "capture."+key+": ") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/capture/disk.go
@@ -0,0 +1,199 @@
+package capture
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The names of the files: a number that only grows, so that they sort by age, over restarts as well.
+const (
+	fileBefore = "capture-"
+	fileAfter  = ".jsonl"
+)
+
+// part is text for one file; fresh says that it begins a new one.
+type part struct {
+	fresh bool
+	text  []byte
+}
+
+// disk writes the files from a goroutine of its own. What waits for it is bounded.
+type disk struct {
+	set  Settings
+	log  *slog.Logger
+	lost func(events int) // called without mu
+	stop chan struct{}
+	done chan struct{}
+
+	mu    sync.Mutex
+	queue []part
+	bytes int
+
+	// The goroutine's.
+	file   *os.File
+	broken bool // what comes before the next file is lost
+	warned time.Time
+}
+
+func newDisk(set Settings, log *slog.Logger, lost func(int)) *disk {
+	return &disk{set: set, log: log, lost: lost, stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+// add takes text for the present file or a fresh one, unless too much waits.
+func (d *disk) add(text []byte, fresh bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.bytes+len(text) > queueBytes {
+		return false
+	}
+	d.bytes += len(text)
+	if fresh || len(d.queue) == 0 {
+		d.queue = append(d.queue, part{fresh: fresh})
+	}
+	last := &d.queue[len(d.queue)-1]
+	last.text = append(last.text, text...)
+	return true
+}
+
+const (
+	writeEvery = 200 * time.Millisecond
+	closeLimit = 500 * time.Millisecond // for the last lines, on a disk that may be stuck
+)
+
+func (d *disk) start() { go d.run() }
+
+func (d *disk) close() {
+	close(d.stop)
+	timer := time.NewTimer(closeLimit)
+	defer timer.Stop()
+	select {
+	case <-d.done:
+	case <-timer.C:
+	}
+}
+
+func (d *disk) run() {
+	defer close(d.done)
+	timer := time.NewTimer(writeEvery)
+	defer timer.Stop()
+	for last := false; !last; {
+		select {
+		case <-d.stop:
+			last = true
+		case <-timer.C:
+			timer.Reset(writeEvery)
+		}
+		d.mu.Lock()
+		queue := d.queue
+		d.queue, d.bytes = nil, 0
+		d.mu.Unlock()
+		lost := 0
+		for _, p := range queue {
+			lost += d.write(p)
+		}
+		if lost > 0 {
+			d.lost(lost)
+		}
+	}
+	if d.file != nil {
+		d.file.Close()
+	}
+}
+
+// write writes a part and returns how many events it could not. After an error the file stays as it is, its last line
+// perhaps cut off, and nothing more goes to it.
+func (d *disk) write(p part) int {
+	events := bytes.Count(p.text, []byte{'\n'})
+	if p.fresh {
+		events-- // its head
+		if err := d.next(); err != nil {
+			d.fail(err)
+		}
+	}
+	if d.broken {
+		return events
+	}
+	n := 0
+	_, err := os.Stat(d.file.Name()) // a file that was removed would take what nobody could read
+	if err == nil {
+		n, err = d.file.Write(p.text)
+	}
+	if err != nil {
+		d.fail(err)
+		return min(events, bytes.Count(p.text[n:], []byte{'\n'}))
+	}
+	return 0
+}
+
+func (d *disk) fail(err error) {
+	d.broken = true
+	if time.Since(d.warned) > time.Minute {
+		d.warned = time.Now()
+		d.log.Error("capture not written: events are lost until a new file can be", "setting", "capture.dir", "err", err)
+	}
+}
+
+// next opens a new file, and first removes old ones to make room for it.
+func (d *disk) next() error {
+	d.broken = false
+	if d.file != nil {
+		d.file.Close()
+		d.file = nil
+	}
+	files, newest, err := captures(d.set.Dir)
+	if err != nil {
+		return err
+	}
+	total := 0
+	for _, f := range files {
+		total += f.size
+	}
+	for len(files) > 0 && (len(files) >= d.set.Files || total+d.set.segment() > d.set.MaxBytes) {
+		if err := os.Remove(files[0].path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		total -= files[0].size
+		files = files[1:]
+	}
+	path := filepath.Join(d.set.Dir, fmt.Sprintf("%s%08d%s", fileBefore, newest+1, fileAfter))
+	d.file, err = os.OpenFile(path, os.O_WRONLY|os.O_APPEND|os.O_CREATE|os.O_EXCL, 0o640)
+	return err
+}
+
+type captured struct {
+	path   string
+	number int
+	size   int
+}
+
+// captures lists the files of a folder, oldest first, and the newest number.
+func captures(dir string) (files []captured, newest int, err error) {
+	all, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, e := range all {
+		name, ok := strings.CutPrefix(e.Name(), fileBefore)
+		if name, more := strings.CutSuffix(name, fileAfter); ok && more && e.Type().IsRegular() {
+			if n, err := strconv.Atoi(name); err == nil && n >= 0 {
+				f := captured{path: filepath.Join(dir, e.Name()), number: n}
+				if info, err := e.Info(); err == nil {
+					f.size = int(info.Size())
+				}
+				files, newest = append(files, f), max(newest, n)
+			}
+		}
+	}
+	slices.SortFunc(files, func(a, b captured) int { return a.number - b.number })
+	return files, newest, nil
+}
--- /dev/null
+++ b/capture/line.go
@@ -0,0 +1,411 @@
+package capture
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"ryepulley"
+	"ryepulley/decide"
+)
+
+// version is that of the format, in each head.
+const version = 1
+
+// head begins a segment: all that a replay needs to go on from there.
+type head struct {
+	Capture   int                `json:"capture"` // the format's version
+	Segment   int                `json:"segment"` // one more than the one before
+	Gap       int                `json:"gap"`     // events since the last recorded one that are not recorded
+	Origin    int64              `json:"origin"`  // the module's clock, Unix time in ns, at which t is 0
+	T         json.Number        `json:"t"`
+	Seed      string             `json:"seed"` // 16 hex digits
+	Index     uint64             `json:"index"`
+	Settings  ryepulley.Settings `json:"settings"`
+	Providers []string           `json:"providers"` // by the module's numbers for them
+	State     []byte             `json:"state"`     // the module's checkpoint
+}
+
+// line is an event as a replay reads it. The first keys say what happened; the others are the module's input, to the
+// last digit, and the actions that it answered with.
+type line struct {
+	T        json.Number     `json:"t"`
+	Class    string          `json:"class"`
+	Tenant   string          `json:"tenant"`
+	Index    uint64          `json:"index"`
+	To       string          `json:"to"`
+	Next     string          `json:"next"`
+	Decision string          `json:"decision"`
+	Event    string          `json:"event"`
+	N        uint64          `json:"n"`
+	As       [2]int          `json:"as"`
+	Left     int64           `json:"left"`
+	Hint     int64           `json:"hint"`
+	Slots    float64         `json:"slots"`
+	Attempt  int             `json:"attempt"`
+	Status   uint8           `json:"status"`
+	Closed   bool            `json:"closed"`
+	Elapsed  int64           `json:"elapsed"`
+	Token    uint64          `json:"token"`
+	By       int64           `json:"by"`
+	Kind     uint8           `json:"kind"`
+	Entries  []entry         `json:"entries"`
+	Panic    bool            `json:"panic"`
+	Do       json.RawMessage `json:"do"`
+}
+
+// entry is one of a list, [name, state, kind, zone, cell, weight, started].
+type entry struct {
+	name string
+	of   ryepulley.Entry
+}
+
+func (e *entry) UnmarshalJSON(b []byte) error {
+	to := []any{&e.name, &e.of.State, &e.of.Kind, &e.of.Zone, &e.of.Cell, &e.of.Weight, &e.of.Started}
+	n := len(to)
+	if err := json.Unmarshal(b, &to); err != nil {
+		return err
+	}
+	if len(to) != n || e.of.State > ryepulley.Gone || e.of.Kind < 0 || e.of.Zone < 0 {
+		return errors.New("an entry of a list makes no sense")
+	}
+	return nil
+}
+
+// Words for the module's inputs, and for what came back of a call: the protocol's where it has one.
+var (
+	inputs = [...]string{decide.List: "list", decide.Request: "request", decide.Note: "started", decide.Outcome: "end",
+		decide.Gone: "left", decide.Timer: "timer", decide.Stop: "stop"}
+	outs = map[decide.End]string{decide.Served: "done", decide.Failed: "failed", decide.TurnedAway: "returned", decide.Broken: "lost"}
+)
+
+// Decisions about a line's own request.
+const (
+	sent    = "sent"
+	refused = "refused"
+	failed  = "failed"
+	waits   = "waits" // held back for now
+)
+
+// writer appends lines. It knows what the module's numbers stand for.
+type writer struct {
+	set       *ryepulley.Settings
+	origin    time.Duration
+	providers []string
+	index     uint64
+}
+
+func (w *writer) provider(id ryepulley.WorkerID) string {
+	if id < ryepulley.WorkerID(len(w.providers)) {
+		return w.providers[id]
+	}
+	return ""
+}
+
+// choice appends what a step led to for its own request.
+func (w *writer) choice(b []byte, s *decide.Step) []byte {
+	decision, to := "", ""
+	for i := range s.Actions {
+		if a := &s.Actions[i]; s.Number != 0 && a.Request == s.Number {
+			switch a.Kind {
+			case ryepulley.Send:
+				decision, to = sent, w.provider(a.Worker)
+			case ryepulley.Refuse:
+				decision = refused
+			case ryepulley.Fail:
+				decision = failed
+			}
+		}
+	}
+	if s.Input == decide.Request && decision == "" {
+		decision = waits
+	}
+	key := `,"next":`
+	if s.Input == decide.Request {
+		key = `,"to":` // there is no other place in the line
+	}
+	if to != "" {
+		b = appendString(append(b, key...), to)
+	}
+	if decision != "" {
+		b = append(append(append(b, `,"decision":"`...), decision...), '"')
+	}
+	return b
+}
+
+// actions appends all that a step led to.
+func (w *writer) actions(b []byte, s *decide.Step) []byte {
+	if s.Failed {
+		b = append(b, `,"panic":true`...)
+	}
+	b = append(b, `,"do":[`...)
+	for i := range s.Actions {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = w.action(b, &s.Actions[i])
+	}
+	return append(b, ']')
+}
+
+func (w *writer) action(b []byte, a *ryepulley.Action) []byte {
+	number := func(b []byte, v int64) []byte { return strconv.AppendInt(append(b, ','), v, 10) }
+	switch a.Kind {
+	case ryepulley.Send:
+		b = number(append(b, `["send"`...), int64(a.Request))
+		b = appendString(append(b, ','), w.provider(a.Worker))
+		b = number(number(b, int64(a.Timeout)), int64(a.TakenIn))
+	case ryepulley.Refuse:
+		b = number(number(append(b, `["refuse"`...), int64(a.Request)), int64(a.RetryIn))
+	case ryepulley.Fail:
+		b = number(append(b, `["fail"`...), int64(a.Request))
+	case ryepulley.CancelSend:
+		b = number(number(append(b, `["cancel"`...), int64(a.Request)), int64(a.Attempt))
+	case ryepulley.SetTimer:
+		b = number(number(append(b, `["timer"`...), int64(a.Token)), int64(a.At-w.origin))
+	default: // none that the desk's settings lead to
+		b = number(number(append(b, `["other"`...), int64(a.Kind)), int64(a.Worker))
+		b = append(append(append(b, `,"`...), hex.EncodeToString(a.Data)...), '"')
+	}
+	return append(b, ']')
+}
+
+// line appends an event, with its line end.
+func (w *writer) line(b []byte, s *decide.Step) []byte {
+	whole := func(key string, v int64) {
+		b = strconv.AppendInt(append(append(append(b, `,"`...), key...), `":`...), v, 10)
+	}
+	word := func(key, v string) {
+		b = appendString(append(append(append(b, `,"`...), key...), `":`...), v)
+	}
+	b = appendMillis(append(b, `{"t":`...), s.Now-w.origin)
+	job := s.Job(s.Number)
+	if job != nil {
+		word("id", job.ID)
+		word("class", w.set.Classes[job.Class].Name)
+		word("tenant", cut(job.Party))
+		b = appendMillis(append(b, `,"deadline_ms":`...), job.Deadline)
+	}
+	whole("index", int64(w.index))
+	attempt := -1
+	switch s.Input {
+	case decide.Note:
+		attempt = s.Note.Attempt
+		word("to", w.provider(s.Note.Worker))
+	case decide.Outcome:
+		attempt = s.Outcome.Attempt
+		word("to", w.provider(s.Outcome.Worker))
+		out, ok := outs[s.End]
+		if !ok {
+			out = s.End.String()
+		}
+		word("out", out)
+	}
+	b = w.choice(b, s)
+	word("event", inputs[s.Input])
+	if s.Number != 0 {
+		whole("n", int64(s.Number))
+	}
+	if attempt >= 0 {
+		whole("attempt", int64(attempt))
+	}
+	switch s.Input {
+	case decide.Request:
+		q := &s.Request
+		b = fmt.Appendf(b, `,"as":[%d,%d]`, q.Class, q.Tenant)
+		whole("left", int64(q.Left))
+		whole("hint", int64(q.Hint))
+		b = strconv.AppendFloat(append(b, `,"slots":`...), q.Slots, 'g', -1, 64)
+	case decide.Outcome:
+		whole("status", int64(s.Outcome.Status))
+		whole("elapsed", int64(s.Outcome.Elapsed))
+		if s.Outcome.Closed {
+			b = append(b, `,"closed":true`...)
+		}
+	case decide.Timer:
+		whole("token", int64(s.Token))
+	case decide.Stop:
+		whole("by", int64(s.By-w.origin))
+	case decide.List:
+		whole("kind", int64(s.List))
+		b = append(b, `,"entries":[`...)
+		for i := range s.Entries {
+			e := &s.Entries[i]
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = appendString(append(b, '['), s.Names[i])
+			b = fmt.Appendf(b, ",%d,%d,%d,%d,", e.State, e.Kind, e.Zone, e.Cell)
+			b = strconv.AppendFloat(b, e.Weight, 'g', -1, 64)
+			b = strconv.AppendInt(append(b, ','), int64(e.Started), 10)
+			b = append(b, ']')
+		}
+		b = append(b, ']')
+	}
+	b = w.others(w.actions(b, s), s)
+	return append(b, '}', '\n')
+}
+
+// others appends the ids of other requests that the step decided, so that a search for an id finds them all.
+func (w *writer) others(b []byte, s *decide.Step) []byte {
+	first := true
+	for i := range s.Actions {
+		a := &s.Actions[i]
+		if a.Request == 0 || a.Request == s.Number || a.Kind == ryepulley.SetTimer {
+			continue
+		}
+		job := s.Job(a.Request)
+		if job == nil {
+			continue
+		}
+		if first {
+			b = append(b, `,"others":{`...)
+		} else {
+			b = append(b, ',')
+		}
+		first = false
+		b = strconv.AppendInt(append(b, '"'), int64(a.Request), 10)
+		b = appendString(append(b, `":`...), job.ID)
+	}
+	if !first {
+		b = append(b, '}')
+	}
+	return b
+}
+
+// appendMillis writes a time in ms, with as many decimals as it takes to be exact.
+func appendMillis(b []byte, d time.Duration) []byte {
+	if d < 0 {
+		b, d = append(b, '-'), -d
+	}
+	b = strconv.AppendInt(b, int64(d/time.Millisecond), 10)
+	if rest := int64(d % time.Millisecond); rest > 0 {
+		digits := strconv.Itoa(int(1_000_000 + rest))[1:]
+		b = append(append(b, '.'), strings.TrimRight(digits, "0")...)
+	}
+	return b
+}
+
+// parseMillis reads it again without a rounding.
+func parseMillis(s string) (time.Duration, error) {
+	sign := time.Duration(1)
+	if rest, ok := strings.CutPrefix(s, "-"); ok {
+		sign, s = -1, rest
+	}
+	whole, decimals, _ := strings.Cut(s, ".")
+	if len(decimals) > 6 {
+		return 0, errors.New("t has more than six decimals")
+	}
+	ms, err := strconv.ParseUint(whole, 10, 40)
+	if err != nil {
+		return 0, errors.New("t is not a time in ms")
+	}
+	ns, err := strconv.ParseUint((decimals + "000000")[:6], 10, 32)
+	if err != nil {
+		return 0, errors.New("t is not a time in ms")
+	}
+	return sign * (time.Duration(ms)*time.Millisecond + time.Duration(ns)), nil
+}
+
+// mostTenant is what is written of a tenant's name, which consumers choose.
+const mostTenant = 128
+
+func cut(s string) string {
+	if len(s) > mostTenant {
+		return s[:mostTenant] + "…"
+	}
+	return s
+}
+
+// appendString writes a JSON string, always valid and on one line.
+func appendString(b []byte, s string) []byte {
+	b = append(b, '"')
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
+			b = append(b, '\\', byte(r))
+		case r < ' ' || r == 0x7f || r == '\u0085' || r == '\u2028' || r == '\u2029':
+			b = fmt.Appendf(b, `\u%04x`, r)
+		default:
+			b = utf8.AppendRune(b, r)
+		}
+	}
+	return append(b, '"')
+}
+
+// step turns a line into the call that it records.
+func (l *line) step(w *writer, ids map[string]ryepulley.WorkerID) (*decide.Step, error) {
+	t, err := parseMillis(l.T.String())
+	if err != nil {
+		return nil, err
+	}
+	input := slices.Index(inputs[:], l.Event)
+	if input <= 0 {
+		return nil, fmt.Errorf("event %q is not known", l.Event)
+	}
+	s := &decide.Step{Input: decide.Input(input), Now: w.origin + t, Number: ryepulley.RequestID(l.N)}
+	worker := ids[l.To]
+	switch s.Input {
+	case decide.Request:
+		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.As[1] < 0 || l.N == 0 {
+			return nil, errors.New("the class, tenant or number makes no sense")
+		}
+		s.Request = ryepulley.Request{ID: s.Number, Class: l.As[0], Tenant: l.As[1], Left: time.Duration(l.Left),
+			Hint: time.Duration(l.Hint), Slots: l.Slots}
+	case decide.Note:
+		s.Note = ryepulley.Note{Request: s.Number, Attempt: l.Attempt, Worker: worker, Started: true}
+	case decide.Outcome:
+		if l.Status > uint8(ryepulley.Moot) {
+			return nil, errors.New("the status is not known")
+		}
+		s.Outcome = ryepulley.Outcome{Request: s.Number, Attempt: l.Attempt, Worker: worker, Status: ryepulley.Status(l.Status),
+			Closed: l.Closed, Elapsed: time.Duration(l.Elapsed)}
+	case decide.Timer:
+		s.Token = l.Token
+	case decide.Stop:
+		s.By = w.origin + time.Duration(l.By)
+	case decide.List:
+		s.List, s.Index = ryepulley.ListKind(l.Kind), l.Index
+		for _, e := range l.Entries {
+			id, ok := ids[e.name]
+			if !ok {
+				id = ryepulley.WorkerID(len(w.providers))
+				ids[e.name] = id
+				w.providers = append(w.providers, e.name)
+			}
+			e.of.ID = id
+			s.Entries, s.Names = append(s.Entries, e.of), append(s.Names, e.name)
+		}
+	}
+	return s, nil
+}
+
+// recorded is what choice and actions have written, for comparison.
+func (l *line) recorded(input decide.Input) []byte {
+	var b []byte
+	if input == decide.Request {
+		if l.To != "" {
+			b = appendString(append(b, `,"to":`...), l.To)
+		}
+	} else if l.Next != "" {
+		b = appendString(append(b, `,"next":`...), l.Next)
+	}
+	if l.Decision != "" {
+		b = appendString(append(b, `,"decision":`...), l.Decision)
+	}
+	if l.Panic {
+		b = append(b, `,"panic":true`...)
+	}
+	var do bytes.Buffer
+	if json.Compact(&do, l.Do) != nil {
+		do.Reset() // it is missing
+	}
+	return append(append(b, `,"do":`...), do.Bytes()...)
+}
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -23,6 +24,8 @@
   laddertide serve   [flags]  serve consumers until SIGTERM or SIGINT
   laddertide check   [flags]  read the configuration and say what is wrong with it
   laddertide version          print the version
+  laddertide replay FILE [--config fleet.yaml]
+                              make the decisions of a capture again and print those that differ
 
 Flags, each with the environment variable that it stands in for:
 `
@@ -33,7 +36,11 @@
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "laddertide:", err)
-		os.Exit(1)
+		code := 1
+		if found, ok := errors.AsType[*finding](err); ok {
+			code = found.code
+		}
+		os.Exit(code)
 	}
 }
 
@@ -53,13 +60,19 @@
 	}
 	command := flags.Arg(0)
 	switch {
+	case command == "replay":
+		operators := ""
+		if flags.Changed("config") { // the environment's is the platform's file
+			operators = *config
+		}
+		return replay(flags.Args()[1:], operators, out)
 	case flags.NArg() != 1:
-		return fmt.Errorf("one command is wanted: serve, check or version")
+		return fmt.Errorf("one command is wanted: serve, check, version or replay")
 	case command == "version":
 		fmt.Fprintln(out, "laddertide", version())
 		return nil
 	case command != "serve" && command != "check":
-		return fmt.Errorf("unknown command %q: serve, check or version are known", command)
+		return fmt.Errorf("unknown command %q: serve, check, version and replay are known", command)
 	}
 	var lv slog.Level
 	if err := lv.UnmarshalText([]byte(*level)); err != nil {
@@ -90,9 +103,10 @@
 		return nil
 	}
 	var stderr io.Writer = os.Stderr
+	var box *outbox.Outbox
 	if flags.Changed("fleet") {
 		// Features write more there than the log does. Should nobody read it, no request may wait for that.
-		box := outbox.New(os.Stderr, stderrWaits)
+		box = outbox.New(os.Stderr, stderrWaits)
 		defer box.Close(time.Second)
 		stderr, cfg.Operator.Stderr = box, box
 	}
@@ -109,6 +123,11 @@
 	serving, served := context.WithCancel(context.Background())
 	defer served()
 	go reload(serving, hup, *config, s, log)
+	if box != nil && cfg.Operator.Capture != nil && cfg.Operator.Capture.Dir == "" {
+		usr1 := make(chan os.Signal, 1)
+		signal.Notify(usr1, syscall.SIGUSR1)
+		go dump(serving, usr1, s, box, log)
+	}
 	return s.Serve(ctx)
 }
 
--- /dev/null
+++ b/cmd/laddertide/replay.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+
+	"ryepulley/capture"
+	"ryepulley/internal/outbox"
+	"ryepulley/scheduler"
+)
+
+// finding is what a replay has found, as the program's exit code: 2, a decision differs; 3, none does, but a part could
+// not be replayed. Everything else that goes wrong is 1.
+type finding struct {
+	code int
+	what string
+}
+
+func (f *finding) Error() string { return f.what }
+
+// replay makes the decisions of a capture again. The operators' file is checked; all that it says here is where
+// captures are, as each brings the settings and the seed of the scheduler that made it.
+func replay(args []string, operators string, out io.Writer) error {
+	if len(args) != 1 {
+		return errors.New("replay wants one file")
+	}
+	path := args[0]
+	if operators != "" {
+		set, err := scheduler.LoadCapture(operators)
+		if err != nil {
+			return err
+		}
+		if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) && set != nil && set.Dir != "" && path == filepath.Base(path) {
+			path = filepath.Join(set.Dir, path)
+		}
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	res, err := capture.Replay(file, out)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	fmt.Fprintf(out, "%d lines replayed, %d differences", res.Lines, res.Differences)
+	if res.Bad+res.Skipped+res.Gaps > 0 {
+		fmt.Fprintf(out, "; %d bad lines, %d skipped after them, %d gaps", res.Bad, res.Skipped, res.Gaps)
+	}
+	fmt.Fprintln(out)
+	switch {
+	case res.Differences > 0:
+		return &finding{2, "decisions differ"}
+	case res.Bad+res.Skipped+res.Gaps > 0 || res.Segments == 0:
+		return &finding{3, "not all of the capture could be replayed"}
+	}
+	return nil
+}
+
+// dump writes the capture's ring to standard error at every SIGUSR1.
+func dump(ctx context.Context, usr1 <-chan os.Signal, s *scheduler.Scheduler, to *outbox.Outbox, log *slog.Logger) {
+	for {
+		select {
+		case <-usr1:
+		case <-ctx.Done():
+			return
+		}
+		if err := s.WriteCapture(to.Feed); err != nil {
+			log.Error("cannot write the capture", "err", err)
+		}
+	}
+}
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -76,7 +76,7 @@
 		}
 	}()
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: worker.Addr().String(), Status: directory.Serving}}, true)
-	desk.Directory(ryepulley.ListCached, []ryepulley.Entry{{Weight: 4}}, []string{"s-1"})
+	desk.Directory(ryepulley.ListCached, 0, []ryepulley.Entry{{Weight: 4}}, []string{"s-1"})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,6 +112,7 @@
 
 	observer Observer // nil: none
 	event    Event    // what it is being told, here so that no event costs an allocation
+	scratch  Step
 }
 
 // Counts tell what has happened since they were last taken, and how many jobs are open.
@@ -166,8 +167,8 @@
 // at turns a time of the module's clock into one for timers.
 func (d *Desk) at(t time.Duration) time.Time { return d.origin.Add(t - d.unix) }
 
-// Directory takes news of the providers.
-func (d *Desk) Directory(kind ryepulley.ListKind, entries []ryepulley.Entry, names []string) {
+// Directory takes news of the providers, of the directory's version index.
+func (d *Desk) Directory(kind ryepulley.ListKind, index uint64, entries []ryepulley.Entry, names []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i, name := range names {
@@ -179,18 +180,14 @@
 		}
 		entries[i].ID = id
 	}
-	d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-		return d.disp.List(now, kind, entries, acts)
-	})
+	d.step(Step{Input: List, Now: d.now(), List: kind, Index: index, Entries: entries, Names: names})
 }
 
 // Stop tells that the program ends at by. Every job has its final verdict by then.
 func (d *Desk) Stop(by time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.step(func(_ time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-		return d.disp.Stop(d.unix+by.Sub(d.origin), acts)
-	})
+	d.step(Step{Input: Stop, Now: d.now(), By: d.unix + by.Sub(d.origin)})
 }
 
 // Ticket is a job that was taken, until its final verdict.
@@ -221,12 +218,11 @@
 	t := &Ticket{desk: d, id: d.next, job: job, deadline: time.Now().Add(job.Left), verdicts: make(chan Verdict, 2)}
 	d.tickets[t.id] = t
 	d.tell(t, Event{Kind: Taken})
-	d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-		t.deadline = d.at(now + job.Left)
-		return d.disp.Request(now, ryepulley.Request{
-			ID: t.id, Class: job.Class, Tenant: job.Tenant, Left: job.Left, Hint: job.Hint, Slots: job.Slots,
-		}, acts)
-	})
+	now := d.now()
+	t.deadline = d.at(now + job.Left)
+	d.step(Step{Input: Request, Now: now, Number: t.id, own: &t.job, Request: ryepulley.Request{
+		ID: t.id, Class: job.Class, Tenant: job.Tenant, Left: job.Left, Hint: job.Hint, Slots: job.Slots,
+	}})
 	return t
 }
 
@@ -265,11 +261,9 @@
 	defer d.mu.Unlock()
 	if t.out {
 		d.tell(t, Event{Kind: Started})
-		d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-			return d.disp.Note(now, ryepulley.Note{
-				Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Started: true,
-			}, acts)
-		})
+		d.step(Step{Input: Note, Now: d.now(), Number: t.id, own: &t.job, Note: ryepulley.Note{
+			Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Started: true,
+		}})
 	}
 }
 
@@ -293,12 +287,11 @@
 	case end == Unusable: // a fact, as the result is: no decision would make it another
 		d.settle(t, Verdict{Kind: Mistake})
 	}
-	d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-		return d.disp.Outcome(now, ryepulley.Outcome{
-			Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Status: statuses[end],
-			Closed: t.final, Elapsed: now - t.sent,
-		}, acts)
-	})
+	now := d.now()
+	d.step(Step{Input: Outcome, Now: now, Number: t.id, own: &t.job, End: end, Outcome: ryepulley.Outcome{
+		Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Status: statuses[end],
+		Closed: t.final, Elapsed: now - t.sent,
+	}})
 	d.drop(t)
 }
 
@@ -314,9 +307,7 @@
 		return
 	}
 	d.settle(t, Verdict{Kind: Left})
-	d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-		return d.disp.Gone(now, t.id, acts)
-	})
+	d.step(Step{Input: Gone, Now: d.now(), Number: t.id, own: &t.job})
 }
 
 // settle gives t its final verdict. A call that is out is still to be reported.
@@ -356,22 +347,37 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.closed {
-		d.step(func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action {
-			return d.disp.Timer(now, token, acts)
-		})
+		s := Step{Input: Timer, Now: d.now(), Token: token}
+		if t := d.tickets[ryepulley.RequestID(token)]; t != nil { // the module's other tokens are no numbers of jobs
+			s.Number, s.own = t.id, &t.job
+		}
+		d.step(s)
 	}
 }
 
 // step lets the module take one event and does what it wants done. A panic in there must not end the
 // program, and with it every job that is open: those that it leaves undecided fail at their deadline.
-func (d *Desk) step(event func(now time.Duration, acts []ryepulley.Action) []ryepulley.Action) {
+func (d *Desk) step(s Step) {
+	told := false
+	tell := func(acts []ryepulley.Action) {
+		if told = true; d.observer != nil {
+			s.desk, s.Actions = d, acts
+			d.scratch = s
+			d.notify(Event{Kind: Stepped, Now: s.Now, Step: &d.scratch})
+		}
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			d.acts = nil
 			d.log.Error("panic in the decisions", "panic", r, "stack", string(debug.Stack()))
+			if s.Failed = true; !told {
+				tell(nil)
+			}
 		}
 	}()
-	d.carry(event(d.now(), d.acts[:0]))
+	acts := s.Play(d.disp, d.acts[:0])
+	tell(acts)
+	d.carry(acts)
 }
 
 // carry does what the module wants done.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 	for i := range entries {
 		entries[i].Weight = 2
 	}
-	d.Directory(ryepulley.ListCached, entries, providers)
+	d.Directory(ryepulley.ListCached, 0, entries, providers)
 	return d
 }
 
@@ -110,12 +111,12 @@
 func TestDirectoryActsAtOnce(t *testing.T) {
 	for _, news := range []func(d *Desk){
 		func(d *Desk) {
-			d.Directory(ryepulley.ListDelta, []ryepulley.Entry{{State: ryepulley.Draining}}, []string{"a"})
+			d.Directory(ryepulley.ListDelta, 0, []ryepulley.Entry{{State: ryepulley.Draining}}, []string{"a"})
 		},
 		func(d *Desk) {
-			d.Directory(ryepulley.ListDelta, []ryepulley.Entry{{State: ryepulley.Gone}}, []string{"a"})
+			d.Directory(ryepulley.ListDelta, 0, []ryepulley.Entry{{State: ryepulley.Gone}}, []string{"a"})
 		},
-		func(d *Desk) { d.Directory(ryepulley.ListFull, make([]ryepulley.Entry, 1), []string{"b"}) },
+		func(d *Desk) { d.Directory(ryepulley.ListFull, 0, make([]ryepulley.Entry, 1), []string{"b"}) },
 	} {
 		d := desk(t, ryepulley.Safe, "a", "b")
 		news(d)
@@ -193,3 +194,36 @@
 		t.Fatalf("used %v, %d held", used, d.held())
 	}
 }
+
+// seen is an observer that keeps the kinds of what it was told, and panics at one of them.
+type seen struct {
+	kinds []EventKind
+	at    EventKind
+}
+
+func (s *seen) Observe(e *Event) {
+	if e.Kind == s.at {
+		panic("observer")
+	}
+	s.kinds = append(s.kinds, e.Kind)
+}
+
+// An observer is told of everything in its order; one that panics is told no more, and no job suffers.
+func TestObserver(t *testing.T) {
+	for at, want := range map[EventKind][]EventKind{
+		99:      {Stepped, Taken, Stepped, Sent, Started, Stepped, Ended, Decided, Stepped},
+		Started: {Stepped, Taken, Stepped, Sent},
+	} {
+		d := desk(t, ryepulley.Safe, "a")
+		o := &seen{at: at}
+		d.Observe(o)
+		ticket := d.Take(work)
+		wants(t, ticket.Pick(), Call)
+		ticket.Started()
+		ticket.Report(Served)
+		wants(t, ticket.Pick(), Answer)
+		if !slices.Equal(o.kinds, want) {
+			t.Errorf("told %v, want %v", o.kinds, want)
+		}
+	}
+}
--- a/decide/observe.go
+++ b/decide/observe.go
@@ -1,6 +1,11 @@
 package decide
 
-import "time"
+import (
+	"runtime/debug"
+	"time"
+
+	"ryepulley"
+)
 
 // Observer is told what passes through a desk, in its order. It is called under the desk's mutex: it must not
 // block nor call the desk, and the event is valid during the call only.
@@ -19,10 +24,12 @@
 // EventKind says what an event is.
 type EventKind uint8
 
-// The kinds of events. Those of a job come in this order, Sent to Ended once for each call; a call that is out may
+// The kinds of events. Stepped tells of the module's call that has just returned, before anything else follows from
+// it; the others tell of a job. These come in this order, Sent to Ended once for each call; a call that is out may
 // end after its job is decided.
 const (
-	Taken EventKind = iota
+	Stepped EventKind = iota
+	Taken
 	Sent
 	Started
 	Ended
@@ -33,6 +40,7 @@
 type Event struct {
 	Kind     EventKind
 	Now      time.Duration // on the module's clock
+	Step     *Step         // of Stepped, which has nothing of what follows
 	Job      *Job
 	Provider string        // that holds the job, or held it last; empty: none did
 	Took     time.Duration // Started and Ended: since Sent; Decided: since Taken
@@ -40,11 +48,106 @@
 	Verdict  VerdictKind   // of Decided
 }
 
-// Observe makes o the observer of all that follows. It is called once, before anything else.
+// Input says which of the module's methods a step calls.
+type Input uint8
+
+// The inputs of the module. None calls nothing: it is what an observer is told first.
+const (
+	None Input = iota
+	List
+	Request
+	Note
+	Outcome
+	Gone
+	Timer
+	Stop
+)
+
+// Step is one call of the module: what goes in, and once it has returned, what the module wants done.
+type Step struct {
+	Input  Input
+	Now    time.Duration
+	Number ryepulley.RequestID // of the job that it concerns; 0: none
+
+	List    ryepulley.ListKind
+	Index   uint64 // of the directory
+	Entries []ryepulley.Entry
+	Names   []string // of the entries
+	Request ryepulley.Request
+	Note    ryepulley.Note
+	Outcome ryepulley.Outcome
+	End     End // of Outcome
+	Token   uint64
+	By      time.Duration
+
+	Actions []ryepulley.Action
+	Failed  bool // the module panicked
+
+	desk *Desk
+	own  *Job // of Number; it may be forgotten by now
+}
+
+// Play makes the call on disp and returns the actions. It is what the desk does, and what a replay does again.
+func (s *Step) Play(disp *ryepulley.Dispatcher, acts []ryepulley.Action) []ryepulley.Action {
+	switch s.Input {
+	case List:
+		return disp.List(s.Now, s.List, s.Entries, acts)
+	case Request:
+		return disp.Request(s.Now, s.Request, acts)
+	case Note:
+		return disp.Note(s.Now, s.Note, acts)
+	case Outcome:
+		return disp.Outcome(s.Now, s.Outcome, acts)
+	case Gone:
+		return disp.Gone(s.Now, s.Number, acts)
+	case Timer:
+		return disp.Timer(s.Now, s.Token, acts)
+	case Stop:
+		return disp.Stop(s.By, acts)
+	}
+	return acts
+}
+
+// Settings are those that the module has, after what the desk overrides.
+func (s *Step) Settings() ryepulley.Settings { return s.desk.set }
+
+// Checkpoint appends the module's state after the step.
+func (s *Step) Checkpoint(b []byte) []byte { return s.desk.disp.Checkpoint(b) }
+
+// Providers are the names that the module's workers go by, in the order of their ids.
+func (s *Step) Providers() []string { return s.desk.names }
+
+// Job is the step's own job, or an open one, by its number; nil: neither.
+func (s *Step) Job(number ryepulley.RequestID) *Job {
+	if s.own != nil && number == s.Number {
+		return s.own
+	}
+	if t := s.desk.tickets[number]; t != nil {
+		return &t.job
+	}
+	return nil
+}
+
+// Observe makes o the observer of all that follows. It is called once, before anything else, and tells o of a step
+// without an input.
 func (d *Desk) Observe(o Observer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observer = o
+	d.scratch = Step{Now: d.now(), desk: d}
+	d.notify(Event{Kind: Stepped, Now: d.scratch.Now, Step: &d.scratch})
+}
+
+// notify tells the observer of e. One that panics is told nothing more: no job depends on it.
+func (d *Desk) notify(e Event) {
+	defer func() {
+		if r := recover(); r != nil {
+			d.observer = nil
+			d.log.Error("panic in an observer: figures, capture and job status end here", "panic", r, "stack", string(debug.Stack()))
+		}
+	}()
+	d.event = e
+	d.observer.Observe(&d.event)
 }
 
 // tell tells the observer of something that happened to a job.
@@ -64,6 +167,5 @@
 	if t.attempts > 0 {
 		e.Provider = d.names[t.provider]
 	}
-	d.event = e
-	d.observer.Observe(&d.event)
+	d.notify(e)
 }
--- a/figures/figures.go
+++ b/figures/figures.go
@@ -112,6 +112,9 @@
 
 // Observe implements decide.Observer. It counts in memory and leaves the rest to the flusher.
 func (e *Emitter) Observe(ev *decide.Event) {
+	if ev.Kind == decide.Stepped {
+		return
+	}
 	s := series{class: ev.Job.Class, tenant: min(ev.Job.Tenant, len(e.tags.tenants)-1), server: ev.Provider}
 	calls := series{figure: callsOut, class: -1, tenant: -1, server: ev.Provider}
 	jobs := series{figure: open, class: s.class, tenant: s.tenant}
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 
+	"ryepulley/capture"
 	"ryepulley/figures"
 	"ryepulley/operator"
 	"ryepulley/tlsport"
@@ -16,6 +17,7 @@
 type Operator struct {
 	Figures *figures.Settings
 	TLS     *tlsport.Settings
+	Capture *capture.Settings
 
 	Stderr io.Writer // where lines for standard error go; nil: there
 }
@@ -23,15 +25,32 @@
 // LoadOperator reads the operator's file. A section that is there turns its feature on.
 func LoadOperator(path string) (Operator, error) {
 	var op Operator
-	file, err := operator.Load(path, "figures", "tls")
+	file, err := operator.Load(path, sections...)
 	if err != nil {
 		return op, err
 	}
 	op.Figures, err = section(file, "figures", figures.Parse, err)
 	op.TLS, err = section(file, "tls", tlsport.Parse, err)
+	if op.Capture, err = section(file, "capture", capture.Parse, err); err == nil && op.Capture != nil {
+		if err = op.Capture.CheckDir(); err != nil {
+			err = fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	return op, err
 }
 
+var sections = []string{"figures", "tls", "capture"}
+
+// LoadCapture reads the capture section alone, or gives nil if there is none. A replay may be made where the paths of
+// the file do not exist.
+func LoadCapture(path string) (*capture.Settings, error) {
+	file, err := operator.Load(path, sections...)
+	if err != nil {
+		return nil, err
+	}
+	return section(file, "capture", capture.Parse, nil)
+}
+
 // section reads one feature's settings, unless an earlier one had an error.
 func section[T any](file *operator.File, name string, parse func(*operator.Section) (T, error), before error) (*T, error) {
 	s := file.Section(name)
@@ -50,6 +69,9 @@
 	if op.TLS != nil {
 		n += tlsport.Descriptors
 	}
+	if op.Capture != nil {
+		n += op.Capture.Descriptors()
+	}
 	return n
 }
 
@@ -65,6 +87,9 @@
 	if op.Figures != nil {
 		n += figures.MemoryBytes
 	}
+	if op.Capture != nil {
+		n += op.Capture.Memory()
+	}
 	if n > 0 {
 		n += stderrBytes
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,6 +17,7 @@
 	"time"
 
 	"ryepulley"
+	"ryepulley/capture"
 	"ryepulley/consumer"
 	"ryepulley/decide"
 	"ryepulley/directory"
@@ -33,6 +35,7 @@
 
 	// What the operator has turned on; nil: off.
 	figures *figures.Emitter
+	capture *capture.Recorder
 
 	// mu keeps the directory's news in one order, whichever watch they come from.
 	mu       sync.Mutex
@@ -79,6 +82,10 @@
 		s.figures = figures.New(*op.Figures, s.cfg.Settings, stderr, s.log)
 		all = append(all, s.figures)
 	}
+	if op.Capture != nil {
+		s.capture = capture.New(*op.Capture, s.log)
+		all = append(all, s.capture)
+	}
 	if all != nil {
 		s.desk.Observe(all)
 	}
@@ -89,6 +96,9 @@
 	if s.figures != nil {
 		s.figures.Start()
 	}
+	if s.capture != nil {
+		s.capture.Start()
+	}
 }
 
 // closeObservers lets go of what the operator has turned on, after the last answer.
@@ -96,6 +106,17 @@
 	if s.figures != nil {
 		s.figures.Close()
 	}
+	if s.capture != nil {
+		s.capture.Close()
+	}
+}
+
+// WriteCapture hands the ring of the capture that is kept in memory to write, in whole lines, until write says false.
+func (s *Scheduler) WriteCapture(write func([]byte) bool) error {
+	if s.capture == nil {
+		return errors.New("scheduler: capture is off")
+	}
+	return s.capture.Dump(write)
 }
 
 // deliver hands a list to the two that need it. The pool comes first: what is drawn must be known there.
@@ -118,7 +139,7 @@
 		}
 	}
 	s.pool.Directory(list.Entries, kind != ryepulley.ListDelta)
-	s.desk.Directory(kind, entries, names)
+	s.desk.Directory(kind, list.Index, entries, names)
 }
 
 // place is where a name stands among names. One that the settings do not have comes after them all.
