job status: GET /v1/job-status/ID tells a job's tenant how the job stands

Asked for: a dispatcher whose settle request is slow asks whether the job is alive. jobstatus follows jobs by the observer seam; ended ones are kept for keep_s and up to max_entries. The tenant is kept as a hash, as consumers choose its length.

Seen on the way: a call-back that had found its call could be heard after that call was over, and would then have counted for the job's next one, which may be at another provider (Pool.Event read the call, then let go of the mutex). The call is now closed under its own mutex and news is heard there, before the 204: TestLateNews. Repeated start notes no longer count twice as figures. A share that makes no sense still costs a call-back nothing.

--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -74,7 +74,7 @@
 			if v := t.Pick(); v.Kind != decide.Call {
 				break
 			}
-			t.Started()
+			t.Hear(decide.News{Kind: decide.Begun})
 			t.Report(end)
 		}
 	}
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -17,6 +17,7 @@
 const (
 	pathHealth = "/_health"
 	pathEvents = "/v1/job-events"
+	pathStatus = "/v1/job-status/" // and the job's id
 )
 
 const maxID = 128 // of a request's id
@@ -110,6 +111,9 @@
 		s.mu.Unlock()
 		return answer{status: 204}, true
 	}
+	if id, ok := strings.CutPrefix(path, pathStatus); ok && s.Status != nil && head.Method == "GET" {
+		return s.status(id, head), true
+	}
 	if head.Method != "POST" {
 		return text(404, "no such page"), true
 	}
@@ -140,6 +144,16 @@
 	return text(502, "failed"), true
 }
 
+// status answers who asks how a job stands. One answer tells all others nothing, not even that there is such a job.
+func (s *Server) status(id string, head *httpwire.Head) answer {
+	if head.Fields.Count("X-Tenant") == 1 {
+		if b, ok := s.Status(id, head.Fields.Get("X-Tenant")); ok {
+			return answer{status: 200, fields: httpwire.Fields{{Name: "Content-Type", Value: "application/json"}}, body: b}
+		}
+	}
+	return text(404, "no such job")
+}
+
 // retryAfter writes a time in seconds, with decimals as the consumers take them.
 func retryAfter(d, most time.Duration) string {
 	return strconv.FormatFloat(min(d, most).Seconds(), 'f', 3, 64)
--- a/consumer/job.go
+++ b/consumer/job.go
@@ -53,7 +53,7 @@
 		var end decide.End
 		sent := time.Now()
 		calling = true
-		end, result = s.Pool.Invoke(&j.call, v, ticket.Started)
+		end, result = s.Pool.Invoke(&j.call, v, ticket.Hear)
 		calling = false
 		s.Log.Debug("call over", "id", j.call.ID, "provider", v.Provider, "end", end, "took", time.Since(sent))
 		ticket.Report(end)
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -27,6 +27,9 @@
 	Conns    int           // connections that may be open at once
 	Grace    time.Duration // from the word to stop until all answers must be out
 
+	// Status describes a job to its tenant, or says that there is none. Nil: nobody can ask.
+	Status func(id, tenant string) (description []byte, ok bool)
+
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	leaving int           // of them, those that were told to make room
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -201,6 +201,7 @@
 	// Guarded by the desk's mutex.
 	attempts int
 	out      bool // an invoker call is to be reported
+	begun    bool // its provider has begun with the job
 	provider ryepulley.WorkerID
 	sent     time.Duration
 	taken    time.Duration // with an observer only
@@ -254,16 +255,44 @@
 	return Verdict{Kind: Failure}
 }
 
-// Started tells that the provider has begun with the job.
-func (t *Ticket) Started() {
+// News is what a provider says of a job that it has, before the call is reported.
+type News struct {
+	Kind  NewsKind
+	Share float64 // of Progressed: the part that is done; -1: not told
+	End   End     // of Ending
+}
+
+// NewsKind says what news is about.
+type NewsKind uint8
+
+// The kinds of news. Only Begun matters to decisions.
+const (
+	Begun NewsKind = iota
+	Progressed
+	Ending // how the call ends; Report follows
+)
+
+// Hear takes news of the job. It must come from the provider that has the job now.
+func (t *Ticket) Hear(n News) {
 	d := t.desk
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t.out {
-		d.tell(t, Event{Kind: Started})
+	if !t.out {
+		return
+	}
+	switch n.Kind {
+	case Begun:
+		if !t.begun { // providers repeat themselves
+			t.begun = true
+			d.tell(t, Event{Kind: Started})
+		}
 		d.step(Step{Input: Note, Now: d.now(), Number: t.id, own: &t.job, Note: ryepulley.Note{
 			Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Started: true,
 		}})
+	case Progressed:
+		d.tell(t, Event{Kind: Progress, Share: n.Share})
+	case Ending:
+		d.tell(t, Event{Kind: Ends, End: n.End})
 	}
 }
 
@@ -329,7 +358,7 @@
 // send hands a call to whoever waits in Pick.
 func (d *Desk) send(t *Ticket, a *ryepulley.Action) {
 	t.attempts++
-	t.out, t.provider, t.sent = true, a.Worker, d.now()
+	t.out, t.begun, t.provider, t.sent = true, false, a.Worker, d.now()
 	until := t.deadline
 	if a.Timeout > 0 {
 		if at := d.at(t.sent + a.Timeout); at.Before(until) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -54,7 +54,7 @@
 	if v.Provider != "a" && v.Provider != "b" || time.Until(v.Until) > work.Left {
 		t.Fatalf("call %+v", v)
 	}
-	ticket.Started()
+	ticket.Hear(News{Kind: Begun})
 	ticket.Report(Served)
 	ticket.Report(Broken) // a call has one end: a second report is passed over
 	wants(t, ticket.Pick(), Answer)
@@ -219,7 +219,7 @@
 		d.Observe(o)
 		ticket := d.Take(work)
 		wants(t, ticket.Pick(), Call)
-		ticket.Started()
+		ticket.Hear(News{Kind: Begun})
 		ticket.Report(Served)
 		wants(t, ticket.Pick(), Answer)
 		if !slices.Equal(o.kinds, want) {
--- a/decide/observe.go
+++ b/decide/observe.go
@@ -32,6 +32,8 @@
 	Taken
 	Sent
 	Started
+	Progress // Share
+	Ends     // the provider has said how the call ends; Ended follows
 	Ended
 	Decided
 )
@@ -44,7 +46,8 @@
 	Job      *Job
 	Provider string        // that holds the job, or held it last; empty: none did
 	Took     time.Duration // Started and Ended: since Sent; Decided: since Taken
-	End      End           // of Ended
+	Share    float64       // of Progress
+	End      End           // of Ends and Ended
 	Verdict  VerdictKind   // of Decided
 }
 
--- /dev/null
+++ b/jobstatus/jobstatus_test.go
@@ -0,0 +1,165 @@
+package jobstatus
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"ryepulley"
+	"ryepulley/decide"
+)
+
+func desk(t *testing.T, set Settings, providers ...string) (*decide.Desk, *Store) {
+	t.Helper()
+	of := ryepulley.Settings{
+		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, ColdFrom: 0.3, WarmWithin: 9 * time.Second,
+		FallMultiple: 3, FallWindow: time.Second,
+		Classes: []ryepulley.Class{{Name: "check", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
+			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: ryepulley.Unsafe, Kind: -1}},
+	}
+	d, err := decide.New(of, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	s := New(set, of)
+	d.Observe(s)
+	d.Directory(ryepulley.ListCached, 1, make([]ryepulley.Entry, len(providers)), providers)
+	return d, s
+}
+
+var usual = Settings{Keep: time.Minute, MaxEntries: 100}
+
+func take(d *decide.Desk, id string, class int) *decide.Ticket {
+	return d.Take(decide.Job{ID: id, Party: "acme", Class: class, Left: time.Second, Hint: time.Millisecond, Slots: 1})
+}
+
+func (s *Store) expect(t *testing.T, id, state, server, share string) {
+	t.Helper()
+	b, ok := s.Get(id, "acme")
+	var got map[string]any
+	if ok {
+		if err := json.Unmarshal(b, &got); err != nil {
+			t.Fatal(err)
+		}
+	}
+	word := func(key string) string {
+		if v, ok := got[key]; ok {
+			return fmt.Sprint(v)
+		}
+		return ""
+	}
+	if word("state") != state || word("server") != server || word("share") != share {
+		t.Fatalf("%s, want %s at %q with share %q", b, state, server, share)
+	}
+}
+
+// What the provider says moves a job on; repeats and what comes late do not move it back.
+func TestLife(t *testing.T) {
+	d, s := desk(t, usual, "a")
+	ticket := take(d, "j", 0)
+	s.expect(t, "j", "waiting", "a", "")
+	hear := func(kind decide.NewsKind, share float64, end decide.End) {
+		ticket.Hear(decide.News{Kind: kind, Share: share, End: end})
+	}
+	ticket.Pick()
+	hear(decide.Begun, 0, 0)
+	s.expect(t, "j", "started", "a", "")
+	hear(decide.Progressed, -1, 0)
+	s.expect(t, "j", "running", "a", "")
+	hear(decide.Progressed, 0.4, 0)
+	hear(decide.Begun, 0, 0)
+	hear(decide.Progressed, 0.2, 0)
+	s.expect(t, "j", "running", "a", "0.4")
+	hear(decide.Ending, 0, decide.Failed)
+	hear(decide.Progressed, 0.9, 0)
+	s.expect(t, "j", "failed", "a", "")
+	ticket.Report(decide.Failed) // it is safe to repeat, so it is sent again
+	s.expect(t, "j", "waiting", "a", "")
+	ticket.Pick()
+	hear(decide.Progressed, 0.1, 0)
+	s.expect(t, "j", "running", "a", "0.1")
+	ticket.Report(decide.Served)
+	hear(decide.Begun, 0, 0)
+	ticket.Leave()
+	s.expect(t, "j", "done", "a", "")
+	if b, ok := s.Get("j", "acme"); !ok || string(b) != `{"id":"j","tenant":"acme","class":"check","state":"done","server":"a"}` {
+		t.Fatalf("%s", b)
+	}
+	for _, tenant := range []string{"", "other", "acme "} {
+		if _, ok := s.Get("j", tenant); ok {
+			t.Errorf("told to %q", tenant)
+		}
+	}
+}
+
+// What a job reads once no call of it is out, by how the last one ended.
+func TestEnds(t *testing.T) {
+	for end, want := range map[decide.End][2]string{
+		decide.Served: {"done", "a"}, decide.Failed: {"failed", "a"}, decide.Unusable: {"failed", "a"}, decide.TurnedAway: {"returned", "a"},
+		decide.Broken: {"lost", "a"}, decide.Silent: {"timed_out", "a"}, decide.TimedOut: {"timed_out", "a"}, decide.Withdrawn: {"timed_out", "a"},
+		decide.NotConnected: {"timed_out", ""}, decide.NotSent: {"timed_out", ""},
+	} {
+		d, s := desk(t, usual, "a")
+		ticket := take(d, "j", 1) // its one provider does not get it twice
+		ticket.Pick()
+		ticket.Report(end)
+		ticket.Leave()
+		s.expect(t, "j", want[0], want[1], "")
+	}
+	d, s := desk(t, usual)
+	ticket := take(d, "none", 0) // nobody to send it to
+	s.expect(t, "none", "waiting", "", "")
+	ticket.Pick()
+	s.expect(t, "none", "timed_out", "", "")
+	d, s = desk(t, usual, "a")
+	ticket = take(d, "left", 0)
+	ticket.Pick()
+	ticket.Hear(decide.News{Kind: decide.Begun})
+	ticket.Leave() // its call is still out
+	ticket.Hear(decide.News{Kind: decide.Ending, End: decide.Served})
+	s.expect(t, "left", "timed_out", "a", "")
+}
+
+// Ended jobs are kept for their time and up to their number, oldest out first; open ones stay.
+func TestKept(t *testing.T) {
+	d, s := desk(t, Settings{Keep: 300 * time.Millisecond, MaxEntries: 2}, "a")
+	open := take(d, "open", 0)
+	end := func(id string) {
+		ticket := take(d, id, 0)
+		ticket.Pick()
+		ticket.Report(decide.Served)
+	}
+	for _, id := range []string{"1", "2", "1", "3"} { // a later job takes the place of an ended one of its id
+		end(id)
+	}
+	s.expect(t, "2", "", "", "")
+	s.expect(t, "1", "done", "a", "")
+	s.expect(t, "3", "done", "a", "")
+	time.Sleep(400 * time.Millisecond)
+	s.expect(t, "1", "", "", "")
+	s.expect(t, "3", "", "", "")
+	s.expect(t, "open", "waiting", "a", "")
+	if len(s.jobs) != 1 || s.ended.Len() != 0 {
+		t.Fatalf("%d jobs, %d of them ended", len(s.jobs), s.ended.Len())
+	}
+	open.Pick()
+}
+
+// Long names of consumers' own making are not kept, and a job without a tenant is told to nobody.
+func TestTenants(t *testing.T) {
+	d, s := desk(t, usual, "a")
+	long := strings.Repeat("x", 10000)
+	d.Take(decide.Job{ID: "long", Party: long, Left: time.Second, Slots: 1})
+	d.Take(decide.Job{ID: "none", Left: time.Second, Slots: 1})
+	if _, ok := s.Get("long", long); !ok {
+		t.Error("not told to its tenant")
+	}
+	if _, ok := s.Get("none", ""); ok || len(s.jobs) != 1 {
+		t.Error("a job of no tenant is kept")
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -20,7 +20,8 @@
 	ID     string // the job's
 	From   string // the provider's name
 	State  State
-	Result []byte // with Done
+	Share  float64 // with Running: the part that is done; -1: not told
+	Result []byte  // with Done
 }
 
 // State is what a call-back says of a job.
@@ -39,7 +40,7 @@
 // call is an invoker call that is out.
 type call struct {
 	provider string
-	started  func()
+	hear     func(decide.News)
 
 	mu     sync.Mutex
 	conn   *conn // while its acknowledgement is awaited
@@ -49,14 +50,24 @@
 	ended  chan struct{}
 }
 
-// finish ends the call as a call-back says; only the first one counts.
-func (c *call) finish(end decide.End, result []byte) {
+// take takes a call-back while the call is out; only the first one that ends it counts. What it says is heard before
+// it is acknowledged, and nothing is heard of a call that is over.
+func (c *call) take(ev Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.over {
 		return
 	}
-	c.over, c.end, c.result = true, end, result
+	switch ev.State {
+	case Started:
+		c.hear(decide.News{Kind: decide.Begun})
+		return
+	case Running:
+		c.hear(decide.News{Kind: decide.Progressed, Share: ev.Share})
+		return
+	}
+	c.over, c.end, c.result = true, ends[ev.State], ev.Result
+	c.hear(decide.News{Kind: decide.Ending, End: c.end})
 	close(c.ended)
 	if c.conn != nil {
 		// The acknowledgement must be on its way: wait for it a moment longer, to keep the connection.
@@ -99,28 +110,14 @@
 	if c == nil || c.provider != ev.From {
 		return
 	}
-	switch ev.State {
-	case Started:
-		c.mu.Lock()
-		over := c.over
-		c.mu.Unlock()
-		if !over {
-			c.started()
-		}
-	case Done:
-		c.finish(decide.Served, ev.Result)
-	case Failed:
-		c.finish(decide.Failed, nil)
-	case Returned:
-		c.finish(decide.TurnedAway, nil)
-	case Lost:
-		c.finish(decide.Broken, nil)
-	}
+	c.take(ev)
 }
 
+var ends = [...]decide.End{Done: decide.Served, Failed: decide.Failed, Returned: decide.TurnedAway, Lost: decide.Broken}
+
 // Invoke makes one invoker call for a reserved job and blocks until it has ended. Nothing of the job
 // is left with the provider, or it has been told so, unless the end says that it ran there.
-func (p *Pool) Invoke(job *Job, v decide.Verdict, started func()) (decide.End, []byte) {
+func (p *Pool) Invoke(job *Job, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
 	if v.Context.Err() != nil {
 		return decide.NotSent, nil
 	}
@@ -132,7 +129,7 @@
 		}
 		return decide.NotConnected, nil
 	}
-	c := &call{provider: v.Provider, started: started, conn: conn, ended: make(chan struct{})}
+	c := &call{provider: v.Provider, hear: hear, conn: conn, ended: make(chan struct{})}
 	p.mu.Lock()
 	// The connection may have taken its time: what the directory has said meanwhile counts.
 	if !conn.of.serving {
@@ -146,6 +143,9 @@
 		p.mu.Lock()
 		p.calls[job.ID] = nil
 		p.mu.Unlock()
+		c.mu.Lock()
+		c.over = true // a call-back that has found the call already is too late: the next call may be out by then
+		c.mu.Unlock()
 	}()
 
 	conn.SetDeadline(v.Until)
--- a/provider/http.go
+++ b/provider/http.go
@@ -74,6 +74,7 @@
 		ID     string          `json:"id"`
 		From   string          `json:"from"`
 		State  string          `json:"state"`
+		Share  json.RawMessage `json:"share"`
 		Result json.RawMessage `json:"result"`
 	}
 	if err := json.Unmarshal(body, &raw); err != nil {
@@ -83,7 +84,11 @@
 	if !ok || raw.ID == "" || raw.From == "" {
 		return Event{}, errors.New("call-back: id, from or state is missing or unknown")
 	}
-	ev := Event{ID: raw.ID, From: raw.From, State: state, Result: raw.Result}
+	ev := Event{ID: raw.ID, From: raw.From, State: state, Share: -1, Result: raw.Result}
+	var share *float64 // no job depends on it, so one that makes no sense is none
+	if json.Unmarshal(raw.Share, &share) == nil && share != nil && *share >= 0 && *share <= 1 {
+		ev.Share = *share
+	}
 	if len(raw.Result) > 0 && raw.Result[0] == '"' {
 		var s string
 		if err := json.Unmarshal(raw.Result, &s); err != nil {
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -87,7 +87,7 @@
 
 func invoke(t *testing.T, p *Pool, v decide.Verdict, want decide.End) string {
 	t.Helper()
-	end, result := p.Invoke(newJob(), v, func() {})
+	end, result := p.Invoke(newJob(), v, func(decide.News) {})
 	if end != want {
 		t.Fatalf("end %d, want %d", end, want)
 	}
@@ -177,7 +177,7 @@
 		for n := range 2 { // the second time on the same connection
 			job := newJob()
 			job.ID = fmt.Sprint("job-", n+1)
-			end, result := p.Invoke(job, verdict(context.Background(), time.Second), func() {})
+			end, result := p.Invoke(job, verdict(context.Background(), time.Second), func(decide.News) {})
 			if end != decide.Served || string(result) != "the Answer" {
 				t.Fatalf("end %d, result %q", end, result)
 			}
@@ -364,3 +364,38 @@
 		t.Fatal("the call ended before its provider was told")
 	}
 }
+
+// A call-back that has found its call is too late once that call is over: the job's next one may be out by then, and
+// nothing in it would tell them apart.
+func TestLateNews(t *testing.T) {
+	f := newFake(t, say(taken))
+	p := pool(f.ln.Addr().String())
+	heard := make(chan decide.News, 10)
+	found := make(chan *call, 1)
+	go func() {
+		<-f.lines
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		found <- p.calls["id-1"]
+	}()
+	if end, _ := p.Invoke(newJob(), verdict(context.Background(), 100*time.Millisecond), func(n decide.News) { heard <- n }); end != decide.TimedOut {
+		t.Fatalf("end %d", end)
+	}
+	c := <-found
+	for _, state := range []State{Started, Running, Done} {
+		c.take(Event{State: state, Share: 0.5})
+	}
+	if len(heard) > 0 {
+		t.Fatalf("heard %+v", <-heard)
+	}
+}
+
+// A share that makes no sense costs a call-back nothing.
+func TestShare(t *testing.T) {
+	for text, want := range map[string]float64{"0.4": 0.4, "0": 0, "1": 1, "1.1": -1, "-1": -1, "null": -1, `"x"`: -1, "{}": -1} {
+		ev, err := ParseEvent([]byte(`{"id":"j","from":"s-1","state":"running","share":` + text + `}`))
+		if err != nil || ev.Share != want {
+			t.Errorf("%s: %v, %v", text, ev.Share, err)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/jobstatus_test.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// ask asks how a job stands.
+func (c *client) ask(status int, id, fields string) string {
+	c.t.Helper()
+	c.say("GET /v1/job-status/%s HTTP/1.1\r\n%s\r\n", id, fields)
+	return c.hear(status)
+}
+
+// A provider's call-backs show in the answer by the time that they are acknowledged, to the job's tenant alone.
+func TestJobStatus(t *testing.T) {
+	r := newRig(t, "job_status:\n", io.Discard)
+	c, dispatcher := r.dial(), r.dial()
+	const id, tenant = "9b1f03aa5c7e2d41", "X-Tenant: rainier-haul\r\n"
+	unknown := dispatcher.ask(404, id, tenant)
+	r.submit(c, id, "settle", "rainier-haul", "")
+	want := func(rest string) {
+		t.Helper()
+		if got := dispatcher.ask(200, id, tenant); got != `{"id":"9b1f03aa5c7e2d41","tenant":"rainier-haul","class":"settle",`+rest+`}` {
+			t.Fatalf("%s, want %s", got, rest)
+		}
+	}
+	want(`"state":"waiting","server":"s-0badcafe"`)
+	r.event(id, "started", "")
+	want(`"state":"started","server":"s-0badcafe"`)
+	r.event(id, "running", `,"share":0.4`)
+	want(`"state":"running","server":"s-0badcafe","share":0.4`)
+	for _, share := range []string{`null`, `"much"`, `7`, `-1`} { // as before, no call-back is turned away for it
+		r.event(id, "running", `,"share":`+share)
+	}
+	r.event(id, "started", "")
+	stranger := fmt.Sprintf(`{"id":%q,"from":"s-5be2a07c","state":"failed"}`, id)
+	r.back.say("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(stranger), stranger)
+	r.back.hear(204)
+	want(`"state":"running","server":"s-0badcafe","share":0.4`)
+	for _, fields := range []string{"", "X-Tenant: puget-delivery\r\n", "X-Tenant: \r\n", tenant + tenant} {
+		if got := dispatcher.ask(404, id, fields); got != unknown {
+			t.Errorf("%q: %q, want %q", fields, got, unknown)
+		}
+	}
+	r.event(id, "done", `,"result":"secret"`)
+	want(`"state":"done","server":"s-0badcafe"`)
+	c.hear(200)
+	r.event(id, "failed", "")
+	want(`"state":"done","server":"s-0badcafe"`)
+	// Sent again after it was handed back: it waits at its provider once more.
+	r.submit(c, "again", "settle", "rainier-haul", "")
+	r.event("again", "running", `,"share":0.9`)
+	r.event("again", "returned", "")
+	<-r.jobs
+	if got := dispatcher.ask(200, "again", tenant); !strings.Contains(got, `"state":"waiting","server":"s-0badcafe"}`) {
+		t.Error(got)
+	}
+	r.event("again", "done", `,"result":"x"`)
+	c.hear(200)
+	// A consumer that hangs up is no longer waited for.
+	r.submit(c, "left", "settle", "rainier-haul", "")
+	c.Close()
+	<-r.ends
+	if got := dispatcher.ask(200, "left", tenant); !strings.Contains(got, `"state":"timed_out"`) {
+		t.Error(got)
+	}
+}
+
+// With the feature off the path is one like any other.
+func TestJobStatusOff(t *testing.T) {
+	r := newRig(t, "", io.Discard)
+	c := r.dial()
+	if got := c.ask(404, "x", "X-Tenant: a\r\n"); got != "no such page\n" {
+		t.Errorf("%q", got)
+	}
+	r.submit(r.dial(), "j", "settle", "rainier-haul", "")
+	if got := c.ask(404, "j", "X-Tenant: rainier-haul\r\n"); got != "no such page\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// Every section has its place in the file; what the features take together has a bound.
+func TestOperator(t *testing.T) {
+	for text, want := range map[string]string{
+		"figures:\ncapture:\njob_status:\n":   "",
+		"job_status: {keep_s: 0}\n":           "job_status.keep_s: ",
+		"job_status: {max_entries: many}\n":   "job_status.max_entries: ",
+		"job_status: {entries: 5}\n":          "job_status.entries: no such setting",
+		"jobstatus: {}\n":                     "jobstatus: no such section",
+		"job_status: {max_entries: 500000}\n": "over a quarter of limits.memory_mb",
+		"capture: {dir: /nowhere}\n":          "capture.dir: ",
+	} {
+		file := filepath.Join(t.TempDir(), "fleet.yaml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Parse([]byte(config))
+		if err == nil {
+			if cfg.Operator, err = LoadOperator(file); err == nil {
+				err = cfg.Check()
+			}
+		}
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -9,15 +9,17 @@
 
 	"ryepulley/capture"
 	"ryepulley/figures"
+	"ryepulley/jobstatus"
 	"ryepulley/operator"
 	"ryepulley/tlsport"
 )
 
 // Operator is what the operator's file turns on. A part that is nil is off.
 type Operator struct {
-	Figures *figures.Settings
-	TLS     *tlsport.Settings
-	Capture *capture.Settings
+	Figures   *figures.Settings
+	TLS       *tlsport.Settings
+	Capture   *capture.Settings
+	JobStatus *jobstatus.Settings
 
 	Stderr io.Writer // where lines for standard error go; nil: there
 }
@@ -36,10 +38,11 @@
 			err = fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	op.JobStatus, err = section(file, "job_status", jobstatus.Parse, err)
 	return op, err
 }
 
-var sections = []string{"figures", "tls", "capture"}
+var sections = []string{"figures", "tls", "capture", "job_status"}
 
 // LoadCapture reads the capture section alone, or gives nil if there is none. A replay may be made where the paths of
 // the file do not exist.
@@ -90,6 +93,9 @@
 	if op.Capture != nil {
 		n += op.Capture.Memory()
 	}
+	if op.JobStatus != nil {
+		n += op.JobStatus.Memory()
+	}
 	if n > 0 {
 		n += stderrBytes
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 	"ryepulley/decide"
 	"ryepulley/directory"
 	"ryepulley/figures"
+	"ryepulley/jobstatus"
 	"ryepulley/provider"
 	"ryepulley/tlsport"
 )
@@ -36,6 +37,7 @@
 	// What the operator has turned on; nil: off.
 	figures *figures.Emitter
 	capture *capture.Recorder
+	status  *jobstatus.Store
 
 	// mu keeps the directory's news in one order, whichever watch they come from.
 	mu       sync.Mutex
@@ -86,6 +88,10 @@
 		s.capture = capture.New(*op.Capture, s.log)
 		all = append(all, s.capture)
 	}
+	if op.JobStatus != nil {
+		s.status = jobstatus.New(*op.JobStatus, s.cfg.Settings)
+		all = append(all, s.status)
+	}
 	if all != nil {
 		s.desk.Observe(all)
 	}
@@ -182,6 +188,9 @@
 		Settings: s.cfg.Settings, Desk: s.desk, Pool: s.pool, Log: s.log,
 		Conns: s.cfg.places(), Grace: s.grace(),
 	}
+	if s.status != nil {
+		server.Status = s.status.Get
+	}
 	s.log.Info("serving", "name", s.cfg.Name, "listen", ln.Addr(), "providers", len(s.cfg.Known.Entries))
 	if secure != nil {
 		s.log.Info("serving with encryption", "listen", secure.Addr())
