--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,19 +16,11 @@
 
 	"ryepulley"
 	"ryepulley/decide"
+	"ryepulley/internal/pin"
 	"ryepulley/operator"
 )
 
-// TestMain pins rapid's seed, as that of httpwire does.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { pin.Run(m) }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
--- a/capture/disk.go
+++ b/capture/disk.go
@@ -67,7 +67,7 @@
 
 const (
 	writeEvery = 200 * time.Millisecond
-	closeLimit = 500 * time.Millisecond // for the last lines, on a disk that may be stuck
+	closeLimit = 200 * time.Millisecond // for the last lines, on a disk that may be stuck
 )
 
 func (d *disk) start() { go d.run() }
--- a/checkpoint_test.go
+++ b/checkpoint_test.go
@@ -2,25 +2,16 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"reflect"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"ryepulley/internal/pin"
 )
 
-// TestMain pins rapid's seed, as that of httpwire does.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { pin.Run(m) }
 
 func checkpointSettings() Settings {
 	return Settings{
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -30,8 +30,10 @@
 Flags, each with the environment variable that it stands in for:
 `
 
-// stderrWaits is how much may wait for standard error to be read.
-const stderrWaits = 64 << 10
+const (
+	stderrWaits = 64 << 10               // that may wait for standard error to be read
+	stderrLast  = 200 * time.Millisecond // for the last of it, once all is answered
+)
 
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
@@ -107,7 +109,7 @@
 	if flags.Changed("fleet") {
 		// Features write more there than the log does. Should nobody read it, no request may wait for that.
 		box = outbox.New(os.Stderr, stderrWaits)
-		defer box.Close(time.Second)
+		defer box.Close(stderrLast)
 		stderr, cfg.Operator.Stderr = box, box
 	}
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: lv}))
--- a/figures/figures.go
+++ b/figures/figures.go
@@ -167,7 +167,7 @@
 }
 
 // closeLimit is how long the last flush may take: a target that blocks must not keep the program from ending.
-const closeLimit = 500 * time.Millisecond
+const closeLimit = 200 * time.Millisecond
 
 // Close flushes once more and ends what Start began. Nothing may be observed any more.
 func (e *Emitter) Close() {
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -4,25 +4,16 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"flag"
 	"io"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"ryepulley/internal/pin"
 )
 
-// TestMain pins rapid's seed here: as a flag of go test it would be unknown to the other packages.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { pin.Run(m) }
 
 // cuts returns its bytes in pieces of random length.
 type cuts struct {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -149,3 +150,30 @@
 		}
 	}
 }
+
+// Every section has its place in the file; what the features take together has a bound.
+func TestOperator(t *testing.T) {
+	for text, want := range map[string]string{
+		"figures:\ncapture:\njob_status:\n":   "",
+		"job_status: {keep_s: 0}\n":           "job_status.keep_s: ",
+		"job_status: {max_entries: many}\n":   "job_status.max_entries: ",
+		"job_status: {entries: 5}\n":          "job_status.entries: no such setting",
+		"jobstatus: {}\n":                     "jobstatus: no such section",
+		"job_status: {max_entries: 500000}\n": "over a quarter of limits.memory_mb",
+		"capture: {dir: /nowhere}\n":          "capture.dir: ",
+	} {
+		file := filepath.Join(t.TempDir(), "fleet.yaml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Parse([]byte(config))
+		if err == nil {
+			if cfg.Operator, err = LoadOperator(file); err == nil {
+				err = cfg.Check()
+			}
+		}
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
