Capture survives a panic in the module; SIGUSR1 never kills a scheduler that captures

Found by a test: a request that the module panics on is left without a pool, and the next checkpoint met a nil pointer, which would have cut off all observers for good. It is now written as one without a pool, and a replay meets the same panic (TestPanic). With capture.dir set, SIGUSR1 had its default effect and ended the program; it is now answered by a log line. Lines are written without fmt.

--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// A panic in the module is part of what happened: a replay meets the same, and goes on as the module did.
+func TestPanic(t *testing.T) {
+	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 4}, quiet)
+	work(d, 10)
+	d.Take(decide.Job{ID: "odd", Tenant: -1, Left: time.Second, Slots: 1}) // none such gets past the codec
+	work(d, 100)
+	text := r.text()
+	if res := check(t, text, 200); res.Segments < 2 || res.Gaps > 0 || bytes.Count(text, []byte(`"panic":true`)) != 1 {
+		t.Fatalf("%+v\n%s", res, text)
+	}
+	text = bytes.Replace(text, []byte(`"panic":true,`), nil, 1)
+	if res, _ := Replay(bytes.NewReader(text), io.Discard); res.Differences != 1 {
+		t.Fatalf("%+v", res)
+	}
+}
+
 // Every line is JSON by itself, with the keys that tell what happened.
 func TestLines(t *testing.T) {
 	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
--- a/capture/line.go
+++ b/capture/line.go
@@ -83,7 +83,8 @@
 var (
 	inputs = [...]string{decide.List: "list", decide.Request: "request", decide.Note: "started", decide.Outcome: "end",
 		decide.Gone: "left", decide.Timer: "timer", decide.Stop: "stop"}
-	outs = map[decide.End]string{decide.Served: "done", decide.Failed: "failed", decide.TurnedAway: "returned", decide.Broken: "lost"}
+	outs = map[decide.End]string{decide.Served: "done", decide.Failed: "failed", decide.TurnedAway: "returned",
+		decide.Broken: "lost"}
 )
 
 // Decisions about a line's own request.
@@ -219,7 +220,8 @@
 	switch s.Input {
 	case decide.Request:
 		q := &s.Request
-		b = fmt.Appendf(b, `,"as":[%d,%d]`, q.Class, q.Tenant)
+		b = strconv.AppendInt(append(b, `,"as":[`...), int64(q.Class), 10)
+		b = append(strconv.AppendInt(append(b, ','), int64(q.Tenant), 10), ']')
 		whole("left", int64(q.Left))
 		whole("hint", int64(q.Hint))
 		b = strconv.AppendFloat(append(b, `,"slots":`...), q.Slots, 'g', -1, 64)
@@ -242,8 +244,10 @@
 				b = append(b, ',')
 			}
 			b = appendString(append(b, '['), s.Names[i])
-			b = fmt.Appendf(b, ",%d,%d,%d,%d,", e.State, e.Kind, e.Zone, e.Cell)
-			b = strconv.AppendFloat(b, e.Weight, 'g', -1, 64)
+			for _, v := range [...]int{int(e.State), e.Kind, e.Zone, e.Cell} {
+				b = strconv.AppendInt(append(b, ','), int64(v), 10)
+			}
+			b = strconv.AppendFloat(append(b, ','), e.Weight, 'g', -1, 64)
 			b = strconv.AppendInt(append(b, ','), int64(e.Started), 10)
 			b = append(b, ']')
 		}
@@ -354,8 +358,8 @@
 	worker := ids[l.To]
 	switch s.Input {
 	case decide.Request:
-		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.As[1] < 0 || l.N == 0 {
-			return nil, errors.New("the class, tenant or number makes no sense")
+		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.N == 0 {
+			return nil, errors.New("the class or number makes no sense")
 		}
 		s.Request = ryepulley.Request{ID: s.Number, Class: l.As[0], Tenant: l.As[1], Left: time.Duration(l.Left),
 			Hint: time.Duration(l.Hint), Slots: l.Slots}
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -125,7 +125,7 @@
 	serving, served := context.WithCancel(context.Background())
 	defer served()
 	go reload(serving, hup, *config, s, log)
-	if box != nil && cfg.Operator.Capture != nil && cfg.Operator.Capture.Dir == "" {
+	if box != nil && cfg.Operator.Capture != nil { // with files there is nothing to write, but the signal must not kill
 		usr1 := make(chan os.Signal, 1)
 		signal.Notify(usr1, syscall.SIGUSR1)
 		go dump(serving, usr1, s, box, log)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"ryepulley"
+	"ryepulley/capture"
 	"ryepulley/directory"
+	"ryepulley/figures"
 )
 
 // config is the example that the README points to.
@@ -151,6 +153,23 @@
 	}
 }
 
+// What runs in service is figures and capture, as the file says that the run line names.
+func TestInService(t *testing.T) {
+	op, err := LoadOperator("../deploy/fleet.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	figures, capture := figures.Settings{Format: "statsd", Target: "stderr", Flush: time.Second, BatchBytes: 1400},
+		capture.Settings{MaxBytes: 768 << 10, Files: 4}
+	if op.Figures == nil || *op.Figures != figures || op.Capture == nil || *op.Capture != capture || op.TLS != nil || op.JobStatus != nil {
+		t.Errorf("%+v", op)
+	}
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil || !strings.Contains(string(deploy), `run = "exec bin/laddertide serve --fleet deploy/fleet.yaml"`) {
+		t.Errorf("%s, %v", deploy, err)
+	}
+}
+
 // Every section has its place in the file; what the features take together has a bound.
 func TestOperator(t *testing.T) {
 	for text, want := range map[string]string{
--- a/tlsport/tlsport.go
+++ b/tlsport/tlsport.go
@@ -129,7 +129,8 @@
 		return nil, err
 	}
 	if err := valid(config, time.Now()); err != nil {
-		l.log.Warn("clients will not take this certificate", "setting", "tls.cert_file", "err", err) // the plain port still serves
+		// The plain port must serve all the same.
+		l.log.Warn("clients will not take this certificate", "setting", "tls.cert_file", "err", err)
 	}
 	l.config.Store(config)
 	l.Listener, err = net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(set.Port)))
