Look once more at a provider that could not be told before its job goes elsewhere

At fault: Invoke in provider/call.go reported the end although giveUp had not reached the provider, and did not ask how things stood by then.

Now giveUp says whether it was heard, and if not one more connection is tried for 50 ms; it also covers a connection of before that is reset on return. Test: TestElsewhereAfterReturn fails without.

--- a/provider/call.go
+++ b/provider/call.go
@@ -78,6 +78,7 @@
 const (
 	ackGrace    = 50 * time.Millisecond
 	endingLimit = time.Second // for telling a provider that a job is given up
+	lastLook    = 50 * time.Millisecond
 )
 
 // ErrBusy is returned for a job whose id is out already.
@@ -210,29 +211,35 @@
 	case <-timer.C:
 	}
 	if context.Cause(v.Context) == decide.ErrElsewhere {
-		p.giveUp(job, v.Provider) // a provider that cannot be told in time is no more
+		// A provider that cannot be told in time is no more. But one may have come back just now, too late for a
+		// connection that was tried before; a job that it still counts as its own would then be out twice.
+		if !p.giveUp(job, v.Provider, endingLimit) {
+			p.giveUp(job, v.Provider, lastLook)
+		}
 	} else {
 		// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
-		go p.giveUp(job, v.Provider)
+		go p.giveUp(job, v.Provider, endingLimit)
 	}
 	return end, nil
 }
 
-// giveUp tells a provider to stop working on a job.
-func (p *Pool) giveUp(job *Job, name string) {
-	until := time.Now().Add(endingLimit)
-	conn, err := p.acquire(context.Background(), name, false, until)
+// giveUp tells a provider to stop working on a job, and tells whether the provider has heard it. A new connection to it
+// must be up within dial.
+func (p *Pool) giveUp(job *Job, name string, dial time.Duration) bool {
+	now := time.Now()
+	conn, err := p.acquire(context.Background(), name, false, now.Add(dial))
 	if err != nil {
-		return
+		return false
 	}
-	conn.SetDeadline(until)
-	_, err = conn.Write(job.Message.giveUp(job.ID))
-	if err == nil {
-		var reply reply
-		if reply, err = readReply(conn.br); err == nil && !reply.last {
-			p.release(conn)
-			return
-		}
+	conn.SetDeadline(now.Add(endingLimit))
+	var answer reply
+	if _, err = conn.Write(job.Message.giveUp(job.ID)); err == nil {
+		answer, err = readReply(conn.br)
+	}
+	if err == nil && !answer.last {
+		p.release(conn)
+	} else {
+		p.discard(conn)
 	}
-	p.discard(conn)
+	return err == nil
 }
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -365,6 +365,22 @@
 	}
 }
 
+// A provider that has come back resets the connections of before. It is told on a new one, before the job goes elsewhere.
+func TestElsewhereAfterReturn(t *testing.T) {
+	f := newFake(t, func(n int, c net.Conn) bool { return n != 2 && say(taken)(n, c) })
+	p := pool(f.ln.Addr().String())
+	ctx, withdraw := context.WithCancelCause(context.Background())
+	go func() {
+		<-f.lines
+		time.Sleep(100 * time.Millisecond)
+		withdraw(decide.ErrElsewhere)
+	}()
+	invoke(t, p, verdict(ctx, 5*time.Second), decide.Withdrawn)
+	if len(f.lines) != 2 || len(f.conns) != 2 {
+		t.Fatalf("told %d times on %d connections", len(f.lines), len(f.conns))
+	}
+}
+
 // A call-back that has found its call is too late once that call is over: the job's next one may be out by then, and
 // nothing in it would tell them apart.
 func TestLateNews(t *testing.T) {
