--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -97,6 +97,7 @@
 		t.Fatalf("%+v", res)
 	}
 	work(d, 600)
+	d.Close() // the module's own timers are steps as well
 	text := r.text()
 	if res := check(t, text, 150); res.Segments != 3 || res.Gaps != 0 || len(text) > 128<<10 {
 		t.Fatalf("%+v in %d bytes", res, len(text))
@@ -289,6 +290,7 @@
 	}
 	d.Directory(ryepulley.ListFull, 42, entries, names)
 	work(d, 300)
+	d.Close()
 	if n := strings.Count(log.String(), "too large"); n != 1 {
 		t.Fatalf("told %d times: %s", n, log.String())
 	}
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -315,6 +315,7 @@
 		c := r.dial()
 		c.say("GET /_health HTTP/1.1\r\n\r\n")
 		c.hear(200)
+		time.Sleep(20 * time.Millisecond) // its answer is there a moment before it counts as idle
 	}
 	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
 		t.Fatalf("the oldest connection: %v", err)
--- a/scheduler/tls_test.go
+++ b/scheduler/tls_test.go
@@ -94,6 +94,7 @@
 	_, port, _ := net.SplitHostPort(y.address)
 	y.rig = newRig(t, fmt.Sprintf("tls: {listen_port: %s, cert_file: '%s/cert', key_file: '%s/key', client_ca_file: '%s/ca', %s}\n",
 		port, y.dir, y.dir, y.dir, more), y.log)
+	await(t, y.address) // it is opened after the plain port
 	return y
 }
 
