--- a/capture/capture.go
+++ b/capture/capture.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/operator"
+	"laddertide/decide"
+	"laddertide/operator"
+	"laddertide/policy"
 )
 
 // Settings are the operator's.
@@ -100,7 +100,7 @@
 
 	mu      sync.Mutex
 	w       writer
-	of      ryepulley.Settings
+	of      policy.Settings
 	seed    string
 	ring    []*segment // oldest first; the last one is being written, unless closed. On disk: the last alone
 	closed  bool       // no segment is open: what comes is lost until one can begin
@@ -151,7 +151,7 @@
 		return
 	}
 	r.w.providers = s.Providers()
-	if s.Input == decide.List && s.List != ryepulley.ListFailed {
+	if s.Input == decide.List && s.List != policy.ListFailed {
 		r.w.index = s.Index
 	}
 	if r.closed {
--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -14,10 +14,10 @@
 
 	"pgregory.net/rapid"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/internal/pin"
-	"ryepulley/operator"
+	"laddertide/decide"
+	"laddertide/internal/pin"
+	"laddertide/operator"
+	"laddertide/policy"
 )
 
 func TestMain(m *testing.M) { pin.Run(m) }
@@ -27,11 +27,11 @@
 // desk returns a desk with providers, and what records it.
 func desk(t *testing.T, set Settings, log *slog.Logger) (*decide.Desk, *Recorder) {
 	t.Helper()
-	d, err := decide.New(ryepulley.Settings{
+	d, err := decide.New(policy.Settings{
 		Seed: 0xfedcba9876543210, Balancers: 2, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, MaxRetryAfter: time.Second,
 		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second, Probes: true, Subscribe: true,
-		Classes: []ryepulley.Class{{Name: "check", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
-			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 8, Effect: ryepulley.Unsafe, Kind: -1}},
+		Classes: []policy.Class{{Name: "check", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
+			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 8, Effect: policy.Unsafe, Kind: -1}},
 	}, quiet)
 	if err != nil {
 		t.Fatal(err)
@@ -39,7 +39,7 @@
 	t.Cleanup(d.Close)
 	r := New(set, log)
 	d.Observe(r)
-	d.Directory(ryepulley.ListCached, 41, []ryepulley.Entry{{Weight: 2}, {Weight: 3, Zone: 1}, {Weight: 2, Kind: 1}}, []string{"a", "b", "c \"\n"})
+	d.Directory(policy.ListCached, 41, []policy.Entry{{Weight: 2}, {Weight: 3, Zone: 1}, {Weight: 2, Kind: 1}}, []string{"a", "b", "c \"\n"})
 	return d, r
 }
 
@@ -284,11 +284,11 @@
 func TestStateTooLarge(t *testing.T) {
 	var log bytes.Buffer
 	d, r := desk(t, Settings{MaxBytes: 64 << 10, Files: 2}, slog.New(slog.NewTextHandler(&log, nil)))
-	entries, names := make([]ryepulley.Entry, 300), make([]string, 300)
+	entries, names := make([]policy.Entry, 300), make([]string, 300)
 	for i := range names {
 		names[i] = fmt.Sprintf("s-%d", i)
 	}
-	d.Directory(ryepulley.ListFull, 42, entries, names)
+	d.Directory(policy.ListFull, 42, entries, names)
 	work(d, 300)
 	d.Close()
 	if n := strings.Count(log.String(), "too large"); n != 1 {
--- a/capture/line.go
+++ b/capture/line.go
@@ -12,8 +12,8 @@
 	"time"
 	"unicode/utf8"
 
-	"ryepulley"
-	"ryepulley/decide"
+	"laddertide/decide"
+	"laddertide/policy"
 )
 
 // version is that of the format, in each head.
@@ -21,16 +21,16 @@
 
 // head begins a segment: all that a replay needs to go on from there.
 type head struct {
-	Capture   int                `json:"capture"` // the format's version
-	Segment   int                `json:"segment"` // one more than the one before
-	Gap       int                `json:"gap"`     // events since the last recorded one that are not recorded
-	Origin    int64              `json:"origin"`  // the module's clock, Unix time in ns, at which t is 0
-	T         json.Number        `json:"t"`
-	Seed      string             `json:"seed"` // 16 hex digits
-	Index     uint64             `json:"index"`
-	Settings  ryepulley.Settings `json:"settings"`
-	Providers []string           `json:"providers"` // by the module's numbers for them
-	State     []byte             `json:"state"`     // the module's checkpoint
+	Capture   int             `json:"capture"` // the format's version
+	Segment   int             `json:"segment"` // one more than the one before
+	Gap       int             `json:"gap"`     // events since the last recorded one that are not recorded
+	Origin    int64           `json:"origin"`  // the module's clock, Unix time in ns, at which t is 0
+	T         json.Number     `json:"t"`
+	Seed      string          `json:"seed"` // 16 hex digits
+	Index     uint64          `json:"index"`
+	Settings  policy.Settings `json:"settings"`
+	Providers []string        `json:"providers"` // by the module's numbers for them
+	State     []byte          `json:"state"`     // the module's checkpoint
 }
 
 // line is an event as a replay reads it. The first keys say what happened; the others are the module's input, to the
@@ -64,7 +64,7 @@
 // entry is one of a list, [name, state, kind, zone, cell, weight, started].
 type entry struct {
 	name string
-	of   ryepulley.Entry
+	of   policy.Entry
 }
 
 func (e *entry) UnmarshalJSON(b []byte) error {
@@ -73,7 +73,7 @@
 	if err := json.Unmarshal(b, &to); err != nil {
 		return err
 	}
-	if len(to) != n || e.of.State > ryepulley.Gone || e.of.Kind < 0 || e.of.Zone < 0 {
+	if len(to) != n || e.of.State > policy.Gone || e.of.Kind < 0 || e.of.Zone < 0 {
 		return errors.New("an entry of a list makes no sense")
 	}
 	return nil
@@ -97,14 +97,14 @@
 
 // writer appends lines. It knows what the module's numbers stand for.
 type writer struct {
-	set       *ryepulley.Settings
+	set       *policy.Settings
 	origin    time.Duration
 	providers []string
 	index     uint64
 }
 
-func (w *writer) provider(id ryepulley.WorkerID) string {
-	if id < ryepulley.WorkerID(len(w.providers)) {
+func (w *writer) provider(id policy.WorkerID) string {
+	if id < policy.WorkerID(len(w.providers)) {
 		return w.providers[id]
 	}
 	return ""
@@ -116,11 +116,11 @@
 	for i := range s.Actions {
 		if a := &s.Actions[i]; s.Number != 0 && a.Request == s.Number {
 			switch a.Kind {
-			case ryepulley.Send:
+			case policy.Send:
 				decision, to = sent, w.provider(a.Worker)
-			case ryepulley.Refuse:
+			case policy.Refuse:
 				decision = refused
-			case ryepulley.Fail:
+			case policy.Fail:
 				decision = failed
 			}
 		}
@@ -156,20 +156,20 @@
 	return append(b, ']')
 }
 
-func (w *writer) action(b []byte, a *ryepulley.Action) []byte {
+func (w *writer) action(b []byte, a *policy.Action) []byte {
 	number := func(b []byte, v int64) []byte { return strconv.AppendInt(append(b, ','), v, 10) }
 	switch a.Kind {
-	case ryepulley.Send:
+	case policy.Send:
 		b = number(append(b, `["send"`...), int64(a.Request))
 		b = appendString(append(b, ','), w.provider(a.Worker))
 		b = number(number(b, int64(a.Timeout)), int64(a.TakenIn))
-	case ryepulley.Refuse:
+	case policy.Refuse:
 		b = number(number(append(b, `["refuse"`...), int64(a.Request)), int64(a.RetryIn))
-	case ryepulley.Fail:
+	case policy.Fail:
 		b = number(append(b, `["fail"`...), int64(a.Request))
-	case ryepulley.CancelSend:
+	case policy.CancelSend:
 		b = number(number(append(b, `["cancel"`...), int64(a.Request)), int64(a.Attempt))
-	case ryepulley.SetTimer:
+	case policy.SetTimer:
 		b = number(number(append(b, `["timer"`...), int64(a.Token)), int64(a.At-w.origin))
 	default: // none that the desk's settings lead to
 		b = number(number(append(b, `["other"`...), int64(a.Kind)), int64(a.Worker))
@@ -262,7 +262,7 @@
 	first := true
 	for i := range s.Actions {
 		a := &s.Actions[i]
-		if a.Request == 0 || a.Request == s.Number || a.Kind == ryepulley.SetTimer {
+		if a.Request == 0 || a.Request == s.Number || a.Kind == policy.SetTimer {
 			continue
 		}
 		job := s.Job(a.Request)
@@ -345,7 +345,7 @@
 }
 
 // step turns a line into the call that it records.
-func (l *line) step(w *writer, ids map[string]ryepulley.WorkerID) (*decide.Step, error) {
+func (l *line) step(w *writer, ids map[string]policy.WorkerID) (*decide.Step, error) {
 	t, err := parseMillis(l.T.String())
 	if err != nil {
 		return nil, err
@@ -354,33 +354,33 @@
 	if input <= 0 {
 		return nil, fmt.Errorf("event %q is not known", l.Event)
 	}
-	s := &decide.Step{Input: decide.Input(input), Now: w.origin + t, Number: ryepulley.RequestID(l.N)}
+	s := &decide.Step{Input: decide.Input(input), Now: w.origin + t, Number: policy.RequestID(l.N)}
 	worker := ids[l.To]
 	switch s.Input {
 	case decide.Request:
 		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.N == 0 {
 			return nil, errors.New("the class or number makes no sense")
 		}
-		s.Request = ryepulley.Request{ID: s.Number, Class: l.As[0], Tenant: l.As[1], Left: time.Duration(l.Left),
+		s.Request = policy.Request{ID: s.Number, Class: l.As[0], Tenant: l.As[1], Left: time.Duration(l.Left),
 			Hint: time.Duration(l.Hint), Slots: l.Slots}
 	case decide.Note:
-		s.Note = ryepulley.Note{Request: s.Number, Attempt: l.Attempt, Worker: worker, Started: true}
+		s.Note = policy.Note{Request: s.Number, Attempt: l.Attempt, Worker: worker, Started: true}
 	case decide.Outcome:
-		if l.Status > uint8(ryepulley.Moot) {
+		if l.Status > uint8(policy.Moot) {
 			return nil, errors.New("the status is not known")
 		}
-		s.Outcome = ryepulley.Outcome{Request: s.Number, Attempt: l.Attempt, Worker: worker, Status: ryepulley.Status(l.Status),
+		s.Outcome = policy.Outcome{Request: s.Number, Attempt: l.Attempt, Worker: worker, Status: policy.Status(l.Status),
 			Closed: l.Closed, Elapsed: time.Duration(l.Elapsed)}
 	case decide.Timer:
 		s.Token = l.Token
 	case decide.Stop:
 		s.By = w.origin + time.Duration(l.By)
 	case decide.List:
-		s.List, s.Index = ryepulley.ListKind(l.Kind), l.Index
+		s.List, s.Index = policy.ListKind(l.Kind), l.Index
 		for _, e := range l.Entries {
 			id, ok := ids[e.name]
 			if !ok {
-				id = ryepulley.WorkerID(len(w.providers))
+				id = policy.WorkerID(len(w.providers))
 				ids[e.name] = id
 				w.providers = append(w.providers, e.name)
 			}
--- a/capture/replay.go
+++ b/capture/replay.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
+	"laddertide/decide"
+	"laddertide/policy"
 )
 
 // Result is what a replay found.
@@ -30,11 +30,11 @@
 type replay struct {
 	out     io.Writer
 	res     Result
-	disp    *ryepulley.Dispatcher // nil: not before the next head
+	disp    *policy.Dispatcher // nil: not before the next head
 	segment int
 	w       writer
-	ids     map[string]ryepulley.WorkerID
-	acts    []ryepulley.Action
+	ids     map[string]policy.WorkerID
+	acts    []policy.Action
 }
 
 // mostLine is what a line may hold.
@@ -169,9 +169,9 @@
 	if err == nil {
 		h.Settings.Seed, err = strconv.ParseUint(h.Seed, 16, 64)
 	}
-	var disp *ryepulley.Dispatcher
+	var disp *policy.Dispatcher
 	if err == nil {
-		disp, err = ryepulley.Restore(h.Settings, h.State)
+		disp, err = policy.Restore(h.Settings, h.State)
 	}
 	if err != nil {
 		r.bad(n, err)
@@ -192,8 +192,8 @@
 	r.res.Segments++
 	r.disp, r.segment = disp, h.Segment
 	r.w = writer{set: &h.Settings, origin: time.Duration(h.Origin), providers: h.Providers, index: h.Index}
-	r.ids = make(map[string]ryepulley.WorkerID, len(h.Providers))
+	r.ids = make(map[string]policy.WorkerID, len(h.Providers))
 	for i, name := range h.Providers {
-		r.ids[name] = ryepulley.WorkerID(i)
+		r.ids[name] = policy.WorkerID(i)
 	}
 }
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"runtime"
 	"runtime/debug"
 
-	"ryepulley"
-	"ryepulley/internal/wire"
+	"laddertide/internal/wire"
+	"laddertide/policy"
 )
 
 func main() {
@@ -26,8 +26,8 @@
 // instance is one dispatcher and the actions it owes the frame in hand.
 type instance struct {
 	number  uint16
-	disp    *ryepulley.Dispatcher
-	acts    []ryepulley.Action
+	disp    *policy.Dispatcher
+	acts    []policy.Action
 	pending bool
 }
 
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", number, err)
 	}
-	disp, err := ryepulley.New(settings)
+	disp, err := policy.New(settings)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", number, err)
 	}
@@ -65,7 +65,7 @@
 }
 
 // Target implements wire.Batch.
-func (h *host) Target(number uint16) *ryepulley.Dispatcher {
+func (h *host) Target(number uint16) *policy.Dispatcher {
 	if in := h.find(number); in != nil {
 		return in.disp
 	}
@@ -73,7 +73,7 @@
 }
 
 // Actions implements wire.Batch.
-func (h *host) Actions(number uint16) *[]ryepulley.Action {
+func (h *host) Actions(number uint16) *[]policy.Action {
 	in := h.find(number)
 	if !in.pending {
 		in.pending = true
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/pflag"
 
-	"ryepulley/internal/outbox"
-	"ryepulley/scheduler"
+	"laddertide/internal/outbox"
+	"laddertide/scheduler"
 )
 
 const usage = `laddertide: a scheduler for jobs
--- a/cmd/laddertide/main_test.go
+++ b/cmd/laddertide/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"ryepulley/httpwire"
+	"laddertide/wire/http1"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -69,7 +69,7 @@
 				defer c.Close()
 				br := bufio.NewReader(c)
 				for {
-					h, err := httpwire.ReadRequestHead(br)
+					h, err := http1.ReadRequestHead(br)
 					if err != nil {
 						return
 					}
@@ -79,7 +79,7 @@
 						continue
 					}
 					list := `{"index":7,"snapshot":true,"endpoints":[]}`
-					c.Write(httpwire.AppendResponse(nil, 200, nil, []byte(list), false))
+					c.Write(http1.AppendResponse(nil, 200, nil, []byte(list), false))
 				}
 			}()
 		}
--- a/cmd/laddertide/replay.go
+++ b/cmd/laddertide/replay.go
@@ -10,9 +10,9 @@
 	"os"
 	"path/filepath"
 
-	"ryepulley/capture"
-	"ryepulley/internal/outbox"
-	"ryepulley/scheduler"
+	"laddertide/capture"
+	"laddertide/internal/outbox"
+	"laddertide/scheduler"
 )
 
 // finding is what a replay has found, as the program's exit code: 2, a decision differs; 3, none does, but a part could
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/directory"
-	"ryepulley/httpwire"
-	"ryepulley/provider"
+	"laddertide/decide"
+	"laddertide/directory"
+	"laddertide/policy"
+	"laddertide/provider"
+	"laddertide/wire/http1"
 )
 
 // rig is a server with one provider, which takes jobs and says nothing more.
@@ -30,16 +30,16 @@
 func newRig(t *testing.T, conns int) *rig {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	set := ryepulley.Settings{
+	set := policy.Settings{
 		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true,
 		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second,
 		MaxRetryAfter: 2 * time.Second,
-		Classes: []ryepulley.Class{
+		Classes: []policy.Class{
 			{Name: "check", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
 			{Name: "issue", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1,
-				Effect: ryepulley.Unsafe},
+				Effect: policy.Unsafe},
 			{Name: "settle", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1,
-				Effect: ryepulley.Keyed, Window: time.Minute},
+				Effect: policy.Keyed, Window: time.Minute},
 		},
 	}
 	desk, err := decide.New(set, log)
@@ -62,21 +62,21 @@
 				defer c.Close()
 				br := bufio.NewReader(c)
 				for {
-					h, err := httpwire.ReadRequestHead(br)
+					h, err := http1.ReadRequestHead(br)
 					if err != nil {
 						return
 					}
 					if _, err := h.ReadBody(br); err != nil {
 						return
 					}
-					c.Write(httpwire.AppendResponse(nil, 202, nil, nil, false))
+					c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
 					r.jobs <- h.Method + " " + h.Target
 				}
 			}()
 		}
 	}()
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: worker.Addr().String(), Status: directory.Serving}}, true)
-	desk.Directory(ryepulley.ListCached, 0, []ryepulley.Entry{{Weight: 4}}, []string{"s-1"})
+	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -116,9 +116,9 @@
 	}
 }
 
-func (c *client) hear(status int) (*httpwire.Head, string) {
+func (c *client) hear(status int) (*http1.Head, string) {
 	c.t.Helper()
-	h, err := httpwire.ReadResponseHead(c.br)
+	h, err := http1.ReadResponseHead(c.br)
 	if err != nil || h.Status != status {
 		c.t.Fatalf("answer %+v, %v; want %d", h, err, status)
 	}
@@ -381,13 +381,13 @@
 
 // What a request carries reaches the decisions in their units, and its provider unchanged.
 func TestParse(t *testing.T) {
-	s := &Server{Settings: ryepulley.Settings{
-		Classes: []ryepulley.Class{{Name: "check"}, {Name: "settle", Effect: ryepulley.Keyed, Deadline: 25 * time.Second}},
-		Tenants: []ryepulley.Tenant{{Name: "a"}, {Name: "b"}},
+	s := &Server{Settings: policy.Settings{
+		Classes: []policy.Class{{Name: "check"}, {Name: "settle", Effect: policy.Keyed, Deadline: 25 * time.Second}},
+		Tenants: []policy.Tenant{{Name: "a"}, {Name: "b"}},
 	}}
 	parse := func(fields string) *job {
 		t.Helper()
-		h, err := httpwire.ReadRequestHead(bufio.NewReader(strings.NewReader("POST /api/x?y HTTP/1.1\r\n" + fields + "\r\n")))
+		h, err := http1.ReadRequestHead(bufio.NewReader(strings.NewReader("POST /api/x?y HTTP/1.1\r\n" + fields + "\r\n")))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/httpwire"
-	"ryepulley/provider"
+	"laddertide/decide"
+	"laddertide/policy"
+	"laddertide/provider"
+	"laddertide/wire/http1"
 )
 
 // Paths of this address; all else is the path of a job.
@@ -25,31 +25,31 @@
 // answer is a response to be written.
 type answer struct {
 	status int
-	fields httpwire.Fields
+	fields http1.Fields
 	body   []byte
 	last   bool // the connection ends after it
 }
 
 func (a *answer) bytes() []byte {
-	return httpwire.AppendResponse(nil, a.status, a.fields, a.body, a.last)
+	return http1.AppendResponse(nil, a.status, a.fields, a.body, a.last)
 }
 
 func text(status int, why string) answer { return answer{status: status, body: []byte(why + "\n")} }
 
 // message reads one message and answers it. It tells whether the connection can go on.
 func (s *Server) message(c *conn) bool {
-	head, err := httpwire.ReadRequestHead(c.br)
+	head, err := http1.ReadRequestHead(c.br)
 	var body []byte
 	if err == nil {
 		if head.Continue && c.br.Buffered() == 0 {
 			c.SetWriteDeadline(time.Now().Add(writeLimit))
-			if _, err := c.Write(httpwire.AppendResponse(nil, 100, nil, nil, false)); err != nil {
+			if _, err := c.Write(http1.AppendResponse(nil, 100, nil, nil, false)); err != nil {
 				return false
 			}
 		}
 		body, err = head.ReadBody(c.br)
 	}
-	var syntax *httpwire.SyntaxError
+	var syntax *http1.SyntaxError
 	if errors.As(err, &syntax) {
 		s.Log.Debug("malformed request", "from", c.RemoteAddr(), "err", err)
 		status := 400
@@ -88,7 +88,7 @@
 }
 
 // route answers one message. It reports false if there is nobody left to answer.
-func (s *Server) route(c *conn, head *httpwire.Head, body []byte) (answer, bool) {
+func (s *Server) route(c *conn, head *http1.Head, body []byte) (answer, bool) {
 	path, _, _ := strings.Cut(head.Target, "?")
 	switch path {
 	case pathHealth:
@@ -133,7 +133,7 @@
 	case decide.Rejection:
 		a := text(503, "rejected: try again later")
 		if after := out.verdict.RetryAfter; after > 0 {
-			a.fields = httpwire.Fields{{Name: "Retry-After", Value: retryAfter(after, s.Settings.MaxRetryAfter)}}
+			a.fields = http1.Fields{{Name: "Retry-After", Value: retryAfter(after, s.Settings.MaxRetryAfter)}}
 		}
 		return a, true
 	case decide.Left:
@@ -145,10 +145,10 @@
 }
 
 // status answers who asks how a job stands. One answer tells all others nothing, not even that there is such a job.
-func (s *Server) status(id string, head *httpwire.Head) answer {
+func (s *Server) status(id string, head *http1.Head) answer {
 	if head.Fields.Count("X-Tenant") == 1 {
 		if b, ok := s.Status(id, head.Fields.Get("X-Tenant")); ok {
-			return answer{status: 200, fields: httpwire.Fields{{Name: "Content-Type", Value: "application/json"}}, body: b}
+			return answer{status: 200, fields: http1.Fields{{Name: "Content-Type", Value: "application/json"}}, body: b}
 		}
 	}
 	return text(404, "no such job")
@@ -160,7 +160,7 @@
 }
 
 // parse reads a job, or says why the request is none.
-func (s *Server) parse(head *httpwire.Head, body []byte) (*job, string) {
+func (s *Server) parse(head *http1.Head, body []byte) (*job, string) {
 	f := head.Fields
 	for _, name := range once {
 		if f.Count(name) > 1 {
@@ -180,7 +180,7 @@
 	j.facts.Tenant = index(len(set.Tenants), func(i int) bool { return set.Tenants[i].Name == f.Get("X-Tenant") })
 	j.facts.ID, j.facts.Party = j.call.ID, f.Get("X-Tenant")
 	class := &set.Classes[j.facts.Class]
-	if class.Effect == ryepulley.Keyed && f.Get("Idempotency-Key") == "" {
+	if class.Effect == policy.Keyed && f.Get("Idempotency-Key") == "" {
 		return nil, "Idempotency-Key is missing"
 	}
 	left := class.Deadline
--- a/consumer/job.go
+++ b/consumer/job.go
@@ -4,8 +4,8 @@
 	"runtime/debug"
 	"time"
 
-	"ryepulley/decide"
-	"ryepulley/provider"
+	"laddertide/decide"
+	"laddertide/provider"
 )
 
 // margin is taken off a consumer's deadline, so that the answer is there before it gives up.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -13,14 +13,14 @@
 	"sync"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/provider"
+	"laddertide/decide"
+	"laddertide/policy"
+	"laddertide/provider"
 )
 
 // Server answers consumers and takes call-backs.
 type Server struct {
-	Settings ryepulley.Settings
+	Settings policy.Settings
 	Desk     *decide.Desk
 	Pool     *provider.Pool
 	Log      *slog.Logger
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // End is how an invoker call ended. The first four prove that the job never ran.
@@ -30,17 +30,17 @@
 	Withdrawn // its context ended
 )
 
-var statuses = [...]ryepulley.Status{
-	NotConnected: ryepulley.ConnectFailed,
-	TurnedAway:   ryepulley.Full,
-	NotSent:      ryepulley.Moot,
-	Unusable:     ryepulley.Moot, // says nothing of the provider
-	Served:       ryepulley.OK,
-	Failed:       ryepulley.Error,
-	Broken:       ryepulley.Reset,
-	Silent:       ryepulley.Reset, // the connection is given up before the acknowledgement
-	TimedOut:     ryepulley.TimedOut,
-	Withdrawn:    ryepulley.Cancelled,
+var statuses = [...]policy.Status{
+	NotConnected: policy.ConnectFailed,
+	TurnedAway:   policy.Full,
+	NotSent:      policy.Moot,
+	Unusable:     policy.Moot, // says nothing of the provider
+	Served:       policy.OK,
+	Failed:       policy.Error,
+	Broken:       policy.Reset,
+	Silent:       policy.Reset, // the connection is given up before the acknowledgement
+	TimedOut:     policy.TimedOut,
+	Withdrawn:    policy.Cancelled,
 }
 
 var endNames = [...]string{NotConnected: "not-connected", TurnedAway: "turned-away", NotSent: "not-sent",
@@ -94,18 +94,18 @@
 
 // Desk owns the module. All its methods may be called from any goroutine.
 type Desk struct {
-	set ryepulley.Settings
+	set policy.Settings
 	log *slog.Logger
 
 	mu      sync.Mutex
-	disp    *ryepulley.Dispatcher
+	disp    *policy.Dispatcher
 	origin  time.Time     // when the desk was made, on the monotonic clock
 	unix    time.Duration // the same on the module's clock, Unix time
 	last    time.Duration
-	acts    []ryepulley.Action
-	tickets map[ryepulley.RequestID]*Ticket
-	next    ryepulley.RequestID
-	ids     map[string]ryepulley.WorkerID
+	acts    []policy.Action
+	tickets map[policy.RequestID]*Ticket
+	next    policy.RequestID
+	ids     map[string]policy.WorkerID
 	names   []string // by WorkerID
 	closed  bool
 	counts  Counts
@@ -133,20 +133,20 @@
 }
 
 // New returns a Desk on a new Dispatcher.
-func New(set ryepulley.Settings, log *slog.Logger) (*Desk, error) {
+func New(set policy.Settings, log *slog.Logger) (*Desk, error) {
 	// What the sockets here do not offer is not left to the decisions: the directory is watched all
 	// the time, providers report no load that a probe could read, and there are no peers. A job's
 	// attempts are made one after the other.
 	set.Subscribe, set.Probes, set.Peers, set.SecondCopies = false, false, false, false
-	disp, err := ryepulley.New(set)
+	disp, err := policy.New(set)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	return &Desk{
 		set: set, log: log, disp: disp, origin: now, unix: time.Duration(now.UnixNano()),
-		tickets: make(map[ryepulley.RequestID]*Ticket),
-		ids:     make(map[string]ryepulley.WorkerID),
+		tickets: make(map[policy.RequestID]*Ticket),
+		ids:     make(map[string]policy.WorkerID),
 	}, nil
 }
 
@@ -168,13 +168,13 @@
 func (d *Desk) at(t time.Duration) time.Time { return d.origin.Add(t - d.unix) }
 
 // Directory takes news of the providers, of the directory's version index.
-func (d *Desk) Directory(kind ryepulley.ListKind, index uint64, entries []ryepulley.Entry, names []string) {
+func (d *Desk) Directory(kind policy.ListKind, index uint64, entries []policy.Entry, names []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i, name := range names {
 		id, ok := d.ids[name]
 		if !ok {
-			id = ryepulley.WorkerID(len(d.names))
+			id = policy.WorkerID(len(d.names))
 			d.ids[name] = id
 			d.names = append(d.names, name)
 		}
@@ -193,7 +193,7 @@
 // Ticket is a job that was taken, until its final verdict.
 type Ticket struct {
 	desk     *Desk
-	id       ryepulley.RequestID
+	id       policy.RequestID
 	job      Job
 	deadline time.Time
 	verdicts chan Verdict
@@ -202,7 +202,7 @@
 	attempts int
 	out      bool // an invoker call is to be reported
 	begun    bool // its provider has begun with the job
-	provider ryepulley.WorkerID
+	provider policy.WorkerID
 	sent     time.Duration
 	taken    time.Duration // with an observer only
 	withdraw context.CancelCauseFunc
@@ -221,7 +221,7 @@
 	d.tell(t, Event{Kind: Taken})
 	now := d.now()
 	t.deadline = d.at(now + job.Left)
-	d.step(Step{Input: Request, Now: now, Number: t.id, own: &t.job, Request: ryepulley.Request{
+	d.step(Step{Input: Request, Now: now, Number: t.id, own: &t.job, Request: policy.Request{
 		ID: t.id, Class: job.Class, Tenant: job.Tenant, Left: job.Left, Hint: job.Hint, Slots: job.Slots,
 	}})
 	return t
@@ -286,7 +286,7 @@
 			t.begun = true
 			d.tell(t, Event{Kind: Started})
 		}
-		d.step(Step{Input: Note, Now: d.now(), Number: t.id, own: &t.job, Note: ryepulley.Note{
+		d.step(Step{Input: Note, Now: d.now(), Number: t.id, own: &t.job, Note: policy.Note{
 			Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Started: true,
 		}})
 	case Progressed:
@@ -317,7 +317,7 @@
 		d.settle(t, Verdict{Kind: Mistake})
 	}
 	now := d.now()
-	d.step(Step{Input: Outcome, Now: now, Number: t.id, own: &t.job, End: end, Outcome: ryepulley.Outcome{
+	d.step(Step{Input: Outcome, Now: now, Number: t.id, own: &t.job, End: end, Outcome: policy.Outcome{
 		Request: t.id, Attempt: t.attempts - 1, Worker: t.provider, Status: statuses[end],
 		Closed: t.final, Elapsed: now - t.sent,
 	}})
@@ -356,7 +356,7 @@
 }
 
 // send hands a call to whoever waits in Pick.
-func (d *Desk) send(t *Ticket, a *ryepulley.Action) {
+func (d *Desk) send(t *Ticket, a *policy.Action) {
 	t.attempts++
 	t.out, t.begun, t.provider, t.sent = true, false, a.Worker, d.now()
 	until := t.deadline
@@ -377,7 +377,7 @@
 	defer d.mu.Unlock()
 	if !d.closed {
 		s := Step{Input: Timer, Now: d.now(), Token: token}
-		if t := d.tickets[ryepulley.RequestID(token)]; t != nil { // the module's other tokens are no numbers of jobs
+		if t := d.tickets[policy.RequestID(token)]; t != nil { // the module's other tokens are no numbers of jobs
 			s.Number, s.own = t.id, &t.job
 		}
 		d.step(s)
@@ -388,7 +388,7 @@
 // program, and with it every job that is open: those that it leaves undecided fail at their deadline.
 func (d *Desk) step(s Step) {
 	told := false
-	tell := func(acts []ryepulley.Action) {
+	tell := func(acts []policy.Action) {
 		if told = true; d.observer != nil {
 			s.desk, s.Actions = d, acts
 			d.scratch = s
@@ -410,17 +410,17 @@
 }
 
 // carry does what the module wants done.
-func (d *Desk) carry(acts []ryepulley.Action) {
+func (d *Desk) carry(acts []policy.Action) {
 	for i := range acts {
 		a := &acts[i]
 		switch a.Kind {
-		case ryepulley.SetTimer:
+		case policy.SetTimer:
 			token := a.Token
 			time.AfterFunc(time.Until(d.at(a.At)), func() { d.tick(token) })
 			continue
 		}
 		t := d.tickets[a.Request]
-		if a.Kind == ryepulley.CancelSend && t != nil && t.out && a.Attempt == t.attempts-1 {
+		if a.Kind == policy.CancelSend && t != nil && t.out && a.Attempt == t.attempts-1 {
 			if t.final {
 				t.withdraw(nil)
 			} else {
@@ -431,11 +431,11 @@
 			continue
 		}
 		switch a.Kind {
-		case ryepulley.Send:
+		case policy.Send:
 			d.send(t, a)
-		case ryepulley.Refuse:
+		case policy.Refuse:
 			d.settle(t, Verdict{Kind: Rejection, RetryAfter: a.RetryIn})
-		case ryepulley.Fail:
+		case policy.Fail:
 			d.settle(t, Verdict{Kind: Failure})
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -7,27 +7,27 @@
 	"testing"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-func desk(t *testing.T, effect ryepulley.Effect, providers ...string) *Desk {
+func desk(t *testing.T, effect policy.Effect, providers ...string) *Desk {
 	t.Helper()
-	d, err := New(ryepulley.Settings{
+	d, err := New(policy.Settings{
 		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true,
 		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second,
-		Classes: []ryepulley.Class{{Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1,
+		Classes: []policy.Class{{Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1,
 			Effect: effect, Window: 5 * time.Second, Kind: -1}},
 	}, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
-	entries := make([]ryepulley.Entry, len(providers))
+	entries := make([]policy.Entry, len(providers))
 	for i := range entries {
 		entries[i].Weight = 2
 	}
-	d.Directory(ryepulley.ListCached, 0, entries, providers)
+	d.Directory(policy.ListCached, 0, entries, providers)
 	return d
 }
 
@@ -48,7 +48,7 @@
 }
 
 func TestServed(t *testing.T) {
-	d := desk(t, ryepulley.Unsafe, "a", "b")
+	d := desk(t, policy.Unsafe, "a", "b")
 	ticket := d.Take(work)
 	v := wants(t, ticket.Pick(), Call)
 	if v.Provider != "a" && v.Provider != "b" || time.Until(v.Until) > work.Left {
@@ -71,7 +71,7 @@
 func TestEndsAndRepeats(t *testing.T) {
 	for end, again := range map[End]bool{NotConnected: true, TurnedAway: true, NotSent: true,
 		Failed: false, Broken: false, Silent: false, TimedOut: false, Withdrawn: false} {
-		ticket := desk(t, ryepulley.Unsafe, "a", "b", "c").Take(work)
+		ticket := desk(t, policy.Unsafe, "a", "b", "c").Take(work)
 		wants(t, ticket.Pick(), Call)
 		ticket.Report(end)
 		if again {
@@ -84,7 +84,7 @@
 
 // A consumer that leaves ends the job; a call that is out is withdrawn, and still reported once.
 func TestLeave(t *testing.T) {
-	d := desk(t, ryepulley.Safe, "a")
+	d := desk(t, policy.Safe, "a")
 	ticket := d.Take(work)
 	v := wants(t, ticket.Pick(), Call)
 	ticket.Leave()
@@ -111,14 +111,14 @@
 func TestDirectoryActsAtOnce(t *testing.T) {
 	for _, news := range []func(d *Desk){
 		func(d *Desk) {
-			d.Directory(ryepulley.ListDelta, 0, []ryepulley.Entry{{State: ryepulley.Draining}}, []string{"a"})
+			d.Directory(policy.ListDelta, 0, []policy.Entry{{State: policy.Draining}}, []string{"a"})
 		},
 		func(d *Desk) {
-			d.Directory(ryepulley.ListDelta, 0, []ryepulley.Entry{{State: ryepulley.Gone}}, []string{"a"})
+			d.Directory(policy.ListDelta, 0, []policy.Entry{{State: policy.Gone}}, []string{"a"})
 		},
-		func(d *Desk) { d.Directory(ryepulley.ListFull, 0, make([]ryepulley.Entry, 1), []string{"b"}) },
+		func(d *Desk) { d.Directory(policy.ListFull, 0, make([]policy.Entry, 1), []string{"b"}) },
 	} {
-		d := desk(t, ryepulley.Safe, "a", "b")
+		d := desk(t, policy.Safe, "a", "b")
 		news(d)
 		for range 20 {
 			ticket := d.Take(work)
@@ -133,20 +133,20 @@
 // With nobody to send to a job is rejected in time, by the module's own timer. That comes well before the deadline
 // here, as on a busy machine the two might change places.
 func TestRejectionWithoutProviders(t *testing.T) {
-	ticket := desk(t, ryepulley.Unsafe).Take(Job{Left: 4 * time.Second, Hint: time.Millisecond, Slots: 1})
+	ticket := desk(t, policy.Unsafe).Take(Job{Left: 4 * time.Second, Hint: time.Millisecond, Slots: 1})
 	wants(t, ticket.Pick(), Rejection)
 }
 
 // A job that the module loses is answered at its deadline all the same.
 func TestUndecided(t *testing.T) {
-	d := desk(t, ryepulley.Safe, "a")
+	d := desk(t, policy.Safe, "a")
 	ticket := &Ticket{desk: d, id: 99, deadline: time.Now(), verdicts: make(chan Verdict, 2)}
 	wants(t, ticket.Pick(), Failure)
 }
 
 // A panic in the module costs the job that it met, which fails in time, and nothing else.
 func TestPanicInTheModule(t *testing.T) {
-	d := desk(t, ryepulley.Safe, "a")
+	d := desk(t, policy.Safe, "a")
 	d.mu.Lock()
 	sound := d.disp
 	d.disp = nil
@@ -162,7 +162,7 @@
 
 // The module compares its clock with start times in Unix time, and it must not run backwards.
 func TestClock(t *testing.T) {
-	d := desk(t, ryepulley.Safe)
+	d := desk(t, policy.Safe)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if off := d.now() - time.Duration(time.Now().UnixNano()); off.Abs() > time.Second {
@@ -177,7 +177,7 @@
 // A request that no provider can use goes to one of them only, and shuts none of them out: consumers that
 // send such requests would otherwise take the healthy providers from all others.
 func TestUnusable(t *testing.T) {
-	d := desk(t, ryepulley.Safe, "a", "b", "c")
+	d := desk(t, policy.Safe, "a", "b", "c")
 	for range 20 {
 		ticket := d.Take(work)
 		wants(t, ticket.Pick(), Call)
@@ -215,7 +215,7 @@
 		99:      {Stepped, Taken, Stepped, Sent, Started, Stepped, Ended, Decided, Stepped},
 		Started: {Stepped, Taken, Stepped, Sent},
 	} {
-		d := desk(t, ryepulley.Safe, "a")
+		d := desk(t, policy.Safe, "a")
 		o := &seen{at: at}
 		d.Observe(o)
 		ticket := d.Take(work)
--- a/decide/observe.go
+++ b/decide/observe.go
@@ -4,7 +4,7 @@
 	"runtime/debug"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // Observer is told what passes through a desk, in its order. It is called under the desk's mutex: it must not
@@ -70,20 +70,20 @@
 type Step struct {
 	Input  Input
 	Now    time.Duration
-	Number ryepulley.RequestID // of the job that it concerns; 0: none
+	Number policy.RequestID // of the job that it concerns; 0: none
 
-	List    ryepulley.ListKind
+	List    policy.ListKind
 	Index   uint64 // of the directory
-	Entries []ryepulley.Entry
+	Entries []policy.Entry
 	Names   []string // of the entries
-	Request ryepulley.Request
-	Note    ryepulley.Note
-	Outcome ryepulley.Outcome
+	Request policy.Request
+	Note    policy.Note
+	Outcome policy.Outcome
 	End     End // of Outcome
 	Token   uint64
 	By      time.Duration
 
-	Actions []ryepulley.Action
+	Actions []policy.Action
 	Failed  bool // the module panicked
 
 	desk *Desk
@@ -91,7 +91,7 @@
 }
 
 // Play makes the call on disp and returns the actions. It is what the desk does, and what a replay does again.
-func (s *Step) Play(disp *ryepulley.Dispatcher, acts []ryepulley.Action) []ryepulley.Action {
+func (s *Step) Play(disp *policy.Dispatcher, acts []policy.Action) []policy.Action {
 	switch s.Input {
 	case List:
 		return disp.List(s.Now, s.List, s.Entries, acts)
@@ -112,7 +112,7 @@
 }
 
 // Settings are those that the module has, after what the desk overrides.
-func (s *Step) Settings() ryepulley.Settings { return s.desk.set }
+func (s *Step) Settings() policy.Settings { return s.desk.set }
 
 // Checkpoint appends the module's state after the step.
 func (s *Step) Checkpoint(b []byte) []byte { return s.desk.disp.Checkpoint(b) }
@@ -121,7 +121,7 @@
 func (s *Step) Providers() []string { return s.desk.names }
 
 // Job is the step's own job, or an open one, by its number; nil: neither.
-func (s *Step) Job(number ryepulley.RequestID) *Job {
+func (s *Step) Job(number policy.RequestID) *Job {
 	if s.own != nil && number == s.Number {
 		return s.own
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -16,7 +16,7 @@
 	"strconv"
 	"time"
 
-	"ryepulley/httpwire"
+	"laddertide/wire/http1"
 )
 
 // Status is what the directory says of a provider.
@@ -168,12 +168,12 @@
 	w.Deliver(list)
 }
 
-func (w *Watcher) ask(conn net.Conn, br *bufio.Reader, target string) (*httpwire.Head, error) {
-	req := httpwire.AppendRequest(nil, "GET", target, httpwire.Fields{{Name: "Host", Value: w.Address}}, nil)
+func (w *Watcher) ask(conn net.Conn, br *bufio.Reader, target string) (*http1.Head, error) {
+	req := http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: w.Address}}, nil)
 	if _, err := conn.Write(req); err != nil {
 		return nil, err
 	}
-	head, err := httpwire.ReadResponseHead(br)
+	head, err := http1.ReadResponseHead(br)
 	if err == nil && head.Status != 200 {
 		err = fmt.Errorf("discovery answered %d", head.Status)
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"ryepulley/httpwire"
+	"laddertide/wire/http1"
 )
 
 func line(index int, snapshot bool, names ...string) string {
@@ -55,7 +55,7 @@
 			}
 			br := bufio.NewReader(c)
 			for i < len(steps) {
-				h, err := httpwire.ReadRequestHead(br)
+				h, err := http1.ReadRequestHead(br)
 				if err != nil {
 					break
 				}
--- a/figures/figures.go
+++ b/figures/figures.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
+	"laddertide/decide"
+	"laddertide/policy"
 )
 
 // prefix begins each figure's name.
@@ -101,7 +101,7 @@
 }
 
 // New returns an Emitter that notes what it is told. It writes nothing before Start.
-func New(set Settings, of ryepulley.Settings, stderr io.Writer, log *slog.Logger) *Emitter {
+func New(set Settings, of policy.Settings, stderr io.Writer, log *slog.Logger) *Emitter {
 	return &Emitter{set: set, tags: newTags(of, set.Format), write: newWriter(set.Target, stderr), log: log,
 		stop: make(chan struct{}), done: make(chan struct{}),
 		now: newPending(), spare: newPending(), gauges: make(map[series]int)}
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -13,19 +13,19 @@
 
 	"pgregory.net/rapid"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/internal/pin"
-	"ryepulley/operator"
+	"laddertide/decide"
+	"laddertide/internal/pin"
+	"laddertide/operator"
+	"laddertide/policy"
 )
 
 func TestMain(m *testing.M) { pin.Run(m) }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-var of = ryepulley.Settings{
-	Classes: []ryepulley.Class{{Name: "limit-check"}, {Name: "set tle"}},
-	Tenants: []ryepulley.Tenant{{Name: "rainier-haul"}, {Name: "a=b,c\\"}},
+var of = policy.Settings{
+	Classes: []policy.Class{{Name: "limit-check"}, {Name: "set tle"}},
+	Tenants: []policy.Tenant{{Name: "rainier-haul"}, {Name: "a=b,c\\"}},
 }
 
 func emitter(format string, to *strings.Builder) *Emitter {
--- a/figures/lines.go
+++ b/figures/lines.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // unknown is the one tag of all tenants that the settings do not name.
@@ -18,7 +18,7 @@
 	classes, tenants []string // the last tenant is unknown
 }
 
-func newTags(of ryepulley.Settings, format string) tags {
+func newTags(of policy.Settings, format string) tags {
 	t := tags{influx: format == influx}
 	for _, c := range of.Classes {
 		t.classes = append(t.classes, t.clean(c.Name))
--- a/figures/target.go
+++ b/figures/target.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"ryepulley/operator"
+	"laddertide/operator"
 )
 
 // Settings are the operator's.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // Record codes of events.
@@ -134,13 +134,13 @@
 func (r *reader) micros32() time.Duration { return time.Duration(r.u32()) * time.Microsecond }
 
 // worker packs the four address bytes and the port, first byte first.
-func (r *reader) worker() ryepulley.WorkerID {
+func (r *reader) worker() policy.WorkerID {
 	b := r.take(6)
 	if b == nil {
 		return 0
 	}
 	addr := uint64(binary.BigEndian.Uint32(b))
-	return ryepulley.WorkerID(addr<<16 | uint64(binary.LittleEndian.Uint16(b[4:])))
+	return policy.WorkerID(addr<<16 | uint64(binary.LittleEndian.Uint16(b[4:])))
 }
 
 // Batch is what a frame's events are handed to, in their order.
@@ -149,14 +149,14 @@
 	Begin(inst uint16, seed uint64, params string) error
 	Stop(inst uint16)
 	// Target returns the instance that the event is for, or nil if it does not run.
-	Target(inst uint16) *ryepulley.Dispatcher
+	Target(inst uint16) *policy.Dispatcher
 	// Actions lends the slice to which the instance's actions are appended.
-	Actions(inst uint16) *[]ryepulley.Action
+	Actions(inst uint16) *[]policy.Action
 }
 
 // Decoder holds the lists that the events of a process refer to.
 type Decoder struct {
-	lists   [maxLists][]ryepulley.Entry
+	lists   [maxLists][]policy.Entry
 	known   [maxLists]bool
 	report  []float64
 	entries int
@@ -241,14 +241,14 @@
 	return nil
 }
 
-func (d *Decoder) event(code uint8, r *reader, disp *ryepulley.Dispatcher, acts *[]ryepulley.Action,
+func (d *Decoder) event(code uint8, r *reader, disp *policy.Dispatcher, acts *[]policy.Action,
 	now time.Duration) error {
 	switch code {
 	case codeUpdate:
 		return d.update(r, disp, acts, now)
 	case codeWorkItem:
-		q := ryepulley.Request{
-			ID: ryepulley.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u16()),
+		q := policy.Request{
+			ID: policy.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u16()),
 		}
 		r.u64() // the partition key, which no decision uses
 		q.Left, q.Hint = r.micros32(), r.micros32()
@@ -263,14 +263,14 @@
 		}
 		*acts = disp.Request(now, q, *acts)
 	case codeStarted:
-		id, attempt, worker := ryepulley.RequestID(r.u64()), int(r.u16()), r.worker()
+		id, attempt, worker := policy.RequestID(r.u64()), int(r.u16()), r.worker()
 		r.u32()
 		if err := r.end(); err != nil {
 			return err
 		}
-		*acts = disp.First(now, ryepulley.Note{Request: id, Attempt: attempt, Worker: worker}, *acts)
+		*acts = disp.First(now, policy.Note{Request: id, Attempt: attempt, Worker: worker}, *acts)
 	case codeAttemptEnd:
-		o := ryepulley.Outcome{Request: ryepulley.RequestID(r.u64())}
+		o := policy.Outcome{Request: policy.RequestID(r.u64())}
 		st := r.u16()
 		r.u32()
 		o.Worker, o.Closed, o.Attempt, o.Elapsed = r.worker(), r.u8() != 0, int(r.u16()), r.micros32()
@@ -284,7 +284,7 @@
 		}
 		*acts = disp.Outcome(now, o, *acts)
 	case codeClientGone:
-		id := ryepulley.RequestID(r.u64())
+		id := policy.RequestID(r.u64())
 		if err := r.end(); err != nil {
 			return err
 		}
@@ -296,7 +296,7 @@
 		}
 		*acts = disp.Timer(now, token, *acts)
 	case codePingResult:
-		p := ryepulley.Probed{Worker: r.worker()}
+		p := policy.Probed{Worker: r.worker()}
 		st := r.u16()
 		p.Elapsed, p.Report = r.micros32(), d.load(r)
 		if err := r.end(); err != nil {
@@ -315,7 +315,7 @@
 		}
 		*acts = disp.Peer(now, int(from), data, *acts)
 	case codeHeartbeat:
-		n := ryepulley.Note{Request: ryepulley.RequestID(r.u64()), Attempt: int(r.u16()), Worker: r.worker()}
+		n := policy.Note{Request: policy.RequestID(r.u64()), Attempt: int(r.u16()), Worker: r.worker()}
 		n.Started, n.Progress = r.u8() == noteStart, r.f32()
 		if err := r.end(); err != nil {
 			return err
@@ -346,12 +346,12 @@
 	}
 	list := d.lists[number][:0]
 	for range n {
-		e := ryepulley.Entry{}
+		e := policy.Entry{}
 		state := r.u8()
 		if state > 2 {
 			return fmt.Errorf("list %d: unknown availability %d", number, state)
 		}
-		e.State = ryepulley.State(state)
+		e.State = policy.State(state)
 		e.Kind, e.Weight, e.Zone = int(r.u16()), r.f32(), int(r.u8())
 		e.ID = r.worker()
 		started := min(r.u64(), maxMicros)
@@ -363,23 +363,23 @@
 	return r.end()
 }
 
-func (d *Decoder) update(r *reader, disp *ryepulley.Dispatcher, acts *[]ryepulley.Action,
+func (d *Decoder) update(r *reader, disp *policy.Dispatcher, acts *[]policy.Action,
 	now time.Duration) error {
 	number, kind := r.u16(), r.u8()
 	r.u64()
 	if err := r.end(); err != nil {
 		return err
 	}
-	var k ryepulley.ListKind
+	var k policy.ListKind
 	switch kind {
 	case listKindCached:
-		k = ryepulley.ListCached
+		k = policy.ListCached
 	case listKindFull:
-		k = ryepulley.ListFull
+		k = policy.ListFull
 	case listKindDelta:
-		k = ryepulley.ListDelta
+		k = policy.ListDelta
 	case listKindFailed:
-		*acts = disp.List(now, ryepulley.ListFailed, nil, *acts)
+		*acts = disp.List(now, policy.ListFailed, nil, *acts)
 		return nil
 	default:
 		return fmt.Errorf("unknown list kind %d", kind)
@@ -391,9 +391,9 @@
 	return nil
 }
 
-func status(code uint16) (ryepulley.Status, error) {
+func status(code uint16) (policy.Status, error) {
 	if code < 10 || code > 80 || code%10 != 0 {
 		return 0, fmt.Errorf("unknown disposition %d", code)
 	}
-	return ryepulley.Status(code/10 - 1), nil
+	return policy.Status(code/10 - 1), nil
 }
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // Record codes of actions.
@@ -56,13 +56,13 @@
 	p.u32(uint32(max(0, min(us, math.MaxInt32))))
 }
 
-func (p *Reply) worker(w ryepulley.WorkerID) {
+func (p *Reply) worker(w policy.WorkerID) {
 	p.b = binary.BigEndian.AppendUint32(p.b, uint32(w>>16))
 	p.u16(uint16(w))
 }
 
 // Append adds the actions of one instance.
-func (p *Reply) Append(inst uint16, acts []ryepulley.Action) {
+func (p *Reply) Append(inst uint16, acts []policy.Action) {
 	if len(acts) == 0 {
 		return
 	}
@@ -73,35 +73,35 @@
 	}
 }
 
-func (p *Reply) action(a *ryepulley.Action) {
+func (p *Reply) action(a *policy.Action) {
 	switch a.Kind {
-	case ryepulley.Send:
+	case policy.Send:
 		p.code(codeRoute)
 		p.u64(uint64(a.Request))
 		p.micros(a.Timeout)
 		p.worker(a.Worker)
-	case ryepulley.Refuse:
+	case policy.Refuse:
 		p.code(codeBusy)
 		p.u64(uint64(a.Request))
 		p.micros(a.RetryIn)
-	case ryepulley.Fail:
+	case policy.Fail:
 		p.code(codeSurrender)
 		p.u64(uint64(a.Request))
-	case ryepulley.CancelSend:
+	case policy.CancelSend:
 		p.code(codeCancel)
 		p.u64(uint64(a.Request))
 		p.u16(uint16(a.Attempt))
-	case ryepulley.SetTimer:
+	case policy.SetTimer:
 		p.code(codeTimer)
 		p.u64(a.Token)
 		p.u64(uint64(max(0, (a.At+time.Microsecond-1)/time.Microsecond)))
-	case ryepulley.Probe:
+	case policy.Probe:
 		p.code(codeCheck)
 		p.worker(a.Worker)
-	case ryepulley.Subscribe:
+	case policy.Subscribe:
 		p.code(codeObserve)
 		p.b = append(p.b, 1)
-	case ryepulley.TellPeers:
+	case policy.TellPeers:
 		p.code(codePublish)
 		p.u32(allPeers)
 		p.u16(uint16(min(len(a.Data), maxPeerMessage)))
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 // pairs are the settings as they come; err is the first thing found wrong.
@@ -120,7 +120,7 @@
 const maxItems = 4096
 
 // ParseSettings reads an instance's settings. Keys that it does not know are skipped.
-func ParseSettings(seed uint64, params string) (ryepulley.Settings, error) {
+func ParseSettings(seed uint64, params string) (policy.Settings, error) {
 	p := pairs{m: make(map[string]string)}
 	for n, line := range strings.Split(params, "\n") {
 		line = strings.TrimSuffix(line, "\r")
@@ -129,7 +129,7 @@
 		}
 		key, value, ok := strings.Cut(line, "=")
 		if !ok {
-			return ryepulley.Settings{}, fmt.Errorf("settings: line %d has no '='", n+1)
+			return policy.Settings{}, fmt.Errorf("settings: line %d has no '='", n+1)
 		}
 		p.m[key] = value
 	}
@@ -138,13 +138,13 @@
 
 // ParseSettingsJSON reads the same settings from nested JSON. The keys are joined by dots, so that one
 // set of rules for names, units and words serves both forms.
-func ParseSettingsJSON(seed uint64, raw []byte) (ryepulley.Settings, error) {
+func ParseSettingsJSON(seed uint64, raw []byte) (policy.Settings, error) {
 	p := pairs{m: make(map[string]string)}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
 	var tree map[string]any
 	if err := dec.Decode(&tree); err != nil {
-		return ryepulley.Settings{}, fmt.Errorf("settings: %w", err)
+		return policy.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	for key, v := range tree {
 		p.flatten(key, v)
@@ -180,8 +180,8 @@
 }
 
 // settings builds the settings from the pairs.
-func (p *pairs) settings(seed uint64) (ryepulley.Settings, error) {
-	s := ryepulley.Settings{
+func (p *pairs) settings(seed uint64) (policy.Settings, error) {
+	s := policy.Settings{
 		Seed:      seed,
 		Me:        p.whole("me", true, 0, math.MaxInt32),
 		Balancers: p.whole("fleet-size", true, 1, math.MaxInt32),
@@ -228,37 +228,37 @@
 	return s, nil
 }
 
-func field(name string) ryepulley.Field {
+func field(name string) policy.Field {
 	switch name {
 	case "inflight":
-		return ryepulley.FieldInflight
+		return policy.FieldInflight
 	case "queue":
-		return ryepulley.FieldQueue
+		return policy.FieldQueue
 	case "util":
-		return ryepulley.FieldUtil
+		return policy.FieldUtil
 	case "x0":
-		return ryepulley.FieldFreeSlots
+		return policy.FieldFreeSlots
 	case "x1":
-		return ryepulley.FieldFreeMemory
+		return policy.FieldFreeMemory
 	}
-	return ryepulley.FieldOther
+	return policy.FieldOther
 }
 
-func (p *pairs) classes(s *ryepulley.Settings) {
+func (p *pairs) classes(s *policy.Settings) {
 	n := p.whole("lanes.count", true, 0, maxItems)
 	kinds := p.perClass("family-info.class-kind", n, -1)
 	stretch := p.perClass("family-info.class-stretch", n, 0)
 	for i := range n {
 		at := "lanes." + strconv.Itoa(i) + "."
-		c := ryepulley.Class{
+		c := policy.Class{
 			Name:     p.m[at+"name"],
 			Aim:      p.micros(at+"goal-time", true),
 			Stretch:  p.number(at+"aim-stretch", false, stretch[i]),
 			Deadline: p.micros(at+"deadline", true),
 			Worth:    p.number(at+"worth", false, 1),
-			Effect: ryepulley.Effect(p.word(at+"repeat", true,
+			Effect: policy.Effect(p.word(at+"repeat", true,
 				"read_like", "idempotency_key", "non_idempotent")),
-			Group:  ryepulley.Group(p.word(at+"group", false, "all", "zone", "cell")),
+			Group:  policy.Group(p.word(at+"group", false, "all", "zone", "cell")),
 			Window: p.micros(at+"repeat-window", false),
 			Kind:   int(kinds[i]),
 		}
@@ -272,11 +272,11 @@
 	}
 }
 
-func (p *pairs) tenants(s *ryepulley.Settings) {
+func (p *pairs) tenants(s *policy.Settings) {
 	n := p.whole("parties.count", false, 0, maxItems)
 	for i := range n {
 		at := "parties." + strconv.Itoa(i) + "."
-		s.Tenants = append(s.Tenants, ryepulley.Tenant{
+		s.Tenants = append(s.Tenants, policy.Tenant{
 			Name:  p.m[at+"name"],
 			Quota: p.number(at+"quota-rps", false, 0),
 		})
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"ryepulley"
+	"laddertide/policy"
 )
 
 const params = `fleet-size=2
@@ -48,12 +48,12 @@
 	if s.Seed != 7 || s.Me != 1 || s.Balancers != 2 || s.Zones != 2 || s.Kinds != 2 || !s.ReportInAnswers {
 		t.Errorf("got %+v", s)
 	}
-	want := ryepulley.Class{Aim: 100 * time.Millisecond, Stretch: 1.75, Deadline: 5 * time.Second, Worth: 1,
-		Effect: ryepulley.Keyed, Group: ryepulley.GroupZone, Window: 7500 * time.Millisecond, Kind: 1}
+	want := policy.Class{Aim: 100 * time.Millisecond, Stretch: 1.75, Deadline: 5 * time.Second, Worth: 1,
+		Effect: policy.Keyed, Group: policy.GroupZone, Window: 7500 * time.Millisecond, Kind: 1}
 	if len(s.Classes) != 2 || s.Classes[1] != want {
 		t.Errorf("class 1 is %+v, want %+v", s.Classes[1], want)
 	}
-	if len(s.Report) != 4 || s.Report[0] != ryepulley.FieldQueue || s.Report[3] != ryepulley.FieldOther {
+	if len(s.Report) != 4 || s.Report[0] != policy.FieldQueue || s.Report[3] != policy.FieldOther {
 		t.Errorf("report fields are %v", s.Report)
 	}
 }
@@ -90,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := ryepulley.New(s); err == nil && s.Balancers < 1 {
+		if _, err := policy.New(s); err == nil && s.Balancers < 1 {
 			t.Errorf("took %+v", s)
 		}
 	})
@@ -98,8 +98,8 @@
 
 // sink hosts one dispatcher, as instance 3.
 type sink struct {
-	disp *ryepulley.Dispatcher
-	acts []ryepulley.Action
+	disp *policy.Dispatcher
+	acts []policy.Action
 }
 
 func (s *sink) Begin(inst uint16, seed uint64, text string) error {
@@ -107,17 +107,17 @@
 	if err != nil {
 		return err
 	}
-	s.disp, err = ryepulley.New(set)
+	s.disp, err = policy.New(set)
 	return err
 }
 func (s *sink) Stop(uint16) { s.disp = nil }
-func (s *sink) Target(inst uint16) *ryepulley.Dispatcher {
+func (s *sink) Target(inst uint16) *policy.Dispatcher {
 	if inst != 3 {
 		return nil
 	}
 	return s.disp
 }
-func (s *sink) Actions(uint16) *[]ryepulley.Action { return &s.acts }
+func (s *sink) Actions(uint16) *[]policy.Action { return &s.acts }
 
 func unhex(t testing.TB, text string) []byte {
 	t.Helper()
@@ -160,9 +160,9 @@
 	if err := d.Decode(f, &s); err != nil {
 		t.Fatal(err)
 	}
-	var sent []ryepulley.Action
+	var sent []policy.Action
 	for _, a := range s.acts {
-		if a.Kind == ryepulley.Send {
+		if a.Kind == policy.Send {
 			sent = append(sent, a)
 		}
 	}
@@ -282,7 +282,7 @@
 func TestRefusalHint(t *testing.T) {
 	var p Reply
 	p.Reset()
-	p.Append(3, []ryepulley.Action{{Kind: ryepulley.Refuse, Request: 7, RetryIn: 1500 * time.Millisecond}})
+	p.Append(3, []policy.Action{{Kind: policy.Refuse, Request: 7, RetryIn: 1500 * time.Millisecond}})
 	b := p.Bytes()[replyHeader+3:]
 	if b[0] != codeBusy || binary.LittleEndian.Uint64(b[1:]) != 7 || binary.LittleEndian.Uint32(b[9:]) != 1500000 {
 		t.Fatalf("refusal % x", b)
--- a/jobstatus/jobstatus.go
+++ b/jobstatus/jobstatus.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
-	"ryepulley/operator"
+	"laddertide/decide"
+	"laddertide/operator"
+	"laddertide/policy"
 )
 
 // Settings are the operator's.
@@ -79,7 +79,7 @@
 }
 
 // New returns a Store for jobs under these settings.
-func New(set Settings, of ryepulley.Settings) *Store {
+func New(set Settings, of policy.Settings) *Store {
 	s := &Store{set: set, jobs: make(map[string]*entry), ended: list.New()}
 	for _, c := range of.Classes {
 		s.classes = append(s.classes, c.Name)
--- a/jobstatus/jobstatus_test.go
+++ b/jobstatus/jobstatus_test.go
@@ -9,17 +9,17 @@
 	"testing"
 	"time"
 
-	"ryepulley"
-	"ryepulley/decide"
+	"laddertide/decide"
+	"laddertide/policy"
 )
 
 func desk(t *testing.T, set Settings, providers ...string) (*decide.Desk, *Store) {
 	t.Helper()
-	of := ryepulley.Settings{
+	of := policy.Settings{
 		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, ColdFrom: 0.3, WarmWithin: 9 * time.Second,
 		FallMultiple: 3, FallWindow: time.Second,
-		Classes: []ryepulley.Class{{Name: "check", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
-			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: ryepulley.Unsafe, Kind: -1}},
+		Classes: []policy.Class{{Name: "check", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
+			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: policy.Unsafe, Kind: -1}},
 	}
 	d, err := decide.New(of, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
@@ -28,7 +28,7 @@
 	t.Cleanup(d.Close)
 	s := New(set, of)
 	d.Observe(s)
-	d.Directory(ryepulley.ListCached, 1, make([]ryepulley.Entry, len(providers)), providers)
+	d.Directory(policy.ListCached, 1, make([]policy.Entry, len(providers)), providers)
 	return d, s
 }
 
--- a/api.go
+++ b/policy/api.go
@@ -1,4 +1,4 @@
-// Package ryepulley makes the decisions of a dispatcher that pushes jobs to workers.
+// Package policy makes the decisions of a dispatcher that pushes jobs to workers.
 //
 // A [Dispatcher] is a deterministic state machine. Its host calls one method per
 // event with the present time and a slice of actions; the method appends what is
@@ -7,7 +7,7 @@
 //
 // The host owes a Dispatcher two things: each [Send] gets exactly one Outcome, at
 // the request's deadline at the latest, and each [SetTimer] gets its Timer call.
-package ryepulley
+package policy
 
 import (
 	"errors"
--- a/checkpoint_test.go
+++ b/policy/checkpoint_test.go
@@ -1,4 +1,4 @@
-package ryepulley
+package policy
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"ryepulley/internal/pin"
+	"laddertide/internal/pin"
 )
 
 func TestMain(m *testing.M) { pin.Run(m) }
--- a/dispatcher.go
+++ b/policy/dispatcher.go
@@ -1,4 +1,4 @@
-package ryepulley
+package policy
 
 // The interface of this module, its settings, events and actions, is in api.go. The decisions are
 // in three files: dispatcher.go (a request's life and the guard of the four rules), split.go (the
--- a/estimate.go
+++ b/policy/estimate.go
@@ -1,4 +1,4 @@
-package ryepulley
+package policy
 
 import (
 	"math"
--- a/provider/call.go
+++ b/provider/call.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"ryepulley/decide"
+	"laddertide/decide"
 )
 
 // Job is what a provider is sent. Only the codec looks at more than the id.
--- a/provider/http.go
+++ b/provider/http.go
@@ -8,27 +8,27 @@
 	"strconv"
 	"time"
 
-	"ryepulley/decide"
-	"ryepulley/httpwire"
+	"laddertide/decide"
+	"laddertide/wire/http1"
 )
 
 // Message is a consumer's request as it is passed on.
 type Message struct {
 	Method, Target string
-	Fields         httpwire.Fields // none of this connection's, and no deadline
+	Fields         http1.Fields // none of this connection's, and no deadline
 	Body           []byte
 }
 
 func (m *Message) job(until time.Time) []byte {
 	left := max(1, time.Until(until).Milliseconds())
 	fields := append(m.Fields[:len(m.Fields):len(m.Fields)],
-		httpwire.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
-	return httpwire.AppendRequest(nil, m.Method, m.Target, fields, m.Body)
+		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
+	return http1.AppendRequest(nil, m.Method, m.Target, fields, m.Body)
 }
 
 func (m *Message) giveUp(id string) []byte {
-	host := httpwire.Fields{{Name: "Host", Value: m.Fields.Get("Host")}}
-	return httpwire.AppendRequest(nil, "DELETE", "/jobs/"+id, host, nil)
+	host := http1.Fields{{Name: "Host", Value: m.Fields.Get("Host")}}
+	return http1.AppendRequest(nil, "DELETE", "/jobs/"+id, host, nil)
 }
 
 // accepted is no end: the provider has taken the job.
@@ -41,7 +41,7 @@
 
 // readReply reads a provider's answer to a job, or to the end of one.
 func readReply(br *bufio.Reader) (reply, error) {
-	head, err := httpwire.ReadResponseHead(br)
+	head, err := http1.ReadResponseHead(br)
 	if err != nil {
 		return reply{}, err
 	}
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"ryepulley/directory"
+	"laddertide/directory"
 )
 
 // Limits bound what a Pool holds.
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"ryepulley/decide"
-	"ryepulley/directory"
-	"ryepulley/httpwire"
+	"laddertide/decide"
+	"laddertide/directory"
+	"laddertide/wire/http1"
 )
 
 // fake is a provider on loopback: answer writes what comes back on each message, or closes.
@@ -42,7 +42,7 @@
 			f.conns <- c
 			br := bufio.NewReader(c)
 			for {
-				h, err := httpwire.ReadRequestHead(br)
+				h, err := http1.ReadRequestHead(br)
 				if err != nil {
 					break
 				}
--- a/scheduler/capture_test.go
+++ b/scheduler/capture_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"ryepulley/capture"
+	"laddertide/capture"
 )
 
 // busy gives a scheduler jobs that end in many ways.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -8,10 +8,10 @@
 	"os"
 	"strconv"
 
-	"ryepulley"
-	"ryepulley/directory"
-	"ryepulley/httpwire"
-	"ryepulley/internal/wire"
+	"laddertide/directory"
+	"laddertide/internal/wire"
+	"laddertide/policy"
+	"laddertide/wire/http1"
 )
 
 // Config is all that a scheduler is told.
@@ -21,7 +21,7 @@
 	Discovery string
 	Limits    Limits
 	Known     directory.List // the providers as they were last known; may be old
-	Settings  ryepulley.Settings
+	Settings  policy.Settings
 	Operator  Operator // features that the operator has turned on
 }
 
@@ -42,7 +42,7 @@
 func (c *Config) places() int {
 	n := (c.Limits.Sockets - c.Operator.descriptors()) * 5 / 8
 	if mb := c.Limits.MemoryMB; mb > 0 {
-		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(httpwire.MaxBody+httpwire.MaxHead+c.Operator.connBytes()))
+		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+c.Operator.connBytes()))
 	}
 	return n
 }
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -7,11 +7,11 @@
 	"net"
 	"strconv"
 
-	"ryepulley/capture"
-	"ryepulley/figures"
-	"ryepulley/jobstatus"
-	"ryepulley/operator"
-	"ryepulley/tlsport"
+	"laddertide/capture"
+	"laddertide/figures"
+	"laddertide/jobstatus"
+	"laddertide/operator"
+	"laddertide/tlsport"
 )
 
 // Operator is what the operator's file turns on. A part that is nil is off.
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"ryepulley/directory"
-	"ryepulley/httpwire"
+	"laddertide/directory"
+	"laddertide/wire/http1"
 )
 
 // rig is a whole scheduler on loopback with one provider, whose call-backs the test makes.
@@ -122,14 +122,14 @@
 				defer c.Close()
 				br := bufio.NewReader(c)
 				for {
-					h, err := httpwire.ReadRequestHead(br)
+					h, err := http1.ReadRequestHead(br)
 					if err != nil {
 						return
 					}
 					if _, err := h.ReadBody(br); err != nil {
 						return
 					}
-					c.Write(httpwire.AppendResponse(nil, 202, nil, nil, false))
+					c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
 					if h.Method == "POST" {
 						r.jobs <- h.Fields.Get("X-Request-Id")
 					} else {
@@ -172,7 +172,7 @@
 
 func (c *client) hear(status int) string {
 	c.t.Helper()
-	h, err := httpwire.ReadResponseHead(c.br)
+	h, err := http1.ReadResponseHead(c.br)
 	if err != nil || h.Status != status {
 		c.t.Fatalf("answer %+v, %v; want %d", h, err, status)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,15 +16,15 @@
 	"sync"
 	"time"
 
-	"ryepulley"
-	"ryepulley/capture"
-	"ryepulley/consumer"
-	"ryepulley/decide"
-	"ryepulley/directory"
-	"ryepulley/figures"
-	"ryepulley/jobstatus"
-	"ryepulley/provider"
-	"ryepulley/tlsport"
+	"laddertide/capture"
+	"laddertide/consumer"
+	"laddertide/decide"
+	"laddertide/directory"
+	"laddertide/figures"
+	"laddertide/jobstatus"
+	"laddertide/policy"
+	"laddertide/provider"
+	"laddertide/tlsport"
 )
 
 // Scheduler is one scheduler, ready to serve.
@@ -68,7 +68,7 @@
 		Idle:  cfg.Settings.IdleClose / 2,
 		Conns: cfg.calls(),
 	}, log)
-	s.deliver(ryepulley.ListCached, cfg.Known)
+	s.deliver(policy.ListCached, cfg.Known)
 	return s, nil
 }
 
@@ -126,25 +126,25 @@
 }
 
 // deliver hands a list to the two that need it. The pool comes first: what is drawn must be known there.
-func (s *Scheduler) deliver(kind ryepulley.ListKind, list directory.List) {
-	entries := make([]ryepulley.Entry, len(list.Entries))
+func (s *Scheduler) deliver(kind policy.ListKind, list directory.List) {
+	entries := make([]policy.Entry, len(list.Entries))
 	names := make([]string, len(list.Entries))
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		names[i] = e.Name
-		state := ryepulley.Draining
+		state := policy.Draining
 		switch e.Status {
 		case directory.Serving:
-			state = ryepulley.Ready
+			state = policy.Ready
 		case directory.Deleted:
-			state = ryepulley.Gone
+			state = policy.Gone
 		}
-		entries[i] = ryepulley.Entry{
+		entries[i] = policy.Entry{
 			State: state, Kind: place(s.cfg.Settings.KindNames, e.Type), Zone: place(s.cfg.Settings.ZoneNames, e.Zone),
 			Cell: e.Group, Weight: e.Weight, Started: e.Since(),
 		}
 	}
-	s.pool.Directory(list.Entries, kind != ryepulley.ListDelta)
+	s.pool.Directory(list.Entries, kind != policy.ListDelta)
 	s.desk.Directory(kind, list.Index, entries, names)
 }
 
@@ -271,9 +271,9 @@
 	default:
 		return false
 	}
-	kind := ryepulley.ListDelta
+	kind := policy.ListDelta
 	if list.Snapshot {
-		kind = ryepulley.ListFull
+		kind = policy.ListFull
 	}
 	s.log.Debug("directory news", "from", w.address, "index", list.Index, "whole", list.Snapshot, "entries", len(list.Entries))
 	s.deliver(kind, list)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"ryepulley"
-	"ryepulley/capture"
-	"ryepulley/directory"
-	"ryepulley/figures"
+	"laddertide/capture"
+	"laddertide/directory"
+	"laddertide/figures"
+	"laddertide/policy"
 )
 
 // config is the example that the README points to.
@@ -38,8 +38,8 @@
 		s.MaxRetryAfter != 2*time.Second || len(s.Tenants) != 1 || s.Tenants[0].Quota != 13 {
 		t.Fatalf("settings %+v", s)
 	}
-	want := ryepulley.Class{Name: "card-issue", Aim: 600 * time.Millisecond, Stretch: 2.5, Deadline: 8 * time.Second,
-		Worth: 8, Effect: ryepulley.Unsafe, Kind: -1}
+	want := policy.Class{Name: "card-issue", Aim: 600 * time.Millisecond, Stretch: 2.5, Deadline: 8 * time.Second,
+		Worth: 8, Effect: policy.Unsafe, Kind: -1}
 	if len(s.Classes) != 3 || s.Classes[2] != want {
 		t.Fatalf("classes %+v", s.Classes)
 	}
--- a/tlsport/tlsport.go
+++ b/tlsport/tlsport.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"ryepulley/operator"
+	"laddertide/operator"
 )
 
 // Settings are the operator's.
--- a/httpwire/httpwire.go
+++ b/wire/http1/http1.go
@@ -1,6 +1,6 @@
-// Package httpwire reads and writes HTTP/1.1 messages within fixed limits. It is the only code that
+// Package http1 reads and writes HTTP/1.1 messages within fixed limits. It is the only code that
 // knows the framing of HTTP; it opens no connection and decides nothing.
-package httpwire
+package http1
 
 import (
 	"bufio"
--- a/httpwire/httpwire_test.go
+++ b/wire/http1/http1_test.go
@@ -1,4 +1,4 @@
-package httpwire
+package http1
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"ryepulley/internal/pin"
+	"laddertide/internal/pin"
 )
 
 func TestMain(m *testing.M) { pin.Run(m) }
