--- /dev/null
+++ b/rehearse/record/record.go
@@ -0,0 +1,113 @@
+// Package record writes down the history of a rehearsal while it runs: one clock, one order, and a file that holds all
+// but the last moment even if the kit is killed. It decides nothing and reads nothing back.
+package record
+
+import (
+	"bufio"
+	"io"
+	"sync"
+	"time"
+
+	"laddertide/core/history"
+)
+
+// flushEvery is how much of the history a kill of the kit may cost.
+const flushEvery = 250 * time.Millisecond
+
+// Recorder takes events from any goroutine.
+type Recorder struct {
+	begin time.Time
+
+	mu     sync.Mutex
+	events []history.Event
+	closed bool
+
+	out  *bufio.Writer
+	err  error // the first one of out
+	kick chan struct{}
+	done chan struct{}
+}
+
+// New begins a history now. Should out not be nil, events are written to it as they come.
+func New(out io.Writer) *Recorder {
+	r := &Recorder{begin: time.Now()}
+	if out != nil {
+		r.out = bufio.NewWriterSize(out, 256<<10)
+		r.kick, r.done = make(chan struct{}), make(chan struct{})
+		go r.write()
+	}
+	return r
+}
+
+// Begin is when the history begins.
+func (r *Recorder) Begin() time.Time { return r.begin }
+
+// Since is the time of the history, by the monotonic clock.
+func (r *Recorder) Since() time.Duration { return time.Since(r.begin) }
+
+// Now is the same in microseconds, as events have it.
+func (r *Recorder) Now() int64 { return r.Since().Microseconds() }
+
+// At is the time of day of a moment of the history.
+func (r *Recorder) At(d time.Duration) time.Time { return r.begin.Add(d) }
+
+// Add takes an event; one without a time happens now. What comes after Close is dropped.
+func (r *Recorder) Add(ev history.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	if ev.T == 0 && ev.Kind != history.KindSetup {
+		ev.T = max(1, r.Now())
+	}
+	r.events = append(r.events, ev)
+}
+
+// Close ends the history and returns it in the order of time, with the first error of the writer.
+func (r *Recorder) Close(end history.Event) ([]history.Event, error) {
+	end.Kind = history.KindEnd
+	r.Add(end)
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	if r.out != nil {
+		close(r.kick)
+		<-r.done
+	}
+	events := r.events
+	history.Sort(events)
+	return events, r.err
+}
+
+// write copies events to the file, behind those who add them.
+func (r *Recorder) write() {
+	defer close(r.done)
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	written := 0
+	var line []byte
+	for last := false; !last; {
+		select {
+		case <-tick.C:
+		case <-r.kick:
+			last = true
+		}
+		r.mu.Lock()
+		fresh := r.events[written:len(r.events):len(r.events)]
+		r.mu.Unlock()
+		for i := range fresh {
+			var err error
+			if line, err = history.Append(line[:0], &fresh[i]); err == nil {
+				_, err = r.out.Write(line)
+			}
+			if err != nil && r.err == nil {
+				r.err = err
+			}
+		}
+		written += len(fresh)
+		if err := r.out.Flush(); err != nil && r.err == nil {
+			r.err = err
+		}
+	}
+}
