--- a/core/history/history.go
+++ b/core/history/history.go
@@ -226,7 +226,8 @@
 	Scenario   string           `json:"scenario"`
 	Seed       uint64           `json:"seed"`
 	Begin      int64            `json:"begin"`  // Unix time of T = 0, in microseconds
-	Length     int64            `json:"length"` // arrivals are drawn for this long, in microseconds
+	Start      int64            `json:"start"`  // when clients begin, as T; schedulers have come up before
+	Length     int64            `json:"length"` // arrivals are drawn for this long from then on, in microseconds
 	Classes    []Class          `json:"classes"`
 	Tenants    []Tenant         `json:"tenants"`
 	Workers    []WorkerSetup    `json:"workers"`
--- a/rehearse/record/record.go
+++ b/rehearse/record/record.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	mu     sync.Mutex
 	events []history.Event
+	begun  bool // the setup is there
 	closed bool
 
 	out  *bufio.Writer
@@ -51,14 +53,20 @@
 // At is the time of day of a moment of the history.
 func (r *Recorder) At(d time.Duration) time.Time { return r.begin.Add(d) }
 
-// Add takes an event; one without a time happens now. What comes after Close is dropped.
+// Add takes an event; one without a time happens now. What comes after Close is dropped. The setup may come when it is
+// known; until then nothing is written to the file, as it is the first line there.
 func (r *Recorder) Add(ev history.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
 		return
 	}
-	if ev.T == 0 && ev.Kind != history.KindSetup {
+	if ev.Kind == history.KindSetup {
+		r.events = slices.Insert(r.events, 0, ev)
+		r.begun = true
+		return
+	}
+	if ev.T == 0 {
 		ev.T = max(1, r.Now())
 	}
 	r.events = append(r.events, ev)
@@ -94,7 +102,10 @@
 			last = true
 		}
 		r.mu.Lock()
-		fresh := r.events[written:len(r.events):len(r.events)]
+		var fresh []history.Event
+		if r.begun {
+			fresh = r.events[written:len(r.events):len(r.events)]
+		}
 		r.mu.Unlock()
 		for i := range fresh {
 			var err error
--- /dev/null
+++ b/rehearse/scenario/plan.go
@@ -0,0 +1,368 @@
+package scenario
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+	"laddertide/core/world"
+)
+
+// Changes are what a command line changes of a scenario; zero values change nothing.
+type Changes struct {
+	Seconds             float64
+	Rate                float64 // jobs a second; the jobs stay as heavy as they are, so the load moves with it
+	Load                float64 // the share of capacity; makes the jobs lighter or heavier
+	Workers, Schedulers int
+	Times               float64 // how much larger (or smaller) the part of workers that each trouble meets is; 0: 1
+}
+
+// Check says what is out of range, in the words of the command line's flags.
+func (c *Changes) Check() error {
+	for _, f := range []struct {
+		name      string
+		v, lo, hi float64
+	}{
+		{"--seconds", c.Seconds, 1, MaxSeconds}, {"--rate", c.Rate, 0.1, MaxRate}, {"--load", c.Load, 0.01, 5},
+		{"--workers", float64(c.Workers), 1, MaxWorkers}, {"--schedulers", float64(c.Schedulers), 1, MaxSchedulers},
+		{"size of troubles", c.Times, 0.01, 100},
+	} {
+		if f.v != 0 && !(f.v >= f.lo && f.v <= f.hi) {
+			return fmt.Errorf("%s: %g is not between %g and %g", f.name, f.v, f.lo, f.hi)
+		}
+	}
+	return nil
+}
+
+// Scheduler is one of a plan.
+type Scheduler struct {
+	Name string
+	Zone int
+}
+
+// Step is something that the run does to the fleet at a time.
+type Step struct {
+	At         time.Duration // from the first arrival on
+	Do         Act
+	Workers    []int
+	Schedulers []int
+	Value      float64
+	Down       time.Duration // with Drain, Kill: until the new process starts
+}
+
+// Act is what a step does.
+type Act string
+
+// The acts.
+const (
+	Crash   Act = "crash"
+	Vanish  Act = "vanish"
+	Mute    Act = "mute"
+	Return  Act = "return"  // of crashed, vanished and mute workers: a cold process starts
+	Cut     Act = "cut"     // between Schedulers and Workers
+	Mend    Act = "mend"    // of a cut
+	Slow    Act = "slow"    // Value times; 1 ends it
+	Stale   Act = "stale"   // discovery's news comes Value seconds later; 0 ends it
+	Silence Act = "silence" // discovery says nothing while Value is 1
+	Drain   Act = "drain"   // each worker: finishes, ends, comes back cold
+	Term    Act = "term"    // SIGTERM, and a new process after the exit
+	Kill    Act = "kill"    // SIGKILL, and a new process after Down
+	Reload  Act = "reload"  // SIGHUP with a moved discovery
+	Rude    Act = "rude"    // bad clients at Value a second; 0 ends it
+)
+
+// Shade is a trouble as plots show it.
+type Shade struct {
+	Name     string
+	From, To time.Duration // from the first arrival on
+}
+
+// Plan is a scenario as a seed has drawn it.
+type Plan struct {
+	Scenario string
+	About    string
+	Seed     uint64
+	Length   time.Duration
+
+	Zones      []string
+	Schedulers []Scheduler
+	Workers    []world.Spec
+	Classes    []traffic.Class
+	Tenants    []history.Tenant
+	Rules      history.Rules
+	Weights    history.Weights
+
+	Traffic traffic.Plan
+	Retry   traffic.Retry
+	Notice  [2]time.Duration // after which the front notices that a scheduler has died
+
+	Roster     world.RosterSpec
+	Same       time.Duration // one way within a zone
+	Cross      time.Duration // and between two
+	AgentDelay time.Duration // after which a dead process's jobs are told as lost
+	ProbeCost  time.Duration
+
+	MemoryMB float64
+	Sockets  int
+
+	Steps  []Step
+	Shades []Shade
+
+	Load     float64 // the share of the fleet's capacity that is asked for
+	Capacity float64 // of the whole fleet when warm, in work a second
+}
+
+// Chance is a stream of its own for each thing drawn, so that a change to one leaves the others as they were.
+func Chance(seed uint64, label string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(label))
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+func (r Range) or(lo, hi float64) Range {
+	if r.Given {
+		return r
+	}
+	return Range{lo, hi, true}
+}
+
+func (r Range) draw(c *rand.Rand) float64 { return r.Lo + (r.Hi-r.Lo)*c.Float64() }
+
+func (r Range) whole(c *rand.Rand) int { return int(r.Lo) + c.IntN(int(r.Hi-r.Lo)+1) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func millis(c *rand.Rand, lo, hi float64) time.Duration {
+	return time.Duration((lo + (hi-lo)*c.Float64()) * float64(time.Millisecond))
+}
+
+// The machine kinds of fleetpay-nw, with the ranges that the brief gives or leaves open.
+type kind struct {
+	name                              string
+	cores                             int
+	share, speed, spread, queue, cold Range // spread: of one machine's speed round its kind's; queue: a core
+	warmS                             Range
+}
+
+var kinds = []kind{
+	{"fast-2", 2, Range{0.58, 0.78, true}, Range{1.3, 1.7, true}, Range{0.033, 0.22, true}, Range{9.4, 15, true}, Range{0.3, 0.56, true}, Range{3.5, 9, true}},
+	{"wide-3", 3, Range{0.27, 0.37, true}, Range{0.85, 1.1, true}, Range{0.048, 0.21, true}, Range{5.4, 9.3, true}, Range{0.31, 0.56, true}, Range{4.2, 8, true}},
+}
+
+// Draw makes a plan of a scenario. It fails only for what Changes.Check finds.
+func (s *Scenario) Draw(seed uint64, ch Changes) (*Plan, error) {
+	if err := ch.Check(); err != nil {
+		return nil, err
+	}
+	p := &Plan{Scenario: s.Name, About: s.About, Seed: seed, Zones: []string{"tukwila", "hillsboro"},
+		Rules: history.FleetRules(), Weights: history.FleetWeights()}
+	size := Chance(seed, "size")
+	workers, schedulers := s.Workers.or(12, 15).whole(size), s.Schedulers.or(2, 3).whole(size)
+	base := workers // the fleet for which the jobs' weight is made
+	if ch.Workers > 0 {
+		workers = ch.Workers
+	}
+	if ch.Schedulers > 0 {
+		schedulers = ch.Schedulers
+	}
+	p.Length = seconds(pick(ch.Seconds, s.Seconds.or(30, 30).draw(size)))
+	for i := range schedulers {
+		p.Schedulers = append(p.Schedulers, Scheduler{fmt.Sprintf("n%d", i+1), i % len(p.Zones)})
+	}
+	p.drawWorkers(s, workers)
+	p.drawTraffic(s, ch, float64(base)/float64(workers))
+	net := Chance(seed, "net")
+	p.Same, p.Cross = millis(net, 0.11, 0.29), millis(net, 1.4, 2.6)
+	p.AgentDelay, p.ProbeCost = millis(net, 40, 160), millis(net, 0.11, 0.21)
+	p.Notice = [2]time.Duration{860 * time.Millisecond, 3900 * time.Millisecond}
+	p.Roster = world.RosterSpec{Schedulers: schedulers,
+		Notice:       [2]time.Duration{510 * time.Millisecond, 4200 * time.Millisecond},
+		SilentNotice: [2]time.Duration{4100 * time.Millisecond, 13 * time.Second},
+		Add:          [2]time.Duration{440 * time.Millisecond, 1900 * time.Millisecond},
+		Period:       [2]time.Duration{200 * time.Millisecond, 1400 * time.Millisecond},
+		Spread:       [2]time.Duration{15 * time.Millisecond, 78 * time.Millisecond}}
+	p.MemoryMB, p.Sockets = s.MemoryMB.or(192, 192).Lo, int(s.Sockets.or(1024, 1024).Lo)
+	p.drawTroubles(s, pick(ch.Times, 1))
+	return p, nil
+}
+
+func pick(v, otherwise float64) float64 {
+	if v != 0 {
+		return v
+	}
+	return otherwise
+}
+
+func (p *Plan) drawWorkers(s *Scenario, n int) {
+	kc := Chance(p.Seed, "kinds")
+	fast := kinds[0].share.draw(kc)
+	type drawn struct {
+		speed, spread, queue, cold, handshake, tax float64
+		warm, handshakeWork                        time.Duration
+		conns                                      int
+	}
+	of := make([]drawn, len(kinds))
+	for i, k := range kinds {
+		of[i] = drawn{speed: k.speed.draw(kc), spread: k.spread.draw(kc), queue: k.queue.draw(kc), cold: k.cold.draw(kc),
+			warm: seconds(k.warmS.draw(kc))}
+	}
+	handshake, conns, tax := millis(kc, 2.2, 6), Range{600, 900, true}.draw(kc), Range{0.17, 0.4, true}.draw(kc)
+	drops := kc.IntN(2) == 1
+	for i := range n {
+		c := Chance(p.Seed, fmt.Sprintf("worker %d", i))
+		// The kinds are spread evenly over the fleet, so that small fleets have both.
+		k := 0
+		if math.Floor(float64(i+1)*(1-fast)) > math.Floor(float64(i)*(1-fast)) {
+			k = 1
+		}
+		d, cores := of[k], kinds[k].cores
+		p.Workers = append(p.Workers, world.Spec{
+			Name: fmt.Sprintf("s-%08x", c.Uint32()), Zone: p.Zones[i%len(p.Zones)], Kind: kinds[k].name,
+			Cores: cores, Slots: cores, Memory: float64(cores),
+			Speed: d.speed * math.Exp(d.spread*c.NormFloat64()-d.spread*d.spread/2),
+			Queue: int(math.Round(d.queue * float64(cores))),
+			Cold:  d.cold, Warm: d.warm, Handshake: handshake,
+			Conns: int(conns) * cores, FullTax: tax, Idle: 10 * time.Second,
+			ErrorRate: s.ErrorRate.or(0.0005, 0.0005).Lo, DropsExpired: drops, DrainReturns: true,
+			FallMultiple: p.Rules.FallMultiple, FallWindow: time.Duration(p.Rules.FallWindow) * time.Microsecond,
+		})
+		w := &p.Workers[i]
+		p.Capacity += float64(w.Cores) * w.Speed
+	}
+}
+
+// drawTraffic draws the clients. scale is how many times larger the fleet was for which the load is meant.
+func (p *Plan) drawTraffic(s *Scenario, ch Changes, scale float64) {
+	c := Chance(p.Seed, "traffic")
+	const ms = 1000 // microseconds
+	p.Classes = []traffic.Class{
+		{Class: history.Class{Name: "limit-check", Repeat: history.ReadLike, Aim: 150 * ms, Stretch: 2, Deadline: 5000 * ms,
+			Window: 5000 * ms, Worth: 1, LateWorth: 0.3},
+			Share: 0.51, Work: millis(c, 240, 470), Dist: "lognormal", CV: Range{1.4, 2.4, true}.draw(c), Noise: Range{0.083, 0.38, true}.draw(c)},
+		{Class: history.Class{Name: "settle", Repeat: history.Keyed, Aim: 600 * ms, Stretch: 2, Deadline: 25000 * ms,
+			Window: 40000 * ms, Worth: 8, LateWorth: 0.25},
+			Share: 0.34, Work: millis(c, 1500, 2800), Dist: "lognormal", CV: Range{1.4, 2.5, true}.draw(c), Noise: Range{0.09, 0.6, true}.draw(c)},
+		{Class: history.Class{Name: "card-issue", Repeat: history.NonIdempotent, Aim: 600 * ms, Stretch: 2.5, Deadline: 8000 * ms,
+			Window: 5000 * ms, Worth: 8, LateWorth: 0.25},
+			Share: 0.15, Work: millis(c, 480, 930), Dist: []string{"lognormal", "pareto"}[c.IntN(2)], CV: Range{1.5, 2.7, true}.draw(c), Noise: Range{0.12, 0.5, true}.draw(c)},
+	}
+	mean := 0.0
+	for _, cl := range p.Classes {
+		mean += cl.Share * cl.Work.Seconds()
+	}
+	// The jobs are made as heavy as the load wants them at the scenario's own rate and fleet; another rate or fleet
+	// on the command line then moves the load, unless that is given too.
+	rate, load := s.Rate.or(29, 29).draw(c), s.Load.or(0.53, 0.59).draw(c)
+	capacity := p.Capacity * scale
+	if ch.Load > 0 {
+		load, capacity = ch.Load, p.Capacity
+		rate = pick(ch.Rate, rate)
+	}
+	heavier := load * capacity / (rate * mean)
+	rate = pick(ch.Rate, rate)
+	for i := range p.Classes {
+		p.Classes[i].Work = time.Duration(float64(p.Classes[i].Work) * heavier)
+	}
+	p.Load = rate * mean * heavier / p.Capacity
+	mean *= heavier
+	for i := range p.Workers {
+		p.Workers[i].FallSlack = seconds(2 * mean)
+	}
+	shares := []history.Tenant{{Name: "rainier-haul", Quota: 0.44}, {Name: "puget-delivery", Quota: 0.40}, {Name: "willamette-crews", Quota: 0.16}}
+	full := p.Capacity / mean * Range{0.71, 0.9, true}.draw(c) // jobs a second that all shares together are
+	var tenants []traffic.Tenant
+	for _, t := range shares {
+		tenants = append(tenants, traffic.Tenant{Name: t.Name, Share: t.Quota * Range{0.65, 1.25, true}.draw(c)})
+		t.Quota *= full
+		p.Tenants = append(p.Tenants, t)
+	}
+	skew := s.SkewZones.or(0.15, 0.45).draw(c)
+	p.Traffic = traffic.Plan{Seed: p.Seed, Length: p.Length, Rate: rate, Shape: s.Shape, Swing: s.Swing.or(0.073, 0.2).draw(c),
+		Period: seconds(s.PeriodS.or(15, 25).draw(c)), Classes: p.Classes, Tenants: tenants,
+		Zones: []float64{0.5 + skew/2, 0.5 - skew/2}, Hint: 0.35, Body: [2]int{40, 400}, Memory: [2]float64{0.2, 0.9}}
+	if p.Traffic.Shape == "" {
+		p.Traffic.Shape = "steady"
+	}
+	p.Retry = traffic.Retry{Most: s.Retries.or(1, 2).whole(c), Backoff: millis(c, 9.9, 79),
+		Honour: Range{0.7, 1, true}.draw(c), MaxAfter: 2 * time.Second}
+}
+
+// drawTroubles makes the timetable. Each trouble draws from a stream of its own.
+func (p *Plan) drawTroubles(s *Scenario, times float64) {
+	if s.Rude.Given {
+		p.Steps = append(p.Steps, Step{At: 0, Do: Rude, Value: s.Rude.Lo})
+	}
+	end := time.Duration(0) // of the trouble before
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		c := Chance(p.Seed, fmt.Sprintf("trouble %d %s", i, t.Kind))
+		at := seconds(t.At.or(6, 8).draw(c))
+		if t.After.Given {
+			at = end + seconds(t.After.draw(c))
+		}
+		length := seconds(t.For.or(0, 0).draw(c))
+		every := seconds(t.Every.or(6, 6).draw(c))
+		to := at + length
+		two := func(on, off Step) {
+			on.At, off.At = at, to
+			p.Steps = append(p.Steps, on, off)
+		}
+		part := t.Part.or(1, 1).draw(c)
+		if t.Part.Given {
+			part = min(1, part*times)
+		}
+		some := sample(c, len(p.Workers), part)
+		switch t.Kind {
+		case "crash", "vanish", "mute":
+			two(Step{Do: Act(t.Kind), Workers: some}, Step{Do: Return, Workers: some})
+		case "cut":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Cut, Workers: some, Schedulers: at}, Step{Do: Mend, Workers: some, Schedulers: at})
+		case "slow":
+			two(Step{Do: Slow, Workers: some, Value: t.Factor.draw(c)}, Step{Do: Slow, Workers: some, Value: 1})
+		case "burst":
+			size := t.Times.draw(c)
+			p.Traffic.Bursts = append(p.Traffic.Bursts, traffic.Burst{At: at, Length: length, Size: size,
+				Rise: min(length/3, 500*time.Millisecond), Fall: min(length/3, 500*time.Millisecond)})
+		case "stale":
+			two(Step{Do: Stale, Value: t.Delay.draw(c)}, Step{Do: Stale})
+		case "lost-roster":
+			two(Step{Do: Silence, Value: 1}, Step{Do: Silence})
+		case "drain":
+			for j, w := range some {
+				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Drain, Workers: []int{w}, Down: length})
+			}
+			to = at + time.Duration(len(some))*every + length
+		case "restart", "kill", "reload":
+			n := t.Count.or(float64(len(p.Schedulers)), 0).Lo
+			do := map[string]Act{"restart": Term, "kill": Kill, "reload": Reload}[t.Kind]
+			if t.Kind != "restart" && !t.Count.Given {
+				n = 1
+			}
+			order := c.Perm(len(p.Schedulers))
+			for j := range int(n) {
+				st := Step{At: at + time.Duration(j)*every, Do: do, Schedulers: []int{order[j%len(order)]}, Down: length}
+				if do == Reload { // a new configuration goes to all of them
+					st.Schedulers = order
+				}
+				p.Steps = append(p.Steps, st)
+				to = st.At + length
+			}
+			to += time.Second
+		case "rude":
+			two(Step{Do: Rude, Value: t.Rate.draw(c)}, Step{Do: Rude})
+		}
+		end = to
+		p.Shades = append(p.Shades, Shade{t.Kind, at, to})
+	}
+}
+
+// sample draws a part of n things, one at least, in the order drawn.
+func sample(c *rand.Rand, n int, part float64) []int {
+	k := min(n, max(1, int(math.Round(part*float64(n)))))
+	return c.Perm(n)[:k]
+}
--- /dev/null
+++ b/rehearse/scenario/scenario.go
@@ -0,0 +1,364 @@
+// Package scenario reads what a rehearsal plays, a YAML file each, and draws from a seed all that a run needs: workers,
+// clients, discovery's lag and the timetable of troubles. The same file, seed and changes give the same plan on every
+// machine. It starts nothing.
+package scenario
+
+import (
+	"bytes"
+	"embed"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+//go:embed files/*.yaml
+var embedded embed.FS
+
+// Scenario is a file.
+type Scenario struct {
+	Name       string    `yaml:"name"`
+	About      string    `yaml:"about"`
+	Seconds    Range     `yaml:"seconds"`    // clients arrive for so long
+	Workers    Range     `yaml:"workers"`    // how many
+	Schedulers Range     `yaml:"schedulers"` // how many
+	Rate       Range     `yaml:"rate"`       // jobs a second
+	Load       Range     `yaml:"load"`       // the share of the fleet's capacity that they need
+	Shape      string    `yaml:"shape"`      // steady or wave
+	Swing      Range     `yaml:"swing"`      // of a wave
+	PeriodS    Range     `yaml:"period_s"`   // of a wave
+	Retries    Range     `yaml:"retries"`    // of a client
+	SkewZones  Range     `yaml:"zone_skew"`  // how much more clients the first zone has
+	ErrorRate  Range     `yaml:"error_rate"` // of jobs that ran
+	Rude       Range     `yaml:"rude"`       // bad clients a second, all the time
+	MemoryMB   Range     `yaml:"memory_mb"`  // of a scheduler
+	Sockets    Range     `yaml:"sockets"`    // of a scheduler
+	Troubles   []Trouble `yaml:"troubles"`
+}
+
+// Trouble is one thing that goes wrong. Which fields count depends on its kind.
+type Trouble struct {
+	Kind   string `yaml:"kind"`
+	At     Range  `yaml:"at_s"`    // from the first arrival on
+	For    Range  `yaml:"for_s"`   // how long it lasts, or one of its parts is down
+	After  Range  `yaml:"after_s"` // instead of at_s: from the end of the trouble before it in the file
+	Part   Range  `yaml:"part"`    // of the workers
+	Count  Range  `yaml:"count"`   // of the schedulers, or how often
+	Every  Range  `yaml:"every_s"` // between one and the next
+	Times  Range  `yaml:"times"`   // of the usual rate
+	Factor Range  `yaml:"factor"`  // of the usual running time
+	Delay  Range  `yaml:"delay_s"` // of discovery's news
+	Rate   Range  `yaml:"rate"`    // of bad clients a second
+}
+
+// Kinds are the troubles, each with the fields that it needs and those that it may have.
+var Kinds = map[string]struct{ Needs, May []string }{
+	"crash":       {[]string{"part", "for_s"}, nil},               // processes die and come back cold
+	"vanish":      {[]string{"part", "for_s"}, nil},               // machines go silent and come back cold
+	"mute":        {[]string{"part", "for_s"}, nil},               // the same, but they accept connections
+	"cut":         {[]string{"part", "for_s"}, []string{"count"}}, // between count schedulers and the workers' part
+	"slow":        {[]string{"factor", "for_s"}, []string{"part"}},
+	"burst":       {[]string{"times", "for_s"}, nil},
+	"stale":       {[]string{"delay_s", "for_s"}, nil},              // discovery's news comes later
+	"lost-roster": {[]string{"for_s"}, nil},                         // discovery says nothing at all
+	"drain":       {[]string{"every_s", "for_s"}, []string{"part"}}, // a rolling release of workers
+	"restart":     {[]string{"every_s"}, []string{"count"}},         // SIGTERM of one scheduler after another
+	"kill":        {[]string{"for_s"}, []string{"count", "every_s"}},
+	"reload":      {nil, []string{"count", "every_s"}}, // SIGHUP with another address of discovery
+	"rude":        {[]string{"rate", "for_s"}, nil},
+}
+
+// Range is a number, or two between which a seed draws.
+type Range struct {
+	Lo, Hi float64
+	Given  bool // in the file
+}
+
+// UnmarshalYAML reads a number or a list of two.
+func (r *Range) UnmarshalYAML(n *yaml.Node) error {
+	var list []float64
+	if n.Kind == yaml.ScalarNode {
+		list = make([]float64, 1)
+		if err := n.Decode(&list[0]); err != nil {
+			return fmt.Errorf("line %d: %q is no number", n.Line, n.Value)
+		}
+	} else if err := n.Decode(&list); err != nil || len(list) != 2 || list[0] > list[1] {
+		return fmt.Errorf("line %d: a number is wanted, or [least, most]", n.Line)
+	}
+	*r = Range{list[0], list[len(list)-1], true}
+	return nil
+}
+
+// String writes a Range as files have it.
+func (r Range) String() string {
+	if r.Lo == r.Hi {
+		return strconv.FormatFloat(r.Lo, 'g', -1, 64)
+	}
+	return fmt.Sprintf("[%g, %g]", r.Lo, r.Hi)
+}
+
+// Names lists the scenarios that the program has, the plain one first.
+func Names() []string {
+	entries, err := embedded.ReadDir("files")
+	if err != nil {
+		panic(err) // they are part of the program
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".yaml"))
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return strings.Compare(strings.Replace(a, "calm", "", 1), strings.Replace(b, "calm", "", 1))
+	})
+	return names
+}
+
+// Text is the file of a scenario that the program has.
+func Text(name string) ([]byte, error) {
+	raw, err := embedded.ReadFile(path.Join("files", name+".yaml"))
+	if err != nil {
+		return nil, fmt.Errorf("no scenario is called %q; there are %s", name, strings.Join(Names(), ", "))
+	}
+	return raw, nil
+}
+
+// Get returns a scenario that the program has.
+func Get(name string) (*Scenario, error) {
+	raw, err := Text(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name+".yaml", raw)
+}
+
+// Load reads a scenario from a file.
+func Load(file string) (*Scenario, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxFile {
+		return nil, fmt.Errorf("%s: over %d bytes", file, maxFile)
+	}
+	return Parse(file, raw)
+}
+
+const maxFile = 1 << 20
+
+// Parse reads a scenario. An error names the file, the line and the key.
+func Parse(file string, raw []byte) (*Scenario, error) {
+	s := &Scenario{}
+	var root yaml.Node
+	err := yaml.Unmarshal(raw, &root)
+	if err == nil {
+		dec := yaml.NewDecoder(bytes.NewReader(raw))
+		dec.KnownFields(true)
+		if err = dec.Decode(s); err == nil && dec.Decode(new(yaml.Node)) != io.EOF {
+			err = errors.New("a second document")
+		}
+		if errors.Is(err, io.EOF) {
+			err = errors.New("it is empty")
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %s", file, explain(&root, err))
+	}
+	if err := s.check(); err != nil {
+		var m *mistake
+		if errors.As(err, &m) {
+			return nil, fmt.Errorf("%s: line %d: %w", file, lineOf(&root, m.path), err)
+		}
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+var (
+	unknownField = regexp.MustCompile(`line (\d+): field (\S+) not found in type \S+`)
+	typeError    = regexp.MustCompile(`line (\d+): (.*)`)
+)
+
+// explain puts an error of the decoder in one line that names the key.
+func explain(root *yaml.Node, err error) string {
+	text := strings.TrimPrefix(strings.TrimPrefix(err.Error(), "yaml: "), "unmarshal errors:\n")
+	first, _, _ := strings.Cut(strings.TrimSpace(text), "\n")
+	if m := unknownField.FindStringSubmatch(first); m != nil {
+		return fmt.Sprintf("line %s: %s: there is no such key", m[1], m[2])
+	}
+	if m := typeError.FindStringSubmatch(first); m != nil {
+		line, _ := strconv.Atoi(m[1])
+		if key := keyAt(root, "", line); key != "" {
+			return fmt.Sprintf("line %d: %s: %s", line, key, m[2])
+		}
+	}
+	return first
+}
+
+// keyAt finds the innermost key whose value stands in a line.
+func keyAt(n *yaml.Node, at string, line int) (found string) {
+	for i, c := range n.Content {
+		name := at
+		switch n.Kind {
+		case yaml.MappingNode:
+			if i%2 == 0 {
+				continue
+			}
+			name = strings.TrimPrefix(at+"."+n.Content[i-1].Value, ".")
+			if c.Line == line && found == "" {
+				found = name
+			}
+		case yaml.SequenceNode:
+			name = fmt.Sprintf("%s[%d]", at, i)
+		}
+		if inner := keyAt(c, name, line); inner != "" {
+			found = inner
+		}
+	}
+	return found
+}
+
+// lineOf finds the line of a path such as troubles, 1, for_s; the nearest one above it if it isn't there.
+func lineOf(n *yaml.Node, path []string) int {
+	line := max(1, n.Line)
+	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
+		return lineOf(n.Content[0], path)
+	}
+	if len(path) == 0 {
+		return line
+	}
+	switch n.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if n.Content[i].Value == path[0] {
+				return max(n.Content[i].Line, lineOf(n.Content[i+1], path[1:]))
+			}
+		}
+	case yaml.SequenceNode:
+		if i, err := strconv.Atoi(path[0]); err == nil && i < len(n.Content) {
+			return lineOf(n.Content[i], path[1:])
+		}
+	}
+	return line
+}
+
+// mistake is a value that makes no sense.
+type mistake struct {
+	path []string
+	what string
+}
+
+func (m *mistake) Error() string {
+	var b strings.Builder
+	for i, p := range m.path {
+		if _, err := strconv.Atoi(p); err == nil {
+			fmt.Fprintf(&b, "[%s]", p)
+			continue
+		}
+		if i > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(p)
+	}
+	return b.String() + ": " + m.what
+}
+
+// within checks a range of numbers that a file gives; one that it leaves out has its default.
+func within(r Range, lo, hi float64, path ...string) error {
+	switch {
+	case !r.Given:
+	case !(r.Lo >= lo && r.Hi <= hi):
+		return &mistake{path, fmt.Sprintf("%s is not between %g and %g", r, lo, hi)}
+	case slices.Contains(whole, path[len(path)-1]) && (r.Lo != math.Trunc(r.Lo) || r.Hi != math.Trunc(r.Hi)):
+		return &mistake{path, fmt.Sprintf("%s is no whole number", r)}
+	}
+	return nil
+}
+
+// whole are the keys of what comes in whole numbers only.
+var whole = []string{"workers", "schedulers", "retries", "sockets", "count"}
+
+// The limits of a scenario. A fleet beyond them would not fit on a machine.
+const (
+	MaxSeconds    = 3600
+	MaxWorkers    = 1000
+	MaxSchedulers = 32
+	MaxRate       = 50_000
+)
+
+func (s *Scenario) check() error {
+	if s.Name == "" || strings.ContainsAny(s.Name, "/\\ \t\n") {
+		return &mistake{[]string{"name"}, "a scenario needs a name without blanks and slashes"}
+	}
+	if s.Shape != "" && s.Shape != "steady" && s.Shape != "wave" {
+		return &mistake{[]string{"shape"}, fmt.Sprintf("%q is neither steady nor wave", s.Shape)}
+	}
+	err := errors.Join(
+		within(s.Seconds, 1, MaxSeconds, "seconds"), within(s.Workers, 1, MaxWorkers, "workers"),
+		within(s.Schedulers, 1, MaxSchedulers, "schedulers"), within(s.Rate, 0.1, MaxRate, "rate"),
+		within(s.Load, 0.01, 5, "load"), within(s.Swing, 0, 0.95, "swing"), within(s.PeriodS, 1, MaxSeconds, "period_s"),
+		within(s.Retries, 0, 5, "retries"), within(s.SkewZones, 0, 1, "zone_skew"),
+		within(s.ErrorRate, 0, 1, "error_rate"), within(s.Rude, 0, 200, "rude"),
+		within(s.MemoryMB, 16, 65536, "memory_mb"), within(s.Sockets, 64, 65536, "sockets"))
+	for i := range s.Troubles {
+		err = errors.Join(err, s.Troubles[i].check(i))
+	}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()[0] // one line is enough: the first
+	}
+	return err
+}
+
+func (t *Trouble) check(i int) error {
+	kind, ok := Kinds[t.Kind]
+	at := func(key string) []string { return []string{"troubles", strconv.Itoa(i), key} }
+	if !ok {
+		names := make([]string, 0, len(Kinds))
+		for name := range Kinds {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		return &mistake{at("kind"), fmt.Sprintf("%q is none of %s", t.Kind, strings.Join(names, ", "))}
+	}
+	for _, f := range []struct {
+		key    string
+		r      Range
+		lo, hi float64
+	}{
+		{"at_s", t.At, 0, MaxSeconds}, {"for_s", t.For, 0.05, MaxSeconds}, {"after_s", t.After, 0, MaxSeconds},
+		{"part", t.Part, 0.001, 1}, {"count", t.Count, 1, 1000}, {"every_s", t.Every, 0.05, MaxSeconds},
+		{"times", t.Times, 0.1, 20}, {"factor", t.Factor, 0.1, 100}, {"delay_s", t.Delay, 0, MaxSeconds},
+		{"rate", t.Rate, 0.1, 200},
+	} {
+		needed := slices.Contains(kind.Needs, f.key)
+		known := needed || slices.Contains(kind.May, f.key) || f.key == "at_s" || f.key == "after_s"
+		switch {
+		case f.r.Given && !known:
+			return &mistake{at(f.key), "a trouble of kind " + t.Kind + " has no such key"}
+		case needed && !f.r.Given:
+			return &mistake{at(f.key), "a trouble of kind " + t.Kind + " needs it"}
+		}
+		if err := within(f.r, f.lo, f.hi, at(f.key)...); err != nil {
+			return err
+		}
+	}
+	if t.At.Given && t.After.Given {
+		return &mistake{at("after_s"), "give at_s or after_s, not both"}
+	}
+	if t.After.Given && i == 0 {
+		return &mistake{at("after_s"), "there is no trouble before this one"}
+	}
+	return nil
+}
--- /dev/null
+++ b/rehearse/scenario/scenario_test.go
@@ -0,0 +1,135 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+func draw(t *testing.T, name string, seed uint64, ch Changes) *Plan {
+	t.Helper()
+	s, err := Get(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := s.Draw(seed, ch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestEveryScenarioOfTheProgramIsUsable(t *testing.T) {
+	names := Names()
+	if len(names) < 14 || names[0] != "calm" {
+		t.Fatalf("scenarios: %v", names)
+	}
+	for _, name := range names {
+		p := draw(t, name, 7, Changes{})
+		if p.Scenario != name || p.About == "" {
+			t.Errorf("%s.yaml says that it is %q, about %q", name, p.Scenario, p.About)
+		}
+		if name != "calm" && name != "wide" && len(p.Shades) == 0 {
+			t.Errorf("%s has no trouble", name)
+		}
+		for _, st := range p.Steps {
+			if st.At > p.Length {
+				t.Errorf("%s: %s at %s, after the last arrival at %s", name, st.Do, st.At, p.Length)
+			}
+		}
+		if p.Load < 0.3 || p.Load > 0.7 {
+			t.Errorf("%s: load %.2f", name, p.Load)
+		}
+	}
+}
+
+func TestASeedDrawsOnePlanAndAnotherAnother(t *testing.T) {
+	a, b, c := draw(t, "overlap", 3, Changes{}), draw(t, "overlap", 3, Changes{}), draw(t, "overlap", 4, Changes{})
+	if !reflect.DeepEqual(a, b) {
+		t.Error("one seed, two plans")
+	}
+	if reflect.DeepEqual(a.Steps, c.Steps) || reflect.DeepEqual(a.Workers, c.Workers) {
+		t.Error("two seeds, one plan")
+	}
+}
+
+// Runs are compared in pairs by seed, so a change of one thing must leave what else was drawn as it was.
+func TestAChangeLeavesTheRestAsDrawn(t *testing.T) {
+	plain, fast := draw(t, "crash", 5, Changes{}), draw(t, "crash", 5, Changes{Rate: 58})
+	if !reflect.DeepEqual(plain.Workers, fast.Workers) || !reflect.DeepEqual(plain.Steps, fast.Steps) ||
+		!reflect.DeepEqual(plain.Classes, fast.Classes) {
+		t.Error("another rate changed more than the rate")
+	}
+	if r := fast.Load / plain.Load; r < 1.99 || r > 2.01 {
+		t.Errorf("twice the rate makes %.3f times the load", r)
+	}
+	more := draw(t, "crash", 5, Changes{Workers: 2 * len(plain.Workers)})
+	if !reflect.DeepEqual(more.Workers[0].Name, plain.Workers[0].Name) || more.Load > plain.Load*0.7 {
+		t.Errorf("twice the workers: load %.2f of %.2f", more.Load, plain.Load)
+	}
+	given := draw(t, "crash", 5, Changes{Rate: 500, Workers: 100, Load: 0.4})
+	if given.Load < 0.399 || given.Load > 0.401 || len(given.Workers) != 100 {
+		t.Errorf("load %.3f asked for 0.4", given.Load)
+	}
+	if n := len(given.Steps[0].Workers); n != 22 {
+		t.Errorf("%d of 100 workers crash, want 22", n)
+	}
+}
+
+func TestOutOfRangeOnTheCommandLine(t *testing.T) {
+	s, _ := Get("calm")
+	for _, ch := range []Changes{{Rate: -1}, {Seconds: 1e9}, {Workers: -3}, {Schedulers: 1000}, {Load: 50}} {
+		if _, err := s.Draw(1, ch); err == nil || !strings.Contains(err.Error(), "--") {
+			t.Errorf("%+v: %v", ch, err)
+		}
+	}
+}
+
+func TestMistakesNameFileLineAndKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"name: a\nsecnds: 3\n":     "x.yaml: line 2: secnds: there is no such key",
+		"name: a\nseconds: soon\n": `x.yaml: line 2: seconds: "soon" is no number`,
+		"name: a\nseconds: 0\n":    "x.yaml: line 2: seconds: 0 is not between 1 and 3600",
+		"name: a\nseconds: .nan\n": "x.yaml: line 2: seconds: NaN is not between",
+		"name: a\nworkers: 3.5\n":  "x.yaml: line 2: workers: 3.5 is no whole number",
+		"name: a\nrate: [9, 3]\n":  "x.yaml: line 2: rate: a number is wanted, or [least, most]",
+		"name: a\nname: b\n":       "x.yaml: line 2: ",
+		"name: a\n---\nname: b\n":  "x.yaml: a second document",
+		"":                         "x.yaml: it is empty",
+		"seconds: 3\n":             "x.yaml: line 1: name: a scenario needs a name",
+		"name: a\nshape: round\n":  "x.yaml: line 2: shape: ",
+		"name: a\ntroubles:\n- kind: crash\n  at_s: 1\n":                     "x.yaml: line 3: troubles[0].part: a trouble of kind crash needs it",
+		"name: a\ntroubles:\n- kind: quake\n":                                `x.yaml: line 3: troubles[0].kind: "quake" is none of burst, crash`,
+		"name: a\ntroubles:\n- kind: crash\n  what: 1\n":                     "x.yaml: line 4: what: there is no such key",
+		"name: a\ntroubles:\n- {kind: burst, for_s: 1, times: 2, part: 1}\n": "x.yaml: line 3: troubles[0].part: a trouble of kind burst has no such key",
+		"name: a\ntroubles:\n- kind: crash\n  part: 7\n  for_s: 1\n":         "x.yaml: line 4: troubles[0].part: 7 is not between 0.001 and 1",
+		"name: a\ntroubles:\n- {kind: reload, after_s: 1}\n":                 "x.yaml: line 3: troubles[0].after_s: there is no trouble before",
+		"name: a\nname\n": "x.yaml: line ",
+	} {
+		_, err := Parse("x.yaml", []byte(text))
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q:\n got %v\nwant %s", text, err, want)
+		}
+	}
+}
+
+func TestLoadsAFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "mine.yaml")
+	if err := os.WriteFile(file, []byte("name: mine\nseconds: 3\ntroubles:\n- {kind: kill, at_s: 0, for_s: 1}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := s.Draw(1, Changes{})
+	if err != nil || len(p.Steps) != 1 || p.Steps[0].Do != Kill || p.Steps[0].At != 0 || p.Length != 3*time.Second {
+		t.Errorf("%+v, %v", p, err)
+	}
+	if _, err := Load(file + "x"); err == nil {
+		t.Error("a file that is not there")
+	}
+}
