--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -99,7 +99,7 @@
 
 // String writes a Range as files have it.
 func (r Range) String() string {
-	if r.Lo == r.Hi {
+	if r.Lo == r.Hi || math.IsNaN(r.Lo) {
 		return strconv.FormatFloat(r.Lo, 'g', -1, 64)
 	}
 	return fmt.Sprintf("[%g, %g]", r.Lo, r.Hi)
