--- /dev/null
+++ b/core/world/keys.go
@@ -0,0 +1,110 @@
+package world
+
+import "sync"
+
+const (
+	keysCap  = 1 << 20
+	keysLate = 5 * 1_000_000_000 // how far workers that share the keys may be apart in time
+)
+
+// Keys is what all workers of a fleet know of the keys that took effect. A key is remembered for the window of the run
+// that took effect, its last moment included, and a run that is dropped doesn't make that longer. It holds the keys of
+// one window and 5 s more, so that workers may be told of time up to that far apart, and a million at most: beyond that
+// the one nearest its end is forgotten early, which Forgotten counts. It may be shared by goroutines.
+type Keys struct {
+	mu        sync.Mutex
+	now       Time
+	by        map[string]*keyed
+	expiry    []*keyed // a heap by until
+	most      int
+	forgotten int
+}
+
+type keyed struct {
+	key       string
+	at, until Time
+	index     int
+}
+
+// NewKeys begins with no key known.
+func NewKeys() *Keys { return &Keys{by: map[string]*keyed{}, most: keysCap} }
+
+// Forgotten counts the keys that were forgotten early. Should there be any, a repeat may have taken effect that a real
+// fleet would have dropped.
+func (k *Keys) Forgotten() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.forgotten
+}
+
+// effect says whether a run that ended at that time takes effect.
+func (k *Keys) effect(key string, at, window Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.now = max(k.now, at)
+	for len(k.expiry) > 0 && k.expiry[0].until+keysLate < k.now {
+		k.drop()
+	}
+	if e := k.by[key]; e != nil {
+		// A run that ended before the one that was told first is the repeat all the same: one of them only counts.
+		if at <= e.until && at >= e.at-(e.until-e.at) {
+			return false
+		}
+		if at < e.at {
+			return true
+		}
+		e.at, e.until = at, at+max(window, 0)
+		k.sink(e.index)
+		k.rise(e.index)
+		return true
+	}
+	if len(k.expiry) >= k.most {
+		k.drop()
+		k.forgotten++
+	}
+	e := &keyed{key: key, at: at, until: at + max(window, 0), index: len(k.expiry)}
+	k.by[key] = e
+	k.expiry = append(k.expiry, e)
+	k.rise(e.index)
+	return true
+}
+
+// drop forgets the key that ends first.
+func (k *Keys) drop() {
+	n := len(k.expiry) - 1
+	delete(k.by, k.expiry[0].key)
+	k.swap(0, n)
+	k.expiry[n] = nil
+	k.expiry = k.expiry[:n]
+	k.sink(0)
+}
+
+func (k *Keys) swap(i, j int) {
+	h := k.expiry
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (k *Keys) rise(i int) {
+	for i > 0 && k.expiry[i].until < k.expiry[(i-1)/2].until {
+		k.swap(i, (i-1)/2)
+		i = (i - 1) / 2
+	}
+}
+
+func (k *Keys) sink(i int) {
+	for {
+		c := 2*i + 1
+		if c >= len(k.expiry) {
+			return
+		}
+		if c+1 < len(k.expiry) && k.expiry[c+1].until < k.expiry[c].until {
+			c++
+		}
+		if k.expiry[c].until >= k.expiry[i].until {
+			return
+		}
+		k.swap(i, c)
+		i = c
+	}
+}
