--- a/core/world/roster.go
+++ b/core/world/roster.go
@@ -208,22 +208,24 @@
 		index, entries = r.Held(scheduler)
 		return index, true, entries
 	}
-	changed := map[string]int{}
 	for _, b := range r.log {
-		if b.index <= after || b.index > a.index {
-			continue
+		if b.index > after && b.index <= a.index {
+			entries = append(entries, b.entries...)
 		}
-		for _, e := range b.entries {
-			if i, ok := changed[e.Worker]; ok {
-				entries[i] = e
-				continue
-			}
-			changed[e.Worker] = len(entries)
-			entries = append(entries, e)
+	}
+	return a.index, false, latest(entries)
+}
+
+// latest sorts entries by name and keeps the last of each worker.
+func latest(entries []history.Entry) []history.Entry {
+	slices.SortStableFunc(entries, func(a, b history.Entry) int { return strings.Compare(a.Worker, b.Worker) })
+	kept := entries[:0]
+	for i, e := range entries {
+		if i+1 == len(entries) || entries[i+1].Worker != e.Worker {
+			kept = append(kept, e)
 		}
 	}
-	slices.SortFunc(entries, func(a, b history.Entry) int { return strings.Compare(a.Worker, b.Worker) })
-	return a.index, false, entries
+	return kept
 }
 
 // run does all but the arrivals, which wait for Advance.
@@ -275,17 +277,12 @@
 		if known && old.entry == n.entry {
 			continue
 		}
-		i := slices.IndexFunc(entries, func(e history.Entry) bool { return e.Worker == n.entry.Worker })
-		if i >= 0 {
-			entries[i] = n.entry
-		} else {
-			entries = append(entries, n.entry)
-		}
+		entries = append(entries, n.entry)
 	}
 	if len(entries) == 0 {
 		return
 	}
-	slices.SortFunc(entries, func(a, b history.Entry) int { return strings.Compare(a.Worker, b.Worker) })
+	entries = latest(entries)
 	r.index++
 	r.log = append(r.log, batch{r.index, entries})
 	r.logged += len(entries)
--- a/core/world/worker.go
+++ b/core/world/worker.go
@@ -15,8 +15,8 @@
 )
 
 // Worker is one auth worker: a machine with a process that dies and starts again. It does nothing by itself: each call
-// first does all that was due up to and including its time, in order, and appends it to the effects. The same calls give
-// the same effects, no matter how many calls of Advance lie in between. It is not safe for concurrent use.
+// first does all that was due up to and including its time, in order, and appends it to the effects. The same calls
+// give the same effects, no matter how many calls of Advance lie in between. It is not safe for concurrent use.
 //
 // What it holds is bounded by its slots, its queue and the sends of one FallWindow.
 //
@@ -80,8 +80,8 @@
 	cost Time
 }
 
-// NewWorker describes a worker whose process has yet to start. The keys are those of its fleet. Cores, slots and a speed
-// under the least that makes sense count as 1; Conns of 0 is no cap.
+// NewWorker describes a worker whose process has yet to start. The keys are those of its fleet. Cores, slots and a
+// speed under the least that makes sense count as 1; Conns of 0 is no cap.
 func NewWorker(spec Spec, keys *Keys, seed uint64) *Worker {
 	spec.Cores, spec.Slots = max(spec.Cores, 1), max(spec.Slots, 1)
 	if !(spec.Speed > 0) {
@@ -571,4 +571,3 @@
 		i = c
 	}
 }
-
