--- /dev/null
+++ b/core/traffic/draw.go
@@ -0,0 +1,313 @@
+package traffic
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laddertide/core/history"
+)
+
+// WorkCap bounds a job's running time, in means of its class. The distribution is scaled so that its mean stays what
+// the class says although it is cut off there.
+const WorkCap = 20
+
+// Bounds of what may be drawn.
+const (
+	maxArrivals = 20_000_000
+	maxCV       = 10
+	maxFactor   = 1000 // of the rate, over the usual
+	maxBody     = 64 << 10
+)
+
+// Stream is a source of chance of its own for a seed and a label, so that drawing more for one purpose leaves what is
+// drawn for another as it was.
+func Stream(seed uint64, label string) *rand.Rand { return rand.New(rand.NewPCG(seed, mark(label))) }
+
+func mark(label string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(label))
+	return h.Sum64()
+}
+
+// Check says what is wrong with a plan.
+func (p *Plan) Check() error {
+	bad := func(x float64) bool { return math.IsNaN(x) || math.IsInf(x, 0) || x < 0 }
+	switch {
+	case bad(p.Rate):
+		return fmt.Errorf("traffic: a rate of %v", p.Rate)
+	case p.Length < 0:
+		return fmt.Errorf("traffic: a length of %v", p.Length)
+	case p.Shape != "" && p.Shape != "steady" && p.Shape != "wave" && p.Shape != "burst":
+		return fmt.Errorf("traffic: no shape is called %q", p.Shape)
+	case p.Shape == "wave" && (bad(p.Swing) || p.Swing > 1 || p.Period <= 0):
+		return fmt.Errorf("traffic: a wave of depth %v every %v", p.Swing, p.Period)
+	case math.IsNaN(p.Hint) || p.Hint > 5:
+		return fmt.Errorf("traffic: hints that spread by %v", p.Hint)
+	case p.Body[0] < 0 || p.Body[1] < p.Body[0] || p.Body[1] > maxBody:
+		return fmt.Errorf("traffic: bodies of %d to %d bytes", p.Body[0], p.Body[1])
+	case bad(p.Memory[0]) || bad(p.Memory[1]) || p.Memory[1] < p.Memory[0]:
+		return fmt.Errorf("traffic: jobs with memory of %v to %v", p.Memory[0], p.Memory[1])
+	}
+	most := 1.0
+	if p.Shape == "wave" {
+		most += p.Swing
+	}
+	for i, b := range p.Bursts {
+		if bad(b.Size) || b.At < 0 || b.Length < 0 || b.Rise < 0 || b.Fall < 0 {
+			return fmt.Errorf("traffic: burst %d is %+v", i, b)
+		}
+		most *= max(1, b.Size)
+	}
+	if most > maxFactor {
+		return fmt.Errorf("traffic: bursts that multiply to %v", most)
+	}
+	if n := p.Rate * most * p.Length.Seconds(); n > maxArrivals {
+		return fmt.Errorf("traffic: %.0f jobs; at most %d can be drawn", n, maxArrivals)
+	}
+	var classes, tenants []float64
+	for _, c := range p.Classes {
+		if c.Work <= 0 || bad(c.CV) || c.CV > maxCV {
+			return fmt.Errorf("traffic: class %q runs %v with a coefficient of variation of %v", c.Name, c.Work, c.CV)
+		}
+		if c.Dist != "lognormal" && c.Dist != "pareto" {
+			return fmt.Errorf("traffic: class %q: no distribution is called %q", c.Name, c.Dist)
+		}
+		classes = append(classes, c.Share)
+	}
+	for _, t := range p.Tenants {
+		tenants = append(tenants, t.Share)
+	}
+	for what, shares := range map[string][]float64{"classes": classes, "tenants": tenants, "zones": p.Zones} {
+		sum := 0.0
+		for _, s := range shares {
+			if bad(s) {
+				return fmt.Errorf("traffic: %s: a share of %v", what, s)
+			}
+			sum += s
+		}
+		if sum <= 0 || bad(sum) {
+			return errors.New("traffic: " + what + ": the shares come to nothing")
+		}
+	}
+	return nil
+}
+
+// Factor is what the rate is multiplied by at a time. A burst begins to rise at At and to fall at At + Length.
+func (p *Plan) Factor(t Time) float64 {
+	f := 1.0
+	if p.Shape == "wave" {
+		f += float64(p.Swing * math.Sin(2*math.Pi*float64(t%p.Period)/float64(p.Period)))
+	}
+	for _, b := range p.Bursts {
+		f *= 1 + float64((b.Size-1)*b.height(t))
+	}
+	return f
+}
+
+// height is how much of a burst is there at a time, 0 to 1.
+func (b Burst) height(t Time) float64 {
+	up := func(d Time) float64 {
+		if d >= b.Rise {
+			return 1
+		}
+		return float64(d) / float64(b.Rise)
+	}
+	switch past := t - b.At; {
+	case past < 0:
+		return 0
+	case past < b.Length:
+		return up(past)
+	case past < b.Length+b.Fall:
+		return up(b.Length) * (1 - float64(past-b.Length)/float64(b.Fall))
+	}
+	return 0
+}
+
+// Draw draws the arrivals of a plan in the order of time, within [0, Length). The same plan gives the same arrivals
+// anywhere: what floating point leaves open between machines is rounded off, to microseconds and hundredths.
+//
+// Arrivals are the points of a Poisson process in the plane of time and height that lie under the factor of the rate,
+// drawn in layers of height 1. So a burst adds arrivals and leaves the others as they are, and each arrival draws all
+// it is made of from a seed of its own.
+func Draw(p Plan) ([]Arrival, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	d := newDrawer(&p)
+	var out []Arrival
+	if p.Rate > 0 {
+		top := 1.0
+		if p.Shape == "wave" {
+			top += p.Swing
+		}
+		for _, b := range p.Bursts {
+			top *= max(1, b.Size)
+		}
+		for layer := 0; float64(layer) < top; layer++ {
+			times := Stream(p.Seed, fmt.Sprintf("times %d", layer))
+			marks := Stream(p.Seed, fmt.Sprintf("marks %d", layer))
+			gap := float64(time.Second) / p.Rate
+			for t := Time(0); ; {
+				t += Time(min(times.ExpFloat64()*gap, float64(p.Length)) + 0.5)
+				if t >= p.Length {
+					break
+				}
+				height, seed := float64(layer)+marks.Float64(), marks.Uint64()
+				if height < p.Factor(t) {
+					out = append(out, d.arrival(t.Truncate(time.Microsecond), seed))
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Arrival) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Chance, b.Chance))
+	})
+	return out, nil
+}
+
+// drawer draws what an arrival is made of.
+type drawer struct {
+	plan                    *Plan
+	classes, tenants, zones []float64 // shares, added up
+	scales                  []float64 // by class: the lognormal's median or the pareto's least, in nanoseconds
+	source                  *rand.PCG
+	chance                  *rand.Rand
+}
+
+func newDrawer(p *Plan) *drawer {
+	d := &drawer{plan: p, source: rand.NewPCG(0, 0)}
+	d.chance = rand.New(d.source)
+	sum := 0.0
+	for _, c := range p.Classes {
+		sum += c.Share
+		d.classes = append(d.classes, sum)
+		d.scales = append(d.scales, scale(c))
+	}
+	sum = 0
+	for _, t := range p.Tenants {
+		sum += t.Share
+		d.tenants = append(d.tenants, sum)
+	}
+	sum = 0
+	for _, z := range p.Zones {
+		sum += z
+		d.zones = append(d.zones, sum)
+	}
+	return d
+}
+
+// The purposes that an arrival draws for.
+const (
+	forClass uint64 = iota
+	forTenant
+	forZone
+	forWork
+	forHint
+	forKey
+	forObject
+	forBody
+	forMemory
+	forClient
+)
+
+// to begins the stream of one purpose of one arrival.
+func (d *drawer) to(seed, purpose uint64) *rand.Rand {
+	d.source.Seed(seed, purpose)
+	return d.chance
+}
+
+func (d *drawer) arrival(at Time, seed uint64) Arrival {
+	p := d.plan
+	a := Arrival{At: at, Slots: 1,
+		Class:  among(d.classes, d.to(seed, forClass)),
+		Tenant: among(d.tenants, d.to(seed, forTenant)),
+		Zone:   among(d.zones, d.to(seed, forZone)),
+	}
+	class := p.Classes[a.Class]
+	a.Work = work(class, d.scales[a.Class], d.to(seed, forWork))
+	if p.Hint >= 0 {
+		a.Hint = rounded(float64(a.Work) * math.Exp(p.Hint*d.to(seed, forHint).NormFloat64()))
+	}
+	if class.Repeat == history.Keyed {
+		chance := d.to(seed, forKey)
+		a.Key = fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())
+	}
+	a.Object = fmt.Sprintf("%016x", d.to(seed, forObject).Uint64())
+	a.Body = p.Body[0] + d.to(seed, forBody).IntN(p.Body[1]-p.Body[0]+1)
+	a.Memory = p.Memory[0] + float64((p.Memory[1]-p.Memory[0])*d.to(seed, forMemory).Float64())
+	a.Memory = math.Round(a.Memory*100) / 100
+	a.Chance = d.to(seed, forClient).Uint64()
+	return a
+}
+
+// among draws a place by shares that are added up. A share of nothing is never drawn.
+func among(sums []float64, chance *rand.Rand) int {
+	at := chance.Float64() * sums[len(sums)-1]
+	for i, sum := range sums {
+		if at < sum {
+			return i
+		}
+	}
+	return len(sums) - 1
+}
+
+// rounded is a time of so many nanoseconds, in whole microseconds, at least one.
+func rounded(ns float64) Time {
+	return max(1, Time(math.Round(min(ns, 1e15)/1e3))) * time.Microsecond
+}
+
+// work draws a running time.
+func work(c Class, scale float64, chance *rand.Rand) Time {
+	x := scale
+	switch {
+	case c.CV == 0:
+	case c.Dist == "pareto":
+		x *= math.Pow(1-chance.Float64(), -1/shape(c.CV))
+	default:
+		x *= math.Exp(sigma(c.CV) * chance.NormFloat64())
+	}
+	return min(rounded(min(x, WorkCap*float64(c.Work))), max(time.Microsecond, WorkCap*c.Work))
+}
+
+// sigma is a lognormal's, by its coefficient of variation.
+func sigma(cv float64) float64 { return math.Sqrt(math.Log1p(cv * cv)) }
+
+// shape is a pareto's, by its coefficient of variation.
+func shape(cv float64) float64 { return 1 + math.Sqrt(1+1/(cv*cv)) }
+
+// scale finds by halving where a class's distribution must begin for its mean, cut off at WorkCap, to be right.
+func scale(c Class) float64 {
+	mean := float64(c.Work)
+	if c.CV == 0 {
+		return mean
+	}
+	most := WorkCap * mean
+	low, high := 0.0, most
+	for range 100 {
+		mid := (low + high) / 2
+		if cutMean(c, mid, most) < mean {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return high
+}
+
+// cutMean is the mean of the lesser of most and a draw of the class's distribution with this scale.
+func cutMean(c Class, scale, most float64) float64 {
+	if c.Dist == "pareto" {
+		a := shape(c.CV)
+		return (a*scale - most*math.Pow(scale/most, a)) / (a - 1)
+	}
+	s := sigma(c.CV)
+	below := func(x float64) float64 { return 0.5 * math.Erfc(-x/math.Sqrt2) }
+	far := math.Log(most/scale) / s
+	return scale*math.Exp(s*s/2)*below(far-s) + most*below(-far)
+}
--- /dev/null
+++ b/rehearse/clients/client.go
@@ -0,0 +1,334 @@
+package clients
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+	"laddertide/rehearse/book"
+)
+
+// job is the life of one client: its first try, and those that follow from what it sees.
+func (k *kit) job(i int, a *traffic.Arrival, due time.Duration) {
+	class := k.class(a)
+	whole := micro(class.Deadline)
+	first, sent := k.id(a, 0), time.Duration(0)
+	for try := 0; ; try++ {
+		now := k.Record.Since()
+		left := whole
+		if try == 0 {
+			k.late[i] = now - due
+			sent = now
+		} else {
+			left -= now - sent
+		}
+		left = left.Truncate(time.Millisecond)
+		if left <= 0 {
+			return
+		}
+		t := &one{kit: k, a: a, id: k.id(a, try), try: try, limit: left}
+		k.ask(a, t.id, first, try, due, left.Microseconds())
+		out, after := t.play()
+		if k.ctx.Err() != nil {
+			return
+		}
+		if try == 0 && t.sent > 0 {
+			sent = t.sent
+		}
+		now = k.Record.Since()
+		wait, again := k.Retry.Next(traffic.Stream(a.Chance, "retry"), class.Repeat, try, whole-(now-sent), now-sent,
+			micro(class.Window), out, after)
+		if !again {
+			return
+		}
+		due = now + wait
+		if !k.sleep(wait) {
+			return
+		}
+	}
+}
+
+func micro(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// ask records that a client is about to send.
+func (k *kit) ask(a *traffic.Arrival, id, first string, try int, due time.Duration, limit int64) {
+	k.tally.asks.Add(1)
+	k.Record.Add(history.Event{Kind: history.KindAsk, Request: id, First: first, Try: try, Class: k.class(a).Name,
+		Tenant: k.Plan.Tenants[a.Tenant].Name, Zone: k.Zones[a.Zone], Key: a.Key, Work: a.Work.Microseconds(),
+		Due: due.Microseconds(), Limit: limit})
+}
+
+// unsent records that a request's last byte did not go out.
+func (k *kit) unsent(id, scheduler, note string) {
+	k.tally.unsent.Add(1)
+	k.Record.Add(history.Event{Kind: history.KindUnsent, Request: id, Scheduler: scheduler, Note: note})
+}
+
+// one is a try: a request of its own.
+type one struct {
+	kit   *kit
+	a     *traffic.Arrival
+	id    string
+	try   int
+	limit time.Duration // which the client will wait, from the last byte on
+	sent  time.Duration // when the last byte was written first; 0: it was not
+}
+
+// play sends the request and waits for what becomes of it.
+func (t *one) play() (traffic.Outcome, time.Duration) {
+	k := t.kit
+	buf := k.bodies.Get().(*[]byte)
+	defer k.bodies.Put(buf)
+	*buf = t.request((*buf)[:0])
+	patience := t.limit + micro(k.Rules.Slack+k.Rules.AnswerSlack)
+
+	var c *conn
+	var wait chan answer
+	again := false
+	for renewed := false; ; {
+		until := k.Record.Since() + dialLimit + writeLimit + patience + k.Grace + time.Second
+		fresh := false
+		if c == nil {
+			wait = make(chan answer, 1)
+			at, err := 0, error(nil)
+			if c, at, fresh, err = k.reach(t.a.Zone, t.id, wait, until); err != nil {
+				if k.ctx.Err() == nil {
+					name := ""
+					if at >= 0 {
+						name = k.Schedulers[at].Name
+					}
+					k.unsent(t.id, name, cause(err))
+				}
+				return traffic.Unreachable, 0
+			}
+		} else {
+			fresh = true
+		}
+		age := int64(0)
+		if fresh {
+			age = max(1, (k.Record.Since() - c.opened).Microseconds())
+		}
+		c.nc.SetWriteDeadline(time.Now().Add(min(writeLimit, patience)))
+		if n, err := c.nc.Write(*buf); err != nil {
+			out, after, note := t.cut(wait, n, err)
+			c.drop()
+			if k.ctx.Err() != nil {
+				return out, 0
+			}
+			k.unsent(t.id, c.place.Name, note)
+			if fresh || renewed || out != traffic.Unreachable {
+				return out, after
+			}
+			// An old connection had died; nothing was taken.
+			renewed = true
+			old := c
+			wait = make(chan answer, 1)
+			if c, err = old.place.dial(t.id, wait, until); err != nil {
+				k.unsent(t.id, old.place.Name, cause(err))
+				return traffic.Unreachable, 0
+			}
+			continue
+		}
+		now := k.Record.Since()
+		if t.sent == 0 {
+			t.sent = now
+		}
+		k.tally.sent.Add(1)
+		k.Record.Add(history.Event{T: max(1, now.Microseconds()), Kind: history.KindSent, Request: t.id,
+			Scheduler: c.place.Name, Life: c.life, Conn: c.id, Fresh: age, Again: again})
+		a, over := t.await(c, wait, now, patience)
+		if over {
+			return traffic.Unanswered, 0
+		}
+		if a.whole {
+			k.answered(c, t.id, a)
+			return outcome(a)
+		}
+		k.ended(c, t.id, a)
+		// A close between requests may have crossed this one, unless it was the connection's first.
+		if fresh || again || a.bytes > 0 || a.t-now > micro(k.Rules.Crossing) {
+			return traffic.FailedTry, 0
+		}
+		wait = make(chan answer, 1)
+		if c = t.crossed(c, wait, until); c == nil {
+			return traffic.FailedTry, 0
+		}
+		again = true
+		k.tally.again.Add(1)
+	}
+}
+
+// cut is what a write that failed comes to: nobody has taken the request, but it may have been answered early.
+func (t *one) cut(wait chan answer, n int, err error) (traffic.Outcome, time.Duration, string) {
+	timer := time.NewTimer(earlyAnswer)
+	defer timer.Stop()
+	note := fmt.Sprintf("%s after %d bytes of the request", cause(err), n)
+	select {
+	case a := <-wait:
+		if a.whole {
+			out, after := outcome(a)
+			return out, after, fmt.Sprintf("%s; answered %d before its last byte", note, a.status)
+		}
+	case <-timer.C:
+	case <-t.kit.ctx.Done():
+	}
+	return traffic.Unreachable, 0, note
+}
+
+// crossed opens the connection on which a request that a close has crossed is sent once more; nil: it is not. That
+// goes to the same process, or elsewhere if that is on its way out in order. Should the process have died instead,
+// it may well have taken the request, and a real client would not count that as a close between requests.
+func (t *one) crossed(old *conn, wait chan answer, until time.Duration) *conn {
+	k := t.kit
+	c, err := old.place.dial(t.id, wait, until)
+	if err == nil {
+		if c.life == old.life {
+			return c
+		}
+		c.drop()
+		return nil
+	}
+	if !k.front.termed(old.place.at) {
+		return nil
+	}
+	at, ok := k.front.pick(k.Zones[t.a.Zone], func(i int) bool { return i == old.place.at || k.places[i].full() })
+	if !ok {
+		return nil
+	}
+	if c, err = k.places[at].dial(t.id, wait, until); err != nil {
+		return nil
+	}
+	return c
+}
+
+// await waits for the answer. over says that the client's time was over first; that is recorded here, and so is an
+// answer that crosses its hang-up.
+func (t *one) await(c *conn, wait chan answer, sent, patience time.Duration) (a answer, over bool) {
+	k := t.kit
+	timer := time.NewTimer(sent + patience - k.Record.Since())
+	defer timer.Stop()
+	// The connection's own goroutine may have seen the answer before this one came to look at the clock.
+	late := func(a answer) answer { a.t = max(a.t, sent); return a }
+	select {
+	case a := <-wait:
+		return late(a), false
+	case <-k.ctx.Done():
+		c.drop()
+		return answer{}, true
+	case <-timer.C:
+	}
+	now := k.Record.Since()
+	if !c.hangUp(wait) {
+		return late(<-wait), false
+	}
+	k.tally.gaveUp.Add(1)
+	k.Record.Add(history.Event{T: now.Microseconds(), Kind: history.KindGaveUp, Request: t.id,
+		Scheduler: c.place.Name, Conn: c.id})
+	timer.Reset(k.Grace)
+	select {
+	case a := <-wait:
+		if a.whole {
+			a.t = max(a.t, now)
+			k.answered(c, t.id, a)
+		}
+	case <-k.ctx.Done():
+	case <-timer.C:
+	}
+	c.drop()
+	return answer{}, true
+}
+
+// outcome is what a whole answer means to its client.
+func outcome(a answer) (traffic.Outcome, time.Duration) {
+	after := time.Duration(a.after * float64(time.Second))
+	switch a.status {
+	case 200:
+		return traffic.Served, 0
+	case 429, 503:
+		return traffic.Refused, after
+	}
+	return traffic.FailedTry, after
+}
+
+var errNobody = errors.New("the front admits no scheduler")
+
+// reach finds a connection for a client of a zone. at is the scheduler, also with an error; -1: none.
+func (k *kit) reach(zone int, id string, wait chan answer, until time.Duration) (c *conn, at int, fresh bool, err error) {
+	for range 8 {
+		var ok bool
+		if at, ok = k.front.pick(k.Zones[zone], func(i int) bool { return k.places[i].full() }); !ok {
+			return nil, -1, false, errNobody
+		}
+		if c = k.places[at].take(id, wait, until); c != nil {
+			return c, at, false, nil
+		}
+		if k.front.closedTo(at) {
+			continue // the connection for whose sake it was picked has gone meanwhile
+		}
+		c, err = k.places[at].dial(id, wait, until)
+		return c, at, true, err
+	}
+	return nil, -1, false, errNobody
+}
+
+// request appends the whole request and enters it in the book.
+func (t *one) request(b []byte) []byte {
+	k, a := t.kit, t.a
+	target := "/api/" + a.Object
+	header := func(name, value string) {
+		b = append(b, name...)
+		b = append(b, ": "...)
+		b = append(b, value...)
+		b = append(b, "\r\n"...)
+	}
+	number := func(name string, n int64) {
+		b = append(b, name...)
+		b = append(b, ": "...)
+		b = strconv.AppendInt(b, n, 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "POST "...)
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	header("Host", k.Host)
+	header("X-Request-Id", t.id)
+	header("X-Class", k.class(a).Name)
+	header("X-Tenant", k.Plan.Tenants[a.Tenant].Name)
+	number("X-Deadline-Ms", t.limit.Milliseconds())
+	if a.Key != "" {
+		header("Idempotency-Key", a.Key)
+	}
+	if a.Hint > 0 {
+		number("X-Cost-Hint", max(1, a.Hint.Microseconds()))
+	}
+	header("X-Extras", "slots="+strconv.FormatFloat(a.Slots, 'f', -1, 64)+
+		",memory="+strconv.FormatFloat(a.Memory, 'f', 2, 64))
+	if t.try > 0 {
+		header("X-Retry", "1")
+	}
+	number("Content-Length", int64(a.Body))
+	b = append(b, "\r\n"...)
+	head := len(b)
+	b = text(b, a.Body, rand.NewPCG(a.Chance, 0xb0d1))
+	k.Book.Write(t.id, book.Sum("POST", target, t.id, a.Key, b[head:]), book.Job{Class: a.Class, Key: a.Key,
+		Work: a.Work, Noise: k.class(a).Noise, Slots: a.Slots, Memory: a.Memory})
+	return b
+}
+
+// text appends n printable bytes.
+func text(b []byte, n int, chance *rand.PCG) []byte {
+	const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
+	for n > 0 {
+		x := chance.Uint64()
+		for range min(n, 10) {
+			b = append(b, letters[x&63])
+			x >>= 6
+		}
+		n -= min(n, 10)
+	}
+	return b
+}
--- /dev/null
+++ b/rehearse/record/watch.go
@@ -0,0 +1,27 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"laddertide/core/history"
+)
+
+// How often Watch looks at the clock, and how late it must be for that to count as a stall.
+const (
+	watchEvery = 5 * time.Millisecond
+	watchLate  = 10 * time.Millisecond
+)
+
+// Watch records when the kit itself stood still, until ctx ends. Whatever the kit saw in between may be late, as its
+// other goroutines waited for the machine just like this one.
+func (r *Recorder) Watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := r.Since() + watchEvery
+		time.Sleep(watchEvery)
+		if woke := r.Since(); woke-due > watchLate {
+			r.Add(history.Event{T: woke.Microseconds(), Kind: history.KindStall,
+				From: due.Microseconds(), Until: woke.Microseconds()})
+		}
+	}
+}
