--- /dev/null
+++ b/core/judge/answers.go
@@ -0,0 +1,322 @@
+package judge
+
+import (
+	"fmt"
+	"strings"
+
+	"laddertide/core/history"
+)
+
+const (
+	// longStop and stopGrace say how long after SIGTERM the kit may send SIGKILL at the soonest: when the longest
+	// deadline is over, counted as longStop at most, and stopGrace besides.
+	longStop  = 3_000_000
+	stopGrace = 700_000
+	// silent is how long a new connection must have said nothing before a scheduler may close it for that.
+	silent = 500_000
+	// early is by how much a client must have hung up before its time to count as gone; timers vary by less.
+	early = 1_000
+)
+
+// fate says how a process ended and when; never if it did not.
+func (c *court) fate(p *process) (fate, int64) {
+	if p == nil {
+		return runs, never
+	}
+	// The hands that send a signal and those that see its effect write at the same time.
+	term := p.term != never && p.term <= c.late(p.exit)
+	kill := p.kill != never && p.kill <= c.late(p.exit)
+	switch {
+	case p.kill == never && p.exit == never:
+		return runs, never
+	case kill && (!term || p.kill < p.term):
+		return killed, min(p.kill, p.exit)
+	case kill && p.kill <= p.exit:
+		if c.clock.between(p.term, p.kill) < c.grace()-c.rules.Slack {
+			return killed, p.kill
+		}
+		return stopped, p.kill
+	case term:
+		return stopped, p.exit
+	case c.partial && p.exit > c.end-c.rules.Slack:
+		// Whoever cut the run off has most likely ended it as well.
+		return killed, p.exit
+	}
+	return crashed, p.exit
+}
+
+// grace is how long after SIGTERM the kit leaves a process alone.
+func (c *court) grace() int64 {
+	longest := int64(0)
+	for _, class := range c.classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, longStop) + stopGrace
+}
+
+// limit is how long after its last byte a request's answer is late; never if its client waits for ever.
+func (c *court) limit(r *request) int64 {
+	limit := int64(0)
+	if r.ask >= 0 {
+		limit = c.events[r.ask].Limit
+	}
+	if class := c.class(r); limit <= 0 && class != nil {
+		limit = class.Deadline
+	}
+	if limit <= 0 {
+		return never
+	}
+	return limit
+}
+
+// sending is which of a request's sendings an event of its connection belongs to; -1 if it was never sent.
+func (c *court) sending(r *request, ev *history.Event) int {
+	found, best := -1, -1
+	for i, n := range r.sent {
+		s := &c.events[n]
+		fit := 0
+		if s.T <= c.late(ev.T) {
+			fit = 1
+		}
+		if s.Scheduler == ev.Scheduler && s.Conn == ev.Conn {
+			fit += 2
+		}
+		// Of several that came before it, the last; of several that came after it, the first.
+		if fit > best || fit == best && fit&1 == 1 {
+			found, best = i, fit
+		}
+	}
+	return found
+}
+
+// first is the first of the listed events that belongs to a sending of a request; nil if none does.
+func (c *court) first(r *request, list []int32, sending int) *history.Event {
+	for _, i := range list {
+		if ev := &c.events[i]; len(r.sent) == 1 || c.sending(r, ev) == sending {
+			return ev
+		}
+	}
+	return nil
+}
+
+func (c *court) judgeAnswers(r *request) {
+	for i := range r.sent {
+		c.judgeSending(r, i)
+	}
+	for i, n := range r.answers {
+		ev := &c.events[n]
+		if i > 0 {
+			c.blame(Breach{Rule: Answers, Kind: SecondAnswer, T: ev.T, Scheduler: ev.Scheduler, Request: r.id,
+				Text: fmt.Sprintf("Request %s got answer %d with status %d, %s after its first one.", r.id, i+1, ev.Status,
+					seconds(ev.T-c.events[r.answers[0]].T))})
+		}
+		if ev.Status == 200 {
+			c.judgeResult(r, ev)
+		}
+	}
+}
+
+// judgeSending judges what a scheduler owed for a request that was written to one of its connections.
+func (c *court) judgeSending(r *request, i int) {
+	s := &c.events[r.sent[i]]
+	limit := c.limit(r)
+	due := int64(never)
+	if limit != never {
+		due = c.clock.after(s.T, limit+c.rules.AnswerSlack+c.rules.Slack)
+	}
+	if a := c.first(r, r.answers, i); a != nil {
+		if a.T > due {
+			c.blame(Breach{Rule: Answers, Kind: LateAnswer, T: a.T, Scheduler: s.Scheduler, Request: r.id,
+				Text: fmt.Sprintf("Request %s was answered with status %d after %s; its client waited %s.", r.id, a.Status,
+					seconds(a.T-s.T), seconds(limit))})
+		}
+		return
+	}
+	broken, gaveUp := int64(never), int64(never)
+	brokenEvent := c.first(r, r.broken, i)
+	if brokenEvent != nil {
+		broken = brokenEvent.T
+	}
+	if ev := c.first(r, r.gaveUp, i); ev != nil {
+		gaveUp = ev.T
+	}
+	p := c.processes[life{s.Scheduler, s.Life}]
+	how, ended := c.fate(p)
+
+	if gaveUp < never && limit != never && gaveUp-s.T < limit-early && broken > gaveUp {
+		return // The client went away before its time: there is nobody to answer.
+	}
+	if how == killed && due > ended && broken >= ended-c.rules.Slack {
+		c.excusedByKill++
+		return
+	}
+	if how == crashed && due > ended && broken >= ended-c.rules.Slack {
+		if i+1 < len(r.sent) && c.crosses(r, i, min(broken, ended), brokenEvent, false) {
+			c.crossed++
+			return // Its client has sent it once more: there it is owed.
+		}
+		p.owed++
+		c.unanswered(r, i, NoAnswer, max(s.T, ended), "the scheduler crashed with it")
+		return
+	}
+	if broken < due {
+		stopping := p != nil && p.term <= c.late(broken)
+		switch {
+		case c.crosses(r, i, broken, brokenEvent, stopping):
+			c.crossed++
+		case c.partial && broken >= c.end-c.rules.Slack:
+		default:
+			c.unanswered(r, i, Closed, broken, fmt.Sprintf("the scheduler ended its connection %s after its last byte",
+				seconds(broken-s.T)))
+		}
+		return
+	}
+	if how == stopped && ended < due {
+		if c.crosses(r, i, ended, nil, true) {
+			c.crossed++
+			return
+		}
+		c.unanswered(r, i, NoAnswer, ended, "the scheduler ended after SIGTERM without")
+		return
+	}
+	if due > c.end || due == never {
+		return // Nothing is owed yet.
+	}
+	if gaveUp < never && c.clock.asleep(gaveUp)-c.clock.asleep(s.T+limit-c.rules.Slack) > c.rules.AnswerSlack {
+		c.asleepAtHangUp++
+		return
+	}
+	c.unanswered(r, i, NoAnswer, due, fmt.Sprintf("its client waited %s", seconds(limit)))
+}
+
+func (c *court) unanswered(r *request, i int, kind string, t int64, why string) {
+	s := &c.events[r.sent[i]]
+	if len(r.answers) == 0 {
+		c.missing++
+	}
+	c.blame(Breach{Rule: Answers, Kind: kind, T: t, Scheduler: s.Scheduler, Request: r.id,
+		Text: fmt.Sprintf("Request %s got no answer from %s: %s.", r.id, s.Scheduler, why)})
+}
+
+// crosses reports whether the end of a connection may have crossed a request that the scheduler had not read. While a
+// scheduler is stopping that can meet any connection, else one that had carried requests before or had long said nothing.
+func (c *court) crosses(r *request, i int, end int64, broken *history.Event, stopping bool) bool {
+	s := &c.events[r.sent[i]]
+	if broken != nil && broken.Bytes > 0 || c.clock.between(s.T, end) > c.rules.Crossing {
+		return false
+	}
+	if !stopping && (s.Again || s.Fresh != 0 && s.Fresh <= silent) {
+		return false
+	}
+	// A scheduler that has sent it on has read it.
+	for _, n := range r.try {
+		a := &c.attempts[n]
+		ev := &c.events[a.ev]
+		if ev.Scheduler != s.Scheduler {
+			continue
+		}
+		if c.from(a) <= end || i+1 == len(r.sent) {
+			return false
+		}
+		if next := &c.events[r.sent[i+1]]; next.Scheduler != s.Scheduler {
+			return false
+		}
+	}
+	return true
+}
+
+// judgeResult looks for the attempt that a served answer has its body from.
+func (c *court) judgeResult(r *request, answer *history.Event) {
+	by := c.late(answer.T)
+	if c.partial && by > c.end {
+		return // Its end may not have been written any more.
+	}
+	why := "no worker had finished it by then"
+	for _, n := range r.try {
+		a := &c.attempts[n]
+		if a.over < 0 {
+			continue
+		}
+		over := &c.events[a.over]
+		switch {
+		case over.State == history.StateDone && over.Result == answer.Result && over.T <= by:
+			return
+		case over.State == history.StateDone && over.Result == answer.Result:
+			why = fmt.Sprintf("attempt %d made that result %s later", over.Attempt, seconds(over.T-answer.T))
+		case over.State == history.StateDone && over.T <= by:
+			why = fmt.Sprintf("attempt %d had made another result", over.Attempt)
+		}
+	}
+	switch owner := c.owner(answer.Result); {
+	case answer.Result == "":
+		why = "its body is empty"
+	case owner != "" && owner != r.id:
+		why = fmt.Sprintf("its body is the result of request %s", owner)
+	}
+	c.blame(Breach{Rule: Answers, Kind: MadeUpResult, T: answer.T, Scheduler: answer.Scheduler, Request: r.id,
+		Text: fmt.Sprintf("Request %s was answered 200 with a result that no worker made for it: %s.", r.id, why)})
+}
+
+// owner is the request that a result was made for; empty if there is none.
+func (c *court) owner(result string) string {
+	if c.owners == nil {
+		c.owners = make(map[string]string)
+		for i := range c.attempts {
+			if a := &c.attempts[i]; a.over >= 0 && c.events[a.over].State == history.StateDone {
+				c.owners[c.events[a.over].Result] = c.events[a.ev].Request
+			}
+		}
+	}
+	return c.owners[result]
+}
+
+// judgeProcesses finds those that ended by themselves.
+func (c *court) judgeProcesses() {
+	for _, p := range c.sorted {
+		how, _ := c.fate(p)
+		if how == killed && p.term <= p.kill && p.kill != never {
+			c.note("The kit killed %s (process %d) %s after SIGTERM, sooner than it may: nobody is blamed for that.",
+				p.name, p.n, seconds(p.kill-p.term))
+		}
+		if how != crashed {
+			continue
+		}
+		words := ""
+		if w := strings.TrimSpace(p.words); w != "" {
+			words = fmt.Sprintf(" Its last words: %.200s", w)
+		}
+		c.blame(Breach{Rule: Answers, Kind: Crashed, T: p.exit, Scheduler: p.name,
+			Text: fmt.Sprintf("Process %d of %s ended by itself with code %d, owing %d answers.%s", p.n, p.name, p.code,
+				p.owed, words)})
+	}
+}
+
+// judgeStrangers finds bad clients that were served. What they send cannot run, unless the kit says that it was a
+// request of its own; then its result must be real.
+func (c *court) judgeStrangers() {
+	for _, i := range c.strangers {
+		ev := &c.events[i]
+		if ev.Status != 200 {
+			continue
+		}
+		if ev.Request != "" && c.ranFor(ev.Request, c.late(ev.T)) {
+			continue
+		}
+		c.blame(Breach{Rule: Answers, Kind: ServedStranger, T: ev.T, Scheduler: ev.Scheduler, Request: ev.Request,
+			Text: fmt.Sprintf("A bad client (%s) was answered 200 as though its request had run.", ev.Note)})
+	}
+}
+
+// ranFor reports whether an attempt of an id ended as done by t.
+func (c *court) ranFor(id string, t int64) bool {
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		if c.events[a.ev].Request != id || a.over < 0 {
+			continue
+		}
+		if over := &c.events[a.over]; over.State == history.StateDone && over.T <= t {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/judge/gather.go
@@ -0,0 +1,373 @@
+package judge
+
+import (
+	"cmp"
+	"slices"
+
+	"laddertide/core/history"
+)
+
+// life names one process of a scheduler or a worker.
+type life struct {
+	name string
+	n    int
+}
+
+// pair is a worker and a scheduler.
+type pair struct{ worker, scheduler string }
+
+// process is one process of a scheduler. Times that did not come are never.
+type process struct {
+	life
+	start, term, kill, exit int64
+	hups                    []int64
+	entries                 []history.Entry // its start list
+	code                    int
+	words                   string // its last ones
+	owed                    int    // what it left unanswered by crashing
+}
+
+// fate is how a process ended, as far as answers are concerned.
+type fate uint8
+
+const (
+	runs    fate = iota
+	killed       // by the kit, without a warning
+	stopped      // after SIGTERM, by itself or by the SIGKILL that was to follow
+	crashed
+)
+
+// request is all that concerns one request. The slices are places in events.
+type request struct {
+	id                                 string
+	ask                                int32 // -1: none
+	sent, answers, broken, gaveUp, try []int32
+}
+
+// attempt is all that concerns one attempt.
+type attempt struct {
+	ev      int32 // its attempt or void
+	request int32 // -1: its id is unknown
+	over    int32 // -1: none
+	givenUp int64
+	taken   int64
+	void    bool
+	ran     bool
+	refused bool
+}
+
+// court holds a history in the order in which the judge needs it.
+type court struct {
+	events  []history.Event
+	rules   history.Rules
+	classes map[string]*history.Class
+	clock   clock
+	end     int64
+	partial bool
+
+	requests  []request
+	byID      map[string]int32
+	attempts  []attempt
+	byNumber  map[int64]int32
+	processes map[life]*process
+	sorted    []*process            // by name and life
+	lives     map[string][]*process // the same, by name
+	deaths    map[life]int64        // of workers' processes
+	cuts      map[pair][]span
+	known     []string // workers
+	held      map[string][]int32
+	wrote     map[life][]int32
+	falls     []int32
+	strangers []int32
+	strayIDs  map[string]bool // ids that bad clients sent
+
+	found          []Breach
+	notes          []string
+	missing        int
+	crossed        int
+	excusedByKill  int
+	asleepAtHangUp int
+	owners         map[string]string // of results; made when first needed
+
+	told   map[life]map[string][]item // by process and worker; made when first needed
+	agents map[life]map[string][]item // by scheduler and worker; the same
+	read   map[reader]*news
+}
+
+func isAttempt(ev *history.Event) bool {
+	return ev.Kind == history.KindAttempt || ev.Kind == history.KindVoid
+}
+
+func gather(events []history.Event) *court {
+	for i := 1; i < len(events); i++ {
+		if events[i].T < events[i-1].T {
+			events = slices.Clone(events)
+			history.Sort(events)
+			break
+		}
+	}
+	c := &court{
+		events: events, rules: history.FleetRules(), partial: true,
+		classes: make(map[string]*history.Class), byID: make(map[string]int32), byNumber: make(map[int64]int32),
+		processes: make(map[life]*process), lives: make(map[string][]*process), deaths: make(map[life]int64),
+		cuts: make(map[pair][]span), held: make(map[string][]int32), wrote: make(map[life][]int32),
+		strayIDs: make(map[string]bool), read: make(map[reader]*news),
+	}
+	// Attempts first: what follows of one may have been written down before it.
+	var stalls []span
+	workers := make(map[string]bool)
+	hasSetup := false
+	for i := range events {
+		ev := &events[i]
+		c.end = max(c.end, ev.T)
+		switch ev.Kind {
+		case history.KindSetup:
+			if ev.Setup == nil {
+				continue
+			}
+			hasSetup = true
+			c.rules = ev.Setup.Rules
+			for k := range ev.Setup.Classes {
+				c.classes[ev.Setup.Classes[k].Name] = &ev.Setup.Classes[k]
+			}
+			for _, w := range ev.Setup.Workers {
+				workers[w.Name] = true
+			}
+		case history.KindEnd:
+			c.partial = ev.Partial
+		case history.KindStall:
+			stalls = append(stalls, span{ev.From, ev.Until})
+		case history.KindAsk:
+			if r := c.request(ev.Request); r.ask < 0 {
+				r.ask = int32(i)
+			}
+		case history.KindSent:
+			r := c.request(ev.Request)
+			r.sent = append(r.sent, int32(i))
+		case history.KindAnswer:
+			r := c.request(ev.Request)
+			r.answers = append(r.answers, int32(i))
+		case history.KindBroken:
+			r := c.request(ev.Request)
+			r.broken = append(r.broken, int32(i))
+		case history.KindGaveUp:
+			r := c.request(ev.Request)
+			r.gaveUp = append(r.gaveUp, int32(i))
+		case history.KindStranger:
+			c.strangers = append(c.strangers, int32(i))
+			if ev.Request != "" {
+				c.strayIDs[ev.Request] = true
+			}
+		case history.KindAttempt, history.KindVoid:
+			if _, twice := c.byNumber[ev.Attempt]; !twice {
+				c.byNumber[ev.Attempt] = int32(len(c.attempts))
+			}
+			c.attempts = append(c.attempts, attempt{ev: int32(i), request: -1, over: -1, givenUp: never, taken: never,
+				void: ev.Kind == history.KindVoid, refused: ev.Note != ""})
+		case history.KindStart:
+			p := c.process(life{ev.Scheduler, ev.Life})
+			p.start, p.entries = min(p.start, ev.T), ev.Entries
+		case history.KindTerm:
+			p := c.process(life{ev.Scheduler, ev.Life})
+			p.term = min(p.term, ev.T)
+		case history.KindKill:
+			p := c.process(life{ev.Scheduler, ev.Life})
+			p.kill = min(p.kill, ev.T)
+		case history.KindHup:
+			p := c.process(life{ev.Scheduler, ev.Life})
+			p.hups = append(p.hups, ev.T)
+		case history.KindExit:
+			if p := c.process(life{ev.Scheduler, ev.Life}); ev.T < p.exit {
+				p.exit, p.code, p.words = ev.T, ev.Code, ev.Note
+			}
+		case history.KindCrash, history.KindVanish, history.KindMute, history.KindFell, history.KindStop:
+			w := life{ev.Worker, ev.Life}
+			if t, dead := c.deaths[w]; !dead || ev.T < t {
+				c.deaths[w] = ev.T
+			}
+			if ev.Kind == history.KindFell {
+				c.falls = append(c.falls, int32(i))
+			}
+		case history.KindUp:
+			// A process that has a successor is dead, whether or not somebody saw it die.
+			w := life{ev.Worker, ev.Life - 1}
+			if t, dead := c.deaths[w]; !dead || ev.T < t {
+				c.deaths[w] = ev.T
+			}
+		case history.KindCut:
+			c.cut(ev)
+		case history.KindHeld:
+			c.held[ev.Scheduler] = append(c.held[ev.Scheduler], int32(i))
+		case history.KindWrote:
+			p := life{ev.Scheduler, ev.Life}
+			c.wrote[p] = append(c.wrote[p], int32(i))
+		}
+		for k := range ev.Entries {
+			workers[ev.Entries[k].Worker] = true
+		}
+	}
+	if !hasSetup {
+		c.note("The history has no setup; the usual figures were taken, and no class is known.")
+	}
+	for w := range workers {
+		c.known = append(c.known, w)
+	}
+	slices.Sort(c.known)
+	c.clock = newClock(stalls)
+	c.attach()
+	return c
+}
+
+// attach gives attempts their ends and requests their attempts, and puts all of it in order.
+func (c *court) attach() {
+	for i := range c.events {
+		ev := &c.events[i]
+		switch ev.Kind {
+		case history.KindTaken, history.KindBegan, history.KindOver, history.KindGivenUp:
+		default:
+			continue
+		}
+		n, ok := c.byNumber[ev.Attempt]
+		if !ok {
+			continue
+		}
+		a := &c.attempts[n]
+		switch ev.Kind {
+		case history.KindTaken:
+			a.taken = min(a.taken, ev.T)
+		case history.KindBegan:
+			a.ran = true
+		case history.KindGivenUp:
+			a.givenUp = min(a.givenUp, ev.T)
+		case history.KindOver:
+			if a.over < 0 || ev.T < c.events[a.over].T {
+				a.over = int32(i)
+			}
+			a.ran = a.ran || ev.Ran
+			a.refused = a.refused || ev.State == history.StateRefused
+		}
+	}
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		if r, ok := c.byID[c.events[a.ev].Request]; ok {
+			a.request = r
+			c.requests[r].try = append(c.requests[r].try, int32(i))
+		}
+	}
+	byTime := func(x, y int32) int { return cmp.Compare(c.events[x].T, c.events[y].T) }
+	for i := range c.requests {
+		r := &c.requests[i]
+		for _, list := range [][]int32{r.sent, r.answers, r.broken, r.gaveUp} {
+			if len(list) > 1 {
+				slices.SortStableFunc(list, byTime)
+			}
+		}
+		if len(r.try) > 1 {
+			slices.SortStableFunc(r.try, func(x, y int32) int {
+				return cmp.Compare(c.from(&c.attempts[x]), c.from(&c.attempts[y]))
+			})
+		}
+	}
+	for _, list := range c.held {
+		slices.SortStableFunc(list, byTime)
+	}
+	for _, list := range c.wrote {
+		slices.SortStableFunc(list, byTime)
+	}
+	for _, p := range c.processes {
+		c.sorted = append(c.sorted, p)
+	}
+	slices.SortFunc(c.sorted, func(a, b *process) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.n, b.n))
+	})
+	for _, p := range c.sorted {
+		c.lives[p.name] = append(c.lives[p.name], p)
+	}
+}
+
+func (c *court) request(id string) *request {
+	n, ok := c.byID[id]
+	if !ok {
+		n = int32(len(c.requests))
+		c.byID[id] = n
+		c.requests = append(c.requests, request{id: id, ask: -1})
+	}
+	return &c.requests[n]
+}
+
+func (c *court) process(l life) *process {
+	p, ok := c.processes[l]
+	if !ok {
+		p = &process{life: l, start: never, term: never, kill: never, exit: never}
+		c.processes[l] = p
+	}
+	return p
+}
+
+// cut keeps the times in which nothing passed between a worker and a scheduler.
+func (c *court) cut(ev *history.Event) {
+	p := pair{ev.Worker, ev.Scheduler}
+	list := c.cuts[p]
+	n := len(list)
+	open := n > 0 && list[n-1].until == never
+	switch {
+	case ev.On && !open:
+		c.cuts[p] = append(list, span{ev.T, never})
+	case !ev.On && open:
+		list[n-1].until = ev.T
+	}
+}
+
+// from is when the first byte of an attempt came.
+func (c *court) from(a *attempt) int64 {
+	ev := &c.events[a.ev]
+	if ev.From == 0 {
+		return ev.T
+	}
+	return min(ev.From, ev.T)
+}
+
+// class is what the setup says of a request's class; nil if that is unknown.
+func (c *court) class(r *request) *history.Class {
+	if r.ask < 0 {
+		return nil
+	}
+	return c.classes[c.events[r.ask].Class]
+}
+
+// repeat says how often a request may run.
+func (c *court) repeat(r *request) history.Repeat {
+	if class := c.class(r); class != nil {
+		return class.Repeat
+	}
+	return history.ReadLike
+}
+
+// sender is the process that made an attempt: the one to which the request was sent before, else the one that ran then.
+func (c *court) sender(a *attempt) life {
+	ev := &c.events[a.ev]
+	at := c.from(a)
+	if a.request >= 0 {
+		found := life{}
+		for _, i := range c.requests[a.request].sent {
+			if s := &c.events[i]; s.Scheduler == ev.Scheduler && (found.name == "" || s.T <= at+c.rules.Slack) {
+				found = life{s.Scheduler, s.Life}
+			}
+		}
+		if found.name != "" {
+			return found
+		}
+	}
+	found := life{ev.Scheduler, 0}
+	for _, p := range c.lives[ev.Scheduler] {
+		if found.n == 0 || p.start <= at {
+			found = p.life
+		}
+	}
+	return found
+}
+
+// late is the latest time that a record may bear of what came no later than t.
+func (c *court) late(t int64) int64 {
+	return c.clock.after(t, c.rules.Slack)
+}
--- /dev/null
+++ b/core/judge/news.go
@@ -0,0 +1,299 @@
+package judge
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sort"
+
+	"laddertide/core/history"
+)
+
+// item is one piece of news about a worker as a process heard of it.
+type item struct {
+	told    int64 // from when on it counts as told
+	soonest int64 // when the process may have heard it at the soonest
+	index   uint64
+	life    int
+	serving bool
+	absent  bool // the worker was missing in a whole list
+	source  history.Kind
+}
+
+// window is a time in which a process knew a worker to drain or to be gone.
+type window struct{ told, lifted int64 }
+
+// news is all that a process could hear about one worker.
+type news struct {
+	items   []item
+	windows []window
+}
+
+// gatherNews files what each process was told, by worker.
+func (c *court) gatherNews() map[life]map[string][]item {
+	out := make(map[life]map[string][]item)
+	for l, p := range c.processes {
+		if p.start != never {
+			c.file(out, l, p.entries, item{told: p.start, soonest: p.start, source: history.KindStart}, false)
+		}
+	}
+	for l, list := range c.wrote {
+		for _, i := range list {
+			ev := &c.events[i]
+			c.file(out, l, ev.Entries, item{told: ev.T, soonest: ev.T, index: ev.Index, source: history.KindWrote}, ev.Full)
+		}
+	}
+	return out
+}
+
+// gatherHeld files what the agent of each scheduler held, by worker.
+func (c *court) gatherHeld() map[life]map[string][]item {
+	out := make(map[life]map[string][]item)
+	for name, list := range c.held {
+		for _, i := range list {
+			ev := &c.events[i]
+			c.file(out, life{name, 0}, ev.Entries,
+				item{told: ev.T, soonest: ev.T, index: ev.Index, source: history.KindHeld}, ev.Full)
+		}
+	}
+	return out
+}
+
+func (c *court) file(out map[life]map[string][]item, l life, entries []history.Entry, it item, full bool) {
+	byWorker := out[l]
+	if byWorker == nil {
+		byWorker = make(map[string][]item)
+		out[l] = byWorker
+	}
+	var present map[string]bool
+	if full {
+		present = make(map[string]bool, len(entries))
+	}
+	for _, e := range entries {
+		it.life, it.serving = e.Life, e.Status == history.Serving
+		byWorker[e.Worker] = append(byWorker[e.Worker], it)
+		if full {
+			present[e.Worker] = true
+		}
+	}
+	if !full {
+		return
+	}
+	it.life, it.serving, it.absent = 0, false, true
+	for _, w := range c.known {
+		if !present[w] {
+			byWorker[w] = append(byWorker[w], it)
+		}
+	}
+}
+
+// newsOf makes what a process could hear about one worker from what it was told and what its agent held.
+func (c *court) newsOf(p *process, told, held []item) *news {
+	n := &news{items: slices.Clone(told)}
+	for _, it := range held {
+		it.told = c.deemed(p, it.soonest)
+		n.items = append(n.items, it)
+	}
+	var drains, servings []item
+	for _, it := range n.items {
+		if it.serving {
+			servings = append(servings, it)
+		} else {
+			drains = append(drains, it)
+		}
+	}
+	if len(drains) == 0 {
+		return n
+	}
+	byIndex := newLifts(servings, func(it item) uint64 { return it.index })
+	byLife := newLifts(servings, func(it item) uint64 { return uint64(max(0, it.life)) })
+	slices.SortStableFunc(servings, func(a, b item) int { return cmp.Compare(a.soonest, b.soonest) })
+	slices.SortStableFunc(drains, func(a, b item) int { return cmp.Compare(a.told, b.told) })
+	for _, d := range drains {
+		w := window{told: d.told, lifted: never}
+		if d.index > 0 {
+			w.lifted = byIndex.above(d.index)
+		}
+		if !d.absent {
+			w.lifted = min(w.lifted, byLife.above(uint64(max(0, d.life))))
+		}
+		at := sort.Search(len(servings), func(i int) bool { return servings[i].soonest >= d.told })
+		for _, s := range servings[at:] {
+			if s.soonest >= w.lifted {
+				break
+			}
+			heard := s.source == history.KindWrote || d.source == history.KindStart
+			if heard && (d.absent || s.life >= d.life) {
+				w.lifted = s.soonest
+				break
+			}
+		}
+		if w.lifted <= w.told {
+			continue
+		}
+		// The same told again, as whole lists do, adds nothing.
+		if k := len(n.windows); k > 0 && n.windows[k-1].lifted == w.lifted {
+			continue
+		}
+		n.windows = append(n.windows, w)
+	}
+	return n
+}
+
+// deemed is when a process counts as told what its agent had from held on.
+func (c *court) deemed(p *process, held int64) int64 {
+	from := held
+	if p != nil && p.start != never {
+		from = max(from, p.start)
+	}
+	told := from + c.rules.Deemed
+	if p != nil {
+		for _, hup := range p.hups {
+			if held <= hup {
+				told = min(told, hup+c.rules.DeemedMoved)
+			}
+		}
+	}
+	return told
+}
+
+// lifts finds the soonest of the items whose rank is above a given one.
+type lifts struct {
+	rank    []uint64 // in order
+	soonest []int64  // of all from here on
+}
+
+func newLifts(items []item, rank func(item) uint64) lifts {
+	sorted := slices.Clone(items)
+	slices.SortFunc(sorted, func(a, b item) int { return cmp.Compare(rank(a), rank(b)) })
+	l := lifts{make([]uint64, len(sorted)), make([]int64, len(sorted))}
+	soonest := int64(never)
+	for i := len(sorted) - 1; i >= 0; i-- {
+		soonest = min(soonest, sorted[i].soonest)
+		l.rank[i], l.soonest[i] = rank(sorted[i]), soonest
+	}
+	return l
+}
+
+func (l lifts) above(rank uint64) int64 {
+	i := sort.Search(len(l.rank), func(i int) bool { return l.rank[i] > rank })
+	if i == len(l.rank) {
+		return never
+	}
+	return l.soonest[i]
+}
+
+// news is what a process could hear about a worker.
+func (c *court) news(l life, worker string) *news {
+	if c.told == nil {
+		c.told, c.agents = c.gatherNews(), c.gatherHeld()
+	}
+	key := reader{l, worker}
+	n, ok := c.read[key]
+	if !ok {
+		n = c.newsOf(c.processes[l], c.told[l][worker], c.agents[life{l.name, 0}][worker])
+		c.read[key] = n
+	}
+	return n
+}
+
+// reader is a process as it follows one worker.
+type reader struct {
+	life
+	worker string
+}
+
+// judgeDrains finds what was sent to a worker long after its scheduler was told that it drains or is gone.
+func (c *court) judgeDrains() {
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		ev := &c.events[a.ev]
+		from := c.from(a)
+		l := c.sender(a)
+		for _, w := range c.news(l, ev.Worker).windows {
+			if w.told > from {
+				break
+			}
+			if w.lifted <= c.late(from) || c.clock.between(w.told, from) <= c.rules.Drain+c.rules.Slack {
+				continue
+			}
+			c.blame(Breach{Rule: Drains, Kind: SentAfterDrain, T: from, Scheduler: ev.Scheduler, Worker: ev.Worker,
+				Request: ev.Request, Attempt: ev.Attempt,
+				Text: fmt.Sprintf("Request %q was sent to %s %s after %s had been told that it drains or is gone; %s are allowed.",
+					ev.Request, ev.Worker, seconds(from-w.told), ev.Scheduler, seconds(c.rules.Drain))})
+			break
+		}
+	}
+}
+
+// judgeFalls finds workers that fell over mostly under the work of those who knew that they had just come up.
+func (c *court) judgeFalls() {
+	if len(c.falls) == 0 {
+		return
+	}
+	fell := make(map[life]bool)
+	for _, i := range c.falls {
+		fell[life{c.events[i].Worker, c.events[i].Life}] = true
+	}
+	byWorker := make(map[life][]int32)
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		ev := &c.events[a.ev]
+		l := life{ev.Worker, ev.Life}
+		if fell[l] && !a.void {
+			byWorker[l] = append(byWorker[l], int32(i))
+		}
+	}
+	for _, i := range c.falls {
+		ev := &c.events[i]
+		l := life{ev.Worker, ev.Life}
+		c.judgeFall(l, ev, byWorker[l])
+		delete(byWorker, l) // A process falls once.
+	}
+}
+
+func (c *court) judgeFall(l life, fell *history.Event, attempts []int32) {
+	var all, knowing int64
+	by := make(map[string]int64)
+	since := fell.T - c.rules.FallWindow
+	for _, n := range attempts {
+		a := &c.attempts[n]
+		ev := &c.events[a.ev]
+		if ev.T <= since || ev.T > c.late(fell.T) {
+			continue
+		}
+		cost := ev.Cost
+		if cost <= 0 {
+			cost = ev.Work
+		}
+		all += cost
+		sender := c.sender(a)
+		for _, it := range c.news(sender, l.name).items {
+			if it.serving && it.life == l.n && it.told <= c.from(a) {
+				knowing += cost
+				by[sender.name] += cost
+				break
+			}
+		}
+	}
+	// While the kit stood still, what was sent over a longer time arrived at once.
+	asleep := c.clock.asleep(fell.T) - c.clock.asleep(since)
+	if asleep > 0 && fell.Budget > 0 && c.rules.FallWindow > 0 &&
+		float64(all) <= float64(fell.Budget)*float64(c.rules.FallWindow+asleep)/float64(c.rules.FallWindow) {
+		c.note("Worker %s fell over as the kit had stood still for %s; nobody is blamed for it.", l.name, seconds(asleep))
+		return
+	}
+	if all == 0 || 3*knowing < 2*all {
+		return
+	}
+	most := ""
+	for name, cost := range by {
+		if most == "" || cost > by[most] || cost == by[most] && name < most {
+			most = name
+		}
+	}
+	c.blame(Breach{Rule: Cold, Kind: PushedOver, T: fell.T, Scheduler: most, Worker: l.name,
+		Text: fmt.Sprintf("Worker %s fell over: within %s it was sent work of %s and could bear %s; %.0f%% came from "+
+			"schedulers that knew it to be cold, most from %s.", l.name, seconds(c.rules.FallWindow), seconds(fell.Work),
+			seconds(fell.Budget), 100*float64(knowing)/float64(all), most)})
+}
