--- /dev/null
+++ b/core/world/keys_test.go
@@ -0,0 +1,107 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestAKeyTakesEffectOnceInItsWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		at   []Time
+		want []bool
+	}{
+		"within, and its last moment": {[]Time{sec, 2 * sec, 41 * sec, 41*sec + 1}, []bool{true, false, false, true}},
+		"a repeat makes it no longer": {[]Time{sec, 40 * sec, 42 * sec, 82 * sec}, []bool{true, false, true, false}},
+		"told out of order":           {[]Time{10 * sec, 9 * sec, 50 * sec}, []bool{true, false, false}},
+		"told late, near its end":     {[]Time{sec, 60 * sec, 41 * sec}, []bool{true, true, false}},
+	} {
+		k := NewKeys()
+		for i, at := range c.at {
+			if got := k.effect("k", at, 40*sec); got != c.want[i] {
+				t.Errorf("%s: run %d at %v: %v", name, i, at, got)
+			}
+			k.effect("another", at, 40*sec)
+		}
+	}
+}
+
+// The fleet shares the keys; a result is given all the same, and runs without a key all count.
+func TestWorkersShareKeys(t *testing.T) {
+	keys := NewKeys()
+	a, b := NewWorker(Spec{Name: "a"}, keys, 1), NewWorker(Spec{Name: "b"}, keys, 1)
+	a.Start(0, false, nil)
+	b.Start(0, false, nil)
+	keyed := func(attempt int64, key string) Job {
+		j := job(attempt, 100*ms)
+		j.Key, j.Window = key, sec
+		return j
+	}
+	run := func(w *Worker, at Time, j Job) Effect {
+		w.Submit(at, j, nil)
+		return ends(w.Advance(at+200*ms, nil))[j.Attempt]
+	}
+	first := run(a, 0, keyed(1, "k"))
+	second := run(b, 500*ms, keyed(2, "k"))
+	if !first.First || second.First || second.State != Done || second.Result == first.Result || second.Result == "" {
+		t.Errorf("%+v, %+v", first, second)
+	}
+	if third := run(b, 1001*ms, keyed(3, "k")); !third.First {
+		t.Errorf("after the window: %+v", third)
+	}
+	for i, w := range []*Worker{a, b} {
+		if e := run(w, 2*sec, keyed(int64(4+i), "")); !e.First {
+			t.Errorf("without a key: %+v", e)
+		}
+	}
+	// A run that was given up takes no effect, so the next one does.
+	a.Submit(3*sec, keyed(6, "given up"), nil)
+	a.Cancel(3*sec+50*ms, 6, nil)
+	if e := run(b, 3*sec, keyed(7, "given up")); !e.First {
+		t.Errorf("%+v", e)
+	}
+}
+
+func TestKeysAgainstAListOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		even := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		k := NewKeys()
+		last := map[string]Time{}
+		at := Time(0)
+		for range rapid.IntRange(1, 200).Draw(t, "runs") {
+			at += Time(even.Int64N(int64(sec)))
+			n := even.IntN(12)
+			key, window := fmt.Sprint(n), Time(n)*3*sec
+			was, known := last[key]
+			want := !known || at-was > window
+			if want {
+				last[key] = at
+			}
+			if got := k.effect(key, at, window); got != want {
+				t.Fatalf("%s at %v: %v; its effect was at %v, %v", key, at, got, was, known)
+			}
+		}
+	})
+}
+
+func TestKeysAreBounded(t *testing.T) {
+	k := NewKeys()
+	for i := range 10_000 {
+		k.effect(fmt.Sprint(i), Time(i)*10*ms, sec)
+	}
+	// 100 a second, for the window and 5 s.
+	if n := len(k.by); n > 601 || n != len(k.expiry) || k.Forgotten() != 0 {
+		t.Errorf("%d keys, %d of them forgotten", n, k.Forgotten())
+	}
+	k = NewKeys()
+	k.most = 100
+	for i := range 150 {
+		k.effect(fmt.Sprint(i), Time(i), time.Hour)
+	}
+	if len(k.by) != 100 || k.Forgotten() != 50 || !k.effect("0", 200, time.Hour) || k.effect("149", 200, time.Hour) {
+		t.Errorf("%d keys, %d forgotten", len(k.by), k.Forgotten())
+	}
+}
--- a/core/world/worker.go
+++ b/core/world/worker.go
@@ -40,8 +40,8 @@
 	factor      float64 // how many times slower
 	conns       int
 
-	// The state at the last change, and what follows from it. Nothing but a change moves these, so that calls in between
-	// leave no trace in the rounding.
+	// The state at the last change, and what follows from it. Nothing but a change moves these, so that calls in
+	// between leave no trace in the rounding.
 	since    Time
 	pace     float64 // work per time that a core does at a share of 1
 	done     float64 // work that a job running ever since nothing ran has been given, in nanoseconds
@@ -338,7 +338,7 @@
 	Life                          int
 	Running, Waiting, Connections int
 	Alive, Draining, Fallen       bool    // Fallen: pushed over, and not started since
-	Capacity                      float64 // work that all cores together do in a second, connections aside; 0 if not alive
+	Capacity                      float64 // work that all cores do in a second, connections aside; 0 if not alive
 }
 
 // State is how it stands at the latest time that it was told.
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -46,7 +46,7 @@
 	Key       string // of a keyed class: repeats within Window take no second effect
 	Window    Time
 	Work      Time // running time of this attempt at speed 1
-	Cost      Time // what it is charged against a cold process's budget: its class's mean, as chance is not the sender's fault
+	Cost      Time // charged against a cold process's budget: its class's mean, as chance is not the sender's fault
 	Slots     float64
 	Memory    float64
 	Until     Time // when its scheduler stops waiting; 0: never
