--- /dev/null
+++ b/rehearse/scenario/settings.go
@@ -0,0 +1,79 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"laddertide/core/history"
+)
+
+// Config is the configuration file of a plan's scheduler i: what the platform would tell it. known is discovery's list
+// in its own form.
+func (p *Plan) Config(i int, listen, discovery string, known json.RawMessage) ([]byte, error) {
+	if known == nil {
+		known = json.RawMessage(`{"index":0,"snapshot":true,"endpoints":[]}`)
+	}
+	return json.MarshalIndent(map[string]any{
+		"name": p.Schedulers[i].Name, "listen": listen, "discovery": discovery,
+		"seed":     fmt.Sprintf("%016x", Chance(p.Seed, "scheduler "+p.Schedulers[i].Name).Uint64()),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.Sockets},
+		"known":    known,
+		"settings": p.settings(i),
+	}, "", " ")
+}
+
+// settings are the object that the protocol calls the settings, with its names and units (microseconds).
+func (p *Plan) settings(me int) map[string]any {
+	lanes := make([]map[string]any, len(p.Classes))
+	stretch, kind, priority := make([]float64, len(p.Classes)), make([]int, len(p.Classes)), make([]int, len(p.Classes))
+	for i, c := range p.Classes {
+		lanes[i] = map[string]any{"name": c.Name, "repeat": string(c.Repeat), "goal-time": c.Aim, "deadline": c.Deadline,
+			"repeat-window": c.Window, "worth": c.Worth, "late-value": c.LateWorth, "group": "all", "stream": false}
+		stretch[i], kind[i], priority[i] = c.Stretch, -1, min(i, 1)
+	}
+	parties := make([]map[string]any, len(p.Tenants))
+	for i, t := range p.Tenants {
+		parties[i] = map[string]any{"name": t.Name, "quota-rps": t.Quota, "share": p.Traffic.Tenants[i].Share}
+	}
+	shapes := make([]string, len(kinds))
+	for i, k := range kinds {
+		shapes[i] = k.name
+	}
+	return map[string]any{
+		"me": me, "fleet-size": len(p.Schedulers), "zone": p.Schedulers[me].Zone, "localities": p.Zones, "shapes": shapes,
+		"layer": 0, "layers": []string{"auth-workers"}, "discovery": "automatic", "weights": "nominal", "worth-by": "work",
+		"over-share-worth": p.Rules.OverShare, "tick": 2000, "family": "jobs",
+		"callers": map[string]any{"marks-retry": true},
+		"family-info": map[string]any{"tells-start": true, "progress": 0, "queue-order": "fifo", "class-stretch": stretch,
+			"class-kind": kind, "class-priority": priority, "memory-unit": "a worker has one unit for each slot"},
+		"stats":       map[string]any{"names": []string{}, "via": "none"},
+		"fees":        map[string]any{"cross-zone": p.Weights.CrossZone, "late-fail": p.Weights.LateFail, "waste": p.Weights.Waste, "probe": p.Weights.Probe},
+		"scoring-mix": map[string]any{"whole": p.Weights.Whole, "worst-window": p.Weights.Window, "worst-class": p.Weights.WorstClass, "worst-tenant": p.Weights.WorstTenant},
+		"obligations": map[string]any{"answer-slack": p.Rules.AnswerSlack, "ask-every": 10_000_000,
+			"stop-sending-within": p.Rules.Drain, "cold-from": 0.3, "warm-within": 9_000_000,
+			"fall": p.Rules.FallWindow, "fall-multiple": p.Rules.FallMultiple},
+		"permissions": map[string]any{"cancel": true, "cpu-us-per-request": 10, "cpu-us-per-s": 12000,
+			"dial-timeout": 250_000, "idle-close": p.Workers[0].Idle.Microseconds(), "max-open": 30000,
+			"max-retry-after": p.Retry.MaxAfter.Microseconds(), "retry-after": true, "peers": false, "probes": true,
+			"second-copies": false, "streams-per-conn": 1, "try-limit": p.Rules.Attempts},
+		"lanes": lanes, "parties": parties,
+	}
+}
+
+// Setup is what a history begins with.
+func (p *Plan) Setup() *history.Setup {
+	s := &history.Setup{Version: history.Version, Scenario: p.Scenario, Seed: p.Seed, Length: p.Length.Microseconds(),
+		Tenants: p.Tenants, Rules: p.Rules, Weights: p.Weights,
+		Drawn: map[string]any{"about": p.About, "rate": p.Traffic.Rate, "load": p.Load, "capacity": p.Capacity}}
+	for _, c := range p.Classes {
+		s.Classes = append(s.Classes, c.Class)
+	}
+	for _, w := range p.Workers {
+		s.Workers = append(s.Workers, history.WorkerSetup{Name: w.Name, Zone: w.Zone, Kind: w.Kind, Cores: w.Cores,
+			Slots: w.Slots, Speed: w.Speed})
+	}
+	for _, sc := range p.Schedulers {
+		s.Schedulers = append(s.Schedulers, history.SchedulerSetup{Name: sc.Name, Zone: p.Zones[sc.Zone]})
+	}
+	return s
+}
