Auth workers and discovery's agents on sockets: jobs, call-backs, crashes, silence

Need: the rehearsal's fleet and discovery as the protocol describes them, over the models of core/world. Found: shutdown on a socket that does not listen any more marks what it accepts later as ended; a door does that no longer.

--- /dev/null
+++ b/rehearse/fleet/fleet_test.go
@@ -0,0 +1,378 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/world"
+)
+
+func TestAJobIsTakenRunAndTold(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	req := r.job("a", 5*time.Millisecond)
+	c.send(req[:20])
+	time.Sleep(5 * time.Millisecond)
+	c.ask(req[20:], "202")
+	c.ask(r.job("b", 0), "202")
+	r.waitTold(0, "a", "started", "done")
+	r.waitTold(0, "b", "started", "done")
+	if got := r.story(1); got != "attempt, taken, began, told:started, done ran, told:done" &&
+		got != "attempt, taken, began, done ran, told:started, told:done" &&
+		!strings.HasPrefix(got, "attempt, began, ") { // the model's times may lie before the answer's
+		t.Errorf("its story: %s", got)
+	}
+	at, over := r.history(1, history.KindAttempt)[0], r.history(1, history.KindOver)[0]
+	if at.Request != "a" || at.Worker != "s-1" || at.Life != 1 || at.Scheduler != "n1" || at.T-at.From < 4000 ||
+		at.Limit != 5_000_000 || at.Work != 5000 || at.Cost != 10_000 || at.Note != "" {
+		t.Errorf("the attempt: %+v", at)
+	}
+	if !over.Effect || over.Work != 5000 || over.T < at.T+5000 {
+		t.Errorf("its end: %+v", over)
+	}
+	for _, g := range r.callers[0].calls {
+		if g.From != "s-1" || (g.State == "done") != (g.Result != "") || g.ID == "a" && g.State == "done" &&
+			g.Result != over.Result {
+			t.Errorf("call-back %+v", g)
+		}
+	}
+}
+
+// A call-back that is not acknowledged comes again, and the next of its job waits behind it; other jobs' do not.
+func TestCallBacksAreRepeated(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	failed := 0
+	r.callers[0].answer = func(n int, c call) int {
+		if c.ID == "a" && failed < 2 {
+			failed++
+			return 500
+		}
+		return 204
+	}
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 0), "202")
+	c.ask(r.job("b", 0), "202")
+	r.waitTold(0, "b", "started", "done")
+	r.waitTold(0, "a", "started", "done")
+	told := r.history(1, history.KindTold)
+	if len(told) != 2 || told[0].Tries != 3 || told[1].Tries != 1 {
+		t.Errorf("told: %+v", told)
+	}
+}
+
+func TestACallBackIsTriedTenTimes(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	r.callers[0].answer = func(n int, c call) int {
+		if c.State == "started" {
+			return 500
+		}
+		return 200
+	}
+	c := r.dial(0, 0)
+	began := time.Now()
+	c.ask(r.job("a", 0), "202")
+	r.wait("all is told", func() bool { return r.Busy(0) == 0 })
+	if took := time.Since(began); took < 5*time.Second {
+		t.Errorf("ten tries took %v, with no growing pause between them", took)
+	}
+	if n := len(r.callers[0].calls); n != 11 {
+		t.Errorf("%d calls", n)
+	}
+	if u := r.history(1, history.KindUntold); len(u) != 1 || u[0].Tries != 10 || u[0].State != history.StateStarted {
+		t.Errorf("untold: %+v", u)
+	}
+	if u := r.history(1, history.KindTold); len(u) != 1 || u[0].State != history.StateDone {
+		t.Errorf("told: %+v", u)
+	}
+}
+
+func TestAFullWorkerTurnsJobsAway(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	for _, id := range []string{"a", "b", "c"} {
+		c.ask(r.job(id, time.Hour), "202")
+	}
+	c.ask(r.job("d", 0), "503 not run")
+	if got := r.story(4); got != "attempt, full" {
+		t.Errorf("its story: %s", got)
+	}
+}
+
+// What no client has sent is turned away, and the connection goes on.
+func TestWhatNoClientHasSentIsTurnedAway(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	good := r.job("a", 0)
+	for _, bad := range []string{
+		strings.Replace(good, "body", "Body", 1), strings.Replace(good, "y=1", "y=2", 1),
+		strings.Replace(good, "POST", "PUT", 1), strings.Replace(good, "X-Dead", "Idempotency-Key: k\r\nX-Dead", 1),
+		strings.Replace(good, "Id: a", "Id: b", 1),
+	} {
+		c.ask(bad, "400")
+	}
+	c.ask(strings.Replace(good, "X-Request-Id: a", "X-Other: a", 1), "404")
+	c.ask(request("GET", "/", ""), "404")
+	c.ask(request("GET", "/ping", ""), "404")
+	c.ask(good, "202")
+	r.waitTold(0, "a", "started", "done")
+	for n := range int64(6) {
+		if got := r.story(n + 1); got != "attempt, refused" || r.history(n + 1)[0].Note == "" {
+			t.Errorf("story of %d: %s", n+1, got)
+		}
+	}
+}
+
+// What cannot be read, or in two ways, ends its connection, and nothing of it counts.
+func TestWhatCannotBeReadEndsItsConnection(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	good := r.job("a", 0)
+	for _, bad := range []string{
+		"nonsense\r\n\r\n",
+		strings.Replace(good, "HTTP/1.1", "HTTP/2.0", 1),
+		strings.Replace(good, "Content-Length: 4", "Content-Length: -4", 1),
+		strings.Replace(good, "Content-Length: 4", "Content-Length: 4\r\ncontent-length: 4", 1),
+		strings.Replace(good, "Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked", 1),
+		strings.Replace(good, "Content-Length: 4", "Transfer-Encoding: gzip", 1),
+		strings.Replace(good, "Content-Length: 4", "Content-Length: 65537", 1),
+		strings.Replace(good, "X-Dead", "X-Request-Id: b\r\nX-Dead", 1),
+		strings.Replace(good, "5000", "soon", 1),
+		request("POST", "/"+strings.Repeat("x", mostHead), ""),
+		request("POST", "/", "", "Transfer-Encoding: chunked") + "zz\r\n",
+		request("POST", "/", "", "Transfer-Encoding: chunked") + "10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n",
+	} {
+		c := r.dial(0, 0)
+		c.ask(bad, "400")
+		if err := c.ends(); err != io.EOF {
+			t.Errorf("%.80q: the connection ended with %v", bad, err)
+		}
+	}
+	if list := r.history(0, history.KindAttempt); len(list) > 0 {
+		t.Errorf("attempts: %+v", list)
+	}
+}
+
+func TestAChunkedBodyIsTheSameBody(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	req := strings.Replace(r.job("a", 0), "Content-Length: 4\r\n\r\nbody",
+		"Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n", 1)
+	c.ask(req, "100")
+	c.ask("3\r\nbod\r\n1\r\ny\r\n0\r\nTrailer: x\r\n\r\n", "202")
+	c.ask(strings.Replace(r.job("b", 0), "Host", "Connection: close\r\nHost", 1), "202")
+	if err := c.ends(); err != io.EOF {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func TestDeleteGivesUp(t *testing.T) {
+	r := newRig(t, 2, []world.Spec{plain("s-1")}, nil)
+	c, other := r.dial(0, 0), r.dial(1, 0)
+	c.ask(r.job("a", time.Hour), "202")
+	c.ask(r.job("b", time.Hour), "202")
+	r.waitTold(0, "a", "started")
+	other.ask(request("DELETE", "/jobs/a", ""), "200") // not its own
+	c.ask(request("DELETE", "/jobs/x", ""), "200")     // nobody's
+	if s := r.State(0); s.Running != 1 || s.Waiting != 1 {
+		t.Fatalf("state %+v", s)
+	}
+	c.ask(request("DELETE", "/jobs/a", ""), "200")
+	c.ask(request("DELETE", "/jobs/a", ""), "200")
+	r.waitTold(0, "b", "started")
+	c.ask(request("DELETE", "/jobs/b", ""), "200")
+	if n := r.Busy(0); n != 0 {
+		t.Fatalf("%d things to do", n)
+	}
+	if got := r.history(1, history.KindGivenUp, history.KindOver); len(got) != 2 || got[0].Note != "delete" ||
+		got[1].State != history.StateCancelled || !got[1].Ran {
+		t.Errorf("its end: %+v", got)
+	}
+}
+
+// apart puts schedulers in another zone, so far away that what crosses on the way can be seen.
+func apart(d time.Duration) func(*Config) {
+	return func(cfg *Config) {
+		cfg.Delay = func(a, b string) time.Duration {
+			if a != b {
+				return d
+			}
+			return 0
+		}
+		for i := range cfg.Schedulers {
+			cfg.Schedulers[i].Zone = "b"
+		}
+	}
+}
+
+func TestZonesAreApart(t *testing.T) {
+	const far = 40 * time.Millisecond
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, apart(far))
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 0), "202")
+	r.waitTold(0, "a", "started", "done")
+	at, taken := r.history(1, history.KindAttempt)[0], r.history(1, history.KindTaken)[0]
+	began, told := r.history(1, history.KindBegan)[0], r.history(1, history.KindTold)[0]
+	step := far.Microseconds()
+	if began.T < at.T+step || taken.T < began.T+step || told.T < began.T+step {
+		t.Errorf("arrived %d, began %d, taken %d, told %d", at.T, began.T, taken.T, told.T)
+	}
+}
+
+// A scheduler that hangs up before the 202 has given its job up, whether the worker has the job by then or not.
+func TestHangingUpBeforeThe202GivesUp(t *testing.T) {
+	const far = 300 * time.Millisecond
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, apart(far))
+	early, late := r.dial(0, 0), r.dial(0, 0)
+	late.send(r.job("b", time.Hour))
+	r.wait("it runs", func() bool { return r.State(0).Running == 1 })
+	early.send(r.job("a", time.Hour))
+	r.wait("both are there", func() bool { return r.attempts.Load() == 2 })
+	late.Close()
+	early.Close()
+	r.wait("nothing is left", func() bool { return r.Busy(0) == 0 && r.State(0).Connections == 0 })
+	if got := r.story(1); got != "attempt, began, given-up:close, cancelled ran" &&
+		got != "attempt, began, given-up:close, told:started, cancelled ran" {
+		t.Errorf("the story of the late one: %s", got)
+	}
+	if got := r.story(2); got != "attempt, given-up:close, cancelled" {
+		t.Errorf("the story of the early one: %s", got)
+	}
+}
+
+// A close that had left before the answer arrived can be told from one that came after it.
+func TestACloseThatCrossesTheAnswerIsSeen(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, crosses := range []bool{true, false} {
+		peer, err := net.Dial("tcp4", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		_ = nc.SetDeadline(time.Now().Add(patience))
+		_ = peer.SetDeadline(time.Now().Add(patience))
+		if crosses {
+			peer.Close()
+		}
+		if _, err := nc.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if !crosses {
+			if _, err := peer.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			peer.Close()
+		}
+		if n, err := nc.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.EPIPE) {
+			t.Fatalf("read %d, %v", n, err)
+		}
+		c := &conn{Conn: nc}
+		saw := c.crossed()
+		for end := time.Now().Add(patience); crosses && !saw && time.Now().Before(end); saw = c.crossed() {
+			time.Sleep(time.Millisecond)
+		}
+		if saw != crosses {
+			t.Errorf("crossed is %v, want %v", saw, crosses)
+		}
+	}
+}
+
+func TestAnIdleConnectionIsClosed(t *testing.T) {
+	spec := plain("s-1")
+	spec.Idle = 50 * time.Millisecond
+	r := newRig(t, 1, []world.Spec{spec}, nil)
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 0), "202")
+	if err := c.ends(); err != io.EOF {
+		t.Fatalf("ended with %v", err)
+	}
+	c.send(r.job("b", 0))
+	if err := c.ends(); err == nil {
+		t.Error("a job on it was answered")
+	}
+	r.wait("it is forgotten", func() bool { return r.State(0).Connections == 0 })
+}
+
+// refused waits until a worker refuses a scheduler.
+func (r *rig) refused(scheduler, worker int) {
+	r.t.Helper()
+	if c, err := net.DialTimeout("tcp", r.Address(scheduler, worker), patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		if err == nil {
+			c.Close()
+		}
+		r.t.Fatalf("a dial to a worker that is down: %v", err)
+	}
+}
+
+func TestACrashAndAReturn(t *testing.T) {
+	r := newRig(t, 2, []world.Spec{plain("s-1")}, nil)
+	where := r.Address(0, 0)
+	c, idle := r.dial(0, 0), r.dial(1, 0)
+	c.ask(r.job("a", time.Hour), "202")
+	c.ask(r.job("b", time.Hour), "202")
+	r.waitTold(0, "a", "started")
+	if err := r.Crash(0); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*wire{c, idle} {
+		if err := x.ends(); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("ended with %v", err)
+		}
+	}
+	r.refused(0, 0)
+	r.waitTold(0, "a", "started", "lost")
+	r.waitTold(0, "b", "lost")
+	if err := r.Return(0); err != nil {
+		t.Fatal(err)
+	}
+	if r.Address(0, 0) != where || r.Life(0) != 2 || time.Since(r.Since(0)) > patience || r.SinceMS("s-1", 1) != 0 ||
+		r.SinceMS("s-1", 2) != r.Since(0).UnixMilli() {
+		t.Errorf("at %s, life %d, since %v", r.Address(0, 0), r.Life(0), r.Since(0))
+	}
+	r.dial(0, 0).ask(r.job("c", 0), "202")
+	r.waitTold(0, "c", "started", "done")
+	want := []Change{{0, "s-1", history.Deleted, 1, false}, {0, "s-1", history.Serving, 2, false}}
+	if len(r.changes) != 2 || r.changes[0] != want[0] || r.changes[1] != want[1] {
+		t.Errorf("changes %+v", r.changes)
+	}
+	if got := r.history(2, history.KindOver)[0]; got.State != history.StateLost || got.Ran {
+		t.Errorf("the end of the one that waited: %+v", got)
+	}
+	if up := r.history(0, history.KindUp); len(up) != 2 || up[0].Cold != 1 || up[1].Cold != 0.3 ||
+		up[1].Warm != 9_000_000 || up[1].Life != 2 {
+		t.Errorf("starts %+v", up)
+	}
+}
+
+// A job that was done when its process died, but not told, is told as lost: the agent knows no better.
+func TestADeathBeforeTheCallBack(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	r.callers[0].answer = func(n int, c call) int {
+		if c.State == "lost" {
+			return 204
+		}
+		return 500
+	}
+	r.dial(0, 0).ask(r.job("a", 0), "202")
+	r.wait("it was tried", func() bool { return r.Busy(0) == 1 && r.State(0).Running == 0 })
+	if err := r.Crash(0); err != nil {
+		t.Fatal(err)
+	}
+	r.waitTold(0, "a", "lost")
+	if over := r.history(1, history.KindOver); len(over) != 1 || over[0].State != history.StateDone {
+		t.Errorf("its end %+v", over)
+	}
+}
--- /dev/null
+++ b/rehearse/fleet/message.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	mostHead = 16 << 10
+	mostBody = 64 << 10
+)
+
+// message is a request as a worker reads it.
+type message struct {
+	method, target string
+	id, key        string
+	limit          time.Duration // how long the scheduler will wait; 0: it doesn't say
+	body           []byte
+	last           bool // the connection ends with the answer
+
+	from, at time.Duration // when its first byte and its last were read
+}
+
+// errBad says that a message cannot be read, or can be read in two ways.
+var errBad = errors.New("no message of this protocol")
+
+type parser struct {
+	head []byte
+	src  bytes.Reader
+	br   *bufio.Reader
+}
+
+var parsers = sync.Pool{New: func() any { return &parser{br: bufio.NewReaderSize(nil, mostHead)} }}
+
+// readMessage reads a whole request. proceed is called if its sender waits for leave to send the body.
+func readMessage(br *bufio.Reader, proceed func() error) (*message, error) {
+	p := parsers.Get().(*parser)
+	defer parsers.Put(p)
+	lengths, err := p.readHead(br)
+	if err != nil {
+		return nil, err
+	}
+	p.src.Reset(p.head)
+	p.br.Reset(&p.src)
+	req, err := http.ReadRequest(p.br)
+	if err != nil || req.ProtoMajor != 1 || lengths > 1 {
+		return nil, errBad
+	}
+	m := &message{method: req.Method, target: req.RequestURI, last: req.Close}
+	if m.id, err = one(req.Header, "X-Request-Id"); err != nil {
+		return nil, err
+	}
+	if m.key, err = one(req.Header, "Idempotency-Key"); err != nil {
+		return nil, err
+	}
+	limit, err := one(req.Header, "X-Deadline-Ms")
+	if err != nil {
+		return nil, err
+	}
+	if limit != "" {
+		ms, err := strconv.ParseInt(limit, 10, 64)
+		if err != nil || ms < 0 || ms > 1<<40 {
+			return nil, errBad
+		}
+		m.limit = max(time.Microsecond, time.Duration(ms)*time.Millisecond)
+	}
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+		if err := proceed(); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case len(req.TransferEncoding) > 0: // net/http knows chunked only
+		m.body, err = readChunks(br)
+	case req.ContentLength > mostBody:
+		err = errBad
+	case req.ContentLength > 0:
+		m.body = make([]byte, req.ContentLength)
+		_, err = io.ReadFull(br, m.body)
+	}
+	return m, err
+}
+
+// one returns a field that may be given once.
+func one(h http.Header, name string) (string, error) {
+	switch values := h[name]; len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	}
+	return "", errBad
+}
+
+// readHead reads the head up to its empty line, and counts the fields that say where the body ends: net/http takes a
+// length beside a transfer coding, which hides a second message from whoever goes by the other.
+func (p *parser) readHead(br *bufio.Reader) (lengths int, err error) {
+	p.head = p.head[:0]
+	for begin := 0; ; {
+		part, err := br.ReadSlice('\n')
+		p.head = append(p.head, part...)
+		switch {
+		case len(p.head) > mostHead:
+			return 0, errBad
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return 0, err
+		}
+		line := bytes.TrimRight(p.head[begin:], "\r\n")
+		if len(line) == 0 {
+			return lengths, nil
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if begin > 0 && (bytes.EqualFold(name, []byte("Content-Length")) ||
+			bytes.EqualFold(name, []byte("Transfer-Encoding"))) {
+			lengths++
+		}
+		begin = len(p.head)
+	}
+}
+
+// readChunks reads a chunked body and what follows it.
+func readChunks(br *bufio.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), mostBody+1))
+	var broke net.Error
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broke):
+		return nil, err
+	case err != nil || len(body) > mostBody:
+		return nil, errBad
+	}
+	var trailer parser
+	if _, err := trailer.readHead(br); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/rehearse/fleet/rig_test.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/world"
+	"laddertide/internal/pin"
+	"laddertide/rehearse/book"
+	"laddertide/rehearse/loop"
+	"laddertide/rehearse/record"
+)
+
+func TestMain(m *testing.M) { pin.Run(m) }
+
+// patience is for what happens soon on a machine that has nothing else to do.
+const patience = 30 * time.Second
+
+// caller takes call-backs as a scheduler would. answer gives the status for the n-th one.
+type caller struct {
+	mu     sync.Mutex
+	calls  []call
+	answer func(n int, c call) int
+}
+
+type call struct {
+	ID, From, State, Result string
+
+	status int
+}
+
+func (c *caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var got call
+	err := json.NewDecoder(r.Body).Decode(&got)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	got.status = 204
+	switch {
+	case err != nil || r.Method != "POST" || r.URL.Path != "/v1/job-events":
+		got = call{State: fmt.Sprintf("%s %s: %v", r.Method, r.URL, err), status: 400}
+	case c.answer != nil:
+		got.status = c.answer(len(c.calls), got)
+	}
+	c.calls = append(c.calls, got)
+	w.WriteHeader(got.status)
+}
+
+// told lists what was told and acknowledged of a job.
+func (c *caller) told(id string) (states []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, g := range c.calls {
+		if g.ID == id && g.status == 204 {
+			states = append(states, g.State)
+		}
+	}
+	return states
+}
+
+// rig is a fleet with schedulers that only listen.
+type rig struct {
+	*Fleet
+	t       *testing.T
+	book    *book.Book
+	callers []*caller
+
+	mu      sync.Mutex
+	changes []Change
+	events  []history.Event // once closed
+	closeIt func()
+}
+
+// plain is a worker that does one job at a time and lets two wait.
+func plain(name string) world.Spec {
+	return world.Spec{Name: name, Zone: "a", Kind: "k", Cores: 1, Slots: 1, Speed: 1, Memory: 1, Queue: 2,
+		Cold: 0.3, Warm: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second}
+}
+
+func newRig(t *testing.T, schedulers int, specs []world.Spec, change func(*Config)) *rig {
+	t.Helper()
+	r := &rig{t: t, book: book.New()}
+	cfg := Config{Workers: specs, Record: record.New(nil), Book: r.book, AgentDelay: 20 * time.Millisecond, Seed: 7,
+		Classes: []history.Class{{Name: "any"}, {Name: "keyed", Window: 40_000_000}},
+		Costs:   []time.Duration{10 * time.Millisecond, 10 * time.Millisecond}}
+	cfg.OnChange = func(c Change) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.changes = append(r.changes, c)
+	}
+	var servers []*http.Server
+	for i := range schedulers {
+		ln, err := loop.Listen(loop.NewNet().Next())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &caller{}
+		srv := &http.Server{Handler: c, ReadHeaderTimeout: patience}
+		go func() { _ = srv.Serve(ln) }()
+		servers = append(servers, srv)
+		r.callers = append(r.callers, c)
+		cfg.Schedulers = append(cfg.Schedulers,
+			SchedulerAt{Name: fmt.Sprint("n", i+1), Zone: "a", CallBack: ln.Addr().String()})
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Fleet = f
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.closeIt = sync.OnceFunc(func() {
+		f.Close()
+		for _, srv := range servers {
+			srv.Close()
+		}
+		r.events, _ = cfg.Record.Close(history.Event{})
+	})
+	t.Cleanup(r.closeIt)
+	return r
+}
+
+// history closes the rig and returns what was written down of an attempt, or of everything with 0.
+func (r *rig) history(attempt int64, kinds ...history.Kind) (out []history.Event) {
+	r.closeIt()
+	for _, ev := range r.events {
+		if (attempt == 0 || ev.Attempt == attempt) && (len(kinds) == 0 || slices.Contains(kinds, ev.Kind)) {
+			out = append(out, ev)
+		}
+	}
+	return out
+}
+
+// story is the history of an attempt in words.
+func (r *rig) story(attempt int64) string {
+	var words []string
+	for _, ev := range r.history(attempt) {
+		word := string(ev.Kind)
+		switch ev.Kind {
+		case history.KindOver:
+			word = string(ev.State)
+			if ev.Ran {
+				word += " ran"
+			}
+		case history.KindTold, history.KindUntold:
+			word += ":" + string(ev.State)
+		case history.KindGivenUp:
+			word += ":" + ev.Note
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, ", ")
+}
+
+func (r *rig) wait(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+func (r *rig) waitTold(scheduler int, id string, states ...string) {
+	r.t.Helper()
+	r.wait(fmt.Sprint("scheduler ", scheduler, " was told ", id, " ", states), func() bool {
+		return slices.Equal(r.callers[scheduler].told(id), states)
+	})
+}
+
+// wire is a connection to a worker.
+type wire struct {
+	net.Conn
+	t  *testing.T
+	br *bufio.Reader
+}
+
+func (r *rig) dial(scheduler, worker int) *wire {
+	r.t.Helper()
+	c, err := net.DialTimeout("tcp", r.Address(scheduler, worker), patience)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &wire{c, r.t, bufio.NewReader(c)}
+}
+
+// job enters a job into the book and returns the request for it.
+func (r *rig) job(id string, work time.Duration) string {
+	r.book.Write(id, book.Sum("POST", "/api/x?y=1", id, "", []byte("body")), book.Job{Work: work, Slots: 1, Memory: 1})
+	return request("POST", "/api/x?y=1", "body", "X-Request-Id: "+id, "X-Deadline-Ms: 5000")
+}
+
+func request(method, target, body string, fields ...string) string {
+	s := method + " " + target + " HTTP/1.1\r\nHost: h\r\n"
+	for _, f := range fields {
+		s += f + "\r\n"
+	}
+	if body != "" {
+		s += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return s + "\r\n" + body
+}
+
+func (c *wire) send(s string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads an answer; "503 not run" for one with X-Not-Run, "end" for the connection's.
+func (c *wire) answer() string {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return "end"
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	s := fmt.Sprint(resp.StatusCode)
+	if resp.Header.Get("X-Not-Run") == "1" {
+		s += " not run"
+	}
+	return s
+}
+
+func (c *wire) ask(s, want string) {
+	c.t.Helper()
+	c.send(s)
+	if got := c.answer(); got != want {
+		c.t.Fatalf("%q was answered %s, want %s", s[:min(len(s), 60)], got, want)
+	}
+}
+
+// ends waits for the connection's end and returns it: io.EOF for one in order.
+func (c *wire) ends() error {
+	c.t.Helper()
+	n, err := c.br.Read(make([]byte, 1))
+	if n > 0 {
+		c.t.Fatal("something came where nothing should")
+	}
+	return err
+}
+
+// silent checks that nothing comes for a moment, and no end.
+func (c *wire) silent() {
+	c.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	n, err := c.br.Read(make([]byte, 1))
+	if ne, ok := err.(net.Error); n > 0 || !ok || !ne.Timeout() {
+		c.t.Fatalf("a silent connection: %d bytes, %v", n, err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+}
--- a/rehearse/loop/door_linux.go
+++ b/rehearse/loop/door_linux.go
@@ -27,11 +27,6 @@
 }
 
 // stopListening resets what waits to be accepted, or to come up, and refuses from then on. The port stays bound.
-func stopListening(fd int) error {
-	if err := syscall.Shutdown(fd, syscall.SHUT_RD); err != nil && err != syscall.ENOTCONN {
-		return err
-	}
-	return nil
-}
+func stopListening(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_RD) }
 
 func startListening(fd int) error { return syscall.Listen(fd, backlog) }
--- a/rehearse/loop/loop.go
+++ b/rehearse/loop/loop.go
@@ -161,8 +161,11 @@
 			}
 			return nil
 		}
-		if err := stopListening(fd); err != nil {
-			return err
+		// A socket that does not listen any more would take this for an end of its reading half, and hand that on.
+		if d.bearing != Refusing {
+			if err := stopListening(fd); err != nil {
+				return err
+			}
 		}
 		if d.deaf {
 			if err := hear(fd); err != nil {
--- a/rehearse/loop/loop_test.go
+++ b/rehearse/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -82,9 +83,18 @@
 			t.Fatalf("a refusing door: %v", err)
 		}
 		set(t, d, Accepting)
-		comesUp(t, d)
-		(<-conns).Close()
+		c, server := comesUp(t, d), <-conns
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_ = server.SetDeadline(time.Now().Add(20 * time.Second))
+		go func() { _, _ = io.Copy(server, server); server.Close() }()
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(make([]byte, 9)); n != 1 {
+			t.Fatalf("what came up does not speak: %d, %v", n, err)
+		}
 		set(t, d, Refusing)
+		c.Close()
 	}
 	// The port is kept for it meanwhile.
 	for range 2000 {
