--- a/rehearse/record/record.go
+++ b/rehearse/record/record.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +15,15 @@
 // flushEvery is how much of the history a kill of the kit may cost.
 const flushEvery = 250 * time.Millisecond
 
+// chunk is how many events are stored in one piece.
+const chunk = 256
+
 // Recorder takes events from any goroutine.
 type Recorder struct {
 	begin time.Time
 
 	mu     sync.Mutex
-	events []history.Event
+	chunks [][]history.Event // all full but the last; one slice would stop everyone while it moves to a larger place
 	closed bool
 
 	out  *bufio.Writer
@@ -61,7 +65,12 @@
 	if ev.T == 0 && ev.Kind != history.KindSetup {
 		ev.T = max(1, r.Now())
 	}
-	r.events = append(r.events, ev)
+	last := len(r.chunks) - 1
+	if last < 0 || len(r.chunks[last]) == chunk {
+		r.chunks = append(r.chunks, make([]history.Event, 0, chunk))
+		last++
+	}
+	r.chunks[last] = append(r.chunks[last], ev)
 }
 
 // Close ends the history and returns it in the order of time, with the first error of the writer.
@@ -75,7 +84,7 @@
 		close(r.kick)
 		<-r.done
 	}
-	events := r.events
+	events := slices.Concat(r.chunks...)
 	history.Sort(events)
 	return events, r.err
 }
@@ -85,7 +94,7 @@
 	defer close(r.done)
 	tick := time.NewTicker(flushEvery)
 	defer tick.Stop()
-	written := 0
+	at, written := 0, 0 // the chunk that is being written, and how much of it has been
 	var line []byte
 	for last := false; !last; {
 		select {
@@ -94,18 +103,22 @@
 			last = true
 		}
 		r.mu.Lock()
-		fresh := r.events[written:len(r.events):len(r.events)]
+		fresh := slices.Clone(r.chunks[at:])
 		r.mu.Unlock()
-		for i := range fresh {
-			var err error
-			if line, err = history.Append(line[:0], &fresh[i]); err == nil {
-				_, err = r.out.Write(line)
+		for i, events := range fresh {
+			if i > 0 {
+				at, written = at+1, 0
 			}
-			if err != nil && r.err == nil {
-				r.err = err
+			for ; written < len(events); written++ {
+				var err error
+				if line, err = history.Append(line[:0], &events[written]); err == nil {
+					_, err = r.out.Write(line)
+				}
+				if err != nil && r.err == nil {
+					r.err = err
+				}
 			}
 		}
-		written += len(fresh)
 		if err := r.out.Flush(); err != nil && r.err == nil {
 			r.err = err
 		}
