--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -140,7 +140,13 @@
 		k.tally.sent.Add(1)
 		k.Record.Add(history.Event{T: max(1, now.Microseconds()), Kind: history.KindSent, Request: t.id,
 			Scheduler: c.place.Name, Life: c.life, Conn: c.id, Fresh: age, Again: again})
+		if k.Victims != nil {
+			k.Victims.add(c.place.Name, t.id, now)
+		}
 		a, over := t.await(c, wait, now, patience)
+		if k.Victims != nil {
+			k.Victims.remove(c.place.Name, t.id)
+		}
 		if over {
 			return traffic.Unanswered, 0
 		}
@@ -257,7 +263,8 @@
 var errNobody = errors.New("the front admits no scheduler")
 
 // reach finds a connection for a client of a zone. at is the scheduler, also with an error; -1: none.
-func (k *kit) reach(zone int, id string, wait chan answer, until time.Duration) (c *conn, at int, fresh bool, err error) {
+func (k *kit) reach(zone int, id string, wait chan answer, until time.Duration) (c *conn, at int, fresh bool,
+	err error) {
 	for range 8 {
 		var ok bool
 		if at, ok = k.front.pick(k.Zones[zone], func(i int) bool { return k.places[i].full() }); !ok {
--- a/rehearse/clients/clients.go
+++ b/rehearse/clients/clients.go
@@ -59,6 +59,8 @@
 	Open       int           // requests that are open at once; 0: 50,000. What comes beyond counts as unsent
 	Conns      int           // connections to one scheduler; 0: no bound but Open
 
+	// Victims is told which requests are open, for Rude. May be nil.
+	Victims *OpenRequests
 	// Life tells which process of a scheduler runs, or ran last, counted from 1. Nil: always 1.
 	Life func(scheduler int) int
 	// Terms brings the place of each scheduler that has been sent SIGTERM, at once. May be nil.
--- /dev/null
+++ b/rehearse/clients/rude.go
@@ -0,0 +1,452 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+	"laddertide/rehearse/record"
+)
+
+// Bounds of bad clients.
+const (
+	strangerLimit = 3 * time.Second // in which a stranger is owed an error or a close, from when it has connected
+	heavyLimit    = 6 * time.Second // the same for one that has 60 MB to send
+	heavyBody     = 60 << 20
+	mostBytes     = 64 << 20 // that one stranger sends
+	mostStrangers = 1000     // connections at once
+	fewestCrowd   = 100      // connections of one that comes in hundreds
+	mostCrowd     = 300
+	mostAgain     = 100 // times that one asks again
+)
+
+// RudeConfig is all that Rude needs.
+type RudeConfig struct {
+	Schedulers []Scheduler
+	Record     *record.Recorder
+	Rate       float64 // bad clients a second; one that comes in hundreds counts once
+	Seed       uint64
+	Start      time.Duration // of the history
+	Length     time.Duration
+	Host       string // empty: api.internal
+	Class      string // a class and a tenant that exist, so that nothing is wrong but what is meant to be
+	Tenant     string
+	Kinds      []string      // which of RudeKinds come; empty: all
+	Open       *OpenRequests // whose ids are stolen; nil: none are
+	Slack      time.Duration // that every limit is longer by; 0: 50 ms
+}
+
+// OpenRequests knows of requests that are open at a scheduler, for strangers to steal their ids.
+type OpenRequests struct {
+	mu sync.Mutex
+	by map[string]map[string]time.Duration // scheduler, id: when it was sent
+}
+
+// NewOpenRequests returns an empty one.
+func NewOpenRequests() *OpenRequests {
+	return &OpenRequests{by: make(map[string]map[string]time.Duration)}
+}
+
+func (o *OpenRequests) add(scheduler, id string, at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.by[scheduler] == nil {
+		o.by[scheduler] = make(map[string]time.Duration)
+	}
+	o.by[scheduler][id] = at
+}
+
+func (o *OpenRequests) remove(scheduler, id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.by[scheduler], id)
+}
+
+// newest is the request that was sent last to a scheduler, as that one will be open the longest.
+func (o *OpenRequests) newest(scheduler string) (id string, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	last := time.Duration(-1)
+	for other, at := range o.by[scheduler] {
+		if at > last || at == last && other < id {
+			id, last = other, at
+		}
+	}
+	return id, last >= 0
+}
+
+// kinds are the bad clients. Each is unfit for a worker in itself, so that a scheduler that passes one on is at fault.
+var kinds = []struct {
+	name string
+	play func(*rude, Scheduler, *rand.Rand)
+}{
+	{"endless-head", (*rude).endlessHead},
+	{"stopped-head", (*rude).stoppedHead},
+	{"garbage", (*rude).garbage},
+	{"length", (*rude).length},
+	{"heavy", (*rude).heavy},
+	{"class", (*rude).class},
+	{"deadline", (*rude).deadline},
+	{"no-id", (*rude).noID},
+	{"stolen-id", (*rude).stolenID},
+	{"half", (*rude).half},
+	{"crowd", (*rude).crowd},
+	{"pipeline", (*rude).pipeline},
+	{"again", (*rude).again},
+	{"silent", (*rude).silent},
+	{"hidden", (*rude).hidden},
+}
+
+// RudeKinds names the bad clients, as the Note of what they see has them.
+func RudeKinds() []string {
+	var out []string
+	for _, k := range kinds {
+		out = append(out, k.name)
+	}
+	return out
+}
+
+// rude is one run of bad clients.
+type rude struct {
+	RudeConfig
+	ctx   context.Context
+	open  atomic.Int64
+	conns atomic.Int64
+	all   sync.WaitGroup
+}
+
+// Rude sends bad clients until Length is over and the last of them has seen what becomes of it, or ctx ends. Each is
+// recorded as a stranger for each of its connections. An error says that the RudeConfig cannot be played.
+func Rude(ctx context.Context, cfg RudeConfig) error {
+	if cfg.Record == nil || len(cfg.Schedulers) == 0 || cfg.Rate < 0 {
+		return errors.New("clients: no recorder, no schedulers or no rate for bad clients")
+	}
+	for _, s := range cfg.Schedulers {
+		if err := loopback(s.Address); err != nil {
+			return err
+		}
+	}
+	for _, name := range cfg.Kinds {
+		if !slices.Contains(RudeKinds(), name) {
+			return fmt.Errorf("clients: no bad client is called %q; there are %s", name, strings.Join(RudeKinds(), ", "))
+		}
+	}
+	if cfg.Host == "" {
+		cfg.Host = "api.internal"
+	}
+	if cfg.Slack <= 0 {
+		cfg.Slack = 50 * time.Millisecond
+	}
+	r := &rude{RudeConfig: cfg, ctx: ctx}
+	chance := traffic.Stream(cfg.Seed, "strangers")
+	var deck []int
+	for at := time.Duration(0); cfg.Rate > 0; {
+		at += time.Duration(chance.ExpFloat64() / cfg.Rate * float64(time.Second))
+		if at >= cfg.Length || !r.sleep(cfg.Start+at-cfg.Record.Since()) {
+			break
+		}
+		// Kinds come in shuffled rounds, so that a short run meets all of them.
+		if len(deck) == 0 {
+			for i, k := range kinds {
+				if len(cfg.Kinds) == 0 || slices.Contains(cfg.Kinds, k.name) {
+					deck = append(deck, i)
+				}
+			}
+			chance.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
+		}
+		kind := kinds[deck[0]]
+		deck = deck[1:]
+		to := cfg.Schedulers[chance.IntN(len(cfg.Schedulers))]
+		own := rand.New(rand.NewPCG(chance.Uint64(), 0))
+		r.all.Go(func() { kind.play(r, to, own) })
+	}
+	r.all.Wait()
+	return nil
+}
+
+func (r *rude) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// meet opens a connection, sends on it and reads from it at the same time, and records what comes first: an answer, a
+// close, or the end of the time. then, if not nil, goes on with the connection after an answer; it reads as it likes.
+func (r *rude) meet(s Scheduler, note, request string, limit time.Duration, send func(*net.TCPConn) error,
+	then func(*net.TCPConn, *bufio.Reader)) (status int) {
+	if r.open.Add(1) > mostStrangers {
+		r.open.Add(-1)
+		return 0
+	}
+	defer r.open.Add(-1)
+	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
+	dialed, err := dialer.DialContext(r.ctx, "tcp4", s.Address)
+	if err != nil {
+		return 0 // nobody is owed anything without a connection
+	}
+	nc := dialed.(*net.TCPConn)
+	from := r.Record.Since()
+	nc.SetDeadline(r.Record.At(from + limit + r.Slack))
+	stop := context.AfterFunc(r.ctx, func() { nc.Close() })
+	defer stop()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		if send != nil {
+			send(nc)
+		}
+	}()
+	br := bufio.NewReader(io.LimitReader(nc, mostBytes))
+	status, err = readStatus(br)
+	if r.ctx.Err() == nil {
+		ev := history.Event{T: r.Record.Now(), Kind: history.KindStranger, Scheduler: s.Name, Conn: -r.conns.Add(1),
+			Note: note, Request: request, Status: status, From: max(1, from.Microseconds())}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			ev.Bytes = 1
+		}
+		r.Record.Add(ev)
+		if err == nil && then != nil {
+			then(nc, br)
+		}
+	}
+	nc.Close()
+	<-sent
+	return status
+}
+
+// readStatus reads an answer whole. What is no answer is read on, to the close that must then come.
+func readStatus(br *bufio.Reader) (int, error) {
+	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodPost})
+	for range 5 {
+		if err != nil || resp.StatusCode >= 200 {
+			break
+		}
+		resp, err = http.ReadResponse(br, &http.Request{Method: http.MethodPost})
+	}
+	if err == nil {
+		if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResult)); err == nil {
+			return resp.StatusCode, nil
+		}
+	}
+	if _, copying := io.Copy(io.Discard, br); copying != nil {
+		err = copying
+	}
+	return 0, err
+}
+
+// field is a header of a request; one without a value is left out.
+type field struct{ name, value string }
+
+// head is a whole head like that of a good client, with these fields changed or added.
+func (r *rude) head(chance *rand.Rand, fields ...field) string {
+	all := []field{{"Host", r.Host}, {"X-Request-Id", fmt.Sprintf("%016x", chance.Uint64())}, {"X-Class", r.Class},
+		{"X-Tenant", r.Tenant}, {"X-Deadline-Ms", "5000"}, {"X-Extras", "slots=1,memory=0.40"}, {"Content-Length", "5"}}
+	for _, f := range fields {
+		if i := slices.IndexFunc(all, func(g field) bool { return g.name == f.name }); i >= 0 {
+			all[i] = f
+		} else {
+			all = append(all, f)
+		}
+	}
+	b := fmt.Sprintf("POST /api/%016x HTTP/1.1\r\n", chance.Uint64())
+	for _, f := range all {
+		if f.value != "" {
+			b += f.name + ": " + f.value + "\r\n"
+		}
+	}
+	return b + "\r\n"
+}
+
+// say sends a string.
+func say(s string) func(*net.TCPConn) error {
+	return func(nc *net.TCPConn) error {
+		_, err := io.WriteString(nc, s)
+		return err
+	}
+}
+
+// flood sends s and then a piece over and over, at most mostBytes of it.
+func flood(s string, most int, piece func(i int) string) func(*net.TCPConn) error {
+	return func(nc *net.TCPConn) error {
+		_, err := io.WriteString(nc, s)
+		for i, n := 0, 0; err == nil && n < most; i++ {
+			p := piece(i)
+			p = p[:min(len(p), most-n)]
+			n += len(p)
+			_, err = io.WriteString(nc, p)
+		}
+		return err
+	}
+}
+
+func (r *rude) endlessHead(s Scheduler, chance *rand.Rand) {
+	start := strings.TrimSuffix(r.head(chance), "\r\n")
+	line := func(i int) string { return fmt.Sprintf("X-More-%d: %s\r\n", i, strings.Repeat("a", 4000)) }
+	if chance.IntN(2) == 0 {
+		start, line = start+"X-More: ", func(int) string { return strings.Repeat("a", 4096) }
+	}
+	r.meet(s, "endless-head", "", strangerLimit, flood(start, mostBytes, line), nil)
+}
+
+func (r *rude) stoppedHead(s Scheduler, chance *rand.Rand) {
+	head := r.head(chance)
+	r.meet(s, "stopped-head", "", strangerLimit, say(head[:1+chance.IntN(len(head)-3)]), nil)
+}
+
+func (r *rude) garbage(s Scheduler, chance *rand.Rand) {
+	b := make([]byte, 16+chance.IntN(4096))
+	for i := range b {
+		b[i] = byte(chance.Uint32())
+	}
+	if chance.IntN(3) == 0 {
+		copy(b, "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03") // how TLS begins
+	}
+	r.meet(s, "garbage", "", strangerLimit, say(string(b)+"\r\n\r\n"), nil)
+}
+
+func (r *rude) length(s Scheduler, chance *rand.Rand) {
+	value := []string{"-1", "-5", "five", "5x", "0x5", "5,6", "5 5", "99999999999999999999", "18446744073709551616",
+		"9223372036854775807", "1099511627776"}
+	head := r.head(chance, field{"Content-Length", value[chance.IntN(len(value))]})
+	if chance.IntN(6) == 0 {
+		head = strings.Replace(r.head(chance), "\r\n\r\n", "\r\nContent-Length: 6\r\n\r\n", 1)
+	}
+	r.meet(s, "length", "", strangerLimit, say(head+"hello"), nil)
+}
+
+func (r *rude) heavy(s Scheduler, chance *rand.Rand) {
+	piece := strings.Repeat("x", 64<<10)
+	head := r.head(chance, field{"Content-Length", fmt.Sprint(heavyBody)})
+	if chance.IntN(2) == 0 {
+		head = r.head(chance, field{"Content-Length", ""}, field{"Transfer-Encoding", "chunked"})
+		piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+	}
+	r.meet(s, "heavy", "", heavyLimit, flood(head, heavyBody, func(int) string { return piece }), nil)
+}
+
+// unfit is a request of a class that does not exist.
+func (r *rude) unfit(chance *rand.Rand) string {
+	return r.head(chance, field{"X-Class", fmt.Sprintf("none-%x", chance.Uint32())}) + "hello"
+}
+
+func (r *rude) class(s Scheduler, chance *rand.Rand) {
+	r.meet(s, "class", "", strangerLimit, say(r.unfit(chance)), nil)
+}
+
+func (r *rude) deadline(s Scheduler, chance *rand.Rand) {
+	value := []string{"soon", "12ms", "NaN", "--5", "5000.5.5", "five thousand", "0x"}
+	head := r.head(chance, field{"X-Deadline-Ms", value[chance.IntN(len(value))]})
+	r.meet(s, "deadline", "", strangerLimit, say(head+"hello"), nil)
+}
+
+func (r *rude) noID(s Scheduler, chance *rand.Rand) {
+	r.meet(s, "no-id", "", strangerLimit, say(r.head(chance, field{"X-Request-Id", ""})+"hello"), nil)
+}
+
+// stolenID asks with the id of a request that is open at the same scheduler. The rest of it is unlike the owner's, so
+// that nothing runs should the owner's end at just this moment and a worker see the thief's.
+func (r *rude) stolenID(s Scheduler, chance *rand.Rand) {
+	if r.Open == nil {
+		return
+	}
+	if id, ok := r.Open.newest(s.Name); ok {
+		r.meet(s, "stolen-id", id, strangerLimit, say(r.head(chance, field{"X-Request-Id", id})+"hello"), nil)
+	}
+}
+
+func (r *rude) half(s Scheduler, chance *rand.Rand) {
+	whole := r.head(chance) + "hello"
+	part := whole[:1+chance.IntN(len(whole)-2)]
+	r.meet(s, "half", "", strangerLimit, func(nc *net.TCPConn) error {
+		if _, err := io.WriteString(nc, part); err != nil {
+			return err
+		}
+		return nc.CloseWrite()
+	}, nil)
+}
+
+// hundreds does something on hundreds of connections at once.
+func (r *rude) hundreds(chance *rand.Rand, do func(*rand.Rand)) {
+	var all sync.WaitGroup
+	for range fewestCrowd + chance.IntN(mostCrowd-fewestCrowd+1) {
+		own := rand.New(rand.NewPCG(chance.Uint64(), 0))
+		all.Go(func() { do(own) })
+	}
+	all.Wait()
+}
+
+func (r *rude) crowd(s Scheduler, chance *rand.Rand) {
+	r.hundreds(chance, func(own *rand.Rand) {
+		r.meet(s, "crowd", "", strangerLimit, say(r.unfit(own)), nil)
+	})
+}
+
+func (r *rude) silent(s Scheduler, chance *rand.Rand) {
+	r.hundreds(chance, func(*rand.Rand) { r.meet(s, "silent", "", strangerLimit, nil, nil) })
+}
+
+func (r *rude) pipeline(s Scheduler, chance *rand.Rand) {
+	var b strings.Builder
+	for range fewestCrowd {
+		b.WriteString(r.unfit(chance))
+	}
+	r.meet(s, "pipeline", "", strangerLimit, say(b.String()), nil)
+}
+
+// again sends the same request the moment that it is turned away, on the same connection as long as that lives.
+func (r *rude) again(s Scheduler, chance *rand.Rand) {
+	request := r.unfit(chance)
+	for times := 0; times < mostAgain && r.ctx.Err() == nil; times++ {
+		status := r.meet(s, "again", "", strangerLimit, say(request), func(nc *net.TCPConn, br *bufio.Reader) {
+			for ; times < mostAgain; times++ {
+				if say(request)(nc) != nil {
+					return
+				}
+				if _, err := readStatus(br); err != nil {
+					return
+				}
+			}
+		})
+		if status == 0 {
+			return
+		}
+	}
+}
+
+// hidden has a request within the body of another, for those who go by one of its two lengths.
+func (r *rude) hidden(s Scheduler, chance *rand.Rand) {
+	inside := r.head(chance) + "hello"
+	body := "0\r\n\r\n" + inside
+	coding := "chunked"
+	if chance.IntN(2) == 0 {
+		// The other way round: hidden from those who go by the chunks.
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inside), inside)
+	}
+	if chance.IntN(4) == 0 {
+		coding = "Chunked"
+	}
+	length := len(body)
+	if chance.IntN(2) == 0 {
+		length = strings.Index(body, "POST")
+	}
+	head := r.head(chance, field{"Content-Length", fmt.Sprint(length)}, field{"Transfer-Encoding", coding})
+	r.meet(s, "hidden", "", strangerLimit, say(head+body), nil)
+}
