--- a/core/score/parts.go
+++ b/core/score/parts.go
@@ -200,7 +200,8 @@
 	d.CrossZone, d.LateFail = w.CrossZone*d.CrossingsPerJob, w.LateFail*d.LateFailShare
 	d.Waste, d.Probe = w.Waste*d.WasteShare, w.Probe*d.ProbesPerJob
 	d.Sum = d.CrossZone + d.LateFail + d.Waste + d.Probe
-	c.rep.Service = max(0, w.Whole*p.Whole+w.Window*p.Window+w.WorstClass*p.WorstClass+w.WorstTenant*p.WorstTenant-d.Sum)
+	goal := w.Whole*p.Whole + w.Window*p.Window + w.WorstClass*p.WorstClass + w.WorstTenant*p.WorstTenant
+	c.rep.Service = max(0, goal-d.Sum)
 }
 
 // worst is the smallest share among groups that asked for anything of worth; without such it is the whole's.
