--- a/rehearse/record/record.go
+++ b/rehearse/record/record.go
@@ -23,8 +23,8 @@
 	begin time.Time
 
 	mu     sync.Mutex
-	events []history.Event
-	begun  bool // the setup is there
+	setup  []history.Event  // at most one; it goes before all others
+	chunks [][]history.Event // all full but the last; one slice would stop everyone while it moves to a larger place
 	closed bool
 
 	out  *bufio.Writer
@@ -65,8 +65,7 @@
 		return
 	}
 	if ev.Kind == history.KindSetup {
-		r.events = slices.Insert(r.events, 0, ev)
-		r.begun = true
+		r.setup = []history.Event{ev}
 		return
 	}
 	if ev.T == 0 {
@@ -91,7 +90,7 @@
 		close(r.kick)
 		<-r.done
 	}
-	events := slices.Concat(r.chunks...)
+	events := slices.Concat(append([][]history.Event{r.setup}, r.chunks...)...)
 	history.Sort(events)
 	return events, r.err
 }
@@ -102,7 +101,17 @@
 	tick := time.NewTicker(flushEvery)
 	defer tick.Stop()
 	at, written := 0, 0 // the chunk that is being written, and how much of it has been
+	begun := false      // the setup has been written
 	var line []byte
+	put := func(ev *history.Event) {
+		var err error
+		if line, err = history.Append(line[:0], ev); err == nil {
+			_, err = r.out.Write(line)
+		}
+		if err != nil && r.err == nil {
+			r.err = err
+		}
+	}
 	for last := false; !last; {
 		select {
 		case <-tick.C:
@@ -110,23 +119,21 @@
 			last = true
 		}
 		r.mu.Lock()
-		var fresh []history.Event
-		if r.begun {
-			fresh = r.events[written:len(r.events):len(r.events)]
-		}
+		setup, fresh := r.setup, slices.Clone(r.chunks[at:])
 		r.mu.Unlock()
+		if len(setup) == 0 {
+			continue
+		}
+		if !begun {
+			put(&setup[0])
+			begun = true
+		}
 		for i, events := range fresh {
 			if i > 0 {
 				at, written = at+1, 0
 			}
 			for ; written < len(events); written++ {
-				var err error
-				if line, err = history.Append(line[:0], &events[written]); err == nil {
-					_, err = r.out.Write(line)
-				}
-				if err != nil && r.err == nil {
-					r.err = err
-				}
+				put(&events[written])
 			}
 		}
 		if err := r.out.Flush(); err != nil && r.err == nil {
