--- a/rehearse/record/record.go
+++ b/rehearse/record/record.go
@@ -23,7 +23,7 @@
 	begin time.Time
 
 	mu     sync.Mutex
-	setup  []history.Event  // at most one; it goes before all others
+	setup  []history.Event   // at most one; it goes before all others
 	chunks [][]history.Event // all full but the last; one slice would stop everyone while it moves to a larger place
 	closed bool
 
--- /dev/null
+++ b/rehearse/run/post.go
@@ -0,0 +1,263 @@
+package run
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/rehearse/daemon"
+)
+
+// post is where a scheduler stands: its address and files, and one process after another.
+type post struct {
+	r      *run
+	i      int
+	name   string
+	listen string
+	dir    string
+	log    *os.File
+
+	mu        sync.Mutex
+	life      int
+	proc      *daemon.Process
+	discovery string // the address that its file names
+	began     time.Time
+	ready     bool
+	asked     bool // the present process was told to end
+	ended     bool // no further process starts
+	usage     daemon.Usage
+}
+
+// start starts the next process, on what discovery's agent holds now.
+func (p *post) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return nil
+	}
+	known, entries := p.r.discovery.Known(p.i)
+	file := filepath.Join(p.dir, "config.json")
+	if err := p.configure(file, known); err != nil {
+		return err
+	}
+	tmp := filepath.Join(p.dir, "tmp")
+	if err := os.RemoveAll(tmp); err != nil {
+		return err
+	}
+	if err := os.Mkdir(tmp, 0o700); err != nil {
+		return err
+	}
+	p.life++
+	life := p.life
+	p.r.fleet.SetLife(p.i, life)
+	p.r.discovery.SetLife(p.i, life)
+	p.r.rec.Add(history.Event{Kind: history.KindStart, Scheduler: p.name, Life: life, Entries: entries})
+	limits := daemon.Limits{MemoryMB: p.r.plan.MemoryMB, Sockets: p.r.plan.Sockets}
+	proc, err := daemon.Start(p.r.opt.Program, p.dir, environment(map[string]string{"GW_NAME": p.name, "GW_LISTEN": p.listen,
+		"GW_DISCOVERY": p.discovery, "GW_CONFIG": file, "TMPDIR": tmp}), limits, p.log)
+	if err != nil {
+		return err
+	}
+	p.proc, p.began, p.ready, p.asked = proc, time.Now(), false, false
+	p.r.all.Go(func() { p.wait(proc, life) })
+	if life > 1 {
+		p.r.all.Go(func() { p.await(p.r.ctx) })
+	}
+	return nil
+}
+
+func (p *post) configure(file string, known []byte) error {
+	raw, err := p.r.plan.Config(p.i, p.listen, p.discovery, known)
+	if err != nil {
+		return err
+	}
+	return replace(file, raw)
+}
+
+// wait writes down how a process ended.
+func (p *post) wait(proc *daemon.Process, life int) {
+	<-proc.Done()
+	code, words := proc.End()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usage.Add(proc.Usage())
+	p.r.rec.Add(history.Event{Kind: history.KindExit, Scheduler: p.name, Life: life, Code: code, Note: words})
+}
+
+// await waits until the present process serves.
+func (p *post) await(ctx context.Context) error {
+	p.mu.Lock()
+	proc, life, began := p.proc, p.life, p.began
+	p.mu.Unlock()
+	for {
+		if healthy(p.listen) {
+			p.mu.Lock()
+			if p.life == life {
+				p.ready = true
+				p.r.rec.Add(history.Event{Kind: history.KindReady, Scheduler: p.name, Life: life})
+			}
+			p.mu.Unlock()
+			return nil
+		}
+		select {
+		case <-proc.Done():
+			code, words := proc.End()
+			return fmt.Errorf("scheduler %s ended before it served, exit status %d: %s", p.name, code, words)
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		default:
+		}
+		if time.Since(began) > readyLimit {
+			return fmt.Errorf("scheduler %s does not answer GET /_health with 200 after %s; its last words: %s", p.name, readyLimit, proc.LastWords())
+		}
+		sleep(ctx, healthEvery)
+	}
+}
+
+// healthy asks a scheduler whether it serves.
+func healthy(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := fmt.Fprintf(c, "GET /_health HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
+		return false
+	}
+	answer, err := http.ReadResponse(bufio.NewReaderSize(c, 4096), nil)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// asking tells the present process something and writes that down first, as the process may act at once.
+func (p *post) asking(kind history.Kind, does func(*daemon.Process)) (*daemon.Process, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended || p.proc == nil || !p.ready {
+		return nil, false
+	}
+	select {
+	case <-p.proc.Done():
+		return nil, false // it has crashed: that stays the last word on it
+	default:
+	}
+	p.r.rec.Add(history.Event{Kind: kind, Scheduler: p.name, Life: p.life})
+	does(p.proc)
+	return p.proc, true
+}
+
+// restart is a planned one: SIGTERM, SIGKILL if that was not enough, and the next process.
+func (p *post) restart(ctx context.Context) {
+	proc, ok := p.asking(history.KindTerm, func(proc *daemon.Process) { proc.Signal(syscall.SIGTERM) })
+	if !ok {
+		return
+	}
+	select {
+	case p.r.terms <- p.i:
+	case <-ctx.Done():
+	}
+	timer := time.NewTimer(killAfter)
+	defer timer.Stop()
+	select {
+	case <-proc.Done():
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+		if _, ok := p.asking(history.KindKill, (*daemon.Process).Kill); !ok {
+			proc.Kill()
+		}
+		<-proc.Done()
+	}
+	if ctx.Err() == nil {
+		p.again()
+	}
+}
+
+// kill is what a machine that fails does, and the next process after a while.
+func (p *post) kill(ctx context.Context, down time.Duration) {
+	proc, ok := p.asking(history.KindKill, (*daemon.Process).Kill)
+	if !ok {
+		return
+	}
+	<-proc.Done()
+	if sleep(ctx, down) {
+		p.again()
+	}
+}
+
+func (p *post) again() {
+	if err := p.start(); err != nil {
+		// The first process started from the same files; this machine cannot go on.
+		p.r.stop(fmt.Errorf("scheduler %s cannot be started again: %w", p.name, err))
+	}
+}
+
+// reload moves discovery: a new agent, a new file, SIGHUP.
+func (p *post) reload(ctx context.Context) {
+	p.mu.Lock()
+	due := p.began.Add(moveAfter)
+	p.mu.Unlock()
+	if !sleep(ctx, time.Until(due)) {
+		return
+	}
+	// One that is coming up has read its file already or reads the new one: either way it is told nothing.
+	p.asking(history.KindHup, func(proc *daemon.Process) {
+		address, err := p.r.discovery.Move(p.i)
+		if err == nil {
+			p.discovery = address
+			known, _ := p.r.discovery.Known(p.i)
+			err = p.configure(filepath.Join(p.dir, "config.json"), known)
+		}
+		if err != nil {
+			p.r.stop(fmt.Errorf("cannot move the discovery of %s: %w", p.name, err))
+			return
+		}
+		proc.Signal(syscall.SIGHUP)
+	})
+}
+
+// end ends the present process for good.
+func (p *post) end() {
+	p.mu.Lock()
+	p.ended = true
+	proc := p.proc
+	if proc != nil {
+		select {
+		case <-proc.Done():
+		default:
+			p.r.rec.Add(history.Event{Kind: history.KindKill, Scheduler: p.name, Life: p.life})
+			proc.Kill()
+		}
+	}
+	p.mu.Unlock()
+	if proc != nil {
+		<-proc.Done()
+	}
+	if p.log != nil {
+		p.log.Close()
+	}
+}
+
+func (p *post) lifeNow() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
+func (p *post) used() daemon.Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage
+}
--- /dev/null
+++ b/rehearse/run/run.go
@@ -0,0 +1,339 @@
+// Package run plays one plan: it starts the fleet, discovery, schedulers and clients, does to them what the timetable
+// says, and hands back the history. It owns every process and socket of the run and lets go of all of them before it
+// returns, however the run ends. It judges nothing.
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+	"laddertide/rehearse/book"
+	"laddertide/rehearse/clients"
+	"laddertide/rehearse/daemon"
+	"laddertide/rehearse/discovery"
+	"laddertide/rehearse/fleet"
+	"laddertide/rehearse/loop"
+	"laddertide/rehearse/record"
+	"laddertide/rehearse/scenario"
+)
+
+// Options are all that a run needs beside its plan.
+type Options struct {
+	Program  daemon.Program      // the scheduler; it is told its configuration by the platform's variables
+	Dir      string              // an empty folder for configuration files and logs; it is left as it is
+	History  io.Writer           // gets the history while it is made; may be nil
+	Progress func(time.Duration) // is told now and then how much of the plan's length is over; may be nil
+}
+
+// Result is what a run left.
+type Result struct {
+	Events     []history.Event
+	Partial    string // why it was cut short; empty: it was not
+	Clients    clients.Stats
+	Schedulers map[string]daemon.Usage // by name, all processes of it
+	CPU        time.Duration           // of the kit itself while it ran, with whatever else its program did
+}
+
+const (
+	readyLimit  = 30 * time.Second        // for all schedulers to come up, as the platform has it
+	settle      = 500 * time.Millisecond  // from the last one's being ready until the first client
+	healthEvery = 20 * time.Millisecond   // between looks at one that is coming up
+	drainLeast  = 6 * time.Second         // a worker that drains stays so at least this long, for discovery to tell
+	lookEvery   = 50 * time.Millisecond   // at whether it is empty
+	moveAfter   = time.Second             // no SIGHUP in a process's first second
+	tailOfRun   = 90 * time.Second        // after the last arrival all must be over by then
+	killAfter   = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+)
+
+// Run plays a plan. An error says that it could not be played; a scheduler that misbehaves is no error but history.
+func Run(ctx context.Context, plan *scenario.Plan, opt Options) (*Result, error) {
+	arrivals, err := traffic.Draw(plan.Traffic)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{plan: plan, opt: opt, rec: record.New(opt.History), book: book.New(), arrivals: arrivals}
+	limited, stop := context.WithTimeoutCause(ctx, readyLimit+plan.Length+tailOfRun, errors.New("the run did not end in time"))
+	defer stop()
+	r.ctx, r.stop = context.WithCancelCause(limited)
+	cpu := cpuTime()
+	stats, err := r.play()
+	partial := ""
+	switch cause := context.Cause(r.ctx); {
+	case cause == nil:
+	case limited.Err() == nil:
+		err = cause // the kit itself cannot go on
+	case errors.Is(cause, context.Canceled):
+		partial = "interrupted"
+	default:
+		partial = cause.Error()
+	}
+	r.stop(nil) // whoever still waits for something
+	r.letGo()
+	events, writeErr := r.rec.Close(history.Event{Partial: partial != "", Note: partial})
+	switch {
+	case partial != "" && !r.begun:
+		return nil, errors.New(partial + " before the first client")
+	case err != nil && partial == "":
+		return nil, err
+	}
+	if writeErr != nil {
+		return nil, fmt.Errorf("cannot write the history: %w", writeErr)
+	}
+	res := &Result{Events: events, Partial: partial, Clients: stats, Schedulers: make(map[string]daemon.Usage), CPU: cpuTime() - cpu}
+	for _, p := range r.posts {
+		res.Schedulers[p.name] = p.used()
+	}
+	return res, nil
+}
+
+// run is one run while it goes on.
+type run struct {
+	plan     *scenario.Plan
+	opt      Options
+	rec      *record.Recorder
+	book     *book.Book
+	arrivals []traffic.Arrival
+	ctx      context.Context
+	stop     context.CancelCauseFunc
+	begun    bool // clients have begun
+
+	net       *loop.Net
+	fleet     *fleet.Fleet
+	discovery *discovery.Discovery
+	posts     []*post
+	terms     chan int
+	open      *clients.OpenRequests // for bad clients to steal from
+	all       sync.WaitGroup
+}
+
+// play brings everything up and returns when the last client is done.
+func (r *run) play() (clients.Stats, error) {
+	if err := r.build(); err != nil {
+		return clients.Stats{}, err
+	}
+	for _, p := range r.posts {
+		if err := p.start(); err != nil {
+			return clients.Stats{}, err
+		}
+	}
+	for _, p := range r.posts {
+		if err := p.await(r.ctx); err != nil {
+			return clients.Stats{}, err
+		}
+	}
+	if !sleep(r.ctx, settle) {
+		return clients.Stats{}, context.Cause(r.ctx)
+	}
+	start := r.rec.Since()
+	setup := r.plan.Setup()
+	setup.Begin, setup.Start = r.rec.Begin().UnixMicro(), start.Microseconds()
+	r.rec.Add(history.Event{Kind: history.KindSetup, Setup: setup})
+	for _, s := range r.plan.Shades {
+		r.rec.Add(history.Event{Kind: history.KindTrouble, Note: s.Name, From: (start + s.From).Microseconds(), Until: (start + s.To).Microseconds()})
+	}
+	r.begun = true
+	r.all.Go(func() { r.rec.Watch(r.ctx) })
+	r.all.Go(func() { r.timetable(start) })
+	if r.opt.Progress != nil {
+		r.all.Go(func() { r.progress(start) })
+	}
+	return clients.Run(r.ctx, clients.Config{
+		Plan: r.plan.Traffic, Arrivals: r.arrivals, Retry: r.plan.Retry, Schedulers: r.clientSide(), Zones: r.plan.Zones,
+		Front: clients.Front{Notice: r.plan.Notice}, Rules: r.plan.Rules, Record: r.rec, Book: r.book, Seed: r.plan.Seed,
+		Start: start, Life: func(i int) int { return r.posts[i].lifeNow() }, Terms: r.terms, Victims: r.open,
+	})
+}
+
+func (r *run) clientSide() []clients.Scheduler {
+	out := make([]clients.Scheduler, len(r.posts))
+	for i, p := range r.posts {
+		out[i] = clients.Scheduler{Name: p.name, Zone: r.plan.Zones[r.plan.Schedulers[i].Zone], Address: p.listen}
+	}
+	return out
+}
+
+// timetable does the plan's steps, each at its time.
+func (r *run) timetable(start time.Duration) {
+	steps := slices.Clone(r.plan.Steps)
+	slices.SortStableFunc(steps, func(a, b scenario.Step) int { return int(a.At - b.At) })
+	var rude context.CancelFunc
+	for _, st := range steps {
+		if !sleep(r.ctx, start+st.At-r.rec.Since()) {
+			return
+		}
+		if st.Do == scenario.Rude {
+			if rude != nil {
+				rude()
+				rude = nil
+			}
+			if st.Value > 0 {
+				var ctx context.Context
+				ctx, rude = context.WithCancel(r.ctx)
+				defer rude()
+				r.all.Go(func() {
+					r.must(clients.Rude(ctx, clients.RudeConfig{Schedulers: r.clientSide(), Record: r.rec, Rate: st.Value,
+						Seed: r.plan.Seed, Start: start + st.At, Length: r.plan.Length - st.At, Class: r.plan.Classes[0].Name,
+						Tenant: r.plan.Tenants[0].Name, Open: r.open}))
+				})
+			}
+			continue
+		}
+		r.do(st)
+	}
+}
+
+func (r *run) do(st scenario.Step) {
+	for _, w := range st.Workers {
+		if r.fleet.Fallen(w) {
+			continue // it stays down
+		}
+		var err error
+		switch st.Do {
+		case scenario.Crash:
+			err = r.fleet.Crash(w)
+		case scenario.Vanish:
+			err = r.fleet.Vanish(w)
+		case scenario.Mute:
+			err = r.fleet.Mute(w)
+		case scenario.Return:
+			err = r.fleet.Return(w)
+		case scenario.Slow:
+			r.fleet.Slow(w, st.Value)
+		case scenario.Cut, scenario.Mend:
+			for _, s := range st.Schedulers {
+				err = errors.Join(err, r.fleet.Cut(s, w, st.Do == scenario.Cut))
+			}
+		case scenario.Drain:
+			r.all.Go(func() { r.release(w, st.Down) })
+		}
+		r.must(err)
+	}
+	switch st.Do {
+	case scenario.Stale:
+		r.discovery.Lag(time.Duration(st.Value * float64(time.Second)))
+	case scenario.Silence:
+		for i := range r.posts {
+			r.discovery.Silence(i, st.Value > 0)
+		}
+	case scenario.Term, scenario.Kill, scenario.Reload:
+		for _, s := range st.Schedulers {
+			p := r.posts[s]
+			r.all.Go(func() {
+				switch st.Do {
+				case scenario.Term:
+					p.restart(r.ctx)
+				case scenario.Kill:
+					p.kill(r.ctx, st.Down)
+				case scenario.Reload:
+					p.reload(r.ctx)
+				}
+			})
+		}
+	}
+}
+
+// must ends a run that the kit itself cannot play on.
+func (r *run) must(err error) {
+	if err != nil {
+		r.stop(fmt.Errorf("the kit failed: %w", err))
+	}
+}
+
+// release replaces a worker's process in order: it drains, ends, and comes back cold.
+func (r *run) release(w int, down time.Duration) {
+	r.fleet.Drain(w)
+	if !sleep(r.ctx, drainLeast) {
+		return
+	}
+	for {
+		ended, err := r.fleet.Stop(w)
+		r.must(err)
+		if ended {
+			break
+		}
+		if !sleep(r.ctx, lookEvery) {
+			return
+		}
+	}
+	if sleep(r.ctx, down) && !r.fleet.Fallen(w) {
+		r.must(r.fleet.Return(w))
+	}
+}
+
+func (r *run) progress(start time.Duration) {
+	for sleep(r.ctx, 200*time.Millisecond) {
+		r.opt.Progress(min(r.plan.Length, r.rec.Since()-start))
+	}
+}
+
+// letGo ends what is left, in the order in which nothing is told of the end of anything else.
+func (r *run) letGo() {
+	for _, p := range r.posts {
+		p.end()
+	}
+	r.all.Wait()
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
+	if r.discovery != nil {
+		r.discovery.Close()
+	}
+}
+
+// sleep waits, and tells whether that was for the whole time.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// cpuTime is what this process has used of processors.
+func cpuTime() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+// environment is the kit's own, with the platform's variables and nothing that would reach a daemon past them.
+func environment(set map[string]string) []string {
+	var env []string
+	for _, e := range os.Environ() {
+		if name, _, _ := strings.Cut(e, "="); !strings.HasPrefix(name, "GW_") && name != "TMPDIR" {
+			env = append(env, e)
+		}
+	}
+	for _, name := range []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG", "TMPDIR"} {
+		env = append(env, name+"="+set[name])
+	}
+	return env
+}
+
+// replace writes a file so that a reader finds the old one or the new one, never half of it.
+func replace(file string, data []byte) error {
+	next := file + ".new"
+	if err := os.WriteFile(next, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, filepath.Clean(file))
+}
