Test the edges of the world: windows, orders of ends, late workers, news that is none

Change: a case for each; the fall window and an expired job at their last moments, many jobs that end or are given up in any order, keys asked for by a worker whose clock is behind, changes noticed at one moment.

--- a/core/world/keys.go
+++ b/core/world/keys.go
@@ -1,10 +1,13 @@
 package world
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	keysCap  = 1 << 20
-	keysLate = 5 * 1_000_000_000 // how far workers that share the keys may be apart in time
+	keysLate = 5 * time.Second // how far workers that share the keys may be apart in time
 )
 
 // Keys is what all workers of a fleet know of the keys that took effect. A key is remembered for the window of the run
--- a/core/world/keys_test.go
+++ b/core/world/keys_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// A worker whose clock is a little behind asks for a key whose window another's clock has left.
+func TestALateWorkerStillFindsItsKey(t *testing.T) {
+	k := NewKeys()
+	k.effect("k", sec, 40*sec)
+	k.effect("another", 41*sec+keysLate, 40*sec)
+	if k.effect("k", 41*sec, 40*sec) {
+		t.Error("it is forgotten")
+	}
+}
+
 func TestKeysAgainstAListOfAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		even := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
@@ -83,6 +93,11 @@
 			if got := k.effect(key, at, window); got != want {
 				t.Fatalf("%s at %v: %v; its effect was at %v, %v", key, at, got, was, known)
 			}
+			for key, e := range k.by {
+				if e.until+keysLate < at {
+					t.Fatalf("%s is remembered at %v, its window ended at %v", key, at, e.until)
+				}
+			}
 		}
 	})
 }
--- a/core/world/roster_test.go
+++ b/core/world/roster_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+func TestWhatIsNoticedAtOnceGoesOutAtOnce(t *testing.T) {
+	r := NewRoster(RosterSpec{Schedulers: 1, Notice: always(sec), Add: always(2 * sec)}, 1, nil)
+	r.Change(0, entry("b", history.Serving, 1), false)
+	r.Change(sec, entry("a", history.Draining, 1), false)
+	want := []Push{{At: 2 * sec, Index: 2,
+		Entries: []history.Entry{entry("a", history.Draining, 1), entry("b", history.Serving, 1)}}}
+	if got := r.Advance(10 * sec); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestWhatIsKnownAlreadyIsNoNews(t *testing.T) {
+	r := NewRoster(RosterSpec{Schedulers: 1}, 1, []history.Entry{entry("a", history.Serving, 1)})
+	r.Change(0, entry("a", history.Serving, 1), false)
+	r.Change(sec, entry("a", history.Draining, 1), false)
+	r.Change(2*sec, entry("a", history.Draining, 1), false)
+	want := []Push{{At: sec, Index: 2, Entries: []history.Entry{entry("a", history.Draining, 1)}}}
+	if got := r.Advance(10 * sec); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v", got)
+	}
+}
+
 // A worker that comes back before its death was noticed must not vanish again by the late news.
 func TestStaleNewsIsDropped(t *testing.T) {
 	r := NewRoster(RosterSpec{Schedulers: 1, SilentNotice: always(10 * sec), Add: always(sec)}, 1,
--- a/core/world/worker.go
+++ b/core/world/worker.go
@@ -10,8 +10,8 @@
 const (
 	unit     = 1_000_000 // slots and memory are counted in millionths, so that adding and taking away leaves nothing
 	never    = Time(math.MaxInt64)
-	leastTax = 0.01 // of its capacity a process keeps at least this, however many connections it holds
-	sendsCap = 1 << 16
+	leastTax = 0.01    // of its capacity a process keeps at least this, however many connections it holds
+	sendsCap = 1 << 16 // sends of a window that are told apart; more count as of the latest's time
 )
 
 // Worker is one auth worker: a machine with a process that dies and starts again. It does nothing by itself: each call
--- a/core/world/worker_test.go
+++ b/core/world/worker_test.go
@@ -367,7 +367,7 @@
 		w := warm(Spec{Cores: 1, Slots: 1, Speed: 1, Queue: 2, DropsExpired: drops})
 		got := w.Submit(0, job(1, 30*ms), nil)
 		late := job(2, 10*ms)
-		late.Until = 20 * ms
+		late.Until = 30 * ms // its last moment is no longer within
 		got = w.Submit(0, late, got)
 		got = w.Submit(0, job(3, 10*ms), got)
 		got = w.Advance(sec, got)
@@ -522,7 +522,7 @@
 	}
 }
 
-func falls() Spec {
+func fragile() Spec {
 	return Spec{Name: "w", Cores: 2, Slots: 2, Speed: 1, Queue: 4, Cold: 0.3, Warm: 9 * sec,
 		FallMultiple: 3, FallWindow: sec, FallSlack: 200 * ms}
 }
@@ -541,7 +541,7 @@
 }
 
 func TestAColdProcessIsPushedOver(t *testing.T) {
-	w := NewWorker(falls(), NewKeys(), 1)
+	w := NewWorker(fragile(), NewKeys(), 1)
 	w.Start(sec, true, nil)
 	// At the start it can do 0.6 s of work in a second: 2 s is the most, and a little more later.
 	fell, effects := flood(w, sec, 3*sec, 100)
@@ -577,7 +577,7 @@
 }
 
 func TestGentlePushesAndWarmProcessesStand(t *testing.T) {
-	w := NewWorker(falls(), NewKeys(), 1)
+	w := NewWorker(fragile(), NewKeys(), 1)
 	w.Start(0, true, nil)
 	// 1.8 s of work in a second, just three times what it can do at first.
 	if fell, _ := flood(w, 0, 10*sec, 18); fell != nil {
@@ -592,8 +592,23 @@
 	}
 }
 
+// A send counts for just one window.
+func TestTheWindowOfAColdProcessMoves(t *testing.T) {
+	for at, falls := range map[Time]bool{sec - 1: true, sec: false} {
+		spec := fragile()
+		spec.Cold, spec.Warm, spec.FallSlack = 0.5, 1e6*sec, 0
+		w := NewWorker(spec, NewKeys(), 1)
+		w.Start(0, true, nil)
+		w.Submit(0, job(1, 2500*ms), nil)
+		got := w.Submit(at, job(2, 2500*ms), nil)
+		if slices.Contains(kinds(got), Fell) != falls {
+			t.Errorf("at %v: %+v", at, got)
+		}
+	}
+}
+
 func TestASlowMachineFallsEarlier(t *testing.T) {
-	w := NewWorker(falls(), NewKeys(), 1)
+	w := NewWorker(fragile(), NewKeys(), 1)
 	w.Slow(0, 3, nil)
 	w.Start(0, true, nil)
 	if fell, _ := flood(w, 0, 10*sec, 18); fell == nil || fell.Budget > 900*ms {
@@ -601,6 +616,36 @@
 	}
 }
 
+// With many jobs at once that end or are given up in any order, each still ends in its turn.
+func TestManyEndInTheirOrder(t *testing.T) {
+	even := rand.New(rand.NewPCG(5, 5))
+	w := warm(Spec{Cores: 200, Slots: 200, Speed: 1})
+	want := map[int64]Time{}
+	var got []Effect
+	for a := range int64(2000) {
+		at := Time(a) * ms
+		if a%3 == 2 {
+			gone := a - 1 - even.Int64N(100)
+			if got, _ = w.Cancel(at, gone, got); want[gone] > at {
+				want[gone] = at
+			}
+			continue
+		}
+		work := 1 + Time(even.Int64N(int64(250*ms)))
+		want[a] = at + work
+		got = w.Submit(at, job(a, work), got)
+	}
+	for a, e := range ends(w.Advance(10*sec, got)) {
+		if !near(e.At, want[a]) {
+			t.Fatalf("attempt %d ended at %v, want %v", a, e.At, want[a])
+		}
+		delete(want, a)
+	}
+	if len(want) > 0 {
+		t.Errorf("%d never ended", len(want))
+	}
+}
+
 func TestNothingToDoAllocatesNothing(t *testing.T) {
 	w := warm(Spec{Cores: 2, Slots: 8, Speed: 1, Queue: 8})
 	for a := range int64(12) {
