--- a/core/world/worker_test.go
+++ b/core/world/worker_test.go
@@ -532,9 +532,10 @@
 	a := int64(from)
 	for at := from; at < until; at += sec / Time(perSecond) {
 		a++
+		from := len(effects)
 		effects = w.Submit(at, job(a, 100*ms), effects)
-		if i := slices.Index(kinds(effects), Fell); i >= 0 {
-			return &effects[i], w.Advance(until, effects)
+		if i := slices.Index(kinds(effects[from:]), Fell); i >= 0 {
+			return &effects[from+i], w.Advance(until, effects)
 		}
 	}
 	return nil, effects
