Refuse chunked bodies, targets and repeated hosts that others read in two ways

Need: the reader took a bare LF as the end of a size line, of a chunk and of trailers ("2 \r\n0\r\n0\r\n\r\n"), which net/http refuses, as whoever counts it as data ends the body elsewhere. Reading both side by side showed more: spaces beside a chunk size, sizes of over 16 digits, "chunked" and "close" written with the Kelvin sign or the long s, a tab in a target, Host twice, framing fields as trailers, size lines that cost far more than they bring. A stream that broke went on with what followed the error, an empty read said that it had ended, and 101 was passed over like 100. Change: all of these are errors now. "*" is a target for OPTIONS alone, and HTTP/1.0 knows no Expect. A bare LF in a head stays, as RFC 9112 2.2 allows it and it has one reading.

--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -1,5 +1,9 @@
 // Package http1 reads and writes HTTP/1.1 messages within fixed limits. It is the only code that
 // knows the framing of HTTP; it opens no connection and decides nothing.
+//
+// It never takes a message that others might end elsewhere: what it takes, net/http takes as well and reads the
+// same, but for the harmless differences that FuzzDifferential names. It takes less, as it owes others no more:
+// targets are paths, a request under HTTP/1.0 has no transfer coding, and a length stands there once.
 package http1
 
 import (
@@ -18,6 +22,7 @@
 	maxFields  = 100
 	maxChunk   = 256      // a chunk's size line
 	maxTrailer = 1 << 10  // all trailer fields
+	maxExcess  = 16 << 10 // what size lines may take beyond 16 bytes and twice the data of each chunk
 	maxStream  = 64 << 20 // one chunk of a stream
 )
 
@@ -68,7 +73,7 @@
 			continue
 		}
 		for w := range strings.SplitSeq(f[i].Value, ",") {
-			if strings.EqualFold(strings.TrimSpace(w), word) {
+			if equal(strings.Trim(w, " \t"), word) {
 				return true
 			}
 		}
@@ -76,6 +81,9 @@
 	return false
 }
 
+// equal compares words in ASCII. Unicode knows other letters that fold to k and s, and others' readers do not.
+func equal(s, word string) bool { return len(s) == len(word) && strings.EqualFold(s, word) }
+
 // Head is all of a message before its body.
 type Head struct {
 	Method, Target string // of a request
@@ -88,38 +96,54 @@
 	chunked bool
 }
 
-// line reads one line without its end; budget is what the head may still take.
-func line(br *bufio.Reader, budget *int, what string) (string, error) {
+// part is a part of a message that is made of lines.
+type part struct {
+	name string
+	crlf bool // nothing else ends a line
+}
+
+// In heads a bare LF ends a line for all that take it (RFC 9112, 2.2), and none is passed on. In a chunked body
+// some count it as data, and then the body ends elsewhere.
+var (
+	inHead    = part{"head", false}
+	inSize    = part{"chunk size", true}
+	inTrailer = part{"trailer", true}
+)
+
+// line reads one line without its end; budget is what its part may still take.
+func line(br *bufio.Reader, budget *int, in part) (string, error) {
 	var long []byte
 	for {
-		part, err := br.ReadSlice('\n')
-		*budget -= len(part)
+		b, err := br.ReadSlice('\n')
+		*budget -= len(b)
 		if *budget < 0 {
-			return "", tooLarge(what)
+			return "", tooLarge(in.name)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			long = append(long, part...)
+			long = append(long, b...)
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(long)+len(part) > 0 {
+			if errors.Is(err, io.EOF) && len(long)+len(b) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return "", err
 		}
 		if long != nil {
-			part = append(long, part...)
+			b = append(long, b...)
 		}
-		part = part[:len(part)-1]
-		if n := len(part); n > 0 && part[n-1] == '\r' {
-			part = part[:n-1]
+		b = b[:len(b)-1]
+		if n := len(b); n > 0 && b[n-1] == '\r' {
+			b = b[:n-1]
+		} else if in.crlf {
+			return "", bad("bare LF in %s", in.name)
 		}
-		for _, c := range part {
+		for _, c := range b {
 			if c < ' ' && c != '\t' || c == 0x7f {
-				return "", bad("control character in %s", what)
+				return "", bad("control character in %s", in.name)
 			}
 		}
-		return string(part), nil
+		return string(b), nil
 	}
 }
 
@@ -134,10 +158,10 @@
 }
 
 // fields reads header fields up to the empty line.
-func fields(br *bufio.Reader, budget *int) (Fields, error) {
+func fields(br *bufio.Reader, budget *int, in part) (Fields, error) {
 	var out Fields
 	for {
-		s, err := line(br, budget, "head")
+		s, err := line(br, budget, in)
 		if err != nil {
 			return nil, noEOF(err)
 		}
@@ -165,23 +189,28 @@
 // ReadRequestHead reads a request up to its body. At a clean end of the connection it returns io.EOF.
 func ReadRequestHead(br *bufio.Reader) (*Head, error) {
 	budget := MaxHead
-	s, err := line(br, &budget, "head")
+	s, err := line(br, &budget, inHead)
 	if err == nil && s == "" { // one empty line before a request is to be passed over
-		s, err = line(br, &budget, "head")
+		s, err = line(br, &budget, inHead)
 	}
 	if err != nil {
 		return nil, err
 	}
 	method, rest, _ := strings.Cut(s, " ")
 	target, version, _ := strings.Cut(rest, " ")
-	if !token(method) || target == "" || target[0] != '/' && target != "*" || !isVersion(version) {
+	// Some split a request line at tabs too. Only OPTIONS knows "*", and to CONNECT it would be a host.
+	if !token(method) || !strings.HasPrefix(target, "/") && (target != "*" || method != "OPTIONS") ||
+		strings.Contains(target, "\t") || !isVersion(version) {
 		return nil, bad("malformed request line")
 	}
 	h := &Head{Method: method, Target: target}
-	if h.Fields, err = fields(br, &budget); err != nil {
+	if h.Fields, err = fields(br, &budget, inHead); err != nil {
 		return nil, err
 	}
-	h.Continue = h.Fields.lists("Expect", "100-continue")
+	if h.Fields.Count("Host") > 1 {
+		return nil, bad("Host is repeated")
+	}
+	h.Continue = version == "HTTP/1.1" && h.Fields.lists("Expect", "100-continue")
 	return h, h.frame(version, false)
 }
 
@@ -189,7 +218,7 @@
 func ReadResponseHead(br *bufio.Reader) (*Head, error) {
 	for range 8 {
 		budget := MaxHead
-		s, err := line(br, &budget, "head")
+		s, err := line(br, &budget, inHead)
 		if err != nil {
 			return nil, err
 		}
@@ -200,13 +229,18 @@
 			return nil, bad("malformed status line")
 		}
 		h := &Head{Status: status}
-		if h.Fields, err = fields(br, &budget); err != nil {
+		if h.Fields, err = fields(br, &budget, inHead); err != nil {
 			return nil, err
 		}
-		if status < 200 {
-			continue
+		if status == 101 {
+			return nil, bad("unasked change of protocol")
+		}
+		if err := h.frame(version, true); err != nil {
+			return nil, err // an interim response has no body, but what frames one must make sense
+		}
+		if status >= 200 {
+			return h, nil
 		}
-		return h, h.frame(version, true)
 	}
 	return nil, bad("too many interim responses")
 }
@@ -229,7 +263,7 @@
 			h.length = int64(n)
 			lengths++
 		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			if !strings.EqualFold(f.Value, "chunked") {
+			if !equal(f.Value, "chunked") {
 				return bad("unknown Transfer-Encoding")
 			}
 			codings++
@@ -240,6 +274,11 @@
 		return bad("ambiguous length")
 	case codings == 1:
 		h.chunked = true
+		for _, name := range notInTrailer {
+			if h.Fields.lists("Trailer", name) {
+				return bad("%s as a trailer", name)
+			}
+		}
 	case lengths > 0:
 		if h.length > MaxBody {
 			return tooLarge("body")
@@ -294,12 +333,13 @@
 	return body, noEOF(err)
 }
 
-// Chunks reads a chunked body that stays open, piece by piece.
+// Chunks reads a chunked body that stays open, piece by piece. After an error it reads nothing further.
 type Chunks struct {
-	br   *bufio.Reader
-	left int64
-	any  bool
-	done bool
+	br     *bufio.Reader
+	left   int64 // of the chunk
+	excess int64 // what size lines took beyond their share
+	any    bool
+	err    error
 }
 
 // Stream returns the reader of a body without an end in sight.
@@ -312,51 +352,66 @@
 
 // next reads a chunk's size; 0 is the last, with its trailer read.
 func (c *Chunks) next() (int64, error) {
-	budget := maxChunk
 	if c.any {
-		if s, err := line(c.br, &budget, "chunk"); err != nil {
+		if end, err := c.br.Peek(2); err != nil {
 			return 0, err
-		} else if s != "" {
+		} else if string(end) != "\r\n" {
 			return 0, bad("malformed end of chunk")
 		}
+		c.br.Discard(2)
 	}
 	c.any = true
-	s, err := line(c.br, &budget, "chunk size")
+	budget := maxChunk
+	s, err := line(c.br, &budget, inSize)
 	if err != nil {
 		return 0, err
 	}
-	s, _, _ = strings.Cut(s, ";")
-	s = strings.TrimRight(s, " \t")
-	n, err := strconv.ParseUint(s, 16, 32)
-	if err != nil || n > maxStream {
+	// Digits alone: spaces beside them are read by some and not by others, and so are more of them than a number holds.
+	digits, _, _ := strings.Cut(s, ";")
+	n, err := strconv.ParseUint(digits, 16, 32)
+	if err != nil || n > maxStream || len(digits) > 16 {
 		return 0, bad("malformed chunk size")
 	}
-	if n == 0 {
-		budget = maxTrailer
-		_, err = fields(c.br, &budget)
-	}
 	c.left = int64(n)
-	return c.left, err
+	if c.excess = max(0, c.excess+int64(len(s))-14-2*c.left); c.excess > maxExcess {
+		return 0, tooLarge("overhead of chunks")
+	}
+	if n > 0 {
+		return c.left, nil
+	}
+	budget = maxTrailer
+	trailer, err := fields(c.br, &budget, inTrailer)
+	if err != nil {
+		return 0, err
+	}
+	for _, name := range notInTrailer {
+		if trailer.Count(name) > 0 {
+			return 0, bad("%s as a trailer", name)
+		}
+	}
+	return 0, nil
 }
 
+// notInTrailer are the fields that might frame or route a message anew for who adds the trailer to the head.
+var notInTrailer = []string{"Content-Length", "Transfer-Encoding", "Trailer", "Host"}
+
 // Read implements io.Reader.
-func (c *Chunks) Read(p []byte) (int, error) {
-	if c.done || len(p) == 0 {
-		return 0, io.EOF
+func (c *Chunks) Read(p []byte) (n int, err error) {
+	if c.err != nil || len(p) == 0 {
+		return 0, c.err
 	}
 	if c.left == 0 {
-		n, err := c.next()
-		if err != nil {
-			return 0, noEOF(err)
-		}
-		if n == 0 {
-			c.done = true
+		if _, c.err = c.next(); c.err == nil && c.left == 0 {
+			c.err = io.EOF
 			return 0, io.EOF
 		}
 	}
-	n, err := c.br.Read(p[:min(int64(len(p)), c.left)])
-	c.left -= int64(n)
-	return n, noEOF(err)
+	if c.err == nil {
+		n, c.err = c.br.Read(p[:min(int64(len(p)), c.left)])
+		c.left -= int64(n)
+	}
+	c.err = noEOF(c.err)
+	return n, c.err
 }
 
 // AppendRequest appends a whole request. The caller's fields must not be ones that frame a message.
--- a/wire/http1/http1_test.go
+++ b/wire/http1/http1_test.go
@@ -182,7 +182,17 @@
 		"POST /\r\n\r\n", "POST  / HTTP/1.1\r\n\r\n", "POST x HTTP/1.1\r\n\r\n", "POST / HTTP/2.0\r\n\r\n",
 		"GET /" + long + " HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nA: " + long + "\r\n\r\n",
 		"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", maxFields+1) + "\r\n",
-		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 1<<16+1) + "\r\n0\r\n\r\n",
+		chunkedPost + "10001\r\n" + strings.Repeat("x", 1<<16+1) + "\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chun\u212aed\r\n\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", "GET /\t HTTP/1.1\r\n\r\n", "GET /a\rb HTTP/1.1\r\n\r\n",
+		"CONNECT * HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n: b\r\n\r\n", "GET / HTTP/1.1\r\nA: \x00\r\n\r\n",
+		chunkedPost + "2 \r\n0\r\n0\r\n\r\n", chunkedPost + "2\r\nab\n0\r\n\r\n", chunkedPost + "\n0\n\n",
+		chunkedPost + "0\n\r\n", chunkedPost + "0\r\n\n", chunkedPost + "0\r\nA: b\n\r\n", chunkedPost + "2;\nab\r\n0\r\n\r\n",
+		chunkedPost + "2 ;x\r\nab\r\n0\r\n\r\n", chunkedPost + "00000000000000002\r\nab\r\n0\r\n\r\n",
+		chunkedPost + "0x2\r\nab\r\n0\r\n\r\n", chunkedPost + "+2\r\nab\r\n0\r\n\r\n", chunkedPost + "0_2\r\nab\r\n0\r\n\r\n",
+		chunkedPost + "0\r\nContent-Length: 3\r\n\r\n", chunkedPost + "0\r\ntransfer-encoding: chunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nTrailer: a, content-length\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		chunkedPost + strings.Repeat("1;"+long[:maxChunk-8]+"\r\nx\r\n", 100) + "0\r\n\r\n",
 	} {
 		br := bufio.NewReader(strings.NewReader(s))
 		h, err := ReadRequestHead(br)
@@ -194,4 +204,46 @@
 			t.Errorf("%.60q: %v", s, err)
 		}
 	}
+	for _, s := range []string{"HTTP/1.1 101 Upgraded\r\n\r\n", "HTTP/1.1 100 \r\nContent-Length: x\r\n\r\n", "HTTP/1.1 +99 \r\n\r\n"} {
+		var syntax *SyntaxError
+		_, err := ReadResponseHead(bufio.NewReader(strings.NewReader(s + "HTTP/1.1 204 \r\n\r\n")))
+		if !errors.As(err, &syntax) {
+			t.Errorf("%q: %v", s, err)
+		}
+	}
+}
+
+const chunkedPost = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// What is odd but has one reading is taken, as peers that mean no harm may send it.
+func TestToleratedMessages(t *testing.T) {
+	for _, s := range []string{
+		"\r\nPOST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab", "POST / HTTP/1.1\nContent-Length:2 \n\nab",
+		"POST /%zz HTTP/1.1\r\nContent-Length: 02\r\n\r\nab", "POST / HTTP/1.1\r\ntransfer-encoding: CHUNKED\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		chunkedPost + "0000000000000002; a=\"b\"\r\nab\r\n000;\r\nA: b\r\n\r\n",
+		chunkedPost + "1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+	} {
+		br := bufio.NewReader(strings.NewReader(s))
+		h, err := ReadRequestHead(br)
+		if err != nil {
+			t.Errorf("%q: %v", s, err)
+			continue
+		}
+		if body, err := h.ReadBody(br); err != nil || string(body) != "ab" {
+			t.Errorf("%q: body %q, err %v", s, body, err)
+		}
+	}
+}
+
+// A stream that broke stays broken: what follows an error might be read as chunks.
+func TestBrokenStream(t *testing.T) {
+	h := &Head{chunked: true}
+	c, err := h.Stream(bufio.NewReader(strings.NewReader("x\r\n2\r\nab\r\n0\r\n\r\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, first := c.Read(make([]byte, 8))
+	if n, err := c.Read(make([]byte, 8)); n != 0 || err == nil || err != first {
+		t.Fatalf("%d bytes and %v after %v", n, err, first)
+	}
 }
