--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -156,10 +156,9 @@
 
 // Decoder holds the lists that the events of a process refer to.
 type Decoder struct {
-	lists   [maxLists][]policy.Entry
-	known   [maxLists]bool
-	report  []float64
-	entries int
+	lists  [maxLists][]policy.Entry
+	known  [maxLists]bool
+	report []float64
 }
 
 // Decode plays one frame's events into b.
