Answer HEAD without a body: a consumer would read it as the start of its next answer

Need: found while comparing with net/http. HEAD on any path got 404 or 405 with a line of text behind its head, on a connection that goes on; RFC 9110 9.3.2 allows none, so a client's next answer began with that text. Change: the codec drops the body, and the length then says 0. Measured: the new lines of TestServed fail without it ("GET only") and pass with it.

--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -156,6 +156,10 @@
 			t.Fatalf("body %q", body)
 		}
 	}
+	c.say("HEAD /_health HTTP/1.1\r\n\r\n")
+	if _, body := c.hear(405); body != "" {
+		t.Fatalf("HEAD was answered with %q", body)
+	}
 	c.say("GET /_health HTTP/1.1\r\n\r\n")
 	c.hear(200)
 }
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -71,6 +71,9 @@
 	if !ok {
 		return false // the consumer has gone
 	}
+	if head.Method == "HEAD" {
+		a.body = nil // a consumer would read it as the start of the next answer
+	}
 	s.mu.Lock()
 	a.last = a.last || head.Close || s.ending || c.woken
 	s.mu.Unlock()
