--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -209,7 +209,8 @@
 	}
 	for message, status := range map[string]int{
 		"garbage\r\n\r\n": 400,
-		"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n": 413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\n0\r\n0\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n":                          413,
 	} {
 		c := r.dial()
 		c.say(message)
