--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -156,6 +156,10 @@
 			t.Fatalf("body %q", body)
 		}
 	}
+	c.say("HEAD /_health HTTP/1.1\r\n\r\n")
+	if _, body := c.hear(405); body != "" {
+		t.Fatalf("HEAD was answered with %q", body)
+	}
 	c.say("GET /_health HTTP/1.1\r\n\r\n")
 	c.hear(200)
 }
@@ -205,7 +209,8 @@
 	}
 	for message, status := range map[string]int{
 		"garbage\r\n\r\n": 400,
-		"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n": 413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\n0\r\n0\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n":                          413,
 	} {
 		c := r.dial()
 		c.say(message)
