--- a/core/world/plain_test.go
+++ b/core/world/plain_test.go
@@ -8,20 +8,20 @@
 // plain is a worker written down once more, without a thought for speed: it keeps what remains of each job, asks at
 // each moment what everything runs at, and finds the next end by halving. Time and work are seconds.
 type plain struct {
-	spec        Spec
-	now         float64
-	alive, slow bool
-	draining    bool
-	life        int
-	start       float64
-	cold        bool
-	factor      float64
-	conns       int
-	extra       float64 // handshakes and probes
-	run, wait   []*plainJob
-	sent        []plainSend
-	out         []Effect
-	close       bool // an end and a call came so near to each other that rounding decides which is first
+	spec      Spec
+	now       float64
+	alive     bool
+	draining  bool
+	life      int
+	start     float64
+	cold      bool
+	factor    float64
+	conns     int
+	extra     float64 // handshakes and probes
+	run, wait []*plainJob
+	sent      []plainSend
+	out       []Effect
+	close     bool // an end and a call came so near to each other that rounding decides which is first
 }
 
 type plainJob struct {
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -201,9 +201,8 @@
 	kc := Chance(p.Seed, "kinds")
 	fast := kinds[0].share.draw(kc)
 	type drawn struct {
-		speed, spread, queue, cold, handshake, tax float64
-		warm, handshakeWork                        time.Duration
-		conns                                      int
+		speed, spread, queue, cold float64
+		warm                       time.Duration
 	}
 	of := make([]drawn, len(kinds))
 	for i, k := range kinds {
--- a/rehearse/session/session.go
+++ b/rehearse/session/session.go
@@ -112,7 +112,7 @@
 		late = LateLimit
 	}
 	setup := events[0].Setup
-	out := &report.Run{Scenario: setup.Scenario, Seed: setup.Seed, Figures: score.Figures(events), Verdict: verdict(judge.Judge(events)),
+	out := &report.Run{Scenario: setup.Scenario, Seed: setup.Seed, Figures: score.Figures(events), Verdict: judge.Judge(events),
 		Length: float64(setup.Length) / 1e6, Workers: len(setup.Workers), Schedulers: len(setup.Schedulers),
 		Stories: make(map[string][]history.Event)}
 	out.Rate, _ = setup.Drawn["rate"].(float64)
@@ -139,16 +139,3 @@
 	}
 	return Report(events, late), nil
 }
-
-func verdict(v judge.Verdict) report.Verdict {
-	out := report.Verdict{Counts: make(map[report.Rule]int), CardIssueDuplicates: v.CardIssueDuplicates,
-		MissingAnswers: v.MissingAnswers, Partial: v.Partial, Notes: v.Notes}
-	for r, n := range v.Counts {
-		out.Counts[report.Rule(r)] = n
-	}
-	for _, b := range v.Breaches {
-		out.Breaches = append(out.Breaches, report.Breach{Rule: report.Rule(b.Rule), Kind: b.Kind, T: b.T, Scheduler: b.Scheduler,
-			Worker: b.Worker, Request: b.Request, Attempt: b.Attempt, Text: b.Text})
-	}
-	return out
-}
