--- /dev/null
+++ b/rehearse/fleet/bench_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/world"
+	"laddertide/rehearse/book"
+	"laddertide/rehearse/loop"
+	"laddertide/rehearse/record"
+)
+
+// BenchmarkJobs is what a job costs the fleet from its first byte to its last call-back, schedulers that only listen
+// included: 200 workers and 8 schedulers, jobs one after the other on 64 connections.
+func BenchmarkJobs(b *testing.B) {
+	var specs []world.Spec
+	for i := range 200 {
+		s := plain(fmt.Sprint("s-", i))
+		s.Slots, s.Queue = 8, 1000
+		specs = append(specs, s)
+	}
+	cfg := Config{Workers: specs, Record: record.New(io.Discard), Book: book.New(), Classes: []history.Class{{}},
+		Costs: []time.Duration{0}}
+	told := make(chan struct{}, 1<<16)
+	for i := range 8 {
+		ln, err := loop.Listen(loop.NewNet().Next())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					br := bufio.NewReader(c)
+					for {
+						req, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, req.Body)
+						_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+						told <- struct{}{}
+					}
+				}()
+			}
+		}()
+		cfg.Schedulers = append(cfg.Schedulers, SchedulerAt{Name: fmt.Sprint("n", i), CallBack: ln.Addr().String()})
+	}
+	f, err := New(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Start(); err != nil {
+		b.Fatal(err)
+	}
+	r := &rig{Fleet: f, book: cfg.Book}
+	const lanes = 64
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for lane := range lanes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			wires := map[int]*wire{}
+			for i := lane; i < b.N; i += lanes {
+				at := i * 7 % 1600
+				if wires[at] == nil {
+					c, err := net.Dial("tcp", f.Address(at%8, at/8))
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					defer c.Close()
+					wires[at] = &wire{Conn: c, br: bufio.NewReader(c)}
+				}
+				req := r.job(fmt.Sprint("id", i), time.Millisecond)
+				_, _ = io.WriteString(wires[at], req)
+				resp, err := http.ReadResponse(wires[at].br, nil)
+				if err != nil || resp.StatusCode != 202 {
+					b.Errorf("answered %v, %v", resp, err)
+					return
+				}
+			}
+		}()
+	}
+	for range 2 * b.N {
+		<-told
+	}
+	wg.Wait()
+}
--- a/rehearse/fleet/conn.go
+++ b/rehearse/fleet/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -23,8 +22,8 @@
 	quietLook    = time.Minute      // how long a read on a silent connection may be; it goes on then
 	writeLimit   = time.Second
 	goodbye      = 500 * time.Millisecond // in which what a bad message left is dropped, so that the answer is read
-	quietConns   = 4096                   // on one link
-	resetWindow  = 250 * time.Millisecond // see ended
+	quietConns   = 4096                   // silent ones on one link; and attempts on them that are remembered
+	resetWindow  = time.Second            // see ended
 )
 
 // conn is a connection that a scheduler has opened.
@@ -355,7 +354,9 @@
 	if a == nil || !c.isQuiet() {
 		return
 	}
-	c.silenced = append(c.silenced, a)
+	if len(c.silenced) < quietConns {
+		c.silenced = append(c.silenced, a)
+	}
 	l := c.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -425,8 +426,8 @@
 	return broken
 }
 
-// giveUp takes a DELETE. It is answered 200 whether the job was here or not: either way nothing of it is left here, which
-// is all that the scheduler wants to know, and a job that has just ended must not look like a mistake.
+// giveUp takes a DELETE. It is answered 200 whether the job was here or not: either way nothing of it is left here,
+// which is all that the scheduler wants to know, and a job that has just ended must not look like a mistake.
 func (c *conn) giveUp(m *message, id string) bool {
 	w, l := c.link.w, c.link
 	list := w.of(l, id)
@@ -472,6 +473,3 @@
 	}
 	return c.answer(m, nil, 200)
 }
-
-// String names it in tests' failures.
-func (c *conn) String() string { return fmt.Sprintf("%s to %s", c.link.name, c.link.w.spec.Name) }
--- a/rehearse/fleet/fleet.go
+++ b/rehearse/fleet/fleet.go
@@ -4,7 +4,8 @@
 //
 // A worker is driven under a mutex of its own by whoever has news for it, and by one timer for what happens by itself:
 // a job costs no hand-over between goroutines, and an idle worker no goroutine. Each listener has a goroutine that is
-// blocked in accept, each connection one; call-backs have up to four for each worker and scheduler, while there are any.
+// blocked in accept, each connection one; call-backs have up to four for each worker and scheduler, while there are
+// any.
 package fleet
 
 import (
@@ -55,6 +56,7 @@
 type Fleet struct {
 	cfg      Config
 	workers  []*worker
+	byName   map[string]int
 	lives    []atomic.Int64 // of schedulers
 	attempts atomic.Int64
 	closed   atomic.Bool
@@ -77,9 +79,14 @@
 	if len(cfg.Costs) < len(cfg.Classes) {
 		return nil, errors.New("fleet: a class without a cost")
 	}
-	f := &Fleet{cfg: cfg, lives: make([]atomic.Int64, len(cfg.Schedulers))}
+	f := &Fleet{cfg: cfg, byName: map[string]int{}, lives: make([]atomic.Int64, len(cfg.Schedulers))}
 	keys := world.NewKeys()
 	for i, spec := range cfg.Workers {
+		if _, twice := f.byName[spec.Name]; twice {
+			f.Close()
+			return nil, fmt.Errorf("fleet: two workers are called %s", spec.Name)
+		}
+		f.byName[spec.Name] = i
 		w := newWorker(f, i, spec, keys)
 		f.workers = append(f.workers, w)
 		for s := range cfg.Schedulers {
@@ -99,10 +106,8 @@
 
 // Index finds a worker by its name; -1: there is none.
 func (f *Fleet) Index(name string) int {
-	for i, w := range f.workers {
-		if w.spec.Name == name {
-			return i
-		}
+	if i, ok := f.byName[name]; ok {
+		return i
 	}
 	return -1
 }
--- a/rehearse/fleet/fleet_test.go
+++ b/rehearse/fleet/fleet_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -245,6 +248,35 @@
 	}
 }
 
+// One that hangs up without having read its 202 has given its job up, however the two crossed on the way.
+func TestAHangUpIsSeenWhateverItCrosses(t *testing.T) {
+	spec := plain("s-1")
+	spec.Slots, spec.Queue = 8, 1000
+	r := newRig(t, 1, []world.Spec{spec}, nil)
+	const jobs = 300
+	for i := range jobs {
+		c := r.dial(0, 0)
+		c.send(r.job(fmt.Sprint("j", i), time.Millisecond))
+		for range i % 7 * 1000 {
+			runtime.Gosched() // so that some have their answer by then
+		}
+		c.Close()
+	}
+	r.wait("all are there and over", func() bool {
+		return r.attempts.Load() == jobs && r.State(0).Connections == 0 && r.Busy(0) == 0
+	})
+	given := map[int64]bool{}
+	for _, ev := range r.history(0, history.KindGivenUp) {
+		given[ev.Attempt] = ev.Note == "close"
+	}
+	for n := range int64(jobs) {
+		if !given[n+1] {
+			t.Errorf("story of %d: %s", n+1, r.story(n+1))
+		}
+	}
+	t.Logf("%d of %d had been answered", len(r.history(0, history.KindTaken)), jobs)
+}
+
 // A close that had left before the answer arrived can be told from one that came after it.
 func TestACloseThatCrossesTheAnswerIsSeen(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -376,3 +408,151 @@
 		t.Errorf("its end %+v", over)
 	}
 }
+
+func TestADrainHandsBackWhatWaitsAndEndsInOrder(t *testing.T) {
+	spec := plain("s-1")
+	spec.DrainReturns = true
+	r := newRig(t, 1, []world.Spec{spec}, func(cfg *Config) { cfg.Probes = true })
+	c, idle := r.dial(0, 0), r.dial(0, 0)
+	c.ask(r.job("a", 150*time.Millisecond), "202")
+	c.ask(r.job("b", 0), "202")
+	c.ask(request("GET", "/ping", ""), "200")
+	r.Drain(0)
+	r.waitTold(0, "b", "returned")
+	c.ask(r.job("c", 0), "503 not run")
+	c.ask(request("GET", "/ping", ""), "503")
+	if ok, err := r.Stop(0); ok || err != nil {
+		t.Fatalf("it stopped with a job in hand: %v, %v", ok, err)
+	}
+	r.waitTold(0, "a", "started", "done")
+	r.wait("it may stop", func() bool { ok, err := r.Stop(0); return ok && err == nil })
+	for _, x := range []*wire{c, idle} {
+		if err := x.ends(); err != io.EOF {
+			t.Errorf("ended with %v", err)
+		}
+	}
+	r.refused(0, 0)
+	if len(r.changes) != 2 || r.changes[0].Status != history.Draining || r.changes[1].Status != history.Deleted ||
+		r.changes[1].Silent {
+		t.Errorf("changes %+v", r.changes)
+	}
+	if n := len(r.history(0, history.KindProbe)); n != 2 {
+		t.Errorf("%d probes", n)
+	}
+}
+
+func TestAWorkerHoldsOnlySoManyConnections(t *testing.T) {
+	spec := plain("s-1")
+	spec.Conns = 2
+	r := newRig(t, 2, []world.Spec{spec}, nil)
+	a, b := r.dial(0, 0), r.dial(1, 0)
+	r.wait("both are there", func() bool { return r.State(0).Connections == 2 })
+	over, err := net.DialTimeout("tcp", r.Address(0, 0), patience)
+	if err == nil { // else it was reset as fast as that
+		defer over.Close()
+		_ = over.SetDeadline(time.Now().Add(patience))
+		_, err = over.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("one too many ended with %v", err)
+	}
+	b.Close()
+	r.wait("one is gone", func() bool { return r.State(0).Connections == 1 })
+	r.dial(1, 0).ask(r.job("a", 0), "202")
+	a.ask(r.job("b", 0), "202")
+}
+
+// The first request on a connection waits for the handshake, the next one does not; the model's times say so exactly.
+func TestAHandshakeCostsTheFirstRequest(t *testing.T) {
+	spec := plain("s-1")
+	spec.Handshake, spec.Slots = 80*time.Millisecond, 9
+	r := newRig(t, 1, []world.Spec{spec}, nil)
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 0), "202")
+	c.ask(r.job("b", 0), "202")
+	var waits []int64
+	for n := range int64(2) {
+		waits = append(waits, r.history(n+1, history.KindBegan)[0].T-r.history(n+1, history.KindAttempt)[0].From)
+	}
+	if waits[0] < 40_000 || waits[1] > waits[0] {
+		t.Errorf("the requests waited %v µs", waits)
+	}
+}
+
+func TestASlowMachineIsSlow(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	r.Slow(0, 4)
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 20*time.Millisecond), "202")
+	r.waitTold(0, "a", "started", "done")
+	if ran := r.history(1, history.KindOver)[0].T - r.history(1, history.KindBegan)[0].T; ran < 80_000 || ran > 80_002 {
+		t.Errorf("it ran for %d µs", ran)
+	}
+}
+
+func TestAColdWorkerIsPushedOver(t *testing.T) {
+	spec := plain("s-1")
+	spec.Queue = 1000
+	r := newRig(t, 1, []world.Spec{spec}, nil)
+	must(t, r.Crash(0))
+	must(t, r.Return(0))
+	c := r.dial(0, 0)
+	// 3 x 30% of a core for a second bear 90 jobs of 10 ms, and it grows a little meanwhile.
+	var all strings.Builder
+	for i := range 400 {
+		all.WriteString(r.job(fmt.Sprint("j", i), time.Hour))
+	}
+	_, _ = io.WriteString(c, all.String())
+	r.wait("it falls", func() bool { return r.Fallen(0) })
+	for err := error(nil); err == nil; _, err = c.br.Discard(1) {
+	}
+	r.refused(0, 0)
+	r.wait("discovery is told", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.changes) == 3 && r.changes[2].Status == history.Deleted
+	})
+	r.wait("the agent has told", func() bool {
+		told := r.callers[0].told("j0")
+		return len(told) > 0 && told[len(told)-1] == "lost"
+	})
+	fell := r.history(0, history.KindFell)
+	if len(fell) != 1 || fell[0].Life != 2 || fell[0].Work <= fell[0].Budget || fell[0].Budget < 900_000 {
+		t.Errorf("fell: %+v", fell)
+	}
+}
+
+// Nothing is left of a fleet that was closed in the midst of everything.
+func TestCloseLeavesNothing(t *testing.T) {
+	before, files := runtime.NumGoroutine(), descriptors(t)
+	r := newRig(t, 3, []world.Spec{plain("s-1"), plain("s-2"), plain("s-3"), plain("s-4")}, apart(5*time.Millisecond))
+	var wires []*wire
+	for s := range 3 {
+		for w := range 4 {
+			c := r.dial(s, w)
+			c.send(r.job(fmt.Sprint(s, w), time.Duration(s)*time.Hour))
+			wires = append(wires, c)
+		}
+	}
+	r.callers[0].refuse()
+	r.wait("all are there", func() bool { return r.attempts.Load() == 12 })
+	must(t, r.Vanish(0))
+	must(t, r.Mute(1))
+	must(t, r.Crash(2))
+	must(t, r.Cut(1, 3, true))
+	r.closeIt()
+	for _, c := range wires {
+		c.Close()
+	}
+	r.wait("goroutines and descriptors are gone", func() bool {
+		return runtime.NumGoroutine() <= before && descriptors(t) <= files
+	})
+}
+
+func descriptors(t *testing.T) int {
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip(err)
+	}
+	return len(list)
+}
--- a/rehearse/fleet/message_test.go
+++ b/rehearse/fleet/message_test.go
@@ -61,8 +61,9 @@
 }
 
 func TestGarbage(t *testing.T) {
-	parts := []string{"POST / HTTP/1.1\r\n", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "\r\n", "\n", "3\r\nabc\r\n",
-		"0\r\n\r\n", "abc", "X-Request-Id: a\r\n", ":", " ", "\x00", "Content-Length: 99999\r\n", "X-Deadline-Ms: -1\r\n"}
+	parts := []string{"POST / HTTP/1.1\r\n", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "\r\n", "\n",
+		"3\r\nabc\r\n", "0\r\n\r\n", "abc", "X-Request-Id: a\r\n", ":", " ", "\x00", "Content-Length: 99999\r\n",
+		"X-Deadline-Ms: -1\r\n"}
 	rapid.Check(t, func(t *rapid.T) {
 		s := strings.Join(rapid.SliceOfN(rapid.SampledFrom(parts), 0, 9).Draw(t, "parts"), "")
 		if rapid.Bool().Draw(t, "begins well") {
--- a/rehearse/fleet/rig_test.go
+++ b/rehearse/fleet/rig_test.go
@@ -55,7 +55,7 @@
 	w.WriteHeader(got.status)
 }
 
-// told lists what was told and acknowledged of a job.
+// told lists what was told and acknowledged of a job. Something may be told again if the fleet did not see that it was.
 func (c *caller) told(id string) (states []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,7 +64,14 @@
 			states = append(states, g.State)
 		}
 	}
-	return states
+	return slices.Compact(states)
+}
+
+// refuse makes it acknowledge nothing from now on.
+func (c *caller) refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = func(int, call) int { return 500 }
 }
 
 // rig is a fleet with schedulers that only listen.
--- /dev/null
+++ b/rehearse/fleet/silence_test.go
@@ -0,0 +1,264 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/world"
+	"laddertide/decide"
+	"laddertide/directory"
+	"laddertide/provider"
+	"laddertide/wire/http1"
+)
+
+// neverUp checks that a dial to a worker finds nobody, not even a refusal.
+func (r *rig) neverUp(scheduler, worker int) {
+	r.t.Helper()
+	c, err := net.DialTimeout("tcp", r.Address(scheduler, worker), 100*time.Millisecond)
+	if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+		if err == nil {
+			c.Close()
+		}
+		r.t.Fatalf("a dial to nobody: %v", err)
+	}
+}
+
+// must is for what changes sockets.
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAVanishedMachineSaysNothing(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	r.callers[0].answer = func(n int, c call) int {
+		if c.State == "done" {
+			return 500 // still to be told when the machine vanishes
+		}
+		return 204
+	}
+	busy, idle, half, gone := r.dial(0, 0), r.dial(0, 0), r.dial(0, 0), r.dial(0, 0)
+	busy.ask(r.job("a", 0), "202")
+	busy.ask(r.job("b", time.Hour), "202")
+	r.waitTold(0, "b", "started")
+	r.wait("a start is through", func() bool {
+		l := r.workers[0].links[0]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.tales) == 1 && len(l.tales[1].notes) == 1
+	})
+	first, rest, _ := strings.Cut(r.job("c", 0), "body")
+	half.send(first)
+	r.wait("all have come up", func() bool { return r.State(0).Connections == 4 })
+	must(t, r.Vanish(0))
+	calls := len(r.callers[0].calls)
+
+	// What is sent is swallowed, whole or not; a close is noticed, and nothing comes back.
+	half.send("body" + rest)
+	idle.send(r.job("d", 0))
+	gone.send(r.job("e", 0))
+	busy.send(request("DELETE", "/jobs/b", "")) // nobody hears it
+	r.wait("three are swallowed", func() bool { return r.attempts.Load() == 5 })
+	for _, c := range []*wire{busy, idle, half} {
+		c.silent()
+	}
+	gone.Close()
+	r.wait("its end is seen", func() bool {
+		l := r.workers[0].links[0]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.conns) == 3
+	})
+	r.neverUp(0, 0)
+	if n := len(r.callers[0].calls); n != calls {
+		t.Errorf("%d calls from a machine that is not there", n-calls)
+	}
+
+	must(t, r.Return(0))
+	for _, c := range []*wire{busy, idle, half} {
+		if err := c.ends(); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("a connection from before ended with %v", err)
+		}
+	}
+	r.dial(0, 0).ask(r.job("f", 0), "202")
+	r.waitTold(0, "f", "started")
+
+	r.closeIt()
+	swallowed := map[string]string{}
+	for _, ev := range r.history(0, history.KindVoid) {
+		swallowed[ev.Request] = r.story(ev.Attempt)
+	}
+	if len(swallowed) != 3 || swallowed["c"] != "void" || swallowed["d"] != "void" ||
+		swallowed["e"] != "void, given-up:close" {
+		t.Errorf("swallowed: %v", swallowed)
+	}
+	if got := r.history(2, history.KindOver, history.KindUntold); len(got) != 1 ||
+		got[0].State != history.StateLost || !got[0].Ran {
+		t.Errorf("the one that ran: %+v", got)
+	}
+	if got := r.history(1, history.KindOver, history.KindUntold); len(got) != 2 || got[0].State != history.StateDone ||
+		got[1].State != history.StateDone || got[1].Note != silentNote {
+		t.Errorf("the one that was done: %+v", got)
+	}
+	if len(r.changes) != 2 || !r.changes[0].Silent || r.changes[0].Status != history.Deleted {
+		t.Errorf("changes %+v", r.changes)
+	}
+}
+
+func TestAMuteMachineAcceptsAndNeverAnswers(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	old := r.dial(0, 0)
+	old.ask(r.job("a", time.Hour), "202")
+	must(t, r.Mute(0))
+	fresh := r.dial(0, 0)
+	fresh.send(r.job("b", 0))
+	bad := r.dial(0, 0)
+	bad.send("what is this\r\n\r\n")
+	r.wait("it is swallowed", func() bool { return r.attempts.Load() == 2 })
+	for _, c := range []*wire{old, fresh, bad} {
+		c.silent()
+	}
+	must(t, r.Return(0))
+	for _, c := range []*wire{old, fresh, bad} {
+		if err := c.ends(); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("a connection from before ended with %v", err)
+		}
+	}
+	r.dial(0, 0).ask(r.job("c", 0), "202")
+	r.waitTold(0, "c", "started", "done")
+	if got := r.story(2); got != "void" {
+		t.Errorf("story of the swallowed one: %s", got)
+	}
+	if got := r.callers[0].told("a"); len(got) > 1 {
+		t.Errorf("the one from before was told %v", got)
+	}
+}
+
+// The worker runs on behind a cut, others reach it, and what could not be told is told afterwards.
+func TestACutPartsOnePair(t *testing.T) {
+	r := newRig(t, 2, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	c.ask(r.job("a", 100*time.Millisecond), "202")
+	r.waitTold(0, "a", "started")
+	must(t, r.Cut(0, 0, true))
+	r.neverUp(0, 0)
+	c.send(r.job("b", 0))
+	r.dial(1, 0).ask(r.job("c", 0), "202")
+	r.waitTold(1, "c", "started", "done") // behind a, which has ended by then
+	r.wait("it is swallowed", func() bool { return r.attempts.Load() == 3 })
+	c.silent()
+	if got := r.callers[0].told("a"); len(got) != 1 {
+		t.Errorf("told through a cut: %v", got)
+	}
+	must(t, r.Cut(0, 0, false))
+	if err := c.ends(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("a connection from before ended with %v", err)
+	}
+	r.dial(0, 0).ask(r.job("d", 0), "202")
+	r.waitTold(0, "a", "started", "done")
+	cuts := r.history(0, history.KindCut)
+	if len(cuts) != 2 || !cuts[0].On || cuts[1].On || cuts[0].Scheduler != "n1" || cuts[0].Worker != "s-1" {
+		t.Errorf("cuts %+v", cuts)
+	}
+	if len(r.changes) != 0 {
+		t.Errorf("discovery was told %+v", r.changes)
+	}
+}
+
+// A crash behind a cut is not noticed before the cut ends; then the worker refuses.
+func TestACrashBehindACut(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	c := r.dial(0, 0)
+	c.ask(r.job("a", time.Hour), "202")
+	must(t, r.Cut(0, 0, true))
+	must(t, r.Crash(0))
+	c.silent()
+	r.neverUp(0, 0)
+	must(t, r.Cut(0, 0, false))
+	if err := c.ends(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("ended with %v", err)
+	}
+	r.refused(0, 0)
+	r.wait("the agent has told", func() bool {
+		told := r.callers[0].told("a")
+		return len(told) > 0 && told[len(told)-1] == "lost"
+	})
+}
+
+// The daemon's own pool sees a vanished machine as one to which no connection comes up, and a mute one as a job that is
+// not acknowledged.
+func TestTheDaemonSeesSilenceAsItIs(t *testing.T) {
+	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	pool := provider.NewPool(provider.Limits{Dial: 250 * time.Millisecond, Idle: time.Minute, Conns: 10},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	defer pool.Close()
+	pool.Directory([]directory.Entry{{Name: "s-1", Address: r.Address(0, 0), Status: directory.Serving}}, true)
+	invoke := func(id string) (decide.End, time.Duration) {
+		r.job(id, 0)
+		job := &provider.Job{ID: id, Message: provider.Message{Method: "POST", Target: "/api/x?y=1",
+			Fields: http1.Fields{{Name: "X-Request-Id", Value: id}}, Body: []byte("body")}}
+		began := time.Now()
+		v := decide.Verdict{Provider: "s-1", Until: began.Add(patience), TakenIn: 400 * time.Millisecond,
+			Context: context.Background()}
+		end, _ := pool.Invoke(job, v, func(decide.News) {})
+		return end, time.Since(began)
+	}
+	go func() { // stands for the daemon's listener
+		for range 2000 {
+			for _, id := range []string{"a", "d"} {
+				if told := r.callers[0].told(id); len(told) == 2 {
+					pool.Event(provider.Event{ID: id, From: "s-1", State: provider.Done})
+				}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	if end, took := invoke("a"); end != decide.Served {
+		t.Fatalf("a calm call ended with %d after %v", end, took)
+	}
+	must(t, r.Vanish(0))
+	// The first one goes into the connection that is left from before.
+	end, took := invoke("b")
+	t.Logf("vanished, on a connection from before: end %d after %v", end, took)
+	if end != decide.Silent {
+		t.Errorf("end %d, want %d", end, decide.Silent)
+	}
+	end, took = invoke("c")
+	t.Logf("vanished, on a new connection: end %d after %v", end, took)
+	if end != decide.NotConnected || took < 250*time.Millisecond {
+		t.Errorf("end %d after %v, want %d", end, took, decide.NotConnected)
+	}
+	must(t, r.Return(0))
+	end, took = invoke("d")
+	t.Logf("back: end %d after %v", end, took)
+	if end != decide.Served {
+		t.Errorf("end %d, want %d", end, decide.Served)
+	}
+	must(t, r.Mute(0))
+	pool.Directory([]directory.Entry{{Name: "s-1", Address: r.Address(0, 0), Status: directory.Serving, SinceMS: 1}}, true)
+	end, took = invoke("e")
+	t.Logf("mute, on a new connection: end %d after %v", end, took)
+	if end != decide.Silent || took < 400*time.Millisecond {
+		t.Errorf("end %d after %v, want %d", end, took, decide.Silent)
+	}
+	voids := map[string]bool{}
+	for _, ev := range r.history(0, history.KindVoid) {
+		voids[ev.Request] = true
+		if got := r.story(ev.Attempt); got != "void, given-up:close" && ev.Request != "e" {
+			t.Errorf("story of %s: %s", ev.Request, got)
+		}
+	}
+	if len(voids) != 2 || !voids["b"] || !voids["e"] {
+		t.Errorf("swallowed %v, want b and e", voids)
+	}
+}
--- a/rehearse/fleet/worker.go
+++ b/rehearse/fleet/worker.go
@@ -55,7 +55,6 @@
 
 	submitted, taken, full, over bool
 	withdrawn                    bool // given up before it was submitted
-	tale                         *tale
 }
 
 func newWorker(f *Fleet, index int, spec world.Spec, keys *world.Keys) *worker {
