--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -31,7 +31,7 @@
 			return
 		}
 		t := &one{kit: k, a: a, id: k.id(a, try), try: try, limit: left}
-		k.ask(a, t.id, first, try, due, left.Microseconds())
+		k.ask(a, t.id, first, try, due, now, left)
 		out, after := t.play()
 		if k.ctx.Err() != nil {
 			return
@@ -55,11 +55,11 @@
 func micro(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // ask records that a client is about to send.
-func (k *kit) ask(a *traffic.Arrival, id, first string, try int, due time.Duration, limit int64) {
+func (k *kit) ask(a *traffic.Arrival, id, first string, try int, due, now, limit time.Duration) {
 	k.tally.asks.Add(1)
-	k.Record.Add(history.Event{Kind: history.KindAsk, Request: id, First: first, Try: try, Class: k.class(a).Name,
-		Tenant: k.Plan.Tenants[a.Tenant].Name, Zone: k.Zones[a.Zone], Key: a.Key, Work: a.Work.Microseconds(),
-		Due: due.Microseconds(), Limit: limit})
+	k.Record.Add(history.Event{T: max(1, now.Microseconds()), Kind: history.KindAsk, Request: id, First: first,
+		Try: try, Class: k.class(a).Name, Tenant: k.Plan.Tenants[a.Tenant].Name, Zone: k.Zones[a.Zone], Key: a.Key, Work: a.Work.Microseconds(),
+		Due: due.Microseconds(), Limit: limit.Microseconds()})
 }
 
 // unsent records that a request's last byte did not go out.
--- a/rehearse/clients/clients.go
+++ b/rehearse/clients/clients.go
@@ -254,7 +254,7 @@
 func (k *kit) overflow(a *traffic.Arrival, due time.Duration) {
 	k.tally.overflow.Add(1)
 	id := k.id(a, 0)
-	k.ask(a, id, id, 0, due, k.class(a).Deadline)
+	k.ask(a, id, id, 0, due, k.Record.Since(), micro(k.class(a).Deadline))
 	k.unsent(id, "", fmt.Sprintf("the kit holds %d open requests and no more", k.Open))
 }
 
--- a/rehearse/clients/clients_test.go
+++ b/rehearse/clients/clients_test.go
@@ -253,6 +253,7 @@
 	cfg.Retry = traffic.Retry{Most: 2, Backoff: time.Millisecond, Honour: 1, MaxAfter: 600 * time.Millisecond}
 	_, events := play(t, cfg)
 	got, asks, answers := s.got(), of(events, history.KindAsk), of(events, history.KindAnswer)
+	sent := of(events, history.KindSent)
 	if len(got) != 3 || len(asks) != 3 || len(answers) != 3 {
 		t.Fatalf("%d requests", len(got))
 	}
@@ -275,7 +276,7 @@
 		if wait := e.Due - answers[i-1].T; wait < least || e.T < e.Due {
 			t.Errorf("try %d was due %d µs after the answer", i, wait)
 		}
-		if left := e.Limit + e.T - asks[0].T; left > 30_001_000 || left < 29_000_000 || h.Get("X-Retry") != "1" {
+		if left := e.Limit + e.T - sent[0].T; left > 30_000_000 || left < 29_998_000 || h.Get("X-Retry") != "1" {
 			t.Errorf("try %d: X-Retry %q, a limit that adds up to %d", i, h.Get("X-Retry"), left)
 		}
 	}
--- a/rehearse/clients/front_test.go
+++ b/rehearse/clients/front_test.go
@@ -84,7 +84,8 @@
 	t.Parallel()
 	dead, other := newScripted(t, ok), newScripted(t, ok)
 	cfg := rig(dead, other)
-	cfg.Front = Front{Poll: 30 * time.Millisecond, Notice: [2]time.Duration{700 * time.Millisecond, 700 * time.Millisecond}}
+	notice := 700 * time.Millisecond
+	cfg.Front = Front{Poll: 30 * time.Millisecond, Notice: [2]time.Duration{notice, notice}}
 	cfg.Arrivals = every(250, 10*time.Millisecond, safe)
 	died := make(chan int64, 1)
 	time.AfterFunc(300*time.Millisecond, func() {
--- /dev/null
+++ b/rehearse/clients/rude_test.go
@@ -0,0 +1,244 @@
+package clients
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/rehearse/record"
+)
+
+// strict is a server that reads a while and turns everything away; it keeps what it read first of each connection.
+type strict struct {
+	listener net.Listener
+	answer   func(first []byte) string // empty: it only closes
+	hang     bool                      // it accepts and does nothing
+
+	mu    sync.Mutex
+	heads [][]byte
+	most  int // connections at once
+	open  int
+	ended chan struct{}
+	all   sync.WaitGroup
+}
+
+func newStrict(t *testing.T, s *strict) *strict {
+	t.Helper()
+	var err error
+	if s.listener, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	s.ended = make(chan struct{})
+	s.all.Go(func() {
+		for {
+			c, err := s.listener.Accept()
+			if err != nil {
+				return
+			}
+			s.all.Go(func() { s.turnAway(c.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() {
+		s.listener.Close()
+		close(s.ended)
+		s.all.Wait()
+	})
+	return s
+}
+
+func (s *strict) turnAway(c *net.TCPConn) {
+	defer c.Close()
+	s.mu.Lock()
+	s.open++
+	s.most = max(s.most, s.open)
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.open--; s.mu.Unlock() }()
+	if s.hang {
+		<-s.ended
+		return
+	}
+	for {
+		c.SetDeadline(time.Now().Add(500 * time.Millisecond))
+		first := make([]byte, 0, 8<<10)
+		for len(first) < cap(first) && !bytes.Contains(first, []byte("\r\n\r\n")) {
+			n, err := c.Read(first[len(first):cap(first)])
+			first = first[:len(first)+n]
+			if err != nil {
+				break
+			}
+		}
+		s.mu.Lock()
+		s.heads = append(s.heads, first)
+		s.mu.Unlock()
+		answer := s.answer(first)
+		if answer == "" || len(first) == 0 {
+			return
+		}
+		if _, err := c.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+const bad = "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno"
+
+func rudely(t *testing.T, s *strict, cfg RudeConfig) []history.Event {
+	t.Helper()
+	cfg.Schedulers = []Scheduler{{"s0", "a", s.listener.Addr().String()}}
+	if cfg.Record == nil {
+		cfg.Record = record.New(nil)
+	}
+	cfg.Class, cfg.Tenant = "limit-check", "rainier-haul"
+	if cfg.Rate == 0 {
+		cfg.Rate, cfg.Length, cfg.Seed = 40, 1500*time.Millisecond, 3
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := Rude(ctx, cfg); err != nil {
+		t.Fatal(err)
+	}
+	if ctx.Err() != nil {
+		t.Fatal("the bad clients did not come to an end")
+	}
+	events, _ := cfg.Record.Close(history.Event{})
+	return of(events, history.KindStranger)
+}
+
+// Every kind comes, and one that is turned away or closed upon has got its due.
+func TestBadClientsAreTurnedAway(t *testing.T) {
+	t.Parallel()
+	s := newStrict(t, &strict{answer: func([]byte) string { return bad }})
+	open := NewOpenRequests()
+	open.add("s0", "00000000000000aa", 5)
+	open.add("s0", "00000000000000bb", 7)
+	open.add("s0", "00000000000000cc", 9)
+	open.remove("s0", "00000000000000cc")
+	open.add("s1", "00000000000000dd", 11)
+	events := rudely(t, s, RudeConfig{Open: open})
+	answered := make(map[string]int)
+	for _, e := range events {
+		if e.Bytes != 0 || e.From <= 0 || e.T < e.From || e.Scheduler != "s0" || e.Status != 0 && e.Status != 400 {
+			t.Errorf("%+v", e)
+		}
+		if (e.Note == "stolen-id") != (e.Request == "00000000000000bb") {
+			t.Errorf("%+v", e)
+		}
+		answered[e.Note]++
+	}
+	for _, kind := range RudeKinds() {
+		if least := map[string]int{"crowd": fewestCrowd, "silent": fewestCrowd}[kind]; answered[kind] < max(1, least) {
+			t.Errorf("%s came %d times", kind, answered[kind])
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := func(what string, is func(head string) bool) {
+		if !slices.ContainsFunc(s.heads, func(b []byte) bool { return is(string(b)) }) {
+			t.Errorf("no %s was seen", what)
+		}
+	}
+	has := func(parts ...string) func(string) bool {
+		return func(h string) bool {
+			return !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(h, p) })
+		}
+	}
+	seen("60 MB", has("Content-Length: 62914560"))
+	seen("request within another", has("Content-Length: ", "Transfer-Encoding: ", "POST"))
+	seen("stolen id", has("X-Request-Id: 00000000000000bb", "X-Class: limit-check"))
+	seen("request without an id", func(h string) bool {
+		return strings.HasPrefix(h, "POST /api/") && strings.Contains(h, "\r\n\r\n") && !strings.Contains(h, "X-Request-Id")
+	})
+	seen("endless head", func(h string) bool { return len(h) == 8<<10 && !strings.Contains(h, "\r\n\r\n") })
+	seen("silence", func(h string) bool { return h == "" })
+	if s.most < fewestCrowd {
+		t.Errorf("at most %d connections at once", s.most)
+	}
+}
+
+func TestServedStrangerIsRecordedAsServed(t *testing.T) {
+	t.Parallel()
+	s := newStrict(t, &strict{answer: func([]byte) string { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }})
+	events := rudely(t, s, RudeConfig{Kinds: []string{"class"}, Rate: 10, Length: time.Second, Seed: 1})
+	if len(events) == 0 || slices.ContainsFunc(events, func(e history.Event) bool { return e.Status != 200 }) {
+		t.Errorf("%+v", events)
+	}
+}
+
+func TestBadClientsThatGetNothing(t *testing.T) {
+	t.Parallel()
+	s := newStrict(t, &strict{hang: true})
+	some := []string{"class", "heavy", "half", "again"}
+	events := rudely(t, s, RudeConfig{Kinds: some, Rate: 12, Length: time.Second, Seed: 1})
+	kinds := make(map[string]bool)
+	for _, e := range events {
+		kinds[e.Note] = true
+		limit := int64(3_050_000)
+		if e.Note == "heavy" {
+			limit = 6_050_000
+		}
+		if e.Bytes != 1 || e.Status != 0 || e.T-e.From < limit {
+			t.Errorf("%+v", e)
+		}
+	}
+	if len(kinds) != 4 {
+		t.Errorf("%v", kinds)
+	}
+}
+
+// The same request again, on the same connection for as long as the scheduler leaves it open.
+func TestTurnedAwayAndBackAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newStrict(t, &strict{answer: func([]byte) string { return bad }})
+	events := rudely(t, s, RudeConfig{Kinds: []string{"again"}, Rate: 5, Length: time.Second, Seed: 1})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(events) == 0 || len(s.heads) < 50*len(events) {
+		t.Errorf("%d connections brought %d requests", len(events), len(s.heads))
+	}
+}
+
+// A thief only ever takes the id of a request that is open.
+func TestOpenRequestsAreKnown(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, never)
+	cfg := rig(s)
+	cfg.Plan = plan(600 * time.Millisecond)
+	cfg.Arrivals = every(1, 0, once)
+	cfg.Victims = NewOpenRequests()
+	found := make(chan string, 1)
+	go func() {
+		for {
+			if id, ok := cfg.Victims.newest("s0"); ok {
+				found <- id
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	_, events := play(t, cfg)
+	if id := <-found; id != of(events, history.KindSent)[0].Request {
+		t.Errorf("%q is open", id)
+	}
+	if id, ok := cfg.Victims.newest("s0"); ok {
+		t.Errorf("%q is still open", id)
+	}
+}
+
+func TestRudeConfigsThatCannotBePlayed(t *testing.T) {
+	to := func(address string) []Scheduler { return []Scheduler{{"s0", "a", address}} }
+	for name, cfg := range map[string]RudeConfig{
+		"elsewhere": {Record: record.New(nil), Schedulers: to("192.168.0.1:80")},
+		"kind":      {Record: record.New(nil), Schedulers: to("127.0.0.1:1"), Kinds: []string{"polite"}},
+		"nobody":    {Record: record.New(nil)},
+	} {
+		if Rude(context.Background(), cfg) == nil {
+			t.Errorf("%s: played all the same", name)
+		}
+	}
+}
