Play drawn histories of good and bad schedulers before the judge

Need: a judge that blames the good or misses the bad is worth nothing. Change: a small town in virtual time (workers, discovery, clients, stalls, late records) with a scripted scheduler; 23 switches each make it break one rule in one way. Measured: 200 good histories, no blame; each switch found, and no other rule.

--- a/core/judge/answers.go
+++ b/core/judge/answers.go
@@ -209,6 +209,9 @@
 		return false
 	}
 	// A scheduler that has sent it on has read it.
+	if i+1 < len(r.sent) {
+		end = min(end, c.events[r.sent[i+1]].T)
+	}
 	for _, n := range r.try {
 		a := &c.attempts[n]
 		ev := &c.events[a.ev]
--- /dev/null
+++ b/core/judge/town_judge_test.go
@@ -0,0 +1,134 @@
+package judge
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"laddertide/core/history"
+	"laddertide/internal/pin"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { pin.Run(m) }
+
+// told puts the breaches of a verdict into words, but for those of a rule, with the stories of their requests.
+func told(v Verdict, events []history.Event, but Rule) string {
+	var b []byte
+	n := 0
+	for _, br := range v.Breaches {
+		if br.Rule == but || n == 2 {
+			continue
+		}
+		n++
+		b = fmt.Appendf(b, "%d %s/%s %s\n", br.T, br.Rule, br.Kind, br.Text)
+		for _, ev := range Story(events, br.Request) {
+			b, _ = history.Append(b, &ev)
+		}
+	}
+	return string(b)
+}
+
+// A good scheduler is never blamed, whatever befalls workers, discovery, clients, the kit and the scheduler itself. The
+// histories must hold what a judge could take for a breach; else they would show nothing.
+func TestAGoodSchedulerIsNeverBlamed(t *testing.T) {
+	seen := make(map[string]int)
+	rapid.Check(t, func(rt *rapid.T) {
+		for range 2 {
+			events := newTown(rapid.Uint64().Draw(rt, "seed"), "").play()
+			v := Judge(events)
+			if !v.Kept() || v.CardIssueDuplicates != 0 || v.MissingAnswers != 0 || v.Partial {
+				rt.Fatalf("blamed: %+v\n%s", v.Counts, told(v, events, ""))
+			}
+			for i := range events {
+				ev := &events[i]
+				seen[string(ev.Kind)]++
+				switch {
+				case ev.Kind == history.KindOver:
+					seen["over "+string(ev.State)]++
+				case ev.Kind == history.KindAnswer:
+					seen[fmt.Sprintf("answer %d", ev.Status)]++
+				case ev.Kind == history.KindSent && ev.Again:
+					seen["again"]++
+				}
+			}
+		}
+	})
+	if seen["setup"] < 200 {
+		t.Errorf("only %d histories", seen["setup"])
+	}
+	for _, want := range strings.Fields("stall start term kill hup exit unsent broken gave-up again up crash vanish mute " +
+		"drain stop fell void given-up held wrote") {
+		if seen[want] == 0 {
+			t.Errorf("never seen: %s", want)
+		}
+	}
+	for _, want := range []string{"over lost", "over failed", "over full", "over returned", "over cancelled",
+		"answer 200", "answer 502", "answer 503", "answer 504"} {
+		if seen[want] == 0 {
+			t.Errorf("never seen: %s", want)
+		}
+	}
+}
+
+// Each bad scheduler differs from the good one by one switch, and the judge finds just the rule that it breaks.
+func TestBadSchedulersAreFound(t *testing.T) {
+	bad := []struct {
+		rule  Rule
+		how   string
+		kinds string // those with a question mark need not be found
+	}{
+		{Answers, "drops", NoAnswer},
+		{Answers, "closes", Closed},
+		{Answers, "late", LateAnswer + " ?" + NoAnswer},
+		{Answers, "invents-results", MadeUpResult},
+		{Answers, "empty-results", MadeUpResult},
+		{Answers, "swaps-results", MadeUpResult},
+		{Answers, "answers-twice", SecondAnswer},
+		{Answers, "crash", Crashed + " " + NoAnswer},
+		{Answers, "leaves-early", Closed + " ?" + NoAnswer},
+		{Duplicates, "resends-cards", SecondRun},
+		{Duplicates, "resends-silent-cards", ResentUnproven + " ?" + SecondRun},
+		{Duplicates, "hedges", TwoOut},
+		{Duplicates, "refuses-after-runs", RefusedAfterRun},
+		{Duplicates, "forgets-the-window", OutsideWindow},
+		{Duplicates, "five-attempts", TooManyAttempts},
+		{Drains, "ignores-drains", SentAfterDrain},
+		{Drains, "stops-late", SentAfterDrain},
+		{Drains, "ignores-deletions", SentAfterDrain},
+		{Drains, "ignores-its-start-list", SentAfterDrain},
+		{Cold, "floods", PushedOver},
+		{Cold, "dumps-what-it-holds", PushedOver},
+		{Altered, "alters", AlteredJob},
+		{Altered, "invents-jobs", AlteredJob + " " + UnaskedJob},
+	}
+	for _, b := range bad {
+		t.Run(b.how, func(t *testing.T) {
+			found := make(map[string]int)
+			for seed := range uint64(6) {
+				events := newTown(seed, b.how).play()
+				v := Judge(events)
+				for rule, n := range v.Counts {
+					if rule != b.rule && n > 0 {
+						t.Fatalf("seed %d: %v\n%s", seed, v.Counts, told(v, events, b.rule))
+					}
+				}
+				for _, br := range v.Breaches {
+					found[br.Kind]++
+				}
+			}
+			t.Log(found)
+			for kind := range found {
+				if !strings.Contains(b.kinds, kind) {
+					t.Errorf("found %s", kind)
+				}
+			}
+			for _, kind := range strings.Fields(b.kinds) {
+				if found[kind] == 0 && kind[0] != '?' {
+					t.Errorf("found no %s", kind)
+				}
+			}
+		})
+	}
+}
