rehearse fleet and rehearse load: workers and clients by hand, for schedulers of one's own

Need: a scheduler under a debugger, or a first look with curl, wants a fleet without the rest of a run. Change: fleet prints configuration, command and curl line and does what is typed; load plays clients alone and says that no rule was judged. Workers guess a job of a client that is not the kit's from class and cost hint.

--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -29,6 +29,8 @@
   rehearse show NAME                 the file of one
   rehearse run NAME... [flags]       play scenarios and print a table
   rehearse judge HISTORY... [flags]  judge recorded histories again
+  rehearse fleet [NAME] [flags]      by hand: start workers and discovery alone, for a scheduler of yours
+  rehearse load [NAME] [flags]       by hand: play clients alone, against --scheduler ADDRESS
 
 Exit status: 0 all rules were kept; 1 it could not run; 2 a rule was broken; 3 the service was under --min-service;
 4 the kit itself ran late, so the run does not count.
@@ -51,6 +53,7 @@
 	flags    *pflag.FlagSet
 
 	files      []string
+	schedulers []string
 	seed       uint64
 	seeds      int
 	change     scenario.Changes
@@ -83,6 +86,7 @@
 	f.StringVar(&a.json, "json", "", "write the reports to this file, - for standard output: an object a run, one a line if several")
 	f.StringVar(&a.outDir, "out", "", "keep page, report, history and logs in this folder")
 	f.Float64Var(&a.minService, "min-service", 0, "exit with 3 if the service is under this, 0 to 1")
+	f.StringArrayVar(&a.schedulers, "scheduler", nil, "by hand: where a scheduler listens, in 127.0.0.0/8; may be repeated")
 	f.BoolVar(&a.quiet, "quiet", false, "print no table and no progress")
 	f.IntVar(&a.parallel, "parallel", 1, "play so many runs side by side")
 	f.Float64Var(&a.lateMS, "late-ms", float64(session.LateLimit.Milliseconds()), "a run in which the kit's own p99 is later than this does not count")
@@ -126,10 +130,14 @@
 		return a.run(ctx, args)
 	case "judge":
 		return a.judge(args)
+	case "fleet":
+		return a.handFleet(ctx, args, os.Stdin)
+	case "load":
+		return a.handLoad(ctx, args)
 	case "":
-		return 0, errors.New("a command is wanted: list, show, run or judge; --help tells more")
+		return 0, errors.New("a command is wanted, such as list or run; --help tells more")
 	}
-	return 0, fmt.Errorf("unknown command %q: list, show, run and judge are known", name)
+	return 0, fmt.Errorf("unknown command %q; --help names those that there are", name)
 }
 
 // check looks at the flags that no command could use as they are.
--- a/rehearse/fleet/fleet.go
+++ b/rehearse/fleet/fleet.go
@@ -43,6 +43,11 @@
 	Record     *record.Recorder
 	Book       *book.Book
 	Classes    []history.Class
+
+	// Guess says what a job is made of that the book does not know, from its class, its key and its cost hint (0: none),
+	// where clients are not the kit's own. Nil: such a job is refused.
+	Guess func(class, key string, hint time.Duration) (book.Job, bool)
+
 	Costs      []time.Duration // by class: what an attempt is charged to a cold worker
 	ProbeCost  time.Duration
 	Probes     bool          // GET /ping is answered
--- a/rehearse/fleet/message.go
+++ b/rehearse/fleet/message.go
@@ -23,6 +23,8 @@
 type message struct {
 	method, target string
 	id, key        string
+	class          string
+	hint           time.Duration // what its client thinks that it costs; 0: it doesn't say
 	limit          time.Duration // how long the scheduler will wait; 0: it doesn't say
 	body           []byte
 	last           bool // the connection ends with the answer
@@ -73,6 +75,10 @@
 		}
 		m.limit = max(time.Microsecond, time.Duration(ms)*time.Millisecond)
 	}
+	m.class = req.Header.Get("X-Class")
+	if us, err := strconv.ParseFloat(req.Header.Get("X-Cost-Hint"), 64); err == nil && us > 0 && us < 1e12 {
+		m.hint = time.Duration(us * float64(time.Microsecond))
+	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		if err := proceed(); err != nil {
 			return nil, err
--- a/rehearse/fleet/worker.go
+++ b/rehearse/fleet/worker.go
@@ -401,6 +401,10 @@
 		return world.Job{}, "it has no id"
 	}
 	entry, same, known := w.f.cfg.Book.Read(m.id, book.Sum(m.method, m.target, m.id, m.key, m.body))
+	if !known && w.f.cfg.Guess != nil {
+		entry, known = w.f.cfg.Guess(m.class, m.key, m.hint)
+		same = known
+	}
 	switch {
 	case !known:
 		return world.Job{}, "no client has sent this id"
--- a/rehearse/report/json.go
+++ b/rehearse/report/json.go
@@ -20,6 +20,7 @@
 	MissingAnswers      int            `json:"missing_answers"`
 	Partial             bool           `json:"partial"`
 	Late                bool           `json:"late"`
+	Judged              bool           `json:"judged"` // false: the rules' zeros say nothing
 
 	Classes map[string]jsonGroup `json:"classes"`
 	Tenants map[string]jsonGroup `json:"tenants"`
@@ -162,7 +163,7 @@
 	out := jsonRun{
 		Scenario: r.Scenario, Seed: r.Seed, Service: finite(f.Service, 6), Worst10s: finite(f.Parts.Window, 6),
 		LateMS: finite(f.Kit.LateP99, 3), Rules: map[string]int{}, CardIssueDuplicates: r.Verdict.CardIssueDuplicates,
-		MissingAnswers: r.Verdict.MissingAnswers, Partial: r.partial(), Late: r.Late,
+		MissingAnswers: r.Verdict.MissingAnswers, Partial: r.partial(), Late: r.Late, Judged: !r.Unjudged,
 		Classes: groupsJSON(f.Classes), Tenants: groupsJSON(f.Tenants),
 		All: groupJSON(&score.Group{Ends: t.Ends, Share: f.Parts.Whole, P50: t.P50, P99: t.P99, P999: t.P999}),
 		Daemon: jsonDaemon{CPU: finite(r.Daemon.CPUSeconds, 3), PeakMB: finite(r.Daemon.PeakMB, 1),
--- a/rehearse/report/report.go
+++ b/rehearse/report/report.go
@@ -27,6 +27,7 @@
 	KitCPU   float64 // s of CPU that the kit itself took
 	Partial  bool    // it was cut off: figures and verdict are those of what there is
 	Late     bool    // the kit was too late for its figures to count
+	Unjudged bool    // only a part was played by the kit, so nobody can say whether rules were kept
 	Length   float64 // s in which jobs were meant to arrive
 	Rate     float64 // jobs a second, as planned
 	Notes    []string
@@ -103,6 +104,9 @@
 
 // rulesText is the verdict in a few words.
 func (r *Run) rulesText() string {
+	if r.Unjudged {
+		return "not judged"
+	}
 	var parts []string
 	for _, c := range broken(&r.Verdict) {
 		parts = append(parts, fmt.Sprintf("%s %d", clip(string(c.Rule), 20), c.N))
--- a/rehearse/run/build.go
+++ b/rehearse/run/build.go
@@ -40,7 +40,7 @@
 		r.posts = append(r.posts, p)
 		at = append(at, fleet.SchedulerAt{Name: s.Name, Zone: r.plan.Zones[s.Zone], CallBack: listen})
 	}
-	w, err := NewWorld(r.plan, at, r.net, r.rec, r.book)
+	w, err := NewWorld(r.plan, at, r.net, r.rec, r.book, nil)
 	if err != nil {
 		return err
 	}
@@ -57,8 +57,12 @@
 	Discovery *discovery.Discovery
 }
 
+// Guess is as fleet.Config has it.
+type Guess = func(class, key string, hint time.Duration) (book.Job, bool)
+
 // NewWorld starts the workers and discovery of a plan for schedulers that take call-backs at the addresses given.
-func NewWorld(plan *scenario.Plan, at []fleet.SchedulerAt, net *loop.Net, rec *record.Recorder, asked *book.Book) (*World, error) {
+func NewWorld(plan *scenario.Plan, at []fleet.SchedulerAt, net *loop.Net, rec *record.Recorder, asked *book.Book,
+	guess Guess) (*World, error) {
 	w := &World{}
 	var entries []history.Entry
 	infos := make(map[string]discovery.Info)
@@ -77,7 +81,8 @@
 	}
 	var err error
 	w.Fleet, err = fleet.New(fleet.Config{
-		Workers: plan.Workers, Schedulers: at, Net: net, Record: rec, Book: asked, Classes: classes, Costs: costs,
+		Workers: plan.Workers, Schedulers: at, Net: net, Record: rec, Book: asked, Guess: guess,
+		Classes: classes, Costs: costs,
 		Delay: func(a, b string) time.Duration {
 			if a == b {
 				return plan.Same
