--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -110,6 +110,9 @@
 		select {
 		case <-proc.Done():
 			code, words := proc.End()
+			if words == "" {
+				words = "it said nothing"
+			}
 			return fmt.Errorf("scheduler %s ended before it served, exit status %d: %s", p.name, code, words)
 		case <-ctx.Done():
 			return context.Cause(ctx)
