Read a worker's state as all else is done to it, with its timer set

Need: State moved the model on without setting the timer anew or passing changes on. Change: it takes the worker as all others do. Measured: the tests of rehearse pass under the race detector.

--- a/rehearse/fleet/fleet.go
+++ b/rehearse/fleet/fleet.go
@@ -165,10 +165,8 @@
 // State is the model's own account of a worker.
 func (f *Fleet) State(worker int) world.Snapshot {
 	w := f.workers[worker]
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.effects = w.model.Advance(f.now(), w.effects[:0])
-	w.dispatch(w.effects)
+	w.lock()
+	defer w.unlock()
 	return w.model.State()
 }
 
