--- a/core/judge/town_judge_test.go
+++ b/core/judge/town_judge_test.go
@@ -33,6 +33,7 @@
 // A good scheduler is never blamed, whatever befalls workers, discovery, clients, the kit and the scheduler itself. The
 // histories must hold what a judge could take for a breach; else they would show nothing.
 func TestAGoodSchedulerIsNeverBlamed(t *testing.T) {
+	t.Parallel()
 	seen := make(map[string]int)
 	rapid.Check(t, func(rt *rapid.T) {
 		for range 2 {
@@ -105,6 +106,7 @@
 	}
 	for _, b := range bad {
 		t.Run(b.how, func(t *testing.T) {
+			t.Parallel()
 			found := make(map[string]int)
 			for seed := range uint64(6) {
 				events := newTown(seed, b.how).play()
--- a/core/judge/town_test.go
+++ b/core/judge/town_test.go
@@ -152,7 +152,6 @@
 	answered  bool // by its scheduler
 	gone      bool // its client has hung up
 	heard     bool // its client has its answer
-	result    string
 	avoid     *worker
 }
 
@@ -166,7 +165,6 @@
 	quiet  int64 // its agent is silent until then
 	held   uint64
 	front  *proc // whom the front sends to
-	ready  int64
 }
 
 // change is one piece of news on its way.
--- a/rehearse/cli/byhand.go
+++ b/rehearse/cli/byhand.go
@@ -180,6 +180,9 @@
 const handHelp = `Type: workers | crash W | vanish W | mute W | return W | drain W | stop W | slow FACTOR | stale SECONDS |
 silence on|off | quit, where W is a worker's name or its number in the list. Ctrl-C ends it.`
 
+// errUnknown is what is typed that means nothing.
+var errUnknown = errors.New("nothing is called that")
+
 // hand does what is typed.
 type hand struct {
 	out  io.Writer
@@ -194,7 +197,10 @@
 	if words[0] == "quit" {
 		return true
 	}
-	if err := h.act(words); err != nil {
+	switch err := h.act(words); {
+	case errors.Is(err, errUnknown):
+		fmt.Fprintln(h.out, handHelp)
+	case err != nil:
 		fmt.Fprintln(h.out, err)
 	}
 	return false
@@ -262,7 +268,7 @@
 		}}[words[0]]
 	switch {
 	case does == nil:
-		return errors.New(handHelp)
+		return errUnknown
 	case i < 0:
 		return fmt.Errorf("no worker is called %q", argument)
 	}
