--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -4,20 +4,18 @@
 package scenario
 
 import (
-	"bytes"
 	"embed"
 	"errors"
 	"fmt"
-	"io"
 	"math"
-	"os"
 	"path"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"laddertide/rehearse/strictyaml"
 )
 
 //go:embed files/*.yaml
@@ -141,148 +139,30 @@
 
 // Load reads a scenario from a file.
 func Load(file string) (*Scenario, error) {
-	f, err := os.Open(file)
+	raw, err := strictyaml.Read(file)
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
-	raw, err := io.ReadAll(io.LimitReader(f, maxFile+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(raw) > maxFile {
-		return nil, fmt.Errorf("%s: over %d bytes", file, maxFile)
-	}
 	return Parse(file, raw)
 }
 
-const maxFile = 1 << 20
-
 // Parse reads a scenario. An error names the file, the line and the key.
 func Parse(file string, raw []byte) (*Scenario, error) {
 	s := &Scenario{}
-	var root yaml.Node
-	err := yaml.Unmarshal(raw, &root)
-	if err == nil {
-		dec := yaml.NewDecoder(bytes.NewReader(raw))
-		dec.KnownFields(true)
-		if err = dec.Decode(s); err == nil && dec.Decode(new(yaml.Node)) != io.EOF {
-			err = errors.New("a second document")
-		}
-		if errors.Is(err, io.EOF) {
-			err = errors.New("it is empty")
-		}
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%s: %s", file, explain(&root, err))
-	}
-	if err := s.check(); err != nil {
-		var m *mistake
-		if errors.As(err, &m) {
-			return nil, fmt.Errorf("%s: line %d: %w", file, lineOf(&root, m.path), err)
-		}
-		return nil, fmt.Errorf("%s: %w", file, err)
+	if err := strictyaml.Decode(file, raw, s, s.check); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
-var (
-	unknownField = regexp.MustCompile(`line (\d+): field (\S+) not found in type \S+`)
-	typeError    = regexp.MustCompile(`line (\d+): (.*)`)
-)
-
-// explain puts an error of the decoder in one line that names the key.
-func explain(root *yaml.Node, err error) string {
-	text := strings.TrimPrefix(strings.TrimPrefix(err.Error(), "yaml: "), "unmarshal errors:\n")
-	first, _, _ := strings.Cut(strings.TrimSpace(text), "\n")
-	if m := unknownField.FindStringSubmatch(first); m != nil {
-		return fmt.Sprintf("line %s: %s: there is no such key", m[1], m[2])
-	}
-	if m := typeError.FindStringSubmatch(first); m != nil {
-		line, _ := strconv.Atoi(m[1])
-		if key := keyAt(root, "", line); key != "" {
-			return fmt.Sprintf("line %d: %s: %s", line, key, m[2])
-		}
-	}
-	return first
-}
-
-// keyAt finds the innermost key whose value stands in a line.
-func keyAt(n *yaml.Node, at string, line int) (found string) {
-	for i, c := range n.Content {
-		name := at
-		switch n.Kind {
-		case yaml.MappingNode:
-			if i%2 == 0 {
-				continue
-			}
-			name = strings.TrimPrefix(at+"."+n.Content[i-1].Value, ".")
-			if c.Line == line && found == "" {
-				found = name
-			}
-		case yaml.SequenceNode:
-			name = fmt.Sprintf("%s[%d]", at, i)
-		}
-		if inner := keyAt(c, name, line); inner != "" {
-			found = inner
-		}
-	}
-	return found
-}
-
-// lineOf finds the line of a path such as troubles, 1, for_s; the nearest one above it if it isn't there.
-func lineOf(n *yaml.Node, path []string) int {
-	line := max(1, n.Line)
-	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
-		return lineOf(n.Content[0], path)
-	}
-	if len(path) == 0 {
-		return line
-	}
-	switch n.Kind {
-	case yaml.MappingNode:
-		for i := 0; i+1 < len(n.Content); i += 2 {
-			if n.Content[i].Value == path[0] {
-				return max(n.Content[i].Line, lineOf(n.Content[i+1], path[1:]))
-			}
-		}
-	case yaml.SequenceNode:
-		if i, err := strconv.Atoi(path[0]); err == nil && i < len(n.Content) {
-			return lineOf(n.Content[i], path[1:])
-		}
-	}
-	return line
-}
-
-// mistake is a value that makes no sense.
-type mistake struct {
-	path []string
-	what string
-}
-
-func (m *mistake) Error() string {
-	var b strings.Builder
-	for i, p := range m.path {
-		if _, err := strconv.Atoi(p); err == nil {
-			fmt.Fprintf(&b, "[%s]", p)
-			continue
-		}
-		if i > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(p)
-	}
-	return b.String() + ": " + m.what
-}
-
 // within checks a range of numbers that a file gives; one that it leaves out has its default.
 func within(r Range, lo, hi float64, path ...string) error {
 	switch {
 	case !r.Given:
 	case !(r.Lo >= lo && r.Hi <= hi):
-		return &mistake{path, fmt.Sprintf("%s is not between %g and %g", r, lo, hi)}
+		return &strictyaml.Mistake{Path: path, What: fmt.Sprintf("%s is not between %g and %g", r, lo, hi)}
 	case slices.Contains(whole, path[len(path)-1]) && (r.Lo != math.Trunc(r.Lo) || r.Hi != math.Trunc(r.Hi)):
-		return &mistake{path, fmt.Sprintf("%s is no whole number", r)}
+		return &strictyaml.Mistake{Path: path, What: fmt.Sprintf("%s is no whole number", r)}
 	}
 	return nil
 }
@@ -300,10 +180,10 @@
 
 func (s *Scenario) check() error {
 	if s.Name == "" || strings.ContainsAny(s.Name, "/\\ \t\n") {
-		return &mistake{[]string{"name"}, "a scenario needs a name without blanks and slashes"}
+		return &strictyaml.Mistake{Path: []string{"name"}, What: "a scenario needs a name without blanks and slashes"}
 	}
 	if s.Shape != "" && s.Shape != "steady" && s.Shape != "wave" {
-		return &mistake{[]string{"shape"}, fmt.Sprintf("%q is neither steady nor wave", s.Shape)}
+		return &strictyaml.Mistake{Path: []string{"shape"}, What: fmt.Sprintf("%q is neither steady nor wave", s.Shape)}
 	}
 	err := errors.Join(
 		within(s.Seconds, 1, MaxSeconds, "seconds"), within(s.Workers, 1, MaxWorkers, "workers"),
@@ -315,9 +195,6 @@
 	for i := range s.Troubles {
 		err = errors.Join(err, s.Troubles[i].check(i))
 	}
-	if joined, ok := err.(interface{ Unwrap() []error }); ok {
-		return joined.Unwrap()[0] // one line is enough: the first
-	}
 	return err
 }
 
@@ -330,7 +207,7 @@
 			names = append(names, name)
 		}
 		slices.Sort(names)
-		return &mistake{at("kind"), fmt.Sprintf("%q is none of %s", t.Kind, strings.Join(names, ", "))}
+		return &strictyaml.Mistake{Path: at("kind"), What: fmt.Sprintf("%q is none of %s", t.Kind, strings.Join(names, ", "))}
 	}
 	for _, f := range []struct {
 		key    string
@@ -346,19 +223,19 @@
 		known := needed || slices.Contains(kind.May, f.key) || f.key == "at_s" || f.key == "after_s"
 		switch {
 		case f.r.Given && !known:
-			return &mistake{at(f.key), "a trouble of kind " + t.Kind + " has no such key"}
+			return &strictyaml.Mistake{Path: at(f.key), What: "a trouble of kind " + t.Kind + " has no such key"}
 		case needed && !f.r.Given:
-			return &mistake{at(f.key), "a trouble of kind " + t.Kind + " needs it"}
+			return &strictyaml.Mistake{Path: at(f.key), What: "a trouble of kind " + t.Kind + " needs it"}
 		}
 		if err := within(f.r, f.lo, f.hi, at(f.key)...); err != nil {
 			return err
 		}
 	}
 	if t.At.Given && t.After.Given {
-		return &mistake{at("after_s"), "give at_s or after_s, not both"}
+		return &strictyaml.Mistake{Path: at("after_s"), What: "give at_s or after_s, not both"}
 	}
 	if t.After.Given && i == 0 {
-		return &mistake{at("after_s"), "there is no trouble before this one"}
+		return &strictyaml.Mistake{Path: at("after_s"), What: "there is no trouble before this one"}
 	}
 	return nil
 }
