--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -29,7 +29,7 @@
   rehearse show NAME                 the file of one
   rehearse run NAME... [flags]       play scenarios and print a table
   rehearse judge HISTORY... [flags]  judge recorded histories again
-
+` + experimentUsage + `
 Exit status: 0 all rules were kept; 1 it could not run; 2 a rule was broken; 3 the service was under --min-service;
 4 the kit itself ran late, so the run does not count.
 
@@ -62,6 +62,7 @@
 	quiet      bool
 	parallel   int
 	lateMS     float64
+	experiments
 }
 
 // Main runs the program and returns its exit status.
@@ -86,6 +87,7 @@
 	f.BoolVar(&a.quiet, "quiet", false, "print no table and no progress")
 	f.IntVar(&a.parallel, "parallel", 1, "play so many runs side by side")
 	f.Float64Var(&a.lateMS, "late-ms", float64(session.LateLimit.Milliseconds()), "a run in which the kit's own p99 is later than this does not count")
+	a.experiments.flags(f)
 	f.Usage = func() {}
 	if err := f.Parse(args); errors.Is(err, pflag.ErrHelp) {
 		fmt.Fprint(out, usage+f.FlagUsagesWrapped(118))
@@ -126,6 +128,8 @@
 		return a.run(ctx, args)
 	case "judge":
 		return a.judge(args)
+	case "sweep", "compare", "capacity":
+		return a.experiment(ctx, name, args)
 	case "":
 		return 0, errors.New("a command is wanted: list, show, run or judge; --help tells more")
 	}
