--- a/rehearse/experiment/experiment.go
+++ b/rehearse/experiment/experiment.go
@@ -114,9 +114,11 @@
 	}
 	// With so many side by side the first are done when others are nearly so.
 	each := time.Since(c.begin).Seconds() / float64(c.done)
-	return at, ", about " + rough(time.Duration(each*float64(c.n-c.done)*float64(time.Second))) + " left"
+	return at, ", about " + rough(seconds(each*float64(c.n-c.done))) + " left"
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // rough words a time that is only about right.
 func rough(d time.Duration) string {
 	switch {
