--- a/rehearse/cli/experiments.go
+++ b/rehearse/cli/experiments.go
@@ -19,7 +19,7 @@
 	"laddertide/rehearse/session"
 )
 
-const experimentUsage = `  rehearse sweep FILE --out DIR      move parameters over seeds: CSV, plots and a page; again, it goes on
+const experimentUsage = `  rehearse sweep FILE --out DIR      move parameters over seeds: CSV, plots, a page
   rehearse compare A B [flags]       two daemons' programs, or two files or folders of earlier reports, in pairs by seed
   rehearse capacity NAME [flags]     the highest rate that keeps --min-service (here 0.9 if not given) and all rules
   rehearse capacity --kit [flags]    the kit's own: the highest rate at which its p99 lateness is under 2 ms
@@ -48,8 +48,10 @@
 }
 
 func (e *experiments) flags(f *pflag.FlagSet) {
-	f.StringArrayVar(&e.scenarios, "scenario", nil, "compare: a scenario to play, may be given several times; else calm, crash and burst")
-	f.Float64Var(&e.width, "width", 0.05, "capacity: end when the failing rate is within this share of the one that holds")
+	f.StringArrayVar(&e.scenarios, "scenario", nil,
+		"compare: a scenario to play, may be given several times; else calm, crash and burst")
+	f.Float64Var(&e.width, "width", 0.05,
+		"capacity: end when the failing rate is within this share of the one that holds")
 	f.IntVar(&e.mostRuns, "most-runs", 40, "capacity: play no more runs than this")
 	f.BoolVar(&e.kit, "kit", false, "capacity: of the kit itself, on "+kitScenario+"; --late-ms is the limit")
 }
@@ -117,7 +119,8 @@
 	if len(args) != 1 {
 		return 0, errors.New("sweep takes one file; docs/operate/rehearse.md has its form")
 	}
-	if err := a.unused("sweep", "file", "seed", "seeds", "json", "min-service", "scenario", "width", "most-runs", "kit"); err != nil {
+	if err := a.unused("sweep", "file", "seed", "seeds", "json", "min-service", "scenario", "width", "most-runs",
+		"kit"); err != nil {
 		return 0, err
 	}
 	if a.outDir == "" {
@@ -250,14 +253,16 @@
 	var err error
 	switch {
 	case programs[0] != programs[1]:
-		return 0, fmt.Errorf("%s and %s: one is a program and the other is not; compare takes two programs, or reports of two", args[0], args[1])
+		return 0, fmt.Errorf("%s and %s: one is a program and the other is not; "+
+			"compare takes two programs, or reports of two", args[0], args[1])
 	case programs[0]:
 		pairs, err = a.playPairs(ctx, args)
 		if len(pairs) == 0 && err != nil {
 			return 0, err
 		}
 	default:
-		for _, name := range []string{"file", "scenario", "seed", "seeds", "seconds", "rate", "load", "workers", "schedulers", "fleet", "parallel", "out"} {
+		for _, name := range []string{"file", "scenario", "seed", "seeds", "seconds", "rate", "load", "workers",
+			"schedulers", "fleet", "parallel", "out"} {
 			if a.flags.Changed(name) {
 				return 0, fmt.Errorf("--%s: the reports of earlier runs are compared as they are", name)
 			}
@@ -331,7 +336,8 @@
 		}
 		defer kept[i].close()
 	}
-	c := experiment.Compare{A: players[0], B: players[1], Scenarios: scenarios, Seeds: a.seedList(comparedSeeds), Changes: a.change,
+	c := experiment.Compare{A: players[0], B: players[1], Scenarios: scenarios, Seeds: a.seedList(comparedSeeds),
+		Changes:  a.change,
 		Parallel: a.parallel, Say: a.say(), Keep: func(half int, run *report.Run) error { return kept[half].add(run) }}
 	return c.Play(ctx)
 }
@@ -343,8 +349,9 @@
 	if !(a.width >= 0.001 && a.width <= mostWidth) || a.mostRuns < 1 || a.mostRuns > mostMostRuns {
 		return 0, fmt.Errorf("--width takes 0.001 to %d, --most-runs 1 to %d", mostWidth, mostMostRuns)
 	}
-	c := experiment.Capacity{Changes: a.change, MinService: capacityService, Width: a.width, MostRuns: a.mostRuns, Parallel: a.parallel,
-		Say: a.say(), Seeds: a.seedList(capacitySeeds)}
+	c := experiment.Capacity{Changes: a.change, MinService: capacityService, Width: a.width, MostRuns: a.mostRuns,
+		Parallel: a.parallel,
+		Say:      a.say(), Seeds: a.seedList(capacitySeeds)}
 	if a.flags.Changed("min-service") {
 		c.MinService = a.minService
 	}
--- a/rehearse/experiment/capacity.go
+++ b/rehearse/experiment/capacity.go
@@ -17,16 +17,17 @@
 // Capacity is a search for the highest rate that holds. The daemon's holds if the mean service of the seeds is
 // MinService at least and no run broke a rule; that of the kit if its p99 lateness is under KitLate ms in all of them.
 type Capacity struct {
-	Player     Player
-	Scenario   *scenario.Scenario
-	Seeds      []uint64
-	Changes    scenario.Changes // Rate: where to begin, 0: at the scenario's own; Load: given, jobs grow lighter with the rate
+	Player   Player
+	Scenario *scenario.Scenario
+	Seeds    []uint64
+	// Rate: where to begin, 0: at the scenario's own; Load: given, jobs grow lighter with the rate
+	Changes    scenario.Changes
 	MinService float64
 	KitLate    float64 // over 0: the kit's limit is searched, in ms
 	Width      float64 // relative: how near the failing rate must come to the one that holds
 	MostRuns   int     // no step begins that could make it more
 	Parallel   int
-	Say        func(string)
+	Say        func(string)            // as of Options
 	Keep       func(*report.Run) error // is given each run that was played; may be nil
 }
 
@@ -65,7 +66,8 @@
 	out := &Found{Scenario: c.Scenario.Name, Wants: fmt.Sprintf("service %g on the mean of %s, and all rules kept",
 		c.MinService, plural(len(c.Seeds), "seed"))}
 	if c.KitLate > 0 {
-		out.Wants = fmt.Sprintf("the kit's own p99 lateness under %g ms with %s", c.KitLate, plural(len(c.Seeds), "seed"))
+		out.Wants = fmt.Sprintf("the kit's own p99 lateness under %g ms with %s", c.KitLate, plural(len(c.Seeds),
+			"seed"))
 	}
 	start, length := c.Changes.Rate, 0.0
 	sum := 0.0
@@ -86,8 +88,10 @@
 			c.Say(fmt.Sprintf(format, args...))
 		}
 	}
-	say("%s: the highest rate with %s; from %.4g a second, to within %.3g%%, %s at most; a step takes about %s", out.Scenario, out.Wants,
-		start, 100*c.Width, plural(c.MostRuns, "run"), rough(seconds(length/float64(min(max(1, c.Parallel), len(c.Seeds))))))
+	say("%s: the highest rate with %s; from %.4g a second, to within %.3g%%, %s at most; a step takes about %s",
+		out.Scenario, out.Wants,
+		start, 100*c.Width, plural(c.MostRuns, "run"), rough(seconds(length/float64(min(max(1, c.Parallel),
+			len(c.Seeds))))))
 	runs := 0
 	for {
 		rate, more := search.Next()
@@ -96,8 +100,9 @@
 		}
 		// Each seed may have to be played again.
 		if runs+len(c.Seeds) > c.MostRuns {
-			out.Said = append(out.Said, fmt.Sprintf("Stopped after %s, as many as were allowed, before it was known to within %.3g%%.",
-				plural(runs, "run"), 100*c.Width))
+			out.Said = append(out.Said,
+				fmt.Sprintf("Stopped after %s, as many as were allowed, before it was known to within %.3g%%.",
+					plural(runs, "run"), 100*c.Width))
 			break
 		}
 		step, broken, err := c.step(ctx, rate, c.MostRuns-runs)
@@ -112,7 +117,8 @@
 		}
 		runs += step.Runs
 		out.Steps = append(out.Steps, *step)
-		say("%.4g a second: service %s, kit late %s ms: %s", rate, fixed(step.Service, 3), fixed(step.LateMS, 2), step.verdict())
+		say("%.4g a second: service %s, kit late %s ms: %s", rate, fixed(step.Service, 3), fixed(step.LateMS, 2),
+			step.verdict())
 		search.Tell(rate, step.Holds)
 	}
 	out.conclude(&search, c)
@@ -207,7 +213,8 @@
 		service, worst = append(service, o.Service), append(worst, o.Worst10s)
 		kit, daemon = append(kit, ratio(1000*o.Kit.CPU, float64(o.All.Asked))), append(daemon, o.cpuMS())
 	}
-	s.Service, s.Worst10s, s.KitMS, s.DaemonMS = trial.Mean(service).Mean, trial.Mean(worst).Mean, trial.Mean(kit).Mean, trial.Mean(daemon).Mean
+	s.Service, s.Worst10s, s.KitMS, s.DaemonMS = trial.Mean(service).Mean, trial.Mean(worst).Mean, trial.Mean(kit).Mean,
+		trial.Mean(daemon).Mean
 	if c.Parallel > 1 && len(tries) > 1 {
 		s.KitMS = trial.Mean(nil).Mean // the kit plays them in one process
 	}
@@ -255,10 +262,12 @@
 	}
 	f.Said = append(f.Said, said)
 	if f.KitLimit {
-		f.Said = append(f.Said, "The limit met is the kit's, not the daemon's: of the daemon this is only the least that it bears.")
+		f.Said = append(f.Said,
+			"The limit met is the kit's, not the daemon's: of the daemon this is only the least that it bears.")
 	}
 	if s := at(f.Holds); c.KitLate > 0 && f.Holds > 0 {
-		f.Said = append(f.Said, fmt.Sprintf("There the kit's CPU is %s ms a job, and the daemons' %s ms a request.", fixed(s.KitMS, 3),
+		f.Said = append(f.Said, fmt.Sprintf("There the kit's CPU is %s ms a job, and the daemons' %s ms a request.",
+			fixed(s.KitMS, 3),
 			fixed(s.DaemonMS, 3)))
 	}
 }
@@ -268,10 +277,12 @@
 	fmt.Fprintf(w, "%s: %s\n\n", f.Scenario, f.Wants)
 	var rows [][]string
 	for _, s := range f.Steps {
-		rows = append(rows, []string{fmt.Sprintf("%.4g", s.Rate), fmt.Sprint(s.Runs), fixed(s.Service, 3), fixed(s.Worst10s, 3),
+		rows = append(rows, []string{fmt.Sprintf("%.4g", s.Rate), fmt.Sprint(s.Runs), fixed(s.Service, 3),
+			fixed(s.Worst10s, 3),
 			fmt.Sprint(s.Breaches), fixed(s.LateMS, 2), fixed(s.KitMS, 3), fixed(s.DaemonMS, 3), s.verdict()})
 	}
-	grid(w, []string{"jobs a second", "runs", "service", "worst 10 s", "breaches", "kit late ms", "kit CPU ms/job", "daemon ms/req", ""}, rows)
+	grid(w, []string{"jobs a second", "runs", "service", "worst 10 s", "breaches", "kit late ms", "kit CPU ms/job",
+		"daemon ms/req", ""}, rows)
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, strings.Join(f.Said, "\n"))
 	list(w, "RULES BROKEN", f.Broken)
--- a/rehearse/experiment/compare.go
+++ b/rehearse/experiment/compare.go
@@ -22,9 +22,10 @@
 	Scenarios []*scenario.Scenario
 	Seeds     []uint64
 	Changes   scenario.Changes
-	Parallel  int // with two or more, the halves of a pair are played side by side, so many runs in all
-	Say       func(string)
-	Keep      func(half int, run *report.Run) error // is given each run that was played, of A with 0; may be nil
+	// with two or more, the halves of a pair are played side by side, so many runs in all
+	Parallel int
+	Say      func(string)                          // as of Options
+	Keep     func(half int, run *report.Run) error // is given each run that was played, of A with 0; may be nil
 }
 
 // Half is what one daemon made of a run: all its tries.
@@ -101,7 +102,8 @@
 		}
 		a, b := last(p.A), last(p.B)
 		at, left := clock.tick()
-		say("%s %s, seed %d: A %.3f, %s%s; B %.3f, %s%s%s", at, p.Scenario, p.Seed, a.Service, rulesText(a), countsText(a),
+		say("%s %s, seed %d: A %.3f, %s%s; B %.3f, %s%s%s", at, p.Scenario, p.Seed, a.Service, rulesText(a),
+			countsText(a),
 			b.Service, rulesText(b), countsText(b), left)
 		return nil
 	})
@@ -118,7 +120,8 @@
 }
 
 // once plays both halves of a pair once.
-func (c *Compare) once(ctx context.Context, sc *scenario.Scenario, seed uint64, swap, beside bool, mu *sync.Mutex) (a, b *Outcome, err error) {
+func (c *Compare) once(ctx context.Context, sc *scenario.Scenario, seed uint64, swap, beside bool, mu *sync.Mutex) (a,
+	b *Outcome, err error) {
 	halves := []int{0, 1}
 	if swap {
 		halves = []int{1, 0}
@@ -186,7 +189,8 @@
 		}
 	}
 	slices.SortFunc(pairs, func(x, y Pair) int {
-		return cmp.Or(cmp.Compare(x.Seed, y.Seed), cmp.Compare(x.Scenario, y.Scenario), cmp.Compare(last(x.A).Rate, last(y.A).Rate),
+		return cmp.Or(cmp.Compare(x.Seed, y.Seed), cmp.Compare(x.Scenario, y.Scenario), cmp.Compare(last(x.A).Rate,
+			last(y.A).Rate),
 			cmp.Compare(last(x.A).LengthS, last(y.A).LengthS), cmp.Compare(last(x.A).Workers, last(y.A).Workers),
 			cmp.Compare(last(x.A).Schedulers, last(y.A).Schedulers))
 	})
@@ -252,8 +256,9 @@
 	return out
 }
 
-// Conclude draws from pairs what they say. What counts as one observation is a seed: over several scenarios, the mean of a
-// seed's pairs, as the same seed draws the same fleet in all of them and its pairs are not independent of each other.
+// Conclude draws from pairs what they say. What counts as one observation is a seed: over several scenarios, the mean
+// of a seed's pairs, as the same seed draws the same fleet in all of them and its pairs are not independent of each
+// other.
 func Conclude(nameA, nameB string, pairs []Pair) *Comparison {
 	out := &Comparison{NameA: nameA, NameB: nameB}
 	by := make(map[string][]Pair)
@@ -395,7 +400,8 @@
 	l := c.line(scope, "service")
 	if l == nil || l.N == 0 {
 		if c.Pairs > 0 {
-			return []string{fmt.Sprintf("No seed has pairs of all %d scenarios that count: see each scenario by itself.", len(c.Scenarios))}
+			return []string{fmt.Sprintf("No seed has pairs of all %d scenarios that count: "+
+				"see each scenario by itself.", len(c.Scenarios))}
 		}
 		return []string{"Nothing can be said: no pair counts."}
 	}
@@ -405,18 +411,23 @@
 	}
 	var out []string
 	need := ""
-	if n := trial.PairsToShow(l.SD, shown); n > 0 {
+	if n := trial.PairsToShow(l.SD, shown); n > l.N {
 		need = fmt.Sprintf("; about %s would show one of %g", plural(n, unit), shown)
+	} else if n > 0 {
+		need = fmt.Sprintf("; one of %g would most likely have shown", shown)
 	}
 	switch {
 	case l.N == 1:
-		out = append(out, fmt.Sprintf("B serves %s, but one %s tells nothing of noise: play more seeds.", moreLess(l.Mean, 3), unit))
+		out = append(out, fmt.Sprintf("B serves %s, but one %s tells nothing of noise: play more seeds.",
+			moreLess(l.Mean, 3), unit))
 	case l.Told():
-		out = append(out, fmt.Sprintf("B serves %s (%s), with %s.", moreLess(l.Mean, 3), between(&l.Difference, 3), with))
+		out = append(out, fmt.Sprintf("B serves %s (%s), with %s.", moreLess(l.Mean, 3), between(&l.Difference, 3),
+			with))
 	case l.SD == 0:
 		out = append(out, fmt.Sprintf("A and B served just the same in all %s.", with))
 	default:
-		out = append(out, fmt.Sprintf("no difference can be told from noise with %s (%s)%s.", with, signed(&l.Difference, 3), need))
+		out = append(out, fmt.Sprintf("No difference can be told from noise with %s (%s)%s.", with,
+			signed(&l.Difference, 3), need))
 	}
 	for i := range c.Lines {
 		l := &c.Lines[i]
--- a/rehearse/experiment/file.go
+++ b/rehearse/experiment/file.go
@@ -63,7 +63,8 @@
 	}
 	var count int
 	if err := n.Decode(&count); err != nil || count < 1 || count > MaxRuns {
-		return fmt.Errorf("line %d: %q is no number of seeds from 1 to %d, nor a list of seeds", n.Line, n.Value, MaxRuns)
+		return fmt.Errorf("line %d: %q is no number of seeds from 1 to %d, nor a list of seeds", n.Line, n.Value,
+			MaxRuns)
 	}
 	for i := range count {
 		*s = append(*s, uint64(i+1))
@@ -116,7 +117,8 @@
 	whole  bool
 }{
 	"rate": {0.1, scenario.MaxRate, false}, "load": {0.01, 5, false}, "workers": {1, scenario.MaxWorkers, true},
-	"schedulers": {1, scenario.MaxSchedulers, true}, "seconds": {1, scenario.MaxSeconds, false}, "times": {0.01, 100, false},
+	"schedulers": {1, scenario.MaxSchedulers, true}, "seconds": {1, scenario.MaxSeconds, false}, "times": {0.01, 100,
+		false},
 }
 
 // LoadSweep reads a sweep from a file, and the scenarios that it names: files from where it lies itself.
@@ -224,7 +226,8 @@
 		most = DefaultRuns
 	}
 	if runs := points * float64(len(s.Names)*len(s.Seeds)); runs > float64(most) {
-		return mistake(fmt.Sprintf("%d scenarios, %.0f points and %d seeds make %.0f runs, over %d (most_runs)", len(s.Names),
+		return mistake(fmt.Sprintf("%d scenarios, %.0f points and %d seeds make %.0f runs, over %d (most_runs)",
+			len(s.Names),
 			points, len(s.Seeds), runs, most), "parameters")
 	}
 	return nil
--- a/rehearse/experiment/json.go
+++ b/rehearse/experiment/json.go
@@ -85,7 +85,8 @@
 		Said        []string   `json:"said"`
 		Broken      []string   `json:"broken"`
 		Interrupted bool       `json:"partial"`
-	}{f.Scenario, f.Wants, positive(f.Holds), positive(f.Fails), f.KitLimit, []stepJSON{}, orEmpty(f.Said), orEmpty(f.Broken),
+	}{f.Scenario, f.Wants, positive(f.Holds), positive(f.Fails), f.KitLimit, []stepJSON{}, orEmpty(f.Said),
+		orEmpty(f.Broken),
 		f.Partial != ""}
 	for _, s := range f.Steps {
 		out.Steps = append(out.Steps, stepJSON{s.Rate, s.Runs, orNull(s.Service), orNull(s.Worst10s), orNull(s.LateMS),
--- a/rehearse/experiment/outcome.go
+++ b/rehearse/experiment/outcome.go
@@ -188,10 +188,10 @@
 			// A file that is no report must not pass for one of a service of 0.
 			var has struct{ Scenario, Service *json.RawMessage }
 			o := &Outcome{}
-			if err := errors.Join(json.Unmarshal(line, &has), json.Unmarshal(line, o)); err != nil {
+			if err := json.Unmarshal(line, o); err != nil {
 				return nil, fmt.Errorf("%s: line %d: no report of a run: %w", file, n, err)
 			}
-			if has.Scenario == nil || has.Service == nil {
+			if json.Unmarshal(line, &has) != nil || has.Scenario == nil || has.Service == nil {
 				return nil, fmt.Errorf("%s: line %d: no report of a run", file, n)
 			}
 			out = append(out, o)
--- a/rehearse/experiment/plots.go
+++ b/rehearse/experiment/plots.go
@@ -48,8 +48,10 @@
 func (d *drawing) document() []byte {
 	var b bytes.Buffer
 	tall := plotHeight.Points() + 18*float64(len(d.Legend)+1)
-	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" xmlns:xlink="http://www.w3.org/1999/xlink" width="%g" height="%g" `+
-		`font-family="sans-serif" font-size="12"><rect width="100%%" height="100%%" fill="#fff"/>`+"\n", plotWidth.Points(), tall)
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" xmlns:xlink="http://www.w3.org/1999/xlink" `+
+		`width="%g" height="%g" `+
+		`font-family="sans-serif" font-size="12"><rect width="100%%" height="100%%" fill="#fff"/>`+"\n",
+		plotWidth.Points(), tall)
 	b.WriteString(d.svg)
 	for i, l := range d.Legend {
 		y := plotHeight.Points() + 18*float64(i) + 10
@@ -66,7 +68,8 @@
 	for _, name := range o.Sweep.moved() {
 		about := "Means over seeds, with their 95% intervals."
 		if o.Sweep.Grid != OneAtATime && len(o.Sweep.moved()) > 1 {
-			about = "Means over seeds, with their 95% intervals; each seed's value is the mean over all settings of the other parameters."
+			about = "Means over seeds, with their 95% intervals; each seed's value is the mean " +
+				"over all settings of the other parameters."
 		}
 		d := &drawing{Title: "Service along " + name, About: about, File: "service-" + name + ".svg"}
 		d.draw(name, o.courses(name, "service"))
@@ -129,7 +132,8 @@
 		flush()
 		if len(mean) > 0 {
 			p.Add(&plotter.Line{XYs: mean, LineStyle: stroke},
-				&plotter.Scatter{XYs: mean, GlyphStyle: draw.GlyphStyle{Color: colour, Radius: 3, Shape: draw.CircleGlyph{}}})
+				&plotter.Scatter{XYs: mean, GlyphStyle: draw.GlyphStyle{Color: colour, Radius: 3,
+					Shape: draw.CircleGlyph{}}})
 			p.Add(bars{whiskers, colour})
 			for _, w := range whiskers {
 				p.Y.Min, p.Y.Max = min(p.Y.Min, w.low), max(p.Y.Max, w.high)
@@ -160,7 +164,8 @@
 			s = s[i+j+1:]
 		}
 	}
-	d.svg = fmt.Sprintf(`<svg viewBox="0 0 %g %g" width="%g" height="%g" role="img" aria-label="%s">`, plotWidth.Points(),
+	d.svg = fmt.Sprintf(`<svg viewBox="0 0 %g %g" width="%g" height="%g" role="img" aria-label="%s">`,
+		plotWidth.Points(),
 		plotHeight.Points(), plotWidth.Points(), plotHeight.Points(), html.EscapeString(d.Title)) + s
 }
 
--- a/rehearse/experiment/row.go
+++ b/rehearse/experiment/row.go
@@ -38,7 +38,8 @@
 
 func (r *Row) key() key { return key{r.Scenario, r.Seed, r.Changes} }
 
-var identity = slices.Concat([]string{"scenario", "seed"}, ParameterNames, []string{"text", "daemon", "fleet", "try", "counts"})
+var identity = slices.Concat([]string{"scenario", "seed"}, ParameterNames, []string{"text", "daemon", "fleet", "try",
+	"counts"})
 
 // Rules are those that have a column of their own; others are only in breaches.
 var ruleNames = []string{"answers", "duplicates", "drains", "cold", "altered"}
@@ -223,7 +224,8 @@
 			break
 		}
 		if n == 0 && (err != nil || !slices.Equal(fields, columns)) {
-			return nil, fmt.Errorf("%s: it was not written by a sweep like this (its columns are others); take another folder", path)
+			return nil, fmt.Errorf("%s: it was not written by a sweep like this (its columns are others); "+
+				"take another folder", path)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
--- a/rehearse/experiment/sweep.go
+++ b/rehearse/experiment/sweep.go
@@ -30,7 +30,7 @@
 	Parallel int
 	Daemon   string       // fingerprint of the daemon's program
 	Fleet    string       // of the operators' file; empty: there is none
-	Say      func(string) // is told a line of progress now and then; may be nil
+	Say      func(string) // is told a line of progress now and then, by any goroutine; may be nil
 }
 
 func (o *Options) say(format string, args ...any) {
@@ -134,8 +134,9 @@
 				return err
 			}
 			tries++
-			r := Row{Scenario: j.source.Name, Seed: j.key.seed, Changes: j.key.changes, Text: j.source.Text, Daemon: opt.Daemon,
-				Fleet: opt.Fleet, Try: tries, Counts: o.counts()}
+			r := Row{Scenario: j.source.Name, Seed: j.key.seed, Changes: j.key.changes, Text: j.source.Text,
+				Daemon: opt.Daemon,
+				Fleet:  opt.Fleet, Try: tries, Counts: o.counts()}
 			for _, f := range measured {
 				r.Figures = append(r.Figures, f.of(o))
 			}
@@ -149,7 +150,8 @@
 		}
 		o := last(runs)
 		at, left := clock.tick()
-		opt.say("%s %s: service %.3f, worst 10 s %.3f, %s%s%s", at, j.key, o.Service, o.Worst10s, rulesText(o), countsText(o), left)
+		opt.say("%s %s: service %.3f, worst 10 s %.3f, %s%s%s", at, j.key, o.Service, o.Worst10s, rulesText(o),
+			countsText(o), left)
 		return nil
 	})
 	switch {
@@ -198,7 +200,8 @@
 	}
 	for _, src := range s.Scenarios {
 		if src.Name == r.Scenario && src.Text != r.Text {
-			return fmt.Errorf("%s has runs of %s as its file was before (%s, not %s): %s", path, r.Scenario, r.Text, src.Text, again)
+			return fmt.Errorf("%s has runs of %s as its file was before (%s, not %s): %s", path, r.Scenario, r.Text,
+				src.Text, again)
 		}
 	}
 	return nil
@@ -224,7 +227,8 @@
 		a, errA := src.Draw(s.Seeds[0], scenario.Changes{Times: 0.01})
 		b, errB := src.Draw(s.Seeds[0], scenario.Changes{Times: 100})
 		if errA == nil && errB == nil && reflect.DeepEqual(a.Steps, b.Steps) {
-			out = append(out, fmt.Sprintf("times changes nothing in %s: it has no trouble that meets a part of the workers", src.Name))
+			out = append(out, fmt.Sprintf("times changes nothing in %s: it has no trouble that meets a part "+
+				"of the workers", src.Name))
 		}
 	}
 	return out
--- a/rehearse/experiment/text.go
+++ b/rehearse/experiment/text.go
@@ -22,7 +22,8 @@
 	for i, h := range heads {
 		head = append(head, h)
 		if i > 0 {
-			configs = append(configs, table.ColumnConfig{Number: i + 1, Align: text.AlignRight, AlignHeader: text.AlignRight})
+			configs = append(configs, table.ColumnConfig{Number: i + 1, Align: text.AlignRight,
+				AlignHeader: text.AlignRight})
 		}
 	}
 	t.SetColumnConfigs(configs)
--- a/rehearse/strictyaml/strictyaml.go
+++ b/rehearse/strictyaml/strictyaml.go
@@ -1,5 +1,6 @@
-// Package strictyaml reads the kit's YAML files so that a mistake in one is told in a line that names the file, the line
-// and the key: unknown keys, values of the wrong type, values that make no sense. It knows nothing of what files mean.
+// Package strictyaml reads the kit's YAML files so that a mistake in one is told in a line that names the file, the
+// line and the key: unknown keys, values of the wrong type, values that make no sense. It knows nothing of what files
+// mean.
 package strictyaml
 
 import (
