--- a/rehearse/cli/experiments.go
+++ b/rehearse/cli/experiments.go
@@ -117,7 +117,7 @@
 
 func (a *app) sweep(ctx context.Context, args []string) (int, error) {
 	if len(args) != 1 {
-		return 0, errors.New("sweep takes one file; docs/operate/rehearse.md has its form")
+		return 0, errors.New("sweep takes one file; docs/operate/experiments.md has its form")
 	}
 	if err := a.unused("sweep", "file", "seed", "seeds", "json", "min-service", "scenario", "width", "most-runs",
 		"kit"); err != nil {
