--- a/rehearse/experiment/capacity.go
+++ b/rehearse/experiment/capacity.go
@@ -88,10 +88,9 @@
 			c.Say(fmt.Sprintf(format, args...))
 		}
 	}
-	say("%s: the highest rate with %s; from %.4g a second, to within %.3g%%, %s at most; a step takes about %s",
-		out.Scenario, out.Wants,
-		start, 100*c.Width, plural(c.MostRuns, "run"), rough(seconds(length/float64(min(max(1, c.Parallel),
-			len(c.Seeds))))))
+	step := rough(seconds(length / float64(min(max(1, c.Parallel), len(c.Seeds)))))
+	say("%s: the highest rate with %s; from %s a second, to within %.3g%%, %s at most; a step takes about %s",
+		out.Scenario, out.Wants, number(start), 100*c.Width, plural(c.MostRuns, "run"), step)
 	runs := 0
 	for {
 		rate, more := search.Next()
@@ -117,7 +116,7 @@
 		}
 		runs += step.Runs
 		out.Steps = append(out.Steps, *step)
-		say("%.4g a second: service %s, kit late %s ms: %s", rate, fixed(step.Service, 3), fixed(step.LateMS, 2),
+		say("%s a second: service %s, kit late %s ms: %s", number(rate), fixed(step.Service, 3), fixed(step.LateMS, 2),
 			step.verdict())
 		search.Tell(rate, step.Holds)
 	}
@@ -176,7 +175,7 @@
 	})
 	var broken []string
 	for i, h := range tries {
-		broken = append(broken, h.broken(fmt.Sprintf("seed %d at %.4g a second", c.Seeds[i], rate))...)
+		broken = append(broken, h.broken(fmt.Sprintf("seed %d at %s a second", c.Seeds[i], number(rate)))...)
 	}
 	if err != nil {
 		return nil, broken, err
@@ -252,12 +251,13 @@
 	case f.Holds == 0 && f.Fails == 0:
 		said = "Nothing can be said: no step was played to its end."
 	case f.Holds == 0:
-		said = fmt.Sprintf("No rate that was tried holds, down to %.4g a second (%s).", f.Fails, fails.Why)
+		said = fmt.Sprintf("No rate that was tried holds, down to %s a second: %s.", number(f.Fails), fails.Why)
 		f.KitLimit = fails.Kit
 	case f.Fails == 0:
-		said = fmt.Sprintf("It holds at every rate that was tried, up to %.4g jobs a second.", f.Holds)
+		said = fmt.Sprintf("It holds at every rate that was tried, up to %s jobs a second.", number(f.Holds))
 	default:
-		said = fmt.Sprintf("It holds up to %.4g jobs a second and fails at %.4g (%s).", f.Holds, f.Fails, fails.Why)
+		said = fmt.Sprintf("It holds up to %s jobs a second and fails at %s: %s.", number(f.Holds),
+			number(f.Fails), fails.Why)
 		f.KitLimit = fails.Kit
 	}
 	f.Said = append(f.Said, said)
@@ -277,9 +277,9 @@
 	fmt.Fprintf(w, "%s: %s\n\n", f.Scenario, f.Wants)
 	var rows [][]string
 	for _, s := range f.Steps {
-		rows = append(rows, []string{fmt.Sprintf("%.4g", s.Rate), fmt.Sprint(s.Runs), fixed(s.Service, 3),
-			fixed(s.Worst10s, 3),
-			fmt.Sprint(s.Breaches), fixed(s.LateMS, 2), fixed(s.KitMS, 3), fixed(s.DaemonMS, 3), s.verdict()})
+		rows = append(rows, []string{number(s.Rate), fmt.Sprint(s.Runs), fixed(s.Service, 3),
+			fixed(s.Worst10s, 3), fmt.Sprint(s.Breaches), fixed(s.LateMS, 2), fixed(s.KitMS, 3), fixed(s.DaemonMS, 3),
+			s.verdict()})
 	}
 	grid(w, []string{"jobs a second", "runs", "service", "worst 10 s", "breaches", "kit late ms", "kit CPU ms/job",
 		"daemon ms/req", ""}, rows)
--- a/rehearse/experiment/capacity_test.go
+++ b/rehearse/experiment/capacity_test.go
@@ -132,7 +132,7 @@
 		t.Errorf("%d played, %+v, %v", len(f.played), out, err)
 	}
 	if out, err = capacityOf(t, &fake{service: flat(0.2)}).Search(context.Background()); err != nil || out.Holds != 0 ||
-		!strings.Contains(out.Said[0], "No rate that was tried holds, down to 0.1 ") {
+		!strings.Contains(out.Said[0], "No rate that was tried holds, down to 0.1 a second: service 0.200.") {
 		t.Errorf("%+v, %v", out, err)
 	}
 	if out, err = capacityOf(t, &fake{service: flat(1)}).Search(context.Background()); err != nil ||
