--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -65,6 +65,7 @@
 	quiet      bool
 	parallel   int
 	lateMS     float64
+	experiments
 }
 
 // Main runs the program and returns its exit status.
@@ -90,6 +91,7 @@
 	f.BoolVar(&a.quiet, "quiet", false, "print no table and no progress")
 	f.IntVar(&a.parallel, "parallel", 1, "play so many runs side by side")
 	f.Float64Var(&a.lateMS, "late-ms", float64(session.LateLimit.Milliseconds()), "a run in which the kit's own p99 is later than this does not count")
+	a.experiments.flags(f)
 	f.Usage = func() {}
 	if err := f.Parse(args); errors.Is(err, pflag.ErrHelp) {
 		fmt.Fprint(out, usage+f.FlagUsagesWrapped(118))
