--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -31,7 +31,7 @@
   rehearse judge HISTORY... [flags]  judge recorded histories again
   rehearse fleet [NAME] [flags]      by hand: start workers and discovery alone, for a scheduler of yours
   rehearse load [NAME] [flags]       by hand: play clients alone, against --scheduler ADDRESS
-
+` + experimentUsage + `
 Exit status: 0 all rules were kept; 1 it could not run; 2 a rule was broken; 3 the service was under --min-service;
 4 the kit itself ran late, so the run does not count.
 
@@ -132,6 +132,8 @@
 		return a.run(ctx, args)
 	case "judge":
 		return a.judge(args)
+	case "sweep", "compare", "capacity":
+		return a.experiment(ctx, name, args)
 	case "fleet":
 		return a.handFleet(ctx, args, os.Stdin)
 	case "load":
@@ -237,7 +239,22 @@
 	return daemon.Program{Path: path, Args: args}, remove, err
 }
 
+// writable finds out early whether the reports can be written: an hour's work must not end with a file that cannot.
+func (a *app) writable() error {
+	if a.json == "" || a.json == "-" {
+		return nil
+	}
+	f, err := os.OpenFile(a.json, os.O_WRONLY|os.O_CREATE, 0o644)
+	if err != nil {
+		return fmt.Errorf("--json: %w", err)
+	}
+	return f.Close()
+}
+
 func (a *app) run(ctx context.Context, names []string) (int, error) {
+	if err := a.unused("run", "scheduler", "scenario", "kit", "width", "most-runs"); err != nil {
+		return 0, err
+	}
 	scenarios, err := a.chosen(names)
 	if err != nil {
 		return 0, err
@@ -252,12 +269,8 @@
 			plans = append(plans, plan)
 		}
 	}
-	if a.json != "" && a.json != "-" { // an hour's run must not end with a file that cannot be written
-		f, err := os.OpenFile(a.json, os.O_WRONLY|os.O_CREATE, 0o644)
-		if err != nil {
-			return 0, fmt.Errorf("--json: %w", err)
-		}
-		f.Close()
+	if err := a.writable(); err != nil {
+		return 0, err
 	}
 	program, remove, err := a.program(ctx)
 	if err != nil {
--- a/rehearse/cli/experiments.go
+++ b/rehearse/cli/experiments.go
@@ -58,12 +58,8 @@
 
 // experiment plays one of the experiments.
 func (a *app) experiment(ctx context.Context, name string, args []string) (int, error) {
-	if a.json != "" && a.json != "-" { // an hour's work must not end with a file that cannot be written
-		f, err := os.OpenFile(a.json, os.O_WRONLY|os.O_CREATE, 0o644)
-		if err != nil {
-			return 0, fmt.Errorf("--json: %w", err)
-		}
-		f.Close()
+	if err := a.writable(); err != nil {
+		return 0, err
 	}
 	switch name {
 	case "sweep":
