core/traffic: no job is longer than its class's clients would wait

Change: a class may say how long its longest job is; scenarios say 40% of the give-up time. The mean stays.

--- a/core/traffic/draw.go
+++ b/core/traffic/draw.go
@@ -75,6 +75,9 @@
 		if c.Work <= 0 || bad(c.CV) || c.CV > maxCV {
 			return fmt.Errorf("traffic: class %q runs %v with a coefficient of variation of %v", c.Name, c.Work, c.CV)
 		}
+		if c.Most != 0 && c.Most < 2*c.Work {
+			return fmt.Errorf("traffic: class %q runs %v in the mean and %v at most", c.Name, c.Work, c.Most)
+		}
 		if c.Dist != "lognormal" && c.Dist != "pareto" {
 			return fmt.Errorf("traffic: class %q: no distribution is called %q", c.Name, c.Dist)
 		}
@@ -272,7 +275,16 @@
 	default:
 		x *= math.Exp(sigma(c.CV) * chance.NormFloat64())
 	}
-	return min(rounded(min(x, WorkCap*float64(c.Work))), max(time.Microsecond, WorkCap*c.Work))
+	most := c.most()
+	return min(rounded(min(x, float64(most))), max(time.Microsecond, most))
+}
+
+// most is how long a job of the class runs at the most.
+func (c *Class) most() Time {
+	if c.Most > 0 {
+		return min(c.Most, WorkCap*c.Work)
+	}
+	return WorkCap * c.Work
 }
 
 // sigma is a lognormal's, by its coefficient of variation.
@@ -281,13 +293,13 @@
 // shape is a pareto's, by its coefficient of variation.
 func shape(cv float64) float64 { return 1 + math.Sqrt(1+1/(cv*cv)) }
 
-// scale finds by halving where a class's distribution must begin for its mean, cut off at WorkCap, to be right.
+// scale finds by halving where a class's distribution must begin for its mean, cut off at its most, to be right.
 func scale(c Class) float64 {
 	mean := float64(c.Work)
 	if c.CV == 0 {
 		return mean
 	}
-	most := WorkCap * mean
+	most := float64(c.most())
 	low, high := 0.0, most
 	for range 100 {
 		mid := (low + high) / 2
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -18,6 +18,7 @@
 	Work  Time    // mean running time at speed 1
 	Dist  string  // lognormal or pareto
 	CV    float64 // its coefficient of variation
+	Most  Time    // no job runs longer at speed 1; at least twice Work. 0, or more than WorkCap means: that
 	Noise float64 // the spread (sigma of the logarithm) of one job's attempts round its own running time
 }
 
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -264,7 +264,10 @@
 	heavier := load * capacity / (rate * mean)
 	rate = pick(ch.Rate, rate)
 	for i := range p.Classes {
-		p.Classes[i].Work = time.Duration(float64(p.Classes[i].Work) * heavier)
+		c := &p.Classes[i]
+		c.Work = time.Duration(float64(c.Work) * heavier)
+		// A job that nobody could end in time would be chance, and a large one: worth goes by work.
+		c.Most = max(3*c.Work, time.Duration(0.4*float64(c.Deadline))*time.Microsecond)
 	}
 	p.Load = rate * mean * heavier / p.Capacity
 	mean *= heavier
