--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -141,7 +141,7 @@
 		k.Record.Add(history.Event{T: max(1, now.Microseconds()), Kind: history.KindSent, Request: t.id,
 			Scheduler: c.place.Name, Life: c.life, Conn: c.id, Fresh: age, Again: again})
 		if k.Victims != nil {
-			k.Victims.add(c.place.Name, t.id, now)
+			k.Victims.add(c.place.Name, t.id, victim{t.a.Work, now})
 		}
 		a, over := t.await(c, wait, now, patience)
 		if k.Victims != nil {
