A close by a scheduler that had read the request is no crossing; thieves that come too late

Change: clients look whether the scheduler's machine turned the request's bytes away with a reset (then the close crossed) or not (then the scheduler had read it), and do not send what was read once more. A job that is sent to a worker after its client was answered is a breach too, as the simulator's first rule has it. A bad client that comes with the id of another's request a moment after that was answered no longer has its scheduler blamed for an altered job.

--- a/core/history/history.go
+++ b/core/history/history.go
@@ -30,7 +30,7 @@
 	KindSent     Kind = "sent"     // Request, Scheduler, Life, Conn, Fresh, Again: its last byte was written (T) to an accepted connection
 	KindUnsent   Kind = "unsent"   // Request, Scheduler, Note: no connection came up, or it broke before the last byte
 	KindAnswer   Kind = "answer"   // Request, Scheduler, Conn, Status, Result, After: the last byte of a whole answer came (T)
-	KindBroken   Kind = "broken"   // Request, Scheduler, Conn, Bytes, Note: the scheduler ended the connection without a whole answer
+	KindBroken   Kind = "broken"   // Request, Scheduler, Conn, Bytes, Read, Note: the scheduler ended the connection without a whole answer
 	KindGaveUp   Kind = "gave-up"  // Request, Scheduler, Conn: the client's time is over and it has hung up; a crossing answer may still come
 	KindStranger Kind = "stranger" // Scheduler, Conn, Note, Status, From: a bad client got an answer or a close (Status 0); Bytes: 0, 1 (nothing came in time)
 )
@@ -126,6 +126,7 @@
 	Result string  `json:"result,omitempty"` // of an answer: its body
 	After  float64 `json:"after,omitempty"`  // Retry-After, in seconds
 	Bytes  int64   `json:"bytes,omitempty"`
+	Read   bool    `json:"read,omitempty"` // of a broken connection: its scheduler had read the whole request, so its close crossed nothing
 
 	State  State `json:"state,omitempty"`
 	Ran    bool  `json:"ran,omitempty"`    // some of it ran
--- a/core/judge/gather.go
+++ b/core/judge/gather.go
@@ -25,6 +25,14 @@
 	code                    int
 	words                   string // its last ones
 	owed                    int    // what it left unanswered by crashing
+	crossings               []crossing
+}
+
+// crossing is a request that a close seems to have crossed while its process was not stopping.
+type crossing struct {
+	r       *request
+	sending int
+	t       int64
 }
 
 // fate is how a process ended, as far as answers are concerned.
@@ -79,7 +87,7 @@
 	wrote     map[life][]int32
 	falls     []int32
 	strangers []int32
-	strayIDs  map[string]bool // ids that bad clients sent
+	strayIDs  map[string][]int32 // ids that bad clients sent
 
 	found          []Breach
 	notes          []string
@@ -112,7 +120,7 @@
 		classes: make(map[string]*history.Class), byID: make(map[string]int32), byNumber: make(map[int64]int32),
 		processes: make(map[life]*process), lives: make(map[string][]*process), deaths: make(map[life]int64),
 		cuts: make(map[pair][]span), held: make(map[string][]int32), wrote: make(map[life][]int32),
-		strayIDs: make(map[string]bool), read: make(map[reader]*news),
+		strayIDs: make(map[string][]int32), read: make(map[reader]*news),
 	}
 	// Attempts first: what follows of one may have been written down before it.
 	var stalls []span
@@ -157,7 +165,7 @@
 		case history.KindStranger:
 			c.strangers = append(c.strangers, int32(i))
 			if ev.Request != "" {
-				c.strayIDs[ev.Request] = true
+				c.strayIDs[ev.Request] = append(c.strayIDs[ev.Request], int32(i))
 			}
 		case history.KindAttempt, history.KindVoid:
 			if _, twice := c.byNumber[ev.Attempt]; !twice {
--- a/core/judge/judge.go
+++ b/core/judge/judge.go
@@ -33,6 +33,7 @@
 	LateAnswer      = "late-answer"       // answers: it came, but after the limit
 	Closed          = "closed"            // answers: the scheduler ended the connection instead
 	SecondAnswer    = "second-answer"     // answers: there was one before
+	SentAfterAnswer = "sent-after-answer" // answers: sent to a worker though its client had been answered
 	MadeUpResult    = "made-up-result"    // answers: a 200 with what no worker had made of this request by then
 	ServedStranger  = "served-stranger"   // answers: a 200 for a bad client whose request cannot have run
 	Crashed         = "crashed"           // answers: the process ended by itself
@@ -90,6 +91,7 @@
 		c.judgeAnswers(&c.requests[i])
 		c.judgeRepeats(&c.requests[i])
 	}
+	c.judgeCrossings()
 	c.judgeProcesses()
 	c.judgeStrangers()
 	c.judgeForms()
--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"laddertide/core/history"
 )
 
@@ -60,6 +62,7 @@
 	result string
 	after  float64 // Retry-After in seconds
 	bytes  int64   // that came, if it is not whole
+	read   bool    // if it is not whole: the scheduler had read the request before it closed
 	note   string
 }
 
@@ -211,7 +214,7 @@
 		case wait == nil:
 			return
 		case err != nil:
-			c.deliver(answer{t: now, note: cause(err)}, false)
+			c.deliver(answer{t: now, read: errors.Is(err, io.EOF) && c.wasRead(), note: cause(err)}, false)
 			return
 		}
 		a, more := c.parse()
@@ -226,6 +229,32 @@
 	}
 }
 
+// readLook is how long a machine may take to turn away what came to a connection that its program has closed.
+const readLook = 25 * time.Millisecond
+
+// wasRead tells of a connection that the scheduler has closed whether it had read all that was sent there. Where bytes
+// come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset.
+func (c *conn) wasRead() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	for until := time.Now().Add(readLook); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		reset := false
+		err := raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			reset = err != nil || info.State != tcpCloseWait
+		})
+		if err != nil || reset {
+			return false
+		}
+	}
+	return true
+}
+
+// tcpCloseWait is the state of a connection that its peer has closed in order, as the system counts states.
+const tcpCloseWait = 8
+
 // renew begins an answer.
 func (c *conn) renew() { c.held, c.in.N = c.br.Buffered(), maxAnswer }
 
@@ -353,5 +382,5 @@
 func (k *kit) ended(c *conn, id string, a answer) {
 	k.tally.broken.Add(1)
 	k.Record.Add(history.Event{T: max(1, a.t.Microseconds()), Kind: history.KindBroken, Request: id,
-		Scheduler: c.place.Name, Conn: c.id, Bytes: a.bytes, Note: a.note})
+		Scheduler: c.place.Name, Conn: c.id, Bytes: a.bytes, Read: a.read, Note: a.note})
 }
