drain: some workers drain long enough for a scheduler that never asks discovery to be found

Need: what discovery holds counts as told after 6 s, and 2 s more are allowed; workers drained for 6 s only, so that a scheduler without a watch kept the rule. Change: stay_s of a drain says how long workers drain at least; every third one takes the longest.

--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -49,7 +49,6 @@
 	readyLimit  = 30 * time.Second        // for all schedulers to come up, as the platform has it
 	settle      = 500 * time.Millisecond  // from the last one's being ready until the first client
 	healthEvery = 20 * time.Millisecond   // between looks at one that is coming up
-	drainLeast  = 6 * time.Second         // a worker that drains stays so at least this long, for discovery to tell
 	lookEvery   = 50 * time.Millisecond   // at whether it is empty
 	moveAfter   = time.Second             // no SIGHUP in a process's first second
 	tailOfRun   = 90 * time.Second        // after the last arrival all must be over by then
@@ -215,7 +214,7 @@
 				err = errors.Join(err, r.fleet.Cut(s, w, st.Do == scenario.Cut))
 			}
 		case scenario.Drain:
-			r.all.Go(func() { r.release(w, st.Down) })
+			r.all.Go(func() { r.release(w, st.Stay, st.Down) })
 		}
 		r.must(err)
 	}
@@ -251,9 +250,9 @@
 }
 
 // release replaces a worker's process in order: it drains, ends, and comes back cold.
-func (r *run) release(w int, down time.Duration) {
+func (r *run) release(w int, stay, down time.Duration) {
 	r.fleet.Drain(w)
-	if !sleep(r.ctx, drainLeast) {
+	if !sleep(r.ctx, stay) {
 		return
 	}
 	for {
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -52,6 +52,7 @@
 	Schedulers []int
 	Value      float64
 	Down       time.Duration // with Drain, Kill: until the new process starts
+	Stay       time.Duration // with Drain: how long it does so at least
 }
 
 // Act is what a step does.
@@ -333,7 +334,13 @@
 			two(Step{Do: Silence, Value: 1}, Step{Do: Silence})
 		case "drain":
 			for j, w := range some {
-				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Drain, Workers: []int{w}, Down: length})
+				stay := t.Stay.or(6, 6)
+				if j%3 == 0 {
+					// One who never asks discovery is deemed told at last, while the worker still drains.
+					stay.Lo = stay.Hi
+				}
+				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Drain, Workers: []int{w}, Down: length,
+					Stay: seconds(stay.draw(c))})
 			}
 			to = at + time.Duration(len(some))*every + length
 		case "restart", "kill", "reload":
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -57,6 +57,7 @@
 	Factor Range  `yaml:"factor"`  // of the usual running time
 	Delay  Range  `yaml:"delay_s"` // of discovery's news
 	Rate   Range  `yaml:"rate"`    // of bad clients a second
+	Stay   Range  `yaml:"stay_s"`  // how long a worker drains at least; every third one for the longest time
 }
 
 // Kinds are the troubles, each with the fields that it needs and those that it may have.
@@ -67,10 +68,10 @@
 	"cut":         {[]string{"part", "for_s"}, []string{"count"}}, // between count schedulers and the workers' part
 	"slow":        {[]string{"factor", "for_s"}, []string{"part"}},
 	"burst":       {[]string{"times", "for_s"}, nil},
-	"stale":       {[]string{"delay_s", "for_s"}, nil},              // discovery's news comes later
-	"lost-roster": {[]string{"for_s"}, nil},                         // discovery says nothing at all
-	"drain":       {[]string{"every_s", "for_s"}, []string{"part"}}, // a rolling release of workers
-	"restart":     {[]string{"every_s"}, []string{"count"}},         // SIGTERM of one scheduler after another
+	"stale":       {[]string{"delay_s", "for_s"}, nil},                        // discovery's news comes later
+	"lost-roster": {[]string{"for_s"}, nil},                                   // discovery says nothing at all
+	"drain":       {[]string{"every_s", "for_s"}, []string{"part", "stay_s"}}, // a rolling release of workers
+	"restart":     {[]string{"every_s"}, []string{"count"}},                   // SIGTERM of one scheduler after another
 	"kill":        {[]string{"for_s"}, []string{"count", "every_s"}},
 	"reload":      {nil, []string{"count", "every_s"}}, // SIGHUP with another address of discovery
 	"rude":        {[]string{"rate", "for_s"}, nil},
@@ -340,7 +341,7 @@
 		{"at_s", t.At, 0, MaxSeconds}, {"for_s", t.For, 0.05, MaxSeconds}, {"after_s", t.After, 0, MaxSeconds},
 		{"part", t.Part, 0.001, 1}, {"count", t.Count, 1, 1000}, {"every_s", t.Every, 0.05, MaxSeconds},
 		{"times", t.Times, 0.1, 20}, {"factor", t.Factor, 0.1, 100}, {"delay_s", t.Delay, 0, MaxSeconds},
-		{"rate", t.Rate, 0.1, 200},
+		{"rate", t.Rate, 0.1, 200}, {"stay_s", t.Stay, 0, MaxSeconds},
 	} {
 		needed := slices.Contains(kind.Needs, f.key)
 		known := needed || slices.Contains(kind.May, f.key) || f.key == "at_s" || f.key == "after_s"
