--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -250,6 +250,11 @@
 			plans = append(plans, plan)
 		}
 	}
+	if a.outDir != "" { // the file of --json may lie there
+		if err := os.MkdirAll(a.outDir, 0o755); err != nil {
+			return 0, fmt.Errorf("--out: %w", err)
+		}
+	}
 	if a.json != "" && a.json != "-" { // an hour's run must not end with a file that cannot be written
 		f, err := os.OpenFile(a.json, os.O_WRONLY|os.O_CREATE, 0o644)
 		if err != nil {
--- a/rehearse/standin/job.go
+++ b/rehearse/standin/job.go
@@ -33,6 +33,8 @@
 	// These belong to the scheduler's mutex.
 	at    *worker // that has the present attempt; nil: none is out
 	heard chan event
+	sent  time.Time // when a place was found for it
+	stop  context.CancelFunc
 
 	sends  int
 	again  bool      // sabotage: it is sent again whatever has become of it
@@ -62,8 +64,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	ctx, stop := withDeadline(j.due.Add(-margin))
-	j.ctx = ctx
+	stop := j.stop
 	gone := make(chan error, 1)
 	go func() { // only a blocked read sees a client that hangs up
 		_, err := br.Peek(1)
@@ -74,6 +75,7 @@
 	}()
 	status, body := j.run()
 	stop()
+	s.sabotageEnded(j)
 	s.mu.Lock()
 	delete(s.jobs, j.id)
 	last := r.close || s.isStopping() && time.Since(s.stopping) > keepOpen/2
@@ -116,15 +118,21 @@
 		j.hint = 0
 	}
 	class.hints, class.seen = class.hints+j.hint, class.seen+1
+	j.ctx, j.stop = context.WithDeadline(context.Background(), j.due.Add(-margin))
 	if s.isStopping() {
-		if end := s.stopping.Add(stopLimit); end.Before(j.due) {
-			j.due = end.Add(margin)
-		}
+		j.hurry()
 	}
 	s.jobs[id] = j
 	return j, 0, ""
 }
 
+// hurry lets a job end in time for a scheduler that stops. Called under mu.
+func (j *job) hurry() {
+	if end := j.s.stopping.Add(stopLimit); end.Before(j.due.Add(-margin)) {
+		time.AfterFunc(time.Until(end), j.stop)
+	}
+}
+
 // end is how an attempt ended.
 type end int
 
@@ -204,7 +212,7 @@
 		if w := s.pick(j); w != nil {
 			w.out++
 			w.last = time.Now()
-			j.at, j.heard = w, make(chan event, 1)
+			j.at, j.heard, j.sent = w, make(chan event, 1), time.Now()
 			s.mu.Unlock()
 			return w
 		}
@@ -243,6 +251,9 @@
 		if w.unreached {
 			most = 1
 		}
+		if s.bad["many-attempts"] {
+			most = 1 << 20
+		}
 		if w.out >= most || now.Sub(w.begun) < coldFor && !s.mild(j, w, now) {
 			continue
 		}
@@ -309,7 +320,6 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && j.ctx.Err() == nil {
 			s.unreached(w)
 		}
-		c.Close()
 		if j.mayRun.IsZero() {
 			j.mayRun = sent
 		}
--- a/rehearse/standin/sabotage.go
+++ b/rehearse/standin/sabotage.go
@@ -29,6 +29,8 @@
 	"garbage":          "answers every 10th request with what is no HTTP",
 	"answer-early":     "answers 200 before the worker has done it",
 	"serve-strangers":  "answers 200 to what it cannot read",
+	"sent-after":       "sends every 10th job once more when it is answered",
+	"impatient":        "sends every 5th job again 200 ms after its 202, without withdrawing it",
 	"resend-issue":     "sends again what may have run, whatever its class",
 	"withdraw-resend":  "withdraws every 5th job half a second after its 202, and sends it again",
 	"hedge":            "sends every 5th limit-check to a second worker after 50 ms",
@@ -144,6 +146,23 @@
 	return false, false
 }
 
+// sabotageEnded is what goes wrong with a job that is about to be answered.
+func (s *scheduler) sabotageEnded(j *job) {
+	if !j.every("sent-after", 10) {
+		return
+	}
+	text := j.text()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		if w.serving {
+			address := w.address
+			time.AfterFunc(300*time.Millisecond, func() { blurt(address, text) })
+			return
+		}
+	}
+}
+
 // sabotageSent is what goes wrong once a job was sent.
 func (s *scheduler) sabotageSent(j *job, w *worker) {
 	second := j.every("hedge", 5) && j.class.name == "limit-check"
@@ -193,6 +212,11 @@
 		case <-j.ctx.Done():
 		}
 	}
+	if j.every("impatient", 5) && j.sends == 1 {
+		time.Sleep(200 * time.Millisecond)
+		j.again = true
+		return true
+	}
 	if j.every("withdraw-resend", 5) && j.sends == 1 {
 		s.giveUp(w.address, j.id)
 		j.again = true
--- a/rehearse/standin/standin.go
+++ b/rehearse/standin/standin.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -203,6 +202,9 @@
 	}
 	s.mu.Lock()
 	s.stopping = time.Now()
+	for _, j := range s.jobs {
+		j.hurry()
+	}
 	s.mu.Unlock()
 	go func() {
 		time.Sleep(keepOpen)
@@ -301,7 +303,7 @@
 			if w.begun.Before(time.UnixMilli(e.SinceMS)) {
 				w.begun = time.UnixMilli(e.SinceMS)
 			}
-			s.gone(w) // whatever its process before had has ended
+			s.gone(w, time.UnixMilli(e.SinceMS)) // whatever its process before had has ended
 		}
 		switch {
 		case e.Status == "SERVING":
@@ -310,22 +312,21 @@
 			w.serving = false
 		case e.Status == "DELETED" && !s.bad["ignore-deleted"]:
 			w.serving = false
-			s.gone(w)
 		}
 	}
 	for name, w := range s.workers {
 		if news.Snapshot && !seen[name] && !s.bad["ignore-deleted"] {
 			w.serving = false
-			s.gone(w)
 		}
 	}
 	s.wake()
 }
 
-// gone ends the attempts at a process that is no more. Called under mu.
-func (s *scheduler) gone(w *worker) {
+// gone ends the attempts at a process that another has followed, but not those that this has got already. Called under
+// mu.
+func (s *scheduler) gone(w *worker, since time.Time) {
 	for _, j := range s.jobs {
-		if j.at == w {
+		if j.at == w && j.sent.Before(since) {
 			j.hear(event{State: "lost", From: w.name})
 		}
 	}
@@ -509,8 +510,3 @@
 		j.hear(e)
 	}
 }
-
-// withDeadline is a context that ends with a job's time or when its client has gone.
-func withDeadline(t time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(context.Background(), t)
-}
