--- a/rehearse/fleet/conn.go
+++ b/rehearse/fleet/conn.go
@@ -335,6 +335,7 @@
 	case refused404:
 		return c.answer(m, nil, 404)
 	}
+	w.cued(a)
 	if !c.pause(max(m.at+l.delay, c.new)) {
 		c.withdrawn(a)
 		return false
--- /dev/null
+++ b/rehearse/fleet/cue_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/world"
+)
+
+func unsafeOnly(c *Config) { c.Classes[0].Repeat = history.NonIdempotent }
+
+// A worker that dies on the cue takes with it a job that must never run twice: one that it had taken, or one whose
+// scheduler will never know.
+func TestDyingOnCue(t *testing.T) {
+	for _, c := range []struct {
+		cue     Cue
+		already bool // the job was sent before the wait begins
+	}{{Held, true}, {Arriving, false}} {
+		r := newRig(t, 1, []world.Spec{plain("s-1"), plain("s-2")}, unsafeOnly)
+		wire := r.dial(0, 0)
+		if c.already {
+			wire.ask(r.job("a", time.Hour), "202")
+		} else {
+			time.AfterFunc(50*time.Millisecond, func() { wire.Write([]byte(r.job("a", time.Hour))) })
+		}
+		came, played := r.Await(context.Background(), []int{1, 0}, c.cue, patience)
+		if !came {
+			t.Fatalf("cue %d did not come", c.cue)
+		}
+		must(t, r.Crash(0))
+		played()
+		if c.already {
+			r.wait("it is told as lost", func() bool { return slices.Contains(r.callers[0].told("a"), "lost") })
+			continue
+		}
+		if got := wire.answer(); got != "end" {
+			t.Errorf("answered %s", got)
+		}
+		if got := r.story(1); got != "attempt, crash, lost" && got != "attempt, lost" {
+			t.Errorf("its story is %s", got)
+		}
+	}
+}
+
+// No cue comes of other workers, or of jobs that may run twice, and the wait ends.
+func TestNoCue(t *testing.T) {
+	for _, change := range []func(*Config){nil, unsafeOnly} {
+		r := newRig(t, 1, []world.Spec{plain("s-1"), plain("s-2")}, change)
+		worker := 0
+		if change != nil {
+			worker = 1
+		}
+		wire, next := r.dial(0, worker), r.job("b", time.Hour)
+		wire.ask(r.job("a", time.Hour), "202")
+		sent := time.AfterFunc(10*time.Millisecond, func() { wire.Write([]byte(next)) })
+		for _, cue := range []Cue{Held, Arriving} {
+			came, played := r.Await(context.Background(), []int{0}, cue, 50*time.Millisecond)
+			played()
+			if came {
+				t.Errorf("cue %d came", cue)
+			}
+		}
+		sent.Stop()
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		if came, played := r.Await(ctx, []int{0}, Arriving, time.Hour); came {
+			t.Error("a cue came after the end")
+		} else {
+			played()
+		}
+	}
+}
--- a/rehearse/fleet/worker.go
+++ b/rehearse/fleet/worker.go
@@ -53,6 +53,8 @@
 	link *link
 	job  world.Job
 
+	unsafe bool // it must never run twice
+
 	submitted, taken, full, over bool
 	withdrawn                    bool // given up before it was submitted
 }
@@ -396,9 +398,9 @@
 }
 
 // look finds the job of a message in the book; note says why there is none.
-func (w *worker) look(m *message) (job world.Job, note string) {
+func (w *worker) look(m *message) (job world.Job, unsafe bool, note string) {
 	if m.id == "" {
-		return world.Job{}, "it has no id"
+		return world.Job{}, false, "it has no id"
 	}
 	entry, same, known := w.f.cfg.Book.Read(m.id, book.Sum(m.method, m.target, m.id, m.key, m.body))
 	if !known && w.f.cfg.Guess != nil {
@@ -407,11 +409,11 @@
 	}
 	switch {
 	case !known:
-		return world.Job{}, "no client has sent this id"
+		return world.Job{}, false, "no client has sent this id"
 	case !same:
-		return world.Job{}, "no client has sent this id in this form"
+		return world.Job{}, false, "no client has sent this id in this form"
 	case entry.Class < 0 || entry.Class >= len(w.f.cfg.Classes):
-		return world.Job{}, "its class is none of the setup"
+		return world.Job{}, false, "its class is none of the setup"
 	}
 	job = world.Job{Request: m.id, Key: entry.Key, Work: w.draw(m.id, entry), Cost: w.f.cfg.Costs[entry.Class],
 		Slots: entry.Slots, Memory: entry.Memory}
@@ -421,7 +423,7 @@
 	if m.limit > 0 {
 		job.Until = m.at + m.limit
 	}
-	return job, ""
+	return job, w.f.unsafe(entry.Class), ""
 }
 
 // draw is how long an attempt runs: round the job's own time, with the same mean. It follows from the seed, the request
@@ -450,8 +452,8 @@
 
 // attempt writes a job down that has arrived, and keeps it if there is a process that may take it.
 func (w *worker) attempt(c *conn, m *message) (*attempt, fate) {
-	job, note := w.look(m)
-	a := &attempt{n: w.f.attempts.Add(1), id: m.id, life: c.life, link: c.link, job: job}
+	job, unsafe, note := w.look(m)
+	a := &attempt{n: w.f.attempts.Add(1), id: m.id, life: c.life, link: c.link, job: job, unsafe: unsafe}
 	a.job.Attempt, a.job.Scheduler = a.n, c.link.scheduler
 	ev := history.Event{T: micros(m.at), Kind: history.KindAttempt, Attempt: a.n, Request: m.id, Worker: w.spec.Name,
 		Life: c.life, Scheduler: c.link.name, From: micros(m.from), Work: job.Work.Microseconds(),
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -193,6 +193,14 @@
 }
 
 func (r *run) do(st scenario.Step) {
+	if st.Wait > 0 {
+		cue := fleet.Held
+		if st.Arriving {
+			cue = fleet.Arriving
+		}
+		_, played := r.fleet.Await(r.ctx, st.Workers, cue, st.Wait)
+		defer played()
+	}
 	for _, w := range st.Workers {
 		if r.fleet.Fallen(w) {
 			continue // it stays down
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -53,6 +53,11 @@
 	Value      float64
 	Down       time.Duration // with Drain, Kill: until the new process starts
 	Stay       time.Duration // with Drain: how long it does so at least
+
+	// With Crash, Vanish, Mute: for so long at most it waits until one of Workers has a job that must never run twice, in
+	// its hands or (Arriving) just coming in, as that shows most what schedulers make of such an end.
+	Wait     time.Duration
+	Arriving bool
 }
 
 // Act is what a step does.
@@ -291,12 +296,18 @@
 		Honour: Range{0.7, 1, true}.draw(c), MaxAfter: 2 * time.Second}
 }
 
+// mostWait is how long the end of a worker waits for its cue.
+const mostWait = 1500 * time.Millisecond
+
 // drawTroubles makes the timetable. Each trouble draws from a stream of its own.
 func (p *Plan) drawTroubles(s *Scenario, times float64) {
 	if s.Rude.Given {
 		p.Steps = append(p.Steps, Step{At: 0, Do: Rude, Value: s.Rude.Lo})
 	}
 	end := time.Duration(0) // of the trouble before
+	// The ends of workers wait for one cue and the other by turns, so that a day with two of them plays both. A process
+	// that dies can say what it held, so a crash comes first with that.
+	arriving := len(s.Troubles) > 0 && s.Troubles[0].Kind != "crash"
 	for i := range s.Troubles {
 		t := &s.Troubles[i]
 		c := Chance(p.Seed, fmt.Sprintf("trouble %d %s", i, t.Kind))
@@ -318,7 +329,9 @@
 		some := sample(c, len(p.Workers), part)
 		switch t.Kind {
 		case "crash", "vanish", "mute":
-			two(Step{Do: Act(t.Kind), Workers: some}, Step{Do: Return, Workers: some})
+			on := Step{Do: Act(t.Kind), Workers: some, Wait: min(mostWait, length/3), Arriving: arriving}
+			arriving = !arriving
+			two(on, Step{Do: Return, Workers: some})
 		case "cut":
 			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
 			two(Step{Do: Cut, Workers: some, Schedulers: at}, Step{Do: Mend, Workers: some, Schedulers: at})
