--- a/rehearse/standin/job.go
+++ b/rehearse/standin/job.go
@@ -208,6 +208,9 @@
 func (j *job) place() *worker {
 	s := j.s
 	for {
+		if j.ctx.Err() != nil {
+			return nil
+		}
 		s.mu.Lock()
 		if w := s.pick(j); w != nil {
 			w.out++
@@ -227,9 +230,6 @@
 			return nil
 		}
 		timer.Stop()
-		if j.ctx.Err() != nil {
-			return nil
-		}
 	}
 }
 
