--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -327,6 +327,8 @@
 
 	{name: "a thief of an id that was answered a moment ago", events: append(served(1000, 1, "a", "look"),
 		refusedAt(1103, 2, "a", "s-0"), thief(1102, 1110, "a"))},
+	{name: "a thief who is read before the owner", events: []ev{ask(1000, "a", "look"), sent(1000, "a"),
+		refusedAt(1003, 1, "a", "s-0"), thief(1001, 1010, "a"), answer(1005, "a", 400, "")}},
 	{name: "a thief of an open id is let in", want: AlteredJob, events: append(served(1000, 1, "a", "look"),
 		refusedAt(1020, 2, "a", "s-0"), thief(1019, 1030, "a"))},
 	{name: "nobody stole the id", want: AlteredJob, events: append(served(1000, 1, "a", "look"),
