--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -101,6 +101,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the program at once
 	command, rest := f.Arg(0), f.Args()
 	if len(rest) > 0 {
 		rest = rest[1:]
--- a/rehearse/daemon/daemon.go
+++ b/rehearse/daemon/daemon.go
@@ -121,6 +121,8 @@
 	for n := 0; ; n++ {
 		select {
 		case <-ended:
+			// What it has started and left behind would hold its address.
+			syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL)
 			p.mu.Lock()
 			if st := p.cmd.ProcessState; st != nil {
 				p.usage.CPU = st.SystemTime() + st.UserTime()
--- a/rehearse/daemon/daemon_test.go
+++ b/rehearse/daemon/daemon_test.go
@@ -40,6 +40,13 @@
 		}
 		fmt.Println("opened", n)
 		time.Sleep(2 * time.Second)
+	case "parent":
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = []string{"PLAY=sleep"}
+		if err := cmd.Start(); err != nil {
+			panic(err)
+		}
+		fmt.Println("child", cmd.Process.Pid)
 	case "kit":
 		p := play("sleep", Limits{})
 		fmt.Println("child", p.PID())
@@ -160,3 +167,18 @@
 		t.Errorf("%s, %v", path, err)
 	}
 }
+
+// A scheduler that ends must not leave behind what it has started.
+func TestNothingIsLeftOfOneThatEnded(t *testing.T) {
+	p := play("parent", Limits{})
+	ended(t, p)
+	_, words := p.End()
+	pid, err := strconv.Atoi(strings.TrimPrefix(words, "child "))
+	if err != nil {
+		t.Fatalf("it said %q", words)
+	}
+	await(t, "the end of the child", func() bool {
+		raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
+		return err != nil || bytes.Contains(raw, []byte(") Z "))
+	})
+}
