--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -101,6 +101,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the program at once
 	command, rest := f.Arg(0), f.Args()
 	if len(rest) > 0 {
 		rest = rest[1:]
@@ -241,6 +242,11 @@
 
 // writable finds out early whether the reports can be written: an hour's work must not end with a file that cannot.
 func (a *app) writable() error {
+	if a.outDir != "" { // the file of --json may lie there
+		if err := os.MkdirAll(a.outDir, 0o755); err != nil {
+			return fmt.Errorf("--out: %w", err)
+		}
+	}
 	if a.json == "" || a.json == "-" {
 		return nil
 	}
