--- a/rehearse/standin/sabotage.go
+++ b/rehearse/standin/sabotage.go
@@ -77,25 +77,23 @@
 		}()
 	case s.bad["hoards-memory"]:
 		go func() {
-			var hoard [][]byte
 			for time.Sleep(2 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 				b := make([]byte, 8<<20)
 				for i := range b {
 					b[i] = byte(i)
 				}
-				hoard = append(hoard, b)
+				s.hoard = append(s.hoard, b)
 			}
 		}()
 	case s.bad["hoards-sockets"]:
 		go func() {
-			var hoard []*os.File
 			for time.Sleep(2 * time.Second); ; {
 				f, err := os.Open("/dev/null")
 				if err != nil {
 					time.Sleep(time.Millisecond)
 					continue
 				}
-				hoard = append(hoard, f)
+				s.hoard = append(s.hoard, f)
 			}
 		}()
 	}
--- a/rehearse/standin/standin.go
+++ b/rehearse/standin/standin.go
@@ -96,6 +96,7 @@
 	cfg   config
 	file  string
 	bad   map[string]bool
+	hoard []any // what it never lets go of
 	ln    net.Listener
 	began time.Time
 
