--- a/rehearse/discovery/discovery.go
+++ b/rehearse/discovery/discovery.go
@@ -159,6 +159,10 @@
 	a.wake()
 }
 
+// Break ends all connections to a scheduler's agent, watches included, as a restart of the agent does. It stays where
+// it is, and new ones come up.
+func (d *Discovery) Break(scheduler int) { d.agents[scheduler].end(nil) }
+
 // Close ends everything and waits for it.
 func (d *Discovery) Close() {
 	d.mu.Lock()
--- a/rehearse/discovery/discovery_test.go
+++ b/rehearse/discovery/discovery_test.go
@@ -284,6 +284,22 @@
 	next(t, lines, "2 s-1:DRAINING")
 }
 
+// A watch that broke is one to be asked for again, and the new one begins where that ended.
+func TestABrokenWatch(t *testing.T) {
+	r := newRig(t)
+	watch, other := r.ask(0, "?watch=1&after=1"), r.ask(1, "?watch=1&after=1")
+	lines := bufio.NewReader(watch.response().Body)
+	r.Silence(0, true)
+	r.Break(0)
+	if line, err := lines.ReadString('\n'); err == nil {
+		t.Errorf("a broken watch says %q", line)
+	}
+	r.Silence(0, false)
+	r.Change(history.Entry{Worker: "s-1", Status: history.Draining, Life: 1}, false)
+	next(t, bufio.NewReader(r.ask(0, "?watch=1&after=1").response().Body), "2 s-1:DRAINING")
+	next(t, bufio.NewReader(other.response().Body), "2 s-1:DRAINING")
+}
+
 // One that doesn't read holds up nobody, and is given up.
 func TestASlowReaderBlocksNobody(t *testing.T) {
 	r := newRig(t)
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -228,6 +228,9 @@
 		r.discovery.Lag(time.Duration(st.Value * float64(time.Second)))
 	case scenario.Silence:
 		for i := range r.posts {
+			if st.Value == 0 {
+				r.discovery.Break(i) // it comes back as one that was started anew
+			}
 			r.discovery.Silence(i, st.Value > 0)
 		}
 	case scenario.Term, scenario.Kill, scenario.Reload:
