--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -33,19 +33,35 @@
 	crash   = "{name: crash, seconds: 6, workers: 12, schedulers: 2, rate: 100, load: 0.6, troubles: [" +
 		"{kind: crash, at_s: 1, for_s: 0.3, part: 0.7}, {kind: crash, at_s: 2.6, for_s: 0.3, part: 0.7}, " +
 		"{kind: crash, at_s: 4.2, for_s: 0.3, part: 0.7}]}"
-	silent   = "{name: silent, " + day + "troubles: [{kind: vanish, at_s: 1, for_s: 4, part: 0.34}]}"
-	mute     = "{name: mute, " + day + "troubles: [{kind: mute, at_s: 1.5, for_s: 4, part: 0.5}]}"
-	drain    = "{name: drain, seconds: 8, workers: 6, schedulers: 2, rate: 40, load: 0.3, troubles: [{kind: drain, at_s: 0.3, for_s: 1, every_s: 0.3, part: 0.5}]}"
-	unheard  = "{name: unheard, seconds: 16, workers: 6, schedulers: 2, rate: 30, load: 0.2, troubles: [{kind: drain, at_s: 0.2, for_s: 1, every_s: 0.2, stay_s: 15, part: 0.5}]}"
-	gone     = "{name: gone, seconds: 18, workers: 6, schedulers: 2, rate: 30, load: 0.1, troubles: [{kind: mute, at_s: 0.5, for_s: 30, part: 0.5}]}"
-	moved    = "{name: moved, seconds: 12, workers: 6, schedulers: 2, rate: 30, load: 0.2, troubles: [{kind: reload, at_s: 1}, {kind: drain, at_s: 2.5, for_s: 1, every_s: 0.2, stay_s: 12, part: 0.5}]}"
-	cold     = "{name: cold, seconds: 8, workers: 6, schedulers: 2, rate: 40, load: 0.7, troubles: [{kind: crash, at_s: 1, for_s: 1.5, part: 0.34}]}"
-	reload   = "{name: reload, seconds: 4, workers: 6, schedulers: 2, rate: 30, load: 0.1, troubles: [{kind: reload, at_s: 1.2}]}"
-	restart  = "{name: restart, seconds: 6, workers: 6, schedulers: 2, rate: 60, load: 0.5, troubles: [{kind: restart, at_s: 1.5, every_s: 2}]}"
-	kill     = "{name: kill, seconds: 6, workers: 6, schedulers: 3, rate: 60, load: 0.35, troubles: [{kind: kill, at_s: 1.5, for_s: 1}]}"
-	rude     = "{name: rude, seconds: 5, workers: 6, schedulers: 2, rate: 30, load: 0.1, troubles: [{kind: rude, at_s: 0.3, for_s: 4.5, rate: 12}]}"
-	cut      = "{name: cut, " + day + "troubles: [{kind: cut, at_s: 1, for_s: 3, part: 0.34}]}"
-	overlap  = "{name: overlap, seconds: 9, workers: 6, schedulers: 2, rate: 40, load: 0.35, troubles: [{kind: crash, at_s: 1, for_s: 1, part: 0.34}, {kind: stale, at_s: 0.5, for_s: 5, delay_s: 3}, {kind: burst, at_s: 2, for_s: 2, times: 2}]}"
+	silent = "{name: silent, " + day + "troubles: [{kind: vanish, at_s: 1, for_s: 4, part: 0.34}]}"
+	mute   = "{name: mute, " + day + "troubles: [{kind: mute, at_s: 1.5, for_s: 4, part: 0.5}]}"
+	drain  = "{name: drain, seconds: 8, workers: 6, schedulers: 2, rate: 40, load: 0.3, " +
+		"troubles: [{kind: drain, at_s: 0.3, for_s: 1, every_s: 0.3, part: 0.5}]}"
+	unheard = "{name: unheard, seconds: 16, workers: 6, schedulers: 2, rate: 30, load: 0.2, " +
+		"troubles: [{kind: drain, at_s: 0.2, for_s: 1, every_s: 0.2, stay_s: 15, part: 0.5}]}"
+	gone = "{name: gone, seconds: 18, workers: 6, schedulers: 2, rate: 30, load: 0.1, " +
+		"troubles: [{kind: mute, at_s: 0.5, for_s: 30, part: 0.5}]}"
+	moved = "{name: moved, seconds: 12, workers: 6, schedulers: 2, rate: 30, load: 0.2, " +
+		"troubles: [{kind: reload, at_s: 1}, " +
+		"{kind: drain, at_s: 2.5, for_s: 1, every_s: 0.2, stay_s: 12, part: 0.5}]}"
+	lost = "{name: lost, seconds: 16, workers: 6, schedulers: 2, rate: 30, load: 0.2, " +
+		"troubles: [{kind: lost-roster, at_s: 0.3, for_s: 0.5}, " +
+		"{kind: drain, at_s: 1.2, for_s: 1, every_s: 0.2, stay_s: 14.5, part: 0.5}]}"
+	cold = "{name: cold, seconds: 8, workers: 6, schedulers: 2, rate: 40, load: 0.7, " +
+		"troubles: [{kind: crash, at_s: 1, for_s: 1.5, part: 0.34}]}"
+	reload = "{name: reload, seconds: 4, workers: 6, schedulers: 2, rate: 30, load: 0.1, " +
+		"troubles: [{kind: reload, at_s: 1.2}]}"
+	restart = "{name: restart, seconds: 6, workers: 6, schedulers: 2, rate: 60, load: 0.5, " +
+		"troubles: [{kind: restart, at_s: 1.5, every_s: 2}]}"
+	kill = "{name: kill, seconds: 6, workers: 6, schedulers: 3, rate: 60, load: 0.35, " +
+		"troubles: [{kind: kill, at_s: 1.5, for_s: 1}]}"
+	rude = "{name: rude, seconds: 5, workers: 6, schedulers: 2, rate: 30, load: 0.1, " +
+		"troubles: [{kind: rude, at_s: 0.3, for_s: 4.5, rate: 12}]}"
+	cut     = "{name: cut, " + day + "troubles: [{kind: cut, at_s: 1, for_s: 3, part: 0.34}]}"
+	overlap = "{name: overlap, seconds: 9, workers: 6, schedulers: 2, rate: 40, load: 0.35, " +
+		"troubles: [{kind: crash, at_s: 1, for_s: 1, part: 0.34}, " +
+		"{kind: stale, at_s: 0.5, for_s: 5, delay_s: 3}, " +
+		"{kind: burst, at_s: 2, for_s: 2, times: 2}]}"
 	busy     = "{name: busy, " + day + "}"
 	stays    = "{name: stays, seconds: 20, workers: 6, schedulers: 2, rate: 30, load: 0.1}"
 	day      = "seconds: 6, workers: 6, schedulers: 2, rate: 60, load: 0.6, "
@@ -76,7 +92,8 @@
 	if err := os.WriteFile(file, []byte(text+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	all := append([]string{"run", "--file", file, "--quiet", "--daemon", self, "--out", k.path(""), "--json", k.path("run.json")}, args...)
+	all := append([]string{"run", "--file", file, "--quiet", "--daemon", self, "--out", k.path(""),
+		"--json", k.path("run.json")}, args...)
 	ctx, stop := context.WithTimeout(context.Background(), runLimit)
 	t.Cleanup(stop)
 	k.cmd = exec.CommandContext(ctx, self, all...)
@@ -193,6 +210,7 @@
 		{"late-news", drain, []string{"drains/sent-after-drain"}},
 		{"ignore-deleted", gone, []string{"drains/sent-after-drain"}},
 		{"no-watch", unheard, []string{"drains/sent-after-drain"}},
+		{"watch-once", lost, []string{"drains/sent-after-drain"}},
 		{"hup-ignored", moved, []string{"drains/sent-after-drain"}},
 
 		{"flood-cold", cold, []string{"cold/pushed-over"}},
@@ -233,7 +251,7 @@
 }
 
 // days are those on which good schedulers must keep all rules.
-var days = []string{calm, crowded, crash, silent, mute, drain, cold, moved, restart, kill, rude, cut, overlap}
+var days = []string{calm, crowded, crash, silent, mute, drain, cold, lost, moved, restart, kill, rude, cut, overlap}
 
 // A good scheduler is never blamed, nor is one that is bad in ways that no rule forbids.
 func TestGoodStandInKeepsAllRules(t *testing.T) {
@@ -478,7 +496,8 @@
 	again, judged := judgeAgain(t, k)
 	if again != code || !slices.Equal(r.faults(), judged.faults()) || r.Rules["answers"] != judged.Rules["answers"] ||
 		math.Abs(r.Service-judged.Service) > 1e-12 || len(r.Breaches) != len(judged.Breaches) || r.Rules["answers"] == 0 {
-		t.Errorf("status %d and %d, service %g and %g, %v and %v", code, again, r.Service, judged.Service, r.Rules, judged.Rules)
+		t.Errorf("status %d and %d, service %g and %g, %v and %v", code, again, r.Service, judged.Service, r.Rules,
+			judged.Rules)
 	}
 	for name, class := range r.Classes {
 		if judged.Classes[name] != class || class.Asked == 0 {
--- a/rehearse/standin/sabotage.go
+++ b/rehearse/standin/sabotage.go
@@ -42,6 +42,7 @@
 	"ignore-draining":  "does not heed DRAINING",
 	"ignore-deleted":   "does not heed DELETED",
 	"late-news":        "heeds discovery's news four seconds late",
+	"watch-once":       "does not watch discovery again when a watch has ended",
 	"no-watch":         "never asks discovery",
 	"flood-cold":       "sends everything to the worker that started last",
 	"hold-while-down":  "keeps jobs while a worker is down and sends all of them to the first one back",
--- a/rehearse/standin/standin.go
+++ b/rehearse/standin/standin.go
@@ -239,6 +239,9 @@
 		address, after := s.cfg.Discovery, s.index
 		s.mu.Unlock()
 		if err := s.watchOnce(address, after); err != nil {
+			if s.bad["watch-once"] {
+				return
+			}
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
@@ -254,7 +257,8 @@
 	s.watch = c
 	s.mu.Unlock()
 	c.SetDeadline(time.Now().Add(watchSilent))
-	if _, err := fmt.Fprintf(c, "GET /catalog/members?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", after, address); err != nil {
+	_, err = fmt.Fprintf(c, "GET /catalog/members?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", after, address)
+	if err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
