policy: resume a request that an earlier host had taken

Need: a scheduler that comes back after a kill must go on with what it had taken: the module decides whether a job goes again, so it must know what may have run and what is still out. Change: Resume, beside Request: attempts made before enter as what they are; one that is out is waited for, or given up where its worker has left, like any other.

--- a/policy/api.go
+++ b/policy/api.go
@@ -214,6 +214,15 @@
 	Slots  float64
 }
 
+// Past is an attempt at a request that an earlier host had made. Its worker must be one that a list has named.
+type Past struct {
+	Worker  WorkerID
+	Sent    time.Duration // on this host's clock
+	Started time.Duration // the same of its start note; 0: none came
+	MayRun  bool          // it is over, and may have run
+	Out     bool          // it must still get its Outcome; at most the last one
+}
+
 // Status is how an attempt or a probe ended.
 type Status uint8
 
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -58,14 +58,19 @@
 // says nothing, and what it had taken would wait for its deadline; what may be repeated goes elsewhere.
 func (d *Dispatcher) abandon(acts []Action) []Action {
 	for _, r := range d.open {
-		if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
-			continue
-		}
-		for k := range r.attempts {
-			a := &r.attempts[k]
-			if w := &d.workers[a.worker]; a.out && (!w.listed || a.sent < w.started) {
-				acts = append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
-			}
+		acts = d.abandonOf(r, acts)
+	}
+	return acts
+}
+
+func (d *Dispatcher) abandonOf(r *request, acts []Action) []Action {
+	if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
+		return acts
+	}
+	for k := range r.attempts {
+		a := &r.attempts[k]
+		if w := &d.workers[a.worker]; a.out && (!w.listed || a.sent < w.started) {
+			acts = append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
 		}
 	}
 	return acts
@@ -79,34 +84,52 @@
 	if q.Class < 0 || q.Class >= len(d.set.Classes) {
 		return append(acts, Action{Kind: Refuse, Request: q.ID}) // no repeat would go better
 	}
-	c := &d.set.Classes[q.Class]
-	r := d.take()
-	r.id, r.class, r.tenant = q.ID, q.Class, q.Tenant
-	r.slots = 1
-	if q.Slots > 0 && q.Slots < 1e6 {
-		r.slots = q.Slots
-	}
-	r.hinted = q.Hint > 0
-	r.work = d.work(&q)
-	r.deadline = now + q.Left
-	own := r.work
-	if !r.hinted {
-		own *= d.calm
-	}
-	r.aim = min(now+c.Aim+seconds(c.Stretch*own), r.deadline)
-	d.requests[r.id] = r
-	r.slot = len(d.open)
-	d.open = append(d.open, r)
-	r.born = now
-	d.arrive(r)
-	r.pool = &d.pools[c.Kind+1]
-	r.density = d.density(r)
+	return d.enter(now, d.admit(now, &q), acts)
+}
+
+// enter places a request that nothing is out for, behind those that are held back already.
+func (d *Dispatcher) enter(now time.Duration, r *request, acts []Action) []Action {
 	if p := r.pool; p.limit > 0 && (len(p.parked) > 0 || p.held+r.slots > p.limit) {
 		return d.release(now, p, d.hold(now, r, acts))
 	}
 	return d.place(now, r, acts)
 }
 
+// Resume takes a request that another host had taken before this one, with what it had made of it, in order. The rules
+// hold over both: what may have run counts, and an attempt that is out is waited for as though it had been sent here.
+func (d *Dispatcher) Resume(now time.Duration, q Request, past []Past, acts []Action) []Action {
+	if !d.begun {
+		acts = d.begin(now, acts)
+	}
+	if q.Class < 0 || q.Class >= len(d.set.Classes) {
+		return append(acts, Action{Kind: Fail, Request: q.ID})
+	}
+	r := d.admit(now, &q)
+	for k := range past {
+		p := &past[k]
+		i, known := d.index[p.Worker]
+		if !known { // nothing that follows could be guarded
+			return d.end(r, append(acts, Action{Kind: Fail, Request: r.id}))
+		}
+		a := attempt{worker: i, mayRun: p.MayRun, sent: min(p.Sent, now), blamed: 1}
+		if w := &d.workers[i]; p.Out {
+			a.out, a.held, a.started = true, r.slots, min(p.Started, now)
+			w.held += r.slots
+			r.pool.held += r.slots
+			w.tries++
+			if a.started == 0 {
+				w.waiting++
+			}
+			r.out++
+		}
+		r.attempts = append(r.attempts, a)
+	}
+	if r.out > 0 {
+		return d.abandonOf(r, acts)
+	}
+	return d.enter(now, r, acts)
+}
+
 // hold keeps r back while its pool holds all the slots that it may.
 func (d *Dispatcher) hold(now time.Duration, r *request, acts []Action) []Action {
 	wait := d.slack(now, r)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -144,6 +144,8 @@
 		}
 		return out
 	}
+	resumed := 0
+	var answer func(now time.Duration, r *seen, k int)
 	const start, length = 100 * time.Second, 30 * time.Second
 	fleet := make([]Entry, 12)
 	for i := range fleet {
@@ -188,9 +190,30 @@
 			Left: time.Duration(rng.IntN(3000)) * time.Millisecond,
 			Hint: time.Duration(1+rng.IntN(500)) * time.Millisecond,
 		}
+		var before []try
+		for n := rng.IntN(4); rng.IntN(5) == 0 && n > 0; n-- { // an earlier host had it
+			before = append(before, try{worker: fleet[rng.IntN(len(fleet))], sent: at - time.Duration(rng.IntN(2000))*time.Millisecond,
+				out: n == 1 && rng.IntN(2) == 0, proven: rng.IntN(2) == 0})
+		}
 		later(at, func(now time.Duration, d *Dispatcher, acts []Action) []Action {
-			c.reqs[id] = &seen{Request: q, deadline: now + q.Left}
-			return d.Request(now, q, acts)
+			r := &seen{Request: q, deadline: now + q.Left, tries: before}
+			c.reqs[id] = r
+			if before == nil {
+				return d.Request(now, q, acts)
+			}
+			var past []Past
+			for k, t := range before {
+				p := Past{Worker: t.worker.ID, Sent: t.sent, Out: t.out, MayRun: !t.out && !t.proven}
+				if t.out {
+					answer(now, r, k)
+					if rng.IntN(2) == 0 {
+						p.Started = now - time.Millisecond
+					}
+				}
+				past = append(past, p)
+			}
+			resumed++
+			return d.Resume(now, q, past, acts)
 		})
 		if rng.IntN(20) == 0 {
 			later(at+time.Duration(rng.IntN(500))*time.Millisecond,
@@ -203,7 +226,7 @@
 				})
 		}
 	}
-	answer := func(now time.Duration, r *seen, k int) {
+	answer = func(now time.Duration, r *seen, k int) {
 		status := []Status{OK, OK, OK, OK, Error, Full, Full, ConnectFailed, Reset, TimedOut}[rng.IntN(10)]
 		at := now + time.Duration(1+rng.IntN(1500))*time.Millisecond
 		if at >= r.deadline {
@@ -282,6 +305,9 @@
 			}
 		}
 	}
+	if resumed < 200 {
+		t.Fatalf("only %d requests were resumed", resumed)
+	}
 	if served < 200 {
 		t.Fatalf("only %d attempts ran: the stream tests little", served)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -408,3 +408,30 @@
 	}
 	return &d.far
 }
+
+// admit opens a request.
+func (d *Dispatcher) admit(now time.Duration, q *Request) *request {
+	c := &d.set.Classes[q.Class]
+	r := d.take()
+	r.id, r.class, r.tenant = q.ID, q.Class, q.Tenant
+	r.slots = 1
+	if q.Slots > 0 && q.Slots < 1e6 {
+		r.slots = q.Slots
+	}
+	r.hinted = q.Hint > 0
+	r.work = d.work(q)
+	r.deadline = now + q.Left
+	own := r.work
+	if !r.hinted {
+		own *= d.calm
+	}
+	r.aim = min(now+c.Aim+seconds(c.Stretch*own), r.deadline)
+	d.requests[r.id] = r
+	r.slot = len(d.open)
+	d.open = append(d.open, r)
+	r.born = now
+	d.arrive(r)
+	r.pool = &d.pools[c.Kind+1]
+	r.density = d.density(r)
+	return r
+}
