decide: resume a job with the calls that an earlier process has made; capture records it

Need: a job that a killed scheduler had taken comes back with a call that may be out; whoever waits for it must be told so, and a replay must meet the same. Change: Desk.Resume; the verdict Await, for a call that is out; providers that have left meanwhile are made known to the module as such. The capture's lines have a further event, resumed, with the past.

--- a/capture/line.go
+++ b/capture/line.go
@@ -57,6 +57,7 @@
 	By       int64           `json:"by"`
 	Kind     uint8           `json:"kind"`
 	Entries  []entry         `json:"entries"`
+	Past     []past          `json:"past"`
 	Panic    bool            `json:"panic"`
 	Do       json.RawMessage `json:"do"`
 }
@@ -79,10 +80,28 @@
 	return nil
 }
 
+// past is a call that an earlier process had made, [name, sent, started, mayRun, out]; times from the origin on.
+type past struct {
+	name string
+	of   policy.Past
+}
+
+func (p *past) UnmarshalJSON(b []byte) error {
+	to := []any{&p.name, &p.of.Sent, &p.of.Started, &p.of.MayRun, &p.of.Out}
+	n := len(to)
+	if err := json.Unmarshal(b, &to); err != nil {
+		return err
+	}
+	if len(to) != n {
+		return errors.New("a call of the past makes no sense")
+	}
+	return nil
+}
+
 // Words for the module's inputs, and for what came back of a call: the protocol's where it has one.
 var (
 	inputs = [...]string{decide.List: "list", decide.Request: "request", decide.Note: "started", decide.Outcome: "end",
-		decide.Gone: "left", decide.Timer: "timer", decide.Stop: "stop"}
+		decide.Gone: "left", decide.Timer: "timer", decide.Stop: "stop", decide.Resume: "resumed"}
 	outs = map[decide.End]string{decide.Served: "done", decide.Failed: "failed", decide.TurnedAway: "returned",
 		decide.Broken: "lost"}
 )
@@ -110,6 +129,9 @@
 	return ""
 }
 
+// opens tells whether a job begins with an input.
+func opens(in decide.Input) bool { return in == decide.Request || in == decide.Resume }
+
 // choice appends what a step led to for its own request.
 func (w *writer) choice(b []byte, s *decide.Step) []byte {
 	decision, to := "", ""
@@ -125,11 +147,11 @@
 			}
 		}
 	}
-	if s.Input == decide.Request && decision == "" {
+	if opens(s.Input) && decision == "" {
 		decision = waits
 	}
 	key := `,"next":`
-	if s.Input == decide.Request {
+	if opens(s.Input) {
 		key = `,"to":` // there is no other place in the line
 	}
 	if to != "" {
@@ -218,13 +240,16 @@
 		whole("attempt", int64(attempt))
 	}
 	switch s.Input {
-	case decide.Request:
+	case decide.Request, decide.Resume:
 		q := &s.Request
 		b = strconv.AppendInt(append(b, `,"as":[`...), int64(q.Class), 10)
 		b = append(strconv.AppendInt(append(b, ','), int64(q.Tenant), 10), ']')
 		whole("left", int64(q.Left))
 		whole("hint", int64(q.Hint))
 		b = strconv.AppendFloat(append(b, `,"slots":`...), q.Slots, 'g', -1, 64)
+		if s.Input == decide.Resume {
+			b = w.past(b, s.Past)
+		}
 	case decide.Outcome:
 		whole("status", int64(s.Outcome.Status))
 		whole("elapsed", int64(s.Outcome.Elapsed))
@@ -257,6 +282,24 @@
 	return append(b, '}', '\n')
 }
 
+func (w *writer) past(b []byte, all []policy.Past) []byte {
+	b = append(b, `,"past":[`...)
+	for i := range all {
+		p := &all[i]
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendString(append(b, '['), w.provider(p.Worker))
+		started := int64(0)
+		if p.Started != 0 {
+			started = int64(p.Started - w.origin)
+		}
+		b = strconv.AppendInt(append(strconv.AppendInt(append(b, ','), int64(p.Sent-w.origin), 10), ','), started, 10)
+		b = append(strconv.AppendBool(append(strconv.AppendBool(append(b, ','), p.MayRun), ','), p.Out), ']')
+	}
+	return append(b, ']')
+}
+
 // others appends the ids of other requests that the step decided, so that a search for an id finds them all.
 func (w *writer) others(b []byte, s *decide.Step) []byte {
 	first := true
@@ -357,12 +400,24 @@
 	s := &decide.Step{Input: decide.Input(input), Now: w.origin + t, Number: policy.RequestID(l.N)}
 	worker := ids[l.To]
 	switch s.Input {
-	case decide.Request:
+	case decide.Request, decide.Resume:
 		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.N == 0 {
 			return nil, errors.New("the class or number makes no sense")
 		}
 		s.Request = policy.Request{ID: s.Number, Class: l.As[0], Tenant: l.As[1], Left: time.Duration(l.Left),
 			Hint: time.Duration(l.Hint), Slots: l.Slots}
+		for i := range l.Past {
+			p := l.Past[i].of
+			id, ok := ids[l.Past[i].name]
+			if !ok {
+				return nil, errors.New("a call of the past was made to nobody known")
+			}
+			p.Worker, p.Sent = id, p.Sent+w.origin
+			if p.Started != 0 {
+				p.Started += w.origin
+			}
+			s.Past = append(s.Past, p)
+		}
 	case decide.Note:
 		s.Note = policy.Note{Request: s.Number, Attempt: l.Attempt, Worker: worker, Started: true}
 	case decide.Outcome:
@@ -394,7 +449,7 @@
 // recorded is what choice and actions have written, for comparison.
 func (l *line) recorded(input decide.Input) []byte {
 	var b []byte
-	if input == decide.Request {
+	if opens(input) {
 		if l.To != "" {
 			b = appendString(append(b, `,"to":`...), l.To)
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,7 +63,7 @@
 // VerdictKind says what is to be done with a job.
 type VerdictKind uint8
 
-// The verdicts. All but Call are final.
+// The verdicts. All but Call and Await are final.
 const (
 	Call      VerdictKind = iota // make an invoker call and report its end
 	Answer                       // give the consumer the result of the call that served it
@@ -71,20 +71,21 @@
 	Failure                      // promises nothing
 	Left                         // the consumer has gone; there is nobody to answer
 	Mistake                      // the request itself is wrong, as a provider says; it never ran
+	Await                        // report the end of a call that an earlier process has made and that is still out
 )
 
 var verdictNames = [...]string{Call: "call", Answer: "answer", Rejection: "rejection", Failure: "failure",
-	Left: "left", Mistake: "mistake"}
+	Left: "left", Mistake: "mistake", Await: "await"}
 
 func (k VerdictKind) String() string { return verdictNames[k] }
 
 // Verdict is what Pick returns.
 type Verdict struct {
 	Kind       VerdictKind
-	Provider   string          // Call: by its name in the directory
-	Until      time.Time       // Call: when it has timed out
+	Provider   string          // Call, Await: by its name in the directory
+	Until      time.Time       // Call, Await: when it has timed out
 	TakenIn    time.Duration   // Call: the most that the acknowledgement may take; 0: no such limit
-	Context    context.Context // Call: ends when the call is to be withdrawn
+	Context    context.Context // Call, Await: ends when the call is to be withdrawn
 	RetryAfter time.Duration   // Rejection: how long to stay away; 0: not told
 }
 
@@ -107,6 +108,7 @@
 	next    policy.RequestID
 	ids     map[string]policy.WorkerID
 	names   []string // by WorkerID
+	index   uint64   // of the directory's last news
 	closed  bool
 	counts  Counts
 
@@ -118,7 +120,7 @@
 // Counts tell what has happened since they were last taken, and how many jobs are open.
 type Counts struct {
 	Jobs, Open int
-	Verdicts   [Mistake + 1]int   // final ones, by kind
+	Verdicts   [Await + 1]int     // final ones, by kind
 	Ends       [Withdrawn + 1]int // of invoker calls
 }
 
@@ -174,12 +176,11 @@
 	for i, name := range names {
 		id, ok := d.ids[name]
 		if !ok {
-			id = policy.WorkerID(len(d.names))
-			d.ids[name] = id
-			d.names = append(d.names, name)
+			id = d.number(name)
 		}
 		entries[i].ID = id
 	}
+	d.index = index
 	d.step(Step{Input: List, Now: d.now(), List: kind, Index: index, Entries: entries, Names: names})
 }
 
@@ -214,19 +215,92 @@
 func (d *Desk) Take(job Job) *Ticket {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	t := d.ticket(job)
+	now := d.now()
+	t.deadline = d.at(now + job.Left)
+	d.step(Step{Input: Request, Now: now, Number: t.id, own: &t.job, Request: t.request()})
+	return t
+}
+
+// ticket opens a ticket for a job.
+func (d *Desk) ticket(job Job) *Ticket {
 	d.next++
 	d.counts.Jobs++
-	t := &Ticket{desk: d, id: d.next, job: job, deadline: time.Now().Add(job.Left), verdicts: make(chan Verdict, 2)}
+	t := &Ticket{desk: d, id: d.next, job: job, verdicts: make(chan Verdict, 2)}
 	d.tickets[t.id] = t
 	d.tell(t, Event{Kind: Taken})
+	return t
+}
+
+// request is the job as the module takes it.
+func (t *Ticket) request() policy.Request {
+	return policy.Request{ID: t.id, Class: t.job.Class, Tenant: t.job.Tenant, Left: t.job.Left, Hint: t.job.Hint,
+		Slots: t.job.Slots}
+}
+
+// Past is an invoker call that an earlier process has made for a job.
+type Past struct {
+	Provider string        // by its name in the directory
+	Ago      time.Duration // since it was sent
+	Begun    time.Duration // since its start note, if Began
+	Began    bool
+	MayRun   bool // it is over, and may have run
+	Out      bool // it is not known to be over; the last one at most
+}
+
+// Resume hands a job to the module that an earlier process had taken. If a call of it is out, the first verdict is Await;
+// else it goes on as after Take.
+func (d *Desk) Resume(job Job, past []Past) *Ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.ticket(job)
 	now := d.now()
 	t.deadline = d.at(now + job.Left)
-	d.step(Step{Input: Request, Now: now, Number: t.id, own: &t.job, Request: policy.Request{
-		ID: t.id, Class: job.Class, Tenant: job.Tenant, Left: job.Left, Hint: job.Hint, Slots: job.Slots,
-	}})
+	attempts := make([]policy.Past, len(past))
+	for i := range past {
+		p := &past[i]
+		a := policy.Past{Worker: d.known(p.Provider, now), Sent: now - p.Ago, MayRun: p.MayRun, Out: p.Out}
+		if p.Began {
+			a.Started = now - p.Begun
+		}
+		attempts[i] = a
+	}
+	t.attempts = len(past)
+	if n := len(past); n > 0 {
+		last := &attempts[n-1]
+		t.provider, t.sent, t.begun = last.Worker, last.Sent, past[n-1].Began
+		if last.Out {
+			d.tell(t, Event{Kind: Sent})
+			if t.begun {
+				d.tell(t, Event{Kind: Started})
+			}
+			t.await(past[n-1].Provider, t.deadline, Await, 0)
+		}
+	}
+	d.step(Step{Input: Resume, Now: now, Number: t.id, own: &t.job, Past: attempts, Request: t.request()})
 	return t
 }
 
+// known finds a provider's number. One that the directory no longer names is made known to the module as one that has
+// left: what was sent there may yet end.
+func (d *Desk) known(name string, now time.Duration) policy.WorkerID {
+	id, ok := d.ids[name]
+	if !ok {
+		id = d.number(name)
+		d.step(Step{Input: List, Now: now, List: policy.ListDelta, Index: d.index, Names: []string{name, name},
+			Entries: []policy.Entry{{ID: id, State: policy.Draining}, {ID: id, State: policy.Gone}}})
+	}
+	return id
+}
+
+// number gives a provider its number.
+func (d *Desk) number(name string) policy.WorkerID {
+	id := policy.WorkerID(len(d.names))
+	d.ids[name] = id
+	d.names = append(d.names, name)
+	return id
+}
+
 // Pick blocks until there is something to do for the job.
 func (t *Ticket) Pick() Verdict {
 	select {
@@ -358,17 +432,23 @@
 // send hands a call to whoever waits in Pick.
 func (d *Desk) send(t *Ticket, a *policy.Action) {
 	t.attempts++
-	t.out, t.begun, t.provider, t.sent = true, false, a.Worker, d.now()
+	t.begun, t.provider, t.sent = false, a.Worker, d.now()
 	until := t.deadline
 	if a.Timeout > 0 {
 		if at := d.at(t.sent + a.Timeout); at.Before(until) {
 			until = at
 		}
 	}
+	d.tell(t, Event{Kind: Sent})
+	t.await(d.names[a.Worker], until, Call, a.TakenIn)
+}
+
+// await lets whoever waits in Pick make a call, or wait for one that is out.
+func (t *Ticket) await(provider string, until time.Time, kind VerdictKind, takenIn time.Duration) {
+	t.out = true
 	var ctx context.Context
 	ctx, t.withdraw = context.WithCancelCause(context.Background())
-	d.tell(t, Event{Kind: Sent})
-	t.verdicts <- Verdict{Kind: Call, Provider: d.names[a.Worker], Until: until, TakenIn: a.TakenIn, Context: ctx}
+	t.verdicts <- Verdict{Kind: kind, Provider: provider, Until: until, TakenIn: takenIn, Context: ctx}
 }
 
 // tick runs a timer of the module's that came due.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"slices"
@@ -229,3 +230,50 @@
 		}
 	}
 }
+
+// A job that an earlier process had taken goes on as what it is: a call of it that is out is awaited, its end is the
+// job's, and what may have run counts.
+func TestResume(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect policy.Effect
+		past   []Past
+		end    End         // reported to Await
+		want   VerdictKind // of the first pick, or the first after Await
+	}{
+		"served where it was":               {policy.Unsafe, []Past{{Provider: "a", Ago: time.Second, Out: true, Began: true}}, Served, Answer},
+		"an unsafe one broke there":         {policy.Unsafe, []Past{{Provider: "a", Ago: time.Second, Out: true}}, Broken, Failure},
+		"a safe one broke there":            {policy.Safe, []Past{{Provider: "a", Ago: time.Second, Out: true}}, Broken, Call},
+		"a safe one at a stranger's":        {policy.Safe, []Past{{Provider: "gone", Ago: time.Second, Out: true}}, Withdrawn, Call},
+		"an unsafe one at a stranger's":     {policy.Unsafe, []Past{{Provider: "gone", Ago: time.Second, Out: true}}, Served, Answer},
+		"an unsafe one handed back":         {policy.Unsafe, []Past{{Provider: "a", Ago: time.Second}}, 0, Call},
+		"an unsafe one that may have run":   {policy.Unsafe, []Past{{Provider: "a", Ago: time.Second, MayRun: true}}, 0, Failure},
+		"one that had not been sent yet":    {policy.Unsafe, nil, 0, Call},
+		"a safe one with all calls but one": {policy.Safe, slices.Repeat([]Past{{Provider: "a", MayRun: true}}, 3), 0, Call},
+		"a safe one with all calls made":    {policy.Safe, slices.Repeat([]Past{{Provider: "a", MayRun: true}}, 4), 0, Rejection},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := desk(t, c.effect, "a", "b")
+			ticket := d.Resume(work, c.past)
+			v := ticket.Pick()
+			if n := len(c.past); n > 0 && c.past[n-1].Out {
+				if wants(t, v, Await); v.Provider != c.past[0].Provider {
+					t.Fatalf("awaits %q", v.Provider)
+				}
+				// Only what may be repeated is taken from a provider that has left.
+				if elsewhere := context.Cause(v.Context) == ErrElsewhere; elsewhere != (v.Provider == "gone" && c.effect == policy.Safe) {
+					t.Fatalf("withdrawn: %v", context.Cause(v.Context))
+				}
+				ticket.Report(c.end)
+				v = ticket.Pick()
+			}
+			wants(t, v, c.want)
+			if v.Kind == Call {
+				ticket.Report(Served)
+				wants(t, ticket.Pick(), Answer)
+			}
+			if d.held() != 0 {
+				t.Fatal("the ticket is kept")
+			}
+		})
+	}
+}
--- a/decide/observe.go
+++ b/decide/observe.go
@@ -64,6 +64,7 @@
 	Gone
 	Timer
 	Stop
+	Resume
 )
 
 // Step is one call of the module: what goes in, and once it has returned, what the module wants done.
@@ -75,8 +76,9 @@
 	List    policy.ListKind
 	Index   uint64 // of the directory
 	Entries []policy.Entry
-	Names   []string // of the entries
-	Request policy.Request
+	Names   []string       // of the entries
+	Request policy.Request // of Request and Resume
+	Past    []policy.Past  // of Resume
 	Note    policy.Note
 	Outcome policy.Outcome
 	End     End // of Outcome
@@ -107,6 +109,8 @@
 		return disp.Timer(s.Now, s.Token, acts)
 	case Stop:
 		return disp.Stop(s.By, acts)
+	case Resume:
+		return disp.Resume(s.Now, s.Request, s.Past, acts)
 	}
 	return acts
 }
