--- a/rehearse/fleet/cue.go
+++ b/rehearse/fleet/cue.go
@@ -8,8 +8,8 @@
 	"laddertide/core/history"
 )
 
-// Cue is a moment at which a worker's end shows most what schedulers make of it, as the worker has a job that must never
-// run twice.
+// Cue is a moment at which a worker's end shows most what schedulers make of it, as the worker has a job that must
+// never run twice.
 type Cue uint8
 
 // The cues.
