--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -416,11 +416,11 @@
 	switch {
 	case slices.ContainsFunc(runs, func(r report.Run) bool { return !r.Kept() }):
 		return Broken
-	case slices.ContainsFunc(runs, func(r report.Run) bool { return r.Late }):
-		return RanLate
 	case slices.ContainsFunc(runs, func(r report.Run) bool { return r.Partial }) && a.flags.Arg(0) != "judge":
 		// What there was of it has been printed. A history that is judged again was cut short another time.
 		return a.fail(errors.New("cut short: the report is partial"))
+	case slices.ContainsFunc(runs, func(r report.Run) bool { return r.Late }):
+		return RanLate
 	case slices.ContainsFunc(runs, func(r report.Run) bool { return r.Figures.Service < a.minService }):
 		return TooLow
 	}
