scheduler: the benchmark of a job's cost measures two trees in turn

Need: on a machine with other work, runs of the benchmark one after the other differ by more than what is to be seen. Change: LADDERTIDE_CPU_OTHER names the test program of another tree. Both get jobs in turns of 400, and the rise is told as the median and the quartiles of all pairs of turns.

--- a/scheduler/cpu_test.go
+++ b/scheduler/cpu_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,7 +48,7 @@
 	if err != nil {
 		panic(err)
 	}
-	go func() { panic(s.Serve(context.Background())) }()
+	go func() { panic(fmt.Sprint(s.Serve(context.Background()))) }()
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
 		var ru syscall.Rusage
 		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
@@ -59,18 +60,76 @@
 	}
 }
 
+// cpuOther names the test program of another tree, which BenchmarkRequest then measures beside its own.
+const cpuOther = "LADDERTIDE_CPU_OTHER"
+
 // BenchmarkRequest says what a job costs a scheduler on one core: CPU, allocations and bytes. The scheduler is a
-// process of its own; its consumers and its provider, which tells of start and end, are here, on real sockets. To
-// compare two trees, build each one's test program (go test -c -o NAME ./scheduler), and run them in turn, many times:
+// process of its own; its consumers and its provider, which tells of start and end, are here, on real sockets.
+//
+// To compare two trees on a machine with other work, build the test program of the earlier one and name it to the later
+// one, which then gives jobs to both in short turns, and says how much more its own took: the median of all pairs of
+// turns, and the quartiles.
 //
-//	NAME -test.run '^$' -test.bench Request -test.benchtime 20000x
+//	go test -c -o NAME ./scheduler
+//	LADDERTIDE_CPU_OTHER=NAME go test ./scheduler -run '^$' -bench Request -benchtime 100000x
 func BenchmarkRequest(b *testing.B) {
+	own := startSubject(b, os.Args[0])
+	if os.Getenv(cpuOther) == "" {
+		own.turn(2000)
+		before := own.used()
+		b.ResetTimer()
+		own.turn(b.N)
+		b.StopTimer()
+		after := own.used()
+		for i, unit := range []string{"cpu-us/job", "allocs/job", "B/job"} {
+			b.ReportMetric((after[i]-before[i])/float64(b.N), unit)
+		}
+		return
+	}
+	other := startSubject(b, os.Getenv(cpuOther))
+	const turn = 400
+	var of [2]float64
+	var rise []float64
+	for i := range max(1, b.N/turn) + 4 {
+		var took [2]float64
+		for k := range took {
+			k = (k + i) % 2 // each is first in every other pair
+			s := []*subject{own, other}[k]
+			before := s.used()[0]
+			s.turn(turn)
+			took[k] = s.used()[0] - before
+		}
+		if i >= 4 { // warm by now
+			of[0], of[1] = of[0]+took[0], of[1]+took[1]
+			rise = append(rise, 100*(took[0]/took[1]-1))
+		}
+	}
+	slices.Sort(rise)
+	all := float64(turn * len(rise))
+	b.ReportMetric(of[0]/all, "cpu-us/job")
+	b.ReportMetric(of[1]/all, "cpu-us/job-other")
+	b.ReportMetric(rise[len(rise)/4], "%-rise-quartile1")
+	b.ReportMetric(rise[len(rise)/2], "%-rise-median")
+	b.ReportMetric(rise[len(rise)*3/4], "%-rise-quartile3")
+}
+
+// subject is a scheduler that is measured, with consumers that wait for their next turn.
+type subject struct {
+	b         *testing.B
+	in        io.Writer
+	out       io.Reader
+	consumers []*client
+	jobs      int // that it has had
+}
+
+func startSubject(b *testing.B, program string) *subject {
+	b.Helper()
 	worker, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer worker.Close()
-	child := exec.Command(os.Args[0])
+	b.Cleanup(func() { worker.Close() })
+	child := exec.Command(program)
 	address := ownAddress()
 	child.Env = append(os.Environ(), cpuListen+"="+address, cpuProvider+"="+worker.Addr().String())
 	child.Stderr = os.Stderr
@@ -85,65 +144,58 @@
 	if err := child.Start(); err != nil {
 		b.Fatal(err)
 	}
-	defer child.Wait()
-	defer in.Close()
-	used := func() (n [3]float64) {
-		fmt.Fprintln(in)
-		if _, err := fmt.Fscan(out, &n[0], &n[1], &n[2]); err != nil {
-			b.Fatal(err)
-		}
-		return n
-	}
-	used()
-	for range 1000 {
+	b.Cleanup(func() { in.Close(); child.Wait() })
+	go work(worker, address)
+	s := &subject{b: b, in: in, out: out}
+	for tries := 0; len(s.consumers) < 8; tries++ {
 		c, err := net.Dial("tcp", address)
 		if err == nil {
-			c.Close()
-			break
+			b.Cleanup(func() { c.Close() })
+			s.consumers = append(s.consumers, &client{Conn: c, br: bufio.NewReader(c)})
+			s.turn(len(s.consumers)) // it has 2 s to speak
+			continue
+		}
+		if tries == 1000 {
+			b.Fatal(err)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	go work(worker, address)
+	return s
+}
 
-	const consumers = 8
-	run := func(n int, name string) {
-		var all sync.WaitGroup
-		for k := range consumers {
-			all.Go(func() {
-				c, err := net.Dial("tcp", address)
-				if err != nil {
-					b.Error(err)
-					return
+// used is what the scheduler has used up to now.
+func (s *subject) used() (n [3]float64) {
+	fmt.Fprintln(s.in)
+	if _, err := fmt.Fscan(s.out, &n[0], &n[1], &n[2]); err != nil {
+		s.b.Fatal(err)
+	}
+	return n
+}
+
+// turn has the consumers submit n jobs, one after the other each.
+func (s *subject) turn(n int) {
+	var all sync.WaitGroup
+	for k, c := range s.consumers {
+		all.Go(func() {
+			for i := k; i < n; i += len(s.consumers) {
+				fmt.Fprintf(c, "POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %d\r\n"+
+					"X-Class: settle\r\nX-Tenant: rainier-haul\r\nX-Deadline-Ms: 20000\r\n"+
+					"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Cost-Hint: 1000\r\n"+
+					"X-Extras: slots=1,memory=0.40\r\nContent-Length: 212\r\n\r\n%s", s.jobs+i,
+					strings.Repeat("x", 212))
+				h, err := http1.ReadResponseHead(c.br)
+				if err == nil {
+					_, err = h.ReadBody(c.br)
 				}
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for i := k; i < n; i += consumers {
-					fmt.Fprintf(c, "POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s-%d\r\n"+
-						"X-Class: settle\r\nX-Tenant: rainier-haul\r\nX-Deadline-Ms: 20000\r\n"+
-						"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Cost-Hint: 1000\r\n"+
-						"X-Extras: slots=1,memory=0.40\r\nContent-Length: 212\r\n\r\n%s", name, i, strings.Repeat("x", 212))
-					h, err := http1.ReadResponseHead(br)
-					if err == nil {
-						_, err = h.ReadBody(br)
-					}
-					if err != nil || h.Status != 200 {
-						b.Errorf("%+v, %v", h, err)
-						return
-					}
+				if err != nil || h.Status != 200 {
+					s.b.Errorf("%+v, %v", h, err)
+					return
 				}
-			})
-		}
-		all.Wait()
-	}
-	run(2000, "warm")
-	before := used()
-	b.ResetTimer()
-	run(b.N, "job")
-	b.StopTimer()
-	after := used()
-	for i, unit := range []string{"cpu-us/job", "allocs/job", "B/job"} {
-		b.ReportMetric((after[i]-before[i])/float64(b.N), unit)
+			}
+		})
 	}
+	all.Wait()
+	s.jobs += n
 }
 
 // work is a provider that takes each job, and tells of its start and its end at once.
