--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -40,8 +40,11 @@
 
 func tooLarge(what string) error { return &SyntaxError{Reason: what + " is too large", TooLarge: true} }
 
-// Field is one header field.
-type Field struct{ Name, Value string }
+// Protocol is what others call the messages of this package.
+const Protocol = "HTTP/1.1"
+
+// Field is one header field. It is an alias, as job.Field is: fields pass from one to the other as they are.
+type Field = struct{ Name, Value string }
 
 // Fields are header fields in their order.
 type Fields []Field
@@ -175,7 +178,7 @@
 		if len(out) == maxFields {
 			return nil, tooLarge("number of fields")
 		}
-		out = append(out, Field{name, strings.Trim(value, " \t")})
+		out = append(out, Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
 }
 
