consumer, invoker: a job's way is a chain of Handlers

Change: consumer makes a job.Job of a request, hands it to a job.Handler and words the outcome; it knows neither desk nor pool any more. The desk and the pool are the last Handler, package invoker, which also reserves the job's id. A job's context ends when its consumer has left or has its answer, with the cause. What a provider is sent is made of the job by the provider's codec, for a job that came by another protocol too. A panic in any Handler ends one job with its answer. scheduler sets the order in one place.

--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"log/slog"
 	"net"
+	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/invoker"
+	"laddertide/job"
 	"laddertide/policy"
 	"laddertide/provider"
 	"laddertide/wire/http1"
@@ -84,7 +88,8 @@
 	r.address = ln.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	s := &Server{Settings: set, Desk: desk, Pool: pool, Log: log, Conns: conns, Grace: grace}
+	s := &Server{Settings: set, Jobs: &invoker.Handler{Desk: desk, Pool: pool, Log: log}, CallBack: pool.CallBack,
+		Stopping: desk.Stop, Log: log, Conns: conns, Grace: grace}
 	go func() { r.served <- s.Serve(ctx, ln) }()
 	t.Cleanup(func() { stop(); worker.Close(); desk.Close(); pool.Close() })
 	return r
@@ -390,7 +395,7 @@
 		Classes: []policy.Class{{Name: "check"}, {Name: "settle", Effect: policy.Keyed, Deadline: 25 * time.Second}},
 		Tenants: []policy.Tenant{{Name: "a"}, {Name: "b"}},
 	}}
-	parse := func(fields string) *job {
+	parse := func(fields string) *job.Job {
 		t.Helper()
 		h, err := http1.ReadRequestHead(bufio.NewReader(strings.NewReader("POST /api/x?y HTTP/1.1\r\n" + fields + "\r\n")))
 		if err != nil {
@@ -404,22 +409,110 @@
 	}
 	j := parse("X-Request-Id: id\r\nX-Class: settle\r\nIdempotency-Key: k\r\nX-Tenant: b\r\nX-Deadline-Ms: 480\r\n" +
 		"X-Cost-Hint: 1500\r\nX-Extras: memory=0.5, slots=2\r\nConnection: X-Hop\r\nX-Hop: 1\r\n")
-	want := decide.Job{Class: 1, Tenant: 1, Left: 480*time.Millisecond - margin, Hint: 1500 * time.Microsecond, Slots: 2,
-		ID: "id", Party: "b", Deadline: 480 * time.Millisecond}
-	m := j.call.Message
-	if j.facts != want || j.call.ID != "id" || m.Target != "/api/x?y" || string(m.Body) != "body" ||
-		m.Fields.Get("Idempotency-Key") != "k" || m.Fields.Get("X-Hop") != "" || m.Fields.Get("X-Deadline-Ms") != "" {
+	want := &job.Job{ID: "id", Class: 1, ClassName: "settle", Tenant: 1, Party: "b", Deadline: 480 * time.Millisecond,
+		Left: 480*time.Millisecond - margin, Hint: 1500 * time.Microsecond, Slots: 2, Key: "k", Subject: "/api/x?y",
+		Payload: []byte("body"), Protocol: http1.Protocol, Fields: []job.Field{{Name: "X-Request-Id", Value: "id"},
+			{Name: "X-Class", Value: "settle"}, {Name: "Idempotency-Key", Value: "k"}, {Name: "X-Tenant", Value: "b"},
+			{Name: "X-Cost-Hint", Value: "1500"}, {Name: "X-Extras", Value: "memory=0.5, slots=2"}}}
+	if !reflect.DeepEqual(j, want) {
 		t.Fatalf("%+v", j)
 	}
 	// Without a deadline the class's counts; a tenant that nobody knows has no share; a deadline that is
 	// over leaves nothing.
 	j = parse("X-Request-Id: id\r\nX-Class: settle\r\nIdempotency-Key: k\r\nX-Tenant: z\r\n")
-	if want := (decide.Job{Class: 1, Tenant: 2, Left: 25*time.Second - margin, Slots: 1,
-		ID: "id", Party: "z", Deadline: 25 * time.Second}); j.facts != want {
-		t.Fatalf("%+v", j.facts)
+	if j.Tenant != 2 || j.Party != "z" || j.Deadline != 25*time.Second || j.Left != 25*time.Second-margin || j.Hint != 0 ||
+		j.Slots != 1 {
+		t.Fatalf("%+v", j)
+	}
+	if j = parse("X-Request-Id: id\r\nX-Class: check\r\nX-Deadline-Ms: 3\r\n"); j.Left != 0 {
+		t.Fatalf("%+v", j)
+	}
+}
+
+// newServer starts a server whose jobs go to handle.
+func newServer(t *testing.T, handle job.HandlerFunc) *rig {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second}},
+		MaxRetryAfter: 2 * time.Second}, Jobs: handle, Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler),
+		Conns: 10, Grace: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go s.Serve(ctx, ln)
+	return &rig{t: t, address: ln.Addr().String()}
+}
+
+// Whatever a Handler says is put into words here, once; a panic in one is an answer too, and the connection goes on.
+func TestWords(t *testing.T) {
+	outcomes := map[string]job.Outcome{
+		"served":   {Kind: job.Served, Result: []byte("the result")},
+		"rejected": {Kind: job.Rejected, RetryAfter: time.Minute},
+		"later":    {Kind: job.Rejected},
+		"failed":   {},
+		"mistaken": {Kind: job.Mistaken, Why: "too blue"},
+	}
+	r := newServer(t, func(_ context.Context, j *job.Job) job.Outcome {
+		out, ok := outcomes[j.ID]
+		if !ok {
+			panic("a handler's")
+		}
+		return out
+	})
+	c := r.dial()
+	for id, want := range map[string]string{"served": "200 the result", "rejected": "503 rejected: try again later\n2.000",
+		"later": "503 rejected: try again later\n", "failed": "502 failed\n", "mistaken": "400 too blue\n",
+		"panics": "502 failed\n", "panics-too": "502 failed\n"} {
+		c.say(ask(id, "check"))
+		status, rest, _ := strings.Cut(want, " ")
+		n, _ := strconv.Atoi(status)
+		if h, body := c.hear(n); body+h.Fields.Get("Retry-After") != rest || h.Close {
+			t.Errorf("%s: %q, %+v, want %q", id, body, h, rest)
+		}
+	}
+}
+
+// A job's context ends with its consumer, and says why; it ends with its answer as well, and not before. Nobody hears
+// an answer once the consumer has left.
+func TestContext(t *testing.T) {
+	jobs := make(chan context.Context, 1)
+	r := newServer(t, func(ctx context.Context, j *job.Job) job.Outcome {
+		jobs <- ctx
+		if j.ID == "left" {
+			<-ctx.Done()
+			return job.Outcome{Kind: job.Gone}
+		}
+		if ctx.Err() != nil {
+			t.Error("the context has ended before the answer")
+		}
+		return job.Outcome{Kind: job.Served}
+	})
+	c := r.dial()
+	c.say(ask("answered", "check"))
+	c.hear(200)
+	for _, id := range []string{"answered", "left"} {
+		want := job.ErrAnswered
+		if id == "left" {
+			want = job.ErrLeft
+			c.say(ask(id, "check"))
+			if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx := <-jobs
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s: the context goes on", id)
+		}
+		if got := context.Cause(ctx); got != want {
+			t.Errorf("%s: %v, want %v", id, got, want)
+		}
 	}
-	if j = parse("X-Request-Id: id\r\nX-Class: check\r\nX-Deadline-Ms: 3\r\n"); j.facts.Left != 0 {
-		t.Fatalf("%+v", j.facts)
+	if b, err := io.ReadAll(c.br); len(b) > 0 || err != nil {
+		t.Errorf("%q, %v", b, err)
 	}
 }
 
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -7,9 +7,8 @@
 	"strings"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/job"
 	"laddertide/policy"
-	"laddertide/provider"
 	"laddertide/wire/http1"
 )
 
@@ -103,12 +102,10 @@
 		if head.Method != "POST" {
 			return text(405, "POST only"), true
 		}
-		ev, err := provider.ParseEvent(body)
-		if err != nil {
+		if err := s.CallBack(body); err != nil {
 			s.Log.Warn("malformed call-back", "from", c.RemoteAddr(), "err", err)
 			return text(400, err.Error()), true
 		}
-		s.Pool.Event(ev)
 		s.mu.Lock()
 		c.events = true
 		s.mu.Unlock()
@@ -125,24 +122,24 @@
 		s.Log.Debug("unusable request", "from", c.RemoteAddr(), "why", why)
 		return text(400, why), true
 	}
-	if err := s.Pool.Reserve(j.call.ID); err != nil {
-		return text(400, err.Error()), true
-	}
-	defer s.Pool.Free(j.call.ID)
-	out := s.run(j, c)
-	switch out.verdict.Kind {
-	case decide.Answer:
-		return answer{status: 200, body: out.result}, true
-	case decide.Rejection:
+	return s.word(s.carry(j, c))
+}
+
+// word makes an outcome an answer. It reports false if there is nobody left to answer.
+func (s *Server) word(out job.Outcome) (answer, bool) {
+	switch out.Kind {
+	case job.Served:
+		return answer{status: 200, body: out.Result}, true
+	case job.Rejected:
 		a := text(503, "rejected: try again later")
-		if after := out.verdict.RetryAfter; after > 0 {
+		if after := out.RetryAfter; after > 0 {
 			a.fields = http1.Fields{{Name: "Retry-After", Value: retryAfter(after, s.Settings.MaxRetryAfter)}}
 		}
 		return a, true
-	case decide.Left:
+	case job.Gone:
 		return answer{}, false
-	case decide.Mistake:
-		return text(400, "no provider can use this request"), true
+	case job.Mistaken:
+		return text(400, out.Why), true
 	}
 	return text(502, "failed"), true
 }
@@ -163,27 +160,28 @@
 }
 
 // parse reads a job, or says why the request is none.
-func (s *Server) parse(head *http1.Head, body []byte) (*job, string) {
+func (s *Server) parse(head *http1.Head, body []byte) (*job.Job, string) {
 	f := head.Fields
 	for _, name := range once {
 		if f.Count(name) > 1 {
 			return nil, name + " is repeated" // a provider may read the other one
 		}
 	}
-	j := &job{call: provider.Job{ID: f.Get("X-Request-Id")}}
-	if !isID(j.call.ID) {
+	j := &job.Job{ID: f.Get("X-Request-Id"), Party: f.Get("X-Tenant"), Key: f.Get("Idempotency-Key"), Slots: 1,
+		Subject: head.Target, Payload: body, Protocol: http1.Protocol}
+	if !isID(j.ID) {
 		return nil, "X-Request-Id is missing or malformed"
 	}
 	set := &s.Settings
-	j.facts.Class = index(len(set.Classes), func(i int) bool { return set.Classes[i].Name == f.Get("X-Class") })
-	if j.facts.Class == len(set.Classes) {
+	j.Class = index(len(set.Classes), func(i int) bool { return set.Classes[i].Name == f.Get("X-Class") })
+	if j.Class == len(set.Classes) {
 		return nil, "X-Class is unknown"
 	}
 	// A tenant that the settings do not know has no share to go past; it is served as any other.
-	j.facts.Tenant = index(len(set.Tenants), func(i int) bool { return set.Tenants[i].Name == f.Get("X-Tenant") })
-	j.facts.ID, j.facts.Party = j.call.ID, f.Get("X-Tenant")
-	class := &set.Classes[j.facts.Class]
-	if class.Effect == policy.Keyed && f.Get("Idempotency-Key") == "" {
+	j.Tenant = index(len(set.Tenants), func(i int) bool { return set.Tenants[i].Name == j.Party })
+	class := &set.Classes[j.Class]
+	j.ClassName = class.Name
+	if class.Effect == policy.Keyed && j.Key == "" {
 		return nil, "Idempotency-Key is missing"
 	}
 	left := class.Deadline
@@ -194,23 +192,21 @@
 		}
 		left = min(left, time.Duration(ms)*time.Millisecond) // longer than its class waits nobody does
 	}
-	j.facts.Deadline, j.facts.Left = left, max(0, left-margin)
+	j.Deadline, j.Left = left, max(0, left-margin)
 	if v := f.Get("X-Cost-Hint"); v != "" {
 		us, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(us >= 0 && us < math.MaxInt32) {
 			return nil, "X-Cost-Hint is not a number of microseconds"
 		}
-		j.facts.Hint = time.Duration(us * float64(time.Microsecond))
+		j.Hint = time.Duration(us * float64(time.Microsecond))
 	}
-	j.facts.Slots = 1
 	for pair := range strings.SplitSeq(f.Get("X-Extras"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		if v, err := strconv.ParseFloat(value, 64); name == "slots" && err == nil && v > 0 {
-			j.facts.Slots = v
+			j.Slots = v
 		}
 	}
-	j.call.Message = provider.Message{Method: head.Method, Target: head.Target,
-		Fields: f.EndToEnd("X-Deadline-Ms"), Body: body}
+	j.Fields = f.EndToEnd("X-Deadline-Ms")
 	return j, ""
 }
 
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -1,5 +1,6 @@
-// Package consumer serves the consumers' side: it takes their requests, carries each through the
-// decisions and the invoker calls, and answers once. Providers' call-backs come to the same address.
+// Package consumer serves the consumers' side: it takes their requests, makes a job of each, hands that to the Handlers
+// of jobs, and words their outcome as the one answer. Providers' call-backs come to the same address and are passed on.
+// It owns the connections that it accepts and the duty to answer on them; what becomes of a job is never its to say.
 package consumer
 
 import (
@@ -13,16 +14,16 @@
 	"sync"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/job"
 	"laddertide/policy"
-	"laddertide/provider"
 )
 
 // Server answers consumers and takes call-backs.
 type Server struct {
 	Settings policy.Settings
-	Desk     *decide.Desk
-	Pool     *provider.Pool
+	Jobs     job.Handler                // answers each job; a panic in it ends one job
+	CallBack func(message []byte) error // takes a provider's call-back, or says what is wrong with it
+	Stopping func(by time.Time)         // is told that it stops, and by when each job must have its outcome
 	Log      *slog.Logger
 	Conns    int           // connections that may be open at once
 	Grace    time.Duration // from the word to stop until all answers must be out
@@ -112,7 +113,7 @@
 	s.mu.Unlock()
 	// The front needs a moment to notice: new connections and requests keep coming, and are served as always.
 	// Connections that stayed open longer would bring jobs that cannot end in time.
-	s.Desk.Stop(end)
+	s.Stopping(end)
 	timer := time.NewTimer(min(newcomers, s.Grace))
 	<-timer.C
 	s.mu.Lock()
--- /dev/null
+++ b/invoker/invoker.go
@@ -0,0 +1,80 @@
+// Package invoker is the last Handler of a job's way: it hands the job to the desk, makes the invoker calls that the
+// desk wants made, and tells it how they ended. It owns a job for as long as that takes, and with it the job's id. It
+// decides nothing, knows no protocol and opens no connection itself.
+package invoker
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/job"
+	"laddertide/provider"
+)
+
+// Handler is the desk and the pool as a job.Handler.
+type Handler struct {
+	Desk *decide.Desk
+	Pool *provider.Pool
+	Log  *slog.Logger
+}
+
+// Handle implements job.Handler. A job whose id is out already is mistaken.
+func (h *Handler) Handle(ctx context.Context, j *job.Job) (out job.Outcome) {
+	if err := h.Pool.Reserve(j.ID); err != nil {
+		return job.Outcome{Kind: job.Mistaken, Why: err.Error()}
+	}
+	defer h.Pool.Free(j.ID)
+	ticket := h.Desk.Take(decide.Job{
+		Class: j.Class, Tenant: j.Tenant, Left: j.Left, Hint: j.Hint, Slots: j.Slots,
+		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
+	})
+	calling := false
+	defer func() {
+		if r := recover(); r != nil {
+			// The module must still hear how the call ended, and the consumer gets its answer. A call
+			// that panicked may have run.
+			if calling {
+				ticket.Report(decide.Broken)
+			}
+			ticket.Leave()
+			h.Log.Error("panic while carrying a job", "panic", r, "stack", string(debug.Stack()))
+			out = job.Outcome{Kind: job.Failed}
+		}
+	}()
+	stop := context.AfterFunc(ctx, ticket.Leave)
+	defer stop()
+	var result []byte
+	began := time.Now()
+	for {
+		v := ticket.Pick()
+		if v.Kind != decide.Call {
+			h.Log.Debug("job over", "id", j.ID, "class", j.Class, "verdict", v.Kind, "took", time.Since(began))
+			return outcome(v, result)
+		}
+		var end decide.End
+		sent := time.Now()
+		calling = true
+		end, result = h.Pool.Invoke(j, v, ticket.Hear)
+		calling = false
+		h.Log.Debug("call over", "id", j.ID, "provider", v.Provider, "end", end, "took", time.Since(sent))
+		ticket.Report(end)
+	}
+}
+
+// outcome is what a final verdict means for the job; result is that of its last call.
+func outcome(v decide.Verdict, result []byte) job.Outcome {
+	switch v.Kind {
+	case decide.Answer:
+		return job.Outcome{Kind: job.Served, Result: result}
+	case decide.Rejection:
+		return job.Outcome{Kind: job.Rejected, RetryAfter: v.RetryAfter}
+	case decide.Left:
+		return job.Outcome{Kind: job.Gone}
+	case decide.Mistake:
+		return job.Outcome{Kind: job.Mistaken, Why: "no provider can use this request"}
+	}
+	return job.Outcome{Kind: job.Failed}
+}
--- /dev/null
+++ b/invoker/invoker_test.go
@@ -0,0 +1,175 @@
+package invoker
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/directory"
+	"laddertide/job"
+	"laddertide/policy"
+	"laddertide/provider"
+	"laddertide/wire/http1"
+)
+
+// rig is a desk and a pool with one provider, which answers what the test tells it to.
+type rig struct {
+	Handler
+	t    *testing.T
+	jobs chan string // "METHOD target" of what the provider gets
+}
+
+func newRig(t *testing.T, log *slog.Logger, answer string) *rig {
+	t.Helper()
+	desk, err := decide.New(policy.Settings{
+		Balancers: 1, MaxAttempts: 1, Cancel: true, TellsStart: true, WorthByWork: true,
+		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second,
+		Classes: []policy.Class{
+			{Name: "check", Aim: time.Minute, Stretch: 2, Deadline: time.Minute, Worth: 1, Kind: -1},
+			{Name: "issue", Aim: time.Minute, Stretch: 2, Deadline: time.Minute, Worth: 1, Kind: -1, Effect: policy.Unsafe},
+		},
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, jobs: make(chan string, 10)}
+	r.Desk, r.Log = desk, slog.New(slog.DiscardHandler)
+	r.Pool = provider.NewPool(provider.Limits{Dial: time.Second, Idle: time.Minute, Conns: 10}, log)
+	t.Cleanup(func() { ln.Close(); desk.Close(); r.Pool.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for br := bufio.NewReader(c); ; {
+					h, err := http1.ReadRequestHead(br)
+					if err != nil {
+						return
+					}
+					if _, err := h.ReadBody(br); err != nil {
+						return
+					}
+					c.Write([]byte(answer))
+					r.jobs <- h.Method + " " + h.Target
+				}
+			}()
+		}
+	}()
+	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: ln.Addr().String(), Status: directory.Serving}}, true)
+	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
+	return r
+}
+
+func newJob(class int) *job.Job {
+	return &job.Job{ID: "id-1", Class: class, Left: 30 * time.Second, Hint: time.Millisecond, Slots: 1, Subject: "/x"}
+}
+
+// idle checks that nothing is left of the job: it is not open, and its id can be used again.
+func (r *rig) idle(want decide.End) {
+	r.t.Helper()
+	if c := r.Desk.Counts(); c.Open != 0 || c.Ends[want] != 1 {
+		r.t.Errorf("counts %+v", c)
+	}
+	if err := r.Pool.Reserve("id-1"); err != nil {
+		r.t.Error(err)
+	}
+}
+
+const taken = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+// What came back from the provider, and what the module made of it, is what the front is told.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		class  int
+		end    decide.End
+		want   job.Outcome
+	}{
+		{"HTTP/1.1 400 R\r\nContent-Length: 0\r\n\r\n", 1, decide.Unusable,
+			job.Outcome{Kind: job.Mistaken, Why: "no provider can use this request"}},
+		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 1, decide.Failed, job.Outcome{Kind: job.Failed}},
+		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 0, decide.Failed, job.Outcome{Kind: job.Rejected}},
+	} {
+		r := newRig(t, slog.New(slog.DiscardHandler), c.answer)
+		got := r.Handle(context.Background(), newJob(c.class))
+		if got.Kind != c.want.Kind || got.Why != c.want.Why || got.Result != nil {
+			t.Errorf("%q for class %d: %+v, want %+v", c.answer, c.class, got, c.want)
+		}
+		r.idle(c.end)
+	}
+	r := newRig(t, slog.New(slog.DiscardHandler), taken)
+	go func() {
+		<-r.jobs
+		if err := r.Pool.CallBack([]byte(`{"id":"id-1","from":"s-1","state":"done","result":"r"}`)); err != nil {
+			t.Error(err)
+		}
+	}()
+	if got := r.Handle(context.Background(), newJob(1)); got.Kind != job.Served || string(got.Result) != "r" {
+		t.Errorf("%+v", got)
+	}
+	r.idle(decide.Served)
+}
+
+// An id is out once only. The second job with it goes no further, and takes nothing from the first.
+func TestBusyID(t *testing.T) {
+	r := newRig(t, slog.New(slog.DiscardHandler), taken)
+	first := make(chan job.Outcome, 1)
+	go func() { first <- r.Handle(context.Background(), newJob(0)) }()
+	<-r.jobs
+	got := r.Handle(context.Background(), newJob(0))
+	if got.Kind != job.Mistaken || got.Why != "a job with this id is out already" {
+		t.Errorf("%+v", got)
+	}
+	if n := r.Desk.Counts().Jobs; n != 1 {
+		t.Errorf("the desk had %d jobs", n)
+	}
+	if err := r.Pool.CallBack([]byte(`{"id":"id-1","from":"s-1","state":"done"}`)); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-first; got.Kind != job.Served {
+		t.Errorf("the first: %+v", got)
+	}
+}
+
+// Once nobody waits for a job, it is given up at its provider. One that nobody waits for from the start ends as well.
+func TestGone(t *testing.T) {
+	r := newRig(t, slog.New(slog.DiscardHandler), taken)
+	ctx, over := context.WithCancelCause(context.Background())
+	go func() {
+		<-r.jobs
+		time.Sleep(100 * time.Millisecond) // the 202 is read by now, and a DELETE is to follow
+		over(job.ErrLeft)
+	}()
+	if got := r.Handle(ctx, newJob(1)); got.Kind != job.Gone {
+		t.Errorf("%+v", got)
+	}
+	if got := <-r.jobs; got != "DELETE /jobs/id-1" {
+		t.Error(got)
+	}
+	r.idle(decide.Withdrawn)
+	r.Pool.Free("id-1")
+	if got := r.Handle(ctx, newJob(1)); got.Kind != job.Gone {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A panic in a call ends one job: the desk hears how its call ended, as one that may have run, and its id is free.
+func TestPanic(t *testing.T) {
+	r := newRig(t, nil, taken) // whatever the pool logs
+	r.Pool.Directory(nil, true)
+	if got := r.Handle(context.Background(), newJob(0)); got.Kind != job.Failed {
+		t.Errorf("%+v", got)
+	}
+	r.idle(decide.Broken)
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -7,14 +7,9 @@
 	"time"
 
 	"laddertide/decide"
+	"laddertide/job"
 )
 
-// Job is what a provider is sent. Only the codec looks at more than the id.
-type Job struct {
-	ID      string
-	Message Message
-}
-
 // Event is a provider's call-back about a job.
 type Event struct {
 	ID     string // the job's
@@ -103,6 +98,15 @@
 	delete(p.calls, id)
 }
 
+// CallBack takes a call-back as the provider worded it, or says why it is none.
+func (p *Pool) CallBack(message []byte) error {
+	ev, err := ParseEvent(message)
+	if err == nil {
+		p.Event(ev)
+	}
+	return err
+}
+
 // Event takes a call-back. It may be a repeat, or belong to an earlier call of the same job: only one
 // from the provider that holds the job now has any effect.
 func (p *Pool) Event(ev Event) {
@@ -119,7 +123,7 @@
 
 // Invoke makes one invoker call for a reserved job and blocks until it has ended. Nothing of the job
 // is left with the provider, or it has been told so, unless the end says that it ran there.
-func (p *Pool) Invoke(job *Job, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
+func (p *Pool) Invoke(j *job.Job, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
 	if v.Context.Err() != nil {
 		return decide.NotSent, nil
 	}
@@ -139,11 +143,11 @@
 		p.release(conn)
 		return decide.NotConnected, nil
 	}
-	p.calls[job.ID] = c // before the first byte, as call-backs may come before the acknowledgement
+	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
-		p.calls[job.ID] = nil
+		p.calls[j.ID] = nil
 		p.mu.Unlock()
 		c.mu.Lock()
 		c.over = true // a call-back that has found the call already is too late: the next call may be out by then
@@ -151,7 +155,7 @@
 	}()
 
 	conn.SetDeadline(v.Until)
-	message := job.Message.job(v.Until)
+	message := jobMessage(j, v.Until)
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was out", "provider", v.Provider, "written", n, "err", err)
 		p.discard(conn)
@@ -217,8 +221,8 @@
 		told := make(chan struct{})
 		go func() {
 			defer close(told)
-			if !p.giveUp(job, v.Provider, endingLimit, endingLimit) {
-				p.giveUp(job, v.Provider, lastLook, lastAnswer)
+			if !p.giveUp(j, v.Provider, endingLimit, endingLimit) {
+				p.giveUp(j, v.Provider, lastLook, lastAnswer)
 			}
 		}()
 		// A machine may take connections and say nothing on them. When the job's time is over it goes nowhere any more, and
@@ -229,14 +233,14 @@
 		}
 	} else {
 		// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
-		go p.giveUp(job, v.Provider, endingLimit, endingLimit)
+		go p.giveUp(j, v.Provider, endingLimit, endingLimit)
 	}
 	return end, nil
 }
 
 // giveUp tells a provider to stop working on a job, and tells whether the provider has heard it. A new connection to it
 // must be up within dial, and its answer there within whole.
-func (p *Pool) giveUp(job *Job, name string, dial, whole time.Duration) bool {
+func (p *Pool) giveUp(j *job.Job, name string, dial, whole time.Duration) bool {
 	now := time.Now()
 	conn, err := p.acquire(context.Background(), name, false, now.Add(dial))
 	if err != nil {
@@ -244,7 +248,7 @@
 	}
 	conn.SetDeadline(now.Add(whole))
 	var answer reply
-	if _, err = conn.Write(job.Message.giveUp(job.ID)); err == nil {
+	if _, err = conn.Write(giveUpMessage(j)); err == nil {
 		answer, err = readReply(conn.br)
 	}
 	if err == nil && !answer.last {
--- a/provider/http.go
+++ b/provider/http.go
@@ -9,26 +9,49 @@
 	"time"
 
 	"laddertide/decide"
+	"laddertide/job"
 	"laddertide/wire/http1"
 )
 
-// Message is a consumer's request as it is passed on.
-type Message struct {
-	Method, Target string
-	Fields         http1.Fields // none of this connection's, and no deadline
-	Body           []byte
-}
-
-func (m *Message) job(until time.Time) []byte {
+// jobMessage is the message that sends a job. A consumer's own request is passed on as it came.
+func jobMessage(j *job.Job, until time.Time) []byte {
+	fields := j.Fields
+	if j.Protocol != http1.Protocol {
+		fields = ownFields(j)
+	}
 	left := max(1, time.Until(until).Milliseconds())
-	fields := append(m.Fields[:len(m.Fields):len(m.Fields)],
+	fields = append(fields[:len(fields):len(fields)],
 		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
-	return http1.AppendRequest(nil, m.Method, m.Target, fields, m.Body)
+	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload)
+}
+
+// ownFields says in this protocol what a job is that came by another one.
+func ownFields(j *job.Job) []job.Field {
+	fields := []job.Field{{Name: "Host"}, // there must be one, and this is for a target that has none
+		{Name: "X-Request-Id", Value: j.ID}, {Name: "X-Class", Value: j.ClassName}}
+	add := func(name, value string) { fields = append(fields, job.Field{Name: name, Value: value}) }
+	if j.Party != "" {
+		add("X-Tenant", j.Party)
+	}
+	if j.Key != "" {
+		add("Idempotency-Key", j.Key)
+	}
+	if j.Hint > 0 {
+		add("X-Cost-Hint", strconv.FormatInt(max(1, j.Hint.Microseconds()), 10))
+	}
+	if j.Slots > 0 {
+		add("X-Extras", "slots="+strconv.FormatFloat(j.Slots, 'f', -1, 64))
+	}
+	return fields
 }
 
-func (m *Message) giveUp(id string) []byte {
-	host := http1.Fields{{Name: "Host", Value: m.Fields.Get("Host")}}
-	return http1.AppendRequest(nil, "DELETE", "/jobs/"+id, host, nil)
+// giveUpMessage is the message that a job is given up.
+func giveUpMessage(j *job.Job) []byte {
+	host := ""
+	if j.Protocol == http1.Protocol {
+		host = http1.Fields(j.Fields).Get("Host")
+	}
+	return http1.AppendRequest(nil, "DELETE", "/jobs/"+j.ID, http1.Fields{{Name: "Host", Value: host}}, nil)
 }
 
 // accepted is no end: the provider has taken the job.
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -15,6 +15,7 @@
 
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/job"
 	"laddertide/wire/http1"
 )
 
@@ -81,8 +82,40 @@
 	return decide.Verdict{Provider: "s-1", Until: time.Now().Add(left), Context: ctx}
 }
 
-func newJob() *Job {
-	return &Job{ID: "id-1", Message: Message{Method: "POST", Target: "/api/x", Body: []byte("body")}}
+func newJob() *job.Job {
+	return &job.Job{ID: "id-1", Subject: "/api/x", Payload: []byte("body"), Protocol: http1.Protocol}
+}
+
+// A consumer's own request goes on as it came. A job that came by another protocol is said in full in this one, and
+// none of that protocol's fields goes on: here they would frame and name another job.
+func TestMessages(t *testing.T) {
+	j := newJob()
+	j.Class, j.ClassName, j.Party, j.Key, j.Hint, j.Slots = 1, "settle", "acme", "k", 1500*time.Microsecond, 2.5
+	j.Fields = []job.Field{{Name: "x-request-ID", Value: "id-1"}, {Name: "Host", Value: "h"}, {Name: "X-A", Value: ""},
+		{Name: "X-A", Value: "2"}}
+	until := time.Now().Add(-time.Second)
+	check := func(got []byte, want string) {
+		t.Helper()
+		if string(got) != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+	for range 2 { // another attempt
+		check(jobMessage(j, until), "POST /api/x HTTP/1.1\r\nx-request-ID: id-1\r\nHost: h\r\nX-A: \r\nX-A: 2\r\n"+
+			"X-Deadline-Ms: 1\r\nContent-Length: 4\r\n\r\nbody")
+	}
+	check(giveUpMessage(j), "DELETE /jobs/id-1 HTTP/1.1\r\nHost: h\r\n\r\n")
+
+	j.Protocol = "STOMP"
+	j.Fields = []job.Field{{Name: "request-id", Value: "id-1"}, {Name: "Host", Value: "broker"},
+		{Name: "Transfer-Encoding", Value: "chunked"}, {Name: "Idempotency-Key", Value: "other"}}
+	check(jobMessage(j, until), "POST /api/x HTTP/1.1\r\nHost: \r\nX-Request-Id: id-1\r\nX-Class: settle\r\n"+
+		"X-Tenant: acme\r\nIdempotency-Key: k\r\nX-Cost-Hint: 1500\r\nX-Extras: slots=2.5\r\n"+
+		"X-Deadline-Ms: 1\r\nContent-Length: 4\r\n\r\nbody")
+	check(giveUpMessage(j), "DELETE /jobs/id-1 HTTP/1.1\r\nHost: \r\n\r\n")
+	bare := &job.Job{ID: "id-2", ClassName: "check", Subject: "/y"}
+	check(jobMessage(bare, until), "POST /y HTTP/1.1\r\nHost: \r\nX-Request-Id: id-2\r\nX-Class: check\r\n"+
+		"X-Deadline-Ms: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 func invoke(t *testing.T, p *Pool, v decide.Verdict, want decide.End) string {
@@ -175,9 +208,9 @@
 		})
 		p = pool(f.ln.Addr().String())
 		for n := range 2 { // the second time on the same connection
-			job := newJob()
-			job.ID = fmt.Sprint("job-", n+1)
-			end, result := p.Invoke(job, verdict(context.Background(), time.Second), func(decide.News) {})
+			j := newJob()
+			j.ID = fmt.Sprint("job-", n+1)
+			end, result := p.Invoke(j, verdict(context.Background(), time.Second), func(decide.News) {})
 			if end != decide.Served || string(result) != "the Answer" {
 				t.Fatalf("end %d, result %q", end, result)
 			}
@@ -231,7 +264,7 @@
 		t.Fatal(err)
 	}
 	for range 2 { // two taken, on one connection
-		first.Write(newJob().Message.job(until))
+		first.Write(jobMessage(newJob(), until))
 		if r, err := readReply(first.br); err != nil || r.end != accepted {
 			t.Fatalf("%+v, %v", r, err)
 		}
--- a/rehearse/fleet/silence_test.go
+++ b/rehearse/fleet/silence_test.go
@@ -15,6 +15,7 @@
 	"laddertide/core/world"
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/job"
 	"laddertide/provider"
 	"laddertide/wire/http1"
 )
@@ -265,12 +266,12 @@
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: r.Address(0, 0), Status: directory.Serving}}, true)
 	invoke := func(id string) (decide.End, time.Duration) {
 		r.job(id, 0)
-		job := &provider.Job{ID: id, Message: provider.Message{Method: "POST", Target: "/api/x?y=1",
-			Fields: http1.Fields{{Name: "X-Request-Id", Value: id}}, Body: []byte("body")}}
+		j := &job.Job{ID: id, Subject: "/api/x?y=1", Payload: []byte("body"), Protocol: http1.Protocol,
+			Fields: []job.Field{{Name: "X-Request-Id", Value: id}}}
 		began := time.Now()
 		v := decide.Verdict{Provider: "s-1", Until: began.Add(patience), TakenIn: 400 * time.Millisecond,
 			Context: context.Background()}
-		end, _ := pool.Invoke(job, v, func(decide.News) {})
+		end, _ := pool.Invoke(j, v, func(decide.News) {})
 		return end, time.Since(began)
 	}
 	go func() { // stands for the daemon's listener
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,6 +21,8 @@
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/figures"
+	"laddertide/invoker"
+	"laddertide/job"
 	"laddertide/jobstatus"
 	"laddertide/policy"
 	"laddertide/provider"
@@ -97,6 +99,14 @@
 	}
 }
 
+// chain is the way of a job from its front on: the Handlers, each round the next, and the last one. It is the one place
+// that sets their order. What the operator has turned on goes round the last one here, the innermost first; what is off
+// is not in the chain.
+func (s *Scheduler) chain() job.Handler {
+	var h job.Handler = &invoker.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
+	return h
+}
+
 // startObservers begins what they do apart from the desk.
 func (s *Scheduler) startObservers() {
 	if s.figures != nil {
@@ -185,7 +195,7 @@
 	s.follow(s.cfg.Discovery, s.cfg.Known.Index, false)
 	s.mu.Unlock()
 	server := &consumer.Server{
-		Settings: s.cfg.Settings, Desk: s.desk, Pool: s.pool, Log: s.log,
+		Settings: s.cfg.Settings, Jobs: s.chain(), CallBack: s.pool.CallBack, Stopping: s.desk.Stop, Log: s.log,
 		Conns: s.cfg.places(), Grace: s.grace(),
 	}
 	if s.status != nil {
