--- /dev/null
+++ b/core/leases/replay.go
@@ -0,0 +1,320 @@
+package leases
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// lostJump is how far the fences go on above all that were seen if a record is lost, which may have been a Mark.
+const lostJump = 1 << 32
+
+// Replay takes a record that the store held at the start. An error tells of one that does not go with those before it;
+// the Table then holds to the reading under which less is sent again.
+func (t *Table) Replay(r Record) error {
+	if t.recovered {
+		return errors.New("leases: replay after the table was recovered")
+	}
+	if r.Kind == Mark {
+		t.next = max(t.next, r.Seq)
+		t.fence = max(t.fence, r.Fence)
+		t.floor = max(t.floor, r.Floor)
+		return nil
+	}
+	t.next = max(t.next, r.Seq+1)
+	t.fence = max(t.fence, r.Fence)
+	t.wall = max(t.wall, r.Clock.Wall)
+	j := t.jobs[r.Seq]
+	if j == nil {
+		switch r.Kind {
+		case Taken, Leased:
+			j = &job{seq: r.Seq, spec: r.Spec, at: r.Clock, place: -1, orphan: r.Kind == Leased}
+			if r.Kind == Taken {
+				j.setClass(t)
+			}
+			t.add(j)
+			if !t.claim(j) {
+				return nil
+			}
+		case Begun, Over, Ended:
+			// Of an Ended alone nothing follows: a job that was never leased has not run. See also Withdrawn.
+			if r.Kind != Ended || r.Outcome.Kind != Rejected {
+				t.misses(r.Seq, "", "the job's taking and lease; only "+r.Kind.String()+" is left")
+			}
+			return nil
+		default:
+			return nil // an Answered of a job that is forgotten
+		}
+	}
+	switch r.Kind {
+	case Taken:
+		return t.replayTaken(j, &r)
+	case Leased:
+		return t.replayLeased(j, &r)
+	case Begun:
+		a := j.find(r.Fence)
+		if a == nil {
+			if a = t.unknown(j, r.Fence, "a lease that began"); a == nil {
+				return nil
+			}
+			a.out = j.outcome == nil && a == &j.attempts[len(j.attempts)-1]
+		}
+		a.begun = true
+	case Over:
+		a := j.find(r.Fence)
+		if a == nil {
+			if !r.Never {
+				t.unknown(j, r.Fence, "a lease that is over")
+			}
+			return nil
+		}
+		a.out, a.may = false, !r.Never
+	case Ended:
+		if j.outcome != nil {
+			if o := j.outcome; o.Kind != r.Outcome.Kind || !bytes.Equal(o.Result, r.Outcome.Result) {
+				return fmt.Errorf("leases: job %d: a second end, %v after %v", r.Seq, r.Outcome.Kind, o.Kind)
+			}
+			return nil
+		}
+		t.finish(j, r.Clock, r.Outcome)
+		t.trim()
+	case Answered:
+		if j.outcome == nil {
+			j.halved = true
+			return nil
+		}
+		if !j.told {
+			j.told = true
+			t.answered.add(j)
+		}
+	default:
+		return fmt.Errorf("leases: a record of kind %d", r.Kind)
+	}
+	return nil
+}
+
+func (t *Table) replayTaken(j *job, r *Record) error {
+	switch {
+	case j.orphan:
+		// Its lease came first, which no Table writes; take it as it should have come.
+		j.orphan = false
+		j.spec, j.at = r.Spec, r.Clock
+		j.setClass(t)
+	case j.spec.ID != r.Spec.ID || j.spec.Digest != r.Spec.Digest:
+		return fmt.Errorf("leases: job %d was taken twice, as %q and %q", r.Seq, j.spec.ID, r.Spec.ID)
+	}
+	return nil
+}
+
+func (t *Table) replayLeased(j *job, r *Record) error {
+	switch {
+	case j.outcome != nil:
+		return fmt.Errorf("leases: job %d: a lease after its end", r.Seq)
+	case j.find(r.Fence) != nil:
+		return nil
+	}
+	n := len(j.attempts)
+	switch {
+	case n > 0 && j.attempts[n-1].fence > r.Fence:
+		t.unknown(j, r.Fence, "the place of a lease")
+		return fmt.Errorf("leases: job %d: lease %d after %d", r.Seq, r.Fence, j.attempts[n-1].fence)
+	case n >= maxTries:
+		t.unknown(j, r.Fence, "the place of a lease")
+		return fmt.Errorf("leases: job %d: leased more than %d times", r.Seq, maxTries)
+	case n > 0:
+		j.attempts[n-1].out = false // one is out at a time; what became of this one is not known
+	}
+	j.attempts = append(j.attempts, attempt{fence: r.Fence, provider: r.Provider, at: r.Clock, span: r.Span, out: true, may: true})
+	return nil
+}
+
+// claim makes j the job of its id. Of two jobs of an id the later one counts: it could only be taken as the earlier one
+// was ended and forgotten, or withdrawn, whether or not its record tells. It says whether j is the later one.
+func (t *Table) claim(j *job) bool {
+	if k := t.byID[j.spec.ID]; k != nil {
+		if k.seq > j.seq {
+			t.drop(j)
+			return false
+		}
+		t.drop(k)
+	}
+	t.byID[j.spec.ID] = j
+	return true
+}
+
+// unknown adds an attempt whose Leased is lost, in the order of the fences: it counts as one that may have run, as long
+// ago as the job was taken. It is nil if the job has ended or has had too many.
+func (t *Table) unknown(j *job, fence Fence, what string) *attempt {
+	switch {
+	case j.outcome != nil:
+		return nil
+	case len(j.attempts) >= maxTries:
+		j.attempts[0].provider, j.attempts[0].may = "", true
+		return nil
+	}
+	if fence != 0 {
+		t.misses(j.seq, j.spec.ID, fmt.Sprintf("%s, %d", what, fence))
+	}
+	i := 0
+	for i < len(j.attempts) && j.attempts[i].fence < fence {
+		i++
+	}
+	if i > 0 && i == len(j.attempts) {
+		j.attempts[i-1].out = false
+	}
+	j.attempts = slices.Insert(j.attempts, i, attempt{fence: fence, at: j.at, may: true})
+	return &j.attempts[i]
+}
+
+func (j *job) find(fence Fence) *attempt {
+	for i := range j.attempts {
+		if j.attempts[i].fence == fence {
+			return &j.attempts[i]
+		}
+	}
+	return nil
+}
+
+func (j *job) setClass(t *Table) {
+	if j.class = t.classes[j.spec.Class]; j.class != nil {
+		j.spec.Class = j.class.Name
+	}
+}
+
+// mostMissing bounds what is told one by one.
+const mostMissing = 1000
+
+func (t *Table) misses(seq Seq, id, what string) {
+	if len(t.missing) < mostMissing {
+		t.missing = append(t.missing, Missing{Seq: seq, ID: id, What: what})
+	}
+}
+
+// Lost tells that the store held a record that cannot be read: of that job, or 0 if that is not known. It is called in
+// its place among the calls of Replay. It may have been a lease: the job, or each that is open so far, counts as one
+// that may have run.
+func (t *Table) Lost(seq Seq) {
+	t.counts.Lost++
+	if seq == 0 {
+		t.doubtTo = t.next - 1
+		return
+	}
+	t.next = max(t.next, seq+1)
+	t.doubts[seq] = true
+}
+
+// elapsed is how long before now a moment of a record was, and whether that is known. Within one boot the clock that
+// runs on tells; otherwise the time of day, if it has not been set back since, by all that the records show.
+func (t *Table) elapsed(now, at Clock) (time.Duration, bool) {
+	d := now.Wall - at.Wall
+	known := now.Wall >= at.Wall && now.Wall >= t.wall
+	if now.Boot == at.Boot && now.Boot != [16]byte{} {
+		d, known = now.Mono-at.Mono, now.Mono >= at.Mono
+	}
+	if !known {
+		return 0, false
+	}
+	if d < 0 {
+		d = 1<<63 - 1 // the difference is too large to be told
+	}
+	return time.Duration(d), true
+}
+
+// carry makes a moment of a record one of this process.
+func (t *Table) carry(now Clock, at *Clock) (known bool) {
+	d, known := t.elapsed(now, *at)
+	// Beyond what any setting holds it makes no difference how long ago it was.
+	at.Boot, at.Mono = now.Boot, now.Mono-int64(min(d, 1<<61))
+	at.Wall = now.Wall - int64(min(d, 1<<61))
+	return known
+}
+
+// Recover ends the replay. It tells what becomes of the jobs that are open, by their numbers, and what is missing. The
+// leases that may be out begin their time anew, as no sign of life could arrive meanwhile. What is not known of a
+// clock's steps is taken so that a job has no more time than it had left when it was taken, and no window that is over.
+func (t *Table) Recover(now Clock) (resumed []Resumed, missing []Missing) {
+	if t.recovered {
+		return nil, nil
+	}
+	t.recovered = true
+	slices.SortFunc(t.order, func(a, b *job) int {
+		if a.seq < b.seq {
+			return -1
+		}
+		return 1
+	})
+	if t.counts.Lost > 0 {
+		t.fence = min(t.fence+lostJump, numbers-1)
+	}
+	t.reserved = t.fence
+	var ended []*job
+	for _, j := range slices.Clone(t.order) {
+		if j.gone {
+			continue
+		}
+		if j.seq < t.floor {
+			t.drop(j)
+			continue
+		}
+		if j.orphan {
+			t.misses(j.seq, j.spec.ID, "its taking")
+		}
+		if j.halved && j.outcome == nil {
+			t.misses(j.seq, j.spec.ID, "its end, though it was answered")
+		}
+		if j.outcome != nil {
+			t.carry(now, &j.at)
+			ended = append(ended, j)
+			continue
+		}
+		if j.seq <= t.doubtTo || t.doubts[j.seq] {
+			t.unknown(j, 0, "")
+		}
+		t.carry(now, &j.at)
+		for i := range j.attempts {
+			a := &j.attempts[i]
+			a.vague = !t.carry(now, &a.at)
+		}
+		resumed = append(resumed, t.resume(now, j))
+	}
+	// Ends are told in the order of their records, which may not be that of the clocks.
+	slices.SortStableFunc(ended, func(a, b *job) int {
+		switch {
+		case a.at.Mono < b.at.Mono:
+			return -1
+		case a.at.Mono > b.at.Mono:
+			return 1
+		}
+		return 0
+	})
+	t.ended, t.answered = list{index: 0}, list{index: 1}
+	for _, j := range ended {
+		j.links = links{}
+		t.ended.add(j)
+		if j.told {
+			t.answered.add(j)
+		}
+	}
+	missing = slices.DeleteFunc(t.missing, func(m Missing) bool { return m.Seq < t.floor })
+	t.doubts, t.missing = nil, nil
+	return resumed, missing
+}
+
+// resume tells what becomes of an open job.
+func (t *Table) resume(now Clock, j *job) Resumed {
+	a := j.out()
+	r := Resumed{Seq: j.seq, Spec: j.spec, Left: t.left(now, j), Attempts: j.list(now)}
+	err := t.may(now, j)
+	switch {
+	case j.halved:
+		r.Do, r.Why = Fail, "its end is lost, though it was answered"
+	case a != nil && !errors.Is(err, ErrTaking) && !errors.Is(err, ErrClass) && !errors.Is(err, ErrLate):
+		r.Do = Wait
+		t.start(now, j)
+	case err != nil:
+		r.Do, r.Why = Fail, err.Error()
+	}
+	return r
+}
