--- a/core/leases/leases.go
+++ b/core/leases/leases.go
@@ -7,28 +7,29 @@
 // # What its host owes it
 //
 // Each method that changes what must survive returns a [Step]: records that the host appends to its store, in the order
-// of the calls. Where Sync is set, the effect that the call was for waits until these records and all that were appended
-// before them are on disk:
+// of the calls. Where Sync is set, the effect that the call was for waits until these records and all that were
+// appended before them are on disk:
 //
 //   - B1: Taken before anything of the job is sent, and before anyone hears that it was taken.
 //   - B2: Leased before the first byte of that attempt goes out.
 //   - B3: Ended before a consumer's answer goes out, and before a provider's final word is acknowledged.
 //   - B4: Over with Never before a job that must never run twice is leased again; it comes once more with that lease's
 //     records, so that one sync does for both.
-//   - B5: a Mark, which reserves a block of fences, before the first of them is used; it comes with that lease's records.
+//   - B5: a Mark, which reserves a block of fences, before the first of them is used; it comes with that lease's
+//     records.
 //
 // Begun, Answered and other Overs need no sync. A write that fails is told by Withdrawn (of Taken) or Unlease (of
-// Leased); nothing was sent then. An Ended that cannot be written is an end all the same: who waits is answered in time,
-// but a restart may find the job as it was before.
+// Leased); nothing was sent then. An Ended that cannot be written is an end all the same: who waits is answered in
+// time, but a restart may find the job as it was before.
 //
 // At a start the host calls Replay for each record of the store, Lost for each that was there and cannot be read, and
 // then Recover, once. Records of one job come in the order in which they were appended; those of several may mix.
 //
 // # What a crash may take
 //
-// Of the records behind the last sync any may be missing, each by itself. So a restart may find a job without its Begun,
-// an attempt that was over without its Over, an Ended without Answered. What the store promises by Sync is the operator's
-// choice:
+// Of the records behind the last sync any may be missing, each by itself. So a restart may find a job without its
+// Begun, an attempt that was over without its Over, an Ended without Answered. What the store promises by Sync is the
+// operator's choice:
 //
 //   - batch and each: what a Sync covers has reached the disk (in batch many Steps share one flush). B1 to B5 hold
 //     whatever dies, the process, the machine or its power.
@@ -152,7 +153,8 @@
 	return name(k, "fresh", "joined", "known", "conflict", "full", "invalid")
 }
 
-// Taking is what became of a job that came in. Seq is 0 but for Fresh, Joined and Known: of another's job nothing is said.
+// Taking is what became of a job that came in. Seq is 0 but for Fresh, Joined and Known: of another's job nothing is
+// said.
 type Taking struct {
 	Kind    TakingKind
 	Seq     Seq
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -195,8 +195,8 @@
 }
 
 // Lease gives a provider the job, for until without a sign of life (0: for ever), or says which rule that would break.
-// Of a keyed job the window is looked at here, its group is the decision module's to judge. The Step is the one that B2,
-// B4 and B5 are about.
+// Of a keyed job the window is looked at here, its group is the decision module's to judge. The Step is the one that
+// B2, B4 and B5 are about.
 func (t *Table) Lease(now Clock, seq Seq, provider string, until time.Duration) (Fence, Step, error) {
 	j := t.jobs[seq]
 	switch {
@@ -232,7 +232,8 @@
 	}
 	recs = append(recs, Record{Kind: Leased, Seq: seq, Fence: t.fence, Clock: now, Provider: provider,
 		Spec: Spec{ID: j.spec.ID, Digest: j.spec.Digest}, Try: len(j.attempts), Span: until})
-	j.attempts = append(j.attempts, attempt{fence: t.fence, provider: provider, at: now, span: until, out: true, may: true})
+	j.attempts = append(j.attempts,
+		attempt{fence: t.fence, provider: provider, at: now, span: until, out: true, may: true})
 	t.start(now, j)
 	return t.fence, Step{recs, true}, nil
 }
@@ -344,7 +345,7 @@
 	}
 	if n := len(j.attempts); n > 0 {
 		a := &j.attempts[n-1]
-		fits := (fence == a.fence && (a.provider == "" || provider == a.provider)) || (fence == 0 && provider == a.provider)
+		fits := provider == a.provider && fence == 0 || fence == a.fence && (provider == a.provider || a.provider == "")
 		switch {
 		case fits && a.out:
 			return j.seq, a.fence, true
@@ -459,8 +460,8 @@
 	return t.floor
 }
 
-// Mark is the record of all that must outlive the jobs: the fences in use and the numbers of jobs, and which of them are
-// forgotten. The store writes it anew, and waits until it is on disk, before it drops older records.
+// Mark is the record of all that must outlive the jobs: the fences in use and the numbers of jobs, and which of them
+// are forgotten. The store writes it anew, and waits until it is on disk, before it drops older records.
 func (t *Table) Mark() Record {
 	return Record{Kind: Mark, Seq: t.next, Fence: t.reserved, Floor: t.floor}
 }
@@ -521,7 +522,8 @@
 	out := make([]Attempt, len(j.attempts))
 	for i := range j.attempts {
 		a := &j.attempts[i]
-		out[i] = Attempt{Provider: a.provider, Fence: a.fence, AgoKnown: !a.vague, MayHaveRun: a.may, Out: a.out, Begun: a.begun}
+		out[i] = Attempt{Provider: a.provider, Fence: a.fence, AgoKnown: !a.vague, MayHaveRun: a.may, Out: a.out,
+			Begun: a.begun}
 		if !a.vague {
 			out[i].Ago = ago(now, a.at)
 		}
