--- /dev/null
+++ b/core/leases/crash_test.go
@@ -0,0 +1,888 @@
+package leases
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// chance draws what happens next: 0 to n-1.
+type chance interface{ draw(n int, what string) int }
+
+type byRapid struct{ t *rapid.T }
+
+func (c byRapid) draw(n int, what string) int { return rapid.IntRange(0, n-1).Draw(c.t, what) }
+
+type bySeed struct{ *rand.Rand }
+
+func (c bySeed) draw(n int, _ string) int { return c.IntN(n) }
+
+// breach is a promise that was broken.
+type breach string
+
+func (b breach) Error() string { return string(b) }
+
+// rule is one of the "before" rules.
+type rule string
+
+// entry is a record on the simulated disk.
+type entry struct {
+	kind   RecordKind
+	seq    Seq
+	data   []byte // nil: it cannot be read
+	told   Seq    // of one that cannot be read: what the store says of whose it is
+	synced bool
+	failed bool // the store said that it could not write it
+}
+
+// waiting is an effect that waits for a sync.
+type waiting struct {
+	what      string
+	from, to  int // its entries
+	done      func()
+	cannot    func()
+	mustWrite bool // false: the effect comes although its records could not be written
+}
+
+// truth is what really became of a job: what the world saw, whatever the Table remembers.
+type truth struct {
+	seq       Seq
+	spec      Spec
+	class     Class
+	born      int64
+	entered   bool // B1's effect: it is known to the world that it was taken
+	gone      bool // its taking was withdrawn
+	forgotten bool
+	hurt      bool // one of its records was damaged
+	waiting   int
+	attempts  []*sending
+	end       *Outcome
+	endAt     int64
+	told      bool // B3's effect: the outcome was told
+	loose     bool // it was told though it could not be written
+	answered  bool
+}
+
+// sending is what really became of a lease.
+type sending struct {
+	fence          Fence
+	provider       string
+	leased, sentAt int64
+	sent           bool // B2's effect: a byte went out
+	over, never    bool
+}
+
+// world is a host of a Table in miniature, its disk, and what is true. It breaks off with a breach.
+type world struct {
+	chance
+	without rule // the host does not wait for this
+	opt     Options
+	t       *Table
+	disk    []entry
+	queue   []waiting
+
+	now       int64 // true time, ns
+	boot      byte
+	booted    int64
+	offset    int64 // of the time of day
+	jobs      []*truth
+	known     map[string]*truth // open or kept, as the Table should have it
+	kept      []*truth          // by their ends
+	answered  []*truth          // of them, by their answers
+	lastFence Fence             // the highest that was used
+	damaged   bool
+	crashes   int
+	trace     func(format string, args ...any)
+}
+
+func newWorld(c chance, without rule) *world {
+	w := &world{chance: c, without: without, boot: 1, now: int64(1000 * time.Hour), known: map[string]*truth{}}
+	w.opt = Options{
+		Classes: []Class{
+			{Name: "read", Effect: Safe, Deadline: 60 * time.Second},
+			{Name: "pay", Effect: Keyed, Group: All, Window: 20 * time.Second, Deadline: 60 * time.Second},
+			{Name: "book", Effect: Keyed, Group: Zone, Window: 20 * time.Second, Deadline: 60 * time.Second},
+			{Name: "issue", Effect: Unsafe, Deadline: 60 * time.Second},
+			{Name: "issue2", Effect: Unsafe, Deadline: 60 * time.Second},
+		},
+		MaxOpen: 4, Keep: 30 * time.Second, KeepCount: 3, KeepBytes: 1 << 20, MaxJoiners: 1,
+	}
+	t, err := New(w.opt)
+	w.must(err == nil, "new: %v", err)
+	w.t = t
+	w.t.Recover(w.clock())
+	return w
+}
+
+func (w *world) must(ok bool, format string, args ...any) {
+	if !ok {
+		panic(breach(fmt.Sprintf(format, args...)))
+	}
+}
+
+func (w *world) log(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(format, args...)
+	}
+}
+
+func (w *world) clock() Clock {
+	return Clock{Boot: [16]byte{w.boot}, Mono: w.now - w.booted, Wall: w.now + w.offset}
+}
+
+// left tells that a rule is left out for records of that kind.
+func (w *world) left(e *entry) bool {
+	switch e.kind {
+	case Taken:
+		return w.without == "B1"
+	case Leased:
+		return w.without == "B2"
+	case Ended:
+		return w.without == "B3"
+	case Over:
+		return w.without == "B4"
+	case Mark:
+		return w.without == "B5"
+	}
+	return false
+}
+
+// write appends a step and, if it is to wait, puts its effect behind the next sync.
+func (w *world) write(s Step, what string, mustWrite bool, done, cannot func()) {
+	from := len(w.disk)
+	for i := range s.Records {
+		r := &s.Records[i]
+		w.log("write %v job %d %s fence %d never %v (%s)", r.Kind, r.Seq, r.Spec.ID, r.Fence, r.Never, what)
+		e := entry{kind: r.Kind, seq: r.Seq, data: r.Append(nil)}
+		if r.Kind == Mark {
+			e.seq = 0
+		}
+		w.disk = append(w.disk, e)
+	}
+	if !s.Sync {
+		if done != nil {
+			done()
+		}
+		return
+	}
+	// A rule that is left out: nobody waits for its record, so no sync is made to cover it.
+	if len(s.Records) > 0 && w.left(&w.disk[len(w.disk)-1]) || len(s.Records) == 0 && w.without == "B3" {
+		done()
+		return
+	}
+	w.queue = append(w.queue, waiting{what, from, len(w.disk), done, cannot, mustWrite})
+}
+
+func (w *world) sync() {
+	for i := range w.disk {
+		if e := &w.disk[i]; !w.left(e) && !e.failed {
+			e.synced = true
+		}
+	}
+}
+
+// flush makes a group commit: all that was appended, then the effects that waited for it.
+func (w *world) flush() {
+	for first := true; first || len(w.queue) > 0; first = false {
+		q := w.queue
+		w.queue = nil
+		w.sync()
+		for _, p := range q {
+			p.done()
+		}
+	}
+}
+
+// fail makes a commit of which some steps cannot be written; parts of them may be on the disk all the same.
+func (w *world) fail() {
+	q := w.queue
+	w.queue = nil
+	var bad, good []waiting
+	for _, p := range q {
+		if w.draw(2, "fails") == 0 {
+			good = append(good, p)
+			continue
+		}
+		bad = append(bad, p)
+		for i := p.from; i < p.to; i++ {
+			w.disk[i].failed = true
+		}
+	}
+	w.sync()
+	for i := range w.disk {
+		if e := &w.disk[i]; e.failed && w.draw(2, "stays") == 0 {
+			*e = entry{kind: 0, synced: true} // nothing is there
+		} else {
+			e.failed = false
+		}
+	}
+	w.disk = slices.DeleteFunc(w.disk, func(e entry) bool { return e.kind == 0 })
+	for _, p := range bad {
+		if p.mustWrite {
+			p.cannot()
+		} else {
+			p.done()
+		}
+	}
+	for _, p := range good {
+		p.done()
+	}
+}
+
+func (w *world) open() (out []*truth) {
+	for _, m := range w.jobs {
+		if w.known[m.spec.ID] == m && m.end == nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (w *world) forget(m *truth) {
+	m.forgotten = true
+	if w.known[m.spec.ID] == m {
+		delete(w.known, m.spec.ID)
+	}
+	is := func(k *truth) bool { return k == m }
+	w.kept = slices.DeleteFunc(w.kept, is)
+	w.answered = slices.DeleteFunc(w.answered, is)
+}
+
+// pick draws one of the jobs that are open and entered, or nil.
+func (w *world) pick() *truth {
+	open := slices.DeleteFunc(w.open(), func(m *truth) bool { return !m.entered })
+	if len(open) == 0 {
+		return nil
+	}
+	return open[w.draw(len(open), "job")]
+}
+
+func (w *world) out(m *truth) (Attempt, bool) {
+	v, ok := w.t.Get(w.clock(), m.seq)
+	w.must(ok, "job %d is not known", m.seq)
+	for i, a := range v.Attempts {
+		w.must(!a.Out || i == len(v.Attempts)-1, "job %d: two leases out", m.seq)
+		if a.Out {
+			return a, true
+		}
+	}
+	return Attempt{}, false
+}
+
+// sendingOf is the truth of a lease, or nil if the world never saw it.
+func (m *truth) sendingOf(f Fence) *sending {
+	for _, s := range m.attempts {
+		if s.fence == f {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) take() {
+	id := string("abcde"[w.draw(5, "id")])
+	class := w.opt.Classes[w.draw(len(w.opt.Classes), "class")]
+	spec := Spec{ID: id, Class: class.Name, Party: "p", Left: 60 * time.Second, Body: []byte(id)}
+	if m := w.known[id]; m != nil && w.draw(4, "same") > 0 {
+		spec, class = m.spec, m.class
+	}
+	spec.Digest = [32]byte{class.Name[0], byte(len(class.Name))}
+	m := w.known[id]
+	if m != nil && m.end != nil && w.now-m.endAt >= int64(w.opt.Keep) {
+		w.forget(m)
+		m = nil
+	}
+	want := Fresh
+	switch {
+	case m != nil && m.spec.Digest != spec.Digest:
+		want = Conflict
+	case m != nil && m.end != nil:
+		want = Known
+	case m != nil && m.waiting > w.opt.MaxJoiners:
+		want = Full
+	case m != nil:
+		want = Joined
+	case len(w.open()) >= w.opt.MaxOpen:
+		want = Full
+	}
+	got, step := w.t.Take(w.clock(), spec)
+	w.must(got.Kind == want, "take of %s: %v, want %v", id, got.Kind, want)
+	switch got.Kind {
+	case Fresh:
+		for _, k := range w.jobs {
+			w.must(k.seq < got.Seq || k.gone, "number %d comes again", got.Seq)
+		}
+		m = &truth{seq: got.Seq, spec: spec, class: class, born: w.now, waiting: 1}
+		w.jobs = append(w.jobs, m)
+		w.known[id] = m
+		w.must(step.Sync, "a taking that does not wait")
+		w.write(step, "take", true, func() { m.entered = true }, func() {
+			w.forget(m)
+			m.gone = true
+			w.write(w.t.Withdrawn(w.clock(), m.seq), "withdrawn", false, nil, nil)
+		})
+	case Joined:
+		w.must(got.Seq == m.seq, "joined %d, want %d", got.Seq, m.seq)
+		m.waiting++
+	case Known:
+		w.must(got.Seq == m.seq && same(got.Outcome, *m.end), "told %v, want %v", got.Outcome, *m.end)
+		w.must(step.Sync || m.told, "an answer that does not wait for its end")
+		w.write(step, "known", false, func() { m.told = true }, nil)
+	default:
+		w.must(got.Seq == 0 && len(step.Records) == 0, "%v tells of job %d", got.Kind, got.Seq)
+	}
+}
+
+func same(a, b Outcome) bool { return a.Kind == b.Kind && string(a.Result) == string(b.Result) }
+
+func (w *world) lease() {
+	m := w.pick()
+	if m == nil {
+		return
+	}
+	provider := string("xyz"[w.draw(3, "provider")])
+	view, _ := w.t.Get(w.clock(), m.seq)
+	allowed := view.Left > 0
+	for _, a := range view.Attempts {
+		switch {
+		case a.Out || a.MayHaveRun && m.class.Effect == Unsafe:
+			allowed = false
+		case a.MayHaveRun && m.class.Effect == Keyed:
+			allowed = allowed && a.AgoKnown && a.Ago <= m.class.Window && (m.class.Group == All || a.Provider != "")
+		}
+	}
+	f, step, err := w.t.Lease(w.clock(), m.seq, provider, 5*time.Second)
+	if m.hurt && err != nil {
+		return
+	}
+	w.must((err == nil) == allowed, "job %d: lease: %v, allowed by what is told: %v", m.seq, err, allowed)
+	if err != nil {
+		return
+	}
+	for _, s := range m.attempts {
+		w.must(!s.sent || s.over || m.hurt, "job %d leased with lease %d out", m.seq, s.fence)
+	}
+	w.must(step.Sync, "a lease that does not wait")
+	s := &sending{fence: f, provider: provider, leased: w.now}
+	m.attempts = append(m.attempts, s)
+	w.write(step, "lease", true, func() {
+		if w.t.Stands(w.clock(), m.seq, f) != nil {
+			s.over, s.never = true, true
+			w.write(w.t.Over(w.clock(), m.seq, f, true), "over", false, nil, nil)
+			return
+		}
+		w.send(m, s)
+	}, func() {
+		s.over, s.never = true, true
+		w.t.Unlease(m.seq, f)
+	})
+}
+
+// send is a job's first byte on its way. Here it shows whether it was right.
+func (w *world) send(m *truth, s *sending) {
+	s.sent, s.sentAt = true, w.now
+	w.must(s.fence > w.lastFence, "fence %d is used after %d", s.fence, w.lastFence)
+	w.lastFence = s.fence
+	for _, k := range m.attempts {
+		if k == s || !k.sent || k.never {
+			continue
+		}
+		w.must(m.class.Effect != Unsafe, "job %d, which must not run twice, is sent again: leases %d and %d", m.seq, k.fence, s.fence)
+		w.must(m.class.Effect != Keyed || w.now-k.sentAt <= int64(m.class.Window)+int64(time.Second),
+			"keyed job %d is sent again %v after its first time", m.seq, time.Duration(w.now-k.sentAt))
+	}
+}
+
+// present is the lease that is out at a job and was sent.
+func (w *world) present() (*truth, *sending) {
+	m := w.pick()
+	if m == nil {
+		return nil, nil
+	}
+	a, ok := w.out(m)
+	if !ok {
+		return nil, nil
+	}
+	s := m.sendingOf(a.Fence)
+	if s == nil || !s.sent {
+		return nil, nil
+	}
+	return m, s
+}
+
+func (w *world) over() {
+	m, s := w.present()
+	if m == nil {
+		return
+	}
+	never := s.never || !s.over && w.draw(2, "never") == 1
+	s.over, s.never = true, never
+	step := w.t.Over(w.clock(), m.seq, s.fence, never)
+	w.must(len(step.Records) == 1, "job %d: lease %d was not out", m.seq, s.fence)
+	w.write(step, "over", false, nil, nil)
+	w.must(len(w.t.Over(w.clock(), m.seq, s.fence, true).Records) == 0, "an attempt is over twice")
+}
+
+func (w *world) end(m *truth, out Outcome) {
+	step, err := w.t.End(w.clock(), m.seq, out)
+	w.must(err == nil && step.Sync, "end of %d: %v", m.seq, err)
+	m.end, m.endAt, m.waiting = &out, w.now, 0
+	for _, s := range m.attempts {
+		s.over = s.over || s.sent
+	}
+	w.kept = append(w.kept, m)
+	for len(w.kept) > w.opt.KeepCount {
+		if len(w.answered) > 0 {
+			w.forget(w.answered[0])
+		} else {
+			w.forget(w.kept[0])
+		}
+	}
+	w.write(step, "end", false, func() { m.told = true }, nil)
+	w.queueLoose(m)
+	_, err = w.t.End(w.clock(), m.seq, Outcome{Kind: Failed})
+	w.must(err != nil, "job %d ended twice", m.seq)
+}
+
+// queueLoose sees to it that an end that cannot be written is remembered as such.
+func (w *world) queueLoose(m *truth) {
+	if len(w.queue) == 0 || w.queue[len(w.queue)-1].what != "end" {
+		return
+	}
+	p := &w.queue[len(w.queue)-1]
+	p.mustWrite = true
+	p.cannot = func() { m.told, m.loose = true, true }
+}
+
+func (w *world) word() {
+	if len(w.jobs) == 0 {
+		return
+	}
+	m := w.jobs[w.draw(len(w.jobs), "of")]
+	provider := string("xyz"[w.draw(3, "from")])
+	fence := Fence(0)
+	if len(m.attempts) > 0 && w.draw(4, "names") > 0 {
+		s := m.attempts[w.draw(len(m.attempts), "lease")]
+		fence = s.fence
+		if w.draw(4, "itself") > 0 {
+			provider = s.provider
+		}
+	}
+	k := w.known[m.spec.ID]
+	if k != nil && k.end != nil && w.now-k.endAt >= int64(w.opt.Keep) {
+		return // it may be forgotten by now, or not
+	}
+	stale := w.t.Counts().Stale
+	seq, f, counts := w.t.Word(m.spec.ID, provider, fence)
+	if k == nil {
+		w.must(seq == 0 && !counts, "a word on a job that is not known counts")
+		return
+	}
+	want := false
+	var a Attempt
+	if k.end == nil {
+		var out bool
+		a, out = w.out(k)
+		want = out && (fence == 0 && a.Provider == provider ||
+			fence == a.Fence && (a.Provider == provider || a.Provider == ""))
+	}
+	w.must(seq == k.seq && counts == want && (!counts || f == a.Fence), "job %d: word of %s for %d counts: %v, want %v",
+		k.seq, provider, fence, counts, want)
+	if counts || k.end != nil {
+		w.must(counts == false || w.t.Counts().Stale == stale, "a word that counts is counted as stale")
+		if counts && k.sendingOf(f) != nil && k.sendingOf(f).sent && w.draw(2, "done") == 1 {
+			w.end(k, Outcome{Kind: Served, Result: fmt.Appendf(nil, "%d of %d", f, len(w.disk))})
+		}
+		return
+	}
+	w.must(w.t.Counts().Stale == stale+1, "a word that does not count is not counted")
+}
+
+func (w *world) forgetting() {
+	n, oldest := w.t.Forget(w.clock())
+	gone := 0
+	for _, m := range slices.Clone(w.kept) {
+		if w.now-m.endAt >= int64(w.opt.Keep) {
+			w.forget(m)
+			gone++
+		}
+	}
+	w.must(n == gone, "%d forgotten, want %d", n, gone)
+	for _, m := range w.known {
+		w.must(m.seq >= oldest, "job %d is needed, and %d is to be the oldest", m.seq, oldest)
+	}
+	if w.draw(2, "drop") == 0 {
+		return
+	}
+	mark := w.t.Mark()
+	w.disk = append(w.disk, entry{kind: Mark, data: mark.Append(nil)})
+	at := len(w.disk) - 1
+	w.flush()
+	whole := w.draw(2, "whole") == 1
+	left := w.disk[:0:0]
+	for i, e := range w.disk {
+		old := i < at && (e.kind == Mark || e.seq < oldest)
+		if !old || !whole && len(left) > 0 {
+			left = append(left, e)
+		}
+	}
+	w.disk = left
+	w.log("dropped below %d", oldest)
+}
+
+// crash ends the process, or the machine, and starts anew from what is on the disk.
+func (w *world) crash(power bool) {
+	w.queue = nil
+	w.crashes++
+	w.log("crash, power %v", power)
+	if power {
+		w.disk = slices.DeleteFunc(w.disk, func(e entry) bool { return !e.synced && w.draw(2, "lost") == 1 })
+		w.boot++
+		w.booted = w.now + int64(w.draw(20, "down"))*int64(time.Second)
+		w.now = w.booted + int64(w.draw(3, "up"))*int64(time.Second)
+	} else {
+		w.now += int64(w.draw(20, "down")) * int64(time.Second)
+	}
+	w.step()
+	if !w.damaged && w.without == "" && len(w.disk) > 0 && w.draw(4, "damage") == 0 {
+		i := w.draw(len(w.disk), "which")
+		e := &w.disk[i]
+		w.damaged = true
+		for _, m := range w.jobs {
+			m.hurt = m.hurt || m.seq == e.seq && e.kind != Mark
+		}
+		e.data = nil
+		if e.kind != Mark && w.draw(2, "whose") == 1 {
+			e.told = e.seq
+		}
+	}
+	t, err := New(w.opt)
+	w.must(err == nil, "new: %v", err)
+	w.t = t
+	for _, e := range w.disk {
+		w.log("on disk: %v job %d, damaged %v", e.kind, e.seq, e.data == nil)
+		if e.data == nil {
+			t.Lost(e.told)
+			continue
+		}
+		r, err := Decode(e.data)
+		w.must(err == nil, "decode: %v", err)
+		err = t.Replay(r)
+		w.must(err == nil || w.damaged || w.without != "", "replay: %v", err)
+	}
+	if w.draw(8, "again") == 0 {
+		w.crash(power) // while it recovers from the last one
+		return
+	}
+	w.sync()
+	resumed, missing := t.Recover(w.clock())
+	for _, x := range missing {
+		loose := slices.ContainsFunc(w.jobs, func(m *truth) bool { return m.seq == x.Seq && m.loose })
+		w.must(loose || w.damaged || w.without != "", "missing: %v", x)
+	}
+	w.compare(resumed)
+}
+
+// step sets the time of day an hour forth or back, or leaves it.
+func (w *world) step() { w.offset += int64(w.draw(3, "step")-1) * int64(time.Hour) }
+
+// compare holds what a restart found against what is true, and takes it from there.
+func (w *world) compare(resumed []Resumed) {
+	now := w.clock()
+	counts := w.t.Counts()
+	clear(w.known)
+	w.kept, w.answered = nil, nil
+	for i, m := range w.jobs {
+		m.waiting = 0
+		k := slices.IndexFunc(resumed, func(r Resumed) bool { return r.Seq == m.seq })
+		v, ok := w.t.Get(now, m.seq)
+		replaced := slices.ContainsFunc(w.jobs[i+1:], func(k *truth) bool { return k.spec.ID == m.spec.ID })
+		switch {
+		case !ok && !m.entered && !slices.ContainsFunc(w.disk, func(e entry) bool { return e.seq == m.seq }):
+			m.forgotten, m.gone = true, true // it never was; its number may come again
+			continue
+		case !ok:
+			full := counts.Evicted > 0
+			old := m.end != nil && w.now-m.endAt >= int64(w.opt.Keep)
+			w.must(k < 0 && (!m.entered || m.forgotten || replaced || m.end != nil && (full || old) ||
+				m.hurt && !slices.ContainsFunc(m.attempts, func(s *sending) bool { return s.sent })),
+				"job %d, which was taken, is not known", m.seq)
+			if m.entered && !m.forgotten {
+				m.forgotten = true
+			}
+			continue
+		case v.State >= StateEnded:
+			w.must(k < 0, "job %d has ended and is resumed", m.seq)
+			if m.gone {
+				w.must(v.Outcome.Kind == Rejected, "job %d was withdrawn, and ended as %v", m.seq, v.Outcome.Kind)
+				m.end = &v.Outcome
+			}
+			w.must(m.end != nil && same(*m.end, v.Outcome), "job %d: its outcome changed in the crash", m.seq)
+			m.forgotten, m.told, m.endAt = false, true, w.now-int64(v.Ago)
+			w.kept = append(w.kept, m)
+			if v.State == StateAnswered {
+				w.answered = append(w.answered, m)
+			}
+		default:
+			w.must(k >= 0, "job %d is open and not resumed", m.seq)
+			w.must(!m.told || m.loose || m.hurt, "job %d, whose end was told, is open again", m.seq)
+			if !m.told {
+				m.end = nil
+			}
+			w.resume(m, &resumed[k])
+			m.entered, m.forgotten, m.gone = true, false, false
+			m.end, m.told = nil, false
+		}
+		w.must(w.known[m.spec.ID] == nil, "two jobs are known as %s", m.spec.ID)
+		w.known[m.spec.ID] = m
+	}
+	byEnd := func(a, b *truth) int { return int(max(-1, min(1, a.endAt-b.endAt))) }
+	// Ends of the same moment keep the order of their records; find it as the Table has it.
+	slices.SortStableFunc(w.kept, byEnd)
+	w.kept, w.answered = nil, nil
+	for j := w.t.ended.head; j != nil; j = j.links[0].next {
+		w.kept = append(w.kept, w.known[j.spec.ID])
+	}
+	for j := w.t.answered.head; j != nil; j = j.links[1].next {
+		w.answered = append(w.answered, w.known[j.spec.ID])
+	}
+	w.must(slices.IsSortedFunc(w.kept, byEnd), "ended jobs out of their order")
+	w.must(len(resumed) == counts.Open, "%d resumed, %d open", len(resumed), counts.Open)
+	w.jobs = slices.DeleteFunc(w.jobs, func(m *truth) bool {
+		return !m.entered && w.known[m.spec.ID] != m && !slices.ContainsFunc(w.disk, func(e entry) bool { return e.seq == m.seq })
+	})
+}
+
+// resume holds an open job that a restart found against what is true.
+func (w *world) resume(m *truth, r *Resumed) {
+	w.must(r.Spec.ID == m.spec.ID && r.Spec.Digest == m.spec.Digest, "job %d is resumed as another", m.seq)
+	w.must(r.Left <= m.spec.Left, "job %d has more time than it had", m.seq)
+	out, ran := 0, false
+	for i, a := range r.Attempts {
+		if a.Out {
+			out++
+			w.must(i == len(r.Attempts)-1 && a.MayHaveRun, "job %d: an odd lease out", m.seq)
+		}
+	}
+	for _, s := range m.attempts {
+		ran = ran || s.sent && !s.never
+	}
+	switch r.Do {
+	case Again:
+		w.must(out == 0, "job %d goes again with a lease out", m.seq)
+		w.must(m.class.Effect != Unsafe || !ran, "job %d, which must not run twice, is to go again", m.seq)
+		w.must(r.Left > 0 && len(r.Spec.Body) > 0, "job %d goes again without time or body", m.seq)
+	case Wait:
+		w.must(out == 1, "job %d waits for nothing", m.seq)
+	case Fail:
+		w.must(r.Why != "", "job %d fails for nothing", m.seq)
+		safe := m.class.Effect == Safe && !m.hurt && !m.loose && r.Left > 0
+		w.must(!safe, "job %d could go again: %s", m.seq, r.Why)
+	}
+	laterSent := false
+	for _, s := range slices.Backward(m.attempts) {
+		if !s.sent {
+			continue
+		}
+		i := slices.IndexFunc(r.Attempts, func(a Attempt) bool { return a.Fence == s.fence })
+		if m.hurt {
+			continue
+		}
+		w.must(i >= 0, "job %d: lease %d was sent and is not known", m.seq, s.fence)
+		a := r.Attempts[i]
+		w.must(a.Provider == s.provider, "job %d: lease %d is said to be of %s", m.seq, s.fence, a.Provider)
+		w.must(s.over || a.Out, "job %d: lease %d is out and is said to be over", m.seq, s.fence)
+		w.must(s.never || a.MayHaveRun, "job %d: lease %d may have run and is said not to", m.seq, s.fence)
+		w.must(!laterSent || m.class.Effect != Unsafe || !a.MayHaveRun,
+			"job %d: lease %d was proven never to have run before a later one went out, and is said to have", m.seq, s.fence)
+		laterSent = true
+	}
+}
+
+// check holds what must be true at every point.
+func (w *world) check() {
+	c := w.t.Counts()
+	w.must(c.Kept <= w.opt.KeepCount && c.KeptBytes <= w.opt.KeepBytes && c.KeptBytes >= 0, "bounds: %+v", c)
+	w.must(c.Open == len(w.open()) && c.Kept == len(w.kept), "counts: %+v, want %d open and %d kept", c, len(w.open()), len(w.kept))
+	last, n := Seq(0), 0
+	for v := range w.t.Snapshot(w.clock()) {
+		w.must(v.Seq > last, "job %d after %d", v.Seq, last)
+		last = v.Seq
+		n++
+		m := w.known[v.Spec.ID]
+		w.must(m != nil && m.seq == v.Seq && (m.end != nil) == (v.State >= StateEnded) && m.waiting == v.Waiting,
+			"job %d is shown as %+v", v.Seq, v)
+		w.must(m.end == nil || same(v.Outcome, *m.end), "job %d: its outcome changed", v.Seq)
+		f, ok := w.t.Find(w.clock(), v.Spec.ID)
+		w.must(ok && f.Seq == v.Seq, "job %d is not found by its id", v.Seq)
+	}
+	w.must(n == len(w.known), "%d jobs shown, want %d", n, len(w.known))
+	leases := 0
+	for _, m := range w.open() {
+		if _, ok := w.out(m); ok {
+			leases++
+		}
+	}
+	w.must(len(w.t.due) <= leases, "%d leases can run out of %d", len(w.t.due), leases)
+}
+
+// act does one thing of a day.
+func (w *world) act() {
+	switch w.draw(20, "act") {
+	case 0, 1, 2:
+		w.take()
+	case 3, 4, 5:
+		w.lease()
+	case 6, 7:
+		w.over()
+	case 8:
+		if m, s := w.present(); m != nil {
+			w.write(w.t.Begin(w.clock(), m.seq, s.fence), "begin", false, nil, nil)
+			v, _ := w.t.Get(w.clock(), m.seq)
+			w.must(v.State == StateBegun, "job %d is %v after its begin", m.seq, v.State)
+		}
+	case 9, 10:
+		w.word()
+	case 11:
+		if m := w.pick(); m != nil {
+			if a, out := w.out(m); !out || m.sendingOf(a.Fence) == nil || m.sendingOf(a.Fence).sent {
+				w.end(m, Outcome{Kind: Failed})
+			}
+		}
+	case 12:
+		if len(w.kept) > 0 {
+			if m := w.kept[w.draw(len(w.kept), "answer")]; m.told && !m.gone {
+				step := w.t.Answered(m.seq)
+				w.must((len(step.Records) == 1) == !slices.Contains(w.answered, m), "job %d is answered again", m.seq)
+				if len(step.Records) > 0 {
+					w.answered = append(w.answered, m)
+				}
+				w.write(step, "answered", false, nil, nil)
+			}
+		}
+	case 13:
+		w.forgetting()
+	case 14:
+		w.now += int64(1+w.draw(15, "pass")) * int64(time.Second)
+		for _, l := range w.t.Expired(w.clock()) {
+			w.must(l.Silent >= 5*time.Second, "lease %d has run out after %v", l.Fence, l.Silent)
+		}
+	case 15, 16:
+		w.flush()
+	case 17:
+		if len(w.queue) > 0 {
+			w.fail()
+		} else if open := w.open(); len(open) > 0 {
+			m := open[w.draw(len(open), "leaves")]
+			w.t.Leave(m.seq)
+			m.waiting = max(0, m.waiting-1)
+		}
+	case 18:
+		w.step()
+	case 19:
+		w.crash(w.draw(3, "power") > 0)
+	}
+}
+
+// run lives through a day and returns the breach, if there is one.
+func (w *world) run(acts int) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			b, ok := p.(breach)
+			if !ok {
+				panic(p)
+			}
+			err = b
+		}
+	}()
+	for range acts {
+		w.act()
+		w.check()
+	}
+	w.crash(true)
+	w.check()
+	return nil
+}
+
+// Whatever a crash takes, all promises hold.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(byRapid{t}, "")
+		if err := w.run(rapid.IntRange(1, 120).Draw(t, "acts")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The same with more days of another source, which rapid would be slow for.
+func TestManyDays(t *testing.T) {
+	days := 20000
+	if testing.Short() {
+		days = 2000
+	}
+	for seed := range uint64(days) {
+		w := newWorld(bySeed{rand.New(rand.NewPCG(seed, 1))}, "")
+		if err := w.run(150); err != nil {
+			w = newWorld(bySeed{rand.New(rand.NewPCG(seed, 1))}, "")
+			w.trace = t.Logf
+			w.run(150)
+			t.Fatalf("day %d: %v", seed, err)
+		}
+	}
+}
+
+// A host that does not wait for one of the records breaks a promise, and it is seen which.
+func leftOut(t *testing.T, without rule, promise string) {
+	const days = 2000
+	seen := map[string]int{}
+	for seed := range uint64(days) {
+		w := newWorld(bySeed{rand.New(rand.NewPCG(seed, 2))}, without)
+		if err := w.run(150); err != nil {
+			seen[blank(err.Error())]++
+		}
+	}
+	if seen[promise] == 0 {
+		t.Errorf("without %s, %q never broke in %d days; what did: %v", without, promise, days, seen)
+	}
+	t.Logf("without %s in %d days: %v", without, days, seen)
+}
+
+// blank is a breach without its figures.
+func blank(s string) string {
+	out, last := "", byte(0)
+	for i := range len(s) {
+		c := s[i]
+		if c >= '0' && c <= '9' {
+			c = '#'
+		}
+		if c != '#' || last != '#' {
+			out += string(c)
+		}
+		last = c
+	}
+	return out
+}
+
+func TestWithoutB1TakenBeforeAnythingIsSent(t *testing.T) {
+	leftOut(t, "B1", "job #, which was taken, is not known")
+}
+
+func TestWithoutB2LeasedBeforeTheFirstByte(t *testing.T) {
+	leftOut(t, "B2", "job #, which must not run twice, is to go again")
+}
+
+func TestWithoutB3EndedBeforeTheAnswer(t *testing.T) {
+	leftOut(t, "B3", "job #, whose end was told, is open again")
+}
+
+func TestWithoutB4OverNeverBeforeTheNextLease(t *testing.T) {
+	leftOut(t, "B4", "job #: lease # was proven never to have run before a later one went out, and is said to have")
+}
+
+func TestWithoutB5MarkBeforeItsFences(t *testing.T) {
+	leftOut(t, "B5", "fence # is used after #")
+}
--- a/core/leases/leases.go
+++ b/core/leases/leases.go
@@ -23,7 +23,9 @@
 // time, but a restart may find the job as it was before.
 //
 // At a start the host calls Replay for each record of the store, Lost for each that was there and cannot be read, and
-// then Recover, once. Records of one job come in the order in which they were appended; those of several may mix.
+// then Recover, once. Records of one job come in the order in which they were appended; those of several may mix. What
+// was read may have been written by a process that was killed before it could sync: the host syncs the store before it
+// acts on what Recover tells.
 //
 // # What a crash may take
 //
@@ -133,7 +135,7 @@
 // Step is what has to be written. The zero Step is nothing.
 type Step struct {
 	Records []Record // to be appended in this order
-	Sync    bool     // the effect waits until these and all before them are on disk
+	Sync    bool     // the effect waits until these, and all that were appended before them, are on disk
 }
 
 // TakingKind says what became of a job that came in.
--- a/core/leases/replay.go
+++ b/core/leases/replay.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// lostJump is how far the fences go on above all that were seen if a record is lost, which may have been a Mark.
+// lostJump is how far the numbers of jobs and leases go on above all that were seen if a record is lost: it may have
+// been a Mark.
 const lostJump = 1 << 32
 
 // Replay takes a record that the store held at the start. An error tells of one that does not go with those before it;
@@ -248,6 +249,7 @@
 	})
 	if t.counts.Lost > 0 {
 		t.fence = min(t.fence+lostJump, numbers-1)
+		t.next = min(t.next+lostJump, numbers-1)
 	}
 	t.reserved = t.fence
 	var ended []*job
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -107,7 +107,8 @@
 	return t, nil
 }
 
-// Take takes a job that came in, or says why not. Fresh jobs have a Step, which B1 is about.
+// Take takes a job that came in, or says why not. The Step of a Fresh one is what B1 is about; that of a Known one, if
+// its end may not be on disk yet, has no records and is what B3 is about.
 func (t *Table) Take(now Clock, spec Spec) (Taking, Step) {
 	if j := t.byID[spec.ID]; j != nil && j.outcome != nil && ago(now, j.at) >= t.opt.Keep {
 		t.drop(j)
@@ -119,7 +120,7 @@
 			return Taking{Kind: Conflict}, Step{}
 		case j.outcome != nil:
 			t.counts.Joins++
-			return Taking{Kind: Known, Seq: j.seq, Outcome: *j.outcome}, Step{}
+			return Taking{Kind: Known, Seq: j.seq, Outcome: *j.outcome}, Step{Sync: !j.told}
 		case j.waiting > t.opt.MaxJoiners:
 			return Taking{Kind: Full}, Step{}
 		}
@@ -336,8 +337,9 @@
 
 // Word tells whether a provider's word on the job of that id counts, and for which lease: one that names its lease must
 // name the one that is out and be of the provider that holds it; fence 0 means that it named none, then the provider's
-// name decides. Others are counted as stale, but for repeats of the lease under which the job ended. Seq is 0 if no job
-// of that id is known here.
+// name decides. Others are counted as stale, but for repeats of the lease under which the job ended: these have a Fence,
+// and as B3 holds for them too, the host acknowledges them once all that was appended is on disk. Seq is 0 if no job of
+// that id is known here.
 func (t *Table) Word(id, provider string, fence Fence) (Seq, Fence, bool) {
 	j := t.byID[id]
 	if j == nil {
