--- a/core/leases/leases.go
+++ b/core/leases/leases.go
@@ -266,6 +266,7 @@
 	ErrTooLong  = errors.New("leases: longer than a record may hold")
 	ErrNumbers  = errors.New("leases: no numbers left")
 	ErrTaking   = errors.New("leases: the record of the job's taking is lost")
+	ErrEnding   = errors.New("leases: the job was answered, and the record of its end is lost")
 )
 
 func name[T ~uint8](v T, names ...string) string {
--- a/core/leases/replay.go
+++ b/core/leases/replay.go
@@ -43,6 +43,7 @@
 			// Of an Ended alone nothing follows: a job that was never leased has not run. See also Withdrawn.
 			if r.Kind != Ended || r.Outcome.Kind != Rejected {
 				t.misses(r.Seq, "", "the job's taking and lease; only "+r.Kind.String()+" is left")
+				t.doubts[r.Seq] = true // should its taking come later, which no store does
 			}
 			return nil
 		default:
@@ -211,7 +212,7 @@
 // runs on tells; otherwise the time of day, if it has not been set back since, by all that the records show.
 func (t *Table) elapsed(now, at Clock) (time.Duration, bool) {
 	d := now.Wall - at.Wall
-	known := now.Wall >= at.Wall && now.Wall >= t.wall
+	known := now.Wall >= t.wall // which no record's time is after
 	if now.Boot == at.Boot && now.Boot != [16]byte{} {
 		d, known = now.Mono-at.Mono, now.Mono >= at.Mono
 	}
@@ -307,17 +308,17 @@
 
 // resume tells what becomes of an open job.
 func (t *Table) resume(now Clock, j *job) Resumed {
-	a := j.out()
 	r := Resumed{Seq: j.seq, Spec: j.spec, Left: t.left(now, j), Attempts: j.list(now)}
-	err := t.may(now, j)
-	switch {
-	case j.halved:
-		r.Do, r.Why = Fail, "its end is lost, though it was answered"
-	case a != nil && !errors.Is(err, ErrTaking) && !errors.Is(err, ErrClass) && !errors.Is(err, ErrLate):
-		r.Do = Wait
-		t.start(now, j)
-	case err != nil:
+	switch err := t.may(now, j); err {
+	case ErrTaking, ErrEnding, ErrClass, ErrLate:
 		r.Do, r.Why = Fail, err.Error()
+	default:
+		if j.out() != nil {
+			r.Do = Wait
+			t.start(now, j)
+		} else if err != nil {
+			r.Do, r.Why = Fail, err.Error()
+		}
 	}
 	return r
 }
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -173,6 +173,8 @@
 	switch {
 	case j.orphan:
 		return ErrTaking
+	case j.halved:
+		return ErrEnding
 	case j.class == nil:
 		return ErrClass
 	case t.left(now, j) <= 0:
@@ -337,9 +339,9 @@
 
 // Word tells whether a provider's word on the job of that id counts, and for which lease: one that names its lease must
 // name the one that is out and be of the provider that holds it; fence 0 means that it named none, then the provider's
-// name decides. Others are counted as stale, but for repeats of the lease under which the job ended: these have a Fence,
-// and as B3 holds for them too, the host acknowledges them once all that was appended is on disk. Seq is 0 if no job of
-// that id is known here.
+// name decides. Others are counted as stale, but for repeats of the lease under which the job ended: these come back
+// with its Fence and, as B3 holds for them too, are acknowledged once all that was appended is on disk. Seq is 0 if no
+// job of that id is known here.
 func (t *Table) Word(id, provider string, fence Fence) (Seq, Fence, bool) {
 	j := t.byID[id]
 	if j == nil {
--- /dev/null
+++ b/core/leases/table_test.go
@@ -0,0 +1,958 @@
+package leases
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func options() Options {
+	return Options{
+		Classes: []Class{
+			{Name: "read", Effect: Safe, Deadline: time.Minute},
+			{Name: "pay", Effect: Keyed, Group: All, Window: 40 * time.Second, Deadline: time.Minute},
+			{Name: "book", Effect: Keyed, Group: Cell, Window: 40 * time.Second, Deadline: time.Minute},
+			{Name: "issue", Effect: Unsafe, Deadline: time.Minute},
+		},
+		MaxOpen: 1000, Keep: 30 * time.Second, KeepCount: 1000, KeepBytes: 1 << 30, MaxJoiners: 2,
+	}
+}
+
+// at is a moment of the first boot, that long after its begin.
+func at(d time.Duration) Clock {
+	return Clock{Boot: [16]byte{1}, Mono: int64(d), Wall: int64(1000*time.Hour + d)}
+}
+
+// reboot is a moment of the second boot: the time of day is that of the first one's then, moved by the step.
+func reboot(d, step time.Duration) Clock {
+	return Clock{Boot: [16]byte{2}, Mono: int64(time.Second), Wall: int64(1000*time.Hour + d + step)}
+}
+
+// desk is a Table and what it had written.
+type desk struct {
+	*testing.T
+	*Table
+	log []Record
+}
+
+func newDesk(t *testing.T, o Options) *desk {
+	t.Helper()
+	table, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Recover(at(0))
+	return &desk{T: t, Table: table}
+}
+
+func (d *desk) keep(s Step) { d.log = append(d.log, s.Records...) }
+
+// take takes a new job with a minute left.
+func (d *desk) take(now Clock, id, class string) Seq {
+	d.Helper()
+	got, s := d.Take(now, Spec{ID: id, Class: class, Left: time.Minute, Body: []byte(id)})
+	if got.Kind != Fresh {
+		d.Fatalf("%s is %v", id, got.Kind)
+	}
+	d.keep(s)
+	return got.Seq
+}
+
+func (d *desk) lease(now Clock, seq Seq, provider string) Fence {
+	d.Helper()
+	f, s, err := d.Lease(now, seq, provider, 5*time.Second)
+	if err != nil {
+		d.Fatalf("lease of %d: %v", seq, err)
+	}
+	d.keep(s)
+	return f
+}
+
+func (d *desk) over(now Clock, seq Seq, f Fence, never bool) {
+	d.Helper()
+	s := d.Over(now, seq, f, never)
+	if len(s.Records) != 1 {
+		d.Fatalf("lease %d of %d was not out", f, seq)
+	}
+	d.keep(s)
+}
+
+func (d *desk) end(now Clock, seq Seq, result string) {
+	d.Helper()
+	s, err := d.End(now, seq, Outcome{Kind: Served, Result: []byte(result)})
+	if err != nil || !s.Sync {
+		d.Fatalf("end of %d: %v", seq, err)
+	}
+	d.keep(s)
+}
+
+// restart makes a Table of what was written; lost says which records cannot be read.
+func (d *desk) restart(now Clock, lost func(r *Record) bool, whose bool) (*desk, []Resumed, []Missing) {
+	d.Helper()
+	table, err := New(d.opt)
+	if err != nil {
+		d.Fatal(err)
+	}
+	for i := range d.log {
+		switch r := d.log[i]; {
+		case lost == nil || !lost(&r):
+			if err := table.Replay(r); err != nil {
+				d.Fatalf("replay of %v: %v", r.Kind, err)
+			}
+		case whose:
+			table.Lost(r.Seq)
+		default:
+			table.Lost(0)
+		}
+	}
+	resumed, missing := table.Recover(now)
+	return &desk{T: d.T, Table: table, log: slices.Clone(d.log)}, resumed, missing
+}
+
+func TestOptions(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(o *Options)
+	}{
+		{"none open", func(o *Options) { o.MaxOpen = 0 }},
+		{"keep", func(o *Options) { o.Keep = -1 }},
+		{"count", func(o *Options) { o.KeepCount = -1 }},
+		{"bytes", func(o *Options) { o.KeepBytes = -1 }},
+		{"joiners", func(o *Options) { o.MaxJoiners = -1 }},
+		{"no name", func(o *Options) { o.Classes[0].Name = "" }},
+		{"a name twice", func(o *Options) { o.Classes[0].Name = "pay" }},
+		{"effect", func(o *Options) { o.Classes[0].Effect = Unsafe + 1 }},
+		{"group", func(o *Options) { o.Classes[0].Group = Cell + 1 }},
+		{"window", func(o *Options) { o.Classes[0].Window = -1 }},
+	} {
+		o := options()
+		c.change(&o)
+		if _, err := New(o); err == nil {
+			t.Errorf("%s: no error", c.name)
+		}
+	}
+}
+
+// What a restart makes of each state, by class: each line is a job's life, what is left of it after a kill, and what
+// after a loss of power with the clock set back an hour.
+func TestRestart(t *testing.T) {
+	for _, c := range []struct {
+		class, life   string
+		killed, power Do
+	}{
+		{"read", "", Again, Again},
+		{"pay", "", Again, Again},
+		{"book", "", Again, Again},
+		{"issue", "", Again, Again},
+		{"read", "lease", Wait, Wait},
+		{"pay", "lease", Wait, Wait},
+		{"issue", "lease", Wait, Wait},
+		{"issue", "lease begin", Wait, Wait},
+		{"read", "lease over", Again, Again},
+		{"pay", "lease over", Again, Fail},
+		{"book", "lease over", Again, Fail},
+		{"issue", "lease over", Fail, Fail},
+		{"read", "lease never", Again, Again},
+		{"pay", "lease never", Again, Again},
+		{"issue", "lease never", Again, Again},
+		{"issue", "lease never lease", Wait, Wait},
+		{"issue", "lease never lease never", Again, Again},
+		{"issue", "lease never lease over", Fail, Fail},
+		{"pay", "lease over lease never", Again, Fail},
+		{"pay", "lease over pass", Fail, Fail},
+		{"pay", "lease never pass", Again, Again},
+		{"pay", "lease pass", Wait, Wait},
+		{"read", "pass pass", Fail, Again},
+		{"issue", "lease pass pass", Fail, Wait},
+	} {
+		d := newDesk(t, options())
+		now := time.Second
+		seq := d.take(at(now), "a", c.class)
+		var f Fence
+		for _, act := range strings.Fields(c.life) {
+			now += time.Second
+			switch act {
+			case "lease":
+				f = d.lease(at(now), seq, "x")
+			case "begin":
+				d.keep(d.Begin(at(now), seq, f))
+			case "over", "never":
+				d.over(at(now), seq, f, act == "never")
+			case "pass":
+				now += 40 * time.Second
+			}
+		}
+		now += time.Second
+		left := max(0, time.Minute-now+time.Second)
+		for _, after := range []struct {
+			name  string
+			clock Clock
+			left  time.Duration
+			do    Do
+		}{
+			{"killed", at(now), left, c.killed},
+			{"killed, the clock steps back", at(now).set(-time.Hour), left, c.killed},
+			{"power", reboot(now, 0), left, c.killed},
+			{"power, the clock steps back", reboot(now, -time.Hour), time.Minute, c.power},
+			{"power, the clock steps forth", reboot(now, time.Hour), 0, Fail},
+		} {
+			_, got, missing := d.restart(after.clock, nil, false)
+			name := fmt.Sprintf("%s of %s: %s", c.life, c.class, after.name)
+			if len(got) != 1 || len(missing) != 0 {
+				t.Fatalf("%s: %+v, %v", name, got, missing)
+			}
+			r := got[0]
+			if r.Do != after.do || r.Left != after.left || (r.Why == "") != (r.Do != Fail) ||
+				string(r.Spec.Body) != "a" {
+				t.Errorf("%s: %v with %v left (%s), want %v with %v", name, r.Do, r.Left, r.Why, after.do, after.left)
+			}
+			if n := strings.Count(c.life, "lease"); len(r.Attempts) != n || n > 0 && r.Attempts[0].Provider != "x" {
+				t.Errorf("%s: attempts %+v", name, r.Attempts)
+			}
+		}
+	}
+}
+
+// A boot whose id is not known is never the same one: Mono tells nothing across processes then.
+func TestUnknownBoot(t *testing.T) {
+	d := newDesk(t, options())
+	c := at(time.Second)
+	c.Boot = [16]byte{}
+	d.take(c, "a", "read")
+	c.Mono, c.Wall = 0, c.Wall+int64(20*time.Second)
+	if _, got, _ := d.restart(c, nil, false); got[0].Left != 40*time.Second {
+		t.Errorf("%v left", got[0].Left)
+	}
+}
+
+// The clock was set back since, which a later record shows though the earlier one does not.
+func TestStepShownByALaterRecord(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(time.Second), "a", "pay")
+	d.over(at(2*time.Second), seq, d.lease(at(2*time.Second), seq, "x"), false)
+	d.take(at(50*time.Second), "b", "read")
+	_, got, _ := d.restart(reboot(60*time.Second, -50*time.Second), nil, false)
+	if got[0].Do != Fail || got[0].Attempts[0].AgoKnown {
+		t.Errorf("%+v", got[0])
+	}
+}
+
+// A worker goes silent, its lease runs out, and it finishes later.
+func TestSilentWorker(t *testing.T) {
+	d := newDesk(t, options())
+	issue, read := d.take(at(0), "i", "issue"), d.take(at(0), "r", "read")
+	fi, fr := d.lease(at(0), issue, "x"), d.lease(at(0), read, "x")
+	d.Beat(at(3*time.Second), issue, fi)
+	if l := d.Expired(at(5*time.Second - 1)); len(l) != 0 {
+		t.Fatalf("run out early: %+v", l)
+	}
+	want := []Lease{{Seq: read, Fence: fr, ID: "r", Class: "read", Provider: "x", Silent: 5 * time.Second}}
+	if l := d.Expired(at(5 * time.Second)); !reflect.DeepEqual(l, want) {
+		t.Fatalf("run out: %+v, want %+v", l, want)
+	}
+	d.Begin(at(7*time.Second), issue, fi)
+	if l := d.Expired(at(11 * time.Second)); len(l) != 0 {
+		t.Fatalf("run out %+v, though one began and one was told", l)
+	}
+	if l := d.Expired(at(12 * time.Second)); len(l) != 1 || l[0].Fence != fi || !l[0].Begun {
+		t.Fatalf("run out: %+v", l)
+	}
+	// What must not run twice stays with its worker: the lease stands, and its late word counts.
+	if _, _, err := d.Lease(at(13*time.Second), issue, "y", 0); !errors.Is(err, ErrOut) {
+		t.Errorf("leased again: %v", err)
+	}
+	if seq, f, ok := d.Word("i", "x", fi); seq != issue || f != fi || !ok {
+		t.Errorf("a word of a lease that stands: %v %v %v", seq, f, ok)
+	}
+	// A sign of life makes a lease hold again.
+	d.Beat(at(13*time.Second), issue, fi)
+	if l := d.Expired(at(18 * time.Second)); len(l) != 1 || l[0].Fence != fi {
+		t.Errorf("run out: %+v", l)
+	}
+	// What is safe went elsewhere: the late word changes nothing.
+	d.over(at(13*time.Second), read, fr, false)
+	if _, _, ok := d.Word("r", "x", fr); ok {
+		t.Error("a word counts with no lease out")
+	}
+	f2 := d.lease(at(14*time.Second), read, "y")
+	for _, w := range []struct {
+		provider string
+		fence    Fence
+		counts   bool
+	}{{"x", fr, false}, {"x", 0, false}, {"y", fr, false}, {"x", f2, false}, {"y", f2, true}, {"y", 0, true}} {
+		if seq, _, ok := d.Word("r", w.provider, w.fence); ok != w.counts || seq != read {
+			t.Errorf("%s for %d counts: %v", w.provider, w.fence, ok)
+		}
+	}
+	d.end(at(15*time.Second), read, "of y")
+	if seq, f, ok := d.Word("r", "y", f2); seq != read || f != f2 || ok {
+		t.Errorf("a repeat: %v %v %v", seq, f, ok)
+	}
+	if n := d.Counts().Stale; n != 5 {
+		t.Errorf("%d stale words, want 5", n)
+	}
+	if v, _ := d.Find(at(15*time.Second), "r"); string(v.Outcome.Result) != "of y" {
+		t.Errorf("%+v", v)
+	}
+	if seq, _, ok := d.Word("unknown", "x", 1); seq != 0 || ok || d.Counts().Stale != 5 {
+		t.Error("a word on another's job")
+	}
+	if l := d.Expired(at(time.Hour)); len(l) != 0 {
+		t.Errorf("run out: %+v", l)
+	}
+}
+
+// A lease that was out at the death begins its time anew: nobody could hear its worker.
+func TestLeaseAfterRestart(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "issue")
+	f := d.lease(at(0), seq, "x")
+	d, got, _ := d.restart(at(20*time.Second), nil, false)
+	if len(got) != 1 || got[0].Do != Wait || got[0].Attempts[0].Ago != 20*time.Second {
+		t.Fatalf("%+v", got)
+	}
+	if l := d.Expired(at(25*time.Second - 1)); len(l) != 0 {
+		t.Errorf("run out early: %+v", l)
+	}
+	if l := d.Expired(at(25 * time.Second)); len(l) != 1 {
+		t.Errorf("not run out: %+v", l)
+	}
+	if _, g, ok := d.Word("a", "x", f); !ok || g != f {
+		t.Error("the word of before the death does not count")
+	}
+	d.end(at(26*time.Second), seq, "done")
+}
+
+// A worker started anew under the same name says done for the old lease.
+func TestWorkerAnew(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "read")
+	old := d.lease(at(0), seq, "x")
+	d.over(at(time.Second), seq, old, false)
+	present := d.lease(at(2*time.Second), seq, "x")
+	if present <= old {
+		t.Fatalf("lease %d after %d", present, old)
+	}
+	if _, _, ok := d.Word("a", "x", old); ok {
+		t.Error("the old lease's word counts")
+	}
+	if _, f, ok := d.Word("a", "x", 0); !ok || f != present {
+		t.Error("a worker that names no lease is not taken by its name")
+	}
+	if _, _, ok := d.Word("a", "x", present); !ok {
+		t.Error("the present lease's word does not count")
+	}
+	if s := d.Over(at(3*time.Second), seq, old, true); len(s.Records) != 0 {
+		t.Error("the old lease is over again")
+	}
+	if s := d.Begin(at(3*time.Second), seq, old); len(s.Records) != 0 {
+		t.Error("the old lease begins")
+	}
+}
+
+// The id of a job that ended keep_s ago comes again, here and after a restart.
+func TestKeep(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "read")
+	d.end(at(10*time.Second), seq, "one")
+	spec := Spec{ID: "a", Class: "read", Left: time.Minute}
+	got, s := d.Take(at(40*time.Second-1), spec)
+	if got.Kind != Known || got.Seq != seq || string(got.Outcome.Result) != "one" || !s.Sync || len(s.Records) != 0 {
+		t.Errorf("%+v, %+v", got, s)
+	}
+	d.keep(d.Answered(seq))
+	if _, s = d.Take(at(40*time.Second-1), spec); s.Sync {
+		t.Error("who asks after the answer waits for the disk")
+	}
+	inFirst := at
+	inSecond := func(d time.Duration) Clock { return reboot(15*time.Second, 0).plus(d - 15*time.Second) }
+	for _, c := range []struct {
+		again *desk
+		now   func(time.Duration) Clock
+	}{
+		{d, inFirst},
+		{first3(d.restart(at(15*time.Second), nil, false)), inFirst},
+		{first3(d.restart(reboot(15*time.Second, 0), nil, false)), inSecond},
+	} {
+		again, now := c.again, c.now
+		if n, oldest := again.Forget(now(40*time.Second - 1)); n != 0 || oldest != seq {
+			t.Errorf("%d forgotten early, oldest %d", n, oldest)
+		}
+		if got, _ := again.Take(now(40*time.Second-1), spec); got.Kind != Known {
+			t.Errorf("%v just before keep_s", got.Kind)
+		}
+		got, s := again.Take(now(40*time.Second), spec)
+		if got.Kind != Fresh || got.Seq <= seq || len(s.Records) != 1 {
+			t.Errorf("%+v after keep_s", got)
+		}
+		if n, oldest := again.Forget(now(40 * time.Second)); n != 0 || oldest != got.Seq {
+			t.Errorf("%d forgotten, oldest %d, want %d", n, oldest, got.Seq)
+		}
+	}
+	// Set back an hour, the clock tells nothing: it is kept for as long as it would be from now on.
+	e, _, _ := d.restart(reboot(15*time.Second, -time.Hour), nil, false)
+	if n, _ := e.Forget(reboot(0, 0).plus(30*time.Second - 1)); n != 0 {
+		t.Error("forgotten early")
+	}
+	if n, _ := e.Forget(reboot(0, 0).plus(30 * time.Second)); n != 1 {
+		t.Error("not forgotten")
+	}
+}
+
+func first3[A, B, C any](a A, _ B, _ C) A { return a }
+
+// set is the moment with the time of day set by that much.
+func (c Clock) set(d time.Duration) Clock {
+	c.Wall += int64(d)
+	return c
+}
+
+func (c Clock) plus(d time.Duration) Clock {
+	c.Mono, c.Wall = c.Mono+int64(d), c.Wall+int64(d)
+	return c
+}
+
+// Two join one job and one leaves.
+func TestJoin(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "issue")
+	spec := Spec{ID: "a", Class: "issue", Left: time.Second}
+	for range 2 {
+		if got, s := d.Take(at(1), spec); got.Kind != Joined || got.Seq != seq || s.Sync || len(s.Records) > 0 {
+			t.Fatalf("%+v, %+v", got, s)
+		}
+	}
+	if got, _ := d.Take(at(1), spec); got.Kind != Full || got.Seq != 0 {
+		t.Errorf("one too many: %+v", got)
+	}
+	other := spec
+	other.Digest[3] = 1
+	if got, s := d.Take(at(1), other); got.Kind != Conflict || got.Seq != 0 || got.Outcome.Result != nil || s.Sync {
+		t.Errorf("another job: %+v", got)
+	}
+	d.Leave(seq)
+	if v, _ := d.Get(at(1), seq); v.Waiting != 2 || v.State != StateTaken || v.Left != time.Minute-1 {
+		t.Errorf("%+v", v)
+	}
+	if got, _ := d.Take(at(1), spec); got.Kind != Joined {
+		t.Errorf("no room where one left: %v", got.Kind)
+	}
+	for range 5 {
+		d.Leave(seq)
+	}
+	// With nobody left it goes on to its end.
+	f := d.lease(at(2), seq, "x")
+	if _, _, ok := d.Word("a", "x", f); !ok {
+		t.Error("the word of a job that nobody waits for does not count")
+	}
+	d.end(at(3), seq, "one")
+	if got, _ := d.Take(at(4), spec); got.Kind != Known || string(got.Outcome.Result) != "one" {
+		t.Errorf("%+v", got)
+	}
+	if got, _ := d.Take(at(4), other); got.Kind != Conflict || got.Seq != 0 || got.Outcome.Result != nil {
+		t.Errorf("another job after the end: %+v", got)
+	}
+	if s, err := d.End(at(5), seq, Outcome{Kind: Failed}); !errors.Is(err, ErrEnded) || len(s.Records) > 0 {
+		t.Errorf("a second end: %v", err)
+	}
+	if c := d.Counts(); c.Joins != 4 || c.Conflicts != 2 || c.Open != 0 || c.Kept != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Each rule of Lease.
+func TestLeaseRules(t *testing.T) {
+	d := newDesk(t, options())
+	refused := func(now Clock, seq Seq, provider string, want error) {
+		t.Helper()
+		if f, s, err := d.Lease(now, seq, provider, 0); !errors.Is(err, want) || f != 0 || len(s.Records) > 0 {
+			t.Errorf("lease %d, %v, want %v", f, err, want)
+		}
+	}
+	refused(at(0), 7, "x", ErrUnknown)
+	a := d.take(at(0), "a", "issue")
+	refused(at(0), a, "", ErrTooLong)
+	refused(at(0), a, strings.Repeat("x", MaxText+1), ErrTooLong)
+	refused(at(time.Minute), a, "x", ErrLate)
+	f := d.lease(at(0), a, "x")
+	refused(at(0), a, "x", ErrOut)
+	d.over(at(0), a, f, true)
+	f = d.lease(at(0), a, "x")
+	d.over(at(0), a, f, false)
+	refused(at(0), a, "y", ErrRan)
+	d.end(at(0), a, "")
+	refused(at(0), a, "x", ErrEnded)
+
+	b := d.take(at(0), "b", "pay")
+	d.over(at(0), b, d.lease(at(time.Second), b, "x"), false)
+	d.over(at(0), b, d.lease(at(30*time.Second), b, "x"), false)
+	d.over(at(0), b, d.lease(at(41*time.Second), b, "x"), true) // within 40 s of the first
+	refused(at(41*time.Second+1), b, "x", ErrWindow)
+
+	c := d.take(at(0), "c", "read")
+	for range maxTries {
+		d.over(at(0), c, d.lease(at(0), c, "x"), false)
+	}
+	refused(at(0), c, "x", ErrAttempts)
+}
+
+// The disk took so long to write a lease that it must not be used any more.
+func TestStands(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "pay")
+	d.over(at(time.Second), seq, d.lease(at(time.Second), seq, "x"), false)
+	f := d.lease(at(40*time.Second), seq, "x")
+	if err := d.Stands(at(41*time.Second), seq, f); err != nil {
+		t.Errorf("in time: %v", err)
+	}
+	if err := d.Stands(at(41*time.Second+1), seq, f); !errors.Is(err, ErrWindow) {
+		t.Errorf("after the window: %v", err)
+	}
+	if err := d.Stands(at(time.Minute), seq, f); !errors.Is(err, ErrLate) {
+		t.Errorf("after the job's time: %v", err)
+	}
+	if err := d.Stands(at(0), seq, f-1); !errors.Is(err, ErrNotOut) {
+		t.Errorf("another lease: %v", err)
+	}
+	if v, _ := d.Get(at(0), seq); !v.Attempts[1].MayHaveRun || !v.Attempts[1].Out {
+		t.Error("looking changed the lease")
+	}
+	d.end(at(0), seq, "")
+	if err := d.Stands(at(0), seq, f); !errors.Is(err, ErrEnded) {
+		t.Errorf("after the end: %v", err)
+	}
+	if err := d.Stands(at(0), 99, f); !errors.Is(err, ErrUnknown) {
+		t.Errorf("no job: %v", err)
+	}
+	u := d.take(at(0), "u", "issue")
+	if err := d.Stands(at(0), u, d.lease(at(0), u, "x")); err != nil {
+		t.Errorf("a first lease: %v", err)
+	}
+}
+
+// The oldest answered ones go first, then the oldest.
+func TestBounds(t *testing.T) {
+	ids := func(d *desk) (s string) {
+		for v := range d.Snapshot(at(0)) {
+			s += v.Spec.ID
+		}
+		return s
+	}
+	o := options()
+	o.KeepCount = 3
+	d := newDesk(t, o)
+	seqs := map[string]Seq{}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		seqs[id] = d.take(at(0), id, "read")
+	}
+	for _, c := range []struct{ end, answer, left string }{
+		{"a", "", "abcdef"}, {"b", "", "abcdef"}, {"c", "b", "abcdef"},
+		{"d", "", "acdef"}, {"e", "d", "cdef"}, {"f", "", "cef"},
+	} {
+		d.end(at(0), seqs[c.end], c.end)
+		if got := ids(d); got != c.left {
+			t.Errorf("after the end of %s: %s, want %s", c.end, got, c.left)
+		}
+		if c.answer != "" {
+			d.keep(d.Answered(seqs[c.answer]))
+		}
+	}
+	if c := d.Counts(); c.Kept != 3 || c.Evicted != 3 {
+		t.Errorf("%+v", c)
+	}
+	if _, oldest := d.Forget(at(0)); oldest != seqs["c"] {
+		t.Errorf("oldest %d, want %d", oldest, seqs["c"])
+	}
+
+	o = options()
+	o.KeepBytes = 10000
+	d = newDesk(t, o)
+	for i := range 50 {
+		seq := d.take(at(0), fmt.Sprint(i), "read")
+		d.end(at(0), seq, strings.Repeat("r", i*20))
+		if c := d.Counts(); c.KeptBytes > o.KeepBytes || c.KeptBytes < o.KeepBytes/2 && i > 20 {
+			t.Fatalf("%+v", c)
+		}
+	}
+	if c := d.Counts(); c.Evicted+uint64(c.Kept) != 50 || c.Kept == 0 {
+		t.Errorf("%+v", c)
+	}
+	// After a restart the bounds hold as well.
+	if c := first3(d.restart(at(0), nil, false)).Counts(); c.KeptBytes > o.KeepBytes || c.Kept == 0 {
+		t.Errorf("%+v", c)
+	}
+
+	o = options()
+	o.MaxOpen = 1
+	d = newDesk(t, o)
+	d.take(at(0), "a", "read")
+	if got, _ := d.Take(at(0), Spec{ID: "b", Class: "read"}); got.Kind != Full {
+		t.Errorf("%v with all places taken", got.Kind)
+	}
+}
+
+func TestInvalid(t *testing.T) {
+	d := newDesk(t, options())
+	for _, s := range []Spec{{Class: "read"}, {ID: "a", Class: "none"},
+		{ID: strings.Repeat("a", MaxText+1), Class: "read"},
+		{ID: "a", Class: "read", Party: strings.Repeat("a", MaxText+1)},
+		{ID: "a", Class: "read", Key: strings.Repeat("a", MaxText+1)},
+		{ID: "a", Class: "read", Body: make([]byte, MaxBody+1)}} {
+		if got, step := d.Take(at(0), s); got.Kind != Invalid || len(step.Records) > 0 {
+			t.Errorf("%.20s: %v", s.ID, got.Kind)
+		}
+	}
+	seq := d.take(at(0), "a", "read")
+	if _, err := d.End(at(0), seq, Outcome{Result: make([]byte, MaxBody+1)}); !errors.Is(err, ErrTooLong) {
+		t.Error(err)
+	}
+	if _, err := d.End(at(0), 99, Outcome{}); !errors.Is(err, ErrUnknown) {
+		t.Error(err)
+	}
+	s, err := d.End(at(0), seq, Outcome{Kind: Failed, Why: strings.Repeat("w", MaxText+1), RetryAfter: -1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(s.Records[0].Append(nil)); err != nil {
+		t.Errorf("an end that cannot be read: %v", err)
+	}
+}
+
+// A write that fails: the job never came, the lease was never given.
+func TestFailedWrites(t *testing.T) {
+	d := newDesk(t, options())
+	got, taken := d.Take(at(0), Spec{ID: "a", Class: "issue", Left: time.Minute, Body: []byte("a")})
+	d.Take(at(0), Spec{ID: "a", Class: "issue"})
+	s := d.Withdrawn(at(0), got.Seq)
+	if _, ok := d.Find(at(0), "a"); ok || d.Counts().Open != 0 || s.Sync || len(s.Records) != 1 {
+		t.Fatalf("%+v, %+v", d.Counts(), s)
+	}
+	// It reached the disk all the same, and so did the word that it is none.
+	d.keep(taken)
+	d.keep(s)
+	if _, resumed, missing := d.restart(at(0), nil, false); len(resumed) != 0 || len(missing) != 0 {
+		t.Errorf("%+v, %+v", resumed, missing)
+	}
+	// That word alone is nothing that is missing.
+	alone := &desk{T: t, Table: d.Table, log: s.Records}
+	if _, resumed, missing := alone.restart(at(0), nil, false); len(resumed) != 0 || len(missing) != 0 {
+		t.Errorf("%+v, %+v", resumed, missing)
+	}
+	// Its id is free; of two jobs of an id the later one counts.
+	d.log = d.log[:1]
+	seq := d.take(at(0), "a", "issue")
+	if _, resumed, _ := d.restart(at(0), nil, false); len(resumed) != 1 || resumed[0].Seq != seq {
+		t.Errorf("%+v", resumed)
+	}
+
+	f, step, err := d.Lease(at(0), seq, "x", time.Second)
+	if err != nil || len(step.Records) != 2 || step.Records[0].Kind != Mark {
+		t.Fatalf("%+v, %v", step, err)
+	}
+	d.Unlease(seq, f)
+	if l := d.Expired(at(time.Hour)); len(l) != 0 {
+		t.Errorf("it runs out: %+v", l)
+	}
+	g, step, err := d.Lease(at(0), seq, "x", time.Second)
+	kinds := []RecordKind{}
+	for _, r := range step.Records {
+		kinds = append(kinds, r.Kind)
+	}
+	// The Mark comes again, and so does what B4 is about.
+	if err != nil || g <= f || !slices.Equal(kinds, []RecordKind{Mark, Over, Leased}) || step.Records[0].Fence < g {
+		t.Errorf("lease %d after %d: %v, %v", g, f, kinds, err)
+	}
+	d.keep(step)
+	d.over(at(0), seq, g, true)
+	if _, step, _ := d.Lease(at(0), seq, "x", 0); len(step.Records) != 3 || step.Records[1].Fence != g {
+		t.Errorf("%+v", step.Records)
+	}
+	if s := d.Withdrawn(at(0), seq); len(s.Records) != 0 {
+		t.Error("a job that was leased is withdrawn")
+	}
+}
+
+// Numbers go on over restarts, also when all records but a Mark are gone, and over a Mark that cannot be read.
+func TestNumbersGoOn(t *testing.T) {
+	d := newDesk(t, options())
+	var f Fence
+	for i := range 3 {
+		seq := d.take(at(0), fmt.Sprint(i), "read")
+		f = d.lease(at(0), seq, "x")
+		d.end(at(0), seq, "")
+	}
+	if n, oldest := d.Forget(at(time.Minute)); n != 3 || oldest != 4 {
+		t.Errorf("%d forgotten, oldest %d", n, oldest)
+	}
+	mark := d.Mark()
+	if mark.Floor != 4 || mark.Seq != 4 || mark.Fence < f {
+		t.Errorf("%+v", mark)
+	}
+	e := &desk{T: t, Table: d.Table, log: []Record{mark}}
+	e, _, _ = e.restart(at(0), nil, false)
+	seq := e.take(at(0), "a", "read")
+	if g := e.lease(at(0), seq, "x"); g <= f || seq != 4 {
+		t.Errorf("job %d with lease %d", seq, g)
+	}
+	// Records below the floor, which a store may drop in part, are neither jobs nor missing; nor are those of a job
+	// whose end could not be written before it was forgotten.
+	for _, log := range [][]Record{d.log[2:], d.log[:3]} {
+		e = &desk{T: t, Table: d.Table, log: append(slices.Clone(log), mark)}
+		e, resumed, missing := e.restart(at(0), nil, false)
+		if c := e.Counts(); len(resumed) != 0 || len(missing) != 0 || c.Open != 0 || c.Kept != 0 {
+			t.Errorf("%+v, %+v, %+v", resumed, missing, c)
+		}
+	}
+	// A Mark that came with a lease covers the others of its block, whatever became of their records.
+	marks := slices.DeleteFunc(slices.Clone(d.log), func(r Record) bool { return r.Kind != Mark })
+	e = &desk{T: t, Table: d.Table, log: marks}
+	e, _, _ = e.restart(at(0), nil, false)
+	if g := e.lease(at(0), e.take(at(0), "a", "read"), "x"); len(d.log) < 9 || len(e.log) != 4 || g <= f {
+		t.Errorf("lease %d after %d, by the mark alone", g, f)
+	}
+	e, _, _ = d.restart(at(0), func(r *Record) bool { return r.Kind == Mark }, false)
+	seq = e.take(at(0), "a", "read")
+	if g := e.lease(at(0), seq, "x"); g <= mark.Fence {
+		t.Errorf("lease %d after the lost mark of %d", g, mark.Fence)
+	}
+	// The last numbers of all.
+	e = &desk{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: numbers - 1, Fence: numbers - 1}}}
+	e, _, _ = e.restart(at(0), nil, false)
+	if got, _ := e.Take(at(0), Spec{ID: "a", Class: "read"}); got.Kind != Full {
+		t.Errorf("%+v", got)
+	}
+	e = &desk{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: 1, Fence: numbers - 1}}}
+	e, _, _ = e.restart(at(0), nil, false)
+	if _, _, err := e.Lease(at(0), e.take(at(0), "a", "read"), "x", 0); !errors.Is(err, ErrNumbers) {
+		t.Error(err)
+	}
+}
+
+// A record that cannot be read costs itself, and never makes a second run: each record of a job's life in turn, with
+// the store knowing whose it is or not.
+func TestDamage(t *testing.T) {
+	for _, c := range []struct {
+		class, life string
+		lost        int // which record
+		want        string
+	}{
+		{"issue", "take", 0, "unknown"},
+		{"issue", "take lease", 0, "fail missing"},
+		{"issue", "take lease", 1, "fail"},
+		{"read", "take lease", 1, "again"},
+		{"pay", "take lease", 1, "again"},
+		{"book", "take lease", 1, "fail"},
+		{"issue", "take lease begin", 1, "wait missing"},
+		{"issue", "take lease begin", 2, "wait"},
+		{"issue", "take lease never", 1, "fail"},
+		{"issue", "take lease never", 2, "wait"},
+		{"issue", "take lease never lease", 2, "wait"},
+		{"issue", "take lease never lease", 4, "fail"},
+		{"issue", "take lease over", 1, "fail missing"},
+		{"read", "take lease over", 1, "again missing"},
+		{"book", "take lease over", 1, "fail missing"},
+		{"pay", "take lease over", 1, "again missing"},
+		{"issue", "take lease end", 0, "ended missing"},
+		{"issue", "take lease end", 1, "ended"},
+		{"issue", "take lease end", 2, "wait"},
+		{"read", "take end", 0, "unknown missing"},
+		{"issue", "take lease end answer", 2, "fail missing"},
+		{"read", "take end answer", 1, "fail missing"},
+		{"issue", "take lease end answer", 3, "ended"},
+	} {
+		for _, whose := range []bool{false, true} {
+			d := newDesk(t, options())
+			d.lease(at(0), d.take(at(0), "another", "read"), "x") // and the Mark
+			from := len(d.log)
+			var seq Seq
+			var f Fence
+			for _, act := range strings.Fields(c.life) {
+				switch act {
+				case "take":
+					seq = d.take(at(0), "a", c.class)
+				case "lease":
+					f = d.lease(at(0), seq, "x")
+				case "begin":
+					d.keep(d.Begin(at(0), seq, f))
+				case "over", "never":
+					d.over(at(0), seq, f, act == "never")
+				case "end":
+					d.end(at(0), seq, "one")
+				case "answer":
+					d.keep(d.Answered(seq))
+				}
+			}
+			n := -1
+			lost := func(*Record) bool { n++; return n == from+c.lost }
+			e, resumed, missing := d.restart(at(time.Second), lost, whose)
+			got := "unknown"
+			if v, ok := e.Find(at(time.Second), "a"); ok && v.State >= StateEnded {
+				got = "ended"
+				if string(v.Outcome.Result) != "one" {
+					t.Errorf("%s: %+v", c.life, v)
+				}
+			}
+			for _, r := range resumed {
+				if r.Seq == seq {
+					got = r.Do.String()
+				}
+				if r.Seq == seq && c.lost == 0 && !strings.Contains(r.Why, "taking is lost") {
+					t.Errorf("%s: it fails as %q", c.life, r.Why)
+				}
+				if r.Seq != seq && r.Do != Wait {
+					t.Errorf("%s: another job is to %v", c.life, r.Do)
+				}
+			}
+			if len(missing) > 0 {
+				got += " missing"
+				if len(missing) > 1 || missing[0].Seq != seq || missing[0].What == "" {
+					t.Errorf("%s: %+v", c.life, missing)
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s of %s without record %d: %s, want %s", c.life, c.class, c.lost, got, c.want)
+			}
+			if e.Counts().Lost != 1 {
+				t.Errorf("%+v", e.Counts())
+			}
+			// Who asks again never makes it run again where it may have run.
+			k, _ := e.Take(at(time.Second), Spec{ID: "a", Class: c.class, Left: time.Minute})
+			if fresh := strings.HasPrefix(c.want, "unknown"); (k.Kind == Fresh) != fresh {
+				t.Errorf("%s of %s without record %d: asked again, it is %v", c.life, c.class, c.lost, k.Kind)
+			}
+		}
+	}
+}
+
+// A class that is no longer in the settings: what was taken fails rather than go by other rules.
+func TestClassGone(t *testing.T) {
+	d := newDesk(t, options())
+	seq := d.take(at(0), "a", "read")
+	d.lease(at(0), seq, "x")
+	d.opt.Classes = d.opt.Classes[1:]
+	e, got, _ := d.restart(at(0), nil, false)
+	if len(got) != 1 || got[0].Do != Fail || !strings.Contains(got[0].Why, "class") {
+		t.Errorf("%+v", got)
+	}
+	e.end(at(0), seq, "")
+}
+
+// Records that contradict each other are named, and the cautious reading stays.
+func TestContradictions(t *testing.T) {
+	taken := Record{Kind: Taken, Seq: 1, Spec: Spec{ID: "a", Class: "issue", Left: time.Minute}}
+	leased := func(f Fence) Record {
+		return Record{Kind: Leased, Seq: 1, Fence: f, Provider: "x", Spec: Spec{ID: "a"}}
+	}
+	ended := func(k Kind) Record { return Record{Kind: Ended, Seq: 1, Outcome: Outcome{Kind: k}} }
+	other, another := taken, taken
+	other.Spec.ID = "b"
+	another.Spec.Digest[0] = 1
+	for _, c := range []struct {
+		name string
+		recs []Record
+		bad  bool
+	}{
+		{"all twice", []Record{taken, taken, leased(1), leased(1), ended(Served), ended(Served)}, false},
+		{"the lease first", []Record{leased(1), taken}, false},
+		{"taken as two", []Record{taken, other}, true},
+		{"taken as two of an id", []Record{taken, another}, true},
+		{"two ends", []Record{taken, ended(Served), ended(Failed)}, true},
+		{"a lease after the end", []Record{taken, ended(Served), leased(1)}, true},
+		{"leases out of order", []Record{taken, leased(2), leased(1)}, true},
+		{"no kind", []Record{taken, {Kind: 9, Seq: 1}}, true},
+	} {
+		table, _ := New(options())
+		var err error
+		for _, r := range c.recs {
+			err = errors.Join(err, table.Replay(r))
+		}
+		if (err != nil) != c.bad {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		resumed, _ := table.Recover(at(0))
+		for _, r := range resumed {
+			if r.Do == Again && len(c.recs) > 2 {
+				t.Errorf("%s: goes again", c.name)
+			}
+		}
+		if err := table.Replay(taken); err == nil {
+			t.Errorf("%s: a replay after the recovery", c.name)
+		}
+		if again, _ := table.Recover(at(0)); again != nil {
+			t.Errorf("%s: recovered twice", c.name)
+		}
+	}
+	// More leases than a Table gives.
+	table, _ := New(options())
+	table.Replay(taken)
+	for f := range Fence(maxTries) {
+		table.Replay(leased(f + 1))
+		table.Replay(Record{Kind: Over, Seq: 1, Fence: f + 1, Never: true})
+	}
+	if err := table.Replay(leased(maxTries + 1)); err == nil {
+		t.Error("no word of too many leases")
+	}
+	if r, _ := table.Recover(at(0)); len(r) != 1 || r[0].Do != Fail {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Whatever records there are, in whatever order: nothing panics, and no job that must not run twice goes again when a
+// lease of it is there that is not proven never to have run.
+func TestAnyRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, err := New(options())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ran, proven := map[Seq]map[Fence]bool{}, map[Seq]map[Fence]bool{}
+		for range rapid.IntRange(0, 40).Draw(t, "records") {
+			r := anyRecord(t)
+			r.Seq = Seq(rapid.IntRange(1, 4).Draw(t, "job"))
+			r.Fence = Fence(rapid.IntRange(1, 6).Draw(t, "lease"))
+			r.Floor = 0
+			r.Spec.ID = string("abcd"[r.Seq-1])
+			r.Spec.Class = "issue"
+			r.Clock.Mono, r.Clock.Wall = 0, 0
+			r.Spec.Left = time.Minute
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				table.Lost(Seq(rapid.IntRange(0, 4).Draw(t, "whose")))
+				continue
+			}
+			table.Replay(r)
+			if ran[r.Seq] == nil {
+				ran[r.Seq], proven[r.Seq] = map[Fence]bool{}, map[Fence]bool{}
+			}
+			switch {
+			case r.Kind == Leased || r.Kind == Begun:
+				ran[r.Seq][r.Fence] = true
+			case r.Kind == Over && r.Never:
+				proven[r.Seq][r.Fence] = true
+			}
+		}
+		resumed, _ := table.Recover(Clock{})
+		for _, r := range resumed {
+			for f := range ran[r.Seq] {
+				if r.Do == Again && !proven[r.Seq][f] {
+					t.Fatalf("job %d goes again, lease %d may have run", r.Seq, f)
+				}
+			}
+			_, _, err := table.Lease(Clock{}, r.Seq, "x", time.Second)
+			if (err == nil) != (r.Do == Again) {
+				t.Fatalf("job %d is to %v, leased: %v", r.Seq, r.Do, err)
+			}
+			if _, err := table.End(Clock{}, r.Seq, Outcome{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if c := table.Counts(); c.Open != 0 || len(table.due) != 0 {
+			t.Fatalf("%+v, %d leases that can run out", c, len(table.due))
+		}
+	})
+}
