--- a/consumer/http.go
+++ b/consumer/http.go
@@ -27,6 +27,8 @@
 	fields http1.Fields
 	body   []byte
 	last   bool // the connection ends after it
+
+	written func() // is called once it is out; nil: nobody asks
 }
 
 func (a *answer) bytes() []byte {
@@ -76,7 +78,13 @@
 	s.mu.Lock()
 	a.last = a.last || head.Close || s.ending || c.woken
 	s.mu.Unlock()
-	return s.write(c, a) && !a.last
+	if !s.write(c, a) {
+		return false
+	}
+	if a.written != nil {
+		a.written()
+	}
+	return !a.last
 }
 
 // write sends an answer and tells whether all of it went out.
@@ -103,6 +111,9 @@
 			return text(405, "POST only"), true
 		}
 		if err := s.CallBack(body); err != nil {
+			if errors.Is(err, job.ErrLater) {
+				return text(500, err.Error()), true
+			}
 			s.Log.Warn("malformed call-back", "from", c.RemoteAddr(), "err", err)
 			return text(400, err.Error()), true
 		}
@@ -127,21 +138,29 @@
 
 // word makes an outcome an answer. It reports false if there is nobody left to answer.
 func (s *Server) word(out job.Outcome) (answer, bool) {
+	a := text(502, "failed")
+	after := out.RetryAfter
 	switch out.Kind {
 	case job.Served:
-		return answer{status: 200, body: out.Result}, true
+		a, after = answer{status: 200, body: out.Result}, 0
 	case job.Rejected:
-		a := text(503, "rejected: try again later")
-		if after := out.RetryAfter; after > 0 {
-			a.fields = http1.Fields{{Name: "Retry-After", Value: retryAfter(after, s.Settings.MaxRetryAfter)}}
-		}
-		return a, true
+		a = text(503, "rejected: try again later")
 	case job.Gone:
 		return answer{}, false
 	case job.Mistaken:
-		return text(400, out.Why), true
+		a, after = text(400, out.Why), 0
+	case job.Conflict:
+		a, after = text(409, "this id is another job's"), 0
+	default:
+		if after > 0 {
+			a = text(502, "not over yet: ask again with the same id")
+		}
+	}
+	if after > 0 {
+		a.fields = http1.Fields{{Name: "Retry-After", Value: retryAfter(after, s.Settings.MaxRetryAfter)}}
 	}
-	return text(502, "failed"), true
+	a.written = out.Written
+	return a, true
 }
 
 // status answers who asks how a job stands. One answer tells all others nothing, not even that there is such a job.
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -448,6 +448,21 @@
 	return forgotten, t.oldest()
 }
 
+// Shed forgets the jobs below a number that have ended, whatever time they have left: the store has no room for them.
+func (t *Table) Shed(below Seq) (forgotten int) {
+	for _, j := range t.order {
+		if j.seq >= below {
+			break
+		}
+		if !j.gone && j.outcome != nil {
+			t.drop(j)
+			t.counts.Evicted++
+			forgotten++
+		}
+	}
+	return forgotten
+}
+
 // oldest is the lowest number that is still needed.
 func (t *Table) oldest() Seq {
 	n := 0
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,9 @@
 
 func (e End) String() string { return endNames[e] }
 
+// Proves tells whether the end proves that the job never ran.
+func (e End) Proves() bool { return e <= Unusable }
+
 // Job is what the decisions need to know of a consumer's request.
 type Job struct {
 	Class, Tenant int
--- /dev/null
+++ b/durable/clock_linux.go
@@ -0,0 +1,35 @@
+package durable
+
+import (
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"laddertide/core/leases"
+)
+
+// boot names this boot of the machine; all zero if the system does not tell.
+var boot = sync.OnceValue(func() (id [16]byte) {
+	raw, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return id
+	}
+	b, err := hex.DecodeString(strings.ReplaceAll(strings.TrimSpace(string(raw)), "-", ""))
+	if err == nil {
+		copy(id[:], b)
+	}
+	return id
+})
+
+// now is the moment by clocks that go on while no process runs.
+func now() leases.Clock {
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return fallback()
+	}
+	return leases.Clock{Boot: boot(), Mono: ts.Nano(), Wall: time.Now().UnixNano()}
+}
--- /dev/null
+++ b/durable/clock_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package durable
+
+import "laddertide/core/leases"
+
+func now() leases.Clock { return fallback() }
--- /dev/null
+++ b/durable/durable.go
@@ -0,0 +1,518 @@
+// Package durable keeps jobs of some classes over the death of the program: it is a Handler that takes a job for good
+// before the next Handler hears of it, keeps what is sent to providers and what comes back, answers those who ask for
+// the same job again, and goes on after a restart with what was open. It owns the ledger and the table of its jobs. What
+// must be on disk before what, and what a restart makes of a job, is decided by core/leases; which provider gets a job
+// and whether it goes again is the decision module's; it words no answer and opens no connection.
+package durable
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"laddertide/core/leases"
+	"laddertide/job"
+	"laddertide/ledger"
+	"laddertide/policy"
+	"laddertide/provider"
+)
+
+// Store is where records go. See [ledger.Store].
+type Store interface {
+	Append(seq uint64, records ...[]byte) ledger.Commit
+	Trim(oldest uint64, mark []byte) error
+	Size() int64
+	Close() error
+}
+
+// Handler is the keeper of durable jobs.
+type Handler struct {
+	set     Settings
+	classes []policy.Class
+	tenants []policy.Tenant
+	durable []bool // by class
+	pool    *provider.Pool
+	next    job.Handler
+	log     *slog.Logger
+	store   Store
+	clock   func() leases.Clock
+
+	mu     sync.Mutex // guards what follows, and the order in which records are appended
+	table  *leases.Table
+	live   map[leases.Seq]*entry // open jobs
+	left   bool                  // what is open is left to the next process
+	lost   uint64                // ends that could not be written
+	warned time.Time
+
+	work   sync.WaitGroup // of jobs that are carried
+	ending chan struct{}  // closed when the handler is closed
+	ended  sync.WaitGroup // of its own goroutines
+}
+
+// entry is an open job.
+type entry struct {
+	h      *Handler
+	seq    leases.Seq
+	job    job.Job
+	due    time.Time // by when its consumer must have its answer
+	past   []job.Past
+	again  bool // an earlier process had it
+	cancel context.CancelCauseFunc
+
+	listening func() // is to be called once its call's listener is there, or it has ended; nil: nobody asks
+
+	done chan struct{} // closed when out is there
+	out  job.Outcome
+}
+
+var (
+	errEnded = errors.New("durable: the job has ended")
+	errDisk  = errors.New("durable: not on disk in time")
+	errLeft  = errors.New("durable: left to the next process")
+)
+
+// beforeEnd is how long before its time is over a job's end is no longer waited for on its way to the disk.
+const beforeEnd = 5 * time.Millisecond
+
+// Handle implements job.Handler.
+func (h *Handler) Handle(ctx context.Context, j *job.Job) job.Outcome {
+	if j.Class >= len(h.durable) || !h.durable[j.Class] {
+		return h.next.Handle(ctx, j)
+	}
+	due := time.Now().Add(j.Left)
+	spec := leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
+		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
+	h.mu.Lock()
+	if h.left { // nothing more is taken: what could end has ended
+		h.mu.Unlock()
+		return job.Outcome{Kind: job.Rejected}
+	}
+	taking, step := h.take(spec)
+	commit := h.append(step)
+	var e *entry
+	switch taking.Kind {
+	case leases.Fresh:
+		e = h.open(taking.Seq, *j, due)
+	case leases.Joined:
+		e = h.live[taking.Seq]
+	}
+	h.mu.Unlock()
+	switch taking.Kind {
+	case leases.Fresh:
+		if err := h.wait(commit, due); err != nil {
+			return h.withdraw(e, err)
+		}
+		h.carry(e)
+	case leases.Known:
+		if step.Sync {
+			h.wait(commit, due) // what is told must not change; if it cannot be kept, it is told all the same
+		}
+		return h.told(taking.Seq, taking.Outcome)
+	case leases.Conflict:
+		return job.Outcome{Kind: job.Conflict}
+	case leases.Full:
+		return job.Outcome{Kind: job.Rejected}
+	case leases.Invalid:
+		return job.Outcome{Kind: job.Mistaken, Why: "the job is too large to be kept"}
+	}
+	select {
+	case <-e.done:
+		return e.out
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	h.table.Leave(e.seq)
+	h.mu.Unlock()
+	return job.Outcome{Kind: job.Gone}
+}
+
+// take takes a job into the table, unless it is a new one and the ledger is as large as it may be. Called under mu.
+func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
+	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= int64(h.set.MaxMB)<<20 {
+		return leases.Taking{Kind: leases.Full}, leases.Step{}
+	}
+	return h.table.Take(h.clock(), spec)
+}
+
+// open makes an entry. Called under mu.
+func (h *Handler) open(seq leases.Seq, j job.Job, due time.Time) *entry {
+	e := &entry{h: h, seq: seq, job: j, due: due, done: make(chan struct{})}
+	e.job.Keeper = e
+	h.live[seq] = e
+	return e
+}
+
+// withdraw ends a job whose taking is not on disk: nothing of it was sent.
+func (h *Handler) withdraw(e *entry, err error) job.Outcome {
+	h.trouble("jobs are not taken", err)
+	h.mu.Lock()
+	h.append(h.table.Withdrawn(h.clock(), e.seq))
+	delete(h.live, e.seq)
+	h.mu.Unlock()
+	e.out = job.Outcome{Kind: job.Rejected}
+	close(e.done)
+	return e.out
+}
+
+// carry takes a job through the next Handler, apart from any connection.
+func (h *Handler) carry(e *entry) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	h.mu.Lock()
+	e.cancel = cancel
+	left := h.left
+	h.mu.Unlock()
+	if left {
+		cancel(errLeft)
+	}
+	h.work.Go(func() {
+		defer cancel(nil)
+		out := h.through(ctx, e)
+		h.end(e, out)
+	})
+}
+
+// through is the next Handler; a panic in it is this job's alone.
+func (h *Handler) through(ctx context.Context, e *entry) (out job.Outcome) {
+	defer func() {
+		if r := recover(); r != nil {
+			h.log.Error("panic while carrying a durable job", "panic", r, "stack", string(debug.Stack()))
+			out = job.Outcome{Kind: job.Failed}
+		}
+	}()
+	return h.next.Handle(ctx, &e.job)
+}
+
+// end gives a job its one end, and those who wait their answer once that is kept.
+func (h *Handler) end(e *entry, out job.Outcome) {
+	e.Awaiting()
+	h.mu.Lock()
+	if h.left && out.Kind != job.Served && h.unended(e.seq) {
+		// It goes on in the next process, where its consumer may ask again.
+		delete(h.live, e.seq)
+		h.mu.Unlock()
+		e.out = job.Outcome{Kind: job.Failed, RetryAfter: askAgain}
+		close(e.done)
+		return
+	}
+	step, err := h.table.End(h.clock(), e.seq, outcome(out))
+	if errors.Is(err, leases.ErrTooLong) {
+		step, err = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
+	}
+	commit := h.append(step)
+	var kept leases.Outcome
+	if j, ok := h.table.Get(h.clock(), e.seq); ok {
+		kept = j.Outcome
+	} else {
+		kept = outcome(out) // it was forgotten at once, for want of room
+	}
+	h.mu.Unlock()
+	if werr := h.wait(commit, e.due.Add(-beforeEnd)); werr != nil {
+		// Its consumer must have its answer in time, kept or not.
+		h.mu.Lock()
+		h.lost++
+		h.mu.Unlock()
+		h.trouble("ends of jobs are not kept", werr)
+	}
+	h.mu.Lock()
+	delete(h.live, e.seq)
+	h.mu.Unlock()
+	e.out = h.told(e.seq, kept)
+	close(e.done)
+}
+
+// askAgain is when the consumer of a job that the next process goes on with should ask for it again.
+const askAgain = time.Second
+
+// unended tells whether a job has no end yet. Called under mu.
+func (h *Handler) unended(seq leases.Seq) bool {
+	j, ok := h.table.Get(h.clock(), seq)
+	return ok && j.State < leases.StateEnded
+}
+
+func outcome(out job.Outcome) leases.Outcome {
+	k := leases.Outcome{Kind: leases.Failed, RetryAfter: out.RetryAfter, Why: out.Why}
+	switch out.Kind {
+	case job.Served:
+		k.Kind, k.Result = leases.Served, out.Result
+	case job.Rejected:
+		k.Kind = leases.Rejected
+	case job.Mistaken:
+		k.Kind = leases.Mistaken
+	}
+	return k
+}
+
+// told is an outcome for a front.
+func (h *Handler) told(seq leases.Seq, k leases.Outcome) job.Outcome {
+	out := job.Outcome{Kind: job.Failed}
+	switch k.Kind {
+	case leases.Served:
+		out = job.Outcome{Kind: job.Served, Result: k.Result}
+	case leases.Rejected:
+		out = job.Outcome{Kind: job.Rejected, RetryAfter: k.RetryAfter}
+	case leases.Mistaken:
+		out = job.Outcome{Kind: job.Mistaken, Why: k.Why}
+	}
+	out.Written = func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.append(h.table.Answered(seq))
+	}
+	return out
+}
+
+// append hands a step's records to the ledger; nil if there is nothing to wait for. Called under mu, as the order of
+// the records is that of the table's steps.
+func (h *Handler) append(step leases.Step) ledger.Commit {
+	if len(step.Records) == 0 && !step.Sync {
+		return nil
+	}
+	records := make([][]byte, len(step.Records))
+	var seq leases.Seq
+	for i := range step.Records {
+		if r := &step.Records[i]; r.Kind != leases.Mark {
+			seq = max(seq, r.Seq)
+		}
+		records[i] = step.Records[i].Append(nil)
+	}
+	commit := h.store.Append(uint64(seq), records...)
+	if !step.Sync {
+		return nil
+	}
+	return commit
+}
+
+// wait waits until a commit is on disk, no longer than by.
+func (h *Handler) wait(c ledger.Commit, by time.Time) error {
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c.Done():
+		return c.Wait()
+	default:
+	}
+	timer := time.NewTimer(time.Until(by))
+	defer timer.Stop()
+	select {
+	case <-c.Done():
+		return c.Wait()
+	case <-timer.C:
+		return errDisk
+	}
+}
+
+const troubleEvery = time.Minute
+
+// trouble tells of a disk that does not take what it should, once a minute.
+func (h *Handler) trouble(what string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now := time.Now(); now.Sub(h.warned) >= troubleEvery {
+		h.warned = now
+		h.log.Error("ledger not written: "+what, "err", err, "dir", h.set.Dir, "ends_not_kept", h.lost)
+	}
+}
+
+// Past implements job.Keeper.
+func (e *entry) Past() ([]job.Past, bool) { return e.past, e.again }
+
+// Sending implements job.Keeper.
+func (e *entry) Sending(to string) (uint64, error) {
+	h := e.h
+	h.mu.Lock()
+	if h.left {
+		h.mu.Unlock()
+		return 0, errLeft
+	}
+	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease)
+	commit := h.append(step)
+	h.mu.Unlock()
+	if err != nil {
+		if errors.Is(err, leases.ErrEnded) {
+			e.cancel(errEnded) // a result has come after all; there is nothing to do any more
+		}
+		return 0, err
+	}
+	if err := h.wait(commit, e.due); err != nil {
+		h.mu.Lock()
+		h.table.Unlease(e.seq, fence)
+		h.mu.Unlock()
+		h.trouble("calls are not made", err)
+		return 0, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.table.Stands(h.clock(), e.seq, fence); err != nil {
+		h.append(h.table.Over(h.clock(), e.seq, fence, true))
+		return 0, err
+	}
+	return uint64(fence), nil
+}
+
+// Awaiting implements job.Keeper.
+func (e *entry) Awaiting() {
+	if e.listening != nil {
+		e.listening()
+	}
+}
+
+// Begun implements job.Keeper.
+func (e *entry) Begun(lease uint64) {
+	e.h.mu.Lock()
+	defer e.h.mu.Unlock()
+	e.h.append(e.h.table.Begin(e.h.clock(), e.seq, leases.Fence(lease)))
+}
+
+// Beat implements job.Keeper.
+func (e *entry) Beat(lease uint64) {
+	e.h.mu.Lock()
+	defer e.h.mu.Unlock()
+	e.h.table.Beat(e.h.clock(), e.seq, leases.Fence(lease))
+}
+
+// ackLimit is how long a provider's word may wait for the disk before it is asked to come again.
+const ackLimit = 900 * time.Millisecond
+
+// Done implements job.Keeper.
+func (e *entry) Done(lease uint64, result []byte) error {
+	h := e.h
+	h.mu.Lock()
+	j, ok := h.table.Get(h.clock(), e.seq)
+	if !ok || j.State < leases.StateEnded && !stands(&j, leases.Fence(lease)) {
+		h.mu.Unlock()
+		return nil // its lease does not stand any more: acknowledged, and without effect
+	}
+	step, err := h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Served, Result: result})
+	if err != nil { // it had ended; that must be on disk as well, or it was too large, which its carrier sees to
+		step = leases.Step{Sync: errors.Is(err, leases.ErrEnded)}
+	}
+	commit := h.append(step)
+	h.mu.Unlock()
+	err = h.wait(commit, time.Now().Add(ackLimit))
+	if err != nil {
+		h.trouble("results are not acknowledged", err)
+	}
+	return err
+}
+
+// stands tells whether a lease is the one that is out.
+func stands(j *leases.Job, fence leases.Fence) bool {
+	n := len(j.Attempts)
+	return n > 0 && j.Attempts[n-1].Out && j.Attempts[n-1].Fence == fence
+}
+
+// Over implements job.Keeper.
+func (e *entry) Over(lease uint64, never bool) {
+	e.h.mu.Lock()
+	defer e.h.mu.Unlock()
+	if e.h.left && !never {
+		return // the next process finds it out
+	}
+	if !e.h.unended(e.seq) {
+		e.cancel(errEnded) // a result came as the call was given up: nothing is to be sent any more
+	}
+	e.h.append(e.h.table.Over(e.h.clock(), e.seq, leases.Fence(lease), never))
+}
+
+// Left implements job.Keeper.
+func (e *entry) Left() bool {
+	e.h.mu.Lock()
+	defer e.h.mu.Unlock()
+	return e.h.left
+}
+
+// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk before
+// it is acknowledged again, and words of leases that do not stand, which change nothing.
+func (h *Handler) unclaimed(ev provider.Event) error {
+	h.mu.Lock()
+	_, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
+	var commit ledger.Commit
+	if fence != 0 {
+		commit = h.append(leases.Step{Sync: true})
+	}
+	h.mu.Unlock()
+	if err := h.wait(commit, time.Now().Add(ackLimit)); err != nil {
+		h.trouble("results are not acknowledged", err)
+		return job.ErrLater
+	}
+	return nil
+}
+
+// Stop tells that the program ends at by: shortly before, what is open is left to the next process.
+func (h *Handler) Stop(by time.Time) {
+	h.ended.Go(func() {
+		timer := time.NewTimer(time.Until(by) - leaveBefore)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-h.ending:
+			return
+		}
+		h.leave()
+	})
+}
+
+// leaveBefore is how long before the program's end jobs are left: the module would answer them at the end itself.
+const leaveBefore = 100 * time.Millisecond
+
+func (h *Handler) leave() {
+	h.mu.Lock()
+	h.left = true
+	jobs := len(h.live)
+	cancels := make([]context.CancelCauseFunc, 0, jobs)
+	for _, e := range h.live {
+		if e.cancel != nil { // one that is not carried yet is told when it is
+			cancels = append(cancels, e.cancel)
+		}
+	}
+	h.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel(errLeft)
+	}
+	if jobs > 0 {
+		h.log.Info("jobs left in the ledger for the next process", "jobs", jobs)
+	}
+}
+
+// Close lets go of the ledger. Jobs that are still carried go on without it.
+func (h *Handler) Close() error {
+	h.mu.Lock()
+	h.left = true
+	h.mu.Unlock()
+	close(h.ending)
+	h.ended.Wait()
+	return h.store.Close()
+}
+
+// Counts are figures of the ledger's jobs.
+func (h *Handler) Counts() leases.Counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Counts()
+}
+
+// Check says what is wrong with the section under a scheduler's settings.
+func (s *Settings) Check(set *policy.Settings) error {
+	_, err := s.check(set)
+	return err
+}
+
+// check says which classes of the settings are durable.
+func (s *Settings) check(set *policy.Settings) ([]bool, error) {
+	out := make([]bool, len(set.Classes))
+	for i := range set.Classes {
+		out[i] = s.Classes == nil || slices.Contains(s.Classes, set.Classes[i].Name)
+	}
+	for _, name := range s.Classes {
+		if !slices.ContainsFunc(set.Classes, func(c policy.Class) bool { return c.Name == name }) {
+			return nil, fmt.Errorf("durable.classes: no class is called %q", name)
+		}
+	}
+	return out, nil
+}
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -27,10 +27,7 @@
 		return job.Outcome{Kind: job.Mistaken, Why: err.Error()}
 	}
 	defer h.Pool.Free(j.ID)
-	ticket := h.Desk.Take(decide.Job{
-		Class: j.Class, Tenant: j.Tenant, Left: j.Left, Hint: j.Hint, Slots: j.Slots,
-		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
-	})
+	ticket, lease := h.enter(j)
 	calling := false
 	defer func() {
 		if r := recover(); r != nil {
@@ -50,20 +47,57 @@
 	began := time.Now()
 	for {
 		v := ticket.Pick()
-		if v.Kind != decide.Call {
+		if v.Kind != decide.Call && v.Kind != decide.Await {
 			h.Log.Debug("job over", "id", j.ID, "class", j.Class, "verdict", v.Kind, "took", time.Since(began))
 			return outcome(v, result)
 		}
+		if j.Keeper != nil && v.Kind == decide.Call {
+			var err error
+			if lease, err = j.Keeper.Sending(v.Provider); err != nil {
+				h.Log.Debug("call not made", "id", j.ID, "provider", v.Provider, "err", err)
+				ticket.Report(decide.NotSent)
+				continue
+			}
+		}
 		var end decide.End
 		sent := time.Now()
 		calling = true
-		end, result = h.Pool.Invoke(j, v, ticket.Hear)
+		if v.Kind == decide.Call {
+			end, result = h.Pool.Invoke(j, lease, v, ticket.Hear)
+		} else {
+			end, result = h.Pool.Await(j, lease, v, ticket.Hear)
+		}
 		calling = false
 		h.Log.Debug("call over", "id", j.ID, "provider", v.Provider, "end", end, "took", time.Since(sent))
+		if j.Keeper != nil && end != decide.Served {
+			j.Keeper.Over(lease, end.Proves())
+		}
 		ticket.Report(end)
 	}
 }
 
+// enter hands a job to the desk: as a new one, or as what an earlier process has made of it. lease is that of the call
+// which is out then.
+func (h *Handler) enter(j *job.Job) (ticket *decide.Ticket, lease uint64) {
+	facts := decide.Job{
+		Class: j.Class, Tenant: j.Tenant, Left: j.Left, Hint: j.Hint, Slots: j.Slots,
+		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
+	}
+	if j.Keeper == nil {
+		return h.Desk.Take(facts), 0
+	}
+	before, resumed := j.Keeper.Past()
+	if !resumed {
+		return h.Desk.Take(facts), 0
+	}
+	past := make([]decide.Past, len(before))
+	for i, p := range before {
+		past[i] = decide.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
+		lease = p.Lease
+	}
+	return h.Desk.Resume(facts, past), lease
+}
+
 // outcome is what a final verdict means for the job; result is that of its last call.
 func outcome(v decide.Verdict, result []byte) job.Outcome {
 	switch v.Kind {
--- a/job/job.go
+++ b/job/job.go
@@ -28,6 +28,9 @@
 	Subject string // what it concerns: path and query, as given
 	Payload []byte
 
+	// Keeper keeps the job over the death of this program; nil: nobody does.
+	Keeper Keeper
+
 	// Fields are what else the front passes on, in its order, in the words of Protocol; those above are among them as
 	// they came. A back that speaks Protocol hands them on as they are and adds none of the above; any other passes
 	// none of them on, as what means nothing here may frame or route a message there.
@@ -49,9 +52,11 @@
 	Rejected             // trying again is harmless
 	Gone                 // nobody is left to answer
 	Mistaken             // the job itself is wrong, and it never ran; Why says what is wrong
+	Conflict             // its id is that of another job; nothing is said of that one
 )
 
-var kindNames = [...]string{Failed: "failed", Served: "served", Rejected: "rejected", Gone: "gone", Mistaken: "mistaken"}
+var kindNames = [...]string{Failed: "failed", Served: "served", Rejected: "rejected", Gone: "gone", Mistaken: "mistaken",
+	Conflict: "conflict"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -59,8 +64,40 @@
 type Outcome struct {
 	Kind       Kind
 	Result     []byte        // of Served
-	RetryAfter time.Duration // of Rejected: how long to stay away; 0: not told
+	RetryAfter time.Duration // of Rejected: how long to stay away; 0: not told. Of Failed: it goes on, ask again then
 	Why        string        // of Mistaken, in words for the consumer
+	Written    func()        // is to be called once the whole answer has been written; nil: nobody asks
+}
+
+// Keeper is told what becomes of a job, before it does where the job could not be kept otherwise. Its methods may be
+// called from any goroutine; those that block say so, and none blocks for longer than the job has time.
+type Keeper interface {
+	// Past are the calls that an earlier process has made for the job; resumed tells whether one had it at all.
+	Past() (past []Past, resumed bool)
+	// Awaiting tells that the word of the call which an earlier process has left out is listened for from now on.
+	Awaiting()
+	// Sending must return before a byte of a call goes out. It blocks. An error means that nothing may be sent.
+	Sending(provider string) (lease uint64, err error)
+	// Begun and Beat take a provider's word that the job began there, and that it goes on.
+	Begun(lease uint64)
+	Beat(lease uint64)
+	// Done takes a provider's result before its word is acknowledged. It blocks. An error means that the result is not
+	// kept, and that the word should come again.
+	Done(lease uint64, result []byte) error
+	// Over tells that a call is over and the job goes on. never: it is proven that it did not run.
+	Over(lease uint64, never bool)
+	// Left tells whether the job is left to the next process: nothing of it is to be withdrawn any more.
+	Left() bool
+}
+
+// Past is an invoker call that an earlier process has made.
+type Past struct {
+	Provider string
+	Lease    uint64
+	Ago      time.Duration // since it was sent
+	Begun    bool          // its provider has said that it began
+	MayRun   bool          // it is over, and may have run
+	Out      bool          // it is not known to be over; the last one at most
 }
 
 // Handler handles jobs. It answers each exactly once, itself or through the next Handler, and returns once it has: the
@@ -80,6 +117,9 @@
 // Handle implements Handler.
 func (f HandlerFunc) Handle(ctx context.Context, j *Job) Outcome { return f(ctx, j) }
 
+// ErrLater is what is wrong with a provider's word that could not be kept: it should come again.
+var ErrLater = errors.New("job: what the provider says could not be kept, it should say it again")
+
 // Causes for a job's context to end.
 var (
 	ErrLeft     = errors.New("job: its consumer has left")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// Texts reads a list of texts; left out, v stays as it is. An empty list, an empty text and one that comes twice say
+// nothing.
+func (s *Section) Texts(key string, v *[]string) {
+	var list []string
+	if !s.read(key, &list, "a list of texts") || s.err != nil {
+		return
+	}
+	if len(list) == 0 {
+		s.Fail(key, "is empty")
+	}
+	for i, t := range list {
+		switch {
+		case t == "":
+			s.Fail(key, "has an empty text")
+		case slices.Contains(list[:i], t):
+			s.Fail(key, "has %q twice", t)
+		}
+	}
+	*v = list
+}
+
 // Word reads one of a few words; left out, v stays as it is. To YAML a version is a number, so one does not need
 // quotes here.
 func (s *Section) Word(key string, v *string, words ...string) {
--- a/provider/call.go
+++ b/provider/call.go
@@ -14,6 +14,7 @@
 type Event struct {
 	ID     string // the job's
 	From   string // the provider's name
+	Lease  uint64 // of the call that it is about; 0: the provider names none
 	State  State
 	Share  float64 // with Running: the part that is done; -1: not told
 	Result []byte  // with Done
@@ -35,7 +36,10 @@
 // call is an invoker call that is out.
 type call struct {
 	provider string
+	lease    uint64     // 0: it has none
+	keeper   job.Keeper // nil: the job has none
 	hear     func(decide.News)
+	expired  chan struct{} // closed when its lease has run out
 
 	mu     sync.Mutex
 	conn   *conn // while its acknowledgement is awaited
@@ -55,9 +59,15 @@
 	}
 	switch ev.State {
 	case Started:
+		if c.keeper != nil {
+			c.keeper.Begun(c.lease)
+		}
 		c.hear(decide.News{Kind: decide.Begun})
 		return
 	case Running:
+		if c.keeper != nil {
+			c.keeper.Beat(c.lease)
+		}
 		c.hear(decide.News{Kind: decide.Progressed, Share: ev.Share})
 		return
 	}
@@ -101,29 +111,57 @@
 // CallBack takes a call-back as the provider worded it, or says why it is none.
 func (p *Pool) CallBack(message []byte) error {
 	ev, err := ParseEvent(message)
-	if err == nil {
-		p.Event(ev)
+	if err != nil {
+		return err
 	}
-	return err
+	return p.Event(ev)
 }
 
 // Event takes a call-back. It may be a repeat, or belong to an earlier call of the same job: only one
-// from the provider that holds the job now has any effect.
-func (p *Pool) Event(ev Event) {
+// from the provider that holds the job now has any effect, and if it names a lease, it must be the call's. An error
+// means that the call-back should come again.
+func (p *Pool) Event(ev Event) error {
 	p.mu.Lock()
 	c := p.calls[ev.ID]
 	p.mu.Unlock()
-	if c == nil || c.provider != ev.From {
-		return
+	if c == nil || c.provider != ev.From || ev.Lease != 0 && ev.Lease != c.lease {
+		if p.Unclaimed != nil {
+			return p.Unclaimed(ev)
+		}
+		return nil
+	}
+	if ev.State == Done && c.keeper != nil {
+		if err := c.keeper.Done(c.lease, ev.Result); err != nil {
+			return job.ErrLater
+		}
 	}
 	c.take(ev)
+	return nil
+}
+
+// Expire ends the wait for a call whose lease has run out: the job is given up there, as far as that can be told.
+func (p *Pool) Expire(id string, lease uint64) {
+	p.mu.Lock()
+	c := p.calls[id]
+	p.mu.Unlock()
+	if c == nil || c.lease != lease {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.expired:
+	default:
+		close(c.expired)
+	}
 }
 
 var ends = [...]decide.End{Done: decide.Served, Failed: decide.Failed, Returned: decide.TurnedAway, Lost: decide.Broken}
 
 // Invoke makes one invoker call for a reserved job and blocks until it has ended. Nothing of the job
-// is left with the provider, or it has been told so, unless the end says that it ran there.
-func (p *Pool) Invoke(j *job.Job, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
+// is left with the provider, or it has been told so, unless the end says that it ran there. lease is the number that
+// its Keeper gave the call.
+func (p *Pool) Invoke(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
 	if v.Context.Err() != nil {
 		return decide.NotSent, nil
 	}
@@ -135,7 +173,8 @@
 		}
 		return decide.NotConnected, nil
 	}
-	c := &call{provider: v.Provider, hear: hear, conn: conn, ended: make(chan struct{})}
+	c := newCall(j, lease, v, hear)
+	c.conn = conn
 	p.mu.Lock()
 	// The connection may have taken its time: what the directory has said meanwhile counts.
 	if !conn.of.serving {
@@ -145,17 +184,10 @@
 	}
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		p.calls[j.ID] = nil
-		p.mu.Unlock()
-		c.mu.Lock()
-		c.over = true // a call-back that has found the call already is too late: the next call may be out by then
-		c.mu.Unlock()
-	}()
+	defer p.close(j, c)
 
 	conn.SetDeadline(v.Until)
-	message := jobMessage(j, v.Until)
+	message := jobMessage(j, lease, v.Until)
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was out", "provider", v.Provider, "written", n, "err", err)
 		p.discard(conn)
@@ -170,7 +202,13 @@
 	// are not trusted with further jobs: a new one that never comes up proves that they did not run.
 	suspect := time.AfterFunc(p.limits.Dial, func() { p.mistrust(conn.of) })
 	// A withdrawal before the acknowledgement closes the connection, which gives the job up.
-	stop := context.AfterFunc(v.Context, func() { conn.SetReadDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(v.Context, func() {
+		if j.Keeper != nil && j.Keeper.Left() {
+			conn.SetReadDeadline(time.Now().Add(ackGrace)) // to close it would give the job up
+			return
+		}
+		conn.SetReadDeadline(time.Unix(1, 0))
+	})
 	reply, err := readReply(conn.br)
 	suspect.Stop()
 	withdrawn := !stop()
@@ -205,17 +243,57 @@
 		return reply.end, nil
 	}
 
+	return p.wait(j, c, v)
+}
+
+func newCall(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) *call {
+	return &call{provider: v.Provider, lease: lease, keeper: j.Keeper, hear: hear, ended: make(chan struct{}),
+		expired: make(chan struct{})}
+}
+
+// close lets go of a call that has ended.
+func (p *Pool) close(j *job.Job, c *call) {
+	p.mu.Lock()
+	p.calls[j.ID] = nil
+	p.mu.Unlock()
+	c.mu.Lock()
+	c.over = true // a call-back that has found the call already is too late: the next call may be out by then
+	c.mu.Unlock()
+}
+
+// Await blocks until a call has ended that an earlier process has made for a reserved job, like Invoke after the
+// acknowledgement.
+func (p *Pool) Await(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
+	c := newCall(j, lease, v, hear)
+	p.mu.Lock()
+	p.calls[j.ID] = c
+	p.mu.Unlock()
+	defer p.close(j, c)
+	if j.Keeper != nil {
+		j.Keeper.Awaiting()
+	}
+	return p.wait(j, c, v)
+}
+
+// wait waits for the end of a call that was acknowledged.
+func (p *Pool) wait(j *job.Job, c *call, v decide.Verdict) (decide.End, []byte) {
 	timer := time.NewTimer(time.Until(v.Until))
 	defer timer.Stop()
 	end := decide.TimedOut
+	elsewhere := false
 	select {
 	case <-c.ended:
 		return c.end, c.result
 	case <-v.Context.Done():
-		end = decide.Withdrawn
+		end, elsewhere = decide.Withdrawn, context.Cause(v.Context) == decide.ErrElsewhere
+	case <-c.expired:
+		end, elsewhere = decide.Broken, true // it may have run, and the job may go elsewhere
 	case <-timer.C:
 	}
-	if context.Cause(v.Context) == decide.ErrElsewhere {
+	if j.Keeper != nil && j.Keeper.Left() {
+		return end, nil // the next process waits for it
+	}
+	if elsewhere {
 		// A provider that cannot be told in time is no more. But one may have come back just now, too late for a
 		// connection that was tried before; a job that it still counts as its own would then be out twice.
 		told := make(chan struct{})
--- a/provider/http.go
+++ b/provider/http.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"laddertide/decide"
@@ -14,7 +18,7 @@
 )
 
 // jobMessage is the message that sends a job. A consumer's own request is passed on as it came.
-func jobMessage(j *job.Job, until time.Time) []byte {
+func jobMessage(j *job.Job, lease uint64, until time.Time) []byte {
 	fields := j.Fields
 	if j.Protocol != http1.Protocol {
 		fields = ownFields(j)
@@ -22,6 +26,11 @@
 	left := max(1, time.Until(until).Milliseconds())
 	fields = append(fields[:len(fields):len(fields)],
 		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
+	if lease != 0 {
+		// A consumer's own would be another job's, if any.
+		fields = slices.DeleteFunc(fields, func(f job.Field) bool { return strings.EqualFold(f.Name, "X-Lease") })
+		fields = append(fields, http1.Field{Name: "X-Lease", Value: strconv.FormatUint(lease, 10)})
+	}
 	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload)
 }
 
@@ -108,6 +117,17 @@
 		return Event{}, errors.New("call-back: id, from or state is missing or unknown")
 	}
 	ev := Event{ID: raw.ID, From: raw.From, State: state, Share: -1, Result: raw.Result}
+	if bytes.Contains(body, []byte(`"lease"`)) { // few name one
+		var more struct {
+			Lease json.RawMessage `json:"lease"`
+		}
+		if json.Unmarshal(body, &more) == nil && len(more.Lease) > 0 && string(more.Lease) != "null" {
+			// One that cannot be read names another lease than any that there is.
+			if json.Unmarshal(more.Lease, &ev.Lease) != nil || ev.Lease == 0 {
+				ev.Lease = math.MaxUint64
+			}
+		}
+	}
 	var share *float64 // no job depends on it, so one that makes no sense is none
 	if json.Unmarshal(raw.Share, &share) == nil && share != nil && *share >= 0 && *share <= 1 {
 		ev.Share = *share
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -28,6 +28,10 @@
 	limits Limits
 	log    *slog.Logger
 
+	// Unclaimed takes call-backs that belong to no call that is out; nil: they have no effect. It is set before the pool
+	// is used. An error means that the call-back should come again.
+	Unclaimed func(Event) error
+
 	mu        sync.Mutex
 	providers map[string]*provider // by name
 	open      int                  // connections, those being made included
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -101,7 +101,7 @@
 		}
 	}
 	for range 2 { // another attempt
-		check(jobMessage(j, until), "POST /api/x HTTP/1.1\r\nx-request-ID: id-1\r\nHost: h\r\nX-A: \r\nX-A: 2\r\n"+
+		check(jobMessage(j, 0, until), "POST /api/x HTTP/1.1\r\nx-request-ID: id-1\r\nHost: h\r\nX-A: \r\nX-A: 2\r\n"+
 			"X-Deadline-Ms: 1\r\nContent-Length: 4\r\n\r\nbody")
 	}
 	check(giveUpMessage(j), "DELETE /jobs/id-1 HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -109,18 +109,18 @@
 	j.Protocol = "STOMP"
 	j.Fields = []job.Field{{Name: "request-id", Value: "id-1"}, {Name: "Host", Value: "broker"},
 		{Name: "Transfer-Encoding", Value: "chunked"}, {Name: "Idempotency-Key", Value: "other"}}
-	check(jobMessage(j, until), "POST /api/x HTTP/1.1\r\nHost: \r\nX-Request-Id: id-1\r\nX-Class: settle\r\n"+
+	check(jobMessage(j, 0, until), "POST /api/x HTTP/1.1\r\nHost: \r\nX-Request-Id: id-1\r\nX-Class: settle\r\n"+
 		"X-Tenant: acme\r\nIdempotency-Key: k\r\nX-Cost-Hint: 1500\r\nX-Extras: slots=2.5\r\n"+
 		"X-Deadline-Ms: 1\r\nContent-Length: 4\r\n\r\nbody")
 	check(giveUpMessage(j), "DELETE /jobs/id-1 HTTP/1.1\r\nHost: \r\n\r\n")
 	bare := &job.Job{ID: "id-2", ClassName: "check", Subject: "/y"}
-	check(jobMessage(bare, until), "POST /y HTTP/1.1\r\nHost: \r\nX-Request-Id: id-2\r\nX-Class: check\r\n"+
+	check(jobMessage(bare, 0, until), "POST /y HTTP/1.1\r\nHost: \r\nX-Request-Id: id-2\r\nX-Class: check\r\n"+
 		"X-Deadline-Ms: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 func invoke(t *testing.T, p *Pool, v decide.Verdict, want decide.End) string {
 	t.Helper()
-	end, result := p.Invoke(newJob(), v, func(decide.News) {})
+	end, result := p.Invoke(newJob(), 0, v, func(decide.News) {})
 	if end != want {
 		t.Fatalf("end %d, want %d", end, want)
 	}
@@ -210,7 +210,7 @@
 		for n := range 2 { // the second time on the same connection
 			j := newJob()
 			j.ID = fmt.Sprint("job-", n+1)
-			end, result := p.Invoke(j, verdict(context.Background(), time.Second), func(decide.News) {})
+			end, result := p.Invoke(j, 0, verdict(context.Background(), time.Second), func(decide.News) {})
 			if end != decide.Served || string(result) != "the Answer" {
 				t.Fatalf("end %d, result %q", end, result)
 			}
@@ -264,7 +264,7 @@
 		t.Fatal(err)
 	}
 	for range 2 { // two taken, on one connection
-		first.Write(jobMessage(newJob(), until))
+		first.Write(jobMessage(newJob(), 0, until))
 		if r, err := readReply(first.br); err != nil || r.end != accepted {
 			t.Fatalf("%+v, %v", r, err)
 		}
@@ -450,7 +450,7 @@
 		defer p.mu.Unlock()
 		found <- p.calls["id-1"]
 	}()
-	if end, _ := p.Invoke(newJob(), verdict(context.Background(), 100*time.Millisecond), func(n decide.News) { heard <- n }); end != decide.TimedOut {
+	if end, _ := p.Invoke(newJob(), 0, verdict(context.Background(), 100*time.Millisecond), func(n decide.News) { heard <- n }); end != decide.TimedOut {
 		t.Fatalf("end %d", end)
 	}
 	c := <-found
--- a/rehearse/fleet/silence_test.go
+++ b/rehearse/fleet/silence_test.go
@@ -271,7 +271,7 @@
 		began := time.Now()
 		v := decide.Verdict{Provider: "s-1", Until: began.Add(patience), TakenIn: 400 * time.Millisecond,
 			Context: context.Background()}
-		end, _ := pool.Invoke(j, v, func(decide.News) {})
+		end, _ := pool.Invoke(j, 0, v, func(decide.News) {})
 		return end, time.Since(began)
 	}
 	go func() { // stands for the daemon's listener
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"laddertide/capture"
+	"laddertide/durable"
 	"laddertide/figures"
 	"laddertide/jobstatus"
 	"laddertide/operator"
@@ -20,6 +21,7 @@
 	TLS       *tlsport.Settings
 	Capture   *capture.Settings
 	JobStatus *jobstatus.Settings
+	Durable   *durable.Settings
 
 	Stderr io.Writer // where lines for standard error go; nil: there
 }
@@ -39,10 +41,15 @@
 		}
 	}
 	op.JobStatus, err = section(file, "job_status", jobstatus.Parse, err)
+	if op.Durable, err = section(file, "durable", durable.Parse, err); err == nil && op.Durable != nil {
+		if err = op.Durable.CheckDir(); err != nil {
+			err = fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	return op, err
 }
 
-var sections = []string{"figures", "tls", "capture", "job_status"}
+var sections = []string{"figures", "tls", "capture", "job_status", "durable"}
 
 // LoadCapture reads the capture section alone, or gives nil if there is none. A replay may be made where the paths of
 // the file do not exist.
@@ -75,6 +82,9 @@
 	if op.Capture != nil {
 		n += op.Capture.Descriptors()
 	}
+	if op.Durable != nil {
+		n += durable.Descriptors
+	}
 	return n
 }
 
@@ -96,6 +106,9 @@
 	if op.JobStatus != nil {
 		n += op.JobStatus.Memory()
 	}
+	if op.Durable != nil {
+		n += op.Durable.Memory()
+	}
 	if n > 0 {
 		n += stderrBytes
 	}
@@ -112,6 +125,11 @@
 			return errors.New("operator's file: tls.listen_port: is the port of the plain listener")
 		}
 	}
+	if op.Durable != nil {
+		if err := op.Durable.Check(&c.Settings); err != nil {
+			return fmt.Errorf("operator's file: %w", err)
+		}
+	}
 	if c.Limits.MemoryMB > 0 && float64(op.memory()) > c.Limits.MemoryMB*(1<<20)/4 {
 		return fmt.Errorf("operator's file: its features may take %d bytes, over a quarter of limits.memory_mb: %s",
 			op.memory(), "lower their bounds")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 	"laddertide/consumer"
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/durable"
 	"laddertide/figures"
 	"laddertide/invoker"
 	"laddertide/job"
@@ -40,6 +41,7 @@
 	figures *figures.Emitter
 	capture *capture.Recorder
 	status  *jobstatus.Store
+	durable *durable.Handler // from Serve on
 
 	// mu keeps the directory's news in one order, whichever watch they come from.
 	mu       sync.Mutex
@@ -102,9 +104,16 @@
 // chain is the way of a job from its front on: the Handlers, each round the next, and the last one. It is the one place
 // that sets their order. What the operator has turned on goes round the last one here, the innermost first; what is off
 // is not in the chain.
-func (s *Scheduler) chain() job.Handler {
+func (s *Scheduler) chain() (job.Handler, error) {
 	var h job.Handler = &invoker.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
-	return h
+	if set := s.cfg.Operator.Durable; set != nil {
+		var err error
+		if s.durable, err = durable.Open(*set, s.cfg.Settings, h, s.pool, s.log); err != nil {
+			return nil, err
+		}
+		h = s.durable
+	}
+	return h, nil
 }
 
 // startObservers begins what they do apart from the desk.
@@ -171,6 +180,29 @@
 	s.limit()
 	s.startObservers()
 	defer s.closeObservers()
+	jobs, err := s.chain()
+	if err != nil {
+		return err
+	}
+	defer s.pool.Close()
+	defer s.desk.Close()
+	// The directory is followed to the very end: what is answered after the word to stop is sent
+	// by the same rules.
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	s.mu.Lock()
+	s.watching = watching
+	s.follow(s.cfg.Discovery, s.cfg.Known.Index, false)
+	s.mu.Unlock()
+	stopping := s.desk.Stop
+	if s.durable != nil {
+		defer s.durable.Close()
+		// Before there is an address that providers could call back: what they say must find its job.
+		if err := s.durable.Start(); err != nil {
+			return err
+		}
+		stopping = func(by time.Time) { s.desk.Stop(by); s.durable.Stop(by) }
+	}
 	ln, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("scheduler: %w", err)
@@ -184,18 +216,8 @@
 		}
 		listeners = append(listeners, secure)
 	}
-	defer s.pool.Close()
-	defer s.desk.Close()
-	// The directory is followed to the very end: what is answered after the word to stop is sent
-	// by the same rules.
-	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	s.mu.Lock()
-	s.watching = watching
-	s.follow(s.cfg.Discovery, s.cfg.Known.Index, false)
-	s.mu.Unlock()
 	server := &consumer.Server{
-		Settings: s.cfg.Settings, Jobs: s.chain(), CallBack: s.pool.CallBack, Stopping: s.desk.Stop, Log: s.log,
+		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
 		Conns: s.cfg.places(), Grace: s.grace(),
 	}
 	if s.status != nil {
