durable: one sync for a job's taking and its first lease

Change: the job goes on at once, its first lease waits for its taking too. A refusal that cannot be kept is told as a failure, as the job may go on later.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -61,7 +61,8 @@
 	job    job.Job
 	due    time.Time // by when its consumer must have its answer
 	past   []job.Past
-	again  bool // an earlier process had it
+	again  bool          // an earlier process had it
+	taken  ledger.Commit // of its taking; nil: an earlier process had it
 	cancel context.CancelCauseFunc
 
 	listening func() // is to be called once its call's listener is there, or it has ended; nil: nobody asks
@@ -104,9 +105,9 @@
 	h.mu.Unlock()
 	switch taking.Kind {
 	case leases.Fresh:
-		if err := h.wait(commit, due); err != nil {
-			return h.withdraw(e, err)
-		}
+		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync does
+		// for both.
+		e.taken = commit
 		h.carry(e)
 	case leases.Known:
 		if step.Sync {
@@ -147,18 +148,6 @@
 	return e
 }
 
-// withdraw ends a job whose taking is not on disk: nothing of it was sent.
-func (h *Handler) withdraw(e *entry, err error) job.Outcome {
-	h.trouble("jobs are not taken", err)
-	h.mu.Lock()
-	h.append(h.table.Withdrawn(h.clock(), e.seq))
-	delete(h.live, e.seq)
-	h.mu.Unlock()
-	e.out = job.Outcome{Kind: job.Rejected}
-	close(e.done)
-	return e.out
-}
-
 // carry takes a job through the next Handler, apart from any connection.
 func (h *Handler) carry(e *entry) {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -211,8 +200,12 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	if werr := h.wait(commit, e.due.Add(-beforeEnd)); werr != nil {
-		// Its consumer must have its answer in time, kept or not.
+	if werr := errors.Join(h.wait(e.taken, e.due.Add(-beforeEnd)), h.wait(commit, e.due.Add(-beforeEnd))); werr != nil {
+		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
+		// must not have been told that nothing ran.
+		if kept.Kind == leases.Rejected && !failed(e.taken) {
+			kept = leases.Outcome{Kind: leases.Failed}
+		}
 		h.mu.Lock()
 		h.lost++
 		h.mu.Unlock()
@@ -307,6 +300,19 @@
 	}
 }
 
+// failed tells whether a commit is known to have failed: nothing of it will be read back.
+func failed(c ledger.Commit) bool {
+	if c == nil {
+		return false
+	}
+	select {
+	case <-c.Done():
+		return c.Wait() != nil
+	default:
+		return false
+	}
+}
+
 const troubleEvery = time.Minute
 
 // trouble tells of a disk that does not take what it should, once a minute.
@@ -339,11 +345,11 @@
 		}
 		return 0, err
 	}
-	if err := h.wait(commit, e.due); err != nil {
+	if err := errors.Join(h.wait(e.taken, e.due), h.wait(commit, e.due)); err != nil {
 		h.mu.Lock()
 		h.table.Unlease(e.seq, fence)
 		h.mu.Unlock()
-		h.trouble("calls are not made", err)
+		h.trouble("nothing new is sent", err)
 		return 0, err
 	}
 	h.mu.Lock()
