ledger: a store of records in segments, with group commit and damage told by the record

The stub under durable/ gave no store. This is an append-only log: segments with frames whose checksums cover salt, segment and place, one writer that shares a sync among all that has come, trims from the front, and goes on by itself when a disk that failed takes writes again.

--- a/durable/recover.go
+++ b/durable/recover.go
@@ -38,8 +38,11 @@
 		}
 		return nil
 	}, func(d ledger.Damage) {
-		log.Warn("a record of the ledger is damaged", "segment", d.Segment, "offset", d.Offset, "bytes", d.Bytes, "why", d.Why)
-		h.table.Lost(0)
+		log.Warn("the ledger is damaged", "segment", d.Segment, "offset", d.Offset, "bytes", d.Bytes, "why", d.Why,
+			"number", d.Seq, "lost", !d.Harmless)
+		if !d.Harmless {
+			h.table.Lost(leases.Seq(d.Seq))
+		}
 	})
 	if err != nil {
 		store.Close()
--- /dev/null
+++ b/ledger/fs_linux.go
@@ -0,0 +1,31 @@
+package ledger
+
+import (
+	"errors"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// allocate makes an empty file of that size and, where the file system can, has the space for it set aside.
+func allocate(f *os.File, size int64) error {
+	for {
+		err := unix.Fallocate(int(f.Fd()), 0, 0, size)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EOPNOTSUPP), errors.Is(err, unix.ENOSYS):
+			return f.Truncate(size)
+		default:
+			return err
+		}
+	}
+}
+
+// datasync syncs a file and of its attributes what is needed to read it.
+func datasync(f *os.File) error {
+	for {
+		if err := unix.Fdatasync(int(f.Fd())); err != unix.EINTR {
+			return os.NewSyscallError("fdatasync", err)
+		}
+	}
+}
--- /dev/null
+++ b/ledger/read.go
@@ -0,0 +1,370 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"iter"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Damage is a place of the ledger that cannot be read though it was on disk.
+type Damage struct {
+	Segment  string // the file's name
+	Offset   int64
+	Bytes    int64
+	Seq      uint64 // the job whose record it was; 0: not known
+	Harmless bool   // no record was there
+	Why      string
+}
+
+func (d Damage) String() string {
+	s := fmt.Sprintf("segment %s, offset %d, %d bytes: %s", d.Segment, d.Offset, d.Bytes, d.Why)
+	if d.Seq != 0 {
+		s += fmt.Sprintf(" (of job number %d)", d.Seq)
+	}
+	if d.Harmless {
+		s += "; nothing is lost"
+	}
+	return s
+}
+
+// Names of segments are their numbers; one that is being made has another name until it is whole.
+const (
+	nameDigits  = 16
+	nameSuffix  = ".ledger"
+	madeSuffix  = ".new"
+	mostNumbers = 1 << 53
+)
+
+func segmentName(number uint64) string { return fmt.Sprintf("%0*d%s", nameDigits, number, nameSuffix) }
+
+func segmentNumber(name string) (uint64, bool) {
+	digits, ok := strings.CutSuffix(name, nameSuffix)
+	if !ok || len(digits) != nameDigits {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil && n > 0 && n < mostNumbers
+}
+
+// found is a segment that was there at the start, and what of it counts.
+type found struct {
+	number uint64
+	file   File
+	size   int64
+	header header
+	whole  bool   // its header could be read
+	flaw   string // of one of the header's copies
+	flawAt int64
+
+	end    int64 // nothing counts from there on
+	synced int64 // what cannot be read before is damage
+	last   bool
+	maxSeq uint64
+}
+
+// find opens all segments, so that none can go while they are read. Those that go before are not missed.
+func find(dir FS) ([]*found, error) {
+	for try := 0; ; try++ {
+		all, err := openAll(dir)
+		if !errors.Is(err, fs.ErrNotExist) || try == 10 {
+			return all, err
+		}
+	}
+}
+
+func openAll(dir FS) (all []*found, err error) {
+	names, err := dir.List()
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			closeAll(all)
+			all = nil
+		}
+	}()
+	for _, name := range names {
+		n, ok := segmentNumber(name)
+		if !ok {
+			continue
+		}
+		f := &found{number: n}
+		if f.file, err = dir.Open(name); err != nil {
+			return all, err
+		}
+		all = append(all, f)
+	}
+	slices.SortFunc(all, func(a, b *found) int {
+		if a.number < b.number {
+			return -1
+		}
+		return 1
+	})
+	for i, f := range all {
+		if f.size, err = f.file.Size(); err != nil {
+			return all, err
+		}
+		if err = f.readHeader(); err != nil {
+			return all, err
+		}
+		f.end, f.synced, f.last = f.size, 0, i == len(all)-1
+	}
+	// Where a segment ends is in the header of the next.
+	for i, f := range all[:max(0, len(all)-1)] {
+		if next := all[i+1]; next.whole && next.number == f.number+1 && next.header.prevEnd > 0 {
+			f.end, f.synced = next.header.prevEnd, next.header.prevSynced
+		}
+	}
+	for _, f := range all {
+		if f.whole && f.synced < f.end {
+			f.measure()
+		}
+	}
+	return all, nil
+}
+
+func closeAll(all []*found) {
+	for _, f := range all {
+		f.file.Close()
+	}
+}
+
+// readHeader takes the header from the first copy that is whole.
+func (f *found) readHeader() error {
+	b := make([]byte, firstFrame)
+	n, err := f.file.ReadAt(b, 0)
+	b = b[:n]
+	why := "the header"
+	if err != nil && err != io.EOF {
+		why += ": " + err.Error()
+	}
+	for _, at := range []int{secondCopy, 0} {
+		h, version, ok := parseHeader(b[min(at, len(b)):])
+		switch {
+		case ok && version != formatVersion:
+			return &newerError{segmentName(f.number), version}
+		case ok && h.number == f.number:
+			f.header, f.whole = h, true
+		default:
+			f.flaw, f.flawAt = why, int64(at)
+		}
+	}
+	return nil
+}
+
+// measure finds out up to where a segment that has no known end was synced, as its frames tell.
+func (f *found) measure() {
+	p := newPages(f)
+	for pc := range f.pieces(p, firstFrame) {
+		if pc.why == "" {
+			f.synced = max(f.synced, min(pc.synced, f.end))
+		}
+	}
+	f.synced = max(f.synced, firstFrame)
+}
+
+// piece is what is at one place of a segment: a frame or, if why is not empty, what cannot be read as one.
+type piece struct {
+	at, end int64
+	frame
+	record []byte // valid until the next piece
+	why    string
+	blank  bool // all zero
+	unread bool // the file system does not give it
+}
+
+// pieces goes through a segment from a place on where a frame begins.
+func (f *found) pieces(p *pages, at int64) iter.Seq[piece] {
+	return func(yield func(piece) bool) {
+		for at < f.end {
+			pc := piece{at: at}
+			if fr, ok := f.frameAt(p, at); ok {
+				pc.frame, pc.end = fr, at+frameHead+int64(fr.length)
+				pc.record = p.at(at+frameHead, fr.length)
+				if len(pc.record) < fr.length || !fr.holds(pc.record) {
+					pc.record, pc.why = nil, "a record that is not as it was written"
+				} else if fr.kind != kindRecord {
+					pc.synced = at
+					if fr.kind == kindEnd {
+						pc.synced = pc.end
+					}
+				}
+			} else {
+				pc.end, pc.blank = f.resume(p, at)
+				pc.why = "no frame, or one whose head is not as it was written"
+			}
+			if pc.why != "" {
+				if err := p.failed(pc.at, pc.end); err != nil {
+					pc.why, pc.unread = err.Error(), true
+				}
+			}
+			if !yield(pc) {
+				return
+			}
+			at = pc.end
+		}
+	}
+}
+
+// frameAt reads the head of the frame at that place, if there is one that fits.
+func (f *found) frameAt(p *pages, at int64) (frame, bool) {
+	fr, ok := f.header.parseFrame(p.at(at, frameHead), at)
+	if !ok || at+frameHead+int64(fr.length) > f.end || fr.kind < kindRecord || fr.kind > kindEnd ||
+		(fr.kind == kindRecord) != (fr.length > 0) {
+		return fr, false
+	}
+	return fr, true
+}
+
+// resume finds the next frame behind a place where none is, or the end; blank tells that all between is zero.
+func (f *found) resume(p *pages, at int64) (next int64, blank bool) {
+	const step = 32 << 10
+	blank = true
+	for from := at; from < f.end; from += step {
+		b := p.at(from, step+len(frameMagic)-1)
+		for i := 0; ; i++ {
+			k := bytes.Index(b[i:], frameMagic)
+			if k < 0 {
+				break
+			}
+			i += k
+			if place := from + int64(i); place > at {
+				if _, ok := f.frameAt(p, place); ok {
+					return place, blank && zero(b[:i])
+				}
+				b = p.at(from, step+len(frameMagic)-1) // the window has moved
+			}
+		}
+		blank = blank && zero(b[:min(step, len(b))])
+	}
+	return f.end, blank
+}
+
+func zero(b []byte) bool {
+	for _, c := range b {
+		if c != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// pages reads a file piece by piece. What cannot be read is zero, and noted.
+type pages struct {
+	f    File
+	end  int64
+	base int64
+	buf  []byte
+	bad  []flawed
+}
+
+type flawed struct {
+	from, to int64
+	err      error
+}
+
+const pageBytes = 64 << 10
+
+func newPages(f *found) *pages { return &pages{f: f.file, end: min(f.end, f.size)} }
+
+// at is what is in the file from there on, up to n bytes and the end. It is valid until the next call.
+func (p *pages) at(off int64, n int) []byte {
+	n = int(max(0, min(int64(n), p.end-off)))
+	if n == 0 {
+		return nil
+	}
+	if off < p.base || off+int64(n) > p.base+int64(len(p.buf)) {
+		size := int(min(int64(max(n, pageBytes)), p.end-off))
+		p.buf = slices.Grow(p.buf[:0], size)[:size]
+		p.base = off
+		p.fill()
+	}
+	return p.buf[off-p.base:][:n]
+}
+
+// fill reads the window; where that fails, block by block.
+func (p *pages) fill() {
+	if n, err := p.f.ReadAt(p.buf, p.base); n == len(p.buf) || err == io.EOF {
+		clear(p.buf[n:]) // it has become shorter meanwhile
+		return
+	}
+	const block = 4096
+	for i := 0; i < len(p.buf); i += block {
+		b := p.buf[i:min(i+block, len(p.buf))]
+		n, err := p.f.ReadAt(b, p.base+int64(i))
+		clear(b[n:])
+		if n < len(b) && err != io.EOF && len(p.bad) < 1000 {
+			p.bad = append(p.bad, flawed{p.base + int64(i), p.base + int64(i+len(b)), err})
+		}
+	}
+}
+
+// failed is why a part of the file could not be read, or nil.
+func (p *pages) failed(from, to int64) error {
+	for _, b := range p.bad {
+		if b.from < to && from < b.to {
+			return b.err
+		}
+	}
+	return nil
+}
+
+// walked is what was found on the way through all segments.
+type walked struct {
+	records int
+	torn    int // pieces of writes that were under way
+	tail    []record
+}
+
+// walk goes through all that counts. damaged may be nil. Records of the last segment that were not known to be on disk
+// are also kept in tail.
+func walk(all []*found, each func(seq uint64, record []byte) error, damaged func(Damage)) (w walked, err error) {
+	if damaged == nil {
+		damaged = func(Damage) {}
+	}
+	for i, f := range all {
+		name := segmentName(f.number)
+		if i > 0 && f.number != all[i-1].number+1 {
+			damaged(Damage{Segment: segmentName(all[i-1].number + 1), Why: fmt.Sprintf("%d segments are missing",
+				f.number-all[i-1].number-1)})
+		}
+		if !f.whole {
+			damaged(Damage{Segment: name, Bytes: f.size, Why: f.flaw + ", in both its copies"})
+			continue
+		}
+		if f.flaw != "" {
+			damaged(Damage{Segment: name, Offset: f.flawAt, Bytes: headerBytes, Harmless: true, Why: f.flaw + ", one of its copies"})
+		}
+		for pc := range f.pieces(newPages(f), firstFrame) {
+			switch {
+			case pc.why == "" && pc.kind == kindRecord:
+				w.records++
+				f.maxSeq = max(f.maxSeq, pc.seq)
+				if f.last && pc.at >= f.synced {
+					w.tail = append(w.tail, record{pc.seq, bytes.Clone(pc.record)})
+				}
+				if err := each(pc.seq, pc.record); err != nil {
+					return w, err
+				}
+			case pc.why == "":
+			case pc.at < f.synced || pc.unread:
+				d := Damage{Segment: name, Offset: pc.at, Bytes: pc.end - pc.at, Seq: pc.seq, Why: pc.why}
+				if pc.at < f.synced {
+					d.Bytes = min(pc.end, f.synced) - pc.at
+				}
+				// It ends where the next frame begins, and a frame of this length holds no record.
+				d.Harmless = pc.end-pc.at == frameHead && !pc.unread
+				damaged(d)
+			case !pc.blank:
+				w.torn++
+			}
+		}
+	}
+	return w, nil
+}
