wire/http1: a message is written into one buffer, and further fields need no copy

Each message grew its buffer several times, and each attempt copied its fields. Change: the room is asked for at once; what a codec adds to fields comes as further arguments.

--- a/provider/http.go
+++ b/provider/http.go
@@ -20,9 +20,8 @@
 		fields = ownFields(j)
 	}
 	left := max(1, time.Until(until).Milliseconds())
-	fields = append(fields[:len(fields):len(fields)],
+	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload,
 		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
-	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload)
 }
 
 // ownFields says in this protocol what a job is that came by another one.
--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -417,17 +418,19 @@
 	return n, c.err
 }
 
-// AppendRequest appends a whole request. The caller's fields must not be ones that frame a message.
-func AppendRequest(b []byte, method, target string, fields Fields, body []byte) []byte {
+// AppendRequest appends a whole request; more are further fields. None of them may be one that frames a message.
+func AppendRequest(b []byte, method, target string, fields Fields, body []byte, more ...Field) []byte {
+	b = slices.Grow(b, len(method)+len(target)+room(fields)+room(more)+len(body)+frameRoom)
 	b = append(b, method...)
 	b = append(b, ' ')
 	b = append(b, target...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	return appendRest(b, fields, body, len(body) > 0 || method == "POST")
+	return appendRest(appendFields(b, fields), more, body, len(body) > 0 || method == "POST")
 }
 
 // AppendResponse appends a whole response; last says that the connection ends after it.
 func AppendResponse(b []byte, status int, fields Fields, body []byte, last bool) []byte {
+	b = slices.Grow(b, room(fields)+len(body)+frameRoom)
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
@@ -439,13 +442,29 @@
 	return appendRest(b, fields, body, status != 204)
 }
 
-func appendRest(b []byte, fields Fields, body []byte, sized bool) []byte {
+// frameRoom is enough for all of a message but its method, target, fields and body.
+const frameRoom = 96
+
+// room is what fields take in a message.
+func room(fields []Field) (n int) {
+	for i := range fields {
+		n += len(fields[i].Name) + len(fields[i].Value) + len(": \r\n")
+	}
+	return n
+}
+
+func appendFields(b []byte, fields []Field) []byte {
 	for _, f := range fields {
 		b = append(b, f.Name...)
 		b = append(b, ": "...)
 		b = append(b, f.Value...)
 		b = append(b, "\r\n"...)
 	}
+	return b
+}
+
+func appendRest(b []byte, fields []Field, body []byte, sized bool) []byte {
+	b = appendFields(b, fields)
 	if sized {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
--- a/wire/http1/http1_test.go
+++ b/wire/http1/http1_test.go
@@ -247,3 +247,28 @@
 		t.Fatalf("%d bytes and %v after %v", n, err, first)
 	}
 }
+
+// A message takes one buffer, whatever is in it, and further fields come after the others.
+func TestOneBuffer(t *testing.T) {
+	fields := Fields{{Name: "A", Value: strings.Repeat("a", 3000)}, {Name: "B", Value: ""}}
+	more := Field{Name: "X-Deadline-Ms", Value: "1234567890"}
+	body := make([]byte, 5000)
+	long := "/" + strings.Repeat("x", 4000)
+	for name, write := range map[string]func() []byte{
+		"request":  func() []byte { return AppendRequest(nil, "POST", long, fields, body, more) },
+		"DELETE":   func() []byte { return AppendRequest(nil, "DELETE", long, fields, nil) },
+		"response": func() []byte { return AppendResponse(nil, 500, fields, body, true) },
+		"204":      func() []byte { return AppendResponse(nil, 204, nil, nil, false) },
+	} {
+		// Under -race, growing takes a second one.
+		if n := testing.AllocsPerRun(100, func() { write() }); n > 2 {
+			t.Errorf("%s: %v allocations", name, n)
+		}
+	}
+	got := string(AppendRequest([]byte("before "), "POST", "/x", Fields{{Name: "A", Value: "b"}}, []byte("c"), more, more))
+	const want = "before POST /x HTTP/1.1\r\nA: b\r\nX-Deadline-Ms: 1234567890\r\nX-Deadline-Ms: 1234567890\r\n" +
+		"Content-Length: 1\r\n\r\nc"
+	if got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
