--- a/provider/http.go
+++ b/provider/http.go
@@ -24,14 +24,13 @@
 		fields = ownFields(j)
 	}
 	left := max(1, time.Until(until).Milliseconds())
-	fields = append(fields[:len(fields):len(fields)],
-		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
+	more := []http1.Field{{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)}}
 	if lease != 0 {
 		// A consumer's own would be another job's, if any.
-		fields = slices.DeleteFunc(fields, func(f job.Field) bool { return strings.EqualFold(f.Name, "X-Lease") })
-		fields = append(fields, http1.Field{Name: "X-Lease", Value: strconv.FormatUint(lease, 10)})
+		fields = slices.DeleteFunc(slices.Clone(fields), func(f job.Field) bool { return strings.EqualFold(f.Name, "X-Lease") })
+		more = append(more, http1.Field{Name: "X-Lease", Value: strconv.FormatUint(lease, 10)})
 	}
-	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload)
+	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload, more...)
 }
 
 // ownFields says in this protocol what a job is that came by another one.
