--- a/durable/durable.go
+++ b/durable/durable.go
@@ -77,8 +77,9 @@
 	errLeft  = errors.New("durable: left to the next process")
 )
 
-// beforeEnd is how long before its time is over a job's end is no longer waited for on its way to the disk.
-const beforeEnd = 5 * time.Millisecond
+// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails at
+// its deadline has no other time, and its consumer waits a little longer than it was told to.
+const atTheEnd = 25 * time.Millisecond
 
 // Handle implements job.Handler.
 func (h *Handler) Handle(ctx context.Context, j *job.Job) job.Outcome {
@@ -200,7 +201,8 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	if werr := errors.Join(h.wait(e.taken, e.due.Add(-beforeEnd)), h.wait(commit, e.due.Add(-beforeEnd))); werr != nil {
+	by := e.due.Add(atTheEnd)
+	if werr := errors.Join(h.wait(e.taken, by), h.wait(commit, by)); werr != nil {
 		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
 		// must not have been told that nothing ran.
 		if kept.Kind == leases.Rejected && !failed(e.taken) {
