--- a/core/history/history.go
+++ b/core/history/history.go
@@ -31,7 +31,7 @@
 	KindUnsent   Kind = "unsent"   // Request, Scheduler, Note: no connection came up, or it broke before the last byte
 	KindAnswer   Kind = "answer"   // Request, Scheduler, Conn, Status, Result, After: the last byte of a whole answer came (T)
 	KindBroken   Kind = "broken"   // Request, Scheduler, Conn, Bytes, Read, Note: the scheduler ended the connection without a whole answer
-	KindGaveUp   Kind = "gave-up"  // Request, Scheduler, Conn: the client's time is over and it has hung up; a crossing answer may still come
+	KindGaveUp   Kind = "gave-up"  // Request, Scheduler, Conn (0: it had none): the client's time is over and it has hung up; a crossing answer may still come
 	KindStranger Kind = "stranger" // Scheduler, Conn, Note, Status, From: a bad client got an answer or a close (Status 0); Bytes: 0, 1 (nothing came in time)
 )
 
@@ -46,13 +46,13 @@
 	KindSlow    Kind = "slow"     // Worker, Factor: from now on it runs so many times slower
 	KindDrain   Kind = "drain"    // Worker, Life: it finishes what it has and wants nothing new
 	KindStop    Kind = "stop"     // Worker, Life: a drained process ended in order
-	KindAttempt Kind = "attempt"  // Attempt, Request, Worker, Life, Scheduler, From: first byte, T: last byte, Work, Cost, Limit, Note: why it was answered 400 or 404
+	KindAttempt Kind = "attempt"  // Attempt, Request, Worker, Life, Scheduler, Lease, From: first byte, T: last byte, Work, Cost, Limit, Note: why it was answered 400 or 404
 	KindVoid    Kind = "void"     // Attempt, Request, Worker, Life, Scheduler, From: as attempt, but a silent machine's network took it: the scheduler's write was whole, nothing ran
 	KindTaken   Kind = "taken"    // Attempt: 202 was written
 	KindBegan   Kind = "began"    // Attempt: the job runs
 	KindOver    Kind = "over"     // Attempt, State, Result, Ran, Effect, Work: the worker's own truth of how it ended
 	KindGivenUp Kind = "given-up" // Attempt, Note: "delete" or "close": the scheduler gave it up (DELETE arrived, or the connection ended before the 202)
-	KindTold    Kind = "told"     // Attempt, State, Scheduler, Tries: a call-back was answered with 200 or 204
+	KindTold    Kind = "told"     // Attempt, State, Scheduler, Life, Tries: a call-back was answered with 200 or 204
 	KindUntold  Kind = "untold"   // Attempt, State, Scheduler, Tries, Note: none of its tries was
 	KindProbe   Kind = "probe"    // Worker, Scheduler
 )
@@ -120,7 +120,7 @@
 
 	Conn  int64 `json:"conn,omitempty"`
 	Fresh int64 `json:"fresh,omitempty"` // how old the connection was when the request was written, in microseconds, if it had carried none before; else 0
-	Again bool  `json:"again,omitempty"` // sent once more, as a close had crossed it
+	Again bool  `json:"again,omitempty"` // sent once more: a close had crossed it, or its client asks for a durable job again
 
 	Status int     `json:"status,omitempty"`
 	Result string  `json:"result,omitempty"` // of an answer: its body
@@ -128,10 +128,11 @@
 	Bytes  int64   `json:"bytes,omitempty"`
 	Read   bool    `json:"read,omitempty"` // of a broken connection: its scheduler had read the whole request, so its close crossed nothing
 
-	State  State `json:"state,omitempty"`
-	Ran    bool  `json:"ran,omitempty"`    // some of it ran
-	Effect bool  `json:"effect,omitempty"` // it took effect: its result counts, and no earlier run of its key had within the window
-	Tries  int   `json:"tries,omitempty"`
+	State  State  `json:"state,omitempty"`
+	Ran    bool   `json:"ran,omitempty"`    // some of it ran
+	Effect bool   `json:"effect,omitempty"` // it took effect: its result counts, and no earlier run of its key had within the window
+	Tries  int    `json:"tries,omitempty"`
+	Lease  uint64 `json:"lease,omitempty"` // of an attempt: its X-Lease; 0: none
 
 	From    int64   `json:"from,omitempty"`
 	Until   int64   `json:"until,omitempty"`
@@ -207,6 +208,10 @@
 	FallWindow   int64   `json:"fall_window"`
 	OverShare    float64 `json:"over_share"` // the worth of what a tenant asks beyond its share
 	Crossing     int64   `json:"crossing"`   // a close this soon after a request's last byte may have crossed it
+
+	// Recover is for how long a process must have been ready at the end of a client's time for an answer to a durable job
+	// that an earlier process had taken to be owed.
+	Recover int64 `json:"recover,omitempty"`
 }
 
 // Weights say how the parts of the service count, and what is taken off it.
@@ -235,13 +240,15 @@
 	Schedulers []SchedulerSetup `json:"schedulers"`
 	Rules      Rules            `json:"rules"`
 	Weights    Weights          `json:"weights"`
-	Drawn      map[string]any   `json:"drawn,omitempty"` // what else the seed drew, for readers
+	Durable    []string         `json:"durable,omitempty"` // classes whose jobs outlive their scheduler's process
+	Drawn      map[string]any   `json:"drawn,omitempty"`   // what else the seed drew, for readers
 }
 
 // FleetRules are the figures of fleetpay-nw's rules.
 func FleetRules() Rules {
 	return Rules{Slack: 50_000, AnswerSlack: 8_000, Drain: 2_000_000, Deemed: 6_000_000, DeemedMoved: 4_000_000,
-		Attempts: 4, FallMultiple: 3, FallWindow: 1_000_000, OverShare: 0.2, Crossing: 100_000}
+		Attempts: 4, FallMultiple: 3, FallWindow: 1_000_000, OverShare: 0.2, Crossing: 100_000,
+		Recover: 1_500_000}
 }
 
 // FleetWeights are the weights of fleetpay-nw's brief.
--- a/core/judge/judge.go
+++ b/core/judge/judge.go
@@ -37,6 +37,9 @@
 	MadeUpResult    = "made-up-result"    // answers: a 200 with what no worker had made of this request by then
 	ServedStranger  = "served-stranger"   // answers: a 200 for a bad client whose request cannot have run
 	Crashed         = "crashed"           // answers: the process ended by itself
+	ChangedAnswer   = "changed-answer"    // answers: a lasting job, asked for again, was answered in another way
+	NotJoined       = "not-joined"        // answers: a lasting job, asked for again, was turned away as a mistake
+	LostResult      = "lost-result"       // answers: a lasting job failed though its worker's done had been acknowledged
 	SecondRun       = "second-run"        // duplicates: sent again though it ran or was taken, and must never run twice
 	ResentUnproven  = "resent-unproven"   // duplicates: the same, but the earlier attempt only may have run
 	RefusedAfterRun = "refused-after-run" // duplicates: the client was told that nothing ran, without proof
@@ -156,6 +159,10 @@
 		c.note("%d requests were unanswered at a scheduler when the kit killed it; nobody is blamed for them.",
 			c.excusedByKill)
 	}
+	if c.notReady > 0 {
+		c.note("%d durable requests ran out of time with no process of their scheduler that had been ready for the last %s; "+
+			"nobody is blamed for them.", c.notReady, seconds(c.rules.Recover))
+	}
 	if c.crossed > 0 {
 		c.note("%d requests crossed the close of their connection; they were not taken.", c.crossed)
 	}
--- /dev/null
+++ b/core/judge/lasting.go
@@ -0,0 +1,195 @@
+package judge
+
+import (
+	"fmt"
+
+	"laddertide/core/history"
+)
+
+// A lasting job is one of a class that outlives its scheduler's process: what one process has taken, the next ones go
+// on with. Its client asks again, with the same id and at the same scheduler, until it has an answer or its time is
+// over. A kill excuses nothing then, and the attempts of all processes count together.
+
+// lateDone is how shortly before a client's time is over an acknowledged result may lose to the job's failing.
+const lateDone = 1_000_000
+
+func (c *court) lasts(r *request) bool { return r.ask >= 0 && c.durable[c.events[r.ask].Class] }
+
+// judgeLasting judges the answers to all sendings of a lasting job: one that is final, no later than its client's time
+// allows, and the same again for who asks again.
+func (c *court) judgeLasting(r *request) {
+	if len(r.sent) == 0 {
+		return
+	}
+	blamed := false
+	for i := range r.sent {
+		blamed = c.judgeSending(r, i) || blamed
+	}
+	sent := c.events[r.sent[0]].T
+	due := c.due(r, sent)
+	var final *history.Event
+	answered := make(map[int]bool)
+	for n, at := range r.answers {
+		ev := &c.events[at]
+		i := c.sending(r, ev)
+		again := answered[i]
+		answered[i] = true
+		if ev.Status == 200 {
+			c.judgeResult(r, ev)
+		}
+		switch {
+		case again:
+			c.secondAnswer(r, n)
+		case c.interim(r, ev):
+			c.judgeInterim(r, ev, i)
+		case i > 0 && ev.Status/100 == 4 && ev.Status != 429:
+			c.blame(Breach{Rule: Answers, Kind: NotJoined, T: ev.T, Scheduler: ev.Scheduler, Request: r.id,
+				Text: fmt.Sprintf("Request %s, which is durable, was turned away with %d when its client asked again, %s after "+
+					"it had been sent first.", r.id, ev.Status, seconds(ev.T-sent))})
+			blamed = true
+		case final == nil:
+			final = ev
+			switch {
+			case ev.T <= due:
+			case c.recovered(r, due):
+				c.lateAnswer(r, ev, sent)
+			default:
+				c.notReady++
+			}
+		case ev.Status != final.Status || ev.Status == 200 && ev.Result != final.Result:
+			c.blame(Breach{Rule: Answers, Kind: ChangedAnswer, T: ev.T, Scheduler: ev.Scheduler, Request: r.id,
+				Text: fmt.Sprintf("Request %s was answered with status %d and result %.80q, and with status %d and result %.80q "+
+					"when it was asked for again.", r.id, final.Status, final.Result, ev.Status, ev.Result)})
+		}
+	}
+	if !blamed {
+		c.judgeOwed(r, final, due)
+	}
+	if final == nil {
+		return
+	}
+	for _, n := range r.try {
+		if a := &c.attempts[n]; !a.refused && c.from(a) > c.late(final.T) {
+			c.sentAfter(r, a, final)
+		}
+	}
+	c.judgeLost(r, final, due)
+}
+
+// interim says whether an answer tells that the job goes on in the next process, and its client went on as well.
+func (c *court) interim(r *request, answer *history.Event) bool {
+	if answer.Status != 502 || answer.After <= 0 {
+		return false
+	}
+	for _, list := range [][]int32{r.sent, r.unsent, r.gaveUp} {
+		if n := len(list); n > 0 && c.events[list[n-1]].T >= answer.T {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeInterim finds what a process sent on though it had left the job to the next one.
+func (c *court) judgeInterim(r *request, answer *history.Event, sending int) {
+	s := &c.events[r.sent[sending]]
+	for _, n := range r.try {
+		a := &c.attempts[n]
+		from := c.from(a)
+		if !a.refused && from > c.late(answer.T) && c.ranAt(s.Scheduler, from).n == s.Life {
+			c.sentAfter(r, a, answer)
+		}
+	}
+}
+
+// ranAt is the process of a scheduler that had started last by t.
+func (c *court) ranAt(name string, t int64) life {
+	found := life{name, 0}
+	for _, p := range c.lives[name] {
+		if p.start <= t {
+			found = p.life
+		}
+	}
+	return found
+}
+
+// judgeOwed judges a lasting job whose last sending got no final answer.
+func (c *court) judgeOwed(r *request, final *history.Event, due int64) {
+	last := len(r.sent) - 1
+	if a := c.first(r, r.answers, last); a != nil && !c.interim(r, a) {
+		return
+	}
+	if due == never || due > c.end {
+		return // Nothing is owed yet.
+	}
+	gaveUp := int64(never)
+	if n := len(r.gaveUp); n > 0 {
+		gaveUp = c.events[r.gaveUp[n-1]].T
+	}
+	s := &c.events[r.sent[last]]
+	begun, limit := c.events[r.sent[0]].T, c.limit(r)
+	if gaveUp < never && gaveUp-begun < limit-c.rules.AnswerSlack {
+		return // Its client went away before its time, which has been counted.
+	}
+	if gaveUp == never && (len(r.unsent) == 0 || c.events[r.unsent[len(r.unsent)-1]].T < s.T) {
+		if how, ended := c.fate(c.processes[life{s.Scheduler, s.Life}]); how == killed && ended < due {
+			c.excusedByKill++
+			return // Its client did not ask again.
+		}
+	}
+	if c.asleepThen(gaveUp, begun+limit) {
+		return
+	}
+	if !c.recovered(r, due) {
+		c.notReady++
+		return
+	}
+	why := "its client asked again for " + seconds(limit)
+	if final != nil {
+		why = fmt.Sprintf("its client asked again for the answer, with status %d, that it had got before", final.Status)
+	}
+	c.unanswered(r, last, NoAnswer, due, why)
+}
+
+// recovered says whether a lasting job is owed its answer at a time: whether a process had been ready long enough by
+// then, and still served. One that is stopping serves those alone who wait on its connections.
+func (c *court) recovered(r *request, due int64) bool {
+	last := len(r.sent) - 1
+	s := &c.events[r.sent[last]]
+	own := life{s.Scheduler, s.Life}
+	broken := c.first(r, r.broken, last)
+	for _, p := range c.lives[s.Scheduler] {
+		if _, ended := c.fate(p); ended <= due || p.ready > due || c.clock.between(p.ready, due) < c.rules.Recover {
+			continue
+		}
+		waits := p.life == own && (broken == nil || broken.T >= due) && c.first(r, r.answers, last) == nil
+		if waits || p.term > due {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeLost finds results that were acknowledged to their workers, and lost with the process.
+func (c *court) judgeLost(r *request, final *history.Event, due int64) {
+	if final.Status == 200 {
+		return
+	}
+	for k, n := range r.try {
+		a := &c.attempts[n]
+		ev := &c.events[a.ev]
+		if a.told == never || a.givenUp != never || c.late(a.told) >= final.T || a.told > due-lateDone {
+			continue
+		}
+		if k+1 < len(r.try) && c.from(&c.attempts[r.try[k+1]]) <= c.late(a.told) {
+			continue // The scheduler had let go of this one, and need not heed its word.
+		}
+		if _, ended := c.fate(c.processes[c.ranAt(ev.Scheduler, a.told)]); ended > final.T {
+			continue
+		}
+		c.blame(Breach{Rule: Answers, Kind: LostResult, T: final.T, Scheduler: ev.Scheduler, Worker: ev.Worker,
+			Request: r.id, Attempt: ev.Attempt, Text: fmt.Sprintf("Request %s was answered with status %d though %s had said "+
+				"%s before that attempt %d was done, and the scheduler had acknowledged it.", r.id, final.Status, ev.Worker,
+				seconds(final.T-a.told), ev.Attempt)})
+		return
+	}
+}
--- a/core/score/figures.go
+++ b/core/score/figures.go
@@ -313,7 +313,9 @@
 	case history.KindGaveUp:
 		tr.end, tr.final = unanswered, true
 	case history.KindAnswer:
-		tr.final = true
+		// Whoever is told that a durable job goes on in the next process asks again.
+		durable := slices.Contains(c.setup.Durable, c.classSetups[c.jobs[tr.job].class].Name)
+		tr.final = !durable || ev.Status != 502 || ev.After <= 0
 		c.statuses[strconv.Itoa(ev.Status)]++
 		switch ev.Status {
 		case 200:
--- a/rehearse/cli/byhand.go
+++ b/rehearse/cli/byhand.go
@@ -97,7 +97,19 @@
 		if err := os.WriteFile(file, raw, 0o644); err != nil {
 			return 0, err
 		}
-		fmt.Fprintf(a.out, "    laddertide serve --config %s\n", file)
+		if plan.Operators == "" {
+			fmt.Fprintf(a.out, "    laddertide serve --config %s\n", file)
+			continue
+		}
+		own, err := filepath.Abs(filepath.Join(dir, plan.Schedulers[i].Name))
+		if err == nil {
+			err = run.Furnish(plan, own)
+		}
+		if err != nil {
+			return 0, err
+		}
+		fmt.Fprintf(a.out, "    (cd %s && laddertide serve --config %s --fleet %s)\n", own,
+			filepath.Join("..", filepath.Base(file)), scenario.OperatorsFile)
 	}
 	fmt.Fprintf(a.out, "\nThen a first job:\n\n    curl -s -i -X POST http://%s/api/7f3a9c21e0b4d655 -H 'X-Request-Id: job-1' "+
 		"-H 'X-Class: %s' -H 'X-Tenant: %s' -H 'X-Deadline-Ms: 5000' -H 'X-Cost-Hint: 300000' -d fill\n\n",
@@ -313,9 +325,13 @@
 	}
 	watching, stop := context.WithCancel(ctx)
 	go rec.Watch(watching)
+	var durable []string
+	if plan.AskAgain {
+		durable = plan.Durable
+	}
 	_, err = clients.Run(ctx, clients.Config{Plan: plan.Traffic, Arrivals: arrivals, Retry: plan.Retry, Schedulers: at,
 		Zones: plan.Zones, Front: clients.Front{Notice: plan.Notice}, Rules: plan.Rules, Record: rec, Book: book.New(),
-		Seed: plan.Seed, Start: settle})
+		Seed: plan.Seed, Start: settle, Durable: durable})
 	stop()
 	last := history.Event{Partial: ctx.Err() != nil}
 	if last.Partial {
--- a/rehearse/clients/clients.go
+++ b/rehearse/clients/clients.go
@@ -57,6 +57,7 @@
 	Open       int              // requests that are open at once; 0: 50,000. What comes beyond counts as unsent
 	Idle       [2]time.Duration // an idle connection is closed after a time drawn between these; zero: 20 to 40 s
 	Conns      int              // connections to one scheduler; 0: no bound but Open
+	Durable    []string         // classes whose jobs are asked for again, with the same id, until they have an answer
 
 	// Victims is told which requests are open, for Rude. May be nil.
 	Victims *OpenRequests
@@ -75,7 +76,7 @@
 	Broken   int
 	Unsent   int
 	GaveUp   int
-	Again    int // requests sent once more as a close had crossed them
+	Again    int // requests sent once more: a close had crossed them, or they are durable and unanswered
 	Strays   int // answers that nobody had asked for
 	Overflow int // jobs that were not asked for as too many were open
 	Conns    int // connections that came up
--- /dev/null
+++ b/rehearse/clients/insist.go
@@ -0,0 +1,105 @@
+package clients
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+)
+
+const (
+	againLeast = 100 * time.Millisecond // before a client asks again for a durable job
+	againMost  = 300 * time.Millisecond
+	doubting   = 8 // one in so many clients asks once more for what it has been answered
+	doubtLeft  = 500 * time.Millisecond
+)
+
+// insist is what the client of a durable job does after its first sending: as long as it has no answer and its time is
+// not over, it asks the same scheduler again, which keeps the job. Some ask once more for an answer that they have, as
+// though they had lost it, and must get the same. out is what became of the first sending.
+func (t *one) insist(out traffic.Outcome, after time.Duration) (traffic.Outcome, time.Duration) {
+	chance := traffic.Stream(t.a.Chance, "again")
+	doubts := chance.IntN(doubting) == 0
+	for t.open(out, after) {
+		if out, after = t.once(chance); t.kit.ctx.Err() != nil {
+			return out, after
+		}
+	}
+	if doubts && t.kept(out) {
+		t.once(chance)
+	}
+	return out, after
+}
+
+// open says whether a client has no answer yet. That a job goes on in the next process is none.
+func (t *one) open(out traffic.Outcome, after time.Duration) bool {
+	return out == traffic.Unreachable || out == traffic.FailedTry && (t.status == 0 || t.status == 502 && after > 0)
+}
+
+// kept says whether a client has an answer that a scheduler must give again, and the time to ask for it.
+func (t *one) kept(out traffic.Outcome) bool {
+	final := out == traffic.Served || out == traffic.FailedTry && t.status/100 == 5
+	return final && t.sent+t.limit-t.kit.Record.Since() > doubtLeft
+}
+
+// once asks again, a little later. Unanswered says that the client's time is over.
+func (t *one) once(chance *rand.Rand) (traffic.Outcome, time.Duration) {
+	k := t.kit
+	t.status = 0
+	patience := t.limit + micro(k.Rules.Slack+k.Rules.AnswerSlack)
+	pause := againLeast + time.Duration(chance.Int64N(int64(againMost-againLeast)))
+	if now := k.Record.Since(); now+pause >= t.sent+t.limit {
+		if k.sleep(max(0, t.sent+patience-now)) {
+			t.gaveUp(t.place, 0, k.Record.Since())
+		}
+		return traffic.Unanswered, 0
+	}
+	if !k.sleep(pause) {
+		return traffic.Unanswered, 0
+	}
+	wait := newPending()
+	c, err := t.place.dial(t.id, wait, t.sent+patience+dialLimit+writeLimit+k.Grace+time.Second)
+	if err != nil {
+		if k.ctx.Err() == nil {
+			k.unsent(t.id, t.place.Name, cause(err))
+		}
+		return traffic.Unreachable, 0
+	}
+	now := k.Record.Since()
+	left := max(time.Millisecond, (t.sent + t.limit - now).Truncate(time.Millisecond))
+	buf := k.bodies.Get().(*[]byte)
+	defer k.bodies.Put(buf)
+	*buf = t.request((*buf)[:0], left)
+	c.nc.SetWriteDeadline(time.Now().Add(writeLimit))
+	if n, err := c.nc.Write(*buf); err != nil {
+		out, after, note := t.cut(wait, n, err)
+		c.drop()
+		if k.ctx.Err() == nil {
+			k.unsent(t.id, t.place.Name, note)
+		}
+		return out, after
+	}
+	now = k.Record.Since()
+	k.tally.again.Add(1)
+	k.wrote(c, t.id, now, max(1, (now-c.opened).Microseconds()), true)
+	a, over := t.await(c, wait, now, max(0, t.sent+patience-now))
+	switch {
+	case over:
+		return traffic.Unanswered, 0
+	case !a.whole:
+		k.ended(c, t.id, a)
+		return traffic.FailedTry, 0
+	}
+	k.answered(c, t.id, a)
+	close(wait.noted)
+	t.status = a.status
+	return outcome(a)
+}
+
+// gaveUp records that a client's time is over. conn is 0 if it had no connection then.
+func (t *one) gaveUp(p *place, conn int64, now time.Duration) {
+	t.kit.tally.gaveUp.Add(1)
+	t.kit.Record.Add(history.Event{T: now.Microseconds(), Kind: history.KindGaveUp, Request: t.id, Scheduler: p.Name,
+		Conn: conn})
+}
--- a/rehearse/fleet/message.go
+++ b/rehearse/fleet/message.go
@@ -26,6 +26,7 @@
 	class          string
 	hint           time.Duration // what its client thinks that it costs; 0: it doesn't say
 	limit          time.Duration // how long the scheduler will wait; 0: it doesn't say
+	lease          uint64        // the number under which it has the job; 0: it has none
 	body           []byte
 	last           bool // the connection ends with the answer
 
@@ -75,6 +76,15 @@
 		}
 		m.limit = max(time.Microsecond, time.Duration(ms)*time.Millisecond)
 	}
+	lease, err := one(req.Header, "X-Lease")
+	if err != nil {
+		return nil, err
+	}
+	if lease != "" {
+		if m.lease, err = strconv.ParseUint(lease, 10, 64); err != nil || m.lease == 0 {
+			return nil, errBad
+		}
+	}
 	m.class = req.Header.Get("X-Class")
 	if us, err := strconv.ParseFloat(req.Header.Get("X-Cost-Hint"), 64); err == nil && us > 0 && us < 1e12 {
 		m.hint = time.Duration(us * float64(time.Microsecond))
--- a/rehearse/fleet/tell.go
+++ b/rehearse/fleet/tell.go
@@ -341,7 +341,8 @@
 		From   string `json:"from"`
 		State  string `json:"state"`
 		Result string `json:"result,omitempty"`
-	}{a.id, l.w.spec.Name, string(n.state), n.result})
+		Lease  uint64 `json:"lease,omitempty"`
+	}{a.id, l.w.spec.Name, string(n.state), n.result, a.lease})
 	out := make([]byte, 0, 160+len(body))
 	out = append(out, "POST /v1/job-events HTTP/1.1\r\nHost: "...)
 	out = append(out, l.callBack...)
--- a/rehearse/fleet/worker.go
+++ b/rehearse/fleet/worker.go
@@ -29,6 +29,7 @@
 	index int
 	spec  world.Spec
 	links []*link // by scheduler
+	old   bool    // it does not know leases
 
 	mu      sync.Mutex
 	model   *world.Worker
@@ -53,16 +54,21 @@
 	link *link
 	job  world.Job
 
-	unsafe bool // it must never run twice
+	lease  uint64 // which call-backs name; 0: none
+	unsafe bool   // it must never run twice
 
 	submitted, taken, full, over bool
 	withdrawn                    bool // given up before it was submitted
 }
 
+// oldShare is one in how many workers does not know leases.
+const oldShare = 4
+
 func newWorker(f *Fleet, index int, spec world.Spec, keys *world.Keys) *worker {
 	seed := f.cfg.Seed + uint64(index+1)*0x9e3779b97f4a7c15
 	w := &worker{f: f, index: index, spec: spec, model: world.NewWorker(spec, keys, seed),
 		open: map[int64]*attempt{}, byID: map[string][]*attempt{}}
+	w.old = rand.New(rand.NewPCG(seed, 0x1ea5e)).IntN(oldShare) == 0
 	w.timer = time.AfterFunc(time.Hour, w.tick)
 	w.timer.Stop()
 	return w
@@ -454,9 +460,12 @@
 func (w *worker) attempt(c *conn, m *message) (*attempt, fate) {
 	job, unsafe, note := w.look(m)
 	a := &attempt{n: w.f.attempts.Add(1), id: m.id, life: c.life, link: c.link, job: job, unsafe: unsafe}
+	if !w.old {
+		a.lease = m.lease
+	}
 	a.job.Attempt, a.job.Scheduler = a.n, c.link.scheduler
 	ev := history.Event{T: micros(m.at), Kind: history.KindAttempt, Attempt: a.n, Request: m.id, Worker: w.spec.Name,
-		Life: c.life, Scheduler: c.link.name, From: micros(m.from), Work: job.Work.Microseconds(),
+		Life: c.life, Scheduler: c.link.name, Lease: m.lease, From: micros(m.from), Work: job.Work.Microseconds(),
 		Cost: job.Cost.Microseconds(), Limit: m.limit.Microseconds(), Note: note}
 	now := micros(w.lock())
 	defer w.unlock()
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -57,6 +57,13 @@
 
 // Run plays a plan. An error says that it could not be played; a scheduler that misbehaves is no error but history.
 func Run(ctx context.Context, plan *scenario.Plan, opt Options) (*Result, error) {
+	if plan.Operators != "" {
+		if slices.ContainsFunc(opt.Program.Args, func(a string) bool { return strings.HasPrefix(a, "--fleet") }) {
+			return nil, errors.New("the scenario has operators of its own, and --fleet names others: give one of them")
+		}
+		// In the folder in which the scheduler runs.
+		opt.Program.Args = append(slices.Clone(opt.Program.Args), "--fleet", scenario.OperatorsFile)
+	}
 	arrivals, err := traffic.Draw(plan.Traffic)
 	if err != nil {
 		return nil, err
@@ -147,7 +154,7 @@
 	return clients.Run(r.ctx, clients.Config{
 		Plan: r.plan.Traffic, Arrivals: r.arrivals, Retry: r.plan.Retry, Schedulers: r.clientSide(), Zones: r.plan.Zones,
 		Front: clients.Front{Notice: r.plan.Notice}, Rules: r.plan.Rules, Record: r.rec, Book: r.book, Seed: r.plan.Seed,
-		Start: start, Life: func(i int) int { return r.posts[i].lifeNow() }, Terms: r.terms, Victims: r.open,
+		Durable: r.durable(), Start: start, Life: func(i int) int { return r.posts[i].lifeNow() }, Terms: r.terms, Victims: r.open,
 	})
 }
 
@@ -159,6 +166,14 @@
 	return out
 }
 
+// durable are the classes whose jobs clients ask for again.
+func (r *run) durable() []string {
+	if !r.plan.AskAgain {
+		return nil
+	}
+	return r.plan.Durable
+}
+
 // timetable does the plan's steps, each at its time.
 func (r *run) timetable(start time.Duration) {
 	steps := slices.Clone(r.plan.Steps)
@@ -241,7 +256,7 @@
 				case scenario.Term:
 					p.restart(r.ctx)
 				case scenario.Kill:
-					p.kill(r.ctx, st.Down)
+					p.kill(r.ctx, st.Down, st.Early)
 				case scenario.Reload:
 					p.reload(r.ctx)
 				}
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laddertide/core/history"
@@ -54,6 +55,8 @@
 	Down       time.Duration // with Drain, Kill: until the new process starts
 	Stay       time.Duration // with Drain: how long it does so at least
 
+	Early bool // with Kill: a process that does not serve yet is killed too
+
 	// With Crash, Vanish, Mute: for so long at most it waits until one of Workers has a job that must never run twice, in
 	// its hands or (Arriving) just coming in, as that shows most what schedulers make of such an end.
 	Wait     time.Duration
@@ -115,6 +118,11 @@
 	MemoryMB float64
 	Sockets  int
 
+	Operators string   // the text of an operators' file; empty: none
+	Folders   []string // in each scheduler's own
+	Durable   []string // classes whose jobs outlive their scheduler's process
+	AskAgain  bool     // for such jobs
+
 	Steps  []Step
 	Shades []Shade
 
@@ -191,6 +199,12 @@
 		Add:          [2]time.Duration{440 * time.Millisecond, 1900 * time.Millisecond},
 		Period:       [2]time.Duration{200 * time.Millisecond, 1400 * time.Millisecond},
 		Spread:       [2]time.Duration{15 * time.Millisecond, 78 * time.Millisecond}}
+	p.Operators, p.Folders, p.AskAgain = s.Operators, s.Folders, s.AskAgain
+	for _, c := range p.Classes {
+		if s.durable && (s.keptOnly == nil || slices.Contains(s.keptOnly, c.Name)) {
+			p.Durable = append(p.Durable, c.Name)
+		}
+	}
 	p.MemoryMB, p.Sockets = s.MemoryMB.or(192, 192).Lo, int(s.Sockets.or(1024, 1024).Lo)
 	p.drawTroubles(s, pick(ch.Times, 1))
 	return p, nil
@@ -375,6 +389,8 @@
 				to = st.At + length
 			}
 			to += time.Second
+		case "kills":
+			to = p.drawKills(c, t, at)
 		case "rude":
 			two(Step{Do: Rude, Value: t.Rate.draw(c)}, Step{Do: Rude})
 		}
@@ -383,6 +399,28 @@
 	}
 }
 
+// drawKills makes kills of all schedulers in turn, and returns when the last one is over. Some are followed by another
+// of the next process, which may be at its recovery still.
+func (p *Plan) drawKills(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	order := c.Perm(len(p.Schedulers))
+	kill := func(at time.Duration, whom int) time.Duration {
+		down := seconds(t.For.draw(c))
+		p.Steps = append(p.Steps, Step{At: at, Do: Kill, Schedulers: []int{whom}, Down: down, Early: true})
+		return at + down
+	}
+	twice := t.Twice.or(0, 0).draw(c)
+	for j := range t.Count.whole(c) {
+		whom := order[j%len(order)]
+		up := kill(at, whom)
+		if c.Float64() < twice {
+			up = kill(up+time.Duration(c.Float64()*float64(time.Second)), whom)
+		}
+		to = max(to, up)
+		at += seconds(t.Every.draw(c))
+	}
+	return to + time.Second
+}
+
 // sample draws a part of n things, one at least, in the order drawn.
 func sample(c *rand.Rand, n int, part float64) []int {
 	k := min(n, max(1, int(math.Round(part*float64(n)))))
--- a/rehearse/scenario/settings.go
+++ b/rehearse/scenario/settings.go
@@ -63,7 +63,7 @@
 // Setup is what a history begins with.
 func (p *Plan) Setup() *history.Setup {
 	s := &history.Setup{Version: history.Version, Scenario: p.Scenario, Seed: p.Seed, Length: p.Length.Microseconds(),
-		Tenants: p.Tenants, Rules: p.Rules, Weights: p.Weights,
+		Tenants: p.Tenants, Rules: p.Rules, Weights: p.Weights, Durable: p.Durable,
 		Drawn: map[string]any{"about": p.About, "rate": p.Traffic.Rate, "load": p.Load, "capacity": p.Capacity}}
 	for _, c := range p.Classes {
 		s.Classes = append(s.Classes, c.Class)
