--- a/core/judge/answers.go
+++ b/core/judge/answers.go
@@ -274,6 +274,9 @@
 	if !stopping && (s.Again || s.Fresh != 0 && s.Fresh <= silent) {
 		return false
 	}
+	if i > 0 && c.lasts(r) {
+		return true // What was sent on may be what had been asked for before.
+	}
 	// A scheduler that has sent it on has read it.
 	if i+1 < len(r.sent) {
 		end = min(end, c.events[r.sent[i+1]].T)
--- a/core/judge/town_test.go
+++ b/core/judge/town_test.go
@@ -31,6 +31,7 @@
 	conns    int64
 	ids      int
 	badCount int
+	durable  bool // schedulers keep jobs over their deaths; see town_durable_test.go
 }
 
 const (
@@ -153,6 +154,15 @@
 	gone      bool // its client has hung up
 	heard     bool // its client has its answer
 	avoid     *worker
+
+	// Of a durable one.
+	s       *sched
+	until   int64 // its client's time is over
+	wait    int64 // the connection on which its client waits; 0: none
+	waitAt  *proc
+	status  int // how it has ended
+	result  string
+	doubted bool
 }
 
 type sched struct {
@@ -165,6 +175,7 @@
 	quiet  int64 // its agent is silent until then
 	held   uint64
 	front  *proc // whom the front sends to
+	ledger map[string]*job
 }
 
 // change is one piece of news on its way.
@@ -185,6 +196,9 @@
 	open     map[*job]bool
 	dump     string
 	dumped   []*job
+	ready    bool
+	shut     bool // it listens no more
+	left     bool // what is open is the next process's
 }
 
 func newTown(seed uint64, bad string) *town {
@@ -239,6 +253,9 @@
 	if t.bad == "ignores-its-start-list" {
 		t.hands(5*second, func() { t.command(t.scheds[0], 0) })
 	}
+	if t.durable {
+		t.killings()
+	}
 	for range t.rng.IntN(3) {
 		s, at, long := t.scheds[t.rng.IntN(len(t.scheds))], t.upTo(t.length), 500*ms+t.upTo(3*second)
 		t.hands(at, func() { s.quiet = t.now + long; t.hands(long, func() { t.tellAll(s, false) }) })
@@ -425,10 +442,17 @@
 			p.cold[name] = t.now + 10*second
 		}
 	}
+	if t.durable {
+		t.knowCold(p)
+	}
 	t.hands(100*ms+t.upTo(200*ms), func() {
 		if s.p != p || !p.alive {
 			return
 		}
+		p.ready = true
+		if t.durable {
+			t.recoverAll(p)
+		}
 		t.rec(history.Event{Kind: history.KindReady, Scheduler: s.name, Life: p.life})
 		t.tellAll(s, false)
 		s.front = p
@@ -463,6 +487,10 @@
 // stop has a process answer what it has and leave.
 func (t *town) stop(p *proc) {
 	p.stopping = true
+	if t.durable {
+		t.leave(p)
+		return
+	}
 	end := t.now + 3200*ms
 	for _, r := range p.jobs() {
 		t.deadline(r, min(r.deadline, end))
@@ -489,8 +517,13 @@
 	if how != "exit" {
 		code = 137
 	}
+	if t.durable {
+		t.cutOff(p)
+	}
 	for _, r := range p.jobs() {
-		t.hands(t.upTo(3*ms), func() { t.breaks(r, p) })
+		if !t.durable {
+			t.hands(t.upTo(3*ms), func() { t.breaks(r, p) })
+		}
 		for _, a := range r.out {
 			if !a.acked {
 				t.closeTry(a)
@@ -549,6 +582,10 @@
 	if s.front == nil {
 		return
 	}
+	if t.durable && s.front.alive {
+		t.sendLasting(r, s, false)
+		return
+	}
 	t.conns++
 	r.conn = t.conns
 	if !s.front.alive {
