--- a/provider/http.go
+++ b/provider/http.go
@@ -2,33 +2,65 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"laddertide/decide"
+	"laddertide/job"
 	"laddertide/wire/http1"
 )
 
-// Message is a consumer's request as it is passed on.
-type Message struct {
-	Method, Target string
-	Fields         http1.Fields // none of this connection's, and no deadline
-	Body           []byte
-}
-
-func (m *Message) job(until time.Time) []byte {
+// jobMessage is the message that sends a job. A consumer's own request is passed on as it came.
+func jobMessage(j *job.Job, lease uint64, until time.Time) []byte {
+	fields := j.Fields
+	if j.Protocol != http1.Protocol {
+		fields = ownFields(j)
+	}
 	left := max(1, time.Until(until).Milliseconds())
-	fields := append(m.Fields[:len(m.Fields):len(m.Fields)],
+	fields = append(fields[:len(fields):len(fields)],
 		http1.Field{Name: "X-Deadline-Ms", Value: strconv.FormatInt(left, 10)})
-	return http1.AppendRequest(nil, m.Method, m.Target, fields, m.Body)
+	if lease != 0 {
+		// A consumer's own would be another job's, if any.
+		fields = slices.DeleteFunc(fields, func(f job.Field) bool { return strings.EqualFold(f.Name, "X-Lease") })
+		fields = append(fields, http1.Field{Name: "X-Lease", Value: strconv.FormatUint(lease, 10)})
+	}
+	return http1.AppendRequest(nil, "POST", j.Subject, fields, j.Payload)
+}
+
+// ownFields says in this protocol what a job is that came by another one.
+func ownFields(j *job.Job) []job.Field {
+	fields := []job.Field{{Name: "Host"}, // there must be one, and this is for a target that has none
+		{Name: "X-Request-Id", Value: j.ID}, {Name: "X-Class", Value: j.ClassName}}
+	add := func(name, value string) { fields = append(fields, job.Field{Name: name, Value: value}) }
+	if j.Party != "" {
+		add("X-Tenant", j.Party)
+	}
+	if j.Key != "" {
+		add("Idempotency-Key", j.Key)
+	}
+	if j.Hint > 0 {
+		add("X-Cost-Hint", strconv.FormatInt(max(1, j.Hint.Microseconds()), 10))
+	}
+	if j.Slots > 0 {
+		add("X-Extras", "slots="+strconv.FormatFloat(j.Slots, 'f', -1, 64))
+	}
+	return fields
 }
 
-func (m *Message) giveUp(id string) []byte {
-	host := http1.Fields{{Name: "Host", Value: m.Fields.Get("Host")}}
-	return http1.AppendRequest(nil, "DELETE", "/jobs/"+id, host, nil)
+// giveUpMessage is the message that a job is given up.
+func giveUpMessage(j *job.Job) []byte {
+	host := ""
+	if j.Protocol == http1.Protocol {
+		host = http1.Fields(j.Fields).Get("Host")
+	}
+	return http1.AppendRequest(nil, "DELETE", "/jobs/"+j.ID, http1.Fields{{Name: "Host", Value: host}}, nil)
 }
 
 // accepted is no end: the provider has taken the job.
@@ -85,6 +117,17 @@
 		return Event{}, errors.New("call-back: id, from or state is missing or unknown")
 	}
 	ev := Event{ID: raw.ID, From: raw.From, State: state, Share: -1, Result: raw.Result}
+	if bytes.Contains(body, []byte(`"lease"`)) { // few name one
+		var more struct {
+			Lease json.RawMessage `json:"lease"`
+		}
+		if json.Unmarshal(body, &more) == nil && len(more.Lease) > 0 && string(more.Lease) != "null" {
+			// One that cannot be read names another lease than any that there is.
+			if json.Unmarshal(more.Lease, &ev.Lease) != nil || ev.Lease == 0 {
+				ev.Lease = math.MaxUint64
+			}
+		}
+	}
 	var share *float64 // no job depends on it, so one that makes no sense is none
 	if json.Unmarshal(raw.Share, &share) == nil && share != nil && *share >= 0 && *share <= 1 {
 		ev.Share = *share
--- /dev/null
+++ b/scheduler/cpu_test.go
@@ -0,0 +1,235 @@
+package scheduler
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/wire/http1"
+)
+
+// cpuListen and cpuProvider are the variables by which BenchmarkRequest makes this program the scheduler that it
+// measures.
+const cpuListen, cpuProvider = "LADDERTIDE_CPU_LISTEN", "LADDERTIDE_CPU_PROVIDER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(cpuListen) != "" {
+		measured()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// measured is a scheduler in a process of its own. For each line that it reads it says what it has used up to then:
+// microseconds of CPU, allocations, and bytes of them.
+func measured() {
+	cfg, err := Parse([]byte(config))
+	if err != nil {
+		panic(err)
+	}
+	cfg.Listen, cfg.Discovery = os.Getenv(cpuListen), "127.0.0.1:1"
+	cfg.Limits = Limits{Sockets: 1024, Cores: 1}
+	cfg.Known = directory.List{Index: 41, Snapshot: true, Entries: []directory.Entry{{Name: "s-0badcafe",
+		Address: os.Getenv(cpuProvider), Status: directory.Serving, Weight: 40, Type: "fast-2", Zone: "tukwila"}}}
+	s, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		panic(err)
+	}
+	go func() { panic(fmt.Sprint(s.Serve(context.Background()))) }()
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		var ru syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+			panic(err)
+		}
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		fmt.Println((ru.Utime.Nano()+ru.Stime.Nano())/1000, mem.Mallocs, mem.TotalAlloc)
+	}
+}
+
+// cpuOther names the test program of another tree, which BenchmarkRequest then measures beside its own.
+const cpuOther = "LADDERTIDE_CPU_OTHER"
+
+// BenchmarkRequest says what a job costs a scheduler on one core: CPU, allocations and bytes. The scheduler is a
+// process of its own; its consumers and its provider, which tells of start and end, are here, on real sockets.
+//
+// To compare two trees on a machine with other work, build the test program of the earlier one and name it to the later
+// one, which then gives jobs to both in short turns, and says how much more its own took: the median of all pairs of
+// turns, and the quartiles.
+//
+//	go test -c -o NAME ./scheduler
+//	LADDERTIDE_CPU_OTHER=NAME go test ./scheduler -run '^$' -bench Request -benchtime 100000x
+func BenchmarkRequest(b *testing.B) {
+	own := startSubject(b, os.Args[0])
+	if os.Getenv(cpuOther) == "" {
+		own.turn(2000)
+		before := own.used()
+		b.ResetTimer()
+		own.turn(b.N)
+		b.StopTimer()
+		after := own.used()
+		for i, unit := range []string{"cpu-us/job", "allocs/job", "B/job"} {
+			b.ReportMetric((after[i]-before[i])/float64(b.N), unit)
+		}
+		return
+	}
+	other := startSubject(b, os.Getenv(cpuOther))
+	const turn = 400
+	var of [2]float64
+	var rise []float64
+	for i := range max(1, b.N/turn) + 4 {
+		var took [2]float64
+		for k := range took {
+			k = (k + i) % 2 // each is first in every other pair
+			s := []*subject{own, other}[k]
+			before := s.used()[0]
+			s.turn(turn)
+			took[k] = s.used()[0] - before
+		}
+		if i >= 4 { // warm by now
+			of[0], of[1] = of[0]+took[0], of[1]+took[1]
+			rise = append(rise, 100*(took[0]/took[1]-1))
+		}
+	}
+	slices.Sort(rise)
+	all := float64(turn * len(rise))
+	b.ReportMetric(of[0]/all, "cpu-us/job")
+	b.ReportMetric(of[1]/all, "cpu-us/job-other")
+	b.ReportMetric(rise[len(rise)/4], "%-rise-quartile1")
+	b.ReportMetric(rise[len(rise)/2], "%-rise-median")
+	b.ReportMetric(rise[len(rise)*3/4], "%-rise-quartile3")
+}
+
+// subject is a scheduler that is measured, with consumers that wait for their next turn.
+type subject struct {
+	b         *testing.B
+	in        io.Writer
+	out       io.Reader
+	consumers []*client
+	jobs      int // that it has had
+}
+
+func startSubject(b *testing.B, program string) *subject {
+	b.Helper()
+	worker, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { worker.Close() })
+	child := exec.Command(program)
+	address := ownAddress()
+	child.Env = append(os.Environ(), cpuListen+"="+address, cpuProvider+"="+worker.Addr().String())
+	child.Stderr = os.Stderr
+	in, err := child.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := child.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { in.Close(); child.Wait() })
+	go work(worker, address)
+	s := &subject{b: b, in: in, out: out}
+	for tries := 0; len(s.consumers) < 8; tries++ {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			b.Cleanup(func() { c.Close() })
+			s.consumers = append(s.consumers, &client{Conn: c, br: bufio.NewReader(c)})
+			s.turn(len(s.consumers)) // it has 2 s to speak
+			continue
+		}
+		if tries == 1000 {
+			b.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return s
+}
+
+// used is what the scheduler has used up to now.
+func (s *subject) used() (n [3]float64) {
+	fmt.Fprintln(s.in)
+	if _, err := fmt.Fscan(s.out, &n[0], &n[1], &n[2]); err != nil {
+		s.b.Fatal(err)
+	}
+	return n
+}
+
+// turn has the consumers submit n jobs, one after the other each.
+func (s *subject) turn(n int) {
+	var all sync.WaitGroup
+	for k, c := range s.consumers {
+		all.Go(func() {
+			for i := k; i < n; i += len(s.consumers) {
+				fmt.Fprintf(c, "POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %d\r\n"+
+					"X-Class: settle\r\nX-Tenant: rainier-haul\r\nX-Deadline-Ms: 20000\r\n"+
+					"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Cost-Hint: 1000\r\n"+
+					"X-Extras: slots=1,memory=0.40\r\nContent-Length: 212\r\n\r\n%s", s.jobs+i,
+					strings.Repeat("x", 212))
+				h, err := http1.ReadResponseHead(c.br)
+				if err == nil {
+					_, err = h.ReadBody(c.br)
+				}
+				if err != nil || h.Status != 200 {
+					s.b.Errorf("%+v, %v", h, err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	s.jobs += n
+}
+
+// work is a provider that takes each job, and tells of its start and its end at once.
+func work(ln net.Listener, scheduler string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			back, err := net.Dial("tcp", scheduler)
+			if err != nil {
+				return
+			}
+			defer back.Close()
+			br, answers := bufio.NewReader(c), bufio.NewReader(back)
+			for {
+				h, err := http1.ReadRequestHead(br)
+				if err != nil {
+					return
+				}
+				if _, err := h.ReadBody(br); err != nil {
+					return
+				}
+				io.WriteString(c, taken)
+				for _, rest := range []string{`started"}`, `done","result":"0123456789abcdef"}`} {
+					body := `{"id":"` + h.Fields.Get("X-Request-Id") + `","from":"s-0badcafe","state":"` + rest
+					io.WriteString(back, post("/v1/job-events", body))
+					if _, err := http1.ReadResponseHead(answers); err != nil {
+						return
+					}
+				}
+			}
+		}()
+	}
+}
