--- a/core/score/figures.go
+++ b/core/score/figures.go
@@ -71,6 +71,9 @@
 	work            int64
 }
 
+// process is one of a scheduler's.
+type process struct{ scheduler, life int }
+
 // counter walks over a history.
 type counter struct {
 	setup *history.Setup
@@ -88,7 +91,8 @@
 	statuses, strangeKinds map[string]int
 	late                   *recorder
 	load                   *load
-	stopping               []bool // by scheduler: its end was asked for
+	asked                  map[process]history.Kind // schedulers' processes that were sent a signal to end, and the first
+	life                   []int                    // by scheduler: its latest process
 	ended                  bool
 }
 
@@ -133,7 +137,7 @@
 		c.schedulers[s.Name] = len(c.rep.Schedulers)
 		c.rep.Schedulers = append(c.rep.Schedulers, Scheduler{SchedulerSetup: s})
 	}
-	c.stopping = make([]bool, len(c.rep.Schedulers))
+	c.asked, c.life = map[process]history.Kind{}, make([]int, len(c.rep.Schedulers))
 	c.rep.LoadStep = step(last, second/4)
 	c.load = newLoad(len(c.rep.Workers), c.rep.LoadStep, last)
 }
@@ -233,21 +237,32 @@
 }
 
 func (c *counter) process(i int, ev *history.Event) {
-	s := &c.rep.Schedulers[i]
+	s, own := &c.rep.Schedulers[i], process{i, ev.Life}
 	switch ev.Kind {
 	case history.KindStart:
 		s.Lives++
 		s.Downs = closed(s.Downs, ev.T)
-		c.stopping[i] = false
+		switch c.asked[process{i, ev.Life - 1}] {
+		case history.KindKill:
+			c.rep.Totals.Kills++
+		case history.KindTerm:
+			c.rep.Totals.Restarts++
+		}
+		delete(c.asked, own)
+		c.life[i] = ev.Life
 	case history.KindTerm, history.KindKill:
-		c.stopping[i] = true
+		if c.asked[own] == "" {
+			c.asked[own] = ev.Kind
+		}
 	case history.KindExit:
 		what := "stopped"
-		if !c.stopping[i] {
+		if c.asked[own] == "" {
 			s.Crashes++
 			what = "crashed"
 		}
-		s.Downs = opened(s.Downs, ev.T, what)
+		if ev.Life >= c.life[i] { // else the next one has started already
+			s.Downs = opened(s.Downs, ev.T, what)
+		}
 	}
 }
 
@@ -297,6 +312,14 @@
 		if tr.sends > 1 {
 			c.rep.Totals.Resent++
 		}
+		if c.durable(tr) {
+			switch tr.sends {
+			case 1:
+				c.rep.Totals.Durable++
+			case 2:
+				c.rep.Totals.AskedAgain++
+			}
+		}
 		if i, ok := c.schedulers[ev.Scheduler]; ok {
 			c.rep.Schedulers[i].Sent++
 		}
@@ -314,8 +337,7 @@
 		tr.end, tr.final = unanswered, true
 	case history.KindAnswer:
 		// Whoever is told that a durable job goes on in the next process asks again.
-		durable := slices.Contains(c.setup.Durable, c.classSetups[c.jobs[tr.job].class].Name)
-		tr.final = !durable || ev.Status != 502 || ev.After <= 0
+		tr.final = !c.durable(tr) || ev.Status != 502 || ev.After <= 0
 		c.statuses[strconv.Itoa(ev.Status)]++
 		switch ev.Status {
 		case 200:
@@ -331,6 +353,11 @@
 	}
 }
 
+// durable says whether a try is of a class whose jobs outlive their scheduler's process.
+func (c *counter) durable(tr *try) bool {
+	return slices.Contains(c.setup.Durable, c.classSetups[c.jobs[tr.job].class].Name)
+}
+
 func (c *counter) attempt(ev *history.Event) {
 	t := &c.rep.Totals
 	w, okW := c.workers[ev.Worker]
--- a/core/score/score.go
+++ b/core/score/score.go
@@ -90,7 +90,10 @@
 	Open             int // of those unanswered: still within their time when the history ends
 	Requests         int // tries of clients
 	ClientRetries    int // those after a first
-	Resent           int // written once more, as a close had crossed them
+	Resent           int // written once more: a close had crossed them, or they are durable and were asked for again
+	Durable          int // requests of durable classes that were written to a scheduler
+	AskedAgain       int // of them: those that were written more than once
+	Kills, Restarts  int // of schedulers, by SIGKILL and by SIGTERM, that another process followed
 	Attempts         int // of schedulers, voids among them
 	SchedulerRetries int // attempts beyond a request's first
 	Crossings        int // attempts to a worker in another zone than the scheduler's
--- a/rehearse/report/json.go
+++ b/rehearse/report/json.go
@@ -43,6 +43,10 @@
 	Full             int            `json:"full"`
 	Void             int            `json:"void"`
 	Untold           int            `json:"untold"`
+	Kills            int            `json:"kills"`
+	Restarts         int            `json:"restarts"`
+	Durable          int            `json:"durable_requests"`
+	AskedAgain       int            `json:"asked_again"`
 	Effects          int            `json:"effects"`
 	Probes           int            `json:"probes"`
 	Fallen           int            `json:"fallen"`
@@ -170,7 +174,8 @@
 			Descriptors: r.Daemon.Descriptors, Schedulers: map[string]jsonProcess{}},
 		LengthS: finite(r.Length, 3), Workers: r.Workers, Schedulers: r.Schedulers, Rate: finite(r.Rate, 3),
 		Requests: t.Requests, Retries: t.ClientRetries, Attempts: t.Attempts, SchedulerRetries: t.SchedulerRetries,
-		Crossings: t.Crossings, Full: t.Full, Void: t.Void, Untold: t.Untold, Effects: t.Effects, Probes: t.Probes,
+		Crossings: t.Crossings, Full: t.Full, Void: t.Void, Untold: t.Untold,
+		Kills: t.Kills, Restarts: t.Restarts, Durable: t.Durable, AskedAgain: t.AskedAgain, Effects: t.Effects, Probes: t.Probes,
 		Fallen: t.Fallen, WorkAskedS: finite(t.WorkAsked, 3), WorkDoneS: finite(t.WorkDone, 3),
 		WastedS: finite(t.WorkWasted, 3), Statuses: countsJSON(t.Statuses),
 		Kit: jsonKit{LateP50: finite(f.Kit.LateP50, 3), LateMax: finite(f.Kit.LateMax, 3), Stalls: f.Kit.Stalls,
--- a/rehearse/report/table.go
+++ b/rehearse/report/table.go
@@ -219,6 +219,10 @@
 		fmt.Sprintf("asked %.1f s, done %.1f s, wasted %.1f s; %d took effect, %d call-backs untold, %d probes, "+
 			"%d cold workers fell", finite(t.WorkAsked, 3), finite(t.WorkDone, 3), finite(t.WorkWasted, 3), t.Effects,
 			t.Untold, t.Probes, t.Fallen))
+	if t.Durable > 0 {
+		line("durable", fmt.Sprintf("%d requests, %d asked for again (%d times in all), over %d kills and %d restarts of "+
+			"schedulers", t.Durable, t.AskedAgain, t.Resent, t.Kills, t.Restarts))
+	}
 	if s := &f.Strangers; s.Seen > 0 {
 		line("strangers", fmt.Sprintf("%d bad clients, %d got neither an answer nor a close in time", s.Seen,
 			s.Ignored))
