--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -62,6 +62,12 @@
 		"troubles: [{kind: crash, at_s: 1, for_s: 1, part: 0.34}, " +
 		"{kind: stale, at_s: 0.5, for_s: 5, delay_s: 3}, " +
 		"{kind: burst, at_s: 2, for_s: 2, times: 2}]}"
+	durable = "operators: \"durable: {dir: ledger}\", folders: [ledger], ask_again: true, "
+	kills   = "{name: kills, seconds: 11, workers: 6, schedulers: 3, rate: 60, load: 0.35, " + durable +
+		"troubles: [{kind: kills, at_s: 0.8, count: 12, every_s: [0.6, 0.9], for_s: [0.2, 0.4], twice: 0.3}, " +
+		"{kind: crash, at_s: 3, for_s: 1, part: 0.2}]}"
+	terms = "{name: terms, seconds: 10, workers: 6, schedulers: 2, rate: 40, load: 0.7, " + durable +
+		"troubles: [{kind: slow, at_s: 0.5, for_s: 8, factor: 2}, {kind: restart, at_s: 1.5, every_s: 4}]}"
 	busy     = "{name: busy, " + day + "}"
 	stays    = "{name: stays, seconds: 20, workers: 6, schedulers: 2, rate: 30, load: 0.1}"
 	day      = "seconds: 6, workers: 6, schedulers: 2, rate: 60, load: 0.6, "
@@ -121,14 +127,18 @@
 
 // result is what the tests read of a run's JSON.
 type result struct {
-	Scenario string
-	Service  float64
-	Partial  bool
-	Rules    map[string]int
-	Missing  int `json:"missing_answers"`
-	Breaches []struct{ Rule, Kind, Text string }
-	Classes  map[string]struct{ Asked, Unanswered int }
-	Notes    []string
+	Scenario            string
+	Service             float64
+	Partial             bool
+	Rules               map[string]int
+	Missing             int `json:"missing_answers"`
+	Kills               int
+	Durable             int `json:"durable_requests"`
+	Again               int `json:"asked_again"`
+	CardIssueDuplicates int `json:"card_issue_duplicates"`
+	Breaches            []struct{ Rule, Kind, Text string }
+	Classes             map[string]struct{ Asked, Unanswered int }
+	Notes               []string
 }
 
 func readResult(t *testing.T, file string) result {
@@ -220,6 +230,13 @@
 		{"dropped-query", light, []string{"altered/altered"}},
 		{"other-key", light, []string{"altered/altered"}},
 		{"own-id", light, []string{"altered/altered", "altered/unasked"}},
+
+		{"forget-ledger", kills, []string{"duplicates/second-run", "duplicates/resent-unproven", "duplicates/two-out",
+			"duplicates/refused-after-run", "duplicates/outside-window", "duplicates/too-many-attempts",
+			"answers/sent-after-answer", "answers/changed-answer"}},
+		{"resend-recovered", kills, []string{"duplicates/second-run", "duplicates/resent-unproven",
+			"duplicates/two-out"}},
+		{"recant", kills, []string{"answers/changed-answer"}},
 	} {
 		t.Run(c.sabotage, func(t *testing.T) {
 			t.Parallel()
@@ -251,7 +268,8 @@
 }
 
 // days are those on which good schedulers must keep all rules.
-var days = []string{calm, crowded, crash, silent, mute, drain, cold, lost, moved, restart, kill, rude, cut, overlap}
+var days = []string{calm, crowded, crash, silent, mute, drain, cold, lost, moved, restart, kill, rude, cut, overlap, kills,
+	terms}
 
 // A good scheduler is never blamed, nor is one that is bad in ways that no rule forbids.
 func TestGoodStandInKeepsAllRules(t *testing.T) {
@@ -315,6 +333,38 @@
 	}
 }
 
+// The daemon loses nothing that it has taken, and sends no card-issue twice, however often it is killed.
+func TestDaemonKeepsDurableJobs(t *testing.T) {
+	t.Parallel()
+	path, err := daemonPath()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	var sum [3]result
+	for i := range sum {
+		all.Go(func() {
+			r, code, k := play(t, "", kills, "--daemon", path, "--seed", strconv.Itoa(i+11))
+			if code != cli.Kept && code != cli.RanLate || len(r.Breaches) > 0 || r.CardIssueDuplicates+r.Missing > 0 {
+				t.Errorf("seed %d: exit status %d, found %v, %s", i+11, code, r.faults(), k.err.String())
+				blame(t, &r)
+			}
+			sum[i] = r
+		})
+	}
+	all.Wait()
+	total := 0
+	for i, r := range sum {
+		total += r.Kills
+		if r.Again < 20 || r.Durable < 300 {
+			t.Errorf("seed %d: %d of %d requests were asked for again", i+11, r.Again, r.Durable)
+		}
+	}
+	if total < 36 {
+		t.Errorf("only %d kills", total)
+	}
+}
+
 // What cannot run at all ends with 1 and one line that says why.
 func TestSchedulersThatDoNotServe(t *testing.T) {
 	t.Parallel()
--- a/rehearse/standin/job.go
+++ b/rehearse/standin/job.go
@@ -39,6 +39,8 @@
 	sends  int
 	again  bool      // sabotage: it is sent again whatever has become of it
 	mayRun time.Time // when an attempt that may have run was sent first; zero: none may have
+
+	lasting
 }
 
 // hear passes on what became of the present attempt, the first that is said of it. Called under mu.
@@ -58,6 +60,9 @@
 		}
 		return write(c, answerOf(status, why, r.close)) && !r.close
 	}
+	if j.done != nil {
+		return s.lastingClient(c, br, r, j)
+	}
 	if s.sabotageAtOnce(c, j) {
 		s.mu.Lock()
 		delete(s.jobs, j.id)
@@ -109,6 +114,9 @@
 	if class == nil {
 		return nil, 400, "no such class"
 	}
+	if s.ledger != nil {
+		return s.takeLasting(r, id, class, time.Duration(ms)*time.Millisecond), 0, ""
+	}
 	if s.jobs[id] != nil {
 		return nil, 409, "this id is open"
 	}
@@ -129,7 +137,10 @@
 // hurry lets a job end in time for a scheduler that stops. Called under mu.
 func (j *job) hurry() {
 	if end := j.s.stopping.Add(stopLimit); end.Before(j.due.Add(-margin)) {
-		time.AfterFunc(time.Until(end), j.stop)
+		time.AfterFunc(time.Until(end), func() {
+			j.leave()
+			j.stop()
+		})
 	}
 }
 
@@ -149,11 +160,18 @@
 		j.s.holdWhileDown(j)
 	}
 	for {
-		w := j.place()
-		if w == nil {
-			return j.refuse()
+		var how end
+		var result string
+		if j.resumed {
+			how, result = j.await()
+		} else {
+			w := j.place()
+			if w == nil {
+				return j.refuse()
+			}
+			how, result = j.attempt(w)
 		}
-		how, result := j.attempt(w)
+		j.over(how)
 		if j.s.bad["ignore-returned"] && how == neverRan {
 			how = mayHaveRun
 		}
@@ -298,6 +316,7 @@
 	defer c.Close()
 	sent := time.Now()
 	j.sends++
+	j.lease(w, sent)
 	text := j.text()
 	c.SetDeadline(sent.Add(ackLimit))
 	if _, err := c.Write(text); err != nil {
@@ -357,7 +376,9 @@
 	if j.mayRun.IsZero() {
 		j.mayRun = sent
 	}
-	go s.giveUp(address, j.id)
+	if !j.isLeft() {
+		go s.giveUp(address, j.id)
+	}
 	return timeOver, ""
 }
 
--- a/rehearse/standin/standin.go
+++ b/rehearse/standin/standin.go
@@ -111,6 +111,8 @@
 	count    int // requests taken, for sabotage of every so many
 	conns    map[net.Conn]bool
 	last     string // a result that was given to somebody
+	ledger   *os.File
+	kept     map[string]*job // that have ended, by request id
 }
 
 // Main serves until SIGTERM or worse. sabotages is what Env says.
@@ -129,6 +131,9 @@
 		s.fail(err)
 	}
 	s.tell(&s.cfg.Known)
+	if err := s.remember(os.Args); err != nil {
+		s.fail(err)
+	}
 	ln, err := net.Listen("tcp4", s.cfg.Listen)
 	if err != nil {
 		s.fail(err)
@@ -495,7 +500,9 @@
 		if json.Unmarshal(r.body, &e) != nil {
 			return write(c, answerOf(400, "", false))
 		}
-		s.hear(e)
+		if !s.hear(e) {
+			return write(c, answerOf(500, "", false))
+		}
 		return write(c, answerOf(204, "", false))
 	case r.method == "POST" && strings.HasPrefix(path, "/api/"):
 		return s.client(c, br, r)
@@ -503,15 +510,22 @@
 	return write(c, answerOf(404, "", false))
 }
 
-// hear takes a call-back.
-func (s *scheduler) hear(e event) {
+// hear takes a call-back, and says whether it is acknowledged.
+func (s *scheduler) hear(e event) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[e.ID]
-	if j == nil || e.State == "started" || e.State == "running" {
-		return
-	}
-	if j.at != nil && j.at.name == e.From {
+	switch {
+	case j == nil:
+		return s.ledger == nil || s.kept[e.ID] != nil // else it is another process's
+	case e.State == "started" || e.State == "running":
+	case j.at != nil && j.at.name == e.From:
+		if e.State == "done" {
+			s.keep(j, 200, e.Result)
+		}
 		j.hear(e)
+	case j.left:
+		return false // the next process's
 	}
+	return true
 }
