--- a/scheduler/cpu_test.go
+++ b/scheduler/cpu_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"laddertide/directory"
 	"laddertide/wire/http1"
 )
@@ -25,6 +27,9 @@
 // measures.
 const cpuListen, cpuProvider = "LADDERTIDE_CPU_LISTEN", "LADDERTIDE_CPU_PROVIDER"
 
+// cpuOperator names an operators' file for it.
+const cpuOperator = "LADDERTIDE_CPU_OPERATOR"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(cpuListen) != "" {
 		measured()
@@ -44,6 +49,11 @@
 	cfg.Limits = Limits{Sockets: 1024, Cores: 1}
 	cfg.Known = directory.List{Index: 41, Snapshot: true, Entries: []directory.Entry{{Name: "s-0badcafe",
 		Address: os.Getenv(cpuProvider), Status: directory.Serving, Weight: 40, Type: "fast-2", Zone: "tukwila"}}}
+	if file := os.Getenv(cpuOperator); file != "" {
+		if cfg.Operator, err = LoadOperator(file); err != nil {
+			panic(err)
+		}
+	}
 	s, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		panic(err)
@@ -73,7 +83,7 @@
 //	go test -c -o NAME ./scheduler
 //	LADDERTIDE_CPU_OTHER=NAME go test ./scheduler -run '^$' -bench Request -benchtime 100000x
 func BenchmarkRequest(b *testing.B) {
-	own := startSubject(b, os.Args[0])
+	own := startSubject(b, os.Args[0], 8, "")
 	if os.Getenv(cpuOther) == "" {
 		own.turn(2000)
 		before := own.used()
@@ -86,7 +96,7 @@
 		}
 		return
 	}
-	other := startSubject(b, os.Getenv(cpuOther))
+	other := startSubject(b, os.Getenv(cpuOther), 8, "")
 	const turn = 400
 	var of [2]float64
 	var rise []float64
@@ -120,9 +130,13 @@
 	out       io.Reader
 	consumers []*client
 	jobs      int // that it has had
+	pid       int
+
+	mu   sync.Mutex
+	took *hdrhistogram.Histogram // of jobs, in microseconds; nil: nobody asks
 }
 
-func startSubject(b *testing.B, program string) *subject {
+func startSubject(b *testing.B, program string, consumers int, operator string) *subject {
 	b.Helper()
 	worker, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -131,7 +145,7 @@
 	b.Cleanup(func() { worker.Close() })
 	child := exec.Command(program)
 	address := ownAddress()
-	child.Env = append(os.Environ(), cpuListen+"="+address, cpuProvider+"="+worker.Addr().String())
+	child.Env = append(os.Environ(), cpuListen+"="+address, cpuProvider+"="+worker.Addr().String(), cpuOperator+"="+operator)
 	child.Stderr = os.Stderr
 	in, err := child.StdinPipe()
 	if err != nil {
@@ -146,8 +160,8 @@
 	}
 	b.Cleanup(func() { in.Close(); child.Wait() })
 	go work(worker, address)
-	s := &subject{b: b, in: in, out: out}
-	for tries := 0; len(s.consumers) < 8; tries++ {
+	s := &subject{b: b, in: in, out: out, pid: child.Process.Pid}
+	for tries := 0; len(s.consumers) < consumers; tries++ {
 		c, err := net.Dial("tcp", address)
 		if err == nil {
 			b.Cleanup(func() { c.Close() })
@@ -183,10 +197,16 @@
 					"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Cost-Hint: 1000\r\n"+
 					"X-Extras: slots=1,memory=0.40\r\nContent-Length: 212\r\n\r\n%s", s.jobs+i,
 					strings.Repeat("x", 212))
+				sent := time.Now()
 				h, err := http1.ReadResponseHead(c.br)
 				if err == nil {
 					_, err = h.ReadBody(c.br)
 				}
+				if s.took != nil {
+					s.mu.Lock()
+					s.took.RecordValue(time.Since(sent).Microseconds())
+					s.mu.Unlock()
+				}
 				if err != nil || h.Status != 200 {
 					s.b.Errorf("%+v, %v", h, err)
 					return
