--- a/durable/durable.go
+++ b/durable/durable.go
@@ -25,6 +25,7 @@
 // Store is where records go. See [ledger.Store].
 type Store interface {
 	Append(seq uint64, records ...[]byte) ledger.Commit
+	AppendLazy(seq uint64, records ...[]byte)
 	Trim(oldest uint64, mark []byte) error
 	Size() int64
 	Close() error
@@ -87,8 +88,7 @@
 		return h.next.Handle(ctx, j)
 	}
 	due := time.Now().Add(j.Left)
-	spec := leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
-		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
+	spec := Spec(j)
 	h.mu.Lock()
 	if h.left { // nothing more is taken: what could end has ended
 		h.mu.Unlock()
@@ -133,6 +133,12 @@
 	return job.Outcome{Kind: job.Gone}
 }
 
+// Spec is a job as the ledger has it.
+func Spec(j *job.Job) leases.Spec {
+	return leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
+		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
+}
+
 // take takes a job into the table, unless it is a new one and the ledger is as large as it may be. Called under mu.
 func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
 	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= int64(h.set.MaxMB)<<20 {
@@ -275,11 +281,11 @@
 		}
 		records[i] = step.Records[i].Append(nil)
 	}
-	commit := h.store.Append(uint64(seq), records...)
 	if !step.Sync {
+		h.store.AppendLazy(uint64(seq), records...)
 		return nil
 	}
-	return commit
+	return h.store.Append(uint64(seq), records...)
 }
 
 // wait waits until a commit is on disk, no longer than by.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -67,6 +67,7 @@
 	logEvery     = time.Minute     // a disk that fails and heals is told of at most
 	closeWait    = 2 * time.Second // for the last writes
 	trimWait     = 2 * time.Second // for the mark, and again for the removal
+	lazyWait     = 20 * time.Millisecond
 )
 
 // What speaks against a call.
@@ -251,6 +252,9 @@
 	sync    bool // whatever the mode
 	makes   bool // room: it may use what is kept free
 
+	lazy bool      // nobody waits for it
+	due  time.Time // of a lazy one: when it is written at the latest
+
 	done chan struct{}
 	err  error // once done
 	over bool  // done is closed; guarded by mu
@@ -286,6 +290,23 @@
 	return s.append(g)
 }
 
+// AppendLazy appends records that nobody waits for: they are written with the next that somebody waits for, or after a
+// moment, in the same order.
+func (s *Store) AppendLazy(seq uint64, records ...[]byte) {
+	g := &group{records: make([]record, len(records)), appends: 1, lazy: true, due: time.Now().Add(lazyWait)}
+	for i, r := range records {
+		if len(r) == 0 {
+			s.refuse(ErrRecord)
+			return
+		}
+		g.records[i] = record{seq, r}
+		g.bytes += frameHead + int64(len(r))
+	}
+	if len(records) > 0 {
+		s.append(g)
+	}
+}
+
 func (s *Store) refuse(err error) Commit {
 	s.mu.Lock()
 	s.stats.Failed++
@@ -317,6 +338,10 @@
 	if len(g.records) == 0 {
 		switch n := len(s.queue); {
 		case n > 0:
+			if s.queue[n-1].lazy {
+				s.queue[n-1].lazy = false
+				s.poke()
+			}
 			return s.queue[n-1]
 		case s.flight != nil:
 			return s.flight
@@ -325,12 +350,16 @@
 		}
 	}
 	s.waiting += g.bytes
-	if n := len(s.queue); n > 0 && s.opt.Sync != Each && !g.makes && !s.queue[n-1].makes &&
+	if n := len(s.queue); n > 0 && (s.opt.Sync != Each || s.queue[n-1].lazy) && !g.makes && !s.queue[n-1].makes &&
 		s.queue[n-1].bytes+g.bytes <= min(mostTogether, s.bytes-firstFrame-frameHead) {
 		last := s.queue[n-1]
 		last.records = append(last.records, g.records...)
 		last.bytes += g.bytes
 		last.appends++
+		if last.lazy && !g.lazy {
+			last.lazy = false
+			s.poke()
+		}
 		return last
 	}
 	g.done = make(chan struct{})
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -33,11 +33,12 @@
 		case <-s.wake:
 		case <-timer.C:
 			s.mu.Lock()
-			broken := s.broken != nil
+			broken, queued := s.broken != nil, len(s.queue) > 0
 			s.mu.Unlock()
-			if broken {
+			switch {
+			case broken:
 				s.heal()
-			} else {
+			case !queued:
 				s.note()
 			}
 		}
@@ -50,6 +51,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case len(s.queue) == 1 && s.queue[0].lazy && !s.closing && time.Until(s.queue[0].due) > 0:
+		return nil, time.Until(s.queue[0].due), false
 	case len(s.queue) > 0:
 		g = s.queue[0]
 		s.queue[0] = nil
