--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -31,16 +31,16 @@
 	discovery string // the address that its file names
 	began     time.Time
 	ready     bool
-	asked     bool // the present process was told to end
 	ended     bool // no further process starts
 	usage     daemon.Usage
 }
 
-// start starts the next process, on what discovery's agent holds now.
-func (p *post) start() error {
+// start starts the next process, on what discovery's agent holds now, unless that of the one before has been started
+// already: a process can be told to end twice.
+func (p *post) start(before *daemon.Process) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ended {
+	if p.ended || p.proc != before {
 		return nil
 	}
 	known, entries := p.r.discovery.Known(p.i)
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	p.proc, p.began, p.ready, p.asked = proc, time.Now(), false, false
+	p.proc, p.began, p.ready = proc, time.Now(), false
 	p.r.all.Go(func() { p.wait(proc, life) })
 	if life > 1 {
 		p.r.all.Go(func() { p.await(p.r.ctx) })
@@ -189,7 +189,7 @@
 		<-proc.Done()
 	}
 	if ctx.Err() == nil {
-		p.again()
+		p.again(proc)
 	}
 }
 
@@ -202,12 +202,12 @@
 	}
 	<-proc.Done()
 	if sleep(ctx, down) {
-		p.again()
+		p.again(proc)
 	}
 }
 
-func (p *post) again() {
-	if err := p.start(); err != nil {
+func (p *post) again(before *daemon.Process) {
+	if err := p.start(before); err != nil {
 		// The first process started from the same files; this machine cannot go on.
 		p.r.stop(fmt.Errorf("scheduler %s cannot be started again: %w", p.name, err))
 	}
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -129,7 +129,7 @@
 		return clients.Stats{}, err
 	}
 	for _, p := range r.posts {
-		if err := p.start(); err != nil {
+		if err := p.start(nil); err != nil {
 			return clients.Stats{}, err
 		}
 	}
