--- a/rehearse/daemon/daemon.go
+++ b/rehearse/daemon/daemon.go
@@ -192,6 +192,28 @@
 	p.cmd.Process.Signal(sig)
 }
 
+// Full makes the child's writes to files fail as on a full disk, or lets them through again. The system does so by the
+// limit on a file's size, which is 0 then: what a file has stays, and reads go on.
+func (p *Process) Full(on bool) error {
+	var limit unix.Rlimit
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return unlessEnded(err)
+	}
+	limit.Cur = limit.Max
+	if on {
+		limit.Cur = 0
+	}
+	return unlessEnded(unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+}
+
+// unlessEnded makes nothing of it that a child has ended meanwhile.
+func unlessEnded(err error) error {
+	if errors.Is(err, unix.ESRCH) {
+		return nil
+	}
+	return err
+}
+
 // Done is closed when it has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -213,6 +213,18 @@
 	}
 }
 
+// full fills the disk of the present process, or empties it again.
+func (p *post) full(on bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.proc.Done():
+		return nil
+	default:
+		return p.proc.Full(on)
+	}
+}
+
 // reload moves discovery: a new agent, a new file, SIGHUP.
 func (p *post) reload(ctx context.Context) {
 	p.mu.Lock()
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -248,6 +248,10 @@
 			}
 			r.discovery.Silence(i, st.Value > 0)
 		}
+	case scenario.Full:
+		for _, s := range st.Schedulers {
+			r.must(r.posts[s].full(st.Value > 0))
+		}
 	case scenario.Term, scenario.Kill, scenario.Reload:
 		for _, s := range st.Schedulers {
 			p := r.posts[s]
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -80,6 +80,7 @@
 	Drain   Act = "drain"   // each worker: finishes, ends, comes back cold
 	Term    Act = "term"    // SIGTERM, and a new process after the exit
 	Kill    Act = "kill"    // SIGKILL, and a new process after Down
+	Full    Act = "full"    // while Value is 1, the disks of Schedulers take no writes
 	Reload  Act = "reload"  // SIGHUP with a moved discovery
 	Rude    Act = "rude"    // bad clients at Value a second; 0 ends it
 )
@@ -352,6 +353,9 @@
 		case "cut":
 			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
 			two(Step{Do: Cut, Workers: some, Schedulers: at}, Step{Do: Mend, Workers: some, Schedulers: at})
+		case "full":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Full, Schedulers: at, Value: 1}, Step{Do: Full, Schedulers: at})
 		case "slow":
 			two(Step{Do: Slow, Workers: some, Value: t.Factor.draw(c)}, Step{Do: Slow, Workers: some, Value: 1})
 		case "burst":
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -83,6 +83,7 @@
 	"restart":     {[]string{"every_s"}, []string{"count"}},                   // SIGTERM of one scheduler after another
 	"kill":        {[]string{"for_s"}, []string{"count", "every_s"}},
 	"kills":       {[]string{"for_s", "count", "every_s"}, []string{"twice"}}, // of all in turn; times drawn for each
+	"full":        {[]string{"for_s"}, []string{"count"}},                     // the disks of some schedulers take no writes
 	"reload":      {nil, []string{"count", "every_s"}},                        // SIGHUP with another address of discovery
 	"rude":        {[]string{"rate", "for_s"}, nil},
 }
