--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -129,7 +129,7 @@
 		return clients.Stats{}, err
 	}
 	for _, p := range r.posts {
-		if err := p.start(); err != nil {
+		if err := p.start(nil); err != nil {
 			return clients.Stats{}, err
 		}
 	}
@@ -248,6 +248,10 @@
 			}
 			r.discovery.Silence(i, st.Value > 0)
 		}
+	case scenario.Full:
+		for _, s := range st.Schedulers {
+			r.must(r.posts[s].full(st.Value > 0))
+		}
 	case scenario.Term, scenario.Kill, scenario.Reload:
 		for _, s := range st.Schedulers {
 			p := r.posts[s]
