--- a/durable/durable.go
+++ b/durable/durable.go
@@ -197,7 +197,7 @@
 	}
 	step, err := h.table.End(h.clock(), e.seq, outcome(out))
 	if errors.Is(err, leases.ErrTooLong) {
-		step, err = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
+		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
 	}
 	commit := h.append(step)
 	var kept leases.Outcome
