--- a/durable/durable.go
+++ b/durable/durable.go
@@ -196,7 +196,10 @@
 		return
 	}
 	step, err := h.table.End(h.clock(), e.seq, outcome(out))
-	if errors.Is(err, leases.ErrTooLong) {
+	switch {
+	case errors.Is(err, leases.ErrEnded): // by its provider's word, which may still be on its way to the disk
+		step = leases.Step{Sync: true}
+	case errors.Is(err, leases.ErrTooLong):
 		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
 	}
 	commit := h.append(step)
