--- a/core/leases/leases.go
+++ b/core/leases/leases.go
@@ -191,6 +191,7 @@
 // Attempt is one lease of a job, past or present.
 type Attempt struct {
 	Provider   string // "" if its record is lost
+	Address    string // where it was reached; "" if that is not known
 	Fence      Fence  // 0 if its record is lost
 	Ago        time.Duration
 	AgoKnown   bool // otherwise the clock stepped, and Ago is 0
--- a/core/leases/record.go
+++ b/core/leases/record.go
@@ -14,7 +14,7 @@
 // The kinds of record, and which fields they have beside Seq.
 const (
 	Taken    RecordKind = 1 + iota // Clock, Spec
-	Leased                         // Fence, Clock, Provider, Try, Span, and of Spec ID and Digest, should Taken be lost
+	Leased                         // Fence, Clock, Provider, Address, Try, Span, and of Spec ID and Digest, should Taken be lost
 	Begun                          // Fence
 	Over                           // Fence, Never
 	Ended                          // Clock, Outcome
@@ -35,6 +35,7 @@
 	Clock    Clock
 	Spec     Spec
 	Provider string
+	Address  string        // where it was reached; the next process may not be told of it any more
 	Try      int           // how many leases the job had before
 	Span     time.Duration // how long the lease holds without a sign of life; 0: for ever
 	Never    bool          // proven that the attempt never ran; otherwise it may have
@@ -76,6 +77,7 @@
 		b = appendText(b, r.Spec.ID)
 		b = append(b, r.Spec.Digest[:]...)
 		b = appendText(b, r.Provider)
+		b = appendText(b, r.Address)
 		b = binary.AppendUvarint(b, uint64(r.Try))
 		b = binary.AppendUvarint(b, uint64(r.Span))
 	case Begun:
@@ -127,6 +129,7 @@
 		r.Spec.ID = d.text()
 		d.read(r.Spec.Digest[:])
 		r.Provider = d.text()
+		r.Address = d.text()
 		r.Try = int(d.number(maxTries - 1))
 		r.Span = d.duration()
 	case Begun:
--- a/core/leases/replay.go
+++ b/core/leases/replay.go
@@ -129,7 +129,7 @@
 		j.attempts[n-1].out = false // one is out at a time; what became of this one is not known
 	}
 	j.attempts = append(j.attempts,
-		attempt{fence: r.Fence, provider: r.Provider, at: r.Clock, span: r.Span, out: true, may: true})
+		attempt{fence: r.Fence, provider: r.Provider, address: r.Address, at: r.Clock, span: r.Span, out: true, may: true})
 	return nil
 }
 
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -68,6 +68,7 @@
 type attempt struct {
 	fence    Fence
 	provider string
+	address  string
 	at       Clock
 	vague    bool // how long ago that is is not known
 	span     time.Duration
@@ -197,10 +198,11 @@
 	return nil
 }
 
-// Lease gives a provider the job, for until without a sign of life (0: for ever), or says which rule that would break.
+// Lease gives a provider, at its address if that is given, the job, for until without a sign of life (0: for ever), or says which rule that would break.
 // Of a keyed job the window is looked at here, its group is the decision module's to judge. The Step is the one that
 // B2, B4 and B5 are about.
-func (t *Table) Lease(now Clock, seq Seq, provider string, until time.Duration) (Fence, Step, error) {
+func (t *Table) Lease(now Clock, seq Seq, provider string, until time.Duration,
+	address ...string) (Fence, Step, error) {
 	j := t.jobs[seq]
 	switch {
 	case j == nil:
@@ -220,6 +222,10 @@
 		return 0, Step{}, err
 	}
 	until = max(0, until)
+	at := ""
+	if len(address) > 0 && len(address[0]) <= MaxText {
+		at = address[0]
+	}
 	t.fence++
 	var recs []Record
 	if t.fence > t.reserved {
@@ -233,10 +239,10 @@
 			recs = append(recs, Record{Kind: Over, Seq: seq, Fence: j.attempts[i].fence, Never: true})
 		}
 	}
-	recs = append(recs, Record{Kind: Leased, Seq: seq, Fence: t.fence, Clock: now, Provider: provider,
+	recs = append(recs, Record{Kind: Leased, Seq: seq, Fence: t.fence, Clock: now, Provider: provider, Address: at,
 		Spec: Spec{ID: j.spec.ID, Digest: j.spec.Digest}, Try: len(j.attempts), Span: until})
 	j.attempts = append(j.attempts,
-		attempt{fence: t.fence, provider: provider, at: now, span: until, out: true, may: true})
+		attempt{fence: t.fence, provider: provider, address: at, at: now, span: until, out: true, may: true})
 	t.start(now, j)
 	return t.fence, Step{recs, true}, nil
 }
@@ -541,7 +547,7 @@
 	out := make([]Attempt, len(j.attempts))
 	for i := range j.attempts {
 		a := &j.attempts[i]
-		out[i] = Attempt{Provider: a.provider, Fence: a.fence, AgoKnown: !a.vague, MayHaveRun: a.may, Out: a.out,
+		out[i] = Attempt{Provider: a.provider, Address: a.address, Fence: a.fence, AgoKnown: !a.vague, MayHaveRun: a.may, Out: a.out,
 			Begun: a.begun}
 		if !a.vague {
 			out[i].Ago = ago(now, a.at)
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -347,7 +347,7 @@
 		h.mu.Unlock()
 		return 0, errLeft
 	}
-	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease)
+	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease, h.address(to))
 	commit := h.append(step)
 	h.mu.Unlock()
 	if err != nil {
@@ -372,6 +372,15 @@
 	return uint64(fence), nil
 }
 
+// address is where a provider is reached. It is kept with the lease, as the directory of the next process may not name
+// one any more that has left meanwhile, and has the job all the same.
+func (h *Handler) address(provider string) string {
+	if h.pool == nil {
+		return ""
+	}
+	return h.pool.Address(provider)
+}
+
 // Awaiting implements job.Keeper.
 func (e *entry) Awaiting() {
 	if e.listening != nil {
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -163,6 +163,9 @@
 	e = h.open(r.Seq, j, time.Now().Add(r.Left))
 	e.again = true
 	for _, a := range r.Attempts {
+		if a.Out && a.Address != "" && h.pool != nil {
+			h.pool.Know(a.Provider, a.Address)
+		}
 		ago := a.Ago
 		if !a.AgoKnown {
 			ago = longAgo
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// Address is where a provider is reached, or was last; empty if nobody of that name has been heard of.
+func (p *Pool) Address(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pr := p.providers[name]; pr != nil {
+		return pr.address
+	}
+	return ""
+}
+
+// Know tells of a provider that the directory does not name: nothing is sent there, but what an earlier process has left
+// there may have to be ended.
+func (p *Pool) Know(name, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.providers[name] == nil {
+		p.providers[name] = &provider{name: name, address: address}
+	}
+}
+
 // gone stops sends to pr. Its address stays known, as calls that are out may have to be ended there.
 func (p *Pool) gone(pr *provider) {
 	pr.serving = false
