--- a/core/score/score_test.go
+++ b/core/score/score_test.go
@@ -408,6 +408,46 @@
 	}
 }
 
+// A process that ends after its successor has started has not crashed, and only ends with a successor count.
+func TestKillsAndRestarts(t *testing.T) {
+	ev := func(t int64, k history.Kind, life int) history.Event {
+		return history.Event{T: t, Kind: k, Scheduler: "n1", Life: life}
+	}
+	r := begin(setup()).add(ev(1, history.KindStart, 1), ev(5, history.KindKill, 1), ev(6, history.KindExit, 1),
+		ev(8, history.KindStart, 2), ev(10, history.KindTerm, 2), ev(12, history.KindStart, 3),
+		ev(13, history.KindExit, 2), ev(20, history.KindTerm, 3), ev(21, history.KindKill, 3),
+		ev(22, history.KindExit, 3), ev(24, history.KindStart, 4), ev(28, history.KindKill, 4)).figures(30)
+	s := r.Schedulers[0]
+	if want := []Span{{6, 8, "stopped"}, {22, 24, "stopped"}}; s.Crashes != 0 || !reflect.DeepEqual(s.Downs, want) {
+		t.Errorf("%+v", s)
+	}
+	if r.Totals.Kills != 1 || r.Totals.Restarts != 2 {
+		t.Errorf("%d kills, %d restarts", r.Totals.Kills, r.Totals.Restarts)
+	}
+}
+
+// That a durable job goes on in the next process is no end of it.
+func TestADurableJobThatGoesOn(t *testing.T) {
+	for _, durable := range []bool{true, false} {
+		s := setup()
+		if durable {
+			s.Durable = []string{"light"}
+		}
+		st := begin(s).ask(0, "a", "light", "x", second/10)
+		st.add(history.Event{T: 10, Kind: history.KindAnswer, Request: "a", Scheduler: "n1", Status: 502, After: 1},
+			history.Event{T: 20, Kind: history.KindSent, Request: "a", Scheduler: "n1", Again: true})
+		r := st.answer(30, "a", 200).ask(40, "b", "light", "x", second/10).answer(50, "b", 502).figures(10 * second)
+		served, asked, again := 0, 0, 0
+		if durable {
+			served, asked, again = 1, 2, 1
+		}
+		if r.Totals.Served() != served || r.Totals.Durable != asked || r.Totals.AskedAgain != again ||
+			r.Totals.Failed != 2-served {
+			t.Errorf("durable %t: %+v", durable, r.Totals)
+		}
+	}
+}
+
 // A history that breaks off has figures, and says so.
 func TestACutHistory(t *testing.T) {
 	st := begin(setup()).ask(0, "a", "light", "x", second).answer(10, "a", 200).ask(second, "b", "light", "x", second)
--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -387,6 +387,22 @@
 	}
 }
 
+// Two operators' files cannot both be handed over.
+func TestFleetBesideOperators(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "fleet.yaml")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	k := start(t, "", kills, "--fleet", file)
+	if code := k.wait(t); code != cli.Failed {
+		t.Errorf("exit status %d", code)
+	}
+	if text := k.err.String(); !strings.Contains(text, "--fleet names others") || strings.Count(text, "\n") != 1 {
+		t.Errorf("it said %q", text)
+	}
+}
+
 func TestLowServiceAndLateKit(t *testing.T) {
 	t.Parallel()
 	// A scheduler that loses half of its time to a burst serves, but not all of it in time.
--- /dev/null
+++ b/rehearse/clients/insist_test.go
@@ -0,0 +1,134 @@
+package clients
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/core/traffic"
+)
+
+// insisting plays one durable job. answers are what its scheduler does with each asking, the last one for all others.
+func insisting(t *testing.T, a traffic.Arrival, answers ...serve) (*scripted, []history.Event) {
+	t.Helper()
+	var mu sync.Mutex
+	n := 0
+	s := newScripted(t, func(c net.Conn, br *bufio.Reader, r *http.Request, body []byte, _ int) bool {
+		mu.Lock()
+		do := answers[min(n, len(answers)-1)]
+		n++
+		mu.Unlock()
+		return do(c, br, r, body, 0)
+	})
+	cfg := rig(s)
+	cfg.Plan = plan(4 * time.Second)
+	cfg.Durable = []string{"settle"}
+	cfg.Arrivals = []traffic.Arrival{a}
+	_, events := play(t, cfg)
+	return s, events
+}
+
+func status(code int, headers ...string) serve {
+	return func(c net.Conn, _ *bufio.Reader, _ *http.Request, _ []byte, _ int) bool {
+		return reply(c, code, "x", headers...)
+	}
+}
+
+func closes(net.Conn, *bufio.Reader, *http.Request, []byte, int) bool { return false }
+
+// oneOf is an arrival of a class whose client does, or does not, doubt its answer.
+func oneOf(class int, doubts bool) traffic.Arrival {
+	a := every(1, 0, class)[0]
+	for (traffic.Stream(a.Chance, "again").IntN(doubting) == 0) != doubts {
+		a.Chance++
+	}
+	return a
+}
+
+func TestADurableJobIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	s, events := insisting(t, oneOf(keyed, false), closes, status(502, "Retry-After: 1"), closes, ok)
+	got, sent := s.got(), of(events, history.KindSent)
+	if len(got) != 4 || len(sent) != 4 || len(of(events, history.KindBroken)) != 2 {
+		t.Fatalf("%d askings, %d sent", len(got), len(sent))
+	}
+	left := 5000
+	for i, r := range got {
+		ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+		if r.Header.Get("X-Request-Id") != got[0].Header.Get("X-Request-Id") || string(s.bodies[i]) != string(s.bodies[0]) ||
+			ms >= left || i > 0 && ms > left-100 {
+			t.Errorf("asking %d: %v, %d ms after %d", i, r.Header, ms, left)
+		}
+		left = ms
+		if sent[i].Again != (i > 0) || sent[i].Request != sent[0].Request || i > 0 && sent[i].Fresh == 0 {
+			t.Errorf("sending %d: %+v", i, sent[i])
+		}
+	}
+	if a := of(events, history.KindAnswer); len(a) != 2 || a[0].Status != 502 || a[0].After != 1 || a[1].Status != 200 {
+		t.Errorf("answers %+v", a)
+	}
+	if len(of(events, history.KindAsk)) != 1 {
+		t.Error("asking again is no retry")
+	}
+}
+
+func TestWhatIsNotAskedForAgain(t *testing.T) {
+	t.Parallel()
+	for what, c := range map[string]struct {
+		a      traffic.Arrival
+		answer serve
+	}{
+		"another class":            {oneOf(once, false), closes},
+		"a final 502":              {oneOf(keyed, false), status(502)},
+		"a refusal":                {oneOf(keyed, true), status(503, "Retry-After: 0.1")},
+		"a mistake":                {oneOf(keyed, true), status(409)},
+		"a result that is trusted": {oneOf(keyed, false), ok},
+	} {
+		if s, events := insisting(t, c.a, c.answer); len(s.got()) != 1 || len(of(events, history.KindGaveUp)) != 0 {
+			t.Errorf("%s: asked for %d times", what, len(s.got()))
+		}
+	}
+}
+
+func TestSomeAskForTheirAnswerOnceMore(t *testing.T) {
+	t.Parallel()
+	for _, answer := range []serve{ok, status(504)} {
+		if s, _ := insisting(t, oneOf(keyed, true), answer); len(s.got()) != 2 {
+			t.Errorf("asked for %d times", len(s.got()))
+		}
+	}
+}
+
+// Nobody listens any more: the client asks in vain until its time is over, and says so.
+func TestAskingInVain(t *testing.T) {
+	t.Parallel()
+	var s *scripted
+	s = newScripted(t, func(net.Conn, *bufio.Reader, *http.Request, []byte, int) bool {
+		s.listener.Close()
+		return false
+	})
+	cfg := rig(s)
+	cfg.Plan = plan(1500 * time.Millisecond)
+	cfg.Durable = []string{"settle"}
+	cfg.Arrivals = []traffic.Arrival{oneOf(keyed, false)}
+	_, events := play(t, cfg)
+	sent, unsent, gaveUp := of(events, history.KindSent), of(events, history.KindUnsent), of(events, history.KindGaveUp)
+	if len(sent) != 1 || len(unsent) < 3 || len(gaveUp) != 1 {
+		t.Fatalf("%d sent, %d not, %d gave up", len(sent), len(unsent), len(gaveUp))
+	}
+	if g := gaveUp[0]; g.T-sent[0].T < 1_500_000 || g.Conn != 0 || g.Scheduler != "s0" {
+		t.Errorf("gave up %d us after its sending: %+v", g.T-sent[0].T, g)
+	}
+	slices.SortFunc(unsent, func(a, b history.Event) int { return int(a.T - b.T) })
+	for i := range unsent[1:] {
+		if pause := unsent[i+1].T - unsent[i].T; pause < 100_000 {
+			t.Errorf("a pause of %d us", pause)
+		}
+	}
+}
--- a/rehearse/daemon/daemon_test.go
+++ b/rehearse/daemon/daemon_test.go
@@ -19,6 +19,15 @@
 	switch os.Getenv("PLAY") {
 	case "":
 		os.Exit(m.Run())
+	case "writes":
+		f, err := os.CreateTemp("", "full-")
+		for os.Remove(f.Name()); ; time.Sleep(5 * time.Millisecond) {
+			if _, err = f.WriteString("x"); err != nil {
+				fmt.Println(err)
+			} else {
+				fmt.Println("written")
+			}
+		}
 	case "sleep":
 		fmt.Println("up", os.Getpid())
 		time.Sleep(time.Minute)
@@ -120,6 +129,28 @@
 	await(t, "their count", func() bool { return p.Usage().Descriptors > 50 })
 }
 
+// A full disk fails writes, ends nobody, and heals.
+func TestADiskThatIsFull(t *testing.T) {
+	p := play("writes", Limits{})
+	defer p.Kill()
+	await(t, "a write", func() bool { return p.LastWords() == "written" })
+	for range 2 {
+		if err := p.Full(true); err != nil {
+			t.Fatal(err)
+		}
+		await(t, "a failing write", func() bool { return strings.HasSuffix(p.LastWords(), "file too large") })
+		if err := p.Full(false); err != nil {
+			t.Fatal(err)
+		}
+		await(t, "a write that goes through again", func() bool { return p.LastWords() == "written" })
+	}
+	p.Kill()
+	ended(t, p)
+	if err := p.Full(true); err != nil {
+		t.Errorf("of one that has ended: %v", err)
+	}
+}
+
 // However the kit ends, its children must not outlive it.
 func TestChildrenDieWithAKitThatIsKilled(t *testing.T) {
 	kit := exec.Command(os.Args[0])
--- a/rehearse/fleet/rig_test.go
+++ b/rehearse/fleet/rig_test.go
@@ -35,6 +35,7 @@
 
 type call struct {
 	ID, From, State, Result string
+	Lease                   uint64
 
 	status int
 }
--- a/rehearse/scenario/scenario_test.go
+++ b/rehearse/scenario/scenario_test.go
@@ -107,7 +107,15 @@
 		"name: a\ntroubles:\n- {kind: burst, for_s: 1, times: 2, part: 1}\n": "x.yaml: line 3: troubles[0].part: a trouble of kind burst has no such key",
 		"name: a\ntroubles:\n- kind: crash\n  part: 7\n  for_s: 1\n":         "x.yaml: line 4: troubles[0].part: 7 is not between 0.001 and 1",
 		"name: a\ntroubles:\n- {kind: reload, after_s: 1}\n":                 "x.yaml: line 3: troubles[0].after_s: there is no trouble before",
-		"name: a\nname\n": "x.yaml: line ",
+		"name: a\nname\n":                                           "x.yaml: line ",
+		"name: a\nask_again: true\n":                                "x.yaml: line 2: ask_again: only durable jobs are asked for again",
+		"name: a\noperators: |\n  durable: [\n":                     "x.yaml: line 2: operators: yaml:",
+		"name: a\nfolders: [ledger]\n":                              "x.yaml: line 2: folders: without operators",
+		"name: a\noperators: 'x: 1'\nfolders: [../ledger]\n":        `x.yaml: line 3: folders: "../ledger" is no folder`,
+		"name: a\noperators: 'x: 1'\nfolders: [tmp/ledger]\n":       `x.yaml: line 3: folders: "tmp/ledger" is no folder`,
+		"name: a\noperators: 'x: 1'\nfolders: [operators.yaml]\n":   `x.yaml: line 3: folders: "operators.yaml" is no folder`,
+		"name: a\ntroubles:\n- {kind: kills, for_s: 1, count: 3}\n": "x.yaml: line 3: troubles[0].every_s: a trouble of kind kills needs it",
+		"name: a\ntroubles:\n- {kind: kill, for_s: 1, twice: 1}\n":  "x.yaml: line 3: troubles[0].twice: a trouble of kind kill has no such key",
 	} {
 		_, err := Parse("x.yaml", []byte(text))
 		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
@@ -133,3 +141,49 @@
 		t.Error("a file that is not there")
 	}
 }
+
+func TestKillsMeetAllInTurn(t *testing.T) {
+	p := draw(t, "durable-kill", 5, Changes{})
+	if len(p.Durable) != 3 || !p.AskAgain || p.Operators == "" || len(p.Folders) != 1 || len(p.Setup().Durable) != 3 {
+		t.Errorf("%+v", p)
+	}
+	var kills []Step
+	met, downs := make(map[int]int), make(map[time.Duration]bool)
+	for _, st := range p.Steps {
+		if st.Do != Kill {
+			continue
+		}
+		kills = append(kills, st)
+		met[st.Schedulers[0]]++
+		downs[st.Down] = true
+		if !st.Early || st.Down < 300*time.Millisecond || st.Down > time.Second {
+			t.Errorf("%+v", st)
+		}
+	}
+	if len(kills) < 15 || len(kills) > 28 || len(met) != 3 || len(downs) < 10 {
+		t.Fatalf("%d kills of %v, %d different lengths", len(kills), met, len(downs))
+	}
+	again := 0
+	for i := range kills[1:] {
+		a, b := kills[i], kills[i+1]
+		if a.Schedulers[0] == b.Schedulers[0] {
+			again++
+			if late := b.At - a.At - a.Down; late < 0 || late > time.Second {
+				t.Errorf("killed again %s after its start", late)
+			}
+		}
+	}
+	if again == 0 {
+		t.Error("none is killed again as it comes back")
+	}
+}
+
+func TestOnlySomeClassesAreDurable(t *testing.T) {
+	s, err := Parse("x.yaml", []byte("name: a\noperators: 'durable: {dir: l, classes: [settle]}'\nask_again: true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p, err := s.Draw(1, Changes{}); err != nil || !reflect.DeepEqual(p.Durable, []string{"settle"}) {
+		t.Errorf("%v, %v", p.Durable, err)
+	}
+}
