--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -66,6 +66,8 @@
 	kills   = "{name: kills, seconds: 11, workers: 6, schedulers: 3, rate: 60, load: 0.35, " + durable +
 		"troubles: [{kind: kills, at_s: 0.8, count: 12, every_s: [0.6, 0.9], for_s: [0.2, 0.4], twice: 0.3}, " +
 		"{kind: crash, at_s: 3, for_s: 1, part: 0.2}]}"
+	fullDisk = "{name: full, seconds: 7, workers: 6, schedulers: 2, rate: 40, load: 0.35, " + durable +
+		"troubles: [{kind: full, at_s: 1.5, for_s: 2.5}]}"
 	terms = "{name: terms, seconds: 10, workers: 6, schedulers: 2, rate: 40, load: 0.7, " + durable +
 		"troubles: [{kind: slow, at_s: 0.5, for_s: 8, factor: 2}, {kind: restart, at_s: 1.5, every_s: 4}]}"
 	busy     = "{name: busy, " + day + "}"
@@ -365,6 +367,35 @@
 	}
 }
 
+// A disk that takes no writes for a while costs new jobs their place, and none of the rules.
+func TestDaemonOnAFullDisk(t *testing.T) {
+	t.Parallel()
+	path, err := daemonPath()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, code, k := play(t, "", fullDisk, "--daemon", path)
+	if code != cli.Kept && code != cli.RanLate || len(r.Breaches) > 0 {
+		t.Errorf("exit status %d, found %v", code, r.faults())
+		blame(t, &r)
+	}
+	full, refused, after := history.Event{}, 0, 0
+	for _, ev := range events(t, k) {
+		switch {
+		case ev.Kind == history.KindTrouble:
+			full = ev
+		case ev.Kind != history.KindAnswer:
+		case ev.Status == 503 && ev.T > full.From && ev.T < full.Until:
+			refused++
+		case ev.Status == 200 && ev.T > full.Until+1_000_000:
+			after++
+		}
+	}
+	if refused < 5 || after < 20 {
+		t.Errorf("%d were refused while the disk was full, %d served when it was not any more", refused, after)
+	}
+}
+
 // What cannot run at all ends with 1 and one line that says why.
 func TestSchedulersThatDoNotServe(t *testing.T) {
 	t.Parallel()
