durable: ends that the disk did not take are kept once it heals; late askers get what is known

Change: a result ends its call even if it cannot be kept yet, its provider is asked to say it again, and the end is written once more when the disk takes it.

--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -385,6 +385,15 @@
 	return Step{[]Record{{Kind: Ended, Seq: seq, Clock: now, Outcome: out}}, true}, nil
 }
 
+// EndAgain is the record of a job's end once more, for a host whose first write of it failed; false: it has none.
+func (t *Table) EndAgain(seq Seq) (Record, bool) {
+	j := t.jobs[seq]
+	if j == nil || j.outcome == nil {
+		return Record{}, false
+	}
+	return Record{Kind: Ended, Seq: seq, Clock: j.at, Outcome: *j.outcome}, true
+}
+
 // perJob and perAttempt are about what a job that ended takes beside its texts, in bytes.
 const perJob, perAttempt = 640, 96
 
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -48,6 +48,7 @@
 	live   map[leases.Seq]*entry // open jobs
 	left   bool                  // what is open is left to the next process
 	lost   uint64                // ends that could not be written
+	unkept map[leases.Seq]bool   // jobs whose ends are told, or wait, and are not on disk yet
 	warned time.Time
 
 	work   sync.WaitGroup // of jobs that are carried
@@ -90,9 +91,9 @@
 	due := time.Now().Add(j.Left)
 	spec := Spec(j)
 	h.mu.Lock()
-	if h.left { // nothing more is taken: what could end has ended
-		h.mu.Unlock()
-		return job.Outcome{Kind: job.Rejected}
+	if h.left {
+		defer h.mu.Unlock()
+		return h.late(spec)
 	}
 	taking, step := h.take(spec)
 	commit := h.append(step)
@@ -133,6 +134,19 @@
 	return job.Outcome{Kind: job.Gone}
 }
 
+// late answers a job that comes when what is open has been left to the next process. Called under mu.
+func (h *Handler) late(spec leases.Spec) job.Outcome {
+	switch j, known := h.table.Find(h.clock(), spec.ID); {
+	case !known: // it is not taken any more
+		return job.Outcome{Kind: job.Rejected}
+	case j.Spec.Digest != spec.Digest:
+		return job.Outcome{Kind: job.Conflict}
+	case j.State >= leases.StateEnded && !h.unkept[j.Seq]:
+		return h.told(j.Seq, j.Outcome)
+	}
+	return job.Outcome{Kind: job.Failed, RetryAfter: askAgain}
+}
+
 // Spec is a job as the ledger has it.
 func Spec(j *job.Job) leases.Spec {
 	return leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
@@ -219,6 +233,7 @@
 		}
 		h.mu.Lock()
 		h.lost++
+		h.unkept[e.seq] = true
 		h.mu.Unlock()
 		h.trouble("ends of jobs are not kept", werr)
 	}
@@ -422,6 +437,9 @@
 	h.mu.Unlock()
 	err = h.wait(commit, time.Now().Add(ackLimit))
 	if err != nil {
+		h.mu.Lock()
+		h.unkept[e.seq] = true
+		h.mu.Unlock()
 		h.trouble("results are not acknowledged", err)
 	}
 	return err
@@ -457,9 +475,13 @@
 // it is acknowledged again, and words of leases that do not stand, which change nothing.
 func (h *Handler) unclaimed(ev provider.Event) error {
 	h.mu.Lock()
-	_, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
+	seq, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
 	var commit ledger.Commit
 	if fence != 0 {
+		if h.unkept[seq] { // tend sees to it
+			h.mu.Unlock()
+			return job.ErrLater
+		}
 		commit = h.append(leases.Step{Sync: true})
 	}
 	h.mu.Unlock()
@@ -470,6 +492,41 @@
 	return nil
 }
 
+// mostAgain is how many ends are written once more at a time.
+const mostAgain = 256
+
+// keepAgain writes once more what the disk did not take before.
+func (h *Handler) keepAgain() {
+	h.mu.Lock()
+	var again []leases.Seq
+	step := leases.Step{Sync: true}
+	for seq := range h.unkept {
+		if r, ok := h.table.EndAgain(seq); ok {
+			step.Records = append(step.Records, r)
+			again = append(again, seq)
+		} else {
+			delete(h.unkept, seq) // it is forgotten, or has not ended yet and brings its end itself
+		}
+		if len(again) == mostAgain {
+			break
+		}
+	}
+	if len(again) == 0 {
+		h.mu.Unlock()
+		return
+	}
+	commit := h.append(step)
+	h.mu.Unlock()
+	if h.wait(commit, time.Now().Add(ackLimit)) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, seq := range again {
+		delete(h.unkept, seq)
+	}
+}
+
 // Stop tells that the program ends at by: shortly before, what is open is left to the next process.
 func (h *Handler) Stop(by time.Time) {
 	h.ended.Go(func() {
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -54,7 +54,7 @@
 func newHandler(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger, store Store,
 	clock func() leases.Clock) (*Handler, error) {
 	h := &Handler{set: set, classes: all.Classes, tenants: all.Tenants, pool: pool, next: next, log: log, store: store,
-		clock: clock, live: make(map[leases.Seq]*entry), ending: make(chan struct{})}
+		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]bool), ending: make(chan struct{})}
 	var err error
 	if h.durable, err = set.check(&all); err != nil {
 		return nil, err
@@ -204,6 +204,7 @@
 		}
 		m := h.table.Mark()
 		h.mu.Unlock()
+		h.keepAgain()
 		for _, l := range expired {
 			// One that must not run twice goes nowhere else: its provider's word is waited for until its time is over.
 			if c := slices.IndexFunc(h.classes, func(c policy.Class) bool { return c.Name == l.Class }); c >= 0 &&
--- a/provider/call.go
+++ b/provider/call.go
@@ -132,6 +132,8 @@
 	}
 	if ev.State == Done && c.keeper != nil {
 		if err := c.keeper.Done(c.lease, ev.Result); err != nil {
+			// The consumer has no time to wait for what keeps the disk; the provider has.
+			c.take(ev)
 			return job.ErrLater
 		}
 	}
