ledger: copies, reading for tools, and tests on a disk that fails, tears, hangs and loses power

What the store promises had only been tried on a disk in order. faultfs is a folder in memory whose operations fail, stop half way or hang, and which loses any unsynced sectors and names on a crash. What this found and is mended here: a clean end mark that counted as synced itself (it is a note like any other now), and a segment's name that an earlier process could not sync, which made a later crash look like a missing segment.

--- /dev/null
+++ b/ledger/copy.go
@@ -0,0 +1,130 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+)
+
+// Report is what Read has found beside the records.
+type Report struct {
+	InUse    bool   // a process has the folder; what it writes meanwhile may or may not be there
+	Process  string // its number
+	Segments int
+	Records  int
+	Torn     int   // pieces of writes that were under way, as they are at the end of a folder in use
+	Bytes    int64 // of the segments on disk
+}
+
+// Read reads the ledger in a folder as Replay does, for tools: without its lock, so also of a folder in use, and without
+// changing anything. damaged may be nil.
+func Read(dir string, each func(seq uint64, record []byte) error, damaged func(Damage)) (Report, error) {
+	var r Report
+	d := folder(dir)
+	if st, err := os.Stat(dir); err != nil {
+		return r, fmt.Errorf("ledger: %w", err)
+	} else if !st.IsDir() {
+		return r, fmt.Errorf("ledger: %s is no folder", dir)
+	}
+	r.Process, r.InUse = d.holder()
+	all, err := find(d)
+	if err != nil {
+		return r, told(err)
+	}
+	defer closeAll(all)
+	if len(all) == 0 && !r.InUse {
+		if _, err := os.Stat(d.path(lockName)); err != nil {
+			return r, fmt.Errorf("ledger: %s holds no ledger", dir)
+		}
+	}
+	for _, f := range all {
+		r.Segments++
+		r.Bytes += f.size
+	}
+	w, err := walk(all, false, each, damaged)
+	r.Records, r.Torn = w.records, w.torn
+	return r, err
+}
+
+// Snapshot copies the ledger into a folder that must be empty or not there yet, while it serves: all that is committed as
+// it begins. The copy is on disk when it returns, and can be opened and read like the ledger itself. Nothing is trimmed
+// meanwhile.
+func (s *Store) Snapshot(dst string) error {
+	if err := os.Mkdir(dst, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
+		return told(err)
+	}
+	if names, err := os.ReadDir(dst); err != nil {
+		return told(err)
+	} else if len(names) > 0 {
+		return fmt.Errorf("ledger: %s is not empty", dst)
+	}
+	if err := s.Append(0).Wait(); err != nil { // there is a last segment then, and all before it is as it was read
+		return err
+	}
+	s.mu.Lock()
+	s.pins++
+	list := make([]segment, len(s.segments))
+	for i, g := range s.segments {
+		list[i] = *g
+	}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.pins--
+		s.mu.Unlock()
+	}()
+	to := folder(dst)
+	copied := 0
+	for i := range list {
+		err := s.copySegment(to, &list[i], i == len(list)-1)
+		if missing(err) && copied == 0 {
+			continue // its removal was under way
+		}
+		if err != nil {
+			return told(err)
+		}
+		copied++
+	}
+	return told(to.Sync())
+}
+
+// copySegment copies what counts of a segment. The last one ends with a note that all is there.
+func (s *Store) copySegment(to FS, g *segment, last bool) error {
+	from, err := s.fs.Open(segmentName(g.number))
+	if err != nil {
+		return err
+	}
+	defer from.Close()
+	var end []byte
+	if last {
+		f := &found{number: g.number, file: from}
+		if err := f.readHeader(); err != nil {
+			return err
+		}
+		end = f.header.appendFrame(nil, g.end, kindNote, 0, g.end, nil)
+	}
+	out, err := to.Create(segmentName(g.number), g.end+int64(len(end)))
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	b := make([]byte, pageBytes)
+	for at := int64(0); at < g.end; {
+		n, err := from.ReadAt(b[:min(int64(len(b)), g.end-at)], at)
+		if n == 0 {
+			if err == nil || err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		if _, err := out.WriteAt(b[:n], at); err != nil {
+			return err
+		}
+		at += int64(n)
+	}
+	if _, err := out.WriteAt(end, g.end); err != nil {
+		return err
+	}
+	return out.Sync()
+}
--- /dev/null
+++ b/ledger/crash_test.go
@@ -0,0 +1,500 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/ledger"
+	"laddertide/ledger/faultfs"
+)
+
+// known is what may be said of a record that was appended.
+type known int
+
+const (
+	open   known = iota // nothing yet: it may be there or not
+	kept                // its commit is done: it must be there, unless it was trimmed
+	failed              // its commit failed, or it was not there after a crash: it must not be, from the next commit on
+	void                // that commit was made
+)
+
+// entry is a record that was appended. A mark has no job, and oldest tells what it lets go.
+type entry struct {
+	id     string
+	seq    uint64
+	oldest uint64
+	is     known
+	seen   bool // it was read after the last crash
+	commit ledger.Commit
+}
+
+// host uses a ledger as its owner does and knows what must be in it.
+type host struct {
+	rnd          *rand.Rand
+	mode         string
+	disk         *faultfs.Disk
+	store        *ledger.Store
+	all          []*entry
+	index        map[string]int
+	wait         []*entry
+	next, oldest uint64
+	calm         bool // nothing is to fail any more
+}
+
+type breach string
+
+func must(ok bool, format string, args ...any) {
+	if !ok {
+		panic(breach(fmt.Sprintf(format, args...)))
+	}
+}
+
+const retry = 10 * time.Millisecond
+
+func (h *host) open() error {
+	var err error
+	h.store, err = ledger.Open(ledger.Options{Sync: h.mode, MaxBytes: 512 << 10, FS: h.disk, Retry: retry, Idle: 50 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	var got []string
+	err = h.store.Replay(func(r []byte) error { got = append(got, string(r)); return nil },
+		func(d ledger.Damage) { must(false, "damage: %v", d) })
+	if err != nil {
+		return err
+	}
+	h.check(got)
+	return nil
+}
+
+// check holds what was read against what is known.
+func (h *host) check(got []string) {
+	last, oldest := -1, uint64(0)
+	for _, e := range h.all {
+		e.seen = false
+	}
+	for _, r := range got {
+		id, pad, _ := strings.Cut(r, " ")
+		i, ok := h.index[id]
+		must(ok && pad == strings.Repeat("x", len(pad)), "read %.40q, which was not appended", r)
+		must(i > last, "%s was read out of order or twice", id)
+		last = i
+		e := h.all[i]
+		must(e.is != void, "%s was read, and its commit had failed", id)
+		e.seen = true
+		oldest = max(oldest, e.oldest)
+	}
+	for _, e := range h.all {
+		gone := e.seq > 0 && e.seq < oldest || e.oldest > 0 && oldest >= e.oldest
+		must(e.is != kept || e.seen || gone, "%s of job %d (oldest %d) is lost", e.id, e.seq, oldest)
+	}
+}
+
+func (h *host) append(seq, oldest uint64, n int) {
+	var records [][]byte
+	var added []*entry
+	for range n {
+		id := strconv.Itoa(len(h.all))
+		if oldest > 0 {
+			id = "m" + id
+		}
+		e := &entry{id: id, seq: seq, oldest: oldest}
+		h.index[id] = len(h.all)
+		h.all = append(h.all, e)
+		added = append(added, e)
+		records = append(records, []byte(id+" "+strings.Repeat("x", h.rnd.IntN(1<<h.rnd.IntN(13)))))
+	}
+	if oldest > 0 {
+		// It may have been written whatever this says: removing is what can fail, and there may have been nothing to remove.
+		h.store.Trim(oldest, records[0])
+		return
+	}
+	c := h.store.Append(seq, records...)
+	for _, e := range added {
+		e.commit = c
+	}
+	h.wait = append(h.wait, added...)
+}
+
+// settle waits for all commits.
+func (h *host) settle() {
+	for _, e := range h.wait {
+		if err := e.commit.Wait(); err == nil {
+			e.is = kept
+			h.made()
+		} else {
+			e.is = failed
+		}
+	}
+	h.wait = nil
+}
+
+// made tells that a commit was made: what is there and what is not is certain from now on.
+func (h *host) made() {
+	for _, e := range h.all {
+		switch {
+		case e.is == failed:
+			e.is = void
+		case e.is == open && e.commit != nil && e.seen:
+			e.is = kept
+		}
+	}
+}
+
+// reborn tells that a new process has read the ledger.
+func (h *host) reborn() {
+	for _, e := range h.all {
+		if e.is == open || e.is == failed {
+			e.is, e.commit = failed, nil
+			if e.seen {
+				e.is, e.commit = open, done{}
+			}
+		}
+	}
+	h.wait = nil
+}
+
+// done is the commit of a record that an earlier process has written.
+type done struct{}
+
+func (done) Done() <-chan struct{} { return nil }
+func (done) Wait() error           { return nil }
+
+// day goes through some hours of a ledger's life; false: the power is off.
+func (h *host) day(steps int) bool {
+	for range steps {
+		switch k := h.rnd.IntN(20); {
+		case k < 11:
+			h.next += uint64(h.rnd.IntN(2))
+			h.append(max(1, h.next-uint64(h.rnd.IntN(int(min(h.next, 4))+1))), 0, 1+h.rnd.IntN(3))
+		case k < 16:
+			h.settle()
+		case k < 18:
+			h.settle()
+			if h.next > 8 {
+				h.oldest = max(h.oldest, h.next-uint64(h.rnd.IntN(8)))
+				h.append(0, h.oldest, 1)
+			}
+		case k < 19:
+			time.Sleep(time.Duration(h.rnd.IntN(int(8 * retry)))) // it heals, and notes that all is there
+		default:
+			h.settle()
+			h.store.Close()
+			if h.open() != nil {
+				return false
+			}
+			h.reborn()
+			h.sure()
+		}
+	}
+	h.settle()
+	return true
+}
+
+// sure makes a commit of what was read, as an owner does before it acts on it.
+func (h *host) sure() {
+	if h.store.Append(0).Wait() == nil {
+		h.made()
+	} else {
+		must(!h.calm, "nothing can be written")
+	}
+}
+
+// live makes a day on the disk as it is, crashes, and goes on for two days on what is left, the second time after a
+// crash that was not foreseen.
+func (h *host) live(killed bool) {
+	defer func() {
+		if h.store != nil {
+			h.store.Close()
+		}
+	}()
+	if h.open() == nil {
+		h.day(50)
+	}
+	for range 2 {
+		if killed {
+			h.end(h.disk.Killed())
+		} else {
+			h.end(h.disk.Crash(h.rnd.IntN))
+		}
+		h.calm = true
+		must(h.open() == nil, "cannot be read")
+		h.reborn()
+		if h.rnd.IntN(4) > 0 { // the next crash may come at once
+			h.sure()
+			h.day(20)
+			must(h.store.Stats().Failed == 0, "a disk in order takes nothing")
+		}
+	}
+	h.end(h.disk.Killed())
+	must(h.open() == nil, "cannot be read")
+	must(h.store.Close() == nil, "cannot be closed")
+}
+
+// end lets the process end, and leaves what is on that disk.
+func (h *host) end(left *faultfs.Disk) {
+	if h.store != nil {
+		h.store.Close()
+	}
+	h.disk = left
+}
+
+// coin draws for a disk, which several goroutines use.
+func coin(seed uint64) func(n int) int {
+	var mu sync.Mutex
+	rnd := rand.New(rand.NewPCG(seed, 8))
+	return func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rnd.IntN(n)
+	}
+}
+
+func newHost(mode string, seed uint64) *host {
+	h := &host{rnd: rand.New(rand.NewPCG(seed, 7)), mode: mode, disk: faultfs.New(), index: map[string]int{}}
+	h.disk.Coin = coin(seed)
+	return h
+}
+
+// try runs a life and returns the promise that it broke.
+func try(live func()) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			b, ok := r.(breach)
+			if !ok {
+				panic(r)
+			}
+			err = errors.New(string(b))
+		}
+	}()
+	live()
+	return nil
+}
+
+// fault is what goes wrong at an operation.
+type fault struct {
+	name string
+	faultfs.Fate
+}
+
+var faults = []fault{
+	{"fails", faultfs.Fate{Err: syscall.EIO}},
+	{"fails half done", faultfs.Fate{Err: syscall.ENOSPC, Done: 700}},
+	{"fails though done", faultfs.Fate{Err: syscall.EIO, Done: 1 << 30}},
+	{"power goes", faultfs.Fate{Off: true}},
+	{"power goes half way", faultfs.Fate{Off: true, Done: 700}},
+	{"power goes behind it", faultfs.Fate{Off: true, Done: 1 << 30}},
+}
+
+// Whatever goes wrong at any one operation of a day, and whatever the crash behind it loses: what was acknowledged is
+// there, what failed is not, the order is kept, and nothing is damaged.
+func TestEveryOperationGoesWrong(t *testing.T) {
+	for mode, seeds := range map[string][]uint64{ledger.Batch: {2, 3, 4}, ledger.Each: {5}, ledger.None: {6}} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s %d", mode, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { everyOperation(t, mode, seed) })
+			})
+		}
+	}
+}
+
+func everyOperation(t *testing.T, mode string, seed uint64) {
+	h := newHost(mode, seed)
+	if err := try(func() { h.open(); h.day(50); h.store.Close() }); err != nil {
+		t.Fatalf("no fault: %v", err)
+	}
+	ops := h.disk.Ops()
+	if names := h.disk.Names(); ops < 20 || names[len(names)-1] < "0000000000000002" {
+		t.Fatalf("a day of %d operations that leaves %v", ops, names)
+	}
+	for n := 1; n <= ops; n++ {
+		for i, f := range faults {
+			killed := (n+i)%2 == 0 || mode == ledger.None // which without syncs promises nothing else
+			h := newHost(mode, seed)
+			h.disk.Fate = func(op faultfs.Op) faultfs.Fate {
+				if op.N == n {
+					return f.Fate
+				}
+				return faultfs.Fate{}
+			}
+			if err := try(func() { h.live(killed) }); err != nil {
+				t.Fatalf("operation %d %s, killed %v: %v", n, f.name, killed, err)
+			}
+		}
+	}
+}
+
+// inBubble is a test without a deadline, which one with a clock of its own must not ask for.
+type inBubble struct{ testing.TB }
+
+// Days on which anything goes wrong any number of times.
+func TestDaysOfFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(inBubble{t}, func(t *rapid.T) {
+			mode := rapid.SampledFrom([]string{ledger.Batch, ledger.Each, ledger.None}).Draw(t, "mode")
+			killed := rapid.Bool().Draw(t, "killed") || mode == ledger.None
+			often := rapid.IntRange(2, 60).Draw(t, "often")
+			seed := rapid.Uint64().Draw(t, "seed")
+			for i := range uint64(5) {
+				h := newHost(mode, seed+i)
+				draw := h.disk.Coin
+				h.disk.Fate = func(op faultfs.Op) faultfs.Fate {
+					if draw(often) > 0 {
+						return faultfs.Fate{}
+					}
+					f := faults[draw(len(faults))].Fate
+					f.Off = f.Off && draw(4) == 0
+					if f.Err == nil && !f.Off {
+						f.Err = syscall.EIO
+					}
+					return f
+				}
+				if err := try(func() { h.live(killed) }); err != nil {
+					t.Fatalf("seed %d: %v", seed+i, err)
+				}
+			}
+		})
+	})
+}
+
+// all keeps all that was written on a crash, nothing all that was not synced.
+func all(int) int     { return 0 }
+func nothing(int) int { return 1 }
+
+// What a failed write has left is gone by the time that its Commit tells, if the disk lets it be removed: a crash before
+// anything else is written does not bring it back.
+func TestFailedIsGoneAtOnce(t *testing.T) {
+	for _, kind := range []string{faultfs.Write, faultfs.Sync} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := faultfs.New()
+			disk.Coin = func(n int) int { return 1 }
+			count := 0
+			disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+				if op.Kind == kind {
+					if count++; count == 3 {
+						f = faultfs.Fate{Err: syscall.EIO, Done: 1 << 20}
+					}
+				}
+				return f
+			}
+			s, _ := opened(t, ledger.Options{FS: disk, Idle: -1})
+			put(t, s, 1, "a")
+			if s.Append(2, []byte("b")).Wait() == nil {
+				t.Fatal("it does not fail")
+			}
+			after := disk.Crash(all)
+			s.Close()
+			s, got := opened(t, ledger.Options{FS: after})
+			if len(got) != 1 || got[0] != "a" {
+				t.Errorf("%s: %q", kind, got)
+			}
+			shut(t, s)
+		})
+	}
+}
+
+// Also where nothing waits for a sync the mark is on disk before anything is removed.
+func TestMarkIsSynced(t *testing.T) {
+	for _, mode := range []string{ledger.Batch, ledger.Each, ledger.None} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := faultfs.New()
+			s, _ := opened(t, ledger.Options{FS: disk, Sync: mode, MaxBytes: 512 << 10})
+			for i := range 10 {
+				put(t, s, uint64(i+1), strings.Repeat("m", 20<<10))
+			}
+			if err := s.Trim(7, []byte("mark")); err != nil || len(disk.Names()) > 2 {
+				t.Errorf("%v, %v", err, disk.Names())
+			}
+			after := disk.Crash(nothing)
+			s.Close()
+			s, got := opened(t, ledger.Options{FS: after})
+			if !slices.Contains(got, "mark") {
+				t.Errorf("%s: %d records, and no mark", mode, len(got))
+			}
+			shut(t, s)
+		})
+	}
+}
+
+// What an earlier process has only handed to the system is on disk once this one's first commit is done, whatever the
+// mode was.
+func TestWhatWasReadIsSynced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		s, _ := opened(t, ledger.Options{FS: disk, Sync: ledger.None, MaxBytes: 512 << 10})
+		for i := range 10 {
+			put(t, s, uint64(i+1), strconv.Itoa(i)+strings.Repeat("m", 20<<10))
+		}
+		after := disk.Killed()
+		s.Close()
+		s, got := opened(t, ledger.Options{FS: after})
+		if len(got) != 10 {
+			t.Fatalf("%d records", len(got))
+		}
+		if err := s.Append(0).Wait(); err != nil {
+			t.Fatal(err)
+		}
+		after = after.Crash(nothing)
+		s.Close()
+		s, again := opened(t, ledger.Options{FS: after})
+		if !slices.Equal(got, again) {
+			t.Errorf("%d records were acted on, %d are left", len(got), len(again))
+		}
+		shut(t, s)
+	})
+}
+
+// A segment whose name an earlier process could not sync is not missing later, whichever names a crash loses.
+func TestNamesAreSynced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range uint64(100) {
+			disk := faultfs.New()
+			renames := 0
+			disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+				if op.Kind == faultfs.Rename {
+					renames++
+				}
+				if op.Kind == faultfs.SyncDir && renames == 2 {
+					f.Err = syscall.EIO
+				}
+				return f
+			}
+			s, _ := opened(t, ledger.Options{FS: disk, MaxBytes: 512 << 10})
+			put(t, s, 1, strings.Repeat("m", 40<<10))
+			if s.Append(2, make([]byte, 40<<10)).Wait() == nil {
+				t.Fatal("it does not fail")
+			}
+			next := disk.Killed()
+			s.Close()
+			renamed := false
+			next.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+				renamed = renamed || op.Kind == faultfs.Rename
+				f.Off = renamed && op.Kind == faultfs.SyncDir
+				return f
+			}
+			s, _ = opened(t, ledger.Options{FS: next, MaxBytes: 512 << 10})
+			if s.Append(0).Wait() == nil {
+				t.Fatal("the power did not go")
+			}
+			last := next.Crash(coin(seed))
+			s.Close()
+			s, got := opened(t, ledger.Options{FS: last, MaxBytes: 512 << 10})
+			if len(got) != 1 {
+				t.Errorf("%d records", len(got))
+			}
+			shut(t, s)
+		}
+	})
+}
--- /dev/null
+++ b/ledger/faultfs/faultfs.go
@@ -0,0 +1,470 @@
+// Package faultfs is a ledger's folder in memory whose operations fail, hang or are cut short as a test wants it, and
+// which loses power: then of what was not synced any sectors may be lost, and any changes of the folder. It is for tests
+// alone and never touches a file.
+package faultfs
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"io/fs"
+	"maps"
+	"slices"
+	"sync"
+
+	"laddertide/ledger"
+)
+
+// Sector is what reaches a disk as one, or is torn.
+const Sector = 512
+
+// Op is an operation that changes something, or syncs it.
+type Op struct {
+	N    int // its number, from 1
+	Kind string
+	Name string
+	Size int // of a write
+}
+
+// The kinds of operations.
+const (
+	Create   = "create"
+	Write    = "write"
+	Truncate = "truncate"
+	Sync     = "sync"
+	Rename   = "rename"
+	Remove   = "remove"
+	SyncDir  = "syncdir"
+)
+
+// Fate is what becomes of an operation.
+type Fate struct {
+	Err  error // nil: it goes well
+	Done int   // how much of it happens all the same if Err is not nil: bytes of a write, otherwise all if not 0
+	Off  bool  // the power goes: this fails, and all that follows
+}
+
+// ErrPower is what all operations fail with once the power is off.
+var ErrPower = errors.New("the power is off")
+
+// Disk is a folder and its files. It implements [ledger.FS].
+type Disk struct {
+	// Fate decides on each operation; nil: all go well. It may block: then the operation hangs. It is called without any
+	// lock, and must be set before the disk is used.
+	Fate func(Op) Fate
+	// Coin draws what a sync that fails has brought to the disk; nil: nothing.
+	Coin func(n int) int
+
+	mu      sync.Mutex
+	ops     int
+	off     bool
+	gone    bool
+	held    bool
+	names   map[string]*inode
+	synced  map[string]*inode // of names, what is on disk
+	pending []change          // of names, since then
+}
+
+type inode struct {
+	data  []byte // as programs see it
+	disk  []byte // as it is on disk
+	dirty map[int]bool
+	sized bool // its size on disk may be another
+	links int
+}
+
+type change struct {
+	kind     string
+	from, to string
+	node     *inode
+}
+
+// New is an empty folder.
+func New() *Disk { return &Disk{names: map[string]*inode{}, synced: map[string]*inode{}} }
+
+// Ops is how many operations there were.
+func (d *Disk) Ops() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ops
+}
+
+// Vanish takes the folder away, or brings it back.
+func (d *Disk) Vanish(gone bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gone = gone
+}
+
+// begin counts an operation, and finds out its fate.
+func (d *Disk) begin(kind, name string, size int) Fate {
+	d.mu.Lock()
+	d.ops++
+	op := Op{d.ops, kind, name, size}
+	off := d.off
+	d.mu.Unlock()
+	if off {
+		return Fate{Err: ErrPower}
+	}
+	var f Fate
+	if d.Fate != nil {
+		f = d.Fate(op)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.off { // it went while this hung
+		return Fate{Err: ErrPower}
+	}
+	if f.Off {
+		d.off = true
+		if f.Err == nil {
+			f.Err = ErrPower
+		}
+	}
+	if f.Err == nil && d.gone && kind != Write && kind != Truncate && kind != Sync {
+		f = Fate{Err: fs.ErrNotExist}
+	}
+	return f
+}
+
+func (f Fate) happens() bool { return f.Err == nil || f.Done > 0 }
+
+type lock struct{ d *Disk }
+
+func (l lock) Check() error {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	if l.d.gone {
+		return fs.ErrNotExist
+	}
+	return nil
+}
+
+func (l lock) Close() error {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	l.d.held = false
+	return nil
+}
+
+// Lock implements ledger.FS.
+func (d *Disk) Lock() (ledger.Lock, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.held || d.off {
+		return nil, errors.New("the disk is in use, or off")
+	}
+	d.held = true
+	return lock{d}, nil
+}
+
+// List implements ledger.FS.
+func (d *Disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.gone || d.off {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Sorted(maps.Keys(d.names)), nil
+}
+
+// Create implements ledger.FS.
+func (d *Disk) Create(name string, size int64) (ledger.File, error) {
+	f := d.begin(Create, name, 0)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !f.happens() {
+		return nil, f.Err
+	}
+	if old := d.names[name]; old != nil {
+		old.links--
+	}
+	n := &inode{data: make([]byte, size), dirty: map[int]bool{}, sized: true, links: 1}
+	d.names[name] = n
+	d.pending = append(d.pending, change{Create, name, name, n})
+	if f.Err != nil {
+		return nil, f.Err
+	}
+	return &file{d, name, n}, nil
+}
+
+// Open implements ledger.FS.
+func (d *Disk) Open(name string) (ledger.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	switch {
+	case d.off:
+		return nil, ErrPower
+	case n == nil || d.gone:
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return &file{d, name, n}, nil
+}
+
+// Rename implements ledger.FS.
+func (d *Disk) Rename(from, to string) error {
+	f := d.begin(Rename, from, 0)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[from]
+	if f.Err == nil && n == nil {
+		return fs.ErrNotExist
+	}
+	if f.happens() && n != nil {
+		if old := d.names[to]; old != nil {
+			old.links--
+		}
+		delete(d.names, from)
+		d.names[to] = n
+		d.pending = append(d.pending, change{Rename, from, to, n})
+	}
+	return f.Err
+}
+
+// Remove implements ledger.FS.
+func (d *Disk) Remove(name string) error {
+	f := d.begin(Remove, name, 0)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	if f.Err == nil && n == nil {
+		return fs.ErrNotExist
+	}
+	if f.happens() && n != nil {
+		n.links--
+		delete(d.names, name)
+		d.pending = append(d.pending, change{Remove, name, name, n})
+	}
+	return f.Err
+}
+
+// Sync implements ledger.FS.
+func (d *Disk) Sync() error {
+	f := d.begin(SyncDir, "", 0)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f.happens() {
+		d.synced, d.pending = maps.Clone(d.names), nil
+	}
+	return f.Err
+}
+
+type file struct {
+	d    *Disk
+	name string
+	n    *inode
+}
+
+func (f *file) ReadAt(b []byte, at int64) (int, error) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.d.off {
+		return 0, ErrPower
+	}
+	if at >= int64(len(f.n.data)) {
+		return 0, io.EOF
+	}
+	n := copy(b, f.n.data[at:])
+	if n < len(b) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *file) WriteAt(b []byte, at int64) (int, error) {
+	fate := f.d.begin(Write, f.name, len(b))
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	n := len(b)
+	if fate.Err != nil {
+		n = min(fate.Done, n)
+	}
+	if n == 0 {
+		return 0, fate.Err
+	}
+	f.n.resize(max(len(f.n.data), int(at)+n))
+	copy(f.n.data[at:], b[:n])
+	for s := int(at) / Sector; s <= (int(at)+n-1)/Sector; s++ {
+		f.n.dirty[s] = true
+	}
+	return n, fate.Err
+}
+
+func (n *inode) resize(size int) {
+	switch {
+	case size > len(n.data):
+		n.data = append(n.data, make([]byte, size-len(n.data))...)
+		n.sized = true
+	case size < len(n.data):
+		n.data = n.data[:size:size]
+		n.sized = true
+		maps.DeleteFunc(n.dirty, func(s int, _ bool) bool { return s*Sector >= size })
+	}
+}
+
+func (f *file) Size() (int64, error) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.d.off {
+		return 0, ErrPower
+	}
+	return int64(len(f.n.data)), nil
+}
+
+func (f *file) Truncate(size int64) error {
+	fate := f.d.begin(Truncate, f.name, 0)
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if fate.happens() {
+		f.n.resize(int(size))
+	}
+	return fate.Err
+}
+
+func (f *file) Sync() error {
+	fate := f.d.begin(Sync, f.name, 0)
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if fate.Err == nil {
+		f.n.flush(func(int) bool { return true }, true)
+		return nil
+	}
+	if fate.Err != ErrPower && !f.d.off {
+		// The system has tried, and takes what did not get there for written.
+		f.n.flush(func(int) bool { return f.d.Coin != nil && f.d.Coin(2) == 1 }, f.d.Coin != nil && f.d.Coin(2) == 1)
+	}
+	return fate.Err
+}
+
+// flush brings those dirty sectors to the disk that reach it, and the size if that does.
+func (n *inode) flush(reaches func(sector int) bool, size bool) {
+	if size && n.sized {
+		n.disk = slices.Grow(n.disk, max(0, len(n.data)-len(n.disk)))
+		if len(n.disk) < len(n.data) {
+			n.disk = append(n.disk, make([]byte, len(n.data)-len(n.disk))...)
+		}
+		n.disk = n.disk[:len(n.data):len(n.data)]
+		n.sized = false
+	}
+	for _, s := range slices.Sorted(maps.Keys(n.dirty)) {
+		if from := s * Sector; reaches(s) && from < len(n.disk) {
+			copy(n.disk[from:], n.data[from:min(from+Sector, len(n.data))])
+		}
+	}
+	clear(n.dirty)
+}
+
+func (f *file) Linked() error {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.n.links <= 0 || f.d.gone {
+		return fs.ErrNotExist
+	}
+	return nil
+}
+
+func (f *file) Close() error { return nil }
+
+// Crash is the disk after the power went off and came back: draw(n), from 0 to n-1, decides what was lost. This one is
+// off from then on.
+func (d *Disk) Crash(draw func(n int) int) *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.off = true
+	after := New()
+	left := maps.Clone(d.synced)
+	mood := draw(4) // all, nothing, or each by itself
+	keep := func() bool { return mood == 0 || mood != 1 && draw(2) == 1 }
+	for _, c := range d.pending {
+		if !keep() {
+			continue
+		}
+		if c.kind != Create {
+			delete(left, c.from)
+		}
+		if c.kind != Remove {
+			left[c.to] = c.node
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(left)) {
+		n := left[name]
+		size := len(n.disk)
+		if n.sized && keep() {
+			size = len(n.data)
+		}
+		data := make([]byte, size)
+		copy(data, n.disk)
+		for _, s := range slices.Sorted(maps.Keys(n.dirty)) {
+			from, to := min(s*Sector, size), min((s+1)*Sector, size, len(n.data))
+			if from >= to || !keep() {
+				continue
+			}
+			if mood == 3 && draw(4) == 0 {
+				to = from + draw(to-from) // torn
+			}
+			copy(data[from:to], n.data[from:to])
+		}
+		node := &inode{data: data, disk: bytes.Clone(data), dirty: map[int]bool{}, links: 1}
+		after.names[name], after.synced[name] = node, node
+	}
+	return after
+}
+
+// Killed is the disk after the process that used it was killed: nothing is lost, but what was not synced is not yet. This
+// one is off from then on.
+func (d *Disk) Killed() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.off = true
+	after := New()
+	twins := map[*inode]*inode{}
+	twin := func(n *inode) *inode {
+		if twins[n] == nil {
+			twins[n] = &inode{bytes.Clone(n.data), bytes.Clone(n.disk), maps.Clone(n.dirty), n.sized, n.links}
+		}
+		return twins[n]
+	}
+	for name, n := range d.names {
+		after.names[name] = twin(n)
+	}
+	for name, n := range d.synced {
+		after.synced[name] = twin(n)
+	}
+	for _, c := range d.pending {
+		c.node = twin(c.node)
+		after.pending = append(after.pending, c)
+	}
+	return after
+}
+
+// Names are the files as programs see them.
+func (d *Disk) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.names))
+}
+
+// Bytes are what is in a file, to be read or changed where they are, both for programs and on disk.
+func (d *Disk) Bytes(name string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	if n == nil {
+		return nil
+	}
+	n.disk, n.sized = n.data, false
+	clear(n.dirty)
+	return n.data
+}
+
+// Delete removes a file for good, behind the store's back.
+func (d *Disk) Delete(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.names[name]; n != nil {
+		n.links--
+	}
+	delete(d.names, name)
+	delete(d.synced, name)
+}
--- a/ledger/frame.go
+++ b/ledger/frame.go
@@ -90,7 +90,6 @@
 const (
 	kindRecord = 1 + iota
 	kindNote   // all before it was synced when it was written; it has no record
-	kindEnd    // so was it, and nothing follows
 )
 
 // frame is the head of one.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -205,7 +205,7 @@
 		return told(err)
 	}
 	defer closeAll(all)
-	w, err := walk(all, func(_ uint64, r []byte) error { return each(r) }, damaged)
+	w, err := walk(all, true, func(_ uint64, r []byte) error { return each(r) }, damaged)
 	if err != nil {
 		return err
 	}
@@ -225,7 +225,7 @@
 		kept = append(kept, g)
 		s.next = f.number + 1
 	}
-	s.unsure = s.opt.Sync != None
+	s.unsure = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.segments, s.read, s.stats.Torn = kept, true, w.torn
@@ -237,7 +237,7 @@
 
 // told names the package in an error, once.
 func told(err error) error {
-	if strings.HasPrefix(err.Error(), "ledger: ") {
+	if err == nil || strings.HasPrefix(err.Error(), "ledger: ") {
 		return err
 	}
 	return fmt.Errorf("ledger: %w", err)
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -189,11 +189,8 @@
 				pc.record = p.at(at+frameHead, fr.length)
 				if len(pc.record) < fr.length || !fr.holds(pc.record) {
 					pc.record, pc.why = nil, "a record that is not as it was written"
-				} else if fr.kind != kindRecord {
+				} else if fr.kind == kindNote {
 					pc.synced = at
-					if fr.kind == kindEnd {
-						pc.synced = pc.end
-					}
 				}
 			} else {
 				pc.end, pc.blank = f.resume(p, at)
@@ -215,7 +212,7 @@
 // frameAt reads the head of the frame at that place, if there is one that fits.
 func (f *found) frameAt(p *pages, at int64) (frame, bool) {
 	fr, ok := f.header.parseFrame(p.at(at, frameHead), at)
-	if !ok || at+frameHead+int64(fr.length) > f.end || fr.kind < kindRecord || fr.kind > kindEnd ||
+	if !ok || at+frameHead+int64(fr.length) > f.end || fr.kind != kindRecord && fr.kind != kindNote ||
 		(fr.kind == kindRecord) != (fr.length > 0) {
 		return fr, false
 	}
@@ -322,9 +319,9 @@
 	tail    []record
 }
 
-// walk goes through all that counts. damaged may be nil. Records of the last segment that were not known to be on disk
-// are also kept in tail.
-func walk(all []*found, each func(seq uint64, record []byte) error, damaged func(Damage)) (w walked, err error) {
+// walk goes through all that counts. damaged may be nil. If keep is set, records of the last segment that are not known
+// to be on disk are also kept in tail.
+func walk(all []*found, keep bool, each func(seq uint64, record []byte) error, damaged func(Damage)) (w walked, err error) {
 	if damaged == nil {
 		damaged = func(Damage) {}
 	}
@@ -346,7 +343,7 @@
 			case pc.why == "" && pc.kind == kindRecord:
 				w.records++
 				f.maxSeq = max(f.maxSeq, pc.seq)
-				if f.last && pc.at >= f.synced {
+				if keep && f.last && pc.at >= f.synced {
 					w.tail = append(w.tail, record{pc.seq, bytes.Clone(pc.record)})
 				}
 				if err := each(pc.seq, pc.record); err != nil {
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -215,14 +215,17 @@
 	return nil
 }
 
-// settle makes sure that what Replay read is on disk: a process that was killed has left its last writes to the system.
-// Of the last segment all that was not on disk is written once more; the others may be those of a process that did not
-// sync.
+// settle makes sure that what Replay read is on disk: a process that was killed has left its last writes to the system,
+// in the folder too. Of the last segment all that was not on disk is written once more; the others may be those of a
+// process that did not sync.
 func (s *Store) settle() error {
+	if err := s.fs.Sync(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	var open []*segment
 	for i, g := range s.segments {
-		if g.synced < g.end && !(s.current && i == len(s.segments)-1) {
+		if s.opt.Sync != None && g.synced < g.end && !(s.current && i == len(s.segments)-1) {
 			open = append(open, g)
 		}
 	}
@@ -311,7 +314,7 @@
 	s.noted = true
 }
 
-// end writes the clean end.
+// end notes at the end that all is on disk.
 func (s *Store) end() {
 	s.mu.Lock()
 	broken := s.broken != nil
@@ -330,7 +333,7 @@
 		err = s.put(nil, true)
 	}
 	if err == nil {
-		err = s.put(s.head.appendFrame(s.buf[:0], last.end, kindEnd, 0, last.synced, nil), true)
+		err = s.put(s.head.appendFrame(s.buf[:0], last.end, kindNote, 0, last.synced, nil), true)
 	}
 	if err != nil {
 		s.void()
