--- a/durable/durable.go
+++ b/durable/durable.go
@@ -25,6 +25,7 @@
 // Store is where records go. See [ledger.Store].
 type Store interface {
 	Append(seq uint64, records ...[]byte) ledger.Commit
+	AppendLazy(seq uint64, records ...[]byte)
 	Trim(oldest uint64, mark []byte) error
 	Size() int64
 	Close() error
@@ -61,7 +62,8 @@
 	job    job.Job
 	due    time.Time // by when its consumer must have its answer
 	past   []job.Past
-	again  bool // an earlier process had it
+	again  bool          // an earlier process had it
+	taken  ledger.Commit // of its taking; nil: an earlier process had it
 	cancel context.CancelCauseFunc
 
 	listening func() // is to be called once its call's listener is there, or it has ended; nil: nobody asks
@@ -76,8 +78,9 @@
 	errLeft  = errors.New("durable: left to the next process")
 )
 
-// beforeEnd is how long before its time is over a job's end is no longer waited for on its way to the disk.
-const beforeEnd = 5 * time.Millisecond
+// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails at
+// its deadline has no other time, and its consumer waits a little longer than it was told to.
+const atTheEnd = 25 * time.Millisecond
 
 // Handle implements job.Handler.
 func (h *Handler) Handle(ctx context.Context, j *job.Job) job.Outcome {
@@ -85,8 +88,7 @@
 		return h.next.Handle(ctx, j)
 	}
 	due := time.Now().Add(j.Left)
-	spec := leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
-		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
+	spec := Spec(j)
 	h.mu.Lock()
 	if h.left { // nothing more is taken: what could end has ended
 		h.mu.Unlock()
@@ -104,9 +106,9 @@
 	h.mu.Unlock()
 	switch taking.Kind {
 	case leases.Fresh:
-		if err := h.wait(commit, due); err != nil {
-			return h.withdraw(e, err)
-		}
+		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync does
+		// for both.
+		e.taken = commit
 		h.carry(e)
 	case leases.Known:
 		if step.Sync {
@@ -131,6 +133,12 @@
 	return job.Outcome{Kind: job.Gone}
 }
 
+// Spec is a job as the ledger has it.
+func Spec(j *job.Job) leases.Spec {
+	return leases.Spec{ID: j.ID, Class: j.ClassName, Party: j.Party, Digest: digest(j), Key: j.Key, Deadline: j.Deadline,
+		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
+}
+
 // take takes a job into the table, unless it is a new one and the ledger is as large as it may be. Called under mu.
 func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
 	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= int64(h.set.MaxMB)<<20 {
@@ -147,18 +155,6 @@
 	return e
 }
 
-// withdraw ends a job whose taking is not on disk: nothing of it was sent.
-func (h *Handler) withdraw(e *entry, err error) job.Outcome {
-	h.trouble("jobs are not taken", err)
-	h.mu.Lock()
-	h.append(h.table.Withdrawn(h.clock(), e.seq))
-	delete(h.live, e.seq)
-	h.mu.Unlock()
-	e.out = job.Outcome{Kind: job.Rejected}
-	close(e.done)
-	return e.out
-}
-
 // carry takes a job through the next Handler, apart from any connection.
 func (h *Handler) carry(e *entry) {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -200,8 +196,11 @@
 		return
 	}
 	step, err := h.table.End(h.clock(), e.seq, outcome(out))
-	if errors.Is(err, leases.ErrTooLong) {
-		step, err = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
+	switch {
+	case errors.Is(err, leases.ErrEnded): // by its provider's word, which may still be on its way to the disk
+		step = leases.Step{Sync: true}
+	case errors.Is(err, leases.ErrTooLong):
+		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
 	}
 	commit := h.append(step)
 	var kept leases.Outcome
@@ -211,8 +210,13 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	if werr := h.wait(commit, e.due.Add(-beforeEnd)); werr != nil {
-		// Its consumer must have its answer in time, kept or not.
+	by := e.due.Add(atTheEnd)
+	if werr := errors.Join(h.wait(e.taken, by), h.wait(commit, by)); werr != nil {
+		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
+		// must not have been told that nothing ran.
+		if kept.Kind == leases.Rejected && !failed(e.taken) {
+			kept = leases.Outcome{Kind: leases.Failed}
+		}
 		h.mu.Lock()
 		h.lost++
 		h.mu.Unlock()
@@ -280,11 +284,11 @@
 		}
 		records[i] = step.Records[i].Append(nil)
 	}
-	commit := h.store.Append(uint64(seq), records...)
 	if !step.Sync {
+		h.store.AppendLazy(uint64(seq), records...)
 		return nil
 	}
-	return commit
+	return h.store.Append(uint64(seq), records...)
 }
 
 // wait waits until a commit is on disk, no longer than by.
@@ -307,6 +311,19 @@
 	}
 }
 
+// failed tells whether a commit is known to have failed: nothing of it will be read back.
+func failed(c ledger.Commit) bool {
+	if c == nil {
+		return false
+	}
+	select {
+	case <-c.Done():
+		return c.Wait() != nil
+	default:
+		return false
+	}
+}
+
 const troubleEvery = time.Minute
 
 // trouble tells of a disk that does not take what it should, once a minute.
@@ -330,7 +347,7 @@
 		h.mu.Unlock()
 		return 0, errLeft
 	}
-	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease)
+	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease, h.address(to))
 	commit := h.append(step)
 	h.mu.Unlock()
 	if err != nil {
@@ -339,11 +356,11 @@
 		}
 		return 0, err
 	}
-	if err := h.wait(commit, e.due); err != nil {
+	if err := errors.Join(h.wait(e.taken, e.due), h.wait(commit, e.due)); err != nil {
 		h.mu.Lock()
 		h.table.Unlease(e.seq, fence)
 		h.mu.Unlock()
-		h.trouble("calls are not made", err)
+		h.trouble("nothing new is sent", err)
 		return 0, err
 	}
 	h.mu.Lock()
@@ -355,6 +372,15 @@
 	return uint64(fence), nil
 }
 
+// address is where a provider is reached. It is kept with the lease, as the directory of the next process may not name
+// one any more that has left meanwhile, and has the job all the same.
+func (h *Handler) address(provider string) string {
+	if h.pool == nil {
+		return ""
+	}
+	return h.pool.Address(provider)
+}
+
 // Awaiting implements job.Keeper.
 func (e *entry) Awaiting() {
 	if e.listening != nil {
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laddertide/core/history"
@@ -54,6 +55,8 @@
 	Down       time.Duration // with Drain, Kill: until the new process starts
 	Stay       time.Duration // with Drain: how long it does so at least
 
+	Early bool // with Kill: a process that does not serve yet is killed too
+
 	// With Crash, Vanish, Mute: for so long at most it waits until one of Workers has a job that must never run twice, in
 	// its hands or (Arriving) just coming in, as that shows most what schedulers make of such an end.
 	Wait     time.Duration
@@ -77,6 +80,7 @@
 	Drain   Act = "drain"   // each worker: finishes, ends, comes back cold
 	Term    Act = "term"    // SIGTERM, and a new process after the exit
 	Kill    Act = "kill"    // SIGKILL, and a new process after Down
+	Full    Act = "full"    // while Value is 1, the disks of Schedulers take no writes
 	Reload  Act = "reload"  // SIGHUP with a moved discovery
 	Rude    Act = "rude"    // bad clients at Value a second; 0 ends it
 )
@@ -115,6 +119,11 @@
 	MemoryMB float64
 	Sockets  int
 
+	Operators string   // the text of an operators' file; empty: none
+	Folders   []string // in each scheduler's own
+	Durable   []string // classes whose jobs outlive their scheduler's process
+	AskAgain  bool     // for such jobs
+
 	Steps  []Step
 	Shades []Shade
 
@@ -191,6 +200,12 @@
 		Add:          [2]time.Duration{440 * time.Millisecond, 1900 * time.Millisecond},
 		Period:       [2]time.Duration{200 * time.Millisecond, 1400 * time.Millisecond},
 		Spread:       [2]time.Duration{15 * time.Millisecond, 78 * time.Millisecond}}
+	p.Operators, p.Folders, p.AskAgain = s.Operators, s.Folders, s.AskAgain
+	for _, c := range p.Classes {
+		if s.durable && (s.keptOnly == nil || slices.Contains(s.keptOnly, c.Name)) {
+			p.Durable = append(p.Durable, c.Name)
+		}
+	}
 	p.MemoryMB, p.Sockets = s.MemoryMB.or(192, 192).Lo, int(s.Sockets.or(1024, 1024).Lo)
 	p.drawTroubles(s, pick(ch.Times, 1))
 	return p, nil
@@ -338,6 +353,9 @@
 		case "cut":
 			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
 			two(Step{Do: Cut, Workers: some, Schedulers: at}, Step{Do: Mend, Workers: some, Schedulers: at})
+		case "full":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Full, Schedulers: at, Value: 1}, Step{Do: Full, Schedulers: at})
 		case "slow":
 			two(Step{Do: Slow, Workers: some, Value: t.Factor.draw(c)}, Step{Do: Slow, Workers: some, Value: 1})
 		case "burst":
@@ -375,6 +393,8 @@
 				to = st.At + length
 			}
 			to += time.Second
+		case "kills":
+			to = p.drawKills(c, t, at)
 		case "rude":
 			two(Step{Do: Rude, Value: t.Rate.draw(c)}, Step{Do: Rude})
 		}
@@ -383,6 +403,28 @@
 	}
 }
 
+// drawKills makes kills of all schedulers in turn, and returns when the last one is over. Some are followed by another
+// of the next process, which may be at its recovery still.
+func (p *Plan) drawKills(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	order := c.Perm(len(p.Schedulers))
+	kill := func(at time.Duration, whom int) time.Duration {
+		down := seconds(t.For.draw(c))
+		p.Steps = append(p.Steps, Step{At: at, Do: Kill, Schedulers: []int{whom}, Down: down, Early: true})
+		return at + down
+	}
+	twice := t.Twice.or(0, 0).draw(c)
+	for j := range t.Count.whole(c) {
+		whom := order[j%len(order)]
+		up := kill(at, whom)
+		if c.Float64() < twice {
+			up = kill(up+time.Duration(c.Float64()*float64(time.Second)), whom)
+		}
+		to = max(to, up)
+		at += seconds(t.Every.draw(c))
+	}
+	return to + time.Second
+}
+
 // sample draws a part of n things, one at least, in the order drawn.
 func sample(c *rand.Rand, n int, part float64) []int {
 	k := min(n, max(1, int(math.Round(part*float64(n)))))
