--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -25,8 +25,8 @@
 const (
 	open   known = iota // nothing yet: it may be there or not
 	kept                // its commit is done: it must be there, unless it was trimmed
-	failed              // its commit failed, or it was not there after a crash: it must not be, from the next commit on
-	void                // that commit was made
+	failed              // its commit is uncertain, or it was not there after a crash: it must not be, from the next commit on
+	void                // that commit was made, or its own failed
 )
 
 // entry is a record that was appended. A mark has no job, and oldest tells what it lets go.
@@ -120,6 +120,10 @@
 		h.store.Trim(oldest, records[0])
 		return
 	}
+	if h.rnd.IntN(5) == 0 {
+		h.store.AppendLazy(seq, records...) // nobody hears what becomes of it
+		return
+	}
 	c := h.store.Append(seq, records...)
 	for _, e := range added {
 		e.commit = c
@@ -130,11 +134,14 @@
 // settle waits for all commits.
 func (h *host) settle() {
 	for _, e := range h.wait {
-		if err := e.commit.Wait(); err == nil {
+		switch err := e.commit.Wait(); {
+		case err == nil:
 			e.is = kept
 			h.made()
-		} else {
+		case errors.Is(err, ledger.ErrUncertain):
 			e.is = failed
+		default:
+			e.is = void
 		}
 	}
 	h.wait = nil
@@ -391,8 +398,8 @@
 			}
 			s, _ := opened(t, ledger.Options{FS: disk, Idle: -1})
 			put(t, s, 1, "a")
-			if s.Append(2, []byte("b")).Wait() == nil {
-				t.Fatal("it does not fail")
+			if err := s.Append(2, []byte("b")).Wait(); err == nil || errors.Is(err, ledger.ErrUncertain) {
+				t.Fatal(err)
 			}
 			after := disk.Crash(all)
 			s.Close()
@@ -405,6 +412,80 @@
 	}
 }
 
+// If the disk does not let it be removed the Commit says so.
+func TestUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		armed := false
+		disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+			if armed {
+				f = faultfs.Fate{Err: syscall.EIO, Done: 1 << 20}
+				if op.Kind == faultfs.Truncate {
+					f.Done = 0
+				}
+			}
+			return f
+		}
+		s, _ := opened(t, ledger.Options{FS: disk, Idle: -1})
+		put(t, s, 1, "a")
+		armed = true
+		if err := s.Append(2, []byte("b")).Wait(); !errors.Is(err, ledger.ErrUncertain) || !errors.Is(err, syscall.EIO) {
+			t.Error(err)
+		}
+		if err := s.Append(3, []byte("c")).Wait(); err == nil || errors.Is(err, ledger.ErrUncertain) {
+			t.Error(err)
+		}
+		after := disk.Crash(all)
+		s.Close()
+		s, got := opened(t, ledger.Options{FS: after})
+		if !slices.Equal(got, []string{"a", "b"}) {
+			t.Errorf("%q", got)
+		}
+		shut(t, s)
+	})
+}
+
+// Records that nobody waits for go with the next that somebody waits for, or after a moment.
+func TestLazy(t *testing.T) {
+	for _, mode := range []string{ledger.Batch, ledger.Each} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := faultfs.New()
+			s, _ := opened(t, ledger.Options{FS: disk, Sync: mode, Idle: -1})
+			put(t, s, 1, "a")
+			before := disk.Ops()
+			s.AppendLazy(1, []byte("b"))
+			s.AppendLazy(1, []byte("c"))
+			synctest.Wait()
+			if n := disk.Ops() - before; n != 0 {
+				t.Errorf("%d operations at once", n)
+			}
+			put(t, s, 1, "d")
+			if n := disk.Ops() - before; n != 2 {
+				t.Errorf("%d operations for all of them", n)
+			}
+			s.AppendLazy(1, []byte("e"))
+			if err := s.Append(0).Wait(); err != nil || disk.Ops()-before != 4 {
+				t.Errorf("%v, %d operations", err, disk.Ops()-before)
+			}
+			s.AppendLazy(1, []byte("f"))
+			time.Sleep(50 * time.Millisecond)
+			after := disk.Crash(nothing)
+			s.Close()
+			s, got := opened(t, ledger.Options{FS: after})
+			if want := []string{"a", "b", "c", "d", "e", "f"}; !slices.Equal(got, want) {
+				t.Errorf("%s: %q, want %q", mode, got, want)
+			}
+			s.AppendLazy(1, []byte("g"))
+			shut(t, s)
+			s, got = opened(t, ledger.Options{FS: after})
+			if len(got) != 7 {
+				t.Errorf("%s: %q", mode, got)
+			}
+			shut(t, s)
+		})
+	}
+}
+
 // Also where nothing waits for a sync the mark is on disk before anything is removed.
 func TestMarkIsSynced(t *testing.T) {
 	for _, mode := range []string{ledger.Batch, ledger.Each, ledger.None} {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,8 +8,8 @@
 // # What can be relied on
 //
 // A Commit that is done without an error stays done: its records are read by the next Replay, in the order of the calls
-// of Append. One that failed leaves nothing that is read, once the store takes records again; if the process ends before
-// that, any of its records may be there. Of records that are on their way as the machine dies any may be there, each by
+// of Append. One that failed leaves nothing that is read; only if its error is [ErrUncertain] and the process ends before
+// the store takes records again, any of its records may be there. Of records that are on their way as the machine dies any may be there, each by
 // itself. A record that was on disk and cannot be read is told as [Damage], alone: those around it are read. The only
 // damage that goes untold is to the last write before a crash, which cannot be told from one that was under way.
 package ledger
@@ -76,6 +76,10 @@
 	ErrBusy   = errors.New("ledger: too much waits for the disk")
 	ErrClosed = errors.New("ledger: closed")
 	ErrRecord = errors.New("ledger: a record that is empty, or larger than a segment can hold")
+	// ErrUncertain is in the error of a Commit whose records may be on disk all the same: should the process end before
+	// the disk takes writes again, they may be read.
+	ErrUncertain = errors.New("ledger: what failed could not be removed yet")
+
 	errUnread = errors.New("ledger: not read yet")
 	errSlow   = errors.New("ledger: the disk does not answer in time")
 )
@@ -501,10 +505,11 @@
 		case <-timer.C:
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			for _, g := range append(s.queue, s.flight) {
-				if g != nil {
-					s.finish(g, errSlow)
-				}
+			if s.flight != nil {
+				s.finish(s.flight, fmt.Errorf("%w: %w", ErrUncertain, errSlow))
+			}
+			for _, g := range s.queue {
+				s.finish(g, errSlow)
 			}
 			s.queue = nil
 			return errSlow
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -263,11 +263,16 @@
 	defer s.mu.Unlock()
 	s.broken = err
 	s.stats.Failures++
-	for _, g := range append([]*group{s.flight}, s.queue...) {
-		if g != nil {
-			s.finish(g, err)
+	if s.flight != nil {
+		if s.bad && len(s.flight.records) > 0 {
+			s.finish(s.flight, fmt.Errorf("%w: %w", ErrUncertain, err))
+		} else {
+			s.finish(s.flight, err)
 		}
 	}
+	for _, g := range s.queue {
+		s.finish(g, err)
+	}
 	s.flight, s.queue = nil, nil
 }
 
