--- a/durable/durable.go
+++ b/durable/durable.go
@@ -318,7 +318,8 @@
 	}
 	select {
 	case <-c.Done():
-		return c.Wait() != nil
+		err := c.Wait()
+		return err != nil && !errors.Is(err, ledger.ErrUncertain)
 	default:
 		return false
 	}
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -25,30 +25,34 @@
 		store.Close()
 		return nil, err
 	}
-	bad := 0
-	err = store.Replay(func(record []byte) error {
+	if err := h.read(store); err != nil {
+		store.Close()
+		return nil, fmt.Errorf("durable: %w", err)
+	}
+	return h, nil
+}
+
+// read takes in what an earlier process has left.
+func (h *Handler) read(store interface {
+	Replay(each func([]byte) error, damaged func(ledger.Damage)) error
+}) error {
+	return store.Replay(func(record []byte) error {
 		r, err := leases.Decode(record)
 		if err == nil {
 			err = h.table.Replay(r)
 		}
 		if err != nil {
-			bad++
-			log.Warn("a record of the ledger makes no sense", "err", err)
+			h.log.Warn("a record of the ledger makes no sense", "err", err)
 			h.table.Lost(0)
 		}
 		return nil
 	}, func(d ledger.Damage) {
-		log.Warn("the ledger is damaged", "segment", d.Segment, "offset", d.Offset, "bytes", d.Bytes, "why", d.Why,
+		h.log.Warn("the ledger is damaged", "segment", d.Segment, "offset", d.Offset, "bytes", d.Bytes, "why", d.Why,
 			"number", d.Seq, "lost", !d.Harmless)
 		if !d.Harmless {
 			h.table.Lost(leases.Seq(d.Seq))
 		}
 	})
-	if err != nil {
-		store.Close()
-		return nil, fmt.Errorf("durable: %w", err)
-	}
-	return h, nil
 }
 
 func newHandler(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger, store Store,
