--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -148,7 +148,6 @@
 	unsure bool // segments that an earlier process has left may not be on disk as they were read
 	logged time.Time
 	told   bool // of a failure, in the log
-	failed []*group
 }
 
 // Open opens the ledger in a folder for this process alone, and refuses a folder that another one has.
--- a/rehearse/daemon/daemon_test.go
+++ b/rehearse/daemon/daemon_test.go
@@ -21,8 +21,11 @@
 		os.Exit(m.Run())
 	case "writes":
 		f, err := os.CreateTemp("", "full-")
+		if err != nil {
+			panic(err)
+		}
 		for os.Remove(f.Name()); ; time.Sleep(5 * time.Millisecond) {
-			if _, err = f.WriteString("x"); err != nil {
+			if _, err := f.WriteString("x"); err != nil {
 				fmt.Println(err)
 			} else {
 				fmt.Println("written")
