--- a/ledger/write.go
+++ b/ledger/write.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"runtime"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		runtime.Gosched() // on one core, those who are about to append come first: one sync then does for them too
 		g, wait, end := s.take()
 		switch {
 		case g != nil:
