--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,12 +22,13 @@
 	JobStatus *jobstatus.Settings
 	Durable   *durable.Settings
 
+	Path   string    // of the file; empty: it came from elsewhere
 	Stderr io.Writer // where lines for standard error go; nil: there
 }
 
 // LoadOperator reads the operator's file. A section that is there turns its feature on.
 func LoadOperator(path string) (Operator, error) {
-	var op Operator
+	op := Operator{Path: path}
 	file, err := operator.Load(path, sections...)
 	if err != nil {
 		return op, err
@@ -120,19 +120,23 @@
 
 // check reports if the features leave too little of the machine for the scheduler itself.
 func (op *Operator) check(c *Config) error {
+	name := op.Path
+	if name == "" {
+		name = "operator's file"
+	}
 	if op.TLS != nil {
 		if _, port, _ := net.SplitHostPort(c.Listen); port == strconv.Itoa(op.TLS.Port) {
-			return errors.New("operator's file: tls.listen_port: is the port of the plain listener")
+			return fmt.Errorf("%s: tls.listen_port: is the port of the plain listener", name)
 		}
 	}
 	if op.Durable != nil {
 		if err := op.Durable.Check(&c.Settings); err != nil {
-			return fmt.Errorf("operator's file: %w", err)
+			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
 	if c.Limits.MemoryMB > 0 && float64(op.memory()) > c.Limits.MemoryMB*(1<<20)/4 {
-		return fmt.Errorf("operator's file: its features may take %d bytes, over a quarter of limits.memory_mb: %s",
-			op.memory(), "lower their bounds")
+		return fmt.Errorf("%s: its features may take %d bytes, over a quarter of limits.memory_mb: lower their bounds", name,
+			op.memory())
 	}
 	return nil
 }
