--- a/scheduler/cpu_test.go
+++ b/scheduler/cpu_test.go
@@ -48,7 +48,7 @@
 	cfg.Listen, cfg.Discovery = os.Getenv(cpuListen), "127.0.0.1:1"
 	cfg.Limits = Limits{Sockets: 1024, Cores: 1}
 	cfg.Known = directory.List{Index: 41, Snapshot: true, Entries: []directory.Entry{{Name: "s-0badcafe",
-		Address: os.Getenv(cpuProvider), Status: directory.Serving, Weight: 40, Type: "fast-2", Zone: "tukwila"}}}
+		Address: os.Getenv(cpuProvider), Status: directory.Serving, Weight: 400, Type: "fast-2", Zone: "tukwila"}}}
 	if file := os.Getenv(cpuOperator); file != "" {
 		if cfg.Operator, err = LoadOperator(file); err != nil {
 			panic(err)
--- a/scheduler/durable_bench_test.go
+++ b/scheduler/durable_bench_test.go
@@ -23,7 +23,7 @@
 //
 //	go test ./scheduler -run '^$' -bench Durable -benchtime 40000x
 func BenchmarkDurable(b *testing.B) {
-	for _, consumers := range []int{8, 32} {
+	for _, consumers := range []int{8, 32, 128} {
 		b.Run(fmt.Sprintf("consumers=%d", consumers), func(b *testing.B) {
 			ways := []string{"off", "none", "batch", "each"}
 			subjects := make([]*subject, len(ways))
