--- a/durable/durable.go
+++ b/durable/durable.go
@@ -45,10 +45,10 @@
 
 	mu     sync.Mutex // guards what follows, and the order in which records are appended
 	table  *leases.Table
-	live   map[leases.Seq]*entry // open jobs
-	left   bool                  // what is open is left to the next process
-	lost   uint64                // ends that could not be written
-	unkept map[leases.Seq]bool   // jobs whose ends are told, or wait, and are not on disk yet
+	live   map[leases.Seq]*entry        // open jobs
+	left   bool                         // what is open is left to the next process
+	lost   uint64                       // ends that could not be written
+	unkept map[leases.Seq]ledger.Commit // of ends that are not known to be on disk; see kept
 	warned time.Time
 
 	work   sync.WaitGroup // of jobs that are carried
@@ -96,13 +96,16 @@
 		return h.late(spec)
 	}
 	taking, step := h.take(spec)
-	commit := h.append(step)
+	var commit ledger.Commit
 	var e *entry
 	switch taking.Kind {
 	case leases.Fresh:
+		commit = h.append(step)
 		e = h.open(taking.Seq, *j, due)
 	case leases.Joined:
 		e = h.live[taking.Seq]
+	case leases.Known:
+		commit = h.kept(taking.Seq)
 	}
 	h.mu.Unlock()
 	switch taking.Kind {
@@ -112,8 +115,10 @@
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		if step.Sync {
-			h.wait(commit, due) // what is told must not change; if it cannot be kept, it is told all the same
+		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that nothing
+		// will happen: after a crash the job may go on.
+		if h.wait(commit, due) != nil && taking.Outcome.Kind == leases.Rejected {
+			taking.Outcome = leases.Outcome{Kind: leases.Failed}
 		}
 		return h.told(taking.Seq, taking.Outcome)
 	case leases.Conflict:
@@ -141,7 +146,7 @@
 		return job.Outcome{Kind: job.Rejected}
 	case j.Spec.Digest != spec.Digest:
 		return job.Outcome{Kind: job.Conflict}
-	case j.State >= leases.StateEnded && !h.unkept[j.Seq]:
+	case j.State >= leases.StateEnded && h.kept(j.Seq) == nil:
 		return h.told(j.Seq, j.Outcome)
 	}
 	return job.Outcome{Kind: job.Failed, RetryAfter: askAgain}
@@ -200,6 +205,9 @@
 // end gives a job its one end, and those who wait their answer once that is kept.
 func (h *Handler) end(e *entry, out job.Outcome) {
 	e.Awaiting()
+	if h.wait(e.taken, e.due); failed(e.taken) && out.Kind == job.Failed {
+		out = job.Outcome{Kind: job.Rejected} // it was not taken, so nothing was sent, and nothing is known of it after a restart
+	}
 	h.mu.Lock()
 	if h.left && out.Kind != job.Served && h.unended(e.seq) {
 		// It goes on in the next process, where its consumer may ask again.
@@ -209,14 +217,12 @@
 		close(e.done)
 		return
 	}
-	step, err := h.table.End(h.clock(), e.seq, outcome(out))
-	switch {
-	case errors.Is(err, leases.ErrEnded): // by its provider's word, which may still be on its way to the disk
-		step = leases.Step{Sync: true}
-	case errors.Is(err, leases.ErrTooLong):
+	step, err := h.table.End(h.clock(), e.seq, outcome(out)) // unless its provider's word has done so
+	if errors.Is(err, leases.ErrTooLong) {
 		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
 	}
-	commit := h.append(step)
+	h.append(step)
+	commit := h.kept(e.seq)
 	var kept leases.Outcome
 	if j, ok := h.table.Get(h.clock(), e.seq); ok {
 		kept = j.Outcome
@@ -225,7 +231,7 @@
 	}
 	h.mu.Unlock()
 	by := e.due.Add(atTheEnd)
-	if werr := errors.Join(h.wait(e.taken, by), h.wait(commit, by)); werr != nil {
+	if werr := h.wait(commit, by); werr != nil {
 		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
 		// must not have been told that nothing ran.
 		if kept.Kind == leases.Rejected && !failed(e.taken) {
@@ -233,7 +239,6 @@
 		}
 		h.mu.Lock()
 		h.lost++
-		h.unkept[e.seq] = true
 		h.mu.Unlock()
 		h.trouble("ends of jobs are not kept", werr)
 	}
@@ -303,7 +308,33 @@
 		h.store.AppendLazy(uint64(seq), records...)
 		return nil
 	}
-	return h.store.Append(uint64(seq), records...)
+	commit := h.store.Append(uint64(seq), records...)
+	for i := range step.Records {
+		if r := &step.Records[i]; r.Kind == leases.Ended {
+			h.unkept[r.Seq] = commit
+		}
+	}
+	return commit
+}
+
+// kept is what to wait for before a job's end is told; nil: it is on disk. Called under mu.
+func (h *Handler) kept(seq leases.Seq) ledger.Commit {
+	c := h.unkept[seq]
+	if c != nil && over(c) && c.Wait() == nil {
+		delete(h.unkept, seq)
+		return nil
+	}
+	return c
+}
+
+// over tells whether a commit has become what it will.
+func over(c ledger.Commit) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
 }
 
 // wait waits until a commit is on disk, no longer than by.
@@ -331,13 +362,7 @@
 	if c == nil {
 		return false
 	}
-	select {
-	case <-c.Done():
-		err := c.Wait()
-		return err != nil && !errors.Is(err, ledger.ErrUncertain)
-	default:
-		return false
-	}
+	return over(c) && c.Wait() != nil && !errors.Is(c.Wait(), ledger.ErrUncertain)
 }
 
 const troubleEvery = time.Minute
@@ -430,17 +455,13 @@
 		h.mu.Unlock()
 		return nil // its lease does not stand any more: acknowledged, and without effect
 	}
-	step, err := h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Served, Result: result})
-	if err != nil { // it had ended; that must be on disk as well, or it was too large, which its carrier sees to
-		step = leases.Step{Sync: errors.Is(err, leases.ErrEnded)}
-	}
-	commit := h.append(step)
+	// If it had ended, that must be on disk as well; if the result is too large its carrier sees to it.
+	step, _ := h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Served, Result: result})
+	h.append(step)
+	commit := h.kept(e.seq)
 	h.mu.Unlock()
-	err = h.wait(commit, time.Now().Add(ackLimit))
+	err := h.wait(commit, time.Now().Add(ackLimit))
 	if err != nil {
-		h.mu.Lock()
-		h.unkept[e.seq] = true
-		h.mu.Unlock()
 		h.trouble("results are not acknowledged", err)
 	}
 	return err
@@ -479,11 +500,7 @@
 	seq, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
 	var commit ledger.Commit
 	if fence != 0 {
-		if h.unkept[seq] { // tend sees to it
-			h.mu.Unlock()
-			return job.ErrLater
-		}
-		commit = h.append(leases.Step{Sync: true})
+		commit = h.kept(seq)
 	}
 	h.mu.Unlock()
 	if err := h.wait(commit, time.Now().Add(ackLimit)); err != nil {
@@ -493,39 +510,20 @@
 	return nil
 }
 
-// mostAgain is how many ends are written once more at a time.
-const mostAgain = 256
-
 // keepAgain writes once more what the disk did not take before.
 func (h *Handler) keepAgain() {
 	h.mu.Lock()
-	var again []leases.Seq
-	step := leases.Step{Sync: true}
-	for seq := range h.unkept {
+	defer h.mu.Unlock()
+	for seq, c := range h.unkept {
+		if h.kept(seq) == nil || !over(c) {
+			continue
+		}
 		if r, ok := h.table.EndAgain(seq); ok {
-			step.Records = append(step.Records, r)
-			again = append(again, seq)
+			h.append(leases.Step{Records: []leases.Record{r}, Sync: true}) // by itself, as together they may be too large
 		} else {
-			delete(h.unkept, seq) // it is forgotten, or has not ended yet and brings its end itself
-		}
-		if len(again) == mostAgain {
-			break
+			delete(h.unkept, seq) // it is forgotten
 		}
 	}
-	if len(again) == 0 {
-		h.mu.Unlock()
-		return
-	}
-	commit := h.append(step)
-	h.mu.Unlock()
-	if h.wait(commit, time.Now().Add(ackLimit)) != nil {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, seq := range again {
-		delete(h.unkept, seq)
-	}
 }
 
 // Stop tells that the program ends at by: shortly before, what is open is left to the next process.
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -58,7 +58,7 @@
 func newHandler(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger, store Store,
 	clock func() leases.Clock) (*Handler, error) {
 	h := &Handler{set: set, classes: all.Classes, tenants: all.Tenants, pool: pool, next: next, log: log, store: store,
-		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]bool), ending: make(chan struct{})}
+		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]ledger.Commit), ending: make(chan struct{})}
 	var err error
 	if h.durable, err = set.check(&all); err != nil {
 		return nil, err
