--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -61,6 +61,15 @@
 	return section(file, "capture", capture.Parse, nil)
 }
 
+// LoadDurable reads the durable section alone, or gives nil if there is none, for tools that look at its folder.
+func LoadDurable(path string) (*durable.Settings, error) {
+	file, err := operator.Load(path, sections...)
+	if err != nil {
+		return nil, err
+	}
+	return section(file, "durable", durable.Parse, nil)
+}
+
 // section reads one feature's settings, unless an earlier one had an error.
 func section[T any](file *operator.File, name string, parse func(*operator.Section) (T, error), before error) (*T, error) {
 	s := file.Section(name)
