--- a/ledger/write.go
+++ b/ledger/write.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"runtime"
 	"time"
 )
 
@@ -15,6 +16,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		// Those who have just been told go on first: what they append shares the next write. Otherwise, on one core, a record
+		// goes to and fro between them and the writer for a time slice.
+		runtime.Gosched()
 		g, wait, end := s.take()
 		switch {
 		case g != nil:
