--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -95,8 +95,8 @@
 	return d.place(now, r, acts)
 }
 
-// Resume takes a request that another host had taken before this one, with what it had made of it, in order. The rules
-// hold over both: what may have run counts, and an attempt that is out is waited for as though it had been sent here.
+// Resume takes a request that another host had taken before, with the attempts that it had made, in order.
+// The rules hold over both: what may have run counts, and one that is out is waited for as though sent here.
 func (d *Dispatcher) Resume(now time.Duration, q Request, past []Past, acts []Action) []Action {
 	if !d.begun {
 		acts = d.begin(now, acts)
