SIGUSR2 copies the ledger of durable jobs while it serves; a test over a restart

Change: with durable on, SIGUSR2 copies the ledger into a new folder beside it; without it the signal does what it did.

--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -134,9 +135,32 @@
 		signal.Notify(usr1, syscall.SIGUSR1)
 		go dump(serving, usr1, s, box, log)
 	}
+	if cfg.Operator.Durable != nil {
+		usr2 := make(chan os.Signal, 1)
+		signal.Notify(usr2, syscall.SIGUSR2)
+		go snapshots(serving, usr2, s, cfg.Operator.Durable.Dir, log)
+	}
 	return s.Serve(ctx)
 }
 
+// snapshots copies the ledger at every SIGUSR2, into a new folder beside it.
+func snapshots(ctx context.Context, usr2 <-chan os.Signal, s *scheduler.Scheduler, dir string, log *slog.Logger) {
+	for {
+		select {
+		case <-usr2:
+		case <-ctx.Done():
+			return
+		}
+		to := filepath.Clean(dir) + time.Now().UTC().Format(".snapshot-20060102T150405.000")
+		began := time.Now()
+		if err := s.SnapshotLedger(to); err != nil {
+			log.Error("cannot copy the ledger", "to", to, "err", err)
+			continue
+		}
+		log.Info("ledger copied", "to", to, "took", time.Since(began).Round(time.Millisecond))
+	}
+}
+
 // reload rereads the file at every SIGHUP; left alone, that signal ends a Go program. The file's address
 // of discovery wins here over the flag and the environment, which still hold the one of the start.
 func reload(ctx context.Context, hup <-chan os.Signal, path string, s *scheduler.Scheduler, log *slog.Logger) {
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -28,6 +28,7 @@
 	AppendLazy(seq uint64, records ...[]byte)
 	Trim(oldest uint64, mark []byte) error
 	Size() int64
+	Snapshot(dst string) error
 	Close() error
 }
 
@@ -572,6 +573,9 @@
 	return h.store.Close()
 }
 
+// Snapshot copies the ledger into a folder that is empty or not there yet. It blocks, and nothing waits for it.
+func (h *Handler) Snapshot(dst string) error { return h.store.Snapshot(dst) }
+
 // Counts are figures of the ledger's jobs.
 func (h *Handler) Counts() leases.Counts {
 	h.mu.Lock()
--- /dev/null
+++ b/scheduler/durable_test.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"laddertide/ledger"
+)
+
+// askJob sends a job whose answer may come from the ledger alone.
+func (c *client) askJob(id, class, tenant, body string) {
+	c.t.Helper()
+	c.say("POST /api/x HTTP/1.1\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nIdempotency-Key: k%s\r\n"+
+		"Content-Length: %d\r\n\r\n%s", id, class, tenant, id, len(body), body)
+}
+
+// A job that is kept is sent once, answered to all who ask for it, by the next process too, and told to nobody else.
+func TestDurableJobOverARestart(t *testing.T) {
+	dir := t.TempDir()
+	text := fmt.Sprintf("durable: {dir: %s}\njob_status: {}\n", dir)
+	r := newRig(t, text, io.Discard)
+	first, second := r.dial(), r.dial()
+	r.submit(first, "d1", "settle", "rainier-haul", "")
+	second.askJob("d1", "settle", "rainier-haul", "x") // joins
+	r.event("d1", "started", "")
+	r.event("d1", "done", `,"result":"the result","lease":1000000`) // another lease's word changes nothing
+	r.event("d1", "done", `,"result":"the result"`)
+	for _, c := range []*client{first, second} {
+		if got := c.hear(200); got != "the result" {
+			t.Errorf("answered %q", got)
+		}
+	}
+	for body, status := range map[string]int{"x": 200, "y": 409} {
+		c := r.dial()
+		c.askJob("d1", "settle", "rainier-haul", body)
+		if got := c.hear(status); status == 409 && strings.Contains(got, "result") {
+			t.Errorf("told of another's job: %q", got)
+		}
+	}
+	c := r.dial()
+	c.askJob("d1", "settle", "puget-delivery", "x")
+	c.hear(409)
+	copied := filepath.Join(t.TempDir(), "copy")
+	if err := r.sched.SnapshotLedger(copied); err != nil {
+		t.Fatal(err)
+	}
+	records := 0
+	if _, err := ledger.Read(copied, func(uint64, []byte) error { records++; return nil }, nil); err != nil || records < 3 {
+		t.Errorf("%d records in the copy, %v", records, err)
+	}
+	r.end()
+	if len(r.jobs) != 0 {
+		t.Errorf("sent again: %s", <-r.jobs)
+	}
+
+	next := newRig(t, text, io.Discard)
+	c = next.dial()
+	c.askJob("d1", "settle", "rainier-haul", "x")
+	if got := c.hear(200); got != "the result" {
+		t.Errorf("the next process says %q", got)
+	}
+	if len(next.jobs) != 0 {
+		t.Errorf("sent again: %s", <-next.jobs)
+	}
+	next.end()
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -101,17 +101,31 @@
 	}
 }
 
+// SnapshotLedger copies the ledger of durable jobs into a folder that is empty or not there yet, while it serves.
+func (s *Scheduler) SnapshotLedger(dst string) error {
+	s.mu.Lock()
+	d := s.durable
+	s.mu.Unlock()
+	if d == nil {
+		return errors.New("scheduler: there is no ledger that serves")
+	}
+	return d.Snapshot(dst)
+}
+
 // chain is the way of a job from its front on: the Handlers, each round the next, and the last one. It is the one place
 // that sets their order. What the operator has turned on goes round the last one here, the innermost first; what is off
 // is not in the chain.
 func (s *Scheduler) chain() (job.Handler, error) {
 	var h job.Handler = &invoker.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
 	if set := s.cfg.Operator.Durable; set != nil {
-		var err error
-		if s.durable, err = durable.Open(*set, s.cfg.Settings, h, s.pool, s.log); err != nil {
+		d, err := durable.Open(*set, s.cfg.Settings, h, s.pool, s.log)
+		if err != nil {
 			return nil, err
 		}
-		h = s.durable
+		s.mu.Lock()
+		s.durable = d
+		s.mu.Unlock()
+		h = d
 	}
 	return h, nil
 }
