durable: room for ends, jobs that were not taken leave no trace; tests of joining, a bad disk, leaving and starting

- The ledger takes no records beyond seven eighths of max_mb, but jobs were taken up to all of it: at the end neither leases nor ends could be written.
- A job whose taking failed stayed in the table as rejected: asked for again on a disk that had healed it was turned away for keep_s.
It is withdrawn, as core/leases has it; Withdrawn takes back a job whose leases were never used, too, since taking and first lease share a sync.
- A write of which nothing was written leaves nothing that is uncertain.

TestJoin, TestFull, TestRoomForEnds, TestDiskFailsAndHeals, TestRejectedOnABadDisk, TestLeaseTooLate, TestLeave, TestStartOrder, TestOpen.

--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -149,12 +150,12 @@
 	return Taking{Kind: Fresh, Seq: j.seq}, Step{[]Record{{Kind: Taken, Seq: j.seq, Clock: now, Spec: spec}}, true}
 }
 
-// Withdrawn takes back a job whose Taken could not be written: it is as if it had never come, for those that joined it
-// too. As a write that failed may have reached the disk all the same, the Step has an end for it, to be written if that
+// Withdrawn takes back a job whose Taken could not be written, and of which no lease was used: it is as if it had never
+// come, for those that joined it too. As a write that failed may have reached the disk all the same, the Step has an end for it, to be written if that
 // goes; nothing waits for it.
 func (t *Table) Withdrawn(now Clock, seq Seq) Step {
 	j := t.jobs[seq]
-	if j == nil || j.outcome != nil || len(j.attempts) > 0 {
+	if j == nil || j.outcome != nil || slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.may }) {
 		return Step{}
 	}
 	t.drop(j)
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -158,9 +158,9 @@
 		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
 }
 
-// take takes a job into the table, unless it is a new one and the ledger is as large as it may be. Called under mu.
+// take takes a job into the table, unless it is a new one and the ledger has no room for more. Called under mu.
 func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
-	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= int64(h.set.MaxMB)<<20 {
+	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= h.set.full() {
 		return leases.Taking{Kind: leases.Full}, leases.Step{}
 	}
 	return h.table.Take(h.clock(), spec)
@@ -205,8 +205,9 @@
 // end gives a job its one end, and those who wait their answer once that is kept.
 func (h *Handler) end(e *entry, out job.Outcome) {
 	e.Awaiting()
-	if h.wait(e.taken, e.due); failed(e.taken) && out.Kind == job.Failed {
-		out = job.Outcome{Kind: job.Rejected} // it was not taken, so nothing was sent, and nothing is known of it after a restart
+	if err := h.wait(e.taken, e.due); failed(e.taken) {
+		h.withdraw(e, err)
+		return
 	}
 	h.mu.Lock()
 	if h.left && out.Kind != job.Served && h.unended(e.seq) {
@@ -234,7 +235,7 @@
 	if werr := h.wait(commit, by); werr != nil {
 		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
 		// must not have been told that nothing ran.
-		if kept.Kind == leases.Rejected && !failed(e.taken) {
+		if kept.Kind == leases.Rejected {
 			kept = leases.Outcome{Kind: leases.Failed}
 		}
 		h.mu.Lock()
@@ -249,6 +250,18 @@
 	close(e.done)
 }
 
+// withdraw ends a job whose taking is not on disk, as if it had never come: nothing of it was sent, and nothing is known
+// of it after a restart.
+func (h *Handler) withdraw(e *entry, err error) {
+	h.trouble("jobs are not taken", err)
+	h.mu.Lock()
+	h.append(h.table.Withdrawn(h.clock(), e.seq))
+	delete(h.live, e.seq)
+	h.mu.Unlock()
+	e.out = job.Outcome{Kind: job.Rejected}
+	close(e.done)
+}
+
 // askAgain is when the consumer of a job that the next process goes on with should ask for it again.
 const askAgain = time.Second
 
--- /dev/null
+++ b/durable/durable_test.go
@@ -0,0 +1,560 @@
+package durable
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"laddertide/core/leases"
+	"laddertide/job"
+	"laddertide/ledger"
+	"laddertide/ledger/faultfs"
+	"laddertide/policy"
+	"laddertide/provider"
+)
+
+// shop is a Handler of durable jobs over a scripted next one.
+type shop struct {
+	*Handler
+	disk *faultfs.Disk
+	log  *bytes.Buffer
+}
+
+func settings() Settings { return Settings{Keep: 10 * time.Second, MaxMB: 16, MaxOpen: 4} }
+
+// openShop opens a ledger on a disk, and starts what was open there if that is asked for.
+func openShop(t *testing.T, disk *faultfs.Disk, set Settings, start bool, next job.HandlerFunc) *shop {
+	t.Helper()
+	return openSized(t, disk, set, 1<<20, start, next)
+}
+
+func openSized(t *testing.T, disk *faultfs.Disk, set Settings, most int64, start bool, next job.HandlerFunc) *shop {
+	t.Helper()
+	s := &shop{disk: disk, log: new(bytes.Buffer)}
+	log := slog.New(slog.NewTextHandler(s.log, nil))
+	store, err := ledger.Open(ledger.Options{FS: disk, MaxBytes: most})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := func() leases.Clock {
+		return leases.Clock{Boot: [16]byte{1}, Mono: time.Now().UnixNano(), Wall: time.Now().UnixNano()}
+	}
+	all := policy.Settings{Classes: townClasses}
+	s.Handler, err = newHandler(set, all, next, provider.NewPool(provider.Limits{}, log), log, store, clock)
+	if err == nil {
+		err = s.read(store)
+	}
+	if err == nil && start {
+		err = s.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *shop) shut(t *testing.T) {
+	t.Helper()
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	synctest.Wait()
+}
+
+func order(id string, class int) *job.Job {
+	return &job.Job{ID: id, Class: class, ClassName: townClasses[class].Name, Deadline: townDeadline, Left: townDeadline,
+		Subject: "/", Payload: []byte(id)}
+}
+
+// served is a next Handler that sends a job and answers after a while.
+func served(after time.Duration) job.HandlerFunc {
+	return func(ctx context.Context, j *job.Job) job.Outcome {
+		lease, err := j.Keeper.Sending("w1")
+		if err != nil {
+			return job.Outcome{Kind: job.Rejected}
+		}
+		select {
+		case <-time.After(after):
+		case <-ctx.Done():
+			return job.Outcome{Kind: job.Failed}
+		}
+		result := fmt.Appendf(nil, "%s by %d", j.ID, lease)
+		if j.Keeper.Done(lease, result) != nil {
+			return job.Outcome{Kind: job.Failed}
+		}
+		return job.Outcome{Kind: job.Served, Result: result}
+	}
+}
+
+// Two that ask for a job share its one run and its answer; one that leaves leaves it alone; others who come too late get
+// the answer for as long as it is kept, and it is another job's id to whoever asks for something else.
+func TestJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		run := served(100 * time.Millisecond)
+		s := openShop(t, faultfs.New(), settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+			runs++
+			return run(ctx, j)
+		})
+		answers := make(chan job.Outcome, 3)
+		for i := range 3 {
+			patience := time.Minute
+			if i == 0 { // the one that came first
+				patience = 50 * time.Millisecond
+			}
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				answers <- s.Handle(ctx, order("a", 2))
+			}()
+			time.Sleep(10 * time.Millisecond)
+		}
+		if out := <-answers; out.Kind != job.Gone {
+			t.Errorf("the one that left: %v", out.Kind)
+		}
+		if out := s.Handle(t.Context(), &job.Job{ID: "a", Class: 2, ClassName: "issue", Left: time.Second, Payload: []byte("b")}); out.Kind != job.Conflict {
+			t.Errorf("another job of that id: %v", out.Kind)
+		}
+		for range 2 {
+			if out := <-answers; out.Kind != job.Served || string(out.Result) != "a by 1" {
+				t.Errorf("%v %s", out.Kind, out.Result)
+			}
+		}
+		time.Sleep(9 * time.Second)
+		if out := s.Handle(t.Context(), order("a", 2)); out.Kind != job.Served || string(out.Result) != "a by 1" || runs != 1 {
+			t.Errorf("late: %v %s after %d runs", out.Kind, out.Result, runs)
+		}
+		time.Sleep(2 * time.Second)
+		if out := s.Handle(t.Context(), order("a", 2)); string(out.Result) != "a by 2" || runs != 2 {
+			t.Errorf("forgotten: %v %s after %d runs", out.Kind, out.Result, runs)
+		}
+		s.shut(t)
+	})
+}
+
+// As many jobs as may be open are; a full ledger takes no more, and goes on with those that it has.
+func TestFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := openShop(t, faultfs.New(), settings(), true, served(100*time.Millisecond))
+		var kinds [5]job.Kind
+		var wg sync.WaitGroup
+		for i := range kinds {
+			wg.Go(func() { kinds[i] = s.Handle(t.Context(), order(fmt.Sprint(i), 0)).Kind })
+			synctest.Wait()
+		}
+		wg.Wait()
+		if kinds != [5]job.Kind{job.Served, job.Served, job.Served, job.Served, job.Rejected} {
+			t.Error(kinds)
+		}
+		if out := s.Handle(t.Context(), order("more", 0)); out.Kind != job.Served {
+			t.Errorf("with room again: %v", out.Kind)
+		}
+		s.set.MaxMB = 0
+		if out := s.Handle(t.Context(), order("too much", 0)); out.Kind != job.Rejected {
+			t.Errorf("full: %v", out.Kind)
+		}
+		if out := s.Handle(t.Context(), order("more", 0)); out.Kind != job.Served {
+			t.Errorf("known: %v", out.Kind)
+		}
+		s.shut(t)
+	})
+}
+
+// A ledger that has no room for more jobs has room for the ends of those that it has; and then those are forgotten before
+// their time to make room.
+func TestRoomForEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := settings()
+		set.MaxOpen, set.Keep = 100, time.Hour
+		s := openSized(t, faultfs.New(), set, 16<<20, true, served(100*time.Millisecond))
+		big := func(i int) *job.Job {
+			j := order(fmt.Sprint(i), 0)
+			j.Payload = bytes.Repeat([]byte("p"), 900<<10)
+			return j
+		}
+		kinds := make([]job.Kind, 20)
+		for round := range 3 {
+			var wg sync.WaitGroup
+			for i := range kinds {
+				wg.Go(func() { kinds[i] = s.Handle(t.Context(), big(round*100+i)).Kind })
+				synctest.Wait()
+			}
+			wg.Wait()
+			served := 0
+			for _, k := range kinds {
+				if k == job.Served {
+					served++
+				} else if k != job.Rejected {
+					t.Errorf("%v", k)
+				}
+			}
+			if served < 2 || served > 15 {
+				t.Errorf("round %d: %d of 20 taken", round, served)
+			}
+			time.Sleep(time.Second)
+		}
+		if st := s.store.(*ledger.Store).Stats(); st.Failed > 0 || s.lost > 0 || s.Counts().Evicted == 0 {
+			t.Errorf("%+v, %d ends lost, %+v", st, s.lost, s.Counts())
+		}
+		s.shut(t)
+	})
+}
+
+// While the disk takes nothing, new jobs are rejected and what is out comes to its end; the log tells of it once a
+// minute; when it takes writes again what had ended meanwhile is kept.
+func TestDiskFailsAndHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		var mu sync.Mutex
+		bad := false
+		disk.Fate = func(faultfs.Op) (f faultfs.Fate) {
+			mu.Lock()
+			defer mu.Unlock()
+			if bad {
+				f.Err = syscall.EROFS
+			}
+			return f
+		}
+		set := settings()
+		set.Keep = time.Hour
+		s := openShop(t, disk, set, true, func(ctx context.Context, j *job.Job) job.Outcome {
+			lease, err := j.Keeper.Sending("w1")
+			if err != nil {
+				return job.Outcome{Kind: job.Rejected}
+			}
+			time.Sleep(100 * time.Millisecond)
+			if j.Keeper.Done(lease, []byte("result")) == nil && j.ID == "out" {
+				t.Error("a result that is not kept is acknowledged")
+			}
+			return job.Outcome{Kind: job.Served, Result: []byte("result")}
+		})
+		out := make(chan job.Outcome, 1)
+		go func() { out <- s.Handle(t.Context(), order("out", 2)) }()
+		time.Sleep(50 * time.Millisecond)
+		mu.Lock()
+		bad = true
+		mu.Unlock()
+		began := time.Now()
+		if o := <-out; o.Kind != job.Served || time.Since(began) > townDeadline {
+			t.Errorf("out when the disk failed: %v after %v", o.Kind, time.Since(began))
+		}
+		again := provider.Event{ID: "out", From: "w1", Lease: 1, State: provider.Done, Result: []byte("result")}
+		if err := s.unclaimed(again); !errors.Is(err, job.ErrLater) {
+			t.Errorf("a result that is not kept, told again: %v", err)
+		}
+		for i := range 150 {
+			if o := s.Handle(t.Context(), order(fmt.Sprint("new", i), i%3)); o.Kind != job.Rejected {
+				t.Fatalf("not on disk, and %v", o.Kind)
+			}
+			time.Sleep(time.Second)
+		}
+		if n := strings.Count(s.log.String(), "ledger not written"); n < 2 || n > 4 {
+			t.Errorf("%d lines in 150 s:\n%s", n, s.log.String())
+		}
+		mu.Lock()
+		bad = false
+		mu.Unlock()
+		time.Sleep(time.Second)
+		if o := s.Handle(t.Context(), order("after", 1)); o.Kind != job.Served {
+			t.Errorf("on a disk that heals: %v", o.Kind)
+		}
+		if err := s.unclaimed(again); err != nil {
+			t.Errorf("a result that is kept now, told again: %v", err)
+		}
+		after := disk.Crash(func(n int) int { return 1 })
+		s.Close()
+		s = openShop(t, after, set, true, served(0))
+		if o := s.Handle(t.Context(), order("out", 2)); o.Kind != job.Served || string(o.Result) != "result" {
+			t.Errorf("what ended while the disk failed: %v %s", o.Kind, o.Result)
+		}
+		s.shut(t)
+	})
+}
+
+// Who is told that nothing of a job will happen must be able to rely on it, after a crash too; who is told so of one that
+// could not even be taken can.
+func TestRejectedOnABadDisk(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails func(taken bool, op faultfs.Op) faultfs.Fate
+		out   job.Kind // what the next Handler makes of it, as nothing can be sent
+		told  job.Kind
+		goes  bool // on after a crash
+	}{
+		{"its end is not kept", func(taken bool, op faultfs.Op) (f faultfs.Fate) {
+			if taken {
+				f.Err = syscall.EIO
+			}
+			return f
+		}, job.Rejected, job.Failed, true},
+		{"its taking is not kept", func(taken bool, op faultfs.Op) faultfs.Fate {
+			return faultfs.Fate{Err: syscall.EIO}
+		}, job.Failed, job.Rejected, false},
+		{"its taking may be kept", func(taken bool, op faultfs.Op) faultfs.Fate {
+			if op.Kind == faultfs.Truncate {
+				return faultfs.Fate{Err: syscall.EIO}
+			}
+			return faultfs.Fate{Err: syscall.EIO, Done: 1 << 20}
+		}, job.Rejected, job.Failed, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := faultfs.New()
+			disk.Coin = func(int) int { return 1 }
+			var mu sync.Mutex
+			armed, taken := false, false
+			disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+				mu.Lock()
+				defer mu.Unlock()
+				if armed {
+					f = c.fails(taken, op)
+				}
+				return f
+			}
+			s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+				time.Sleep(50 * time.Millisecond)
+				mu.Lock()
+				taken = true
+				mu.Unlock()
+				if _, err := j.Keeper.Sending("w1"); err == nil {
+					t.Errorf("%s: it is sent", c.name)
+				}
+				return job.Outcome{Kind: c.out}
+			})
+			mu.Lock()
+			armed = true
+			mu.Unlock()
+			for range 3 {
+				if out := s.Handle(t.Context(), order("a", 2)); out.Kind != c.told {
+					t.Errorf("%s: told %v, want %v", c.name, out.Kind, c.told)
+				}
+			}
+			after := disk.Crash(func(int) int { return 0 })
+			s.leave()
+			s.Close()
+			ran := false
+			s = openShop(t, after, settings(), true, func(context.Context, *job.Job) job.Outcome {
+				ran = true
+				return job.Outcome{Kind: job.Failed}
+			})
+			synctest.Wait()
+			if ran != c.goes {
+				t.Errorf("%s: goes on: %v", c.name, ran)
+			}
+			s.shut(t)
+		})
+	}
+}
+
+// A lease that took the disk so long that it must not be used any more is not used.
+func TestLeaseTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		var mu sync.Mutex
+		slow := false
+		disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+			mu.Lock()
+			now := slow && op.Kind == faultfs.Sync
+			mu.Unlock()
+			if now {
+				time.Sleep(townWindow + 10*time.Millisecond)
+			}
+			return f
+		}
+		s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+			lease, err := j.Keeper.Sending("w1")
+			if err != nil {
+				t.Error(err)
+			}
+			j.Keeper.Over(lease, false)
+			mu.Lock()
+			slow = true
+			mu.Unlock()
+			if _, err := j.Keeper.Sending("w2"); !errors.Is(err, leases.ErrWindow) {
+				t.Errorf("beyond the window of its key: %v", err)
+			}
+			mu.Lock()
+			slow = false
+			mu.Unlock()
+			return job.Outcome{Kind: job.Failed}
+		})
+		s.Handle(t.Context(), order("a", 1))
+		s.shut(t)
+	})
+}
+
+// A program that is to end leaves what is open: its consumers hear when to ask again, nothing of it is withdrawn, and the
+// next process awaits it where it is.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+			lease, err := j.Keeper.Sending("w1")
+			if err != nil {
+				return job.Outcome{Kind: job.Failed}
+			}
+			<-ctx.Done()
+			if !j.Keeper.Left() {
+				t.Error("withdrawn")
+			}
+			j.Keeper.Over(lease, false)
+			return job.Outcome{Kind: job.Gone}
+		})
+		out := make(chan job.Outcome, 1)
+		go func() { out <- s.Handle(t.Context(), order("a", 2)) }()
+		time.Sleep(50 * time.Millisecond)
+		s.Stop(time.Now().Add(time.Second))
+		began := time.Now()
+		if o := <-out; o.Kind != job.Failed || o.RetryAfter <= 0 || time.Since(began) < 500*time.Millisecond {
+			t.Errorf("%v, to ask again after %v, after %v", o.Kind, o.RetryAfter, time.Since(began))
+		}
+		if o := s.Handle(t.Context(), order("a", 2)); o.Kind != job.Failed || o.RetryAfter <= 0 {
+			t.Errorf("asked again: %v", o.Kind)
+		}
+		if o := s.Handle(t.Context(), order("b", 2)); o.Kind != job.Rejected {
+			t.Errorf("a new one: %v", o.Kind)
+		}
+		s.shut(t)
+		var past []job.Past
+		s = openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+			past, _ = j.Keeper.Past()
+			j.Keeper.Awaiting()
+			time.Sleep(100 * time.Millisecond)
+			if err := j.Keeper.Done(past[0].Lease, []byte("late")); err != nil {
+				t.Error(err)
+			}
+			return job.Outcome{Kind: job.Served, Result: []byte("late")}
+		})
+		if o := s.Handle(t.Context(), order("a", 2)); o.Kind != job.Served || string(o.Result) != "late" {
+			t.Errorf("in the next process: %v %s", o.Kind, o.Result)
+		}
+		if len(past) != 1 || !past[0].Out || past[0].Provider != "w1" || past[0].Lease != 1 {
+			t.Errorf("%+v", past)
+		}
+		s.shut(t)
+	})
+}
+
+// A start returns once what may be out is listened for, and not before; what is not out goes on behind that, those with
+// the least time left first; what has no time left has failed; words of providers find what had ended.
+func TestStartOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := faultfs.New()
+		set := settings()
+		set.MaxOpen = 20
+		s := openShop(t, disk, set, true, func(ctx context.Context, j *job.Job) job.Outcome {
+			if strings.HasPrefix(j.ID, "new") {
+				lease, _ := j.Keeper.Sending("w1") // so that its taking is on disk
+				j.Keeper.Over(lease, true)
+				<-ctx.Done()
+			}
+			return served(map[bool]time.Duration{true: 0, false: time.Hour}[j.ID == "ended"])(ctx, j)
+		})
+		for i, id := range []string{"new3", "late", "new1", "out1", "new2", "out2", "ended"} {
+			j := order(id, i%3)
+			j.Left = map[string]time.Duration{"new1": 900 * time.Millisecond, "new2": 1000 * time.Millisecond,
+				"late": 150 * time.Millisecond}[id]
+			if j.Left == 0 {
+				j.Left = 1400 * time.Millisecond
+			}
+			go s.Handle(context.Background(), j)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		after := disk.Killed()
+		s.leave()
+		s.Close()
+		time.Sleep(100 * time.Millisecond)
+		var mu sync.Mutex
+		var events []string
+		event := func(what string) {
+			mu.Lock()
+			defer mu.Unlock()
+			events = append(events, what)
+		}
+		s = openShop(t, after, set, false, func(ctx context.Context, j *job.Job) job.Outcome {
+			past, resumed := j.Keeper.Past()
+			if !resumed {
+				t.Errorf("%s is new", j.ID)
+			}
+			if n := len(past); n > 0 && past[n-1].Out {
+				time.Sleep(30 * time.Millisecond)
+				event("listens " + j.ID)
+				j.Keeper.Awaiting()
+				<-ctx.Done()
+			}
+			event("again " + j.ID)
+			<-ctx.Done()
+			return job.Outcome{Kind: job.Failed}
+		})
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		event("started")
+		synctest.Wait()
+		mu.Lock()
+		got := slices.Clone(events)
+		mu.Unlock()
+		if len(got) != 6 {
+			t.Fatal(got)
+		}
+		slices.Sort(got[:2])
+		slices.Sort(got[3:]) // carried one after the other, but each on its own
+		want := []string{"listens out1", "listens out2", "started", "again new1", "again new2", "again new3"}
+		if !slices.Equal(got, want) {
+			t.Errorf("%q, want %q", got, want)
+		}
+		if j, ok := s.find("late"); !ok || j.State < leases.StateEnded || j.Outcome.Kind != leases.Failed {
+			t.Errorf("late: %+v", j)
+		}
+		if err := s.unclaimed(provider.Event{ID: "ended", From: "w1", State: provider.Done}); err != nil {
+			t.Error(err)
+		}
+		s.leave()
+		s.shut(t)
+	})
+}
+
+// What is wrong with a folder is told in one line before anything is served.
+func TestOpen(t *testing.T) {
+	dir := t.TempDir()
+	set := settings()
+	set.Dir, set.Sync = dir, "batch"
+	open := func() (*Handler, error) {
+		log := slog.New(slog.DiscardHandler)
+		return Open(set, policy.Settings{Classes: townClasses}, served(0), provider.NewPool(provider.Limits{}, log), log)
+	}
+	h, err := open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open(); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("%s is in use by process %d", dir, os.Getpid())) {
+		t.Error(err)
+	}
+	if out := h.Handle(t.Context(), order("a", 0)); out.Kind != job.Served {
+		t.Error(out.Kind)
+	}
+	if err := h.Close(); err != nil {
+		t.Error(err)
+	}
+	f, err := Look(dir)
+	if err != nil || len(f.Jobs) != 1 || f.Jobs[0].Spec.ID != "a" || f.Jobs[0].State != leases.StateEnded {
+		t.Errorf("%+v, %v", f, err)
+	}
+	set.Dir = dir + "/none"
+	if _, err := open(); !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+}
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -199,8 +199,7 @@
 		h.mu.Lock()
 		expired := h.table.Expired(h.clock())
 		_, oldest := h.table.Forget(h.clock())
-		limit := int64(h.set.MaxMB) << 20
-		if size := h.store.Size(); size > limit/4*3 {
+		if h.store.Size() > h.set.crowded() {
 			// The jobs of the oldest quarter of what there is make room, if they have ended.
 			newest := h.table.Mark().Seq
 			h.table.Shed(oldest + (newest-oldest)/4 + 1)
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -122,6 +122,7 @@
 	s.bad = true
 	if len(b) > 0 {
 		if n, err := s.file.WriteAt(b, last.end); err != nil || n < len(b) {
+			s.bad = n > 0 // of none there is nothing to be removed
 			return fmt.Errorf("%d of %d bytes written: %w", n, len(b), err)
 		}
 	}
