--- a/cmd/laddertide/ledger_test.go
+++ b/cmd/laddertide/ledger_test.go
@@ -40,8 +40,9 @@
 		}
 	}
 	take := func(id string) leases.Seq {
-		taking, step := table.Take(clock(), leases.Spec{ID: id, Class: "pay", Party: "shop one", Deadline: time.Minute, Left: time.Minute,
-			Key: "secret-key", Body: []byte("secret-payload")})
+		taking, step := table.Take(clock(), leases.Spec{ID: id, Class: "pay", Party: "shop one", Deadline: time.Minute,
+			Left: time.Minute,
+			Key:  "secret-key", Body: []byte("secret-payload")})
 		write(taking.Seq, step)
 		return taking.Seq
 	}
@@ -95,10 +96,12 @@
 		code  int
 		wants []string
 	}{
-		{"ledger ls " + dir, 0, []string{inUse, "job-taken   pay    \"shop one\"  taken            0 ", "job-leased", "  leased           1 ",
+		{"ledger ls " + dir, 0, []string{inUse, "job-taken   pay    \"shop one\"  taken            0 ", "job-leased",
+			"  leased           1 ",
 			"  begun            2 ", "answered,served  1 "}},
 		{"ledger ls --fleet " + fleet, 0, []string{"job-taken"}},
-		{"ledger show job-begun " + dir, 0, []string{inUse, "state     begun", "lease     2 at w1", "over, never ran", "lease     3 at w2",
+		{"ledger show job-begun " + dir, 0, []string{inUse, "state     begun", "lease     2 at w1", "over, never ran",
+			"lease     3 at w2",
 			"may be out, had begun", "carries   14 bytes, sha256 "}},
 		{"ledger show job-ended " + dir, 0, []string{"outcome   served", "result    13 bytes, sha256 ", "the last one"}},
 		{"ledger show --result job-ended " + dir, 0, []string{"\nsecret-result\n"}},
@@ -157,7 +160,8 @@
 		t.Fatal(err)
 	}
 	out, code := call("ledger verify " + dir)
-	if code != 2 || !strings.Contains(out, "segment 0000000000000001.ledger, offset 1024, ") || !strings.Contains(out, "job number 1") {
+	if code != 2 || !strings.Contains(out, "segment 0000000000000001.ledger, offset 1024, ") ||
+		!strings.Contains(out, "job number 1") {
 		t.Errorf("exit code %d: %s", code, out)
 	}
 	if out, code := call("ledger export --json " + dir); code != 2 || strings.Count(out, "\n") != 3 {
--- a/durable/crash_test.go
+++ b/durable/crash_test.go
@@ -489,7 +489,8 @@
 			w.fail("job %s, which must not run twice, is sent again after lease %d", id, s.lease)
 		case may && t.class.Effect == policy.Keyed && time.Since(s.at) > townWindow+50*time.Millisecond:
 			w.fail("job %s is sent again %v after lease %d", id, time.Since(s.at), s.lease)
-		case !s.over && i == len(t.sends)-1 && may && t.class.Effect == policy.Safe && s.fate.kind == "served" && t.acked != nil:
+		case !s.over && i == len(t.sends)-1 && may && t.class.Effect == policy.Safe && s.fate.kind == "served" &&
+			t.acked != nil:
 			w.fail("job %s is sent again after its result was acknowledged", id)
 		}
 	}
@@ -543,7 +544,8 @@
 		if c != nil {
 			err = c.keeper.Done(c.lease, result)
 		} else {
-			err = p.h.unclaimed(provider.Event{ID: t.job.ID, From: s.provider, Lease: s.lease, State: provider.Done, Result: result})
+			err = p.h.unclaimed(provider.Event{ID: t.job.ID, From: s.provider, Lease: s.lease, State: provider.Done,
+				Result: result})
 		}
 		w := p.w
 		w.mu.Lock()
@@ -674,11 +676,13 @@
 
 // newTown draws a day of jobs.
 func newTown(seed uint64, without string) *town {
-	w := &town{rnd: rand.New(rand.NewPCG(seed, 3)), without: without, fences: map[uint64]bool{}, log: func(string, ...any) {}}
+	w := &town{rnd: rand.New(rand.NewPCG(seed, 3)), without: without, fences: map[uint64]bool{},
+		log: func(string, ...any) {}}
 	for i := range 26 {
 		class := i % len(townClasses)
 		c := townClasses[class]
-		t := &truth{class: c, job: job.Job{ID: fmt.Sprintf("j%d%s", i, "xx"[:w.rnd.IntN(3)]), Class: class, ClassName: c.Name, Deadline: c.Deadline,
+		t := &truth{class: c, job: job.Job{ID: fmt.Sprintf("j%d%s", i, "xx"[:w.rnd.IntN(3)]), Class: class,
+			ClassName: c.Name, Deadline: c.Deadline,
 			Left: c.Deadline, Subject: "/", Key: "k", Payload: bytes.Repeat([]byte{byte(i)}, 100+w.rnd.IntN(20000))}}
 		for range 4 {
 			kinds := []string{"served", "served", "turned away", "turned away", "broken", "silent"}
@@ -693,8 +697,8 @@
 	return w
 }
 
-// day lets all that is in the town happen: the program starts on that disk, and is killed at least once, at a time of its
-// own if nothing else does it; then it starts again on what is left, until all is over.
+// day lets all that is in the town happen: the program starts on that disk, and is killed at least once, at a time of
+// its own if nothing else does it; then it starts again on what is left, until all is over.
 func (w *town) day(disk *faultfs.Disk, killed bool) error {
 	var wg sync.WaitGroup
 	for i, t := range w.jobs {
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -1,8 +1,8 @@
 // Package durable keeps jobs of some classes over the death of the program: it is a Handler that takes a job for good
 // before the next Handler hears of it, keeps what is sent to providers and what comes back, answers those who ask for
-// the same job again, and goes on after a restart with what was open. It owns the ledger and the table of its jobs. What
-// must be on disk before what, and what a restart makes of a job, is decided by core/leases; which provider gets a job
-// and whether it goes again is the decision module's; it words no answer and opens no connection.
+// the same job again, and goes on after a restart with what was open. It owns the ledger and the table of its jobs.
+// What must be on disk before what, and what a restart makes of a job, is decided by core/leases; which provider gets a
+// job and whether it goes again is the decision module's; it words no answer and opens no connection.
 package durable
 
 import (
@@ -79,8 +79,8 @@
 	errLeft  = errors.New("durable: left to the next process")
 )
 
-// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails at
-// its deadline has no other time, and its consumer waits a little longer than it was told to.
+// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails
+// at its deadline has no other time, and its consumer waits a little longer than it was told to.
 const atTheEnd = 25 * time.Millisecond
 
 // Handle implements job.Handler.
@@ -110,13 +110,13 @@
 	h.mu.Unlock()
 	switch taking.Kind {
 	case leases.Fresh:
-		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync does
-		// for both.
+		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync
+		// does for both.
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that nothing
-		// will happen: after a crash the job may go on.
+		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that
+		// nothing will happen: after a crash the job may go on.
 		if h.wait(commit, due) != nil && taking.Outcome.Kind == leases.Rejected {
 			taking.Outcome = leases.Outcome{Kind: leases.Failed}
 		}
@@ -220,7 +220,8 @@
 	}
 	step, err := h.table.End(h.clock(), e.seq, outcome(out)) // unless its provider's word has done so
 	if errors.Is(err, leases.ErrTooLong) {
-		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
+		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed,
+			Why: "its result is too large to be kept"})
 	}
 	h.append(step)
 	commit := h.kept(e.seq)
@@ -233,8 +234,8 @@
 	h.mu.Unlock()
 	by := e.due.Add(atTheEnd)
 	if werr := h.wait(commit, by); werr != nil {
-		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
-		// must not have been told that nothing ran.
+		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then
+		// it must not have been told that nothing ran.
 		if kept.Kind == leases.Rejected {
 			kept = leases.Outcome{Kind: leases.Failed}
 		}
@@ -250,8 +251,8 @@
 	close(e.done)
 }
 
-// withdraw ends a job whose taking is not on disk, as if it had never come: nothing of it was sent, and nothing is known
-// of it after a restart.
+// withdraw ends a job whose taking is not on disk, as if it had never come: nothing of it was sent, and nothing is
+// known of it after a restart.
 func (h *Handler) withdraw(e *entry, err error) {
 	h.trouble("jobs are not taken", err)
 	h.mu.Lock()
@@ -506,8 +507,8 @@
 	return e.h.left
 }
 
-// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk before
-// it is acknowledged again, and words of leases that do not stand, which change nothing.
+// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk
+// before it is acknowledged again, and words of leases that do not stand, which change nothing.
 func (h *Handler) unclaimed(ev provider.Event) error {
 	h.mu.Lock()
 	seq, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
--- a/durable/durable_test.go
+++ b/durable/durable_test.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// Two that ask for a job share its one run and its answer; one that leaves leaves it alone; others who come too late get
-// the answer for as long as it is kept, and it is another job's id to whoever asks for something else.
+// Two that ask for a job share its one run and its answer; one that leaves leaves it alone; others who come too late
+// get the answer for as long as it is kept, and it is another job's id to whoever asks for something else.
 func TestJoin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		runs := 0
@@ -122,7 +122,8 @@
 		if out := <-answers; out.Kind != job.Gone {
 			t.Errorf("the one that left: %v", out.Kind)
 		}
-		if out := s.Handle(t.Context(), &job.Job{ID: "a", Class: 2, ClassName: "issue", Left: time.Second, Payload: []byte("b")}); out.Kind != job.Conflict {
+		if out := s.Handle(t.Context(), &job.Job{ID: "a", Class: 2, ClassName: "issue", Left: time.Second,
+			Payload: []byte("b")}); out.Kind != job.Conflict {
 			t.Errorf("another job of that id: %v", out.Kind)
 		}
 		for range 2 {
@@ -131,7 +132,8 @@
 			}
 		}
 		time.Sleep(9 * time.Second)
-		if out := s.Handle(t.Context(), order("a", 2)); out.Kind != job.Served || string(out.Result) != "a by 1" || runs != 1 {
+		if out := s.Handle(t.Context(), order("a", 2)); out.Kind != job.Served || string(out.Result) != "a by 1" ||
+			runs != 1 {
 			t.Errorf("late: %v %s after %d runs", out.Kind, out.Result, runs)
 		}
 		time.Sleep(2 * time.Second)
@@ -170,8 +172,8 @@
 	})
 }
 
-// A ledger that has no room for more jobs has room for the ends of those that it has; and then those are forgotten before
-// their time to make room.
+// A ledger that has no room for more jobs has room for the ends of those that it has; and then those are forgotten
+// before their time to make room.
 func TestRoomForEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		set := settings()
@@ -281,8 +283,8 @@
 	})
 }
 
-// Who is told that nothing of a job will happen must be able to rely on it, after a crash too; who is told so of one that
-// could not even be taken can.
+// Who is told that nothing of a job will happen must be able to rely on it, after a crash too; who is told so of one
+// that could not even be taken can.
 func TestRejectedOnABadDisk(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -392,8 +394,8 @@
 	})
 }
 
-// A program that is to end leaves what is open: its consumers hear when to ask again, nothing of it is withdrawn, and the
-// next process awaits it where it is.
+// A program that is to end leaves what is open: its consumers hear when to ask again, nothing of it is withdrawn, and
+// the next process awaits it where it is.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		disk := faultfs.New()
@@ -540,7 +542,8 @@
 	if err := h.Start(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := open(); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("%s is in use by process %d", dir, os.Getpid())) {
+	if _, err := open(); err == nil || !strings.Contains(err.Error(),
+		fmt.Sprintf("%s is in use by process %d", dir, os.Getpid())) {
 		t.Error(err)
 	}
 	if out := h.Handle(t.Context(), order("a", 0)); out.Kind != job.Served {
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -15,7 +15,8 @@
 )
 
 // Open opens the ledger and reads what an earlier process has left in it. The jobs that are open go on with Start.
-func Open(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger) (*Handler, error) {
+func Open(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger) (*Handler,
+	error) {
 	store, err := ledger.Open(ledger.Options{Dir: set.Dir, Sync: set.Sync, MaxBytes: int64(set.MaxMB) << 20, Log: log})
 	if err != nil {
 		return nil, fmt.Errorf("durable: %w", err)
@@ -58,12 +59,14 @@
 func newHandler(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger, store Store,
 	clock func() leases.Clock) (*Handler, error) {
 	h := &Handler{set: set, classes: all.Classes, tenants: all.Tenants, pool: pool, next: next, log: log, store: store,
-		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]ledger.Commit), ending: make(chan struct{})}
+		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]ledger.Commit),
+		ending: make(chan struct{})}
 	var err error
 	if h.durable, err = set.check(&all); err != nil {
 		return nil, err
 	}
-	opt := leases.Options{MaxOpen: set.MaxOpen, Keep: set.Keep, KeepCount: keepCount, KeepBytes: keepBytes, MaxJoiners: mostJoiners}
+	opt := leases.Options{MaxOpen: set.MaxOpen, Keep: set.Keep, KeepCount: keepCount, KeepBytes: keepBytes,
+		MaxJoiners: mostJoiners}
 	for _, c := range all.Classes {
 		opt.Classes = append(opt.Classes, leases.Class{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group],
 			Window: c.Window, Deadline: c.Deadline})
--- a/durable/settings.go
+++ b/durable/settings.go
@@ -71,8 +71,8 @@
 // Memory is what durable jobs may take, in bytes, beside what any open job weighs.
 func (s *Settings) Memory() int { return s.MaxOpen*openBytes + keepBytes + queueBytes }
 
-// The ledger itself takes no more records at seven eighths of what it may have, as it needs one for what makes room. Before
-// that no more jobs are taken, so that those that are open can be leased and ended; and before that those that have ended
-// are forgotten early.
+// The ledger itself takes no more records at seven eighths of what it may have, as it needs one for what makes room.
+// Before that no more jobs are taken, so that those that are open can be leased and ended; and before that those that
+// have ended are forgotten early.
 func (s *Settings) crowded() int64 { return int64(s.MaxMB) << 20 / 8 * 5 }
 func (s *Settings) full() int64    { return int64(s.MaxMB) << 20 / 8 * 6 }
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -11,9 +11,9 @@
 	"laddertide/ledger"
 )
 
-// BenchmarkRate is what a record waits at 5,000 jobs a second of three records each (600, 60 and 200 bytes, one after the
-// other), which come in bursts of what a millisecond brings: the second is appended with the first, as a job's taking and
-// its first lease are. The folder is the one that LEDGER_BENCH_DIR names, or a temporary one. On one core:
+// BenchmarkRate is what a record waits at 5,000 jobs a second of three records each (600, 60 and 200 bytes, one after
+// the other), which come in bursts of what a millisecond brings: the second is appended with the first, as a job's
+// taking and its first lease are. The folder is the one that LEDGER_BENCH_DIR names, or a temporary one. On one core:
 //
 //	LEDGER_BENCH_DIR=... go test -run '^$' -bench Rate -benchtime 30000x -cpu 1 ./ledger
 func BenchmarkRate(b *testing.B) {
--- a/ledger/copy.go
+++ b/ledger/copy.go
@@ -17,8 +17,8 @@
 	Bytes    int64 // of the segments on disk
 }
 
-// Read reads the ledger in a folder as Replay does, for tools: without its lock, so also of a folder in use, and without
-// changing anything. damaged may be nil.
+// Read reads the ledger in a folder as Replay does, for tools: without its lock, so also of a folder in use, and
+// without changing anything. damaged may be nil.
 func Read(dir string, each func(seq uint64, record []byte) error, damaged func(Damage)) (Report, error) {
 	var r Report
 	d := folder(dir)
@@ -47,9 +47,9 @@
 	return r, err
 }
 
-// Snapshot copies the ledger into a folder that must be empty or not there yet, while it serves: all that is committed as
-// it begins. The copy is on disk when it returns, and can be opened and read like the ledger itself. Nothing is trimmed
-// meanwhile.
+// Snapshot copies the ledger into a folder that must be empty or not there yet, while it serves: all that is committed
+// as it begins. The copy is on disk when it returns, and can be opened and read like the ledger itself. Nothing is
+// trimmed meanwhile.
 func (s *Store) Snapshot(dst string) error {
 	if err := os.Mkdir(dst, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
 		return told(err)
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -25,8 +25,8 @@
 const (
 	open   known = iota // nothing yet: it may be there or not
 	kept                // its commit is done: it must be there, unless it was trimmed
-	failed              // its commit is uncertain, or it was not there after a crash: it must not be, from the next commit on
-	void                // that commit was made, or its own failed
+	failed              // its commit is uncertain, or it was not there after a crash: from the next commit on it is void
+	void                // it must not be there
 )
 
 // entry is a record that was appended. A mark has no job, and oldest tells what it lets go.
@@ -64,7 +64,8 @@
 
 func (h *host) open() error {
 	var err error
-	h.store, err = ledger.Open(ledger.Options{Sync: h.mode, MaxBytes: 512 << 10, FS: h.disk, Retry: retry, Idle: 50 * time.Millisecond})
+	h.store, err = ledger.Open(ledger.Options{Sync: h.mode, MaxBytes: 512 << 10, FS: h.disk, Retry: retry,
+		Idle: 50 * time.Millisecond})
 	if err != nil {
 		return err
 	}
@@ -116,7 +117,8 @@
 		records = append(records, []byte(id+" "+strings.Repeat("x", h.rnd.IntN(1<<h.rnd.IntN(13)))))
 	}
 	if oldest > 0 {
-		// It may have been written whatever this says: removing is what can fail, and there may have been nothing to remove.
+		// It may have been written whatever this says: removing is what can fail, and there may have been nothing to
+		// remove.
 		h.store.Trim(oldest, records[0])
 		return
 	}
@@ -380,8 +382,8 @@
 func all(int) int     { return 0 }
 func nothing(int) int { return 1 }
 
-// What a failed write has left is gone by the time that its Commit tells, if the disk lets it be removed: a crash before
-// anything else is written does not bring it back.
+// What a failed write has left is gone by the time that its Commit tells, if the disk lets it be removed: a crash
+// before anything else is written does not bring it back.
 func TestFailedIsGoneAtOnce(t *testing.T) {
 	for _, kind := range []string{faultfs.Write, faultfs.Sync} {
 		synctest.Test(t, func(t *testing.T) {
--- a/ledger/faultfs/faultfs.go
+++ b/ledger/faultfs/faultfs.go
@@ -1,6 +1,6 @@
 // Package faultfs is a ledger's folder in memory whose operations fail, hang or are cut short as a test wants it, and
-// which loses power: then of what was not synced any sectors may be lost, and any changes of the folder. It is for tests
-// alone and never touches a file.
+// which loses power: then of what was not synced any sectors may be lost, and any changes of the folder. It is for
+// tests alone and never touches a file.
 package faultfs
 
 import (
@@ -49,8 +49,8 @@
 
 // Disk is a folder and its files. It implements [ledger.FS].
 type Disk struct {
-	// Fate decides on each operation; nil: all go well. It may block: then the operation hangs. It is called without any
-	// lock, and must be set before the disk is used.
+	// Fate decides on each operation; nil: all go well. It may block: then the operation hangs. It is called without
+	// any lock, and must be set before the disk is used.
 	Fate func(Op) Fate
 	// Coin draws what a sync that fails has brought to the disk; nil: nothing.
 	Coin func(n int) int
@@ -411,8 +411,8 @@
 	return after
 }
 
-// Killed is the disk after the process that used it was killed: nothing is lost, but what was not synced is not yet. This
-// one is off from then on.
+// Killed is the disk after the process that used it was killed: nothing is lost, but what was not synced is not yet.
+// This one is off from then on.
 func (d *Disk) Killed() *Disk {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/ledger/frame.go
+++ b/ledger/frame.go
@@ -27,8 +27,9 @@
 //	    4  checksum of the frame's head
 //	       record
 //
-// Both checksums of a frame (CRC-32C) also cover salt, segment number and the frame's place, so that nothing counts that
-// was not written there: neither what an earlier file has left on the disk nor what a customer has made look like a frame.
+// Both checksums of a frame (CRC-32C) also cover salt, segment number and the frame's place, so that nothing counts
+// that was not written there: neither what an earlier file has left on the disk nor what a customer has made look like
+// a frame.
 const (
 	formatVersion = 1
 	headerBytes   = 64
@@ -69,8 +70,8 @@
 }
 
 func (e *newerError) Error() string {
-	return fmt.Sprintf("ledger: segment %s is of version %d, this program reads %d: run the newer program, or empty the folder",
-		e.segment, e.version, formatVersion)
+	return fmt.Sprintf("ledger: segment %s is of version %d, this program reads %d: run the newer program, or empty "+
+		"the folder", e.segment, e.version, formatVersion)
 }
 
 // parseHeader reads one copy. ok tells whether it is whole; a version other than ours is whole, too.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,17 +1,19 @@
-// Package ledger is the store under durable jobs: an append-only log of records in a folder, in segments of bounded size,
-// that forgets from its front. It owns the folder, the form of the files, and what is on disk when a [Commit] is done. It
-// never looks into a record, has no index and rewrites nothing: whoever appends reads all of it once, at the start.
+// Package ledger is the store under durable jobs: an append-only log of records in a folder, in segments of bounded
+// size, that forgets from its front. It owns the folder, the form of the files, and what is on disk when a [Commit] is
+// done. It never looks into a record, has no index and rewrites nothing: whoever appends reads all of it once, at the
+// start.
 //
-// Records have the number of the job that they are of, which only grows; by that alone [Store.Trim] tells which segments
-// are still needed. One goroutine writes: all that has come while it was busy shares its next write and sync.
+// Records have the number of the job that they are of, which only grows; by that alone [Store.Trim] tells which
+// segments are still needed. One goroutine writes: all that has come while it was busy shares its next write and sync.
 //
 // # What can be relied on
 //
 // A Commit that is done without an error stays done: its records are read by the next Replay, in the order of the calls
-// of Append. One that failed leaves nothing that is read; only if its error is [ErrUncertain] and the process ends before
-// the store takes records again, any of its records may be there. Of records that are on their way as the machine dies any may be there, each by
-// itself. A record that was on disk and cannot be read is told as [Damage], alone: those around it are read. The only
-// damage that goes untold is to the last write before a crash, which cannot be told from one that was under way.
+// of Append. One that failed leaves nothing that is read; only if its error is [ErrUncertain] and the process ends
+// before the store takes records again, any of its records may be there. Of records that are on their way as the
+// machine dies any may be there, each by itself. A record that was on disk and cannot be read is told as [Damage],
+// alone: those around it are read. The only damage that goes untold is to the last write before a crash, which cannot
+// be told from one that was under way.
 package ledger
 
 import (
@@ -28,8 +30,8 @@
 
 // Commit is the way to the disk of what one call of Append was given.
 type Commit interface {
-	// Wait blocks until all of it, and all that was appended before it, is on disk as the sync mode promises, or the write
-	// has failed. It may be called by many, and again.
+	// Wait blocks until all of it, and all that was appended before it, is on disk as the sync mode promises, or the
+	// write has failed. It may be called by many, and again.
 	Wait() error
 	// Done is closed when Wait would not block.
 	Done() <-chan struct{}
@@ -148,7 +150,6 @@
 	unsure bool // segments that an earlier process has left may not be on disk as they were read
 	logged time.Time
 	told   bool // of a failure, in the log
-	failed []*group
 }
 
 // Open opens the ledger in a folder for this process alone, and refuses a folder that another one has.
@@ -186,8 +187,9 @@
 	}, nil
 }
 
-// Replay reads all records, in order; an error of each ends it, and is returned. It must be called once, before the first
-// Append. What is damaged is told in its place among the records; damaged may be nil. The record is each's for the call.
+// Replay reads all records, in order; an error of each ends it, and is returned. It must be called once, before the
+// first Append. What is damaged is told in its place among the records; damaged may be nil. The record is each's for
+// the call.
 func (s *Store) Replay(each func(record []byte) error, damaged func(Damage)) error {
 	s.mu.Lock()
 	again := s.reading || s.closing
@@ -279,9 +281,9 @@
 
 var allDone = finished(nil)
 
-// Append appends records of a job, or of none with 0. Without records it gives a Commit of all that was appended before.
-// It never waits for the disk; the order of the calls is the order on disk. The records must not change until the Commit
-// is done.
+// Append appends records of a job, or of none with 0. Without records it gives a Commit of all that was appended
+// before. It never waits for the disk; the order of the calls is the order on disk. The records must not change until
+// the Commit is done.
 func (s *Store) Append(seq uint64, records ...[]byte) Commit {
 	g := &group{records: make([]record, len(records)), appends: 1}
 	for i, r := range records {
@@ -415,9 +417,9 @@
 	return s.stats
 }
 
-// Trim removes the leading segments that hold nothing of a job from oldest on, if there are any; before that it writes the
-// mark and waits until it is on disk, in every sync mode. It waits some seconds at most; what it has not removed by then
-// is removed later.
+// Trim removes the leading segments that hold nothing of a job from oldest on, if there are any; before that it writes
+// the mark and waits until it is on disk, in every sync mode. It waits some seconds at most; what it has not removed by
+// then is removed later.
 func (s *Store) Trim(oldest uint64, mark []byte) error {
 	s.mu.Lock()
 	n := 0
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -171,7 +171,8 @@
 				t.Fatal(where)
 			case len(lost) == 1:
 				d := damages[0]
-				if !bytes.Contains(sound[d.Offset:d.Offset+d.Bytes], []byte(lost[0])) || d.Segment != name || int64(at) < d.Offset ||
+				if !bytes.Contains(sound[d.Offset:d.Offset+d.Bytes], []byte(lost[0])) || d.Segment != name ||
+					int64(at) < d.Offset ||
 					int64(at) >= d.Offset+d.Bytes || d.Seq != 0 && d.Seq != 100+uint64(slices.Index(want, lost[0])) || d.Why == "" {
 					t.Fatal(where)
 				}
@@ -190,7 +191,7 @@
 			}
 		}
 	}
-	// Of 8 frames each bit of the head, but the last 4 bytes of it make no other record unreadable; 2 copies of the header.
+	// Two copies of the header, and eight frames, of which each bit counts.
 	if told["header"] != 2*64*8 || told["head"] != 8*28*8 || told["record"] != 8*(8+9*28) {
 		t.Error(told)
 	}
@@ -217,11 +218,15 @@
 		lost  int
 		times int
 	}{
-		"a segment is gone":    {func(d *faultfs.Disk, name string) { d.Delete(name) }, perSegment, 1},
-		"both headers":         {func(d *faultfs.Disk, name string) { d.Bytes(name)[3]++; d.Bytes(name)[512+40]++ }, perSegment, 1},
-		"a sector of zeros":    {func(d *faultfs.Disk, name string) { clear(d.Bytes(name)[20*512:][:512]) }, 1, 1},
-		"ten records of noise": {func(d *faultfs.Disk, name string) { copy(d.Bytes(name)[1100:], strings.Repeat("noise", 10000)) }, 10, 0},
-		"all zero":             {func(d *faultfs.Disk, name string) { clear(d.Bytes(name)[1024:]) }, perSegment, 1},
+		"a segment is gone": {func(d *faultfs.Disk, name string) { d.Delete(name) }, perSegment, 1},
+		"both headers": {func(d *faultfs.Disk, name string) { d.Bytes(name)[3]++; d.Bytes(name)[512+40]++ },
+			perSegment, 1},
+		"a sector of zeros": {func(d *faultfs.Disk, name string) { clear(d.Bytes(name)[20*512:][:512]) }, 1, 1},
+		"ten records of noise": {func(d *faultfs.Disk, name string) {
+			copy(d.Bytes(name)[1100:],
+				strings.Repeat("noise", 10000))
+		}, 10, 0},
+		"all zero": {func(d *faultfs.Disk, name string) { clear(d.Bytes(name)[1024:]) }, perSegment, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			disk, opt := make(t)
@@ -328,12 +333,14 @@
 		t.Fatalf("%q", line[:n])
 	}
 	_, err = ledger.Open(ledger.Options{Dir: dir})
-	if want := fmt.Sprintf("ledger: %s is in use by process %d", dir, child.Process.Pid); err == nil || err.Error() != want {
+	if want := fmt.Sprintf("ledger: %s is in use by process %d", dir, child.Process.Pid); err == nil ||
+		err.Error() != want {
 		t.Errorf("%v, want %s", err, want)
 	}
 	var got []string
 	r, err := ledger.Read(dir, func(_ uint64, r []byte) error { got = append(got, string(r)); return nil }, nil)
-	if err != nil || !r.InUse || r.Process != strconv.Itoa(child.Process.Pid) || !slices.Equal(got, []string{"of the child"}) {
+	if err != nil || !r.InUse || r.Process != strconv.Itoa(child.Process.Pid) ||
+		!slices.Equal(got, []string{"of the child"}) {
 		t.Errorf("%+v, %q, %v", r, got, err)
 	}
 	child.Process.Kill()
@@ -343,11 +350,13 @@
 		t.Error(got)
 	}
 	shut(t, s)
-	if r, err := ledger.Read(dir, func(uint64, []byte) error { return nil }, nil); err != nil || r.InUse || r.Records != 1 {
+	if r, err := ledger.Read(dir, func(uint64, []byte) error { return nil }, nil); err != nil || r.InUse ||
+		r.Records != 1 {
 		t.Errorf("%+v, %v", r, err)
 	}
 	for _, dir := range []string{filepath.Join(dir, "none"), t.TempDir(), filepath.Join(dir, "lock")} {
-		if _, err := ledger.Read(dir, func(uint64, []byte) error { return nil }, nil); err == nil || !strings.Contains(err.Error(), dir) {
+		if _, err := ledger.Read(dir, func(uint64, []byte) error { return nil }, nil); err == nil ||
+			!strings.Contains(err.Error(), dir) {
 			t.Errorf("%s: %v", dir, err)
 		}
 	}
@@ -364,7 +373,8 @@
 	count := 0
 	wg.Go(func() {
 		for i := 0; ; i++ {
-			if err := s.Append(uint64(i+1), []byte(strconv.Itoa(i)+strings.Repeat("s", 2000))).Wait(); err != nil && !errors.Is(err, ledger.ErrFull) {
+			if err := s.Append(uint64(i+1), []byte(strconv.Itoa(i)+strings.Repeat("s", 2000))).Wait(); err != nil &&
+				!errors.Is(err, ledger.ErrFull) {
 				t.Error(err)
 			} else if err == nil {
 				mu.Lock()
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -321,7 +321,8 @@
 
 // walk goes through all that counts. damaged may be nil. If keep is set, records of the last segment that are not known
 // to be on disk are also kept in tail.
-func walk(all []*found, keep bool, each func(seq uint64, record []byte) error, damaged func(Damage)) (w walked, err error) {
+func walk(all []*found, keep bool, each func(seq uint64, record []byte) error,
+	damaged func(Damage)) (w walked, err error) {
 	if damaged == nil {
 		damaged = func(Damage) {}
 	}
@@ -336,7 +337,8 @@
 			continue
 		}
 		if f.flaw != "" {
-			damaged(Damage{Segment: name, Offset: f.flawAt, Bytes: headerBytes, Harmless: true, Why: f.flaw + ", one of its copies"})
+			damaged(Damage{Segment: name, Offset: f.flawAt, Bytes: headerBytes, Harmless: true,
+				Why: f.flaw + ", one of its copies"})
 		}
 		for pc := range f.pieces(newPages(f), firstFrame) {
 			switch {
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -16,8 +16,8 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		// Those who have just been told go on first: what they append shares the next write. Otherwise, on one core, a record
-		// goes to and fro between them and the writer for a time slice.
+		// Those who have just been told go on first: what they append shares the next write. Otherwise, on one core, a
+		// record goes to and fro between them and the writer for a time slice.
 		runtime.Gosched()
 		g, wait, end := s.take()
 		switch {
@@ -49,8 +49,8 @@
 	}
 }
 
-// take gives the next group to be written. If there is none it tells how long to wait for one, negative for ever, or that
-// it is the end.
+// take gives the next group to be written. If there is none it tells how long to wait for one, negative for ever, or
+// that it is the end.
 func (s *Store) take() (g *group, wait time.Duration, end bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,8 +146,8 @@
 	return nil
 }
 
-// begin makes the next segment the one that is written: first under another name, so that no segment is seen that is not
-// whole. makes tells that it may use the space that is kept free.
+// begin makes the next segment the one that is written: first under another name, so that no segment is seen that is
+// not whole. makes tells that it may use the space that is kept free.
 func (s *Store) begin(makes bool) (err error) {
 	s.mu.Lock()
 	used := s.used()
