--- a/ledger/fs.go
+++ b/ledger/fs.go
@@ -82,13 +82,9 @@
 		}
 		time.Sleep(lockPause)
 	}
-	err = f.Truncate(0)
-	if err == nil {
-		_, err = f.WriteAt([]byte(strconv.Itoa(os.Getpid())+"\n"), 0)
-	}
-	if err != nil {
-		f.Close()
-		return nil, err
+	// Whom to name is of use, but a full disk must not keep anyone from reading what is there.
+	if f.Truncate(0) == nil {
+		f.WriteAt([]byte(strconv.Itoa(os.Getpid())+"\n"), 0)
 	}
 	return &folderLock{d, f}, nil
 }
