--- a/durable/durable.go
+++ b/durable/durable.go
@@ -1,8 +1,8 @@
 // Package durable keeps jobs of some classes over the death of the program: it is a Handler that takes a job for good
 // before the next Handler hears of it, keeps what is sent to providers and what comes back, answers those who ask for
-// the same job again, and goes on after a restart with what was open. It owns the ledger and the table of its jobs. What
-// must be on disk before what, and what a restart makes of a job, is decided by core/leases; which provider gets a job
-// and whether it goes again is the decision module's; it words no answer and opens no connection.
+// the same job again, and goes on after a restart with what was open. It owns the ledger and the table of its jobs.
+// What must be on disk before what, and what a restart makes of a job, is decided by core/leases; which provider gets a
+// job and whether it goes again is the decision module's; it words no answer and opens no connection.
 package durable
 
 import (
@@ -80,8 +80,8 @@
 	errLeft  = errors.New("durable: left to the next process")
 )
 
-// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails at
-// its deadline has no other time, and its consumer waits a little longer than it was told to.
+// atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails
+// at its deadline has no other time, and its consumer waits a little longer than it was told to.
 const atTheEnd = 25 * time.Millisecond
 
 // Handle implements job.Handler.
@@ -111,13 +111,13 @@
 	h.mu.Unlock()
 	switch taking.Kind {
 	case leases.Fresh:
-		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync does
-		// for both.
+		// Nothing of it is sent before its first lease is on disk, and that waits for its taking as well: so one sync
+		// does for both.
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that nothing
-		// will happen: after a crash the job may go on.
+		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that
+		// nothing will happen: after a crash the job may go on.
 		if h.wait(commit, due) != nil && taking.Outcome.Kind == leases.Rejected {
 			taking.Outcome = leases.Outcome{Kind: leases.Failed}
 		}
@@ -159,9 +159,9 @@
 		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
 }
 
-// take takes a job into the table, unless it is a new one and the ledger is as large as it may be. Called under mu.
+// take takes a job into the table, unless it is a new one and the ledger has no room for more. Called under mu.
 func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
-	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= int64(h.set.MaxMB)<<20 {
+	if _, known := h.table.Find(h.clock(), spec.ID); !known && h.store.Size() >= h.set.full() {
 		return leases.Taking{Kind: leases.Full}, leases.Step{}
 	}
 	return h.table.Take(h.clock(), spec)
@@ -206,8 +206,9 @@
 // end gives a job its one end, and those who wait their answer once that is kept.
 func (h *Handler) end(e *entry, out job.Outcome) {
 	e.Awaiting()
-	if h.wait(e.taken, e.due); failed(e.taken) && out.Kind == job.Failed {
-		out = job.Outcome{Kind: job.Rejected} // it was not taken, so nothing was sent, and nothing is known of it after a restart
+	if err := h.wait(e.taken, e.due); failed(e.taken) {
+		h.withdraw(e, err)
+		return
 	}
 	h.mu.Lock()
 	if h.left && out.Kind != job.Served && h.unended(e.seq) {
@@ -220,7 +221,8 @@
 	}
 	step, err := h.table.End(h.clock(), e.seq, outcome(out)) // unless its provider's word has done so
 	if errors.Is(err, leases.ErrTooLong) {
-		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed, Why: "its result is too large to be kept"})
+		step, _ = h.table.End(h.clock(), e.seq, leases.Outcome{Kind: leases.Failed,
+			Why: "its result is too large to be kept"})
 	}
 	h.append(step)
 	commit := h.kept(e.seq)
@@ -233,9 +235,9 @@
 	h.mu.Unlock()
 	by := e.due.Add(atTheEnd)
 	if werr := h.wait(commit, by); werr != nil {
-		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then it
-		// must not have been told that nothing ran.
-		if kept.Kind == leases.Rejected && !failed(e.taken) {
+		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then
+		// it must not have been told that nothing ran.
+		if kept.Kind == leases.Rejected {
 			kept = leases.Outcome{Kind: leases.Failed}
 		}
 		h.mu.Lock()
@@ -250,6 +252,18 @@
 	close(e.done)
 }
 
+// withdraw ends a job whose taking is not on disk, as if it had never come: nothing of it was sent, and nothing is
+// known of it after a restart.
+func (h *Handler) withdraw(e *entry, err error) {
+	h.trouble("jobs are not taken", err)
+	h.mu.Lock()
+	h.append(h.table.Withdrawn(h.clock(), e.seq))
+	delete(h.live, e.seq)
+	h.mu.Unlock()
+	e.out = job.Outcome{Kind: job.Rejected}
+	close(e.done)
+}
+
 // askAgain is when the consumer of a job that the next process goes on with should ask for it again.
 const askAgain = time.Second
 
@@ -494,8 +508,8 @@
 	return e.h.left
 }
 
-// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk before
-// it is acknowledged again, and words of leases that do not stand, which change nothing.
+// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk
+// before it is acknowledged again, and words of leases that do not stand, which change nothing.
 func (h *Handler) unclaimed(ev provider.Event) error {
 	h.mu.Lock()
 	seq, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
