--- /dev/null
+++ b/wire/stomp/client_test.go
@@ -0,0 +1,105 @@
+package stomp
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+)
+
+// What usual client libraries send, line by line, over a whole session: with LF and 1.1, as those do that write frames
+// by hand, and with CR LF and 1.2, as those do that follow its examples. Both end frames with NUL and a line end.
+func TestUsualClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		end     string
+		offer   string
+		beat    string
+		version Version
+	}{
+		"LF, 1.0":          {"\n", "", "", V10},
+		"LF, 1.0 and 1.1":  {"\n", "1.0,1.1", "0,0", V11},
+		"LF, to 1.2":       {"\n", "1.0,1.1,1.2", "10000,10000", V12},
+		"CR LF, to 1.2":    {"\r\n", "1.0,1.1,1.2", "0,0", V12},
+		"CR LF, backwards": {"\r\n", "1.2,1.1,1.0", "10000,10000", V12},
+	} {
+		t.Run(name, func(t *testing.T) {
+			type sent struct {
+				lines []string
+				body  string
+				want  *Frame
+			}
+			connect := sent{[]string{"CONNECT"}, "", frame(CONNECT, "")}
+			add := func(s *sent, header, value string) {
+				s.lines = append(s.lines, header+":"+value)
+				s.want.Headers = append(s.want.Headers, Field{Name: header, Value: value})
+			}
+			if c.offer != "" {
+				add(&connect, "accept-version", c.offer)
+				add(&connect, "host", "127.0.0.1")
+				add(&connect, "heart-beat", c.beat)
+			}
+			add(&connect, "login", "depot")
+			add(&connect, "passcode", `p:a\ss`)
+			session := []sent{
+				connect,
+				{[]string{"SUBSCRIBE", "id:sub-0", "destination:/answers", "ack:client-individual"}, "",
+					frame(SUBSCRIBE, "", "id", "sub-0", "destination", "/answers", "ack", "client-individual")},
+				{[]string{"SEND", "destination:/jobs/auth", "request-id:r-1", "deadline-ms:2000", "receipt:1",
+					"content-type:application/json", "content-length:13"}, `{"pump":"7"}` + "\n",
+					frame(SEND, `{"pump":"7"}`+"\n", "destination", "/jobs/auth", "request-id", "r-1", "deadline-ms", "2000", "receipt", "1",
+						"content-type", "application/json")},
+				{[]string{"SEND", "destination:/jobs/auth", "receipt:2"}, "text\n\nof lines",
+					frame(SEND, "text\n\nof lines", "destination", "/jobs/auth", "receipt", "2")},
+				{[]string{"BEGIN", "transaction:t"}, "", frame(BEGIN, "", "transaction", "t")},
+				{[]string{"SEND", "transaction:t", "destination:/jobs/auth", "content-length:2"}, "\x00\x01",
+					frame(SEND, "\x00\x01", "transaction", "t", "destination", "/jobs/auth")},
+				{[]string{"COMMIT", "transaction:t", "content-length:0"}, "", frame(COMMIT, "", "transaction", "t")},
+				{[]string{"ACK", "id:m-1", "subscription:sub-0", "message-id:m-1"}, "",
+					frame(ACK, "", "id", "m-1", "subscription", "sub-0", "message-id", "m-1")},
+				{[]string{"UNSUBSCRIBE", "id:sub-0", "destination:/answers"}, "",
+					frame(UNSUBSCRIBE, "", "id", "sub-0", "destination", "/answers")},
+				{[]string{"DISCONNECT", "receipt:bye"}, "", frame(DISCONNECT, "", "receipt", "bye")},
+			}
+			if c.version >= V11 {
+				session = append(session, sent{[]string{"NACK", `id:a\cb`}, "", frame(NACK, "", "id", "a:b")})
+			}
+			var wire strings.Builder
+			for _, s := range session {
+				for _, line := range s.lines {
+					wire.WriteString(line + c.end)
+				}
+				wire.WriteString(c.end + s.body + "\x00" + c.end)
+			}
+			// Between frames such a client beats with a bare LF, or with its own line end.
+			wire.WriteString("\n" + c.end)
+
+			r, f := NewReader(bufio.NewReaderSize(strings.NewReader(wire.String()), 64), Limits{}), &Frame{}
+			next := func() error {
+				for {
+					if err := r.Next(f); err != nil || f.Command != Beat {
+						return err
+					}
+				}
+			}
+			for i, s := range session {
+				if err := next(); err != nil || !same(f, s.want) {
+					t.Fatalf("%s: %+v, %v; want %+v", s.lines, f, err, s.want)
+				}
+				if i > 0 {
+					continue
+				}
+				v, err := Negotiate(f.Headers)
+				if err != nil || v != c.version {
+					t.Fatalf("version %v, %v", v, err)
+				}
+				r.SetVersion(v)
+				if h, err := HeartBeatOf(f.Headers); err != nil || c.beat != "" && h.String() != c.beat || c.beat == "" && h != (HeartBeat{}) {
+					t.Fatalf("heart-beat %v, %v", h, err)
+				}
+			}
+			if err := next(); err != io.EOF || r.Beats() != uint64(len(session)+2) {
+				t.Fatalf("at the end: %v, %d beats", err, r.Beats())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/wire/stomp/fuzz_test.go
@@ -0,0 +1,110 @@
+package stomp
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+)
+
+// small are limits that a fuzzer reaches.
+var small = Limits{Command: 11, Headers: 6, Head: 120, Body: 80}
+
+func versionOf(n byte) Version { return Version(n % 4) }
+
+// settle does with a reader's version what a server does when a client connects.
+func settle(r *Reader, f *Frame) {
+	if r.version == 0 && (f.Command == CONNECT || f.Command == STOMP) {
+		if v, err := Negotiate(f.Headers); err == nil {
+			r.SetVersion(v)
+		}
+	}
+}
+
+// FuzzFrame: what is read keeps the limits, and reads the same once it is written again in the same version.
+func FuzzFrame(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte, version byte) {
+		in := bytes.NewReader(b)
+		br := bufio.NewReaderSize(in, 64)
+		r := NewReader(br, small)
+		r.SetVersion(versionOf(version))
+		left := func() int { return in.Len() + br.Buffered() }
+		for {
+			var f Frame
+			before, v := left(), r.version
+			err := r.Next(&f)
+			if err != nil {
+				if f.Command != Beat || f.Headers != nil || f.Body != nil || r.Next(&f) != err {
+					t.Fatalf("with %v: %+v", err, f)
+				}
+				if err == io.EOF && left() != 0 {
+					t.Fatalf("an end with %d bytes left", left())
+				}
+				return
+			}
+			taken := before - left()
+			if f.Command == Beat {
+				if f.Headers != nil || f.Body != nil || taken == 0 {
+					t.Fatalf("a beat of %d bytes: %+v", taken, f)
+				}
+				continue
+			}
+			most := small.Command + len("\r\n") + small.Head + small.Body + len("\x00")
+			if taken > most || len(f.Headers) > small.Headers || len(f.Body) > small.Body {
+				t.Fatalf("past the limits: %d bytes, %d headers, body of %d", taken, len(f.Headers), len(f.Body))
+			}
+			if f.Headers.Count(contentLength) > 0 || f.Body != nil && (len(f.Body) == 0 || !f.Command.hasBody()) {
+				t.Fatalf("read as %+v", f)
+			}
+			again, err := AppendFrame(nil, v, &f)
+			if err != nil {
+				t.Fatalf("%+v cannot be written: %v", f, err)
+			}
+			rest := bytes.NewReader(again)
+			back := NewReader(bufio.NewReader(rest), Limits{})
+			back.SetVersion(v)
+			var f2 Frame
+			if err := back.Next(&f2); err != nil || !same(&f, &f2) || rest.Len()+back.br.Buffered() != 0 {
+				t.Fatalf("%+v written as %q: %+v, %v", f, again, f2, err)
+			}
+			settle(r, &f)
+		}
+	})
+}
+
+// sips returns a few bytes at a time.
+type sips struct {
+	r   io.Reader
+	rng *rand.Rand
+}
+
+func (s *sips) Read(p []byte) (int, error) { return s.r.Read(p[:min(len(p), 1+s.rng.IntN(5))]) }
+
+// FuzzStream: a stream reads the same however the network cuts it, and ends in the same way: frames, heart-beats, and
+// the reason why there are no more.
+func FuzzStream(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte, version byte, seed uint64) {
+		read := func(br *bufio.Reader) (out []string) {
+			r := NewReader(br, small)
+			r.SetVersion(versionOf(version))
+			var f Frame // the same one for all, as in service
+			for {
+				err := r.Next(&f)
+				if err != nil {
+					return append(out, fmt.Sprintf("%d beats, %v", r.Beats(), err))
+				}
+				if f.Command != Beat {
+					out = append(out, fmt.Sprintf("%d beats, %q", r.Beats(), f))
+				}
+				settle(r, &f)
+			}
+		}
+		whole := read(bufio.NewReaderSize(bytes.NewReader(b), 1<<16))
+		cut := read(bufio.NewReaderSize(&sips{bytes.NewReader(b), rand.New(rand.NewPCG(seed, 1))}, 16))
+		if fmt.Sprint(whole) != fmt.Sprint(cut) {
+			t.Fatalf("whole %q\ncut %q", whole, cut)
+		}
+	})
+}
--- /dev/null
+++ b/wire/stomp/read.go
@@ -0,0 +1,379 @@
+package stomp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"slices"
+	"unicode/utf8"
+)
+
+// The limits of a Reader that is given none.
+const (
+	DefaultCommand = 32
+	DefaultHeaders = 100
+	DefaultHead    = 16 << 10
+	DefaultBody    = 64 << 10
+)
+
+// Limits bound a frame that is read. A peer that goes past them gets an error, never more memory. What is zero or
+// less is the default.
+type Limits struct {
+	Command int // bytes of the command, without its line end
+	Headers int // how many, content-length among them
+	Head    int // bytes of all header lines with their ends and of the empty line behind them, as they come
+	Body    int // bytes, without the NUL
+}
+
+func (l Limits) orDefaults() Limits {
+	for _, x := range []struct {
+		limit *int
+		or    int
+	}{{&l.Command, DefaultCommand}, {&l.Headers, DefaultHeaders}, {&l.Head, DefaultHead}, {&l.Body, DefaultBody}} {
+		if *x.limit <= 0 {
+			*x.limit = x.or
+		}
+		*x.limit = min(*x.limit, math.MaxInt32)
+	}
+	return l
+}
+
+// What a reader keeps from one frame to the next is bounded by these, as most sessions are idle.
+const (
+	keptBytes  = 1 << 10
+	keptFields = 32
+)
+
+// Reader reads frames from a stream. It is for one goroutine.
+type Reader struct {
+	br      *bufio.Reader
+	limits  Limits
+	version Version
+	beats   uint64
+	buf     []byte // the head so far: unescaped names and values, one behind the other
+	ends    []int  // of each of them in buf
+	err     error
+}
+
+// NewReader returns a Reader that has no version yet. It takes from br no byte beyond the frames and line ends that
+// it has returned, so that others may look into br between frames.
+func NewReader(br *bufio.Reader, limits Limits) *Reader {
+	return &Reader{br: br, limits: limits.orDefaults()}
+}
+
+// SetVersion says what the frames from here on are read as, once CONNECT and CONNECTED have settled it.
+func (r *Reader) SetVersion(v Version) { r.version = v }
+
+// Beats returns how many line ends between frames have been passed over so far, those behind a frame's NUL included.
+func (r *Reader) Beats() uint64 { return r.beats }
+
+// Next reads one frame into f, or passes over heart-beats: then f.Command is Beat and f has nothing else. It
+// returns Beat as soon as no more line ends are at hand, without waiting for a frame.
+//
+// f.Headers is overwritten, its array used again: it is valid until f is given to Next once more. Its strings
+// are never overwritten; one of them keeps the memory of all of the frame's. f.Body is the caller's own for good.
+//
+// At an end of the stream between frames the error is io.EOF, within one io.ErrUnexpectedEOF. After any error f is
+// Beat, and every later call returns the error again; but for one of br's own (a deadline, say) that
+// came between frames, as nothing was lost then and the next call goes on.
+func (r *Reader) Next(f *Frame) error {
+	f.reset()
+	if r.err != nil {
+		return r.err
+	}
+	beat, err := r.skip()
+	if err != nil || beat {
+		return err
+	}
+	if r.err = r.frame(f); r.err != nil {
+		f.reset()
+	}
+	return r.err
+}
+
+// reset empties a frame and lets go of what its headers held.
+func (f *Frame) reset() {
+	clear(f.Headers)
+	headers := f.Headers[:0]
+	if cap(headers) > keptFields {
+		headers = nil
+	}
+	*f = Frame{Headers: headers}
+}
+
+// skip passes over the line ends at hand, and waits for a byte if nothing is. It tells whether there were any.
+// A CR LF is taken in every version: a client may end its CONNECT with one before it knows the version.
+func (r *Reader) skip() (any bool, err error) {
+	for {
+		if any && r.br.Buffered() == 0 {
+			return true, nil
+		}
+		b, err := r.br.Peek(1)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				r.err = err
+			}
+			return false, err
+		}
+		length := 1
+		switch {
+		case b[0] == '\r' && any && r.br.Buffered() < 2:
+			return true, nil // its LF is not here yet
+		case b[0] == '\r':
+			if b, err = r.br.Peek(2); err != nil {
+				if errors.Is(err, io.EOF) {
+					err = io.ErrUnexpectedEOF
+					r.err = err
+				}
+				return false, err
+			}
+			if b[1] != '\n' {
+				r.err = bad("CR without LF between frames")
+				return false, r.err
+			}
+			length = 2
+		case b[0] != '\n':
+			return any, nil
+		}
+		r.br.Discard(length)
+		r.beats++
+		any = true
+	}
+}
+
+// frame reads a frame, whose first byte is at hand.
+func (r *Reader) frame(f *Frame) error {
+	r.buf, r.ends = r.buf[:0], r.ends[:0]
+	budget := r.limits.Command + len("\r\n")
+	line, err := r.line(&budget, "a command")
+	if errors.Is(err, errBudget) || err == nil && len(line) > r.limits.Command {
+		return &TooLargeError{"the command's length", r.limits.Command}
+	}
+	if err != nil {
+		return err
+	}
+	command, ok := known(line)
+	if !ok {
+		return bad("unknown command %.40q", line)
+	}
+	if !command.in(r.version) {
+		return bad("unknown command %s in STOMP %v", command, r.version)
+	}
+	f.Command = command
+	length, err := r.head(command)
+	if errors.Is(err, errBudget) {
+		return &TooLargeError{"the headers' bytes", r.limits.Head}
+	}
+	if err != nil {
+		return err
+	}
+	f.Headers = r.fields(f.Headers)
+	if cap(r.buf) > keptBytes {
+		r.buf = nil
+	}
+	if cap(r.ends) > 2*keptFields {
+		r.ends = nil
+	}
+	f.Body, err = r.body(command, length)
+	return err
+}
+
+// errBudget is a line that goes past what is left to its part.
+var errBudget = errors.New("stomp: over budget")
+
+// line reads one line into buf, behind what is there, and returns it without its end. in names the part for
+// reasons; budget is what the part may still take. The first byte that is wrong decides what the error
+// is, however the network cuts the stream.
+func (r *Reader) line(budget *int, in string) ([]byte, error) {
+	from := len(r.buf)
+	crlf := r.version == 0 || r.version >= V12
+	cr := false // the last byte was one
+	for {
+		if *budget == 0 {
+			return nil, errBudget
+		}
+		if _, err := r.br.Peek(1); err != nil {
+			return nil, noEOF(err)
+		}
+		b, _ := r.br.Peek(min(r.br.Buffered(), *budget))
+		end := -1
+		for i, c := range b {
+			if c == '\n' {
+				end = i
+				break
+			}
+			if cr {
+				return nil, bad("CR without LF in %s", in)
+			}
+			if cr = c == '\r' && crlf; cr {
+				continue
+			}
+			if c == '\r' {
+				return nil, bad("CR in %s, which STOMP %v does not know", in, r.version)
+			}
+			if control(c) {
+				return nil, bad("control character 0x%02x in %s", c, in)
+			}
+		}
+		if end < 0 {
+			r.buf = append(r.buf, b...)
+			*budget -= len(b)
+			r.br.Discard(len(b))
+			continue
+		}
+		r.buf = append(r.buf, b[:end]...)
+		*budget -= end + 1
+		r.br.Discard(end + 1)
+		if cr {
+			r.buf = r.buf[:len(r.buf)-1]
+		}
+		return r.buf[from:], nil
+	}
+}
+
+// control tells whether a byte may not stand in a head as it is. A tab is text, as in HTTP.
+func control(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// head reads headers up to the empty line. It returns the content-length, -1 if there is none.
+func (r *Reader) head(command Command) (length int, err error) {
+	rule := escapesOf(r.version, command)
+	budget := r.limits.Head
+	length = -1
+	r.buf = r.buf[:0]
+	for {
+		from := len(r.buf)
+		line, err := r.line(&budget, "a header")
+		if err != nil {
+			return 0, err
+		}
+		if len(line) == 0 {
+			return length, nil
+		}
+		// Those that were read so far, content-length among them.
+		number := len(r.ends)/2 + 1
+		if length >= 0 {
+			number++
+		}
+		if number > r.limits.Headers {
+			return 0, &TooLargeError{"the number of headers", r.limits.Headers}
+		}
+		if r.version >= V11 && !utf8.Valid(line) {
+			return 0, bad("%s: header %d is not UTF-8", command, number)
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			return 0, bad("%s: header %d has no colon", command, number)
+		}
+		if name, ok = rule.unescape(name); !ok {
+			return 0, bad("%s: undefined escape in the name of header %d", command, number)
+		}
+		if len(name) == 0 {
+			return 0, bad("%s: header %d has no name", command, number)
+		}
+		if value, ok = rule.unescape(value); !ok {
+			return 0, bad("%s: undefined escape in header %.40q", command, name)
+		}
+		if string(name) == contentLength {
+			if length >= 0 { // of two, others may take the last
+				return 0, bad("%s: content-length is repeated", command)
+			}
+			if length, err = r.length(command, value); err != nil {
+				return 0, err
+			}
+			r.buf = r.buf[:from]
+			continue
+		}
+		r.buf = append(r.buf[:from+len(name)], value...)
+		r.ends = append(r.ends, from+len(name), len(r.buf))
+	}
+}
+
+// length reads the value of a content-length.
+func (r *Reader) length(command Command, value []byte) (int, error) {
+	n := 0
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, bad("%s: content-length %.40q is not a number", command, value)
+		}
+		n = min(n*10+int(c-'0'), r.limits.Body+1)
+	}
+	switch {
+	case len(value) == 0:
+		return 0, bad("%s: content-length is empty", command)
+	case n > 0 && !command.hasBody():
+		return 0, bad("%s has no body, but a content-length of %.40q", command, value)
+	case n > r.limits.Body:
+		return 0, &TooLargeError{"the body's bytes", r.limits.Body}
+	}
+	return n, nil
+}
+
+// fields makes headers of what head has read, in the array of old: one string holds them all.
+func (r *Reader) fields(old Fields) Fields {
+	all, from := string(r.buf), 0
+	out := slices.Grow(old[:0], len(r.ends)/2)
+	for i := 0; i < len(r.ends); i += 2 {
+		name, value := r.ends[i], r.ends[i+1]
+		out = append(out, Field{Name: all[from:name], Value: all[name:value]})
+		from = value
+	}
+	return out
+}
+
+// body reads what is behind the head, with the NUL.
+func (r *Reader) body(command Command, length int) ([]byte, error) {
+	var body []byte
+	switch {
+	case !command.hasBody():
+		length = 0
+	case length < 0:
+		return r.bodyToNUL()
+	}
+	if length > 0 {
+		body = make([]byte, length)
+		if _, err := io.ReadFull(r.br, body); err != nil {
+			return nil, noEOF(err)
+		}
+	}
+	end, err := r.br.ReadByte()
+	switch {
+	case err != nil:
+		return nil, noEOF(err)
+	case end == 0:
+		return body, nil
+	case !command.hasBody():
+		return nil, bad("%s has a body", command)
+	}
+	return nil, bad("%s: no NUL behind the content-length of %d", command, length)
+}
+
+// bodyToNUL reads a body that a NUL ends.
+func (r *Reader) bodyToNUL() ([]byte, error) {
+	var body []byte
+	for {
+		b, err := r.br.ReadSlice(0)
+		ended := err == nil
+		if ended {
+			b = b[:len(b)-1]
+		}
+		if len(body)+len(b) > r.limits.Body {
+			return nil, &TooLargeError{"the body's bytes", r.limits.Body}
+		}
+		body = append(body, b...)
+		if ended {
+			return body, nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, noEOF(err)
+		}
+	}
+}
--- /dev/null
+++ b/wire/stomp/stomp_test.go
@@ -0,0 +1,616 @@
+package stomp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/internal/pin"
+)
+
+func TestMain(m *testing.M) { pin.Run(m) }
+
+func reader(s string, v Version) *Reader {
+	r := NewReader(bufio.NewReaderSize(strings.NewReader(s), 16), Limits{})
+	r.SetVersion(v)
+	return r
+}
+
+// one reads the one frame that s is to hold.
+func one(s string, v Version) (*Frame, error) {
+	r, f := reader(s, v), &Frame{}
+	if err := r.Next(f); err != nil {
+		return nil, err
+	}
+	var rest Frame
+	for {
+		if err := r.Next(&rest); err != nil {
+			if err == io.EOF {
+				return f, nil
+			}
+			return nil, err
+		}
+		if rest.Command != Beat {
+			return nil, fmt.Errorf("a second frame: %v", rest)
+		}
+	}
+}
+
+func frame(c Command, body string, headers ...string) *Frame {
+	f := &Frame{Command: c}
+	for i := 0; i < len(headers); i += 2 {
+		f.Headers = append(f.Headers, Field{Name: headers[i], Value: headers[i+1]})
+	}
+	if body != "" {
+		f.Body = []byte(body)
+	}
+	return f
+}
+
+func same(a, b *Frame) bool {
+	return a.Command == b.Command && slices.Equal(a.Headers, b.Headers) && bytes.Equal(a.Body, b.Body) &&
+		(a.Body == nil) == (b.Body == nil)
+}
+
+// Every frame of the three versions, as it looks on the wire, and what it says. Those without CR are also what the
+// writer makes, where a body comes with its length.
+func TestFrames(t *testing.T) {
+	for _, c := range []struct {
+		from, to Version
+		wire     string
+		want     *Frame
+	}{
+		{0, V12, "CONNECT\nlogin:till-4\npasscode:a:b\\c\n\n\x00", frame(CONNECT, "", "login", "till-4", "passcode", `a:b\c`)},
+		{0, V12, "CONNECT\naccept-version:1.0,1.1,2.0\nhost:fleetpay\n\n\x00",
+			frame(CONNECT, "", "accept-version", "1.0,1.1,2.0", "host", "fleetpay")},
+		{0, 0, "STOMP\naccept-version:1.2\nhost:a\\nb\n\n\x00", frame(STOMP, "", "accept-version", "1.2", "host", `a\nb`)},
+		{V11, V12, "STOMP\npasscode:\\t\n\n\x00", frame(STOMP, "", "passcode", `\t`)},
+		{0, V12, "CONNECTED\nversion:1.1\nsession:a:\\\nserver:x/1.0 y\n\n\x00",
+			frame(CONNECTED, "", "version", "1.1", "session", `a:\`, "server", "x/1.0 y")},
+		{V10, V12, "SEND\ndestination:/queue/a\n\nhello queue a\n\x00", frame(SEND, "hello queue a\n", "destination", "/queue/a")},
+		{V10, V12, "SEND\ndestination:/queue/a\ncontent-length:5\n\na\x00b\n\x00\x00", frame(SEND, "a\x00b\n\x00", "destination", "/queue/a")},
+		{V10, V12, "SEND\ncontent-length:002\n\nab\x00", frame(SEND, "ab")},
+		{V10, V12, "SEND\ncontent-length:0\n\n\x00", frame(SEND, "")},
+		{V10, V12, "SEND\n\n\x00", frame(SEND, "")},
+		{V10, V12, "SUBSCRIBE\nid:0\ndestination:/queue/foo\nack:client-individual\n\n\x00",
+			frame(SUBSCRIBE, "", "id", "0", "destination", "/queue/foo", "ack", "client-individual")},
+		{V10, V12, "UNSUBSCRIBE\nid:0\ncontent-length:0\n\n\x00", frame(UNSUBSCRIBE, "", "id", "0")},
+		{V10, V12, "ACK\nid:12345\ntransaction:tx1\n\n\x00", frame(ACK, "", "id", "12345", "transaction", "tx1")},
+		{V11, V12, "NACK\nid:12345\n\n\x00", frame(NACK, "", "id", "12345")},
+		{V10, V12, "BEGIN\ntransaction:tx1\n\n\x00", frame(BEGIN, "", "transaction", "tx1")},
+		{V10, V12, "COMMIT\ntransaction:tx1\n\n\x00", frame(COMMIT, "", "transaction", "tx1")},
+		{V10, V12, "ABORT\ntransaction:tx1\n\n\x00", frame(ABORT, "", "transaction", "tx1")},
+		{V10, V12, "DISCONNECT\nreceipt:77\n\n\x00", frame(DISCONNECT, "", "receipt", "77")},
+		{V10, V12, "DISCONNECT\n\n\x00", frame(DISCONNECT, "")},
+		{V10, V12, "RECEIPT\nreceipt-id:77\n\n\x00", frame(RECEIPT, "", "receipt-id", "77")},
+		{V10, V12, "MESSAGE\nsubscription:0\nmessage-id:007\ncontent-type:text/plain\n\nhello\x00",
+			frame(MESSAGE, "hello", "subscription", "0", "message-id", "007", "content-type", "text/plain")},
+		{V10, V12, "ERROR\nmessage:malformed frame received\n\nThe message:\n-----\x00",
+			frame(ERROR, "The message:\n-----", "message", "malformed frame received")},
+
+		// Escapes.
+		{V10, V10, "SEND\na\\c:\\n:\\\\:\\t\\r\n\n\x00", frame(SEND, "", `a\c`, `\n:\\:\t\r`)},
+		{V11, V11, "SEND\na\\cb\\n\\\\:\\c\\n\\\\n:\n\n\x00", frame(SEND, "", "a:b\n\\", ":\n\\n:")},
+		{V12, V12, "SEND\na\\cb\\n\\\\\\r:\\c\\r\\n\\\\r\n\n\x00", frame(SEND, "", "a:b\n\\\r", ":\r\n\\r")},
+
+		// Names and values are as they come.
+		{V10, V12, "SEND\n a : b \na:b\nA:c\na:\na\t\u00e9:\u20ac\t\n\n\x00",
+			frame(SEND, "", " a ", " b ", "a", "b", "A", "c", "a", "", "a\t\u00e9", "\u20ac\t")},
+		{V10, V12, "SEND\nContent-Length:1\n\nab\x00", frame(SEND, "ab", "Content-Length", "1")},
+		{V10, V10, "SEND\n\xff:\xfe\n\n\x00", frame(SEND, "", "\xff", "\xfe")},
+
+		// CR LF.
+		{0, 0, "CONNECT\r\naccept-version:1.2\r\n\r\n\x00\r\n", frame(CONNECT, "", "accept-version", "1.2")},
+		{0, 0, "ERROR\r\nversion:1.2,2.1\nmessage:\\t\r\n\nno\r\n\x00", frame(ERROR, "no\r\n", "version", "1.2,2.1", "message", `\t`)},
+		{V12, V12, "SEND\r\na:b\nc:d\r\n\r\n\r\nx\x00\n\r\n", frame(SEND, "\r\nx", "a", "b", "c", "d")},
+		{V10, V12, "BEGIN\ntransaction:1\n\n\x00\r\n\n\r\n", frame(BEGIN, "", "transaction", "1")},
+	} {
+		for v := c.from; v <= c.to; v++ {
+			got, err := one(c.wire, v)
+			if err != nil || !same(got, c.want) {
+				t.Errorf("%q in %v: %+v, %v", c.wire, v, got, err)
+				continue
+			}
+			b, err := AppendFrame([]byte("before"), v, got)
+			if err != nil {
+				t.Errorf("%q in %v: written: %v", c.wire, v, err)
+				continue
+			}
+			if again, err := one(string(b[6:]), v); err != nil || !same(again, c.want) {
+				t.Errorf("%q in %v: written as %q: %+v, %v", c.wire, v, b, again, err)
+			}
+		}
+	}
+}
+
+// What could be read in two ways, or is none of the version's frames, is turned down, with a reason that names it.
+func TestRefused(t *testing.T) {
+	for _, c := range []struct {
+		from, to Version
+		wire     string
+		reason   string
+	}{
+		{0, V12, "SEN\n\n\x00", `unknown command "SEN"`},
+		{0, V12, "send\n\n\x00", `unknown command "send"`},
+		{0, V12, " SEND\n\n\x00", `unknown command " SEND"`},
+		{0, V12, "SEND \n\n\x00", `unknown command "SEND "`},
+		{0, V12, "\xff\n\n\x00", `unknown command "\xff"`},
+		{0, V12, "\x00", `control character 0x00 in a command`},
+		{0, V12, "SEND\x00\n\n\x00", `control character 0x00 in a command`},
+		{V10, V10, "NACK\nid:1\n\n\x00", `unknown command NACK in STOMP 1.0`},
+		{V10, V10, "STOMP\n\n\x00", `unknown command STOMP in STOMP 1.0`},
+		{0, V12, "SEND\na:b\x00", `control character 0x00 in a header`},
+		{0, V12, "SEND\na:b\x7fc\n\n\x00", `control character 0x7f in a header`},
+		{0, V12, "SEND\na\x1b:b\n\n\x00", `control character 0x1b in a header`},
+		{0, V12, "SEND\na\n\n\x00", `SEND: header 1 has no colon`},
+		{0, V12, "SEND\na:b\n folded\n\n\x00", `SEND: header 2 has no colon`},
+		{0, V12, "SEND\n:b\n\n\x00", `SEND: header 1 has no name`},
+		{V11, V12, "SEND\na:b\\t\n\n\x00", `SEND: undefined escape in header "a"`},
+		{V11, V12, "SEND\na:b\\\n\n\x00", `SEND: undefined escape in header "a"`},
+		{V11, V12, "SEND\na:\\C\n\n\x00", `SEND: undefined escape in header "a"`},
+		{V11, V12, "SEND\na\\t:b\n\n\x00", `SEND: undefined escape in the name of header 1`},
+		{V11, V12, "SEND\na\\:b\n\n\x00", `SEND: undefined escape in the name of header 1`},
+		{V11, V11, "SEND\na:b\\r\n\n\x00", `SEND: undefined escape in header "a"`},
+		{V11, V12, "SEND\na:\xff\n\n\x00", `SEND: header 1 is not UTF-8`},
+		{V11, V12, "SEND\ncontent-length:0\na:\xff\n\n\x00", `SEND: header 2 is not UTF-8`},
+		{V10, V10, "SEND\r\n\r\n\x00", `CR in a command, which STOMP 1.0 does not know`},
+		{V11, V11, "SEND\na:b\r\n\n\x00", `CR in a header, which STOMP 1.1 does not know`},
+		{V11, V11, "SEND\n\r\n\x00", `CR in a header, which STOMP 1.1 does not know`},
+		{V12, V12, "SEND\na:b\rc\n\n\x00", `CR without LF in a header`},
+		{V12, V12, "SEND\na:b\r\r\n\n\x00", `CR without LF in a header`},
+		{0, 0, "SEND\rx\n\n\x00", `CR without LF in a command`},
+		{0, V12, "\rSEND\n\n\x00", `CR without LF between frames`},
+		{0, V12, "SEND\ncontent-length:\n\n\x00", `SEND: content-length is empty`},
+		{0, V12, "SEND\ncontent-length:+1\n\na\x00", `SEND: content-length "+1" is not a number`},
+		{0, V12, "SEND\ncontent-length: 1\n\na\x00", `SEND: content-length " 1" is not a number`},
+		{0, V12, "SEND\ncontent-length:-1\n\na\x00", `SEND: content-length "-1" is not a number`},
+		{0, V12, "SEND\ncontent-length:1x\n\na\x00", `SEND: content-length "1x" is not a number`},
+		{0, V12, "SEND\ncontent-length:1\ncontent-length:1\n\na\x00", `SEND: content-length is repeated`},
+		{0, V12, "SEND\ncontent-length:1\n\nab\x00", `SEND: no NUL behind the content-length of 1`},
+		{0, V12, "SEND\ncontent-length:0\n\nab\x00", `SEND: no NUL behind the content-length of 0`},
+		{0, V12, "SUBSCRIBE\ncontent-length:1\n\na\x00", `SUBSCRIBE has no body, but a content-length of "1"`},
+		{0, V12, "SUBSCRIBE\n\na\x00", `SUBSCRIBE has a body`},
+		{0, V12, "CONNECT\n\n\n\x00", `CONNECT has a body`},
+		{0, V12, "RECEIPT\ncontent-length:0\n\na\x00", `RECEIPT has a body`},
+		{0, V12, strings.Repeat("x", 32) + "\n\n\x00", `unknown command "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"`},
+	} {
+		for v := c.from; v <= c.to; v++ {
+			_, err := one(c.wire, v)
+			var syntax *SyntaxError
+			if !errors.As(err, &syntax) || syntax.Reason != c.reason || err.Error() != "stomp: "+c.reason {
+				t.Errorf("%q in %v: %v, want %s", c.wire, v, err, c.reason)
+			}
+		}
+	}
+}
+
+// Reasons stay short, and say nothing of values, whatever a peer sends.
+func TestReasons(t *testing.T) {
+	long := strings.Repeat("secret", 1000)
+	for _, s := range []string{"SEND\n" + long + "\n\n\x00", "SEND\na:\\t" + long + "\n\n\x00", "SEND\nb:" + long + "\x01\n\n\x00",
+		"SEND\nb:" + long + "\xff\n\n\x00", "SEND\n" + strings.Repeat("\x02", 500), "SEND\ncontent-length:1" + strings.Repeat("x", 999) + "\n\n\x00",
+		"SEND\n" + strings.Repeat("\u00e9", 1000) + ":\\t\n\n\x00"} {
+		_, err := one(s, V12)
+		if err == nil || len(err.Error()) > 150 || strings.Contains(err.Error(), "secret") {
+			t.Errorf("%.30q: %v", s, err)
+		}
+	}
+}
+
+// Each limit holds: as much as it allows is taken, and not one more, however large the buffer beneath is.
+func TestLimits(t *testing.T) {
+	limits := Limits{Command: 10, Headers: 3, Head: 40, Body: 20}
+	head := func(n int) string { return "SEND\na:" + strings.Repeat("x", n-4) + "\n\n\x00" } // n with the empty line
+	for _, c := range []struct {
+		name, under, over, what string
+		limit                   int
+	}{
+		{"command", "DISCONNECT\r\n\r\n\x00", "UNSUBSCRIBE\n\n\x00", "the command's length", 10},
+		{"headers", "SEND\na:\nb:\nc:\n\n\x00", "SEND\na:\nb:\nc:\nd:\n\n\x00", "the number of headers", 3},
+		{"headers with a length", "SEND\ncontent-length:0\nb:\nc:\n\n\x00", "SEND\ncontent-length:0\na:\nb:\nc:\n\n\x00", "the number of headers", 3},
+		{"head", head(40), head(41), "the headers' bytes", 40},
+		{"head with CR", "SEND\na:" + strings.Repeat("x", 34) + "\r\n\r\n\x00", "SEND\na:" + strings.Repeat("x", 35) + "\r\n\r\n\x00", "the headers' bytes", 40},
+		{"body", "SEND\n\n" + strings.Repeat("x", 20) + "\x00", "SEND\n\n" + strings.Repeat("x", 21) + "\x00", "the body's bytes", 20},
+		{"length", "SEND\ncontent-length:20\n\n" + strings.Repeat("x", 20) + "\x00", "SEND\ncontent-length:21\n\n", "the body's bytes", 20},
+		{"length's digits", "SEND\ncontent-length:" + strings.Repeat("0", 20) + "\n\n\x00", "SEND\ncontent-length:99999999999999999999\n\n", "the body's bytes", 20},
+	} {
+		for _, size := range []int{16, 4096} {
+			for name, s := range map[string]string{"under": c.under, "over": c.over} {
+				r := NewReader(bufio.NewReaderSize(strings.NewReader(s), size), limits)
+				r.SetVersion(V12)
+				err := r.Next(&Frame{})
+				var large *TooLargeError
+				if name == "under" && err != nil || name == "over" &&
+					(!errors.As(err, &large) || *large != TooLargeError{c.what, c.limit}) {
+					t.Errorf("%s, %s, buffer of %d: %v", c.name, name, size, err)
+				}
+			}
+		}
+	}
+	// What is not given is the default.
+	for name, c := range map[string]struct {
+		make func(n int) string
+		most int
+	}{
+		"headers": {func(n int) string { return "SEND\n" + strings.Repeat("a:\n", n) + "\n\x00" }, 100},
+		"head":    {head, 16384},
+		"body":    {func(n int) string { return "SEND\n\n" + strings.Repeat("x", n) + "\x00" }, 65536},
+		"length":  {func(n int) string { return fmt.Sprintf("SEND\ncontent-length:%d\n\n%*d\x00", n, n, 1) }, 65536},
+	} {
+		if _, err := one(c.make(c.most), V12); err != nil {
+			t.Errorf("%s of %d: %v", name, c.most, err)
+		}
+		var large *TooLargeError
+		if _, err := one(c.make(c.most+1), V12); !errors.As(err, &large) || large.Limit != c.most {
+			t.Errorf("%s of %d: %v", name, c.most+1, err)
+		}
+	}
+}
+
+// What is past a limit is told without waiting for more, and so is a NUL in a head.
+func TestNoWait(t *testing.T) {
+	never := func(s string) io.Reader {
+		return io.MultiReader(strings.NewReader(s), iotest.ErrReader(errors.New("waited")))
+	}
+	for s, want := range map[string]string{
+		"SEND\n" + strings.Repeat("a:\n", 101):       "stomp: the number of headers over the limit of 100",
+		"SEND\na:" + strings.Repeat("x", 16382):      "stomp: the headers' bytes over the limit of 16384",
+		strings.Repeat("x", 34):                      "stomp: the command's length over the limit of 32",
+		"SEND\ncontent-length:65537\n":               "stomp: the body's bytes over the limit of 65536",
+		"SEND\n\n" + strings.Repeat("x", 65536+2048): "stomp: the body's bytes over the limit of 65536",
+		"DISCONNECT\n\x00":                           "stomp: control character 0x00 in a header",
+	} {
+		if err := NewReader(bufio.NewReaderSize(never(s), 2048), Limits{}).Next(&Frame{}); err == nil || err.Error() != want {
+			t.Errorf("%.30q: %v, want %s", s, err, want)
+		}
+	}
+}
+
+// An error stays, and nothing behind it is read as a frame.
+func TestErrorStays(t *testing.T) {
+	for _, s := range []string{"SEN\n\n\x00", "SUBSCRIBE\n\nSEND\n\n\x00", "SEND\n\n" + strings.Repeat("x", 1<<17) + "\x00",
+		"\rx", "SEND\n", "\r", "", "SEND\ncontent-length:2\n\nab"} {
+		var r *Reader
+		if strings.HasSuffix(s, "\x00") || s == "\rx" {
+			r = reader(s+"SEND\n\n\x00", V12)
+		} else {
+			r = reader(s, V12)
+		}
+		f := frame(SEND, "x", "a", "b")
+		first := r.Next(f)
+		if first == nil || !same(f, &Frame{}) {
+			t.Fatalf("%.20q: %v, %v", s, f, first)
+		}
+		for range 3 {
+			if err := r.Next(f); err != first || !same(f, &Frame{}) {
+				t.Fatalf("%.20q: %v, %v after %v", s, f, err, first)
+			}
+		}
+	}
+}
+
+// A deadline between frames loses nothing; in a frame it is the end.
+func TestDeadline(t *testing.T) {
+	pieces := []string{"SEND\n\n\x00", "", "\n", "", "\r", "", "\n", "SEND\n", "", "\n\x00"}
+	br := bufio.NewReader(readFunc(func(p []byte) (int, error) {
+		if len(pieces) == 0 {
+			return 0, io.EOF
+		}
+		s := pieces[0]
+		if pieces = pieces[1:]; s == "" {
+			return 0, os.ErrDeadlineExceeded
+		}
+		return copy(p, s), nil
+	}))
+	r, f := NewReader(br, Limits{}), &Frame{}
+	r.SetVersion(V12)
+	for i, want := range []struct {
+		command Command
+		err     error
+	}{{SEND, nil}, {"", os.ErrDeadlineExceeded}, {Beat, nil}, {"", os.ErrDeadlineExceeded}, {"", os.ErrDeadlineExceeded},
+		{Beat, nil}, {"", os.ErrDeadlineExceeded}, {"", os.ErrDeadlineExceeded}} {
+		if err := r.Next(f); err != want.err || f.Command != want.command {
+			t.Fatalf("call %d: %q, %v; want %v", i, f.Command, err, want)
+		}
+	}
+	if len(pieces) != 1 || r.Beats() != 2 {
+		t.Fatalf("%d pieces left, %d beats", len(pieces), r.Beats())
+	}
+}
+
+type readFunc func([]byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Heart-beats come back as soon as no more are at hand, without a wait for what follows.
+func TestBeats(t *testing.T) {
+	client, server := io.Pipe()
+	go func() {
+		for _, s := range []string{"\n", "\n\r\n\n\r", "\nRECEIPT\nreceipt-id:1\n\n\x00\n"} {
+			server.Write([]byte(s))
+		}
+		server.Close()
+	}()
+	r, f := NewReader(bufio.NewReader(client), Limits{}), &Frame{}
+	for i, want := range []struct {
+		command Command
+		beats   uint64
+	}{{Beat, 1}, {Beat, 4}, {Beat, 5}, {RECEIPT, 5}, {Beat, 6}} {
+		if err := r.Next(f); err != nil || f.Command != want.command || r.Beats() != want.beats {
+			t.Fatalf("call %d: %q, %v, %d beats; want %v", i, f.Command, err, r.Beats(), want)
+		}
+	}
+	if err := r.Next(f); err != io.EOF {
+		t.Fatalf("at the end: %v", err)
+	}
+}
+
+// Headers that came twice keep their order, the first counts, and how many there are can be asked.
+func TestRepeated(t *testing.T) {
+	f, err := one("SEND\nfoo:1\nbar:x\nfoo:2\nFoo:3\n\n\x00", V12)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, ok := f.Headers.Lookup("foo")
+	_, none := f.Headers.Lookup("FOO")
+	if value != "1" || !ok || none || f.Headers.Get("Foo") != "3" || f.Headers.Get("FOO") != "" ||
+		f.Headers.Count("foo") != 2 || f.Headers.Count("bar") != 1 || f.Headers.Count("FOO") != 0 {
+		t.Fatalf("%v", f.Headers)
+	}
+}
+
+// What a frame gave stays as it was when the next one is read, but for the headers' array.
+func TestValidity(t *testing.T) {
+	r, f := reader("SEND\na:first\n\none\x00SEND\na:other\n\ntwo\x00", V12), &Frame{}
+	if err := r.Next(f); err != nil {
+		t.Fatal(err)
+	}
+	name, value, body, headers := f.Headers[0].Name, f.Headers[0].Value, f.Body, f.Headers
+	if err := r.Next(f); err != nil {
+		t.Fatal(err)
+	}
+	if name != "a" || value != "first" || string(body) != "one" || &headers[0] != &f.Headers[0] {
+		t.Fatalf("%q, %q, %q", name, value, body)
+	}
+}
+
+// An idle session keeps little of a large frame.
+func TestKept(t *testing.T) {
+	r, f := reader("SEND\n"+strings.Repeat("a:"+strings.Repeat("x", 100)+"\n", 100)+"\n\x00\n", V12), &Frame{}
+	for _, want := range []int{100, 0} {
+		if err := r.Next(f); err != nil || len(f.Headers) != want {
+			t.Fatalf("%d headers, %v", len(f.Headers), err)
+		}
+	}
+	if cap(r.buf) > keptBytes || cap(r.ends) > 2*keptFields || cap(f.Headers) > keptFields {
+		t.Fatalf("kept %d bytes, %d ends, %d headers", cap(r.buf), cap(r.ends), cap(f.Headers))
+	}
+}
+
+// What cannot be expressed is an error that names it, and nothing is appended.
+func TestNotWritten(t *testing.T) {
+	for _, c := range []struct {
+		from, to Version
+		f        *Frame
+		reason   string
+	}{
+		{0, V12, &Frame{}, `cannot write the unknown command ""`},
+		{0, V12, frame("SEND\n", ""), `cannot write the unknown command "SEND\n"`},
+		{V10, V10, frame(NACK, "", "id", "1"), `cannot write NACK in STOMP 1.0`},
+		{V10, V10, frame(STOMP, ""), `cannot write STOMP in STOMP 1.0`},
+		{V10, V10, frame(SEND, "", "a", "b\nc"), `cannot write SEND in STOMP 1.0: a line feed in header "a"`},
+		{V10, V10, frame(SEND, "", "a:b", "c"), `cannot write SEND in STOMP 1.0: a colon in the name "a:b"`},
+		{V10, V10, frame(SEND, "", "a", "b\r"), `cannot write SEND in STOMP 1.0: a carriage return in header "a"`},
+		{V11, V11, frame(SEND, "", "a", "b\r"), `cannot write SEND in STOMP 1.1: a carriage return in header "a"`},
+		{V11, V11, frame(SEND, "", "a\r", "b"), `cannot write SEND in STOMP 1.1: a carriage return in the name "a\r"`},
+		{V12, V12, frame(SEND, "", "a", "b\x00"), `cannot write SEND in STOMP 1.2: control character 0x0 in header "a"`},
+		{V12, V12, frame(SEND, "", "a", "b\x7f"), `cannot write SEND in STOMP 1.2: control character 0x7f in header "a"`},
+		{V12, V12, frame(CONNECTED, "", "a", "b\nc"), `cannot write CONNECTED in STOMP 1.2: a line feed in header "a"`},
+		{V12, V12, frame(CONNECT, "", "a:b", "c"), `cannot write CONNECT in STOMP 1.2: a colon in the name "a:b"`},
+		{V12, V12, frame(STOMP, "", "a", "\r"), `cannot write STOMP in STOMP 1.2: a carriage return in header "a"`},
+		{V11, V12, frame(SEND, "", "a", "\xff"), `cannot write SEND: header "a" is not UTF-8`},
+		{V11, V12, frame(SEND, "", "\xff", "a"), `cannot write SEND: header "\xff" is not UTF-8`},
+		{0, V12, frame(SEND, "", "a", "b", "", "c"), `cannot write SEND: header 2 has no name`},
+		{0, V12, frame(SEND, "x", "content-length", "1"), `cannot write SEND: content-length is the writer's own`},
+		{0, V12, frame(RECEIPT, "x"), `cannot write a body in RECEIPT`},
+		{V12 + 1, V12 + 1, frame(SEND, ""), `cannot write of unknown version 4`},
+	} {
+		for v := c.from; v <= c.to; v++ {
+			b, err := AppendFrame([]byte("before"), v, c.f)
+			var syntax *SyntaxError
+			if !errors.As(err, &syntax) || syntax.Reason != c.reason || string(b) != "before" {
+				t.Errorf("%v in %v: %q, %v; want %s", c.f, v, b, err, c.reason)
+			}
+		}
+	}
+}
+
+// The bytes that are written, to the last one.
+func TestWritten(t *testing.T) {
+	b, err := AppendFrame([]byte("before "), V12, frame(MESSAGE, "a\x00b", "m:id", "1\\2\r\n", "m:id", ""))
+	if want := "before MESSAGE\nm\\cid:1\\\\2\\r\\n\nm\\cid:\ncontent-length:3\n\na\x00b\x00"; err != nil || string(b) != want {
+		t.Errorf("%q, %v; want %q", b, err, want)
+	}
+	b, err = AppendFrame(nil, V10, frame(ERROR, "", "message", `a:\b`))
+	if want := "ERROR\nmessage:a:\\b\n\n\x00"; err != nil || string(b) != want {
+		t.Errorf("%q, %v; want %q", b, err, want)
+	}
+	if b := AppendBeat([]byte("x")); string(b) != "x\n" {
+		t.Errorf("a beat as %q", b)
+	}
+}
+
+func TestNegotiate(t *testing.T) {
+	for list, want := range map[string]Version{"1.0": V10, "1.1": V11, "1.2": V12, "1.0,1.1,1.2": V12, "1.2,1.1,1.0": V12,
+		"1.1,1.0,2.0": V11, "1.0, 1.1": V11, "1.3,1.0": V10, ",1.1,": V11,
+		"": 0, "2.0": 0, "1.20": 0, "1": 0, "1.1;1.2": 0, "v1.2": 0} {
+		v, err := Negotiate(Fields{{"host", "a"}, {"accept-version", list}, {"accept-version", "1.0"}})
+		var syntax *SyntaxError
+		if v != want || (err == nil) != (want != 0) || want == 0 && !errors.As(err, &syntax) {
+			t.Errorf("%q: %v, %v; want %v", list, v, err, want)
+		}
+	}
+	if v, err := Negotiate(Fields{{"Accept-Version", "1.2"}}); v != V10 || err != nil {
+		t.Errorf("without a list: %v, %v", v, err)
+	}
+	for s, want := range map[string]Version{"1.0": V10, "1.1": V11, "1.2": V12, "1.3": 0, "": 0, " 1.2": 0} {
+		if v, err := Agreed(Fields{{"version", s}}); v != want || (err == nil) != (want != 0) {
+			t.Errorf("agreed on %q: %v, %v; want %v", s, v, err, want)
+		}
+	}
+	if v, err := Agreed(nil); v != V10 || err != nil {
+		t.Errorf("without a version: %v, %v", v, err)
+	}
+	for s := range strings.SplitSeq(Versions, ",") {
+		if v, ok := ParseVersion(s); !ok || v.String() != s {
+			t.Errorf("%q is %v", s, v)
+		}
+	}
+}
+
+func TestHeartBeat(t *testing.T) {
+	const ms = time.Millisecond
+	for value, want := range map[string]HeartBeat{"0,0": {}, "10000,10000": {10 * time.Second, 10 * time.Second}, "0,5": {0, 5 * ms},
+		"7, 0": {7 * ms, 0}, "2147483647,0": {MaxHeartBeat, 0}, "00000000000000000000001,1": {ms, ms}} {
+		if got, err := ParseHeartBeat(value); err != nil || got != want {
+			t.Errorf("%q: %v, %v", value, got, err)
+		}
+	}
+	for value, want := range map[string]string{
+		"2147483648,0": "is longer than 2147483647 ms", "0,99999999999999999999": "is longer than 2147483647 ms",
+		"": "not two numbers", "1": "not two numbers", ",": "not two numbers", "1,": "not two numbers", ",1": "not two numbers",
+		"1,2,3": "not two numbers", "-1,0": "not two numbers", "+1,0": "not two numbers", "1.5,0": "not two numbers",
+		"0x1,0": "not two numbers", "1_0,0": "not two numbers", "a,b": "not two numbers"} {
+		h, err := ParseHeartBeat(value)
+		var syntax *SyntaxError
+		if !errors.As(err, &syntax) || !strings.Contains(err.Error(), want) || h != (HeartBeat{}) {
+			t.Errorf("%q: %v, %v; want %s", value, h, err, want)
+		}
+	}
+	if h, err := HeartBeatOf(Fields{{"heart-beat", "1,2"}, {"heart-beat", "x"}}); err != nil || h != (HeartBeat{ms, 2 * ms}) {
+		t.Errorf("the first of two: %v, %v", h, err)
+	}
+	if h, err := HeartBeatOf(nil); err != nil || h != (HeartBeat{}) {
+		t.Errorf("none: %v, %v", h, err)
+	}
+	for _, c := range []struct{ can, want, interval time.Duration }{{0, 0, 0}, {5, 0, 0}, {0, 5, 0}, {5, 7, 7}, {7, 5, 7}} {
+		if got := Interval(HeartBeat{Can: c.can, Want: 99}, HeartBeat{Can: 99, Want: c.want}); got != c.interval {
+			t.Errorf("%v: %v", c, got)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		gen := rapid.Int64Range(0, MaxHeartBeat.Milliseconds())
+		h := HeartBeat{time.Duration(gen.Draw(t, "can")) * ms, time.Duration(gen.Draw(t, "want")) * ms}
+		if got, err := ParseHeartBeat(h.String()); err != nil || got != h {
+			t.Fatalf("%v: %v, %v", h, got, err)
+		}
+	})
+}
+
+// cuts returns its bytes in pieces of random length.
+type cuts struct {
+	t *rapid.T
+	b []byte
+}
+
+func (c *cuts) Read(p []byte) (int, error) {
+	if len(c.b) == 0 {
+		return 0, io.EOF
+	}
+	n := rapid.IntRange(1, min(len(c.b), len(p))).Draw(c.t, "cut")
+	n = copy(p, c.b[:n])
+	c.b = c.b[n:]
+	return n, nil
+}
+
+// frameGen makes frames that can be written in a version.
+func frameGen(v Version) *rapid.Generator[*Frame] {
+	return rapid.Custom(func(t *rapid.T) *Frame {
+		f := &Frame{Command: rapid.SampledFrom(commands).Filter(func(c Command) bool { return c.in(v) }).Draw(t, "command")}
+		text := `[ -~\té€]{0,20}`
+		switch escapesOf(v, f.Command) {
+		case newlineColon:
+			text = `[ -~\t\né€]{0,20}`
+		case allEscapes:
+			text = `[ -~\t\n\ré€]{0,20}`
+		}
+		value := rapid.StringMatching(text)
+		name := value.Filter(func(s string) bool {
+			return s != "" && s != contentLength && (escapesOf(v, f.Command) != none || !strings.Contains(s, ":"))
+		})
+		for range rapid.IntRange(0, 6).Draw(t, "headers") {
+			f.Headers = append(f.Headers, Field{Name: name.Draw(t, "name"), Value: value.Draw(t, "value")})
+		}
+		if f.Command.hasBody() && rapid.Bool().Draw(t, "with body") {
+			f.Body = rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "body")
+		}
+		return f
+	})
+}
+
+// Whatever is written is read back the same, one after the other, however the network cuts it.
+func TestCutFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := Version(rapid.IntRange(0, int(V12)).Draw(t, "version"))
+		frames := rapid.SliceOfN(frameGen(v), 1, 4).Draw(t, "frames")
+		var b []byte
+		var beats uint64
+		for _, f := range frames {
+			n := rapid.IntRange(0, 3).Draw(t, "beats")
+			beats += uint64(n)
+			for range n {
+				if rapid.Bool().Draw(t, "CR") {
+					b = append(b, '\r')
+				}
+				b = AppendBeat(b)
+			}
+			var err error
+			if b, err = AppendFrame(b, v, f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r := NewReader(bufio.NewReaderSize(&cuts{t, b}, 16), Limits{})
+		r.SetVersion(v)
+		var f Frame
+		for len(frames) > 0 {
+			if err := r.Next(&f); err != nil {
+				t.Fatalf("in %q: %v", b, err)
+			}
+			if f.Command == Beat {
+				continue
+			}
+			if !same(&f, frames[0]) {
+				t.Fatalf("%+v, want %+v", f, frames[0])
+			}
+			frames = frames[1:]
+		}
+		if err := r.Next(&f); err != io.EOF || r.Beats() != beats {
+			t.Fatalf("at the end: %v, %d beats, want %d", err, r.Beats(), beats)
+		}
+	})
+}
+
+// A frame that ends early is never taken for a whole one.
+func TestShortFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := Version(rapid.IntRange(0, int(V12)).Draw(t, "version"))
+		b, err := AppendFrame(nil, v, frameGen(v).Draw(t, "frame"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b = b[:rapid.IntRange(1, len(b)-1).Draw(t, "end")]
+		if _, err := one(string(b), v); err != io.ErrUnexpectedEOF {
+			t.Fatalf("%q: %v", b, err)
+		}
+	})
+}
--- /dev/null
+++ b/wire/stomp/write.go
@@ -0,0 +1,171 @@
+package stomp
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// escapes are those that a version knows in names and values of headers.
+type escapes int
+
+const (
+	none         escapes = iota
+	newlineColon         // \n \c \\
+	allEscapes           // and \r
+)
+
+func escapesOf(v Version, c Command) escapes {
+	switch {
+	case v < V11 || c.plain():
+		return none
+	case v == V11:
+		return newlineColon
+	}
+	return allEscapes
+}
+
+// letter returns what stands behind the backslash for a byte, 0 if the byte is not escaped.
+func (e escapes) letter(c byte) byte {
+	switch {
+	case e == none:
+	case c == '\n':
+		return 'n'
+	case c == ':':
+		return 'c'
+	case c == '\\':
+		return '\\'
+	case c == '\r' && e == allEscapes:
+		return 'r'
+	}
+	return 0
+}
+
+// unescape takes a name's or value's escapes out in place. It is not ok if there is one that the version does not know.
+func (e escapes) unescape(b []byte) (out []byte, ok bool) {
+	out = b[:0]
+	for i := 0; i < len(b); i++ {
+		c := b[i]
+		if c == '\\' && e != none {
+			if i++; i == len(b) {
+				return nil, false
+			}
+			switch {
+			case b[i] == 'n':
+				c = '\n'
+			case b[i] == 'c':
+				c = ':'
+			case b[i] == '\\':
+			case b[i] == 'r' && e == allEscapes:
+				c = '\r'
+			default:
+				return nil, false
+			}
+		}
+		out = append(out, c)
+	}
+	return out, true
+}
+
+// room returns how many bytes s takes with its escapes; or why it cannot be written.
+func (e escapes) room(s string, name bool) (n int, why string) {
+	n = len(s)
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case e.letter(c) != 0:
+			n++
+		case c == '\n':
+			return 0, "a line feed"
+		case c == '\r':
+			return 0, "a carriage return"
+		case control(c):
+			return 0, "control character 0x" + strconv.FormatUint(uint64(c), 16)
+		case c == ':' && name:
+			return 0, "a colon"
+		}
+	}
+	return n, ""
+}
+
+func (e escapes) append(b []byte, s string) []byte {
+	for i := 0; i < len(s); i++ {
+		if c := e.letter(s[i]); c != 0 {
+			b = append(b, '\\', c)
+		} else {
+			b = append(b, s[i])
+		}
+	}
+	return b
+}
+
+// AppendFrame appends a frame as a version has it, with LF as line end, and with a content-length wherever there is a
+// body. What it appends a Reader of that version reads back the same, limits aside; version 0 is what
+// is sent before one is settled. What cannot be expressed is a *SyntaxError, and b comes back as it was.
+func AppendFrame(b []byte, v Version, f *Frame) ([]byte, error) {
+	size, err := room(v, f)
+	if err != nil {
+		return b, err
+	}
+	b = slices.Grow(b, size)
+	b = append(b, f.Command...)
+	b = append(b, '\n')
+	rule := escapesOf(v, f.Command)
+	for i := range f.Headers {
+		b = rule.append(b, f.Headers[i].Name)
+		b = append(b, ':')
+		b = rule.append(b, f.Headers[i].Value)
+		b = append(b, '\n')
+	}
+	if len(f.Body) > 0 {
+		b = append(b, contentLength+":"...)
+		b = strconv.AppendInt(b, int64(len(f.Body)), 10)
+		b = append(b, '\n')
+	}
+	b = append(b, '\n')
+	b = append(b, f.Body...)
+	return append(b, 0), nil
+}
+
+// room returns at least how many bytes a frame takes, or why it cannot be written.
+func room(v Version, f *Frame) (int, error) {
+	if v > V12 {
+		return 0, bad("cannot write %v", v)
+	}
+	// A copy of the command is quoted, lest the frame be thought to outlive the call.
+	if !slices.Contains(commands, f.Command) {
+		return 0, bad("cannot write the unknown command %.40q", strings.Clone(string(f.Command)))
+	}
+	if !f.Command.in(v) {
+		return 0, bad("cannot write %s in STOMP %v", f.Command, v)
+	}
+	if len(f.Body) > 0 && !f.Command.hasBody() {
+		return 0, bad("cannot write a body in %s", f.Command)
+	}
+	rule := escapesOf(v, f.Command)
+	size := len(f.Command) + len("\n\n\x00") + len(contentLength+":\n") + 20 + len(f.Body)
+	for i := range f.Headers {
+		name, value := f.Headers[i].Name, f.Headers[i].Value
+		switch {
+		case name == "":
+			return 0, bad("cannot write %s: header %d has no name", f.Command, i+1)
+		case name == contentLength:
+			return 0, bad("cannot write %s: content-length is the writer's own", f.Command)
+		case v >= V11 && !(utf8.ValidString(name) && utf8.ValidString(value)):
+			return 0, bad("cannot write %s: header %.40q is not UTF-8", f.Command, name)
+		}
+		n, why := rule.room(name, true)
+		if why != "" {
+			return 0, bad("cannot write %s in STOMP %v: %s in the name %.40q", f.Command, v, why, name)
+		}
+		m, why := rule.room(value, false)
+		if why != "" {
+			return 0, bad("cannot write %s in STOMP %v: %s in header %.40q", f.Command, v, why, name)
+		}
+		size += n + m + len(":\n")
+	}
+	return size, nil
+}
+
+// AppendBeat appends a heart-beat.
+func AppendBeat(b []byte) []byte { return append(b, '\n') }
