--- a/wire/stomp/read.go
+++ b/wire/stomp/read.go
@@ -200,6 +200,9 @@
 		b, _ := r.br.Peek(min(r.br.Buffered(), *budget))
 		end := -1
 		for i, c := range b {
+			if c >= ' ' && c != 0x7f && !cr {
+				continue
+			}
 			if c == '\n' {
 				end = i
 				break
--- a/wire/stomp/write.go
+++ b/wire/stomp/write.go
@@ -1,6 +1,7 @@
 package stomp
 
 import (
+	"bytes"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,10 +45,13 @@
 
 // unescape takes a name's or value's escapes out in place. It is not ok if there is one that the version does not know.
 func (e escapes) unescape(b []byte) (out []byte, ok bool) {
+	if e == none || bytes.IndexByte(b, '\\') < 0 {
+		return b, true
+	}
 	out = b[:0]
 	for i := 0; i < len(b); i++ {
 		c := b[i]
-		if c == '\\' && e != none {
+		if c == '\\' {
 			if i++; i == len(b) {
 				return nil, false
 			}
@@ -68,10 +72,21 @@
 	return out, true
 }
 
+// odd are the bytes that are not always written as they are; most texts have none.
+var odd = func() (t [256]bool) {
+	for c := range t {
+		t[c] = control(byte(c)) || c == ':' || c == '\\'
+	}
+	return t
+}()
+
 // room returns how many bytes s takes with its escapes; or why it cannot be written.
 func (e escapes) room(s string, name bool) (n int, why string) {
 	n = len(s)
 	for i := 0; i < len(s); i++ {
+		if !odd[s[i]] {
+			continue
+		}
 		switch c := s[i]; {
 		case e.letter(c) != 0:
 			n++
@@ -89,14 +104,17 @@
 }
 
 func (e escapes) append(b []byte, s string) []byte {
-	for i := 0; i < len(s); i++ {
+	from := 0
+	for i := 0; i < len(s) && e != none; i++ {
+		if !odd[s[i]] {
+			continue
+		}
 		if c := e.letter(s[i]); c != 0 {
-			b = append(b, '\\', c)
-		} else {
-			b = append(b, s[i])
+			b = append(append(b, s[from:i]...), '\\', c)
+			from = i + 1
 		}
 	}
-	return b
+	return append(b, s[from:]...)
 }
 
 // AppendFrame appends a frame as a version has it, with LF as line end, and with a content-length wherever there is a
