--- a/wire/stomp/read.go
+++ b/wire/stomp/read.go
@@ -334,13 +334,10 @@
 
 // body reads what is behind the head, with the NUL.
 func (r *Reader) body(command Command, length int) ([]byte, error) {
-	var body []byte
-	switch {
-	case !command.hasBody():
-		length = 0
-	case length < 0:
+	if command.hasBody() && length < 0 {
 		return r.bodyToNUL()
 	}
+	var body []byte
 	if length > 0 {
 		body = make([]byte, length)
 		if _, err := io.ReadFull(r.br, body); err != nil {
--- a/wire/stomp/stomp_test.go
+++ b/wire/stomp/stomp_test.go
@@ -309,6 +309,27 @@
 	}
 }
 
+// An end stays one, even if the stream thinks better of it.
+func TestEndStays(t *testing.T) {
+	for s, want := range map[string]error{"": io.EOF, "\r": io.ErrUnexpectedEOF, "SEND\n": io.ErrUnexpectedEOF} {
+		pieces := []string{s, "", "\n\x00SEND\n\n\x00"}
+		r := NewReader(bufio.NewReader(readFunc(func(p []byte) (int, error) {
+			if len(pieces) == 0 || pieces[0] == "" && len(pieces) < 3 {
+				pieces = pieces[min(1, len(pieces)):]
+				return 0, io.EOF
+			}
+			n := copy(p, pieces[0])
+			pieces = pieces[1:]
+			return n, nil
+		})), Limits{})
+		for range 3 {
+			if err := r.Next(&Frame{}); err != want {
+				t.Errorf("%q: %v, want %v", s, err, want)
+			}
+		}
+	}
+}
+
 // A deadline between frames loses nothing; in a frame it is the end.
 func TestDeadline(t *testing.T) {
 	pieces := []string{"SEND\n\n\x00", "", "\n", "", "\r", "", "\n", "SEND\n", "", "\n\x00"}
@@ -402,6 +423,17 @@
 			t.Fatalf("%d headers, %v", len(f.Headers), err)
 		}
 	}
+	// Nor does it keep the text of a small one, whose headers' array it does keep.
+	small := reader("SEND\na:b\n\n\x00\n", V12)
+	g := &Frame{}
+	for range 2 {
+		if err := small.Next(g); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if first := g.Headers[:1][0]; first != (Field{}) {
+		t.Errorf("kept %v", first)
+	}
 	if cap(r.buf) > keptBytes || cap(r.ends) > 2*keptFields || cap(f.Headers) > keptFields {
 		t.Fatalf("kept %d bytes, %d ends, %d headers", cap(r.buf), cap(r.ends), cap(f.Headers))
 	}
@@ -501,8 +533,8 @@
 	for value, want := range map[string]string{
 		"2147483648,0": "is longer than 2147483647 ms", "0,99999999999999999999": "is longer than 2147483647 ms",
 		"": "not two numbers", "1": "not two numbers", ",": "not two numbers", "1,": "not two numbers",
-		",1": "not two numbers", "1,2,3": "not two numbers", "-1,0": "not two numbers", "+1,0": "not two numbers", "1.5,0": "not two numbers",
-		"0x1,0": "not two numbers", "1_0,0": "not two numbers", "a,b": "not two numbers"} {
+		",1": "not two numbers", "1,2,3": "not two numbers", "-1,0": "not two numbers", "+1,0": "not two numbers",
+		"1.5,0": "not two numbers", "0x1,0": "not two numbers", "1_0,0": "not two numbers", "a,b": "not two numbers"} {
 		h, err := ParseHeartBeat(value)
 		var syntax *SyntaxError
 		if !errors.As(err, &syntax) || !strings.Contains(err.Error(), want) || h != (HeartBeat{}) {
@@ -589,10 +621,14 @@
 				}
 				b = AppendBeat(b)
 			}
+			before := len(b)
 			var err error
 			if b, err = AppendFrame(b, v, f); err != nil {
 				t.Fatal(err)
 			}
+			if n, _ := room(v, f); n < len(b)-before {
+				t.Fatalf("%d bytes where there was to be room for %d", len(b)-before, n)
+			}
 		}
 		r := NewReader(bufio.NewReaderSize(&cuts{t, b}, 16), Limits{})
 		r.SetVersion(v)
