wire/http1: 100 Continue carries no Content-Length

An interim answer must not have one (RFC 9110, 8.6), and a strict client may take the length for the final answer's. The exchange 'framing' had the bytes as they were; it asks for a body now and fails on the old ones.

--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -439,7 +439,8 @@
 	if last {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	return appendRest(b, fields, body, status != 204)
+	// An interim answer and a 204 have no body, and say no length (RFC 9110, 8.6).
+	return appendRest(b, fields, body, status >= 200 && status != 204)
 }
 
 // frameRoom is enough for all of a message but its method, target, fields and body.
