decide: a held job is rejected at its deadline even if the module's timer is late

The module sets a timer a moment before the deadline for what it holds back, and Pick has one of its own at the deadline for what the module lost. On a busy machine the two change places, and the job got a 502 where a 503 with Retry-After was due. Pick now runs the module's timer for the job first; what the module really lost fails as before. The new test keeps the timers from coming through and has a failure without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -327,6 +327,12 @@
 		return v
 	default:
 	}
+	t.desk.late(t)
+	select {
+	case v := <-t.verdicts:
+		return v
+	default:
+	}
 	t.desk.log.Error("job left undecided at its deadline", "job", uint64(t.id))
 	t.desk.gone(t)
 	return Verdict{Kind: Failure}
@@ -454,6 +460,15 @@
 	t.verdicts <- Verdict{Kind: kind, Provider: provider, Until: until, TakenIn: takenIn, Context: ctx}
 }
 
+// late runs the module's timer for a job that is at its deadline. One that is held back has its timer a moment before, and
+// on a busy machine that may not have had its turn: what would have been a rejection must not become a failure.
+func (d *Desk) late(t *Ticket) {
+	if d.tickets[t.id] == t && !t.out {
+		now := max(d.now(), d.unix+t.deadline.Sub(d.origin))
+		d.step(Step{Input: Timer, Now: now, Token: uint64(t.id), Number: t.id, own: &t.job})
+	}
+}
+
 // tick runs a timer of the module's that came due.
 func (d *Desk) tick(token uint64) {
 	d.mu.Lock()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -138,6 +138,14 @@
 	wants(t, ticket.Pick(), Rejection)
 }
 
+// A job that is held back is rejected at its deadline at the latest, even if the module's timer has not had its turn.
+func TestTimerTooLate(t *testing.T) {
+	d := desk(t, policy.Unsafe)
+	ticket := d.Take(Job{Left: 200 * time.Millisecond, Hint: time.Millisecond, Slots: 1})
+	d.Close() // as if none of the timers came through
+	wants(t, ticket.Pick(), Rejection)
+}
+
 // A job that the module loses is answered at its deadline all the same.
 func TestUndecided(t *testing.T) {
 	d := desk(t, policy.Safe, "a")
