rehearse/loop: one way to see whether a connection is still there

A worker looked at its jobs' connections and at its call-backs' with two copies of the same system call, read the opposite way round. loop.Look tells quiet, talking or ended, and has a test; the fleet's tests, silence and withdrawal among them, pass as before.

--- a/rehearse/fleet/conn.go
+++ b/rehearse/fleet/conn.go
@@ -284,7 +284,7 @@
 		c.silence(a)
 		return true
 	}
-	if c.left() {
+	if c.br.Buffered() == 0 && loop.Look(c.Conn) == loop.Ended {
 		c.mu.Unlock()
 		c.withdrawn(a)
 		return false
@@ -304,24 +304,6 @@
 	return !m.last
 }
 
-// left tells without waiting whether the scheduler has ended the connection.
-func (c *conn) left() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = (err == nil && n == 0) || (err != nil && !errors.Is(err, syscall.EAGAIN))
-	})
-	return err != nil || ended
-}
-
 // job takes a job and answers it.
 func (c *conn) job(m *message) bool {
 	w, l := c.link.w, c.link
--- a/rehearse/fleet/tell.go
+++ b/rehearse/fleet/tell.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"laddertide/core/history"
@@ -365,7 +364,7 @@
 		}
 		b := l.idle[len(l.idle)-1]
 		l.idle = l.idle[:len(l.idle)-1]
-		if b.fresh() {
+		if b.br.Buffered() == 0 && loop.Look(b.Conn) == loop.Quiet {
 			l.mu.Unlock()
 			return b, nil
 		}
@@ -393,24 +392,6 @@
 	return b, nil
 }
 
-// fresh tells whether a kept connection is still open and has nothing to say.
-func (b *back) fresh() bool {
-	if b.br.Buffered() > 0 {
-		return false
-	}
-	raw, err := b.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var p [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
-}
-
 // keep keeps a connection for later calls, for a while.
 func (l *link) keep(b *back) {
 	l.mu.Lock()
