rehearse: runs side by side by errgroup instead of two pools of our own

The command line and the experiments each had a loop that begins runs in order, so many at once, and none after the first error. golang.org/x/sync was among the modules already (BSD licence, kept by the Go team); its errgroup does that with a limit. Of several errors the first in time is told now, not the first in the plans' order.

--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -11,11 +11,11 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/spf13/pflag"
+	"golang.org/x/sync/errgroup"
 
 	"laddertide/rehearse/daemon"
 	"laddertide/rehearse/report"
@@ -304,23 +304,15 @@
 // play plays plans, some side by side, and returns the reports in the plans' order. After the first error no further
 // run begins.
 func (a *app) play(ctx context.Context, plans []*scenario.Plan, program daemon.Program) ([]report.Run, error) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	out := make([]*report.Run, len(plans))
-	errs := make([]error, len(plans))
 	bar := a.bar(plans)
-	places := make(chan struct{}, a.parallel)
-	var all sync.WaitGroup
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(a.parallel)
 	for i, plan := range plans {
-		select {
-		case places <- struct{}{}:
-		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		all.Go(func() {
-			defer func() { <-places }()
+		g.Go(func() (err error) {
+			if ctx.Err() != nil {
+				return nil
+			}
 			s := session.Session{Program: program, Progress: bar.of(i), Late: a.late()}
 			if a.outDir != "" {
 				s.Out = a.outDir
@@ -328,13 +320,13 @@
 					s.Out = filepath.Join(a.outDir, fmt.Sprintf("%s-%d", plan.Scenario, plan.Seed))
 				}
 			}
-			if out[i], errs[i] = s.Play(ctx, plan); errs[i] != nil {
-				errs[i] = fmt.Errorf("%s, seed %d: %w", plan.Scenario, plan.Seed, errs[i])
-				stop()
+			if out[i], err = s.Play(ctx, plan); err != nil {
+				return fmt.Errorf("%s, seed %d: %w", plan.Scenario, plan.Seed, err)
 			}
+			return nil
 		})
 	}
-	all.Wait()
+	err := g.Wait()
 	bar.end()
 	var runs []report.Run
 	for _, r := range out {
@@ -342,10 +334,8 @@
 			runs = append(runs, *r)
 		}
 	}
-	for _, err := range errs {
-		if err != nil {
-			return runs, err
-		}
+	if err != nil {
+		return runs, err
 	}
 	if len(runs) == 0 {
 		return nil, errors.New("interrupted before it began")
--- a/rehearse/experiment/experiment.go
+++ b/rehearse/experiment/experiment.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"laddertide/rehearse/report"
 	"laddertide/rehearse/scenario"
 )
@@ -65,30 +67,21 @@
 // side plays n things, some side by side, beginning them in order. After the first error or the end of the context no
 // further one begins; it returns when none is left.
 func side(ctx context.Context, n, parallel int, play func(context.Context, int) error) error {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	places := make(chan struct{}, max(1, parallel))
-	var all sync.WaitGroup
+	g, within := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, parallel))
 	for i := range n {
-		select {
-		case places <- struct{}{}:
-		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		all.Go(func() {
-			defer func() { <-places }()
-			if err := play(ctx, i); err != nil {
-				stop(err)
+		g.Go(func() error {
+			if within.Err() != nil {
+				return nil
 			}
+			return play(within, i)
 		})
 	}
-	all.Wait()
+	err := g.Wait()
 	if ctx.Err() == nil {
-		return nil
+		return err
 	}
-	return context.Cause(ctx)
+	return context.Cause(within) // whichever came first
 }
 
 // clock tells how long what is left will take.
