internal/testrig: the tests' stand-ins listen in one place

Seven tests had each their own loop of Accept and of reading whole requests. The packages' tests pass and three benchmarks run as before. scheduler/exchange_test keeps its own loop, as its connections must outlive the reading.

--- a/cmd/laddertide/main_test.go
+++ b/cmd/laddertide/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
 
@@ -53,38 +53,19 @@
 
 // discovery takes connections and hands on the target of each request that comes on them.
 func discovery(t *testing.T) (string, <-chan string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	asked := make(chan string, 10)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	address := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			asked <- h.Target
+			if strings.Contains(h.Target, "watch") {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					h, err := http1.ReadRequestHead(br)
-					if err != nil {
-						return
-					}
-					asked <- h.Target
-					if strings.Contains(h.Target, "watch") {
-						io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-						continue
-					}
-					list := `{"index":7,"snapshot":true,"endpoints":[]}`
-					c.Write(http1.AppendResponse(nil, 200, nil, []byte(list), false))
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String(), asked
+			list := `{"index":7,"snapshot":true,"endpoints":[]}`
+			c.Write(http1.AppendResponse(nil, 200, nil, []byte(list), false))
+		})
+	})
+	return address, asked
 }
 
 // SIGHUP ends a Go program that does not take it. Here the file's new discovery is followed from its whole
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -15,6 +15,7 @@
 
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/internal/testrig"
 	"laddertide/invoker"
 	"laddertide/job"
 	"laddertide/policy"
@@ -52,34 +53,13 @@
 	}
 	pool := provider.NewPool(provider.Limits{Dial: time.Second, Idle: time.Minute, Conns: 10}, log)
 	r := &rig{t: t, jobs: make(chan string, 100), served: make(chan error, 1)}
-	worker, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		for {
-			c, err := worker.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					h, err := http1.ReadRequestHead(br)
-					if err != nil {
-						return
-					}
-					if _, err := h.ReadBody(br); err != nil {
-						return
-					}
-					c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
-					r.jobs <- h.Method + " " + h.Target
-				}
-			}()
-		}
-	}()
-	pool.Directory([]directory.Entry{{Name: "s-1", Address: worker.Addr().String(), Status: directory.Serving}}, true)
+	worker := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
+			r.jobs <- h.Method + " " + h.Target
+		})
+	})
+	pool.Directory([]directory.Entry{{Name: "s-1", Address: worker, Status: directory.Serving}}, true)
 	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -91,7 +71,7 @@
 	s := &Server{Settings: set, Jobs: &invoker.Handler{Desk: desk, Pool: pool, Log: log}, CallBack: pool.CallBack,
 		Stopping: desk.Stop, Log: log, Conns: conns, Grace: grace}
 	go func() { r.served <- s.Serve(ctx, ln) }()
-	t.Cleanup(func() { stop(); worker.Close(); desk.Close(); pool.Close() })
+	t.Cleanup(func() { stop(); desk.Close(); pool.Close() })
 	return r
 }
 
--- a/invoker/invoker_test.go
+++ b/invoker/invoker_test.go
@@ -1,7 +1,6 @@
 package invoker
 
 import (
-	"bufio"
 	"context"
 	"log/slog"
 	"net"
@@ -10,6 +9,7 @@
 
 	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/policy"
 	"laddertide/provider"
@@ -36,37 +36,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := &rig{t: t, jobs: make(chan string, 10)}
 	r.Desk, r.Log = desk, slog.New(slog.DiscardHandler)
 	r.Pool = provider.NewPool(provider.Limits{Dial: time.Second, Idle: time.Minute, Conns: 10}, log)
-	t.Cleanup(func() { ln.Close(); desk.Close(); r.Pool.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for br := bufio.NewReader(c); ; {
-					h, err := http1.ReadRequestHead(br)
-					if err != nil {
-						return
-					}
-					if _, err := h.ReadBody(br); err != nil {
-						return
-					}
-					c.Write([]byte(answer))
-					r.jobs <- h.Method + " " + h.Target
-				}
-			}()
-		}
-	}()
-	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: ln.Addr().String(), Status: directory.Serving}}, true)
+	t.Cleanup(func() { desk.Close(); r.Pool.Close() })
+	address := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write([]byte(answer))
+			r.jobs <- h.Method + " " + h.Target
+		})
+	})
+	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
 	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	return r
 }
--- a/rehearse/clients/rate_test.go
+++ b/rehearse/clients/rate_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laddertide/core/traffic"
+	"laddertide/internal/testrig"
 )
 
 // BenchmarkRate plays 3 s at each of several rates against servers in the same process that answer after 20 ms, and
@@ -46,46 +47,31 @@
 
 // trivial is a server that reads as little as it can and answers everything after a while.
 func trivial(b *testing.B, after time.Duration) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { l.Close() })
-	go func() {
+	return testrig.Listen(b, func(c net.Conn) {
+		br := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
-			if err != nil {
+			length := 0
+			health := false
+			for {
+				line, err := br.ReadSlice('\n')
+				if err != nil {
+					return
+				}
+				health = health || bytes.HasPrefix(line, []byte("GET /_health"))
+				if n, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+					fmt.Sscan(string(n), &length)
+				}
+				if len(line) == 2 {
+					break
+				}
+			}
+			br.Discard(length)
+			if !health {
+				time.Sleep(after)
+			}
+			if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					length := 0
-					health := false
-					for {
-						line, err := br.ReadSlice('\n')
-						if err != nil {
-							return
-						}
-						health = health || bytes.HasPrefix(line, []byte("GET /_health"))
-						if n, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
-							fmt.Sscan(string(n), &length)
-						}
-						if len(line) == 2 {
-							break
-						}
-					}
-					br.Discard(length)
-					if !health {
-						time.Sleep(after)
-					}
-					if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return l.Addr().String()
+	})
 }
--- a/rehearse/fleet/bench_test.go
+++ b/rehearse/fleet/bench_test.go
@@ -12,9 +12,11 @@
 
 	"laddertide/core/history"
 	"laddertide/core/world"
+	"laddertide/internal/testrig"
 	"laddertide/rehearse/book"
 	"laddertide/rehearse/loop"
 	"laddertide/rehearse/record"
+	"laddertide/wire/http1"
 )
 
 // BenchmarkJobs is what a job costs the fleet from its first byte to its last call-back, schedulers that only listen
@@ -35,27 +37,12 @@
 			b.Fatal(err)
 		}
 		defer ln.Close()
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer c.Close()
-					br := bufio.NewReader(c)
-					for {
-						req, err := http.ReadRequest(br)
-						if err != nil {
-							return
-						}
-						_, _ = io.Copy(io.Discard, req.Body)
-						_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
-						told <- struct{}{}
-					}
-				}()
-			}
-		}()
+		go testrig.Accept(ln, func(c net.Conn) {
+			testrig.Requests(c, func(*http1.Head) {
+				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+				told <- struct{}{}
+			})
+		})
 		cfg.Schedulers = append(cfg.Schedulers, SchedulerAt{Name: fmt.Sprint("n", i), CallBack: ln.Addr().String()})
 	}
 	f, err := New(cfg)
--- a/scheduler/cpu_test.go
+++ b/scheduler/cpu_test.go
@@ -20,6 +20,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"laddertide/directory"
+	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
 
@@ -223,36 +224,23 @@
 
 // work is a provider that takes each job, and tells of its start and its end at once.
 func work(ln net.Listener, scheduler string) {
-	for {
-		c, err := ln.Accept()
+	testrig.Accept(ln, func(c net.Conn) {
+		back, err := net.Dial("tcp", scheduler)
 		if err != nil {
 			return
 		}
-		go func() {
-			defer c.Close()
-			back, err := net.Dial("tcp", scheduler)
-			if err != nil {
-				return
-			}
-			defer back.Close()
-			br, answers := bufio.NewReader(c), bufio.NewReader(back)
-			for {
-				h, err := http1.ReadRequestHead(br)
-				if err != nil {
-					return
-				}
-				if _, err := h.ReadBody(br); err != nil {
+		defer back.Close()
+		answers := bufio.NewReader(back)
+		testrig.Requests(c, func(h *http1.Head) {
+			io.WriteString(c, taken)
+			for _, rest := range []string{`started"}`, `done","result":"0123456789abcdef"}`} {
+				body := `{"id":"` + h.Fields.Get("X-Request-Id") + `","from":"s-0badcafe","state":"` + rest
+				io.WriteString(back, post("/v1/job-events", body))
+				if _, err := http1.ReadResponseHead(answers); err != nil {
+					c.Close()
 					return
 				}
-				io.WriteString(c, taken)
-				for _, rest := range []string{`started"}`, `done","result":"0123456789abcdef"}`} {
-					body := `{"id":"` + h.Fields.Get("X-Request-Id") + `","from":"s-0badcafe","state":"` + rest
-					io.WriteString(back, post("/v1/job-events", body))
-					if _, err := http1.ReadResponseHead(answers); err != nil {
-						return
-					}
-				}
 			}
-		}()
-	}
+		})
+	})
 }
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"laddertide/directory"
+	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
 
@@ -107,39 +108,16 @@
 
 // provider takes jobs and tells the test.
 func (r *rig) provider() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	r.t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
+	return testrig.Listen(r.t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
+			if h.Method == "POST" {
+				r.jobs <- h.Fields.Get("X-Request-Id")
+			} else {
+				r.ends <- h.Target
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					h, err := http1.ReadRequestHead(br)
-					if err != nil {
-						return
-					}
-					if _, err := h.ReadBody(br); err != nil {
-						return
-					}
-					c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
-					if h.Method == "POST" {
-						r.jobs <- h.Fields.Get("X-Request-Id")
-					} else {
-						r.ends <- h.Target
-					}
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
+		})
+	})
 }
 
 type client struct {
