--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,11 +11,11 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
 
+	"laddertide/core/pace"
 	"laddertide/wire/http1"
 )
 
@@ -77,8 +77,6 @@
 	// connection is held for dead, as the network never says so.
 	silence     = 5 * time.Second
 	dialTimeout = time.Second
-	firstWait   = 50 * time.Millisecond
-	mostWait    = 2 * time.Second
 	maxLine     = 256 << 10
 )
 
@@ -87,13 +85,14 @@
 	Address string
 	Index   uint64 // the version that is known already
 	Whole   bool   // the next watch starts from the whole list, whatever is known
+	Pace    pace.Pace
 	Deliver func(List)
 	Log     *slog.Logger
 }
 
 // Run follows the list until ctx ends. What was delivered stays valid while discovery is away.
 func (w *Watcher) Run(ctx context.Context) {
-	wait := firstWait
+	pause(ctx, w.Pace.First())
 	for ctx.Err() == nil {
 		began := time.Now()
 		got, err := w.watch(ctx)
@@ -101,17 +100,21 @@
 			return
 		}
 		if got {
-			wait = firstWait
+			w.Pace.Came()
 		}
+		wait := w.Pace.Failed()
 		w.Log.Warn("directory watch ended", "after", time.Since(began).Round(time.Millisecond),
 			"retry_in", wait, "index", w.Index, "err", err)
-		timer := time.NewTimer(wait/2 + rand.N(wait)) // never in step with the other schedulers
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		wait = min(2*wait, mostWait)
+		pause(ctx, wait)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 
 	"laddertide/capture"
 	"laddertide/consumer"
+	"laddertide/core/pace"
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/durable"
@@ -299,6 +300,10 @@
 		Address: address, Index: index, Whole: whole, Log: s.log,
 		Deliver: func(list directory.List) { s.hear(w, list) },
 	}
+	if set := &s.cfg.Settings; set.Subscribe {
+		// Each watch is asked for at a discovery that all schedulers share, and known serves meanwhile.
+		watcher.Pace.Over = pace.Over(set.Balancers, set.DialTimeout, set.AskEvery)
+	}
 	go watcher.Run(ctx)
 }
 
