--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -339,7 +339,7 @@
 		len(r.attempts) < d.set.MaxAttempts && d.set.Classes[r.class].Effect != Unsafe
 }
 
-// move takes r back from a worker that has not begun with it by the time it would with a slot free. What others
+// move takes r back from a worker that has not begun with it by when it would with a slot free. What others
 // have sent there is told nowhere else, and one dispatcher among many meets it at nearly every worker. Its
 // place in that queue is given up only if a draw finds a worker of which nothing says that it is full.
 func (d *Dispatcher) move(now time.Duration, r *request, acts []Action) []Action {
@@ -411,7 +411,7 @@
 	acts []Action) []Action {
 	switch o.Status {
 	case OK:
-		d.served(w)
+		d.served(w, now)
 		run := o.Elapsed
 		if a.started > 0 {
 			run = now - a.started
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -298,7 +298,7 @@
 	if d.warmth(w, now) == 1 {
 		d.cool(w, now)
 	}
-	w.lostAt = now
+	w.lostAt = missing
 }
 
 // cut tells whether w's zone cannot be reached.
@@ -324,7 +324,10 @@
 }
 
 // served notes a good answer.
-func (d *Dispatcher) served(w *worker) {
+func (d *Dispatcher) served(w *worker, now time.Duration) {
+	if w.lostAt == missing {
+		w.lostAt = now
+	}
 	if w.zone < len(d.zones) {
 		d.zones[w.zone] = zone{}
 	}
--- a/policy/split.go
+++ b/policy/split.go
@@ -217,9 +217,10 @@
 		return d.scan(now, r)
 	}
 	best, bestRank, least := -1, rankBarred, 0.0
+	home := len(r.attempts) < max(1, d.set.MaxAttempts-1) // the last attempt ends in some queue
 	for range maxDraws {
 		i := int(d.order[from+d.pick(sums)])
-		rank, queue := d.rank(now, r, i), d.queue(now, &d.workers[i])
+		rank, queue := d.rank(now, r, i), d.queue(now, &d.workers[i], home)
 		if rank < bestRank || rank == bestRank && rank < rankBarred && queue < least {
 			best, bestRank, least = i, rank, queue
 		}
@@ -232,13 +233,13 @@
 
 // queue is what this dispatcher has at w, for each slot. A worker of another zone counts as longer, for the
 // price of sending there. Speeds count by their root: ξ and the lengths of queues have them already.
-func (d *Dispatcher) queue(now time.Duration, w *worker) float64 {
+func (d *Dispatcher) queue(now time.Duration, w *worker, home bool) float64 {
 	jobs := w.held / d.slots(w)
 	if d.set.TellsStart && w.waiting > 0 && now-w.sentAt > atOnce {
 		// What has not started by now waits for others' jobs: no slot is free.
 		jobs = max(jobs, 1+float64(w.waiting)/d.slots(w))
 	}
-	if w.zone != d.set.Zone && d.set.CrossZone > 0 {
+	if (w.zone != d.set.Zone) == home && d.set.CrossZone > 0 {
 		jobs += zoneAway
 	}
 	return jobs * math.Sqrt(d.slowness(w))
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,6 +57,9 @@
 	asks       int
 }
 
+// missing is lostAt of a worker that has not served since.
+const missing = time.Duration(1 << 62)
+
 // attempt is one send of a request.
 type attempt struct {
 	worker  int32
@@ -124,7 +127,7 @@
 
 	awayFor   time.Duration // no connection came up since it last served; 0: none failed
 	awayUntil time.Duration // not tried before
-	lostAt    time.Duration // when a connection last failed: it counts as started then; 0: none did
+	lostAt    time.Duration // when it served again after no connection came up: it counts as started then; 0: never away
 
 	credit   float64 // slot-seconds that may be sent while it is cold
 	creditAt time.Duration
--- a/provider/call.go
+++ b/provider/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"laddertide/decide"
@@ -310,8 +309,8 @@
 		return end, nil // the next process waits for it
 	}
 	for elsewhere {
-		// A provider that cannot be told in time is no more. But one may have come back just now, too late for a
-		// connection that was tried before; a job that it still counts as its own would then be out twice.
+		// One that has not heard may count the job as its own: it may be back just now, too late for a connection that was
+		// tried before, or refuse connections as all of them are taken. The job would be out twice if it went elsewhere.
 		told := make(chan error, 1)
 		go func() {
 			err := p.giveUp(j, v.Provider, endingLimit, endingLimit)
@@ -333,9 +332,7 @@
 			return c.end, c.result
 		default:
 		}
-		// A machine that refuses the connection is there, with all of them taken or its process down: the job may still
-		// be its own. One that says nothing at all has vanished.
-		if !errors.Is(err, syscall.ECONNREFUSED) || end == decide.Broken {
+		if err == nil || end == decide.Broken {
 			return end, nil
 		}
 		select {
