--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -13,13 +13,13 @@
 	freeMost  = 2 * time.Second
 )
 
-// Pace is the pace of one scheduler. Its zero value asks what costs nothing.
+// Pace is the pace of one scheduler.
 type Pace struct {
 	// Over is the time over which many schedulers spread their calls; 0: calls cost nothing. Those that were killed together
 	// start together, and a service that all of them ask at once answers nobody: each call waits behind calls that
 	// have been given up by the time of their turn.
 	Over time.Duration
-	Rand *rand.Rand // nil: the program's own
+	Rand *rand.Rand // never nil
 
 	wait time.Duration
 }
@@ -52,8 +52,5 @@
 	if d <= 0 {
 		return 0
 	}
-	if p.Rand == nil {
-		return rand.N(d)
-	}
 	return time.Duration(p.Rand.Int64N(int64(d)))
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -85,13 +86,16 @@
 	Address string
 	Index   uint64 // the version that is known already
 	Whole   bool   // the next watch starts from the whole list, whatever is known
-	Pace    pace.Pace
+	Pace    pace.Pace // its Rand is made here, if it has none
 	Deliver func(List)
 	Log     *slog.Logger
 }
 
 // Run follows the list until ctx ends. What was delivered stays valid while discovery is away.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.Pace.Rand == nil {
+		w.Pace.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	pause(ctx, w.Pace.First())
 	for ctx.Err() == nil {
 		began := time.Now()
