--- a/directory/directory.go
+++ b/directory/directory.go
@@ -84,8 +84,8 @@
 // Watcher follows the list at an address.
 type Watcher struct {
 	Address string
-	Index   uint64 // the version that is known already
-	Whole   bool   // the next watch starts from the whole list, whatever is known
+	Index   uint64    // the version that is known already
+	Whole   bool      // the next watch starts from the whole list, whatever is known
 	Pace    pace.Pace // its Rand is made here, if it has none
 	Deliver func(List)
 	Log     *slog.Logger
