--- a/provider/call.go
+++ b/provider/call.go
@@ -185,7 +185,6 @@
 		p.release(conn)
 		return decide.NotConnected, nil
 	}
-	since := conn.of.since
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
 	defer p.close(j, c)
@@ -211,7 +210,7 @@
 	cut, looked := false, make(chan struct{})
 	stop := context.AfterFunc(v.Context, func() {
 		defer close(looked)
-		if context.Cause(v.Context) == decide.ErrElsewhere && p.runs(conn.of, since) {
+		if context.Cause(v.Context) == decide.ErrElsewhere && p.runs(conn.of) {
 			return
 		}
 		cut = true
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -129,11 +129,12 @@
 	p.drain(pr)
 }
 
-// runs tells whether the directory still lists the process that started at since.
-func (p *Pool) runs(pr *provider, since time.Duration) bool {
+// runs tells whether the directory lists the provider, be it this process of it or the next: news of a start may come
+// after the connection to what has started.
+func (p *Pool) runs(pr *provider) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return pr.listed && pr.since == since
+	return pr.listed
 }
 
 // drain closes the idle connections of pr.
