admin, core/maintenance: a second address, and providers taken out by hand

On its return it is cold from that moment on (policy.Entry.Back), in checkpoint and capture too. Without admin nothing of it is there.

--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,187 @@
+// Package admin answers the operators' calls on an address of their own. It owns that address's connections, with places
+// and deadlines that the port of jobs has no part in; what a call brings about is never done here.
+package admin
+
+import (
+	"bufio"
+	"errors"
+	"log/slog"
+	"net"
+	"net/url"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"laddertide/wire/http1"
+)
+
+// ErrUnknown says that nobody of that name has been heard of.
+var ErrUnknown = errors.New("no such auth worker")
+
+// Server answers calls: one on a connection, which then closes. An error of a call is a no.
+type Server struct {
+	Ready           func() error // says why this process is not ready to serve
+	Disable, Enable func(id string) error
+	Places          int // connections that may be open at once
+	Log             *slog.Logger
+
+	mu      sync.Mutex
+	waiting []net.Conn // those whose call is not whole yet, oldest first
+}
+
+const (
+	callLimit   = 2500 * time.Millisecond // for a whole call: bad callers are told, or closed on, within 3 s
+	answerLimit = time.Second             // callers wait no longer
+	partLimit   = 200 * time.Millisecond  // for a caller to take the answer before the connection closes
+	partBytes   = http1.MaxHead + http1.MaxBody
+	retryAccept = 10 * time.Millisecond
+)
+
+// Serve answers until ln is closed.
+func (s *Server) Serve(ln net.Listener) {
+	room := make(chan struct{}, s.Places)
+	for {
+		select {
+		case room <- struct{}{}:
+		default:
+			// A call is a matter of milliseconds; who has been there longest without one keeps others waiting.
+			s.dropOldest()
+			room <- struct{}{}
+		}
+		c, err := ln.Accept()
+		if err != nil {
+			<-room
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.Log.Error("cannot accept an operator's call", "err", err)
+			time.Sleep(retryAccept)
+			continue
+		}
+		s.mu.Lock()
+		s.waiting = append(s.waiting, c)
+		s.mu.Unlock()
+		go func() {
+			defer func() {
+				if r := recover(); r != nil {
+					s.Log.Error("panic in an operator's call", "panic", r, "stack", string(debug.Stack()))
+				}
+				s.whole(c)
+				c.Close()
+				<-room
+			}()
+			s.call(c)
+		}()
+	}
+}
+
+func (s *Server) dropOldest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) > 0 {
+		s.waiting[0].Close()
+		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
+	}
+}
+
+// whole notes that a connection's call is there, or never will be.
+func (s *Server) whole(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, x := range s.waiting {
+		if x == c {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// call reads the one call of a connection and answers it.
+func (s *Server) call(c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(callLimit))
+	br := bufio.NewReaderSize(c, 1024)
+	head, err := http1.ReadRequestHead(br)
+	status := 431
+	if err == nil {
+		status = 413
+		_, err = head.ReadBody(br)
+	}
+	s.whole(c)
+	var syntax *http1.SyntaxError
+	var ne net.Error
+	switch {
+	case err == nil:
+		s.answer(c, head)
+	case errors.As(err, &syntax) && syntax.TooLarge:
+		s.write(c, status, "too large")
+	case errors.As(err, &syntax):
+		s.write(c, 400, "malformed call")
+	case errors.As(err, &ne) && ne.Timeout():
+		s.write(c, 408, "no whole call in time")
+		return
+	default:
+		return
+	}
+	// To close with bytes unread would reset the connection, and that can overtake the answer.
+	if half, ok := c.(*net.TCPConn); ok && half.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(partLimit))
+		for left := partBytes; left > 0; {
+			n, err := br.Discard(min(left, br.Size()))
+			if left -= n; err != nil {
+				return
+			}
+		}
+	}
+}
+
+const workers = "/-/auth-workers/"
+
+// answer does what a call asks for.
+func (s *Server) answer(c net.Conn, head *http1.Head) {
+	path, _, _ := strings.Cut(head.Target, "?")
+	if path == "/-/ready" {
+		switch {
+		case head.Method != "GET":
+			s.write(c, 405, "GET only", "GET")
+		default:
+			s.say(c, "ready", s.Ready())
+		}
+		return
+	}
+	rest, ok := strings.CutPrefix(path, workers)
+	escaped, verb, _ := strings.Cut(rest, "/")
+	id, err := url.PathUnescape(escaped)
+	do := map[string]func(string) error{"disable": s.Disable, "enable": s.Enable}[verb]
+	switch {
+	case !ok || err != nil || id == "" || do == nil:
+		s.write(c, 404, "no such page")
+	case head.Method != "PUT":
+		s.write(c, 405, "PUT only", "PUT")
+	default:
+		s.say(c, verb+"d", do(id))
+	}
+}
+
+// say answers yes, or why not.
+func (s *Server) say(c net.Conn, yes string, err error) {
+	switch {
+	case err == nil:
+		s.write(c, 200, yes)
+	case errors.Is(err, ErrUnknown):
+		s.write(c, 404, err.Error())
+	default:
+		s.write(c, 503, err.Error())
+	}
+}
+
+func (s *Server) write(c net.Conn, status int, text string, allow ...string) {
+	fields := http1.Fields{{Name: "Content-Type", Value: "text/plain"}}
+	for _, method := range allow {
+		fields = append(fields, http1.Field{Name: "Allow", Value: method})
+	}
+	c.SetWriteDeadline(time.Now().Add(answerLimit))
+	if _, err := c.Write(http1.AppendResponse(nil, status, fields, []byte(text+"\n"), true)); err != nil {
+		s.Log.Debug("answer to an operator not written", "to", c.RemoteAddr(), "err", err)
+	}
+}
--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,143 @@
+package admin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"laddertide/wire/http1"
+)
+
+type asked struct{ verb, id string }
+
+// serve answers calls on loopback; what was asked comes out of the channel.
+func serve(t *testing.T, places int, ready error) (address string, calls chan asked) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	calls = make(chan asked, 100)
+	do := func(verb string) func(string) error {
+		return func(id string) error {
+			if id == "unknown" {
+				return ErrUnknown
+			}
+			if id == "stuck" {
+				return errors.New("not now")
+			}
+			calls <- asked{verb, id}
+			return nil
+		}
+	}
+	s := &Server{Ready: func() error { return ready }, Disable: do("disable"), Enable: do("enable"), Places: places,
+		Log: slog.New(slog.DiscardHandler)}
+	go s.Serve(ln)
+	return ln.Addr().String(), calls
+}
+
+func call(t *testing.T, address, text string) (*http1.Head, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	br := bufio.NewReader(c)
+	h, err := http1.ReadResponseHead(br)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	body, _ := h.ReadBody(br)
+	if _, err := br.ReadByte(); err != io.EOF || !h.Close {
+		t.Errorf("%q: the connection goes on: %v", text, err)
+	}
+	return h, string(body)
+}
+
+func TestCalls(t *testing.T) {
+	address, calls := serve(t, 4, nil)
+	for _, c := range []struct {
+		line   string
+		status int
+		want   asked
+	}{
+		{"GET /-/ready", 200, asked{}},
+		{"PUT /-/auth-workers/s-1/disable", 200, asked{"disable", "s-1"}},
+		{"PUT /-/auth-workers/s%2D1/enable", 200, asked{"enable", "s-1"}},
+		{"PUT /-/auth-workers/unknown/disable", 404, asked{}},
+		{"PUT /-/auth-workers/stuck/disable", 503, asked{}},
+		{"PUT /-/auth-workers//disable", 404, asked{}},
+		{"PUT /-/auth-workers/s-1", 404, asked{}},
+		{"PUT /-/auth-workers/s-1/disable/x", 404, asked{}},
+		{"GET /", 404, asked{}},
+		{"PUT /-/ready", 405, asked{}},
+		{"GET /-/auth-workers/s-1/disable", 405, asked{}},
+		{"garbage", 400, asked{}},
+		{"GET /-/ready?" + strings.Repeat("x", 20000), 431, asked{}},
+	} {
+		h, body := call(t, address, c.line+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		if h.Status != c.status || body == "" || (h.Status == 405) != (h.Fields.Get("Allow") != "") {
+			t.Errorf("%.40s: %+v %q, want %d", c.line, h, body, c.status)
+		}
+		var got asked
+		select {
+		case got = <-calls:
+		default:
+		}
+		if got != c.want {
+			t.Errorf("%.40s: asked %v, want %v", c.line, got, c.want)
+		}
+	}
+	address, _ = serve(t, 4, errors.New("starting"))
+	if h, body := call(t, address, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"); h.Status != 503 || body != "starting\n" {
+		t.Errorf("not ready: %+v %q", h, body)
+	}
+}
+
+// Callers that finish no call take places from each other only: each call among them is answered, far sooner than any of
+// them is told that its time is over.
+func TestSilentCallers(t *testing.T) {
+	address, calls := serve(t, 4, nil)
+	for i := range 200 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprint(c, "PUT /-/auth-workers/s-1/dis")
+		}
+		if i%20 == 0 {
+			if h, _ := call(t, address, fmt.Sprintf("PUT /-/auth-workers/s-%d/enable HTTP/1.1\r\nHost: x\r\n\r\n", i)); h.Status != 200 {
+				t.Fatalf("%+v", h)
+			}
+			if got := (<-calls).id; got != fmt.Sprint("s-", i) {
+				t.Fatalf("%s, want s-%d", got, i)
+			}
+		}
+	}
+}
+
+// One that says nothing is told so, or closed on, and its place is free again.
+func TestBadCallersEnd(t *testing.T) {
+	address, _ := serve(t, 4, nil)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if h, err := http1.ReadResponseHead(bufio.NewReader(c)); err != nil || h.Status != 408 {
+		t.Fatalf("%+v, %v", h, err)
+	}
+}
--- a/capture/line.go
+++ b/capture/line.go
@@ -62,19 +62,19 @@
 	Do       json.RawMessage `json:"do"`
 }
 
-// entry is one of a list, [name, state, kind, zone, cell, weight, started].
+// entry is one of a list, [name, state, kind, zone, cell, weight, started], and back if it is not 0.
 type entry struct {
 	name string
 	of   policy.Entry
 }
 
 func (e *entry) UnmarshalJSON(b []byte) error {
-	to := []any{&e.name, &e.of.State, &e.of.Kind, &e.of.Zone, &e.of.Cell, &e.of.Weight, &e.of.Started}
+	to := []any{&e.name, &e.of.State, &e.of.Kind, &e.of.Zone, &e.of.Cell, &e.of.Weight, &e.of.Started, &e.of.Back}
 	n := len(to)
 	if err := json.Unmarshal(b, &to); err != nil {
 		return err
 	}
-	if len(to) != n || e.of.State > policy.Gone || e.of.Kind < 0 || e.of.Zone < 0 {
+	if len(to) < n-1 || len(to) > n || e.of.State > policy.Gone || e.of.Kind < 0 || e.of.Zone < 0 {
 		return errors.New("an entry of a list makes no sense")
 	}
 	return nil
@@ -274,6 +274,9 @@
 			}
 			b = strconv.AppendFloat(append(b, ','), e.Weight, 'g', -1, 64)
 			b = strconv.AppendInt(append(b, ','), int64(e.Started), 10)
+			if e.Back != 0 {
+				b = strconv.AppendInt(append(b, ','), int64(e.Back), 10)
+			}
 			b = append(b, ']')
 		}
 		b = append(b, ']')
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -56,6 +56,7 @@
 	config := flags.StringP("config", "c", os.Getenv("GW_CONFIG"), "configuration file (GW_CONFIG)")
 	name := flags.String("name", os.Getenv("GW_NAME"), "name of this scheduler (GW_NAME)")
 	listen := flags.String("listen", os.Getenv("GW_LISTEN"), "address to listen on (GW_LISTEN)")
+	admin := flags.String("admin", os.Getenv("GW_ADMIN"), "address for the operators' calls; none: off (GW_ADMIN)")
 	discovery := flags.String("discovery", os.Getenv("GW_DISCOVERY"), "address of discovery (GW_DISCOVERY)")
 	fleet := flags.String("fleet", "", "the operator's file, which turns features on")
 	level := flags.String("log-level", "info", "debug, info, warn or error; debug logs each request")
@@ -89,7 +90,8 @@
 	if err != nil {
 		return err
 	}
-	for _, f := range []struct{ value, to *string }{{name, &cfg.Name}, {listen, &cfg.Listen}, {discovery, &cfg.Discovery}} {
+	for _, f := range []struct{ value, to *string }{{name, &cfg.Name}, {listen, &cfg.Listen}, {admin, &cfg.Admin},
+		{discovery, &cfg.Discovery}} {
 		if *f.value != "" {
 			*f.to = *f.value
 		}
--- /dev/null
+++ b/core/maintenance/maintenance_test.go
@@ -0,0 +1,88 @@
+package maintenance
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/internal/pin"
+)
+
+// plain is the list as a history: what was said, in order, read anew for each question.
+type plain []word
+
+type word struct {
+	what  string // "lists", "drops", "only", "out", "back"
+	name  string
+	names []string
+	value int
+	at    time.Duration
+}
+
+func (h plain) ask(name string) (p Provider[int], known bool) {
+	p.Name, p.Gone = name, true
+	for _, w := range h {
+		mine := w.name == name
+		switch {
+		case w.what == "lists" && mine:
+			known, p.Entry, p.Gone = true, w.value, false
+		case w.what == "drops" && mine:
+			known, p.Entry, p.Gone = true, w.value, true
+		case w.what == "only" && !slices.Contains(w.names, name):
+			p.Gone = true
+		case w.what == "out" && mine && known:
+			p.Out = true
+		case w.what == "back" && mine && p.Out:
+			p.Out, p.Back = false, w.at
+		}
+	}
+	return p, known
+}
+
+// Whatever discovery says and in whatever order calls come, a provider is out from the call that takes it out to the
+// call that puts it back, and nothing else moves that.
+func TestAgainstHistory(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		var l List[int]
+		var h plain
+		for i := range rapid.IntRange(1, 40).Draw(t, "words") {
+			w := word{what: rapid.SampledFrom([]string{"lists", "drops", "only", "out", "back"}).Draw(t, "what"),
+				name: rapid.SampledFrom(names).Draw(t, "name"), value: i, at: time.Duration(i + 1)}
+			_, known := h.ask(w.name)
+			switch w.what {
+			case "lists", "drops":
+				l.Hear(w.name, w.value, w.what == "drops")
+			case "only":
+				w.names = rapid.SliceOfDistinct(rapid.SampledFrom(names), func(s string) string { return s }).Draw(t, "names")
+				l.Only(w.names)
+			case "out":
+				if _, ok := l.TakeOut(w.name); ok != known {
+					t.Fatalf("taking out %s: known %v, want %v", w.name, ok, known)
+				}
+			case "back":
+				if _, ok := l.PutBack(w.name, w.at); ok != known {
+					t.Fatalf("putting back %s: known %v, want %v", w.name, ok, known)
+				}
+			}
+			h = append(h, w)
+			if i%7 == 3 { // another process goes on from here
+				all := l.All()
+				l = List[int]{}
+				l.Adopt(all)
+			}
+		}
+		all := l.All()
+		for _, name := range names {
+			want, known := h.ask(name)
+			k := slices.IndexFunc(all, func(p Provider[int]) bool { return p.Name == name })
+			if (k >= 0) != known || known && all[k] != want {
+				t.Fatalf("%s: %+v, want %+v (known %v)", name, all, want, known)
+			}
+		}
+	})
+}
+
+func TestMain(m *testing.M) { pin.Run(m) }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,9 @@
 	Status  Status  `json:"status"`
 	Weight  float64 `json:"weight"`
 	SinceMS float64 `json:"since_ms"` // Unix time of its last start; 0: long ago
+
+	// Back is not discovery's: when the provider came back from maintenance, as Unix time; 0: never.
+	Back time.Duration `json:"-"`
 }
 
 // Since is the provider's last start as Unix time, 0 if that is long ago or makes no sense.
--- a/policy/api.go
+++ b/policy/api.go
@@ -191,6 +191,7 @@
 	Cell    int
 	Weight  float64
 	Started time.Duration // clock time of its last start; 0: long ago
+	Back    time.Duration // clock time at which it came back from maintenance, cold whatever Started says; 0: never
 }
 
 // ListKind says how a list is to be read.
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -12,7 +12,7 @@
 // believes of workers, and the requests that are open. Nothing here decides anything.
 
 // checkpointVersion comes first in a checkpoint. Another one is not read.
-const checkpointVersion = 2
+const checkpointVersion = 3
 
 // Checkpoint appends the machine's state to b.
 func (d *Dispatcher) Checkpoint(b []byte) []byte {
@@ -213,7 +213,7 @@
 	whole(w, &x.id)
 	whole(w, &x.kind, &x.zone, &x.cell, &x.tries, &x.waiting)
 	whole(w, &x.state)
-	whole(w, &x.started, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
+	whole(w, &x.started, &x.back, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
 	w.flag(&x.listed, &x.occSeen)
 	w.float(&x.weight, &x.held, &x.xi, &x.load, &x.target, &x.run, &x.slowSum, &x.slowN, &x.occ, &x.occHeld, &x.fails,
 		&x.oks, &x.credit)
--- a/policy/state.go
+++ b/policy/state.go
@@ -104,6 +104,7 @@
 	state   State
 	listed  bool
 	started time.Duration
+	back    time.Duration // from maintenance
 
 	held    float64       // s: own slots held
 	tries   int           // own attempts out
@@ -252,13 +253,13 @@
 		w.weight = e.Weight
 	}
 	w.state, w.listed = e.State, e.State != Gone
-	if w.started != e.Started {
+	if w.started != e.Started || w.back != e.Back {
 		// A process that started anew has no queue, no past and, maybe, little capacity.
-		w.started = e.Started
+		w.started, w.back = e.Started, e.Back
 		w.slowSum, w.slowN, w.fails, w.oks = 0, 0, 0, 0
 		w.shutFor, w.shutUntil, w.occSeen = 0, 0, false
 		w.awayFor, w.awayUntil = 0, 0
-		w.lostAt = 0
+		w.lostAt = e.Back
 		d.cool(w, now)
 	}
 }
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -46,7 +46,8 @@
 	name    string
 	address string
 	since   time.Duration
-	listed  bool // as serving or draining: a process that may hold jobs
+	back    time.Duration // from maintenance
+	listed  bool          // as serving or draining: a process that may hold jobs
 	serving bool
 	idle    []*conn // last used last
 }
@@ -88,11 +89,12 @@
 			p.gone(pr)
 			continue
 		}
-		if pr.address != e.Address || pr.since != e.Since() {
+		if pr.address != e.Address || pr.since != e.Since() || pr.back != e.Back {
 			// Connections to a process that is no more would only break under the next job.
 			p.drain(pr)
 		}
-		pr.address, pr.since, pr.serving, pr.listed = e.Address, e.Since(), e.Status == directory.Serving, true
+		pr.address, pr.since, pr.back = e.Address, e.Since(), e.Back
+		pr.serving, pr.listed = e.Status == directory.Serving, true
 	}
 	if whole {
 		for name, pr := range p.providers {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -18,6 +18,7 @@
 type Config struct {
 	Name      string
 	Listen    string // where consumers and call-backs come in
+	Admin     string // where the operators' calls come in; empty: nowhere
 	Discovery string
 	Limits    Limits
 	Known     directory.List // the providers as they were last known; may be old
@@ -40,7 +41,7 @@
 // places is how many accepted connections there may be. Each may hold a message of full size, and all of them
 // together no more than half of the memory, after what the operator's features take.
 func (c *Config) places() int {
-	n := (c.Limits.Sockets - c.Operator.descriptors()) * 5 / 8
+	n := (c.Limits.Sockets - c.descriptors()) * 5 / 8
 	if mb := c.Limits.MemoryMB; mb > 0 {
 		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+c.Operator.connBytes()))
 	}
@@ -48,7 +49,19 @@
 }
 
 // calls is how many connections to providers there may be.
-func (c *Config) calls() int { return (c.Limits.Sockets - c.Operator.descriptors()) / 4 }
+func (c *Config) calls() int { return (c.Limits.Sockets - c.descriptors()) / 4 }
+
+// descriptors is what is taken off the limit before the port of jobs has its part.
+func (c *Config) descriptors() int {
+	n := c.Operator.descriptors()
+	if c.Admin != "" {
+		n += 1 + c.callers()
+	}
+	return n
+}
+
+// callers is how many connections there may be to the operators' address.
+func (c *Config) callers() int { return max(4, c.Limits.Sockets/32) }
 
 // Load reads a configuration file.
 func Load(path string) (Config, error) {
@@ -64,6 +77,7 @@
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Admin     string          `json:"admin"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -77,7 +91,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: seed %q is not a number of 16 hex digits", file.Seed)
 	}
-	cfg := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
+	cfg := Config{Name: file.Name, Listen: file.Listen, Admin: file.Admin, Discovery: file.Discovery, Limits: file.Limits,
 		Known: file.Known}
 	if cfg.Limits.Sockets == 0 {
 		cfg.Limits.Sockets = usualSockets
@@ -95,6 +109,14 @@
 			return err
 		}
 	}
+	if c.Admin != "" {
+		if err := checkAddress("admin", c.Admin); err != nil {
+			return err
+		}
+		if c.Admin == c.Listen {
+			return errors.New("config: admin is the same address as listen")
+		}
+	}
 	if c.Limits.Sockets < fewSockets {
 		return fmt.Errorf("config: limits.sockets is under %d", fewSockets)
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -51,6 +51,12 @@
 
 // newRig starts a scheduler with the operator's file in text, on the example configuration.
 func newRig(t *testing.T, text string, log io.Writer) *rig {
+	t.Helper()
+	return startRig(t, text, log, func(*Config) {})
+}
+
+// startRig is newRig with a change to the configuration.
+func startRig(t *testing.T, text string, log io.Writer, change func(*Config)) *rig {
 	t.Helper()
 	cfg, err := Parse([]byte(config))
 	if err != nil {
@@ -71,6 +77,7 @@
 		}
 	}
 	cfg.Operator.Stderr = log
+	change(&cfg)
 	r.cfg = cfg
 	if r.sched, err = New(cfg, slog.New(slog.NewTextHandler(log, nil))); err != nil {
 		t.Fatal(err)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,10 +14,12 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laddertide/capture"
 	"laddertide/consumer"
+	"laddertide/core/maintenance"
 	"laddertide/core/pace"
 	"laddertide/decide"
 	"laddertide/directory"
@@ -49,6 +51,11 @@
 	watching context.Context // set once serving; its end ends all watches
 	current  *watch          // the one that the list comes from
 	next     *watch          // the one that takes over with its first list
+
+	// list is what discovery and the operators have said, under mu; index is discovery's last.
+	list  maintenance.List[directory.Entry]
+	index uint64
+	ready atomic.Bool
 }
 
 // watch is a directory that is followed.
@@ -159,8 +166,36 @@
 	return s.capture.Dump(write)
 }
 
-// deliver hands a list to the two that need it. The pool comes first: what is drawn must be known there.
+// deliver takes discovery's word. Called under mu, but by New.
 func (s *Scheduler) deliver(kind policy.ListKind, list directory.List) {
+	s.index = list.Index
+	names := make([]string, len(list.Entries))
+	for i := range list.Entries {
+		e := &list.Entries[i]
+		names[i] = e.Name
+		*e = effective(s.list.Hear(e.Name, *e, e.Status == directory.Deleted))
+	}
+	if kind != policy.ListDelta {
+		s.list.Only(names)
+	}
+	s.tell(kind, list)
+}
+
+// effective is what the pool and the module hear of a provider: one that is taken out drains, whatever discovery says.
+func effective(p maintenance.Provider[directory.Entry]) directory.Entry {
+	e := p.Entry
+	e.Name, e.Back = p.Name, p.Back
+	switch {
+	case p.Gone:
+		e.Status = directory.Deleted
+	case p.Out:
+		e.Status = directory.Draining
+	}
+	return e
+}
+
+// tell hands a list to the two that need it. The pool comes first: what is drawn must be known there.
+func (s *Scheduler) tell(kind policy.ListKind, list directory.List) {
 	entries := make([]policy.Entry, len(list.Entries))
 	names := make([]string, len(list.Entries))
 	for i := range list.Entries {
@@ -175,7 +210,7 @@
 		}
 		entries[i] = policy.Entry{
 			State: state, Kind: place(s.cfg.Settings.KindNames, e.Type), Zone: place(s.cfg.Settings.ZoneNames, e.Zone),
-			Cell: e.Group, Weight: e.Weight, Started: e.Since(),
+			Cell: e.Group, Weight: e.Weight, Started: e.Since(), Back: e.Back,
 		}
 	}
 	s.pool.Directory(list.Entries, kind != policy.ListDelta)
@@ -222,6 +257,14 @@
 	if err != nil {
 		return fmt.Errorf("scheduler: %w", err)
 	}
+	if s.cfg.Admin != "" {
+		calls, err := s.serveAdmin(ctx)
+		if err != nil {
+			ln.Close()
+			return err
+		}
+		defer calls.Close()
+	}
 	listeners := []net.Listener{ln}
 	var secure *tlsport.Listener
 	if set := s.cfg.Operator.TLS; set != nil {
@@ -245,6 +288,7 @@
 	}
 	began := time.Now()
 	go s.summarise(watching)
+	s.ready.Store(true)
 	if err := server.Serve(ctx, listeners...); err != nil {
 		return fmt.Errorf("scheduler: %w", err)
 	}
--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -493,6 +493,8 @@
 		return "Request Timeout"
 	case 413:
 		return "Content Too Large"
+	case 431:
+		return "Request Header Fields Too Large"
 	case 500:
 		return "Internal Server Error"
 	case 502:
