--- a/capture/capture.go
+++ b/capture/capture.go
@@ -151,6 +151,12 @@
 		return
 	}
 	r.w.providers = s.Providers()
+	if s.Input == decide.Anew {
+		r.of = s.Settings()
+		r.of.Seed = 0
+		r.begin(s)
+		return
+	}
 	if s.Input == decide.List && s.List != policy.ListFailed {
 		r.w.index = s.Index
 	}
--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -101,6 +101,7 @@
 			return err
 		}
 	}
+	cfg.Dir = os.Getenv("TMPDIR")
 	if command == "check" {
 		if err := cfg.Check(); err != nil {
 			return err
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -75,8 +75,14 @@
 	if head.Method == "HEAD" {
 		a.body = nil // a consumer would read it as the start of the next answer
 	}
+	return s.respond(c, a, head.Close)
+}
+
+// respond gives the answer to the message in hand. last says that the connection ends with it. It tells whether the
+// connection can go on.
+func (s *Server) respond(c *conn, a answer, last bool) bool {
 	s.mu.Lock()
-	a.last = a.last || head.Close || s.ending || c.woken
+	a.last = a.last || last || s.ending || c.woken
 	s.mu.Unlock()
 	if !s.write(c, a) {
 		return false
@@ -133,7 +139,24 @@
 		s.Log.Debug("unusable request", "from", c.RemoteAddr(), "why", why)
 		return text(400, why), true
 	}
-	return s.word(s.carry(j, c))
+	return s.answerTo(j, c, head.Close)
+}
+
+// answerTo is the answer to a job. It reports false if there is nobody left to answer, or another process does.
+func (s *Server) answerTo(j *job.Job, c *conn, last bool) (answer, bool) {
+	taken := time.Now()
+	out := s.carry(j, c)
+	for out.Kind == job.Moved {
+		on := *j
+		on.Left -= time.Since(taken)
+		if s.passJob(c, &on, out.Past, last) {
+			return answer{}, false
+		}
+		on.Keeper = job.Inherit(out.Past, func() {})
+		j, taken = &on, time.Now()
+		out = s.carry(j, c)
+	}
+	return s.word(out)
 }
 
 // word makes an outcome an answer. It reports false if there is nobody left to answer.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -27,11 +27,19 @@
 	Log      *slog.Logger
 	Conns    int           // connections that may be open at once
 	Grace    time.Duration // from the word to stop until all answers must be out
+	Held     int           // of the places, those that an earlier process still holds connections on; see Adopt and Released
+
+	// Successor hands over to the process that stands by, at the word to stop: from then on jobs are Moved. held is how
+	// many places are taken. Nil, or a nil Heir: there is no such process.
+	Successor func(held int) Heir
 
 	// Status describes a job to its tenant, or says that there is none. Nil: nobody can ask.
 	Status func(id, tenant string) (description []byte, ok bool)
 
+	once    sync.Once
 	mu      sync.Mutex
+	heir    Heir          // takes all that is between messages, and jobs
+	moving  chan struct{} // closed once heir is set, or it is known that there is none
 	conns   map[*conn]struct{}
 	leaving int           // of them, those that were told to make room
 	room    chan struct{} // a place for each connection
@@ -53,6 +61,11 @@
 	told   int       // messages that it has carried
 	events bool      // one of them was a call-back
 	woken  bool      // it has been told to make room
+
+	// Its goroutine's own.
+	placeless bool // it came from another process that had told of fewer
+	broken    bool // it cannot be read any more
+	passed    bool // another process has it
 }
 
 // stage is what a connection is doing.
@@ -84,9 +97,7 @@
 // Serve accepts connections until ctx ends, then until all that was taken is answered. The listeners share all that
 // bounds a server.
 func (s *Server) Serve(ctx context.Context, listeners ...net.Listener) error {
-	s.conns = make(map[*conn]struct{})
-	s.room = make(chan struct{}, max(1, s.Conns))
-	s.quiet = sync.NewCond(&s.mu)
+	s.once.Do(s.prepare)
 	accepting := make(chan error, len(listeners))
 	for _, ln := range listeners {
 		go func() { accepting <- s.accept(ln) }()
@@ -105,6 +116,17 @@
 	return nil
 }
 
+func (s *Server) prepare() {
+	s.conns = make(map[*conn]struct{})
+	s.room = make(chan struct{}, max(1, s.Conns))
+	s.quiet = sync.NewCond(&s.mu)
+	s.moving = make(chan struct{})
+	s.Held = min(s.Held, cap(s.room))
+	for range s.Held {
+		s.room <- struct{}{}
+	}
+}
+
 // drain returns once nothing is owed to anyone any more.
 func (s *Server) drain(listeners []net.Listener) {
 	end := time.Now().Add(s.Grace)
@@ -114,6 +136,13 @@
 	// The front needs a moment to notice: new connections and requests keep coming, and are served as always.
 	// Connections that stayed open longer would bring jobs that cannot end in time.
 	s.Stopping(end)
+	if s.Successor != nil {
+		if heir := s.Successor(len(s.room)); heir != nil {
+			s.handOver(heir, listeners)
+			return
+		}
+	}
+	close(s.moving)
 	timer := time.NewTimer(min(newcomers, s.Grace))
 	<-timer.C
 	s.mu.Lock()
@@ -182,7 +211,7 @@
 		if crowded {
 			s.makeRoom() // ahead of need: it takes a moment, and a crowd comes faster than that
 		}
-		go s.serve(c)
+		go s.serve(c, nil, false)
 	}
 }
 
@@ -253,7 +282,8 @@
 }
 
 // serve is the goroutine of one connection.
-func (s *Server) serve(c *conn) {
+// If it comes from another process, j is the job that was taken on it there, if any, and last says that it ends with that.
+func (s *Server) serve(c *conn, j *job.Job, last bool) {
 	defer func() {
 		// Whatever goes wrong with one request must not end the others.
 		if r := recover(); r != nil {
@@ -267,12 +297,24 @@
 		if c.woken {
 			s.leaving--
 		}
+		s.quiet.Broadcast()
 		s.mu.Unlock()
-		<-s.room
+		if !c.placeless {
+			<-s.room
+		}
 	}()
 	if g, ok := c.Conn.(greeter); ok && !s.greet(c, g) {
 		return
 	}
+	if j != nil {
+		s.enter(c, working)
+		a, ok := s.answerTo(j, c, last)
+		if !ok || !s.respond(c, a, last) {
+			s.part(c)
+			return
+		}
+		s.enter(c, idle)
+	}
 	for s.await(c) {
 		if !s.message(c) {
 			s.part(c)
@@ -280,6 +322,7 @@
 		}
 		s.enter(c, idle)
 	}
+	s.pass(c)
 }
 
 // greeter is a connection that makes a handshake before its first message.
@@ -334,12 +377,16 @@
 	case s.ending:
 		limit = time.Now()
 	}
-	if c.woken {
+	if c.woken || s.heir != nil {
 		limit = time.Now()
 	}
 	c.SetReadDeadline(limit)
 	s.mu.Unlock()
 	_, err := c.br.Peek(1)
+	c.broken = err != nil && !isTimeout(err)
+	if s.succeeded() && !c.broken {
+		return false
+	}
 	if err != nil && isTimeout(err) {
 		// Woken to close. A request that crosses with that is still taken if it is here by now.
 		c.SetReadDeadline(time.Now().Add(lastLook))
@@ -365,6 +412,9 @@
 // part lets the peer take the last answer before the connection closes. To close with bytes unread resets it,
 // and a reset can overtake the answer; so what still comes is read for a moment and dropped.
 func (s *Server) part(c *conn) {
+	if c.passed {
+		return
+	}
 	s.enter(c, parting)
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,6 +187,37 @@
 	d.step(Step{Input: List, Now: d.now(), List: kind, Index: index, Entries: entries, Names: names})
 }
 
+// Beliefs are the module's state, and the providers' names by its numbers for them, for a desk that goes on from here.
+func (d *Desk) Beliefs() (names []string, state []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.names...), d.disp.Checkpoint(nil)
+}
+
+// Inherit lets the module go on from what another desk's believed. It is an error, and changes nothing, if the state is
+// of other settings, or if a job has been taken already. The list of providers must be told again.
+func (d *Desk) Inherit(names []string, state []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next > 0 {
+		return errors.New("decide: there are jobs already")
+	}
+	disp, err := policy.Inherit(d.set, state, len(names))
+	if err != nil {
+		return err
+	}
+	ids := make(map[string]policy.WorkerID, len(names))
+	for i, name := range names {
+		ids[name] = policy.WorkerID(i)
+	}
+	if len(ids) != len(names) {
+		return errors.New("decide: two providers have one name")
+	}
+	d.disp, d.names, d.ids = disp, names, ids
+	d.step(Step{Input: Anew, Now: d.now()})
+	return nil
+}
+
 // Stop tells that the program ends at by. Every job has its final verdict by then.
 func (d *Desk) Stop(by time.Time) {
 	d.mu.Lock()
@@ -414,6 +445,15 @@
 	t.desk.gone(t)
 }
 
+// Release is Leave for a job that nothing is out for. One that has a call is released by whoever makes that.
+func (t *Ticket) Release() {
+	t.desk.mu.Lock()
+	defer t.desk.mu.Unlock()
+	if !t.out {
+		t.desk.gone(t)
+	}
+}
+
 func (d *Desk) gone(t *Ticket) {
 	if t.final {
 		return
--- a/decide/observe.go
+++ b/decide/observe.go
@@ -65,6 +65,7 @@
 	Timer
 	Stop
 	Resume
+	Anew // the module is another one, or has other settings: what follows goes on from its state now
 )
 
 // Step is one call of the module: what goes in, and once it has returned, what the module wants done.
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -27,7 +27,8 @@
 		return job.Outcome{Kind: job.Mistaken, Why: err.Error()}
 	}
 	defer h.Pool.Free(j.ID)
-	ticket, lease := h.enter(j)
+	var made past
+	ticket, lease := h.enter(j, &made)
 	calling := false
 	defer func() {
 		if r := recover(); r != nil {
@@ -45,14 +46,26 @@
 	}()
 	stop := context.AfterFunc(ctx, ticket.Leave)
 	defer stop()
+	// Jobs that go on in another process leave this desk as though their consumers had left.
+	leaving := h.Pool.Leaving()
+	stay := context.AfterFunc(leaving, ticket.Release)
+	defer stay()
 	var result []byte
 	began := time.Now()
 	for {
 		v := ticket.Pick()
+		if v.Kind == decide.Left && ctx.Err() == nil && leaving.Err() != nil {
+			return job.Outcome{Kind: job.Moved, Past: made.list()}
+		}
 		if v.Kind != decide.Call && v.Kind != decide.Await {
 			h.Log.Debug("job over", "id", j.ID, "class", j.Class, "verdict", v.Kind, "took", time.Since(began))
 			return outcome(v, result)
 		}
+		if v.Kind == decide.Call && leaving.Err() != nil {
+			ticket.Leave()
+			ticket.Report(decide.NotSent)
+			continue
+		}
 		if j.Keeper != nil && v.Kind == decide.Call {
 			var err error
 			if lease, err = j.Keeper.Sending(v.Provider); err != nil {
@@ -65,22 +78,37 @@
 		sent := time.Now()
 		calling = true
 		if v.Kind == decide.Call {
-			end, result = h.Pool.Invoke(j, lease, v, ticket.Hear)
+			made.sending(v.Provider)
+			end, result = h.Pool.Invoke(j, lease, v, made.hear(ticket.Hear))
 		} else {
-			end, result = h.Pool.Await(j, lease, v, ticket.Hear)
+			end, result = h.Pool.Await(j, lease, v, made.hear(ticket.Hear))
 		}
 		calling = false
+		switch end {
+		case provider.Moved:
+			ticket.Leave()
+			ticket.Report(decide.Withdrawn)
+			continue
+		case provider.Unsent:
+			made.unsent()
+			ticket.Leave()
+			ticket.Report(decide.NotSent)
+			continue
+		}
+		made.over(end)
 		h.Log.Debug("call over", "id", j.ID, "provider", v.Provider, "end", end, "took", time.Since(sent))
 		if j.Keeper != nil && end != decide.Served {
 			j.Keeper.Over(lease, end.Proves())
 		}
-		ticket.Report(end)
+		if ticket.Report(end); leaving.Err() != nil {
+			ticket.Release()
+		}
 	}
 }
 
 // enter hands a job to the desk: as a new one, or as what an earlier process has made of it. lease is that of the call
 // which is out then.
-func (h *Handler) enter(j *job.Job) (ticket *decide.Ticket, lease uint64) {
+func (h *Handler) enter(j *job.Job, made *past) (ticket *decide.Ticket, lease uint64) {
 	facts := decide.Job{
 		Class: j.Class, Tenant: j.Tenant, Left: j.Left, Hint: j.Hint, Slots: j.Slots,
 		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
@@ -92,6 +120,7 @@
 	if !resumed {
 		return h.Desk.Take(facts), 0
 	}
+	made.carryOver(before)
 	past := make([]decide.Past, len(before))
 	for i, p := range before {
 		past[i] = decide.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
--- a/job/job.go
+++ b/job/job.go
@@ -53,10 +53,11 @@
 	Gone                 // nobody is left to answer
 	Mistaken             // the job itself is wrong, and it never ran; Why says what is wrong
 	Conflict             // its id is that of another job; nothing is said of that one
+	Moved                // it goes on in another process, with Past; there is no answer here
 )
 
 var kindNames = [...]string{Failed: "failed", Served: "served", Rejected: "rejected", Gone: "gone", Mistaken: "mistaken",
-	Conflict: "conflict"}
+	Conflict: "conflict", Moved: "moved"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -66,6 +67,7 @@
 	Result     []byte        // of Served
 	RetryAfter time.Duration // of Rejected: how long to stay away; 0: not told. Of Failed: it goes on, ask again then
 	Why        string        // of Mistaken, in words for the consumer
+	Past       []Past        // of Moved: the calls that were made
 	Written    func()        // is to be called once the whole answer has been written; nil: nobody asks
 }
 
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -36,6 +36,28 @@
 	return d, w.err
 }
 
+// Inherit returns a Dispatcher that believes what the one of a checkpoint did, and has none of its requests: another host
+// goes on with them, and hands them over by Resume. Workers' ids must be below ids.
+func Inherit(s Settings, checkpoint []byte, ids int) (*Dispatcher, error) {
+	d, err := Restore(s, checkpoint)
+	if err != nil {
+		return nil, err
+	}
+	clear(d.requests)
+	d.open, d.stopBy, d.dirty = nil, 0, true
+	for i := range d.workers {
+		w := &d.workers[i]
+		if w.id >= WorkerID(ids) {
+			return nil, errors.New("checkpoint: has a worker that nobody is called by")
+		}
+		w.held, w.tries, w.waiting, w.occHeld = 0, 0, 0, 0
+	}
+	for i := range d.pools {
+		d.pools[i].held, d.pools[i].parked = 0, nil
+	}
+	return d, nil
+}
+
 // Holder is the worker that an attempt was sent to, while its request is open.
 func (d *Dispatcher) Holder(id RequestID, number int) (WorkerID, bool) {
 	r := d.requests[id]
--- a/provider/call.go
+++ b/provider/call.go
@@ -44,18 +44,19 @@
 	mu     sync.Mutex
 	conn   *conn // while its acknowledgement is awaited
 	over   bool
+	moved  bool // it goes on in another process
 	end    decide.End
 	result []byte
 	ended  chan struct{}
 }
 
 // take takes a call-back while the call is out; only the first one that ends it counts. What it says is heard before
-// it is acknowledged, and nothing is heard of a call that is over.
-func (c *call) take(ev Event) {
+// it is acknowledged, and nothing is heard of a call that is over. It reports false if the call is another process's now.
+func (c *call) take(ev Event) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.over {
-		return
+		return !c.moved
 	}
 	switch ev.State {
 	case Started:
@@ -63,13 +64,13 @@
 			c.keeper.Begun(c.lease)
 		}
 		c.hear(decide.News{Kind: decide.Begun})
-		return
+		return true
 	case Running:
 		if c.keeper != nil {
 			c.keeper.Beat(c.lease)
 		}
 		c.hear(decide.News{Kind: decide.Progressed, Share: ev.Share})
-		return
+		return true
 	}
 	c.over, c.end, c.result = true, ends[ev.State], ev.Result
 	c.hear(decide.News{Kind: decide.Ending, End: c.end})
@@ -78,6 +79,7 @@
 		// The acknowledgement must be on its way: wait for it a moment longer, to keep the connection.
 		c.conn.SetReadDeadline(time.Now().Add(ackGrace))
 	}
+	return true
 }
 
 const (
@@ -121,24 +123,31 @@
 // from the provider that holds the job now has any effect, and if it names a lease, it must be the call's. An error
 // means that the call-back should come again.
 func (p *Pool) Event(ev Event) error {
+	if claimed, err := p.claim(ev); claimed || err != nil {
+		return err
+	}
+	if p.Unclaimed != nil {
+		return p.Unclaimed(ev)
+	}
+	return nil
+}
+
+// claim takes a call-back if it belongs to a call that is out here.
+func (p *Pool) claim(ev Event) (claimed bool, err error) {
 	p.mu.Lock()
 	c := p.calls[ev.ID]
 	p.mu.Unlock()
 	if c == nil || c.provider != ev.From || ev.Lease != 0 && ev.Lease != c.lease {
-		if p.Unclaimed != nil {
-			return p.Unclaimed(ev)
-		}
-		return nil
+		return false, nil
 	}
 	if ev.State == Done && c.keeper != nil {
 		if err := c.keeper.Done(c.lease, ev.Result); err != nil {
 			// The consumer has no time to wait for what keeps the disk; the provider has.
 			c.take(ev)
-			return job.ErrLater
+			return true, job.ErrLater
 		}
 	}
-	c.take(ev)
-	return nil
+	return c.take(ev), nil
 }
 
 // Expire ends the wait for a call whose lease has run out: the job is given up there, as far as that can be told.
@@ -185,6 +194,11 @@
 		p.release(conn)
 		return decide.NotConnected, nil
 	}
+	if p.move.ctx.Err() != nil {
+		p.mu.Unlock()
+		p.discard(conn)
+		return Unsent, nil
+	}
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
 	defer p.close(j, c)
@@ -296,6 +310,11 @@
 	end := decide.TimedOut
 	elsewhere := false
 	select {
+	case <-p.Leaving().Done():
+		if p.leave(j, c) {
+			return Moved, nil
+		}
+		return c.end, c.result
 	case <-c.ended:
 		return c.end, c.result
 	case <-v.Context.Done():
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -40,6 +40,8 @@
 
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
 	brokeAt  time.Time     // the last of them
+
+	move leaving
 }
 
 type provider struct {
@@ -65,8 +67,11 @@
 
 // NewPool returns a Pool without providers.
 func NewPool(limits Limits, log *slog.Logger) *Pool {
-	return &Pool{limits: limits, log: log,
+	p := &Pool{limits: limits, log: log,
 		providers: make(map[string]*provider), calls: make(map[string]*call)}
+	p.move.transit = make(map[string]chan struct{})
+	p.Retain()
+	return p
 }
 
 // Directory takes news of the providers; whole says that those absent have left.
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -38,34 +38,47 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.cfg.Known.Entries) == 0 && s.current == nil {
+	if len(s.list.All()) == 0 && s.current == nil {
 		return errors.New("no list of providers yet")
 	}
 	return nil
 }
 
 // takeOut bans a provider. Once it returns, no job is sent there any more.
-func (s *Scheduler) takeOut(name string) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p, known := s.list.TakeOut(name)
-	return s.byHand("provider taken out by hand", p, known)
-}
+func (s *Scheduler) takeOut(name string) error { return s.byHand("disable", name) }
 
 // putBack ends a provider's ban.
-func (s *Scheduler) putBack(name string) error {
+func (s *Scheduler) putBack(name string) error { return s.byHand("enable", name) }
+
+// byHand lets an operator's word on a provider count in the process that serves, and in the one that stands by.
+func (s *Scheduler) byHand(verb, name string) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	p, known := s.list.PutBack(name, time.Duration(time.Now().UnixNano()))
-	return s.byHand("provider put back by hand", p, known)
+	if owner := s.owner(); owner != nil {
+		s.mu.Unlock()
+		return s.passCall(owner, verb, name)
+	}
+	err := s.ownHand(verb, name)
+	heir, roster := s.heir, s.roster()
+	s.mu.Unlock()
+	if err == nil && heir != nil {
+		s.tellHeir(heir, roster)
+	}
+	return err
 }
 
-// byHand makes what an operator has said of a provider count. Called under mu.
-func (s *Scheduler) byHand(what string, p maintenance.Provider[directory.Entry], known bool) error {
+// ownHand makes an operator's word on a provider count here. Called under mu.
+func (s *Scheduler) ownHand(verb, name string) error {
+	var p maintenance.Provider[directory.Entry]
+	var known bool
+	if verb == "disable" {
+		p, known = s.list.TakeOut(name)
+	} else {
+		p, known = s.list.PutBack(name, time.Duration(time.Now().UnixNano()))
+	}
 	if !known {
 		return admin.ErrUnknown
 	}
-	s.log.Info(what, "provider", p.Name, "listed", !p.Gone)
+	s.log.Info(map[bool]string{true: "provider is out by hand", false: "provider may serve"}[p.Out], "provider", p.Name, "listed", !p.Gone)
 	if !p.Gone {
 		s.tell(policy.ListDelta, directory.List{Index: s.index, Entries: []directory.Entry{effective(p)}})
 	}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -21,6 +21,7 @@
 	Admin     string // where the operators' calls come in; empty: nowhere
 	Discovery string
 	Limits    Limits
+	Dir       string         // folder that this process has in common with the one that it follows; empty: there is none
 	Known     directory.List // the providers as they were last known; may be old
 	Settings  policy.Settings
 	Operator  Operator // features that the operator has turned on
@@ -57,9 +58,22 @@
 	if c.Admin != "" {
 		n += 1 + c.callers()
 	}
+	if c.handsOver() {
+		n += 2 + standbyDescriptors + 1 + c.callers() // the place and the other process; and all that this one has
+	}
 	return n
 }
 
+// standbyDescriptors are those of a process that stands by, but for its operators' address: standard streams, the
+// runtime's, the door, the older process, and a few while it starts.
+const standbyDescriptors = 12
+
+// handsOver tells whether this process can be followed by another one while it serves, and follow one itself. A ledger
+// has one owner, and no TLS session can be passed on.
+func (c *Config) handsOver() bool {
+	return c.Admin != "" && c.Dir != "" && c.Operator.Durable == nil && c.Operator.TLS == nil
+}
+
 // callers is how many connections there may be to the operators' address.
 func (c *Config) callers() int { return max(4, c.Limits.Sockets/32) }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,6 +56,8 @@
 	list  maintenance.List[directory.Entry]
 	index uint64
 	ready atomic.Bool
+
+	succession
 }
 
 // watch is a directory that is followed.
@@ -227,7 +229,7 @@
 
 // Serve runs the scheduler until ctx ends and all that was taken is answered.
 func (s *Scheduler) Serve(ctx context.Context) error {
-	s.limit()
+	s.limit(whole)
 	s.startObservers()
 	defer s.closeObservers()
 	jobs, err := s.chain()
@@ -240,9 +242,25 @@
 	// by the same rules.
 	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	if s.cfg.Admin != "" {
+		calls, err := s.serveAdmin(ctx)
+		if err != nil {
+			return err
+		}
+		defer calls.Close()
+	}
+	ln, before, err := s.door(ctx)
+	if err != nil {
+		return err
+	}
+	if ln == nil { // told to stop before its turn
+		s.log.Info("stopped", "name", s.cfg.Name)
+		return nil
+	}
+	defer ln.Close()
 	s.mu.Lock()
 	s.watching = watching
-	s.follow(s.cfg.Discovery, s.cfg.Known.Index, false)
+	s.follow(s.cfg.Discovery, s.index, false)
 	s.mu.Unlock()
 	stopping := s.desk.Stop
 	if s.durable != nil {
@@ -253,23 +271,10 @@
 		}
 		stopping = func(by time.Time) { s.desk.Stop(by); s.durable.Stop(by) }
 	}
-	ln, err := net.Listen("tcp", s.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("scheduler: %w", err)
-	}
-	if s.cfg.Admin != "" {
-		calls, err := s.serveAdmin(ctx)
-		if err != nil {
-			ln.Close()
-			return err
-		}
-		defer calls.Close()
-	}
 	listeners := []net.Listener{ln}
 	var secure *tlsport.Listener
 	if set := s.cfg.Operator.TLS; set != nil {
 		if secure, err = tlsport.Listen(*set, s.cfg.Listen, s.log); err != nil {
-			ln.Close()
 			return fmt.Errorf("scheduler: tls: %w", err)
 		}
 		listeners = append(listeners, secure)
@@ -288,7 +293,7 @@
 	}
 	began := time.Now()
 	go s.summarise(watching)
-	s.ready.Store(true)
+	s.open(server, ln, before)
 	if err := server.Serve(ctx, listeners...); err != nil {
 		return fmt.Errorf("scheduler: %w", err)
 	}
@@ -405,11 +410,11 @@
 
 // limit keeps the runtime within the machine's limits. The collector starts to work harder well before
 // the memory limit, at which the scheduler would be killed.
-func (s *Scheduler) limit() {
+func (s *Scheduler) limit(part float64) {
 	if c := s.cfg.Limits.Cores; c > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c))))
 	}
 	if mb := s.cfg.Limits.MemoryMB; mb > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+		debug.SetMemoryLimit(int64(mb * 0.6 * part * (1 << 20)))
 	}
 }
--- /dev/null
+++ b/wire/handover/handover_test.go
@@ -0,0 +1,92 @@
+package handover
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"laddertide/internal/pin"
+)
+
+func TestMain(m *testing.M) { pin.Run(m) }
+
+var samples = []Message{
+	&Hello{Version: Version, Name: "n3", Listen: "127.0.0.1:9000"},
+	&Welcome{Version: Version, Roster: roster},
+	&Refusal{Version: Version, Why: "not now", Later: true},
+	&News{Number: 7, Roster: roster},
+	&Reread{Number: 8},
+	&Call{Number: 9, Verb: "disable", ID: "s-1"},
+	&Event{Number: 10, ID: "j", From: "s-1", Lease: 3, State: 2, Share: -1, Result: []byte("r\x00\xff")},
+	&Reply{Number: 10, Code: Elsewhere, Why: "moved"},
+	&Takeover{Roster: roster, Names: []string{"s-1", ""}, Beliefs: []byte{1, 2, 3}, Conns: 200, Calls: 3},
+	&Conn{Told: 4, Events: true, Ahead: []byte("POST ")},
+	&Job{Number: 11, Conn: Conn{Told: 1}, Last: true, ID: "j", Party: "p\xe9", Subject: "/x\xff", Protocol: "HTTP/1.1",
+		Class:    Class{Name: "settle", Aim: 1, Deadline: 2, Window: 3, Stretch: 2, Worth: 8, Effect: 1, Kind: -1},
+		Deadline: 5, Left: 4, Hint: 3, Slots: 1.5, Payload: []byte{0}, Fields: []Field{{"Host", "h"}},
+		Past: []Past{{Provider: "s-1", Ago: 1, Begun: true, Out: true}}},
+}
+
+var roster = Roster{Index: 41, Providers: []Provider{{Name: "s-1", Address: "127.0.0.1:1", Zone: "a", Type: "t",
+	Status: "SERVING", Group: -1, Weight: 2, SinceMS: 1.5e12, Gone: true, Out: true, Back: 5}, {}}}
+
+// What is written is read as it was, and cut anywhere it is an error.
+func TestThereAndBack(t *testing.T) {
+	for _, m := range samples {
+		b := Append(nil, m)
+		got, err := Parse(b)
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%+v, %v; want %+v", got, err, m)
+		}
+		for n := range b {
+			if got, err := Parse(b[:n]); err == nil {
+				t.Errorf("cut at %d of %d: %+v", n, len(b), got)
+			}
+		}
+		if _, err := Parse(append(b, 0)); err == nil {
+			t.Errorf("%T with a byte after its end is taken", m)
+		}
+	}
+}
+
+// Of another version the version is read, and nothing else.
+func TestAnotherVersion(t *testing.T) {
+	for _, m := range []Message{&Hello{Version: Version + 1}, &Welcome{Version: Version + 1}, &Refusal{Version: 0}} {
+		b := append(Append(nil, m)[:2], "what that version has"...)
+		if got, err := Parse(b); err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%+v, %v", got, err)
+		}
+	}
+}
+
+func TestAnyJob(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := rapid.Make[Job]().Draw(t, "job")
+		b := Append(nil, &m)
+		got, err := Parse(b)
+		if err != nil { // numbers that a message cannot hold
+			return
+		}
+		if again := Append(nil, got); !bytes.Equal(b, again) {
+			t.Fatalf("%q, then %q", b, again)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, m := range samples {
+		f.Add(Append(nil, m))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Parse(b)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Append(nil, m))
+		if err != nil || !reflect.DeepEqual(m, again) {
+			t.Fatalf("%+v, then %+v, %v", m, again, err)
+		}
+	})
+}
