policy: a worker back from maintenance gets one job; tests of upgrades

News of its start, which the list tells seconds later, began its budget in debt anew.

Change: until its first job after the return its target is one (split.go); a start before the return changes nothing else (state.go).

--- /dev/null
+++ b/policy/maintenance_test.go
@@ -0,0 +1,104 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A worker that is back from maintenance is cold from then on, whatever its listed start, and gets one job soon even
+// where (10) leaves it empty: it was left unused for more than 10 s at half load. News of a start before the return does
+// not begin its budget anew.
+func TestBackFromMaintenance(t *testing.T) {
+	d := newTest(t, func(s *Settings) { s.Balancers, s.Report = 2, nil })
+	now := time.Hour
+	list := fleet(12)
+	for i := range list {
+		list[i].Kind = 0
+	}
+	d.List(now, ListFull, list, nil)
+	d.arrived, d.seen = 5, 5
+	d.resolve(now)
+	const out = 1 // of the other zone
+	e := list[out]
+	e.State = Draining
+	d.List(now, ListDelta, []Entry{e}, nil)
+	now += 10 * time.Second
+	e.State, e.Back = Ready, now
+	d.List(now, ListDelta, []Entry{e}, nil)
+	w := &d.workers[out]
+	if got := d.warmth(w, now); got != d.set.ColdFrom {
+		t.Fatalf("warmth %v on its return, want %v", got, d.set.ColdFrom)
+	}
+	d.resolve(now)
+	if w.xi > 0 {
+		t.Fatalf("(10) gives it %v: the case is none", w.xi)
+	}
+	id, got := RequestID(0), 0
+	for until := now + 5*time.Second; now < until; now += 100 * time.Millisecond {
+		id++
+		for _, a := range sends(d.Request(now, job(id, 0), nil)) {
+			if a.Worker == e.ID {
+				got++
+			}
+			d.Outcome(now, Outcome{Request: id, Worker: a.Worker, Status: OK, Closed: true, Elapsed: time.Millisecond}, nil)
+		}
+		if got == 1 && w.started == list[out].Started {
+			e.Started = e.Back - time.Second // told late
+			credit, warm := w.credit, d.warmth(w, now)
+			d.List(now, ListDelta, []Entry{e}, nil)
+			if w.credit != credit || d.warmth(w, now) != warm || w.started != e.Started {
+				t.Fatal("news of a start before the return began all anew")
+			}
+		}
+	}
+	if got == 0 {
+		t.Fatal("unused for 5 s after its return")
+	}
+	e.Started = now
+	d.List(now, ListDelta, []Entry{e}, nil)
+	if got := d.warmth(w, now); got != d.set.ColdFrom {
+		t.Fatalf("warmth %v after a restart, want %v", got, d.set.ColdFrom)
+	}
+}
+
+// Who goes on from another dispatcher's checkpoint believes what that one did and holds none of its requests.
+func TestInherit(t *testing.T) {
+	first := newTest(t, nil)
+	now := time.Hour
+	list := fleet(6)
+	list[2].Started = now - time.Second
+	first.List(now, ListFull, list, nil)
+	for id := range RequestID(40) {
+		first.Request(now, job(id, int(id)%2), nil)
+		if id%3 == 0 {
+			first.Outcome(now+time.Second, Outcome{Request: id, Worker: first.workers[0].id, Status: OK, Closed: true, Elapsed: time.Second / 2}, nil)
+		}
+	}
+	first.Stop(now+time.Minute, nil)
+	b := first.Checkpoint(nil)
+	d, err := Inherit(first.set, b, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(d.open)+len(d.requests) > 0 || d.stopBy != 0 {
+		t.Fatalf("%d requests, stops at %v", len(d.open), d.stopBy)
+	}
+	for i := range d.workers {
+		w, of := &d.workers[i], &first.workers[i]
+		if w.held != 0 || w.tries != 0 || w.waiting != 0 {
+			t.Fatalf("worker %d holds %v", i, w.held)
+		}
+		if w.slowSum != of.slowSum || w.credit != of.credit || w.started != of.started || w.oks != of.oks {
+			t.Fatalf("worker %d: other beliefs", i)
+		}
+	}
+	if n := len(sends(d.Request(now+time.Second, job(1, 0), nil))); n != 1 {
+		t.Fatalf("%d sends for a new request", n)
+	}
+	if _, err := Inherit(first.set, b, 6); err == nil {
+		t.Fatal("a worker without a name is taken")
+	}
+	if _, err := Inherit(first.set, b[:len(b)-1], 7); err == nil {
+		t.Fatal("a checkpoint that is cut is taken")
+	}
+}
--- a/policy/split.go
+++ b/policy/split.go
@@ -26,10 +26,7 @@
 		}
 	}
 	if total <= 0 || sum <= 0 || total >= sum {
-		f := 0.0
-		if sum > 0 && total > 0 {
-			f = total / sum
-		}
+		f := max(0, total) / max(sum, 1e-9)
 		for i := range xi {
 			xi[i] = limit[i] * f
 		}
@@ -143,6 +140,9 @@
 			w.load = w.xi / mu
 			w.target = w.xi*w.run + w.xi/(mu-w.xi)
 		}
+		if w.sentAt < w.back { // (10) leaves a cold worker empty: one job finds out what it can do now
+			w.target = max(w.target, 1)
+		}
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -253,9 +253,10 @@
 		w.weight = e.Weight
 	}
 	w.state, w.listed = e.State, e.State != Gone
-	if w.started != e.Started || w.back != e.Back {
+	anew := w.back != e.Back || w.started != e.Started && e.Started >= e.Back // else it is known to be cold since Back
+	w.started, w.back = e.Started, e.Back
+	if anew {
 		// A process that started anew has no queue, no past and, maybe, little capacity.
-		w.started, w.back = e.Started, e.Back
 		w.slowSum, w.slowN, w.fails, w.oks = 0, 0, 0, 0
 		w.shutFor, w.shutUntil, w.occSeen = 0, 0, false
 		w.awayFor, w.awayUntil = 0, 0
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -190,6 +190,21 @@
 	go s.expectHeir()
 }
 
+// part lets go of the other processes: this one has nothing left.
+func (s *Scheduler) part() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range []*handover.Peer{s.older, s.heir} {
+		if p != nil {
+			p.Close()
+		}
+	}
+	if s.place != nil {
+		s.place.Close()
+	}
+	s.stopping = true
+}
+
 // expectHeir lets the next process find this one, for as long as it serves.
 func (s *Scheduler) expectHeir() {
 	var place *handover.Place
@@ -207,6 +222,9 @@
 	s.mu.Lock()
 	s.place = place
 	door := s.listener
+	if s.stopping {
+		place.Close()
+	}
 	s.mu.Unlock()
 	place.Serve(door, func(hello *wire.Hello) wire.Message {
 		s.mu.Lock()
--- /dev/null
+++ b/scheduler/handover_test.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/handover"
+	wire "laddertide/wire/handover"
+)
+
+// newUpgradeRig is a scheduler that can be followed.
+func newUpgradeRig(t *testing.T, log io.Writer) *rig {
+	t.Helper()
+	dir := t.TempDir()
+	r := newAdminRig(t, log, func(cfg *Config) { cfg.Dir = dir })
+	for range 1000 { // it can be found
+		r.sched.mu.Lock()
+		found := r.sched.place != nil
+		r.sched.mu.Unlock()
+		if found {
+			return r
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("it cannot be found")
+	return nil
+}
+
+// follow starts another process of the same scheduler and waits until it stands by. It shares the rig's provider.
+func (r *rig) follow(log io.Writer) *rig {
+	r.t.Helper()
+	next := *r
+	next.cfg.Admin = freeAddress(r.t)
+	next.served = make(chan error, 1)
+	var err error
+	if next.sched, err = New(next.cfg, slog.New(slog.NewTextHandler(log, nil))); err != nil {
+		r.t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, next.stop = context.WithCancel(context.Background())
+	go func() { next.served <- next.sched.Serve(ctx) }()
+	r.t.Cleanup(next.stop)
+	await(r.t, next.cfg.Admin)
+	for range 1000 {
+		if next.call("GET /-/ready") == 200 {
+			return &next
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal("the next process is not ready")
+	return nil
+}
+
+// upgrade lets the next process take the place of r.
+func (r *rig) upgrade(next *rig) {
+	r.t.Helper()
+	r.stop()
+	select {
+	case err := <-r.served:
+		if err != nil {
+			r.t.Fatal(err)
+		}
+	case <-time.After(20 * time.Second):
+		r.t.Fatal("the older process does not end")
+	}
+	for range 2000 { // and the new one knows
+		next.sched.mu.Lock()
+		over := next.sched.older == nil && !next.sched.standing
+		next.sched.mu.Unlock()
+		if over {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal("the next process does not take over")
+}
+
+// An upgrade with jobs out: what is out stays out, once; the call-back on a connection that the older process had taken
+// reaches the job, which has one answer on its own connection; kept connections go on; a ban holds.
+func TestUpgrade(t *testing.T) {
+	var log lines
+	r := newUpgradeRig(t, &log)
+	kept, half := r.dial(), r.dial()
+	r.submit(kept, "first", "limit-check", "rainier-haul", "")
+	r.event("first", "done", `,"result":"x"`)
+	kept.hear(200)
+	half.say("GET /_hea")
+	waiting := make(map[string]*client)
+	for i := range 30 {
+		id := fmt.Sprint("out-", i)
+		c := r.dial()
+		r.submit(c, id, []string{"limit-check", "settle", "card-issue"}[i%3], "rainier-haul", "")
+		if i%2 == 0 {
+			r.event(id, "started", "")
+		}
+		waiting[id] = c
+	}
+	next := r.follow(&log)
+	if got := next.call("PUT /-/auth-workers/s-0badcafe/disable"); got != 200 {
+		t.Fatalf("a call to the one that stands by: %d", got)
+	}
+	r.stop()
+	half.say("lth HTTP/1.1\r\n\r\n") // begun before, whole after
+	half.hear(200)
+	r.upgrade(next)
+	select {
+	case got := <-r.jobs:
+		t.Fatalf("%s was sent again", got)
+	case got := <-r.ends:
+		t.Fatalf("the provider was told of %s", got)
+	default:
+	}
+	c := next.dial()
+	c.say("POST /api/x HTTP/1.1\r\nX-Request-Id: banned\r\nX-Class: limit-check\r\nX-Deadline-Ms: 60\r\nContent-Length: 0\r\n\r\n")
+	c.hear(503)
+	for id, c := range waiting {
+		next.event(id, "done", `,"result":"`+id+`"`)
+		next.event(id, "done", `,"result":"again"`)
+		if got := c.hear(200); got != id {
+			t.Fatalf("%s answered with %q", id, got)
+		}
+	}
+	if got := next.call("PUT /-/auth-workers/s-0badcafe/enable"); got != 200 {
+		t.Fatalf("a call to the next one: %d", got)
+	}
+	kept.say("GET /_health HTTP/1.1\r\n\r\n")
+	kept.hear(200)
+	last := next.follow(&log)
+	next.upgrade(last)
+	kept.say("GET /_health HTTP/1.1\r\n\r\n")
+	kept.hear(200)
+	last.end()
+}
+
+// A process that stands by and goes leaves the older one serving; the next one is let in.
+func TestStandByGoes(t *testing.T) {
+	r := newUpgradeRig(t, io.Discard)
+	for range 2 {
+		next := r.follow(io.Discard)
+		next.end()
+	}
+	c := r.dial()
+	r.submit(c, "on", "limit-check", "rainier-haul", "")
+	next := r.follow(io.Discard)
+	r.event("on", "done", `,"result":"x"`)
+	c.hear(200)
+	r.upgrade(next)
+}
+
+// One that is killed leaves the process that stood by with the socket, the list and the bans.
+func TestOlderDies(t *testing.T) {
+	r := newUpgradeRig(t, io.Discard)
+	next := r.follow(io.Discard)
+	if got := r.call("PUT /-/auth-workers/s-0badcafe/disable"); got != 200 {
+		t.Fatal(got)
+	}
+	r.sched.mu.Lock() // as though its process were gone: nobody is found, and nobody is heard
+	r.sched.place.Close()
+	r.sched.heir.Close()
+	r.sched.mu.Unlock()
+	for i := 0; ; i++ {
+		next.sched.mu.Lock()
+		serves := next.sched.server != nil
+		next.sched.mu.Unlock()
+		if serves {
+			break
+		}
+		if i == 1000 {
+			t.Fatal("the next process does not serve")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	next.sched.mu.Lock()
+	defer next.sched.mu.Unlock()
+	if all := next.sched.list.All(); len(all) != 1 || !all[0].Out {
+		t.Fatalf("%+v", all)
+	}
+}
+
+// Whatever is found in the folder, a process serves: a stale socket, one that says nothing, speaks another version, or lies.
+func TestOddPredecessors(t *testing.T) {
+	for name, answer := range map[string]func(*handover.Place){
+		"stale": func(p *handover.Place) { p.Close() },
+		"another version": func(p *handover.Place) {
+			p.Serve(nil, func(*wire.Hello) wire.Message { return &wire.Refusal{Version: 99, Later: true} }, nil)
+		},
+		"another scheduler": func(p *handover.Place) {
+			p.Serve(nil, func(*wire.Hello) wire.Message { return &wire.Refusal{Version: wire.Version, Why: "no"} }, nil)
+		},
+		"a welcome without a socket": func(p *handover.Place) {
+			p.Serve(nil, func(*wire.Hello) wire.Message { return &wire.Welcome{Version: wire.Version} }, func(*handover.Peer) {})
+		},
+		"silent": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			place, err := handover.Listen(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer place.Close()
+			if answer != nil {
+				go answer(place)
+			}
+			r := newAdminRig(t, io.Discard, func(cfg *Config) { cfg.Dir = dir })
+			c := r.dial()
+			r.submit(c, "x", "limit-check", "rainier-haul", "")
+			r.event("x", "done", `,"result":"x"`)
+			c.hear(200)
+		})
+	}
+}
+
+// Without the operators' address there is nothing in the folder.
+func TestNoAdminNoSocket(t *testing.T) {
+	dir := t.TempDir()
+	r := startRig(t, "", io.Discard, func(cfg *Config) { cfg.Dir = dir })
+	c := r.dial()
+	c.say("GET /_health HTTP/1.1\r\n\r\n")
+	c.hear(200)
+	if found, _ := filepath.Glob(filepath.Join(dir, "*")); len(found) > 0 {
+		t.Fatalf("%v", found)
+	}
+	if _, err := handover.Listen(dir); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Listen("tcp", r.cfg.Listen); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Fatalf("the port is shared: %v", err)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -258,6 +258,7 @@
 		return nil
 	}
 	defer ln.Close()
+	defer s.part()
 	s.mu.Lock()
 	s.watching = watching
 	s.follow(s.cfg.Discovery, s.index, false)
@@ -376,6 +377,11 @@
 		kind = policy.ListFull
 	}
 	s.log.Debug("directory news", "from", w.address, "index", list.Index, "whole", list.Snapshot, "entries", len(list.Entries))
+	if s.log.Enabled(context.Background(), slog.LevelDebug) {
+		for _, e := range list.Entries {
+			s.log.Debug("directory entry", "provider", e.Name, "status", e.Status, "since_ms", e.SinceMS, "address", e.Address)
+		}
+	}
 	s.deliver(kind, list)
 	return true
 }
