policy: in a jam held requests go to cold workers that have credit

Change: spared finds a cold worker with credit, for draw and for release.

Ruled out: the limit's floor (counting cold workers in part changed nothing); budgets (credit was there).

--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -51,18 +51,14 @@
 		d.entry(now, &entries[i])
 	}
 	d.dirty = true
-	return d.abandon(acts)
-}
-
-// abandon gives up the attempts at workers that have left the list, or started anew, since. One that vanished
-// says nothing, and what it had taken would wait for its deadline; what may be repeated goes elsewhere.
-func (d *Dispatcher) abandon(acts []Action) []Action {
 	for _, r := range d.open {
 		acts = d.abandonOf(r, acts)
 	}
 	return acts
 }
 
+// abandonOf gives up r's attempts at workers that have left the list, or started anew, since. One that vanished
+// says nothing, and what it had taken would wait for its deadline; what may be repeated goes elsewhere.
 func (d *Dispatcher) abandonOf(r *request, acts []Action) []Action {
 	if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
 		return acts
@@ -127,13 +123,16 @@
 
 // release places held requests, those of most worth for a slot-second first, while there is room.
 func (d *Dispatcher) release(now time.Duration, p *pool, acts []Action) []Action {
-	for len(p.parked) > 0 && (p.limit == 0 || p.held < p.limit) {
+	for len(p.parked) > 0 {
 		best := p.parked[0]
 		for _, r := range p.parked[1:] {
 			if r.density > best.density {
 				best = r
 			}
 		}
+		if p.limit > 0 && p.held >= p.limit && d.spared(now, best) < 0 { // the limit is on queues
+			return acts
+		}
 		d.unhold(best)
 		acts = d.place(now, best, acts)
 	}
@@ -213,28 +212,23 @@
 // harmless tells whether the client may be told that a repeat does no harm.
 func (d *Dispatcher) harmless(r *request) bool {
 	c := &d.set.Classes[r.class]
-	if c.Effect == Safe || (c.Effect == Keyed && c.Group == GroupAll) {
-		return true
-	}
-	for k := range r.attempts {
-		if r.attempts[k].out || r.attempts[k].mayRun {
-			return false
-		}
-	}
-	return true
+	return c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll || r.out == 0 && !r.mayHaveRun()
 }
 
 // repeatable tells whether another attempt may be sent to any worker at all.
 func (d *Dispatcher) repeatable(r *request) bool {
-	if d.set.Classes[r.class].Effect != Unsafe && d.set.SecondCopies {
-		return true
-	}
+	once := d.set.Classes[r.class].Effect == Unsafe
+	return d.set.SecondCopies && !once || r.out == 0 && !(once && r.mayHaveRun())
+}
+
+// mayHaveRun tells whether an attempt that is over may have run.
+func (r *request) mayHaveRun() bool {
 	for k := range r.attempts {
-		if r.attempts[k].out || (r.attempts[k].mayRun && d.set.Classes[r.class].Effect == Unsafe) {
-			return false
+		if r.attempts[k].mayRun {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // windowMargin is kept between the last repeat of a keyed request and the end of its window.
@@ -391,8 +385,7 @@
 		return d.end(r, acts)
 	case r.out > 0: // the other copy may still answer
 		return acts
-	}
-	if o.Status == TimedOut {
+	case o.Status == TimedOut:
 		return d.finish(now, r, acts)
 	}
 	if o.Status == Full {
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -674,3 +674,28 @@
 		t.Fatalf("the failing worker had %d jobs that run once and %d others of 50", once, again)
 	}
 }
+
+// In a jam the limit held requests back from cold workers that had credit for them: eight stood idle while four warm
+// ones held up to 13 jobs each.
+func TestJamUsesColdWorkers(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Hour
+	list := fleet(4)
+	for i := range list {
+		list[i].Kind, list[i].Zone = 0, d.set.Zone
+	}
+	list[3].Started = now - 5*time.Second
+	d.List(now, ListFull, list, nil)
+	d.arrived, d.seen = 1000, 5
+	d.resolve(now)
+	p, cold := &d.pools[0], &d.workers[3]
+	p.held, p.limit, cold.credit = 20, 10, 1
+	acts := sends(d.Request(now, job(1, 0), nil))
+	if len(acts) != 1 || acts[0].Worker != list[3].ID {
+		t.Fatalf("%+v, want one send to the cold worker", acts)
+	}
+	cold.credit = -1
+	if acts := sends(d.Request(now, job(2, 0), nil)); len(acts) != 0 || len(p.parked) != 1 {
+		t.Fatalf("%+v, want none", acts)
+	}
+}
--- a/policy/split.go
+++ b/policy/split.go
@@ -207,10 +207,8 @@
 	if len(sums) == 0 {
 		return -1
 	}
-	for n, k := len(d.cold), 0; k < n; k++ { // credit at a cold worker is used: few others have any
-		if i := int(d.cold[(k+len(r.attempts)+int(r.id))%n]); d.rank(now, r, i) < rankOver {
-			return i
-		}
+	if i := d.spared(now, r); i >= 0 {
+		return i
 	}
 	total := sums[len(sums)-1]
 	if !(total > 0) {
@@ -231,6 +229,16 @@
 	return best
 }
 
+// spared is a cold worker at which there is credit for r, or -1. It is used: few others have any.
+func (d *Dispatcher) spared(now time.Duration, r *request) int {
+	for n, k := len(d.cold), 0; k < n; k++ {
+		if i := int(d.cold[(k+len(r.attempts)+int(r.id))%n]); d.rank(now, r, i) < rankOver {
+			return i
+		}
+	}
+	return -1
+}
+
 // queue is what this dispatcher has at w, for each slot. A worker of another zone counts as longer, for the
 // price of sending there. Speeds count by their root: ξ and the lengths of queues have them already.
 func (d *Dispatcher) queue(now time.Duration, w *worker, home bool) float64 {
