handover: the next process says that it serves before anything goes over

Need, by reading the diff: a call-back could be acknowledged while its job was in neither process; a process told to stop while it took over could lose jobs; connections queued for the next process were lost if it wrote to one that had just ended; a third process could start in the moment in which nobody was found.

Change: Takeover is answered; operators' calls and call-backs wait until it is known who serves, and call-backs until their job has arrived; the ending side reads and is read to the end; the place is taken by a rename.

--- a/handover/handover.go
+++ b/handover/handover.go
@@ -22,6 +22,8 @@
 	packet     = 32 << 10        // of a message: the system takes no more at a time than a socket's buffer
 	writeLimit = 2 * time.Second // for a packet; the other side may be short of CPU
 	helloLimit = 2 * time.Second // for the first word of either side
+
+	finishLimit = 500 * time.Millisecond // for the other side to read what is left
 )
 
 // ErrGone says that the other process is not there any more, ErrNotSent that it has not been sent all of a message.
@@ -68,8 +70,21 @@
 	}
 }
 
+// Finish lets the other process go once it has read all that was sent to it.
+func (p *Peer) Finish() {
+	if p.conn.CloseWrite() == nil {
+		timer := time.NewTimer(finishLimit)
+		defer timer.Stop()
+		select {
+		case <-p.gone: // it has read to the end, and closed
+		case <-timer.C:
+		}
+	}
+	p.Close()
+}
+
 // Send sends a message, and a copy of c's socket if c is not nil. An error means that the message was not sent whole; if
-// it is ErrNotSent, the other process has been let go.
+// it is ErrNotSent, the other process has ended or been let go.
 func (p *Peer) Send(m wire.Message, c syscall.Conn) error {
 	if c == nil {
 		return p.send(m, nil)
@@ -105,7 +120,9 @@
 		}
 		p.conn.SetWriteDeadline(time.Now().Add(writeLimit))
 		if _, _, err := p.conn.WriteMsgUnix(b[:n], rights, nil); err != nil {
-			p.Close()
+			if !errors.Is(err, syscall.EPIPE) { // else it has ended, and what it sent before is still to be read
+				p.Close()
+			}
 			return fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		rights = nil
@@ -178,9 +195,14 @@
 		}
 	}()
 	var whole []byte
+	reset := false
 	b, oob := make([]byte, packet+1), make([]byte, syscall.CmsgSpace(4*4))
 	for {
 		n, on, flags, _, err := p.conn.ReadMsgUnix(b, oob)
+		if errors.Is(err, syscall.ECONNRESET) && !reset {
+			reset = true // the other side has ended with something unread; what it sent before comes after this
+			continue
+		}
 		if err != nil {
 			return r, err
 		}
@@ -232,7 +254,7 @@
 }
 
 // address is where the socket is, by a path that is short enough for one. done frees what that takes.
-func address(dir string) (a *net.UnixAddr, done func(), err error) {
+func address(dir, file string) (a *net.UnixAddr, done func(), err error) {
 	path := filepath.Join(dir, file)
 	if len(path) < 100 {
 		return &net.UnixAddr{Name: path, Net: "unixpacket"}, func() {}, nil
@@ -254,7 +276,7 @@
 
 // Join asks the process that serves to stand by. Without such a process the error is ErrGone.
 func Join(dir string, hello wire.Hello) (*Peer, *wire.Welcome, *os.File, error) {
-	a, done, err := address(dir)
+	a, done, err := address(dir, file)
 	if err != nil {
 		return nil, nil, nil, err
 	}
@@ -295,18 +317,15 @@
 // Place is where a process that serves is found by its successor.
 type Place struct{ ln *net.UnixListener }
 
-// Listen takes the place of a process that is no more. It is an error if one still answers there.
+// Listen takes the place of whatever process was found there before, in one go: at no time is nobody found.
 func Listen(dir string) (*Place, error) {
-	a, done, err := address(dir)
+	const next = file + ".next"
+	a, done, err := address(dir, next)
 	if err != nil {
 		return nil, err
 	}
 	defer done()
-	if c, err := net.DialUnix("unixpacket", nil, a); err == nil {
-		c.Close()
-		return nil, errors.New("handover: another process serves here")
-	}
-	if err := os.Remove(filepath.Join(dir, file)); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := os.Remove(filepath.Join(dir, next)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
 	ln, err := net.ListenUnix("unixpacket", a)
@@ -314,14 +333,17 @@
 		return nil, err
 	}
 	ln.SetUnlinkOnClose(false) // a path under /proc would be another one by then
-	if err := os.Chmod(filepath.Join(dir, file), 0o600); err != nil {
+	if err = os.Chmod(filepath.Join(dir, next), 0o600); err == nil {
+		err = os.Rename(filepath.Join(dir, next), filepath.Join(dir, file))
+	}
+	if err != nil {
 		ln.Close()
 		return nil, err
 	}
 	return &Place{ln}, nil
 }
 
-// Close gives the place up: the next process may take it.
+// Close ends Serve. The file stays; nobody answers there.
 func (p *Place) Close() { p.ln.Close() }
 
 // Serve lets welcome have each process that says its first word, one after the other. welcome says what it is answered:
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -53,6 +53,7 @@
 // byHand lets an operator's word on a provider count in the process that serves, and in the one that stands by.
 func (s *Scheduler) byHand(verb, name string) error {
 	s.mu.Lock()
+	s.settled()
 	if owner := s.owner(); owner != nil {
 		s.mu.Unlock()
 		return s.passCall(owner, verb, name)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -30,6 +30,7 @@
 	standing bool           // older serves
 	heir     *handover.Peer // the process after
 	handed   bool           // heir serves
+	handing  chan struct{}  // not nil while heir is asked to serve; closed then
 	place    *handover.Place
 	listener *net.TCPListener // what the next process is given
 	stopping bool
@@ -44,14 +45,14 @@
 	askLimit   = 600 * time.Millisecond // operators wait for 1 s
 	eventLimit = 1200 * time.Millisecond
 	jobLimit   = 2 * time.Second
+	takeLimit  = time.Second // for the next process to say that it serves
 )
 
 // Parts of the memory limit that the collector is told of. Both processes of an upgrade together stay within one.
 const (
-	whole    = 1.0
-	standby  = 0.25
-	sharing  = 0.5
-	doorWait = 10 * time.Millisecond
+	whole   = 1.0
+	standby = 0.25
+	sharing = 0.5
 )
 
 // door returns the listening socket: the older process's if there is one that can be followed, once it is this one's turn,
@@ -135,6 +136,13 @@
 	case took := <-s.takeover:
 		return took, ln, nil
 	case <-ctx.Done():
+		s.mu.Lock()
+		serves := !s.standing // it has said so: what comes over must have its answers
+		s.standing = false
+		s.mu.Unlock()
+		if serves {
+			return <-s.takeover, ln, nil
+		}
 		peer.Close()
 		ln.Close()
 		return nil, nil, nil
@@ -192,31 +200,26 @@
 // part lets go of the other processes: this one has nothing left.
 func (s *Scheduler) part() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range []*handover.Peer{s.older, s.heir} {
-		if p != nil {
-			p.Close()
-		}
+	older, heir, place := s.older, s.heir, s.place
+	s.stopping = true
+	s.mu.Unlock()
+	if older != nil {
+		older.Close()
 	}
-	if s.place != nil {
-		s.place.Close()
+	if heir != nil {
+		heir.Finish()
+	}
+	if place != nil {
+		place.Close()
 	}
-	s.stopping = true
 }
 
 // expectHeir lets the next process find this one, for as long as it serves.
 func (s *Scheduler) expectHeir() {
-	var place *handover.Place
-	for try := 0; ; try++ {
-		var err error
-		if place, err = handover.Listen(s.cfg.Dir); err == nil {
-			break
-		}
-		if try == 100 { // the older process has given its place up long since
-			s.log.Warn("no process can follow this one without a break", "err", err)
-			return
-		}
-		time.Sleep(doorWait)
+	place, err := handover.Listen(s.cfg.Dir)
+	if err != nil {
+		s.log.Warn("no process can follow this one without a break", "err", err)
+		return
 	}
 	s.mu.Lock()
 	s.place = place
@@ -338,16 +341,11 @@
 			return nil
 		}
 	case *wire.Takeover:
-		if standing {
-			s.inherit(m)
+		if standing && s.inherit(m) {
 			s.takeover <- m
-			select {
-			case <-s.opened:
-				return nil
-			case <-ctx.Done(): // stopping as well: what comes is served first
-				<-s.opened
-				return nil
-			}
+			<-s.opened
+			reply(m.Number, wire.Yes, "")
+			return nil
 		}
 	case *wire.Conn:
 		if before && !standing && conn != nil {
@@ -416,14 +414,21 @@
 // once it has been heard where its job is, or is known to be nobody's.
 func (s *Scheduler) unclaimed(ev provider.Event) error {
 	s.mu.Lock()
-	peer := s.older
-	if s.handed {
+	s.settled()
+	peer, handed := s.older, s.handed
+	if handed {
 		peer = s.heir
 	}
 	s.mu.Unlock()
 	if peer == nil {
 		return nil
 	}
+	if handed {
+		// A job on its way is known to nobody until the next process says that it listens.
+		if claimed, _, err := s.pool.Claim(ev); claimed || err != nil {
+			return later(err)
+		}
+	}
 	reply, err := peer.Ask(&wire.Event{ID: ev.ID, From: ev.From, Lease: ev.Lease, State: byte(ev.State), Share: ev.Share,
 		Result: ev.Result}, nil, eventLimit)
 	if err != nil && !errors.Is(err, handover.ErrGone) && !errors.Is(err, handover.ErrNotSent) {
@@ -435,13 +440,32 @@
 	if err == nil && reply.Code == wire.No {
 		return job.ErrLater
 	}
-	// The job has come over meanwhile, or whoever had it has gone.
-	if _, _, err := s.pool.Claim(ev); err != nil {
+	// The job has come over meanwhile, or back, or whoever had it has gone.
+	claimed, _, err := s.pool.Claim(ev)
+	if !claimed && err == nil && handed {
+		return job.ErrLater // it may be on its way back
+	}
+	return later(err)
+}
+
+// later lets a provider say again what could not be heard.
+func later(err error) error {
+	if err != nil {
 		return job.ErrLater
 	}
 	return nil
 }
 
+// settled waits until it is known who serves. Called under mu, which it gives up meanwhile.
+func (s *Scheduler) settled() {
+	for s.handing != nil {
+		handing := s.handing
+		s.mu.Unlock()
+		<-handing
+		s.mu.Lock()
+	}
+}
+
 // roster is the list as the next process must know it. Called under mu.
 func (s *Scheduler) roster() wire.Roster {
 	r := wire.Roster{Index: s.index}
@@ -466,10 +490,13 @@
 	s.retell()
 }
 
-// inherit makes this process the one that decides.
-func (s *Scheduler) inherit(m *wire.Takeover) {
+// inherit makes this process the one that decides, unless it has been told to stop.
+func (s *Scheduler) inherit(m *wire.Takeover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.standing {
+		return false
+	}
 	// Places of classes mean here what they meant there.
 	of := s.cfg.Settings
 	of.Classes, of.Tenants = nil, nil
@@ -495,23 +522,22 @@
 	s.adopt(&m.Roster)
 	s.standing = false
 	s.log.Info("taking over", "connections", m.Conns, "calls", m.Calls, "providers", len(m.Roster.Providers))
+	return true
 }
 
 // succeed hands over to the process that stands by, if there is one: it serves from here on.
 func (s *Scheduler) succeed(held int) consumer.Heir {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stopping = true
-	if s.heir == nil {
+	next := s.heir
+	if next == nil {
+		s.mu.Unlock()
 		return nil
 	}
+	s.handing = make(chan struct{}) // operators' calls wait: the roster is on its way
 	s.limit(standby)
 	s.pool.Leave() // nothing is sent from here any more
 	names, beliefs := s.desk.Beliefs()
-	s.handed = true
-	if s.place != nil {
-		s.place.Close()
-	}
 	m := &wire.Takeover{Roster: s.roster(), Names: names, Beliefs: beliefs, Conns: held, Calls: s.pool.Open()}
 	for _, c := range s.cfg.Settings.Classes {
 		m.Classes = append(m.Classes, wire.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window,
@@ -520,14 +546,25 @@
 	for _, t := range s.cfg.Settings.Tenants {
 		m.Tenants = append(m.Tenants, wire.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	if err := s.heir.Send(m, nil); err != nil {
-		s.log.Error("the process that stood by cannot take over", "err", err)
-		s.handed, s.heir = false, nil
+	s.mu.Unlock()
+	reply, err := next.Ask(m, nil, takeLimit)
+	if err == nil && reply.Code != wire.Yes {
+		err = errors.New(reply.Why)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.handing)
+	s.handing = nil
+	if err != nil {
+		s.log.Error("the process that stood by does not take over", "err", err)
+		s.heir = nil
+		next.Close()
 		s.pool.Retain()
 		return nil
 	}
+	s.handed = true
 	s.log.Info("handing over", "connections", held, "calls", m.Calls)
-	return &heir{s, s.heir}
+	return &heir{s, next}
 }
 
 // heir is the next process as the server sees it.
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -236,3 +236,145 @@
 		t.Fatalf("the port is shared: %v", err)
 	}
 }
+
+// fakeHeir stands by for a rig as a process that does what the test wants; what it is sent comes out of got.
+type fakeHeir struct {
+	*handover.Peer
+	got chan wire.Message
+}
+
+func (r *rig) fakeHeir(take func(*fakeHeir, wire.Message)) *fakeHeir {
+	r.t.Helper()
+	peer, _, file, err := handover.Join(r.cfg.Dir, wire.Hello{Name: r.cfg.Name, Listen: r.cfg.Listen})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	file.Close()
+	r.t.Cleanup(peer.Close)
+	f := &fakeHeir{peer, make(chan wire.Message, 100)}
+	go peer.Run(func(m handover.Received) error {
+		if m.File != nil {
+			m.File.Close()
+		}
+		if news, ok := m.Message.(*wire.News); ok {
+			f.yes(news.Number)
+			return nil
+		}
+		if take != nil {
+			take(f, m.Message)
+		}
+		f.got <- m.Message
+		return nil
+	})
+	for range 1000 { // the older process is done with it
+		r.sched.mu.Lock()
+		known := r.sched.heir != nil
+		r.sched.mu.Unlock()
+		if known {
+			return f
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal("the heir is not known")
+	return nil
+}
+
+func (f *fakeHeir) yes(number uint64) { f.Send(&wire.Reply{Number: number, Code: wire.Yes}, nil) }
+
+// next waits for a message of a type.
+func next[M wire.Message](t *testing.T, f *fakeHeir) M {
+	t.Helper()
+	for {
+		select {
+		case m := <-f.got:
+			if m, ok := m.(M); ok {
+				return m
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("the heir is not sent it")
+		}
+	}
+}
+
+// halfEvent begins a call-back on a connection of its own, and gives what is left to say.
+func (r *rig) halfEvent(id string) (c *client, rest string) {
+	r.t.Helper()
+	body := fmt.Sprintf(`{"id":%q,"from":"s-0badcafe","state":"done","result":"x"}`, id)
+	c = r.dial()
+	c.say("GET /_health HTTP/1.1\r\n\r\n")
+	c.hear(200)
+	c.say("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:5])
+	time.Sleep(50 * time.Millisecond) // it has been read by then; if not, the connection goes over and the test says so
+	return c, body[5:]
+}
+
+// A call-back for a job that is on its way is not acknowledged before the next process has heard it.
+func TestCallBackOfAJobOnItsWay(t *testing.T) {
+	r := newUpgradeRig(t, io.Discard)
+	heir := r.fakeHeir(func(f *fakeHeir, m wire.Message) {
+		if m, ok := m.(*wire.Takeover); ok {
+			f.yes(m.Number)
+		}
+	})
+	r.submit(r.dial(), "moving", "card-issue", "rainier-haul", "")
+	back, rest := r.halfEvent("moving")
+	r.stop()
+	j := next[*wire.Job](t, heir)
+	if j.ID != "moving" || len(j.Past) != 1 || !j.Past[0].Out || j.Past[0].Provider != "s-0badcafe" {
+		t.Fatalf("%+v", j)
+	}
+	back.say("%s", rest)
+	select {
+	case m := <-heir.got:
+		if ev, ok := m.(*wire.Event); ok {
+			t.Fatalf("asked about %s before the job has arrived", ev.ID)
+		}
+	case <-time.After(100 * time.Millisecond):
+	}
+	heir.yes(j.Number)
+	ev := next[*wire.Event](t, heir)
+	if ev.ID != "moving" || string(ev.Result) != "x" {
+		t.Fatalf("%+v", ev)
+	}
+	heir.yes(ev.Number)
+	back.hear(204)
+	if err := <-r.served; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A next process that dies as it takes over, or never says that it does, costs no job: the older one answers it.
+func TestHeirDies(t *testing.T) {
+	for name, take := range map[string]func(*fakeHeir, wire.Message){
+		"at the takeover": func(f *fakeHeir, m wire.Message) { f.Close() },
+		"after it": func(f *fakeHeir, m wire.Message) {
+			if m, ok := m.(*wire.Takeover); ok {
+				f.yes(m.Number)
+				f.Close()
+			}
+		},
+		"silent": func(*fakeHeir, wire.Message) {},
+		"lies":   func(f *fakeHeir, m wire.Message) { f.Send(&wire.Takeover{}, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newUpgradeRig(t, io.Discard)
+			r.fakeHeir(take)
+			c := r.dial()
+			r.submit(c, "stays", "card-issue", "rainier-haul", "")
+			back, rest := r.halfEvent("stays")
+			r.stop()
+			if name != "silent" {
+				time.Sleep(100 * time.Millisecond)
+			}
+			back.say("%s", rest)
+			back.hear(204)
+			if got := c.hear(200); got != "x" {
+				t.Fatal(got)
+			}
+			if err := <-r.served; err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -89,8 +89,9 @@
 		Code   Code
 		Why    string
 	}
-	// Takeover makes the newer process the one that serves. Conns and Calls are what the older one still holds.
+	// Takeover makes the newer process the one that serves, once it says so. Conns and Calls are what the older one holds.
 	Takeover struct {
+		Number       uint64
 		Roster       Roster
 		Names        []string // of providers, by the module's numbers for them
 		Beliefs      []byte   // the module's
@@ -186,6 +187,9 @@
 func (m *Event) SetNumber(n uint64)  { m.Number = n }
 func (m *Job) SetNumber(n uint64)    { m.Number = n }
 
+// SetNumber implements Numbered.
+func (m *Takeover) SetNumber(n uint64) { m.Number = n }
+
 // Append appends a message to b.
 func Append(b []byte, m Message) []byte {
 	w := walker{b: append(b, m.kind())}
@@ -259,6 +263,7 @@
 }
 
 func (m *Takeover) walk(w *walker) {
+	w.number(&m.Number)
 	m.Roster.walk(w)
 	list(w, &m.Names, func(s *string) { w.text(s) })
 	w.bytes(&m.Beliefs)
--- a/wire/handover/handover_test.go
+++ b/wire/handover/handover_test.go
@@ -21,7 +21,7 @@
 	&Call{Number: 9, Verb: "disable", ID: "s-1"},
 	&Event{Number: 10, ID: "j", From: "s-1", Lease: 3, State: 2, Share: -1, Result: []byte("r\x00\xff")},
 	&Reply{Number: 10, Code: Elsewhere, Why: "moved"},
-	&Takeover{Roster: roster, Names: []string{"s-1", ""}, Beliefs: []byte{1, 2, 3}, Conns: 200, Calls: 3, Tenants: []Tenant{{"p", 13}},
+	&Takeover{Number: 12, Roster: roster, Names: []string{"s-1", ""}, Beliefs: []byte{1, 2, 3}, Conns: 200, Calls: 3, Tenants: []Tenant{{"p", 13}},
 		Classes: []Class{{Name: "settle", Aim: 1, Deadline: 2, Window: 3, Stretch: 2, Worth: 8, Effect: 1, Kind: -1, Retired: true}}},
 	&Conn{Told: 4, Events: true, Ahead: []byte("POST ")},
 	&Job{Number: 11, Conn: Conn{Told: 1}, Last: true, ID: "j", Party: "p\xe9", Subject: "/x\xff", Protocol: "HTTP/1.1",
