rehearse: scenarios upgrade, hand, retune and crowd-term, and their rules in the judge

Change: troubles upgrade (a second process; to the judge both are one scheduler), hand (operators' calls; nothing goes to a worker that is out) and retune (a broken file, then fewer attempts and a stricter class); events for them in core/history, rules in core/judge/service.go, sabotages on the stand-in.

--- a/core/history/history.go
+++ b/core/history/history.go
@@ -16,12 +16,15 @@
 
 // What process control did to schedulers and saw of them. Life counts the processes of one name from 1.
 const (
-	KindStart Kind = "start" // Scheduler, Life, Entries: the list in its configuration file (what it is told at its start)
-	KindReady Kind = "ready" // Scheduler, Life: GET /_health answered 200
-	KindTerm  Kind = "term"  // Scheduler, Life: SIGTERM was sent
-	KindKill  Kind = "kill"  // Scheduler, Life: SIGKILL was sent by the kit
-	KindHup   Kind = "hup"   // Scheduler, Life: SIGHUP was sent, with a configuration that names another address of discovery
-	KindExit  Kind = "exit"  // Scheduler, Life, Code, Note: its last words. Without a Term or Kill before it: it crashed
+	KindStart   Kind = "start"   // Scheduler, Life, Entries: the list in its configuration file (what it is told at its start)
+	KindReady   Kind = "ready"   // Scheduler, Life: GET /_health answered 200
+	KindTerm    Kind = "term"    // Scheduler, Life: SIGTERM was sent
+	KindKill    Kind = "kill"    // Scheduler, Life: SIGKILL was sent by the kit
+	KindHup     Kind = "hup"     // Scheduler, Life: SIGHUP was sent, with a configuration that names another address of discovery
+	KindUpgrade Kind = "upgrade" // Scheduler, Life, From: a second process of it was started at From and has said that it is ready. To the rules both are one
+	KindHand    Kind = "hand"    // Scheduler, Worker, On, From, Status: an operator took the worker out (On) or put it back; called at From, answered at T (Status 0: not)
+	KindRetune  Kind = "retune"  // Scheduler, Life, Tries, Class, Note: SIGHUP with other settings: attempts allowed, and a class with its repeat
+	KindExit    Kind = "exit"    // Scheduler, Life, Code, Note: its last words. Without a Term or Kill before it: it crashed
 )
 
 // What clients did and saw. Request is the X-Request-Id; a client's retry is a request of its own.
--- a/core/judge/duplicates.go
+++ b/core/judge/duplicates.go
@@ -105,9 +105,8 @@
 		c.blame(Breach{Rule: Duplicates, Kind: kind, T: ev.T, Scheduler: ev.Scheduler, Worker: ev.Worker, Request: r.id,
 			Attempt: ev.Attempt, Text: fmt.Sprintf(format, args...)})
 	}
-	if i >= c.rules.Attempts && c.rules.Attempts > 0 {
-		breach(TooManyAttempts, "Request %s was sent to a worker for the %dth time; %d times are allowed.", r.id, i+1,
-			c.rules.Attempts)
+	if most := c.attemptsOf(r); i >= most && most > 0 {
+		breach(TooManyAttempts, "Request %s was sent to a worker for the %dth time; %d times are allowed.", r.id, i+1, most)
 	}
 	if b.refused || i >= mostJudged {
 		return // It never ran: that it was sent at all is another rule's.
--- a/core/judge/gather.go
+++ b/core/judge/gather.go
@@ -89,6 +89,9 @@
 	wrote     map[life][]int32
 	falls     []int32
 	strangers []int32
+	calls     []int32 // of operators
+	hands     map[pair][]hand
+	retunings map[string][]retuning
 	strayIDs  map[string][]int32 // ids that bad clients sent
 
 	found          []Breach
@@ -123,6 +126,7 @@
 		classes: make(map[string]*history.Class), durable: make(map[string]bool), byID: make(map[string]int32), byNumber: make(map[int64]int32),
 		processes: make(map[life]*process), lives: make(map[string][]*process), deaths: make(map[life]int64),
 		cuts: make(map[pair][]span), held: make(map[string][]int32), wrote: make(map[life][]int32),
+		hands: make(map[pair][]hand), retunings: make(map[string][]retuning),
 		strayIDs: make(map[string][]int32), read: make(map[reader]*news),
 	}
 	// Attempts first: what follows of one may have been written down before it.
@@ -215,6 +219,10 @@
 			if t, dead := c.deaths[w]; !dead || ev.T < t {
 				c.deaths[w] = ev.T
 			}
+		case history.KindHand:
+			c.byHand(int32(i))
+		case history.KindRetune:
+			c.retune(ev)
 		case history.KindCut:
 			c.cut(ev)
 		case history.KindHeld:
@@ -365,7 +373,13 @@
 	if r.ask < 0 {
 		return nil
 	}
-	return c.classes[c.events[r.ask].Class]
+	class := c.classes[c.events[r.ask].Class]
+	if t, sure := c.tuned(r); sure && class != nil && t.class == class.Name && t.repeat != "" {
+		as := *class
+		as.Repeat = t.repeat
+		return &as
+	}
+	return class
 }
 
 // repeat says how often a request may run.
--- a/core/judge/judge.go
+++ b/core/judge/judge.go
@@ -47,6 +47,8 @@
 	TwoOut          = "two-out"           // duplicates: sent again while an earlier attempt was still out
 	TooManyAttempts = "too-many-attempts" // duplicates: more than the rules allow for a request
 	SentAfterDrain  = "sent-after-drain"  // drains: to a worker of which it knew that it drains or is gone
+	SentWhileOut    = "sent-while-out"    // drains: to a worker that an operator had taken out
+	NoYes           = "no-yes"            // answers: an operator's call was not answered with a yes in time
 	PushedOver      = "pushed-over"       // cold: a worker fell, mostly under work of those who knew it to be cold
 	AlteredJob      = "altered"           // altered: a worker was sent something that no client had sent in this form
 	UnaskedJob      = "unasked"           // altered: a worker was sent an id that no client had sent at all
@@ -99,6 +101,7 @@
 	c.judgeStrangers()
 	c.judgeForms()
 	c.judgeDrains()
+	c.judgeHands()
 	c.judgeFalls()
 	return c.verdict()
 }
--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -618,7 +618,7 @@
 
 func TestStories(t *testing.T) {
 	for group, stories := range map[string][]story{"answers": answerStories, "duplicates": duplicateStories,
-		"drains": drainStories, "cold": coldStories} {
+		"drains": drainStories, "cold": coldStories, "service": serviceStories} {
 		for _, s := range stories {
 			t.Run(group+"/"+s.name, func(t *testing.T) {
 				events := tell(s.events)
@@ -727,7 +727,7 @@
 		history.KindAnswer, history.KindBroken, history.KindGaveUp, history.KindStranger, history.KindUp, history.KindCrash,
 		history.KindVanish, history.KindMute, history.KindCut, history.KindFell, history.KindStop, history.KindAttempt,
 		history.KindVoid, history.KindTaken, history.KindBegan, history.KindOver, history.KindGivenUp, history.KindHeld,
-		history.KindWrote, "unheard-of"}
+		history.KindWrote, history.KindUpgrade, history.KindHand, history.KindRetune, "unheard-of"}
 	times := rapid.SampledFrom([]int64{-5, 0, 1, 1000, 50_000, 2_000_000, 7_000_000, 1 << 62, -1 << 62})
 	few := rapid.IntRange(0, 2)
 	names := rapid.SampledFrom([]string{"", "x", "y"})
--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -55,6 +55,15 @@
 		"troubles: [{kind: restart, at_s: 1.5, every_s: 2}]}"
 	kill = "{name: kill, seconds: 6, workers: 6, schedulers: 3, rate: 60, load: 0.35, " +
 		"troubles: [{kind: kill, at_s: 1.5, for_s: 1}]}"
+	byHand = "{name: hand, seconds: 8, workers: 6, schedulers: 2, rate: 40, load: 0.3, " +
+		"troubles: [{kind: hand, at_s: 0.5, for_s: 4, every_s: 0.5, part: 0.5}]}"
+	upgrade = "{name: upgrade, seconds: 6, workers: 6, schedulers: 2, rate: 60, load: 0.5, " +
+		"troubles: [{kind: upgrade, at_s: 1.5, every_s: 1, count: 3}]}"
+	retune = "{name: retune, seconds: 9, workers: 12, schedulers: 2, rate: 100, load: 0.6, troubles: [{kind: retune, at_s: 0.5}, " +
+		"{kind: crash, at_s: 4, for_s: 0.3, part: 0.7}, {kind: crash, at_s: 5.6, for_s: 0.3, part: 0.7}, " +
+		"{kind: crash, at_s: 7.2, for_s: 0.3, part: 0.7}]}"
+	crowdTerm = "{name: crowd-term, seconds: 6, workers: 6, schedulers: 2, rate: 40, load: 0.3, " +
+		"troubles: [{kind: rude, at_s: 0.3, for_s: 5, rate: 15}, {kind: restart, at_s: 1.5, every_s: 2}]}"
 	rude = "{name: rude, seconds: 5, workers: 6, schedulers: 2, rate: 30, load: 0.1, " +
 		"troubles: [{kind: rude, at_s: 0.3, for_s: 4.5, rate: 12}]}"
 	cut     = "{name: cut, " + day + "troubles: [{kind: cut, at_s: 1, for_s: 3, part: 0.34}]}"
@@ -258,6 +267,13 @@
 		{"watch-once", lost, []string{"drains/sent-after-drain"}},
 		{"hup-ignored", moved, []string{"drains/sent-after-drain"}},
 
+		{"ignore-hand", byHand, []string{"drains/sent-while-out"}},
+		{"deaf-to-hand", byHand, []string{"answers/no-yes"}},
+		{"term-exit", upgrade, []string{"answers/closed", "answers/no-answer"}},
+		{"hup-ignored", retune, []string{"duplicates/resent-unproven", "duplicates/second-run", "duplicates/too-many-attempts",
+			"duplicates/refused-after-run"}},
+		{"deaf", crowdTerm, []string{"answers/no-answer", "answers/closed"}},
+
 		{"flood-cold", cold, []string{"cold/pushed-over"}},
 		{"hold-while-down", cold, []string{"cold/pushed-over"}},
 
@@ -273,7 +289,7 @@
 			"duplicates/two-out"}},
 		{"recant", kills, []string{"answers/changed-answer"}},
 	} {
-		t.Run(c.sabotage, func(t *testing.T) {
+		t.Run(c.sabotage+" "+strings.Split(c.day, ",")[0][7:], func(t *testing.T) {
 			t.Parallel()
 			judged(t, c.sabotage, c.day, func(r *result, code int) (bad []string) {
 				found := r.faults()
@@ -303,7 +319,7 @@
 
 // days are those on which good schedulers must keep all rules.
 var days = []string{calm, crowded, crash, silent, mute, drain, cold, lost, moved, restart, kill, rude, cut, overlap, kills,
-	terms}
+	terms, byHand, crowdTerm}
 
 // A good scheduler is never blamed, nor is one that is bad in ways that no rule forbids.
 func TestGoodStandInKeepsAllRules(t *testing.T) {
@@ -359,7 +375,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, d := range days {
+	// What the stand-in is no model for is the daemon's alone.
+	for _, d := range append([]string{upgrade, retune}, days...) {
 		name, _, _ := strings.Cut(strings.TrimPrefix(d, "{name: "), ",")
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -29,6 +29,8 @@
 	life      int
 	proc      *daemon.Process
 	discovery string // the address that its file names
+	admin     string // the present process's address for operators; empty: none
+	retuned   bool   // its file has other settings
 	began     time.Time
 	ready     bool
 	ended     bool // no further process starts
@@ -61,11 +63,11 @@
 	p.r.discovery.SetLife(p.i, life)
 	p.r.rec.Add(history.Event{Kind: history.KindStart, Scheduler: p.name, Life: life, Entries: entries})
 	limits := daemon.Limits{MemoryMB: p.r.plan.MemoryMB, Sockets: p.r.plan.Sockets}
-	proc, err := daemon.Start(p.r.opt.Program, p.dir, environment(map[string]string{"GW_NAME": p.name, "GW_LISTEN": p.listen,
-		"GW_DISCOVERY": p.discovery, "GW_CONFIG": file, "TMPDIR": tmp}), limits, p.log)
+	proc, admin, err := p.launch(limits)
 	if err != nil {
 		return err
 	}
+	p.admin = admin
 	p.proc, p.began, p.ready = proc, time.Now(), false
 	p.r.all.Go(func() { p.wait(proc, life) })
 	if life > 1 {
@@ -74,8 +76,21 @@
 	return nil
 }
 
+// launch starts a process, with an address for operators of its own if the plan has such. Called under mu.
+func (p *post) launch(limits daemon.Limits) (proc *daemon.Process, admin string, err error) {
+	if p.r.plan.Admin {
+		if admin, err = freeAddress(p.r.net); err != nil {
+			return nil, "", err
+		}
+	}
+	proc, err = daemon.Start(p.r.opt.Program, p.dir, environment(map[string]string{"GW_NAME": p.name, "GW_LISTEN": p.listen,
+		"GW_ADMIN": admin, "GW_DISCOVERY": p.discovery, "GW_CONFIG": filepath.Join(p.dir, "config.json"),
+		"TMPDIR": filepath.Join(p.dir, "tmp")}), limits, p.log)
+	return proc, admin, err
+}
+
 func (p *post) configure(file string, known []byte) error {
-	raw, err := p.r.plan.Config(p.i, p.listen, p.discovery, known)
+	raw, err := p.r.plan.Retuned(p.i, p.listen, p.discovery, known, p.retuned)
 	if err != nil {
 		return err
 	}
@@ -89,6 +104,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usage.Add(proc.Usage())
+	if p.proc != proc && p.life == life && code == 0 {
+		return // another one has taken its place, and to the rules they are one
+	}
 	p.r.rec.Add(history.Event{Kind: history.KindExit, Scheduler: p.name, Life: life, Code: code, Note: words})
 }
 
@@ -151,6 +169,11 @@
 
 // askingAt is asking; with early the process need not serve yet.
 func (p *post) askingAt(kind history.Kind, early bool, does func(*daemon.Process)) (*daemon.Process, bool) {
+	return p.telling(history.Event{Kind: kind}, early, does)
+}
+
+// telling is askingAt with more to write down.
+func (p *post) telling(ev history.Event, early bool, does func(*daemon.Process)) (*daemon.Process, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ended || p.proc == nil || !p.ready && !early {
@@ -161,7 +184,8 @@
 		return nil, false // it has crashed: that stays the last word on it
 	default:
 	}
-	p.r.rec.Add(history.Event{Kind: kind, Scheduler: p.name, Life: p.life})
+	ev.Scheduler, ev.Life = p.name, p.life
+	p.r.rec.Add(ev)
 	does(p.proc)
 	return p.proc, true
 }
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -233,6 +233,8 @@
 			for _, s := range st.Schedulers {
 				err = errors.Join(err, r.fleet.Cut(s, w, st.Do == scenario.Cut))
 			}
+		case scenario.Hand:
+			r.all.Go(func() { r.maintain(w, st.Down) })
 		case scenario.Drain:
 			r.all.Go(func() { r.release(w, st.Stay, st.Down) })
 		}
@@ -252,7 +254,7 @@
 		for _, s := range st.Schedulers {
 			r.must(r.posts[s].full(st.Value > 0))
 		}
-	case scenario.Term, scenario.Kill, scenario.Reload:
+	case scenario.Term, scenario.Kill, scenario.Reload, scenario.Upgrade, scenario.Retune:
 		for _, s := range st.Schedulers {
 			p := r.posts[s]
 			r.all.Go(func() {
@@ -263,6 +265,10 @@
 					p.kill(r.ctx, st.Down, st.Early)
 				case scenario.Reload:
 					p.reload(r.ctx)
+				case scenario.Upgrade:
+					p.upgrade(r.ctx)
+				case scenario.Retune:
+					p.retune(r.ctx)
 				}
 			})
 		}
@@ -352,6 +358,9 @@
 	for _, name := range []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG", "TMPDIR"} {
 		env = append(env, name+"="+set[name])
 	}
+	if admin := set["GW_ADMIN"]; admin != "" {
+		env = append(env, "GW_ADMIN="+admin)
+	}
 	return env
 }
 
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -82,6 +82,9 @@
 	Kill    Act = "kill"    // SIGKILL, and a new process after Down
 	Full    Act = "full"    // while Value is 1, the disks of Schedulers take no writes
 	Reload  Act = "reload"  // SIGHUP with a moved discovery
+	Upgrade Act = "upgrade" // a second process, and SIGTERM to the first once that is ready
+	Hand    Act = "hand"    // each worker: taken out by hand, replaced, and put back after Down
+	Retune  Act = "retune"  // SIGHUP with a broken file, and with other settings
 	Rude    Act = "rude"    // bad clients at Value a second; 0 ends it
 )
 
@@ -124,6 +127,7 @@
 	Durable   []string // classes whose jobs outlive their scheduler's process
 	AskAgain  bool     // for such jobs
 
+	Admin  bool // schedulers have an address for operators
 	Steps  []Step
 	Shades []Shade
 
@@ -377,10 +381,23 @@
 					Stay: seconds(stay.draw(c))})
 			}
 			to = at + time.Duration(len(some))*every + length
-		case "restart", "kill", "reload":
+		case "retune":
+			all := make([]int, len(p.Schedulers))
+			for j := range all {
+				all[j] = j
+			}
+			p.Steps = append(p.Steps, Step{At: at, Do: Retune, Schedulers: all})
+			to = at + 2*time.Second
+		case "hand":
+			for j, w := range some {
+				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Hand, Workers: []int{w}, Down: length})
+			}
+			p.Admin, to = true, at+time.Duration(len(some))*every+length
+		case "restart", "kill", "reload", "upgrade":
+			p.Admin = p.Admin || t.Kind == "upgrade"
 			n := t.Count.or(float64(len(p.Schedulers)), 0).Lo
-			do := map[string]Act{"restart": Term, "kill": Kill, "reload": Reload}[t.Kind]
-			if t.Kind != "restart" && !t.Count.Given {
+			do := map[string]Act{"restart": Term, "kill": Kill, "reload": Reload, "upgrade": Upgrade}[t.Kind]
+			if t.Kind != "restart" && t.Kind != "upgrade" && !t.Count.Given {
 				n = 1
 			}
 			order := c.Perm(len(p.Schedulers))
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -85,6 +85,9 @@
 	"kills":       {[]string{"for_s", "count", "every_s"}, []string{"twice"}}, // of all in turn; times drawn for each
 	"full":        {[]string{"for_s"}, []string{"count"}},                     // the disks of some schedulers take no writes
 	"reload":      {nil, []string{"count", "every_s"}},                        // SIGHUP with another address of discovery
+	"upgrade":     {[]string{"every_s"}, []string{"count"}},                   // a second process takes over, of one scheduler after another
+	"hand":        {[]string{"every_s", "for_s"}, []string{"part"}},           // workers are taken out, replaced and put back by hand
+	"retune":      {nil, nil},                                                 // SIGHUP with a broken file, then with other settings
 	"rude":        {[]string{"rate", "for_s"}, nil},
 }
 
--- a/rehearse/scenario/settings.go
+++ b/rehearse/scenario/settings.go
@@ -10,6 +10,26 @@
 // Config is the configuration file of a plan's scheduler i: what the platform would tell it. known is discovery's list
 // in its own form.
 func (p *Plan) Config(i int, listen, discovery string, known json.RawMessage) ([]byte, error) {
+	return p.Retuned(i, listen, discovery, known, false)
+}
+
+// Retuning is what new settings change: fewer attempts, and the first class must never run twice.
+func (p *Plan) Retuning() (attempts int, class string, repeat history.Repeat) {
+	return max(1, p.Rules.Attempts/2), p.Classes[0].Name, history.NonIdempotent
+}
+
+// Retuned is Config with the settings of a retuning, if one has been.
+func (p *Plan) Retuned(i int, listen, discovery string, known json.RawMessage, retuned bool) ([]byte, error) {
+	set := p.settings(i)
+	if retuned {
+		attempts, class, repeat := p.Retuning()
+		set["permissions"].(map[string]any)["try-limit"] = attempts
+		for _, lane := range set["lanes"].([]map[string]any) {
+			if lane["name"] == class {
+				lane["repeat"] = string(repeat)
+			}
+		}
+	}
 	if known == nil {
 		known = json.RawMessage(`{"index":0,"snapshot":true,"endpoints":[]}`)
 	}
@@ -18,7 +38,7 @@
 		"seed":     fmt.Sprintf("%016x", Chance(p.Seed, "scheduler "+p.Schedulers[i].Name).Uint64()),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.Sockets},
 		"known":    known,
-		"settings": p.settings(i),
+		"settings": set,
 	}, "", " ")
 }
 
--- a/rehearse/standin/job.go
+++ b/rehearse/standin/job.go
@@ -256,7 +256,7 @@
 	var best *worker
 	now := time.Now()
 	for _, w := range s.workers {
-		if !w.serving || now.Before(w.suspect) && !s.bad["hold-while-down"] {
+		if !w.serving || w.banned || now.Before(w.suspect) && !s.bad["hold-while-down"] {
 			continue
 		}
 		if s.bad["flood-cold"] || s.bad["hold-while-down"] {
--- a/rehearse/standin/sabotage.go
+++ b/rehearse/standin/sabotage.go
@@ -41,6 +41,8 @@
 	"ignore-returned":  "takes a job that was handed back for one that may have run",
 	"ignore-draining":  "does not heed DRAINING",
 	"ignore-deleted":   "does not heed DELETED",
+	"ignore-hand":      "says yes to operators, and does nothing",
+	"deaf-to-hand":     "does what operators say, and does not answer them",
 	"late-news":        "heeds discovery's news four seconds late",
 	"watch-once":       "does not watch discovery again when a watch has ended",
 	"no-watch":         "never asks discovery",
--- a/rehearse/standin/standin.go
+++ b/rehearse/standin/standin.go
@@ -75,6 +75,7 @@
 type worker struct {
 	name, address string
 	serving       bool
+	banned        bool // by an operator
 	cores         float64
 	since         int64
 	begun         time.Time // when it started, as far as that is known and lately
@@ -134,7 +135,7 @@
 	if err := s.remember(os.Args); err != nil {
 		s.fail(err)
 	}
-	ln, err := net.Listen("tcp4", s.cfg.Listen)
+	ln, err := s.listen()
 	if err != nil {
 		s.fail(err)
 	}
