--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -57,8 +57,8 @@
 	return acts
 }
 
-// abandonOf gives up r's attempts at workers that have left the list, or started anew, since. One that vanished
-// says nothing, and what it had taken would wait for its deadline; what may be repeated goes elsewhere.
+// abandonOf gives up r's attempts at workers that have left the list, or started anew, since. What one that
+// vanished had taken would wait for its deadline; what may be repeated goes elsewhere.
 func (d *Dispatcher) abandonOf(r *request, acts []Action) []Action {
 	if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
 		return acts
