A call-back is not acknowledged while its job's hand-over may yet fail

Change: the pool is asked again once it is known who serves, and waits for the job to be listened for, here too (Await ends its way).

--- a/provider/call.go
+++ b/provider/call.go
@@ -297,6 +297,7 @@
 	p.calls[j.ID] = c
 	p.mu.Unlock()
 	defer p.close(j, c)
+	p.Arrived(j.ID) // if it was about to go over to another process, and has stayed
 	if j.Keeper != nil {
 		j.Keeper.Awaiting()
 	}
--- a/rehearse/run/service.go
+++ b/rehearse/run/service.go
@@ -108,6 +108,12 @@
 func (p *post) retune(ctx context.Context) {
 	file := filepath.Join(p.dir, "config.json")
 	p.mu.Lock()
+	due := p.began.Add(moveAfter)
+	p.mu.Unlock()
+	if !sleep(ctx, time.Until(due)) {
+		return
+	}
+	p.mu.Lock()
 	err := replace(file, []byte(`{"name":`))
 	if err == nil && p.proc != nil && p.ready {
 		p.proc.Signal(syscall.SIGHUP)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -420,14 +420,13 @@
 		peer = s.heir
 	}
 	s.mu.Unlock()
-	if peer == nil {
-		return nil
+	// A job on its way is known to nobody until one of the two says that it listens.
+	claimed, moved, err := s.pool.Claim(ev)
+	if moved && !handed { // it has stayed, or come back
+		claimed, _, err = s.pool.Claim(ev)
 	}
-	if handed {
-		// A job on its way is known to nobody until the next process says that it listens.
-		if claimed, _, err := s.pool.Claim(ev); claimed || err != nil {
-			return later(err)
-		}
+	if claimed || err != nil || peer == nil {
+		return later(err)
 	}
 	reply, err := peer.Ask(&wire.Event{ID: ev.ID, From: ev.From, Lease: ev.Lease, State: byte(ev.State), Share: ev.Share,
 		Result: ev.Result}, nil, eventLimit)
@@ -441,7 +440,7 @@
 		return job.ErrLater
 	}
 	// The job has come over meanwhile, or back, or whoever had it has gone.
-	claimed, _, err := s.pool.Claim(ev)
+	claimed, _, err = s.pool.Claim(ev)
 	if !claimed && err == nil && handed {
 		return job.ErrLater // it may be on its way back
 	}
