handover: the reason of a no is passed on; one told to stop while it waits ends

Found by reading the diff: an operator's call passed on to the process that serves lost the words of its no, and a process told to stop while it was to ask again would have listened for itself. Its tests pass.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -69,7 +69,7 @@
 	s.takeover, s.opened = make(chan *wire.Takeover, 1), make(chan struct{})
 	s.mu.Unlock()
 	var ln net.Listener
-	for by := time.Now().Add(joinLimit); ; {
+	for by := time.Now().Add(joinLimit); ctx.Err() == nil; {
 		peer, welcome, file, err := handover.Join(s.cfg.Dir, wire.Hello{Name: s.cfg.Name, Listen: s.cfg.Listen})
 		if err == nil {
 			took, door, err := s.standBy(ctx, peer, welcome, file)
@@ -96,7 +96,7 @@
 	s.mu.Lock()
 	s.standing = false
 	s.mu.Unlock()
-	if ln != nil {
+	if ln != nil || ctx.Err() != nil {
 		return ln, nil, nil
 	}
 	// One that cannot be handed the socket listens beside the process that has it.
@@ -314,7 +314,10 @@
 	}
 	switch m := r.Message.(type) {
 	case *wire.Call:
-		go func() { reply(m.Number, codeOf(s.peersCall(m)), "") }()
+		go func() {
+			code, why := codeOf(s.peersCall(m))
+			reply(m.Number, code, why)
+		}()
 		return nil
 	case *wire.Event:
 		go func() {
@@ -371,14 +374,14 @@
 	return fmt.Errorf("scheduler: the other process sends %T out of turn", r.Message)
 }
 
-func codeOf(err error) wire.Code {
+func codeOf(err error) (wire.Code, string) {
 	switch {
 	case err == nil:
-		return wire.Yes
+		return wire.Yes, ""
 	case errors.Is(err, admin.ErrUnknown):
-		return wire.Unknown
+		return wire.Unknown, ""
 	}
-	return wire.No
+	return wire.No, err.Error()
 }
 
 // peersCall does what an operator has asked of the other process.
