--- a/consumer/crowd_test.go
+++ b/consumer/crowd_test.go
@@ -1,11 +1,15 @@
 package consumer
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"slices"
 	"testing"
 	"time"
+
+	"laddertide/job"
+	"laddertide/policy"
 )
 
 // In a crowd the most silent stranger makes room, whatever it has said so far. Those that had just been accepted went
@@ -60,3 +64,58 @@
 		t.Fatalf("in this order: %q, want %q", order, want)
 	}
 }
+
+// A job that is written slowly is answered while strangers press that end nothing; they make room for each other.
+func TestSlowJobInACrowd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second}}},
+		Jobs:     job.HandlerFunc(func(context.Context, *job.Job) job.Outcome { return job.Outcome{Kind: job.Served} }),
+		Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 10, Grace: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	s.once.Do(s.prepare) // the test looks into it
+	go s.Serve(ctx, ln)
+	r := &rig{t: t, address: ln.Addr().String()}
+	// read waits until the server has read what c has written since before; false: it has closed c.
+	read := func(c *client, before int64) bool {
+		for range 2000 {
+			s.mu.Lock()
+			there := false
+			for x := range s.conns {
+				if x.RemoteAddr().String() == c.LocalAddr().String() {
+					if there = true; x.heard.Load() > before {
+						s.mu.Unlock()
+						return true
+					}
+				}
+			}
+			s.mu.Unlock()
+			if !there && before > 0 {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+		}
+		t.Fatal("the server does not read")
+		return false
+	}
+	slow := r.dial()
+	text := ask("slow", "check")
+	slow.say(text[:1])
+	read(slow, 0)
+	const crowd = 14
+	for i := range crowd {
+		stranger := r.dial()
+		stranger.say("POST /api/x HTTP/1.1\r\nX-Request-Id: ")
+		read(stranger, 0)
+		now := int64(time.Since(epoch))
+		slow.say(text[i+1 : i+2])
+		if !read(slow, now) {
+			t.Fatalf("cut off after %d strangers", i+1)
+		}
+	}
+	slow.say(text[crowd+1:])
+	slow.hear(200)
+}
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -304,9 +304,12 @@
 	c = r.dial()
 	c.say("GET /_health HTTP/1.1\r\n\r\n")
 	c.hear(200)
-	c.say("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:5])
-	time.Sleep(50 * time.Millisecond) // it has been read by then; if not, the connection goes over and the test says so
-	return c, body[5:]
+	c.say("POST /v1/job-events HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+	interim := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
+	if _, err := io.ReadFull(c.br, interim); err != nil { // so its head has been read
+		r.t.Fatal(err)
+	}
+	return c, body
 }
 
 // A call-back for a job that is on its way is not acknowledged before the next process has heard it.
