consumer, scheduler: less of its own for a hand-over, and two defects mended

Defects: after a hand-over that failed the older process kept the memory part of one that hands over; what the other process says it holds was not bounded (a wrong word could have stopped all calls); the reason for a deadline or number of attempts that is not above 0 named no key.

--- a/consumer/move.go
+++ b/consumer/move.go
@@ -118,11 +118,17 @@
 	c.told, c.events = k.Told, k.Events
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	if c.placeless = s.Held == 0; !c.placeless {
+	itsOwn := s.Held > 0 // one of those that the other process had told of
+	if itsOwn {
 		s.Held--
 	}
 	s.mu.Unlock()
-	go s.serve(c, j, last)
+	go func() {
+		if !itsOwn {
+			s.takePlace()
+		}
+		s.serve(c, j, last)
+	}()
 }
 
 // Released tells that the other process holds no connections any more.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -67,9 +67,8 @@
 	woken  bool      // it has been told to make room
 
 	// Its goroutine's own.
-	placeless bool // it came from another process that had told of fewer
-	broken    bool // it cannot be read any more
-	passed    bool // another process has it
+	broken bool // it cannot be read any more
+	passed bool // another process has it
 }
 
 // Read notes that the peer is not silent.
@@ -232,14 +231,7 @@
 // accept takes connections while there is room for them.
 func (s *Server) accept(ln net.Listener) error {
 	for {
-		select {
-		case s.room <- struct{}{}:
-		default:
-			// Full, and nobody could be moved: the next consumer waits in the backlog. A rejection is no way
-			// out, as that is a decision of the module's.
-			s.makeRoom()
-			s.room <- struct{}{}
-		}
+		s.takePlace()
 		nc, err := ln.Accept()
 		if err != nil {
 			<-s.room
@@ -264,6 +256,17 @@
 	}
 }
 
+// takePlace waits for a place. If all are taken and nobody can be moved, the next consumer waits in the backlog: a
+// rejection is no way out, as that is a decision of the module's.
+func (s *Server) takePlace() {
+	select {
+	case s.room <- struct{}{}:
+	default:
+		s.makeRoom()
+		s.room <- struct{}{}
+	}
+}
+
 // makeRoom tells the connection to close that is missed least. Crowds that connect and say nothing, or never
 // end what they say, must not keep usual consumers out, and least of all call-backs: without them the
 // jobs of all who wait would not end.
@@ -347,9 +350,7 @@
 		}
 		s.quiet.Broadcast()
 		s.mu.Unlock()
-		if !c.placeless {
-			<-s.room
-		}
+		<-s.room
 	}()
 	if g, ok := c.Conn.(greeter); ok && !s.greet(c, g) {
 		return
@@ -432,10 +433,10 @@
 	s.mu.Unlock()
 	_, err := c.br.Peek(1)
 	c.broken = err != nil && !isTimeout(err)
-	if s.succeeded() && !c.broken {
-		return false
-	}
-	if err != nil && isTimeout(err) {
+	if err != nil && !c.broken {
+		if s.succeeded() {
+			return false // it goes over as it is
+		}
 		// Woken to close. A request that crosses with that is still taken if it is here by now.
 		c.SetReadDeadline(time.Now().Add(lastLook))
 		_, err = c.br.Peek(1)
--- a/core/judge/gather.go
+++ b/core/judge/gather.go
@@ -89,8 +89,8 @@
 	wrote     map[life][]int32
 	falls     []int32
 	strangers []int32
-	calls     []int32 // of operators
-	hands     map[pair][]hand
+	calls     []int32         // of operators
+	hands     map[pair][]span // in which a worker was out by an operator's word, for one scheduler
 	retunings map[string][]retuning
 	strayIDs  map[string][]int32 // ids that bad clients sent
 
@@ -126,7 +126,7 @@
 		classes: make(map[string]*history.Class), durable: make(map[string]bool), byID: make(map[string]int32), byNumber: make(map[int64]int32),
 		processes: make(map[life]*process), lives: make(map[string][]*process), deaths: make(map[life]int64),
 		cuts: make(map[pair][]span), held: make(map[string][]int32), wrote: make(map[life][]int32),
-		hands: make(map[pair][]hand), retunings: make(map[string][]retuning),
+		hands: make(map[pair][]span), retunings: make(map[string][]retuning),
 		strayIDs: make(map[string][]int32), read: make(map[reader]*news),
 	}
 	// Attempts first: what follows of one may have been written down before it.
@@ -348,15 +348,20 @@
 // cut keeps the times in which nothing passed between a worker and a scheduler.
 func (c *court) cut(ev *history.Event) {
 	p := pair{ev.Worker, ev.Scheduler}
-	list := c.cuts[p]
+	c.cuts[p] = turned(c.cuts[p], ev.On, ev.T)
+}
+
+// turned is a list of times in which something was so, after it is so or not so from t on.
+func turned(list []span, on bool, t int64) []span {
 	n := len(list)
 	open := n > 0 && list[n-1].until == never
 	switch {
-	case ev.On && !open:
-		c.cuts[p] = append(list, span{ev.T, never})
-	case !ev.On && open:
-		list[n-1].until = ev.T
+	case on && !open:
+		return append(list, span{t, never})
+	case !on && open:
+		list[n-1].until = t
 	}
+	return list
 }
 
 // from is when the first byte of an attempt came.
--- a/core/judge/service.go
+++ b/core/judge/service.go
@@ -9,9 +9,6 @@
 
 // What operators do by hand, and settings that change while a scheduler serves.
 
-// hand is a time in which a worker was out by an operator's word, for one scheduler.
-type hand struct{ told, lifted int64 }
-
 // retuning is settings that a scheduler was given. They bind for requests that come inForce later.
 type retuning struct {
 	t        int64
@@ -33,16 +30,12 @@
 func (c *court) byHand(i int32) {
 	ev := &c.events[i]
 	c.calls = append(c.calls, i)
-	at := pair{ev.Worker, ev.Scheduler}
-	list := c.hands[at]
-	n := len(list)
-	open := n > 0 && list[n-1].lifted == never
-	switch {
-	case ev.On && !open:
-		c.hands[at] = append(list, hand{min(ev.T, max(0, ev.From)+unheard), never})
-	case !ev.On && open: // from the call on, as its answer may come later than what it allows
-		list[n-1].lifted = ev.From
+	t := ev.From // back from the call on, as its answer may come later than what it allows
+	if ev.On {
+		t = min(ev.T, max(0, ev.From)+unheard)
 	}
+	at := pair{ev.Worker, ev.Scheduler}
+	c.hands[at] = turned(c.hands[at], ev.On, t)
 }
 
 // judgeHands finds what was sent to a worker that was out, and calls that were not answered as they should have been.
@@ -67,13 +60,13 @@
 		ev := &c.events[a.ev]
 		from := c.from(a)
 		for _, h := range c.hands[pair{ev.Worker, ev.Scheduler}] {
-			if from <= c.late(h.told) || h.lifted <= c.late(from) {
+			if from <= c.late(h.from) || h.until <= c.late(from) {
 				continue
 			}
 			c.blame(Breach{Rule: Drains, Kind: SentWhileOut, T: from, Scheduler: ev.Scheduler, Worker: ev.Worker,
 				Request: ev.Request, Attempt: ev.Attempt,
 				Text: fmt.Sprintf("Request %q was sent to %s %s after an operator had taken it out at %s.", ev.Request, ev.Worker,
-					seconds(from-h.told), ev.Scheduler)})
+					seconds(from-h.from), ev.Scheduler)})
 			break
 		}
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -63,6 +63,13 @@
 	return time.Duration(v * float64(time.Microsecond))
 }
 
+// above fails a key whose value must be above 0, and is there.
+func (p *pairs) above(key string, v float64) {
+	if v <= 0 && p.m[key] != "" {
+		p.fail(key, fmt.Sprintf("is not above 0: %s", p.m[key]))
+	}
+}
+
 func (p *pairs) flag(key string) bool {
 	switch s := p.m[key]; s {
 	case "", "false":
@@ -220,6 +227,7 @@
 	for _, name := range p.list("stats.names") {
 		s.Report = append(s.Report, field(name))
 	}
+	p.above("permissions.try-limit", float64(s.MaxAttempts))
 	p.classes(&s)
 	p.tenants(&s)
 	if p.err != nil {
@@ -262,6 +270,7 @@
 			Window: p.micros(at+"repeat-window", false),
 			Kind:   int(kinds[i]),
 		}
+		p.above(at+"deadline", float64(c.Deadline))
 		s.Classes = append(s.Classes, c)
 		if p.err != nil {
 			return
--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -1,10 +1,8 @@
 package run
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -144,22 +142,14 @@
 }
 
 // healthy asks a scheduler whether it serves.
-func healthy(address string) bool {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := fmt.Fprintf(c, "GET /_health HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
-		return false
-	}
-	answer, err := http.ReadResponse(bufio.NewReaderSize(c, 4096), nil)
-	if err != nil {
-		return false
-	}
-	answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+func healthy(address string) bool { return ask(address, "GET", "/_health") == http.StatusOK }
+
+// settled waits until the present process has served for a moment: no SIGHUP or upgrade in its first second.
+func (p *post) settled(ctx context.Context) bool {
+	p.mu.Lock()
+	due := p.began.Add(moveAfter)
+	p.mu.Unlock()
+	return sleep(ctx, time.Until(due))
 }
 
 // asking tells the present process something and writes that down first, as the process may act at once.
@@ -268,10 +258,7 @@
 
 // reload moves discovery: a new agent, a new file, SIGHUP.
 func (p *post) reload(ctx context.Context) {
-	p.mu.Lock()
-	due := p.began.Add(moveAfter)
-	p.mu.Unlock()
-	if !sleep(ctx, time.Until(due)) {
+	if !p.settled(ctx) {
 		return
 	}
 	// One that is coming up has read its file already or reads the new one: either way it is told nothing.
--- a/rehearse/run/service.go
+++ b/rehearse/run/service.go
@@ -46,10 +46,7 @@
 // upgrade starts a second process beside the present one, and ends that once the second is ready. To the rules they are
 // one scheduler: its life goes on.
 func (p *post) upgrade(ctx context.Context) {
-	p.mu.Lock()
-	due := p.began.Add(moveAfter)
-	p.mu.Unlock()
-	if !sleep(ctx, time.Until(due)) {
+	if !p.settled(ctx) {
 		return
 	}
 	p.mu.Lock()
@@ -107,10 +104,7 @@
 // retune gives the present process a file that makes no sense, and one with other settings a second later.
 func (p *post) retune(ctx context.Context) {
 	file := filepath.Join(p.dir, "config.json")
-	p.mu.Lock()
-	due := p.began.Add(moveAfter)
-	p.mu.Unlock()
-	if !sleep(ctx, time.Until(due)) {
+	if !p.settled(ctx) {
 		return
 	}
 	p.mu.Lock()
--- a/rehearse/standin/service.go
+++ b/rehearse/standin/service.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"laddertide/internal/testrig"
 )
 
 // listen takes the address of jobs. With an address for operators a second process may take it too: this one is no model
@@ -24,38 +26,29 @@
 	if err != nil {
 		return nil, err
 	}
-	go s.operators(calls)
+	go testrig.Accept(calls, s.operator)
 	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
 	}}
 	return shared.Listen(context.Background(), "tcp4", s.cfg.Listen)
 }
 
-// operators answers calls: yes to all.
-func (s *scheduler) operators(ln net.Listener) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
+// operator answers a call: yes to all.
+func (s *scheduler) operator(c net.Conn) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	rest, isWorker := strings.CutPrefix(r.URL.Path, "/-/auth-workers/")
+	if name, verb, _ := strings.Cut(rest, "/"); isWorker && !s.bad["ignore-hand"] {
+		s.mu.Lock()
+		if w := s.workers[name]; w != nil {
+			w.banned = verb == "disable"
 		}
-		go func() {
-			defer c.Close()
-			r, err := http.ReadRequest(bufio.NewReader(c))
-			if err != nil {
-				return
-			}
-			rest, isWorker := strings.CutPrefix(r.URL.Path, "/-/auth-workers/")
-			if name, verb, _ := strings.Cut(rest, "/"); isWorker && !s.bad["ignore-hand"] {
-				s.mu.Lock()
-				if w := s.workers[name]; w != nil {
-					w.banned = verb == "disable"
-				}
-				s.mu.Unlock()
-			}
-			if s.bad["deaf-to-hand"] && isWorker {
-				return
-			}
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		}()
+		s.mu.Unlock()
+	}
+	if s.bad["deaf-to-hand"] && isWorker {
+		return
 	}
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 }
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -169,7 +169,8 @@
 		return
 	}
 	if before != nil {
-		server.Held = before.Conns
+		// No more than this process has of its own, whatever the other one says.
+		server.Held, before.Calls = before.Conns, min(max(0, before.Calls), s.cfg.calls()-1)
 		s.pool.Hold(before.Calls)
 		s.limit(sharing)
 	}
@@ -562,6 +563,7 @@
 		s.heir = nil
 		next.Close()
 		s.pool.Retain()
+		s.limit(whole)
 		return nil
 	}
 	s.handed = true
--- a/scheduler/retune_test.go
+++ b/scheduler/retune_test.go
@@ -47,10 +47,14 @@
 		taken(fmt.Sprintf("cut at %d", n), whole[:n])
 	}
 	taken("null", "null")
-	for _, c := range [][2]string{{`"deadline": 5000000`, `"deadline": %s`}, {`"try-limit": 4`, `"try-limit": %s`}} {
+	for _, c := range [][3]string{{`"deadline": 5000000`, `"deadline": %s`, "lanes.0.deadline"},
+		{`"try-limit": 4`, `"try-limit": %s`, "permissions.try-limit"}} {
 		if !strings.Contains(config, c[0]) {
 			t.Fatalf("%s is not in the example", c[0])
 		}
+		if _, err := Parse([]byte(strings.Replace(config, c[0], fmt.Sprintf(c[1], "0"), 1))); err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("the reason names no key: %v", err)
+		}
 		for _, v := range []string{"0", "-1", "1e-9", "1e400", "1e300", `"5000000"`, `"NaN"`, "null", "true", "[4]", "{}", `""`, "NaN"} {
 			taken(c[0]+" as "+v, strings.Replace(config, c[0], fmt.Sprintf(c[1], v), 1))
 		}
