wire/walk: one walk over bytes for checkpoints and messages of a hand-over

Need: wire/handover had written again what policy/checkpoint.go had: values written and read by one walk.

What is read costs memory only as it is read, for checkpoints too.

--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -1,11 +1,11 @@
 package policy
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
+
+	"laddertide/wire/walk"
 )
 
 // A checkpoint is all that a Dispatcher will decide by, but for its settings: its random numbers, what it
@@ -16,9 +16,9 @@
 
 // Checkpoint appends the machine's state to b.
 func (d *Dispatcher) Checkpoint(b []byte) []byte {
-	w := walker{b: b}
+	w := walker{walk.Walker{Bytes: b}}
 	w.dispatcher(d)
-	return w.b
+	return w.Bytes
 }
 
 // Restore returns a Dispatcher with the state of a checkpoint that was made under the same settings. It acts
@@ -28,12 +28,15 @@
 	if err != nil {
 		return nil, err
 	}
-	w := walker{b: checkpoint, reading: true}
+	w := walker{walk.Walker{Bytes: checkpoint, Reading: true}}
 	w.dispatcher(d)
-	if w.err == nil && len(w.b) > 0 {
-		w.fail("has bytes after its end")
+	if w.Err == nil && len(w.Bytes) > 0 {
+		w.Fail("has bytes after its end")
+	}
+	if w.Err != nil {
+		return nil, fmt.Errorf("checkpoint: %w", w.Err)
 	}
-	return d, w.err
+	return d, nil
 }
 
 // Inherit returns a Dispatcher that believes what the one of a checkpoint did, and has none of its requests: another host
@@ -67,131 +70,59 @@
 	return d.workers[r.attempts[number].worker].id, true
 }
 
-// walker writes values to b, or reads them from it. One walk serves both, so that they cannot disagree.
-type walker struct {
-	b       []byte
-	reading bool
-	err     error
-}
-
-func (w *walker) fail(why string) {
-	if w.err == nil {
-		w.err = errors.New("checkpoint: " + why)
-	}
-}
-
-// whole walks over whole numbers.
-func whole[T ~int | ~int32 | ~int64 | ~uint8 | ~uint64](w *walker, values ...*T) {
-	for _, v := range values {
-		if !w.reading {
-			w.b = binary.AppendVarint(w.b, int64(*v))
-			continue
-		}
-		x, n := binary.Varint(w.b)
-		if n <= 0 {
-			w.fail("ends early")
-			w.b = nil
-			return
-		}
-		*v, w.b = T(x), w.b[n:]
-		if int64(*v) != x {
-			w.fail("has a number out of range")
-		}
-	}
-}
-
-func (w *walker) float(values ...*float64) {
-	for _, v := range values {
-		if !w.reading {
-			w.b = binary.LittleEndian.AppendUint64(w.b, math.Float64bits(*v))
-			continue
-		}
-		if len(w.b) < 8 {
-			w.fail("ends early")
-			w.b = nil
-			return
-		}
-		*v, w.b = math.Float64frombits(binary.LittleEndian.Uint64(w.b)), w.b[8:]
-	}
-}
-
-func (w *walker) flag(values ...*bool) {
-	for _, v := range values {
-		n := 0
-		if *v {
-			n = 1
-		}
-		whole(w, &n)
-		*v = n != 0
-	}
-}
-
-// list walks over a slice. Each element takes at least a byte, so a wrong length costs no memory.
-func list[T any](w *walker, s *[]T, each func(*T)) {
-	n := len(*s)
-	whole(w, &n)
-	if w.reading {
-		if n < 0 || n > len(w.b) {
-			w.fail("has a list out of range")
-			n = 0
-		}
-		*s = make([]T, n)
-	}
-	for i := range *s {
-		each(&(*s)[i])
-	}
-}
+// walker is a walk over a Dispatcher.
+type walker struct{ walk.Walker }
 
-func (w *walker) floats(s *[]float64) { list(w, s, func(v *float64) { w.float(v) }) }
+func (w *walker) floats(s *[]float64) { walk.List(&w.Walker, s, func(v *float64) { w.Float(v) }) }
 
 // place walks over a number that must be a place among n.
 func place[T ~int | ~int32](w *walker, v *T, n int) {
-	whole(w, v)
-	if !w.reading {
+	walk.Whole(&w.Walker, v)
+	if !w.Reading {
 		return
 	}
 	if *v < 0 || int(*v) >= n {
-		w.fail("names something that is not there")
+		w.Fail("names something that is not there")
 	}
-	if w.err != nil {
+	if w.Err != nil {
 		*v = 0
 	}
 }
 
 func (w *walker) dispatcher(d *Dispatcher) {
 	version := checkpointVersion
-	whole(w, &version)
+	walk.Whole(&w.Walker, &version)
 	if version != checkpointVersion {
-		w.fail(fmt.Sprintf("has version %d, not %d", version, checkpointVersion))
+		w.Fail(fmt.Sprintf("has version %d, not %d", version, checkpointVersion))
 		return
 	}
 	w.random(d)
-	list(w, &d.workers, w.worker)
-	list(w, &d.kinds, func(k *kindStats) {
-		w.float(&k.slowSum, &k.slowN, &k.slowSq, &k.base, &k.guest, &k.slots)
-		whole(w, &k.shown)
+	walk.List(&w.Walker, &d.workers, w.worker)
+	walk.List(&w.Walker, &d.kinds, func(k *kindStats) {
+		w.Float(&k.slowSum, &k.slowN, &k.slowSq, &k.base, &k.guest, &k.slots)
+		walk.Whole(&w.Walker, &k.shown)
 	})
-	w.float(&d.meanWork, &d.worthSeen, &d.slowdown, &d.calm, &d.workN, &d.arrived, &d.seen, &d.rate, &d.fails, &d.oks,
+	w.Float(&d.meanWork, &d.worthSeen, &d.slowdown, &d.calm, &d.workN, &d.arrived, &d.seen, &d.rate, &d.fails, &d.oks,
 		&d.solver.lambda, &d.home)
 	for _, s := range []*[]float64{&d.classWork, &d.classN, &d.boundIn, &d.boundRate, &d.all, &d.bound, &d.tenantRate} {
 		w.floats(s)
 	}
 	// mu, limit and xi are made anew by every solve; spare is memory.
-	list(w, &d.order, func(i *int32) { place(w, i, len(d.workers)) })
-	list(w, &d.cold, func(i *int32) { place(w, i, len(d.workers)) })
-	list(w, &d.spans, func(s *span) { whole(w, &s.from, &s.to) })
-	whole(w, &d.budget, &d.agedAt, &d.stopBy)
-	whole(w, &d.shut, &d.asks)
-	w.flag(&d.crowded, &d.dirty, &d.begun, &d.subscribed)
-	list(w, &d.zones, func(z *zone) {
-		whole(w, &z.fails)
-		whole(w, &z.wait, &z.until)
+	walk.List(&w.Walker, &d.order, func(i *int32) { place(w, i, len(d.workers)) })
+	walk.List(&w.Walker, &d.cold, func(i *int32) { place(w, i, len(d.workers)) })
+	walk.List(&w.Walker, &d.spans, func(s *span) { walk.Whole(&w.Walker, &s.from, &s.to) })
+	walk.Whole(&w.Walker, &d.budget, &d.agedAt, &d.stopBy)
+	walk.Whole(&w.Walker, &d.shut, &d.asks)
+	w.Flag(&d.crowded, &d.dirty, &d.begun, &d.subscribed)
+	walk.List(&w.Walker, &d.zones, func(z *zone) {
+		walk.Whole(&w.Walker, &z.fails)
+		walk.Whole(&w.Walker, &z.wait, &z.until)
 	})
 	for _, t := range []*turnedAway{&d.near, &d.far} {
-		w.float(&t.sent, &t.full, &t.prompt.Mean, &t.prompt.Dev)
+		w.Float(&t.sent, &t.full, &t.prompt.Mean, &t.prompt.Dev)
 	}
 	w.requests(d)
-	if !w.reading || w.err != nil {
+	if !w.Reading || w.Err != nil {
 		return
 	}
 	clear(d.index)
@@ -207,11 +138,11 @@
 	if len(d.pools) != kinds+1 || len(d.boundIn) != kinds || len(d.boundRate) != kinds || len(d.all) != drawn ||
 		len(d.bound) != drawn || len(d.spans) > kinds || len(d.classWork) != len(d.set.Classes) ||
 		len(d.classN) != len(d.set.Classes) || len(d.tenantRate) != len(d.set.Tenants) {
-		w.fail("has lists of wrong lengths")
+		w.Fail("has lists of wrong lengths")
 	}
 	for _, s := range d.spans {
 		if s.from < 0 || s.to < s.from || s.to > len(d.order) {
-			w.fail("has a span out of range")
+			w.Fail("has a span out of range")
 		}
 	}
 }
@@ -219,28 +150,28 @@
 // random walks over the state of the random numbers.
 func (w *walker) random(d *Dispatcher) {
 	state, _ := d.src.MarshalBinary() // has no errors
-	list(w, &state, func(b *byte) { whole(w, b) })
-	if !w.reading || w.err != nil {
+	walk.List(&w.Walker, &state, func(b *byte) { walk.Whole(&w.Walker, b) })
+	if !w.Reading || w.Err != nil {
 		return
 	}
 	src := new(rand.PCG)
 	if src.UnmarshalBinary(state) != nil {
-		w.fail("has no random numbers")
+		w.Fail("has no random numbers")
 		return
 	}
 	d.src, d.rng = src, rand.New(src)
 }
 
 func (w *walker) worker(x *worker) {
-	whole(w, &x.id)
-	whole(w, &x.kind, &x.zone, &x.cell, &x.tries, &x.waiting)
-	whole(w, &x.state)
-	whole(w, &x.started, &x.back, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
-	w.flag(&x.listed, &x.occSeen)
-	w.float(&x.weight, &x.held, &x.xi, &x.load, &x.target, &x.run, &x.slowSum, &x.slowN, &x.occ, &x.occHeld, &x.fails,
+	walk.Whole(&w.Walker, &x.id)
+	walk.Whole(&w.Walker, &x.kind, &x.zone, &x.cell, &x.tries, &x.waiting)
+	walk.Whole(&w.Walker, &x.state)
+	walk.Whole(&w.Walker, &x.started, &x.back, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
+	w.Flag(&x.listed, &x.occSeen)
+	w.Float(&x.weight, &x.held, &x.xi, &x.load, &x.target, &x.run, &x.slowSum, &x.slowN, &x.occ, &x.occHeld, &x.fails,
 		&x.oks, &x.credit)
 	if x.kind < 0 || x.zone < 0 {
-		w.fail("has a worker without a kind or zone")
+		w.Fail("has a worker without a kind or zone")
 	}
 }
 
@@ -256,7 +187,7 @@
 		}
 	}
 	n, more := len(d.pools), 0
-	if !w.reading {
+	if !w.Reading {
 		for i := range d.pools {
 			add(&d.pools[i])
 		}
@@ -267,10 +198,10 @@
 		}
 		more = len(pools) - n
 	}
-	whole(w, &n, &more)
-	if w.reading {
-		if n < 0 || more < 0 || n+more > len(w.b) {
-			w.fail("has too many pools")
+	walk.Whole(&w.Walker, &n, &more)
+	if w.Reading {
+		if n < 0 || more < 0 || n+more > len(w.Bytes) {
+			w.Fail("has too many pools")
 			return
 		}
 		d.pools = make([]pool, n)
@@ -281,8 +212,8 @@
 			add(new(pool))
 		}
 	}
-	list(w, &d.open, func(at **request) {
-		if w.reading {
+	walk.List(&w.Walker, &d.open, func(at **request) {
+		if w.Reading {
 			*at = new(request)
 		}
 		r := *at
@@ -292,24 +223,24 @@
 			p = n
 		}
 		place(w, &p, len(pools)+1)
-		if w.reading && w.err == nil && p < len(pools) {
+		if w.Reading && w.Err == nil && p < len(pools) {
 			r.pool = pools[p]
 		}
 	})
 	for _, p := range pools {
-		w.float(&p.held, &p.limit, &p.wait, &p.turned.sent, &p.turned.full)
-		whole(w, &p.at)
-		list(w, &p.parked, func(at **request) {
+		w.Float(&p.held, &p.limit, &p.wait, &p.turned.sent, &p.turned.full)
+		walk.Whole(&w.Walker, &p.at)
+		walk.List(&w.Walker, &p.parked, func(at **request) {
 			slot := 0
-			if !w.reading {
+			if !w.Reading {
 				slot = (*at).slot
 			}
-			if place(w, &slot, len(d.open)); w.err == nil {
+			if place(w, &slot, len(d.open)); w.Err == nil {
 				*at = d.open[slot]
 			}
 		})
 	}
-	if w.reading {
+	if w.Reading {
 		clear(d.requests)
 		for i, r := range d.open {
 			r.slot = i
@@ -319,16 +250,16 @@
 }
 
 func (w *walker) request(r *request, classes, workers int) {
-	whole(w, &r.id)
+	walk.Whole(&w.Walker, &r.id)
 	place(w, &r.class, classes)
-	whole(w, &r.tenant, &r.out, &r.fulls)
-	whole(w, &r.deadline, &r.aim, &r.born, &r.wakeAt)
-	w.float(&r.work, &r.slots, &r.density)
-	w.flag(&r.hinted, &r.ended, &r.parked, &r.held)
-	list(w, &r.attempts, func(a *attempt) {
+	walk.Whole(&w.Walker, &r.tenant, &r.out, &r.fulls)
+	walk.Whole(&w.Walker, &r.deadline, &r.aim, &r.born, &r.wakeAt)
+	w.Float(&r.work, &r.slots, &r.density)
+	w.Flag(&r.hinted, &r.ended, &r.parked, &r.held)
+	walk.List(&w.Walker, &r.attempts, func(a *attempt) {
 		place(w, &a.worker, workers)
-		w.flag(&a.out, &a.mayRun)
-		w.float(&a.held, &a.blamed)
-		whole(w, &a.sent, &a.started)
+		w.Flag(&a.out, &a.mayRun)
+		w.Float(&a.held, &a.blamed)
+		walk.Whole(&w.Walker, &a.sent, &a.started)
 	})
 }
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -22,17 +22,23 @@
 	t.Helper()
 	dir := t.TempDir()
 	r := newAdminRig(t, log, func(cfg *Config) { cfg.Dir = dir })
-	for range 1000 { // it can be found
+	r.until("it can be found", func(s *Scheduler) bool { return s.place != nil })
+	return r
+}
+
+// until waits until something is so in the scheduler.
+func (r *rig) until(what string, so func(*Scheduler) bool) {
+	r.t.Helper()
+	for range 4000 {
 		r.sched.mu.Lock()
-		found := r.sched.place != nil
+		is := so(r.sched)
 		r.sched.mu.Unlock()
-		if found {
-			return r
+		if is {
+			return
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	t.Fatal("it cannot be found")
-	return nil
+	r.t.Fatal("never so: " + what)
 }
 
 // follow starts another process of the same scheduler and waits until it stands by. It shares the rig's provider.
@@ -72,16 +78,7 @@
 	case <-time.After(20 * time.Second):
 		r.t.Fatal("the older process does not end")
 	}
-	for range 2000 { // and the new one knows
-		next.sched.mu.Lock()
-		over := next.sched.older == nil && !next.sched.standing
-		next.sched.mu.Unlock()
-		if over {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	r.t.Fatal("the next process does not take over")
+	next.until("it has taken over", func(s *Scheduler) bool { return s.older == nil && !s.standing })
 }
 
 // An upgrade with jobs out: what is out stays out, once; the call-back on a connection that the older process had taken
@@ -167,18 +164,7 @@
 	r.sched.place.Close()
 	r.sched.heir.Close()
 	r.sched.mu.Unlock()
-	for i := 0; ; i++ {
-		next.sched.mu.Lock()
-		serves := next.sched.place != nil
-		next.sched.mu.Unlock()
-		if serves {
-			break
-		}
-		if i == 1000 {
-			t.Fatal("the next process does not serve")
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
+	next.until("it serves", func(s *Scheduler) bool { return s.place != nil })
 	next.sched.mu.Lock()
 	defer next.sched.mu.Unlock()
 	if all := next.sched.list.All(); len(all) != 1 || !all[0].Out {
@@ -267,17 +253,8 @@
 		f.got <- m.Message
 		return nil
 	})
-	for range 1000 { // the older process is done with it
-		r.sched.mu.Lock()
-		known := r.sched.heir != nil
-		r.sched.mu.Unlock()
-		if known {
-			return f
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	r.t.Fatal("the heir is not known")
-	return nil
+	r.until("the heir is known", func(s *Scheduler) bool { return s.heir != nil })
+	return f
 }
 
 func (f *fakeHeir) yes(number uint64) { f.Send(&wire.Reply{Number: number, Code: wire.Yes}, nil) }
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -4,11 +4,12 @@
 package handover
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
 	"time"
+
+	"laddertide/wire/walk"
 )
 
 // Version is that of the messages. Hello, Welcome and Refusal begin with it in all versions; of another version
@@ -192,9 +193,9 @@
 
 // Append appends a message to b.
 func Append(b []byte, m Message) []byte {
-	w := walker{b: append(b, m.kind())}
+	w := walker{Walker: walk.Walker{Bytes: append(b, m.kind())}}
 	m.walk(&w)
-	return w.b
+	return w.Bytes
 }
 
 // Parse reads a whole message. What it returns shares no memory with b.
@@ -206,20 +207,20 @@
 	if m == nil {
 		return nil, fmt.Errorf("handover: a message of unknown kind %d", b[0])
 	}
-	w := walker{b: b[1:], reading: true}
+	w := walker{Walker: walk.Walker{Bytes: b[1:], Reading: true}}
 	m.walk(&w)
-	if w.err == nil && len(w.b) > 0 && !w.foreign {
-		w.fail("bytes after the end")
+	if w.Err == nil && len(w.Bytes) > 0 && !w.foreign {
+		w.Fail("bytes after the end")
 	}
-	if w.err != nil {
-		return nil, fmt.Errorf("handover: message of kind %d: %w", b[0], w.err)
+	if w.Err != nil {
+		return nil, fmt.Errorf("handover: message of kind %d: %w", b[0], w.Err)
 	}
 	return m, nil
 }
 
 func (m *Hello) walk(w *walker) {
 	if w.version(&m.Version) {
-		w.text(&m.Name, &m.Listen)
+		w.Text(&m.Name, &m.Listen)
 	}
 }
 
@@ -231,251 +232,109 @@
 
 func (m *Refusal) walk(w *walker) {
 	if w.version(&m.Version) {
-		w.text(&m.Why)
-		w.flag(&m.Later)
+		w.Text(&m.Why)
+		w.Flag(&m.Later)
 	}
 }
 
 func (m *News) walk(w *walker) {
-	w.number(&m.Number)
+	walk.Whole(&w.Walker, &m.Number)
 	m.Roster.walk(w)
 }
 
-func (m *Reread) walk(w *walker) { w.number(&m.Number) }
+func (m *Reread) walk(w *walker) { walk.Whole(&w.Walker, &m.Number) }
 
 func (m *Call) walk(w *walker) {
-	w.number(&m.Number)
-	w.text(&m.Verb, &m.ID)
+	walk.Whole(&w.Walker, &m.Number)
+	w.Text(&m.Verb, &m.ID)
 }
 
 func (m *Event) walk(w *walker) {
-	w.number(&m.Number, &m.Lease)
-	w.text(&m.ID, &m.From)
-	w.one(&m.State)
-	w.float(&m.Share)
-	w.bytes(&m.Result)
+	walk.Whole(&w.Walker, &m.Number, &m.Lease)
+	w.Text(&m.ID, &m.From)
+	walk.Whole(&w.Walker, &m.State)
+	w.number(&m.Share)
+	w.Data(&m.Result)
 }
 
 func (m *Reply) walk(w *walker) {
-	w.number(&m.Number)
-	w.one((*byte)(&m.Code))
-	w.text(&m.Why)
+	walk.Whole(&w.Walker, &m.Number)
+	walk.Whole(&w.Walker, &m.Code)
+	w.Text(&m.Why)
 }
 
 func (m *Takeover) walk(w *walker) {
-	w.number(&m.Number)
+	walk.Whole(&w.Walker, &m.Number)
 	m.Roster.walk(w)
-	list(w, &m.Names, func(s *string) { w.text(s) })
-	w.bytes(&m.Beliefs)
-	w.whole(&m.Conns, &m.Calls)
-	list(w, &m.Classes, func(c *Class) {
-		w.text(&c.Name)
-		w.time(&c.Aim, &c.Deadline, &c.Window)
-		w.float(&c.Stretch, &c.Worth)
-		w.one(&c.Effect, &c.Group)
-		w.whole(&c.Kind)
-		w.flag(&c.Retired)
+	walk.List(&w.Walker, &m.Names, func(s *string) { w.Text(s) })
+	w.Data(&m.Beliefs)
+	walk.Whole(&w.Walker, &m.Conns, &m.Calls)
+	walk.List(&w.Walker, &m.Classes, func(c *Class) {
+		w.Text(&c.Name)
+		walk.Whole(&w.Walker, &c.Aim, &c.Deadline, &c.Window)
+		w.number(&c.Stretch, &c.Worth)
+		walk.Whole(&w.Walker, &c.Effect, &c.Group)
+		walk.Whole(&w.Walker, &c.Kind)
+		w.Flag(&c.Retired)
 	})
-	list(w, &m.Tenants, func(t *Tenant) {
-		w.text(&t.Name)
-		w.float(&t.Quota)
+	walk.List(&w.Walker, &m.Tenants, func(t *Tenant) {
+		w.Text(&t.Name)
+		w.number(&t.Quota)
 	})
 }
 
 func (m *Conn) walk(w *walker) {
-	w.whole(&m.Told)
-	w.flag(&m.Events)
-	w.bytes(&m.Ahead)
+	walk.Whole(&w.Walker, &m.Told)
+	w.Flag(&m.Events)
+	w.Data(&m.Ahead)
 }
 
 func (m *Job) walk(w *walker) {
-	w.number(&m.Number)
+	walk.Whole(&w.Walker, &m.Number)
 	m.Conn.walk(w)
-	w.flag(&m.Last)
-	w.text(&m.ID, &m.Party, &m.Key, &m.Subject, &m.Protocol)
-	w.whole(&m.Class, &m.Tenant)
-	w.time(&m.Deadline, &m.Left, &m.Hint)
-	w.float(&m.Slots)
-	w.bytes(&m.Payload)
-	list(w, &m.Fields, func(f *Field) { w.text(&f.Name, &f.Value) })
-	list(w, &m.Past, func(p *Past) {
-		w.text(&p.Provider)
-		w.time(&p.Ago)
-		w.flag(&p.Begun, &p.MayRun, &p.Out)
+	w.Flag(&m.Last)
+	w.Text(&m.ID, &m.Party, &m.Key, &m.Subject, &m.Protocol)
+	walk.Whole(&w.Walker, &m.Class, &m.Tenant)
+	walk.Whole(&w.Walker, &m.Deadline, &m.Left, &m.Hint)
+	w.number(&m.Slots)
+	w.Data(&m.Payload)
+	walk.List(&w.Walker, &m.Fields, func(f *Field) { w.Text(&f.Name, &f.Value) })
+	walk.List(&w.Walker, &m.Past, func(p *Past) {
+		w.Text(&p.Provider)
+		walk.Whole(&w.Walker, &p.Ago)
+		w.Flag(&p.Begun, &p.MayRun, &p.Out)
 	})
 }
 
 func (r *Roster) walk(w *walker) {
-	w.number(&r.Index)
-	list(w, &r.Providers, func(p *Provider) {
-		w.text(&p.Name, &p.Address, &p.Zone, &p.Type, &p.Status)
-		w.whole(&p.Group)
-		w.float(&p.Weight, &p.SinceMS)
-		w.flag(&p.Gone, &p.Out)
-		w.time(&p.Back)
+	walk.Whole(&w.Walker, &r.Index)
+	walk.List(&w.Walker, &r.Providers, func(p *Provider) {
+		w.Text(&p.Name, &p.Address, &p.Zone, &p.Type, &p.Status)
+		walk.Whole(&w.Walker, &p.Group)
+		w.number(&p.Weight, &p.SinceMS)
+		w.Flag(&p.Gone, &p.Out)
+		walk.Whole(&w.Walker, &p.Back)
 	})
 }
 
-// walker writes values to b, or reads them from it: one walk serves both, so that they cannot disagree.
+// walker is a walk over a message.
 type walker struct {
-	b       []byte
-	reading bool
+	walk.Walker
 	foreign bool // of another version: the rest is not read
-	err     error
-}
-
-func (w *walker) fail(why string) {
-	if w.err == nil {
-		w.err = errors.New(why)
-	}
-	w.b = nil
 }
 
 // version walks over the version and tells whether the rest can be walked over.
 func (w *walker) version(v *uint64) bool {
-	w.number(v)
-	w.foreign = w.reading && *v != Version
+	walk.Whole(&w.Walker, v)
+	w.foreign = w.Reading && *v != Version
 	return !w.foreign
 }
 
-func (w *walker) number(values ...*uint64) {
-	for _, v := range values {
-		if !w.reading {
-			w.b = binary.AppendUvarint(w.b, *v)
-			continue
-		}
-		x, n := binary.Uvarint(w.b)
-		if n <= 0 {
-			w.fail("a number is cut off or too large")
-			continue
-		}
-		*v, w.b = x, w.b[n:]
-	}
-}
-
-// signed walks over a number that may be negative.
-func (w *walker) signed(v *int64) {
-	if !w.reading {
-		w.b = binary.AppendVarint(w.b, *v)
-		return
-	}
-	x, n := binary.Varint(w.b)
-	if n <= 0 {
-		w.fail("a number is cut off or too large")
-		return
-	}
-	*v, w.b = x, w.b[n:]
-}
-
-func (w *walker) whole(values ...*int) {
+// number walks over numbers; nothing that is none, or endless, is one to a decision.
+func (w *walker) number(values ...*float64) {
 	for _, v := range values {
-		x := int64(*v)
-		if w.signed(&x); w.reading {
-			if x < math.MinInt32 || x > math.MaxInt32 {
-				w.fail("a number is out of range")
-				x = 0
-			}
-			*v = int(x)
-		}
-	}
-}
-
-func (w *walker) time(values ...*time.Duration) {
-	for _, v := range values {
-		w.signed((*int64)(v))
-	}
-}
-
-func (w *walker) one(values ...*byte) {
-	for _, v := range values {
-		if !w.reading {
-			w.b = append(w.b, *v)
-			continue
-		}
-		if len(w.b) == 0 {
-			w.fail("it is cut off")
-			continue
-		}
-		*v, w.b = w.b[0], w.b[1:]
-	}
-}
-
-func (w *walker) flag(values ...*bool) {
-	for _, v := range values {
-		var b byte
-		if *v {
-			b = 1
-		}
-		if w.one(&b); b > 1 {
-			w.fail("a flag is neither true nor false")
-		}
-		*v = b == 1
-	}
-}
-
-// float walks over a number; none is one that makes no sense to a decision.
-func (w *walker) float(values ...*float64) {
-	for _, v := range values {
-		if !w.reading {
-			w.b = binary.LittleEndian.AppendUint64(w.b, math.Float64bits(*v))
-			continue
-		}
-		if len(w.b) < 8 {
-			w.fail("a number is cut off")
-			continue
-		}
-		x := math.Float64frombits(binary.LittleEndian.Uint64(w.b))
-		if math.IsNaN(x) || math.IsInf(x, 0) {
-			w.fail("a number is none")
-			continue
-		}
-		*v, w.b = x, w.b[8:]
-	}
-}
-
-func (w *walker) bytes(v *[]byte) {
-	n := uint64(len(*v))
-	w.number(&n)
-	if !w.reading {
-		w.b = append(w.b, *v...)
-		return
-	}
-	if n > uint64(len(w.b)) {
-		w.fail("bytes are cut off")
-		return
-	}
-	*v, w.b = append([]byte(nil), w.b[:n]...), w.b[n:]
-}
-
-func (w *walker) text(values ...*string) {
-	for _, v := range values {
-		b := []byte(*v)
-		if w.bytes(&b); w.reading {
-			*v = string(b)
-		}
-	}
-}
-
-// list walks over a slice. Each element takes at least a byte, so a wrong length costs little memory.
-func list[T any](w *walker, s *[]T, each func(*T)) {
-	n := uint64(len(*s))
-	w.number(&n)
-	if !w.reading {
-		for i := range *s {
-			each(&(*s)[i])
-		}
-		return
-	}
-	if n > uint64(len(w.b)) {
-		w.fail("a list is cut off")
-		return
-	}
-	*s = nil
-	for range n {
-		var v T
-		if each(&v); w.err != nil {
-			return
+		if w.Float(v); math.IsNaN(*v) || math.IsInf(*v, 0) {
+			w.Fail("a number is none")
 		}
-		*s = append(*s, v)
 	}
 }
