durable: TestStartOrder no longer leans on which goroutine goes first

They now take a millisecond of the test's own clock, which passes only once all wait: what Start waits for would still come before its return.

--- a/durable/durable_test.go
+++ b/durable/durable_test.go
@@ -493,6 +493,8 @@
 				event("listens " + j.ID)
 				j.Keeper.Awaiting()
 				<-ctx.Done()
+			} else {
+				time.Sleep(time.Millisecond) // which passes once all wait: Start has returned, unless it waits for this
 			}
 			event("again " + j.ID)
 			<-ctx.Done()
@@ -502,6 +504,7 @@
 			t.Fatal(err)
 		}
 		event("started")
+		time.Sleep(2 * time.Millisecond)
 		synctest.Wait()
 		mu.Lock()
 		got := slices.Clone(events)
