rehearse/fleet: tests know which call was out when the machine vanished

Change: the call out at the vanish is held until it has vanished; where a start is told does not matter. Ruled out: the kit's own silence; with its guards off call-backs of a vanished machine stay out, as they are purged.

--- a/rehearse/fleet/fleet_test.go
+++ b/rehearse/fleet/fleet_test.go
@@ -106,7 +106,7 @@
 	if took := time.Since(began); took < 5*time.Second {
 		t.Errorf("ten tries took %v, with no growing pause between them", took)
 	}
-	if n := len(r.callers[0].calls); n != 11 {
+	if n := r.callers[0].count(); n != 11 {
 		t.Errorf("%d calls", n)
 	}
 	if u := r.history(1, history.KindUntold); len(u) != 1 || u[0].Tries != 10 || u[0].State != history.StateStarted {
@@ -261,9 +261,9 @@
 	late.Close()
 	early.Close()
 	r.wait("nothing is left", func() bool { return r.Busy(0) == 0 && r.State(0).Connections == 0 })
-	if got := r.story(1); got != "attempt, began, given-up:close, cancelled ran" &&
-		got != "attempt, began, given-up:close, told:started, cancelled ran" {
-		t.Errorf("the story of the late one: %s", got)
+	// Whether its start is told crosses the end, and may come anywhere after it began.
+	if got := strings.Replace(r.story(1), ", told:started", "", 1); got != "attempt, began, given-up:close, cancelled ran" {
+		t.Errorf("the story of the late one: %s", r.story(1))
 	}
 	if got := r.story(2); got != "attempt, given-up:close, cancelled" {
 		t.Errorf("the story of the early one: %s", got)
--- a/rehearse/fleet/rig_test.go
+++ b/rehearse/fleet/rig_test.go
@@ -68,6 +68,13 @@
 	return slices.Compact(states)
 }
 
+// count is the number of calls heard.
+func (c *caller) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
 // refuse makes it acknowledge nothing from now on.
 func (c *caller) refuse() {
 	c.mu.Lock()
--- a/rehearse/fleet/silence_test.go
+++ b/rehearse/fleet/silence_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,11 +43,17 @@
 
 func TestAVanishedMachineSaysNothing(t *testing.T) {
 	r := newRig(t, 1, []world.Spec{plain("s-1")}, nil)
+	var hold atomic.Bool
+	asked, leave := make(chan int, 1), make(chan bool)
 	r.callers[0].answer = func(n int, c call) int {
-		if c.State == "done" {
-			return 500 // still to be told when the machine vanishes
+		if c.State != "done" {
+			return 204
 		}
-		return 204
+		if hold.Load() {
+			asked <- n
+			<-leave
+		}
+		return 500 // still to be told when the machine vanishes
 	}
 	busy, idle, half, gone := r.dial(0, 0), r.dial(0, 0), r.dial(0, 0), r.dial(0, 0)
 	busy.ask(r.job("a", 0), "202")
@@ -61,8 +68,11 @@
 	first, rest, _ := strings.Cut(r.job("c", 0), "body")
 	half.send(first)
 	r.wait("all have come up", func() bool { return r.State(0).Connections == 4 })
+	hold.Store(true)
+	last := <-asked // heard before the machine vanishes; whatever comes after it is sent by nobody
 	must(t, r.Vanish(0))
-	calls := len(r.callers[0].calls)
+	hold.Store(false)
+	close(leave)
 
 	// What is sent is swallowed, whole or not; a close is noticed, and nothing comes back.
 	half.send("body" + rest)
@@ -81,8 +91,8 @@
 		return len(l.conns) == 3
 	})
 	r.neverUp(0, 0)
-	if n := len(r.callers[0].calls); n != calls {
-		t.Errorf("%d calls from a machine that is not there", n-calls)
+	if n := r.callers[0].count(); n != last+1 {
+		t.Errorf("%d calls from a machine that is not there", n-last-1)
 	}
 
 	must(t, r.Return(0))
