capture: TestLines reads the line of the request, whatever timer comes after it

Cause: the test took the last line for the request's; the job's first timer is due at once and may be written by then.

--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -150,7 +150,8 @@
 		DeadlineMS                 float64 `json:"deadline_ms"`
 		Index                      int
 	}
-	if err := json.Unmarshal(lines[len(lines)-1], &got); err != nil {
+	// The third: state and list come before it, and the job's first timer may have come after it.
+	if err := json.Unmarshal(lines[2], &got); err != nil {
 		t.Fatal(err)
 	}
 	if got.ID != "9b1f03aa5c7e2d41" || got.Class != "check" || got.Tenant != "willamette-crews" || got.DeadlineMS != 5000 ||
