--- a/consumer/http.go
+++ b/consumer/http.go
@@ -2,13 +2,11 @@
 
 import (
 	"errors"
-	"math"
 	"strconv"
 	"strings"
 	"time"
 
 	"laddertide/job"
-	"laddertide/policy"
 	"laddertide/wire/http1"
 )
 
@@ -19,8 +17,6 @@
 	pathStatus = "/v1/job-status/" // and the job's id
 )
 
-const maxID = 128 // of a request's id
-
 // answer is a response to be written.
 type answer struct {
 	status int
@@ -201,76 +197,21 @@
 	return strconv.FormatFloat(min(d, most).Seconds(), 'f', 3, 64)
 }
 
+var httpWords = words{id: "X-Request-Id", class: "X-Class", tenant: "X-Tenant", key: "Idempotency-Key",
+	deadline: "X-Deadline-Ms", hint: "X-Cost-Hint", extras: "X-Extras"}
+
 // parse reads a job, or says why the request is none.
 func (s *Server) parse(head *http1.Head, body []byte) (*job.Job, string) {
-	f := head.Fields
-	for _, name := range once {
-		if f.Count(name) > 1 {
+	for _, name := range httpWords.fields() {
+		if head.Fields.Count(name) > 1 {
 			return nil, name + " is repeated" // a provider may read the other one
 		}
 	}
-	j := &job.Job{ID: f.Get("X-Request-Id"), Party: f.Get("X-Tenant"), Key: f.Get("Idempotency-Key"), Slots: 1,
-		Subject: head.Target, Payload: body, Protocol: http1.Protocol}
-	if !isID(j.ID) {
-		return nil, "X-Request-Id is missing or malformed"
-	}
-	set := s.settings()
-	j.Class = index(len(set.Classes), func(i int) bool { return set.Classes[i].Name == f.Get("X-Class") && !set.Classes[i].Retired })
-	if j.Class == len(set.Classes) {
-		return nil, "X-Class is unknown"
-	}
-	// A tenant that the settings do not know has no share to go past; it is served as any other.
-	j.Tenant = index(len(set.Tenants), func(i int) bool { return set.Tenants[i].Name == j.Party })
-	class := &set.Classes[j.Class]
-	j.ClassName = class.Name
-	if class.Effect == policy.Keyed && j.Key == "" {
-		return nil, "Idempotency-Key is missing"
-	}
-	left := class.Deadline
-	if v := f.Get("X-Deadline-Ms"); v != "" {
-		ms, err := strconv.ParseUint(v, 10, 31)
-		if err != nil {
-			return nil, "X-Deadline-Ms is not a whole number"
-		}
-		left = min(left, time.Duration(ms)*time.Millisecond) // longer than its class waits nobody does
-	}
-	j.Deadline, j.Left = left, max(0, left-margin)
-	if v := f.Get("X-Cost-Hint"); v != "" {
-		us, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(us >= 0 && us < math.MaxInt32) {
-			return nil, "X-Cost-Hint is not a number of microseconds"
-		}
-		j.Hint = time.Duration(us * float64(time.Microsecond))
-	}
-	for pair := range strings.SplitSeq(f.Get("X-Extras"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); name == "slots" && err == nil && v > 0 {
-			j.Slots = v
-		}
+	j, why := s.jobOf(&httpWords, head.Fields.Get)
+	if why != "" {
+		return nil, why
 	}
-	j.Fields = f.EndToEnd("X-Deadline-Ms")
+	j.Subject, j.Payload, j.Protocol = head.Target, body, http1.Protocol
+	j.Fields = head.Fields.EndToEnd("X-Deadline-Ms")
 	return j, ""
 }
-
-// once are the fields that say what a job is: two of one would be two jobs.
-var once = []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key", "X-Cost-Hint", "X-Extras"}
-
-// isID tells whether an id can stand in a path as it is.
-func isID(id string) bool {
-	for _, c := range []byte(id) {
-		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && !strings.ContainsRune("-_.~", rune(c)) {
-			return false
-		}
-	}
-	return id != "" && len(id) <= maxID
-}
-
-// index is the first place at which is holds, or n.
-func index(n int, is func(int) bool) int {
-	for i := range n {
-		if is(i) {
-			return i
-		}
-	}
-	return n
-}
