consumer: clients that speak STOMP, on a port of their own, through the same Handlers

Need: depot terminals and back-office tools speak STOMP and are to reach the same workers under the same rules. Change: consumer/stomp.go: CONNECT with versions and heart-beats, SUBSCRIBE, SEND to /jobs/CLASS/OBJECT and /status/ID, transactions, receipts, DISCONNECT after the last answer; the section stomp of the operators' file, off unless there. Jobs and bytes of a session are bounded by reading no further.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -67,8 +67,9 @@
 	woken  bool      // it has been told to make room
 
 	// Its goroutine's own.
-	broken bool // it cannot be read any more
-	passed bool // another process has it
+	stomp  *Stomp // it speaks STOMP
+	broken bool   // it cannot be read any more
+	passed bool   // another process has it
 }
 
 // Read notes that the peer is not silent.
@@ -245,6 +246,9 @@
 			continue
 		}
 		c := newConn(nc, nil)
+		if ln, ok := ln.(StompListener); ok {
+			c.stomp = &ln.Stomp
+		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		crowded := len(s.conns)-s.leaving > cap(s.room)*4/5
@@ -339,7 +343,9 @@
 		// Whatever goes wrong with one request must not end the others.
 		if r := recover(); r != nil {
 			s.Log.Error("panic while serving a connection", "panic", r, "stack", string(debug.Stack()))
-			s.write(c, answer{status: 500, last: true})
+			if c.stomp == nil {
+				s.write(c, answer{status: 500, last: true})
+			}
 		}
 		c.Close()
 		s.enter(c, parting)
@@ -355,6 +361,10 @@
 	if g, ok := c.Conn.(greeter); ok && !s.greet(c, g) {
 		return
 	}
+	if c.stomp != nil {
+		s.stomp(c, *c.stomp)
+		return
+	}
 	if j != nil {
 		s.enter(c, working)
 		a, ok := s.answerTo(j, c, last)
--- /dev/null
+++ b/consumer/stomp_test.go
@@ -0,0 +1,400 @@
+package consumer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/job"
+	"laddertide/policy"
+	"laddertide/wire/stomp"
+)
+
+// bench is a server whose jobs end when the test says so.
+type bench struct {
+	t       *testing.T
+	s       *Server
+	address string
+	stop    context.CancelFunc
+	served  chan error
+
+	mu    sync.Mutex
+	jobs  map[string]chan job.Outcome
+	taken chan *job.Job
+	left  chan string // ids of jobs whose consumer has gone
+}
+
+// Handle implements job.Handler.
+func (b *bench) Handle(ctx context.Context, j *job.Job) job.Outcome {
+	b.taken <- j
+	select {
+	case out := <-b.outcome(j.ID):
+		return out
+	case <-ctx.Done():
+		b.left <- j.ID
+		return job.Outcome{Kind: job.Gone}
+	}
+}
+
+func (b *bench) outcome(id string) chan job.Outcome {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.jobs[id] == nil {
+		b.jobs[id] = make(chan job.Outcome, 1)
+	}
+	return b.jobs[id]
+}
+
+func newBench(t *testing.T, set Stomp) *bench {
+	t.Helper()
+	b := &bench{t: t, served: make(chan error, 1), jobs: make(map[string]chan job.Outcome),
+		taken: make(chan *job.Job, 100), left: make(chan string, 100)}
+	class := func(name string, e policy.Effect) policy.Class {
+		return policy.Class{Name: name, Deadline: 5 * time.Second, Effect: e, Kind: -1}
+	}
+	b.s = &Server{Settings: policy.Settings{MaxRetryAfter: 2 * time.Second, Tenants: []policy.Tenant{{Name: "depot"}},
+		Classes: []policy.Class{class("check", policy.Safe), class("settle", policy.Keyed)}},
+		Jobs: b, Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 10, Grace: grace}
+	b.s.CallBack = func([]byte) error { return errors.New("none here") }
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = ln.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	go func() { b.served <- b.s.Serve(ctx, StompListener{ln, set}) }()
+	t.Cleanup(stop)
+	return b
+}
+
+var usual = Stomp{MaxJobs: 4, MaxFrame: 1024}
+
+// peer is a STOMP client.
+type peer struct {
+	net.Conn
+	t *testing.T
+	r *stomp.Reader
+	v stomp.Version
+}
+
+func (b *bench) dial() *peer {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return &peer{Conn: c, t: b.t, r: stomp.NewReader(bufio.NewReader(c), stomp.Limits{})}
+}
+
+// connect opens a session of a version with a subscription of /answers.
+func (b *bench) connect(v, beat string) *peer {
+	b.t.Helper()
+	p := b.dial()
+	p.say("CONNECT", "", "accept-version", v, "host", "x", "heart-beat", beat)
+	got := p.hear(stomp.CONNECTED)
+	agreed, err := stomp.Agreed(got.Headers)
+	if err != nil || agreed.String() != v {
+		b.t.Fatalf("%v, %v", agreed, err)
+	}
+	p.v = agreed
+	p.r.SetVersion(agreed)
+	p.say("SUBSCRIBE", "", "id", "s", "destination", "/answers", "receipt", "subscribed")
+	p.hear(stomp.RECEIPT, "receipt-id", "subscribed")
+	return p
+}
+
+func (p *peer) say(command, body string, headers ...string) {
+	p.t.Helper()
+	f := stomp.Frame{Command: stomp.Command(command), Body: []byte(body)}
+	for i := 0; i < len(headers); i += 2 {
+		f.Headers = append(f.Headers, stomp.Field{Name: headers[i], Value: headers[i+1]})
+	}
+	text, err := stomp.AppendFrame(nil, p.v, &f)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if _, err := p.Write(text); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// hear reads the next frame, which must be that one with these headers.
+func (p *peer) hear(command stomp.Command, headers ...string) stomp.Frame {
+	p.t.Helper()
+	var f stomp.Frame
+	for f.Command == stomp.Beat {
+		if err := p.r.Next(&f); err != nil {
+			p.t.Fatalf("instead of %s: %v", command, err)
+		}
+	}
+	if f.Command != command {
+		p.t.Fatalf("%s %v %q, want %s", f.Command, f.Headers, f.Body, command)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		if got := f.Headers.Get(headers[i]); got != headers[i+1] {
+			p.t.Fatalf("%s: %s is %q, want %q", command, headers[i], got, headers[i+1])
+		}
+	}
+	return f
+}
+
+// ends waits for the connection's end.
+func (p *peer) ends() {
+	p.t.Helper()
+	var f stomp.Frame
+	for {
+		if err := p.r.Next(&f); err != nil {
+			if !errors.Is(err, io.EOF) {
+				p.t.Fatalf("no end in order: %v", err)
+			}
+			return
+		}
+		if f.Command != stomp.Beat {
+			p.t.Fatalf("%s %v before the end", f.Command, f.Headers)
+		}
+	}
+}
+
+func (p *peer) job(id string, more ...string) {
+	p.t.Helper()
+	p.say("SEND", "body of "+id, append([]string{"destination", "/jobs/check/7f3a", "request-id", id}, more...)...)
+}
+
+// Jobs of a session run at once, each has one answer on the subscription, and what the answer is goes by the outcome.
+func TestStompJobs(t *testing.T) {
+	for _, v := range []string{"1.0", "1.1", "1.2"} {
+		t.Run(v, func(t *testing.T) {
+			b := newBench(t, usual)
+			p := b.connect(v, "0,0")
+			p.say("SEND", "x", "destination", "/jobs/settle/7f3a", "request-id", "a", "tenant", "depot", "idempotency-key", "k",
+				"deadline-ms", "1000", "cost-hint", "2500", "extras", "slots=2", "receipt", "r-a")
+			p.hear(stomp.RECEIPT, "receipt-id", "r-a")
+			j := <-b.taken
+			if j.ID != "a" || j.ClassName != "settle" || j.Subject != "/jobs/settle/7f3a" || j.Tenant != 0 || j.Key != "k" ||
+				j.Deadline != time.Second || j.Hint != 2500*time.Microsecond || j.Slots != 2 || string(j.Payload) != "x" || j.Protocol == "" {
+				t.Fatalf("%+v", j)
+			}
+			for _, id := range []string{"b", "c", "d"} {
+				p.job(id)
+				<-b.taken
+			}
+			for _, c := range []struct {
+				id, status string
+				out        job.Outcome
+			}{{"d", "200", job.Outcome{Kind: job.Served, Result: []byte("a\x00result")}}, {"c", "503", job.Outcome{Kind: job.Rejected, RetryAfter: time.Second}},
+				{"b", "502", job.Outcome{}}, {"a", "409", job.Outcome{Kind: job.Conflict}}} {
+				b.outcome(c.id) <- c.out
+				f := p.hear(stomp.MESSAGE, "request-id", c.id, "status", c.status, "subscription", "s", "destination", "/answers")
+				if c.id == "d" && string(f.Body) != "a\x00result" || (f.Headers.Get("retry-after") == "1.000") != (c.id == "c") {
+					t.Fatalf("%v %q", f.Headers, f.Body)
+				}
+			}
+			p.say("DISCONNECT", "", "receipt", "bye")
+			p.hear(stomp.RECEIPT, "receipt-id", "bye")
+			p.ends()
+		})
+	}
+}
+
+// A job that is wrong is answered 400 and never taken; the session goes on.
+func TestStompMistakesOfJobs(t *testing.T) {
+	b := newBench(t, usual)
+	p := b.connect("1.2", "0,0")
+	for _, h := range [][]string{
+		{"destination", "/jobs/check"}, {"destination", "/jobs/check", "request-id", "a b"},
+		{"destination", "/jobs/nothing", "request-id", "a"}, {"destination", "/jobs/settle", "request-id", "a"},
+		{"destination", "/jobs/check", "request-id", "a", "request-id", "b"},
+		{"destination", "/jobs/check", "request-id", "a", "deadline-ms", "soon"},
+		{"destination", "/jobs/check", "request-id", "a", "tenant", "x\ny: z"},
+		{"destination", "/jobs/check/a b", "request-id", "a"}, {"destination", "/jobs/check/\r\nX: y", "request-id", "a"},
+	} {
+		p.say("SEND", "", h...)
+		p.hear(stomp.MESSAGE, "status", "400")
+	}
+	select {
+	case j := <-b.taken:
+		t.Fatalf("%+v is taken", j)
+	default:
+	}
+	p.job("good")
+	b.outcome("good") <- job.Outcome{Kind: job.Served}
+	p.hear(stomp.MESSAGE, "status", "200")
+}
+
+// What no answer could be given to ends the session by an ERROR; what was taken before has its answer first.
+func TestStompMistakesOfSessions(t *testing.T) {
+	for name, c := range map[string]func(*peer){
+		"nowhere to go":      func(p *peer) { p.job("bad", "reply-to", "/elsewhere") },
+		"no destination":     func(p *peer) { p.say("SEND", "", "request-id", "bad", "destination", "/queue/x") },
+		"no such frame":      func(p *peer) { p.say("MESSAGE", "") },
+		"no transaction":     func(p *peer) { p.job("bad", "transaction", "t") },
+		"twice the same sub": func(p *peer) { p.say("SUBSCRIBE", "", "id", "s", "destination", "/answers") },
+		"a broken frame":     func(p *peer) { fmt.Fprintf(p, "SEND\nno colon\n\n\x00") },
+		"too large":          func(p *peer) { p.say("SEND", strings.Repeat("x", 2000), "destination", "/jobs/check") },
+		"a second CONNECT":   func(p *peer) { p.say("CONNECT", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, usual)
+			p := b.connect("1.1", "0,0")
+			p.job("before")
+			<-b.taken
+			c(p)
+			p.job("after")
+			b.outcome("before") <- job.Outcome{Kind: job.Served}
+			p.hear(stomp.MESSAGE, "request-id", "before", "status", "200")
+			p.hear(stomp.ERROR)
+			p.ends()
+			if len(b.taken) > 0 {
+				t.Fatalf("%+v is taken", <-b.taken)
+			}
+		})
+	}
+}
+
+// Who does not begin a session in good time, or speaks something else, is told and closed on within 3 s.
+func TestStompStrangers(t *testing.T) {
+	b := newBench(t, usual)
+	for name, say := range map[string]string{"silent": "", "HTTP": "POST /api/x HTTP/1.1\r\n\r\n", "half": "CONNECT\naccept-v", "beats": "\n\n\n",
+		"not CONNECT": "SEND\ndestination:/jobs/check\n\nx\x00", "unknown version": "CONNECT\naccept-version:3.0\n\n\x00"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", b.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, say)
+			c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			got, err := io.ReadAll(c)
+			if err != nil || name != "silent" && !strings.HasPrefix(string(got), "ERROR\n") {
+				t.Fatalf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+// A transaction's jobs are taken at its COMMIT, none after an ABORT; more than a session may have is no wait without end.
+func TestStompTransactions(t *testing.T) {
+	b := newBench(t, usual)
+	p := b.connect("1.2", "0,0")
+	p.say("BEGIN", "", "transaction", "t")
+	p.say("BEGIN", "", "transaction", "u")
+	p.job("a", "transaction", "t", "receipt", "r")
+	p.job("dropped", "transaction", "u")
+	p.job("b", "transaction", "t")
+	p.say("ABORT", "", "transaction", "u", "receipt", "aborted")
+	p.hear(stomp.RECEIPT, "receipt-id", "aborted")
+	if len(b.taken) > 0 {
+		t.Fatal("taken before COMMIT")
+	}
+	p.say("COMMIT", "", "transaction", "t", "receipt", "done")
+	p.hear(stomp.RECEIPT, "receipt-id", "r")
+	p.hear(stomp.RECEIPT, "receipt-id", "done")
+	for range 2 {
+		if j := <-b.taken; j.ID != "a" && j.ID != "b" {
+			t.Fatalf("%+v", j)
+		}
+	}
+	p.say("BEGIN", "", "transaction", "w")
+	for _, id := range []string{"c", "d", "e", "f", "g"} {
+		p.job(id, "transaction", "w")
+	}
+	b.outcome("a") <- job.Outcome{Kind: job.Served}
+	p.hear(stomp.MESSAGE, "request-id", "a")
+	b.outcome("b") <- job.Outcome{Kind: job.Served}
+	p.hear(stomp.MESSAGE, "request-id", "b")
+	p.hear(stomp.ERROR)
+	if len(b.taken) > 0 {
+		t.Fatal("taken without COMMIT")
+	}
+}
+
+// Beyond what a session may have nothing is read until a job has its answer.
+func TestStompBounds(t *testing.T) {
+	b := newBench(t, usual)
+	p := b.connect("1.2", "0,0")
+	for i := range 6 {
+		p.job(fmt.Sprint("j", i))
+	}
+	for range 4 {
+		<-b.taken
+	}
+	select {
+	case j := <-b.taken:
+		t.Fatalf("%s is taken beyond the bound", j.ID)
+	case <-time.After(100 * time.Millisecond):
+	}
+	b.outcome("j0") <- job.Outcome{Kind: job.Served}
+	p.hear(stomp.MESSAGE, "request-id", "j0")
+	if j := <-b.taken; j.ID != "j4" {
+		t.Fatal(j.ID)
+	}
+}
+
+// A client that leaves, or ends the subscription, has given its jobs up.
+func TestStompLeave(t *testing.T) {
+	b := newBench(t, usual)
+	p := b.connect("1.2", "0,0")
+	p.say("SUBSCRIBE", "", "id", "other", "destination", "/mine")
+	p.job("stays")
+	p.job("goes", "reply-to", "/mine")
+	<-b.taken
+	<-b.taken
+	p.say("UNSUBSCRIBE", "", "id", "other")
+	if id := <-b.left; id != "goes" {
+		t.Fatal(id)
+	}
+	p.Close()
+	if id := <-b.left; id != "stays" {
+		t.Fatal(id)
+	}
+}
+
+// Heart-beats come as agreed, keep a session open, and one whose client falls silent ends once its jobs are answered.
+func TestStompHeartBeats(t *testing.T) {
+	set := usual
+	set.HeartBeat = 50 * time.Millisecond
+	b := newBench(t, set)
+	p := b.connect("1.2", "1000,100")
+	var f stomp.Frame
+	for beats := uint64(0); beats < 3; beats = p.r.Beats() {
+		if err := p.r.Next(&f); err != nil || f.Command != stomp.Beat {
+			t.Fatalf("%+v, %v", f, err)
+		}
+	}
+	p.hear(stomp.ERROR) // it has promised to be heard
+	p.ends()
+	q := b.connect("1.2", "0,0")
+	q.job("a")
+	<-b.taken
+	time.Sleep(300 * time.Millisecond) // it has promised nothing
+	b.outcome("a") <- job.Outcome{Kind: job.Served}
+	q.hear(stomp.MESSAGE, "status", "200")
+}
+
+// At the word to stop what was taken has its answer, then sessions close.
+func TestStompStop(t *testing.T) {
+	b := newBench(t, usual)
+	idle, busy := b.connect("1.2", "0,0"), b.connect("1.2", "0,0")
+	busy.job("a")
+	<-b.taken
+	b.stop()
+	idle.ends()
+	b.outcome("a") <- job.Outcome{Kind: job.Served}
+	busy.hear(stomp.MESSAGE, "request-id", "a")
+	busy.ends()
+	if err := <-b.served; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"laddertide/capture"
+	"laddertide/consumer"
 	"laddertide/durable"
 	"laddertide/figures"
 	"laddertide/jobstatus"
@@ -21,6 +22,7 @@
 	Capture   *capture.Settings
 	JobStatus *jobstatus.Settings
 	Durable   *durable.Settings
+	Stomp     *consumer.Stomp
 
 	Path   string    // of the file; empty: it came from elsewhere
 	Stderr io.Writer // where lines for standard error go; nil: there
@@ -46,10 +48,11 @@
 			err = fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	op.Stomp, err = section(file, "stomp", consumer.ParseStomp, err)
 	return op, err
 }
 
-var sections = []string{"figures", "tls", "capture", "job_status", "durable"}
+var sections = []string{"figures", "tls", "capture", "job_status", "durable", "stomp"}
 
 // LoadCapture reads the capture section alone, or gives nil if there is none. A replay may be made where the paths of
 // the file do not exist.
@@ -94,15 +97,21 @@
 	if op.Durable != nil {
 		n += durable.Descriptors
 	}
+	if op.Stomp != nil {
+		n++ // its listener
+	}
 	return n
 }
 
 // connBytes is what a connection may weigh beside its message.
-func (op *Operator) connBytes() int {
+func (op *Operator) connBytes() (n int) {
 	if op.TLS != nil {
-		return tlsport.ConnBytes
+		n += tlsport.ConnBytes
+	}
+	if op.Stomp != nil {
+		n += op.Stomp.ConnBytes()
 	}
-	return 0
+	return n
 }
 
 func (op *Operator) memory() (n int) {
@@ -138,6 +147,14 @@
 			return fmt.Errorf("%s: tls.listen_port: is the port of the plain listener", name)
 		}
 	}
+	if op.Stomp != nil {
+		if _, port, _ := net.SplitHostPort(c.Listen); port == strconv.Itoa(op.Stomp.Port) {
+			return fmt.Errorf("%s: stomp.listen_port: is the port of the plain listener", name)
+		}
+		if op.TLS != nil && op.TLS.Port == op.Stomp.Port {
+			return fmt.Errorf("%s: stomp.listen_port: is tls.listen_port", name)
+		}
+	}
 	if op.Durable != nil {
 		if err := op.Durable.Check(&c.Settings); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -281,6 +282,15 @@
 		}
 		listeners = append(listeners, secure)
 	}
+	if set := s.cfg.Operator.Stomp; set != nil {
+		host, _, _ := net.SplitHostPort(s.cfg.Listen)
+		sessions, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(set.Port)))
+		if err != nil {
+			return fmt.Errorf("scheduler: stomp: %w", err)
+		}
+		defer sessions.Close()
+		listeners = append(listeners, consumer.StompListener{Listener: sessions, Stomp: *set})
+	}
 	s.mu.Lock()
 	server := &consumer.Server{
 		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
@@ -296,6 +306,9 @@
 		s.log.Info("serving with encryption", "listen", secure.Addr())
 		go secure.Run(watching)
 	}
+	if set := s.cfg.Operator.Stomp; set != nil {
+		s.log.Info("serving STOMP", "listen", listeners[len(listeners)-1].Addr())
+	}
 	began := time.Now()
 	go s.summarise(watching)
 	s.open(server, ln, before)
