--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -142,7 +142,9 @@
 	}
 	n.settle() // what was taken has its answer first
 	if m != nil {
-		f := stomp.Frame{Command: stomp.ERROR, Headers: append(stomp.Fields{{Name: "message", Value: m.why}}, m.more...)}
+		// Before a version is settled the client may read escapes where none are meant.
+		why := strings.ReplaceAll(m.why, `\`, "/")
+		f := stomp.Frame{Command: stomp.ERROR, Headers: append(stomp.Fields{{Name: "message", Value: why}}, m.more...)}
 		if m.receipt != "" {
 			f.Headers = append(f.Headers, stomp.Field{Name: "receipt-id", Value: m.receipt})
 		}
--- a/consumer/stomp_test.go
+++ b/consumer/stomp_test.go
@@ -10,11 +10,13 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"laddertide/job"
 	"laddertide/policy"
+	"laddertide/wire/http1"
 	"laddertide/wire/stomp"
 )
 
@@ -398,3 +400,111 @@
 		t.Fatal(err)
 	}
 }
+
+// What a job costs its front, by HTTP and by STOMP: a client that waits for each answer.
+func BenchmarkJob(b *testing.B) {
+	served := func(ctx context.Context, j *job.Job) job.Outcome {
+		return job.Outcome{Kind: job.Served, Result: []byte("a result")}
+	}
+	for _, front := range []string{"http", "stomp"} {
+		b.Run(front, func(b *testing.B) {
+			s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second, Kind: -1}}},
+				Jobs: handler(served), Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 10, Grace: grace}
+			plain, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			ln := plain
+			if front == "stomp" {
+				ln = StompListener{plain, usual}
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go s.Serve(ctx, ln)
+			c, err := net.Dial("tcp", plain.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			br := bufio.NewReader(c)
+			r := stomp.NewReader(br, stomp.Limits{})
+			ask, f := []byte(ask("a", "check")), stomp.Frame{}
+			if front == "stomp" {
+				io.WriteString(c, "CONNECT\naccept-version:1.2\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00")
+				if err := r.Next(&f); err != nil {
+					b.Fatal(err)
+				}
+				r.SetVersion(stomp.V12)
+				ask = []byte("SEND\ndestination:/jobs/check/x\nrequest-id:a\ncost-hint:1000\n\nbody\x00")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Write(ask); err != nil {
+					b.Fatal(err)
+				}
+				if front == "http" {
+					h, err := http1.ReadResponseHead(br)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if _, err = h.ReadBody(br); err != nil || h.Status != 200 {
+						b.Fatal(h.Status, err)
+					}
+					continue
+				}
+				if err := r.Next(&f); err != nil || f.Headers.Get("status") != "200" {
+					b.Fatal(f.Headers, err)
+				}
+			}
+		})
+	}
+}
+
+type handler func(context.Context, *job.Job) job.Outcome
+
+func (h handler) Handle(ctx context.Context, j *job.Job) job.Outcome { return h(ctx, j) }
+
+// Whatever a client sends, its session ends once it has, nothing is left open, and what it is sent are whole frames.
+func FuzzStompSession(f *testing.F) {
+	const hello = "CONNECT\naccept-version:1.2\nheart-beat:0,0\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00"
+	const send = "SEND\ndestination:/jobs/check/x\nrequest-id:a\nreceipt:r\n\nbody\x00"
+	for _, s := range []string{"", "\n\n", hello, hello + send + send, hello + "BEGIN\ntransaction:t\n\n\x00" + strings.Replace(send, "\n", "\ntransaction:t\n", 1) +
+		"COMMIT\ntransaction:t\nreceipt:c\n\n\x00", hello + send + "DISCONNECT\nreceipt:d\n\n\x00" + send, hello + "UNSUBSCRIBE\nid:0\n\n\x00" + send,
+		hello + "ABORT\ntransaction:t\n\n\x00", hello + "ACK\nid:1\n\n\x00NACK\n\n\x00", hello + "SEND\ndestination:/status/a\ntenant:t\n\n\x00",
+		"STOMP\naccept-version:1.0\n\n\x00SUBSCRIBE\ndestination:/answers\nack:client\n\n\x00" + send, "CONNECT\naccept-version:9\n\n\x00", hello + send[:30]} {
+		f.Add([]byte(s))
+	}
+	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second, Kind: -1}}},
+		Jobs:     handler(func(context.Context, *job.Job) job.Outcome { return job.Outcome{Kind: job.Served, Result: []byte("x")} }),
+		Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 100, Grace: grace}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.Cleanup(stop)
+	go s.Serve(ctx, StompListener{ln, usual})
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		c.Write(sent)
+		c.(*net.TCPConn).CloseWrite()
+		r := stomp.NewReader(bufio.NewReader(c), stomp.Limits{})
+		var got stomp.Frame
+		for {
+			if v, err := stomp.Agreed(got.Headers); got.Command == stomp.CONNECTED && err == nil {
+				r.SetVersion(v)
+			}
+			if err := r.Next(&got); err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) {
+					t.Fatal(err)
+				}
+				return
+			}
+		}
+	})
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -173,13 +173,20 @@
 // Every section has its place in the file; what the features take together has a bound.
 func TestOperator(t *testing.T) {
 	for text, want := range map[string]string{
-		"figures:\ncapture:\njob_status:\n":   "",
-		"job_status: {keep_s: 0}\n":           "job_status.keep_s: ",
-		"job_status: {max_entries: many}\n":   "job_status.max_entries: ",
-		"job_status: {entries: 5}\n":          "job_status.entries: no such setting",
-		"jobstatus: {}\n":                     "jobstatus: no such section",
-		"job_status: {max_entries: 500000}\n": "over a quarter of limits.memory_mb",
-		"capture: {dir: /nowhere}\n":          "capture.dir: ",
+		"figures:\ncapture:\njob_status:\n":                    "",
+		"job_status: {keep_s: 0}\n":                            "job_status.keep_s: ",
+		"job_status: {max_entries: many}\n":                    "job_status.max_entries: ",
+		"job_status: {entries: 5}\n":                           "job_status.entries: no such setting",
+		"jobstatus: {}\n":                                      "jobstatus: no such section",
+		"job_status: {max_entries: 500000}\n":                  "over a quarter of limits.memory_mb",
+		"capture: {dir: /nowhere}\n":                           "capture.dir: ",
+		"stomp: {listen_port: 9443}\n":                         "",
+		"stomp:\n":                                             "stomp.listen_port: ",
+		"stomp: {listen_port: 9000}\n":                         "stomp.listen_port: is the port of the plain listener",
+		"stomp: {listen_port: 9443, max_jobs: 0}\n":            "stomp.max_jobs: ",
+		"stomp: {listen_port: 9443, heart_beat_ms: -1}\n":      "stomp.heart_beat_ms: ",
+		"stomp: {listen_port: 9443, max_frame_bytes: 65537}\n": "stomp.max_frame_bytes: ",
+		"stomp: {listen_port: 9443, tls: true}\n":              "stomp.tls: no such setting",
 	} {
 		file := filepath.Join(t.TempDir(), "fleet.yaml")
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- /dev/null
+++ b/scheduler/stomp_test.go
@@ -0,0 +1,156 @@
+package scheduler
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/internal/testrig"
+	"laddertide/policy"
+	"laddertide/wire/stomp"
+)
+
+// terminal is a client of the STOMP port with a subscription of /answers.
+type terminal struct {
+	net.Conn
+	r *stomp.Reader
+	t *testing.T
+}
+
+// newStompRig is a scheduler with a STOMP port, and a client there.
+func newStompRig(t *testing.T, change func(*Config)) (*rig, *terminal) {
+	t.Helper()
+	address := testrig.Free(t)
+	_, port, _ := net.SplitHostPort(address)
+	r := startRig(t, "stomp: {listen_port: "+port+"}\n", io.Discard, func(cfg *Config) {
+		cfg.Admin = testrig.Free(t)
+		change(cfg)
+	})
+	await(t, address)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	t.Cleanup(func() { c.Close() })
+	p := &terminal{c, stomp.NewReader(bufio.NewReader(c), stomp.Limits{}), t}
+	p.say("CONNECT\naccept-version:1.2\nhost:x\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00")
+	p.hear(stomp.CONNECTED)
+	p.r.SetVersion(stomp.V12)
+	return r, p
+}
+
+func (p *terminal) say(format string, args ...any) {
+	p.t.Helper()
+	if _, err := fmt.Fprintf(p, format, args...); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *terminal) send(id, class, more string) {
+	p.t.Helper()
+	p.say("SEND\ndestination:/jobs/%s/7f3a\nrequest-id:%s\ntenant:rainier-haul\nidempotency-key:k\n%s\nx\x00", class, id, more)
+}
+
+func (p *terminal) hear(command stomp.Command) stomp.Frame {
+	p.t.Helper()
+	var f stomp.Frame
+	for f.Command == stomp.Beat {
+		if err := p.r.Next(&f); err != nil {
+			p.t.Fatalf("instead of %s: %v", command, err)
+		}
+	}
+	if f.Command != command {
+		p.t.Fatalf("%s %v %q, want %s", f.Command, f.Headers, f.Body, command)
+	}
+	return f
+}
+
+// answer reads the answer to a job.
+func (p *terminal) answer(id, status string) string {
+	p.t.Helper()
+	f := p.hear(stomp.MESSAGE)
+	if f.Headers.Get("request-id") != id || f.Headers.Get("status") != status {
+		p.t.Fatalf("%v %q, want %s for %s", f.Headers, f.Body, status, id)
+	}
+	return string(f.Body)
+}
+
+// The rules hold on both ports: a provider's own result, what may run again goes again, what must not does not, and a
+// provider that drains gets nothing new from either while what is out goes on to its end.
+func TestStompKeepsTheRules(t *testing.T) {
+	r, p := newStompRig(t, func(*Config) {})
+	c := r.dial()
+	p.send("served", "limit-check", "")
+	if got := <-r.jobs; got != "served" {
+		t.Fatal(got)
+	}
+	r.event("served", "started", "")
+	r.event("served", "done", `,"result":"its own"`)
+	if got := p.answer("served", "200"); got != "its own" {
+		t.Fatal(got)
+	}
+	p.send("once", "card-issue", "")
+	p.send("again", "limit-check", "")
+	for range 2 {
+		<-r.jobs
+	}
+	r.event("once", "lost", "")
+	p.answer("once", "502")
+	r.event("again", "lost", "")
+	if got := <-r.jobs; got != "again" {
+		t.Fatal(got)
+	}
+	r.submit(c, "plain", "card-issue", "rainier-haul", "")
+	e := r.cfg.Known.Entries[0]
+	e.Status = directory.Draining
+	r.sched.mu.Lock()
+	r.sched.deliver(policy.ListDelta, directory.List{Index: 42, Entries: []directory.Entry{e}})
+	r.sched.mu.Unlock()
+	p.send("late", "limit-check", "deadline-ms:60\n")
+	p.answer("late", "503")
+	d := r.dial()
+	d.say("POST /api/x HTTP/1.1\r\nX-Request-Id: late-too\r\nX-Class: limit-check\r\nX-Deadline-Ms: 60\r\nContent-Length: 0\r\n\r\n")
+	d.hear(503)
+	r.event("again", "done", `,"result":"x"`)
+	p.answer("again", "200")
+	r.event("plain", "done", `,"result":"x"`)
+	c.hear(200)
+	select {
+	case got := <-r.jobs:
+		t.Fatalf("%s is sent", got)
+	default:
+	}
+	p.send("left", "card-issue", "")
+	p.Close()
+	r.end()
+}
+
+// A client that leaves has given its job up: the provider is told, and nothing is sent again.
+func TestStompLeaves(t *testing.T) {
+	r, p := newStompRig(t, func(*Config) {})
+	p.send("gone", "limit-check", "")
+	<-r.jobs
+	p.Close()
+	if got := <-r.ends; got != "/jobs/gone" {
+		t.Fatal(got)
+	}
+}
+
+// Sessions cannot be passed on, so no process can follow: there is nothing in the folder.
+func TestStompNoHandOver(t *testing.T) {
+	dir := t.TempDir()
+	r, p := newStompRig(t, func(cfg *Config) { cfg.Dir = dir })
+	p.send("served", "limit-check", "")
+	<-r.jobs
+	r.event("served", "done", `,"result":"x"`)
+	p.answer("served", "200")
+	if found, err := os.ReadDir(dir); err != nil || len(found) > 0 {
+		t.Fatalf("%v, %v", found, err)
+	}
+}
