STOMP clients: the port may be encrypted by the settings of the section tls

Need: office systems reach the plain ports of this fleet over encrypted ones only. Change: stomp.tls; the certificate, client CA and reload are those of the tls section, on a listener of its own. Measured: its test fails a client without a certificate where one is required, and serves one that has it.

--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -22,6 +22,7 @@
 	HeartBeat time.Duration // what this side sends and wants at the least; 0: none
 	MaxJobs   int           // of a session, that have no answer yet
 	MaxFrame  int           // bytes of a frame's body
+	TLS       bool          // it is encrypted by the settings of the section tls
 }
 
 // ParseStomp reads them.
@@ -32,6 +33,7 @@
 	s.Whole("heart_beat_ms", &beat, 0, 60_000)
 	s.Whole("max_jobs", &set.MaxJobs, 1, 1024)
 	s.Whole("max_frame_bytes", &set.MaxFrame, 256, http1.MaxBody)
+	s.Bool("tls", &set.TLS)
 	set.HeartBeat = time.Duration(beat) * time.Millisecond
 	return set, s.Done()
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -136,6 +136,9 @@
 	}
 }
 
+// Bool reads true or false; left out, v stays as it is.
+func (s *Section) Bool(key string, v *bool) { s.read(key, v, "true or false") }
+
 // Text reads a text; left out, v stays as it is. An empty one says nothing.
 func (s *Section) Text(key string, v *string) {
 	if s.read(key, v, "a text") && *v == "" {
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -154,6 +154,9 @@
 		if op.TLS != nil && op.TLS.Port == op.Stomp.Port {
 			return fmt.Errorf("%s: stomp.listen_port: is tls.listen_port", name)
 		}
+		if op.Stomp.TLS && op.TLS == nil {
+			return fmt.Errorf("%s: stomp.tls: there is no section tls to take the certificate from", name)
+		}
 	}
 	if op.Durable != nil {
 		if err := op.Durable.Check(&c.Settings); err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -283,8 +283,7 @@
 		listeners = append(listeners, secure)
 	}
 	if set := s.cfg.Operator.Stomp; set != nil {
-		host, _, _ := net.SplitHostPort(s.cfg.Listen)
-		sessions, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(set.Port)))
+		sessions, err := s.stompDoor(watching, set)
 		if err != nil {
 			return fmt.Errorf("scheduler: stomp: %w", err)
 		}
@@ -319,6 +318,21 @@
 	return nil
 }
 
+// stompDoor opens the port that speaks STOMP. Its certificate, if it is encrypted, is that of the other encrypted port.
+func (s *Scheduler) stompDoor(ctx context.Context, set *consumer.Stomp) (net.Listener, error) {
+	if !set.TLS {
+		host, _, _ := net.SplitHostPort(s.cfg.Listen)
+		return net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(set.Port)))
+	}
+	own := *s.cfg.Operator.TLS
+	own.Port = set.Port
+	ln, err := tlsport.Listen(own, s.cfg.Listen, s.log)
+	if err == nil {
+		go ln.Run(ctx)
+	}
+	return ln, err
+}
+
 // The platform kills a program this long after the longest deadline of a job, counted as at most longestWait,
 // from the word to stop. What it finds unanswered then is lost.
 const (
--- a/scheduler/stomp_test.go
+++ b/scheduler/stomp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -154,3 +155,32 @@
 		t.Fatalf("%v, %v", found, err)
 	}
 }
+
+// The port may be encrypted, by the certificate of the other one.
+func TestStompEncrypted(t *testing.T) {
+	address := testrig.Free(t)
+	_, port, _ := net.SplitHostPort(address)
+	y := newYard(t, "client_cert: required}\nstomp: {tls: true, listen_port: "+port)
+	await(t, address)
+	c, err := tls.Dial("tcp", address, y.config(y.ca, "yard-07"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	p := &terminal{c, stomp.NewReader(bufio.NewReader(c), stomp.Limits{}), t}
+	p.say("CONNECT\naccept-version:1.2\nhost:x\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00")
+	p.hear(stomp.CONNECTED)
+	p.r.SetVersion(stomp.V12)
+	p.send("sealed", "limit-check", "")
+	<-y.jobs
+	y.event("sealed", "done", `,"result":"x"`)
+	p.answer("sealed", "200")
+	if c, err = tls.Dial("tcp", address, y.config(y.ca, "")); err == nil {
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		if _, err = c.Read(make([]byte, 1)); err == nil {
+			t.Fatal("a client without a certificate is heard")
+		}
+		c.Close()
+	}
+}
