--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -305,44 +305,54 @@
 // request appends the whole request, for which a client will wait so long, and enters it in the book.
 func (t *one) request(b []byte, limit time.Duration) []byte {
 	k, a := t.kit, t.a
-	target := "/api/" + a.Object
+	target, sep, end := "/api/"+a.Object, ": ", "\r\n"
+	names := []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key", "X-Cost-Hint", "X-Extras", "X-Retry",
+		"Content-Length"}
+	inStomp := k.speaksSTOMP()
+	if inStomp {
+		target, sep, end = t.destination(a), ":", "\n"
+		names = []string{"request-id", "class", "tenant", "deadline-ms", "idempotency-key", "cost-hint", "extras", "retry", "content-length"}
+	}
 	header := func(name, value string) {
 		b = append(b, name...)
-		b = append(b, ": "...)
+		b = append(b, sep...)
 		b = append(b, value...)
-		b = append(b, "\r\n"...)
+		b = append(b, end...)
 	}
-	number := func(name string, n int64) {
-		b = append(b, name...)
-		b = append(b, ": "...)
-		b = strconv.AppendInt(b, n, 10)
-		b = append(b, "\r\n"...)
+	number := func(name string, n int64) { header(name, strconv.FormatInt(n, 10)) }
+	if inStomp {
+		b = append(b, "SEND\n"...)
+		header("destination", target)
+	} else {
+		b = append(b, "POST "...)
+		b = append(b, target...)
+		b = append(b, " HTTP/1.1\r\n"...)
+		header("Host", k.Host)
 	}
-	b = append(b, "POST "...)
-	b = append(b, target...)
-	b = append(b, " HTTP/1.1\r\n"...)
-	header("Host", k.Host)
-	header("X-Request-Id", t.id)
-	header("X-Class", k.class(a).Name)
-	header("X-Tenant", k.Plan.Tenants[a.Tenant].Name)
-	number("X-Deadline-Ms", limit.Milliseconds())
+	header(names[0], t.id)
+	header(names[1], k.class(a).Name)
+	header(names[2], k.Plan.Tenants[a.Tenant].Name)
+	number(names[3], limit.Milliseconds())
 	if a.Key != "" {
-		header("Idempotency-Key", a.Key)
+		header(names[4], a.Key)
 	}
 	if a.Hint > 0 {
-		number("X-Cost-Hint", max(1, a.Hint.Microseconds()))
+		number(names[5], max(1, a.Hint.Microseconds()))
 	}
-	header("X-Extras", "slots="+strconv.FormatFloat(a.Slots, 'f', -1, 64)+
+	header(names[6], "slots="+strconv.FormatFloat(a.Slots, 'f', -1, 64)+
 		",memory="+strconv.FormatFloat(a.Memory, 'f', 2, 64))
 	if t.try > 0 {
-		header("X-Retry", "1")
+		header(names[7], "1")
 	}
-	number("Content-Length", int64(a.Body))
-	b = append(b, "\r\n"...)
+	number(names[8], int64(a.Body))
+	b = append(b, end...)
 	head := len(b)
 	b = text(b, a.Body, rand.NewPCG(a.Chance, 0xb0d1))
 	k.Book.Write(t.id, book.Sum("POST", target, t.id, a.Key, b[head:]), book.Job{Class: a.Class, Key: a.Key,
 		Work: a.Work, Noise: k.class(a).Noise, Slots: a.Slots, Memory: a.Memory})
+	if inStomp {
+		b = append(b, 0)
+	}
 	return b
 }
 
--- a/rehearse/clients/clients.go
+++ b/rehearse/clients/clients.go
@@ -37,6 +37,7 @@
 type Scheduler struct {
 	Name, Zone string
 	Address    string // host:port within 127.0.0.0/8
+	Sessions   string // where it speaks STOMP, and clients with it; empty: they speak HTTP at Address
 }
 
 // Config is all that Run needs.
--- a/rehearse/clients/clients_test.go
+++ b/rehearse/clients/clients_test.go
@@ -565,7 +565,7 @@
 		"large body": func(c *Config) { c.Arrivals[0].Body = 1 << 20 },
 	} {
 		cfg := Config{Plan: plan(time.Second), Zones: []string{"a"}, Record: record.New(nil), Book: book.New(),
-			Schedulers: []Scheduler{{"s0", "a", "127.0.0.1:1"}}, Arrivals: every(2, 0, safe)}
+			Schedulers: []Scheduler{{"s0", "a", "127.0.0.1:1", ""}}, Arrivals: every(2, 0, safe)}
 		spoil(&cfg)
 		if _, err := Run(context.Background(), cfg); err == nil {
 			t.Errorf("%s: played all the same", name)
--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"laddertide/core/history"
+	"laddertide/wire/stomp"
 )
 
 // place keeps the connections to one scheduler.
@@ -46,6 +47,8 @@
 	br   *bufio.Reader
 	held int // bytes of the present answer that br had when N was set
 
+	frames *stomp.Reader // of br, where it speaks STOMP
+
 	// These are guarded by place.mu.
 	wait    *pending      // the request that is out; nil: idle
 	heard   *pending      // the request that is or was out
@@ -115,7 +118,17 @@
 		return nil, errFull
 	}
 	dialer := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
-	nc, err := dialer.DialContext(p.kit.ctx, "tcp4", p.Address)
+	address := p.Address
+	if p.Sessions != "" {
+		address = p.Sessions
+	}
+	nc, err := dialer.DialContext(p.kit.ctx, "tcp4", address)
+	if err == nil && p.Sessions != "" {
+		_ = nc.SetWriteDeadline(time.Now().Add(writeLimit))
+		if _, err = io.WriteString(nc, hello); err != nil {
+			nc.Close()
+		}
+	}
 	if err != nil {
 		p.mu.Lock()
 		p.coming--
@@ -129,6 +142,9 @@
 	c.chance = rand.New(rand.NewPCG(k.Seed, uint64(c.id))).Float64()
 	c.in.R = c.nc
 	c.br = bufio.NewReader(&c.in)
+	if p.Sessions != "" {
+		c.frames = stomp.NewReader(c.br, stomp.Limits{})
+	}
 	c.readUntil(until)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -295,6 +311,18 @@
 	fail := func(note string) (answer, bool) {
 		return answer{t: k.Record.Since(), bytes: c.came(), note: note}, false
 	}
+	if c.place.Sessions != "" {
+		f, err := c.frame()
+		if err != nil {
+			return fail(c.why("frame", err))
+		}
+		status, _ := strconv.Atoi(f.Headers.Get("status"))
+		if f.Command != stomp.MESSAGE || status == 0 {
+			return fail(fmt.Sprintf("%s %.80q", f.Command, f.Headers.Get("message")))
+		}
+		return answer{t: k.Record.Since(), whole: true, status: status, result: string(f.Body),
+			after: seconds(f.Headers.Get("retry-after"))}, true
+	}
 	var resp *http.Response
 	for range 5 {
 		var err error
--- a/rehearse/clients/rude_test.go
+++ b/rehearse/clients/rude_test.go
@@ -90,7 +90,7 @@
 
 func rudely(t *testing.T, s *strict, cfg RudeConfig) []history.Event {
 	t.Helper()
-	cfg.Schedulers = []Scheduler{{"s0", "a", s.listener.Addr().String()}}
+	cfg.Schedulers = []Scheduler{{"s0", "a", s.listener.Addr().String(), ""}}
 	if cfg.Record == nil {
 		cfg.Record = record.New(nil)
 	}
@@ -251,7 +251,7 @@
 }
 
 func TestRudeConfigsThatCannotBePlayed(t *testing.T) {
-	to := func(address string) []Scheduler { return []Scheduler{{"s0", "a", address}} }
+	to := func(address string) []Scheduler { return []Scheduler{{"s0", "a", address, ""}} }
 	for name, cfg := range map[string]RudeConfig{
 		"elsewhere": {Record: record.New(nil), Schedulers: to("192.168.0.1:80")},
 		"kind":      {Record: record.New(nil), Schedulers: to("127.0.0.1:1"), Kinds: []string{"polite"}},
--- /dev/null
+++ b/rehearse/clients/stomp_test.go
@@ -0,0 +1,102 @@
+package clients
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/wire/stomp"
+)
+
+// newSessions is a scripted scheduler whose port for STOMP answers each SEND with the frames that say gives; nil: it closes.
+func newSessions(t *testing.T, say func(n int, f stomp.Frame) []stomp.Frame) (*scripted, string, chan stomp.Frame) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	sent := make(chan stomp.Frame, 100)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := stomp.NewReader(bufio.NewReader(c), stomp.Limits{})
+				write := func(f stomp.Frame) {
+					b, err := stomp.AppendFrame(nil, stomp.V12, &f)
+					if err != nil {
+						t.Error(err)
+					}
+					c.Write(b)
+				}
+				for n := 0; ; {
+					var f stomp.Frame
+					if r.Next(&f) != nil {
+						return
+					}
+					switch f.Command {
+					case stomp.CONNECT:
+						r.SetVersion(stomp.V12)
+						write(stomp.Frame{Command: stomp.CONNECTED, Headers: stomp.Fields{{Name: "version", Value: "1.2"}}})
+					case stomp.SEND:
+						sent <- f
+						out := say(n, f)
+						if n++; out == nil {
+							return
+						}
+						for _, f := range out {
+							write(f)
+						}
+					}
+				}
+			}()
+		}
+	}()
+	return newScripted(t, ok), ln.Addr().String(), sent
+}
+
+func message(f stomp.Frame, status, body string) stomp.Frame {
+	return stomp.Frame{Command: stomp.MESSAGE, Body: []byte(body), Headers: stomp.Fields{{Name: "request-id", Value: f.Headers.Get("request-id")},
+		{Name: "status", Value: status}}}
+}
+
+// Clients that speak STOMP say of a job what others say, and what they see is told as of others.
+func TestClientsSpeakSTOMP(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		say             func(n int, f stomp.Frame) []stomp.Frame
+		answers, broken int
+		strays          bool
+	}{
+		"served":    {func(_ int, f stomp.Frame) []stomp.Frame { return []stomp.Frame{message(f, "200", "r")} }, 2, 0, false},
+		"no answer": {func(int, stomp.Frame) []stomp.Frame { return nil }, 0, 2, false},
+		"an ERROR":  {func(int, stomp.Frame) []stomp.Frame { return []stomp.Frame{{Command: stomp.ERROR}} }, 0, 2, false},
+		"answered twice": {func(_ int, f stomp.Frame) []stomp.Frame {
+			return []stomp.Frame{message(f, "200", "r"), message(f, "200", "r")}
+		}, 4, 0, true},
+	} {
+		s, sessions, sent := newSessions(t, c.say)
+		cfg := rig(s)
+		cfg.Schedulers[0].Sessions = sessions
+		cfg.Arrivals = every(2, 300*time.Millisecond, once)
+		stats, events := play(t, cfg)
+		if len(of(events, history.KindAnswer)) != c.answers || len(of(events, history.KindBroken)) != c.broken || (stats.Strays > 0) != c.strays {
+			t.Errorf("%s: %+v", name, stats)
+		}
+		f := <-sent
+		if !strings.HasPrefix(f.Headers.Get("destination"), "/jobs/") || f.Headers.Get("request-id") == "" || f.Headers.Get("deadline-ms") == "" ||
+			f.Headers.Get("tenant") == "" || len(f.Body) == 0 {
+			t.Errorf("%s: %v", name, f.Headers)
+		}
+		if len(s.got()) > 0 {
+			t.Errorf("%s: %d jobs by HTTP", name, len(s.got()))
+		}
+	}
+}
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -8,9 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -162,6 +164,9 @@
 	out := make([]clients.Scheduler, len(r.posts))
 	for i, p := range r.posts {
 		out[i] = clients.Scheduler{Name: p.name, Zone: r.plan.Zones[r.plan.Schedulers[i].Zone], Address: p.listen}
+		if host, _, err := net.SplitHostPort(p.listen); err == nil && r.plan.StompPort > 0 {
+			out[i].Sessions = net.JoinHostPort(host, strconv.Itoa(r.plan.StompPort))
+		}
 	}
 	return out
 }
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -126,6 +126,7 @@
 	Folders   []string // in each scheduler's own
 	Durable   []string // classes whose jobs outlive their scheduler's process
 	AskAgain  bool     // for such jobs
+	StompPort int      // on which clients speak STOMP; 0: they speak HTTP
 
 	Admin  bool // schedulers have an address for operators
 	Steps  []Step
@@ -205,6 +206,9 @@
 		Period:       [2]time.Duration{200 * time.Millisecond, 1400 * time.Millisecond},
 		Spread:       [2]time.Duration{15 * time.Millisecond, 78 * time.Millisecond}}
 	p.Operators, p.Folders, p.AskAgain = s.Operators, s.Folders, s.AskAgain
+	if s.Stomp {
+		p.StompPort = s.stompPort
+	}
 	for _, c := range p.Classes {
 		if s.durable && (s.keptOnly == nil || slices.Contains(s.keptOnly, c.Name)) {
 			p.Durable = append(p.Durable, c.Name)
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -47,9 +47,11 @@
 	Operators string   `yaml:"operators"`
 	Folders   []string `yaml:"folders"`
 	AskAgain  bool     `yaml:"ask_again"` // clients ask again for durable jobs whose answer they have not got
+	Stomp     bool     `yaml:"stomp"`     // clients speak STOMP, on the port that Operators opens
 
-	durable  bool     // Operators has jobs kept
-	keptOnly []string // of these classes; nil: all
+	stompPort int
+	durable   bool     // Operators has jobs kept
+	keptOnly  []string // of these classes; nil: all
 }
 
 // Trouble is one thing that goes wrong. Which fields count depends on its kind.
@@ -224,6 +226,9 @@
 		Durable *struct {
 			Classes []string `yaml:"classes"`
 		} `yaml:"durable"`
+		Stomp struct {
+			Port int `yaml:"listen_port"`
+		} `yaml:"stomp"`
 	}
 	if err := yaml.Unmarshal([]byte(s.Operators), &op); err != nil {
 		return mistake("operators", "%s", strings.Join(strings.Fields(err.Error()), " "))
@@ -235,6 +240,9 @@
 	if s.AskAgain && !s.durable {
 		return mistake("ask_again", "only durable jobs are asked for again, and operators has no section durable")
 	}
+	if s.stompPort = op.Stomp.Port; s.Stomp && s.stompPort == 0 {
+		return mistake("stomp", "operators opens no port for it")
+	}
 	if len(s.Folders) > 0 && s.Operators == "" {
 		return mistake("folders", "without operators nothing needs them")
 	}
--- a/rehearse/scenario/scenario_test.go
+++ b/rehearse/scenario/scenario_test.go
@@ -110,6 +110,7 @@
 		"name: a\nname\n":                                           "x.yaml: line ",
 		"name: a\nask_again: true\n":                                "x.yaml: line 2: ask_again: only durable jobs are asked for again",
 		"name: a\noperators: |\n  durable: [\n":                     "x.yaml: line 2: operators: yaml:",
+		"name: a\nstomp: true\n":                                    "x.yaml: line 2: stomp: operators opens no port",
 		"name: a\nfolders: [ledger]\n":                              "x.yaml: line 2: folders: without operators",
 		"name: a\noperators: 'x: 1'\nfolders: [../ledger]\n":        `x.yaml: line 3: folders: "../ledger" is no folder`,
 		"name: a\noperators: 'x: 1'\nfolders: [tmp/ledger]\n":       `x.yaml: line 3: folders: "tmp/ledger" is no folder`,
