consumer: a session's last frame is its last, and a panic in an answer ends nothing else

Need: read once more: a heart-beat due while the ERROR was taken could reset the connection under it, and an answer's goroutine had no guard of its own. Change: heart-beats end with the session, under the lock that frames are written under; the guard. Measured: the package's tests with the race detector.

--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -151,10 +152,11 @@
 			f.Headers = append(f.Headers, stomp.Field{Name: "receipt-id", Value: m.receipt})
 		}
 		n.write(&f)
-		s.part(c)
-		return
 	}
-	if err == nil {
+	n.writing.Lock()
+	n.over(job.ErrAnswered) // no heart-beat after the last frame
+	n.writing.Unlock()
+	if m != nil || err == nil {
 		s.part(c)
 	}
 }
@@ -208,8 +210,8 @@
 		case <-ticker.C:
 		}
 		n.writing.Lock()
-		var err error
-		if time.Since(n.wrote) >= every/2 {
+		err := n.ctx.Err()
+		if err == nil && time.Since(n.wrote) >= every/2 {
 			err = n.put(stomp.AppendBeat(nil))
 		}
 		n.writing.Unlock()
@@ -497,6 +499,12 @@
 	}
 	go func() {
 		defer n.end(t)
+		defer func() {
+			if r := recover(); r != nil {
+				// Whatever goes wrong with one answer must not end the others.
+				n.s.Log.Error("panic while answering a session", "panic", r, "stack", string(debug.Stack()))
+			}
+		}()
 		a, ok := n.answer(t)
 		if ok && n.message(t, a) == nil && a.written != nil {
 			a.written()
