consumer: names of a job's fields are listed once; tests share one STOMP peer

Need: found on reading the change once more. Each request made the list of fields that may be there but once anew, and looked its class up once for each class of the settings. Two packages' tests had a STOMP client of their own each, and the kit's an accept loop that the shared rig has. Change: the lists are made at the start; the class is read once; testrig.Peer, testrig.Listen. No test asks for less.

--- a/consumer/http.go
+++ b/consumer/http.go
@@ -200,9 +200,11 @@
 var httpWords = words{id: "X-Request-Id", class: "X-Class", tenant: "X-Tenant", key: "Idempotency-Key",
 	deadline: "X-Deadline-Ms", hint: "X-Cost-Hint", extras: "X-Extras"}
 
+var httpOnce = httpWords.once()
+
 // parse reads a job, or says why the request is none.
 func (s *Server) parse(head *http1.Head, body []byte) (*job.Job, string) {
-	for _, name := range httpWords.fields() {
+	for _, name := range httpOnce {
 		if head.Fields.Count(name) > 1 {
 			return nil, name + " is repeated" // a provider may read the other one
 		}
--- a/consumer/job.go
+++ b/consumer/job.go
@@ -39,8 +39,8 @@
 // words are what a protocol calls what a job says of itself.
 type words struct{ id, class, tenant, key, deadline, hint, extras string }
 
-// fields are those that may be there but once: two of one would be two jobs.
-func (w *words) fields() []string {
+// once are those that may be there but once: two of one would be two jobs.
+func (w *words) once() []string {
 	return []string{w.id, w.class, w.tenant, w.key, w.deadline, w.hint, w.extras}
 }
 
@@ -50,8 +50,8 @@
 	if !isID(j.ID) {
 		return nil, w.id + " is missing or malformed"
 	}
-	set := s.settings()
-	j.Class = index(len(set.Classes), func(i int) bool { return set.Classes[i].Name == get(w.class) && !set.Classes[i].Retired })
+	set, name := s.settings(), get(w.class)
+	j.Class = index(len(set.Classes), func(i int) bool { return set.Classes[i].Name == name && !set.Classes[i].Retired })
 	if j.Class == len(set.Classes) {
 		return nil, w.class + " is unknown"
 	}
--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -64,6 +64,8 @@
 var stompWords = words{id: "request-id", class: "class", tenant: "tenant", key: "idempotency-key", deadline: "deadline-ms",
 	hint: "cost-hint", extras: "extras"}
 
+var stompOnce = append(stompWords.once(), "destination", "reply-to")
+
 // sub is a subscription.
 type sub struct {
 	id, destination string
@@ -414,7 +416,7 @@
 		return nil, "there is no such destination"
 	}
 	class, _, _ := strings.Cut(rest, "/")
-	for _, name := range append(stompWords.fields(), "destination", "reply-to") {
+	for _, name := range stompOnce {
 		if h.Count(name) > 1 {
 			t.mistake = name + " is repeated"
 			return t, ""
--- a/consumer/stomp_test.go
+++ b/consumer/stomp_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/policy"
 	"laddertide/wire/http1"
@@ -82,81 +83,28 @@
 
 // peer is a STOMP client.
 type peer struct {
-	net.Conn
+	*testrig.Peer
 	t *testing.T
-	r *stomp.Reader
-	v stomp.Version
 }
 
-func (b *bench) dial() *peer {
+// connect opens a session of a version with a subscription of /answers.
+func (b *bench) connect(v, beat string) *peer {
 	b.t.Helper()
 	c, err := net.Dial("tcp", b.address)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	return &peer{Conn: c, t: b.t, r: stomp.NewReader(bufio.NewReader(c), stomp.Limits{})}
-}
-
-// connect opens a session of a version with a subscription of /answers.
-func (b *bench) connect(v, beat string) *peer {
-	b.t.Helper()
-	p := b.dial()
-	p.say("CONNECT", "", "accept-version", v, "host", "x", "heart-beat", beat)
-	got := p.hear(stomp.CONNECTED)
-	agreed, err := stomp.Agreed(got.Headers)
-	if err != nil || agreed.String() != v {
-		b.t.Fatalf("%v, %v", agreed, err)
-	}
-	p.v = agreed
-	p.r.SetVersion(agreed)
-	p.say("SUBSCRIBE", "", "id", "s", "destination", "/answers", "receipt", "subscribed")
-	p.hear(stomp.RECEIPT, "receipt-id", "subscribed")
+	p := &peer{testrig.NewPeer(b.t, c), b.t}
+	p.Connect(v, beat)
 	return p
 }
 
-func (p *peer) say(command, body string, headers ...string) {
-	p.t.Helper()
-	f := stomp.Frame{Command: stomp.Command(command), Body: []byte(body)}
-	for i := 0; i < len(headers); i += 2 {
-		f.Headers = append(f.Headers, stomp.Field{Name: headers[i], Value: headers[i+1]})
-	}
-	text, err := stomp.AppendFrame(nil, p.v, &f)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	if _, err := p.Write(text); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-// hear reads the next frame, which must be that one with these headers.
-func (p *peer) hear(command stomp.Command, headers ...string) stomp.Frame {
-	p.t.Helper()
-	var f stomp.Frame
-	for f.Command == stomp.Beat {
-		if err := p.r.Next(&f); err != nil {
-			p.t.Fatalf("instead of %s: %v", command, err)
-		}
-	}
-	if f.Command != command {
-		p.t.Fatalf("%s %v %q, want %s", f.Command, f.Headers, f.Body, command)
-	}
-	for i := 0; i < len(headers); i += 2 {
-		if got := f.Headers.Get(headers[i]); got != headers[i+1] {
-			p.t.Fatalf("%s: %s is %q, want %q", command, headers[i], got, headers[i+1])
-		}
-	}
-	return f
-}
-
 // ends waits for the connection's end.
 func (p *peer) ends() {
 	p.t.Helper()
 	var f stomp.Frame
 	for {
-		if err := p.r.Next(&f); err != nil {
+		if err := p.R.Next(&f); err != nil {
 			if !errors.Is(err, io.EOF) {
 				p.t.Fatalf("no end in order: %v", err)
 			}
@@ -170,7 +118,7 @@
 
 func (p *peer) job(id string, more ...string) {
 	p.t.Helper()
-	p.say("SEND", "body of "+id, append([]string{"destination", "/jobs/check/7f3a", "request-id", id}, more...)...)
+	p.Say("SEND", "body of "+id, append([]string{"destination", "/jobs/check/7f3a", "request-id", id}, more...)...)
 }
 
 // Jobs of a session run at once, each has one answer on the subscription, and what the answer is goes by the outcome.
@@ -179,9 +127,9 @@
 		t.Run(v, func(t *testing.T) {
 			b := newBench(t, usual)
 			p := b.connect(v, "0,0")
-			p.say("SEND", "x", "destination", "/jobs/settle/7f3a", "request-id", "a", "tenant", "depot", "idempotency-key", "k",
+			p.Say("SEND", "x", "destination", "/jobs/settle/7f3a", "request-id", "a", "tenant", "depot", "idempotency-key", "k",
 				"deadline-ms", "1000", "cost-hint", "2500", "extras", "slots=2", "receipt", "r-a")
-			p.hear(stomp.RECEIPT, "receipt-id", "r-a")
+			p.Hear(stomp.RECEIPT, "receipt-id", "r-a")
 			j := <-b.taken
 			if j.ID != "a" || j.ClassName != "settle" || j.Subject != "/jobs/settle/7f3a" || j.Tenant != 0 || j.Key != "k" ||
 				j.Deadline != time.Second || j.Hint != 2500*time.Microsecond || j.Slots != 2 || string(j.Payload) != "x" || j.Protocol == "" {
@@ -197,13 +145,13 @@
 			}{{"d", "200", job.Outcome{Kind: job.Served, Result: []byte("a\x00result")}}, {"c", "503", job.Outcome{Kind: job.Rejected, RetryAfter: time.Second}},
 				{"b", "502", job.Outcome{}}, {"a", "409", job.Outcome{Kind: job.Conflict}}} {
 				b.outcome(c.id) <- c.out
-				f := p.hear(stomp.MESSAGE, "request-id", c.id, "status", c.status, "subscription", "s", "destination", "/answers")
+				f := p.Hear(stomp.MESSAGE, "request-id", c.id, "status", c.status, "subscription", "s", "destination", "/answers")
 				if c.id == "d" && string(f.Body) != "a\x00result" || (f.Headers.Get("retry-after") == "1.000") != (c.id == "c") {
 					t.Fatalf("%v %q", f.Headers, f.Body)
 				}
 			}
-			p.say("DISCONNECT", "", "receipt", "bye")
-			p.hear(stomp.RECEIPT, "receipt-id", "bye")
+			p.Say("DISCONNECT", "", "receipt", "bye")
+			p.Hear(stomp.RECEIPT, "receipt-id", "bye")
 			p.ends()
 		})
 	}
@@ -221,8 +169,8 @@
 		{"destination", "/jobs/check", "request-id", "a", "tenant", "x\ny: z"},
 		{"destination", "/jobs/check/a b", "request-id", "a"}, {"destination", "/jobs/check/\r\nX: y", "request-id", "a"},
 	} {
-		p.say("SEND", "", h...)
-		p.hear(stomp.MESSAGE, "status", "400")
+		p.Say("SEND", "", h...)
+		p.Hear(stomp.MESSAGE, "status", "400")
 	}
 	select {
 	case j := <-b.taken:
@@ -231,20 +179,20 @@
 	}
 	p.job("good")
 	b.outcome("good") <- job.Outcome{Kind: job.Served}
-	p.hear(stomp.MESSAGE, "status", "200")
+	p.Hear(stomp.MESSAGE, "status", "200")
 }
 
 // What no answer could be given to ends the session by an ERROR; what was taken before has its answer first.
 func TestStompMistakesOfSessions(t *testing.T) {
 	for name, c := range map[string]func(*peer){
 		"nowhere to go":      func(p *peer) { p.job("bad", "reply-to", "/elsewhere") },
-		"no destination":     func(p *peer) { p.say("SEND", "", "request-id", "bad", "destination", "/queue/x") },
-		"no such frame":      func(p *peer) { p.say("MESSAGE", "") },
+		"no destination":     func(p *peer) { p.Say("SEND", "", "request-id", "bad", "destination", "/queue/x") },
+		"no such frame":      func(p *peer) { p.Say("MESSAGE", "") },
 		"no transaction":     func(p *peer) { p.job("bad", "transaction", "t") },
-		"twice the same sub": func(p *peer) { p.say("SUBSCRIBE", "", "id", "s", "destination", "/answers") },
+		"twice the same sub": func(p *peer) { p.Say("SUBSCRIBE", "", "id", "s", "destination", "/answers") },
 		"a broken frame":     func(p *peer) { fmt.Fprintf(p, "SEND\nno colon\n\n\x00") },
-		"too large":          func(p *peer) { p.say("SEND", strings.Repeat("x", 2000), "destination", "/jobs/check") },
-		"a second CONNECT":   func(p *peer) { p.say("CONNECT", "") },
+		"too large":          func(p *peer) { p.Say("SEND", strings.Repeat("x", 2000), "destination", "/jobs/check") },
+		"a second CONNECT":   func(p *peer) { p.Say("CONNECT", "") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, usual)
@@ -254,8 +202,8 @@
 			c(p)
 			p.job("after")
 			b.outcome("before") <- job.Outcome{Kind: job.Served}
-			p.hear(stomp.MESSAGE, "request-id", "before", "status", "200")
-			p.hear(stomp.ERROR)
+			p.Hear(stomp.MESSAGE, "request-id", "before", "status", "200")
+			p.Hear(stomp.ERROR)
 			p.ends()
 			if len(b.taken) > 0 {
 				t.Fatalf("%+v is taken", <-b.taken)
@@ -290,33 +238,33 @@
 func TestStompTransactions(t *testing.T) {
 	b := newBench(t, usual)
 	p := b.connect("1.2", "0,0")
-	p.say("BEGIN", "", "transaction", "t")
-	p.say("BEGIN", "", "transaction", "u")
+	p.Say("BEGIN", "", "transaction", "t")
+	p.Say("BEGIN", "", "transaction", "u")
 	p.job("a", "transaction", "t", "receipt", "r")
 	p.job("dropped", "transaction", "u")
 	p.job("b", "transaction", "t")
-	p.say("ABORT", "", "transaction", "u", "receipt", "aborted")
-	p.hear(stomp.RECEIPT, "receipt-id", "aborted")
+	p.Say("ABORT", "", "transaction", "u", "receipt", "aborted")
+	p.Hear(stomp.RECEIPT, "receipt-id", "aborted")
 	if len(b.taken) > 0 {
 		t.Fatal("taken before COMMIT")
 	}
-	p.say("COMMIT", "", "transaction", "t", "receipt", "done")
-	p.hear(stomp.RECEIPT, "receipt-id", "r")
-	p.hear(stomp.RECEIPT, "receipt-id", "done")
+	p.Say("COMMIT", "", "transaction", "t", "receipt", "done")
+	p.Hear(stomp.RECEIPT, "receipt-id", "r")
+	p.Hear(stomp.RECEIPT, "receipt-id", "done")
 	for range 2 {
 		if j := <-b.taken; j.ID != "a" && j.ID != "b" {
 			t.Fatalf("%+v", j)
 		}
 	}
-	p.say("BEGIN", "", "transaction", "w")
+	p.Say("BEGIN", "", "transaction", "w")
 	for _, id := range []string{"c", "d", "e", "f", "g"} {
 		p.job(id, "transaction", "w")
 	}
 	b.outcome("a") <- job.Outcome{Kind: job.Served}
-	p.hear(stomp.MESSAGE, "request-id", "a")
+	p.Hear(stomp.MESSAGE, "request-id", "a")
 	b.outcome("b") <- job.Outcome{Kind: job.Served}
-	p.hear(stomp.MESSAGE, "request-id", "b")
-	p.hear(stomp.ERROR)
+	p.Hear(stomp.MESSAGE, "request-id", "b")
+	p.Hear(stomp.ERROR)
 	if len(b.taken) > 0 {
 		t.Fatal("taken without COMMIT")
 	}
@@ -338,7 +286,7 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 	b.outcome("j0") <- job.Outcome{Kind: job.Served}
-	p.hear(stomp.MESSAGE, "request-id", "j0")
+	p.Hear(stomp.MESSAGE, "request-id", "j0")
 	if j := <-b.taken; j.ID != "j4" {
 		t.Fatal(j.ID)
 	}
@@ -348,12 +296,12 @@
 func TestStompLeave(t *testing.T) {
 	b := newBench(t, usual)
 	p := b.connect("1.2", "0,0")
-	p.say("SUBSCRIBE", "", "id", "other", "destination", "/mine")
+	p.Say("SUBSCRIBE", "", "id", "other", "destination", "/mine")
 	p.job("stays")
 	p.job("goes", "reply-to", "/mine")
 	<-b.taken
 	<-b.taken
-	p.say("UNSUBSCRIBE", "", "id", "other")
+	p.Say("UNSUBSCRIBE", "", "id", "other")
 	if id := <-b.left; id != "goes" {
 		t.Fatal(id)
 	}
@@ -370,19 +318,19 @@
 	b := newBench(t, set)
 	p := b.connect("1.2", "1000,100")
 	var f stomp.Frame
-	for beats := uint64(0); beats < 3; beats = p.r.Beats() {
-		if err := p.r.Next(&f); err != nil || f.Command != stomp.Beat {
+	for beats := uint64(0); beats < 3; beats = p.R.Beats() {
+		if err := p.R.Next(&f); err != nil || f.Command != stomp.Beat {
 			t.Fatalf("%+v, %v", f, err)
 		}
 	}
-	p.hear(stomp.ERROR) // it has promised to be heard
+	p.Hear(stomp.ERROR) // it has promised to be heard
 	p.ends()
 	q := b.connect("1.2", "0,0")
 	q.job("a")
 	<-b.taken
 	time.Sleep(300 * time.Millisecond) // it has promised nothing
 	b.outcome("a") <- job.Outcome{Kind: job.Served}
-	q.hear(stomp.MESSAGE, "status", "200")
+	q.Hear(stomp.MESSAGE, "status", "200")
 }
 
 // At the word to stop what was taken has its answer, then sessions close.
@@ -394,7 +342,7 @@
 	b.stop()
 	idle.ends()
 	b.outcome("a") <- job.Outcome{Kind: job.Served}
-	busy.hear(stomp.MESSAGE, "request-id", "a")
+	busy.Hear(stomp.MESSAGE, "request-id", "a")
 	busy.ends()
 	if err := <-b.served; err != nil {
 		t.Fatal(err)
--- a/rehearse/clients/stomp_test.go
+++ b/rehearse/clients/stomp_test.go
@@ -8,58 +8,45 @@
 	"time"
 
 	"laddertide/core/history"
+	"laddertide/internal/testrig"
 	"laddertide/wire/stomp"
 )
 
 // newSessions is a scripted scheduler whose port for STOMP answers each SEND with the frames that say gives; nil: it closes.
 func newSessions(t *testing.T, say func(n int, f stomp.Frame) []stomp.Frame) (*scripted, string, chan stomp.Frame) {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	sent := make(chan stomp.Frame, 100)
-	go func() {
-		for {
-			c, err := ln.Accept()
+	address := testrig.Listen(t, func(c net.Conn) {
+		r := stomp.NewReader(bufio.NewReader(c), stomp.Limits{})
+		write := func(f stomp.Frame) {
+			b, err := stomp.AppendFrame(nil, stomp.V12, &f)
 			if err != nil {
+				t.Error(err)
+			}
+			c.Write(b)
+		}
+		for n := 0; ; {
+			var f stomp.Frame
+			if r.Next(&f) != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := stomp.NewReader(bufio.NewReader(c), stomp.Limits{})
-				write := func(f stomp.Frame) {
-					b, err := stomp.AppendFrame(nil, stomp.V12, &f)
-					if err != nil {
-						t.Error(err)
-					}
-					c.Write(b)
+			switch f.Command {
+			case stomp.CONNECT:
+				r.SetVersion(stomp.V12)
+				write(stomp.Frame{Command: stomp.CONNECTED, Headers: stomp.Fields{{Name: "version", Value: "1.2"}}})
+			case stomp.SEND:
+				sent <- f
+				out := say(n, f)
+				if n++; out == nil {
+					return
 				}
-				for n := 0; ; {
-					var f stomp.Frame
-					if r.Next(&f) != nil {
-						return
-					}
-					switch f.Command {
-					case stomp.CONNECT:
-						r.SetVersion(stomp.V12)
-						write(stomp.Frame{Command: stomp.CONNECTED, Headers: stomp.Fields{{Name: "version", Value: "1.2"}}})
-					case stomp.SEND:
-						sent <- f
-						out := say(n, f)
-						if n++; out == nil {
-							return
-						}
-						for _, f := range out {
-							write(f)
-						}
-					}
+				for _, f := range out {
+					write(f)
 				}
-			}()
+			}
 		}
-	}()
-	return newScripted(t, ok), ln.Addr().String(), sent
+	})
+	return newScripted(t, ok), address, sent
 }
 
 func message(f stomp.Frame, status, body string) stomp.Frame {
--- a/scheduler/stomp_test.go
+++ b/scheduler/stomp_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"bufio"
 	"crypto/tls"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -17,11 +15,7 @@
 )
 
 // terminal is a client of the STOMP port with a subscription of /answers.
-type terminal struct {
-	net.Conn
-	r *stomp.Reader
-	t *testing.T
-}
+type terminal struct{ *testrig.Peer }
 
 // newStompRig is a scheduler with a STOMP port, and a client there.
 func newStompRig(t *testing.T, change func(*Config)) (*rig, *terminal) {
@@ -37,49 +31,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	t.Cleanup(func() { c.Close() })
-	p := &terminal{c, stomp.NewReader(bufio.NewReader(c), stomp.Limits{}), t}
-	p.say("CONNECT\naccept-version:1.2\nhost:x\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00")
-	p.hear(stomp.CONNECTED)
-	p.r.SetVersion(stomp.V12)
+	p := &terminal{testrig.NewPeer(t, c)}
+	p.Connect("1.2", "0,0")
 	return r, p
 }
 
-func (p *terminal) say(format string, args ...any) {
-	p.t.Helper()
-	if _, err := fmt.Fprintf(p, format, args...); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-func (p *terminal) send(id, class, more string) {
-	p.t.Helper()
-	p.say("SEND\ndestination:/jobs/%s/7f3a\nrequest-id:%s\ntenant:rainier-haul\nidempotency-key:k\n%s\nx\x00", class, id, more)
-}
-
-func (p *terminal) hear(command stomp.Command) stomp.Frame {
-	p.t.Helper()
-	var f stomp.Frame
-	for f.Command == stomp.Beat {
-		if err := p.r.Next(&f); err != nil {
-			p.t.Fatalf("instead of %s: %v", command, err)
-		}
-	}
-	if f.Command != command {
-		p.t.Fatalf("%s %v %q, want %s", f.Command, f.Headers, f.Body, command)
-	}
-	return f
+func (p *terminal) send(id, class string, more ...string) {
+	p.Say("SEND", "x", append([]string{"destination", "/jobs/" + class + "/7f3a", "request-id", id, "tenant", "rainier-haul",
+		"idempotency-key", "k"}, more...)...)
 }
 
 // answer reads the answer to a job.
 func (p *terminal) answer(id, status string) string {
-	p.t.Helper()
-	f := p.hear(stomp.MESSAGE)
-	if f.Headers.Get("request-id") != id || f.Headers.Get("status") != status {
-		p.t.Fatalf("%v %q, want %s for %s", f.Headers, f.Body, status, id)
-	}
-	return string(f.Body)
+	return string(p.Hear(stomp.MESSAGE, "request-id", id, "status", status).Body)
 }
 
 // The rules hold on both ports: a provider's own result, what may run again goes again, what must not does not, and a
@@ -87,7 +51,7 @@
 func TestStompKeepsTheRules(t *testing.T) {
 	r, p := newStompRig(t, func(*Config) {})
 	c := r.dial()
-	p.send("served", "limit-check", "")
+	p.send("served", "limit-check")
 	if got := <-r.jobs; got != "served" {
 		t.Fatal(got)
 	}
@@ -96,8 +60,8 @@
 	if got := p.answer("served", "200"); got != "its own" {
 		t.Fatal(got)
 	}
-	p.send("once", "card-issue", "")
-	p.send("again", "limit-check", "")
+	p.send("once", "card-issue")
+	p.send("again", "limit-check")
 	for range 2 {
 		<-r.jobs
 	}
@@ -113,7 +77,7 @@
 	r.sched.mu.Lock()
 	r.sched.deliver(policy.ListDelta, directory.List{Index: 42, Entries: []directory.Entry{e}})
 	r.sched.mu.Unlock()
-	p.send("late", "limit-check", "deadline-ms:60\n")
+	p.send("late", "limit-check", "deadline-ms", "60")
 	p.answer("late", "503")
 	d := r.dial()
 	d.say("POST /api/x HTTP/1.1\r\nX-Request-Id: late-too\r\nX-Class: limit-check\r\nX-Deadline-Ms: 60\r\nContent-Length: 0\r\n\r\n")
@@ -127,7 +91,7 @@
 		t.Fatalf("%s is sent", got)
 	default:
 	}
-	p.send("left", "card-issue", "")
+	p.send("left", "card-issue")
 	p.Close()
 	r.end()
 }
@@ -135,7 +99,7 @@
 // A client that leaves has given its job up: the provider is told, and nothing is sent again.
 func TestStompLeaves(t *testing.T) {
 	r, p := newStompRig(t, func(*Config) {})
-	p.send("gone", "limit-check", "")
+	p.send("gone", "limit-check")
 	<-r.jobs
 	p.Close()
 	if got := <-r.ends; got != "/jobs/gone" {
@@ -147,7 +111,7 @@
 func TestStompNoHandOver(t *testing.T) {
 	dir := t.TempDir()
 	r, p := newStompRig(t, func(cfg *Config) { cfg.Dir = dir })
-	p.send("served", "limit-check", "")
+	p.send("served", "limit-check")
 	<-r.jobs
 	r.event("served", "done", `,"result":"x"`)
 	p.answer("served", "200")
@@ -166,13 +130,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	p := &terminal{c, stomp.NewReader(bufio.NewReader(c), stomp.Limits{}), t}
-	p.say("CONNECT\naccept-version:1.2\nhost:x\n\n\x00SUBSCRIBE\nid:0\ndestination:/answers\n\n\x00")
-	p.hear(stomp.CONNECTED)
-	p.r.SetVersion(stomp.V12)
-	p.send("sealed", "limit-check", "")
+	p := &terminal{testrig.NewPeer(t, c)}
+	p.Connect("1.2", "0,0")
+	p.send("sealed", "limit-check")
 	<-y.jobs
 	y.event("sealed", "done", `,"result":"x"`)
 	p.answer("sealed", "200")
