directory, core/pace: whatever was waited for, a change is told 6 s after discovery had it

Cause: five clocks that did not know of each other. A watch could be silent for 5 s, a call as long again, each read renewed its deadline (bytes that drip never ended), and waits after paid calls grew to 6 times Over, a minute on a fleet of 300. A list that was indented failed on its first line, and was asked for whole after each change. Change: core/pace derives all bounds from one, Told (and Moved, after an order to ask elsewhere): Silence 3.5 s, a call as a whole 3 s, first calls spread over 3 s, waits by what is left since discovery was last heard. A watch's clock runs on whole lines only; a list ends with the line on which its brackets close; an index that runs back asks for the whole list.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -77,12 +77,9 @@
 }
 
 const (
-	path = "/catalog/members"
-	// A watch that has nothing to tell sends an empty line every 2 s. Two may be late; past this the
-	// connection is held for dead, as the network never says so.
-	silence     = 5 * time.Second
+	path        = "/catalog/members"
 	dialTimeout = time.Second
-	maxLine     = 256 << 10
+	maxList     = 256 << 10
 )
 
 // Watcher follows the list at an address.
@@ -94,6 +91,8 @@
 	Deliver func(List)
 	Log     *slog.Logger
 
+	dial func(context.Context) (net.Conn, error) // for tests; nil: TCP
+
 	mu    sync.Mutex
 	conn  net.Conn      // while there is one
 	fresh chan struct{} // not nil while somebody waits for a list that was asked for from now on; closed then
@@ -142,7 +141,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		before := w.wanted()
-		got, err := w.watch(ctx)
+		deaf, got, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -152,7 +151,7 @@
 		if !before && w.wanted() {
 			continue // the connection was closed to ask anew
 		}
-		wait := w.Pace.Failed()
+		wait := w.Pace.Failed(time.Since(deaf))
 		w.Log.Warn("directory watch ended", "after", time.Since(began).Round(time.Millisecond),
 			"retry_in", wait, "index", w.Index, "err", err)
 		w.pause(ctx, wait)
@@ -169,17 +168,28 @@
 	}
 }
 
-// watch follows one connection to its end and tells whether any list came.
-func (w *Watcher) watch(ctx context.Context) (got bool, err error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", w.Address)
+func (w *Watcher) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if w.dial != nil {
+		return w.dial(ctx)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", w.Address)
+}
+
+// watch follows one connection to its end and tells since when nothing was heard, and whether any list came. Every call, and every wait for the next whole
+// line, has an end of its own: bytes that come meanwhile and make no whole line put off neither.
+func (w *Watcher) watch(ctx context.Context) (deaf time.Time, got bool, err error) {
+	deaf = time.Now()
+	by := deaf.Add(pace.Call)
+	conn, err := w.connect(ctx)
 	if err != nil {
-		return false, err
+		return deaf, false, err
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	conn = &patient{conn, silence}
 	w.mu.Lock()
 	w.conn, w.Whole = conn, w.Whole || w.fresh != nil
 	w.mu.Unlock()
@@ -191,46 +201,108 @@
 	br := bufio.NewReader(conn)
 	if w.Whole {
 		// The address is new, or what came last made no sense: changes to what is known cannot be trusted.
-		if err := w.fetch(conn, br); err != nil {
-			return false, err
+		if got, err = w.fetch(conn, br, by); err != nil {
+			return deaf, got, err
 		}
-		got = true
+		deaf = time.Now()
+		by = deaf.Add(pace.Call)
 	}
-	head, err := w.ask(conn, br, path+"?watch=1&after="+strconv.FormatUint(w.Index, 10))
+	head, err := w.ask(conn, br, path+"?watch=1&after="+strconv.FormatUint(w.Index, 10), by)
 	if err != nil {
-		return got, err
+		return deaf, got, err
 	}
 	body, err := head.Stream(br)
 	if err != nil {
-		return got, err
+		return deaf, got, err
 	}
-	lines := bufio.NewReaderSize(body, maxLine)
+	lines := bufio.NewReader(body)
+	var text text
+	deaf = time.Now()
+	conn.SetReadDeadline(deaf.Add(pace.Silence))
 	for {
-		// A line without its end is the trace of a broken connection: it is asked for again, and is
-		// not a line that makes no sense.
+		// A list without its end is the trace of a broken connection: it is asked for again, and is
+		// not one that makes no sense.
 		line, err := lines.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return deaf, got, err
+		}
+		whole, err := text.add(line)
 		if err != nil {
-			return got, err
+			w.Whole = true
+			return deaf, got, err
 		}
-		if line = bytes.TrimSpace(line); len(line) == 0 {
+		if !whole {
 			continue
 		}
-		list, err := parse(line)
+		deaf = time.Now()
+		if err := conn.SetReadDeadline(deaf.Add(pace.Silence)); err != nil {
+			return deaf, got, err
+		}
+		if len(text.bytes) == 0 {
+			continue
+		}
+		list, err := parse(text.bytes)
+		if err == nil && !list.Snapshot && list.Index < w.Index {
+			err = fmt.Errorf("directory: changes of version %d after those of %d", list.Index, w.Index)
+		}
 		if err != nil {
 			w.Whole = true
-			return got, err
+			return deaf, got, err
 		}
+		text.bytes = text.bytes[:0]
 		got = true
 		w.accept(list)
 	}
 }
 
+// text is a list that is being read. It may be indented, so it ends with the line on which all its brackets are closed.
+type text struct {
+	bytes           []byte // without the space before it
+	depth           int
+	quoted, escaped bool
+}
+
+// add takes a line, or a part of one, and tells whether it ends something: a list, or nothing, as an empty line does.
+func (t *text) add(line []byte) (whole bool, err error) {
+	if len(t.bytes) == 0 {
+		if rest := bytes.TrimLeft(line, " \t\r\n"); len(rest) > 0 {
+			line = rest
+		} else {
+			return line[len(line)-1] == '\n', nil
+		}
+	}
+	if len(t.bytes)+len(line) > maxList {
+		return false, errors.New("directory: a list that does not end")
+	}
+	t.bytes = append(t.bytes, line...)
+	for _, c := range line {
+		switch {
+		case t.escaped:
+			t.escaped = false
+		case t.quoted && c == '\\':
+			t.escaped = true
+		case c == '"':
+			t.quoted = !t.quoted
+		case t.quoted:
+		case c == '{' || c == '[':
+			t.depth++
+		case c == '}' || c == ']':
+			t.depth--
+		}
+	}
+	return t.depth <= 0 && line[len(line)-1] == '\n', nil
+}
+
 func (w *Watcher) accept(list List) {
 	w.Index = list.Index
 	w.Deliver(list)
 }
 
-func (w *Watcher) ask(conn net.Conn, br *bufio.Reader, target string) (*http1.Head, error) {
+// ask makes a call, which must have its whole answer by then.
+func (w *Watcher) ask(conn net.Conn, br *bufio.Reader, target string, by time.Time) (*http1.Head, error) {
+	if err := conn.SetDeadline(by); err != nil {
+		return nil, err
+	}
 	req := http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: w.Address}}, nil)
 	if _, err := conn.Write(req); err != nil {
 		return nil, err
@@ -242,22 +314,22 @@
 	return head, err
 }
 
-// fetch asks for the whole list.
-func (w *Watcher) fetch(conn net.Conn, br *bufio.Reader) error {
-	head, err := w.ask(conn, br, path)
+// fetch asks for the whole list, and tells whether it came.
+func (w *Watcher) fetch(conn net.Conn, br *bufio.Reader, by time.Time) (got bool, err error) {
+	head, err := w.ask(conn, br, path, by)
 	if err != nil {
-		return err
+		return false, err
 	}
 	body, err := head.ReadBody(br)
 	if err != nil {
-		return err
+		return false, err
 	}
 	list, err := parse(body)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if !list.Snapshot {
-		return errors.New("directory: the whole list is not marked as one")
+		return false, errors.New("directory: the whole list is not marked as one")
 	}
 	w.Whole = false
 	w.accept(list)
@@ -268,9 +340,9 @@
 	}
 	w.mu.Unlock()
 	if head.Close {
-		return errors.New("discovery closed the connection after the whole list")
+		return true, errors.New("discovery closed the connection after the whole list")
 	}
-	return nil
+	return true, nil
 }
 
 func parse(b []byte) (List, error) {
@@ -281,24 +353,3 @@
 	list.sane()
 	return list, nil
 }
-
-// patient is a connection on which no read or write waits longer than a limit: a peer that has vanished
-// never resets, and the list would stay as it was for good.
-type patient struct {
-	net.Conn
-	limit time.Duration
-}
-
-func (p *patient) Read(b []byte) (int, error) {
-	if err := p.SetReadDeadline(time.Now().Add(p.limit)); err != nil {
-		return 0, err
-	}
-	return p.Conn.Read(b)
-}
-
-func (p *patient) Write(b []byte) (int, error) {
-	if err := p.SetWriteDeadline(time.Now().Add(p.limit)); err != nil {
-		return 0, err
-	}
-	return p.Conn.Write(b)
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -443,6 +443,9 @@
 		Address: address, Index: index, Whole: whole, Log: s.log,
 		Deliver: func(list directory.List) { s.hear(w, list) },
 	}
+	if s.current != nil {
+		watcher.Pace.By = pace.Moved
+	}
 	if set := &s.cfg.Settings; set.Subscribe {
 		// Each watch is asked for at a discovery that all schedulers share, and known serves meanwhile.
 		watcher.Pace.Over = pace.Over(set.Balancers, set.DialTimeout, set.AskEvery)
