consumer: a client's leave is seen behind all that it has sent ahead

Cause: the watch for a leave peeked into the connection's buffer of 2 KB. Change: behind a full buffer the watch reads on. 16 KB are kept for the next message, counted in the memory of a place; more is dropped, and the connection ends with the answer in hand; past 8 MB nothing more is read. provider: a call looks once more whether it is still wanted right before its first byte, also without a hold-up before. Test: TestLeaveBehindBytes, 0 bytes to 3 MB behind a job, closed and reset; without the change nobody sees it at 2048.

--- a/consumer/crowd_test.go
+++ b/consumer/crowd_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +121,77 @@
 	slow.say(text[crowd+1:])
 	slow.hear(200)
 }
+
+// T2: a client that has gone is seen to have gone at once, also behind all that it sent before: the start of a next request,
+// a whole one, or far more than anybody has to send. What it sent behind a request that is answered is read as usual, or the
+// connection ends with that answer.
+func TestLeaveBehindBytes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, left, answer := make(chan string, 9), make(chan error, 9), make(chan struct{})
+	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 25 * time.Second}}},
+		Jobs: job.HandlerFunc(func(ctx context.Context, j *job.Job) job.Outcome {
+			taken <- j.ID
+			select {
+			case <-ctx.Done():
+				left <- context.Cause(ctx)
+				return job.Outcome{Kind: job.Gone}
+			case <-answer:
+				return job.Outcome{Kind: job.Served, Result: []byte(j.ID)}
+			}
+		}),
+		Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 10, Grace: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go s.Serve(ctx, ln)
+	r := &rig{t: t, address: ln.Addr().String()}
+	body := func(n int) string { return strings.Repeat("x", n) }
+	for _, behind := range []int{0, 1, 2047, 2048, 2049, 5000, MaxAhead, MaxAhead + 2049, 3 << 20} {
+		for _, reset := range []bool{false, true} {
+			c := r.dial()
+			c.say(ask("gone", "check"))
+			<-taken
+			c.say(body(behind))
+			if reset {
+				c.Conn.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+			select {
+			case err := <-left:
+				if err != job.ErrLeft {
+					t.Errorf("%d bytes behind it, reset %v: %v", behind, reset, err)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatalf("%d bytes behind it, reset %v: nobody sees that it has gone", behind, reset)
+			}
+		}
+	}
+	next := func(size int) string {
+		return fmt.Sprintf("POST /api/x HTTP/1.1\r\nX-Request-Id: next\r\nX-Class: check\r\nContent-Length: %d\r\n\r\n%s", size, body(size))
+	}
+	for _, size := range []int{0, 2000, 5000, MaxAhead, 40_000} {
+		c := r.dial()
+		c.say(ask("first", "check"))
+		<-taken
+		c.say(next(size))
+		time.Sleep(20 * time.Millisecond) // most of it is here by then, or not: both must go well
+		answer <- struct{}{}
+		h, got := c.hear(200)
+		if got != "first" {
+			t.Fatalf("%d bytes in the next request: %q", size, got)
+		}
+		if h.Close {
+			if size <= MaxAhead-1000 {
+				t.Errorf("the connection ends before a request of %d bytes", size)
+			}
+			continue
+		}
+		<-taken
+		answer <- struct{}{}
+		if _, got := c.hear(200); got != "next" {
+			t.Fatalf("%d bytes in the next request: %q", size, got)
+		}
+	}
+}
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -78,7 +78,7 @@
 // connection can go on.
 func (s *Server) respond(c *conn, a answer, last bool) bool {
 	s.mu.Lock()
-	a.last = a.last || last || s.ending || c.woken
+	a.last = a.last || last || s.ending || c.woken || c.broken
 	s.mu.Unlock()
 	if !s.write(c, a) {
 		return false
--- a/consumer/move.go
+++ b/consumer/move.go
@@ -1,8 +1,8 @@
 package consumer
 
 import (
-	"bytes"
 	"net"
+	"slices"
 	"time"
 
 	"laddertide/job"
@@ -70,7 +70,7 @@
 		return nil, nil, Kept{}, false
 	}
 	ahead, _ := c.br.Peek(c.br.Buffered())
-	return s.heir, tcp, Kept{Told: c.told, Events: c.events, Ahead: bytes.Clone(ahead)}, true
+	return s.heir, tcp, Kept{Told: c.told, Events: c.events, Ahead: slices.Concat(ahead, c.ahead)}, true
 }
 
 // pass hands a connection that is between messages to the heir, if there is one.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -69,14 +69,20 @@
 	events bool      // one of them was a call-back
 	woken  bool      // it has been told to make room
 
-	// Its goroutine's own.
+	// Its goroutine's own, and that of the watch while there is one.
 	stomp  *Stomp // it speaks STOMP
 	broken bool   // it cannot be read any more
+	ahead  []byte // read while the buffer was full; it comes before what is still to be read
 	passed bool   // another process has it
 }
 
 // Read notes that the peer is not silent.
 func (c *conn) Read(b []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(b, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.hears()
@@ -125,6 +131,7 @@
 	partBytes   = 8 << 20                // what may still come in that time
 	newcomers   = 2200 * time.Millisecond
 	strangers   = time.Second          // for a new connection's first byte while stopping
+	MaxAhead    = 16 << 10             // that is kept of what comes while an answer is owed, beside the buffer
 	lastLook    = 5 * time.Millisecond // for a request that is on its way while its connection closes
 	retryAccept = 10 * time.Millisecond
 )
@@ -495,6 +502,29 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
+// readAhead reads on behind a full buffer, as a leave is seen only behind all that came before it. More than may be kept
+// is dropped, and the connection ends with the answer in hand: no client has to send so much before that. Without an error
+// even that was too much, and nothing more is looked at.
+func (c *conn) readAhead() error {
+	var b [2048]byte
+	for dropped := 0; dropped < partBytes; {
+		n, err := c.Conn.Read(b[:])
+		if n > 0 {
+			c.hears()
+		}
+		if len(c.ahead)+n <= MaxAhead && !c.broken {
+			c.ahead = append(c.ahead, b[:n]...)
+		} else {
+			c.broken = true
+			dropped += n
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // watch runs gone if the consumer closes c while its request is out. A blocked read is the only way to
 // see that, so a request has this second goroutine while it waits. The function that it returns ends
 // the watch and must be called before c is read again.
@@ -503,17 +533,16 @@
 	c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		// Bytes of a next message are no leave, nor is the deadline that ends the watch. Once they fill the
-		// buffer nothing behind them can be seen.
-		for {
-			_, err := c.br.Peek(c.br.Buffered() + 1)
-			if err == nil {
-				continue
-			}
-			if !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
-				gone()
-			}
-			return
+		// Bytes of a next message are no leave, nor is the deadline that ends the watch.
+		var err error
+		for err == nil {
+			_, err = c.br.Peek(c.br.Buffered() + 1)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = c.readAhead()
+		}
+		if err != nil && !isTimeout(err) {
+			gone()
 		}
 	}()
 	return func() {
--- a/provider/call.go
+++ b/provider/call.go
@@ -190,10 +190,10 @@
 	message := jobMessage(j, lease, v.Until)
 	if p.Awake != nil {
 		p.Awake(v.Until) // what is known of the provider may be old
-		if v.Context.Err() != nil {
-			p.release(conn)
-			return decide.NotSent, nil
-		}
+	}
+	if v.Context.Err() != nil { // the connection, too, may have taken its time
+		p.release(conn)
+		return decide.NotSent, nil
 	}
 	p.mu.Lock()
 	// The connection may have taken its time: what the directory has said meanwhile counts.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"laddertide/consumer"
 	"laddertide/directory"
 	"laddertide/internal/wire"
 	"laddertide/policy"
@@ -46,7 +47,7 @@
 func (c *Config) places() int {
 	n := (c.Limits.Sockets - c.descriptors()) * 5 / 8
 	if mb := c.Limits.MemoryMB; mb > 0 {
-		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+c.Operator.connBytes()))
+		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+consumer.MaxAhead+c.Operator.connBytes()))
 	}
 	return n
 }
