policy: turns at cold workers are drawn and expire; what is taken back is a bounded share

Change: the debt after a job is drawn (exponential), so turns come at random times whoever starts late or anew, and a turn that is not used within the window is lost. No refund for a failed connection. 0.42 of the multiple in place of 0.35, as the worst window is then 0.84 of it on average. Repeats: one is only sent if its connection is up within the window (TestRepeatWithinItsWindow).

--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -13,7 +13,7 @@
 // believes of workers, and the requests that are open. Nothing here decides anything.
 
 // checkpointVersion comes first in a checkpoint. Another one is not read.
-const checkpointVersion = 3
+const checkpointVersion = 4
 
 // Checkpoint appends the machine's state to b.
 func (d *Dispatcher) Checkpoint(b []byte) []byte {
@@ -169,7 +169,7 @@
 		walk.Whole(&w.Walker, &k.shown)
 	})
 	w.Float(&d.meanWork, &d.worthSeen, &d.slowdown, &d.calm, &d.workN, &d.arrived, &d.seen, &d.rate, &d.fails, &d.oks,
-		&d.solver.lambda, &d.home)
+		&d.solver.lambda, &d.home, &d.twice)
 	for _, s := range []*[]float64{&d.classWork, &d.classN, &d.boundIn, &d.boundRate, &d.all, &d.bound, &d.tenantRate} {
 		w.floats(s)
 	}
--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,80 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// past is by how many calls a cold worker was past its budget and past what is chance, in the worst window: the budget is
+// N calls of mean work for what it can do at the window's end, and 2 x root of N + 2 more are chance.
+func (c *crowd) past(w *model, mean float64) float64 {
+	worst := math.Inf(-1)
+	for i, p := range w.pushes {
+		if p.at-w.coldAt >= c.set.WarmWithin {
+			break
+		}
+		calls := 0.0
+		for j := i; j >= 0 && p.at-w.pushes[j].at < c.set.FallWindow; j-- {
+			calls++
+		}
+		warm := min(1, (p.at-w.coldAt).Seconds()/c.set.WarmWithin.Seconds())
+		budget := c.set.FallMultiple * float64(w.slots) * (c.set.ColdFrom + (1-c.set.ColdFrom)*warm) *
+			c.set.FallWindow.Seconds() / mean
+		worst = max(worst, calls-budget-2*math.Sqrt(budget)-2)
+	}
+	return worst
+}
+
+// burst offers n jobs at every host within a moment.
+func (c *crowd) burst(n int) {
+	for i := range c.hosts {
+		c.clients = c.hosts[i : i+1]
+		for range n {
+			c.arrive(seconds(0.9 * math.Exp(c.rng.NormFloat64()*0.9-0.405)))
+		}
+	}
+	c.clients = nil
+}
+
+// T3: a cold worker falls under the sum of what all send, and they have no word of each other. Whether there are few or
+// many, whether they send all the time or have been idle and then all send at once, and whoever has started late: beyond
+// its budget no more than chance reaches it.
+func TestCrowdColdBudget(t *testing.T) {
+	for _, balancers := range []int{1, 5, 20, 30} {
+		served, calls, worst := 0.0, 0, math.Inf(-1)
+		for seed := range uint64(20) {
+			for _, quiet := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+				c := newCrowd(t, seed, crowdSettings(balancers), 8)
+				c.load(0.6, 8*time.Second)
+				w := c.workers[3]
+				c.restart(w)
+				c.untold = make(map[*Dispatcher]bool)
+				for i, d := range c.hosts { // of three, one hears of it at once
+					c.untold[d] = true
+					c.after(time.Duration(i%3)*time.Second/2, func() {
+						delete(c.untold, d)
+						c.carry(d, d.List(c.now, ListDelta, []Entry{w.entry}, nil))
+					})
+				}
+				for c.now-w.coldAt < c.set.WarmWithin {
+					if c.until(c.now + quiet); quiet > 0 {
+						c.burst(2)
+					}
+					c.load(0.6, 1500*time.Millisecond)
+				}
+				past := c.past(w, 0.9)
+				if worst = max(worst, past); past > 0 {
+					t.Errorf("%d dispatchers, seed %d, quiet for %v: %.1f calls past budget and chance", balancers, seed, quiet, past)
+				}
+				served += c.share() / 100
+				calls += len(w.pushes)
+			}
+		}
+		t.Logf("%d dispatchers: in time %.3f; %d calls at cold workers, worst window %.1f past budget and chance",
+			balancers, served, calls, worst)
+		if calls < 100*9/2 {
+			t.Errorf("%d dispatchers: only %d calls in 100 times 9 s", balancers, calls)
+		}
+	}
+}
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -1,8 +1,7 @@
 package policy
 
-// The interface of this module, its settings, events and actions, is in api.go. The decisions are
-// in three files: dispatcher.go (a request's life and the guard of the four rules), split.go (the
-// paper's target rates and the draw) and estimate.go (speed, slots, occupancy and health).
+// api.go has the interface. The decisions: dispatcher.go (a request's life, the guard of the four rules),
+// split.go (the paper's target rates, the draw), estimate.go (speed, slots, occupancy, health).
 
 import (
 	"time"
@@ -263,7 +262,7 @@
 			return false
 		case Keyed:
 			first := &d.workers[a.worker]
-			if now-a.sent+windowMargin > c.Window ||
+			if now-a.sent+windowMargin+d.set.DialTimeout > c.Window || // until its connection is up
 				(c.Group == GroupZone && first.zone != w.zone) ||
 				(c.Group == GroupCell && first.cell != w.cell) {
 				return false
@@ -274,11 +273,8 @@
 		return false
 	}
 	// Rule 4: a cold worker gets no more than this dispatcher's part of its budget.
-	if d.warmth(w, now) < 1 {
-		d.refill(w, now)
-		if w.credit <= 0 {
-			return false
-		}
+	if d.warmth(w, now) < 1 && !d.turn(w, now) {
+		return false
 	}
 	if w.awayUntil > now || d.cut(w, now) {
 		return false
@@ -296,7 +292,7 @@
 		return d.finish(now, r, acts)
 	}
 	w := &d.workers[i]
-	w.credit -= r.work * d.slowness(w) * r.slots
+	w.credit = -d.debt(w, r.work*r.slots)
 	w.held += r.slots
 	r.pool.held += r.slots
 	r.pool.turned.sent++
@@ -322,7 +318,8 @@
 	}
 	acts = append(acts, Action{Kind: Send, Request: r.id, Worker: w.id, Timeout: timeout, TakenIn: ack})
 	if d.movable(r) {
-		acts = r.wake(now+d.zoned(w).prompt.Due(d.set.DialTimeout), acts)
+		late := d.slack(now, r) - seconds(d.meanWork*d.fastest()) // by when a wait of a mean run is too long
+		acts = r.wake(now+max(late, d.zoned(w).prompt.Due(d.set.DialTimeout)), acts)
 	}
 	return acts
 }
@@ -333,9 +330,9 @@
 		len(r.attempts) < d.set.MaxAttempts && d.set.Classes[r.class].Effect != Unsafe
 }
 
-// move takes r back from a worker that has not begun with it by when it would with a slot free. What others
-// have sent there is told nowhere else, and one dispatcher among many meets it at nearly every worker. Its
-// place in that queue is given up only if a draw finds a worker of which nothing says that it is full.
+// move takes r back from a worker that has no slot free, once waiting may make it late, if a draw finds one
+// of which nothing says that it is full. Not every worker stops what is taken back, and none tells: no more
+// goes this way than a share of what comes in.
 func (d *Dispatcher) move(now time.Duration, r *request, acts []Action) []Action {
 	k := len(r.attempts) - 1
 	a := &r.attempts[k]
@@ -345,9 +342,11 @@
 	a.out, a.mayRun = false, true // as it will be
 	i := d.draw(now, r)
 	elsewhere := i >= 0 && d.rank(now, r, i) <= rankTarget
-	if a.out = true; !elsewhere {
+	if a.out = true; !elsewhere || d.twice < r.work*r.slots {
 		return acts
 	}
+	d.twice -= r.work * r.slots
+	d.zoned(&d.workers[a.worker]).full++ // it had no room
 	return append(acts, Action{Kind: CancelSend, Request: r.id, Attempt: k})
 }
 
@@ -418,7 +417,6 @@
 		d.turnedDown(w, now)
 	case ConnectFailed:
 		d.away(w, now)
-		w.credit += r.work * d.slowness(w) * r.slots // it got nothing
 		d.zoned(w).full++
 		if !d.unreached(w, now) {
 			d.failed(w, now, 1)
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Constants of the estimators. None is fitted to a deployment: each is a number of samples, a
-// share, or a time in proportion to what is seen.
+// Constants of the estimators: numbers of samples, shares, and times in proportion to what is seen.
 const (
 	workerMemory = 10.0 // seconds in which a worker's samples fade to 1/e
 	kindMemory   = 40.0 // the same for a kind
@@ -24,7 +23,8 @@
 	waitWeight   = 0.08 // weight of one answer in the mean wait
 	waitMost     = 0.5  // mean wait, as part of what the aims allow, that is taken for overload
 	tenantMemory = 15.0 // seconds in which a tenant's arrivals fade to 1/e
-	coldSafety   = 0.35 // part of the fall multiple that is used
+	coldSafety   = 0.42 // part of the fall multiple that is used; as much again may be saved up
+	doneTwice    = 0.15 // part of the work that may be taken back and sent elsewhere
 	fewReports   = 20   // reports that show a kind's slots
 	maxDraws     = 20
 	minLeft      = 50 * time.Millisecond // least time that an attempt is given
@@ -74,8 +74,8 @@
 	}
 }
 
-// settle follows the lowest slowness of each kind. Where no start is told, run times hold waiting, so
-// in a jam T says how long the queue is; what a job takes by itself is what it took when all was calm.
+// settle follows the lowest slowness of each kind. Where no start is told, run times hold waiting: what a job
+// takes by itself is what it took when all was calm.
 func (d *Dispatcher) settle(dt float64) {
 	now, then := 0.0, 0.0
 	for i := range d.kinds {
@@ -100,6 +100,7 @@
 // arrive counts a request into Ξ and learns the mean work.
 func (d *Dispatcher) arrive(r *request) {
 	d.arrived += r.slots
+	d.twice = min(d.twice+doneTwice*r.work*r.slots, 5*max(d.meanWork, r.work*r.slots))
 	if k := d.set.Classes[r.class].Kind; k >= 0 && k < len(d.boundIn) {
 		d.boundIn[k] += r.slots
 	}
@@ -132,8 +133,7 @@
 	return (weight*d.slowKind(k) + w.slowSum) / (weight + w.slowN)
 }
 
-// spread is the squared coefficient of variation of a kind's samples, which heavy tails and missing
-// hints make large: then a few runs say little of a worker. It is held within bounds.
+// spread is the squared coefficient of variation of a kind's samples: large, a few runs say little.
 func (k *kindStats) spread() float64 {
 	if k.slowN < 5 {
 		return 1
@@ -142,8 +142,8 @@
 	return min(max(k.slowSq/k.slowN/(mean*mean)-1, 0.2), 3)
 }
 
-// slowKind is the pooled slowness of a kind, shrunk to the fleet's. A kind that one long first run
-// made look slow would be starved and never be sampled again: as its samples fade, it comes back.
+// slowKind is the pooled slowness of a kind, shrunk to the fleet's. One that a long first run made look slow
+// comes back as its samples fade.
 func (d *Dispatcher) slowKind(k *kindStats) float64 {
 	return (k.slowSum + kindPrior*d.slowFleet()) / (k.slowN + kindPrior)
 }
@@ -184,8 +184,8 @@
 	d.classWork[c] = max(d.classWork[c], 1e-4)
 }
 
-// follow moves the slowdown of the moment: the fifth of runs that take least, over what they take in
-// calm. Something shared may slow every worker; aims then allow less waiting than they do in calm.
+// follow moves the slowdown of the moment, as of something that all share: the fifth of runs that take least,
+// over what they take in calm.
 func (d *Dispatcher) follow(t, calm float64) {
 	switch {
 	case calm <= 0:
@@ -204,8 +204,7 @@
 	return max(1, w.weight)
 }
 
-// known is the occupancy of a worker by all dispatchers while evidence of it is fresh. Evidence
-// lasts a run time, longer where a queue must drain first.
+// known is the occupancy of a worker by all dispatchers while evidence is fresh: a run, or a queue long.
 func (d *Dispatcher) known(w *worker, now time.Duration) (float64, bool) {
 	if d.set.budget() <= 1 {
 		return w.held, true // all that it holds is ours, and a report is older than that
@@ -240,23 +239,31 @@
 // coldShare is how much of a cold worker's present capacity all dispatchers together may send.
 func (d *Dispatcher) coldShare() float64 { return coldSafety * d.set.FallMultiple }
 
-// cool takes w for cold from now on. Its budget starts in debt by a random part of a mean job: with many
-// dispatchers each may send far less than one job, so who sends is drawn.
+// cool takes w for cold from now on.
 func (d *Dispatcher) cool(w *worker, now time.Duration) {
-	w.creditAt, w.credit = now, -d.rng.Float64()*d.meanWork*d.slowness(w)
+	w.creditAt, w.credit = now, -d.debt(w, d.meanWork)
 }
 
-// refill brings a cold worker's budget up to now.
-func (d *Dispatcher) refill(w *worker, now time.Duration) {
-	dt := (now - w.creditAt).Seconds()
-	w.creditAt = now
+// debt is what has to be saved up after such a job at a cold worker until its next turn. Dispatchers have no
+// word of each other, so it is drawn: no start or restart brings their turns together.
+func (d *Dispatcher) debt(w *worker, work float64) float64 {
+	return d.rng.ExpFloat64() * work * d.slowness(w)
+}
+
+// turn tells whether w, which is cold, takes a job from here now. A turn that is not used within the window
+// of the budget is lost: what many have saved up while nothing came would be spent all at once.
+func (d *Dispatcher) turn(w *worker, now time.Duration) bool {
 	rate := d.coldShare() * d.warmth(w, now) * d.slots(w) / d.set.budget()
-	w.credit = min(w.credit+dt*rate, rate*d.set.FallWindow.Seconds()/4)
+	w.credit += rate * min(now-w.creditAt, d.set.WarmWithin).Seconds()
+	w.creditAt = now
+	for most := rate * max(d.set.FallWindow, minLeft).Seconds(); w.credit > most; {
+		w.credit -= most + d.debt(w, d.meanWork)
+	}
+	return w.credit > 0
 }
 
-// unreached notes a failed connection and tells whether w's zone is cut off, or lost. The workers of a zone
-// that nothing reaches are no sick workers: they are too many to be shut out one by one, and each would
-// cost another request the time of a connection.
+// unreached notes a failed connection and tells whether w's zone is cut off, or lost. Its workers are too
+// many to be shut out one by one, and each would cost another request the time of a connection.
 func (d *Dispatcher) unreached(w *worker, now time.Duration) bool {
 	for len(d.zones) <= w.zone {
 		d.zones = append(d.zones, zone{})
@@ -292,8 +299,7 @@
 	d.lost(w, now)
 }
 
-// lost takes w for cold when it is back: what nothing reaches may be starting anew, and the list says so
-// seconds later. All dispatchers find it back at once, and each would send as to a warm one.
+// lost takes w for cold when it is back: it may be starting anew, and the list says so seconds later.
 func (d *Dispatcher) lost(w *worker, now time.Duration) {
 	if d.warmth(w, now) == 1 {
 		d.cool(w, now)
@@ -306,8 +312,8 @@
 	return w.zone < len(d.zones) && d.zones[w.zone].until > now
 }
 
-// failed notes an answer that speaks against a worker's health, and shuts it out where its answers
-// are worse than the fleet's: a worker that fails fast empties its s_i and would draw job after job.
+// failed notes an answer that speaks against a worker's health, and shuts it out where its answers are worse
+// than the fleet's: one that fails fast empties its s_i and would draw job after job.
 func (d *Dispatcher) failed(w *worker, now time.Duration, weight float64) bool {
 	w.fails += weight
 	d.fails += weight
@@ -362,9 +368,8 @@
 	p.wait += (part - p.wait) * waitWeight
 }
 
-// adjust moves a pool's limit. The paper draws at random once all queues are over target; jobs that
-// expire would then all be answered late. So while answers show waits that the aims do not allow, the
-// slots that this dispatcher holds shrink, and what they leave no room for is held back here.
+// adjust moves a pool's limit. While answers show waits that the aims do not allow, the slots that this
+// dispatcher holds shrink, and the rest is held back here: else jobs would all be answered late.
 func (d *Dispatcher) adjust(p *pool, now time.Duration) {
 	if (now - p.at).Seconds() < min(max(d.meanWork/2, 0.05), 0.5) {
 		return
@@ -390,8 +395,7 @@
 	}
 }
 
-// part is this dispatcher's part of the slots that p's work can go to. What it holds may well fill these: the
-// waits that the start notes tell of are those of jobs sent long ago, and would starve idle workers.
+// part is this dispatcher's part of the slots that p's work can go to. What it holds may well fill these.
 func (d *Dispatcher) part(p *pool) float64 {
 	sum := 0.0
 	for k, sp := range d.spans {
@@ -407,9 +411,8 @@
 	return sum / float64(d.set.Balancers)
 }
 
-// lean moves the part of the claims that is made in this zone: less while more is turned away here
-// than elsewhere, as where a zone has lost workers or has more clients than others. In the same way
-// unbound work, which can go elsewhere, leaves a kind whose bound work waits or is turned away.
+// lean moves the part of the claims that is made in this zone: less while more is turned away here than
+// elsewhere. So does unbound work leave a kind whose bound work waits or is turned away.
 func (d *Dispatcher) lean(f float64) {
 	d.home = min(max(d.home+0.5*(d.far.share()+homeSlack-d.near.share()), 0), homeward)
 	for k := range d.kinds {
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -699,3 +699,31 @@
 		t.Fatalf("%+v, want none", acts)
 	}
 }
+
+// A repeat reaches its worker only once its connection is up. What would come after the window by then is not sent, where the
+// window is shorter than a retry takes as where it is long.
+func TestRepeatWithinItsWindow(t *testing.T) {
+	const dial = 250 * time.Millisecond
+	for _, window := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 40 * time.Second} {
+		for _, left := range []time.Duration{-time.Second, 0, time.Millisecond, windowMargin, dial, dial + windowMargin, dial + 2*windowMargin, time.Second} {
+			d := newTest(t, func(s *Settings) {
+				s.DialTimeout = dial
+				s.Classes[1].Effect, s.Classes[1].Group, s.Classes[1].Window = Keyed, GroupAll, window
+				s.Classes[1].Deadline, s.Classes[1].Aim = time.Minute, time.Minute
+			})
+			now := time.Hour
+			d.List(now, ListFull, fleet(6), nil)
+			q := job(1, 1)
+			q.Left = time.Minute
+			first := sends(d.Request(now, q, nil))
+			if len(first) != 1 {
+				t.Fatalf("%+v", first)
+			}
+			at := now + max(0, window-left)
+			again := sends(d.Outcome(at, Outcome{Request: 1, Worker: first[0].Worker, Status: Reset, Elapsed: at - now}, nil))
+			if may := at-now+dial+windowMargin <= window; len(again) != map[bool]int{true: 1}[may] {
+				t.Errorf("window %v, %v before its end: %d sends", window, left, len(again))
+			}
+		}
+	}
+}
--- a/policy/split.go
+++ b/policy/split.go
@@ -229,7 +229,7 @@
 	return best
 }
 
-// spared is a cold worker at which there is credit for r, or -1. It is used: few others have any.
+// spared is a cold worker that takes r from here now, or -1. It is used: few others have their turn.
 func (d *Dispatcher) spared(now time.Duration, r *request) int {
 	for n, k := len(d.cold), 0; k < n; k++ {
 		if i := int(d.cold[(k+len(r.attempts)+int(r.id))%n]); d.rank(now, r, i) < rankOver {
@@ -248,7 +248,7 @@
 		jobs = max(jobs, 1+float64(w.waiting)/d.slots(w))
 	}
 	if (w.zone != d.set.Zone) == home && d.set.CrossZone > 0 {
-		jobs += zoneAway
+		jobs += zoneAway * d.home / homeward
 	}
 	return jobs * math.Sqrt(d.slowness(w))
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,6 +47,7 @@
 
 	zones     []zone
 	pools     []pool  // admission: unbound work, then one for each kind's bound work
+	twice     float64 // slot-seconds of work that may be taken back and sent elsewhere
 	home      float64 // part of the claims that is made in this zone
 	near, far turnedAway
 
@@ -130,7 +131,7 @@
 	awayUntil time.Duration // not tried before
 	lostAt    time.Duration // when it served again after no connection came up: it counts as started then; 0: never away
 
-	credit   float64 // slot-seconds that may be sent while it is cold
+	credit   float64 // slot-seconds saved up while it is cold; above 0 it takes a job
 	creditAt time.Duration
 }
 
