policy: a worker without room counts as the longest wait, and cold slots as what they can do

Test: TestFullShowsOverload; without the change there is no limit after 30 jobs that were turned away four times each.

--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -56,8 +56,7 @@
 	return acts
 }
 
-// abandonOf gives up r's attempts at workers that have left the list, or started anew, since. What one that
-// vanished had taken would wait for its deadline; what may be repeated goes elsewhere.
+// abandonOf gives up r's attempts at workers that have left the list, or started anew, since: they go elsewhere.
 func (d *Dispatcher) abandonOf(r *request, acts []Action) []Action {
 	if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
 		return acts
@@ -414,6 +413,7 @@
 	case Full:
 		d.zoned(w).full++
 		r.pool.turned.full++
+		r.pool.wait += (1 - r.pool.wait) * waitWeight // no room at all is the longest wait
 		d.turnedDown(w, now)
 	case ConnectFailed:
 		d.away(w, now)
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -24,7 +24,7 @@
 	waitMost     = 0.5  // mean wait, as part of what the aims allow, that is taken for overload
 	tenantMemory = 15.0 // seconds in which a tenant's arrivals fade to 1/e
 	coldSafety   = 0.42 // part of the fall multiple that is used; as much again may be saved up
-	doneTwice    = 0.15 // part of the work that may be taken back and sent elsewhere
+	doneTwice    = 0.1  // part of the work that may be taken back and sent elsewhere
 	fewReports   = 20   // reports that show a kind's slots
 	maxDraws     = 20
 	minLeft      = 50 * time.Millisecond // least time that an attempt is given
@@ -250,8 +250,8 @@
 	return d.rng.ExpFloat64() * work * d.slowness(w)
 }
 
-// turn tells whether w, which is cold, takes a job from here now. A turn that is not used within the window
-// of the budget is lost: what many have saved up while nothing came would be spent all at once.
+// turn tells whether w, which is cold, takes a job from here now. A turn not used within the window of the
+// budget is lost: what many have saved up would be spent all at once.
 func (d *Dispatcher) turn(w *worker, now time.Duration) bool {
 	rate := d.coldShare() * d.warmth(w, now) * d.slots(w) / d.set.budget()
 	w.credit += rate * min(now-w.creditAt, d.set.WarmWithin).Seconds()
@@ -381,7 +381,7 @@
 			p.limit = p.held + 1
 		}
 		if p.held > p.limit*0.7 {
-			p.limit = max(1, d.part(p), p.limit*0.9)
+			p.limit = max(1, d.part(p, now), p.limit*0.9)
 		}
 	case p.limit > 0:
 		grow := 1.05
@@ -396,7 +396,7 @@
 }
 
 // part is this dispatcher's part of the slots that p's work can go to. What it holds may well fill these.
-func (d *Dispatcher) part(p *pool) float64 {
+func (d *Dispatcher) part(p *pool, now time.Duration) float64 {
 	sum := 0.0
 	for k, sp := range d.spans {
 		if p != &d.pools[0] && p != &d.pools[k+1] {
@@ -404,7 +404,7 @@
 		}
 		for _, i := range d.order[sp.from:sp.to] {
 			if w := &d.workers[i]; w.shutFor == 0 && w.awayFor == 0 {
-				sum += d.slots(w)
+				sum += d.slots(w) * d.warmth(w, now)
 			}
 		}
 	}
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -727,3 +727,37 @@
 		}
 	}
 }
+
+// Workers that turn jobs away for want of room show overload at once, long before the first of those that wait has started:
+// what this dispatcher holds is limited then, and only to what slots can do that are still cold.
+func TestFullShowsOverload(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Hour
+	d.List(now, ListFull, fleet(6), nil)
+	p := &d.pools[0]
+	for id := RequestID(1); p.limit == 0 && id < 30; id++ {
+		acts := sends(d.Request(now, job(id, 0), nil))
+		for len(acts) > 0 {
+			a := acts[0]
+			now += time.Millisecond
+			acts = sends(d.Outcome(now, Outcome{Request: id, Attempt: a.Attempt, Worker: a.Worker, Status: Full, Elapsed: time.Millisecond}, nil))
+			if len(d.requests) == 0 || d.requests[id] == nil {
+				break
+			}
+			for i := range acts {
+				acts[i].Attempt = len(d.requests[id].attempts) - 1
+			}
+		}
+		now += 100 * time.Millisecond
+	}
+	if p.limit == 0 {
+		t.Fatalf("no limit, though all is full: wait %v", p.wait)
+	}
+	warm := d.part(p, now)
+	for i := range d.workers {
+		d.workers[i].started = now
+	}
+	if cold := d.part(p, now); math.Abs(cold-warm*d.set.ColdFrom) > 1e-9 {
+		t.Fatalf("a part of %v while all are cold, %v warm", cold, warm)
+	}
+}
