policy: no second attempt of a request at a worker where one may have run

Cause, from reading: a provider repeats a call-back until it is answered, and call-backs name no attempt. The repeat of 'returned' or 'lost' of a first attempt ends a second one at the same worker while it is out, and the request goes on elsewhere: a second copy. Only what must never run twice was kept from that. Change: the guard bars a worker where an attempt of the request is out or may have run, in every class.

--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -56,7 +56,7 @@
 	return acts
 }
 
-// abandonOf gives up r's attempts at workers that have left the list, or started anew, since: they go elsewhere.
+// abandonOf gives up r's attempts at workers that have left the list, or started anew, since.
 func (d *Dispatcher) abandonOf(r *request, acts []Action) []Action {
 	if r.ended || !d.set.Cancel || d.set.Classes[r.class].Effect == Unsafe {
 		return acts
@@ -247,7 +247,7 @@
 	c := &d.set.Classes[r.class]
 	for k := range r.attempts {
 		a := &r.attempts[k]
-		if c.Effect == Unsafe && int(a.worker) == i {
+		if int(a.worker) == i && (c.Effect == Unsafe || a.out || a.mayRun) {
 			return false // late news of that attempt could not be told from news of this one
 		}
 		if !a.out && !a.mayRun {
