--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -766,10 +766,10 @@
 // run would end the next one there, while that is out, so there is none, whatever the class; one that was turned away said
 // all that it has to say.
 func TestNoSecondAttemptWhereOneMayHaveRun(t *testing.T) {
-	for _, class := range []int{0, 1} {
+	for _, class := range []int{0, 2} {
 		for _, status := range []Status{Reset, Error, Cancelled, Full} {
 			d := newTest(t, func(s *Settings) {
-				s.Classes[1].Effect, s.Classes[1].Group, s.Classes[1].Window = Keyed, GroupAll, time.Minute
+				s.SecondCopies, s.Classes[2].Window = false, time.Minute
 				s.Classes[class].Aim, s.Classes[class].Deadline = time.Minute, time.Minute
 			})
 			now := time.Hour
