--- a/scheduler/cpu_test.go
+++ b/scheduler/cpu_test.go
@@ -40,6 +40,10 @@
 		measured()
 		return
 	}
+	if os.Getenv(ownProcess) != "" {
+		serveAlone()
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/scheduler/crowded_test.go
@@ -0,0 +1,208 @@
+package scheduler
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/internal/testrig"
+	"laddertide/wire/http1"
+)
+
+// ownProcess is the variable by which a test makes this program a scheduler in a process of its own: an address, in JSON.
+const ownProcess = "LADDERTIDE_OWN_PROCESS"
+
+type address struct {
+	Listen, Discovery string
+	Sockets           int
+	Subscribe         bool
+}
+
+// serveAlone is that process. No more descriptors than its limit are to be had.
+func serveAlone() {
+	var p address
+	if err := json.Unmarshal([]byte(os.Getenv(ownProcess)), &p); err != nil {
+		panic(err)
+	}
+	cfg, err := Parse([]byte(config))
+	if err != nil {
+		panic(err)
+	}
+	cfg.Listen, cfg.Discovery, cfg.Limits = p.Listen, p.Discovery, Limits{Sockets: p.Sockets}
+	cfg.Settings.Subscribe = p.Subscribe
+	cfg.Known = directory.List{}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(p.Sockets), Max: uint64(p.Sockets)}); err != nil {
+		panic(err)
+	}
+	s, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err != nil {
+		panic(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := s.Serve(ctx); err != nil {
+		panic(err)
+	}
+}
+
+// spawn starts one, and ends it with the test. What it says is shown if the test fails.
+func spawn(t *testing.T, p address) {
+	t.Helper()
+	raw, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), ownProcess+"="+string(raw))
+	var log lines
+	cmd.Stdout, cmd.Stderr = &log, &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+		if t.Failed() {
+			t.Logf("%s: %s", p.Listen, log.String())
+		}
+	})
+}
+
+// T4: clients that rest may take every place while discovery is away. The descriptors for its return, and for providers,
+// are none of theirs: the list comes, and a job is served.
+func TestIdleCrowdWhileDiscoveryIsAway(t *testing.T) {
+	const sockets = 96
+	jobs := make(chan string, 9)
+	worker := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
+			jobs <- h.Fields.Get("X-Request-Id")
+		})
+	})
+	var back atomic.Bool
+	list := fmt.Sprintf(`{"index":9,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"status":"SERVING","weight":40}]}`, worker)
+	discovery := testrig.Listen(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		if _, err := http1.ReadRequestHead(br); err != nil {
+			return
+		}
+		if !back.Load() {
+			io.Copy(io.Discard, c) // it says nothing until the other side gives up
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+		io.Copy(io.Discard, c)
+	})
+	p := address{Listen: testrig.Free(t), Discovery: discovery, Sockets: sockets}
+	spawn(t, p)
+	await(t, p.Listen)
+	health := "GET /_health HTTP/1.1\r\n\r\n"
+	var crowd []*client
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	for range 3 * sockets {
+		c, err := net.DialTimeout("tcp", p.Listen, 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := newClient(t, c)
+		if len(crowd) < sockets { // these have carried a message and rest; the others rest from the start
+			x.say("%s", health)
+			x.hear(200)
+		}
+		crowd = append(crowd, x)
+	}
+	back.Store(true)
+	event := func(id string) {
+		c, err := net.Dial("tcp", p.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := newClient(t, c)
+		body := fmt.Sprintf(`{"id":%q,"from":"s-1","state":"done","result":"r"}`, id)
+		x.say("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		x.hear(204)
+	}
+	for i := range 200 {
+		c, err := net.Dial("tcp", p.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := newClient(t, c)
+		x.say("POST /api/x HTTP/1.1\r\nX-Request-Id: id-%d\r\nX-Class: limit-check\r\nContent-Length: 0\r\n\r\n", i)
+		answer := make(chan int, 1)
+		go func() {
+			if h, err := http1.ReadResponseHead(x.br); err == nil {
+				answer <- h.Status
+			}
+		}()
+		select {
+		case id := <-jobs:
+			event(id)
+			if got := <-answer; id != fmt.Sprint("id-", i) || got != 200 {
+				t.Fatalf("%s is answered %d", id, got)
+			}
+			return
+		case <-answer: // rejected: there is no provider yet
+			time.Sleep(50 * time.Millisecond)
+		case <-time.After(10 * time.Second):
+			t.Fatal("no answer")
+		}
+		c.Close()
+	}
+	t.Fatal("no job is served, though discovery is back")
+}
+
+// T5: of twenty schedulers that start together nine in ten are ready within 10 s, whatever discovery does: it refuses
+// connections, says nothing, or is asked by turns by all that share it. Being ready waits for no list.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	const n = 20
+	silent := testrig.Listen(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	began := time.Now()
+	var all []address
+	for i := range n {
+		p := address{Listen: testrig.Free(t), Discovery: []string{silent, "127.0.0.1:1"}[i%2], Sockets: 96, Subscribe: i%4 < 2}
+		spawn(t, p)
+		all = append(all, p)
+	}
+	ready := make(chan time.Duration, n)
+	for _, p := range all {
+		go func() {
+			for time.Since(began) < time.Minute {
+				c, err := net.DialTimeout("tcp", p.Listen, time.Second)
+				if err == nil {
+					c.SetDeadline(time.Now().Add(5 * time.Second))
+					io.WriteString(c, "GET /_health HTTP/1.1\r\n\r\n")
+					h, err := http1.ReadResponseHead(bufio.NewReader(c))
+					c.Close()
+					if err == nil && h.Status == 200 {
+						ready <- time.Since(began)
+						return
+					}
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			ready <- time.Hour
+		}()
+	}
+	for i := range n {
+		if after := <-ready; i < n*9/10 && after > 10*time.Second {
+			t.Fatalf("the %d. of %d is ready after %v", i+1, n, after)
+		}
+	}
+}
