--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -305,7 +305,7 @@
 		if w.bare {
 			parked = nil
 		}
-		w.Float(&p.held, &p.limit, &p.wait, &p.turned.sent, &p.turned.full)
+		w.Float(&p.held, &p.limit, &p.seen, &p.wait, &p.turned.sent, &p.turned.full)
 		walk.Whole(&w.Walker, &p.at)
 		walk.List(&w.Walker, &parked, func(at **request) {
 			slot := 0
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -387,8 +387,7 @@
 		return d.finish(now, r, acts)
 	}
 	if o.Status == Full {
-		r.fulls++
-		if r.fulls > 2 {
+		if r.fulls++; r.fulls > 2 {
 			// The last attempts are spread over the time in which they can still be useful.
 			left := max(1, d.set.MaxAttempts-len(r.attempts))
 			return d.park(now, r, d.slack(now, r)/time.Duration(left+1), acts)
@@ -413,7 +412,7 @@
 	case Full:
 		d.zoned(w).full++
 		r.pool.turned.full++
-		r.pool.wait += (1 - r.pool.wait) * waitWeight // no room at all is the longest wait
+		r.pool.see(1) // no room at all is the longest wait
 		d.turnedDown(w, now)
 	case ConnectFailed:
 		d.away(w, now)
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -365,7 +365,13 @@
 func (d *Dispatcher) waited(p *pool, w *worker, wait, budget time.Duration) {
 	part := min(1, max(0, wait.Seconds())/max(budget.Seconds(), 1e-3))
 	d.zoned(w).full += part
-	p.wait += (part - p.wait) * waitWeight
+	p.see(part)
+}
+
+// see learns from a wait. The first few count for more: who starts in a jam must not add to it.
+func (p *pool) see(part float64) {
+	p.seen++
+	p.wait += (part - p.wait) * max(waitWeight, 1/(p.seen+1))
 }
 
 // adjust moves a pool's limit. While answers show waits that the aims do not allow, the slots that this
@@ -384,11 +390,7 @@
 			p.limit = max(1, d.part(p, now), p.limit*0.9)
 		}
 	case p.limit > 0:
-		grow := 1.05
-		if p.wait < waitMost/2 {
-			grow = 1.2
-		}
-		p.limit = p.limit*grow + 0.1
+		p.limit = p.limit*(1.2-0.3*p.wait) + 0.1
 		if p.limit > 3*p.held+3 && len(p.parked) == 0 {
 			p.limit = 0
 		}
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -795,3 +795,24 @@
 		}
 	}
 }
+
+// A kind of worker that nobody knew makes the pools move. What was held in one is held in it still, once: it ended in the old
+// one and stayed held in the new, and was sent on as whatever request it had become by then.
+func TestHeldWhileAKindComes(t *testing.T) {
+	d := newTest(t, nil)
+	now := time.Hour
+	d.List(now, ListFull, fleet(3), nil)
+	d.pools[0].limit, d.pools[0].held = 1, 1
+	d.Request(now, job(1, 0), nil)
+	if len(d.pools[0].parked) != 1 {
+		t.Fatal("nothing is held")
+	}
+	d.List(now, ListDelta, []Entry{{ID: 9, Kind: 7, Weight: 4}}, nil)
+	if len(d.pools) < 9 || len(d.pools[0].parked) != 1 || d.open[0].pool != &d.pools[0] {
+		t.Fatalf("%d pools, %d held", len(d.pools), len(d.pools[0].parked))
+	}
+	d.Gone(now, 1, nil)
+	if len(d.pools[0].parked) != 0 {
+		t.Fatal("its client has gone, and it is still held")
+	}
+}
--- a/policy/retune.go
+++ b/policy/retune.go
@@ -105,6 +105,22 @@
 
 // growKinds makes room for that many kinds of workers.
 func (d *Dispatcher) growKinds(n int) {
+	before := d.pools
+	defer func() {
+		if len(d.pools) == len(before) {
+			return
+		}
+		// The pools have moved, and what is held in them goes along: one that was left with the old ones would be ended there
+		// and stay held here, to be sent on when it is another request by then.
+		for _, r := range d.open {
+			for i := range before {
+				if r.pool == &before[i] {
+					r.pool = &d.pools[i]
+					break
+				}
+			}
+		}
+	}()
 	for len(d.kinds) < n {
 		d.kinds = append(d.kinds, kindStats{guest: 1})
 		d.pools = append(d.pools, pool{})
--- a/policy/state.go
+++ b/policy/state.go
@@ -149,6 +149,7 @@
 type pool struct {
 	held   float64 // own slots held by its requests
 	limit  float64 // most slots that may be held; 0: no limit
+	seen   float64 // waits in wait
 	wait   float64 // mean wait over the wait that the aim allows, fading
 	turned turnedAway
 	at     time.Duration
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -552,3 +552,37 @@
 		}
 	}
 }
+
+// What crosses with a call before its first byte is out: the client leaves, the job is to go elsewhere, or word comes that the
+// provider drains or has gone. Nothing of the job is written then, on a connection that is new as on one that was kept.
+func TestCrossingsBeforeTheFirstByte(t *testing.T) {
+	for name, cross := range map[string]struct {
+		do   func(p *Pool, withdraw context.CancelCauseFunc)
+		want decide.End
+	}{
+		"leaves":    {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(nil) }, decide.NotSent},
+		"elsewhere": {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(decide.ErrElsewhere) }, decide.NotSent},
+		"drains": {func(p *Pool, _ context.CancelCauseFunc) {
+			p.Directory([]directory.Entry{{Name: "s-1", Address: p.Address("s-1"), Status: directory.Draining}}, false)
+		}, decide.NotConnected},
+		"is gone": {func(p *Pool, _ context.CancelCauseFunc) { p.Directory(nil, true) }, decide.NotConnected},
+	} {
+		for _, kept := range []bool{false, true} {
+			f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
+			p := pool(f.ln.Addr().String())
+			if kept {
+				invoke(t, p, verdict(context.Background(), 10*time.Second), decide.Failed)
+				<-f.lines
+			}
+			ctx, withdraw := context.WithCancelCause(context.Background())
+			p.Awake = func(time.Time) { cross.do(p, withdraw) } // the last thing before the call looks for itself
+			invoke(t, p, verdict(ctx, 10*time.Second), cross.want)
+			withdraw(nil)
+			select {
+			case got := <-f.lines:
+				t.Errorf("%s, kept %v: %s was sent", name, kept, got)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+}
