policy: a second attempt at a worker where one may have run is allowed again

Cause: an installation of one provider repeats nothing then: jobstatus.TestLife waits for the second attempt at its only provider, and had not been run with the guard. The crossing that the guard was for is open, and was never shown.

--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -247,7 +247,7 @@
 	c := &d.set.Classes[r.class]
 	for k := range r.attempts {
 		a := &r.attempts[k]
-		if int(a.worker) == i && (c.Effect == Unsafe || a.out || a.mayRun) {
+		if c.Effect == Unsafe && int(a.worker) == i {
 			return false // late news of that attempt could not be told from news of this one
 		}
 		if !a.out && !a.mayRun {
