durable: what is open may be asked for while jobs of an earlier process go on

Change: an entry's job stays as it was taken; the copy that is carried gets the time left. One place in place of two. Test: TestAskedWhileJobsGoOn; without the change the race detector reports it in the first of ten runs, with it none in ten.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -262,7 +262,9 @@
 			out = job.Outcome{Kind: job.Failed}
 		}
 	}()
-	return h.next.Handle(ctx, &e.job)
+	j := e.job // the entry's own stays as it is: whoever asks what is open reads it meanwhile
+	j.Left = max(0, time.Until(e.due))
+	return h.next.Handle(ctx, &j)
 }
 
 // end gives a job its one end, and those who wait their answer once that is kept.
--- a/durable/durable_test.go
+++ b/durable/durable_test.go
@@ -529,6 +529,73 @@
 	})
 }
 
+// Whoever asks what is open may do so while jobs of an earlier process go on; each goes on with the time that it has left.
+func TestAskedWhileJobsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk, set := faultfs.New(), settings()
+		set.MaxOpen = 40
+		s := openShop(t, disk, set, true, func(ctx context.Context, j *job.Job) job.Outcome {
+			lease, _ := j.Keeper.Sending("w1") // so that its taking is on disk
+			j.Keeper.Over(lease, true)
+			<-ctx.Done()
+			return job.Outcome{Kind: job.Gone}
+		})
+		var handed sync.WaitGroup
+		for i := range set.MaxOpen {
+			handed.Go(func() {
+				j := order(fmt.Sprint("job", i), 0)
+				j.Left = time.Minute
+				s.Handle(t.Context(), j)
+			})
+		}
+		for {
+			if open, _ := s.Open(); len(open) == set.MaxOpen {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		s.leave()
+		handed.Wait()
+		s.shut(t)
+		var s2 *shop
+		s2 = openShop(t, disk, set, false, func(ctx context.Context, j *job.Job) job.Outcome {
+			if j.Left <= 0 || j.Left >= time.Minute-20*time.Millisecond {
+				t.Errorf("%s has %v left", j.ID, j.Left)
+			}
+			s2.Open()
+			return job.Outcome{Kind: job.Served}
+		})
+		asking, asked := make(chan struct{}), make(chan int)
+		go func() {
+			for n := 0; ; n++ {
+				select {
+				case <-asking:
+					asked <- n
+					return
+				default:
+					s2.Open()
+					time.Sleep(time.Microsecond)
+				}
+			}
+		}()
+		if err := s2.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for {
+			if open, _ := s2.Open(); len(open) == 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		close(asking)
+		if <-asked == 0 {
+			t.Error("nobody asked meanwhile")
+		}
+		s2.shut(t)
+	})
+}
+
 // What is wrong with a folder is told in one line before anything is served.
 func TestOpen(t *testing.T) {
 	dir := t.TempDir()
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -242,7 +242,6 @@
 	} else {
 		for _, e := range again {
 			pace.Old(&e.job, e.due, func(over func(bool)) {
-				e.job.Left = max(0, time.Until(e.due))
 				h.carry(e)
 				go func() {
 					<-e.done
@@ -274,7 +273,6 @@
 		case <-h.ending:
 			return
 		}
-		e.job.Left = max(0, time.Until(e.due))
 		h.carry(e)
 		go func() {
 			<-e.done
