ledger/faultfs: the test of kills tells what had a yes from what was found

Change: yeses count for both as before; what was found counts for where it was found, also for the folder that is put back. As strict for each: neither may go back from what it had.

--- a/ledger/faultfs/lossy_test.go
+++ b/ledger/faultfs/lossy_test.go
@@ -138,25 +138,31 @@
 		cmd.Wait()
 		return found, last, flaws, said
 	}
-	said, kept, keptAt := uint64(0), filepath.Join(t.TempDir(), "kept"), uint64(0)
+	// A life writes the snapshot first, so what it may have left there is no yes for the ledger. Each must have what had a
+	// yes, and what it had before.
+	var said, snapshot, log uint64
+	var keptSnapshot, keptLog uint64
+	kept := filepath.Join(t.TempDir(), "kept")
 	rnd := rand.New(rand.NewPCG(24, 24))
 	for seed := range uint64(20) {
 		found, last, flaws, now := run(seed, ledger.Batch, rnd.IntN(6))
-		if found < said || last < said || flaws > 0 {
-			t.Fatalf("life %d: found %d in the snapshot and %d in the ledger, %d flaws; %d had a yes", seed, found, last, flaws, said)
+		if found < max(said, snapshot) || last < max(said, log) || flaws > 0 {
+			t.Fatalf("life %d: found %d in the snapshot and %d in the ledger, %d flaws; %d had a yes, %d and %d were there before",
+				seed, found, last, flaws, said, snapshot, log)
 		}
-		if said = max(now, found, last); seed == 9 {
+		if said, snapshot, log = max(said, now), found, last; seed == 9 {
 			if err := faultfs.Keep(root, kept); err != nil {
 				t.Fatal(err)
 			}
-			keptAt = said
+			keptSnapshot, keptLog = max(said, found), max(said, last)
 		}
 	}
 	if err := faultfs.Back(root, kept); err != nil {
 		t.Fatal(err)
 	}
-	if found, last, _, _ := run(50, ledger.Batch, 3); found < keptAt || found > keptAt+1 || last < keptAt || last > keptAt+1 {
-		t.Errorf("put back to %d: %d and %d", keptAt, found, last)
+	most := max(keptSnapshot, keptLog) + 1
+	if found, last, _, _ := run(50, ledger.Batch, 3); found < keptSnapshot || found > most || last < keptLog || last > most {
+		t.Errorf("put back to %d and %d: %d and %d", keptSnapshot, keptLog, found, last)
 	}
 	if err := faultfs.Back(root, ""); err != nil {
 		t.Fatal(err)
