--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"laddertide/awake"
 	"laddertide/capture"
 	"laddertide/consumer"
 	"laddertide/core/maintenance"
@@ -36,6 +35,7 @@
 	"laddertide/provider"
 	"laddertide/replicated"
 	"laddertide/returning"
+	"laddertide/stall"
 	"laddertide/tlsport"
 )
 
@@ -314,9 +314,9 @@
 		}
 	}
 	defer s.leavePeers()
-	still := awake.New(lookEvery(s.cfg.Settings.DialTimeout), 2*lookEvery(s.cfg.Settings.DialTimeout), s.catchUp, s.log)
-	s.pool.Awake = still.Hold
-	go still.Run(watching)
+	stalls := stall.New(lookEvery(s.cfg.Settings.DialTimeout), 2*lookEvery(s.cfg.Settings.DialTimeout), s.catchUp, s.log)
+	s.pool.Awake = stalls.Wait
+	go stalls.Run(watching)
 	s.mu.Lock()
 	s.watching = watching
 	s.follow(s.cfg.Discovery, s.index, s.room != nil)
