core/startdelay: the package core/prompt under the field's name

Package core/prompt becomes core/startdelay, its Delay an Estimator, Began becomes Observe. The arithmetic, the checkpoint's bytes and the module's decisions stay as they are.

--- a/core/prompt/main_test.go
+++ b/core/startdelay/main_test.go
@@ -1,4 +1,4 @@
-package prompt
+package startdelay
 
 import (
 	"testing"
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -185,7 +185,7 @@
 		walk.Whole(&w.Walker, &z.wait, &z.until)
 	})
 	for _, t := range []*turnedAway{&d.near, &d.far} {
-		w.Float(&t.sent, &t.full, &t.prompt.Mean, &t.prompt.Dev)
+		w.Float(&t.sent, &t.full, &t.startDelay.Mean, &t.startDelay.Dev)
 	}
 	w.requests(d)
 	if !w.Reading || w.Err != nil {
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -318,7 +318,7 @@
 	acts = append(acts, Action{Kind: Send, Request: r.id, Worker: w.id, Timeout: timeout, TakenIn: ack})
 	if d.movable(r) {
 		late := d.slack(now, r) - seconds(d.meanWork*d.fastest()) // by when a wait of a mean run is too long
-		acts = r.wake(now+max(late, d.zoned(w).prompt.Due(d.set.DialTimeout)), acts)
+		acts = r.wake(now+max(late, d.zoned(w).startDelay.Due(d.set.DialTimeout)), acts)
 	}
 	return acts
 }
@@ -443,7 +443,7 @@
 		a.started = now
 		d.workers[a.worker].waiting--
 		run := seconds(r.work * d.fastest())
-		d.zoned(&d.workers[a.worker]).prompt.Began(now-a.sent, d.set.DialTimeout)
+		d.zoned(&d.workers[a.worker]).startDelay.Observe(now-a.sent, d.set.DialTimeout)
 		d.waited(r.pool, &d.workers[a.worker], now-a.sent, r.aim-r.born-run)
 	}
 	return acts
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"laddertide/core/prompt"
+	"laddertide/core/startdelay"
 )
 
 // Dispatcher decides for one scheduler. Its zero value is not usable; see [New].
@@ -166,7 +166,7 @@
 // turnedAway counts sends, and those among them that found no room or, in part, had to wait; fading.
 type turnedAway struct {
 	sent, full float64
-	prompt     prompt.Delay // from a send to the start, where a slot is free
+	startDelay startdelay.Estimator // from a send to the start, where a slot is free
 }
 
 func (t *turnedAway) share() float64 { return t.full / (t.sent + 1) }
