internal/asyncwriter: the package internal/outbox under the field's name

It does what it did, and the line that reports dropped writes is the same.

Tests of internal/asyncwriter and cmd/laddertide with -race, vet and purity: green.

--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/spf13/pflag"
 
-	"laddertide/internal/outbox"
+	"laddertide/internal/asyncwriter"
 	"laddertide/scheduler"
 )
 
@@ -121,12 +121,12 @@
 		return nil
 	}
 	var stderr io.Writer = os.Stderr
-	var box *outbox.Outbox
+	var buffered *asyncwriter.Writer
 	if flags.Changed("fleet") {
 		// Features write more there than the log does. Should nobody read it, no request may wait for that.
-		box = outbox.New(os.Stderr, stderrWaits)
-		defer box.Close(stderrLast)
-		stderr, cfg.Operator.Stderr = box, box
+		buffered = asyncwriter.New(os.Stderr, stderrWaits)
+		defer buffered.Close(stderrLast)
+		stderr, cfg.Operator.Stderr = buffered, buffered
 	}
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: lv}))
 	s, err := scheduler.New(cfg, log)
@@ -151,10 +151,10 @@
 	serving, served := context.WithCancel(context.Background())
 	defer served()
 	go reload(serving, hup, reread)
-	if box != nil && cfg.Operator.Capture != nil { // with files there is nothing to write, but the signal must not kill
+	if buffered != nil && cfg.Operator.Capture != nil { // with files there is nothing to write, but the signal must not kill
 		usr1 := make(chan os.Signal, 1)
 		signal.Notify(usr1, syscall.SIGUSR1)
-		go dump(serving, usr1, s, box, log)
+		go dump(serving, usr1, s, buffered, log)
 	}
 	if cfg.Operator.Durable != nil {
 		usr2 := make(chan os.Signal, 1)
--- a/cmd/laddertide/replay.go
+++ b/cmd/laddertide/replay.go
@@ -11,7 +11,7 @@
 	"path/filepath"
 
 	"laddertide/capture"
-	"laddertide/internal/outbox"
+	"laddertide/internal/asyncwriter"
 	"laddertide/scheduler"
 )
 
@@ -64,14 +64,14 @@
 }
 
 // dump writes the capture's ring to standard error at every SIGUSR1.
-func dump(ctx context.Context, usr1 <-chan os.Signal, s *scheduler.Scheduler, to *outbox.Outbox, log *slog.Logger) {
+func dump(ctx context.Context, usr1 <-chan os.Signal, s *scheduler.Scheduler, to *asyncwriter.Writer, log *slog.Logger) {
 	for {
 		select {
 		case <-usr1:
 		case <-ctx.Done():
 			return
 		}
-		if err := s.WriteCapture(to.Feed); err != nil {
+		if err := s.WriteCapture(to.WriteWait); err != nil {
 			log.Error("cannot write the capture", "err", err)
 		}
 	}
--- a/internal/outbox/outbox_test.go
+++ b/internal/asyncwriter/asyncwriter_test.go
@@ -1,4 +1,4 @@
-package outbox
+package asyncwriter
 
 import (
 	"fmt"
@@ -8,34 +8,34 @@
 	"time"
 )
 
-// A pipe that nobody reads keeps nobody waiting: lines are dropped whole and the next reader is told how many.
+// TestFullPipe checks that a pipe which nobody reads blocks no writer: lines are dropped whole, and a line reports how many.
 func TestFullPipe(t *testing.T) {
 	r, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer r.Close()
-	o := New(w, 4096)
+	writer := New(w, 4096)
 	line := []byte(strings.Repeat("x", 99) + "\n")
 	began := time.Now()
 	for range 5000 { // far past what the pipe and the buffer hold
-		o.Write(line)
+		writer.Write(line)
 	}
-	o.Close(50 * time.Millisecond)
+	writer.Close(50 * time.Millisecond)
 	if took := time.Since(began); took > 5*time.Second {
 		t.Fatalf("took %v", took)
 	}
-	if o.Feed(line) {
-		t.Fatal("taken after the end")
+	if writer.WriteWait(line) {
+		t.Fatal("accepted after Close")
 	}
-	go func() { <-o.done; w.Close() }()
-	var kept, lost int
+	go func() { <-writer.done; w.Close() }()
+	var kept, dropped int
 	for {
 		b := make([]byte, 1<<16)
 		n, err := r.Read(b)
 		for s := range strings.Lines(string(b[:n])) {
 			if strings.Contains(s, "lost") {
-				fmt.Sscanf(s[strings.Index(s, "writes=")+7:], "%d", &lost)
+				fmt.Sscanf(s[strings.Index(s, "writes=")+7:], "%d", &dropped)
 			} else if strings.HasSuffix(s, "\n") {
 				kept++
 			}
@@ -44,24 +44,24 @@
 			break
 		}
 	}
-	if lost == 0 || kept == 0 {
-		t.Fatalf("%d kept, %d told as lost", kept, lost)
+	if dropped == 0 || kept == 0 {
+		t.Fatalf("%d kept, %d reported as dropped", kept, dropped)
 	}
 }
 
-// Feed waits for room, and all of it arrives in order.
-func TestFeed(t *testing.T) {
+// TestWriteWait checks that WriteWait waits for room, and that all data arrives in order.
+func TestWriteWait(t *testing.T) {
 	r, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer r.Close()
-	o := New(w, 1000)
+	writer := New(w, 1000)
 	go func() {
 		for i := range 1000 {
-			o.Feed(fmt.Appendf(nil, "%d,", i))
+			writer.WriteWait(fmt.Appendf(nil, "%d,", i))
 		}
-		o.Close(10 * time.Second)
+		writer.Close(10 * time.Second)
 		w.Close()
 	}()
 	var got strings.Builder
