--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -17,13 +17,13 @@
 	"laddertide/peers"
 	"laddertide/replicated"
 	"laddertide/returning"
-	"laddertide/tlsport"
+	"laddertide/tlslistener"
 )
 
 // Operator is what the operator's file turns on. A part that is nil is off.
 type Operator struct {
 	Figures    *figures.Settings
-	TLS        *tlsport.Settings
+	TLS        *tlslistener.Settings
 	Capture    *capture.Settings
 	JobStatus  *jobstatus.Settings
 	Durable    *durable.Settings
@@ -45,7 +45,7 @@
 		return op, err
 	}
 	op.Figures, err = section(file, "figures", figures.Parse, err)
-	op.TLS, err = section(file, "tls", tlsport.Parse, err)
+	op.TLS, err = section(file, "tls", tlslistener.Parse, err)
 	if op.Capture, err = section(file, "capture", capture.Parse, err); err == nil && op.Capture != nil {
 		if err = op.Capture.CheckDir(); err != nil {
 			err = fmt.Errorf("%s: %w", path, err)
@@ -110,7 +110,7 @@
 		n += op.Figures.Descriptors()
 	}
 	if op.TLS != nil {
-		n += tlsport.Descriptors
+		n += tlslistener.Descriptors
 	}
 	if op.Capture != nil {
 		n += op.Capture.Descriptors()
@@ -136,7 +136,7 @@
 // connBytes is what a connection may weigh beside its message.
 func (op *Operator) connBytes() (n int) {
 	if op.TLS != nil {
-		n += tlsport.ConnBytes
+		n += tlslistener.ConnBytes
 	}
 	if op.Stomp != nil {
 		n += op.Stomp.ConnBytes()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -36,7 +36,7 @@
 	"laddertide/replicated"
 	"laddertide/returning"
 	"laddertide/stall"
-	"laddertide/tlsport"
+	"laddertide/tlslistener"
 )
 
 // Scheduler is one scheduler, ready to serve.
@@ -345,9 +345,9 @@
 		s.pool.Unclaimed = s.alsoOwners(s.pool.Unclaimed)
 	}
 	listeners := []net.Listener{ln}
-	var secure *tlsport.Listener
+	var secure *tlslistener.Listener
 	if set := s.cfg.Operator.TLS; set != nil {
-		if secure, err = tlsport.Listen(*set, s.cfg.Listen, s.log); err != nil {
+		if secure, err = tlslistener.Listen(*set, s.cfg.Listen, s.log); err != nil {
 			return fmt.Errorf("scheduler: tls: %w", err)
 		}
 		listeners = append(listeners, secure)
@@ -404,7 +404,7 @@
 	}
 	own := *s.cfg.Operator.TLS
 	own.Port = set.Port
-	ln, err := tlsport.Listen(own, s.cfg.Listen, s.log)
+	ln, err := tlslistener.Listen(own, s.cfg.Listen, s.log)
 	if err == nil {
 		go ln.Run(ctx)
 	}
--- a/tlsport/tlsport_test.go
+++ b/tlslistener/tlslistener_test.go
@@ -1,4 +1,4 @@
-package tlsport
+package tlslistener
 
 import (
 	"crypto/ecdsa"
@@ -17,7 +17,7 @@
 	"time"
 )
 
-// listen opens the port with a certificate that signs itself.
+// listen opens a listener with a self-signed certificate.
 func listen(t *testing.T) *Listener {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -47,7 +47,7 @@
 	return l
 }
 
-// pair is a connection with its handshakes made.
+// pair returns both ends of a connection after their handshakes.
 func pair(t *testing.T, l *Listener) (*Conn, *tls.Conn) {
 	greeted := make(chan *Conn, 1)
 	go func() {
@@ -65,7 +65,8 @@
 	return <-greeted, peer
 }
 
-// A deadline that ends a read ends no later one, nor does one of a write long gone harm what a read has to write.
+// TestDeadlines checks that an expired read deadline ends no later read, and that the expired deadline of a write does not
+// fail a write that a read has to make.
 func TestDeadlines(t *testing.T) {
 	c, peer := pair(t, listen(t))
 	b := make([]byte, 1)
@@ -81,17 +82,17 @@
 		}
 	}
 	c.SetWriteDeadline(time.Now().Add(-time.Second))
-	if _, err := c.Write([]byte("y")); err != nil { // stands for the answer to new keys
+	if _, err := c.Write([]byte("y")); err != nil { // in place of the answer to a key update
 		t.Fatal(err)
 	}
 }
 
-// A peer that takes nothing does not hold up the end of its connection.
+// TestCloseAtOnce checks that a peer which reads nothing does not delay Close.
 func TestCloseAtOnce(t *testing.T) {
 	c, _ := pair(t, listen(t))
 	c.tcp.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 	for b := make([]byte, 1<<16); ; {
-		if _, err := c.tcp.Write(b); err != nil { // until no buffer on the way has room
+		if _, err := c.tcp.Write(b); err != nil { // until all buffers on the way are full
 			break
 		}
 	}
@@ -108,7 +109,7 @@
 	}
 }
 
-// The port is bound on the host of the plain address alone.
+// TestHost checks that the listener is bound to the host of the plain address only.
 func TestHost(t *testing.T) {
 	if host, _, _ := net.SplitHostPort(listen(t).Addr().String()); host != "127.0.0.1" {
 		t.Fatal(host)
