peers: one file for each job in place of peers.go of 1,007 lines

One long switch became a handler for each kind of message; Start, the announcement and the report are cut into functions. Private names and comments are in the field's terms; exported names, log lines, messages and timing stay.

A handler takes the lock for itself, where the switch took it once, gave it back to ask for the own list, and took it again.

--- /dev/null
+++ b/peers/announce.go
@@ -0,0 +1,138 @@
+package peers
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"laddertide/core/fleet"
+	wire "laddertide/wire/peers"
+)
+
+// operatorTimeout bounds the wait for acknowledgements of what operators ask for; they wait for 1 s.
+const operatorTimeout = 700 * time.Millisecond
+
+// Heard names the schedulers that have an announcement in force, and those that may run and have not acknowledged it.
+type Heard struct{ InForce, Missing []string }
+
+// announcement is a message that waits for acknowledgements.
+type announcement struct {
+	unacknowledged map[string]string // address by name; guarded by Peers.mu
+	done           chan struct{}     // closed once all have acknowledged it
+}
+
+// announce sends a message to all schedulers that may run, and waits until those that are reached have it in force or timeout
+// has passed. Then it goes round as a broadcast, too: a scheduler that is not reached from here may be reached by others.
+func (p *Peers) announce(m wire.Message, timeout time.Duration) Heard {
+	m.From = p.cfg.Name
+	p.mu.Lock()
+	p.lastNumber++
+	m.Number = p.lastNumber
+	reached, unreached := p.recipients()
+	a := &announcement{unacknowledged: maps.Clone(reached), done: make(chan struct{})}
+	if len(reached) > 0 {
+		p.announcements[m.Number] = a
+	} else {
+		close(a.done)
+	}
+	p.mu.Unlock()
+	p.sendUntilAcknowledged(a, m, timeout)
+	heard := Heard{InForce: []string{p.cfg.Name}, Missing: unreached}
+	p.mu.Lock()
+	delete(p.announcements, m.Number)
+	for name := range reached {
+		if _, missing := a.unacknowledged[name]; missing {
+			heard.Missing = append(heard.Missing, name)
+		} else {
+			heard.InForce = append(heard.InForce, name)
+		}
+	}
+	p.mu.Unlock()
+	m.Number = 0
+	p.broadcast(m)
+	slices.Sort(heard.InForce)
+	slices.Sort(heard.Missing)
+	return heard
+}
+
+// recipients returns the other schedulers that may run: the addresses, by name, of those that are reached, and the names of
+// those that are not. Called under mu.
+func (p *Peers) recipients() (reached map[string]string, unreached []string) {
+	reached = make(map[string]string)
+	for _, m := range p.view.Members() {
+		switch {
+		case m.Name == p.cfg.Name || !m.State.MayRun():
+		case m.State == fleet.Unreachable || m.Address == "":
+			unreached = append(unreached, m.Name)
+		default:
+			reached[m.Name] = m.Address
+		}
+	}
+	return reached, unreached
+}
+
+// sendUntilAcknowledged sends a message again and again to those that have not acknowledged it. It returns when all have, or
+// after timeout, or when Peers closes.
+func (p *Peers) sendUntilAcknowledged(a *announcement, m wire.Message, timeout time.Duration) {
+	deadline := time.NewTimer(timeout)
+	defer deadline.Stop()
+	resend := time.NewTicker(max(p.cfg.Timing.Gossip/2, 20*time.Millisecond))
+	defer resend.Stop()
+	for {
+		p.mu.Lock()
+		unacknowledged := maps.Clone(a.unacknowledged)
+		p.mu.Unlock()
+		for name, address := range unacknowledged {
+			p.send(memberlist.Address{Addr: address, Name: name}, m)
+		}
+		select {
+		case <-a.done:
+			return
+		case <-deadline.C:
+			return
+		case <-p.closing:
+			return
+		case <-resend.C:
+		}
+	}
+}
+
+// acknowledged records that a scheduler has acknowledged the message of a number. Called under mu.
+func (p *Peers) acknowledged(number uint64, from string) {
+	a := p.announcements[number]
+	if a == nil {
+		return
+	}
+	delete(a.unacknowledged, from)
+	if len(a.unacknowledged) == 0 {
+		delete(p.announcements, number)
+		close(a.done)
+	}
+}
+
+// addressOf returns a member's address in the library's form.
+func addressOf(m fleet.Member) memberlist.Address {
+	return memberlist.Address{Addr: m.Address, Name: m.Name}
+}
+
+// send sends a message in one packet, which may be lost.
+func (p *Peers) send(to memberlist.Address, m wire.Message) {
+	p.list.SendToAddress(to, m.Append()) // an error is like a lost packet: whoever needs the message sent repeats it
+}
+
+// broadcast queues a message for all members. The membership gives it to a few of them, who forward it to a few.
+func (p *Peers) broadcast(m wire.Message) { p.queue.QueueBroadcast(&queuedMessage{m.Append()}) }
+
+// queuedMessage implements memberlist.Broadcast.
+type queuedMessage struct{ encoded []byte }
+
+// Invalidates implements memberlist.Broadcast.
+func (*queuedMessage) Invalidates(memberlist.Broadcast) bool { return false }
+
+// Message implements memberlist.Broadcast.
+func (q *queuedMessage) Message() []byte { return q.encoded }
+
+// Finished implements memberlist.Broadcast.
+func (*queuedMessage) Finished() {}
--- /dev/null
+++ b/peers/bans.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"laddertide/core/fleet"
+	wire "laddertide/wire/peers"
+)
+
+const (
+	maxEnableDots = 4 // bans that one message undoes; a provider rarely has more than one
+	maxBanResends = 8 // bans that are sent again at a time
+)
+
+// ErrFull is returned by Ban if there is no room for another ban.
+var ErrFull = errors.New("peers: there are too many bans: enable providers that nobody needs out any more")
+
+// Ban takes a provider out of use at all schedulers. It returns once those that are reached have the ban in force, or after
+// 0.7 s. An error means that the ban is not in force, or not on disk, here; it is announced to nobody then.
+func (p *Peers) Ban(provider string) (Heard, error) {
+	p.mu.Lock()
+	name, start := p.view.Me()
+	ban, ok := p.bans.Add(name, start, provider, time.Duration(time.Now().UnixNano()))
+	p.mu.Unlock()
+	if !ok {
+		return Heard{}, ErrFull
+	}
+	p.cfg.Apply()
+	if err := p.save(); err != nil {
+		return Heard{}, err
+	}
+	heard := p.announce(banMessage(ban), operatorTimeout)
+	p.mu.Lock()
+	for _, holder := range heard.InForce {
+		p.addBanHolder(ban.Dot, holder)
+	}
+	p.mu.Unlock()
+	return heard, nil
+}
+
+// Enable undoes all bans of a provider that are known here, at all schedulers. It waits and fails like Ban.
+func (p *Peers) Enable(provider string) (Heard, error) {
+	p.mu.Lock()
+	dots := p.bans.Of(provider)
+	p.undoBans(dots)
+	p.mu.Unlock()
+	p.cfg.Apply()
+	if err := p.save(); err != nil {
+		return Heard{}, err
+	}
+	heard := Heard{InForce: []string{p.cfg.Name}}
+	for chunk := range slices.Chunk(dots, maxEnableDots) {
+		m := wire.Message{Kind: wire.Enable, Provider: provider, At: time.Duration(time.Now().UnixNano())}
+		for _, d := range chunk {
+			m.Dots = append(m.Dots, wireDot(d))
+		}
+		heard = p.announce(m, operatorTimeout)
+	}
+	return heard, nil
+}
+
+// Out reports whether a provider is banned.
+func (p *Peers) Out(provider string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bans.Out(provider)
+}
+
+// Bans returns the number of bans in force.
+func (p *Peers) Bans() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	inForce, _ := p.bans.All()
+	return len(inForce)
+}
+
+// addBanHolder records that a scheduler has a ban in force. Called under mu.
+func (p *Peers) addBanHolder(dot fleet.Dot, name string) {
+	if p.banHolders[dot] == nil {
+		if len(p.banHolders) >= maxBans {
+			return
+		}
+		p.banHolders[dot] = make(map[string]bool)
+	}
+	if len(p.banHolders[dot]) < maxMembers {
+		p.banHolders[dot][name] = true
+	}
+}
+
+// undoBans undoes bans and forgets who has them in force. Called under mu.
+func (p *Peers) undoBans(dots []fleet.Dot) {
+	p.bans.Undo(dots)
+	for _, d := range dots {
+		delete(p.banHolders, d)
+	}
+}
+
+// resendBans sends bans again to members that are reached and have not said that they have them in force.
+func (p *Peers) resendBans() {
+	p.mu.Lock()
+	missed := p.missedBans()
+	p.mu.Unlock()
+	for _, m := range missed {
+		p.send(m.to, m.message)
+	}
+}
+
+// missedBans returns up to maxBanResends messages for members that are reached and lack a ban. Called under mu.
+func (p *Peers) missedBans() []addressed {
+	var missed []addressed
+	inForce, _ := p.bans.All()
+	members := p.view.Members()
+	for _, ban := range inForce {
+		for _, m := range members {
+			if len(missed) >= maxBanResends {
+				return missed
+			}
+			reached := m.State <= fleet.Doubt && m.Address != ""
+			if m.Name == p.cfg.Name || !reached || p.banHolders[ban.Dot][m.Name] {
+				continue
+			}
+			p.lastNumber++
+			message := banMessage(ban)
+			message.Number = p.lastNumber
+			message.From = p.cfg.Name
+			missed = append(missed, addressed{to: addressOf(m), message: message})
+		}
+	}
+	return missed
+}
+
+// banMessage returns the message about a ban, without its number and sender.
+func banMessage(ban fleet.Ban) wire.Message {
+	return wire.Message{Kind: wire.Ban, Provider: ban.Provider, At: ban.At, Dots: []wire.Dot{wireDot(ban.Dot)}}
+}
+
+// dotOf converts a dot from its wire form.
+func dotOf(d wire.Dot) fleet.Dot { return fleet.Dot{By: d.By, Start: fleet.Start(d.Start), Seq: d.Seq} }
+
+// wireDot converts a dot to its wire form.
+func wireDot(d fleet.Dot) wire.Dot { return wire.Dot{By: d.By, Start: uint64(d.Start), Seq: d.Seq} }
--- a/peers/before.go
+++ b/peers/before.go
@@ -7,8 +7,8 @@
 	wire "laddertide/wire/peers"
 )
 
-// mostAcking is how many rounds of acknowledgements wait for the disk at a time.
-const mostAcking = 8
+// maxAckBatches is the number of batches of acknowledgements that wait for the disk at a time.
+const maxAckBatches = 8
 
 // Evidence is what is known of another scheduler for the order of return after a loss of power.
 type Evidence struct {
@@ -21,38 +21,40 @@
 	Odd      bool // it speaks another version
 }
 
-// remember begins with what was kept of the scheduler before. Bans are in force from here on.
-func (p *Peers) remember() {
-	b := p.cfg.Before
-	if b == nil {
+// restoreState takes over the bans that were kept on disk, which are in force from here on. It is called by newPeers alone.
+func (p *Peers) restoreState() {
+	before := p.cfg.Before
+	if before == nil {
 		return
 	}
-	p.answered, p.odd, p.anew = make(map[string]uint64), make(map[string]bool), make(chan struct{}, 1)
-	p.acking = make(chan struct{}, mostAcking)
-	p.numbers = map[uint64]bool{p.cfg.Start: true}
-	for _, u := range b.Undone {
-		p.bans.Undo([]fleet.Dot{dotOf(u)})
+	p.exchangedWith = make(map[string]uint64)
+	p.otherVersion = make(map[string]bool)
+	p.renumbering = make(chan struct{}, 1)
+	p.ackSlots = make(chan struct{}, maxAckBatches)
+	p.ownStarts = map[uint64]bool{p.cfg.Start: true}
+	for _, dot := range before.Undone {
+		p.bans.Undo([]fleet.Dot{dotOf(dot)})
 	}
-	for _, x := range b.Bans {
-		p.bans.Hear(fleet.Ban{Dot: dotOf(x.Dot), Provider: x.Provider, At: x.At})
+	for _, ban := range before.Bans {
+		p.bans.Hear(fleet.Ban{Dot: dotOf(ban.Dot), Provider: ban.Provider, At: ban.At})
 	}
 }
 
-// andBefore adds the addresses of those that were there before, as far as there is room.
-func (p *Peers) andBefore(join []string) []string {
+// withStoredAddresses returns addresses with those added that were kept on disk, up to maxJoin in all.
+func (p *Peers) withStoredAddresses(addresses []string) []string {
 	if p.cfg.Before == nil {
-		return join
+		return addresses
 	}
-	join = slices.Clone(join)
+	addresses = slices.Clone(addresses)
 	for _, a := range p.cfg.Before.Addresses {
-		if a != "" && !slices.Contains(join, a) && len(join) < mostJoin {
-			join = append(join, a)
+		if a != "" && !slices.Contains(addresses, a) && len(addresses) < maxJoin {
+			addresses = append(addresses, a)
 		}
 	}
-	return join
+	return addresses
 }
 
-// save returns once what is known here is on disk, if this scheduler keeps it there. Called with no lock held.
+// save returns once what is known here is on disk, or at once if this scheduler keeps no state there. Called with no lock held.
 func (p *Peers) save() error {
 	if p.cfg.Before == nil {
 		return nil
@@ -60,95 +62,102 @@
 	return p.cfg.Before.Save()
 }
 
-// acknowledge says that what was heard is in force: once it is on disk, where it is kept. Nobody waits for a disk that hangs
-// but those who say it again until they have their answer.
-func (p *Peers) acknowledge(acks []reply) {
-	say := func() {
+// acknowledge sends acknowledgements of messages that are in force here, and only once they are on disk if this scheduler
+// keeps its state there. It never waits for the disk. If too many batches wait for it already, these acknowledgements are
+// dropped: the senders repeat their messages until they are acknowledged.
+func (p *Peers) acknowledge(acks []addressed) {
+	sendAll := func() {
 		for _, a := range acks {
 			p.send(a.to, a.message)
 		}
 	}
 	if len(acks) == 0 || p.cfg.Before == nil {
-		say()
+		sendAll()
 		return
 	}
 	select {
-	case p.acking <- struct{}{}:
+	case p.ackSlots <- struct{}{}:
 	default:
-		return // the disk is behind: they say it again
+		return
 	}
-	p.all.Go(func() {
-		defer func() { <-p.acking }()
+	p.goroutines.Go(func() {
+		defer func() { <-p.ackSlots }()
 		if err := p.save(); err != nil {
 			p.log.Warn("what a peer has told is in force, and not on disk: it is not acknowledged", "err", err)
 			return
 		}
-		say()
+		sendAll()
 	})
 }
 
-// sighted takes note of a number that others have seen of this name. One that is later than this process's has it take a
-// later one, which must be on disk before anybody hears it. Called under mu.
-func (p *Peers) sighted(start uint64) {
-	if p.numbers == nil || p.numbers[start] {
+// observeStart records a start number of this scheduler's name that others have seen. If it is later than that of this process
+// then this process takes a later one still, in the background, as it must be on disk before it is published. Called under mu.
+func (p *Peers) observeStart(start uint64) {
+	if p.ownStarts == nil || p.ownStarts[start] {
 		return
 	}
-	p.seen = max(p.seen, start)
+	p.latestOtherStart = max(p.latestOtherStart, start)
 	me, _ := p.view.Get(p.cfg.Name)
 	if fleet.Start(start) < me.Start {
 		return
 	}
 	select {
-	case p.anew <- struct{}{}:
+	case p.renumbering <- struct{}{}:
 	default:
-		return // one is on its way, and whoever has seen more says so again
+		return // one is being obtained, and whoever has seen a later one says so again
 	}
 	go func() {
-		defer func() { <-p.anew }()
-		number, err := p.cfg.Before.Number(start)
-		if err != nil {
-			p.log.Error("peers have seen a later process of this name, and no later number can be kept", "seen", start, "err", err)
-			return
-		}
-		p.mu.Lock()
-		anew := false
-		if me, _ := p.view.Get(p.cfg.Name); fleet.Start(number) > me.Start {
-			_, anew = p.view.Renumber(fleet.Start(number - 1))
-			p.numbers[number] = true
-		}
-		p.mu.Unlock()
-		if anew {
-			p.log.Warn("peers have seen a later process of this name: this one has taken a later number", "seen", start, "start", number)
-			p.Stepped()
-			p.poke()
-		}
+		defer func() { <-p.renumbering }()
+		p.renumberAfter(start)
 	}()
 }
 
-// Stepped lets the others know what this scheduler says of itself now. It returns at once; words that follow each other
-// quickly go as one.
+// renumberAfter takes a start number that is later than seen. It blocks until the number is on disk.
+func (p *Peers) renumberAfter(seen uint64) {
+	number, err := p.cfg.Before.Number(seen)
+	if err != nil {
+		p.log.Error("peers have seen a later process of this name, and no later number can be kept", "seen", seen, "err", err)
+		return
+	}
+	p.mu.Lock()
+	renumbered := false
+	if me, _ := p.view.Get(p.cfg.Name); fleet.Start(number) > me.Start {
+		_, renumbered = p.view.Renumber(fleet.Start(number - 1))
+		p.ownStarts[number] = true
+	}
+	p.mu.Unlock()
+	if !renumbered {
+		return
+	}
+	p.log.Warn("peers have seen a later process of this name: this one has taken a later number", "seen", seen, "start", number)
+	p.Stepped()
+	p.requestApply()
+}
+
+// Stepped publishes this scheduler's note on itself after it has changed. It returns at once; changes in quick succession are
+// published together.
 func (p *Peers) Stepped() {
 	select {
-	case p.noting <- struct{}{}:
-		go p.speak()
-	default: // one is about to go
+	case p.noteDue <- struct{}{}:
+		go p.publishNote()
+	default: // a publication that is due has this change, too
 	}
 }
 
-// speak sends one word of this scheduler's on itself. The membership takes them one at a time.
-func (p *Peers) speak() {
-	p.speaking.Lock()
-	defer p.speaking.Unlock()
-	<-p.noting // what changes from here on wants another one
+// publishNote publishes this scheduler's note on itself. The membership protocol takes one at a time.
+func (p *Peers) publishNote() {
+	p.noteMu.Lock()
+	defer p.noteMu.Unlock()
+	<-p.noteDue // a change from here on needs another publication
 	select {
-	case <-p.listed:
+	case <-p.listReady:
 	case <-p.closing:
 		return
 	}
 	select {
 	case <-p.closing:
 	default:
-		// An error is that the word has not gone round in time: it goes on.
+		// An error means that the note has not reached all in time: it goes on spreading.
 		p.list.UpdateNode(p.cfg.Timing.Answer)
 	}
 }
@@ -158,23 +167,23 @@
 func (p *Peers) Evidence() (all []Evidence, nobody bool, seen uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	some := p.found
+	some := p.searchFound
 	for _, m := range p.view.Members() {
 		if m.Name == p.cfg.Name {
 			continue
 		}
 		e := Evidence{Name: m.Name, Start: uint64(m.Start), Here: m.State <= fleet.Doubt, Over: !m.State.MayRun(),
-			Odd: p.odd[m.Name], ToGo: p.notes[m.Name].ToGo}
-		e.Answered = p.answered[m.Name] >= e.Start && e.Start > 0
+			Odd: p.otherVersion[m.Name], ToGo: p.notes[m.Name].ToGo}
+		e.Answered = p.exchangedWith[m.Name] >= e.Start && e.Start > 0
 		some = some || e.Here
 		all = append(all, e)
 	}
-	for name := range p.odd {
+	for name := range p.otherVersion {
 		if _, known := p.view.Get(name); !known {
 			all = append(all, Evidence{Name: name, Odd: true})
 		}
 	}
-	return all, p.searched && !some, p.seen
+	return all, p.searchDone && !some, p.latestOtherStart
 }
 
 // Members are the other schedulers that may run, for the disk.
--- a/peers/calls.go
+++ b/peers/calls.go
@@ -22,13 +22,13 @@
 	}
 }
 
-var errNobody = errors.New("peers: there is nobody of that name")
+var errUnknownName = errors.New("peers: there is nobody of that name")
 
 // TellWhole sends what is larger than a packet. It blocks, for Timing.Stream at most. An error: it has not arrived.
 func (p *Peers) TellWhole(to string, b []byte) error {
 	at, err := net.ResolveTCPAddr("tcp", p.address(to))
 	if err != nil || at.IP == nil {
-		return errNobody
+		return errUnknownName
 	}
 	return p.list.SendReliable(&memberlist.Node{Name: to, Addr: at.IP, Port: uint16(at.Port)}, b)
 }
@@ -47,7 +47,7 @@
 func (p *Peers) Ground() owners.Ground {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := owners.Ground{Leaving: p.leaving, Majority: p.last.Majority, Met: p.view.Met()}
+	g := owners.Ground{Leaving: p.leaving, Majority: p.conclusion.Majority, Met: p.view.Met()}
 	for _, m := range p.view.Members() {
 		if m.Name == p.cfg.Name || !m.State.MayRun() {
 			continue
@@ -105,7 +105,7 @@
 func (p *Peers) Dial(to string) (net.Conn, error) {
 	address := p.address(to)
 	if address == "" {
-		return nil, errNobody
+		return nil, errUnknownName
 	}
 	dialer := net.Dialer{Timeout: p.cfg.Timing.Answer}
 	if at, err := net.ResolveTCPAddr("tcp", p.cfg.Settings.Listen); err == nil && !at.IP.IsUnspecified() {
--- a/peers/delegate.go
+++ b/peers/delegate.go
@@ -11,8 +11,11 @@
 	wire "laddertide/wire/peers"
 )
 
-// delegate is what the membership asks this scheduler and hands to it. It is called in the middle of the membership's own
-// work: it blocks nowhere.
+// maxLoggedFaults is the number of kinds of malformed messages that are logged.
+const maxLoggedFaults = 64
+
+// delegate answers the membership protocol's questions and takes its messages. It is called by the protocol's own goroutines
+// and must not block.
 type delegate Peers
 
 // NodeMeta implements memberlist.Delegate.
@@ -35,7 +38,7 @@
 	}
 	m, err := wire.ReadMessage(b)
 	if err != nil {
-		(*Peers)(d).malformed(err, "a message")
+		(*Peers)(d).countMalformed(err, "a message")
 		return
 	}
 	select {
@@ -47,8 +50,8 @@
 	}
 }
 
-// malformed counts what could not be read, and tells a kind of it once.
-func (p *Peers) malformed(err error, what string) {
+// countMalformed counts a message that could not be read, and logs each kind of it once. kind names what it was.
+func (p *Peers) countMalformed(err error, kind string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if errors.Is(err, wire.ErrVersion) {
@@ -56,9 +59,9 @@
 	} else {
 		p.counts.Malformed++
 	}
-	if key := what + err.Error(); !p.oddOnes[key] && len(p.oddOnes) < 64 {
-		p.oddOnes[key] = true
-		p.log.Warn("something of a peer's cannot be read; it is not told again", "what", what, "err", err)
+	if key := kind + err.Error(); !p.loggedFaults[key] && len(p.loggedFaults) < maxLoggedFaults {
+		p.loggedFaults[key] = true
+		p.log.Warn("something of a peer's cannot be read; it is not told again", "what", kind, "err", err)
 	}
 }
 
@@ -67,8 +70,8 @@
 	return d.queue.GetBroadcasts(overhead, limit)
 }
 
-// mostBeliefs is how much one takes over from another, in bytes.
-const mostBeliefs = 1 << 20
+// maxBeliefs is the size, in bytes, up to which a scheduler gives its beliefs to one that joins.
+const maxBeliefs = 1 << 20
 
 // LocalState implements memberlist.Delegate.
 func (d *delegate) LocalState(join bool) []byte {
@@ -77,7 +80,7 @@
 	joining := d.joining
 	d.mu.Unlock()
 	if join && !joining && d.cfg.Beliefs != nil && d.cfg.Settings.Beliefs {
-		if s.Beliefs = d.cfg.Beliefs(); len(s.Beliefs) > mostBeliefs {
+		if s.Beliefs = d.cfg.Beliefs(); len(s.Beliefs) > maxBeliefs {
 			s.Beliefs = nil
 		}
 	}
@@ -103,7 +106,7 @@
 func (d *delegate) MergeRemoteState(b []byte, _ bool) {
 	s, err := wire.ReadState(b)
 	if err != nil {
-		(*Peers)(d).malformed(err, "a whole exchange")
+		(*Peers)(d).countMalformed(err, "a whole exchange")
 		return
 	}
 	d.mu.Lock()
@@ -123,7 +126,7 @@
 						_, anew = d.view.Renumber(fleet.Start(m.Start))
 					}
 				}
-				(*Peers)(d).sighted(m.Start)
+				(*Peers)(d).observeStart(m.Start)
 			}
 		}
 		vote := fleet.NoVote
@@ -133,24 +136,24 @@
 		d.view.Says(now, fleet.Member{Name: m.Name, Start: fleet.Start(m.Start), State: fleet.State(m.State), Address: m.Address,
 			Weight: m.Weight, Vote: vote})
 	}
-	if d.answered != nil {
+	if d.exchangedWith != nil {
 		if _, known := d.view.Get(s.From); known {
-			d.answered[s.From] = s.Start
+			d.exchangedWith[s.From] = s.Start
 		}
 	}
 	undone := make([]fleet.Dot, 0, len(s.Undone))
 	for _, u := range s.Undone {
 		undone = append(undone, dotOf(u))
 	}
-	(*Peers)(d).undo(undone)
+	(*Peers)(d).undoBans(undone)
 	for _, x := range s.Bans {
 		dot := dotOf(x.Dot)
 		if d.bans.Hear(fleet.Ban{Dot: dot, Provider: x.Provider, At: x.At}) && d.bans.Out(x.Provider) {
-			(*Peers)(d).note(dot, s.From)
+			(*Peers)(d).addBanHolder(dot, s.From)
 		}
 	}
-	adopt := d.joining && !d.adopted && len(s.Beliefs) > 0 && d.cfg.Adopt != nil && d.cfg.Settings.Beliefs
-	d.adopted = d.adopted || adopt
+	adopt := d.joining && !d.beliefsAdopted && len(s.Beliefs) > 0 && d.cfg.Adopt != nil && d.cfg.Settings.Beliefs
+	d.beliefsAdopted = d.beliefsAdopted || adopt
 	d.mu.Unlock()
 	if adopt {
 		d.cfg.Adopt(s.From, s.Beliefs, s.At-time.Duration(time.Now().UnixNano()))
@@ -158,13 +161,14 @@
 	if anew {
 		(*Peers)(d).Stepped()
 	}
-	(*Peers)(d).poke()
+	(*Peers)(d).requestApply()
 }
 
-// events is what the membership tells of the others. It is called under the membership's own lock.
+// events receives the membership protocol's events on other members. It is called under the protocol's own lock.
 type events Peers
 
-func (e *events) there(n *memberlist.Node) {
+// recordAlive records that a member is there, and its note on itself.
+func (e *events) recordAlive(n *memberlist.Node) {
 	note, err := wire.ReadNote(n.Meta)
 	if err != nil {
 		return // NotifyAlive has let nobody by without one
@@ -174,19 +178,19 @@
 	e.view.Alive((*Peers)(e).now(), n.Name, fleet.Start(note.Start), n.Address())
 	e.notes[n.Name] = note
 	if known && before.Start != fleet.Start(note.Start) {
-		for _, who := range e.has { // a new process has forgotten what the one before knew
-			delete(who, n.Name)
+		for _, holders := range e.banHolders { // a new process does not know what the one before knew
+			delete(holders, n.Name)
 		}
 	}
 	e.mu.Unlock()
-	(*Peers)(e).poke()
+	(*Peers)(e).requestApply()
 }
 
 // NotifyJoin implements memberlist.EventDelegate.
-func (e *events) NotifyJoin(n *memberlist.Node) { e.there(n) }
+func (e *events) NotifyJoin(n *memberlist.Node) { e.recordAlive(n) }
 
 // NotifyUpdate implements memberlist.EventDelegate.
-func (e *events) NotifyUpdate(n *memberlist.Node) { e.there(n) }
+func (e *events) NotifyUpdate(n *memberlist.Node) { e.recordAlive(n) }
 
 // NotifyLeave implements memberlist.EventDelegate.
 func (e *events) NotifyLeave(n *memberlist.Node) {
@@ -198,17 +202,17 @@
 	e.mu.Lock()
 	e.view.Lost((*Peers)(e).now(), n.Name, fleet.Start(note.Start))
 	e.mu.Unlock()
-	(*Peers)(e).poke()
+	(*Peers)(e).requestApply()
 }
 
 // NotifyAlive implements memberlist.AliveDelegate: one that speaks another version is none of this fleet.
 func (e *events) NotifyAlive(n *memberlist.Node) error {
 	_, err := wire.ReadNote(n.Meta)
 	if err != nil {
-		(*Peers)(e).malformed(err, "a scheduler's note of itself")
+		(*Peers)(e).countMalformed(err, "a scheduler's note of itself")
 		e.mu.Lock()
-		if e.odd != nil && len(e.odd) < mostMembers {
-			e.odd[n.Name] = true
+		if e.otherVersion != nil && len(e.otherVersion) < maxMembers {
+			e.otherVersion[n.Name] = true
 		}
 		e.mu.Unlock()
 	}
--- /dev/null
+++ b/peers/forget.go
@@ -0,0 +1,36 @@
+package peers
+
+import (
+	"errors"
+
+	wire "laddertide/wire/peers"
+)
+
+// Errors of Forget.
+var (
+	ErrNoPeer = errors.New("no such scheduler")
+	ErrThere  = errors.New("the scheduler is there: stop it first")
+)
+
+// Forget records an operator's statement that a scheduler which is not reached is over, and announces it to all. It returns
+// ErrNoPeer for an unknown name, ErrThere for a scheduler that is reached, and the error of the disk if the statement cannot
+// be kept.
+func (p *Peers) Forget(name string) (Heard, error) {
+	p.mu.Lock()
+	m, known := p.view.Get(name)
+	forgotten := known && p.view.Forget(p.now(), name, m.Start)
+	p.mu.Unlock()
+	switch {
+	case !known:
+		return Heard{}, ErrNoPeer
+	case !forgotten && m.State.MayRun():
+		return Heard{}, ErrThere
+	case !forgotten: // it was over already
+		return Heard{InForce: []string{p.cfg.Name}}, nil
+	}
+	p.conclude()
+	if err := p.save(); err != nil {
+		return Heard{}, err
+	}
+	return p.announce(wire.Message{Kind: wire.Forget, Name: name, Start: uint64(m.Start)}, operatorTimeout), nil
+}
--- /dev/null
+++ b/peers/join.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"laddertide/core/fleet"
+)
+
+// search contacts all addresses at which schedulers may be, concurrently, until one of them has sent its whole state, none
+// is left to try, or its time is over.
+func (p *Peers) search(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 3*p.cfg.Timing.Stream)
+	defer cancel()
+	found := p.joinAny(ctx, p.searchAddresses())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.searchDone = true
+	p.searchFound = found
+}
+
+// searchAddresses returns the addresses of Settings.Join, of the members that an earlier process knew, and of those that were
+// kept on disk, without this scheduler's own.
+func (p *Peers) searchAddresses() []string {
+	addresses := slices.Clone(p.cfg.Settings.Join)
+	p.mu.Lock()
+	for _, m := range p.view.Members() {
+		if m.State.MayRun() && m.Address != "" && !slices.Contains(addresses, m.Address) && len(addresses) < maxJoin {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	p.mu.Unlock()
+	addresses = p.withStoredAddresses(addresses)
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == p.cfg.Settings.Advertise })
+}
+
+// joinAny contacts all addresses and reports whether one of them has sent its whole state before ctx ends.
+func (p *Peers) joinAny(ctx context.Context, addresses []string) bool {
+	if len(addresses) == 0 {
+		return false
+	}
+	results := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- p.joinOne(ctx, address) }()
+	}
+	for range addresses {
+		select {
+		case joined := <-results:
+			if joined {
+				return true
+			}
+		case <-ctx.Done():
+			p.log.Warn("no other scheduler answers in time: looking on", "join", addresses)
+			return false
+		}
+	}
+	p.log.Warn("no other scheduler is found: looking on", "join", addresses)
+	return false
+}
+
+// joinOne exchanges states with the scheduler at an address. An attempt that fails quickly was refused and is the last one:
+// nobody is there. One that fails slowly may have met a slow scheduler and is repeated until ctx ends.
+func (p *Peers) joinOne(ctx context.Context, address string) bool {
+	for {
+		began := time.Now()
+		joined, _ := p.list.Join([]string{address})
+		refused := time.Since(began) < p.cfg.Timing.Stream/2
+		if joined > 0 || refused || ctx.Err() != nil {
+			return joined > 0
+		}
+	}
+}
+
+// answersToOwnName reports whether a scheduler of this one's name answers at an address.
+func (p *Peers) answersToOwnName(address string) bool {
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return false
+	}
+	for range 3 {
+		if _, err := p.list.Ping(p.cfg.Name, at); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// unreachedAddress returns the address of a scheduler that should be there and is not reached, or an empty string if there is
+// none. Calls with successive values of turn go round all of them.
+func (p *Peers) unreachedAddress(turn int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var unreached []string
+	settled := map[string]bool{p.cfg.Settings.Advertise: true} // reached, or known to be over
+	for _, m := range p.view.Members() {
+		if m.State <= fleet.Doubt || !m.State.MayRun() {
+			settled[m.Address] = true
+		} else if m.Address != "" {
+			unreached = append(unreached, m.Address)
+		}
+	}
+	for _, address := range p.withStoredAddresses(p.cfg.Settings.Join) {
+		if !settled[address] && !slices.Contains(unreached, address) {
+			unreached = append(unreached, address)
+		}
+	}
+	if len(unreached) == 0 {
+		return ""
+	}
+	return unreached[turn%len(unreached)]
+}
--- /dev/null
+++ b/peers/lessons.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"time"
+
+	wire "laddertide/wire/peers"
+)
+
+// maxLessons is the number of lessons that are remembered so that each counts once.
+const maxLessons = 1024
+
+// lessonKey identifies a lesson: a scheduler's report that a provider fails what it is sent.
+type lessonKey struct {
+	from         string
+	start, index uint64
+}
+
+// Failed reports to the other schedulers that a provider fails what it is sent.
+func (p *Peers) Failed(provider string) {
+	if !p.cfg.Settings.Lessons {
+		return
+	}
+	p.mu.Lock()
+	_, start := p.view.Me()
+	p.mu.Unlock()
+	// The index is a time: a counter would begin anew after an upgrade, under the same start number.
+	index := uint64(time.Now().UnixNano())
+	p.broadcast(wire.Message{Kind: wire.Lesson, From: p.cfg.Name, Start: uint64(start), Index: index, Provider: provider})
+}
+
+// handleLesson remembers a lesson, in place of the oldest one if there is no room, and forwards it if it is new.
+func (p *Peers) handleLesson(m wire.Message) disposition {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := lessonKey{from: m.From, start: m.Start, index: m.Index}
+	if p.seenLessons[key] {
+		return disposition{acknowledge: true}
+	}
+	if len(p.lessonOrder) >= maxLessons {
+		delete(p.seenLessons, p.lessonOrder[0])
+		p.lessonOrder = p.lessonOrder[1:]
+	}
+	p.seenLessons[key] = true
+	p.lessonOrder = append(p.lessonOrder, key)
+	return disposition{acknowledge: true, forward: true}
+}
--- /dev/null
+++ b/peers/loop.go
@@ -0,0 +1,181 @@
+package peers
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"laddertide/core/fleet"
+	wire "laddertide/wire/peers"
+)
+
+const (
+	conflictLogTurns     = 60 // of watchLoop, between two log lines about a conflict of names
+	maxBackgroundRepairs = 2  // pings and joins of watchLoop at a time
+)
+
+// requestApply lets applyLoop draw conclusions and call Apply. It never blocks.
+func (p *Peers) requestApply() {
+	select {
+	case p.applyDue <- struct{}{}:
+	default:
+	}
+}
+
+// applyLoop handles received messages in their order, applies what they changed, and acknowledges them then.
+func (p *Peers) applyLoop() {
+	for {
+		select {
+		case <-p.closing:
+			return
+		case <-p.applyDue:
+			p.conclude()
+			p.cfg.Apply()
+		case m := <-p.inbox:
+			acks := p.handleAll(m)
+			p.cfg.Apply()
+			p.acknowledge(acks)
+		}
+	}
+}
+
+// handleAll handles a message and all that have come in meanwhile. It returns the acknowledgements due.
+func (p *Peers) handleAll(m wire.Message) []addressed {
+	acks := p.handle(m, nil)
+	for {
+		select {
+		case m = <-p.inbox:
+			acks = p.handle(m, acks)
+		default:
+			return acks
+		}
+	}
+}
+
+// conclude draws conclusions anew, logs what has changed, and has it applied.
+func (p *Peers) conclude() {
+	p.mu.Lock()
+	now := p.now()
+	before := p.conclusion
+	after := p.view.Conclude(now)
+	p.conclusion = after
+	changed := p.changedStates()
+	nextStop := p.stops.Next()
+	p.mu.Unlock()
+	for _, m := range changed {
+		p.log.Info("scheduler "+m.State.String(), "peer", m.Name, "address", m.Address, "start", m.Start)
+	}
+	if after.Self != before.Self || after.Present != before.Present || after.MayRun != before.MayRun || after.Held != before.Held {
+		p.log.Info("schedulers", "self", after.Self, "present", after.Present, "may_run", after.MayRun, "majority", after.Majority,
+			"share", fmt.Sprintf("%.4f", after.Share))
+	}
+	stopDue := nextStop != 0 && nextStop <= now
+	if after != before || stopDue {
+		p.requestApply()
+	}
+}
+
+// changedStates returns the members whose changes of state are to be logged, and notes all states. Called under mu.
+func (p *Peers) changedStates() []fleet.Member {
+	var changed []fleet.Member
+	states := make(map[string]fleet.State, len(p.loggedStates))
+	for _, m := range p.view.Members() {
+		before, known := p.loggedStates[m.Name]
+		states[m.Name] = m.State
+		if m.Name == p.cfg.Name || known && before == m.State {
+			continue
+		}
+		// Doubt comes and goes with packets that are lost: neither is logged.
+		doubtful := m.State == fleet.Doubt
+		doubtOver := before == fleet.Doubt && m.State == fleet.Present
+		if !doubtful && !doubtOver {
+			changed = append(changed, m)
+		}
+	}
+	p.loggedStates = states
+	return changed
+}
+
+// watchLoop does at each probe interval what the membership protocol does not: it pings the member that was heard from least
+// lately, contacts one that is not reached, and resends bans that somebody has missed.
+func (p *Peers) watchLoop() {
+	ticker := time.NewTicker(p.cfg.Timing.Probe)
+	defer ticker.Stop()
+	slots := make(chan struct{}, maxBackgroundRepairs)
+	for turn := 0; ; turn++ {
+		select {
+		case <-p.closing:
+			return
+		case <-ticker.C:
+		}
+		p.conclude()
+		p.resendBans()
+		if m, ok := p.leastRecentlyHeard(); ok {
+			tryGo(slots, func() { p.ping(m) })
+		}
+		if address := p.unreachedAddress(turn); address != "" {
+			tryGo(slots, func() { p.list.Join([]string{address}) })
+		}
+		if turn%conflictLogTurns == conflictLogTurns-1 {
+			p.logConflict()
+		}
+	}
+}
+
+// tryGo runs f in a goroutine if a slot is free, else not at all. Close does not wait for f, which must end by itself.
+func tryGo(slots chan struct{}, f func()) {
+	select {
+	case slots <- struct{}{}:
+		go func() {
+			defer func() { <-slots }()
+			f()
+		}()
+	default:
+	}
+}
+
+// leastRecentlyHeard returns the reached member that was heard from least lately, if there is one.
+func (p *Peers) leastRecentlyHeard() (least fleet.Member, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.view.Members() {
+		if m.Name == p.cfg.Name || m.State > fleet.Doubt || m.Address == "" {
+			continue
+		}
+		if !ok || m.Heard < least.Heard {
+			least = m
+			ok = true
+		}
+	}
+	return least, ok
+}
+
+// ping probes a member from this scheduler itself and records whether it answered.
+func (p *Peers) ping(m fleet.Member) {
+	at, err := net.ResolveUDPAddr("udp", m.Address)
+	if err != nil {
+		return
+	}
+	_, err = p.list.Ping(m.Name, at)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.view.Silent(p.now(), m.Name)
+	} else {
+		p.view.Heard(p.now(), m.Name)
+	}
+}
+
+// logConflict logs a conflict of names that was found since the last call.
+func (p *Peers) logConflict() {
+	p.mu.Lock()
+	other := p.conflict
+	p.conflict = nil
+	_, start := p.view.Me()
+	p.mu.Unlock()
+	if other == nil {
+		return
+	}
+	p.log.Error("two processes have one name: stop one of them", "name", p.cfg.Name, "other", other.address,
+		"this_one_is_older", uint64(start) < other.start)
+}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -469,7 +469,7 @@
 	defer s.Shutdown()
 	var conns []net.Conn
 	first := time.Now()
-	for range mostStreams + 3 {
+	for range maxStreams + 3 {
 		c, err := net.Dial("tcp", s.tcp.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -486,7 +486,7 @@
 			t.Errorf("connection %d is still open after %s: %v", i, time.Since(began), err)
 		}
 	}
-	if got := s.Traffic(); got.Refused > 3 || got.Refused < 3 && !slow || got.Streams != mostStreams+3 {
+	if got := s.Traffic(); got.Refused > 3 || got.Refused < 3 && !slow || got.Streams != maxStreams+3 {
 		t.Errorf("%+v", got)
 	}
 	open := func() int {
--- a/peers/settings.go
+++ b/peers/settings.go
@@ -43,11 +43,11 @@
 
 const (
 	defaultHoldS = 30
-	mostJoin     = 64
-	mostCluster  = 64
-	mostBans     = 4096
-	mostStops    = 4096
-	mostMembers  = 1024
+	maxJoin      = 64
+	maxCluster   = 64
+	maxBans      = 4096
+	maxStops     = 4096
+	maxMembers   = 1024
 )
 
 // Parse reads the section peers. A key file is read as well: its place is beside the operators' file.
@@ -70,11 +70,11 @@
 	if set.Advertise == "" {
 		set.Advertise = set.Listen
 	}
-	if len(set.Cluster) > mostCluster {
-		s.Fail("cluster", "is longer than %d bytes", mostCluster)
+	if len(set.Cluster) > maxCluster {
+		s.Fail("cluster", "is longer than %d bytes", maxCluster)
 	}
-	if len(set.Join) > mostJoin {
-		s.Fail("join", "has more than %d addresses", mostJoin)
+	if len(set.Join) > maxJoin {
+		s.Fail("join", "has more than %d addresses", maxJoin)
 	}
 	if set.KeyFile != "" {
 		path := set.KeyFile
@@ -144,10 +144,10 @@
 
 // What peers take of the machine's limits.
 const (
-	mostStreams = 8 // connections of others that are open at once; one more waits for its turn
-	ownStreams  = 4 // of this scheduler's own: a probe, a whole exchange, a search, one that ends
+	maxStreams = 8 // connections of others that are open at once; one more waits for its turn
+	ownStreams = 4 // of this scheduler's own: a probe, a whole exchange, a search, one that ends
 	// Descriptors are the two sockets and the connections.
-	Descriptors = 2 + mostStreams + 1 + ownStreams
+	Descriptors = 2 + maxStreams + 1 + ownStreams
 
 	inboxSize  = 512
 	packetSize = 1400
@@ -155,7 +155,7 @@
 
 // Memory is what peers may take, in bytes: members and their states, packets that wait, and two whole exchanges at a time.
 func (set *Settings) Memory() int {
-	return mostMembers*512 + mostBans*2*128 + mostStops*2*128 + inboxSize*wire.MaxMessage + 2*wire.MaxState/4
+	return maxMembers*512 + maxBans*2*128 + maxStops*2*128 + inboxSize*wire.MaxMessage + 2*wire.MaxState/4
 }
 
 // Timing is how often schedulers look at each other. All of it derives from one figure, the time in which a connection is up
@@ -175,17 +175,20 @@
 }
 
 const (
-	suspicions = 4 // the membership's own: how many times its probes, by the logarithm of its size, doubt lasts at least
-	patience   = 6 // and how much longer at most, if nobody confirms it
-	slowest    = 8 // how much slower one probes that finds itself at fault
+	// Multipliers of the membership library. A suspicion lasts at least suspicionMult probe intervals times the logarithm of
+	// the number of members, and up to suspicionMaxTimeoutMult times as long while nobody confirms it. A member that finds
+	// itself at fault probes up to awarenessMaxMult times more slowly.
+	suspicionMult           = 4
+	suspicionMaxTimeoutMult = 6
+	awarenessMaxMult        = 8
 )
 
 // limits are the times of conclusions for a fleet of so many.
 func (t Timing) limits(expect int) fleet.Limits {
 	n := float64(max(2, expect))
-	settle := time.Duration(suspicions * max(1, math.Log10(n+1)) * float64(t.Probe))
+	settle := time.Duration(suspicionMult * max(1, math.Log10(n+1)) * float64(t.Probe))
 	// One that is cut off probes others until half of them are given up, ever more slowly, and doubts each for longest.
-	return fleet.Limits{Settle: settle, Term: time.Duration(n/2+1)*slowest*t.Probe + (patience+1)*settle, Most: mostMembers,
+	return fleet.Limits{Settle: settle, Term: time.Duration(n/2+1)*awarenessMaxMult*t.Probe + (suspicionMaxTimeoutMult+1)*settle, Most: maxMembers,
 		Expect: expect}
 }
 
--- /dev/null
+++ b/peers/stops.go
@@ -0,0 +1,44 @@
+package peers
+
+import (
+	"slices"
+	"time"
+
+	"laddertide/core/fleet"
+	wire "laddertide/wire/peers"
+)
+
+// Held reports whether a peer's notice keeps a provider from getting anything new. own is what this scheduler's own list says
+// of the provider.
+func (p *Peers) Held(provider string, own fleet.Own) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stops.Holds(p.now(), provider, own)
+}
+
+// Named returns the names of all providers that a ban or a peer's notice concerns, sorted.
+func (p *Peers) Named() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := p.stops.Providers()
+	inForce, _ := p.bans.All()
+	for _, ban := range inForce {
+		names = append(names, ban.Provider)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Stopped notifies the other schedulers that this one's own list says of a provider's process that it drains or is gone,
+// unless that is going round already. since and index are those of the list.
+func (p *Peers) Stopped(provider string, since time.Duration, index uint64) {
+	p.mu.Lock()
+	name, start := p.view.Me()
+	stop := fleet.Stop{Provider: provider, Since: since, Index: index, By: name, Start: start}
+	known := p.stops.Known(p.now(), stop)
+	p.mu.Unlock()
+	if known || !p.cfg.Settings.Drains {
+		return
+	}
+	p.broadcast(wire.Message{Kind: wire.Stop, From: name, Start: uint64(start), Provider: provider, Since: since, Index: index})
+}
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -117,7 +117,7 @@
 			s.open = append(s.open, b)
 		}
 		var oldest *bound
-		if len(s.open) > mostStreams {
+		if len(s.open) > maxStreams {
 			oldest = s.open[0]
 		}
 		s.mu.Unlock()
