replica: one file for each job in place of node.go of 964 lines

node.go keeps the types; recovery from disk, groups, the loop, writes, messages, committed entries, leadership, keys and the library's logger have a file each, and New, the loop's round and the handling of frames are cut into functions. Private names and comments are in the field's terms; exported names, the order of writes and messages, and log lines stay. In the tests two calls have the new names.

--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -169,7 +169,7 @@
 		w.fail("%s does not start: %v", name, err)
 	}
 	w.nodes[name] = n
-	n.round()
+	n.processReady()
 }
 
 // last is the host of a process that leads, or led last; nil: none has.
@@ -482,7 +482,7 @@
 		return
 	}
 	do(n)
-	if n.turn(); w.disks[name].dead {
+	if n.runQueue(); w.disks[name].dead {
 		w.die(name)
 		return
 	}
--- /dev/null
+++ b/replica/persist.go
@@ -0,0 +1,130 @@
+package replica
+
+import (
+	"cmp"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	wire "laddertide/wire/groups"
+)
+
+// trimTicks is the number of ticks between two looks at what the log on disk no longer needs.
+const trimTicks = 32
+
+// appendLog appends records of a group to the log on disk. If sync is set awaitWrites waits for them.
+func (n *Node) appendLog(sync bool, number uint64, records ...[]byte) {
+	if !sync {
+		n.cfg.Disk.AppendLazy(number, records...)
+		return
+	}
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	if n.pendingBytes > 0 && n.pendingBytes+size > maxPendingBytes {
+		n.awaitWrites()
+	}
+	n.pendingWrites = append(n.pendingWrites, n.cfg.Disk.Append(number, records...))
+	n.pendingBytes += size
+}
+
+// awaitWrites waits for all pending writes, or for Close, as a disk that hangs must not block that. It sets writeErr unless all
+// of them have succeeded.
+func (n *Node) awaitWrites() {
+	for _, c := range n.pendingWrites {
+		select {
+		case <-c.Done():
+			if err := c.Wait(); err != nil && n.writeErr == nil {
+				n.writeErr = err
+			}
+		case <-n.stop:
+			n.writeErr = cmp.Or(n.writeErr, ErrNotLed)
+		}
+	}
+	n.pendingWrites = nil
+	n.pendingBytes = 0
+}
+
+// persist appends the new entries and hard state of a group, which must be on disk before messages that follow from them are
+// sent.
+func (g *Group) persist(ready raft.Ready) {
+	if len(ready.Entries) > 0 {
+		g.persistEntries(ready.Entries)
+	}
+	if ready.HardState != nil && !raft.IsEmptyHardState(ready.HardState) {
+		b, err := proto.Marshal(ready.HardState)
+		if err != nil {
+			panic(err)
+		}
+		g.node.appendLog(ready.MustSync, g.number, (&wire.Record{Kind: wire.State, Number: g.number, Bytes: b}).Append())
+		g.storage.SetHardState(ready.HardState)
+	}
+}
+
+// persistEntries appends entries in records of up to maxRecordBytes, if no entry is larger.
+func (g *Group) persistEntries(entries []*pb.Entry) {
+	n := g.node
+	record := wire.Record{Kind: wire.Entries, Number: g.number}
+	size := 0
+	for _, e := range entries {
+		b, err := proto.Marshal(e)
+		if err != nil {
+			panic(err) // it was made or read by this process
+		}
+		if size > 0 && size+len(b) > maxRecordBytes {
+			n.appendLog(true, g.number, record.Append())
+			record.Many = nil
+			size = 0
+		}
+		record.Many = append(record.Many, b)
+		size += len(b)
+	}
+	n.appendLog(true, g.number, record.Append())
+	if err := g.storage.Append(entries); err != nil {
+		panic(err)
+	}
+	g.addKeys(entries)
+	n.count(func(c *Counts) { c.Entries += uint64(len(entries)) })
+}
+
+// trim forgets groups that were finished long ago and frees what the log on disk no longer needs, every trimTicks calls. It
+// does not wait for the disk.
+func (n *Node) trim() {
+	n.ticks++
+	if n.ticks%trimTicks != 0 || n.inactive {
+		return
+	}
+	for id, f := range n.finished {
+		if time.Since(f.at) > n.cfg.Forget {
+			delete(n.finished, id)
+		}
+	}
+	oldest := n.lastNumber + 1
+	for _, g := range n.groups {
+		oldest = min(oldest, g.number)
+	}
+	if oldest == n.trimmedTo.Load() {
+		return
+	}
+	// What is still needed of the segments to be removed is written again first.
+	mark := (&wire.Record{Kind: wire.Disk, Number: n.lastNumber, Disk: n.diskID}).Append()
+	records := [][]byte{mark}
+	for _, f := range n.finished {
+		records = append(records, f.record())
+	}
+	rewritten := n.cfg.Disk.Append(0, records...)
+	n.background.Go(func() {
+		err := rewritten.Wait()
+		if err == nil {
+			err = n.cfg.Disk.Trim(oldest, mark)
+		}
+		if err != nil {
+			n.log.Warn("old groups are not removed", "err", err)
+			return
+		}
+		n.trimmedTo.Store(oldest)
+	})
+}
--- a/replica/streams.go
+++ b/replica/streams.go
@@ -257,8 +257,8 @@
 	s.all.Wait()
 }
 
-// random is a number that no other disk is called.
-func random() uint64 {
+// newDiskID returns a random number that identifies a disk among members. It is never 0.
+func newDiskID() uint64 {
 	var b [8]byte
 	rand.Read(b[:])
 	return binary.LittleEndian.Uint64(b[:])>>1 | 1
