rehearse/run: members of the caller's own, delays between zones, and what a window needs

A run of many schedulers needs members that take no jobs, counts of control bytes by kind, and an end that does not wait for tasks of minutes. Relays between schedulers and workers now stand only where a step of the plan makes that way fail: all pairs took two listeners each. The daemon counts bytes of whole exchanges and of discovery beside those of packets; both are read by GET /-/fleet.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,6 +15,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laddertide/core/pace"
@@ -93,6 +94,8 @@
 
 	dial func(context.Context) (net.Conn, error) // for tests; nil: TCP
 
+	lists, bytes atomic.Uint64 // received since it was made
+
 	mu    sync.Mutex
 	conn  net.Conn      // while there is one
 	fresh chan struct{} // not nil while somebody waits for a list that was asked for from now on; closed then
@@ -198,7 +201,7 @@
 		defer w.mu.Unlock()
 		w.conn = nil
 	}()
-	br := bufio.NewReader(conn)
+	br := bufio.NewReader(&counted{conn, &w.bytes})
 	if w.Whole {
 		// The address is new, or what came last made no sense: changes to what is known cannot be trusted.
 		if got, err = w.fetch(conn, br, by); err != nil {
@@ -293,7 +296,24 @@
 	return t.depth <= 0 && line[len(line)-1] == '\n', nil
 }
 
+// Received counts the lists that came and the bytes that were read since the watcher was made.
+func (w *Watcher) Received() (lists, bytes uint64) { return w.lists.Load(), w.bytes.Load() }
+
+// counted counts what is read from a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
 func (w *Watcher) accept(list List) {
+	w.lists.Add(1)
 	w.Index = list.Index
 	w.Deliver(list)
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1001,7 +1001,8 @@
 	if s, ok := p.net.(interface{ Traffic() Traffic }); ok {
 		t := s.Traffic()
 		r.Traffic = map[string]int64{"packets_in": int64(t.PacketsIn), "packets_out": int64(t.PacketsOut), "bytes_in": int64(t.BytesIn),
-			"bytes_out": int64(t.BytesOut), "streams": int64(t.Streams), "refused": int64(t.Refused)}
+			"bytes_out": int64(t.BytesOut), "streams": int64(t.Streams), "refused": int64(t.Refused),
+			"stream_bytes_in": int64(t.StreamBytesIn), "stream_bytes_out": int64(t.StreamBytesOut)}
 	}
 	return r
 }
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -16,8 +16,12 @@
 	wire "laddertide/wire/peers"
 )
 
-// Traffic counts what went over the sockets.
-type Traffic struct{ PacketsIn, PacketsOut, BytesIn, BytesOut, Streams, Refused uint64 }
+// Traffic counts what went over the sockets. BytesIn and BytesOut are of packets; what connections for whole exchanges
+// carried is in the fields for streams. Connections between members of groups are not counted here.
+type Traffic struct {
+	PacketsIn, PacketsOut, BytesIn, BytesOut, Streams, Refused uint64
+	StreamBytesIn, StreamBytesOut                              uint64
+}
 
 // sockets is the membership's transport: one UDP socket, one listener, and connections with deadlines and bounds. The
 // library's own allocates 64 KiB a packet and takes any number of connections.
@@ -36,6 +40,7 @@
 	open []*bound // those that others have opened, oldest first
 
 	packetsIn, packetsOut, bytesIn, bytesOut, accepted, refused atomic.Uint64
+	streamBytesIn, streamBytesOut                               atomic.Uint64
 }
 
 func listen(address string, timing Timing, marked func(net.Conn)) (*sockets, error) {
@@ -189,6 +194,8 @@
 	first   []byte       // of what was read, and is to be read again
 	closed  atomic.Bool
 
+	bytesIn, bytesOut *atomic.Uint64 // of all connections of the sockets
+
 	mu    sync.Mutex // timer's: it may fire before it is known here
 	timer *time.Timer
 }
@@ -196,7 +203,8 @@
 var errTooMuch = errors.New("peers: more than an exchange may have")
 
 func (s *sockets) bound(c net.Conn, release func(*bound)) *bound {
-	b := &bound{Conn: c, by: time.Now().Add(s.timing.Stream), left: wire.MaxState + (1 << 20), release: release}
+	b := &bound{Conn: c, by: time.Now().Add(s.timing.Stream), left: wire.MaxState + (1 << 20), release: release,
+		bytesIn: &s.streamBytesIn, bytesOut: &s.streamBytesOut}
 	c.SetDeadline(b.by)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -224,6 +232,14 @@
 	}
 	n, err := b.Conn.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	b.bytesIn.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (b *bound) Write(p []byte) (int, error) {
+	n, err := b.Conn.Write(p)
+	b.bytesOut.Add(uint64(n))
 	return n, err
 }
 
@@ -313,7 +329,8 @@
 
 // Traffic gives the counts.
 func (s *sockets) Traffic() Traffic {
-	return Traffic{s.packetsIn.Load(), s.packetsOut.Load(), s.bytesIn.Load(), s.bytesOut.Load(), s.accepted.Load(), s.refused.Load()}
+	return Traffic{PacketsIn: s.packetsIn.Load(), PacketsOut: s.packetsOut.Load(), BytesIn: s.bytesIn.Load(), BytesOut: s.bytesOut.Load(),
+		Streams: s.accepted.Load(), Refused: s.refused.Load(), StreamBytesIn: s.streamBytesIn.Load(), StreamBytesOut: s.streamBytesOut.Load()}
 }
 
 var _ memberlist.NodeAwareTransport = (*sockets)(nil)
--- a/rehearse/discovery/discovery.go
+++ b/rehearse/discovery/discovery.go
@@ -69,6 +69,7 @@
 	scheduler int
 	name      string
 	life      atomic.Int64
+	sent      atomic.Int64 // bytes written to its connections
 
 	mu      sync.Mutex
 	ln      *net.TCPListener
@@ -113,6 +114,9 @@
 	return a.ln.Addr().String()
 }
 
+// Sent is how many bytes a scheduler's agent has written to its connections.
+func (d *Discovery) Sent(scheduler int) int64 { return d.agents[scheduler].sent.Load() }
+
 // SetLife says which process of a scheduler there is now.
 func (d *Discovery) SetLife(scheduler, life int) { d.agents[scheduler].life.Store(int64(life)) }
 
@@ -355,7 +359,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(headLimit))
 		req, err := http.ReadRequest(br)
 		if err != nil || req.ContentLength != 0 {
-			_ = write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			_ = a.write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 			return
 		}
 		if !a.answer(c, req, life) || req.Close {
@@ -364,9 +368,10 @@
 	}
 }
 
-func write(c net.Conn, s string) error {
+func (a *agent) write(c net.Conn, s string) error {
 	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
-	_, err := c.Write([]byte(s))
+	n, err := c.Write([]byte(s))
+	a.sent.Add(int64(n))
 	return err
 }
 
@@ -376,7 +381,7 @@
 		return false
 	}
 	if req.Method != "GET" || req.URL.Path != path {
-		return write(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") == nil
+		return a.write(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") == nil
 	}
 	query, err := url.ParseQuery(req.URL.RawQuery)
 	if err == nil && query.Get("watch") == "1" {
@@ -390,11 +395,11 @@
 		}
 	}
 	if err != nil {
-		return write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n") == nil
+		return a.write(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n") == nil
 	}
 	index, _, entries := a.since(0)
 	list, entries := a.d.list(a.scheduler, index, true, entries)
-	if write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+	if a.write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 		len(list), list)) != nil {
 		return false
 	}
@@ -434,7 +439,7 @@
 // watch tells all that changes until the connection ends. What a slow reader has yet to be told is a version, no queue.
 func (a *agent) watch(c net.Conn, after uint64, life int) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-	if write(c, head) != nil {
+	if a.write(c, head) != nil {
 		return
 	}
 	timer := time.NewTimer(beat)
@@ -446,7 +451,7 @@
 		}
 		if index, full, entries := a.since(after); len(entries) > 0 || full && (first || index != after) {
 			list, entries := a.d.list(a.scheduler, index, full, entries)
-			if write(c, fmt.Sprintf("%x\r\n%s\n\r\n", len(list)+1, list)) != nil {
+			if a.write(c, fmt.Sprintf("%x\r\n%s\n\r\n", len(list)+1, list)) != nil {
 				return
 			}
 			a.wrote(life, index, full, entries)
@@ -458,7 +463,7 @@
 			continue
 		case <-timer.C:
 		}
-		if _, ok := a.speaks(c); !ok || write(c, "1\r\n\n\r\n") != nil {
+		if _, ok := a.speaks(c); !ok || a.write(c, "1\r\n\n\r\n") != nil {
 			return
 		}
 	}
--- a/rehearse/links/links.go
+++ b/rehearse/links/links.go
@@ -32,8 +32,17 @@
 	Reset   int64         // connections are reset after so many bytes in this direction; 0: they are not
 }
 
-// Counts are what passed one direction of a pair.
-type Counts struct{ Packets, Lost, Bytes, Streams int64 }
+// Counts are what passed one direction of a pair. Bytes are of packets and of connections; StreamBytes of connections alone.
+type Counts struct{ Packets, Lost, Bytes, Streams, StreamBytes int64 }
+
+// Add adds what passed another one.
+func (c *Counts) Add(d Counts) {
+	c.Packets += d.Packets
+	c.Lost += d.Lost
+	c.Bytes += d.Bytes
+	c.Streams += d.Streams
+	c.StreamBytes += d.StreamBytes
+}
 
 type pair struct{ from, to string }
 
@@ -212,6 +221,21 @@
 	return *l.count(pair{from, to})
 }
 
+// Total is what passed from a process to all others, and to it from all others.
+func (l *Links) Total(name string) (sent, received Counts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, c := range l.counts {
+		if p.from == name {
+			sent.Add(*c)
+		}
+		if p.to == name {
+			received.Add(*c)
+		}
+	}
+	return sent, received
+}
+
 func (l *Links) count(p pair) *Counts {
 	c := l.counts[p]
 	if c == nil {
@@ -407,7 +431,9 @@
 		}
 		f, closed := l.faults[p], l.closed
 		wait := f.Delay + time.Duration(l.draw(p).Float64()*float64(f.Jitter))
-		l.count(p).Bytes += int64(n)
+		count := l.count(p)
+		count.Bytes += int64(n)
+		count.StreamBytes += int64(n)
 		l.mu.Unlock()
 		if closed {
 			return
--- a/rehearse/peering/rig_test.go
+++ b/rehearse/peering/rig_test.go
@@ -141,9 +141,9 @@
 	for _, p := range r.all {
 		p.join = relays[:min(mostJoin, n)]
 	}
-	var ways *links.Links
+	var ways *run.Ways
 	if led {
-		ways = r.links
+		ways = &run.Ways{Links: r.links}
 	}
 	if r.world, err = run.NewWorld(plan, at, nets, r.rec, r.book, nil, ways); err != nil {
 		t.Fatal(err)
--- a/rehearse/run/build.go
+++ b/rehearse/run/build.go
@@ -47,13 +47,23 @@
 		r.posts = append(r.posts, p)
 		at = append(at, fleet.SchedulerAt{Name: s.Name, Zone: r.plan.Zones[s.Zone], CallBack: listen})
 	}
+	if err := r.relayOthers(); err != nil {
+		return err
+	}
 	if err := r.introduce(); err != nil {
 		return err
 	}
+	if err := r.distance(); err != nil {
+		return err
+	}
 	if r.plan.Relays {
 		r.ways = links.New(r.plan.Seed, r.net)
 	}
-	w, err := NewWorld(r.plan, at, r.net, r.rec, r.book, nil, r.ways)
+	var ways *Ways
+	if r.ways != nil {
+		ways = &Ways{Links: r.ways, Needed: r.plan.Routed}
+	}
+	w, err := NewWorld(r.plan, at, r.net, r.rec, r.book, nil, ways)
 	if err != nil {
 		return err
 	}
@@ -93,22 +103,35 @@
 	Fleet     *fleet.Fleet
 	Discovery *discovery.Discovery
 
-	ways  *links.Links // nil: schedulers call workers and discovery straight
-	names []string     // of schedulers
+	ways  *Ways    // nil: schedulers call workers and discovery straight
+	names []string // of schedulers
+}
+
+// Ways are relays between schedulers and workers, and schedulers and discovery. A relay takes a listener, so those that no
+// fault meets are better left out.
+type Ways struct {
+	Links  *links.Links
+	Needed func(scheduler, worker int) bool // worker -1: discovery; nil: all are
+}
+
+// relayed tells whether there is a relay between a scheduler and a worker, or with worker -1 its discovery.
+func (w *Ways) relayed(scheduler, worker int) bool {
+	return w != nil && (w.Needed == nil || w.Needed(scheduler, worker))
 }
 
 // Guess is as fleet.Config has it.
 type Guess = func(class, key string, hint time.Duration) (book.Job, bool)
 
 // NewWorld starts the workers and discovery of a plan for schedulers that take call-backs at the addresses given. With
-// ways a relay stands between each scheduler and each worker, one for each of the two that calls the other, and between each
-// scheduler and its discovery; ways stay the caller's.
+// ways relays stand between schedulers and workers, one for each of the two that calls the other, and between schedulers and
+// their discovery; ways stay the caller's.
 func NewWorld(plan *scenario.Plan, at []fleet.SchedulerAt, net *loop.Net, rec *record.Recorder, asked *book.Book,
-	guess Guess, ways *links.Links) (*World, error) {
+	guess Guess, ways *Ways) (*World, error) {
 	w := &World{ways: ways}
 	var entries []history.Entry
-	infos := make(map[string]discovery.Info)
+	infos, index := make(map[string]discovery.Info), make(map[string]int)
 	for i, spec := range plan.Workers {
+		index[spec.Name] = i
 		entries = append(entries, history.Entry{Worker: spec.Name, Status: history.Serving, Life: 1})
 		infos[spec.Name] = discovery.Info{Zone: spec.Zone, Type: spec.Kind, Group: i / 8, Weight: float64(spec.Cores)}
 	}
@@ -116,7 +139,12 @@
 	for i, s := range at {
 		w.names = append(w.names, s.Name)
 		if ways != nil {
-			at[i].Via = func(worker string) (string, error) { return ways.Lead(worker, s.Name, s.CallBack) }
+			at[i].Via = func(worker string) (string, error) {
+				if !ways.relayed(i, index[worker]) {
+					return s.CallBack, nil
+				}
+				return ways.Links.Lead(worker, s.Name, s.CallBack)
+			}
 		}
 	}
 	costs := make([]time.Duration, len(plan.Classes))
@@ -128,12 +156,7 @@
 	w.Fleet, err = fleet.New(fleet.Config{
 		Workers: plan.Workers, Schedulers: at, Net: net, Record: rec, Book: asked, Guess: guess,
 		Classes: classes, Costs: costs,
-		Delay: func(a, b string) time.Duration {
-			if a == b {
-				return plan.Same
-			}
-			return plan.Cross
-		},
+		Delay:     plan.Delay,
 		ProbeCost: plan.ProbeCost, Probes: true, AgentDelay: plan.AgentDelay, Seed: plan.Seed,
 		OnChange: func(c fleet.Change) {
 			w.Discovery.Change(history.Entry{Worker: c.Name, Status: c.Status, Life: c.Life}, c.Silent)
@@ -172,8 +195,12 @@
 	for s, name := range w.names {
 		led[s] = make(map[string]string)
 		for i, spec := range plan.Workers {
+			led[s][spec.Name] = w.Fleet.Address(s, i)
+			if !w.ways.relayed(s, i) {
+				continue
+			}
 			var err error
-			if led[s][spec.Name], err = w.ways.Lead(name, spec.Name, w.Fleet.Address(s, i)); err != nil {
+			if led[s][spec.Name], err = w.ways.Links.Lead(name, spec.Name, led[s][spec.Name]); err != nil {
 				return nil, err
 			}
 		}
@@ -184,10 +211,10 @@
 // DiscoveryAt is where a scheduler finds its discovery now.
 func (w *World) DiscoveryAt(scheduler int) (string, error) {
 	address := w.Discovery.Address(scheduler)
-	if w.ways == nil {
+	if !w.ways.relayed(scheduler, -1) {
 		return address, nil
 	}
-	return w.ways.Lead(w.names[scheduler], history.Discovery, address)
+	return w.ways.Links.Lead(w.names[scheduler], history.Discovery, address)
 }
 
 // Close lets go of all sockets.
--- /dev/null
+++ b/rehearse/run/others.go
@@ -0,0 +1,166 @@
+package run
+
+import (
+	"slices"
+	"time"
+
+	"laddertide/rehearse/daemon"
+	"laddertide/rehearse/links"
+	"laddertide/rehearse/scenario"
+)
+
+// Members of the schedulers' membership that take no jobs, and what their caller sees of a run.
+
+// OtherMember is a member that the caller of Run starts itself.
+type OtherMember struct {
+	Name string
+	Zone int // place in the plan's zones
+
+	// Set by the run before Prepare.
+	Listen    string // where it is to listen for the others, by TCP and UDP, and to send from
+	Advertise string // the relay in front of that
+}
+
+// Process is a scheduler's present process.
+type Process struct {
+	Name  string
+	PID   int
+	Admin string // its address for operators
+	Usage daemon.Usage
+}
+
+// Stage is what a run shows to Prepare and Playing. Its methods may be called from any goroutine until the run ends.
+type Stage struct {
+	Others []OtherMember
+	Join   []string  // where members find each other
+	Start  time.Time // of the first arrival; zero before that is known
+
+	r *run
+}
+
+func (r *run) stage(start time.Duration) *Stage {
+	s := &Stage{Others: slices.Clone(r.opt.Others), Join: r.join(), r: r}
+	if start > 0 {
+		s.Start = r.rec.At(start)
+	}
+	return s
+}
+
+// Processes are the schedulers' present processes, in the plan's order.
+func (s *Stage) Processes() []Process {
+	var out []Process
+	for _, p := range s.r.posts {
+		p.mu.Lock()
+		if p.proc != nil {
+			out = append(out, Process{p.name, p.proc.PID(), p.admin, p.proc.Usage()})
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// Relayed is what the relays have passed from a member to all others and to it from them. Nothing was if members do not know
+// each other.
+func (s *Stage) Relayed(name string) (sent, received links.Counts) {
+	if s.r.links == nil {
+		return sent, received
+	}
+	return s.r.links.Total(name)
+}
+
+// DiscoverySent is how many bytes a scheduler's discovery has written.
+func (s *Stage) DiscoverySent(scheduler int) int64 { return s.r.discovery.Sent(scheduler) }
+
+// Stop ends the run with an error.
+func (s *Stage) Stop(err error) { s.r.stop(err) }
+
+// relayOthers gives each of the caller's members an address with a relay in front of it.
+func (r *run) relayOthers() (err error) {
+	if r.links == nil {
+		return nil
+	}
+	for i := range r.opt.Others {
+		o := &r.opt.Others[i]
+		if o.Listen, err = freeBoth(r.net); err != nil {
+			return err
+		}
+		if o.Advertise, err = r.links.Join(o.Name, o.Listen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// join are the addresses at which members find each other.
+func (r *run) join() []string {
+	var join []string
+	for _, p := range r.posts {
+		join = append(join, p.known)
+	}
+	return join
+}
+
+// apart is how long a message takes between members in two zones.
+func (r *run) apart(a, b int) time.Duration {
+	if r.plan.Between == nil {
+		return 0
+	}
+	return r.plan.Between(r.plan.Zones[a], r.plan.Zones[b])
+}
+
+// member is any member, the caller's or not.
+type member struct {
+	name string
+	zone int
+}
+
+func (r *run) members() []member {
+	var all []member
+	for i, p := range r.posts {
+		all = append(all, member{p.name, r.plan.Schedulers[i].Zone})
+	}
+	for _, o := range r.opt.Others {
+		all = append(all, member{o.Name, o.Zone})
+	}
+	return all
+}
+
+// distance sets how long messages between members take.
+func (r *run) distance() error {
+	if r.links == nil || r.plan.Between == nil {
+		return nil
+	}
+	all := r.members()
+	for i, a := range all {
+		for j, b := range all {
+			if i == j {
+				continue
+			}
+			if err := r.links.Set(a.name, b.name, links.Fault{Delay: r.apart(a.zone, b.zone)}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// partOthers parts the caller's members as well, by their zones: those in zones of the schedulers on one side are on that side.
+func (r *run) partOthers(st scenario.Step) {
+	if st.Do != scenario.Part || len(r.opt.Others) == 0 {
+		return
+	}
+	side := make(map[int]bool)
+	for _, s := range st.Schedulers {
+		side[r.plan.Schedulers[s].Zone] = true
+	}
+	real := len(r.posts)
+	all := r.members()
+	for i, a := range all {
+		for j, b := range all {
+			if (i < real && j < real) || side[a.zone] == side[b.zone] {
+				continue
+			}
+			r.must(r.links.Set(a.name, b.name, links.Fault{Cut: st.Value > 0, Delay: r.apart(a.zone, b.zone)}))
+		}
+	}
+}
--- a/rehearse/run/peers.go
+++ b/rehearse/run/peers.go
@@ -67,10 +67,7 @@
 	if r.links == nil {
 		return nil
 	}
-	var join []string
-	for _, p := range r.posts {
-		join = append(join, p.known)
-	}
+	join := r.join()
 	for _, p := range r.posts {
 		if err := p.introduce(join); err != nil {
 			return err
@@ -135,6 +132,7 @@
 	set := func(from, to int, f links.Fault, what string) {
 		a, b := r.posts[from].name, r.posts[to].name
 		on := f != links.Fault{}
+		f.Delay += r.apart(r.plan.Schedulers[from].Zone, r.plan.Schedulers[to].Zone)
 		if on { // written down before it counts, and its end after
 			r.rec.Add(history.Event{Kind: history.KindLink, Scheduler: a, Peer: b, On: true, Note: what})
 		}
@@ -159,6 +157,7 @@
 			}
 		}
 	}
+	r.partOthers(st)
 }
 
 // route makes the ways between some schedulers and workers, or discovery, fail in the step's manner, or ends that.
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -31,12 +31,24 @@
 	"laddertide/rehearse/scenario"
 )
 
+// errPlanned ends clients where Options.EndAfter says so.
+var errPlanned = errors.New("ended as planned")
+
 // Options are all that a run needs beside its plan.
 type Options struct {
 	Program  daemon.Program      // the scheduler; it is told its configuration by the platform's variables
 	Dir      string              // an empty folder for configuration files and logs; it is left as it is
 	History  io.Writer           // gets the history while it is made; may be nil
 	Progress func(time.Duration) // is told now and then how much of the plan's length is over; may be nil
+
+	// Others are members of the schedulers' membership that the caller runs itself, as many as the plan says.
+	Others []OtherMember
+	// Prepare is called once all schedulers serve, before the first client, and is to start Others. An error ends the run.
+	Prepare func(context.Context, *Stage) error
+	// Playing is called when clients begin, on a goroutine of its own that the run waits for. Its context ends with the run.
+	Playing func(context.Context, *Stage)
+	// EndAfter ends the run so long after the first arrival, whatever is open then; 0: when the last client is done.
+	EndAfter time.Duration
 }
 
 // Result is what a run left.
@@ -87,6 +99,9 @@
 	default:
 		partial = cause.Error()
 	}
+	if r.planned && partial == "" {
+		partial = errPlanned.Error()
+	}
 	r.stop(nil) // whoever still waits for something
 	r.letGo()
 	events, writeErr := r.rec.Close(history.Event{Partial: partial != "", Note: partial})
@@ -116,6 +131,7 @@
 	ctx      context.Context
 	stop     context.CancelCauseFunc
 	begun    bool // clients have begun
+	planned  bool // it was ended by Options.EndAfter
 
 	net       *loop.Net
 	world     *World
@@ -144,6 +160,11 @@
 			return clients.Stats{}, err
 		}
 	}
+	if r.opt.Prepare != nil {
+		if err := r.opt.Prepare(r.ctx, r.stage(0)); err != nil {
+			return clients.Stats{}, err
+		}
+	}
 	start := r.rec.Since() + settle
 	setup := r.plan.Setup()
 	setup.Begin, setup.Start = r.rec.Begin().UnixMicro(), start.Microseconds()
@@ -157,19 +178,31 @@
 	}
 	r.all.Go(func() { r.rec.Watch(r.ctx) })
 	r.all.Go(func() { r.timetable(start) })
-	if r.links != nil {
+	if r.links != nil && r.plan.Rules.Agree > 0 {
 		for _, p := range r.posts {
 			r.all.Go(func() { p.views(r.ctx) })
 		}
 	}
+	if r.opt.Playing != nil {
+		r.all.Go(func() { r.opt.Playing(r.ctx, r.stage(start)) })
+	}
+	playing, ended := r.ctx, func() {}
+	if r.opt.EndAfter > 0 {
+		playing, ended = context.WithTimeoutCause(r.ctx, start+r.opt.EndAfter-r.rec.Since(), errPlanned)
+	}
+	defer ended()
 	if r.opt.Progress != nil {
 		r.all.Go(func() { r.progress(start) })
 	}
-	return clients.Run(r.ctx, clients.Config{
+	stats, err := clients.Run(playing, clients.Config{
 		Plan: r.plan.Traffic, Arrivals: r.arrivals, Retry: r.plan.Retry, Schedulers: r.clientSide(), Zones: r.plan.Zones,
 		Front: clients.Front{Notice: r.plan.Notice}, Rules: r.plan.Rules, Record: r.rec, Book: r.book, Seed: r.plan.Seed,
 		Durable: r.durable(), Keep: r.keep(), Start: start, Life: func(i int) int { return r.posts[i].lifeNow() }, Terms: r.terms, Victims: r.open,
 	})
+	if errors.Is(context.Cause(playing), errPlanned) {
+		r.planned = true
+	}
+	return stats, err
 }
 
 func (r *run) clientSide() []clients.Scheduler {
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -139,6 +139,7 @@
 	Roster     world.RosterSpec
 	Same       time.Duration // one way within a zone
 	Cross      time.Duration // and between two
+	Between    OneWay        // instead of Same and Cross, between schedulers too; nil: those, and schedulers reach each other at once
 	AgentDelay time.Duration // after which a dead process's jobs are told as lost
 	ProbeCost  time.Duration
 
@@ -160,10 +161,40 @@
 	Steps  []Step
 	Shades []Shade
 
+	Others int // members of the schedulers' membership that take no jobs, beside Schedulers
+
 	Load     float64 // the share of the fleet's capacity that is asked for
 	Capacity float64 // of the whole fleet when warm, in work a second
 }
 
+// OneWay is how long a message takes from one zone to another.
+type OneWay func(from, to string) time.Duration
+
+// Delay is how long a message takes between a scheduler and a worker in these zones.
+func (p *Plan) Delay(a, b string) time.Duration {
+	switch {
+	case p.Between != nil:
+		return p.Between(a, b)
+	case a == b:
+		return p.Same
+	}
+	return p.Cross
+}
+
+// Routed tells whether some step makes the way between a scheduler and a worker fail, or with worker -1 that between a
+// scheduler and its discovery.
+func (p *Plan) Routed(scheduler, worker int) bool {
+	return slices.ContainsFunc(p.Steps, func(s Step) bool {
+		if s.Do != Route || !slices.Contains(s.Schedulers, scheduler) {
+			return false
+		}
+		if len(s.Workers) == 0 {
+			return worker < 0
+		}
+		return slices.Contains(s.Workers, worker)
+	})
+}
+
 // Chance is a stream of its own for each thing drawn, so that a change to one leaves the others as they were.
 func Chance(seed uint64, label string) *rand.Rand {
 	h := fnv.New64a()
--- a/rehearse/scenario/settings.go
+++ b/rehearse/scenario/settings.go
@@ -60,7 +60,7 @@
 		shapes[i] = k.name
 	}
 	return map[string]any{
-		"me": me, "fleet-size": len(p.Schedulers), "zone": p.Schedulers[me].Zone, "localities": p.Zones, "shapes": shapes,
+		"me": me, "fleet-size": len(p.Schedulers) + p.Others, "zone": p.Schedulers[me].Zone, "localities": p.Zones, "shapes": shapes,
 		"layer": 0, "layers": []string{"auth-workers"}, "discovery": "automatic", "weights": "nominal", "worth-by": "work",
 		"over-share-worth": p.Rules.OverShare, "tick": 2000, "family": "jobs",
 		"callers": map[string]any{"marks-retry": true},
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -271,16 +271,26 @@
 // FleetPage is what operators are shown of the other schedulers.
 type FleetPage struct {
 	peers.Report
-	Owners *owners.Report    `json:"owners,omitempty"`
-	Return *returning.Report `json:"return,omitempty"`
+	Owners    *owners.Report    `json:"owners,omitempty"`
+	Return    *returning.Report `json:"return,omitempty"`
+	Discovery DiscoveryReport   `json:"discovery"`
+}
+
+// DiscoveryReport counts what has come from the present watch of discovery.
+type DiscoveryReport struct {
+	Lists   uint64 `json:"lists"`
+	BytesIn uint64 `json:"bytes_in"`
 }
 
 // fleetPage shows the other schedulers to operators.
 func (s *Scheduler) fleetPage() ([]byte, error) {
 	s.mu.Lock()
-	p := s.peers
+	p, current := s.peers, s.current
 	s.mu.Unlock()
 	page := FleetPage{}
+	if current != nil {
+		page.Discovery.Lists, page.Discovery.BytesIn = current.list.Received()
+	}
 	if s.room != nil {
 		page.Return = s.room.Report()
 	}
