rehearse scale: play a fleet of a size, and measure what each scheduler takes

Real daemons beside hollow members of the membership in processes of their own; CPU, memory and descriptors from /proc in a steady window, bytes from the daemon's counts beside the relays'.

--- a/core/traffic/draw.go
+++ b/core/traffic/draw.go
@@ -233,6 +233,9 @@
 		Zone:   among(d.zones, d.to(seed, forZone)),
 	}
 	class := p.Classes[a.Class]
+	if class.Slots > 0 {
+		a.Slots = class.Slots
+	}
 	a.Work = work(class, d.scales[a.Class], d.to(seed, forWork))
 	if p.Hint >= 0 {
 		a.Hint = rounded(float64(a.Work) * math.Exp(p.Hint*d.to(seed, forHint).NormFloat64()))
--- a/core/traffic/traffic.go
+++ b/core/traffic/traffic.go
@@ -19,6 +19,7 @@
 	Dist  string  // lognormal or pareto
 	CV    float64 // its coefficient of variation
 	Most  Time    // no job runs longer at speed 1; at least twice Work. 0, or more than WorkCap means: that
+	Slots float64 // that a job takes at its worker; 0: 1
 	Noise float64 // the spread (sigma of the logarithm) of one job's attempts round its own running time
 }
 
--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -19,6 +19,7 @@
 
 	"laddertide/rehearse/daemon"
 	"laddertide/rehearse/report"
+	"laddertide/rehearse/scale/hollow"
 	"laddertide/rehearse/scenario"
 	"laddertide/rehearse/session"
 )
@@ -31,7 +32,8 @@
   rehearse judge HISTORY... [flags]  judge recorded histories again
   rehearse fleet [NAME] [flags]      by hand: start workers and discovery alone, for a scheduler of yours
   rehearse load [NAME] [flags]       by hand: play clients alone, against --scheduler ADDRESS
-` + experimentUsage + `
+` + experimentUsage + `  rehearse scale --file SIZE [flags] what each scheduler of a fleet of a size takes; scale --help tells more
+` + `
 Exit status: 0 all rules were kept; 1 it could not run; 2 a rule was broken; 3 the service was under --min-service;
 4 the kit itself ran late, so the run does not count.
 
@@ -70,6 +72,12 @@
 
 // Main runs the program and returns its exit status.
 func Main(args []string, out, errs io.Writer) int {
+	if len(args) > 0 && args[0] == scaleCommand {
+		return scaleMain(args[1:], out, errs)
+	}
+	if len(args) > 0 && args[0] == hollow.Command {
+		return hollowMain(args[1:], out, errs)
+	}
 	a := &app{out: out, err: errs}
 	f := pflag.NewFlagSet("rehearse", pflag.ContinueOnError)
 	f.SetOutput(io.Discard)
--- a/rehearse/run/others.go
+++ b/rehearse/run/others.go
@@ -1,7 +1,10 @@
 package run
 
 import (
+	"fmt"
+	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"laddertide/rehearse/daemon"
@@ -31,15 +34,16 @@
 
 // Stage is what a run shows to Prepare and Playing. Its methods may be called from any goroutine until the run ends.
 type Stage struct {
-	Others []OtherMember
-	Join   []string  // where members find each other
-	Start  time.Time // of the first arrival; zero before that is known
+	Others  []OtherMember
+	Join    []string  // where members find each other
+	Cluster string    // what the membership is called
+	Start   time.Time // of the first arrival; zero before that is known
 
 	r *run
 }
 
 func (r *run) stage(start time.Duration) *Stage {
-	s := &Stage{Others: slices.Clone(r.opt.Others), Join: r.join(), r: r}
+	s := &Stage{Others: slices.Clone(r.opt.Others), Join: r.join(), Cluster: cluster, r: r}
 	if start > 0 {
 		s.Start = r.rec.At(start)
 	}
@@ -68,6 +72,14 @@
 	return s.r.links.Total(name)
 }
 
+// FleetPage asks a scheduler what it knows of the others, and decodes its answer.
+func (s *Stage) FleetPage(p Process, into any) error {
+	if !fleetPage(p.Admin, into) {
+		return fmt.Errorf("scheduler %s does not tell of the others", p.Name)
+	}
+	return nil
+}
+
 // DiscoverySent is how many bytes a scheduler's discovery has written.
 func (s *Stage) DiscoverySent(scheduler int) int64 { return s.r.discovery.Sent(scheduler) }
 
@@ -164,3 +176,17 @@
 		}
 	}
 }
+
+// Reconfigure writes every scheduler's file anew, as discovery and the settings are, and has it read.
+func (s *Stage) Reconfigure() {
+	for _, p := range s.r.posts {
+		p.mu.Lock()
+		known, _ := s.r.discovery.Known(p.i)
+		err := p.configure(filepath.Join(p.dir, "config.json"), known)
+		if err == nil && p.proc != nil && p.ready {
+			p.proc.Signal(syscall.SIGHUP)
+		}
+		p.mu.Unlock()
+		s.r.must(err)
+	}
+}
--- a/rehearse/run/peers.go
+++ b/rehearse/run/peers.go
@@ -231,22 +231,27 @@
 	}
 }
 
-// viewOf asks a scheduler what it knows of the others.
-func viewOf(address string) (*history.View, bool) {
+// fleetPage asks a scheduler what it knows of the others, and decodes that.
+func fleetPage(address string, into any) bool {
 	c, err := net.DialTimeout("tcp", address, callWithin)
 	if err != nil {
-		return nil, false
+		return false
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(callWithin))
 	if _, err := fmt.Fprintf(c, "GET /-/fleet HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
-		return nil, false
+		return false
 	}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 4096), nil)
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return nil, false
+		return false
 	}
 	defer resp.Body.Close()
+	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, viewBytes)).Decode(into) == nil
+}
+
+// viewOf is what a scheduler knows of the others, as a history has it.
+func viewOf(address string) (*history.View, bool) {
 	var page struct {
 		Start   uint64  `json:"start"`
 		Self    string  `json:"self"`
@@ -262,7 +267,7 @@
 			Provider string `json:"provider"`
 		} `json:"bans"`
 	}
-	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, viewBytes)).Decode(&page) != nil {
+	if !fleetPage(address, &page) {
 		return nil, false
 	}
 	v := &history.View{Start: page.Start, Self: page.Self, Present: page.Present, MayRun: page.MayRun, Share: page.Share, Members: make(map[string]string)}
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -66,7 +66,7 @@
 	healthEvery = 20 * time.Millisecond   // between looks at one that is coming up
 	lookEvery   = 50 * time.Millisecond   // at whether it is empty
 	moveAfter   = time.Second             // no SIGHUP in a process's first second
-	tailOfRun   = 90 * time.Second        // after the last arrival all must be over by then
+	tailOfRun   = 90 * time.Second        // after the last arrival all must be over by then, or by the longest deadline
 	killAfter   = 3700 * time.Millisecond // from SIGTERM to SIGKILL
 )
 
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	r := &run{plan: plan, opt: opt, rec: record.New(opt.History), book: book.New(), arrivals: arrivals}
-	limited, stop := context.WithTimeoutCause(ctx, readyLimit+plan.Length+tailOfRun, errors.New("the run did not end in time"))
+	limited, stop := context.WithTimeoutCause(ctx, readyLimit+plan.Length+tail(plan), errors.New("the run did not end in time"))
 	defer stop()
 	r.ctx, r.stop = context.WithCancelCause(limited)
 	cpu := cpuTime()
@@ -121,6 +121,15 @@
 	return res, nil
 }
 
+// tail is how long after the last arrival all must be over.
+func tail(plan *scenario.Plan) time.Duration {
+	longest := tailOfRun
+	for _, c := range plan.Classes {
+		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond+settle)
+	}
+	return longest
+}
+
 // run is one run while it goes on.
 type run struct {
 	plan     *scenario.Plan
--- a/rehearse/scale/size/check.go
+++ b/rehearse/scale/size/check.go
@@ -146,3 +146,6 @@
 func mistake(path, format string, args ...any) error {
 	return &strictyaml.Mistake{Path: strings.Split(path, "."), What: fmt.Sprintf(format, args...)}
 }
+
+// Sane checks a size that was changed after it was read.
+func (s *Size) Sane() error { return s.check() }
--- a/rehearse/scenario/settings.go
+++ b/rehearse/scenario/settings.go
@@ -53,7 +53,7 @@
 	}
 	parties := make([]map[string]any, len(p.Tenants))
 	for i, t := range p.Tenants {
-		parties[i] = map[string]any{"name": t.Name, "quota-rps": t.Quota, "share": p.Traffic.Tenants[i].Share}
+		parties[i] = map[string]any{"name": t.Name, "quota-rps": t.Quota * p.quotaFactor(), "share": p.Traffic.Tenants[i].Share}
 	}
 	shapes := make([]string, len(kinds))
 	for i, k := range kinds {
@@ -80,6 +80,12 @@
 	}
 }
 
+// quotaFactor makes up for members that take no jobs: a scheduler takes its own rate of a tenant, times all members, for the
+// whole fleet's.
+func (p *Plan) quotaFactor() float64 {
+	return float64(len(p.Schedulers)+p.Others) / float64(len(p.Schedulers))
+}
+
 // Setup is what a history begins with.
 func (p *Plan) Setup() *history.Setup {
 	s := &history.Setup{Version: history.Version, Scenario: p.Scenario, Seed: p.Seed, Length: p.Length.Microseconds(),
--- a/rehearse/session/session.go
+++ b/rehearse/session/session.go
@@ -38,6 +38,9 @@
 	Out      string              // the folder for what is kept of a run; empty: nothing is
 	Progress func(time.Duration) // as of run.Options; may be nil
 	Late     time.Duration       // instead of LateLimit; 0: that
+
+	Extend func(*run.Options)    // changes what a run is told; may be nil
+	Events func([]history.Event) // is given the whole history; may be nil
 }
 
 // Play plays one plan. With an error there is no report; a run that was cut short has one that says so.
@@ -59,10 +62,16 @@
 		defer file.Close()
 		opt.History = file
 	}
+	if s.Extend != nil {
+		s.Extend(&opt)
+	}
 	res, err := run.Run(ctx, plan, opt)
 	if err != nil {
 		return nil, err
 	}
+	if s.Events != nil {
+		s.Events(res.Events)
+	}
 	out := Report(res.Events, s.Late)
 	out.Partial = res.Partial != ""
 	if out.Partial {
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -276,21 +276,29 @@
 	Discovery DiscoveryReport   `json:"discovery"`
 }
 
-// DiscoveryReport counts what has come from the present watch of discovery.
+// DiscoveryReport counts what has come from discovery since the present watches of it began.
 type DiscoveryReport struct {
 	Lists   uint64 `json:"lists"`
 	BytesIn uint64 `json:"bytes_in"`
 }
 
+// discoveryReport sums up the watches that there are: the next one takes over with its first list. Called under mu.
+func (s *Scheduler) discoveryReport() (r DiscoveryReport) {
+	for _, w := range []*watch{s.current, s.next} {
+		if w != nil {
+			lists, bytes := w.list.Received()
+			r.Lists, r.BytesIn = r.Lists+lists, r.BytesIn+bytes
+		}
+	}
+	return r
+}
+
 // fleetPage shows the other schedulers to operators.
 func (s *Scheduler) fleetPage() ([]byte, error) {
 	s.mu.Lock()
-	p, current := s.peers, s.current
+	p := s.peers
+	page := FleetPage{Discovery: s.discoveryReport()}
 	s.mu.Unlock()
-	page := FleetPage{}
-	if current != nil {
-		page.Discovery.Lists, page.Discovery.BytesIn = current.list.Received()
-	}
 	if s.room != nil {
 		page.Return = s.room.Report()
 	}
