--- a/rehearse/scale/failures.go
+++ b/rehearse/scale/failures.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -15,35 +16,35 @@
 
 // failure is one kind of failure that is played.
 type failure struct {
-	kind string
-	note string
-	// steps adds what happens to a plan, from at on, and returns when it ends and how many it strikes.
-	steps func(plan *scenario.Plan, s *size.Size, at time.Duration) (until time.Duration, struck int)
+	kind   string
+	note   string
+	lasts  time.Duration
+	strike strike
 	// standsFor is the length that is stood for; nil: the one that is played.
 	standsFor func(s *size.Size) float64
 }
 
+// strike adds to a plan what happens from one time to another, and returns how many workers or schedulers it meets.
+type strike func(plan *scenario.Plan, s *size.Size, from, to time.Duration) (struck int)
+
 // Times of failures as they are played.
 const (
-	failureAt      = 10 * time.Second // after the window's beginning
-	failureAfter   = 25 * time.Second // from a failure's end to the last arrival
-	workerDown     = 8 * time.Second
-	zoneDown       = 8 * time.Second
-	regionCutShort = 12 * time.Second
-	schedulerDown  = 3 * time.Second
-	restartsDrawn  = 10 * time.Second // in which the workers of a rolling restart are taken
-	workerStop     = 2 * time.Second  // from a drained worker's end to its next process
+	failureAt    = 10 * time.Second // after the lead-in
+	failureAfter = 25 * time.Second // from a failure's end to the last arrival
+	windowPart   = 0.8              // of failureAt
 )
 
 var failures = []failure{
-	{kind: "worker", steps: crashOf(func(plan *scenario.Plan, _ *size.Size) []int { return []int{len(plan.Workers) / 2} }, workerDown)},
-	{kind: "rolling-restart", note: "the restarts of a day, in proportion to the workers, within 10 s instead of a day", steps: rollingRestart,
-		standsFor: func(*size.Size) float64 { return secondsOfDay }},
-	{kind: "rack", note: "workers of one zone go silent together", steps: silenceOf(rack, workerDown)},
-	{kind: "zone", note: "all workers of a zone go silent, and its real schedulers are killed", steps: zoneLost},
-	{kind: "region-cut", note: "a region's schedulers are cut off from the other regions' schedulers and workers", steps: regionCut,
-		standsFor: func(s *size.Size) float64 { return s.Failures.RegionCutS }},
-	{kind: "all-schedulers", note: "all real schedulers are killed at once; hollow ones stay", steps: allSchedulers},
+	{kind: "worker", lasts: 8 * time.Second, strike: workerCrash},
+	{kind: "rolling-restart", note: "the restarts of a day, in proportion to the workers, within 14 s instead of a day",
+		lasts: 14 * time.Second, strike: rollingRestart, standsFor: func(*size.Size) float64 { return secondsOfDay }},
+	{kind: "rack", note: "workers of one zone fall silent together", lasts: 8 * time.Second, strike: rackSilent},
+	{kind: "zone", note: "all workers of a zone fall silent, and its real schedulers are killed unless they are all that there are",
+		lasts: 8 * time.Second, strike: zoneLost},
+	{kind: "region-cut", note: "a region's schedulers are cut off from the other regions' schedulers and workers",
+		lasts: 12 * time.Second, strike: regionCut, standsFor: func(s *size.Size) float64 { return s.Failures.RegionCutS }},
+	{kind: "all-schedulers", note: "all real schedulers are killed at once; hollow ones stay", lasts: 3 * time.Second,
+		strike: allSchedulers},
 }
 
 // FailureKinds names the failures in the order in which they are played.
@@ -91,15 +92,17 @@
 // playFailure plays one failure. The window in which CPU and bytes are counted is that before the failure, so that a
 // scheduler that is killed does not take its counts along.
 func playFailure(ctx context.Context, s *size.Size, seed uint64, f failure, opt Options) (*measurement.Point, error) {
+	shorten := cmp.Or(opt.Shorten, 1)
 	opt.LeadIn, opt.Whole = LeadInOf(s), true
-	opt.Window = failureAt - 2*time.Second
-	plan, err := planOf(s, seed, opt.LeadIn, 0)
+	opt.Window = shortened(windowPart*shorten, failureAt)
+	plan, err := planOf(s, seed, opt.LeadIn, opt.Window)
 	if err != nil {
 		return nil, err
 	}
-	at := opt.LeadIn + failureAt
-	until, struck := f.steps(plan, s, at)
-	plan.Length = until + failureAfter
+	at := opt.LeadIn + shortened(shorten, failureAt)
+	until := at + shortened(shorten, f.lasts)
+	struck := f.strike(plan, s, at, until)
+	plan.Length = until + shortened(shorten, failureAfter)
 	plan.Traffic.Length = plan.Length
 	plan.Rules.Agree, plan.Rules.Met = agreeWithin.Microseconds(), metWithin.Microseconds()
 	plan.Shades = append(plan.Shades, scenario.Shade{Name: f.kind, From: at, To: until})
@@ -169,24 +172,27 @@
 	}
 }
 
-func crashOf(who func(*scenario.Plan, *size.Size) []int, down time.Duration) func(*scenario.Plan, *size.Size, time.Duration) (
-	time.Duration, int) {
-	return func(plan *scenario.Plan, s *size.Size, at time.Duration) (time.Duration, int) {
-		some := who(plan, s)
-		plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Crash, Workers: some},
-			scenario.Step{At: at + down, Do: scenario.Return, Workers: some})
-		return at + down, len(some)
-	}
+func shortened(factor float64, d time.Duration) time.Duration {
+	return time.Duration(factor * float64(d))
 }
 
-func silenceOf(who func(*scenario.Plan, *size.Size) []int, down time.Duration) func(*scenario.Plan, *size.Size, time.Duration) (
-	time.Duration, int) {
-	return func(plan *scenario.Plan, s *size.Size, at time.Duration) (time.Duration, int) {
-		some := who(plan, s)
-		plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Vanish, Workers: some},
-			scenario.Step{At: at + down, Do: scenario.Return, Workers: some})
-		return at + down, len(some)
-	}
+func workerCrash(plan *scenario.Plan, _ *size.Size, from, to time.Duration) int {
+	one := []int{len(plan.Workers) / 2}
+	plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Crash, Workers: one},
+		scenario.Step{At: to, Do: scenario.Return, Workers: one})
+	return 1
+}
+
+// silence makes workers silent for a while.
+func silence(plan *scenario.Plan, workers []int, from, to time.Duration) {
+	plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Vanish, Workers: workers},
+		scenario.Step{At: to, Do: scenario.Return, Workers: workers})
+}
+
+func rackSilent(plan *scenario.Plan, s *size.Size, from, to time.Duration) int {
+	some := rack(plan, s)
+	silence(plan, some, from, to)
+	return len(some)
 }
 
 // rack is some workers of the first zone.
@@ -205,26 +211,27 @@
 }
 
 // rollingRestart drains and restarts as many workers as a day does, one after another.
-func rollingRestart(plan *scenario.Plan, s *size.Size, at time.Duration) (time.Duration, int) {
+func rollingRestart(plan *scenario.Plan, s *size.Size, from, to time.Duration) int {
+	const stop = 2 * time.Second // for a worker to drain, and again until its next process starts
 	n := min(len(plan.Workers), max(1, int(math.Round(s.Failures.RestartsPerDay))))
 	order := scenario.Chance(plan.Seed, "rolling restart").Perm(len(plan.Workers))
+	last := max(0, to-from-2*stop)
 	for i := range n {
-		plan.Steps = append(plan.Steps, scenario.Step{At: at + restartsDrawn*time.Duration(i)/time.Duration(n), Do: scenario.Drain,
-			Workers: []int{order[i]}, Down: workerStop, Stay: workerStop})
+		plan.Steps = append(plan.Steps, scenario.Step{At: from + last*time.Duration(i)/time.Duration(n), Do: scenario.Drain,
+			Workers: []int{order[i]}, Down: stop, Stay: stop})
 	}
-	return at + restartsDrawn + 2*workerStop, n
+	return n
 }
 
 // zoneLost takes the first zone away: its workers fall silent and its schedulers are killed.
-func zoneLost(plan *scenario.Plan, _ *size.Size, at time.Duration) (time.Duration, int) {
-	workers := workersIn(plan, plan.Zones[0])
-	schedulers := schedulersIn(plan, plan.Zones[0])
-	plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Vanish, Workers: workers},
-		scenario.Step{At: at + zoneDown, Do: scenario.Return, Workers: workers})
-	if len(schedulers) > 0 && len(schedulers) < len(plan.Schedulers) {
-		plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Kill, Schedulers: schedulers, Down: zoneDown})
+func zoneLost(plan *scenario.Plan, _ *size.Size, from, to time.Duration) int {
+	workers, schedulers := workersIn(plan, plan.Zones[0]), schedulersIn(plan, plan.Zones[0])
+	silence(plan, workers, from, to)
+	if len(schedulers) == len(plan.Schedulers) {
+		return len(workers)
 	}
-	return at + zoneDown, len(workers) + len(schedulers)
+	plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Kill, Schedulers: schedulers, Down: to - from})
+	return len(workers) + len(schedulers)
 }
 
 func schedulersIn(plan *scenario.Plan, zones ...string) (out []int) {
@@ -238,7 +245,7 @@
 
 // regionCut cuts the first region off: nothing passes between its schedulers and the others, nor between schedulers and
 // workers on two sides.
-func regionCut(plan *scenario.Plan, s *size.Size, at time.Duration) (time.Duration, int) {
+func regionCut(plan *scenario.Plan, s *size.Size, from, to time.Duration) int {
 	var inside, outside []string
 	for _, r := range s.Regions {
 		if r.Name == s.Regions[0].Name {
@@ -247,30 +254,29 @@
 			outside = append(outside, r.Zones...)
 		}
 	}
-	until := at + regionCutShort
 	near, far := schedulersIn(plan, inside...), schedulersIn(plan, outside...)
 	cut := func(schedulers, workers []int) {
 		if len(schedulers) == 0 || len(workers) == 0 {
 			return
 		}
-		plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Cut, Workers: workers, Schedulers: schedulers},
-			scenario.Step{At: until, Do: scenario.Mend, Workers: workers, Schedulers: schedulers})
+		plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Cut, Workers: workers, Schedulers: schedulers},
+			scenario.Step{At: to, Do: scenario.Mend, Workers: workers, Schedulers: schedulers})
 	}
 	cut(near, workersIn(plan, outside...))
 	cut(far, workersIn(plan, inside...))
 	if len(near) > 0 {
-		plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Part, Schedulers: near, Value: 1},
-			scenario.Step{At: until, Do: scenario.Part, Schedulers: near})
+		plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Part, Schedulers: near, Value: 1},
+			scenario.Step{At: to, Do: scenario.Part, Schedulers: near})
 	}
-	return until, len(near)
+	return len(near)
 }
 
 // allSchedulers kills all real schedulers at once.
-func allSchedulers(plan *scenario.Plan, _ *size.Size, at time.Duration) (time.Duration, int) {
+func allSchedulers(plan *scenario.Plan, _ *size.Size, from, to time.Duration) int {
 	all := make([]int, len(plan.Schedulers))
 	for i := range all {
 		all[i] = i
 	}
-	plan.Steps = append(plan.Steps, scenario.Step{At: at, Do: scenario.Kill, Schedulers: all, Down: schedulerDown})
-	return at + schedulerDown, len(all)
+	plan.Steps = append(plan.Steps, scenario.Step{At: from, Do: scenario.Kill, Schedulers: all, Down: to - from})
+	return len(all)
 }
--- a/rehearse/scale/scale.go
+++ b/rehearse/scale/scale.go
@@ -31,6 +31,7 @@
 	Whole   bool           // the run goes on until the last client has its answer, else it ends with the window
 	Out     string         // folder for the run's history, report and logs; empty: nothing is kept
 	Changes float64        // of configuration, a second at each scheduler; 0: none
+	Shorten float64        // factor on how long failures and what is around them last; 0: 1
 }
 
 // Result is what a run gave.
@@ -90,8 +91,11 @@
 	lost := ""
 	sess := session.Session{Program: opt.Program, Out: opt.Out, Extend: func(o *run.Options) {
 		o.Others = hollowNames(plan)
-		o.Prepare = func(ctx context.Context, stage *run.Stage) (err error) {
-			members, err = startHollow(ctx, opt.Kit, dir, plan, stage)
+		o.Prepare = func(ctx context.Context, stage *run.Stage) error {
+			started, err := startHollow(ctx, opt.Kit, dir, plan, stage)
+			if err == nil {
+				members = started
+			}
 			return err
 		}
 		o.Playing = func(ctx context.Context, stage *run.Stage) {
--- a/rehearse/strictyaml/strictyaml.go
+++ b/rehearse/strictyaml/strictyaml.go
@@ -102,13 +102,50 @@
 	}
 	if m := typeError.FindStringSubmatch(first); m != nil {
 		line, _ := strconv.Atoi(m[1])
-		if key := keyAt(root, "", line); key != "" {
+		key := keyOf(root, "", line, quotedValue(m[2]))
+		if key == "" {
+			key = keyAt(root, "", line)
+		}
+		if key != "" {
 			return fmt.Sprintf("line %d: %s: %s", line, key, m[2])
 		}
 	}
 	return first
 }
 
+var quoted = regexp.MustCompile("`([^`]+)`")
+
+// quotedValue is the value that a message of the decoder quotes; empty: it quotes none. It cuts a long one short and adds dots.
+func quotedValue(message string) string {
+	if m := quoted.FindStringSubmatch(message); m != nil {
+		return strings.TrimSuffix(m[1], "...")
+	}
+	return ""
+}
+
+// keyOf finds the first key in a line whose value begins so: several can stand in one line.
+func keyOf(n *yaml.Node, at string, line int, value string) string {
+	for i, c := range n.Content {
+		name := at
+		switch n.Kind {
+		case yaml.MappingNode:
+			if i%2 == 0 {
+				continue
+			}
+			name = strings.TrimPrefix(at+"."+n.Content[i-1].Value, ".")
+			if value != "" && c.Line == line && c.Kind == yaml.ScalarNode && strings.HasPrefix(c.Value, value) {
+				return name
+			}
+		case yaml.SequenceNode:
+			name = fmt.Sprintf("%s[%d]", at, i)
+		}
+		if inner := keyOf(c, name, line, value); inner != "" {
+			return inner
+		}
+	}
+	return ""
+}
+
 // keyAt finds the innermost key whose value stands in a line.
 func keyAt(n *yaml.Node, at string, line int) (found string) {
 	for i, c := range n.Content {
--- a/rehearse/strictyaml/strictyaml_test.go
+++ b/rehearse/strictyaml/strictyaml_test.go
@@ -27,6 +27,8 @@
 		{"name: a\nparts:\n- size: 1\n- size: 2\n", "x.yaml: line 4: parts[1].size: too much", wrong},
 		{"name: a\nparts: []\n", "x.yaml: line 2: parts[1].size: too much", wrong},
 		{"name: a\nparts:\n- size: big\n", "x.yaml: line 3: parts[0].size: cannot unmarshal", fine},
+		{"name: a\nparts:\n- {size: 2, size_of: 3}\n", "x.yaml: line 3: size_of: there is no such key", fine},
+		{"name: a\nparts: [{size: 2}, {size: 2s}]\n", "x.yaml: line 2: parts[1].size: cannot unmarshal", fine},
 		{"name: a\nname: b\n", "x.yaml: line 2: ", fine},
 		{"nam: a\n", "x.yaml: line 1: nam: there is no such key", fine},
 		{"name: a\n---\nname: b\n", "x.yaml: a second document", fine},
