--- a/rehearse/run/peers.go
+++ b/rehearse/run/peers.go
@@ -67,10 +67,7 @@
 	if r.links == nil {
 		return nil
 	}
-	var join []string
-	for _, p := range r.posts {
-		join = append(join, p.known)
-	}
+	join := r.join()
 	for _, p := range r.posts {
 		if err := p.introduce(join); err != nil {
 			return err
@@ -135,6 +132,7 @@
 	set := func(from, to int, f links.Fault, what string) {
 		a, b := r.posts[from].name, r.posts[to].name
 		on := f != links.Fault{}
+		f.Delay += r.apart(r.plan.Schedulers[from].Zone, r.plan.Schedulers[to].Zone)
 		if on { // written down before it counts, and its end after
 			r.rec.Add(history.Event{Kind: history.KindLink, Scheduler: a, Peer: b, On: true, Note: what})
 		}
@@ -159,6 +157,7 @@
 			}
 		}
 	}
+	r.partOthers(st)
 }
 
 // route makes the ways between some schedulers and workers, or discovery, fail in the step's manner, or ends that.
@@ -232,22 +231,27 @@
 	}
 }
 
-// viewOf asks a scheduler what it knows of the others.
-func viewOf(address string) (*history.View, bool) {
+// fleetPage asks a scheduler what it knows of the others, and decodes that.
+func fleetPage(address string, into any) bool {
 	c, err := net.DialTimeout("tcp", address, callWithin)
 	if err != nil {
-		return nil, false
+		return false
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(callWithin))
 	if _, err := fmt.Fprintf(c, "GET /-/fleet HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
-		return nil, false
+		return false
 	}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 4096), nil)
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return nil, false
+		return false
 	}
 	defer resp.Body.Close()
+	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, viewBytes)).Decode(into) == nil
+}
+
+// viewOf is what a scheduler knows of the others, as a history has it.
+func viewOf(address string) (*history.View, bool) {
 	var page struct {
 		Start   uint64  `json:"start"`
 		Self    string  `json:"self"`
@@ -263,7 +267,7 @@
 			Provider string `json:"provider"`
 		} `json:"bans"`
 	}
-	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, viewBytes)).Decode(&page) != nil {
+	if !fleetPage(address, &page) {
 		return nil, false
 	}
 	v := &history.View{Start: page.Start, Self: page.Self, Present: page.Present, MayRun: page.MayRun, Share: page.Share, Members: make(map[string]string)}
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -271,16 +271,34 @@
 // FleetPage is what operators are shown of the other schedulers.
 type FleetPage struct {
 	peers.Report
-	Owners *owners.Report    `json:"owners,omitempty"`
-	Return *returning.Report `json:"return,omitempty"`
+	Owners    *owners.Report    `json:"owners,omitempty"`
+	Return    *returning.Report `json:"return,omitempty"`
+	Discovery DiscoveryReport   `json:"discovery"`
+}
+
+// DiscoveryReport counts what has come from discovery since the present watches of it began.
+type DiscoveryReport struct {
+	Lists   uint64 `json:"lists"`
+	BytesIn uint64 `json:"bytes_in"`
+}
+
+// discoveryReport sums up the watches that there are: the next one takes over with its first list. Called under mu.
+func (s *Scheduler) discoveryReport() (r DiscoveryReport) {
+	for _, w := range []*watch{s.current, s.next} {
+		if w != nil {
+			lists, bytes := w.list.Received()
+			r.Lists, r.BytesIn = r.Lists+lists, r.BytesIn+bytes
+		}
+	}
+	return r
 }
 
 // fleetPage shows the other schedulers to operators.
 func (s *Scheduler) fleetPage() ([]byte, error) {
 	s.mu.Lock()
 	p := s.peers
+	page := FleetPage{Discovery: s.discoveryReport()}
 	s.mu.Unlock()
-	page := FleetPage{}
 	if s.room != nil {
 		page.Return = s.room.Report()
 	}
