--- /dev/null
+++ b/owners/ask.go
@@ -0,0 +1,73 @@
+package owners
+
+import (
+	wire "laddertide/wire/owners"
+)
+
+// handleAsk answers another scheduler's question for a job. Called under mu.
+func (h *Handler) handleAsk(m *wire.Message) {
+	r := m.Record
+	e := h.live[r.ID]
+	a := h.answer(r.ID)
+	departed := h.departedTo(r.ID)
+	switch {
+	case e != nil && (e.owned || e.same) && e.digest != r.Digest, e == nil && a != nil && a.digest != r.Digest:
+		h.reply(m, wire.Message{Code: wire.Another})
+	case e != nil && h.cameToNothing(e, r): // two that gave way to each other would wait for each other
+		h.reply(m, wire.Message{Code: wire.Never})
+	case e != nil && e.recorded && e.owned && !e.lost:
+		h.addWaiter(e, m)
+	case e != nil: // its owner is not known yet: whoever asks repeats the question
+		h.reply(m, wire.Message{Code: wire.Going})
+	case a != nil:
+		outcome := wireOutcome(a.out)
+		h.reply(m, wire.Message{Code: wire.Over, Outcome: &outcome})
+	case departed != wire.Process{}:
+		h.reply(m, wire.Message{Code: wire.Elsewhere, Record: &wire.Record{ID: r.ID, Owner: departed, Term: r.Term + 1}})
+	case h.cameToNothing(nil, r) && !h.claimed[r.ID]:
+		h.reply(m, wire.Message{Code: wire.Never})
+	case r.Owner.Name == h.me.Name && h.cfg.Ledger != nil:
+		h.replyFromLedger(m)
+	default:
+		h.reply(m, wire.Message{Code: wire.Unknown})
+	}
+}
+
+// addWaiter has a scheduler that asks for an open job wait for its outcome, if there is room. Called under mu.
+func (h *Handler) addWaiter(e *entry, m *wire.Message) {
+	if !e.waiters[m.From.Name] {
+		if h.waits >= h.cfg.Settings.MaxWaits {
+			h.reply(m, wire.Message{Code: wire.Later})
+			return
+		}
+		e.waiters[m.From.Name] = true
+		h.waits++
+	}
+	h.reply(m, wire.Message{Code: wire.Going})
+}
+
+// cameToNothing reports whether a taking of this process has come to nothing: nothing of it was sent, and nothing will be. e is
+// the open job of that ID; nil: there is none. Called under mu.
+func (h *Handler) cameToNothing(e *entry, r *wire.Record) bool {
+	if e != nil && (e.mine || e.ran && e.effect.Waits() || e.recorded && e.record.Nonce == r.Nonce) {
+		return false
+	}
+	return r.Owner == h.me && r.Nonce > h.forgotten && r.Nonce <= h.nonce
+}
+
+// replyFromLedger answers a question for a job of an earlier process, which the ledger may have. Called under mu.
+func (h *Handler) replyFromLedger(m *wire.Message) {
+	h.work.Go(func() {
+		out, known := h.cfg.Ledger.Find(m.Record.ID)
+		h.mu.Lock()
+		defer h.unlock()
+		switch {
+		case out != nil:
+			h.reply(m, wire.Message{Code: wire.Over, Outcome: new(wireOutcome(*out))})
+		case known: // whoever asks repeats the question
+			h.reply(m, wire.Message{Code: wire.Going})
+		default:
+			h.reply(m, wire.Message{Code: wire.Unknown})
+		}
+	})
+}
--- /dev/null
+++ b/owners/claim.go
@@ -0,0 +1,156 @@
+package owners
+
+import (
+	"sync"
+	"time"
+
+	core "laddertide/core/owners"
+	"laddertide/job"
+	"laddertide/provider"
+	wire "laddertide/wire/owners"
+)
+
+// maxClaims is the number of jobs that are claimed at a time.
+const maxClaims = 16
+
+// Claim records jobs of a ledger as this scheduler's, after it has come to lead the ledger of their former owner, so that
+// requests elsewhere are directed here. Of the jobs in ended only the IDs are known. Claim returns at once and tries in the
+// background.
+func (h *Handler) Claim(open []*job.Job, ended []string) {
+	jobs := make(map[string]*job.Job, len(open)+len(ended)) // by ID; nil for one that has ended
+	for _, id := range ended {
+		jobs[id] = nil
+	}
+	for _, j := range open {
+		jobs[j.ID] = j
+	}
+	h.mu.Lock()
+	for id := range jobs {
+		h.claimed[id] = true
+	}
+	h.unlock()
+	time.AfterFunc(h.life(), func() {
+		h.mu.Lock()
+		defer h.unlock()
+		for id := range jobs {
+			delete(h.claimed, id)
+		}
+	})
+	h.work.Go(func() { h.claimAll(jobs) })
+}
+
+// claimAll claims jobs, maxClaims at a time, and waits until that is done.
+func (h *Handler) claimAll(jobs map[string]*job.Job) {
+	var claims sync.WaitGroup
+	defer claims.Wait()
+	slots := make(chan struct{}, maxClaims)
+	for id, j := range jobs {
+		select {
+		case slots <- struct{}{}:
+		case <-h.closing:
+			return
+		}
+		claims.Go(func() {
+			defer func() { <-slots }()
+			h.claimWithRetries(id, j)
+		})
+	}
+}
+
+// claimWithRetries claims a job, and logs it if that does not succeed.
+func (h *Handler) claimWithRetries(id string, j *job.Job) {
+	for range tries {
+		if h.claimOnce(id, j) {
+			return
+		}
+		select {
+		case <-time.After(h.cfg.Answer):
+		case <-h.closing:
+			return
+		}
+	}
+	h.log.Warn("a job that this scheduler goes on with is not known to be its", "id", id)
+}
+
+// claimOnce claims a job unless its keepers know that there is no need. It returns false if that should be tried again.
+func (h *Handler) claimOnce(id string, j *job.Job) bool {
+	h.mu.Lock()
+	roster, ok := h.rosters.Roster()
+	h.unlock()
+	if !ok {
+		return false
+	}
+	r, answered := h.read(id, &roster)
+	switch {
+	case r == nil && answered < roster.Quorum():
+		return false
+	case r == nil && j == nil: // nobody knows of it
+		return true
+	case r != nil && (r.Owner == h.self() || r.Ended && r.Kept):
+		return true
+	}
+	h.mu.Lock()
+	p := h.putting(h.claimEntry(id, j, r))
+	h.unlock()
+	return p.wait(time.Now().Add(2*h.cfg.Answer)) == core.Won
+}
+
+// claimEntry returns an entry for the claim of a job, with the record that follows r. r is nil if the job's keepers are gone or
+// began anew; j is not nil then. Called under mu.
+func (h *Handler) claimEntry(id string, j *job.Job, r *wire.Record) *entry {
+	h.nonce++
+	e := &entry{h: h, id: id, nonce: h.nonce, done: make(chan struct{})}
+	if r != nil {
+		e.digest = r.Digest
+		e.due = time.Now().Add(r.Due)
+		e.effect = core.Effect(r.Effect)
+		e.record = core.After(r, h.me, e.nonce)
+	} else {
+		left := max(0, j.Left)
+		e.digest = digest(j)
+		e.due = time.Now().Add(j.Left)
+		if j.Class < len(h.cfg.Classes) {
+			e.effect = core.Effect(h.cfg.Classes[j.Class].Effect)
+		}
+		e.record = wire.Record{
+			ID:     id,
+			Owner:  h.me,
+			Nonce:  e.nonce,
+			Term:   1,
+			Rev:    1,
+			Digest: e.digest,
+			Effect: uint8(e.effect),
+			Due:    left,
+			Left:   left + h.cfg.Settings.Keep,
+		}
+	}
+	e.record.Ledger = true
+	return e
+}
+
+// PassOn forwards a provider's event to the scheduler that goes on with its job, if that is not this one. It returns nil, so
+// that the event is acknowledged, once that one has received it or the job has ended; else job.ErrLater.
+func (h *Handler) PassOn(ev provider.Event) error {
+	h.mu.Lock()
+	net, busy, me := h.net, h.unfound >= mostUnfound, h.me
+	roster, ok := h.rosters.Roster()
+	if net == nil || busy || !ok {
+		h.unlock()
+		return job.ErrLater
+	}
+	h.unfound++
+	h.unlock()
+	defer func() {
+		h.mu.Lock()
+		h.unfound--
+		h.unlock()
+	}()
+	r, _ := h.read(ev.ID, &roster)
+	switch {
+	case r == nil || r.Owner.Name == me.Name: // nobody is known to go on with it yet
+		return job.ErrLater
+	case r.Ended:
+		return nil
+	}
+	return h.pass(ev, r.Owner)
+}
--- /dev/null
+++ b/owners/handover.go
@@ -0,0 +1,316 @@
+package owners
+
+import (
+	"time"
+
+	core "laddertide/core/owners"
+	"laddertide/job"
+	wire "laddertide/wire/owners"
+)
+
+// maxOffers is the number of schedulers to which an open job is offered, one after another.
+const maxOffers = 2
+
+// departure is the ID of a job that was handed over, and the time until which it is remembered.
+type departure struct {
+	id    string
+	until time.Duration
+}
+
+// self returns this process as the others know it.
+func (h *Handler) self() wire.Process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.me
+}
+
+// handOverLead returns how long before the end of the program open jobs are handed over. A peer takes a job in Answer, and its
+// keepers in as much again; what a stopping decision module answers last must be answered by then, too.
+func (h *Handler) handOverLead() time.Duration { return 4 * h.cfg.Answer }
+
+// programEnd returns the time at which this program ends. If it is not stopping that is as far away as any job's end.
+func (h *Handler) programEnd() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ends.IsZero() {
+		return time.Now().Add(h.life())
+	}
+	return h.ends
+}
+
+// Stop announces that the program ends at by: this scheduler takes no new records, and hands its open jobs over shortly before.
+// Further calls only change the time.
+func (h *Handler) Stop(by time.Time) {
+	h.mu.Lock()
+	net := h.net
+	stopping := !h.ends.IsZero()
+	h.ends = by
+	h.mu.Unlock()
+	if stopping {
+		return
+	}
+	if net != nil {
+		net.Retire()
+	}
+	h.work.Go(func() { h.handOverBefore(by) })
+}
+
+// handOverBefore waits until handOverLead before the end of the program, and then has open jobs handed over. With a ledger they
+// are left to the next process.
+func (h *Handler) handOverBefore(by time.Time) {
+	timer := time.NewTimer(time.Until(by) - h.handOverLead())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-h.closing:
+		return
+	}
+	close(h.going) // clients that wait for another scheduler's answer ask again elsewhere
+	if h.cfg.Ledger != nil {
+		return
+	}
+	h.mu.Lock()
+	h.leaving = true
+	open := len(h.live)
+	h.unlock()
+	if open > 0 && h.cfg.Pool != nil {
+		h.log.Info("open jobs are handed over", "jobs", open)
+		h.cfg.Pool.Leave()
+	}
+}
+
+// handOver offers an open job, with the calls that were made for it, to other schedulers. It returns the outcome for the
+// clients that wait here.
+func (h *Handler) handOver(e *entry, past []job.Past) job.Outcome {
+	failed := job.Outcome{Kind: job.Failed}
+	if !anyMayRun(past) {
+		failed = job.Outcome{Kind: job.Rejected, RetryAfter: 2 * h.cfg.Answer}
+	}
+	if h.cfg.Pool != nil {
+		defer h.cfg.Pool.Arrived(e.id)
+	}
+	h.mu.Lock()
+	candidates := h.successors(e.id)
+	e.record.Rev++
+	e.fill()
+	j := e.wireJob(past)
+	owned := e.owned && e.recorded && !e.lost && h.net != nil
+	h.unlock()
+	if !owned || len(j.Payload) > wire.MaxJob {
+		return failed
+	}
+	for _, to := range candidates[:min(maxOffers, len(candidates))] {
+		if time.Until(h.programEnd()) < h.cfg.Answer {
+			break
+		}
+		code := h.offer(j, to)
+		if code != wire.Yes && code != 0 {
+			continue
+		}
+		// One that has not replied may have the job all the same: nobody else may get it.
+		h.mu.Lock()
+		h.addDeparture(e.id, to)
+		if code == wire.Yes {
+			h.count.Handed++
+		}
+		h.unlock()
+		return h.later()
+	}
+	return failed
+}
+
+// wireJob returns the job in its wire form, with the attempts that were made for it. Called under mu.
+func (e *entry) wireJob(past []job.Past) *wire.Job {
+	j := &wire.Job{
+		Record:   e.record,
+		Class:    e.job.ClassName,
+		Party:    e.job.Party,
+		Key:      e.job.Key,
+		Subject:  e.job.Subject,
+		Protocol: e.job.Protocol,
+		Deadline: e.job.Deadline,
+		Left:     max(0, time.Until(e.due)),
+		Hint:     e.job.Hint,
+		Slots:    e.job.Slots,
+		Payload:  e.job.Payload,
+	}
+	for _, f := range e.job.Fields {
+		j.Fields = append(j.Fields, wire.Field{Name: f.Name, Value: f.Value})
+	}
+	for _, p := range past[:min(wire.MaxSent, len(past))] {
+		j.Past = append(j.Past, wire.Past{Provider: p.Provider, Ago: p.Ago, Begun: p.Begun, MayRun: p.MayRun, Over: !p.Out})
+	}
+	return j
+}
+
+// addDeparture records to whom a job was handed over, for as long as its record may count. Called under mu.
+func (h *Handler) addDeparture(id string, to wire.Process) {
+	h.gone[id] = to
+	h.left = append(h.left, departure{id, h.now() + h.life()})
+	h.expireDepartures()
+}
+
+// expireDepartures forgets old departures, and the oldest ones if there are too many. Called under mu.
+func (h *Handler) expireDepartures() {
+	for len(h.left) > 0 && (len(h.left) > h.cfg.Settings.MaxRecords || h.left[0].until <= h.now()) {
+		delete(h.gone, h.left[0].id)
+		h.left = h.left[1:]
+	}
+}
+
+// departedTo returns the process to which a job was handed over, or the zero Process. Called under mu.
+func (h *Handler) departedTo(id string) wire.Process {
+	h.expireDepartures()
+	return h.gone[id]
+}
+
+// successors returns the schedulers that may go on with a job, its keepers first. Called under mu.
+func (h *Handler) successors(id string) []wire.Process {
+	if h.net == nil {
+		return nil
+	}
+	var able []wire.Process
+	for _, c := range h.net.Ground().All {
+		if c.Reached && !c.Leaving && !c.Unable && !c.Stranger && c.Process != h.me {
+			able = append(able, c.Process)
+		}
+	}
+	r := core.NewRoster(able, len(able))
+	return r.Keepers(id)
+}
+
+// offer offers a job to a scheduler and returns the code of its reply, wire.No if the offer cannot be delivered, or 0 if there
+// is no reply in time. It returns before the program ends, so that the job's client can still be answered.
+func (h *Handler) offer(j *wire.Job, to wire.Process) wire.Code {
+	replies := make(chan wire.Code, 1)
+	m := &wire.Message{Kind: wire.Hand, Job: j}
+	h.mu.Lock()
+	net := h.net
+	if net == nil {
+		h.unlock()
+		return wire.No
+	}
+	q := h.expect(m, func(from wire.Process, m *wire.Message) {
+		if from.Name != to.Name {
+			return
+		}
+		select {
+		case replies <- m.Code:
+		default:
+		}
+	})
+	h.unlock()
+	defer func() {
+		h.mu.Lock()
+		h.close(q)
+		h.unlock()
+	}()
+	delivered := make(chan error, 1)
+	h.work.Go(func() {
+		h.places <- struct{}{}
+		defer func() { <-h.places }()
+		delivered <- net.TellWhole(to.Name, m.Append()) // a packet could be lost, and the job with it
+	})
+	timer := time.NewTimer(min(2*h.cfg.Answer, time.Until(h.programEnd())-h.cfg.Answer/4))
+	defer timer.Stop()
+	for {
+		select {
+		case err := <-delivered:
+			if err != nil {
+				return wire.No
+			}
+			delivered = nil
+		case code := <-replies:
+			return code
+		case <-timer.C:
+			return 0
+		}
+	}
+}
+
+// handleHand takes a job that another scheduler hands over. Called under mu.
+func (h *Handler) handleHand(m *wire.Message) {
+	handed := m.Job
+	class := h.classIndex(handed.Class)
+	if e := h.live[handed.Record.ID]; e != nil || class < 0 || h.leaving || handed.Record.Digest == [16]byte{} {
+		code := wire.No
+		if e != nil && e.record.Over == handed.Record.Owner { // a repeat of an offer that was accepted
+			code = wire.Yes
+		}
+		h.reply(m, wire.Message{Code: code})
+		return
+	}
+	e := h.open(h.jobOf(handed, class), handed.Record.Digest, time.Now().Add(handed.Left))
+	e.given = true
+	e.again = true
+	for _, p := range handed.Past {
+		e.past = append(e.past, job.Past{Provider: p.Provider, Ago: p.Ago, Begun: p.Begun, MayRun: p.MayRun, Out: !p.Over})
+	}
+	for _, c := range handed.Record.Calls {
+		e.calls = append(e.calls, call{provider: c.Provider, at: time.Now().Add(-c.Ago)})
+	}
+	e.record = core.After(&handed.Record, h.me, e.nonce)
+	p := h.putting(e)
+	h.carry(e, func() job.Outcome { return h.runHanded(e, p, m) })
+}
+
+// runHanded runs a job that was handed over to this scheduler, and replies to the offer m. The former owner has let go of the
+// job for this scheduler alone, so that it is this one's even if too few keepers reply; they direct requests here.
+func (h *Handler) runHanded(e *entry, p *putting, m *wire.Message) job.Outcome {
+	verdict := p.wait(time.Now().Add(h.cfg.Answer))
+	h.mu.Lock()
+	if verdict == core.Lost || verdict == core.Tied { // another scheduler has gone on with it already
+		h.reply(m, wire.Message{Code: wire.No})
+		e.followed = true
+		h.unlock()
+		return h.later()
+	}
+	h.count.Moved++
+	h.reply(m, wire.Message{Code: wire.Yes})
+	h.unlock()
+	return h.run(e, p)
+}
+
+// classIndex returns the place of the class of a name that is not retired; below 0: there is none. Called under mu.
+func (h *Handler) classIndex(name string) int {
+	index := -1
+	for i, c := range h.cfg.Classes {
+		if c.Name == name && !c.Retired {
+			index = i
+		}
+	}
+	return index
+}
+
+// tenantIndex returns the place of the tenant of a name, or the number of tenants if there is none. Called under mu.
+func (h *Handler) tenantIndex(name string) int {
+	for i, t := range h.cfg.Tenants {
+		if t.Name == name {
+			return i
+		}
+	}
+	return len(h.cfg.Tenants)
+}
+
+// jobOf returns a job from its wire form. Called under mu.
+func (h *Handler) jobOf(w *wire.Job, class int) *job.Job {
+	j := &job.Job{
+		ID:        w.Record.ID,
+		Class:     class,
+		ClassName: w.Class,
+		Tenant:    h.tenantIndex(w.Party),
+		Party:     w.Party,
+		Key:       w.Key,
+		Subject:   w.Subject,
+		Protocol:  w.Protocol,
+		Deadline:  w.Deadline,
+		Left:      w.Left,
+		Hint:      w.Hint,
+		Slots:     w.Slots,
+		Payload:   w.Payload,
+	}
+	for _, f := range w.Fields {
+		j.Fields = append(j.Fields, job.Field{Name: f.Name, Value: f.Value})
+	}
+	return j
+}
--- a/owners/net.go
+++ b/owners/net.go
@@ -273,7 +273,7 @@
 			h.reply(m, wire.Message{Code: wire.Unknown})
 		}
 	case wire.Ask:
-		h.asked(m)
+		h.handleAsk(m)
 	case wire.Sync:
 		h.sync(m)
 	case wire.Part:
@@ -282,7 +282,7 @@
 		r, _ := h.rosters.Roster()
 		h.reply(m, wire.Message{Code: wire.Yes, Roster: r.Digest()})
 	case wire.Hand:
-		h.handed(m)
+		h.handleHand(m)
 	case wire.Event:
 		h.word(m)
 	case wire.Reply:
--- /dev/null
+++ b/owners/outcome.go
@@ -0,0 +1,243 @@
+package owners
+
+import (
+	"slices"
+	"time"
+
+	core "laddertide/core/owners"
+	"laddertide/job"
+	wire "laddertide/wire/owners"
+)
+
+// endOwner says whose outcome of a job counts.
+type endOwner uint8
+
+const (
+	endIsOwn      endOwner = iota // this scheduler's
+	endIsOthers                   // that of another one, which has gone on with the job
+	endUnresolved                 // not known: too few keepers have acknowledged it
+)
+
+// anyMayRun reports whether a provider that was sent a job may have run it.
+func anyMayRun(past []job.Past) bool {
+	return slices.ContainsFunc(past, func(p job.Past) bool { return p.MayRun || p.Out })
+}
+
+// endJob gives a job its one outcome: it records the outcome with the keepers and then answers those who wait for it. It is
+// called once for each entry.
+func (h *Handler) endJob(e *entry, out job.Outcome) {
+	e.Awaiting() // nobody waits any more until this job's end is listened for
+	if out.Kind == job.Moved && h.isLeaving() {
+		out = h.handOver(e, out.Past)
+	}
+	if out.Kind == job.Rejected && anyMayRun(e.past) {
+		out = job.Outcome{Kind: job.Failed}
+	}
+	rival, owner := h.confirmEnd(e, out)
+	switch owner {
+	case endUnresolved:
+		// Another scheduler may go on with the job and answer otherwise. Clients that wait are told to ask again, and the
+		// outcome is sent to the keepers until a majority has acknowledged it.
+		h.mu.Lock()
+		e.out = h.later()
+		close(e.done)
+		h.unlock()
+		h.resolveEnd(e, out)
+		return
+	case endIsOthers:
+		// This process had stalled or was cut off, and another one has gone on with the job.
+		if answer, again := h.elsewhere(e, rival, false); !again {
+			out = answer
+		} else {
+			out = h.later()
+		}
+	}
+	h.mu.Lock()
+	defer h.unlock()
+	delete(h.live, e.id)
+	h.retain(e, out)
+	final := out.Kind == job.Served || out.Kind == job.Failed && out.RetryAfter == 0 || out.Kind == job.Rejected
+	h.releaseWaiters(e, out, !e.lost && final) // those that are not notified ask again
+	e.out = out
+	close(e.done)
+}
+
+// isLeaving reports whether open jobs are being handed over.
+func (h *Handler) isLeaving() bool {
+	h.mu.Lock()
+	defer h.unlock()
+	return h.leaving
+}
+
+// retain keeps what must be known of a job that has left the open ones. Called under mu.
+func (h *Handler) retain(e *entry, out job.Outcome) {
+	switch {
+	case out.Kind == job.Moved, e.lost, out.Kind == job.Failed && out.RetryAfter > 0, out.Kind == job.Conflict:
+		// The job is not over, or not this scheduler's to end. Something of it may have been sent.
+		if e.ran && e.effect.Waits() {
+			h.forgotten = max(h.forgotten, e.nonce)
+		}
+	case out.Kind == job.Served, out.Kind == job.Failed, out.Kind == job.Rejected && e.effect.Waits() && e.owned:
+		// A rejection is an end, too: requests of before wait elsewhere, and none of them may have the job run.
+		h.cacheAnswer(e, out)
+	default: // nothing ran, and nothing will by this taking
+		if e.recorded {
+			record := e.record
+			h.forget(&record)
+		}
+	}
+}
+
+// releaseWaiters ends the wait of other schedulers for a job. If notify is set they are sent its outcome. Called under mu.
+func (h *Handler) releaseWaiters(e *entry, out job.Outcome, notify bool) {
+	outcome := wireOutcome(out)
+	for name := range e.waiters {
+		h.waits--
+		if notify {
+			h.deliver(name, &wire.Message{Kind: wire.Told, From: h.me, ID: e.id, Outcome: &outcome})
+		}
+	}
+}
+
+// resolveEnd sends the outcome of a job to its keepers until a majority has acknowledged it, which makes it the job's answer,
+// or another scheduler is found to have gone on with the job, or its record expires.
+func (h *Handler) resolveEnd(e *entry, out job.Outcome) {
+	won := h.putEndUntilResolved(e, out)
+	h.mu.Lock()
+	defer h.unlock()
+	delete(h.live, e.id)
+	if won {
+		h.cacheAnswer(e, out)
+	} else {
+		h.forgotten = max(h.forgotten, e.nonce)
+	}
+	h.releaseWaiters(e, out, won)
+}
+
+// putEndUntilResolved reports whether a majority of keepers has acknowledged the outcome of a job.
+func (h *Handler) putEndUntilResolved(e *entry, out job.Outcome) bool {
+	expiry := e.due.Add(h.cfg.Settings.Keep)
+	for time.Now().Before(expiry) {
+		select {
+		case <-h.closing:
+			return false
+		case <-time.After(h.cfg.Answer):
+		}
+		h.mu.Lock()
+		p := h.putEnd(e, wireOutcome(out))
+		h.unlock()
+		switch p.wait(time.Now().Add(4 * h.cfg.Answer)) {
+		case core.Won:
+			return true
+		case core.Lost, core.Tied:
+			return false
+		}
+	}
+	return false
+}
+
+// cacheAnswer keeps a job's outcome for requests that repeat it. Called under mu.
+func (h *Handler) cacheAnswer(e *entry, out job.Outcome) {
+	now := time.Now()
+	a := &answer{id: e.id, digest: e.digest, nonce: e.record.Nonce, out: out, until: now.Add(h.endRetention(out.Kind))}
+	a.out.Written = nil
+	h.bytes += len(out.Result)
+	if expired := h.answers[e.id]; expired != nil {
+		h.bytes -= len(expired.out.Result)
+	}
+	h.answers[e.id] = a
+	h.order.PushBack(a)
+	h.evictAnswers(now)
+}
+
+// evictAnswers removes expired answers and, if there are too many, the oldest ones. Called under mu.
+func (h *Handler) evictAnswers(now time.Time) {
+	for h.order.Len() > 0 {
+		oldest := h.order.Front()
+		a := oldest.Value.(*answer)
+		expired := now.After(a.until)
+		if !expired && h.order.Len() <= h.cfg.Settings.MaxRecords && h.bytes <= answerBytes {
+			return
+		}
+		h.order.Remove(oldest)
+		if h.answers[a.id] == a {
+			h.bytes -= len(a.out.Result)
+			delete(h.answers, a.id)
+		}
+		h.forgotten = max(h.forgotten, a.nonce)
+	}
+}
+
+// wireOutcome converts an outcome to its wire form.
+func wireOutcome(out job.Outcome) wire.Outcome {
+	return wire.Outcome{Kind: uint8(out.Kind), Result: out.Result, RetryAfter: out.RetryAfter, Why: out.Why}
+}
+
+// putEnd puts the record of a job with its outcome. Called under mu.
+func (h *Handler) putEnd(e *entry, outcome wire.Outcome) *putting {
+	r := &e.record
+	r.Rev++
+	e.fill()
+	r.Ended = true
+	r.Left = h.endRetention(job.Kind(outcome.Kind))
+	r.Kept = len(outcome.Result) <= wire.MaxKept && len(outcome.Why) <= wire.MaxName
+	if r.Kept {
+		r.Outcome = outcome
+	}
+	r.Calls = nil // nobody goes on with the job
+	return h.putting(e)
+}
+
+// ends reports whether an outcome ends the job for everybody, so that nobody may run it after that.
+func (e *entry) ends(out job.Outcome) bool {
+	switch out.Kind {
+	case job.Served:
+		return true
+	case job.Failed:
+		return out.RetryAfter <= 0
+	case job.Rejected:
+		return e.effect.Waits()
+	default:
+		return false
+	}
+}
+
+// confirmEnd puts the outcome of a job to its keepers and returns whose outcome counts; rival is the other's record if it is
+// not this scheduler's. It waits for the keepers only if the job may be another's by now.
+func (h *Handler) confirmEnd(e *entry, out job.Outcome) (rival wire.Record, owner endOwner) {
+	h.mu.Lock()
+	if e.lost && e.rival.ID != "" && out.Kind != job.Conflict && !e.followed {
+		defer h.unlock()
+		return e.rival, endIsOthers
+	}
+	if e.lost || !e.owned || !e.recorded || !e.ends(out) {
+		h.unlock()
+		return rival, endIsOwn
+	}
+	// A job that others may go on with while its owner cannot be reached has one result: that which a majority knows.
+	needsMajority := e.effect.Notes() && out.Kind == job.Served
+	waits := needsMajority || e.mayHaveMoved()
+	p := h.putEnd(e, wireOutcome(out))
+	h.unlock()
+	if !waits {
+		return rival, endIsOwn
+	}
+	switch p.wait(e.within(2 * h.cfg.Answer)) {
+	case core.Won:
+		return rival, endIsOwn
+	case core.Lost, core.Tied:
+		return e.rival, endIsOthers
+	}
+	if needsMajority {
+		return rival, endUnresolved
+	}
+	return rival, endIsOwn
+}
+
+// endRetention returns for how long a job's outcome is kept. A rejection is kept until no request of before it is left.
+func (h *Handler) endRetention(kind job.Kind) time.Duration {
+	if kind == job.Rejected {
+		return h.life() - h.cfg.Settings.Keep
+	}
+	return h.cfg.Settings.Keep
+}
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -269,7 +269,7 @@
 		return h.later()
 	case e != nil:
 		h.count.Joined++
-		if j.Keeper != nil && e.unheard() {
+		if j.Keeper != nil && e.listenerPending() {
 			e.before = append(e.before, j.Keeper)
 		} else if j.Keeper != nil {
 			listened = j.Keeper.Awaiting
@@ -278,7 +278,7 @@
 		h.count.Joined++
 		h.unlock()
 		return a.out
-	case h.to(j.ID) != wire.Process{}:
+	case h.departedTo(j.ID) != wire.Process{}:
 		h.unlock()
 		return h.later()
 	default:
@@ -368,10 +368,10 @@
 		defer func() {
 			if r := recover(); r != nil {
 				h.log.Error("panic while carrying a job", "panic", r, "stack", string(debug.Stack()))
-				h.end(e, job.Outcome{Kind: job.Failed})
+				h.endJob(e, job.Outcome{Kind: job.Failed})
 			}
 		}()
-		h.end(e, way())
+		h.endJob(e, way())
 	})
 }
 
--- a/owners/owners_test.go
+++ b/owners/owners_test.go
@@ -308,15 +308,15 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for i := range 100 {
-			h.leave(fmt.Sprint("j", i), wire.Process{Name: "b", Start: 1})
+			h.addDeparture(fmt.Sprint("j", i), wire.Process{Name: "b", Start: 1})
 		}
-		if len(h.gone) != 16 || len(h.left) != 16 || h.to("j99").Name != "b" {
+		if len(h.gone) != 16 || len(h.left) != 16 || h.departedTo("j99").Name != "b" {
 			t.Errorf("%d, %d are known", len(h.gone), len(h.left))
 		}
 		h.mu.Unlock()
 		time.Sleep(deadline + keepFor)
 		h.mu.Lock()
-		if to := h.to("j99"); to.Name != "" || len(h.gone)+len(h.left) > 0 {
+		if to := h.departedTo("j99"); to.Name != "" || len(h.gone)+len(h.left) > 0 {
 			t.Errorf("%d are known after that", len(h.gone))
 		}
 	})
@@ -426,12 +426,12 @@
 			"another process's":          {nil, wire.Process{Name: "a", Start: 7}, false},
 		} {
 			rec := taking
-			if rec.Owner = c.owner; h.never(c.e, &rec) != c.never {
+			if rec.Owner = c.owner; h.cameToNothing(c.e, &rec) != c.never {
 				t.Errorf("%s: never is %v", what, !c.never)
 			}
 		}
 		h.forgotten = taking.Nonce
-		if h.never(nil, &taking) {
+		if h.cameToNothing(nil, &taking) {
 			t.Error("it is forgotten")
 		}
 	})
--- a/owners/tend.go
+++ b/owners/tend.go
@@ -194,7 +194,7 @@
 		code := wire.Unknown
 		e := h.live[m.ID]
 		switch {
-		case err != nil || !claimed && e != nil && e.unheard():
+		case err != nil || !claimed && e != nil && e.listenerPending():
 			code = wire.Later
 		case claimed:
 			code = wire.Yes
@@ -209,14 +209,14 @@
 	h.mu.Lock()
 	e := h.live[ev.ID]
 	live := e != nil && !e.lost // else the one that has it now is to hear it
-	to := h.to(ev.ID)
+	to := h.departedTo(ev.ID)
 	gone := to != wire.Process{}
 	known := h.answer(ev.ID) != nil
 	// Records of before this process began count no longer than this.
 	old := time.Since(h.origin) > h.life()
 	roster, ok := h.rosters.Roster()
 	switch {
-	case live && e.unheard():
+	case live && e.listenerPending():
 		h.unlock()
 		return job.ErrLater
 	case live || known || old && !gone || h.net == nil:
@@ -375,7 +375,7 @@
 	h.mu.Lock()
 	defer h.unlock()
 	if h.answer(ev.ID) == nil && h.live[ev.ID] == nil {
-		h.keep(e, job.Outcome{Kind: job.Served, Result: ev.Result})
+		h.cacheAnswer(e, job.Outcome{Kind: job.Served, Result: ev.Result})
 	}
 	h.count.Found++
 	return nil
@@ -519,7 +519,7 @@
 			}
 		case m.Record != nil && m.Outcome != nil:
 			e := &entry{h: h, id: m.ID, digest: m.Record.Digest, record: *m.Record}
-			if h.keep(e, outcomeOf(m.Outcome)); h.answers[m.ID] != nil {
+			if h.cacheAnswer(e, outcomeOf(m.Outcome)); h.answers[m.ID] != nil {
 				h.answers[m.ID].until = time.Now().Add(m.Record.Left)
 			}
 		}
--- a/owners/way.go
+++ b/owners/way.go
@@ -31,7 +31,7 @@
 		}
 		by := e.due
 		if !e.effect.Waits() {
-			by = h.within(e, time.Until(p.sent.Add(h.cfg.Answer))) // its record is in nobody's way: answered before even
+			by = e.within(time.Until(p.sent.Add(h.cfg.Answer))) // its record is in nobody's way: answered before even
 		}
 		switch verdict := p.wait(by); verdict {
 		case core.Won:
@@ -398,7 +398,7 @@
 		net, me := h.net, h.me
 		e.same = true
 		// One of this process's own that was dropped, and somebody has not heard so.
-		never := h.never(e, &rival)
+		never := h.cameToNothing(e, &rival)
 		if never {
 			h.forget(&rival)
 		}
