--- a/rehearse/run/others.go
+++ b/rehearse/run/others.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"laddertide/core/fleet"
+	"laddertide/core/history"
 	"laddertide/rehearse/daemon"
 	"laddertide/rehearse/links"
 	"laddertide/rehearse/scenario"
@@ -63,6 +65,15 @@
 	return out
 }
 
+// Names are those of all members, schedulers first.
+func (s *Stage) Names() []string {
+	var names []string
+	for _, m := range s.r.members() {
+		names = append(names, m.name)
+	}
+	return names
+}
+
 // Relayed is what the relays have passed from a member to all others and to it from them. Nothing was if members do not know
 // each other.
 func (s *Stage) Relayed(name string) (sent, received links.Counts) {
@@ -137,6 +148,21 @@
 	return all
 }
 
+// withoutOthers takes the caller's members out of a view: rules are for schedulers.
+func (r *run) withoutOthers(v *history.View) {
+	for _, o := range r.opt.Others {
+		state := v.Members[o.Name]
+		delete(v.Members, o.Name)
+		switch state {
+		case fleet.Present.String(), fleet.Doubt.String():
+			v.Present--
+			v.MayRun--
+		case fleet.Unreachable.String():
+			v.MayRun--
+		}
+	}
+}
+
 // distance sets how long messages between members take.
 func (r *run) distance() error {
 	if r.links == nil || r.plan.Between == nil {
--- a/rehearse/run/peers.go
+++ b/rehearse/run/peers.go
@@ -226,6 +226,7 @@
 		same := p.life == life
 		p.mu.Unlock()
 		if ok && same {
+			p.r.withoutOthers(view)
 			p.r.rec.Add(history.Event{Kind: history.KindView, Scheduler: p.name, Life: life, From: from.Microseconds(), View: view})
 		}
 	}
--- a/rehearse/scale/scale.go
+++ b/rehearse/scale/scale.go
@@ -32,6 +32,8 @@
 	Out     string         // folder for the run's history, report and logs; empty: nothing is kept
 	Changes float64        // of configuration, a second at each scheduler; 0: none
 	Shorten float64        // factor on how long failures and what is around them last; 0: 1
+
+	beside func(context.Context, *run.Stage) // is called beside the window's watch; nil: nothing is
 }
 
 // Result is what a run gave.
@@ -72,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	plan.Rules.Agree = 0 // nobody asks schedulers for their views: that costs them CPU
 	return play(ctx, s, plan, opt)
 }
 
@@ -99,9 +102,12 @@
 			return err
 		}
 		o.Playing = func(ctx context.Context, stage *run.Stage) {
-			var changing sync.WaitGroup
-			defer changing.Wait()
-			changing.Go(func() { changeConfiguration(ctx, stage, opt.Changes) })
+			var others sync.WaitGroup
+			defer others.Wait()
+			others.Go(func() { changeConfiguration(ctx, stage, opt.Changes) })
+			if opt.beside != nil {
+				others.Go(func() { opt.beside(ctx, stage) })
+			}
 			res.Window = watchWindow(ctx, stage, os.Getpid(), stage.Start.Add(opt.LeadIn), opt.Window)
 			lost = members.lost()
 		}
