rehearse capacity-page: the tables of docs/CAPACITY.md from measurement files

Figures of the page must come from files, and a moved slope must show. The command fills the tables between markers; figure at the size = the nearest measured point plus the slopes of what differs, with the verdict computed from it.

--- a/rehearse/cli/cli.go
+++ b/rehearse/cli/cli.go
@@ -78,6 +78,9 @@
 	if len(args) > 0 && args[0] == hollow.Command {
 		return hollowMain(args[1:], out, errs)
 	}
+	if len(args) > 0 && args[0] == capacityPageCommand {
+		return capacityPageMain(args[1:], out, errs)
+	}
 	a := &app{out: out, err: errs}
 	f := pflag.NewFlagSet("rehearse", pflag.ContinueOnError)
 	f.SetOutput(io.Discard)
--- a/rehearse/scale/slope/slope.go
+++ b/rehearse/scale/slope/slope.go
@@ -183,3 +183,33 @@
 func studentT(freedom float64) float64 {
 	return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: freedom}.Quantile(1 - (1-Confidence)/2)
 }
+
+// Change is by how much the resource differs between two parameters, with half of its interval.
+func (f *Fit) Change(from, to float64) (change, half float64) {
+	if f.Straight() || from < 0 || to < 0 {
+		return f.Slope.Value * (to - from), (f.Slope.High - f.Slope.Value) * math.Abs(to-from)
+	}
+	exponents := []float64{f.Exponent.Value, f.Exponent.Low, f.Exponent.High}
+	for i, p := range exponents {
+		l := fitLine(f.samples, power(p))
+		estimate := l.slopeEstimate()
+		distance := l.of(to) - l.of(from)
+		one := estimate.Value * distance
+		if i == 0 {
+			change = one
+		}
+		half = max(half, math.Abs(one-change)+math.Abs((estimate.High-estimate.Value)*distance))
+	}
+	return change, half
+}
+
+// Mean is the mean of several runs of the same point with its interval. Of one run the interval is not known and taken
+// as nothing.
+func Mean(values []float64) Estimate {
+	mean := stat.Mean(values, nil)
+	if len(values) < 2 {
+		return around(mean, 0)
+	}
+	n := float64(len(values))
+	return around(mean, studentT(n-1)*stat.StdDev(values, nil)/math.Sqrt(n))
+}
