--- a/rehearse/scale/page/failures.go
+++ b/rehearse/scale/page/failures.go
@@ -48,7 +48,7 @@
 // load turns the rates of failures into messages and bytes for each scheduler.
 func (r *report) load() string {
 	t := newTable("failure", "a day", "workers struck", "tasks in hand there", "messages of discovery to one scheduler: an event, a day",
-		"bytes a day to one scheduler", "mean bytes/s")
+		"bytes to one scheduler: an event, a day", "mean bytes/s")
 	perWorker := float64(r.fleet.Tasks.Running) / float64(r.fleet.Workers.Count)
 	entry := chosenSlopes(r.sweeps, key{measurement.Discovery, state})["workers"]
 	for _, kind := range r.failureKinds() {
@@ -67,14 +67,28 @@
 		event := kind.struck * kind.lines
 		bytes, mean := string(notMeasured), string(notMeasured)
 		if entry != nil {
-			day := event * kind.perDay * entry.fit.Slope.Value
-			bytes, mean = measured(day), measured(day/secondsOfDay)
+			each := event * entry.fit.Slope.Value
+			bytes = measured(each) + ", " + measured(each*kind.perDay)
+			mean = measured(each * kind.perDay / secondsOfDay)
 		}
 		t.row(kind.name, rate, value(kind.struck), tasks, value(event)+", "+value(event*kind.perDay), bytes, mean)
 	}
+	whole := string(notMeasured)
+	if list := r.figure(key{measurement.Discovery, state}, false); list != nil {
+		whole = measured(list.estimate.Value) + doubtSuffix(list)
+	}
+	t.row("a scheduler starts, or its watch ends", "not stated", "0", "", "1 whole list", whole, "")
 	return t.String()
 }
 
+// doubtSuffix says which parameters a figure lacks.
+func doubtSuffix(f *figure) string {
+	if d := doubt(f, 0); d != "" {
+		return " (" + d + ")"
+	}
+	return ""
+}
+
 func tasksOfOthers(kind failureKind) string {
 	if kind.stops {
 		return "all that are in hand"
--- a/rehearse/scale/page/report.go
+++ b/rehearse/scale/page/report.go
@@ -118,7 +118,7 @@
 		fit := t.sweep.fit
 		if fit.Straight() {
 			constant -= fit.Slope.Value * t.from
-			parts = append(parts, fmt.Sprintf("%s × %s", measured(fit.Slope.Value), t.sweep.regressor.name))
+			parts = append(parts, fmt.Sprintf("%s × %s", interval(fit.Slope), t.sweep.regressor.name))
 			continue
 		}
 		toZero, _ := fit.Change(t.from, 0)
--- a/rehearse/scale/page/verdict.go
+++ b/rehearse/scale/page/verdict.go
@@ -66,14 +66,14 @@
 	for i := range rows {
 		if rows[i].key == (key{measurement.Discovery, state}) {
 			rows[i].budget = func(*size.Size) float64 { return longestList }
-			rows[i].limitOf = ", the longest line that `directory` reads"
-			rows[i].mechanism = "the whole list is one line"
+			rows[i].limitOf = ", the longest list that `directory` reads"
+			rows[i].mechanism = "the whole list, as `directory` reads it"
 		}
 	}
 	return rows
 }
 
-// longestList is what the package directory takes of one line.
+// longestList is what the package directory takes of one list.
 const longestList = 256 << 10
 
 func memoryBudget(s *size.Size) float64       { return s.Budget.MemoryMB * megabyte }
--- a/rehearse/scale/state/state.go
+++ b/rehearse/scale/state/state.go
@@ -60,7 +60,7 @@
 			func(s *size.Size) float64 { return float64(s.Schedulers.Real + s.Schedulers.Hollow) },
 			heapOf(view), 0},
 		{"state-list.json", measurement.Discovery, measurement.Workers,
-			"bytes of the line with discovery's whole list; a scheduler reads lines of 262,144 bytes at most",
+			"bytes of discovery's whole list as one line of JSON; a scheduler reads 262,144 bytes of one list at most",
 			func(s *size.Size) float64 { return float64(s.Workers.Count) }, wholeList, 0},
 	}
 }
@@ -195,7 +195,7 @@
 	return v, nil
 }
 
-// wholeList is the length of the line with the whole list, as the kit's discovery writes it.
+// wholeList is the length of the whole list as one line of JSON, as the kit's discovery writes it.
 func wholeList(workers int, seed uint64) (float64, error) {
 	list := directory.List{Index: seed, Snapshot: true}
 	for i := range workers {
--- a/rehearse/scale/state/state_test.go
+++ b/rehearse/scale/state/state_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Discovery's whole list is one line; a scheduler takes no more than this of one.
+// A scheduler takes no more than this of one list.
 func TestWholeListFitsAtTheSize(t *testing.T) {
 	s, err := size.Load(sizeFile)
 	if err != nil {
@@ -66,9 +66,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const longestLine = 256 << 10
-	if length > longestLine {
-		t.Errorf("the list of %d workers is %.0f bytes, at most %d are read", s.Workers.Count, length, longestLine)
+	const longestList = 256 << 10
+	if length > longestList {
+		t.Errorf("the list of %d workers is %.0f bytes, at most %d are read", s.Workers.Count, length, longestList)
 	}
 }
 
