--- a/rehearse/scale/slope/slope_test.go
+++ b/rehearse/scale/slope/slope_test.go
@@ -223,3 +223,25 @@
 		same("R²", b.RSquared, a.RSquared, 1)
 	})
 }
+
+func TestChange(t *testing.T) {
+	straight := fit(t, []Sample{{1, 5}, {2, 7}, {3, 9}, {4, 11}, {5, 13}})
+	if change, half := straight.Change(10, 4); math.Abs(change+12) > 1e-9 || half > 1e-6 {
+		t.Errorf("a line changes by %g, half of its interval %g", change, half)
+	}
+	curve := fit(t, noisy(1, 20, 0.01, 1.4, 0.005))
+	want := 0.01 * (math.Pow(2000, 1.4) - math.Pow(500, 1.4))
+	change, half := curve.Change(500, 2000)
+	if math.Abs(change-want) > 2*half || half > 0.05*want { // the noise here grows with the value
+		t.Errorf("a curve changes by %g, half of its interval %g; truly by %g", change, half, want)
+	}
+}
+
+func TestMean(t *testing.T) {
+	m := Mean([]float64{1, 2, 3})
+	near(t, "mean", m.Value, 2, 1e-12)
+	near(t, "interval", m.High-m.Value, 4.302653/math.Sqrt(3), 1e-5) // Student's t, 2 degrees of freedom
+	if one := Mean([]float64{7}); one.Low != 7 || one.High != 7 {
+		t.Errorf("the mean of one run is %+v", one)
+	}
+}
