provider: an attempt that was held up tells its worker what is left by then

Need: a further attempt may tell at most the time that is left to the client. Cause: Pool.Invoke worded the message before the wait for news that follows a stall of the process (Awake), which may last a second; X-Deadline-Ms was too large by that wait. It is worded after the wait now. provider.TestAttemptTellsWhatIsLeft fails without it (told 19.999 s with 19.695 s left); that further attempts tell less by what has passed held before, and invoker.TestFurtherAttemptTellsWhatIsLeft keeps it.

--- a/invoker/invoker_test.go
+++ b/invoker/invoker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -122,6 +123,38 @@
 	}
 }
 
+// A further attempt tells its worker the time that is left to the client by then: not more than the first was told, less
+// all that has passed since.
+func TestFurtherAttemptTellsWhatIsLeft(t *testing.T) {
+	const took = 250 * time.Millisecond
+	r := newRig(t, slog.New(slog.DiscardHandler), 3, "")
+	told := make(chan time.Duration, 10)
+	address := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			ms, err := strconv.Atoi(h.Fields.Get("X-Deadline-Ms"))
+			if err != nil {
+				t.Error(err)
+			}
+			told <- time.Duration(ms) * time.Millisecond
+			time.Sleep(took) // the job is refused late
+			c.Write([]byte("HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		})
+	})
+	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
+	j := newJob(0)
+	j.Left = 5 * time.Second
+	r.Handle(context.Background(), j)
+	attempts := len(told)
+	if attempts < 2 {
+		t.Fatal("there was no further attempt")
+	}
+	for attempt := range attempts {
+		if got, left := <-told, j.Left-time.Duration(attempt)*took; got > left {
+			t.Errorf("attempt %d tells %v, with at most %v left", attempt, got, left)
+		}
+	}
+}
+
 // Once nobody waits for a job, it is given up at its provider. One that nobody waits for from the start ends as well.
 func TestGone(t *testing.T) {
 	r := newRig(t, slog.New(slog.DiscardHandler), 1, taken)
--- a/provider/call.go
+++ b/provider/call.go
@@ -187,11 +187,11 @@
 	}
 	c := newCall(j, lease, v, hear)
 	c.conn = conn
-	message := jobMessage(j, lease, v.Until)
 	if p.Awake != nil {
 		p.Awake(v.Until) // what is known of the provider may be old
 	}
-	if v.Context.Err() != nil { // the connection, too, may have taken its time
+	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
+	if v.Context.Err() != nil {              // the connection, too, may have taken its time
 		p.release(conn)
 		return decide.NotSent, nil
 	}
--- /dev/null
+++ b/provider/left_test.go
@@ -0,0 +1,59 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/internal/testrig"
+	"laddertide/wire/http1"
+)
+
+// turningAway is a worker that turns each attempt away and passes on the deadline that it was told.
+func turningAway(t *testing.T) (address string, told <-chan time.Duration) {
+	deadlines := make(chan time.Duration, 10)
+	address = testrig.Listen(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			head, err := http1.ReadRequestHead(br)
+			if err != nil {
+				return
+			}
+			if _, err := head.ReadBody(br); err != nil {
+				return
+			}
+			ms, err := strconv.Atoi(head.Fields.Get("X-Deadline-Ms"))
+			if err != nil {
+				t.Errorf("X-Deadline-Ms: %v", err)
+			}
+			deadlines <- time.Duration(ms) * time.Millisecond
+			c.Write([]byte("HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	return address, deadlines
+}
+
+// An attempt tells its worker at most the time that is left to the client when it goes out, also if it was held up right
+// before that: a process that stood still first reads what came meanwhile.
+func TestAttemptTellsWhatIsLeft(t *testing.T) {
+	for _, hold := range []time.Duration{0, 300 * time.Millisecond} {
+		address, told := turningAway(t)
+		p := pool(address)
+		v := verdict(context.Background(), 20*time.Second)
+		var released time.Time
+		p.Awake = func(time.Time) {
+			time.Sleep(hold)
+			released = time.Now()
+		}
+		for attempt := range 3 { // the further ones on a connection that was kept
+			invoke(t, p, v, decide.TurnedAway)
+			if got, left := <-told, v.Until.Sub(released); got > left {
+				t.Errorf("attempt %d, held up for %v: told %v, %v was left", attempt, hold, got, left)
+			}
+		}
+	}
+}
