provider: a second attempt at a worker only once the first has ended or been given up

Need: a second attempt at a worker where the first has neither ended nor been given up is a break, and a late repeat of the first one's call-back must not be taken for the end of the second. Causes: Pool.Invoke reported a reset, a silence or a spoilt answer before the 202 as the end of the attempt, and nothing told its worker (call.go, the cases Broken and Silent); call.take believed any call-back of the job from its worker, and none names the attempt. Change: the pool keeps the earlier attempts of a job for as long as its id is reserved. Before a second one at a worker that may hold the first it sends DELETE and waits for the answer; without one the attempt ends as not connected. A failed, lost or returned that may be a repeat ends nothing: the attempt is given up, and ends once the worker has answered.

--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -125,6 +125,9 @@
 	for i, p := range before {
 		past[i] = decide.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
 		lease = p.Lease
+		if !p.Out {
+			h.Pool.Recall(j.ID, p.Provider, p.MayRun)
+		}
 	}
 	return h.Desk.Resume(facts, past), lease
 }
--- /dev/null
+++ b/invoker/second_test.go
@@ -0,0 +1,146 @@
+package invoker
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/internal/testrig"
+	"laddertide/job"
+	"laddertide/provider"
+	"laddertide/wire/http1"
+)
+
+// oddWorker is a worker that does with each attempt what it draws, and fails the test if an attempt comes while one of the
+// same job is open: it holds a job from its last byte until it has told its end or was told to give it up.
+type oddWorker struct {
+	t    *testing.T
+	pool *provider.Pool
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	open     map[string]bool
+	attempts map[string]int
+	played   map[string]int
+}
+
+// oddities are what the worker does with an attempt. In all but the last three it holds the job.
+var oddities = []string{"resets", "resets in its answer", "is silent", "is silent after its acknowledgement", "fails", "loses",
+	"returns", "serves", "answers 500", "turns away"}
+
+func (w *oddWorker) serve(c net.Conn) {
+	testrig.Requests(c, func(h *http1.Head) {
+		if id, isDelete := strings.CutPrefix(h.Target, "/jobs/"); isDelete && h.Method == "DELETE" {
+			w.giveUp(c, id)
+			return
+		}
+		w.attempt(c, h.Fields.Get("X-Request-Id"))
+	})
+}
+
+// giveUp answers a DELETE, or leaves it without an answer now and then.
+func (w *oddWorker) giveUp(c net.Conn, id string) {
+	w.mu.Lock()
+	answers := w.rng.IntN(4) > 0
+	if answers {
+		delete(w.open, id)
+	}
+	w.mu.Unlock()
+	if answers {
+		c.Write([]byte("HTTP/1.1 204 N\r\n\r\n"))
+		return
+	}
+	c.Close()
+}
+
+func (w *oddWorker) attempt(c net.Conn, id string) {
+	w.mu.Lock()
+	if w.open[id] {
+		w.t.Errorf("%s: a second attempt while the first is open", id)
+	}
+	w.open[id] = true
+	w.attempts[id]++
+	what := oddities[w.rng.IntN(len(oddities))]
+	w.played[what]++
+	repeats := w.rng.IntN(4)
+	w.mu.Unlock()
+	switch what {
+	case "resets":
+		c.Close()
+	case "resets in its answer":
+		c.Write([]byte("HTTP/1.1 202 Acc"))
+		c.Close()
+	case "is silent after its acknowledgement":
+		c.Write([]byte(taken))
+	case "answers 500":
+		w.end(id)
+		c.Write([]byte("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
+	case "turns away":
+		w.end(id)
+		c.Write([]byte("HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	case "is silent":
+	default:
+		c.Write([]byte(taken))
+		state := map[string]string{"fails": "failed", "loses": "lost", "returns": "returned", "serves": "done"}[what]
+		w.end(id)
+		for range 1 + repeats { // it did not get the answer to the first
+			w.pool.CallBack(fmt.Appendf(nil, `{"id":%q,"from":"s-1","state":%q,"result":"r"}`, id, state))
+			time.Sleep(time.Duration(repeats) * 20 * time.Millisecond)
+		}
+	}
+}
+
+func (w *oddWorker) end(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.open, id)
+}
+
+// Whatever a worker does, alone in its installation, it gets no second attempt of a job while it holds the first; and the
+// jobs are repeated there all the same.
+func TestNoSecondAttemptWhileOneIsOpen(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playOddWorker(t, seed)
+		})
+	}
+}
+
+// playOddWorker lets 40 jobs come at once for a worker that is alone.
+func playOddWorker(t *testing.T, seed uint64) {
+	r := newRig(t, slog.New(slog.DiscardHandler), 4, "")
+	w := &oddWorker{t: t, pool: r.Pool, rng: rand.New(rand.NewPCG(seed, 32)), open: make(map[string]bool),
+		attempts: make(map[string]int), played: make(map[string]int)}
+	address := testrig.Listen(t, w.serve)
+	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
+	var jobs sync.WaitGroup
+	for i := range 40 {
+		jobs.Go(func() {
+			j := newJob(0)
+			j.ID = fmt.Sprintf("id-%d", i)
+			j.Left = 6 * time.Second
+			j.Protocol = http1.Protocol
+			j.Fields = []job.Field{{Name: "X-Request-Id", Value: j.ID}}
+			r.Handle(context.Background(), j)
+		})
+	}
+	jobs.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	again := 0
+	for _, n := range w.attempts {
+		again += n - 1
+	}
+	t.Logf("%d further attempts, %v", again, w.played)
+	if again == 0 {
+		t.Error("no further attempts")
+	}
+}
--- /dev/null
+++ b/policy/second_test.go
@@ -0,0 +1,222 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// attemptsOut plays drawn events to a Dispatcher and holds each Send against the attempts that are out.
+type attemptsOut struct {
+	t        *rapid.T
+	set      Settings
+	d        *Dispatcher
+	now      time.Duration
+	workers  []Entry
+	attempts map[RequestID][]outAttempt // of requests that are open
+	open     []RequestID
+	next     RequestID
+	timers   []Action
+	further  int // sends that were not a request's first
+	taken    int // attempts that were taken back so that their requests go elsewhere
+}
+
+type outAttempt struct {
+	worker WorkerID
+	out    bool
+}
+
+// do carries out what the Dispatcher wants done.
+func (a *attemptsOut) do(acts []Action) {
+	for _, act := range acts {
+		switch act.Kind {
+		case Send:
+			a.send(act)
+		case SetTimer:
+			a.timers = append(a.timers, act)
+		case Refuse, Fail:
+			a.closed(act.Request)
+		}
+	}
+}
+
+func (a *attemptsOut) send(act Action) {
+	made := a.attempts[act.Request]
+	for k, earlier := range made {
+		if earlier.out && earlier.worker == act.Worker {
+			a.t.Fatalf("request %d goes to worker %d, where attempt %d is out", act.Request, act.Worker, k)
+		}
+		if earlier.out && !a.set.SecondCopies {
+			a.t.Fatalf("request %d goes out while attempt %d is out", act.Request, k)
+		}
+	}
+	if len(made) > 0 {
+		a.further++
+	}
+	a.attempts[act.Request] = append(made, outAttempt{act.Worker, true})
+}
+
+func (a *attemptsOut) closed(id RequestID) {
+	for i, open := range a.open {
+		if open == id {
+			a.open = append(a.open[:i], a.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// take gives the Dispatcher a request, one that an earlier host has sent before now and then.
+func (a *attemptsOut) take() {
+	a.next++
+	id := a.next
+	a.open = append(a.open, id)
+	q := Request{ID: id, Class: rapid.IntRange(0, len(a.set.Classes)-1).Draw(a.t, "class"), Left: 10 * time.Second,
+		Hint: 400 * time.Millisecond, Slots: 1}
+	if rapid.IntRange(0, 4).Draw(a.t, "resumed") > 0 {
+		a.do(a.d.Request(a.now, q, nil))
+		return
+	}
+	p := Past{Worker: a.worker().ID, Sent: a.now - time.Second, Out: rapid.Bool().Draw(a.t, "out")}
+	p.MayRun = !p.Out
+	a.attempts[id] = []outAttempt{{p.Worker, p.Out}}
+	a.do(a.d.Resume(a.now, q, []Past{p}, nil))
+}
+
+func (a *attemptsOut) worker() *Entry {
+	return &a.workers[rapid.IntRange(0, len(a.workers)-1).Draw(a.t, "worker")]
+}
+
+// end ends one attempt that is out.
+func (a *attemptsOut) end() {
+	id, k, found := a.anyOut()
+	if !found {
+		return
+	}
+	status := rapid.SampledFrom([]Status{OK, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot}).Draw(a.t, "status")
+	made := a.attempts[id]
+	made[k].out = false
+	if status == OK {
+		a.closed(id)
+	}
+	a.do(a.d.Outcome(a.now, Outcome{Request: id, Attempt: k, Worker: made[k].worker, Status: status, Closed: status == OK,
+		Elapsed: time.Millisecond}, nil))
+}
+
+// anyOut draws an attempt that is out; its request may be over.
+func (a *attemptsOut) anyOut() (id RequestID, attempt int, found bool) {
+	if a.next == 0 {
+		return 0, 0, false
+	}
+	from := RequestID(rapid.IntRange(1, int(a.next)).Draw(a.t, "request"))
+	for i := range a.next {
+		id := (from+i-1)%a.next + 1
+		for k, made := range a.attempts[id] {
+			if made.out {
+				return id, k, true
+			}
+		}
+	}
+	return 0, 0, false
+}
+
+// elapse lets a while pass, and the timers come due that are set for it.
+func (a *attemptsOut) elapse() {
+	end := a.now + time.Duration(rapid.IntRange(1, 1500).Draw(a.t, "ms"))*time.Millisecond
+	for {
+		first := a.firstTimer(end)
+		if first < 0 {
+			break
+		}
+		timer := a.timers[first]
+		a.timers = append(a.timers[:first], a.timers[first+1:]...)
+		a.now = max(a.now, timer.At)
+		a.do(a.d.Timer(a.now, timer.Token, nil))
+	}
+	a.now = end
+}
+
+// firstTimer is the place of the earliest timer that is due by end, or -1.
+func (a *attemptsOut) firstTimer(end time.Duration) int {
+	first := -1
+	for i, timer := range a.timers {
+		if timer.At <= end && (first < 0 || timer.At < a.timers[first].At) {
+			first = i
+		}
+	}
+	return first
+}
+
+// change tells the Dispatcher that a worker drains, leaves, starts anew or is back.
+func (a *attemptsOut) change() {
+	w := a.worker()
+	w.State = rapid.SampledFrom([]State{Ready, Ready, Draining, Gone}).Draw(a.t, "state")
+	if rapid.Bool().Draw(a.t, "anew") {
+		w.Started = a.now
+	}
+	acts := a.d.List(a.now, ListDelta, []Entry{*w}, nil)
+	for _, act := range acts {
+		if act.Kind == CancelSend {
+			a.taken++
+		}
+	}
+	a.do(acts)
+}
+
+func (a *attemptsOut) event() {
+	switch kind := rapid.IntRange(0, 11).Draw(a.t, "event"); {
+	case kind < 3:
+		for range rapid.IntRange(1, 4).Draw(a.t, "requests") {
+			a.take()
+		}
+	case kind < 6:
+		a.end()
+	case kind < 9:
+		a.elapse()
+	case kind == 9:
+		a.change()
+	case kind == 10:
+		if id, k, found := a.anyOut(); found {
+			a.do(a.d.Note(a.now, Note{Request: id, Attempt: k, Worker: a.attempts[id][k].worker, Started: true}, nil))
+		}
+	case len(a.open) > 0:
+		id := a.open[rapid.IntRange(0, len(a.open)-1).Draw(a.t, "gone")]
+		a.closed(id)
+		a.do(a.d.Gone(a.now, id, nil))
+	}
+}
+
+// Whatever comes in whatever order, no attempt goes to a worker where another of the same request is out, also where copies
+// are allowed; where they are not, none goes anywhere. With a worker or two, requests are sent again all the same.
+func TestNoSecondAttemptWhileOneIsOut(t *testing.T) {
+	further, taken := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		set := testSettings()
+		set.Probes, set.Peers, set.Subscribe = false, false, false
+		set.SecondCopies = rapid.Bool().Draw(t, "copies")
+		set.Cancel = rapid.Bool().Draw(t, "cancel")
+		set.TellsStart = rapid.Bool().Draw(t, "starts")
+		set.Classes = []Class{
+			{Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, Kind: -1},
+			{Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, Kind: -1, Effect: Keyed, Window: 9 * time.Second},
+			{Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, Kind: -1, Effect: Unsafe},
+		}
+		d, err := New(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &attemptsOut{t: t, set: set, d: d, now: time.Hour, attempts: make(map[RequestID][]outAttempt)}
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			a.workers = append(a.workers, Entry{ID: WorkerID(i + 1), Weight: 4})
+		}
+		a.do(d.List(a.now, ListFull, a.workers, nil))
+		for range rapid.IntRange(20, 200).Draw(t, "events") {
+			a.event()
+		}
+		further += a.further
+		taken += a.taken
+	})
+	if further < 300 || taken < 100 {
+		t.Errorf("only %d further attempts, and %d taken back", further, taken)
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -39,15 +39,20 @@
 	lease    uint64     // 0: it has none
 	keeper   job.Keeper // nil: the job has none
 	hear     func(decide.News)
-	expired  chan struct{} // closed when its lease has run out
+	expired  chan struct{}   // closed when its lease has run out
+	repeated bool            // an earlier attempt at the same worker may still send call-backs
+	after    earlierAttempts // what will be known of it once it is over; of the goroutine that makes it
 
-	mu     sync.Mutex
-	conn   *conn // while its acknowledgement is awaited
-	over   bool
-	moved  bool // it goes on in another process
-	end    decide.End
-	result []byte
-	ended  chan struct{}
+	mu       sync.Mutex
+	conn     *conn // while its acknowledgement is awaited
+	over     bool
+	moved    bool // it goes on in another process
+	end      decide.End
+	result   []byte
+	ended    chan struct{}
+	doubtful bool
+	doubtEnd decide.End    // how it ends once it is given up
+	doubted  chan struct{} // closed by the first ambiguous call-back
 }
 
 // take takes a call-back while the call is out; only the first one that ends it counts. What it says is heard before
@@ -72,6 +77,10 @@
 		c.hear(decide.News{Kind: decide.Progressed, Share: ev.Share})
 		return true
 	}
+	if c.ambiguous(ev) {
+		c.doubt(ev)
+		return true
+	}
 	c.over, c.end, c.result = true, ends[ev.State], ev.Result
 	c.hear(decide.News{Kind: decide.Ending, End: c.end})
 	close(c.ended)
@@ -100,6 +109,7 @@
 		return ErrBusy
 	}
 	p.calls[id] = nil
+	p.earlier[id] = nil
 	return nil
 }
 
@@ -108,6 +118,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.calls, id)
+	delete(p.earlier, id)
 }
 
 // CallBack takes a call-back as the provider worded it, or says why it is none.
@@ -176,6 +187,9 @@
 	if v.Context.Err() != nil {
 		return decide.NotSent, nil
 	}
+	if end := p.settle(j, v); end != accepted {
+		return end, nil
+	}
 	conn, err := p.acquire(v.Context, v.Provider, true, v.Until)
 	if err != nil {
 		p.log.Debug("no connection", "provider", v.Provider, "err", err)
@@ -207,6 +221,7 @@
 		p.discard(conn)
 		return Unsent, nil
 	}
+	c.repeated = p.earlier[j.ID][v.Provider].mayCallBack
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
 	defer p.close(j, c)
@@ -217,6 +232,7 @@
 		p.discard(conn)
 		return decide.NotConnected, nil // the last byte is not out, so the provider cannot start
 	}
+	c.after = earlierAttempts{mayCallBack: true, open: true}
 	acknowledged := v.Until
 	if at := time.Now().Add(v.TakenIn); v.TakenIn > 0 && at.Before(acknowledged) {
 		acknowledged = at
@@ -258,6 +274,7 @@
 	}
 	switch {
 	case over:
+		c.after.open = false
 		return c.end, c.result
 	case err != nil && withdrawn:
 		return decide.Withdrawn, nil
@@ -275,6 +292,7 @@
 			"reused", conn.reused, "idle", conn.age, "err", err)
 		return decide.Broken, nil
 	case reply.end != accepted:
+		c.after = earlierAttempts{} // a job that was not accepted has no call-backs
 		return reply.end, nil
 	}
 
@@ -283,11 +301,12 @@
 
 func newCall(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) *call {
 	return &call{provider: v.Provider, lease: lease, keeper: j.Keeper, hear: hear, ended: make(chan struct{}),
-		expired: make(chan struct{})}
+		expired: make(chan struct{}), doubted: make(chan struct{})}
 }
 
 // close lets go of a call that has ended.
 func (p *Pool) close(j *job.Job, c *call) {
+	p.note(j.ID, c.provider, c.after)
 	p.mu.Lock()
 	p.calls[j.ID] = nil
 	p.mu.Unlock()
@@ -300,7 +319,9 @@
 // acknowledgement.
 func (p *Pool) Await(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
 	c := newCall(j, lease, v, hear)
+	c.after = earlierAttempts{mayCallBack: true, open: true}
 	p.mu.Lock()
+	c.repeated = p.earlier[j.ID][v.Provider].mayCallBack
 	p.calls[j.ID] = c
 	p.mu.Unlock()
 	defer p.close(j, c)
@@ -315,28 +336,65 @@
 func (p *Pool) wait(j *job.Job, c *call, v decide.Verdict) (decide.End, []byte) {
 	timer := time.NewTimer(time.Until(v.Until))
 	defer timer.Stop()
-	end := decide.TimedOut
-	elsewhere := false
+	var g givingUp
 	select {
 	case <-p.Leaving().Done():
 		if p.leave(j, c) {
 			return Moved, nil
 		}
-		return c.end, c.result
+		return c.ending()
 	case <-c.ended:
-		return c.end, c.result
+		return c.ending()
 	case <-v.Context.Done():
-		end, elsewhere = decide.Withdrawn, context.Cause(v.Context) == decide.ErrElsewhere
-	case <-c.expired:
-		end, elsewhere = decide.Broken, true // it may have run, and the job may go elsewhere
+		g = givingUp{end: decide.Withdrawn, late: decide.Withdrawn}
+		if context.Cause(v.Context) == decide.ErrElsewhere {
+			g.must = untilHeard
+		}
+	case <-c.expired: // it may have run, and the job may go elsewhere
+		g = givingUp{end: decide.Broken, late: decide.Broken, must: tried}
+	case <-c.doubted:
+		g = givingUp{end: c.doubtEnd, late: decide.TimedOut, must: untilHeard}
 	case <-timer.C:
+		g = givingUp{end: decide.TimedOut}
 	}
 	if j.Keeper != nil && j.Keeper.Left() {
-		return end, nil // the next process waits for it
+		return g.end, nil // the next process waits for it
 	}
-	for elsewhere {
-		// One that has not heard may count the job as its own: it may be back just now, too late for a connection that was
-		// tried before, or refuse connections as all of them are taken. The job would be out twice if it went elsewhere.
+	if g.must == unheard {
+		// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
+		go p.giveUp(j, v.Provider, endingLimit, endingLimit)
+		return g.end, nil
+	}
+	return p.giveUpFor(g, j, c, v, timer)
+}
+
+// ending is how a call ended by the word of its provider.
+func (c *call) ending() (decide.End, []byte) {
+	c.after.open = false
+	return c.end, c.result
+}
+
+// givingUp says how a call that is given up ends.
+type givingUp struct {
+	end  decide.End // once its provider has heard so
+	late decide.End // if the job's time is over before
+	must hearing
+}
+
+// hearing says what must be known of the provider before the call ends.
+type hearing uint8
+
+const (
+	unheard    hearing = iota // nothing: the job goes no further
+	tried                     // it has been told, and may not have heard
+	untilHeard                // it has heard
+)
+
+// giveUpFor gives up a call of a job that goes on. One that has not heard may count the job as its own: it may be back just
+// now, too late for a connection that was tried before, or refuse connections as all of them are taken. The job would be out
+// twice if it went on. timer ends with the job's time.
+func (p *Pool) giveUpFor(g givingUp, j *job.Job, c *call, v decide.Verdict, timer *time.Timer) (decide.End, []byte) {
+	for {
 		told := make(chan error, 1)
 		go func() {
 			err := p.giveUp(j, v.Provider, endingLimit, endingLimit)
@@ -351,27 +409,25 @@
 		select {
 		case err = <-told:
 		case <-timer.C:
-			return end, nil
+			return g.late, nil
 		}
 		select {
 		case <-c.ended: // meanwhile
-			return c.end, c.result
+			return c.ending()
 		default:
 		}
-		if err == nil || end == decide.Broken {
-			return end, nil
+		c.after.open = err != nil
+		if err == nil || g.must == tried {
+			return g.end, nil
 		}
 		select {
 		case <-c.ended:
-			return c.end, c.result
+			return c.ending()
 		case <-timer.C:
 			return decide.TimedOut, nil
 		case <-time.After(lastAnswer):
 		}
 	}
-	// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
-	go p.giveUp(j, v.Provider, endingLimit, endingLimit)
-	return end, nil
 }
 
 // GiveUp tells a provider to stop working on a job that another scheduler has sent there, and whether it has heard so: then
--- /dev/null
+++ b/provider/earlier_test.go
@@ -0,0 +1,254 @@
+package provider
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+)
+
+const (
+	attemptLine = "POST /api/x"
+	giveUpLine  = "DELETE /jobs/id-1"
+)
+
+// reserved is a pool in which the job of these tests may go out more than once.
+func reserved(t *testing.T, f *fake) *Pool {
+	t.Helper()
+	p := pool(f.ln.Addr().String())
+	if err := p.Reserve(newJob().ID); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// attemptEnd is how an attempt ended, and with which result.
+type attemptEnd struct {
+	end    decide.End
+	result string
+}
+
+// attempt makes an attempt while the test goes on.
+func attempt(p *Pool, v decide.Verdict) <-chan attemptEnd {
+	over := make(chan attemptEnd, 1)
+	go func() {
+		end, result := p.Invoke(newJob(), 0, v, func(decide.News) {})
+		over <- attemptEnd{end, string(result)}
+	}()
+	return over
+}
+
+// got are the messages that a worker has had so far.
+func (f *fake) got() (lines []string) {
+	for len(f.lines) > 0 {
+		lines = append(lines, <-f.lines)
+	}
+	return lines
+}
+
+// A worker gets a second attempt of a job only once the first has ended or been given up there. Where the first ended with no
+// word of the worker, it is told first, and has to answer.
+func TestSecondAttemptAtTheSameWorker(t *testing.T) {
+	event := func(state State) func(*Pool) {
+		return func(p *Pool) { p.Event(Event{ID: "id-1", From: "s-1", State: state}) }
+	}
+	for name, c := range map[string]struct {
+		answer string // to the first attempt; empty: none
+		then   func(*Pool)
+		want   decide.End
+		told   bool // by DELETE, before the second attempt
+	}{
+		"reset":         {"close", nil, decide.Broken, true},
+		"silent":        {"", nil, decide.Silent, true},
+		"half a line":   {"HTTP/1.1 202 Acc", nil, decide.Silent, true},
+		"failed":        {taken, event(Failed), decide.Failed, false},
+		"lost":          {taken, event(Lost), decide.Broken, false},
+		"returned":      {taken, event(Returned), decide.TurnedAway, false},
+		"answers 500":   {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", nil, decide.Failed, false},
+		"turns it away": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", nil, decide.TurnedAway, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p *Pool
+			f := newFake(t, func(n int, conn net.Conn) bool {
+				switch {
+				case n > 1:
+					return say(taken)(n, conn)
+				case c.then != nil:
+					c.then(p)
+				}
+				return c.answer == "" || say(c.answer)(n, conn)
+			})
+			p = reserved(t, f)
+			v := verdict(context.Background(), 20*time.Second)
+			if c.want == decide.Silent {
+				v.TakenIn = 100 * time.Millisecond
+			}
+			invoke(t, p, v, c.want)
+			v.TakenIn = 0
+			second := attempt(p, v)
+			want := []string{attemptLine, attemptLine}
+			if c.told {
+				want = []string{attemptLine, giveUpLine, attemptLine}
+			}
+			for i := range want {
+				if line := <-f.lines; line != want[i] {
+					t.Fatalf("message %d is %s, want %s", i, line, want[i])
+				}
+			}
+			p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
+			if got := <-second; got != (attemptEnd{decide.Served, "r"}) {
+				t.Errorf("the second attempt ended as %+v", got)
+			}
+			if len(f.lines) > 0 {
+				t.Errorf("sent as well: %v", f.got())
+			}
+		})
+	}
+}
+
+// A worker that does not answer the DELETE of its first attempt gets no second one.
+func TestNoSecondAttemptWithoutAnAnswer(t *testing.T) {
+	f := newFake(t, func(n int, conn net.Conn) bool { return n > 1 }) // resets the job, and is silent from then on
+	p := reserved(t, f)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
+	began := time.Now()
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.NotConnected)
+	if took := time.Since(began); took < endingLimit/2 {
+		t.Errorf("the answer was awaited for %v only", took)
+	}
+	if got := f.got(); !slices.Equal(got, []string{attemptLine, giveUpLine}) {
+		t.Errorf("sent: %v", got)
+	}
+	p.Free("id-1")
+	if len(p.earlier) > 0 {
+		t.Errorf("kept of a job that is over: %v", p.earlier)
+	}
+}
+
+// A worker repeats a call-back until it is answered, up to ten times, and no call-back names an attempt: what repeats the end
+// of the first attempt cannot be told from the end of a second one there. It does not end that: the second is given up, and
+// ends once the worker has heard so, as one that may have run. So nothing of the job is out, whichever was meant.
+func TestRepeatedCallBackEndsNoSecondAttempt(t *testing.T) {
+	for state, want := range map[State]decide.End{Returned: decide.Broken, Lost: decide.Broken, Failed: decide.Failed} {
+		for _, early := range []bool{true, false} { // before the acknowledgement of the second attempt, or after
+			var p *Pool
+			repeat := func() { p.Event(Event{ID: "id-1", From: "s-1", State: state}) }
+			hearsGiveUp := make(chan struct{})
+			f := newFake(t, func(n int, conn net.Conn) bool {
+				if n == 1 || n == 2 && early {
+					repeat()
+				}
+				if n == 3 {
+					<-hearsGiveUp
+				}
+				return say(taken)(n, conn)
+			})
+			p = reserved(t, f)
+			v := verdict(context.Background(), 20*time.Second)
+			invoke(t, p, v, ends[state])
+			over := attempt(p, v)
+			<-f.lines // both attempts
+			<-f.lines
+			if !early {
+				for range 10 {
+					repeat()
+				}
+			}
+			if line := <-f.lines; line != giveUpLine {
+				t.Errorf("state %d: %s after the repeat", state, line)
+			}
+			select {
+			case got := <-over:
+				t.Fatalf("state %d, early %v: ended as %+v before its worker had heard so", state, early, got)
+			case <-time.After(50 * time.Millisecond):
+			}
+			close(hearsGiveUp)
+			if got := <-over; got.end != want {
+				t.Errorf("state %d, early %v: ended as %v, want %v", state, early, got.end, want)
+			}
+		}
+	}
+}
+
+// A result counts whichever attempt it comes from: it is the worker's own for this job, also after a doubtful call-back.
+func TestResultAfterADoubtfulCallBack(t *testing.T) {
+	var p *Pool
+	f := newFake(t, func(n int, conn net.Conn) bool {
+		if n < 3 {
+			p.Event(Event{ID: "id-1", From: "s-1", State: Failed})
+			return say(taken)(n, conn)
+		}
+		p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")}) // crosses with the DELETE
+		return say(taken)(n, conn)
+	})
+	p = reserved(t, f)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
+	if got := invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Served); got != "r" {
+		t.Errorf("result %q", got)
+	}
+}
+
+// A worker that never answers holds a doubtful attempt to its time and no longer: the job then goes nowhere any more.
+func TestDoubtfulAttemptEndsInTime(t *testing.T) {
+	var p *Pool
+	f := newFake(t, func(n int, conn net.Conn) bool {
+		if n < 3 {
+			p.Event(Event{ID: "id-1", From: "s-1", State: Returned})
+		}
+		return n >= 3 || say(taken)(n, conn)
+	})
+	p = reserved(t, f)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.TurnedAway)
+	v := verdict(context.Background(), 400*time.Millisecond)
+	invoke(t, p, v, decide.TimedOut)
+	if late := time.Since(v.Until); late < 0 || late > 5*time.Second {
+		t.Errorf("ended %v after its time", late)
+	}
+}
+
+// A call-back that names the lease of the attempt that is out is about that one, and ends it.
+func TestLeasedCallBackIsNoRepeat(t *testing.T) {
+	var p *Pool
+	lease := uint64(1)
+	f := newFake(t, func(n int, conn net.Conn) bool {
+		for old := range lease { // the repeats of earlier ones come first
+			p.Event(Event{ID: "id-1", From: "s-1", State: Failed, Lease: old + 1})
+		}
+		return say(taken)(n, conn)
+	})
+	p = reserved(t, f)
+	for ; lease <= 2; lease++ {
+		end, _ := p.Invoke(newJob(), lease, verdict(context.Background(), 20*time.Second), func(decide.News) {})
+		if end != decide.Failed {
+			t.Fatalf("lease %d: end %v", lease, end)
+		}
+	}
+	if got := f.got(); !slices.Equal(got, []string{attemptLine, attemptLine}) {
+		t.Errorf("sent: %v", got)
+	}
+}
+
+// What an earlier process has sent counts as what this one has sent.
+func TestRecalledAttempts(t *testing.T) {
+	f := newFake(t, say(taken))
+	p := reserved(t, f)
+	p.Recall("id-1", "s-1", true)
+	p.Recall("id-1", "s-2", true)
+	sent := make(chan []string, 1)
+	go func() {
+		sent <- []string{<-f.lines, <-f.lines}
+		p.Event(Event{ID: "id-1", From: "s-1", State: Done})
+	}()
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Served)
+	if got := <-sent; !slices.Equal(got, []string{giveUpLine, attemptLine}) {
+		t.Errorf("sent: %v", got)
+	}
+	p.Free("id-1")
+	p.Recall("id-1", "s-1", true)
+	if len(p.earlier) > 0 {
+		t.Error("attempts of a job that is over are kept")
+	}
+}
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -38,9 +38,10 @@
 	Awake func(until time.Time)
 
 	mu        sync.Mutex
-	providers map[string]*provider // by name
-	open      int                  // connections, those being made included
-	calls     map[string]*call     // by request id
+	providers map[string]*provider                  // by name
+	open      int                                   // connections, those being made included
+	calls     map[string]*call                      // by request id
+	earlier   map[string]map[string]earlierAttempts // of reserved jobs, by request id and provider
 	closed    bool
 
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
@@ -73,7 +74,8 @@
 // NewPool returns a Pool without providers.
 func NewPool(limits Limits, log *slog.Logger) *Pool {
 	p := &Pool{log: log,
-		providers: make(map[string]*provider), calls: make(map[string]*call)}
+		providers: make(map[string]*provider), calls: make(map[string]*call),
+		earlier: make(map[string]map[string]earlierAttempts)}
 	p.Tune(limits)
 	p.move.transit = make(map[string]chan struct{})
 	p.Retain()
