--- /dev/null
+++ b/decide/one_call_test.go
@@ -0,0 +1,113 @@
+package decide
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/internal/pin"
+	"laddertide/policy"
+)
+
+func TestMain(m *testing.M) { pin.Run(m) }
+
+// inBubble is a test without a deadline, which one with a clock of its own must not ask for.
+type inBubble struct{ testing.TB }
+
+// carried is a job as whoever makes its calls sees it.
+type carried struct {
+	ticket *Ticket
+	call   *Verdict // that is out
+	over   bool     // it has its final verdict
+	left   bool     // its client has gone
+	calls  int
+}
+
+// pick takes what there is to do for the job by now.
+func (c *carried) pick(t *rapid.T) {
+	for {
+		select {
+		case v := <-c.ticket.verdicts:
+			switch {
+			case c.over:
+				t.Fatalf("%v after the final verdict", v.Kind)
+			case v.Kind != Call:
+				c.over = true
+			case c.call != nil:
+				t.Fatalf("a call at %s while one at %s is out", v.Provider, c.call.Provider)
+			case c.left:
+				t.Fatalf("a call at %s for a client that has gone", v.Provider)
+			default:
+				c.call = &v
+				c.calls++
+			}
+		default:
+			return
+		}
+	}
+}
+
+// A job has one call out at most: the next one comes once the end of the last has been reported, whatever the directory and
+// the client do meanwhile and however long a call that is withdrawn takes to end. What is withdrawn stays so.
+func TestOneCallOut(t *testing.T) {
+	further := 0
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(inBubble{t}, func(r *rapid.T) {
+			effect := rapid.SampledFrom([]policy.Effect{policy.Safe, policy.Keyed}).Draw(r, "effect")
+			providers := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(r, "providers")]
+			d := desk(t, effect, providers...)
+			defer d.Close()
+			var jobs []*carried
+			for range rapid.IntRange(5, 60).Draw(r, "events") {
+				playCarried(r, d, &jobs, providers)
+				synctest.Wait()
+				for _, c := range jobs {
+					c.pick(r)
+				}
+			}
+			for _, c := range jobs {
+				further += max(0, c.calls-1)
+			}
+		})
+	})
+	if further < 100 {
+		t.Errorf("only %d further calls", further)
+	}
+}
+
+// playCarried lets one drawn thing happen.
+func playCarried(r *rapid.T, d *Desk, jobs *[]*carried, providers []string) {
+	event := rapid.IntRange(0, 9).Draw(r, "event")
+	switch {
+	case event < 2 || len(*jobs) == 0:
+		*jobs = append(*jobs, &carried{ticket: d.Take(work)})
+		return
+	case event == 2:
+		time.Sleep(time.Duration(rapid.IntRange(1, 1500).Draw(r, "ms")) * time.Millisecond)
+		return
+	case event == 3:
+		state := rapid.SampledFrom([]policy.State{policy.Ready, policy.Ready, policy.Draining, policy.Gone}).Draw(r, "state")
+		entry := policy.Entry{Weight: 2, State: state}
+		if rapid.Bool().Draw(r, "anew") {
+			entry.Started = time.Duration(time.Now().UnixNano())
+		}
+		d.Directory(policy.ListDelta, 1, []policy.Entry{entry}, []string{rapid.SampledFrom(providers).Draw(r, "provider")})
+		return
+	}
+	c := (*jobs)[rapid.IntRange(0, len(*jobs)-1).Draw(r, "job")]
+	switch {
+	case event == 4:
+		c.left = true
+		c.ticket.Leave()
+	case c.call == nil:
+	case event == 5:
+		c.ticket.Hear(News{Kind: Begun})
+	default:
+		end := rapid.SampledFrom([]End{NotConnected, TurnedAway, NotSent, Served, Failed, Broken, Silent, TimedOut, Withdrawn}).
+			Draw(r, "end")
+		c.call = nil
+		c.ticket.Report(end)
+	}
+}
