rehearse/links: a delay holds up each read by itself

A relay slept for its delay before it read again, so what was sent meanwhile came up to two delays late and a way of 40 ms carried 25 reads a second. A long way holds up each byte by the same time. Reads wait in a bounded queue with the time at which they are due now.

TestADelayIsOfEachRead fails without the change; the package's tests pass with -race.

--- a/rehearse/links/links.go
+++ b/rehearse/links/links.go
@@ -9,6 +9,7 @@
 package links
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -394,8 +395,36 @@
 	return !l.closed
 }
 
-// pour carries one direction of a connection.
+// mostHeld bounds the reads of one direction of a connection that its delay holds up; a sender is held up beyond that, as by a
+// full window.
+const mostHeld = 256
+
+// chunk is what one read of a connection gave, and what is to be done with it once it is due.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+	reset bool // both halves are reset after these bytes
+}
+
+// pour carries one direction of a connection. A delay holds up each read by itself, as a long way does: what is sent meanwhile
+// follows at the distance at which it was sent.
 func (l *Links) pour(p pair, from, to *net.TCPConn) {
+	held := make(chan chunk, mostHeld)
+	var delivering sync.WaitGroup
+	delivering.Go(func() { deliver(held, from, to) })
+	if l.take(p, from, held) {
+		close(held)
+		delivering.Wait()
+		to.CloseWrite()
+		return
+	}
+	close(held)
+	delivering.Wait()
+}
+
+// take reads one direction of a connection until it ends, and hands on what is to be delivered. It tells whether the end was
+// the sender's own.
+func (l *Links) take(p pair, from *net.TCPConn, held chan<- chunk) bool {
 	buf := make([]byte, 16<<10)
 	passed := int64(0)
 	swallowed := false
@@ -406,38 +435,52 @@
 			l.changed.Wait()
 		}
 		f, closed := l.faults[p], l.closed
-		wait := f.Delay + time.Duration(l.draw(p).Float64()*float64(f.Jitter))
+		due := time.Now().Add(f.Delay + time.Duration(l.draw(p).Float64()*float64(f.Jitter)))
 		l.count(p).Bytes += int64(n)
 		l.mu.Unlock()
 		if closed {
-			return
+			return false
 		}
 		if f.Swallow && n > 0 {
 			swallowed = true
 			continue
 		}
 		if swallowed {
-			loop.Reset(from)
-			loop.Reset(to)
-			return
-		}
-		if wait > 0 {
-			time.Sleep(wait)
+			held <- chunk{due: due, reset: true}
+			return false
 		}
 		if f.Reset > 0 && passed+int64(n) > f.Reset {
-			to.Write(buf[:max(0, f.Reset-passed)])
-			loop.Reset(from)
-			loop.Reset(to)
-			return
+			held <- chunk{bytes: bytes.Clone(buf[:max(0, f.Reset-passed)]), due: due, reset: true}
+			return false
 		}
 		passed += int64(n)
-		if _, werr := to.Write(buf[:n]); werr != nil {
-			from.Close()
-			return
+		if n > 0 {
+			held <- chunk{bytes: bytes.Clone(buf[:n]), due: due}
 		}
 		if err != nil {
-			to.CloseWrite()
-			return
+			return true
+		}
+	}
+}
+
+// deliver writes what was read once it is due.
+func deliver(held <-chan chunk, from, to *net.TCPConn) {
+	broken := false
+	for c := range held {
+		if broken {
+			continue
+		}
+		time.Sleep(time.Until(c.due))
+		if len(c.bytes) > 0 {
+			if _, err := to.Write(c.bytes); err != nil {
+				from.Close()
+				broken = true
+			}
+		}
+		if c.reset {
+			loop.Reset(from)
+			loop.Reset(to)
+			broken = true
 		}
 	}
 }
--- a/rehearse/links/links_test.go
+++ b/rehearse/links/links_test.go
@@ -260,3 +260,31 @@
 		t.Error("an answer of nobody")
 	}
 }
+
+// A delay holds up each read by itself: what is sent while an earlier one is held up comes a delay after it was sent, not two.
+func TestADelayIsOfEachRead(t *testing.T) {
+	const delay = time.Second
+	e := newEnds(t)
+	e.l.Set("a", "b", Fault{Delay: delay})
+	c := e.dial(t)
+	began := time.Now()
+	c.Write([]byte("one"))
+	time.Sleep(delay / 10)
+	c.Write([]byte("two"))
+	far := <-e.accepted
+	far.SetReadDeadline(began.Add(20 * time.Second))
+	b := make([]byte, 6)
+	if _, err := io.ReadFull(far, b[:3]); err != nil || string(b[:3]) != "one" {
+		t.Fatalf("%q, %v", b, err)
+	}
+	first := time.Now()
+	if took := first.Sub(began); took < delay {
+		t.Fatalf("the first came after %v, of a delay of %v", took, delay)
+	}
+	if _, err := io.ReadFull(far, b[3:]); err != nil || string(b) != "onetwo" {
+		t.Fatalf("%q, %v", b, err)
+	}
+	if apart := time.Since(first); apart > delay*9/10 {
+		t.Fatalf("the second came %v after the first, which it was sent %v after", apart, delay/10)
+	}
+}
