--- /dev/null
+++ b/core/configuration/follower.go
@@ -0,0 +1,81 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+
+	wire "laddertide/wire/configuration"
+)
+
+// Decision is what a follower does with a version that it is sent.
+type Decision uint8
+
+// The decisions.
+const (
+	Ignore Decision = iota // it has it already, or has refused it: it reports what it has
+	Apply                  // it checks it, and then takes it or refuses it
+)
+
+// Errors of a version that a follower is sent. None of them changes what is in force.
+var (
+	ErrOlder  = errors.New("configuration: an older version than this process has had")
+	ErrDigest = errors.New("configuration: a document that is not the one of its digest")
+	ErrFork   = errors.New("configuration: another document by the same version")
+)
+
+// Follower is what a scheduler knows of its configuration: which version is in force, and the newest that it has ever had. The
+// zero value has had none. It is not safe for concurrent use.
+type Follower struct {
+	version       uint64
+	digest        wire.Digest
+	refused       uint64
+	refusedDigest wire.Digest
+	reason        string
+}
+
+// NewFollower returns a Follower that has had a version, as it was left on disk.
+func NewFollower(version uint64, digest wire.Digest) *Follower {
+	return &Follower{version: version, digest: digest}
+}
+
+// Offer decides what to do with a version that a source has sent.
+func (f *Follower) Offer(p *wire.Push) (Decision, error) {
+	if p.Version == 0 { // the source has none yet
+		return Ignore, nil
+	}
+	if wire.DigestOf(p.Document) != p.Digest {
+		return Ignore, fmt.Errorf("%w: version %d", ErrDigest, p.Version)
+	}
+	switch {
+	case p.Version < f.version:
+		return Ignore, fmt.Errorf("%w: %d, and it has had %d", ErrOlder, p.Version, f.version)
+	case p.Version == f.version && p.Digest != f.digest:
+		return Ignore, fmt.Errorf("%w: %d", ErrFork, p.Version)
+	case p.Version == f.version:
+		return Ignore, nil
+	case p.Version == f.refused && p.Digest != f.refusedDigest:
+		return Ignore, fmt.Errorf("%w: %d", ErrFork, p.Version)
+	case p.Version <= f.refused:
+		return Ignore, nil
+	}
+	return Apply, nil
+}
+
+// Took notes that a version that was offered is in force.
+func (f *Follower) Took(p *wire.Push) {
+	f.version, f.digest = p.Version, p.Digest
+	f.refused, f.refusedDigest, f.reason = 0, wire.Digest{}, ""
+}
+
+// Refused notes that a version that was offered cannot be used here, and why. What was in force stays.
+func (f *Follower) Refused(p *wire.Push, reason string) {
+	if len(reason) > wire.MaxReason {
+		reason = reason[:wire.MaxReason]
+	}
+	f.refused, f.refusedDigest, f.reason = p.Version, p.Digest, reason
+}
+
+// Report returns what a follower tells its source.
+func (f *Follower) Report() wire.Report {
+	return wire.Report{Version: f.version, Digest: f.digest, Refused: f.refused, Reason: f.reason}
+}
--- /dev/null
+++ b/core/configuration/machine.go
@@ -0,0 +1,176 @@
+// Package configuration decides what becomes of proposed changes of configuration, what a follower does with a version that it
+// is sent, and which followers are behind. It does no I/O: time is an argument.
+package configuration
+
+import (
+	"fmt"
+	"slices"
+
+	wire "laddertide/wire/configuration"
+)
+
+// Machine is the replicated state machine: every member that applies the same changes in the same order has the same versions.
+// The zero value has no version yet. It is not safe for concurrent use.
+type Machine struct {
+	document []byte
+	history  []wire.Past // the newest last
+	voters   []wire.Voter
+	removed  []uint64
+}
+
+// Result says what became of a change.
+type Result struct {
+	Code    wire.Code // Accepted, Conflict or RequestReuse
+	Version uint64    // accepted: the change's; else the newest
+	Fresh   bool      // this change made the version; else an earlier one with the same request id did
+}
+
+// Text explains a result to people.
+func (r Result) Text(base uint64) string {
+	switch r.Code {
+	case wire.Conflict:
+		return fmt.Sprintf("the change was made from version %d, and %d is the newest", base, r.Version)
+	case wire.RequestReuse:
+		return "the request id was used for another change"
+	}
+	return ""
+}
+
+// Newest returns the newest version; 0: there is none.
+func (m *Machine) Newest() uint64 { return m.Latest().Version }
+
+// Latest returns the newest change, without its document. Its version is 0 if there is none.
+func (m *Machine) Latest() wire.Past {
+	if len(m.history) == 0 {
+		return wire.Past{}
+	}
+	return m.history[len(m.history)-1]
+}
+
+// Push returns the newest version as followers are sent it. Its document must not be changed.
+func (m *Machine) Push() wire.Push {
+	latest := m.Latest()
+	return wire.Push{Version: latest.Version, Digest: latest.Digest, AcceptedAt: latest.AcceptedAt, Document: m.document}
+}
+
+// Foresee returns what is certain to become of a change before it is in the log: a change from an old base stays a conflict, and
+// one that was applied stays applied. It returns false while that depends on what else is on its way.
+func (m *Machine) Foresee(c *wire.Change) (Result, bool) {
+	result := m.judge(c)
+	return result, !result.Fresh && (result.Code != wire.Conflict || c.Base < m.Newest())
+}
+
+// Apply applies a change. It is accepted if it was made from the newest version, and was not accepted before.
+func (m *Machine) Apply(c *wire.Change) Result {
+	result := m.judge(c)
+	if !result.Fresh {
+		return result
+	}
+	m.document = c.Document
+	m.history = append(m.history, wire.Past{Version: result.Version, Digest: wire.DigestOf(c.Document), AcceptedAt: c.AcceptedAt,
+		Author: c.Author, Request: c.Request})
+	if more := len(m.history) - wire.MaxHistory; more > 0 {
+		m.history = slices.Delete(m.history, 0, more)
+	}
+	return result
+}
+
+func (m *Machine) judge(c *wire.Change) Result {
+	newest := m.Newest()
+	if past, found := m.byRequest(c.Request); found {
+		if past.Digest == wire.DigestOf(c.Document) && past.Version == c.Base+1 {
+			return Result{Code: wire.Accepted, Version: past.Version}
+		}
+		return Result{Code: wire.RequestReuse, Version: newest}
+	}
+	if c.Base != newest {
+		return Result{Code: wire.Conflict, Version: newest}
+	}
+	return Result{Code: wire.Accepted, Version: newest + 1, Fresh: true}
+}
+
+// byRequest finds a change by its request id. One that is no longer remembered is a conflict by its base, so it is never
+// applied twice.
+func (m *Machine) byRequest(request string) (wire.Past, bool) {
+	i := slices.IndexFunc(m.history, func(p wire.Past) bool { return p.Request == request })
+	if request == "" || i < 0 {
+		return wire.Past{}, false
+	}
+	return m.history[i], true
+}
+
+// AcceptedAfter returns when the first version after the given one was accepted, in milliseconds since 1970, or of those that
+// are remembered the oldest; false: there is none after it.
+func (m *Machine) AcceptedAfter(version uint64) (int64, bool) {
+	for _, past := range m.history {
+		if past.Version > version {
+			return past.AcceptedAt, true
+		}
+	}
+	return 0, false
+}
+
+// Voters returns the members with the disks by which they take part.
+func (m *Machine) Voters() []wire.Voter { return m.voters }
+
+// DiskOf returns the disk of a member; 0: it has none.
+func (m *Machine) DiskOf(name string) uint64 {
+	for _, v := range m.voters {
+		if v.Name == name {
+			return v.Disk
+		}
+	}
+	return 0
+}
+
+// NameOf returns whose disk it is; "": no member's.
+func (m *Machine) NameOf(disk uint64) string {
+	for _, v := range m.voters {
+		if v.Disk == disk {
+			return v.Name
+		}
+	}
+	return ""
+}
+
+// Removed tells whether a disk was a member's, and is no longer.
+func (m *Machine) Removed(disk uint64) bool { return slices.Contains(m.removed, disk) }
+
+// Found sets the members of a new cluster.
+func (m *Machine) Found(voters []wire.Voter) { m.voters = slices.Clone(voters) }
+
+// Replace gives a member another disk in place of the one that it had.
+func (m *Machine) Replace(name string, disk uint64) {
+	m.voters = slices.Clone(m.voters)
+	for i := range m.voters {
+		v := &m.voters[i]
+		if v.Name != name || v.Disk == disk {
+			continue
+		}
+		m.removed = append(slices.Clone(m.removed), v.Disk)
+		v.Disk = disk
+	}
+	if more := len(m.removed) - wire.MaxRemoved; more > 0 {
+		m.removed = m.removed[more:]
+	}
+}
+
+// Snapshot returns the state, for Restore. It shares the document with the machine, and nothing that changes.
+func (m *Machine) Snapshot() wire.State {
+	return wire.State{Document: m.document, History: slices.Clone(m.history), Voters: slices.Clone(m.voters), Removed: slices.Clone(m.removed)}
+}
+
+// Restore sets the state. A state whose versions have gaps, or whose document is not that of its newest version, is an error,
+// and changes nothing.
+func (m *Machine) Restore(s wire.State) error {
+	for i := 1; i < len(s.History); i++ {
+		if s.History[i].Version != s.History[i-1].Version+1 {
+			return fmt.Errorf("configuration: version %d follows %d", s.History[i].Version, s.History[i-1].Version)
+		}
+	}
+	if n := len(s.History); n > 0 && s.History[n-1].Digest != wire.DigestOf(s.Document) {
+		return fmt.Errorf("configuration: the document of version %d is another one", s.History[n-1].Version)
+	}
+	*m = Machine{document: s.Document, history: s.History, voters: s.Voters, removed: s.Removed}
+	return nil
+}
--- /dev/null
+++ b/core/configuration/machine_test.go
@@ -0,0 +1,140 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	wire "laddertide/wire/configuration"
+)
+
+// model is the plain rule: a list of documents, and which request made which.
+type model struct {
+	documents [][]byte
+	requests  map[string]int // version by request
+}
+
+func (m *model) apply(c *wire.Change) Result {
+	newest := uint64(len(m.documents))
+	if v, found := m.requests[c.Request]; found {
+		if bytes.Equal(m.documents[v-1], c.Document) && c.Base == uint64(v-1) {
+			return Result{Code: wire.Accepted, Version: uint64(v)}
+		}
+		return Result{Code: wire.RequestReuse, Version: newest}
+	}
+	if c.Base != newest {
+		return Result{Code: wire.Conflict, Version: newest}
+	}
+	m.documents = append(m.documents, c.Document)
+	if c.Request != "" {
+		m.requests[c.Request] = len(m.documents)
+	}
+	return Result{Code: wire.Accepted, Version: newest + 1, Fresh: true}
+}
+
+// TestMachineAgainstModel: changes with drawn bases and request ids come out as the plain rule says, through snapshots as well,
+// and what is foreseen comes true whatever is applied before it.
+func TestMachineAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, plain := &Machine{}, &model{requests: make(map[string]int)}
+		foreseen := make(map[int]Result)
+		changes := make([]wire.Change, rapid.IntRange(1, 60).Draw(t, "changes"))
+		for i := range changes {
+			changes[i] = wire.Change{Request: rapid.SampledFrom([]string{"", "r1", "r2", "r3", "r4"}).Draw(t, "request"),
+				Base:     uint64(max(0, len(plain.documents)+rapid.IntRange(-2, 1).Draw(t, "base"))),
+				Document: []byte{byte(rapid.IntRange(0, 3).Draw(t, "document"))}, AcceptedAt: int64(i)}
+			if result, certain := m.Foresee(&changes[i]); certain {
+				foreseen[i] = result
+			}
+			if rapid.Bool().Draw(t, "overtaken") {
+				other := wire.Change{Base: m.Newest(), Document: []byte("other")}
+				m.Apply(&other)
+				plain.apply(&other)
+			}
+			want, got := plain.apply(&changes[i]), m.Apply(&changes[i])
+			if got != want {
+				t.Fatalf("change %d %+v: %+v, and the model says %+v", i, changes[i], got, want)
+			}
+			if f, certain := foreseen[i]; certain && (f.Code != got.Code || got.Code == wire.Accepted && f.Version != got.Version) {
+				t.Fatalf("change %d: %+v was foreseen, and %+v came", i, f, got)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+				state := m.Snapshot()
+				read, err := wire.ReadState(state.Append())
+				m = &Machine{}
+				if err == nil {
+					err = m.Restore(read)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			if n := len(plain.documents); m.Newest() != uint64(n) || n > 0 && !bytes.Equal(m.Push().Document, plain.documents[n-1]) {
+				t.Fatalf("version %d, and the model has %d", m.Newest(), n)
+			}
+		}
+	})
+}
+
+// TestHistoryIsBounded: memory does not grow with the changes, and one that is no longer remembered is not applied again.
+func TestHistoryIsBounded(t *testing.T) {
+	m := &Machine{}
+	first := wire.Change{Request: "first", Document: []byte("d")}
+	m.Apply(&first)
+	for i := range 2 * wire.MaxHistory {
+		m.Apply(&wire.Change{Request: fmt.Sprint(i), Base: m.Newest(), Document: []byte("d"), AcceptedAt: int64(i)})
+	}
+	if n := len(m.history); n != wire.MaxHistory {
+		t.Errorf("%d changes are remembered", n)
+	}
+	if got := m.Apply(&first); got.Code != wire.Conflict {
+		t.Errorf("a change of long ago: %+v", got)
+	}
+	if at, behind := m.AcceptedAfter(1); !behind || at != int64(wire.MaxHistory) {
+		t.Errorf("behind since %d, %v", at, behind)
+	}
+}
+
+func TestRestoreRefuses(t *testing.T) {
+	whole := &Machine{}
+	whole.Apply(&wire.Change{Document: []byte("one")})
+	whole.Apply(&wire.Change{Base: 1, Document: []byte("two")})
+	for why, change := range map[string]func(*wire.State){
+		"another document": func(s *wire.State) { s.Document = []byte("three") },
+		"a gap":            func(s *wire.State) { s.History[1].Version = 3 },
+	} {
+		state, m := whole.Snapshot(), &Machine{}
+		change(&state)
+		if err := m.Restore(state); err == nil {
+			t.Errorf("a state with %s was taken", why)
+		}
+		if m.Newest() != 0 {
+			t.Errorf("%s: a state that was refused has changed something", why)
+		}
+	}
+}
+
+func TestMembers(t *testing.T) {
+	m := &Machine{}
+	m.Found([]wire.Voter{{Name: "a", Disk: 1}, {Name: "b", Disk: 2}})
+	m.Replace("b", 2)
+	if m.Removed(2) {
+		t.Error("a disk took its own place")
+	}
+	m.Replace("b", 3)
+	if want := []wire.Voter{{Name: "a", Disk: 1}, {Name: "b", Disk: 3}}; !reflect.DeepEqual(m.Voters(), want) {
+		t.Errorf("members %+v", m.Voters())
+	}
+	if !m.Removed(2) || m.Removed(3) || m.DiskOf("b") != 3 || m.NameOf(3) != "b" || m.NameOf(2) != "" || m.DiskOf("c") != 0 {
+		t.Error("a disk that was replaced is not told from the one in its place")
+	}
+	for disk := range uint64(2 * wire.MaxRemoved) {
+		m.Replace("b", 10+disk)
+	}
+	if len(m.removed) != wire.MaxRemoved {
+		t.Errorf("%d disks are remembered", len(m.removed))
+	}
+}
--- /dev/null
+++ b/core/configuration/table.go
@@ -0,0 +1,107 @@
+package configuration
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	wire "laddertide/wire/configuration"
+)
+
+// Limits bound a Table.
+type Limits struct {
+	Silence time.Duration // after which a follower that was not heard of is in doubt: it may serve with what it had
+	Forget  time.Duration // after which it is not listed any more
+	Most    int           // followers
+}
+
+// Table is what a source knows of followers: those that are connected to it, and at the leader those of the other members. It is
+// not safe for concurrent use.
+type Table struct {
+	limits Limits
+	rows   map[string]*row
+}
+
+// row is a follower; its name and the row's times are kept beside it.
+type row struct {
+	wire.Follower
+	heard time.Time
+}
+
+// NewTable returns a table without followers.
+func NewTable(limits Limits) *Table {
+	return &Table{limits: limits, rows: make(map[string]*row)}
+}
+
+// Report notes what a follower that is connected to a member has said of itself. A process that another one of the same name
+// has followed is passed over. It returns false if there is no room.
+func (t *Table) Report(member string, hello *wire.Hello, report *wire.Report, now time.Time) bool {
+	return t.note(wire.Follower{Name: hello.Name, Start: hello.Start, Version: report.Version, Digest: report.Digest,
+		Refused: report.Refused, Reason: report.Reason, Member: member}, now)
+}
+
+// Heard notes that a follower's process has been heard of.
+func (t *Table) Heard(name string, start uint64, now time.Time) {
+	if r := t.rows[name]; r != nil && r.Start == start && now.After(r.heard) {
+		r.heard = now
+	}
+}
+
+// Merge notes what another member knows of its followers. The newer of two accounts counts.
+func (t *Table) Merge(member string, rows []wire.Follower, now time.Time) {
+	for _, f := range rows {
+		f.Member = member
+		t.note(f, now.Add(-time.Duration(f.HeardAgo)*time.Millisecond))
+	}
+}
+
+func (t *Table) note(f wire.Follower, heard time.Time) bool {
+	r := t.rows[f.Name]
+	if r == nil {
+		if len(t.rows) >= t.limits.Most {
+			return false
+		}
+		r = &row{}
+		t.rows[f.Name] = r
+	}
+	if f.Start < r.Start || f.Start == r.Start && heard.Before(r.heard) {
+		return true
+	}
+	*r = row{Follower: f, heard: heard}
+	return true
+}
+
+// Sweep forgets followers that have not been heard of for long.
+func (t *Table) Sweep(now time.Time) {
+	maps.DeleteFunc(t.rows, func(_ string, r *row) bool { return now.Sub(r.heard) > t.limits.Forget })
+}
+
+// Rows returns what is known of all followers, by name. How long one is behind counts from when the first version that it does
+// not have was accepted.
+func (t *Table) Rows(m *Machine, now time.Time) []wire.Follower {
+	return t.rowsOf(m, now, func(*row) bool { return true })
+}
+
+// RowsOf is Rows for the followers of one member.
+func (t *Table) RowsOf(member string, m *Machine, now time.Time) []wire.Follower {
+	return t.rowsOf(m, now, func(r *row) bool { return r.Member == member })
+}
+
+func (t *Table) rowsOf(m *Machine, now time.Time, wanted func(*row) bool) []wire.Follower {
+	out := make([]wire.Follower, 0, len(t.rows))
+	for _, r := range t.rows {
+		if !wanted(r) {
+			continue
+		}
+		f, silent := r.Follower, max(0, now.Sub(r.heard))
+		f.HeardAgo = silent.Milliseconds()
+		f.InDoubt = silent > t.limits.Silence
+		if accepted, behind := m.AcceptedAfter(f.Version); behind {
+			f.Behind = max(1, now.UnixMilli()-accepted)
+		}
+		out = append(out, f)
+	}
+	slices.SortFunc(out, func(a, b wire.Follower) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
