--- a/cmd/laddertide/fleet.go
+++ b/cmd/laddertide/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/pflag"
 
+	"laddertide/configuration/follower"
 	"laddertide/returning"
 	"laddertide/scheduler"
 )
@@ -137,6 +138,14 @@
 	if r.Owners != nil {
 		fmt.Fprint(&b, r.Owners.Roster, r.Owners.Waits)
 	}
+	if c := r.Configuration; c != nil {
+		fmt.Fprint(&b, c.Version, c.Digest, c.Source, c.Folder, c.SaveError, c.Refused, c.Reason)
+		if c.Fleet != nil {
+			for _, row := range c.Fleet.Followers {
+				fmt.Fprint(&b, row.Name, row.Version, row.InDoubt, row.Refused, row.BehindMS > 0)
+			}
+		}
+	}
 	if back := r.Return; back != nil {
 		fmt.Fprint(&b, back.Step, back.For, back.Names, back.Without)
 	}
@@ -161,12 +170,72 @@
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = fmt.Errorf("%s answers %d: %s", address, resp.StatusCode, strings.TrimSpace(string(body)))
 		if resp.StatusCode == http.StatusNotFound && path == "/-/fleet" {
-			err = fmt.Errorf("%s knows no other schedulers: its operators' file has no section peers or state", address)
+			err = fmt.Errorf("%s knows no other schedulers: its operators' file has no section peers, state or configuration", address)
 		}
 	}
 	return body, err
 }
 
+// tableConfiguration shows which version of the configuration is in force, and who is behind.
+func tableConfiguration(out io.Writer, r *scheduler.ConfigurationReport) {
+	if r.Version == 0 {
+		fmt.Fprint(out, "configuration: the file's settings are in force, no version of the log")
+	} else {
+		fmt.Fprintf(out, "configuration: version %d (%s) in force for %s", r.Version, r.Digest, milliseconds(r.InForceMS))
+	}
+	if r.Source == "" {
+		fmt.Fprintf(out, "; no source is connected (%s); known to be the newest %s\n", plain(r.Problem), since(r.CurrentMS))
+	} else {
+		fmt.Fprintf(out, "; source %s at %s, its quorum %s\n", plain(r.Member), r.Source, since(r.QuorumMS))
+	}
+	if r.Folder != "" {
+		fmt.Fprintf(out, "! its folder at the start: %s\n", plain(r.Folder))
+	}
+	if r.SaveError != "" {
+		fmt.Fprintf(out, "! a version cannot be kept on disk: %s\n", plain(r.SaveError))
+	}
+	if r.Refused > 0 {
+		fmt.Fprintf(out, "! version %d is refused here: %s\n", r.Refused, plain(r.Reason))
+	}
+	if r.FleetError != "" {
+		fmt.Fprintf(out, "  who is behind is not known: %s\n", plain(r.FleetError))
+	}
+	if r.Fleet != nil {
+		tableFollowers(out, r.Fleet)
+	}
+}
+
+// tableFollowers shows a source's word on all schedulers.
+func tableFollowers(out io.Writer, f *follower.Fleet) {
+	fmt.Fprintf(out, "  by %s: version %d (%s) is the newest, its quorum %s\n", plain(f.Member), f.Newest, f.Digest, since(f.QuorumMS))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "scheduler\tversion\tbehind for\theard\trefused\tsource")
+	for _, row := range f.Followers {
+		behind, heard, refused := "-", milliseconds(row.HeardMS).String(), "-"
+		if row.BehindMS > 0 {
+			behind = milliseconds(row.BehindMS).String()
+		}
+		if row.InDoubt {
+			heard += " (in doubt)"
+		}
+		if row.Refused > 0 {
+			refused = fmt.Sprintf("%d: %s", row.Refused, plain(row.Reason))
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\n", plain(row.Name), row.Version, behind, heard, refused, plain(row.Member))
+	}
+	w.Flush()
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// since words an age in milliseconds; one below 0 stands for never.
+func since(age int64) string {
+	if age < 0 {
+		return "never"
+	}
+	return milliseconds(age).String() + " ago"
+}
+
 // tableReturn shows how the return after a loss of power stands.
 func tableReturn(out io.Writer, r *returning.Report) {
 	fmt.Fprintf(out, "return: step %s for %s", r.Step, time.Duration(r.SinceMS)*time.Millisecond)
@@ -202,6 +271,9 @@
 	if r.Return != nil {
 		tableReturn(out, r.Return)
 	}
+	if r.Configuration != nil {
+		tableConfiguration(out, r.Configuration)
+	}
 	if len(r.Members) == 0 {
 		return // the others are not looked for yet, or there are none
 	}
--- /dev/null
+++ b/configuration/follower/follower.go
@@ -0,0 +1,349 @@
+// Package follower keeps a scheduler's configuration up to the log that a quorum of sources keeps: it holds one connection to one
+// of the sources, takes what is pushed there, has it checked, brings it to the disk, has it put in force and reports what is. It
+// owns the connection and the folder. What a push brings about is decided by core/configuration, and what a document means by
+// those who gave Check and Apply.
+//
+// # What can be relied on
+//
+// A document is in force whole or not at all, and is on disk before it is. A version that is older than the one in force is never
+// put in force, also not by a later process that has the same folder. While no source is reached, or the one that is reached has no
+// quorum, what is in force stays, and Report says how old it is.
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"laddertide/configuration/stream"
+	core "laddertide/core/configuration"
+	wire "laddertide/wire/configuration"
+)
+
+// Config is what a Follower is made of.
+type Config struct {
+	Settings Settings
+	Name     string // of the scheduler
+	Seed     uint64 // draws the order of sources and the jitter of retries
+	Log      *slog.Logger
+
+	// Check says why a document could not be put in force; it changes nothing. Apply puts one in force that has passed it. Both are
+	// called on one goroutine of the follower.
+	Check, Apply func(Document) error
+}
+
+// Follower follows the sources. Its methods may be called from any goroutine.
+type Follower struct {
+	cfg    Config
+	timing Timing
+	store  *store
+	seals  *stream.Seals // nil: nothing is encrypted
+	start  uint64        // tells this process's connections from those of others of its name
+
+	ctx            context.Context
+	stop           context.CancelFunc
+	begun, settled sync.Once
+	done           chan struct{} // closed once run has ended
+	first          chan struct{} // closed once a version is in force, or a quorum is known to have none
+	asking         chan struct{} // holds one for each question that is under way
+
+	mu    sync.Mutex
+	state state
+}
+
+// state is what a Report is made from. Guarded by the follower's mutex.
+type state struct {
+	rules   *core.Follower // what is in force, what was refused, and so what a push brings about
+	inForce Document       // Version 0: none
+
+	address   string // of the source that is connected; empty: none is
+	member    string // its name
+	newest    uint64 // the newest version that a source was heard to have
+	heardAt   time.Time
+	quorumAt  time.Time // when the source that was heard last had contact with a quorum
+	currentAt time.Time // the last moment of which a quorum's newest version is known to have been the one in force
+	problem   string    // why the last connection was not made or has ended
+	saveError string    // why the last document could not be kept; empty: it could
+}
+
+// Open takes the folder for this process and reads what it holds, which is the caller's to put in force. An error says that the
+// folder cannot be used at all, or is another process's.
+func Open(cfg Config) (*Follower, Found, error) {
+	seals, err := stream.NewSeals(cfg.Settings.Keys, cfg.Settings.Cluster)
+	if err != nil {
+		return nil, Found{}, err
+	}
+	kept, found, err := openStore(&cfg.Settings, cfg.Name, cfg.Log)
+	if err != nil {
+		return nil, Found{}, err
+	}
+	f := &Follower{cfg: cfg, timing: cfg.Settings.Timing(), store: kept, seals: seals, start: uint64(time.Now().UnixNano()),
+		done: make(chan struct{}), first: make(chan struct{}), asking: make(chan struct{}, mostAsking)}
+	f.state.rules = core.NewFollower(0, wire.Digest{})
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	return f, found, nil
+}
+
+// Start begins to follow. inForce is the version that is in force already; its Version is 0 if there is none.
+func (f *Follower) Start(inForce Document) {
+	f.begun.Do(func() {
+		if inForce.Version > 0 {
+			f.mu.Lock()
+			f.state.inForce = inForce
+			f.state.rules = core.NewFollower(inForce.Version, inForce.Digest)
+			f.mu.Unlock()
+			f.settle()
+		}
+		go f.run()
+	})
+}
+
+// Refuse notes before Start that the document which the folder held cannot be put in force. It stays the newest that this
+// scheduler has had: neither it nor an older one is tried.
+func (f *Follower) Refuse(found Document, reason string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.rules.Refused(pushOf(&found), reason)
+}
+
+// settle lets those go on who wait for the first version.
+func (f *Follower) settle() { f.settled.Do(func() { close(f.first) }) }
+
+// First waits until a version is in force, or a source with a quorum says that there is none yet, and tells whether that is so
+// before ctx ends.
+func (f *Follower) First(ctx context.Context) bool {
+	select {
+	case <-f.first:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Close ends the connection, waits until nothing is being put in force, and gives the folder back. It is not to be called while a
+// lock is held that Check or Apply take.
+func (f *Follower) Close() error {
+	f.stop()
+	f.begun.Do(func() { close(f.done) })
+	<-f.done
+	return f.store.close()
+}
+
+// run connects to one source after the other until Close.
+func (f *Follower) run() {
+	defer close(f.done)
+	chance := rand.New(rand.NewPCG(f.cfg.Seed, f.start))
+	sources := shuffled(f.cfg.Settings.Sources, f.cfg.Seed)
+	retry := backoff{first: f.timing.RetryFirst, most: f.timing.RetryMost, round: len(sources)}
+	for turn := 0; f.ctx.Err() == nil; turn++ {
+		useful, err := f.follow(sources[turn%len(sources)])
+		if f.ctx.Err() != nil {
+			return
+		}
+		if useful {
+			retry.reset()
+		}
+		f.parted(err)
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(retry.next(chance)):
+		}
+	}
+}
+
+// shuffled gives the sources in an order of this scheduler's own, so that followers spread over them.
+func shuffled(sources []string, seed uint64) []string {
+	order := append([]string(nil), sources...)
+	rand.New(rand.NewPCG(seed, uint64(len(sources)))).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return order
+}
+
+// backoff spaces attempts to connect: the first round of all sources at the shortest distance, each further one at twice the
+// distance of the one before.
+type backoff struct {
+	first, most time.Duration
+	round       int // attempts of one round
+	failed      int // attempts since the last that was of use
+}
+
+func (b *backoff) reset() { b.failed = 0 }
+
+// next is how long to wait, drawn from the upper half of the distance.
+func (b *backoff) next(chance *rand.Rand) time.Duration {
+	wait := b.first
+	for range b.failed / b.round {
+		wait = min(2*wait, b.most)
+	}
+	b.failed++
+	return wait/2 + time.Duration(chance.Int64N(int64(wait/2)+1))
+}
+
+// errSilent says that a source's heartbeats have stopped.
+var errSilent = errors.New("its heartbeats have stopped")
+
+// staleError says that a source has had no contact with a quorum for too long to be of use.
+type staleError struct{ age time.Duration }
+
+func (e staleError) Error() string { return fmt.Sprintf("no contact with a quorum for %s", e.age) }
+
+// rejectedError is a source's no to this follower.
+type rejectedError struct {
+	code wire.Code
+	text string
+}
+
+func (e rejectedError) Error() string { return fmt.Sprintf("rejected: %s: %s", e.code, e.text) }
+
+// connect opens a connection to a source and introduces this scheduler, to follow or to ask. A source that does not take it answers
+// with the reason.
+func (f *Follower) connect(ctx context.Context, address string, role wire.Role) (*stream.Conn, *wire.Welcome, error) {
+	dialer := net.Dialer{Timeout: f.timing.Dial}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := stream.New(raw, f.seals, f.timing.Write)
+	report := f.report()
+	welcome, err := f.introduce(c, &wire.Hello{Role: role, Cluster: f.cfg.Settings.Cluster, Name: f.cfg.Name, Start: f.start,
+		Version: report.Version, Digest: report.Digest})
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	return c, welcome, nil
+}
+
+// introduce says who this is and waits for the answer.
+func (f *Follower) introduce(c *stream.Conn, hello *wire.Hello) (*wire.Welcome, error) {
+	if err := c.Write(hello); err != nil {
+		return nil, err
+	}
+	m, err := c.Read(f.timing.Silent, wire.MaxSmall)
+	if err != nil {
+		return nil, err
+	}
+	switch m := m.(type) {
+	case *wire.Welcome:
+		return m, nil
+	case *wire.Rejected:
+		return nil, rejectedError{m.Code, m.Text}
+	}
+	return nil, fmt.Errorf("it answers with %T", m)
+}
+
+// follow holds a connection to a source until it ends, and tells whether it was of use: heartbeats came of a source with a quorum.
+func (f *Follower) follow(address string) (useful bool, err error) {
+	c, welcome, err := f.connect(f.ctx, address, wire.RoleFollower)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	f.joined(address, welcome)
+	release := context.AfterFunc(f.ctx, func() { c.Close() })
+	defer release()
+	beating := make(chan struct{})
+	defer close(beating)
+	go f.beat(c, beating)
+	for {
+		m, err := c.Read(f.timing.Silent, wire.MaxFrame)
+		if err != nil {
+			if isTimeout(err) {
+				err = errSilent
+			}
+			return useful, err
+		}
+		switch m := m.(type) {
+		case *wire.Push:
+			if err := f.take(m); err != nil {
+				return useful, err
+			}
+			if err := c.Write(f.report()); err != nil {
+				return useful, err
+			}
+		case *wire.Beat:
+			age := time.Duration(m.QuorumAge) * time.Millisecond
+			f.heard(m.Newest, age)
+			if age > f.timing.Stale {
+				return useful, staleError{age}
+			}
+			useful = true
+		default:
+			return useful, fmt.Errorf("it sends %T out of turn", m)
+		}
+	}
+}
+
+// beat tells a source that this follower is there, until done or the connection ends.
+func (f *Follower) beat(c *stream.Conn, done <-chan struct{}) {
+	ticker := time.NewTicker(f.timing.Beat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		f.mu.Lock()
+		version := f.state.inForce.Version
+		f.mu.Unlock()
+		if c.Write(&wire.Beat{Newest: version}) != nil {
+			c.Close() // the reader notices
+			return
+		}
+	}
+}
+
+// joined notes which source is connected.
+func (f *Follower) joined(address string, welcome *wire.Welcome) {
+	f.mu.Lock()
+	st := &f.state
+	st.address, st.member, st.problem = address, welcome.Name, ""
+	st.newest = max(st.newest, welcome.Newest)
+	st.heardAt = time.Now()
+	version := st.inForce.Version
+	f.mu.Unlock()
+	f.cfg.Log.Info("following a source of configuration", "source", address, "member", welcome.Name, "newest", welcome.Newest, "version", version)
+}
+
+// heard notes a source's heartbeat.
+func (f *Follower) heard(newest uint64, quorumAge time.Duration) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st := &f.state
+	st.heardAt, st.quorumAt = now, now.Add(-quorumAge)
+	st.newest = max(st.newest, newest)
+	if st.newest == 0 && quorumAge <= f.timing.Stale {
+		f.settle()
+	}
+	if newest <= st.inForce.Version && st.quorumAt.After(st.currentAt) {
+		st.currentAt = st.quorumAt
+	}
+}
+
+// parted notes that no source is connected, and tells of it once for each source.
+func (f *Follower) parted(err error) {
+	text := fmt.Sprint(err)
+	f.mu.Lock()
+	address, told := f.state.address, f.state.problem
+	f.state.address, f.state.member, f.state.problem = "", "", text
+	version := f.state.inForce.Version
+	f.mu.Unlock()
+	switch {
+	case address != "":
+		f.cfg.Log.Warn("source of configuration lost: trying others", "source", address, "version", version, "err", err)
+	case told == "":
+		f.cfg.Log.Warn("no source of configuration: what is in force stays", "version", version, "err", err)
+	}
+}
+
+// isTimeout tells whether an error is that a deadline has passed.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/configuration/follower/follower_test.go
@@ -0,0 +1,396 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/configuration/stream"
+	"laddertide/internal/testrig"
+	wire "laddertide/wire/configuration"
+)
+
+// patience is how long anything may take on a busy machine before a test gives up.
+const patience = 20 * time.Second
+
+// fast are times at which a test waits for little, and a busy machine still keeps up.
+var fast = Timing{Beat: 50 * time.Millisecond, Silent: time.Second, Stale: time.Second, Dial: time.Second, Write: time.Second,
+	RetryFirst: 10 * time.Millisecond, RetryMost: 50 * time.Millisecond, Ask: 5 * time.Second}
+
+// host is a scheduler as a follower sees it.
+type host struct {
+	mu      sync.Mutex
+	applied []uint64
+	invalid string // documents with this text are not for it
+}
+
+func (h *host) check(d Document) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.invalid != "" && strings.Contains(string(d.Body), h.invalid) {
+		return errors.New("not for this one")
+	}
+	return nil
+}
+
+func (h *host) apply(d Document) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applied = append(h.applied, d.Version)
+	return nil
+}
+
+func (h *host) versions() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.applied)
+}
+
+// begin starts a follower of some sources on a folder.
+func begin(t *testing.T, h *host, dir string, sources ...*testrig.Source) *Follower {
+	t.Helper()
+	set := Settings{Dir: dir, Cluster: "c"}
+	for _, s := range sources {
+		set.Sources = append(set.Sources, s.Address)
+	}
+	f, found, err := Open(Config{Settings: set, Name: "n1", Seed: 1, Log: slog.New(slog.DiscardHandler), Check: h.check, Apply: h.apply})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.timing = fast
+	if found.Document.Version > 0 {
+		h.apply(found.Document)
+	}
+	f.Start(found.Document)
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func inForce(f *Follower, version uint64) func() bool {
+	return func() bool { return f.Report().Version == version }
+}
+
+// TestAPushIsKeptAppliedAndReported: the document is on disk as it is applied, and the report names it.
+func TestAPushIsKeptAppliedAndReported(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	source.Push(1, "one")
+	until(t, "the first is in force", inForce(f, 1))
+	if !f.First(context.Background()) {
+		t.Fatal("the first version is not told of")
+	}
+	if kept := Look(&f.cfg.Settings, "n1"); kept.Damage != nil || kept.Document.Version != 1 || string(kept.Document.Body) != "one" {
+		t.Fatalf("kept: %+v", kept)
+	}
+	source.Push(2, "two")
+	until(t, "the second is reported", func() bool {
+		all := source.Reports()
+		return len(all) > 0 && all[len(all)-1].Version == 2 && all[len(all)-1].Digest == wire.DigestOf([]byte("two"))
+	})
+	if got := h.versions(); !slices.Equal(got, []uint64{1, 2}) {
+		t.Fatalf("applied %v", got)
+	}
+}
+
+// TestNoneIsOlder: an older version is passed over, from the source that pushed the newer one, from another one, and after a restart.
+func TestNoneIsOlder(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	source.Push(5, "five")
+	until(t, "5 is in force", inForce(f, 5))
+	source.Push(4, "four")
+	until(t, "4 was answered", func() bool { return len(source.Reports()) == 2 })
+	if r := source.Reports()[1]; r.Version != 5 {
+		t.Fatalf("reported %d after an older push", r.Version)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	before := len(source.Reports())
+	next := begin(t, h, dir, source)
+	if r := next.Report(); r.Version != 5 {
+		t.Fatalf("begins with %d", r.Version)
+	}
+	until(t, "4 was answered again", func() bool { return len(source.Reports()) > before })
+	source.Push(6, "six")
+	until(t, "6 is in force", inForce(next, 6))
+	if got := h.versions(); !slices.Equal(got, []uint64{5, 5, 6}) {
+		t.Fatalf("applied %v", got)
+	}
+}
+
+// TestAKeptVersionThatIsNotInForceBinds: a scheduler that could not begin with what its folder holds says so, and takes nothing
+// that is not newer.
+func TestAKeptVersionThatIsNotInForceBinds(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	source.Push(5, "five")
+	until(t, "5 is in force", inForce(f, 5))
+	f.Close()
+	f, found, err := Open(f.cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.timing = fast
+	f.Refuse(found.Document, "not any more")
+	source.Push(4, "four")
+	answered := len(source.Reports())
+	f.Start(Document{})
+	t.Cleanup(func() { f.Close() })
+	until(t, "4 was answered", func() bool { return len(source.Reports()) > answered })
+	if r := source.Reports()[answered]; r.Version != 0 || r.Refused != 5 || r.Reason != "not any more" {
+		t.Fatalf("reported %+v", r)
+	}
+	source.Push(6, "six")
+	until(t, "6 is in force", inForce(f, 6))
+}
+
+// TestARefusalIsReported: a document that is not for this scheduler leaves what is in force, on disk as well, and later ones are
+// tried.
+func TestARefusalIsReported(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{invalid: "bad"}, t.TempDir()
+	f := begin(t, h, dir, source)
+	source.Push(1, "good")
+	until(t, "1 is in force", inForce(f, 1))
+	source.Push(2, "bad")
+	until(t, "2 is refused", func() bool {
+		all := source.Reports()
+		last := all[len(all)-1]
+		return last.Version == 1 && last.Refused == 2 && last.Reason == "not for this one"
+	})
+	if r := f.Report(); r.Refused != 2 || r.Version != 1 {
+		t.Fatalf("%+v", r)
+	}
+	if kept := Look(&f.cfg.Settings, "n1"); kept.Document.Version != 1 {
+		t.Fatalf("kept %d", kept.Document.Version)
+	}
+	source.Push(3, "good again")
+	until(t, "3 is in force", inForce(f, 3))
+	if r := f.Report(); r.Refused != 0 || r.Reason != "" {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// TestFalsePushes: a document that is not the one of its digest, or another one of the same version, is never put in force.
+func TestFalsePushes(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	source.Push(1, "one")
+	until(t, "1 is in force", inForce(f, 1))
+	connections := len(source.Hellos())
+	source.PushRaw(wire.Push{Version: 2, Digest: wire.DigestOf([]byte("two")), Document: []byte("tw0")})
+	until(t, "the connection is given up", func() bool { return len(source.Hellos()) > connections+1 })
+	connections = len(source.Hellos())
+	source.Push(1, "another one")
+	until(t, "the connection is given up again", func() bool { return len(source.Hellos()) > connections })
+	source.Push(2, "two")
+	until(t, "2 is in force", inForce(f, 2))
+	if got := h.versions(); !slices.Equal(got, []uint64{1, 2}) {
+		t.Fatalf("applied %v", got)
+	}
+}
+
+// TestFailOver: a source that closes, falls silent or has no quorum is left for another one.
+func TestFailOver(t *testing.T) {
+	for name, fail := range map[string]func(*testrig.Source){
+		"silent":    func(s *testrig.Source) { s.Silence(true) },
+		"no quorum": func(s *testrig.Source) { s.Quorum(time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			one, other, h := testrig.NewSource(t, nil), testrig.NewSource(t, nil), &host{}
+			fail(one)
+			f := begin(t, h, t.TempDir(), one, other)
+			other.Push(1, "one")
+			until(t, "1 is in force", inForce(f, 1))
+			fail(other)
+			one.Silence(false)
+			one.Quorum(0)
+			one.Push(2, "two")
+			until(t, "2 is in force", inForce(f, 2))
+			if r := f.Report(); r.Source != one.Address || r.HeardMS < 0 {
+				t.Fatalf("%+v", r)
+			}
+		})
+	}
+}
+
+// TestCutOff: without any source what is in force stays, and its age grows.
+func TestCutOff(t *testing.T) {
+	source, h := testrig.NewSource(t, nil), &host{}
+	f := begin(t, h, t.TempDir(), source)
+	source.Push(1, "one")
+	until(t, "1 is known to be the newest", func() bool { r := f.Report(); return r.Version == 1 && r.CurrentMS >= 0 })
+	source.Silence(true)
+	until(t, "its age grows", func() bool { return f.Report().CurrentMS > 300 })
+	until(t, "the source is given up", func() bool { return f.Report().Problem != "" })
+	if r := f.Report(); r.Version != 1 || !strings.Contains(r.Problem, errSilent.Error()) {
+		t.Fatalf("%+v", r)
+	}
+	source.Silence(false)
+	until(t, "it is current again", func() bool { r := f.Report(); return r.Source != "" && r.CurrentMS < 300 })
+}
+
+// TestNoVersionYet: who waits for the first version goes on once a quorum is known to have none.
+func TestNoVersionYet(t *testing.T) {
+	source, h := testrig.NewSource(t, nil), &host{}
+	source.Quorum(time.Minute)
+	f := begin(t, h, t.TempDir(), source)
+	soon, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer stop()
+	if f.First(soon) {
+		t.Fatal("a source without a quorum was believed")
+	}
+	source.Quorum(0)
+	long, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	if !f.First(long) {
+		t.Fatal("still waiting")
+	}
+}
+
+// TestADamagedFolder: a newest file that is damaged is told of, and the one before it serves; with both damaged there is nothing,
+// and what is pushed is kept again.
+func TestADamagedFolder(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	for version := range uint64(2) {
+		source.Push(version+1, fmt.Sprint("document ", version+1))
+		until(t, "it is in force", inForce(f, version+1))
+	}
+	f.Close()
+	damage := func(document string) {
+		files, _ := filepath.Glob(filepath.Join(dir, "*.state"))
+		for _, file := range files {
+			b, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.Contains(string(b), document) {
+				b[len(b)-1] ^= 1
+				if err := os.WriteFile(file, b, 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	damage("document 2")
+	if found := Look(&f.cfg.Settings, "n1"); found.Damage == nil || found.Document.Version != 1 {
+		t.Fatalf("%+v", found)
+	}
+	damage("document 1")
+	if found := Look(&f.cfg.Settings, "n1"); found.Damage == nil || found.Document.Version != 0 {
+		t.Fatalf("%+v", found)
+	}
+	next := begin(t, h, dir, source)
+	until(t, "2 is in force", inForce(next, 2))
+	next.Close()
+	if found := Look(&f.cfg.Settings, "n1"); found.Document.Version != 2 {
+		t.Fatalf("%+v", found)
+	}
+	if found := Look(&f.cfg.Settings, "n2"); found.Document.Version != 0 || !errors.Is(found.Damage, errForeign) {
+		t.Fatalf("another scheduler's folder: %+v", found)
+	}
+}
+
+// TestOneProcessHasTheFolder: a second process is told that the folder is in use, and has it once the first has let go.
+func TestOneProcessHasTheFolder(t *testing.T) {
+	source, h, dir := testrig.NewSource(t, nil), &host{}, t.TempDir()
+	f := begin(t, h, dir, source)
+	if _, _, err := Open(f.cfg); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Fatalf("a second one: %v", err)
+	}
+	f.Close()
+	begin(t, h, dir, source)
+}
+
+// TestSealed: with keys nothing passes in the clear, and a source of another key is of no use.
+func TestSealed(t *testing.T) {
+	key := []byte("0123456789abcdef")
+	seals, err := stream.NewSeals([][]byte{key}, "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain, sealed, h := testrig.NewSource(t, nil), testrig.NewSource(t, seals), &host{}
+	set := Settings{Dir: t.TempDir(), Cluster: "c", Sources: []string{plain.Address, sealed.Address}, Keys: [][]byte{key}}
+	f, _, err := Open(Config{Settings: set, Name: "n1", Log: slog.New(slog.DiscardHandler), Check: h.check, Apply: h.apply})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.timing = fast
+	f.Start(Document{})
+	t.Cleanup(func() { f.Close() })
+	plain.Push(9, "in the clear")
+	sealed.Push(1, "one")
+	until(t, "1 is in force", inForce(f, 1))
+}
+
+// TestFleet: a question for the state of all followers has the source's answer.
+func TestFleet(t *testing.T) {
+	source, h := testrig.NewSource(t, nil), &host{}
+	f := begin(t, h, t.TempDir(), source)
+	source.Push(1, "one")
+	until(t, "1 is in force", inForce(f, 1))
+	source.Status(wire.Status{Member: "a", Leader: "b", Newest: 3, QuorumAge: 5, Rows: []wire.Follower{
+		{Name: "n1", Version: 1, Behind: 1500, HeardAgo: 20}, {Name: "n2", Version: 2, Refused: 3, Reason: "why", InDoubt: true}}})
+	fleet, err := f.Fleet(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fleet.Leader != "b" || fleet.Newest != 3 || len(fleet.Followers) != 2 || fleet.Followers[0].BehindMS != 1500 ||
+		fleet.Followers[1].Reason != "why" || !fleet.Followers[1].InDoubt {
+		t.Fatalf("%+v", fleet)
+	}
+}
+
+// TestBackoff: the first round of all sources is quick, later ones ever slower up to a bound, and one that was of use begins anew.
+func TestBackoff(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	b := backoff{first: 100 * time.Millisecond, most: 350 * time.Millisecond, round: 3}
+	for turn := range 12 {
+		want := []time.Duration{100, 200, 350, 350}[turn/3] * time.Millisecond
+		if got := b.next(chance); got < want/2 || got > want {
+			t.Fatalf("turn %d waits for %v, of %v", turn, got, want)
+		}
+	}
+	b.reset()
+	if got := b.next(chance); got > 100*time.Millisecond {
+		t.Fatalf("%v after one that was of use", got)
+	}
+}
+
+// TestFollowersSpread: followers of different seeds begin at different sources, and each has all of them in its order.
+func TestFollowersSpread(t *testing.T) {
+	sources := []string{"a", "b", "c"}
+	first := make(map[string]int)
+	for seed := range uint64(300) {
+		order := shuffled(sources, seed)
+		first[order[0]]++
+		if slices.Sort(order); !slices.Equal(order, sources) {
+			t.Fatalf("seed %d: %v", seed, order)
+		}
+	}
+	for _, s := range sources {
+		if first[s] < 60 {
+			t.Errorf("%d of 300 begin with %s", first[s], s)
+		}
+	}
+}
--- /dev/null
+++ b/configuration/follower/status.go
@@ -0,0 +1,147 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	wire "laddertide/wire/configuration"
+)
+
+// Report is what a follower tells operators of itself. Ages are in milliseconds; -1: it never was.
+type Report struct {
+	Version   uint64 `json:"version"` // in force; 0: the file's settings are
+	Digest    string `json:"digest,omitempty"`
+	Accepted  string `json:"accepted,omitempty"` // when the version was accepted, by the leader's clock
+	InForceMS int64  `json:"in_force_ms"`        // since it was put in force here
+	CurrentMS int64  `json:"current_ms"`         // since it was last known to be the newest that a quorum has
+
+	Source    string `json:"source,omitempty"` // that is connected
+	Member    string `json:"member,omitempty"` // its name
+	HeardMS   int64  `json:"heard_ms"`         // since a source's last heartbeat
+	QuorumMS  int64  `json:"quorum_ms"`        // since the source that was heard last had contact with a quorum
+	Newest    uint64 `json:"newest"`           // the newest version that a source was heard to have
+	Problem   string `json:"problem,omitempty"`
+	Refused   uint64 `json:"refused,omitempty"` // a version that was not put in force
+	Reason    string `json:"reason,omitempty"`
+	SaveError string `json:"save_error,omitempty"` // why the last document could not be kept
+}
+
+// Fleet is what a source knows of all followers.
+type Fleet struct {
+	Member    string `json:"member"` // that answers
+	Leader    string `json:"leader,omitempty"`
+	Newest    uint64 `json:"newest"`
+	Digest    string `json:"digest,omitempty"`
+	QuorumMS  int64  `json:"quorum_ms"`
+	Followers []Row  `json:"followers"`
+}
+
+// Row is what a source knows of one follower.
+type Row struct {
+	Name     string `json:"name"`
+	Version  uint64 `json:"version"`
+	Digest   string `json:"digest,omitempty"`
+	BehindMS int64  `json:"behind_ms"` // since the first version that it lacks was accepted; 0: it has all
+	HeardMS  int64  `json:"heard_ms"`
+	InDoubt  bool   `json:"in_doubt,omitempty"`
+	Refused  uint64 `json:"refused,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+	Member   string `json:"member,omitempty"`
+}
+
+// Report returns how this follower is now.
+func (f *Follower) Report() Report {
+	f.mu.Lock()
+	st, told := f.state, f.state.rules.Report()
+	f.mu.Unlock()
+	r := ReportOf(st.inForce)
+	r.CurrentMS, r.HeardMS, r.QuorumMS = ageOf(st.currentAt), ageOf(st.heardAt), ageOf(st.quorumAt)
+	r.Source, r.Member, r.Problem, r.Newest = st.address, st.member, st.problem, max(st.newest, st.inForce.Version)
+	r.Refused, r.Reason, r.SaveError = told.Refused, told.Reason, st.saveError
+	return r
+}
+
+// ReportOf returns the report of a process that has a version in force and follows no source itself.
+func ReportOf(inForce Document) Report {
+	r := Report{Version: inForce.Version, Newest: inForce.Version, InForceMS: -1, CurrentMS: -1, HeardMS: -1, QuorumMS: -1}
+	if inForce.Version > 0 {
+		r.Digest = inForce.Digest.String()
+		r.Accepted = inForce.AcceptedAt.UTC().Format(time.RFC3339Nano)
+	}
+	return r
+}
+
+// ageOf is how long ago something was, in milliseconds; -1: it never was.
+func ageOf(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Milliseconds()
+}
+
+// errAsking says that enough questions are under way.
+var errAsking = errors.New("enough questions for it are under way")
+
+// Fleet asks a source who is behind: the one that is connected, or else the first that answers.
+func (f *Follower) Fleet(ctx context.Context) (*Fleet, error) {
+	select {
+	case f.asking <- struct{}{}:
+		defer func() { <-f.asking }()
+	default:
+		return nil, errAsking
+	}
+	ctx, stop := context.WithTimeout(ctx, f.timing.Ask)
+	defer stop()
+	f.mu.Lock()
+	address := f.state.address
+	f.mu.Unlock()
+	if address == "" {
+		return nil, errors.New("no source is connected")
+	}
+	status, err := f.ask(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	return fleetOf(status), nil
+}
+
+// ask asks one source over a connection of its own: the one that is followed may be busy with a document.
+func (f *Follower) ask(ctx context.Context, address string) (*wire.Status, error) {
+	c, _, err := f.connect(ctx, address, wire.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	release := context.AfterFunc(ctx, func() { c.Close() })
+	defer release()
+	if err := c.Write(&wire.StatusRequest{}); err != nil {
+		return nil, err
+	}
+	m, err := c.Read(f.timing.Ask, wire.MaxFrame)
+	if err != nil {
+		return nil, err
+	}
+	status, ok := m.(*wire.Status)
+	if !ok {
+		return nil, fmt.Errorf("it answers with %T", m)
+	}
+	return status, nil
+}
+
+func fleetOf(st *wire.Status) *Fleet {
+	out := &Fleet{Member: st.Member, Leader: st.Leader, Newest: st.Newest, QuorumMS: st.QuorumAge, Followers: make([]Row, 0, len(st.Rows))}
+	if st.Newest > 0 {
+		out.Digest = st.Digest.String()
+	}
+	for _, r := range st.Rows {
+		row := Row{Name: r.Name, Version: r.Version, BehindMS: r.Behind, HeardMS: r.HeardAgo, InDoubt: r.InDoubt, Refused: r.Refused,
+			Reason: r.Reason, Member: r.Member}
+		if r.Version > 0 {
+			row.Digest = r.Digest.String()
+		}
+		out.Followers = append(out.Followers, row)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testrig/source.go
@@ -0,0 +1,203 @@
+package testrig
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/configuration/stream"
+	wire "laddertide/wire/configuration"
+)
+
+// Source is a source of configuration that does as a test says: it pushes what it is given to those who follow it, and notes what
+// they report. It keeps nothing and asks nobody.
+type Source struct {
+	Address string
+
+	t     testing.TB
+	seals *stream.Seals
+
+	mu      sync.Mutex
+	newest  wire.Push
+	quorum  time.Duration // how old its contact with a quorum is said to be
+	silent  bool          // no heartbeats
+	status  wire.Status
+	conns   map[*stream.Conn]bool
+	hellos  []wire.Hello
+	reports []wire.Report
+}
+
+// Limits of a scripted source.
+const (
+	sourceBeat  = 50 * time.Millisecond
+	sourceWait  = 20 * time.Second
+	sourceWrite = 5 * time.Second
+)
+
+// NewSource starts a source that has no version yet. It ends with the test.
+func NewSource(t testing.TB, seals *stream.Seals) *Source {
+	t.Helper()
+	s := &Source{t: t, seals: seals, conns: make(map[*stream.Conn]bool)}
+	s.Address = Listen(t, s.serve)
+	t.Cleanup(s.Drop)
+	return s
+}
+
+func (s *Source) serve(raw net.Conn) {
+	c := stream.New(raw, s.seals, sourceWrite)
+	defer c.Close()
+	m, err := c.Read(sourceWait, wire.MaxSmall)
+	hello, ok := m.(*wire.Hello)
+	if err != nil || !ok {
+		return
+	}
+	s.mu.Lock()
+	newest := s.newest
+	s.hellos = append(s.hellos, *hello)
+	s.mu.Unlock()
+	if c.Write(&wire.Welcome{Name: "scripted", Newest: newest.Version}) != nil {
+		return
+	}
+	if hello.Role == wire.RoleOperator {
+		s.answer(c)
+		return
+	}
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	if newest.Version != hello.Version && c.Write(&newest) != nil {
+		return
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.beat(c, ended)
+	s.listen(c)
+}
+
+// answer answers the questions of a tool.
+func (s *Source) answer(c *stream.Conn) {
+	if m, err := c.Read(sourceWait, wire.MaxSmall); err != nil {
+		return
+	} else if _, ok := m.(*wire.StatusRequest); !ok {
+		return
+	}
+	s.mu.Lock()
+	status := s.status
+	s.mu.Unlock()
+	c.Write(&status)
+}
+
+func (s *Source) beat(c *stream.Conn, ended <-chan struct{}) {
+	ticker := time.NewTicker(sourceBeat)
+	defer ticker.Stop()
+	for {
+		s.mu.Lock()
+		beat, silent := &wire.Beat{Newest: s.newest.Version, QuorumAge: s.quorum.Milliseconds()}, s.silent
+		s.mu.Unlock()
+		if !silent && c.Write(beat) != nil {
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// listen notes what a follower says until its connection ends.
+func (s *Source) listen(c *stream.Conn) {
+	for {
+		m, err := c.Read(sourceWait, wire.MaxSmall)
+		if err != nil {
+			return
+		}
+		if report, ok := m.(*wire.Report); ok {
+			s.mu.Lock()
+			s.reports = append(s.reports, *report)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// Push makes a document the newest and sends it to all who are connected.
+func (s *Source) Push(version uint64, document string) {
+	s.PushRaw(wire.Push{Version: version, Digest: wire.DigestOf([]byte(document)), AcceptedAt: time.Now().UnixMilli(), Document: []byte(document)})
+}
+
+// PushRaw is Push with a message as the test makes it, which may be false.
+func (s *Source) PushRaw(m wire.Push) {
+	s.mu.Lock()
+	s.newest = m
+	all := s.connected()
+	s.mu.Unlock()
+	for _, c := range all {
+		c.Write(&m)
+	}
+}
+
+// connected lists the followers' connections. Called under mu.
+func (s *Source) connected() (all []*stream.Conn) {
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Quorum says how old the contact with a quorum is, from now on.
+func (s *Source) Quorum(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quorum = age
+}
+
+// Silence ends the heartbeats, or lets them begin again.
+func (s *Source) Silence(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = on
+}
+
+// Status is what tools are answered from now on.
+func (s *Source) Status(status wire.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+}
+
+// Drop closes the followers' connections; they may come again.
+func (s *Source) Drop() {
+	s.mu.Lock()
+	all := s.connected()
+	s.mu.Unlock()
+	for _, c := range all {
+		c.Close()
+	}
+}
+
+// Followers is how many are connected.
+func (s *Source) Followers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Reports are what followers have reported so far.
+func (s *Source) Reports() []wire.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]wire.Report(nil), s.reports...)
+}
+
+// Hellos are the first messages of all connections so far.
+func (s *Source) Hellos() []wire.Hello {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]wire.Hello(nil), s.hellos...)
+}
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -26,6 +26,9 @@
 	if s.cfg.Operator.Peers != nil {
 		server.Fleet, server.Forget = s.fleetPage, s.forget
 	}
+	if s.cfg.Operator.Configuration != nil {
+		server.Fleet = s.fleetPage
+	}
 	if s.room != nil {
 		server.Fleet, server.Proceed = s.fleetPage, s.proceed
 	}
--- /dev/null
+++ b/scheduler/configuration_test.go
@@ -0,0 +1,305 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"laddertide/internal/testrig"
+	wire "laddertide/wire/configuration"
+)
+
+// document is the example's settings with words replaced; each pair must be there.
+func document(t *testing.T, pairs ...string) string {
+	t.Helper()
+	var file struct {
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal([]byte(config), &file); err != nil {
+		t.Fatal(err)
+	}
+	text := string(file.Settings)
+	for i := 0; i < len(pairs); i += 2 {
+		if !strings.Contains(text, pairs[i]) {
+			t.Fatalf("%s is not in the example's settings", pairs[i])
+		}
+		text = strings.Replace(text, pairs[i], pairs[i+1], 1)
+	}
+	return text
+}
+
+func configurationSection(dir string, sources ...*testrig.Source) string {
+	addresses := make([]string, len(sources))
+	for i, s := range sources {
+		addresses[i] = fmt.Sprintf("%q", s.Address)
+	}
+	return fmt.Sprintf("configuration:\n  sources: [%s]\n  dir: %s\n  cluster: rig\n", strings.Join(addresses, ", "), dir)
+}
+
+// configurationPage is the part of the page for operators.
+func (r *rig) configurationPage() ConfigurationReport {
+	r.t.Helper()
+	b, err := r.sched.fleetPage()
+	var page FleetPage
+	if err == nil {
+		err = json.Unmarshal(b, &page)
+	}
+	if err != nil || page.Configuration == nil {
+		r.t.Fatalf("%s, %v", b, err)
+	}
+	return *page.Configuration
+}
+
+func (r *rig) untilVersion(version uint64) {
+	r.t.Helper()
+	r.until(fmt.Sprint("version ", version, " is in force"), func(s *Scheduler) bool { return s.configuration.inForce.Version == version })
+}
+
+func (r *rig) attempts() int {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	return r.sched.cfg.Settings.MaxAttempts
+}
+
+// A pushed document is in force whole, with the scheduler's own place kept; one that is no use here leaves all as it is, names
+// the reason, and later ones are tried.
+func TestConfigurationIsPushed(t *testing.T) {
+	source, log := testrig.NewSource(t, nil), &lines{}
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r := newRig(t, configurationSection(t.TempDir(), source), log)
+	r.untilVersion(1)
+	if set := r.sched.cfg.Settings; set.MaxAttempts != 3 || set.Me != 1 || set.Zone != 1 {
+		t.Fatalf("%+v", set)
+	}
+	before := r.sched.cfg.Settings
+	for version, bad := range []string{`{`, `null`, `[]`, `{}`, document(t, `"fleet-size": 2`, `"fleet-size": 1`), // this one is the second
+		document(t, `"deadline": 5000000`, `"deadline": 0`), document(t, `"card-issue"`, `"settle"`)} {
+		version := uint64(version) + 2
+		source.Push(version, bad)
+		reported := func() wire.Report {
+			all := source.Reports()
+			return all[len(all)-1]
+		}
+		r.until("it is refused", func(*Scheduler) bool { return reported().Refused == version })
+		if got := reported(); got.Version != 1 || got.Reason == "" || r.sched.cfg.Settings.MaxAttempts != before.MaxAttempts ||
+			len(r.sched.cfg.Settings.Classes) != len(before.Classes) {
+			t.Fatalf("%s: %+v", bad, got)
+		}
+	}
+	if page := r.configurationPage(); page.Version != 1 || page.Refused != 8 || !strings.Contains(page.Reason, "settle") &&
+		!strings.Contains(page.Reason, "name of its own") {
+		t.Fatalf("%+v", page)
+	}
+	source.Push(9, document(t, `"try-limit": 4`, `"try-limit": 2`))
+	r.untilVersion(9)
+	source.Status(wire.Status{Member: "scripted", Newest: 9, Rows: []wire.Follower{{Name: "n3", Version: 9, Behind: 0}}})
+	page := r.configurationPage()
+	if page.Version != 9 || page.Refused != 0 || page.Source != source.Address || page.Fleet == nil || page.Fleet.Newest != 9 || page.InForceMS < 0 {
+		t.Fatalf("%+v", page)
+	}
+	r.end()
+}
+
+// Jobs go on under a pushed change as they do under a reread file: what was taken keeps its class.
+func TestJobsUnderAPushedChange(t *testing.T) {
+	source := testrig.NewSource(t, nil)
+	r := newRig(t, configurationSection(t.TempDir(), source), io.Discard)
+	a := r.dial()
+	r.submit(a, "old", "settle", "rainier-haul", "")
+	source.Push(1, document(t, `"name": "settle"`, `"name": "settle-2"`))
+	r.untilVersion(1)
+	c := r.dial()
+	r.submit(c, "new", "settle-2", "rainier-haul", "")
+	c2 := r.dial()
+	c2.say("POST /api/x HTTP/1.1\r\nX-Request-Id: gone\r\nX-Class: settle\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+	c2.hear(400)
+	r.event("old", "done", `,"result":"x"`)
+	a.hear(200)
+	r.event("new", "done", `,"result":"x"`)
+	c.hear(200)
+	r.end()
+}
+
+// Once a version of the log is in force, SIGHUP takes discovery from the file and leaves the settings; before, all of it counts.
+func TestTheLogWinsOverTheFile(t *testing.T) {
+	source, log := testrig.NewSource(t, nil), &lines{}
+	r := startRig(t, configurationSection(t.TempDir(), source), log, func(cfg *Config) { *cfg = withTree(*cfg) })
+	if err := r.sched.Reload(changed(t, `"try-limit": 4`, `"try-limit": 3`, `"127.0.0.1:8500"`, `"127.0.0.1:3"`)); err != nil || r.attempts() != 3 {
+		t.Fatal(err, r.attempts())
+	}
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 2`))
+	r.untilVersion(1)
+	if err := r.sched.Reload(changed(t, `"try-limit": 4`, `"try-limit": 5`, `"127.0.0.1:8500"`, `"127.0.0.1:2"`)); err != nil {
+		t.Fatal(err)
+	}
+	r.sched.mu.Lock()
+	discovery := r.sched.cfg.Discovery
+	r.sched.mu.Unlock()
+	if r.attempts() != 2 || discovery != "127.0.0.1:2" {
+		t.Fatalf("%d attempts, discovery %s", r.attempts(), discovery)
+	}
+	if !strings.Contains(log.String(), "the file's settings are passed over") {
+		t.Fatal("nothing is said of the file's settings")
+	}
+	if err := r.sched.Reload(changed(t, `"answer-slack": 8000, `, ``)); err == nil {
+		t.Fatal("a file that lacks a key is taken")
+	}
+	r.end()
+}
+
+// A restart without any source begins with what the disk has, before it serves; one whose disk is damaged says so and begins with
+// its file's settings.
+func TestRestartFromDisk(t *testing.T) {
+	source, dir := testrig.NewSource(t, nil), t.TempDir()
+	text := configurationSection(dir, source)
+	r := newRig(t, text, io.Discard)
+	source.Push(7, document(t, `"try-limit": 4`, `"try-limit": 2`))
+	r.untilVersion(7)
+	r.end()
+	away := strings.Replace(text, source.Address, testrig.Free(t), 1)
+	next := newRig(t, away, io.Discard)
+	if page := next.configurationPage(); page.Version != 7 || next.attempts() != 2 || page.Source != "" || page.FleetError == "" {
+		t.Fatalf("%+v", page)
+	}
+	next.end()
+	files, _ := filepath.Glob(filepath.Join(dir, "*.state"))
+	for _, file := range files {
+		if err := os.WriteFile(file, []byte("torn"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log := &lines{}
+	last := newRig(t, away, log)
+	if page := last.configurationPage(); page.Version != 0 || last.attempts() != 4 || page.Folder == "" {
+		t.Fatalf("%+v", page)
+	}
+	if !strings.Contains(log.String(), "what is kept of the configuration is damaged") {
+		t.Fatal("nothing is said of the damage")
+	}
+	last.end()
+}
+
+// An upgrade: the next process has what the one before had in force, also what came while it stood by, and follows the sources
+// itself.
+func TestUpgradeUnderConfiguration(t *testing.T) {
+	source, dir, log := testrig.NewSource(t, nil), t.TempDir(), &lines{}
+	file := filepath.Join(t.TempDir(), "operators.yaml")
+	if err := os.WriteFile(file, []byte(configurationSection(dir, source)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	shared := t.TempDir()
+	r := newAdminRig(t, log, func(cfg *Config) {
+		cfg.Dir = shared
+		var err error
+		if cfg.Operator, err = LoadOperator(file); err != nil {
+			t.Fatal(err)
+		}
+	})
+	r.until("it can be found", func(s *Scheduler) bool { return s.place != nil })
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r.untilVersion(1)
+	next := r.follow(log)
+	if next.attempts() != 3 {
+		t.Fatalf("the one that stands by has %d attempts", next.attempts())
+	}
+	source.Push(2, document(t, `"try-limit": 4`, `"try-limit": 2`, `"name": "settle"`, `"name": "settle-2"`))
+	r.untilVersion(2)
+	next.untilVersion(2)
+	a := r.dial()
+	r.submit(a, "across", "settle-2", "rainier-haul", "")
+	r.upgrade(next)
+	next.event("across", "done", `,"result":"x"`)
+	a.hear(200)
+	source.Push(3, document(t, `"try-limit": 4`, `"try-limit": 1`))
+	next.untilVersion(3)
+	if page := next.configurationPage(); page.Version != 3 || next.attempts() != 1 {
+		t.Fatalf("%+v", page)
+	}
+	next.end()
+}
+
+// A successor that has not heard of the last change before it takes over reads it from the folder.
+func TestASuccessorReadsTheFolderAtTheTakeover(t *testing.T) {
+	source, dir := testrig.NewSource(t, nil), t.TempDir()
+	r := newRig(t, configurationSection(dir, source), io.Discard)
+	cfg := r.cfg
+	cfg.Listen, cfg.Admin = testrig.Free(t), testrig.Free(t)
+	next, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r.untilVersion(1)
+	next.rereadConfiguration()
+	if next.configuration.inForce.Version != 1 || next.cfg.Settings.MaxAttempts != 3 {
+		t.Fatalf("%+v", next.configuration.inForce)
+	}
+	r.end()
+}
+
+// A start with nothing on disk waits for the first version, so that no job runs by the file's settings, but only so long.
+func TestTheFirstStart(t *testing.T) {
+	source, log := testrig.NewSource(t, nil), &lines{}
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r := newRig(t, configurationSection(t.TempDir(), source), log)
+	if r.attempts() != 3 {
+		t.Fatal("it serves by the file's settings")
+	}
+	r.end()
+	away := strings.Replace(configurationSection(t.TempDir(), source), source.Address, testrig.Free(t), 1)
+	began := time.Now()
+	r = newRig(t, away, log)
+	if took := time.Since(began); took < firstWait || r.attempts() != 4 {
+		t.Fatalf("it serves after %v with %d attempts", took, r.attempts())
+	}
+	if !strings.Contains(log.String(), "no source of configuration in time") {
+		t.Fatal("nothing is said of it")
+	}
+	r.end()
+}
+
+// The section is strict: file and key are named.
+func TestConfigurationSection(t *testing.T) {
+	dir := t.TempDir()
+	good := "configuration: {sources: [\"127.0.0.1:7900\"], dir: " + dir + ", cluster: c}\n"
+	load := func(text string) error {
+		file := filepath.Join(t.TempDir(), "operators.yaml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Parse([]byte(config))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Limits = Limits{Sockets: 256}
+		if cfg.Operator, err = LoadOperator(file); err == nil {
+			err = cfg.Check()
+		}
+		return err
+	}
+	if err := load(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][3]string{
+		{"cluster: c", "cluster: c, sorces: []", "configuration.sorces"}, {", cluster: c", "", "configuration.cluster"},
+		{"127.0.0.1:7900", "here", "configuration.sources"}, {"127.0.0.1:7900", "127.0.0.1:0", "configuration.sources"},
+		{"127.0.0.1:7900", "10.0.0.1:7900", "without key_file"}, {"127.0.0.1:7900", "0.0.0.0:7900", "configuration.sources"},
+		{`["127.0.0.1:7900"]`, "[]", "configuration.sources"}, {dir, dir + "/nowhere", "configuration.dir"},
+		{"cluster: c", "cluster: c, key_file: nowhere", "configuration.key_file"},
+		{"cluster: c}", "cluster: c}\nstate: {dir: " + dir + "}", "configuration.dir: is state.dir"},
+	} {
+		if !strings.Contains(good, c[0]) {
+			t.Fatalf("%s is not in the section", c[0])
+		}
+		err := load(strings.Replace(good, c[0], c[1], 1))
+		if err == nil || !strings.Contains(err.Error(), c[2]) || !strings.Contains(err.Error(), "operators.yaml") {
+			t.Errorf("%s for %s: %v", c[1], c[0], err)
+		}
+	}
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -342,6 +342,7 @@
 				if s.Reread != nil {
 					s.Reread()
 				}
+				s.rereadConfiguration()
 				reply(m.Number, wire.Yes, "")
 			}()
 			return nil
@@ -354,6 +355,9 @@
 			return nil
 		}
 	case *wire.Takeover:
+		if standing {
+			s.rereadConfiguration() // the older process has let go of it
+		}
 		if standing && s.inherit(m) {
 			s.takeover <- m
 			<-s.opened
@@ -552,6 +556,11 @@
 		return nil
 	}
 	s.handing = make(chan struct{}) // operators' calls wait: the roster is on its way
+	if s.configuration.follower != nil {
+		s.mu.Unlock()
+		s.leaveConfiguration() // what is in force stays so until the next process has read it
+		s.mu.Lock()
+	}
 	s.limit(standby)
 	s.pool.Leave() // nothing is sent from here any more
 	names, beliefs := s.desk.Beliefs()
@@ -578,6 +587,7 @@
 	s.handing = nil
 	if err != nil {
 		s.log.Error("the process that stood by does not take over", "err", err)
+		go s.resumeConfiguration()
 		s.heir = nil
 		next.Close()
 		s.pool.Retain()
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"path/filepath"
+	"slices"
 	"strconv"
 
 	"laddertide/capture"
+	"laddertide/configuration/follower"
 	"laddertide/consumer"
 	"laddertide/durable"
 	"laddertide/figures"
@@ -33,6 +36,8 @@
 	State      *returning.Settings
 	Replicated *replicated.Settings
 
+	Configuration *follower.Settings
+
 	Path   string    // of the file; empty: it came from elsewhere
 	Stderr io.Writer // where lines for standard error go; nil: there
 }
@@ -70,10 +75,15 @@
 			err = fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	if op.Configuration, err = section(file, "configuration", follower.Parse, err); err == nil && op.Configuration != nil {
+		if err = op.Configuration.CheckDir(); err != nil {
+			err = fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	return op, err
 }
 
-var sections = []string{"figures", "tls", "capture", "job_status", "durable", "stomp", "peers", "owners", "state", "replicated"}
+var sections = []string{"figures", "tls", "capture", "job_status", "durable", "stomp", "peers", "owners", "state", "replicated", "configuration"}
 
 // LoadCapture reads the capture section alone, or gives nil if there is none. A replay may be made where the paths of
 // the file do not exist.
@@ -130,6 +140,9 @@
 	if op.Replicated != nil {
 		n += replicated.Descriptors
 	}
+	if op.Configuration != nil {
+		n += follower.Descriptors
+	}
 	return n
 }
 
@@ -169,6 +182,9 @@
 	if op.Replicated != nil {
 		n += op.Replicated.Memory()
 	}
+	if op.Configuration != nil {
+		n += op.Configuration.Memory()
+	}
 	if n > 0 {
 		n += stderrBytes
 	}
@@ -217,9 +233,34 @@
 	if op.Replicated != nil && op.Replicated.Dir == op.Durable.Dir {
 		return fmt.Errorf("%s: replicated.dir: is the folder of durable.dir", name)
 	}
+	if op.Configuration != nil {
+		if err := op.checkConfigurationDir(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
 	if c.Limits.MemoryMB > 0 && float64(op.memory()) > c.Limits.MemoryMB*(1<<20)/4 {
 		return fmt.Errorf("%s: its features may take %d bytes, over a quarter of limits.memory_mb: lower their bounds", name,
 			op.memory())
 	}
 	return nil
 }
+
+// checkConfigurationDir reports if the folder of the configuration is another feature's: each locks its own.
+func (op *Operator) checkConfigurationDir() error {
+	others := make(map[string]string)
+	if op.State != nil {
+		others["state.dir"] = op.State.Dir
+	}
+	if op.Durable != nil {
+		others["durable.dir"] = op.Durable.Dir
+	}
+	if op.Replicated != nil {
+		others["replicated.dir"] = op.Replicated.Dir
+	}
+	for _, key := range slices.Sorted(maps.Keys(others)) {
+		if filepath.Clean(op.Configuration.Dir) == filepath.Clean(others[key]) {
+			return fmt.Errorf("configuration.dir: is %s: each needs a folder of its own", key)
+		}
+	}
+	return nil
+}
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -273,6 +273,8 @@
 	peers.Report
 	Owners *owners.Report    `json:"owners,omitempty"`
 	Return *returning.Report `json:"return,omitempty"`
+
+	Configuration *ConfigurationReport `json:"configuration,omitempty"`
 }
 
 // fleetPage shows the other schedulers to operators.
@@ -280,14 +282,14 @@
 	s.mu.Lock()
 	p := s.peers
 	s.mu.Unlock()
-	page := FleetPage{}
+	page := FleetPage{Configuration: s.configurationReport()}
 	if s.room != nil {
 		page.Return = s.room.Report()
 	}
 	switch {
 	case p != nil:
 		page.Report = p.Report()
-	case page.Return == nil:
+	case page.Return == nil && page.Configuration == nil:
 		return nil, errors.New("starting")
 	default:
 		page.Me = s.cfg.Name
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -25,10 +25,13 @@
 	}
 	next := s.cfg
 	next.Discovery = cfg.Discovery
+	version := s.settingsOfLog()
 	if cfg.tree != nil { // else there is no file behind it
-		var err error
-		if next.Settings, err = cfg.Settings.After(&s.cfg.Settings); err != nil {
-			return err
+		if version == 0 {
+			var err error
+			if next.Settings, err = cfg.Settings.After(&s.cfg.Settings); err != nil {
+				return err
+			}
 		}
 		next.tree = cfg.tree
 	}
@@ -42,9 +45,10 @@
 	s.cfg.Discovery, s.cfg.tree = next.Discovery, next.tree
 	s.log.Info("configuration reread", "discovery", cfg.Discovery, "before", newest,
 		"classes", strings.Join(classes(&next.Settings), ","), "attempts", next.Settings.MaxAttempts)
-	if heir := s.heir; heir != nil { // it stands by with what its own start has read
-		go heir.Ask(&wire.Reread{}, nil, askLimit)
+	if version > 0 {
+		s.log.Warn("the file's settings are passed over: those of the configuration's log are in force", "version", version)
 	}
+	s.rereadHeir()
 	if s.watching != nil && newest != cfg.Discovery {
 		// What was heard before says nothing about this one's versions, so it starts from its whole list.
 		s.follow(cfg.Discovery, 0, true)
@@ -52,6 +56,13 @@
 	return nil
 }
 
+// rereadHeir lets the process that stands by read again what its own start has read. Called under mu.
+func (s *Scheduler) rereadHeir() {
+	if heir := s.heir; heir != nil {
+		go heir.Ask(&wire.Reread{}, nil, askLimit)
+	}
+}
+
 // retune puts settings in force, in the order in which a job meets them, last first: no job comes with a class that
 // somebody behind does not know. Called under mu.
 func (s *Scheduler) retune(next Config) error {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,6 +77,8 @@
 	listedAt time.Time // when discovery was heard last
 	met      int       // schedulers that may run, as of the last state that was asked for
 
+	configuration followed
+
 	succession
 }
 
@@ -92,11 +94,14 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	s := &Scheduler{cfg: cfg, log: log}
+	s.recallConfiguration()
+	cfg = s.cfg
 	desk, err := decide.New(cfg.Settings, log)
 	if err != nil {
 		return nil, err
 	}
-	s := &Scheduler{cfg: cfg, log: log, desk: desk}
+	s.desk = desk
 	s.observe()
 	s.pool = provider.NewPool(limitsOf(&cfg.Settings, cfg.calls()), log)
 	s.deliver(policy.ListCached, cfg.Known)
@@ -277,6 +282,10 @@
 	s.limit(whole)
 	s.startObservers()
 	defer s.closeObservers()
+	if err := s.openConfiguration(ctx); err != nil {
+		return err
+	}
+	defer s.leaveConfiguration()
 	if err := s.openState(); err != nil {
 		return err
 	}
@@ -314,6 +323,7 @@
 		}
 	}
 	defer s.leavePeers()
+	s.followConfiguration()
 	still := awake.New(lookEvery(s.cfg.Settings.DialTimeout), 2*lookEvery(s.cfg.Settings.DialTimeout), s.catchUp, s.log)
 	s.pool.Awake = still.Hold
 	go still.Run(watching)
