configuration/source: a member of the quorum, played by drawn schedules

Need: accepted changes outlive machines, and a member back from a lost or old disk must not forget what it had promised. The log on disk with checkpoints, the way of a member into the group, proposals and the status at any member; no sockets yet.

--- /dev/null
+++ b/configuration/source/journal.go
@@ -0,0 +1,253 @@
+package source
+
+import (
+	"fmt"
+	"sync"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"laddertide/ledger"
+	wire "laddertide/wire/configuration"
+)
+
+// Log is where a member writes. See [ledger.Store].
+type Log interface {
+	Append(seq uint64, records ...[]byte) ledger.Commit
+	AppendLazy(seq uint64, records ...[]byte)
+	Trim(oldest uint64, mark []byte) error
+	Replay(each func([]byte) error, damaged func(ledger.Damage)) error
+	Close() error
+}
+
+// The log's bounds. A checkpoint takes a document, the history and what is not committed yet, which is well under a segment.
+const (
+	ledgerBytes     = 64 << 20 // on disk
+	checkpointBytes = 4 << 20  // of entries after which a checkpoint is written, and what is before it goes
+	recordBytes     = 256 << 10
+	waitingBytes    = 2 << 20 // on their way to the disk: half of what the ledger takes
+)
+
+// journal is a member's log on disk: a checkpoint, and the hard states and entries since.
+type journal struct {
+	number     uint64 // of the newest checkpoint
+	diskNumber uint64 // what this disk is called
+	logBytes   int    // of entries since the checkpoint
+	writing    []ledger.Commit
+	weight     int   // bytes of these
+	failed     error // the disk does not take writes
+	trimming   sync.WaitGroup
+}
+
+// contents is what was on disk.
+type contents struct {
+	number     uint64 // the highest of a checkpoint's
+	checkpoint wire.Record
+	hard       *pb.HardState
+	entries    []*pb.Entry
+	lost       bool // there was nothing, or something that was promised is missing
+}
+
+// replay reads the log.
+func (n *node) replay() (contents, error) {
+	var f contents
+	err := n.disk.Replay(func(b []byte) error {
+		r, err := wire.ReadRecord(b)
+		switch {
+		case err != nil:
+			n.log.Error("a record on disk makes no sense", "err", err)
+			f.lost = true
+		case r.Kind == wire.Checkpoint: // nothing before it counts, damage neither
+			f = contents{checkpoint: r, number: max(f.number, r.Number)}
+			return f.take(&r)
+		case r.Number != f.checkpoint.Number:
+			n.log.Error("a checkpoint is missing on disk", "number", r.Number)
+			f.lost, f.number = true, max(f.number, r.Number)
+		default:
+			return f.take(&r)
+		}
+		return nil
+	}, func(d ledger.Damage) {
+		n.log.Error("the log on disk is damaged", "segment", d.Segment, "offset", d.Offset, "bytes", d.Bytes, "why", d.Why)
+		f.lost = f.lost || !d.Harmless
+	})
+	if err != nil {
+		return f, fmt.Errorf("configuration: %w", err)
+	}
+	f.lost = f.lost || f.checkpoint.Disk == 0
+	f.cutAtGap()
+	return f, nil
+}
+
+// take takes a record's hard state and entries.
+func (f *contents) take(r *wire.Record) error {
+	if len(r.Hard) > 0 {
+		f.hard = &pb.HardState{}
+		if err := proto.Unmarshal(r.Hard, f.hard); err != nil {
+			return fmt.Errorf("configuration: a hard state on disk: %w", err)
+		}
+	}
+	for _, raw := range r.Entries {
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return fmt.Errorf("configuration: an entry on disk: %w", err)
+		}
+		// A later leader's entries take the place of those that had no majority.
+		for len(f.entries) > 0 && f.entries[len(f.entries)-1].GetIndex() >= e.GetIndex() {
+			f.entries = f.entries[:len(f.entries)-1]
+		}
+		f.entries = append(f.entries, e)
+	}
+	return nil
+}
+
+// cutAtGap leaves out entries behind a missing one: of writes that were under way as the machine died any may be missing, and
+// nothing behind one of them was promised.
+func (f *contents) cutAtGap() {
+	for i, e := range f.entries {
+		if i > 0 && e.GetIndex() != f.entries[i-1].GetIndex()+1 {
+			f.entries = f.entries[:i]
+			return
+		}
+	}
+}
+
+// write puts on disk what must be there before anything is sent.
+func (n *node) write(ready raft.Ready) error {
+	if ready.HardState != nil && !raft.IsEmptyHardState(ready.HardState) {
+		n.hard = ready.HardState
+		n.storage.SetHardState(n.hard)
+	}
+	if !raft.IsEmptySnap(ready.Snapshot) {
+		return n.takeSnapshot(ready)
+	}
+	if len(ready.Entries) > 0 {
+		n.writeEntries(ready.Entries)
+		if err := n.storage.Append(ready.Entries); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	}
+	if ready.HardState != nil && !raft.IsEmptyHardState(ready.HardState) {
+		r := wire.Record{Kind: wire.HardState, Number: n.number, Hard: marshal(n.hard)}
+		if ready.MustSync {
+			n.append(r.Append())
+		} else {
+			n.disk.AppendLazy(n.number, r.Append())
+		}
+	}
+	return n.settle()
+}
+
+// takeSnapshot takes a leader's snapshot in place of the log.
+func (n *node) takeSnapshot(ready raft.Ready) error {
+	if err := n.restore(ready.Snapshot); err != nil {
+		return err
+	}
+	if err := n.storage.Append(ready.Entries); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return n.writeCheckpoint(ready.Snapshot)
+}
+
+func (n *node) writeEntries(entries []*pb.Entry) {
+	r, size := wire.Record{Kind: wire.Entries, Number: n.number}, 0
+	for _, e := range entries {
+		b := marshal(e)
+		if size > 0 && size+len(b) > recordBytes {
+			n.append(r.Append())
+			r.Entries, size = nil, 0
+		}
+		r.Entries, size = append(r.Entries, b), size+len(b)
+		n.logBytes += len(b)
+	}
+	n.append(r.Append())
+}
+
+// append appends a record that must be on disk before anything is sent.
+func (n *node) append(record []byte) {
+	if n.weight > 0 && n.weight+len(record) > waitingBytes {
+		n.settle()
+	}
+	n.writing = append(n.writing, n.disk.Append(n.number, record))
+	n.weight += len(record)
+}
+
+// settle waits for all that is on its way to the disk.
+func (n *node) settle() error {
+	for _, c := range n.writing {
+		if err := c.Wait(); err != nil && n.failed == nil {
+			n.failed = fmt.Errorf("configuration: the log cannot be written: %w", err)
+		}
+	}
+	n.writing, n.weight = nil, 0
+	return n.failed
+}
+
+// checkpoint writes the state as of now, and frees what was before it.
+func (n *node) checkpoint() error {
+	if first, _ := n.storage.Snapshot(); n.applied <= first.GetMetadata().GetIndex() {
+		return nil
+	}
+	state := n.machine.Snapshot()
+	snapshot, err := n.storage.CreateSnapshot(n.applied, n.conf, state.Append())
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if first, _ := n.storage.FirstIndex(); n.applied > first+keptEntries {
+		if err := n.storage.Compact(n.applied - keptEntries); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	}
+	return n.writeCheckpoint(snapshot)
+}
+
+// writeCheckpoint writes a record with all that counts: it is there whole after a crash, or the one before is.
+func (n *node) writeCheckpoint(snapshot *pb.Snapshot) error {
+	r := wire.Record{Kind: wire.Checkpoint, Number: n.number + 1, Disk: n.diskNumber}
+	if snapshot != nil {
+		r.Snapshot = marshal(snapshot)
+	}
+	if n.hard != nil {
+		r.Hard = marshal(n.hard)
+	}
+	after, last := snapshot.GetMetadata().GetIndex()+1, uint64(0)
+	if n.storage != nil {
+		last, _ = n.storage.LastIndex()
+	}
+	if last >= after {
+		entries, err := n.storage.Entries(after, last+1, ^uint64(0))
+		if err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		for _, e := range entries {
+			r.Entries = append(r.Entries, marshal(e))
+		}
+	}
+	if err := n.settle(); err != nil {
+		return err
+	}
+	n.number++
+	n.logBytes = 0
+	n.append(r.Append())
+	if err := n.settle(); err != nil {
+		return err
+	}
+	n.trimming.Wait()
+	number := n.number
+	n.trimming.Go(func() { // it waits for the disk
+		if err := n.disk.Trim(number, nil); err != nil {
+			n.log.Warn("old parts of the log are not removed", "err", err)
+		}
+	})
+	return nil
+}
+
+// marshal returns the bytes of a message of the library. It was made here or read, so there is no error.
+func marshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/configuration/source/node_test.go
@@ -0,0 +1,680 @@
+package source
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	core "laddertide/core/configuration"
+	"laddertide/ledger"
+	wire "laddertide/wire/configuration"
+)
+
+// memoryDisk is a log in memory whose process may die at any write. Of what was not synced any record may be there then.
+type memoryDisk struct {
+	synced, pending [][]byte
+	left            int // syncs until its process dies; below 0: it does not
+	dead            bool
+	lies            bool // it says that it has synced, and has not
+}
+
+var errDead = errors.New("the process is dead")
+
+type done struct{ err error }
+
+func (d done) Wait() error { return d.err }
+func (d done) Done() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+func (d *memoryDisk) Append(_ uint64, records ...[]byte) ledger.Commit {
+	if d.dead {
+		return done{errDead}
+	}
+	d.pending = append(d.pending, records...)
+	if d.left--; d.left == 0 {
+		d.dead = true
+		return done{errDead}
+	}
+	if !d.lies {
+		d.synced, d.pending = append(d.synced, d.pending...), nil
+	}
+	return done{}
+}
+
+func (d *memoryDisk) AppendLazy(_ uint64, records ...[]byte) {
+	if !d.dead {
+		d.pending = append(d.pending, records...)
+	}
+}
+
+func (d *memoryDisk) Trim(uint64, []byte) error { return nil }
+func (d *memoryDisk) Close() error              { return nil }
+func (d *memoryDisk) Replay(each func([]byte) error, _ func(ledger.Damage)) error {
+	for _, b := range d.synced {
+		if err := each(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// copy returns what a copy of the folder would hold.
+func (d *memoryDisk) copy() [][]byte { return slices.Clone(d.synced) }
+
+// letter is a message on its way.
+type letter struct {
+	from, to string
+	b        []byte
+}
+
+// violation is what a schedule finds wrong.
+type violation string
+
+// town is a cluster whose messages, ticks, deaths and proposals a seed decides. Only the library's election timeouts are drawn
+// by itself.
+type town struct {
+	*rand.Rand
+	names []string
+	nodes map[string]*node
+	disks map[string]*memoryDisk
+	mail  []letter
+	cut   map[string]bool // members whose messages are lost, both ways
+	now   time.Time
+	lying bool
+
+	proposed  int
+	documents map[string][]byte      // by request
+	accepted  map[string]uint64      // what was answered yes, by request
+	versions  map[uint64]wire.Digest // what was ever the newest anywhere
+	followers []*core.Follower
+	pushes    map[string]wire.Push // the newest at each member
+	codes     map[wire.Code]int
+	renewed   int // disks that were taken for lost
+}
+
+func newTown(seed uint64, members int) *town {
+	w := &town{Rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node), disks: make(map[string]*memoryDisk),
+		cut: make(map[string]bool), now: time.UnixMilli(1_000_000), documents: make(map[string][]byte), accepted: make(map[string]uint64),
+		versions: make(map[uint64]wire.Digest), pushes: make(map[string]wire.Push), codes: make(map[wire.Code]int)}
+	for i := range members {
+		w.names = append(w.names, string(rune('a'+i)))
+	}
+	for range 4 {
+		w.followers = append(w.followers, core.NewFollower(0, wire.Digest{}))
+	}
+	for _, name := range w.names {
+		w.disks[name] = &memoryDisk{}
+		w.start(name)
+	}
+	return w
+}
+
+func (w *town) fail(format string, args ...any) { panic(violation(fmt.Sprintf(format, args...))) }
+
+// start starts a member's process from its disk.
+func (w *town) start(name string) {
+	d := w.disks[name]
+	d.dead, d.left, d.lies, d.pending = false, -1, w.lying, nil
+	delete(w.pushes, name)
+	n, err := newNode(nodeConfig{name: name, members: w.names, disk: d, tick: time.Second, log: slog.New(slog.DiscardHandler),
+		limits: core.Limits{Silence: time.Hour, Forget: time.Hour, Most: 100},
+		send: func(to string, m wire.Message) {
+			if !d.dead && w.nodes[name] != nil {
+				w.mail = append(w.mail, letter{name, to, wire.Append(m)})
+			}
+		},
+		newest: func(p wire.Push) { w.sees(name, p) }}, w.now)
+	if err != nil {
+		w.fail("%s does not start: %v", name, err)
+	}
+	w.nodes[name] = n
+}
+
+// sees checks a version that has come to be the newest at a member.
+func (w *town) sees(name string, p wire.Push) {
+	if p.Digest != wire.DigestOf(p.Document) {
+		w.fail("%s: version %d has the digest of another document", name, p.Version)
+	}
+	if before, known := w.versions[p.Version]; known && before != p.Digest {
+		w.fail("%s: version %d has two contents", name, p.Version)
+	}
+	w.versions[p.Version] = p.Digest
+	w.pushes[name] = p
+}
+
+// live returns the members whose processes run.
+func (w *town) live() (names []string) {
+	for _, name := range w.names {
+		if !w.disks[name].dead {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (w *town) one(names []string) string { return names[w.IntN(len(names))] }
+
+// round lets a member do what there is to do; one whose disk fails is dead.
+func (w *town) round(name string) {
+	if err := w.nodes[name].round(); err != nil && !w.disks[name].dead {
+		w.fail("%s: %v", name, err)
+	}
+}
+
+func (w *town) tick(name string) {
+	w.now = w.now.Add(time.Second / time.Duration(len(w.names)))
+	w.nodes[name].tick(w.now)
+	w.round(name)
+}
+
+// deliver takes a letter out of the mail, the first one or any.
+func (w *town) deliver(i int, lose bool) {
+	l := w.mail[i]
+	w.mail = slices.Delete(w.mail, i, i+1)
+	if lose || w.cut[l.from] || w.cut[l.to] || w.disks[l.to].dead {
+		return
+	}
+	m, err := wire.Read(l.b)
+	if err != nil {
+		w.fail("a message of %s: %v", l.from, err)
+	}
+	w.nodes[l.to].hear(l.from, m, w.now)
+	w.round(l.to)
+}
+
+// propose lets somebody propose a change at a member, from its newest version mostly, or repeat an earlier proposal.
+func (w *town) propose(name string) {
+	if w.proposed > 0 && w.IntN(4) == 0 {
+		w.ask(name, w.IntN(w.proposed), w.nodes[name].machine.Newest())
+		return
+	}
+	w.proposed++
+	w.ask(name, w.proposed-1, w.nodes[name].machine.Newest())
+}
+
+// ask proposes a numbered change. A repeated one asks from the same base.
+func (w *town) ask(name string, number int, base uint64) {
+	request := fmt.Sprint(number)
+	if before, asked := w.documents[request]; asked {
+		fmt.Sscanf(string(before), "%d", &base)
+	} else {
+		w.documents[request] = fmt.Appendf(nil, "%d: a change by %s", base, request)
+	}
+	w.nodes[name].propose(&wire.Propose{Request: request, Base: base, Document: w.documents[request]}, w.now, func(p wire.Proposed) {
+		w.codes[p.Code]++
+		if p.Code != wire.Accepted {
+			return
+		}
+		if before, known := w.accepted[request]; known && before != p.Version {
+			w.fail("request %s is version %d and %d", request, before, p.Version)
+		}
+		w.accepted[request] = p.Version
+		w.agree(p.Version, wire.DigestOf(w.documents[request]))
+	})
+	w.round(name)
+}
+
+func (w *town) agree(version uint64, digest wire.Digest) {
+	if before, known := w.versions[version]; known && before != digest {
+		w.fail("version %d has two contents", version)
+	}
+	w.versions[version] = digest
+}
+
+// push lets a follower have the newest version of a member, which may be an old one.
+func (w *town) push() {
+	f, name := w.followers[w.IntN(len(w.followers))], w.one(w.names)
+	p, has := w.pushes[name]
+	if !has || w.disks[name].dead {
+		return
+	}
+	before := f.Report().Version
+	decision, err := f.Offer(&p)
+	if errors.Is(err, core.ErrFork) || errors.Is(err, core.ErrDigest) {
+		w.fail("a follower: %v", err)
+	}
+	if decision == core.Apply {
+		f.Took(&p)
+	}
+	if after := f.Report(); after.Version < before || after.Version > 0 && w.versions[after.Version] != after.Digest {
+		w.fail("a follower had version %d, and then %d", before, after.Version)
+	}
+}
+
+// settle lets time pass without faults until all members have the same versions.
+func (w *town) settle(why string) {
+	clear(w.cut)
+	for _, name := range w.names {
+		w.disks[name].left = -1
+		if w.disks[name].dead {
+			w.start(name)
+		}
+	}
+	for range 40 * electionTicks {
+		for _, name := range w.names {
+			w.tick(name)
+		}
+		for len(w.mail) > 0 {
+			w.deliver(0, false)
+		}
+		if w.agreed() {
+			return
+		}
+	}
+	for _, name := range w.names {
+		n := w.nodes[name]
+		why += fmt.Sprintf("; %s: asking %v fresh %v version %d lead %x conf %v", name, n.asking, n.fresh(), n.machine.Newest(), n.lead, n.conf)
+	}
+	w.fail("the members do not come together: %s", why)
+}
+
+// agreed tells whether all members take part and have the same newest version, and a leader.
+func (w *town) agreed() bool {
+	leaders := 0
+	for _, name := range w.names {
+		n := w.nodes[name]
+		if n.asking || n.fresh() || n.lead == 0 || n.machine.Newest() != w.nodes[w.names[0]].machine.Newest() {
+			return false
+		}
+		if n.leading {
+			leaders++
+		}
+	}
+	return leaders == 1
+}
+
+// check holds what was answered against what the members have in the end.
+func (w *town) check() {
+	w.settle("the end")
+	history := w.nodes[w.one(w.names)].machine.Snapshot().History
+	for request, version := range w.accepted {
+		i := slices.IndexFunc(history, func(p wire.Past) bool { return p.Version == version })
+		if i < 0 || history[i].Request != request || history[i].Digest != wire.DigestOf(w.documents[request]) {
+			w.fail("version %d of request %s was answered yes, and is not there", version, request)
+		}
+	}
+	seen := make(map[string]bool)
+	for _, p := range history {
+		if seen[p.Request] {
+			w.fail("request %s was applied twice", p.Request)
+		}
+		seen[p.Request] = true
+		w.agree(p.Version, p.Digest)
+	}
+}
+
+// event lets one thing happen.
+func (w *town) event() {
+	live := w.live()
+	switch k := w.IntN(1000); {
+	case k < 600 && len(w.mail) > 0:
+		w.deliver(w.IntN(min(len(w.mail), 8)), w.IntN(40) == 0)
+	case k < 610 && len(w.mail) > 0: // one comes twice
+		w.mail = append(w.mail, w.mail[w.IntN(len(w.mail))])
+	case k < 800 && len(live) > 0:
+		w.tick(w.one(live))
+	case k < 880 && len(live) > 0:
+		w.propose(w.one(live))
+	case k < 980:
+		w.push()
+	case k < 986 && len(live) > 0: // it dies at one of its next writes
+		w.disks[w.one(live)].left = 1 + w.IntN(4)
+	case k < 988 && len(live) > 0:
+		w.disks[w.one(live)].dead = true
+	case k < 994:
+		for _, name := range w.names {
+			if w.disks[name].dead && w.IntN(2) == 0 {
+				w.start(name)
+			}
+		}
+	case k < 996:
+		w.cut[w.one(w.names)] = true
+	case k < 1000:
+		clear(w.cut)
+	}
+}
+
+// play plays a schedule, and returns what is wrong with it.
+func play(seed uint64, script func(w *town)) (wrong string, w *town) {
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case violation:
+			wrong = string(r)
+		default:
+			panic(fmt.Sprintf("seed %d: %v", seed, r))
+		}
+	}()
+	w = newTown(seed, 3+2*int(seed%2))
+	w.settle("the first start")
+	script(w)
+	w.check()
+	return "", w
+}
+
+// schedules is how many schedules are played.
+func schedules(few int) uint64 {
+	if os.Getenv("LADDERTIDE_LONG") != "" {
+		return uint64(100 * few)
+	}
+	return uint64(few)
+}
+
+// TestSchedules: members that die at any write, messages that are lost, late, out of order or come twice, and members that are
+// cut off: no version has two contents, nothing that was answered yes is lost, and no follower goes backwards.
+func TestSchedules(t *testing.T) {
+	codes, versions := make(map[wire.Code]int), 0
+	for seed := range schedules(60) {
+		wrong, w := play(seed, func(w *town) {
+			for range 1500 {
+				w.event()
+			}
+		})
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		for code, n := range w.codes {
+			codes[code] += n
+		}
+		versions += len(w.versions)
+	}
+	t.Logf("%d versions; answers %v", versions, codes)
+	for _, code := range []wire.Code{wire.Accepted, wire.Conflict, wire.NoQuorum, wire.Uncertain} {
+		if codes[code] == 0 {
+			t.Errorf("no proposal was answered with %q: the schedules are too tame", code)
+		}
+	}
+}
+
+// TestLostDisks: a member whose disk is lost comes back with an empty one, is taken in again, and nothing is lost.
+func TestLostDisks(t *testing.T) {
+	for seed := range schedules(20) {
+		wrong, _ := play(seed, func(w *town) {
+			for range 3 {
+				for range 300 {
+					w.event()
+				}
+				w.settle("before a loss") // a second loss before the first one is mended would take a majority along
+				name := w.one(w.names)
+				before := w.nodes[name].diskNumber
+				w.disks[name] = &memoryDisk{}
+				w.start(name)
+				for range 300 {
+					w.deliverAll()
+					w.tick(w.one(w.names))
+					if w.IntN(10) == 0 {
+						w.propose(w.one(w.names))
+					}
+				}
+				w.settle("after a loss")
+				if n := w.nodes[name]; n.diskNumber == before || !n.machine.Removed(before) {
+					w.fail("%s came back by the number of the disk that it has lost", name)
+				}
+			}
+		})
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+	}
+}
+
+func (w *town) deliverAll() {
+	for len(w.mail) > 0 {
+		w.deliver(0, false)
+	}
+}
+
+// TestOldDisks: a member whose folder is put back to what it was does not take part by what it had promised since. The others
+// have run since the copy was taken, and are asked.
+func TestOldDisks(t *testing.T) {
+	found, played := 0, 0
+	for seed := range schedules(40) {
+		wrong, w := play(seed, func(w *town) {
+			name := w.one(w.names)
+			disk := w.disks[name]
+			old, before := disk.copy(), w.nodes[name].diskNumber
+			accepted := len(w.accepted)
+			for range 600 {
+				w.deliverAll()
+				w.tick(w.one(w.names))
+				if w.IntN(10) == 0 {
+					w.propose(w.one(w.names))
+				}
+			}
+			w.deliverAll()
+			if len(w.accepted) == accepted {
+				w.fail("nothing was accepted since the copy")
+			}
+			w.disks[name] = &memoryDisk{synced: old}
+			w.start(name)
+			for range 600 {
+				w.deliverAll()
+				w.tick(w.one(w.names))
+				if w.IntN(10) == 0 {
+					w.propose(w.one(w.names))
+				}
+			}
+			w.settle("after the old disk")
+			if w.nodes[name].diskNumber != before {
+				w.renewed++
+			}
+		})
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		played++
+		found += w.renewed
+	}
+	if found != played {
+		t.Errorf("%d of %d old disks were noticed", found, played)
+	}
+}
+
+// TestOldDiskWhileWitnessIsAway: a member back from an old disk waits for those who may know more; one that comes
+// while it waits tells it. (One that comes later is too late: see the design note.)
+func TestOldDiskWhileWitnessIsAway(t *testing.T) {
+	w := newTown(7, 3)
+	w.settle("the first start")
+	leader := w.names[slices.IndexFunc(w.names, func(name string) bool { return w.nodes[name].leading })]
+	others := slices.DeleteFunc(slices.Clone(w.names), func(name string) bool { return name == leader })
+	back, witness := others[0], others[1]
+	old := w.disks[back].copy()
+	w.cut[witness] = true // only the leader hears what the other one acknowledges
+	w.ask(leader, 0, 0)
+	w.deliverAll()
+	if w.accepted["0"] != 1 {
+		t.Fatalf("not accepted by two of three: %v", w.codes)
+	}
+	w.disks[back] = &memoryDisk{synced: old}
+	w.start(back)
+	clear(w.cut)
+	w.cut[leader] = true
+	for range electionTicks / 2 {
+		w.tick(back)
+		w.deliverAll()
+	}
+	if !w.nodes[back].asking {
+		t.Error("it takes part at once, though not all could be asked")
+	}
+	clear(w.cut) // in time: the leader tells
+	w.tick(back)
+	w.deliverAll()
+	if w.nodes[back].diskNumber == 0 || !w.nodes[back].fresh() {
+		t.Error("it goes on with an old disk, though the leader knows more")
+	}
+}
+
+// TestDiskThatLies: without its syncs a member forgets what it had promised; the schedules find that out, so they would find
+// out a program that sends before it has written.
+func TestDiskThatLies(t *testing.T) {
+	for seed := range uint64(400) {
+		wrong, _ := play(seed, func(w *town) {
+			w.lying = true
+			for _, name := range w.names {
+				w.disks[name].lies = true
+			}
+			for range 1500 {
+				w.event()
+			}
+			w.lying = false
+		})
+		if wrong != "" {
+			t.Logf("seed %d: %s", seed, wrong)
+			return
+		}
+	}
+	t.Error("no schedule has found a disk that does not sync")
+}
+
+// TestCheckpoints: the log on disk is cut, what is left is enough for a restart and for a member that was away, and a process
+// that dies while it writes a checkpoint goes on from the one before.
+func TestCheckpoints(t *testing.T) {
+	w := newTown(1, 3)
+	w.settle("the first start")
+	document := bytes.Repeat([]byte("d"), wire.MaxDocument/2)
+	away := w.names[slices.IndexFunc(w.names, func(name string) bool { return !w.nodes[name].leading })]
+	w.cut[away] = true
+	leader := w.names[slices.IndexFunc(w.names, func(name string) bool { return w.nodes[name].leading })]
+	number := w.nodes[leader].number
+	for i := range 3 * checkpointBytes / len(document) {
+		request := fmt.Sprint("large", i)
+		w.documents[request] = append(fmt.Appendf(nil, "%d ", i), document...)
+		w.nodes[leader].propose(&wire.Propose{Request: request, Base: uint64(i), Document: w.documents[request]}, w.now, func(p wire.Proposed) {
+			if p.Code != wire.Accepted {
+				t.Fatalf("change %d: %+v", i, p)
+			}
+			w.accepted[request] = p.Version
+		})
+		w.round(leader)
+		w.deliverAll()
+	}
+	if n := w.nodes[leader].number - number; n < 2 {
+		t.Errorf("%d checkpoints", n)
+	}
+	if first, _ := w.nodes[leader].storage.FirstIndex(); first < 2 {
+		t.Error("the log in memory was not cut")
+	}
+	w.check() // the one that was away as well
+	for _, lost := range []bool{true, false} {
+		n, d := w.nodes[leader], w.disks[leader]
+		w.ask(leader, 1000+len(w.accepted), n.machine.Newest())
+		w.deliverAll()
+		d.left = 1
+		if err := n.checkpoint(); err == nil || !d.dead {
+			t.Fatal("it did not die while it wrote a checkpoint")
+		}
+		if !lost {
+			d.synced = append(d.synced, d.pending...)
+		}
+		w.check()
+		if w.nodes[leader] == n || w.nodes[leader].diskNumber != n.diskNumber {
+			t.Error("it did not go on from its disk")
+		}
+	}
+}
+
+// TestForwarding: a proposal and a question for the status at any member reach the leader, and the leader knows all followers.
+func TestForwarding(t *testing.T) {
+	w := newTown(3, 3)
+	w.settle("the first start")
+	for i, name := range w.names {
+		hello := &wire.Hello{Name: "scheduler-" + name, Start: 1}
+		if !w.nodes[name].report(hello, &wire.Report{}, w.now) {
+			t.Fatal("no room")
+		}
+		w.ask(name, i, uint64(i))
+		w.deliverAll()
+	}
+	if w.codes[wire.Accepted] != 3 {
+		t.Fatalf("answers %v", w.codes)
+	}
+	w.settle("the reports")
+	for range rowsEvery {
+		for _, name := range w.names {
+			w.tick(name)
+		}
+		w.deliverAll()
+	}
+	for _, name := range w.names {
+		var got wire.Status
+		w.nodes[name].status(w.now, func(s wire.Status) { got = s })
+		w.deliverAll()
+		if len(got.Rows) != 3 || got.Leader == "" || got.Newest != 3 || got.Rows[0].Behind == 0 {
+			t.Errorf("status at %s: %+v", name, got)
+		}
+	}
+}
+
+// TestMinority: a member without a majority refuses, and says since when; after the heal there is one history.
+func TestMinority(t *testing.T) {
+	w := newTown(5, 3)
+	w.settle("the first start")
+	leader := w.names[slices.IndexFunc(w.names, func(name string) bool { return w.nodes[name].leading })]
+	w.cut[leader] = true
+	w.ask(leader, 0, 0) // on its way as the cut begins
+	for range 5 * electionTicks {
+		for _, name := range w.names {
+			w.tick(name)
+		}
+		w.deliverAll()
+	}
+	var refused wire.Proposed
+	w.nodes[leader].propose(&wire.Propose{Request: "late", Document: []byte("d")}, w.now, func(p wire.Proposed) { refused = p })
+	if refused.Code != wire.NoQuorum || refused.Text == "" {
+		t.Errorf("at the minority: %+v", refused)
+	}
+	if status := w.nodes[leader].ownStatus(); status.QuorumAge < (4 * electionTicks * time.Second).Milliseconds() {
+		t.Errorf("no quorum for %d ms", status.QuorumAge)
+	}
+	other := w.names[slices.IndexFunc(w.names, func(name string) bool { return w.nodes[name].leading && name != leader })]
+	w.ask(other, 1, 0)
+	w.deliverAll()
+	if w.accepted["1"] != 1 {
+		t.Fatalf("at the majority: %v", w.codes)
+	}
+	w.check()
+	if _, accepted := w.accepted["0"]; accepted || w.codes[wire.Uncertain] != 1 {
+		t.Errorf("the change of the leader that was cut off: %v", w.codes)
+	}
+	w.ask(leader, 0, 0) // the same again
+	w.deliverAll()
+	if w.codes[wire.Conflict] != 1 {
+		t.Errorf("asked again: %v", w.codes)
+	}
+	w.check()
+}
+
+// TestNewClusterWaits: a cluster begins once all of its members are there, and with one list of disks.
+func TestNewClusterWaits(t *testing.T) {
+	w := newTown(9, 3)
+	w.cut["c"] = true
+	for range 100 {
+		for _, name := range w.names {
+			w.tick(name)
+		}
+		w.deliverAll()
+	}
+	for _, name := range w.names {
+		if !w.nodes[name].fresh() {
+			t.Fatalf("%s has begun without all of the others", name)
+		}
+	}
+	w.settle("all are there")
+	lists := make(map[string]bool)
+	for _, name := range w.names {
+		lists[fmt.Sprint(w.nodes[name].machine.Voters())] = true
+	}
+	if len(lists) != 1 {
+		t.Errorf("lists %v", slices.Collect(maps.Keys(lists)))
+	}
+}
--- /dev/null
+++ b/configuration/source/proposals.go
@@ -0,0 +1,132 @@
+package source
+
+import (
+	"fmt"
+	"time"
+
+	"go.etcd.io/raft/v3"
+
+	core "laddertide/core/configuration"
+	wire "laddertide/wire/configuration"
+)
+
+// proposals are those that wait for their answer, by request id: at the leader for a majority, at another member for the leader.
+type proposals struct {
+	waiting map[string]*proposalWait
+}
+
+// proposalWait is a proposal that waits, with all that asked by its request id.
+type proposalWait struct {
+	digest wire.Digest
+	base   uint64
+	until  int // tick
+	done   []func(wire.Proposed)
+}
+
+// Bounds of what waits.
+const (
+	maxProposals = 256
+	maxAskers    = 16 // of one request id
+)
+
+// add notes one that waits. It returns false if it asks for something else than another one by the same request id, or there is
+// no room; first tells that it is the first one by that id.
+func (p *proposals) add(m *wire.Propose, until int, done func(wire.Proposed)) (first, ok bool) {
+	w := p.waiting[m.Request]
+	digest := wire.DigestOf(m.Document)
+	switch {
+	case w == nil && len(p.waiting) >= maxProposals:
+		return false, false
+	case w == nil:
+		if p.waiting == nil {
+			p.waiting = make(map[string]*proposalWait)
+		}
+		p.waiting[m.Request] = &proposalWait{digest: digest, base: m.Base, until: until, done: []func(wire.Proposed){done}}
+		return true, true
+	case w.digest != digest || w.base != m.Base || len(w.done) >= maxAskers:
+		return false, false
+	}
+	w.done = append(w.done, done)
+	return false, true
+}
+
+// answer answers all that wait by an answer's request id.
+func (p *proposals) answer(a wire.Proposed) {
+	w := p.waiting[a.Request]
+	if w == nil {
+		return
+	}
+	delete(p.waiting, a.Request)
+	for _, done := range w.done {
+		done(a)
+	}
+}
+
+// expire answers those that have waited long enough.
+func (p *proposals) expire(tick int) {
+	for request, w := range p.waiting {
+		if tick >= w.until {
+			p.answer(wire.Proposed{Request: request, Code: wire.Uncertain, Text: "no answer of a majority in time: ask again with the same request id"})
+		}
+	}
+}
+
+// propose takes a proposal whose document has been checked. done is called once, here or later, by the node's goroutine.
+func (n *node) propose(m *wire.Propose, now time.Time, done func(wire.Proposed)) {
+	n.at = now
+	refuse := func(code wire.Code, text string) {
+		done(wire.Proposed{Request: m.Request, Version: n.machine.Newest(), Code: code, Text: text})
+	}
+	leader := n.nameOf(n.lead)
+	switch {
+	case n.lead == 0 || leader == "" || n.lead == n.diskNumber && !n.leading || n.asking:
+		refuse(wire.NoQuorum, n.noQuorum())
+	case n.leading:
+		n.proposeHere(m, refuse, done)
+	default:
+		switch first, ok := n.proposals.add(m, n.ticks+proposalTicks, done); {
+		case !ok:
+			refuse(wire.Busy, "too many proposals wait, or another one has this request id")
+		case first:
+			n.send(leader, m)
+		}
+	}
+}
+
+// noQuorum says since when this member has had no contact with a majority.
+func (n *node) noQuorum() string {
+	return fmt.Sprintf("no quorum since %s: nothing can be accepted here now", n.at.Sub(n.quorumContact()).Round(100*time.Millisecond))
+}
+
+// proposeHere is propose for the leader.
+func (n *node) proposeHere(m *wire.Propose, refuse func(wire.Code, string), done func(wire.Proposed)) {
+	change := wire.Change{Request: m.Request, Base: m.Base, Author: m.Author, AcceptedAt: n.at.UnixMilli(), Document: m.Document}
+	if result, certain := n.machine.Foresee(&change); certain {
+		done(proposed(&change, result))
+		return
+	}
+	if n.at.Sub(n.quorumContact()) > electionTicks*n.nodeConfig.tick {
+		refuse(wire.NoQuorum, n.noQuorum())
+		return
+	}
+	first, ok := n.proposals.add(m, n.ticks+proposalTicks, done)
+	if !ok {
+		refuse(wire.Busy, "too many proposals wait, or another one has this request id")
+		return
+	}
+	if !first {
+		return
+	}
+	if err := n.raft.Propose(change.Append()); err != nil {
+		code := wire.Busy
+		if err != raft.ErrProposalDropped {
+			code = wire.NoQuorum
+		}
+		n.proposals.answer(wire.Proposed{Request: m.Request, Version: n.machine.Newest(), Code: code, Text: err.Error()})
+	}
+}
+
+// proposed is the answer to a proposal that was applied, or whose result is certain.
+func proposed(c *wire.Change, result core.Result) wire.Proposed {
+	return wire.Proposed{Request: c.Request, Version: result.Version, Code: result.Code, Text: result.Text(c.Base)}
+}
--- /dev/null
+++ b/configuration/source/status.go
@@ -0,0 +1,79 @@
+package source
+
+import (
+	"time"
+
+	wire "laddertide/wire/configuration"
+)
+
+// statusWait is somebody who waits for the leader's account.
+type statusWait struct {
+	until int // tick
+	done  func(wire.Status)
+}
+
+const (
+	statusTicks     = electionTicks
+	maxStatusWaits  = 64
+	maxRowsToLeader = wire.MaxRows
+)
+
+// status gives an account of the cluster: the leader's if it answers in time, else this member's own, which has no leader's name
+// and the followers that are connected here alone.
+func (n *node) status(now time.Time, done func(wire.Status)) {
+	n.at = now
+	leader := n.nameOf(n.lead)
+	if n.leading || n.lead == n.diskNumber || leader == "" || len(n.statuses) >= maxStatusWaits {
+		done(n.ownStatus())
+		return
+	}
+	n.statuses = append(n.statuses, statusWait{n.ticks + statusTicks, done})
+	n.send(leader, &wire.StatusRequest{})
+}
+
+func (n *node) ownStatus() wire.Status {
+	latest := n.machine.Latest()
+	s := wire.Status{Member: n.name, Term: n.hard.GetTerm(), Newest: latest.Version, Digest: latest.Digest, AcceptedAt: latest.AcceptedAt,
+		QuorumAge: n.at.Sub(n.quorumContact()).Milliseconds()}
+	if n.leading {
+		s.Leader, s.Rows = n.name, n.table.Rows(&n.machine, n.at)
+	} else {
+		s.Rows = n.table.RowsOf(n.name, &n.machine, n.at)
+	}
+	return s
+}
+
+// hearStatus takes the leader's account.
+func (n *node) hearStatus(s *wire.Status) {
+	waiting := n.statuses
+	n.statuses = nil
+	for _, w := range waiting {
+		w.done(*s)
+	}
+}
+
+// expireStatuses answers those who have waited for the leader long enough.
+func (n *node) expireStatuses() {
+	for len(n.statuses) > 0 && n.ticks >= n.statuses[0].until {
+		w := n.statuses[0]
+		n.statuses = n.statuses[1:]
+		w.done(n.ownStatus())
+	}
+}
+
+// report notes what a follower that is connected here says of itself. It returns false if there is no room for another one.
+func (n *node) report(hello *wire.Hello, r *wire.Report, now time.Time) bool {
+	n.at, n.rowsNew = now, true
+	return n.table.Report(n.name, hello, r, now)
+}
+
+// tellLeader tells the leader of the followers that are connected here: at the tick after something has changed, and now and then.
+func (n *node) tellLeader() {
+	leader := n.nameOf(n.lead)
+	if n.leading || leader == "" || leader == n.name || !n.rowsNew && n.ticks-n.rowsSent < rowsEvery {
+		return
+	}
+	n.rowsNew, n.rowsSent = false, n.ticks
+	rows := n.table.RowsOf(n.name, &n.machine, n.at)
+	n.send(leader, &wire.Followers{Rows: rows[:min(len(rows), maxRowsToLeader)]})
+}
--- a/wire/configuration/configuration.go
+++ b/wire/configuration/configuration.go
@@ -221,7 +221,6 @@
 	Vote    uint64 // for whom in that term, if it is known
 	Last    uint64 // the last index that it acknowledged in that term
 	Removed bool   // the disk is no member's any more
-	Founded bool   // who tells this is part of a cluster already
 }
 
 // Voter is a member with the disk by which it takes part.
--- a/wire/configuration/configuration_test.go
+++ b/wire/configuration/configuration_test.go
@@ -27,7 +27,7 @@
 		&Status{Member: "a", Leader: "b", Term: 7, Newest: 3, Digest: d, AcceptedAt: 1, QuorumAge: 2, Rows: []Follower{row}},
 		&Raft{To: 11, Bytes: []byte("bytes")},
 		&Member{Disk: 11, Fresh: true, Term: 2, Vote: 12, Last: 30, Asks: true, Tells: true,
-			Known: Promise{Disk: 13, Term: 1, Vote: 2, Last: 3, Removed: true, Founded: true}, Voters: []Voter{{"a", 11}}},
+			Known: Promise{Disk: 13, Term: 1, Vote: 2, Last: 3, Removed: true}, Voters: []Voter{{"a", 11}}},
 		&Followers{Rows: []Follower{row, row}},
 	}
 }
--- a/wire/configuration/walk.go
+++ b/wire/configuration/walk.go
@@ -165,7 +165,6 @@
 func (p *Promise) walk(w *walker) {
 	w.whole(&p.Disk, &p.Term, &p.Vote, &p.Last)
 	w.Flag(&p.Removed)
-	w.Flag(&p.Founded)
 }
 
 func (m *Followers) walk(w *walker) { w.rows(&m.Rows) }
