configuration/source: members, followers and tools on real sockets

A source serves its members, pushes the newest version to followers and answers operators' tools; configuration/client is a tool's side.

--- /dev/null
+++ b/configuration/client/client.go
@@ -0,0 +1,114 @@
+// Package client is for operators' tools: it proposes changes of configuration to a source, and asks it for the newest version
+// and for who has which.
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"laddertide/configuration/stream"
+	wire "laddertide/wire/configuration"
+)
+
+// Options say how a source is reached.
+type Options struct {
+	Address string
+	Cluster string
+	Keys    [][]byte // see stream.NewSeals
+	Name    string   // of the tool, for the source's log
+
+	Dial   time.Duration // for the connection; 0: 2 s
+	Answer time.Duration // for an answer; 0: a minute, as a proposal may wait for an election
+}
+
+// ErrRejected says that the source does not serve this tool.
+var ErrRejected = errors.New("configuration: the source does not serve this tool")
+
+// Client is a connection to a source. One goroutine uses it.
+type Client struct {
+	conn   *stream.Conn
+	answer time.Duration
+	source string
+}
+
+// Dial connects to a source.
+func Dial(ctx context.Context, o Options) (*Client, error) {
+	if o.Dial <= 0 {
+		o.Dial = 2 * time.Second
+	}
+	if o.Answer <= 0 {
+		o.Answer = time.Minute
+	}
+	seals, err := stream.NewSeals(o.Keys, o.Cluster)
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: o.Dial}
+	conn, err := dialer.DialContext(ctx, "tcp", o.Address)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Client{conn: stream.New(conn, seals, o.Dial), answer: o.Answer}
+	if err := c.greet(o); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Client) greet(o Options) error {
+	if err := c.conn.Write(&wire.Hello{Role: wire.RoleOperator, Cluster: o.Cluster, Name: o.Name}); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	m, err := c.conn.Read(o.Dial, wire.MaxSmall)
+	if err != nil {
+		return fmt.Errorf("configuration: the source does not answer, or has another key: %w", err)
+	}
+	switch m := m.(type) {
+	case *wire.Welcome:
+		c.source = m.Name
+		return nil
+	case *wire.Rejected:
+		return fmt.Errorf("%w: %s: %s", ErrRejected, m.Code, m.Text)
+	}
+	return fmt.Errorf("configuration: the source answers with %T", m)
+}
+
+// Source is the name of the member that answers.
+func (c *Client) Source() string { return c.source }
+
+// NewRequest draws a request id. A proposal that is repeated, also to another source, has the same one.
+func NewRequest() string { return rand.Text() }
+
+// Propose asks for a change. Without an error it was answered; the code says how. After an error it may be accepted or not: ask again
+// with the same request id.
+func (c *Client) Propose(p *wire.Propose) (*wire.Proposed, error) { return ask[*wire.Proposed](c, p) }
+
+// Newest asks for the newest version.
+func (c *Client) Newest() (*wire.Push, error) { return ask[*wire.Push](c, &wire.Fetch{}) }
+
+// Status asks for who has which version.
+func (c *Client) Status() (*wire.Status, error) { return ask[*wire.Status](c, &wire.StatusRequest{}) }
+
+// ask sends a question and reads its answer.
+func ask[T wire.Message](c *Client, question wire.Message) (answer T, err error) {
+	if err := c.conn.Write(question); err != nil {
+		return answer, fmt.Errorf("configuration: %w", err)
+	}
+	m, err := c.conn.Read(c.answer, wire.MaxFrame)
+	if err != nil {
+		return answer, fmt.Errorf("configuration: no answer of %s: %w", c.source, err)
+	}
+	answer, is := m.(T)
+	if !is {
+		return answer, fmt.Errorf("configuration: %s answers with %T", c.source, m)
+	}
+	return answer, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/configuration/source/followers.go
@@ -0,0 +1,118 @@
+package source
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"laddertide/configuration/stream"
+	wire "laddertide/wire/configuration"
+)
+
+// followerStream is the connection of a follower.
+type followerStream struct {
+	source *Source
+	conn   *stream.Conn
+	hello  *wire.Hello
+
+	mu       sync.Mutex
+	report   wire.Report   // the last one
+	reported chan struct{} // has room for one: there is a new one
+}
+
+// serveFollower pushes each newest version to a follower, and hears what it reports, until the connection ends. A follower that is
+// slow is sent the next version once it has reported on the one before, and holds up nobody else.
+func (s *Source) serveFollower(ctx context.Context, c *stream.Conn, hello *wire.Hello) error {
+	f := &followerStream{source: s, conn: c, hello: hello, reported: make(chan struct{}, 1)}
+	if err := f.note(&wire.Report{Version: hello.Version, Digest: hello.Digest}); err != nil {
+		return err
+	}
+	read := make(chan error, 1)
+	s.serving.Go(func() { read <- f.read() })
+	err := f.write(ctx, read)
+	c.Close()
+	return err
+}
+
+// note hands a report to the loop, and keeps it for the writer.
+func (f *followerStream) note(r *wire.Report) error {
+	if !f.source.do(wire.MaxReason, maxQueue/2, func() { f.source.node.report(f.hello, r, time.Now()) }) {
+		return fmt.Errorf("configuration: too much waits to hear of follower %s", f.hello.Name)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.report = *r
+	return nil
+}
+
+// has returns the newest version that the follower has, or has refused.
+func (f *followerStream) has() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.report.Version, f.report.Refused)
+}
+
+// read reads reports and heartbeats.
+func (f *followerStream) read() error {
+	for {
+		m, err := f.conn.Read(silentBeats*f.source.cfg.Heartbeat, wire.MaxSmall)
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *wire.Report:
+			if err := f.hear(m); err != nil {
+				return err
+			}
+		case *wire.Beat:
+			f.source.do(0, maxQueue/2, func() { f.source.node.table.Heard(f.hello.Name, f.hello.Start, time.Now()) })
+		default:
+			return fmt.Errorf("configuration: follower %s sends %T", f.hello.Name, m)
+		}
+	}
+}
+
+// hear takes a report, after which the follower may be sent the next version.
+func (f *followerStream) hear(r *wire.Report) error {
+	if r.Refused > 0 {
+		f.source.log.Warn("a follower refuses a version", "follower", f.hello.Name, "version", r.Refused, "why", r.Reason)
+	}
+	if err := f.note(r); err != nil {
+		return err
+	}
+	select {
+	case f.reported <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// write pushes versions and sends heartbeats.
+func (f *followerStream) write(ctx context.Context, read <-chan error) error {
+	beat := time.NewTicker(f.source.cfg.Heartbeat)
+	defer beat.Stop()
+	pushed, waiting := uint64(0), false // the last version that was pushed, and that its report is waited for
+	for {
+		newest, changed := f.source.latest.get()
+		if !waiting && newest.Version > max(pushed, f.has()) {
+			if err := f.conn.Write(newest); err != nil {
+				return err
+			}
+			pushed, waiting = newest.Version, true
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-read:
+			return err
+		case <-changed:
+		case <-f.reported:
+			waiting = false
+		case <-beat.C:
+			if err := f.conn.Write(&wire.Beat{Newest: newest.Version, QuorumAge: f.source.quorumAge()}); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/configuration/source/tools.go
@@ -0,0 +1,77 @@
+package source
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"laddertide/configuration/stream"
+	wire "laddertide/wire/configuration"
+)
+
+// toolWait is how long a tool may say nothing between two questions.
+const toolWait = time.Minute
+
+// serveTool answers an operator's tool, one question after the other.
+func (s *Source) serveTool(ctx context.Context, c *stream.Conn) error {
+	for {
+		m, err := c.Read(toolWait, wire.MaxDocument+wire.MaxSmall)
+		if err != nil {
+			return err
+		}
+		var answer wire.Message
+		switch m := m.(type) {
+		case *wire.Fetch:
+			answer, _ = s.latest.get()
+		case *wire.Propose:
+			answer = s.propose(ctx, m)
+		case *wire.StatusRequest:
+			answer = s.status(ctx)
+		default:
+			return fmt.Errorf("configuration: a tool sends %T", m)
+		}
+		if answer == nil { // this source ends
+			return nil
+		}
+		if err := c.Write(answer); err != nil {
+			return err
+		}
+	}
+}
+
+// propose checks a document, and lets the quorum decide on it.
+func (s *Source) propose(ctx context.Context, m *wire.Propose) wire.Message {
+	answer := &wire.Proposed{Request: m.Request, Code: wire.Invalid}
+	if m.Request == "" {
+		answer.Text = "no request id"
+		return answer
+	}
+	if err := s.cfg.Validate(m.Document); err != nil {
+		answer.Text = err.Error()[:min(len(err.Error()), wire.MaxReason)]
+		return answer
+	}
+	done := make(chan wire.Proposed, 1)
+	if !s.do(len(m.Document), maxQueue, func() { s.node.propose(m, time.Now(), func(p wire.Proposed) { done <- p }) }) {
+		answer.Code, answer.Text = wire.Busy, "too much waits"
+		return answer
+	}
+	select {
+	case p := <-done:
+		return &p
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (s *Source) status(ctx context.Context) wire.Message {
+	done := make(chan wire.Status, 1)
+	if !s.do(0, maxQueue, func() { s.node.status(time.Now(), func(st wire.Status) { done <- st }) }) {
+		return nil
+	}
+	select {
+	case st := <-done:
+		return &st
+	case <-ctx.Done():
+		return nil
+	}
+}
