configuration/follower: the sources say how often heartbeats are

Two settings of one thing can differ. The Welcome says the heartbeat, and silence and staleness follow from it. A source without a quorum is left at the shortest distance, as it may have one again at any time; and following and losing a source are logged once each, not at every attempt of a long cut.

go test -race ./configuration/follower passes.

--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, Found{}, err
 	}
-	f := &Follower{cfg: cfg, timing: cfg.Settings.Timing(), store: kept, seals: seals, start: uint64(time.Now().UnixNano()),
+	f := &Follower{cfg: cfg, timing: usualTiming, store: kept, seals: seals, start: uint64(time.Now().UnixNano()),
 		done: make(chan struct{}), first: make(chan struct{}), asking: make(chan struct{}, mostAsking)}
 	f.state.rules = core.NewFollower(0, wire.Digest{})
 	f.ctx, f.stop = context.WithCancel(context.Background())
@@ -145,10 +145,10 @@
 		if f.ctx.Err() != nil {
 			return
 		}
-		if useful {
+		if _, stale := errors.AsType[staleError](err); useful || stale { // it is up, and may have a quorum again at any time
 			retry.reset()
 		}
-		f.parted(err)
+		f.parted(useful, err)
 		select {
 		case <-f.ctx.Done():
 		case <-time.After(retry.next(chance)):
@@ -244,13 +244,17 @@
 	}
 	defer c.Close()
 	f.joined(address, welcome)
+	timing := f.timing
+	if welcome.Heartbeat > 0 {
+		timing = timing.under(time.Duration(welcome.Heartbeat) * time.Millisecond)
+	}
 	release := context.AfterFunc(f.ctx, func() { c.Close() })
 	defer release()
 	beating := make(chan struct{})
 	defer close(beating)
-	go f.beat(c, beating)
+	go f.beat(c, timing.Beat, beating)
 	for {
-		m, err := c.Read(f.timing.Silent, wire.MaxFrame)
+		m, err := c.Read(timing.Silent, wire.MaxFrame)
 		if err != nil {
 			if isTimeout(err) {
 				err = errSilent
@@ -268,9 +272,12 @@
 		case *wire.Beat:
 			age := time.Duration(m.QuorumAge) * time.Millisecond
 			f.heard(m.Newest, age)
-			if age > f.timing.Stale {
+			if age > timing.Stale {
 				return useful, staleError{age}
 			}
+			if !useful {
+				f.cfg.Log.Info("following a source of configuration", "source", address, "member", welcome.Name, "newest", m.Newest)
+			}
 			useful = true
 		default:
 			return useful, fmt.Errorf("it sends %T out of turn", m)
@@ -279,8 +286,8 @@
 }
 
 // beat tells a source that this follower is there, until done or the connection ends.
-func (f *Follower) beat(c *stream.Conn, done <-chan struct{}) {
-	ticker := time.NewTicker(f.timing.Beat)
+func (f *Follower) beat(c *stream.Conn, every time.Duration, done <-chan struct{}) {
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
 		select {
@@ -305,9 +312,7 @@
 	st.address, st.member, st.problem = address, welcome.Name, ""
 	st.newest = max(st.newest, welcome.Newest)
 	st.heardAt = time.Now()
-	version := st.inForce.Version
 	f.mu.Unlock()
-	f.cfg.Log.Info("following a source of configuration", "source", address, "member", welcome.Name, "newest", welcome.Newest, "version", version)
 }
 
 // heard notes a source's heartbeat.
@@ -326,19 +331,19 @@
 	}
 }
 
-// parted notes that no source is connected, and tells of it once for each source.
-func (f *Follower) parted(err error) {
-	text := fmt.Sprint(err)
+// parted notes that no source is connected, and why. It is logged when one that was of use is lost, and when there has been none
+// since the start.
+func (f *Follower) parted(useful bool, err error) {
 	f.mu.Lock()
-	address, told := f.state.address, f.state.problem
-	f.state.address, f.state.member, f.state.problem = "", "", text
+	first := f.state.heardAt.IsZero() && f.state.problem == ""
+	f.state.address, f.state.member, f.state.problem = "", "", fmt.Sprint(err)
 	version := f.state.inForce.Version
 	f.mu.Unlock()
 	switch {
-	case address != "":
-		f.cfg.Log.Warn("source of configuration lost: trying others", "source", address, "version", version, "err", err)
-	case told == "":
-		f.cfg.Log.Warn("no source of configuration: what is in force stays", "version", version, "err", err)
+	case useful:
+		f.cfg.Log.Warn("source of configuration lost: trying others", "version", version, "err", err)
+	case first:
+		f.cfg.Log.Warn("no source of configuration yet: trying on", "version", version, "err", err)
 	}
 }
 
--- a/configuration/follower/settings.go
+++ b/configuration/follower/settings.go
@@ -20,29 +20,18 @@
 	Cluster string
 	Keys    [][]byte // the first one encrypts, all of them decrypt; nil: nothing is encrypted
 
-	Heartbeat time.Duration // between two heartbeats on a connection, each way; the sources' setting of the same name
-
 	FS ledger.FS // in place of the system's folder; nil: that one
 }
 
-// Bounds of heartbeat_ms. With the default a source that falls silent is left after 3 s, so that a change is in force within 6 s.
-const (
-	defaultHeartbeatMS = 1000
-	leastHeartbeatMS   = 100
-	mostHeartbeatMS    = 60_000
-)
-
 // Parse reads the section configuration. A key file is read as well: its place is beside the operators' file.
 func Parse(s *operator.Section) (Settings, error) {
 	set := Settings{}
-	keyFile, heartbeat := "", defaultHeartbeatMS
+	keyFile := ""
 	s.Need("sources", "dir", "cluster")
 	s.Texts("sources", &set.Sources)
 	s.Text("dir", &set.Dir)
 	s.Text("cluster", &set.Cluster)
 	s.Text("key_file", &keyFile)
-	s.Whole("heartbeat_ms", &heartbeat, leastHeartbeatMS, mostHeartbeatMS)
-	set.Heartbeat = time.Duration(heartbeat) * time.Millisecond
 	if len(set.Cluster) > wire.MaxName {
 		s.Fail("cluster", "is longer than %d bytes", wire.MaxName)
 	}
@@ -112,12 +101,28 @@
 	Ask        time.Duration // for the state of all followers
 }
 
-// askLimit bounds a question for the state of all followers: the operators' page has an answer within a second.
-const askLimit = 700 * time.Millisecond
+const (
+	// usualHeartbeat is the sources' default. One that falls silent is left after 3 s then, so that a change is in force within 6 s.
+	usualHeartbeat = time.Second
+
+	// Bounds of what a source may say of its heartbeats.
+	leastHeartbeat = 50 * time.Millisecond
+	mostHeartbeat  = 10 * time.Second
+
+	// silentBeats is how many heartbeats are missed before a source is given up, as it gives a follower up.
+	silentBeats = 3
+
+	// askLimit bounds a question for the state of all followers: the operators' page has an answer within a second.
+	askLimit = 700 * time.Millisecond
+)
+
+// usualTiming is what counts before a source has said how often its heartbeats are.
+var usualTiming = Timing{Dial: usualHeartbeat, Write: usualHeartbeat, RetryFirst: usualHeartbeat / 4, RetryMost: 2 * usualHeartbeat,
+	Ask: askLimit}.under(usualHeartbeat)
 
-// Timing derives the times from the heartbeat: a source is given up after three of them without a message, as it gives a follower up.
-func (s *Settings) Timing() Timing {
-	beat := s.Heartbeat
-	return Timing{Beat: beat, Silent: 3 * beat, Stale: 3 * beat, Dial: beat, Write: beat, RetryFirst: beat / 4, RetryMost: 2 * beat,
-		Ask: askLimit}
+// under is the timing with a source of the given heartbeat.
+func (t Timing) under(heartbeat time.Duration) Timing {
+	t.Beat = min(max(heartbeat, leastHeartbeat), mostHeartbeat)
+	t.Silent, t.Stale = silentBeats*t.Beat, silentBeats*t.Beat
+	return t
 }
