--- a/operator/operator.go
+++ b/operator/operator.go
@@ -80,6 +80,7 @@
 	path, name string
 	values     map[string]json.RawMessage
 	asked      []string
+	items      []*Section
 	err        error
 }
 
@@ -114,6 +115,11 @@
 			s.Fail(key, "no such setting; there are %s", strings.Join(s.asked, ", "))
 		}
 	}
+	for _, item := range s.items {
+		if err := item.Done(); err != nil && s.err == nil {
+			s.err = err
+		}
+	}
 	return s.err
 }
 
@@ -170,6 +176,21 @@
 	*v = list
 }
 
+// Items reads a list of mappings, each as a section of its own, which Done covers; left out, there are none.
+func (s *Section) Items(key string) []*Section {
+	var list []map[string]json.RawMessage
+	if !s.read(key, &list, "a list of mappings") || s.err != nil {
+		return nil
+	}
+	if len(list) == 0 {
+		s.Fail(key, "is empty")
+	}
+	for i, values := range list {
+		s.items = append(s.items, &Section{path: s.path, name: fmt.Sprintf("%s.%s[%d]", s.name, key, i), values: values})
+	}
+	return s.items[len(s.items)-len(list):]
+}
+
 // Word reads one of a few words; left out, v stays as it is. To YAML a version is a number, so one does not need
 // quotes here.
 func (s *Section) Word(key string, v *string, words ...string) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -63,3 +63,40 @@
 		t.Error("a missing file is taken")
 	}
 }
+
+// Items are sections of their own, and what is wrong with one is told with its place in the list.
+func TestItems(t *testing.T) {
+	for text, want := range map[string]string{
+		"a: {}\n":                                 "",
+		"a: {list: [{num: 1}, {num: 2}]}\n":       "",
+		"a: {list: []}\n":                         "a.list: is empty",
+		"a: {list: 5}\n":                          "a.list: 5 is not a list of mappings",
+		"a: {list: [5]}\n":                        "a.list: [5] is not a list of mappings",
+		"a: {list: [{num: 1}, {num: 10}]}\n":      "a.list[1].num: 10 is not within",
+		"a: {list: [{num: 1}, {num: 2, x: 1}]}\n": "a.list[1].x: no such setting",
+		"a: {list: [{}]}\n":                       "a.list[0].num: is missing",
+	} {
+		path := filepath.Join(t.TempDir(), "fleet.yaml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := Load(path, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, sum := f.Section("a"), 0
+		for _, item := range s.Items("list") {
+			n := 0
+			item.Need("num")
+			item.Whole("num", &n, 1, 9)
+			sum += n
+		}
+		err = s.Done()
+		switch {
+		case want == "" && (err != nil || strings.Contains(text, "list") && sum != 3):
+			t.Errorf("%q: %d, %v", text, sum, err)
+		case want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("%q: error %v, want %q", text, err, want)
+		}
+	}
+}
