--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -199,17 +199,16 @@
 
 func (e rejectedError) Error() string { return fmt.Sprintf("rejected: %s: %s", e.code, e.text) }
 
-// connect opens a connection to a source and introduces this scheduler, to follow or to ask. A source that does not take it answers
-// with the reason.
-func (f *Follower) connect(ctx context.Context, address string, role wire.Role) (*stream.Conn, *wire.Welcome, error) {
+// connect opens a connection to a source and introduces this scheduler. A source that does not take it answers with the reason.
+func (f *Follower) connect(address string) (*stream.Conn, *wire.Welcome, error) {
 	dialer := net.Dialer{Timeout: f.timing.Dial}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(f.ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
 	c := stream.New(raw, f.seals, f.timing.Write)
 	report := f.report()
-	welcome, err := f.introduce(c, &wire.Hello{Role: role, Cluster: f.cfg.Settings.Cluster, Name: f.cfg.Name, Start: f.start,
+	welcome, err := f.introduce(c, &wire.Hello{Role: wire.RoleFollower, Cluster: f.cfg.Settings.Cluster, Name: f.cfg.Name, Start: f.start,
 		Version: report.Version, Digest: report.Digest})
 	if err != nil {
 		c.Close()
@@ -238,7 +237,7 @@
 
 // follow holds a connection to a source until it ends, and tells whether it was of use: heartbeats came of a source with a quorum.
 func (f *Follower) follow(address string) (useful bool, err error) {
-	c, welcome, err := f.connect(f.ctx, address, wire.RoleFollower)
+	c, welcome, err := f.connect(address)
 	if err != nil {
 		return false, err
 	}
--- a/configuration/follower/status.go
+++ b/configuration/follower/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"laddertide/configuration/client"
 	wire "laddertide/wire/configuration"
 )
 
@@ -109,25 +110,15 @@
 
 // ask asks one source over a connection of its own: the one that is followed may be busy with a document.
 func (f *Follower) ask(ctx context.Context, address string) (*wire.Status, error) {
-	c, _, err := f.connect(ctx, address, wire.RoleOperator)
+	c, err := client.Dial(ctx, client.Options{Address: address, Cluster: f.cfg.Settings.Cluster, Keys: f.cfg.Settings.Keys,
+		Name: f.cfg.Name, Dial: f.timing.Ask, Answer: f.timing.Ask})
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
 	release := context.AfterFunc(ctx, func() { c.Close() })
 	defer release()
-	if err := c.Write(&wire.StatusRequest{}); err != nil {
-		return nil, err
-	}
-	m, err := c.Read(f.timing.Ask, wire.MaxFrame)
-	if err != nil {
-		return nil, err
-	}
-	status, ok := m.(*wire.Status)
-	if !ok {
-		return nil, fmt.Errorf("it answers with %T", m)
-	}
-	return status, nil
+	return c.Status()
 }
 
 func fleetOf(st *wire.Status) *Fleet {
