--- a/cmd/laddertide/config.go
+++ b/cmd/laddertide/config.go
@@ -16,6 +16,7 @@
 
 	"laddertide/configuration/client"
 	"laddertide/peers"
+	"laddertide/scheduler"
 	wire "laddertide/wire/configuration"
 )
 
@@ -128,7 +129,7 @@
 	if len(document) > wire.MaxDocument {
 		return fmt.Errorf("%s has %d bytes, and %d are the most", file, len(document), wire.MaxDocument)
 	}
-	if err := checkDocument(document); err != nil {
+	if err := scheduler.CheckDocument(document); err != nil {
 		return fmt.Errorf("%s: %w", file, err)
 	}
 	p.Document = document
--- a/cmd/laddertide/config_test.go
+++ b/cmd/laddertide/config_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"laddertide/scheduler"
 )
 
 // exampleSettings are the settings of the example configuration file.
@@ -48,7 +50,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return checkDocument(raw)
+		return scheduler.CheckDocument(raw)
 	}
 	if err := check(); err != nil {
 		t.Fatal(err)
@@ -62,7 +64,7 @@
 		t.Errorf("a bad value: %v", err)
 	}
 	for _, text := range []string{"", "null", "[]", "5", "{}", `{"fleet-size":`, `{"fleet-size":2} {}`} {
-		if err := checkDocument([]byte(text)); err == nil {
+		if err := scheduler.CheckDocument([]byte(text)); err == nil {
 			t.Errorf("%q was taken", text)
 		}
 	}
--- a/cmd/laddertide/source.go
+++ b/cmd/laddertide/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -57,7 +56,7 @@
 		return nil
 	}
 	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
-	cfg.Validate = checkDocument
+	cfg.Validate = scheduler.CheckDocument
 	s, err := source.New(cfg)
 	if err != nil {
 		return err
@@ -67,32 +66,3 @@
 	cfg.Log.Info("source of configuration", "version", version(), "listen", s.Addr(), "member", cfg.Name)
 	return s.Serve(ctx)
 }
-
-// documentFile is the rest of a configuration file round a document, by which the document is checked as check does: its own
-// place in the fleet and its zone are each scheduler's, so any will do.
-var documentFile = map[string]any{"name": "document", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1"}
-
-// checkDocument checks the settings of a configuration file by the rules for a whole one.
-func checkDocument(document []byte) error {
-	var settings map[string]json.RawMessage
-	if err := json.Unmarshal(document, &settings); err != nil {
-		return fmt.Errorf("the document is no JSON object of settings: %w", err)
-	}
-	if settings == nil {
-		return errors.New("the document is null")
-	}
-	settings["me"], settings["zone"] = json.RawMessage("0"), json.RawMessage("0")
-	file := map[string]any{"settings": settings}
-	for key, value := range documentFile {
-		file[key] = value
-	}
-	raw, err := json.Marshal(file)
-	if err != nil {
-		return err
-	}
-	cfg, err := scheduler.Parse(raw)
-	if err != nil {
-		return err
-	}
-	return cfg.Check()
-}
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -61,6 +61,18 @@
 	return set, set.Names()
 }
 
+// CheckDocument reports what makes a document useless to every scheduler, by the rules for a configuration file. What depends on one
+// scheduler, such as its place among them and its features, is checked there.
+func CheckDocument(document []byte) error {
+	cfg := Config{Listen: "127.0.0.1:1", Discovery: "127.0.0.1:2", Limits: Limits{Sockets: usualSockets}}
+	set, err := ownSettings(&cfg, document)
+	if err != nil {
+		return err
+	}
+	cfg.Settings = set
+	return cfg.Check()
+}
+
 // withDocument is a configuration with a document's settings in place of its own, checked as the file's are.
 func withDocument(cfg Config, document []byte) (Config, error) {
 	set, err := ownSettings(&cfg, document)
