configuration/source: proposals end as uncertain with their leader

It is answered as soon as another leader, or none, is known; a tool asks again with the same request id.

--- a/configuration/source/membership.go
+++ b/configuration/source/membership.go
@@ -62,9 +62,11 @@
 	return wire.Member{Disk: n.diskNumber, Fresh: n.fresh(), Term: n.hard.GetTerm(), Vote: n.hard.GetVote(), Last: last}
 }
 
-// tellOthers asks the others while this member must not take part, or has not been taken in.
+// tellOthers asks the others while this member must not take part, or has not been taken in; also while it has had no contact with
+// a majority for long, as another disk may have taken its place meanwhile.
 func (n *node) tellOthers() {
-	if !n.asking && !n.fresh() {
+	lonely := n.at.Sub(n.quorumContact()) > 2*electionTicks*n.nodeConfig.tick
+	if !n.asking && !n.fresh() && !lonely {
 		return
 	}
 	n.asked++
--- a/configuration/source/node.go
+++ b/configuration/source/node.go
@@ -244,6 +244,9 @@
 // one that was just taken in could not use it.
 func (n *node) apply(ready raft.Ready) (checkpoint bool) {
 	if ready.SoftState != nil {
+		if n.lead != ready.SoftState.Lead { // the next one may have what the one before had taken, or not
+			n.proposals.answerAll("another leader is elected: ask again with the same request id")
+		}
 		n.lead = ready.SoftState.Lead
 		if ready.SoftState.RaftState != raft.StateLeader && n.leading {
 			n.leading = false
--- a/configuration/source/proposals.go
+++ b/configuration/source/proposals.go
@@ -66,11 +66,22 @@
 func (p *proposals) expire(tick int) {
 	for request, w := range p.waiting {
 		if tick >= w.until {
-			p.answer(wire.Proposed{Request: request, Code: wire.Uncertain, Text: "no answer of a majority in time: ask again with the same request id"})
+			p.answer(uncertain(request, "no answer of a majority in time: ask again with the same request id"))
 		}
 	}
 }
 
+// answerAll answers all that wait as uncertain.
+func (p *proposals) answerAll(why string) {
+	for request := range p.waiting {
+		p.answer(uncertain(request, why))
+	}
+}
+
+func uncertain(request, why string) wire.Proposed {
+	return wire.Proposed{Request: request, Code: wire.Uncertain, Text: why}
+}
+
 // propose takes a proposal whose document has been checked. done is called once, here or later, by the node's goroutine.
 func (n *node) propose(m *wire.Propose, now time.Time, done func(wire.Proposed)) {
 	n.at = now
--- a/configuration/source/source.go
+++ b/configuration/source/source.go
@@ -75,6 +75,11 @@
 	return Timing{Tick: tick, Election: electionTicks * tick, Proposal: proposalTicks * tick, Dial: 4 * tick}
 }
 
+// silence is after how long a follower is in doubt: its heartbeats, and as long as news of it may take to the leader.
+func silence(t Timing, heartbeat time.Duration) time.Duration {
+	return silentBeats*heartbeat + 2*rowsEvery*t.Tick
+}
+
 // Source is a member of the quorum.
 type Source struct {
 	cfg    Config
@@ -154,7 +159,7 @@
 		}
 	}
 	s.node, err = newNode(nodeConfig{name: cfg.Name, members: names, disk: s.store, tick: s.timing.Tick, log: cfg.Log,
-		limits: core.Limits{Silence: silentBeats * cfg.Heartbeat, Forget: forget, Most: wire.MaxRows},
+		limits: core.Limits{Silence: silence(s.timing, cfg.Heartbeat), Forget: forget, Most: wire.MaxRows},
 		send:   s.send, newest: s.latest.set}, time.Now())
 	if err != nil {
 		return nil, err
