rehearse/configuration: measure how long a change takes and what it costs

LADDERTIDE_LONG=1 go test -run TestMeasure ./rehearse/configuration, with LADDERTIDE_CASE=plain, leader-kill or region-cut, LADDERTIDE_SCHEDULERS, LADDERTIDE_CHANGES and LADDERTIDE_OUT for the JSON. Bytes are the relays' counts, CPU is the system's account of each process, times are from the begin of a proposal to the last scheduler's log line. No figure is kept yet.

--- /dev/null
+++ b/rehearse/configuration/measure_test.go
@@ -0,0 +1,280 @@
+package configuration
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"laddertide/configuration/client"
+	wire "laddertide/wire/configuration"
+)
+
+// Cases of a measurement.
+const (
+	casePlain  = "plain"       // nothing fails
+	caseLeader = "leader-kill" // the leader is killed after a third of the changes, and started again after two thirds
+	caseRegion = "region-cut"  // a region without the leader is cut off after a third of the changes, until two thirds
+)
+
+const (
+	idleFor     = 10 * time.Second
+	changeEvery = 130 * time.Millisecond // a change begins so long after the one before did, or as that is accepted
+)
+
+// measured is a measurement as it is kept in docs/capacity. Times in force are from the moment at which a tool begins to propose to
+// the last scheduler's log line; of a region-cut they are those of the schedulers outside of the region.
+type measured struct {
+	Command       string `json:"command"`
+	Commit        string `json:"commit"`
+	Date          string `json:"date"`
+	Case          string `json:"case"`
+	Schedulers    int    `json:"schedulers"`
+	Sources       int    `json:"sources"`
+	Regions       int    `json:"regions"`
+	RoundTripMS   int64  `json:"round_trip_ms"`
+	Changes       int    `json:"changes"`
+	ChangeEveryMS int64  `json:"change_every_ms"`
+	DocumentBytes int    `json:"document_bytes"`
+
+	AcceptedP50MS float64 `json:"accepted_p50_ms"`
+	P50MS         float64 `json:"p50_ms"`
+	P99MS         float64 `json:"p99_ms"`
+	WorstMS       float64 `json:"worst_ms"`
+	AfterHealMS   float64 `json:"after_heal_worst_ms,omitempty"` // region-cut: until the newest is in force in the region
+
+	SchedulerBytesPerChange float64 `json:"scheduler_bytes_per_change"`
+	SchedulerCPUPerChange   float64 `json:"scheduler_cpu_us_per_change"`
+	SourceBytesPerChange    float64 `json:"source_bytes_per_change"`
+	SourceCPUPerChange      float64 `json:"source_cpu_us_per_change"`
+
+	IdleBytesPerSecond       float64 `json:"idle_bytes_per_second"` // a scheduler's
+	IdleCPUPercent           float64 `json:"idle_cpu_percent"`      // a scheduler's whole process, of a core
+	IdleCPUPercentOff        float64 `json:"idle_cpu_percent_off"`  // of one without the section, beside them
+	SourceIdleBytesPerSecond float64 `json:"source_idle_bytes_per_second"`
+	SourceIdleCPUPercent     float64 `json:"source_idle_cpu_percent"`
+}
+
+// TestMeasure measures how long a change takes until it is in force everywhere, and what it costs. It wants LADDERTIDE_LONG;
+// LADDERTIDE_CASE names the case (plain), LADDERTIDE_SCHEDULERS how many there are (6), LADDERTIDE_CHANGES how many changes (500),
+// and LADDERTIDE_OUT the file that the result is written to.
+func TestMeasure(t *testing.T) {
+	if os.Getenv("LADDERTIDE_LONG") == "" {
+		t.Skip("LADDERTIDE_LONG is not set")
+	}
+	m := &measured{Case: casePlain, Schedulers: number(t, "LADDERTIDE_SCHEDULERS", 6), Changes: number(t, "LADDERTIDE_CHANGES", 500),
+		Sources: regions, Regions: regions, RoundTripMS: roundTrip.Milliseconds(), ChangeEveryMS: changeEvery.Milliseconds(),
+		Date: time.Now().UTC().Format(time.RFC3339)}
+	if name := os.Getenv("LADDERTIDE_CASE"); name != "" {
+		m.Case = name
+	}
+	r := newRig(t, m.Schedulers+1)
+	off := r.schedulers[m.Schedulers] // for the account without the section
+	off.off = true
+	r.startAll()
+	following := r.schedulers[:m.Schedulers]
+	first := r.document(0)
+	m.DocumentBytes = len(first)
+	version := r.change(0, first)
+	r.untilInForce(version, first, following...)
+	time.Sleep(2 * time.Second) // what starts has started
+
+	before, began := r.account(following, off), time.Now()
+	time.Sleep(idleFor)
+	idle := r.account(following, off).minus(before).over(time.Since(began))
+	m.IdleBytesPerSecond, m.IdleCPUPercent = idle.schedulerBytes, idle.schedulerCPU*100
+	m.IdleCPUPercentOff = idle.offCPU * 100
+	m.SourceIdleBytesPerSecond, m.SourceIdleCPUPercent = idle.sourceBytes, idle.sourceCPU*100
+
+	before, began = r.account(following, off), time.Now()
+	run := r.makeChanges(m, version)
+	r.untilInForce(version+uint64(m.Changes), run.last, following...)
+	took := time.Since(began)
+	spent := r.account(following, off).minus(before)
+	perChange := func(total, idle float64) float64 { return (total - idle*took.Seconds()) / float64(m.Changes) }
+	m.SchedulerBytesPerChange = perChange(spent.schedulerBytes, idle.schedulerBytes)
+	m.SchedulerCPUPerChange = perChange(spent.schedulerCPU, idle.schedulerCPU) * 1e6
+	m.SourceBytesPerChange = perChange(spent.sourceBytes, idle.sourceBytes)
+	m.SourceCPUPerChange = perChange(spent.sourceCPU, idle.sourceCPU) * 1e6
+	r.times(m, following, run)
+	m.write(t)
+}
+
+func number(t *testing.T, name string, usual int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// changesMade is what a run of changes was, by version.
+type changesMade struct {
+	proposed, accepted []time.Time
+	first              uint64 // the version of the first one
+	last               []byte
+	healed             time.Time // region-cut
+	cutRegion          int       // -1: none
+}
+
+// makeChanges proposes changes, one after the other, and lets fail what the case says meanwhile.
+func (r *rig) makeChanges(m *measured, version uint64) *changesMade {
+	r.t.Helper()
+	run := &changesMade{first: version + 1, cutRegion: -1}
+	leader := r.leader()
+	ask := slices.Clone(r.sources)
+	for i := range m.Changes {
+		switch {
+		case m.Case == caseLeader && i == m.Changes/3:
+			ask = slices.DeleteFunc(ask, func(p *sourceProcess) bool { return p == leader })
+			go leader.kill()
+		case m.Case == caseLeader && i == 2*m.Changes/3:
+			leader.start()
+		case m.Case == caseRegion && i == m.Changes/3:
+			run.cutRegion = (leader.region + 1) % regions
+			ask = slices.DeleteFunc(ask, func(p *sourceProcess) bool { return p.region == run.cutRegion })
+			r.cut(run.cutRegion)
+		case m.Case == caseRegion && i == 2*m.Changes/3:
+			r.heal()
+			run.healed = time.Now()
+		}
+		run.last = r.document(i + 1)
+		began := time.Now()
+		run.proposed = append(run.proposed, began)
+		version = r.propose(version, run.last, ask, i)
+		run.accepted = append(run.accepted, time.Now())
+		time.Sleep(time.Until(began.Add(changeEvery)))
+	}
+	return run
+}
+
+// propose makes a change, asking the next source wherever one cannot tell, and returns its version.
+func (r *rig) propose(base uint64, document []byte, ask []*sourceProcess, turn int) uint64 {
+	r.t.Helper()
+	m := &wire.Propose{Request: client.NewRequest(), Base: base, Author: "rig", Document: document}
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); turn++ {
+		switch answer := ask[turn%len(ask)].propose(m); answer.Code {
+		case wire.Accepted:
+			return answer.Version
+		case wire.Conflict, wire.Invalid, wire.RequestReuse:
+			r.t.Fatalf("%+v", answer)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatal("a change is not accepted")
+	return 0
+}
+
+// account is what has been spent so far: by schedulers and sources each on the average. CPU is in seconds.
+type account struct {
+	schedulerBytes, schedulerCPU, offCPU, sourceBytes, sourceCPU float64
+}
+
+func (a account) minus(b account) account {
+	return account{a.schedulerBytes - b.schedulerBytes, a.schedulerCPU - b.schedulerCPU, a.offCPU - b.offCPU, a.sourceBytes - b.sourceBytes,
+		a.sourceCPU - b.sourceCPU}
+}
+
+func (a account) over(d time.Duration) account {
+	s := d.Seconds()
+	return account{a.schedulerBytes / s, a.schedulerCPU / s, a.offCPU / s, a.sourceBytes / s, a.sourceCPU / s}
+}
+
+// account reads the relays' counts and the system's account of each process.
+func (r *rig) account(following []*schedulerProcess, off *schedulerProcess) (a account) {
+	bytes := func(x, y string) float64 { return float64(r.links.Counts(x, y).Bytes + r.links.Counts(y, x).Bytes) }
+	n, sources := float64(len(following)), float64(len(r.sources))
+	for _, p := range following {
+		a.schedulerCPU += p.cpu() / n
+		for _, source := range r.sources {
+			passed := bytes(p.name, source.name)
+			a.schedulerBytes += passed / n
+			a.sourceBytes += passed / sources
+		}
+	}
+	for i, p := range r.sources {
+		a.sourceCPU += p.cpu() / sources
+		for _, other := range r.sources[i+1:] {
+			a.sourceBytes += 2 * bytes(p.name, other.name) / sources // it is both ends'
+		}
+	}
+	a.offCPU = off.cpu()
+	return a
+}
+
+// cpu is what a process has taken of the processor, in seconds: by the scheduler's account of each thread, as that by ticks is too rough.
+func (p *process) cpu() (seconds float64) {
+	tasks, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.proc.PID()), "task", "*", "schedstat"))
+	for _, task := range tasks {
+		b, _ := os.ReadFile(task)
+		if fields := strings.Fields(string(b)); len(fields) > 0 {
+			ns, _ := strconv.ParseFloat(fields[0], 64)
+			seconds += ns / 1e9
+		}
+	}
+	return seconds
+}
+
+// times works out how long changes took.
+func (r *rig) times(m *measured, following []*schedulerProcess, run *changesMade) {
+	accepted, inForce := make([]float64, m.Changes), make([]float64, m.Changes)
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	for i := range accepted {
+		accepted[i] = ms(run.accepted[i].Sub(run.proposed[i]))
+	}
+	for _, p := range following {
+		all := p.changes()
+		at := 0
+		for i := range inForce {
+			for at < len(all) && all[at].version < run.first+uint64(i) {
+				at++
+			}
+			if at == len(all) {
+				r.t.Fatalf("%s never had version %d", p.name, run.first+uint64(i))
+			}
+			if p.region != run.cutRegion {
+				inForce[i] = max(inForce[i], ms(all[at].at.Sub(run.proposed[i])))
+			}
+		}
+		if p.region == run.cutRegion {
+			healed := slices.IndexFunc(all, func(c change) bool { return c.at.After(run.healed) })
+			m.AfterHealMS = max(m.AfterHealMS, ms(all[healed].at.Sub(run.healed)))
+		}
+	}
+	slices.Sort(accepted)
+	slices.Sort(inForce)
+	m.AcceptedP50MS = accepted[len(accepted)/2]
+	m.P50MS, m.P99MS, m.WorstMS = inForce[len(inForce)/2], inForce[len(inForce)*99/100], inForce[len(inForce)-1]
+}
+
+// write keeps a measurement.
+func (m *measured) write(t *testing.T) {
+	t.Helper()
+	commit, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		t.Log(err)
+	}
+	m.Commit = strings.TrimSpace(string(commit))
+	m.Command = "LADDERTIDE_LONG=1 LADDERTIDE_CASE=" + m.Case + " LADDERTIDE_SCHEDULERS=" + strconv.Itoa(m.Schedulers) +
+		" LADDERTIDE_CHANGES=" + strconv.Itoa(m.Changes) + " go test -count=1 -run TestMeasure ./rehearse/configuration"
+	text, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s", text)
+	if out := os.Getenv("LADDERTIDE_OUT"); out != "" {
+		if err := os.WriteFile(out, append(text, '\n'), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/rehearse/configuration/rig_test.go
+++ b/rehearse/configuration/rig_test.go
@@ -113,6 +113,7 @@
 // newRig makes the places of three sources and n schedulers, and starts none of them.
 func newRig(t *testing.T, n int) *rig {
 	t.Helper()
+	t.Parallel()
 	s, err := scenario.Parse("configuration.yaml", fmt.Appendf(nil,
 		"{name: configuration, seconds: 60, workers: 2, schedulers: %d, rate: 10, load: 0.2}", min(n, scenario.MaxSchedulers)))
 	if err != nil {
