--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -274,6 +274,8 @@
 	Owners    *owners.Report    `json:"owners,omitempty"`
 	Return    *returning.Report `json:"return,omitempty"`
 	Discovery DiscoveryReport   `json:"discovery"`
+
+	Configuration *ConfigurationReport `json:"configuration,omitempty"`
 }
 
 // DiscoveryReport counts what has come from discovery since the present watches of it began.
@@ -299,13 +301,14 @@
 	p := s.peers
 	page := FleetPage{Discovery: s.discoveryReport()}
 	s.mu.Unlock()
+	page.Configuration = s.configurationReport()
 	if s.room != nil {
 		page.Return = s.room.Report()
 	}
 	switch {
 	case p != nil:
 		page.Report = p.Report()
-	case page.Return == nil:
+	case page.Return == nil && page.Configuration == nil:
 		return nil, errors.New("starting")
 	default:
 		page.Me = s.cfg.Name
