--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -88,6 +88,13 @@
 	if want := []string{"42 false a 1.5s", "50 true c 1.5s", "51 false d 1.5s"}; !slices.Equal(got, want) {
 		t.Fatalf("delivered %q, want %q", got, want)
 	}
+	sent := 0
+	for _, step := range steps {
+		sent += len(step.answer)
+	}
+	if lists, bytes := w.Received(); lists != 3 || bytes == 0 || bytes > uint64(sent) {
+		t.Errorf("%d lists and %d bytes counted; 3 were delivered, and %d bytes were sent", lists, bytes, sent)
+	}
 }
 
 // One entry that cannot be used costs no other, and a status that is not known is no leave to send.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -500,3 +501,33 @@
 		}
 	}
 }
+
+// TestStreamBytesAreCounted: both ends of a connection count what passed it, its first byte included.
+func TestStreamBytesAreCounted(t *testing.T) {
+	var ends [2]*sockets
+	for i := range ends {
+		s, err := listen("127.0.0.1:0", TimingOf(time.Second), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Shutdown()
+		ends[i] = s
+	}
+	out, err := ends[0].DialTimeout(ends[1].tcp.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	if _, err := out.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	in := <-ends[1].streams
+	defer in.Close()
+	if _, err := io.ReadFull(in, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	if sent, received := ends[0].Traffic(), ends[1].Traffic(); sent.StreamBytesOut != 5 || received.StreamBytesIn != 5 ||
+		sent.StreamBytesIn != 0 || received.BytesIn != 0 {
+		t.Errorf("sent %+v, received %+v", sent, received)
+	}
+}
--- a/rehearse/links/links_test.go
+++ b/rehearse/links/links_test.go
@@ -260,3 +260,27 @@
 		t.Error("an answer of nobody")
 	}
 }
+
+func TestTotalSumsUpAllPairsOfOne(t *testing.T) {
+	e := newEnds(t)
+	e.send(t, 3)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: e.tcp[0].Addr().(*net.TCPAddr).IP}}
+	c, err := dialer.Dial("tcp", e.at[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	other := <-e.accepted
+	defer other.Close()
+	if _, err := io.ReadFull(other, make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	sent, _ := e.l.Total("a")
+	_, received := e.l.Total("b")
+	if want := (Counts{Packets: 3, Bytes: 103, Streams: 1, StreamBytes: 100}); sent != want || received != want {
+		t.Errorf("a sent %+v, b received %+v, want %+v", sent, received, want)
+	}
+}
