consumer, invoker: nothing begins for a client that had left before its request was read

A leave was seen by the watch of a request alone, which begins beside the handling (job.go, carry): a client that had left while its request waited behind others, in the queue of a busy accept, or while its connection crossed from one process to the next, could have an attempt begin first. Now the socket is asked before the handling; a job of another process is handled with its context ended, and the decision module hears of the leave before its first verdict.

New: TestLeftBeforeItsRequestIsRead, TestLeaveCrossesHandOver (both ways, with and without bytes before the end), TestPipelinedInPieces (20 commands in pieces, with leaves).

--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -20,6 +20,9 @@
 	afterEnd     = 200 * time.Millisecond // for connections that close when the time to answer is over
 )
 
+// aLongTimeAgo is a deadline that ends a read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
 // lookAgain looks once more for the first byte of a message, for lastLook. A deadline that has passed hides what has
 // arrived since, and on a busy machine long may lie between the two; so the socket itself is asked in the end.
 func (c *conn) lookAgain() error {
--- a/consumer/job.go
+++ b/consumer/job.go
@@ -15,10 +15,20 @@
 // margin is taken off a consumer's deadline, so that the answer is there before it gives up.
 const margin = 10 * time.Millisecond
 
-// carry hands a job to the Handlers and returns what became of it, while c is watched for the consumer's leave.
+// carry hands a job to the Handlers and returns what became of it, while c is watched for the client's leave. A client
+// may have left before the watch begins: while its request waited behind others, or its connection crossed from one
+// process to another. Nothing begins for it then; a job of another process is still handled, as it may be running.
 func (s *Server) carry(j *job.Job, c *conn) job.Outcome {
 	ctx, over := context.WithCancelCause(context.Background())
 	defer over(job.ErrAnswered)
+	c.SetReadDeadline(time.Time{})
+	if c.hasLeft() {
+		if j.Keeper == nil {
+			return job.Outcome{Kind: job.Gone}
+		}
+		over(job.ErrLeft)
+		return s.handle(ctx, j)
+	}
 	stop := watch(c, func() { over(job.ErrLeft) })
 	defer stop()
 	return s.handle(ctx, j)
--- a/consumer/leave.go
+++ b/consumer/leave.go
@@ -3,54 +3,63 @@
 import (
 	"bufio"
 	"errors"
-	"time"
 )
 
-// readAhead reads on behind a full buffer, as a leave is seen only behind all that came before it. More than may be kept
-// is dropped, and the connection ends with the answer in hand: no client has to send so much before that. Without an error
-// even that was too much, and nothing more is looked at.
-func (c *conn) readAhead() error {
+// A client that closes its connection has left, and nothing may be sent on for it any more. The end of the connection
+// stands behind all bytes that came before it, so these are read first: into the buffer, then into conn.ahead, and past
+// MaxAhead they are dropped.
+
+// readMore makes one read behind what has been read already. More than may be kept is dropped, and the connection ends
+// with the answer in hand: no client has to send so much before that.
+func (c *conn) readMore() error {
+	_, err := c.br.Peek(c.br.Buffered() + 1)
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return err
+	}
 	var b [2048]byte
-	for dropped := 0; dropped < partBytes; {
-		n, err := c.Conn.Read(b[:])
-		if n > 0 {
-			c.hears()
-		}
-		if len(c.ahead)+n <= MaxAhead && !c.broken {
-			c.ahead = append(c.ahead, b[:n]...)
-		} else {
-			c.broken = true
-			dropped += n
-		}
-		if err != nil {
-			return err
+	n, err := c.Conn.Read(b[:])
+	if n > 0 {
+		c.hears()
+	}
+	if len(c.ahead)+n <= MaxAhead && !c.broken {
+		c.ahead = append(c.ahead, b[:n]...)
+	} else {
+		c.broken = true
+		c.dropped += n
+	}
+	return err
+}
+
+// hasLeft tells, without waiting, whether the client has closed c by now, as far as what it sent can be kept. What it
+// sent meanwhile is kept for the next message.
+func (c *conn) hasLeft() bool {
+	for !c.broken && c.pending() {
+		if err := c.readMore(); err != nil {
+			return !isTimeout(err)
 		}
 	}
-	return nil
+	return false
 }
 
-// watch runs gone if the consumer closes c while its request is out. A blocked read is the only way to
+// watch runs gone if the client closes c while its request is out. A blocked read is the only way to
 // see that, so a request has this second goroutine while it waits. The function that it returns ends
 // the watch and must be called before c is read again.
 func watch(c *conn, gone func()) (stop func()) {
 	done := make(chan struct{})
-	c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		// Bytes of a next message are no leave, nor is the deadline that ends the watch.
+		// Bytes of a next message are no leave, nor is the deadline that ends the watch. After partBytes nothing more
+		// is looked at.
 		var err error
-		for err == nil {
-			_, err = c.br.Peek(c.br.Buffered() + 1)
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = c.readAhead()
+		for err == nil && c.dropped < partBytes {
+			err = c.readMore()
 		}
 		if err != nil && !isTimeout(err) {
 			gone()
 		}
 	}()
 	return func() {
-		c.SetReadDeadline(time.Unix(1, 0))
+		c.SetReadDeadline(aLongTimeAgo)
 		<-done
 	}
 }
--- /dev/null
+++ b/consumer/leave_test.go
@@ -0,0 +1,183 @@
+package consumer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/job"
+	"laddertide/policy"
+)
+
+// gatedListener holds connections back until its gate is open.
+type gatedListener struct {
+	net.Listener
+	gate chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	<-l.gate
+	return c, err
+}
+
+// Nothing is handled for a client that had left before its request was read, also behind requests that were whole and
+// bytes of a next one.
+func TestLeftBeforeItsRequestIsRead(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handled := make(chan string, 1000)
+	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second}}},
+		Jobs: job.HandlerFunc(func(ctx context.Context, j *job.Job) job.Outcome {
+			handled <- j.ID
+			return job.Outcome{Kind: job.Served}
+		}),
+		Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler), Conns: 100, Grace: time.Second}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	ln := &gatedListener{tcp, make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, ln) }()
+	r := &rig{t: t, address: tcp.Addr().String()}
+	for i := range 40 {
+		c := r.dial()
+		c.say(ask(fmt.Sprint("gone-", i), "check"))
+		switch i % 4 {
+		case 1:
+			c.say(ask(fmt.Sprint("gone-too-", i), "check"))
+		case 2:
+			c.say(ask(fmt.Sprint("gone-half-", i), "check")[:50])
+		case 3:
+			c.say(strings.Repeat("x", 9000)) // more than the buffer
+		}
+		c.Close()
+	}
+	close(ln.gate)
+	c := r.dial()
+	c.say(ask("stays", "check"))
+	c.hear(200)
+	stop()
+	if err := <-served; err != nil { // all connections are done with
+		t.Fatal(err)
+	}
+	if first := <-handled; first != "stays" || len(handled) > 0 {
+		t.Fatalf("%s was handled, and %d more", first, len(handled))
+	}
+}
+
+// Commands that are sent at once, cut into pieces anywhere, are answered in their order, each once. Once the client has
+// left, those behind the one in hand are not handled.
+func TestPipelinedInPieces(t *testing.T) {
+	started, answer := make(chan string, 100), make(chan struct{})
+	ended := make(chan error, 100)
+	r := newServer(t, func(ctx context.Context, j *job.Job) job.Outcome {
+		started <- j.ID
+		select {
+		case <-answer:
+			return job.Outcome{Kind: job.Served, Result: []byte(j.ID)}
+		case <-ctx.Done():
+			ended <- context.Cause(ctx)
+			return job.Outcome{Kind: job.Gone}
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "commands")
+		leaveAt := rapid.IntRange(0, n).Draw(t, "leaves during") // n: it stays
+		var text string
+		for i := range n {
+			text += ask(fmt.Sprint("p-", i), "check")
+		}
+		c := r.dial()
+		defer c.Close()
+		sent := make(chan struct{})
+		pieces := rapid.SliceOfN(rapid.IntRange(1, 400), 0, 30).Draw(t, "pieces")
+		go func() {
+			defer close(sent)
+			for _, size := range pieces {
+				size = min(size, len(text))
+				io.WriteString(c, text[:size])
+				text = text[size:]
+			}
+			io.WriteString(c, text)
+		}()
+		for i := range n {
+			if got := <-started; got != fmt.Sprint("p-", i) {
+				t.Fatalf("%s handled as number %d", got, i)
+			}
+			if i == leaveAt {
+				<-sent
+				c.Close()
+				if err := <-ended; err != job.ErrLeft {
+					t.Fatal(err)
+				}
+				return
+			}
+			answer <- struct{}{}
+			if _, got := c.hear(200); got != fmt.Sprint("p-", i) {
+				t.Fatalf("answer %q as number %d", got, i)
+			}
+		}
+		if len(started) > 0 || c.br.Buffered() > 0 {
+			t.Fatal("a command was handled or answered twice")
+		}
+	})
+	time.Sleep(20 * time.Millisecond)
+	if len(started) > 0 {
+		t.Fatalf("%s was handled for a client that had left", <-started)
+	}
+}
+
+// The end of a connection that arrives while it is on its way between two processes is found before anything begins: a
+// job that had an attempt is told at once, one that had none as well.
+func TestLeaveCrossesHandOver(t *testing.T) {
+	for _, behind := range []int{0, 1, 3000} {
+		for _, out := range []bool{false, true} {
+			handled := make(chan error, 1)
+			r := newClosingRig(t, 10, &hookedListener{}, func(s *Server) {
+				s.Jobs = job.HandlerFunc(func(ctx context.Context, _ *job.Job) job.Outcome {
+					handled <- context.Cause(ctx)
+					return job.Outcome{Kind: job.Gone}
+				})
+			})
+			near, far := pair(t)
+			io.WriteString(far, strings.Repeat("x", behind))
+			far.Close()
+			var past []job.Past
+			if out {
+				past = []job.Past{{Provider: "s-1", Out: true}}
+			}
+			j := &job.Job{ID: "moved", Left: 5 * time.Second, Keeper: job.Inherit(past, func() {})}
+			r.server.Adopt(near, Kept{Told: 1}, false, j)
+			if err := <-handled; err != job.ErrLeft {
+				t.Errorf("%d bytes behind, an attempt out %v: handled with %v", behind, out, err)
+			}
+		}
+	}
+}
+
+// pair is the two ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if far, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -71,10 +71,11 @@
 	woken  bool      // it has been told to make room
 
 	// Its goroutine's own, and that of the watch while there is one.
-	stomp  *Stomp // it speaks STOMP
-	broken bool   // it cannot be read any more
-	ahead  []byte // read while the buffer was full; it comes before what is still to be read
-	passed bool   // another process has it
+	stomp   *Stomp // it speaks STOMP
+	broken  bool   // it cannot be read any more
+	ahead   []byte // read while the buffer was full; it comes before what is still to be read
+	dropped int    // bytes that could not be kept
+	passed  bool   // another process has it
 }
 
 // Read notes that the peer is not silent.
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -44,6 +44,9 @@
 			out = job.Outcome{Kind: job.Failed}
 		}
 	}()
+	if ctx.Err() != nil {
+		ticket.Leave() // before the first verdict: no call begins for a consumer that has left
+	}
 	stop := context.AfterFunc(ctx, ticket.Leave)
 	defer stop()
 	// Jobs that go on in another process leave this desk as though their consumers had left.
