provider: connections rest between messages, and a body without end is not waited for

Need: a second answer some milliseconds late must not be taken for the next attempt's; answers without end need a bound. Causes: Pool.acquire gave out a connection at once after an answer, looked at it once, and a wait for news after that look could last a second; HTTP/1.1 tells answers apart by their order alone. readReply waited for the body of a whole status up to the attempt's time: a job that must not run twice and was turned away with such a body was held to its deadline. Change: a connection rests for a tenth of the dial timeout and is looked at again right before the attempt's first byte; a body has a dial timeout.

--- a/provider/call.go
+++ b/provider/call.go
@@ -190,20 +190,12 @@
 	if end := p.settle(j, v); end != accepted {
 		return end, nil
 	}
-	conn, err := p.acquire(v.Context, v.Provider, true, v.Until)
-	if err != nil {
-		p.log.Debug("no connection", "provider", v.Provider, "err", err)
-		left := v.Context.Err() != nil && context.Cause(v.Context) != decide.ErrElsewhere
-		if left || errors.Is(err, errCrowded) { // neither says anything of the provider
-			return decide.NotSent, nil
-		}
-		return decide.NotConnected, nil
+	conn, end := p.connect(v)
+	if conn == nil {
+		return end, nil
 	}
 	c := newCall(j, lease, v, hear)
 	c.conn = conn
-	if p.Awake != nil {
-		p.Awake(v.Until) // what is known of the provider may be old
-	}
 	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
 	if v.Context.Err() != nil {              // the connection, too, may have taken its time
 		p.release(conn)
@@ -257,7 +249,7 @@
 		}
 		conn.SetReadDeadline(time.Unix(1, 0))
 	})
-	reply, err := readReply(conn.br)
+	reply, err := readReply(conn.br, func() { p.boundBody(conn, v.Until) })
 	suspect.Stop()
 	if !stop() {
 		<-looked
@@ -299,6 +291,38 @@
 	return p.wait(j, c, v)
 }
 
+// connect returns a connection for an attempt, once what is known of the provider is no older than the connection; or nil,
+// and how the attempt has ended.
+func (p *Pool) connect(v decide.Verdict) (*conn, decide.End) {
+	for {
+		conn, err := p.acquire(v.Context, v.Provider, true, v.Until)
+		if err != nil {
+			p.log.Debug("no connection", "provider", v.Provider, "err", err)
+			left := v.Context.Err() != nil && context.Cause(v.Context) != decide.ErrElsewhere
+			if left || errors.Is(err, errCrowded) { // neither says anything of the provider
+				return nil, decide.NotSent
+			}
+			return nil, decide.NotConnected
+		}
+		if p.Awake != nil {
+			p.Awake(v.Until) // what is known of the provider may be old
+		}
+		if !conn.reused || conn.alive() { // that may have taken its time
+			return conn, accepted
+		}
+		p.discard(conn)
+	}
+}
+
+// boundBody bounds the wait for an answer's body, which may have no end: its status holds without it, and only the connection
+// can be kept by reading on. A body takes no longer than a connection's round trip.
+func (p *Pool) boundBody(c *conn, until time.Time) {
+	if by := time.Now().Add(p.limits.Load().Dial); by.Before(until) {
+		until = by
+	}
+	c.SetReadDeadline(until)
+}
+
 func newCall(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) *call {
 	return &call{provider: v.Provider, lease: lease, keeper: j.Keeper, hear: hear, ended: make(chan struct{}),
 		expired: make(chan struct{}), doubted: make(chan struct{})}
@@ -452,7 +476,7 @@
 	conn.SetDeadline(now.Add(whole))
 	var answer reply
 	if _, err = conn.Write(giveUpMessage(j)); err == nil {
-		answer, err = readReply(conn.br)
+		answer, err = readReply(conn.br, func() { p.boundBody(conn, now.Add(whole)) })
 	}
 	if err == nil && !answer.last {
 		p.release(conn)
--- /dev/null
+++ b/provider/endless_test.go
@@ -0,0 +1,119 @@
+package provider
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+)
+
+// endless writes a start, and after that the same again and again until the other side has closed the connection. pause is what
+// passes in between. The time and the bytes that it took are told then.
+func endless(start, again string, pause time.Duration, over chan<- int) func(int, net.Conn) bool {
+	return func(_ int, c net.Conn) bool {
+		sent, err := io.WriteString(c, start)
+		for err == nil {
+			time.Sleep(pause)
+			var n int
+			n, err = io.WriteString(c, again)
+			sent += n
+		}
+		over <- sent
+		return false
+	}
+}
+
+// An answer that never ends costs a bounded time and bounded memory, wherever it goes on: what is past a limit in bytes ends the
+// connection at once, what comes a little at a time ends with the time for the acknowledgement, and a status that has arrived
+// whole holds without its body.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const (
+		flood   = 0
+		trickle = 20 * time.Millisecond
+		// What a kernel may buffer of a flood on both sides of a connection of loopback, beside what is read.
+		buffers = 32 << 20
+	)
+	block := strings.Repeat("x", 4<<10)
+	chunk := "1000\r\n" + block + "\r\n"
+	for name, c := range map[string]struct {
+		start, again string
+		pause        time.Duration
+		want         decide.End
+	}{
+		"line, flood":           {"HTTP/1.1 503 ", block, flood, decide.Broken},
+		"line, trickle":         {"HTTP/1.1 503 ", "x", trickle, decide.Silent},
+		"fields, flood":         {"HTTP/1.1 503 B\r\n", "A: " + block + "\r\n", flood, decide.Broken},
+		"fields, trickle":       {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n", "A: b\r\n", trickle, decide.Silent},
+		"interim, flood":        {"", "HTTP/1.1 100 C\r\n\r\n", flood, decide.Broken},
+		"body, flood":           {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000000\r\n\r\n", block, flood, decide.Broken},
+		"body, trickle":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000\r\n\r\n", "x", trickle, decide.TurnedAway},
+		"chunks, flood":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, flood, decide.TurnedAway},
+		"chunks, trickle":       {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", trickle, decide.Failed},
+		"chunk sizes, flood":    {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", block, flood, decide.Failed},
+		"trailer, flood":        {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", flood, decide.Failed},
+		"until closed, flood":   {"HTTP/1.1 500 E\r\n\r\n", block, flood, decide.Failed},
+		"until closed, trickle": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n\r\n", "x", trickle, decide.TurnedAway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			over := make(chan int, 1)
+			f := newFake(t, endless(c.start, c.again, c.pause, over))
+			p := pool(f.ln.Addr().String())
+			p.limits.Load().Dial = 500 * time.Millisecond
+			v := verdict(context.Background(), time.Minute)
+			if c.want == decide.Silent {
+				v.TakenIn = time.Second
+			}
+			began := time.Now()
+			invoke(t, p, v, c.want)
+			if took := time.Since(began); took > 30*time.Second {
+				t.Errorf("it ended after %v", took)
+			}
+			if sent := <-over; sent > buffers {
+				t.Errorf("%d bytes were taken", sent)
+			}
+			if p.open != 0 {
+				t.Errorf("%d connections are kept", p.open)
+			}
+		})
+	}
+}
+
+// An acknowledgement whose body has no end is one: the job's end is waited for, and counts.
+func TestAcknowledgementWithoutEnd(t *testing.T) {
+	over := make(chan int, 1)
+	f := newFake(t, endless("HTTP/1.1 202 A\r\nContent-Length: 60000\r\n\r\n", "x", 20*time.Millisecond, over))
+	p := pool(f.ln.Addr().String())
+	p.limits.Load().Dial = 200 * time.Millisecond
+	second := attempt(p, verdict(context.Background(), time.Minute))
+	<-over // the connection is closed, and the job goes on
+	p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
+	if got := <-second; got != (attemptEnd{decide.Served, "r"}) {
+		t.Errorf("ended as %+v", got)
+	}
+}
+
+// A worker that never ends its answer to a DELETE has not heard it, unless its status is there.
+func TestGivingUpWithoutEnd(t *testing.T) {
+	for start, heard := range map[string]bool{"HTTP/1.1 204 N\r\n": false, "HTTP/1.1 200 O\r\nContent-Length: 9999\r\n\r\n": true} {
+		over := make(chan int, 10)
+		f := newFake(t, endless(start, "A: b\r\n", 20*time.Millisecond, over))
+		p := pool(f.ln.Addr().String())
+		p.limits.Load().Dial = 200 * time.Millisecond
+		began := time.Now()
+		if got := p.GiveUp(newJob(), "s-1", time.Now().Add(time.Minute)); got != heard {
+			t.Errorf("%q: heard %v, want %v", start, got, heard)
+		}
+		if took := time.Since(began); took > 30*time.Second {
+			t.Errorf("%q: it took %v", start, took)
+		}
+		<-over
+		if p.open != 0 {
+			t.Errorf("%q: %d connections are kept", start, p.open)
+		}
+	}
+}
--- a/provider/http.go
+++ b/provider/http.go
@@ -70,12 +70,13 @@
 	last bool // the connection ends
 }
 
-// readReply reads a provider's answer to a job, or to the end of one.
-func readReply(br *bufio.Reader) (reply, error) {
+// readReply reads a provider's answer to a job, or to the end of one. bodyFollows is called once its head is there.
+func readReply(br *bufio.Reader, bodyFollows func()) (reply, error) {
 	head, err := http1.ReadResponseHead(br)
 	if err != nil {
 		return reply{}, err
 	}
+	bodyFollows()
 	// The status has arrived whole: what it says holds, whatever becomes of the rest. A body that only
 	// the connection's end would end is not waited for.
 	if head.Sized() {
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +22,7 @@
 type Limits struct {
 	Dial  time.Duration // a connection that is not up by then has failed
 	Idle  time.Duration // connections that stood idle this long are closed
+	Rest  time.Duration // a connection that has carried a message carries no other before; 0: it may at once
 	Conns int           // open connections to all providers, idle ones included
 }
 
@@ -194,6 +196,10 @@
 )
 
 // acquire returns an idle connection to the provider, or a new one. Only a job needs it to be serving.
+//
+// HTTP/1.1 tells answers apart by their order alone. A provider's second answer to one message, a while after the first, would
+// be read as the answer to the next message on that connection. So connections rest, and one on which anything has come
+// meanwhile is closed.
 func (p *Pool) acquire(ctx context.Context, name string, job bool, until time.Time) (*conn, error) {
 	p.mu.Lock()
 	pr := p.providers[name]
@@ -205,10 +211,13 @@
 		p.mu.Unlock()
 		return nil, errNotServing
 	}
-	for n := len(pr.idle); n > 0; n = len(pr.idle) {
-		c := pr.idle[n-1]
-		pr.idle = pr.idle[:n-1]
+	for n := len(pr.idle) - 1; n >= 0; n-- {
+		c := pr.idle[n]
 		c.age = time.Since(c.since)
+		if c.age < p.limits.Load().Rest {
+			continue
+		}
+		pr.idle = slices.Delete(pr.idle, n, n+1)
 		if !c.expiry.Stop() || c.age > p.trusted() || !c.alive() {
 			p.open--
 			c.Close()
--- /dev/null
+++ b/provider/second_answer_test.go
@@ -0,0 +1,136 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/internal/testrig"
+	"laddertide/wire/http1"
+)
+
+const (
+	fails     = "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"
+	turnsAway = "HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// request is a message that a worker has got, and the connection that it came on.
+type request struct {
+	number int // of the connection, from 1
+	conn   net.Conn
+}
+
+// answering is a worker whose answers are the test's own.
+func answering(t *testing.T) (*Pool, <-chan request) {
+	requests := make(chan request, 100)
+	accepted := make(chan int, 1)
+	accepted <- 0
+	address := testrig.Listen(t, func(c net.Conn) {
+		number := 1 + <-accepted
+		accepted <- number
+		br := bufio.NewReader(c)
+		for {
+			head, err := http1.ReadRequestHead(br)
+			if err != nil {
+				return
+			}
+			if _, err := head.ReadBody(br); err != nil {
+				return
+			}
+			requests <- request{number, c}
+		}
+	})
+	return pool(address), requests
+}
+
+// carries makes an attempt that must come on the connection of that number, and answers it there.
+func carries(t *testing.T, p *Pool, requests <-chan request, number int, answer string, want decide.End) net.Conn {
+	t.Helper()
+	over := attempt(p, verdict(context.Background(), 20*time.Second))
+	r := <-requests
+	if r.number != number {
+		t.Fatalf("the attempt came on connection %d, want %d", r.number, number)
+	}
+	r.conn.Write([]byte(answer))
+	if got := <-over; got.end != want {
+		t.Fatalf("end %v, want %v", got.end, want)
+	}
+	return r.conn
+}
+
+// A worker's second answer to one attempt is never taken for the answer to the next, as long as it comes before that is sent:
+// within the rest of its connection nothing else goes out there, and after it a connection on which anything has come is
+// closed. The connections are told apart; there is no race between the answers.
+func TestSecondAnswerBeforeTheNextAttempt(t *testing.T) {
+	for _, rests := range []bool{true, false} {
+		p, requests := answering(t)
+		if rests {
+			p.limits.Load().Rest = time.Hour // the second answer is still to come when the next attempt goes out
+		}
+		first := carries(t, p, requests, 1, fails, decide.Failed)
+		if rests {
+			second := carries(t, p, requests, 2, fails, decide.Failed)
+			first.Write([]byte(turnsAway))
+			second.Write([]byte(turnsAway))
+			p.limits.Load().Rest = 0
+		} else {
+			first.Write([]byte(turnsAway))
+		}
+		for _, c := range p.providers["s-1"].idle {
+			for c.alive() { // until the second answer is there
+				time.Sleep(time.Millisecond)
+			}
+		}
+		next := 2
+		if rests {
+			next = 3
+		}
+		carries(t, p, requests, next, fails, decide.Failed)
+		if p.open != 1 {
+			t.Errorf("rests %v: %d connections are counted", rests, p.open)
+		}
+	}
+}
+
+// A second answer that comes while the attempt waits is seen before the attempt's first byte.
+func TestSecondAnswerWhileHeldUp(t *testing.T) {
+	p, requests := answering(t)
+	first := carries(t, p, requests, 1, fails, decide.Failed)
+	kept := p.providers["s-1"].idle[0]
+	p.Awake = func(time.Time) {
+		first.Write([]byte(turnsAway))
+		for kept.alive() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	carries(t, p, requests, 2, fails, decide.Failed)
+}
+
+// A second answer that comes only once the next attempt is out, after the rest, cannot be told from that one's: HTTP/1.1 has
+// nothing but their order. That is the bound: it concerns this one attempt. What its worker answers it then comes on a
+// connection that carries nothing else any more.
+func TestSecondAnswerAfterTheNextAttempt(t *testing.T) {
+	p, requests := answering(t)
+	carries(t, p, requests, 1, fails, decide.Failed)
+	conn := carries(t, p, requests, 1, fails, decide.Failed) // the second answer to the first attempt
+	p.limits.Load().Rest = time.Hour
+	other := attempt(p, verdict(context.Background(), 20*time.Second))
+	r := <-requests
+	if r.number != 2 {
+		t.Fatalf("the third attempt came on connection %d", r.number)
+	}
+	conn.Write([]byte(turnsAway)) // the answer to the second attempt
+	r.conn.Write([]byte(taken))
+	select {
+	case got := <-other:
+		t.Fatalf("the third attempt ended as %+v", got)
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
+	if got := <-other; got != (attemptEnd{decide.Served, "r"}) {
+		t.Errorf("the third attempt ended as %+v", got)
+	}
+}
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -83,8 +83,14 @@
 	return nil
 }
 
+// restPart is the part of the dial timeout for which a connection rests between two messages. The settings bound a connection's
+// round trip and a busy machine's delay by that timeout; a second answer follows the first by the spread of that delay, which is
+// taken as a tenth. A longer rest costs connections: one more for each message that goes to a worker within it.
+const restPart = 10
+
+// limitsOf are a pool's limits under these settings.
 func limitsOf(set *policy.Settings, calls int) provider.Limits {
-	return provider.Limits{Dial: set.DialTimeout, Idle: set.IdleClose / 2, Conns: calls}
+	return provider.Limits{Dial: set.DialTimeout, Idle: set.IdleClose / 2, Rest: set.DialTimeout / restPart, Conns: calls}
 }
 
 // classes are the names of those in use.
