--- /dev/null
+++ b/policy/crowd_release_test.go
@@ -0,0 +1,166 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// tellLate gives each of three parts of the hosts news of workers, half a second apart, the first at once. Until then a host
+// counts as untold.
+func (c *crowd) tellLate(workers ...*model) {
+	var list []Entry
+	for _, w := range workers {
+		list = append(list, w.entry)
+	}
+	c.untold = make(map[*Dispatcher]bool)
+	for i, d := range c.hosts {
+		c.untold[d] = true
+		c.after(time.Duration(i%3)*time.Second/2, func() {
+			delete(c.untold, d)
+			c.carry(d, d.List(c.now, ListDelta, list, nil))
+		})
+	}
+}
+
+// vanish lets a worker fall silent: what it has is lost, and no connection to it comes up.
+func (c *crowd) vanish(w *model) {
+	w.silent = true
+	for _, x := range w.queue {
+		c.end(x, Reset)
+	}
+	w.queue = nil
+}
+
+// Thirty schedulers, new workers that join and others that come back cold, under a burst: what all send together to each cold
+// worker stays within its budget and what is chance, and the workers are used.
+func TestCrowdColdThrong(t *testing.T) {
+	const (
+		schedulers = 30
+		mean       = 0.9
+	)
+	calls, worst := 0, math.Inf(-1)
+	for seed := range uint64(10) {
+		for _, quiet := range []time.Duration{0, time.Second, 3 * time.Second} {
+			c := newCrowd(t, seed, crowdSettings(schedulers), 8)
+			c.load(0.5, 4*time.Second)
+			returns := c.workers[2:4]
+			for _, w := range returns {
+				c.vanish(w)
+			}
+			c.load(0.5, 4*time.Second)
+			var cold []*model
+			for range 2 {
+				joins := newModel(len(c.workers), 1)
+				c.workers = append(c.workers, joins)
+				cold = append(cold, joins)
+			}
+			cold = append(cold, returns...)
+			for _, w := range cold {
+				c.restart(w)
+			}
+			c.tellLate(cold...)
+			for c.now-cold[0].coldAt < c.set.WarmWithin {
+				if c.until(c.now + quiet); quiet > 0 || c.now == cold[0].coldAt {
+					c.burst(3)
+				}
+				c.load(0.8, 1500*time.Millisecond)
+			}
+			for i, w := range cold {
+				past := c.past(w, mean)
+				if worst = max(worst, past); past > 0 {
+					t.Errorf("seed %d, quiet for %v, worker %d: %.1f calls past budget and chance", seed, quiet, i, past)
+				}
+				calls += len(w.pushes)
+			}
+		}
+	}
+	t.Logf("%d calls at cold workers, worst window %.1f past budget and chance", calls, worst)
+	if calls < 10*3*4*9/2 {
+		t.Errorf("only %d calls at 120 cold workers in 9 s each", calls)
+	}
+}
+
+// Schedulers that are killed in their first second, or while they come up, and start anew know nothing of what they sent
+// before. Each time they may believe that the whole of their part of a cold worker's budget is left: all of their
+// restarts together still stay within it.
+func TestCrowdColdEarlyKills(t *testing.T) {
+	for _, schedulers := range []int{5, 30} {
+		calls, worst := 0, math.Inf(-1)
+		for seed := range uint64(10) {
+			c := newCrowd(t, seed, crowdSettings(schedulers), 8)
+			c.load(0.5, 4*time.Second)
+			cold := c.workers[2:5]
+			for _, w := range cold {
+				c.restart(w)
+			}
+			c.tell(ListDelta, cold...)
+			for round := range 20 {
+				c.kill(round, 3)
+				c.burst(1)
+				c.load(0.6, 400*time.Millisecond)
+			}
+			for i, w := range cold {
+				past := c.past(w, 0.9)
+				if worst = max(worst, past); past > 0 {
+					t.Errorf("%d schedulers, seed %d, worker %d: %.1f calls past budget and chance", schedulers, seed, i, past)
+				}
+				calls += len(w.pushes)
+			}
+		}
+		t.Logf("%d schedulers: %d calls at cold workers, worst window %.1f past budget and chance", schedulers, calls, worst)
+		if calls < 100 {
+			t.Errorf("%d schedulers: only %d calls at cold workers", schedulers, calls)
+		}
+	}
+}
+
+// kill lets one in so many schedulers start anew. What they had sent goes on at the workers and is nobody's any more.
+func (c *crowd) kill(round, oneIn int) {
+	var list []Entry
+	for _, w := range c.workers {
+		list = append(list, w.entry)
+	}
+	for i, old := range c.hosts {
+		if (i+round)%oneIn != 0 {
+			continue
+		}
+		set := old.set
+		set.Seed += 7919
+		d, err := New(set)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.hosts[i] = d
+		c.dead[old] = true
+		c.carry(d, d.List(c.now, ListFull, list, nil))
+	}
+}
+
+// Half of the workers begin to drain right after the start and stay so to the end of the day. Nothing goes to one by whoever
+// has been told, and the others do what comes.
+func TestCrowdHalfDrains(t *testing.T) {
+	for _, size := range [][2]int{{5, 12}, {60, 40}} {
+		c := newCrowd(t, 3, crowdSettings(size[0]), size[1])
+		c.load(0.3, 300*time.Millisecond)
+		drains := c.workers[:size[1]/2]
+		late := 0
+		c.onSend = func(d *Dispatcher, w *model) {
+			if w.entry.State == Draining && !c.untold[d] {
+				late++
+			}
+		}
+		for _, w := range drains {
+			w.entry.State = Draining
+		}
+		c.tellLate(drains...)
+		c.load(0.3, 30*time.Second) // 0.6 of what is left
+		t.Logf("%v: %.3f in time, %d refused, %d failed of %d", size, c.share(), c.refused, c.failed, c.offered)
+		if late > 0 {
+			t.Errorf("%v: %d sends to workers that drain, by schedulers that had been told", size, late)
+		}
+		if c.share() < 0.85 || c.failed > c.offered/100 {
+			t.Errorf("%v: only %.3f in time, %d of %d failed", size, c.share(), c.failed, c.offered)
+		}
+	}
+}
--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -18,8 +18,10 @@
 	seq     int
 	events  moments
 	hosts   []*Dispatcher
-	clients []*Dispatcher        // who gets the requests; nil: all hosts alike
-	untold  map[*Dispatcher]bool // has not heard yet that a worker is cold: what it sends there is nobody's fault
+	clients []*Dispatcher             // who gets the requests; nil: all hosts alike
+	untold  map[*Dispatcher]bool      // has not heard yet that a worker is cold: what it sends there is nobody's fault
+	onSend  func(*Dispatcher, *model) // is told of each send; nil: nobody is
+	dead    map[*Dispatcher]bool      // was killed: nothing reaches it, and nothing that it wants is done
 	workers []*model
 	jobs    map[RequestID]*errand
 	next    RequestID
@@ -98,10 +100,10 @@
 
 // newCrowd starts balancers dispatchers that know workers of 3 slots.
 func newCrowd(t *testing.T, seed uint64, set Settings, workers int) *crowd {
-	c := &crowd{t: t, set: set, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, jobs: map[RequestID]*errand{}}
+	c := &crowd{t: t, set: set, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, jobs: map[RequestID]*errand{},
+		dead: map[*Dispatcher]bool{}}
 	for i := range workers {
-		c.workers = append(c.workers, &model{slots: 3, coldAt: -1,
-			entry: Entry{ID: WorkerID(i + 1), Weight: 3, Zone: i % set.Zones}})
+		c.workers = append(c.workers, newModel(i, set.Zones))
 	}
 	for i := range set.Balancers {
 		s := set
@@ -116,6 +118,11 @@
 	return c
 }
 
+// newModel is the i-th worker, warm.
+func newModel(i, zones int) *model {
+	return &model{slots: 3, coldAt: -1, entry: Entry{ID: WorkerID(i + 1), Weight: 3, Zone: i % zones}}
+}
+
 // tell gives all hosts news of workers.
 func (c *crowd) tell(kind ListKind, workers ...*model) {
 	var list []Entry
@@ -176,6 +183,9 @@
 }
 
 func (c *crowd) carry(d *Dispatcher, acts []Action) {
+	if c.dead[d] {
+		return
+	}
 	for _, a := range acts {
 		e := c.jobs[a.Request]
 		switch a.Kind {
@@ -187,6 +197,9 @@
 			c.failed, e.done = c.failed+1, true
 		case Send:
 			c.sends++
+			if c.onSend != nil {
+				c.onSend(d, c.workers[a.Worker-1])
+			}
 			if c.workers[a.Worker-1].entry.Zone != d.set.Zone {
 				c.across++
 			}
