consumer: tests of call-backs without end

Need: deadline and byte limit of call-backs that never end, each with a test. No fault found: 408 within 3 s or 413 at once, and the job's own call-back on another connection comes through meanwhile.

--- /dev/null
+++ b/consumer/endless_test.go
@@ -0,0 +1,57 @@
+package consumer
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A call-back that never ends costs its connection within 3 s, or at once where it is past a limit in bytes; the one that ends
+// the job meanwhile comes through, and its client has its answer.
+func TestCallBackWithoutEnd(t *testing.T) {
+	const head = "POST /v1/job-events HTTP/1.1\r\n"
+	block := strings.Repeat("x", 4<<10)
+	for name, c := range map[string]struct {
+		start, again string
+		pause        time.Duration
+		status       int
+	}{
+		"fields, flood":   {head, "A: " + block + "\r\n", 0, 413},
+		"fields, trickle": {head, "A: b\r\n", 50 * time.Millisecond, 408},
+		"chunks, flood":   {head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n", 0, 413},
+		"chunks, trickle": {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\n{\r\n", 50 * time.Millisecond, 408},
+		"body, trickle":   {head + "Content-Length: 60000\r\n\r\n", "{", 50 * time.Millisecond, 408},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 10)
+			waits := r.dial()
+			waits.say(ask("id-1", "check"))
+			<-r.jobs
+			endless, over := r.dial(), make(chan struct{})
+			began := time.Now()
+			go func() {
+				defer close(over)
+				_, err := io.WriteString(endless, c.start)
+				for err == nil {
+					time.Sleep(c.pause)
+					_, err = io.WriteString(endless, c.again)
+				}
+			}()
+			usual := r.dial()
+			usual.say(event("id-1", "done"))
+			usual.hear(204)
+			if _, body := waits.hear(200); body != "the result" {
+				t.Errorf("result %q", body)
+			}
+			if h, _ := endless.hear(c.status); !h.Close {
+				t.Error("the connection goes on")
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("answered after %v", took)
+			}
+			<-over
+		})
+	}
+}
