rehearse/peering: a process counts as stopped once all its threads have stopped

Cause: TestStall/10s failed once: n1 handled the ban in the same millisecond as its peers and only then stood still, as the test sent SIGSTOP and did not wait for it to take effect. Change: after SIGSTOP the rig waits until each thread's state in /proc is T. What is asserted stays as it was.

--- a/rehearse/peering/owners_test.go
+++ b/rehearse/peering/owners_test.go
@@ -440,7 +440,7 @@
 	all := o.each(3, quick, nil)
 	asked := o.askAll(p, all)
 	o.kept(all, o.all)
-	p.signal(syscall.SIGSTOP)
+	p.stop()
 	o.part(p, false) // its connections come up while it cannot know
 	o.until("it is given up", func() bool {
 		return !slices.ContainsFunc(others, func(q *post) bool { return q.state(p) != "unreachable" })
@@ -663,7 +663,7 @@
 		waiting[i] = o.askAll(q, open)
 	}
 	o.until("as many wait as may", func() bool { f, _ := p.page(); return f.Owners != nil && f.Owners.Questions == most })
-	p.signal(syscall.SIGSTOP)
+	p.stop()
 	for i, got := range waiting {
 		for _, a := range got { // a scheduler may go on with some, and refuse them as any others
 			if r := <-a; r.status != 502 && r.status != 503 || !r.again {
--- a/rehearse/peering/peering_test.go
+++ b/rehearse/peering/peering_test.go
@@ -345,7 +345,7 @@
 				p.ask("card-issue", answered)
 				p.ask("limit-check", answered)
 			}
-			p.signal(syscall.SIGSTOP)
+			p.stop()
 			stopped := r.rec.Now()
 			r.world.Fleet.Drain(1)
 			if body := r.all[1].hand(banned, "disable"); !strings.Contains(body, "not heard: "+p.name) {
--- a/rehearse/peering/replicated_test.go
+++ b/rehearse/peering/replicated_test.go
@@ -278,7 +278,7 @@
 	c := r.crowd(12)
 	c.goesOn(20)
 	answered := c.opens(r.all[0])
-	r.all[0].signal(syscall.SIGSTOP)
+	r.all[0].stop()
 	r.leader(r.all[0])
 	answered()
 	c.goesOn(20)
--- a/rehearse/peering/rig_test.go
+++ b/rehearse/peering/rig_test.go
@@ -335,6 +335,37 @@
 	}
 }
 
+// stop sends SIGSTOP and waits until every thread of the process has stopped: before that it may still answer.
+func (p *post) stop() {
+	p.r.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for limit := time.Now().Add(patience); !p.stopped(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			p.r.t.Fatalf("%s does not stop", p.name)
+		}
+	}
+}
+
+// stopped tells whether every thread of the process stands in the state T.
+func (p *post) stopped() bool {
+	p.r.t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.proc.PID()))
+	if err != nil || len(threads) == 0 {
+		p.r.t.Fatalf("%s has no threads: %v", p.name, err)
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil {
+			return false // a thread that has just ended
+		}
+		_, afterName, _ := bytes.Cut(stat, []byte(") "))
+		if !bytes.HasPrefix(afterName, []byte("T")) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *post) kill() {
 	p.proc.Kill()
 	<-p.proc.Done()
