--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -75,6 +75,9 @@
 	kills   = "{name: kills, seconds: 11, workers: 6, schedulers: 3, rate: 60, load: 0.35, " + durable +
 		"troubles: [{kind: kills, at_s: 0.8, count: 12, every_s: [0.6, 0.9], for_s: [0.2, 0.4], twice: 0.3}, " +
 		"{kind: crash, at_s: 3, for_s: 1, part: 0.2}]}"
+	earlyKills = "{name: early-kills, seconds: 11, workers: 9, schedulers: 3, rate: 60, load: 0.35, " +
+		"troubles: [{kind: kills, at_s: 0.2, count: 7, every_s: [0.9, 1.2], for_s: [0.2, 0.4], twice: 1}, " +
+		"{kind: crash, at_s: 0.5, for_s: 0.5, part: 0.34}]}"
 	fullDisk = "{name: full, seconds: 7, workers: 6, schedulers: 2, rate: 40, load: 0.35, " + durable +
 		"troubles: [{kind: full, at_s: 1.5, for_s: 2.5}]}"
 	terms = "{name: terms, seconds: 10, workers: 6, schedulers: 2, rate: 40, load: 0.7, " + durable +
@@ -520,6 +523,30 @@
 	}
 }
 
+// Schedulers are killed from the first moment on, and each one's next process within a second of its start, while a third of the
+// workers are cold: nothing is sent twice, no worker is pushed over, and those that come up again serve.
+func TestDaemonEarlyKills(t *testing.T) {
+	t.Parallel()
+	path, err := daemonPath()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range 2 {
+		t.Run(strconv.Itoa(seed+31), func(t *testing.T) {
+			t.Parallel()
+			judged(t, "", earlyKills, func(r *result, code int) (bad []string) {
+				if code != cli.Kept && code != cli.RanLate || len(r.Breaches) > 0 || r.Partial {
+					bad = append(bad, "all rules must be kept")
+				}
+				if r.Service < 0.2 || r.Kills < 14 {
+					bad = append(bad, fmt.Sprintf("%d kills, service %.3f", r.Kills, r.Service))
+				}
+				return bad
+			}, "--daemon", path, "--seed", strconv.Itoa(seed+31))
+		})
+	}
+}
+
 // What cannot run at all ends with 1 and one line that says why.
 func TestSchedulersThatDoNotServe(t *testing.T) {
 	t.Parallel()
