provider: settings that tell no dial timeout bound nothing to nothing

Cause: the wait for a body and for the DELETE before a second attempt took the dial timeout as it is, and it may be 0. provider.TestSecondAttemptWithoutADialTimeout fails without it.

--- a/provider/call.go
+++ b/provider/call.go
@@ -317,12 +317,20 @@
 // boundBody bounds the wait for an answer's body, which may have no end: its status holds without it, and only the connection
 // can be kept by reading on. A body takes no longer than a connection's round trip.
 func (p *Pool) boundBody(c *conn, until time.Time) {
-	if by := time.Now().Add(p.limits.Load().Dial); by.Before(until) {
+	if by := time.Now().Add(p.roundTrip()); by.Before(until) {
 		until = by
 	}
 	c.SetReadDeadline(until)
 }
 
+// roundTrip is more than a message and its answer take on the way: the dial timeout, where the settings tell one.
+func (p *Pool) roundTrip() time.Duration {
+	if dial := p.limits.Load().Dial; dial > 0 {
+		return dial
+	}
+	return endingLimit
+}
+
 func newCall(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) *call {
 	return &call{provider: v.Provider, lease: lease, keeper: j.Keeper, hear: hear, ended: make(chan struct{}),
 		expired: make(chan struct{}), doubted: make(chan struct{})}
--- a/provider/earlier.go
+++ b/provider/earlier.go
@@ -50,7 +50,7 @@
 	if !open {
 		return accepted
 	}
-	err := p.giveUp(j, v.Provider, p.limits.Load().Dial, min(endingLimit, time.Until(v.Until)))
+	err := p.giveUp(j, v.Provider, p.roundTrip(), min(endingLimit, time.Until(v.Until)))
 	switch {
 	case errors.Is(err, errCrowded):
 		return decide.NotSent
--- a/provider/earlier_test.go
+++ b/provider/earlier_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// Settings that tell no dial timeout bound neither the DELETE nor an answer's body to nothing.
+func TestSecondAttemptWithoutADialTimeout(t *testing.T) {
+	f := newFake(t, func(n int, conn net.Conn) bool {
+		if n == 1 {
+			return false // resets the job
+		}
+		say("HTTP/1.1 500 E\r\nContent-Length: 1\r\n\r\n")(n, conn)
+		time.Sleep(50 * time.Millisecond)
+		return say("x")(n, conn)
+	})
+	p := reserved(t, f)
+	p.limits.Load().Dial = 0
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
+	if got := f.got(); !slices.Equal(got, []string{attemptLine, giveUpLine, attemptLine}) {
+		t.Errorf("sent: %v", got)
+	}
+	if len(f.conns) != 2 || p.open != 1 {
+		t.Errorf("%d connections came up, %d are open", len(f.conns), p.open)
+	}
+}
+
 // What an earlier process has sent counts as what this one has sent.
 func TestRecalledAttempts(t *testing.T) {
 	f := newFake(t, say(taken))
