policy, directory: tests that nobody turns all away, and of watches that fall silent late

policy.TestNobodyTurnsAllAway: at most one scheduler in ten turns away 15 or more requests over 4 s with no attempt in between, while half of the workers drain or vanish unheard of, or after a start with an old list; at 1.8 and 2.6 times what the others carry. No fault there.

directory.TestWatchThatFallsSilentLate: silence at any moment up to 60 s, at 13 s in half of the draws, with lists or without, indented or not: told within 6 s and once. TestListsInPieces: changes and whole lists in all forms and pieces. Both passed with -race, and showed no fault.

--- /dev/null
+++ b/directory/silence_test.go
@@ -0,0 +1,180 @@
+package directory
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laddertide/core/pace"
+	"laddertide/wire/http1"
+)
+
+// fallingSilent is a discovery whose watches say an empty line every 2 s, now and then a list, and fall silent, without
+// ending, at a moment of the test's. Watches that are opened after that are answered, with the list that it has by then.
+type fallingSilent struct {
+	silentAt time.Time
+	every    time.Duration // between two lists; 0: none
+	indented bool
+	index    int // of its list after silentAt
+}
+
+func (d *fallingSilent) dial(context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	go d.serve(far, time.Now().Before(d.silentAt))
+	return near, nil
+}
+
+// list is whole, and may go over several lines.
+func (d *fallingSilent) list(index int, names ...string) string {
+	if d.indented {
+		s := fmt.Sprintf("{\n  \"index\": %d,\n  \"snapshot\": true,\n  \"endpoints\": [\n", index)
+		for i, n := range names {
+			if i > 0 {
+				s += ",\n"
+			}
+			s += fmt.Sprintf("    {\n      \"name\": %q, \"address\": \"127.0.0.1:1\",\n\n      \"status\": \"SERVING\"}", n)
+		}
+		return s + "\n  ]\n}"
+	}
+	return line(index, true, names...)
+}
+
+func (d *fallingSilent) serve(c net.Conn, falls bool) {
+	defer c.Close()
+	if _, err := http1.ReadRequestHead(bufio.NewReader(c)); err != nil {
+		return
+	}
+	say := func(s string) bool { _, err := io.WriteString(c, s); return err == nil }
+	if !say(stream) {
+		return
+	}
+	if !falls {
+		if !say(chunk(d.list(d.index, "b") + "\n")) {
+			return
+		}
+		for say(chunk("\n")) {
+			time.Sleep(2 * time.Second)
+		}
+		return
+	}
+	index, next := 2, time.Now()
+	for time.Now().Before(d.silentAt) {
+		text := "\n"
+		if d.every > 0 && !time.Now().Before(next) {
+			text, next = d.list(index, "a", "b")+"\n", time.Now().Add(d.every)
+			index++
+		}
+		for len(text) > 0 { // in pieces
+			n := min(len(text), 37)
+			if !say(chunk(text[:n])) {
+				return
+			}
+			text = text[n:]
+		}
+		time.Sleep(min(2*time.Second, time.Until(d.silentAt)))
+	}
+	io.Copy(io.Discard, c) // it stays open, and silent
+}
+
+// A watch that falls silent, at once or after it has been alive for long, with lists or without, is opened anew in time:
+// what discovery has is told within Told of the silence, and once, also where calls are spread over many schedulers.
+func TestWatchThatFallsSilentLate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := &fallingSilent{index: 1000, indented: rapid.Bool().Draw(rt, "indented"),
+			every: time.Duration(rapid.SampledFrom([]int{0, 1, 5}).Draw(rt, "lists every s")) * time.Second}
+		after := time.Duration(rapid.IntRange(0, 60_000).Draw(rt, "silent after ms")) * time.Millisecond
+		if rapid.Bool().Draw(rt, "after 13 s") {
+			after = 13 * time.Second
+		}
+		schedulers := rapid.SampledFrom([]int{0, 20, 300}).Draw(rt, "schedulers")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(*testing.T) {
+			var mu sync.Mutex
+			var told []time.Duration
+			ctx, stop := context.WithCancel(context.Background())
+			// The watch is open when the clock of the silence begins.
+			over := pace.Over(schedulers, 250*time.Millisecond, 10*time.Second)
+			d.silentAt = time.Now().Add(over + after)
+			w := Watcher{Index: 1, Log: slog.New(slog.DiscardHandler), dial: d.dial,
+				Pace: pace.Pace{Over: over, Rand: rand.New(rand.NewPCG(seed, 1))},
+				Deliver: func(l List) {
+					mu.Lock()
+					defer mu.Unlock()
+					if l.Index == uint64(d.index) {
+						told = append(told, time.Since(d.silentAt))
+					}
+				}}
+			go w.Run(ctx)
+			time.Sleep(time.Until(d.silentAt) + 30*time.Second)
+			stop()
+			time.Sleep(5 * time.Second) // the time of a bubble stands still once this returns
+			mu.Lock()
+			defer mu.Unlock()
+			if len(told) != 1 || told[0] > pace.Told {
+				rt.Errorf("told %v after the silence began", told)
+			}
+		})
+	})
+}
+
+// What a watch brings is delivered whole, in its order, each list once, whatever its form and in whatever pieces it
+// arrives: changes, whole lists that are indented and that lack a worker, and a whole list as the first one after a return.
+func TestListsInPieces(t *testing.T) {
+	d := &fallingSilent{indented: true}
+	all := "\n" + line(42, false, "c") + "\n" + d.list(43, "a", "c") + "\n\n" + line(44, true, "c") + "\n" + d.list(45) + "\n"
+	want := []string{"42 false [c]", "43 true [a c]", "44 true [c]", "45 true []"}
+	rapid.Check(t, func(rt *rapid.T) {
+		cuts := rapid.SliceOfN(rapid.IntRange(1, 60), 1, 20).Draw(rt, "pieces")
+		synctest.Test(t, func(*testing.T) {
+			ctx, stop := context.WithCancel(context.Background())
+			var got []string
+			done := make(chan struct{})
+			dial := func(context.Context) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					if _, err := http1.ReadRequestHead(bufio.NewReader(far)); err != nil {
+						return
+					}
+					io.WriteString(far, stream)
+					rest := all
+					for i := 0; len(rest) > 0; i++ {
+						n := min(cuts[i%len(cuts)], len(rest))
+						io.WriteString(far, chunk(rest[:n]))
+						rest = rest[n:]
+						time.Sleep(time.Millisecond)
+					}
+					io.Copy(io.Discard, far)
+				}()
+				return near, nil
+			}
+			w := Watcher{Index: 41, Log: slog.New(slog.DiscardHandler), dial: dial, Deliver: func(l List) {
+				names := []string{}
+				for _, e := range l.Entries {
+					names = append(names, e.Name)
+				}
+				got = append(got, fmt.Sprint(l.Index, l.Snapshot, names))
+				if l.Index == 45 {
+					close(done)
+				}
+			}}
+			go w.Run(ctx)
+			<-done
+			stop()
+			time.Sleep(5 * time.Second) // the time of a bubble stands still once this returns
+			if !slices.Equal(got, want) {
+				rt.Errorf("delivered %q, want %q", got, want)
+			}
+		})
+	})
+}
--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -23,6 +23,7 @@
 	workers []*model
 	jobs    map[RequestID]*errand
 	next    RequestID
+	turned  map[*Dispatcher]*refusalRun // what each host turns away; nil: nobody asks
 
 	offered, inTime, refused, failed, sends, across int
 }
@@ -177,6 +178,7 @@
 
 func (c *crowd) carry(d *Dispatcher, acts []Action) {
 	for _, a := range acts {
+		c.turned[d].note(c.now, a.Kind)
 		e := c.jobs[a.Request]
 		switch a.Kind {
 		case SetTimer:
