laddertide: signals are taken from the start on and until the process has exited

SIGTERM and SIGHUP were taken only once the configuration was read and the scheduler made, and no longer while the last of the log was written (main.go, run): one that came then killed the process with an error. Now they are taken first and stay taken.

TestSignalsThatComeTwice: SIGTERM and SIGHUP twice, in each other's way, then again and again up to the exit, with a job in hand: answered, exit 0.

--- a/cmd/laddertide/main.go
+++ b/cmd/laddertide/main.go
@@ -90,6 +90,12 @@
 	case command != "serve" && command != "check":
 		return fmt.Errorf("unknown command %q: serve, check, version, replay, ledger, state and fleet are known", command)
 	}
+	ctx, hup := context.Background(), make(chan os.Signal, 1)
+	if command == "serve" {
+		var stop context.CancelFunc
+		ctx, stop = takeSignals(hup)
+		defer stop()
+	}
 	var lv slog.Level
 	if err := lv.UnmarshalText([]byte(*level)); err != nil {
 		return err
@@ -133,11 +139,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// One that waits is enough: the file is read after it. While stopping, discovery may still move.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	reread := func() {
 		cfg, err := scheduler.Load(*config)
 		if err == nil {
@@ -164,6 +165,25 @@
 	return s.Serve(ctx)
 }
 
+// takeSignals returns a context that ends at SIGTERM or SIGINT, and lets hup have SIGHUP. It comes before anything that may
+// last: a signal that comes while the scheduler starts must not kill it. The signals stay taken until the process has
+// exited, so that none kills it that comes twice or in its last moment. One SIGHUP that waits is enough: the file is read
+// after it.
+func takeSignals(hup chan<- os.Signal) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(context.Background())
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-term:
+			stop()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, stop
+}
+
 // snapshots copies the ledger at every SIGUSR2, into a new folder beside it.
 func snapshots(ctx context.Context, usr2 <-chan os.Signal, s *scheduler.Scheduler, dir string, log *slog.Logger) {
 	for {
--- /dev/null
+++ b/cmd/laddertide/signals_test.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/internal/testrig"
+	"laddertide/wire/http1"
+)
+
+// ownProcess is the variable by which a test makes this program a laddertide in a process of its own.
+const ownProcess = "LADDERTIDE_TEST_SERVE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(ownProcess) != "" {
+		os.Args = []string{"laddertide", "serve"}
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is a scheduler in a process of its own, with one worker that takes jobs and says nothing more.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	listen string
+	agent  string      // the address of discovery
+	config string      // its file
+	jobs   chan string // ids that the worker was sent
+	exited chan error
+}
+
+// start runs a scheduler on the example's configuration. With fifo its file is a pipe: it starts only as far as that,
+// until feed.
+func start(t *testing.T, fifo bool) *process {
+	t.Helper()
+	p := &process{t: t, listen: testrig.Free(t), config: filepath.Join(t.TempDir(), "config.json"),
+		jobs: make(chan string, 100), exited: make(chan error, 1)}
+	p.agent = p.discovery()
+	if fifo {
+		if err := syscall.Mkfifo(p.config, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	} else if err := os.WriteFile(p.config, p.settings(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), ownProcess+"=1", "GW_CONFIG="+p.config, "GW_LISTEN="+p.listen,
+		"GW_DISCOVERY="+p.agent, "TMPDIR="+t.TempDir())
+	var log strings.Builder
+	p.cmd.Stdout, p.cmd.Stderr = &log, &log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.exited <- p.cmd.Wait() }()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		if t.Failed() {
+			time.Sleep(100 * time.Millisecond)
+			t.Log(log.String())
+		}
+	})
+	return p
+}
+
+func (p *process) settings() []byte {
+	p.t.Helper()
+	example, err := os.ReadFile("../../deploy/config.example.json")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return []byte(strings.Replace(string(example), `"127.0.0.1:8500"`, fmt.Sprintf("%q", p.agent), 1))
+}
+
+// discovery knows the one worker.
+func (p *process) discovery() string {
+	worker := testrig.Listen(p.t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
+			if h.Method == "POST" {
+				p.jobs <- h.Fields.Get("X-Request-Id")
+			}
+		})
+	})
+	list := fmt.Sprintf(`{"index":50,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"status":"SERVING","weight":40}]}`, worker)
+	return testrig.Listen(p.t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			if strings.Contains(h.Target, "watch") {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+				return
+			}
+			c.Write(http1.AppendResponse(nil, 200, nil, []byte(list), false))
+		})
+	})
+}
+
+func (p *process) signal(all ...syscall.Signal) {
+	p.t.Helper()
+	for _, s := range all {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+func (p *process) dial() (net.Conn, *bufio.Reader) {
+	p.t.Helper()
+	for range 2000 {
+		if c, err := net.Dial("tcp", p.listen); err == nil {
+			p.t.Cleanup(func() { c.Close() })
+			c.SetDeadline(time.Now().Add(30 * time.Second))
+			return c, bufio.NewReader(c)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.t.Fatal("nothing listens")
+	return nil, nil
+}
+
+// submit sends a job until the worker has it, and returns its connection. Before the list is there it is rejected.
+func (p *process) submit(id string) *bufio.Reader {
+	p.t.Helper()
+	for i := range 500 {
+		c, br := p.dial()
+		name := fmt.Sprint(id, "-", i)
+		fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nX-Request-Id: %s\r\nX-Class: limit-check\r\nContent-Length: 0\r\n\r\n", name)
+		rejected := make(chan struct{})
+		go func() {
+			if _, err := br.Peek(1); err == nil {
+				close(rejected)
+			}
+		}()
+		select {
+		case got := <-p.jobs:
+			if got != name {
+				p.t.Fatalf("the worker was sent %s, want %s", got, name)
+			}
+			p.answer(name)
+			<-rejected // its answer is there
+			return br
+		case <-rejected:
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	p.t.Fatal("no job reaches the worker")
+	return nil
+}
+
+// answer makes the call-back that ends a job.
+func (p *process) answer(id string) {
+	p.t.Helper()
+	c, br := p.dial()
+	body := fmt.Sprintf(`{"id":%q,"from":"s-1","state":"done","result":%q}`, id, id)
+	fmt.Fprintf(c, "POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if h, err := http1.ReadResponseHead(br); err != nil || h.Status != 204 {
+		p.t.Fatalf("call-back: %+v, %v", h, err)
+	}
+}
+
+// ends waits for the end of the process, which must be one without an error.
+func (p *process) ends() {
+	p.t.Helper()
+	select {
+	case err := <-p.exited:
+		if err != nil {
+			p.t.Fatalf("the process ended with %v", err)
+		}
+	case <-time.After(30 * time.Second):
+		p.t.Fatal("the process does not end")
+	}
+}
+
+// Whatever signals come, twice and crossing each other, and up to the very end of the process: all that was taken has
+// its one answer, and the process exits with 0.
+func TestSignalsThatComeTwice(t *testing.T) {
+	const hup, term = syscall.SIGHUP, syscall.SIGTERM
+	for name, signals := range map[string][]syscall.Signal{
+		"SIGTERM twice":             {term, term},
+		"SIGHUP twice, SIGTERM":     {hup, hup, term},
+		"SIGHUP between SIGTERMs":   {term, hup, term},
+		"SIGTERM and SIGHUP, twice": {hup, term, hup, term, hup},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, false)
+			p.submit("first")
+			c, br := p.dial()
+			fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nX-Request-Id: held\r\nX-Class: limit-check\r\nContent-Length: 0\r\n\r\n")
+			if got := <-p.jobs; got != "held" {
+				t.Fatal(got)
+			}
+			p.signal(signals...)
+			p.answer("held")
+			h, err := http1.ReadResponseHead(br)
+			if err != nil || h.Status != 200 {
+				t.Fatalf("%+v, %v", h, err)
+			}
+			if body, err := h.ReadBody(br); err != nil || string(body) != "held" {
+				t.Fatalf("%q, %v", body, err)
+			}
+			for { // no moment is left in which a signal kills
+				select {
+				case err := <-p.exited:
+					if err != nil {
+						t.Fatalf("the process ended with %v", err)
+					}
+					if b, err := io.ReadAll(br); len(b) > 0 || err != nil {
+						t.Fatalf("behind the answer: %q, %v", b, err)
+					}
+					return
+				case <-time.After(200 * time.Microsecond):
+					p.cmd.Process.Signal(term) // it may have ended
+					p.cmd.Process.Signal(hup)
+				}
+			}
+		})
+	}
+}
+
+// Signals that come while the scheduler starts, here while it reads its configuration, do not kill it: at SIGTERM it ends
+// without an error and without having taken anything, at SIGHUP it goes on.
+func TestSignalsDuringStart(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"SIGTERM": {syscall.SIGTERM, syscall.SIGTERM}, "SIGHUP": {syscall.SIGHUP, syscall.SIGHUP},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, true)
+			pipe, err := os.OpenFile(p.config, os.O_WRONLY, 0) // returns once the scheduler has opened it
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.signal(signals...)
+			plain := p.config + ".plain"
+			if err := os.WriteFile(plain, p.settings(), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.Rename(plain, p.config); err != nil { // what it rereads
+				t.Fatal(err)
+			}
+			pipe.Write(p.settings())
+			pipe.Close()
+			if name == "SIGHUP" {
+				p.submit("served")
+				p.signal(syscall.SIGTERM)
+			}
+			p.ends()
+		})
+	}
+}
