rehearse/clients: a request written after the scheduler's half close crosses it

A scheduler that half closes a connection reads what still comes and drops it, so no reset tells the client that its request was not taken, and the kit took that for a request that was read and never answered. Whether the scheduler had ended its half is now looked at right before a request is written: it cannot have been asked for by then.

--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -128,6 +128,7 @@
 		if fresh {
 			age = max(1, (k.Record.Since() - c.opened).Microseconds())
 		}
+		c.noteEnd()
 		c.nc.SetWriteDeadline(time.Now().Add(min(writeLimit, patience)))
 		if n, err := c.nc.Write(*buf); err != nil {
 			out, after, note := t.cut(wait, n, err)
--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -43,6 +44,8 @@
 	opened time.Duration
 	chance float64 // by which its idle time is drawn
 
+	ended atomic.Bool // the scheduler had ended its half before the last request was written
+
 	in   io.LimitedReader // of nc; N is set anew for each answer
 	br   *bufio.Reader
 	held int // bytes of the present answer that br had when N was set
@@ -239,7 +242,7 @@
 		case wait == nil:
 			return
 		case err != nil:
-			c.deliver(answer{t: now, read: errors.Is(err, io.EOF) && c.wasRead(), note: cause(err)}, false)
+			c.deliver(answer{t: now, read: errors.Is(err, io.EOF) && !c.ended.Load() && c.wasRead(), note: cause(err)}, false)
 			return
 		}
 		a, more := c.parse()
@@ -257,20 +260,35 @@
 // readLook is how long a machine may take to turn away what came to a connection that its program has closed.
 const readLook = 25 * time.Millisecond
 
-// wasRead tells of a connection that the scheduler has closed whether it had read all that was sent there. Where bytes
-// come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset.
-func (c *conn) wasRead() bool {
+// noteEnd notes, before a request is written, whether the scheduler has ended its half of the connection. Such a request
+// crosses that end for certain, also where the scheduler reads what still comes and drops it: whether it was sent on
+// shows at the workers.
+func (c *conn) noteEnd() {
+	state, err := c.state()
+	c.ended.Store(err == nil && state == tcpCloseWait)
+}
+
+// state is that of the connection, as the system counts them.
+func (c *conn) state() (state uint8, err error) {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); failed == nil {
+			state = info.State
+		}
+	})
+	return state, errors.Join(err, failed)
+}
+
+// wasRead tells of a connection that the scheduler has closed whether it had read all that was sent there. Where bytes
+// come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset.
+func (c *conn) wasRead() bool {
 	for until := time.Now().Add(readLook); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		reset := false
-		err := raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			reset = err != nil || info.State != tcpCloseWait
-		})
-		if err != nil || reset {
+		if state, err := c.state(); err != nil || state != tcpCloseWait {
 			return false
 		}
 	}
--- a/rehearse/clients/read_test.go
+++ b/rehearse/clients/read_test.go
@@ -16,20 +16,31 @@
 	defer ln.Close()
 	request := []byte("POST / HTTP/1.1\r\n\r\n")
 	for name, c := range map[string]struct {
-		play func(client, scheduler net.Conn)
+		play func(c *conn, client, scheduler net.Conn)
 		want bool
 	}{
-		"read": {func(client, scheduler net.Conn) {
+		"read": {func(c *conn, client, scheduler net.Conn) {
 			client.Write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)))
 			scheduler.Close()
 		}, true},
-		"not all read": {func(client, scheduler net.Conn) {
+		"not all read": {func(c *conn, client, scheduler net.Conn) {
 			client.Write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)-1))
 			scheduler.Close()
 		}, false},
-		"closed before": {func(client, scheduler net.Conn) {
+		"half closed before, read and dropped": {func(c *conn, client, scheduler net.Conn) {
+			scheduler.(*net.TCPConn).CloseWrite()
+			c.noteEnd()
+			client.Write(request)
+			io.ReadFull(scheduler, make([]byte, len(request)))
+		}, false},
+		"read before the half close": {func(c *conn, client, scheduler net.Conn) {
+			client.Write(request)
+			io.ReadFull(scheduler, make([]byte, len(request)))
+			scheduler.(*net.TCPConn).CloseWrite()
+		}, true},
+		"closed before": {func(c *conn, client, scheduler net.Conn) {
 			scheduler.Close()
 			client.Write(request)
 		}, false},
@@ -42,9 +53,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.play(client, scheduler)
+		k := &conn{nc: client.(*net.TCPConn)}
+		c.play(k, client, scheduler)
 		client.Read(make([]byte, 1)) // the close is seen
-		if got := (&conn{nc: client.(*net.TCPConn)}).wasRead(); got != c.want {
+		if got := !k.ended.Load() && k.wasRead(); got != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
 		client.Close()
