--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -25,6 +25,7 @@
 	workers []*model
 	jobs    map[RequestID]*errand
 	next    RequestID
+	turned  map[*Dispatcher]*refusalRun // what each host turns away; nil: nobody asks
 
 	offered, inTime, refused, failed, sends, across int
 }
@@ -187,6 +188,7 @@
 		return
 	}
 	for _, a := range acts {
+		c.turned[d].note(c.now, a.Kind)
 		e := c.jobs[a.Request]
 		switch a.Kind {
 		case SetTimer:
