--- a/rehearse/configuration/measure_test.go
+++ b/rehearse/configuration/measure_test.go
@@ -137,7 +137,7 @@
 		switch {
 		case m.Case == caseLeader && i == m.Changes/3:
 			ask = slices.DeleteFunc(ask, func(p *sourceProcess) bool { return p == leader })
-			go leader.kill()
+			leader.kill()
 		case m.Case == caseLeader && i == 2*m.Changes/3:
 			leader.start()
 		case m.Case == caseRegion && i == m.Changes/3:
@@ -214,6 +214,10 @@
 
 // cpu is what a process has taken of the processor, in seconds: by the scheduler's account of each thread, as that by ticks is too rough.
 func (p *process) cpu() (seconds float64) {
+	seconds = p.spent.Seconds()
+	if p.proc == nil {
+		return seconds
+	}
 	tasks, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.proc.PID()), "task", "*", "schedstat"))
 	for _, task := range tasks {
 		b, _ := os.ReadFile(task)
--- a/rehearse/configuration/rig_test.go
+++ b/rehearse/configuration/rig_test.go
@@ -76,6 +76,7 @@
 	dir    string
 	log    *logFile
 	proc   *daemon.Process
+	spent  time.Duration // of the processor, by those before proc
 }
 
 type sourceProcess struct {
@@ -208,6 +209,8 @@
 	if p.proc != nil {
 		p.proc.Kill()
 		<-p.proc.Done()
+		p.spent += p.proc.Usage().CPU
+		p.proc = nil
 	}
 }
 
