--- a/rehearse/scale/scale_test.go
+++ b/rehearse/scale/scale_test.go
@@ -168,6 +168,15 @@
 			t.Errorf("%s %v: got %v, want %s", c.axis, c.points, err, c.want)
 		}
 	}
+	axis, err := AxisOf("tenants")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sweep := Sweep{Axis: axis, Points: []float64{1, 2, 3, 4, 5}, Seeds: []uint64{1, 2, 3}, Parallel: 12}
+	crowded := whole(t)
+	if err := sweep.Check(crowded, Options{}); err == nil || !strings.HasPrefix(err.Error(), "--parallel 12: ") {
+		t.Errorf("twelve whole fleets side by side: %v", err)
+	}
 	if _, err := AxisOf("moons"); err == nil {
 		t.Error("an axis that is not there")
 	}
--- a/rehearse/scale/size/bounds.go
+++ b/rehearse/scale/size/bounds.go
@@ -61,6 +61,15 @@
 	return n
 }
 
+// Add returns what two runs side by side in one kit take.
+func (n Needs) Add(m Needs) Needs {
+	n.Processes += m.Processes - 1 // there is one kit
+	n.MemoryMB += m.MemoryMB - memoryKitMB
+	n.KitDescriptors += m.KitDescriptors - spareDescriptors
+	n.sum += "; beside " + m.sum
+	return n
+}
+
 // Check refuses what is over the bounds, with the sum. descriptors is the limit for one process.
 func (n Needs) Check(descriptors int) error {
 	switch {
--- a/rehearse/scale/size/size_test.go
+++ b/rehearse/scale/size/size_test.go
@@ -115,6 +115,10 @@
 	if err == nil || !strings.Contains(err.Error(), "24000 listeners (1000 workers x 24 real schedulers)") {
 		t.Errorf("24 real schedulers: %v", err)
 	}
+	one := NeedsOf(whole)
+	if err := one.Add(one).Check(20_000); err == nil || !strings.Contains(err.Error(), "; beside 6000 listeners") {
+		t.Errorf("two whole fleets side by side: %v", err)
+	}
 	crowd := *whole
 	crowd.Schedulers.Hollow = 1000
 	crowd.Workers.Count = 10
--- a/rehearse/scale/sweep.go
+++ b/rehearse/scale/sweep.go
@@ -109,9 +109,33 @@
 			return fmt.Errorf("%s %g: %w", sw.Axis.Name, value, err)
 		}
 	}
+	if err := sw.checkSideBySide(base, opt); err != nil {
+		return fmt.Errorf("--parallel %d: %w", sw.Parallel, err)
+	}
 	return nil
 }
 
+// checkSideBySide refuses a sweep whose largest runs do not fit beside each other.
+func (sw *Sweep) checkSideBySide(base *size.Size, opt Options) error {
+	var all []size.Needs
+	for _, value := range sw.Points {
+		s, _ := sw.at(base, opt, value)
+		for range sw.Seeds {
+			all = append(all, size.NeedsOf(s))
+		}
+	}
+	slices.SortFunc(all, func(a, b size.Needs) int { return cmp.Compare(b.KitDescriptors, a.KitDescriptors) })
+	sum := all[0]
+	for _, n := range all[1:min(len(all), max(1, sw.Parallel))] {
+		sum = sum.Add(n)
+	}
+	limit, err := size.DescriptorLimit()
+	if err != nil {
+		return err
+	}
+	return sum.Check(limit)
+}
+
 // at is the size and the options of a point.
 func (sw *Sweep) at(base *size.Size, opt Options, value float64) (*size.Size, Options) {
 	s := *base
