--- a/rehearse/cli/e2e_test.go
+++ b/rehearse/cli/e2e_test.go
@@ -547,6 +547,49 @@
 	}
 }
 
+// Each process that is started again after an early kill is ready within 10 s, unless it is killed before.
+func TestDaemonReadyAfterEarlyKills(t *testing.T) {
+	t.Parallel()
+	path, err := daemonPath()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const limit = 10_000_000 // of the history's clock, which counts microseconds
+	type process struct {
+		scheduler string
+		life      int
+	}
+	_, _, k := play(t, "", earlyKills, "--daemon", path, "--seed", "41")
+	began, ready, last := make(map[process]int64), make(map[process]int64), int64(0) // times
+	killed := make(map[process]bool)
+	for _, ev := range events(t, k) {
+		p := process{ev.Scheduler, ev.Life}
+		last = max(last, ev.T)
+		switch ev.Kind {
+		case history.KindStart:
+			began[p] = ev.T
+		case history.KindReady:
+			ready[p] = ev.T
+		case history.KindKill:
+			killed[p] = true
+		}
+	}
+	if len(killed) < 14 {
+		t.Fatalf("only %d processes were killed", len(killed))
+	}
+	early := 0
+	for p, from := range began {
+		at, isReady := ready[p]
+		switch {
+		case isReady && at-from > limit, !isReady && !killed[p] && last-from > limit:
+			t.Errorf("process %d of scheduler %s was not ready within 10 s", p.life, p.scheduler)
+		case !isReady:
+			early++
+		}
+	}
+	t.Logf("%d processes, %d killed, %d of them before they were ready", len(began), len(killed), early)
+}
+
 // What cannot run at all ends with 1 and one line that says why.
 func TestSchedulersThatDoNotServe(t *testing.T) {
 	t.Parallel()
