scheduler: the test of the section owners waits until the membership is there

Cause: TestOwnersSection failed once on a busy machine with 'starting': it asked for the page of the fleet before the membership had begun. Change: it asks again while it is told so, for 20 s; the error has a name. What is asserted stays as it was.

--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -43,7 +43,7 @@
 	case ctx.Err() != nil:
 		return errors.New("stopping")
 	case !s.ready.Load():
-		return errors.New("starting")
+		return errStarting
 	}
 	if s.room != nil {
 		if err := s.room.Ready(); err != nil {
@@ -73,7 +73,7 @@
 	switch {
 	case set == nil || !set.Bans || elsewhere:
 	case !started:
-		return "", errors.New("starting")
+		return "", errStarting
 	default:
 		return s.shared(verb, name)
 	}
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -226,8 +227,13 @@
 			t.Errorf("without the section the chain begins with %T, %v", h, err)
 		}
 		if text != "" {
+			raw, err := r.sched.fleetPage()
+			for limit := time.Now().Add(20 * time.Second); errors.Is(err, errStarting) && time.Now().Before(limit); {
+				time.Sleep(5 * time.Millisecond)
+				raw, err = r.sched.fleetPage()
+			}
 			var page map[string]json.RawMessage
-			if raw, err := r.sched.fleetPage(); err != nil || json.Unmarshal(raw, &page) != nil || page["owners"] != nil {
+			if err != nil || json.Unmarshal(raw, &page) != nil || page["owners"] != nil {
 				t.Errorf("%s, %v", raw, err)
 			}
 		}
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -295,6 +295,9 @@
 	return r
 }
 
+// errStarting says that the other schedulers are not known yet.
+var errStarting = errors.New("starting")
+
 // fleetPage shows the other schedulers to operators.
 func (s *Scheduler) fleetPage() ([]byte, error) {
 	s.mu.Lock()
@@ -309,7 +312,7 @@
 	case p != nil:
 		page.Report = p.Report()
 	case page.Return == nil && page.Configuration == nil:
-		return nil, errors.New("starting")
+		return nil, errStarting
 	default:
 		page.Me = s.cfg.Name
 	}
@@ -325,7 +328,7 @@
 	p := s.peers
 	s.mu.Unlock()
 	if p == nil {
-		return "", errors.New("starting")
+		return "", errStarting
 	}
 	heard, err := p.Forget(name)
 	if errors.Is(err, peers.ErrNoPeer) && s.room != nil && s.room.Over(name) { // of before, and not met yet
