consumer: TestContext leaves once its job is handled

The test let the client end its half at once behind its request and waited for the handler. Nothing is handled any more for a client that has left before (TestLeftBeforeItsRequestIsRead), so the handler may rightly never be called, and one run hung on that. It now waits for the handler before the leave; what it asks of the context and its cause is the same.

--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -477,11 +477,13 @@
 		if id == "left" {
 			want = job.ErrLeft
 			c.say(ask(id, "check"))
+		}
+		ctx := <-jobs
+		if id == "left" { // once it is handled: before that nothing begins
 			if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
 				t.Fatal(err)
 			}
 		}
-		ctx := <-jobs
 		select {
 		case <-ctx.Done():
 		case <-time.After(10 * time.Second):
