consumer: a request's time runs from its last byte, also while it waits behind another

Requests that a client sends at once are read one after the other, and the time left to each was counted from when its turn came (job.go, jobOf): one behind a long job was answered later than its client waits.

--- a/consumer/http.go
+++ b/consumer/http.go
@@ -63,6 +63,7 @@
 		}
 		return false // it was never whole, so nothing was taken
 	}
+	c.arrived = c.arrivals.taken(c.br.Buffered()+len(c.ahead), time.Now())
 	s.enter(c, working)
 	a, ok := s.route(c, head, body)
 	if !ok {
@@ -138,6 +139,7 @@
 		s.Log.Debug("unusable request", "from", c.RemoteAddr(), "why", why)
 		return text(400, why), true
 	}
+	j.Left = max(0, j.Left-time.Since(c.arrived))
 	return s.answerTo(j, c, head.Close)
 }
 
--- a/consumer/leave.go
+++ b/consumer/leave.go
@@ -17,10 +17,7 @@
 		return err
 	}
 	var b [2048]byte
-	n, err := c.Conn.Read(b[:])
-	if n > 0 {
-		c.hears()
-	}
+	n, err := c.readSocket(b[:])
 	if len(c.ahead)+n <= MaxAhead && !c.broken {
 		c.ahead = append(c.ahead, b[:n]...)
 	} else {
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -71,11 +71,13 @@
 	woken  bool      // it has been told to make room
 
 	// Its goroutine's own, and that of the watch while there is one.
-	stomp   *Stomp // it speaks STOMP
-	broken  bool   // it cannot be read any more
-	ahead   []byte // read while the buffer was full; it comes before what is still to be read
-	dropped int    // bytes that could not be kept
-	passed  bool   // another process has it
+	stomp    *Stomp // it speaks STOMP
+	broken   bool   // it cannot be read any more
+	ahead    []byte // read while the buffer was full; it comes before what is still to be read
+	dropped  int    // bytes that could not be kept
+	arrivals arrivalLog
+	arrived  time.Time // when the last byte of the message in hand came
+	passed   bool      // another process has it
 }
 
 // Read notes that the peer is not silent.
@@ -85,9 +87,15 @@
 		c.ahead = c.ahead[n:]
 		return n, nil
 	}
+	return c.readSocket(b)
+}
+
+// readSocket reads what has not been read yet.
+func (c *conn) readSocket(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.hears()
+		c.arrivals.add(n, time.Now())
 	}
 	return n, err
 }
