configuration/follower: a push that no source may make is told of; an upgrade beyond a cut

Another document by the version in force, or one that is not of its digest, ended the connection and was logged nowhere. It is logged once for each reason.

TestAnUpgradeBeyondACut: with real processes, a successor that no source reaches begins with what the one before has in force. The scripted source lost a push that came between its reading the newest version and noting the connection, which made TestFalsePushes and others fail now and then; it notes both under one lock now.

--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -69,6 +69,8 @@
 	currentAt time.Time // the last moment of which a quorum's newest version is known to have been the one in force
 	problem   string    // why the last connection was not made or has ended
 	saveError string    // why the last document could not be kept; empty: it could
+
+	distrusted string // the last push that no source may make, as it was told of
 }
 
 // Open takes the folder for this process and reads what it holds, which is the caller's to put in force. An error says that the
--- a/configuration/follower/follower_test.go
+++ b/configuration/follower/follower_test.go
@@ -173,6 +173,9 @@
 	source.Push(2, "bad")
 	until(t, "2 is refused", func() bool {
 		all := source.Reports()
+		if len(all) == 0 {
+			return false
+		}
 		last := all[len(all)-1]
 		return last.Version == 1 && last.Refused == 2 && last.Reason == "not for this one"
 	})
@@ -195,12 +198,14 @@
 	f := begin(t, h, dir, source)
 	source.Push(1, "one")
 	until(t, "1 is in force", inForce(f, 1))
+	told := func() string { f.mu.Lock(); defer f.mu.Unlock(); return f.state.distrusted }
 	connections := len(source.Hellos())
 	source.PushRaw(wire.Push{Version: 2, Digest: wire.DigestOf([]byte("two")), Document: []byte("tw0")})
 	until(t, "the connection is given up", func() bool { return len(source.Hellos()) > connections+1 })
 	connections = len(source.Hellos())
 	source.Push(1, "another one")
 	until(t, "the connection is given up again", func() bool { return len(source.Hellos()) > connections })
+	until(t, "it is told of", func() bool { return strings.Contains(told(), "another document") })
 	source.Push(2, "two")
 	until(t, "2 is in force", inForce(f, 2))
 	if got := h.versions(); !slices.Equal(got, []uint64{1, 2}) {
--- a/configuration/follower/take.go
+++ b/configuration/follower/take.go
@@ -19,8 +19,11 @@
 	case errors.Is(err, core.ErrOlder): // a source that has not caught up, or whose cluster was put back
 		f.cfg.Log.Warn("an older version of the configuration is passed over", "pushed", m.Version, "version", version)
 		return nil
-	case err != nil || decision == core.Ignore:
+	case err != nil:
+		f.distrust(err)
 		return err
+	case decision == core.Ignore:
+		return nil
 	}
 	d := Document{Version: m.Version, Digest: m.Digest, AcceptedAt: time.UnixMilli(m.AcceptedAt), Body: m.Document}
 	if err := f.cfg.Check(d); err != nil {
@@ -38,6 +41,18 @@
 	return nil
 }
 
+// distrust tells of a push that no source may make, once for each reason.
+func (f *Follower) distrust(err error) {
+	f.mu.Lock()
+	told := f.state.distrusted == err.Error()
+	f.state.distrusted = err.Error()
+	address, version := f.state.address, f.state.inForce.Version
+	f.mu.Unlock()
+	if !told {
+		f.cfg.Log.Error("a source of configuration contradicts what is in force or itself", "source", address, "version", version, "err", err)
+	}
+}
+
 // keep brings a document to the disk.
 func (f *Follower) keep(d Document) error {
 	err := f.store.save(d)
--- a/internal/testrig/source.go
+++ b/internal/testrig/source.go
@@ -63,23 +63,28 @@
 		s.answer(c)
 		return
 	}
-	s.mu.Lock()
-	s.conns[c] = true
-	s.mu.Unlock()
+	s.join(c, hello)
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
-	if newest.Version != hello.Version && c.Write(&newest) != nil {
-		return
-	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.beat(c, ended)
 	s.listen(c)
 }
 
+// join sends a follower the newest version, unless it has it, and each later one. What is pushed meanwhile comes after it.
+func (s *Source) join(c *stream.Conn, hello *wire.Hello) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	if s.newest.Version != hello.Version || s.newest.Digest != hello.Digest {
+		c.Write(&s.newest)
+	}
+}
+
 // answer answers the questions of a tool.
 func (s *Source) answer(c *stream.Conn) {
 	if m, err := c.Read(sourceWait, wire.MaxSmall); err != nil {
@@ -134,20 +139,11 @@
 // PushRaw is Push with a message as the test makes it, which may be false.
 func (s *Source) PushRaw(m wire.Push) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.newest = m
-	all := s.connected()
-	s.mu.Unlock()
-	for _, c := range all {
-		c.Write(&m)
-	}
-}
-
-// connected lists the followers' connections. Called under mu.
-func (s *Source) connected() (all []*stream.Conn) {
 	for c := range s.conns {
-		all = append(all, c)
+		c.Write(&m)
 	}
-	return all
 }
 
 // Quorum says how old the contact with a quorum is, from now on.
@@ -174,9 +170,8 @@
 // Drop closes the followers' connections; they may come again.
 func (s *Source) Drop() {
 	s.mu.Lock()
-	all := s.connected()
-	s.mu.Unlock()
-	for _, c := range all {
+	defer s.mu.Unlock()
+	for c := range s.conns {
 		c.Close()
 	}
 }
--- a/rehearse/configuration/configuration_test.go
+++ b/rehearse/configuration/configuration_test.go
@@ -289,3 +289,45 @@
 		t.Fatalf("%+v", page)
 	}
 }
+
+// TestAnUpgradeBeyondACut: the next process of a scheduler that no source reaches any more begins with what the one before has, goes
+// on with it after the takeover, and follows the sources itself after the cut.
+func TestAnUpgradeBeyondACut(t *testing.T) {
+	r := newRig(t, 1)
+	r.startAll()
+	p := r.schedulers[0]
+	first := r.document(1)
+	version := r.change(0, first)
+	r.untilInForce(version, first, p)
+	for _, source := range r.sources {
+		r.links.Both(p.name, source.name, links.Fault{Cut: true})
+	}
+	second := r.document(2)
+	newer := r.change(version, second)
+	before, served := p.proc, p.admin
+	p.admin = p.spare
+	p.start()
+	p.ready()
+	same := func() bool {
+		page := p.page()
+		return page != nil && page.Version == version && page.Digest == wire.DigestOf(first).String()
+	}
+	if !same() {
+		t.Fatalf("the one that stands by: %+v", p.page())
+	}
+	if err := before.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-before.Done()
+	if code, words := before.End(); code != 0 {
+		t.Fatalf("the older process ends with %d: %s", code, words)
+	}
+	if status, _ := call(served, "/-/ready"); status != 0 {
+		t.Fatalf("the older process answers %d", status)
+	}
+	if !same() {
+		t.Fatalf("after the takeover: %+v", p.page())
+	}
+	r.heal()
+	r.untilInForce(newer, second, p)
+}
--- a/rehearse/configuration/rig_test.go
+++ b/rehearse/configuration/rig_test.go
@@ -88,6 +88,7 @@
 	process
 	i             int
 	listen, admin string
+	spare         string // an address for operators of its next process, while both are there
 	discovery     string
 	sources       []string // relays to the sources
 	off           bool     // it is started without the section configuration
@@ -135,7 +136,7 @@
 	}
 	var at []fleet.SchedulerAt
 	for i, sc := range plan.Schedulers {
-		p := &schedulerProcess{process: r.process(sc.Name, i%regions), i: i, listen: free(t, nets), admin: free(t, nets)}
+		p := &schedulerProcess{process: r.process(sc.Name, i%regions), i: i, listen: free(t, nets), admin: free(t, nets), spare: free(t, nets)}
 		for _, source := range r.sources {
 			p.sources = append(p.sources, r.lead(p.name, source))
 		}
--- a/scheduler/configuration_test.go
+++ b/scheduler/configuration_test.go
@@ -82,9 +82,11 @@
 		document(t, `"deadline": 5000000`, `"deadline": 0`), document(t, `"card-issue"`, `"settle"`)} {
 		version := uint64(version) + 2
 		source.Push(version, bad)
-		reported := func() wire.Report {
-			all := source.Reports()
-			return all[len(all)-1]
+		reported := func() (last wire.Report) {
+			for _, report := range source.Reports() {
+				last = report
+			}
+			return last
 		}
 		r.until("it is refused", func(*Scheduler) bool { return reported().Refused == version })
 		if got := reported(); got.Version != 1 || got.Reason == "" || r.sched.cfg.Settings.MaxAttempts != before.MaxAttempts ||
