CAPACITY.md: files of changes of configuration, and what following them adds to control

docs/capacity/configuration-*.json have fields of their own: they are read as strictly, by their name. Time in force and sources are judged by the case without a failure; what following adds is part of control's CPU and bytes.

--- a/rehearse/scale/measurement/file.go
+++ b/rehearse/scale/measurement/file.go
@@ -78,7 +78,8 @@
 	*File
 }
 
-// ReadAll reads all *.json of a folder in the order of their names. A folder that is not there has none.
+// ReadAll reads all *.json of a folder in the order of their names, but for those that ReadConfigurations reads. A folder
+// that is not there has none.
 func ReadAll(folder string) ([]Named, error) {
 	paths, err := filepath.Glob(filepath.Join(folder, "*.json"))
 	if err != nil {
@@ -87,6 +88,9 @@
 	slices.Sort(paths)
 	var files []Named
 	for _, path := range paths {
+		if isConfiguration(path) {
+			continue
+		}
 		f, err := Read(path)
 		if err != nil {
 			return nil, err
--- a/rehearse/scale/page/page.go
+++ b/rehearse/scale/page/page.go
@@ -35,7 +35,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	report := newReport(fleet, files, func(folder string) bool {
+	configurations, err := measurement.ReadConfigurations(filepath.Join(root, Folder))
+	if err != nil {
+		return nil, nil, err
+	}
+	report := newReport(fleet, files, configurations, func(folder string) bool {
 		info, err := os.Stat(filepath.Join(root, folder))
 		return err == nil && info.IsDir()
 	})
--- a/rehearse/scale/page/report.go
+++ b/rehearse/scale/page/report.go
@@ -11,14 +11,16 @@
 
 // report is all that the tables are made from.
 type report struct {
-	fleet  *size.Size
-	files  []measurement.Named
-	sweeps []*sweep
-	exists func(folder string) bool // whether a package is in the repository
+	fleet          *size.Size
+	files          []measurement.Named
+	sweeps         []*sweep
+	configurations []measurement.NamedConfiguration
+	exists         func(folder string) bool // whether a package is in the repository
 }
 
-func newReport(fleet *size.Size, files []measurement.Named, exists func(string) bool) *report {
-	return &report{fleet: fleet, files: files, sweeps: sweeps(files), exists: exists}
+func newReport(fleet *size.Size, files []measurement.Named, configurations []measurement.NamedConfiguration,
+	exists func(string) bool) *report {
+	return &report{fleet: fleet, files: files, sweeps: sweeps(files), configurations: configurations, exists: exists}
 }
 
 // tables are all generated parts of the page by name.
@@ -35,6 +37,7 @@
 		"failures":    r.failures(),
 		"load":        r.load(),
 		"propagation": r.propagation(),
+		"changes":     r.changes(),
 		"quotas":      r.quotas(),
 		"files":       r.measured(),
 	}
@@ -60,12 +63,15 @@
 	t := newTable("role", "resource", "formula", "figure at the size", "budget", "verdict", "measured or computed", "mechanism",
 		"from")
 	for _, row := range budgetRows() {
-		f := r.figure(row.key, row.control)
+		f := r.rowFigure(row)
 		budget := row.budget(r.fleet)
 		name := fmt.Sprintf("%s, %s", row.resource, row.unit)
 		if row.control {
 			name += ", without tasks"
 		}
+		if row.follows {
+			name += ", configuration followed"
+		}
 		budgetText := "none"
 		if budget > 0 {
 			budgetText = number(budget) + row.limitOf
@@ -82,6 +88,7 @@
 			strings.Join(f.files(), ", "))
 	}
 	r.perUnitRows(t)
+	r.sourceRows(t)
 	return t.String()
 }
 
@@ -110,7 +117,7 @@
 // formula writes the figure as a sum over what was varied.
 func formula(f *figure) string {
 	if len(f.terms) == 0 {
-		return "measured"
+		return "measured" + f.extra.formula()
 	}
 	constant := f.from.estimate.Value
 	var parts []string
@@ -127,7 +134,7 @@
 		parts = append(parts, fmt.Sprintf("%s × (%s)^%s", measured(fromZero), t.sweep.regressor.name,
 			measured(fit.Exponent.Value)))
 	}
-	return measured(constant) + " + " + strings.Join(parts, " + ")
+	return measured(constant) + " + " + strings.Join(parts, " + ") + f.extra.formula()
 }
 
 // origin says whether a figure was measured at the size, else from where to where it was computed.
@@ -306,5 +313,8 @@
 		t.row(f.Name, code(f.Command), f.Commit+", "+f.Date, machine, fmt.Sprintf("%d of %d", valid, len(f.Points)),
 			strings.Join(why, "; "))
 	}
+	for _, c := range r.configurations {
+		t.row(c.Name, code(c.Command), c.Commit+", "+c.Date, "not recorded", "1 of 1", "")
+	}
 	return t.String()
 }
--- a/rehearse/scale/page/series.go
+++ b/rehearse/scale/page/series.go
@@ -152,6 +152,7 @@
 	from     anchor
 	terms    []term   // empty: measured there
 	missing  []string // regressors that differ and were not varied
+	extra    extra    // what following the configuration adds
 }
 
 // term is one regressor's part of a computed figure.
--- a/rehearse/scale/page/verdict.go
+++ b/rehearse/scale/page/verdict.go
@@ -25,6 +25,7 @@
 	key
 	unit      string
 	control   bool // at the size without tasks: what control takes
+	follows   bool // with the configuration followed from its source
 	budget    func(*size.Size) float64
 	mechanism string
 	limitOf   string // whose limit the budget is, if it isn't the operators'
@@ -34,7 +35,7 @@
 func budgetRows() []budgetRow {
 	none := func(*size.Size) float64 { return 0 }
 	scheduler := func(resource, unit string, control bool, budget func(*size.Size) float64, mechanism string) budgetRow {
-		return budgetRow{key{measurement.Scheduler, resource}, unit, control, budget, mechanism, ""}
+		return budgetRow{key{measurement.Scheduler, resource}, unit, control, false, budget, mechanism, ""}
 	}
 	rows := []budgetRow{
 		scheduler(cpu, percentOfACore, true, func(s *size.Size) float64 { return s.Budget.CPUPercent },
@@ -60,7 +61,17 @@
 	for _, other := range others {
 		for _, r := range []struct{ name, unit string }{{cpu, percentOfACore}, {memoryPeak, bytesUnit},
 			{controlBytes, bytesASecond}, {controlMessages, messagesASecond}, {descriptors, countUnit}, {state, bytesUnit}} {
-			rows = append(rows, budgetRow{key{other.role, r.name}, r.unit, false, none, other.mechanism, ""})
+			rows = append(rows, budgetRow{key{other.role, r.name}, r.unit, false, false, none, other.mechanism, ""})
+		}
+	}
+	for _, resource := range []string{cpu, controlBytes} {
+		for _, row := range rows {
+			if row.key == (key{measurement.Scheduler, resource}) && row.control {
+				row.follows = true
+				row.mechanism += ", `configuration/follower`"
+				rows = append(rows, row)
+				break
+			}
 		}
 	}
 	for i := range rows {
@@ -113,6 +124,9 @@
 // files lists the files that a figure comes from.
 func (f *figure) files() []string {
 	list := []string{f.from.file}
+	if f.extra.file != "" {
+		list = append(list, f.extra.file)
+	}
 	for _, t := range f.terms {
 		list = append(list, t.sweep.file)
 	}
