--- a/rehearse/scale/scale.go
+++ b/rehearse/scale/scale.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -199,6 +198,3 @@
 	}
 	return path, nil
 }
-
-// ErrInvalid says that a run was played and does not count.
-var ErrInvalid = errors.New("a run does not count")
