provider: a worker that was not heard is told by DELETE before its job goes elsewhere

Cause by reading: an attempt without an acknowledgement in time (Silent), whose connection broke before one (Broken) or that was taken back from a worker which discovery lists no more ended with the close of its connection. The close gives a job up only before the worker's 202. A 202 that is on its way, lies unread here or is thrown away by a reset leaves the job with the worker, and the job went to another one.

Change: provider/acknowledgement.go, cut out of Invoke, tells the worker by DELETE before such an attempt ends, if another may follow (Verdict.Repeatable: not for a class that must not run twice, not after the last attempt). A worker that cannot be reached or does not answer holds the job for one round trip at most. A result that comes meanwhile counts.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,6 +88,7 @@
 	Provider   string          // Call, Await: by its name in the directory
 	Until      time.Time       // Call, Await: when it has timed out
 	TakenIn    time.Duration   // Call: the most that the acknowledgement may take; 0: no such limit
+	Repeatable bool            // Call: another attempt may follow if this one ends without an answer
 	Context    context.Context // Call, Await: ends when the call is to be withdrawn
 	RetryAfter time.Duration   // Rejection: how long to stay away; 0: not told
 }
@@ -402,7 +403,7 @@
 			if t.begun {
 				d.tell(t, Event{Kind: Started})
 			}
-			t.await(past[n-1].Provider, t.deadline, Await, 0)
+			t.await(Verdict{Kind: Await, Provider: past[n-1].Provider, Until: t.deadline})
 		}
 	}
 	d.step(Step{Input: Resume, Now: now, Number: t.id, own: &t.job, Past: attempts, Request: t.request()})
@@ -583,15 +584,20 @@
 		}
 	}
 	d.tell(t, Event{Kind: Sent})
-	t.await(d.names[a.Worker], until, Call, a.TakenIn)
+	t.await(Verdict{Kind: Call, Provider: d.names[a.Worker], Until: until, TakenIn: a.TakenIn, Repeatable: t.repeatable()})
 }
 
-// await lets whoever waits in Pick make a call, or wait for one that is out.
-func (t *Ticket) await(provider string, until time.Time, kind VerdictKind, takenIn time.Duration) {
+// repeatable tells whether another attempt may follow the one that is out.
+func (t *Ticket) repeatable() bool {
+	set := &t.desk.set
+	return t.attempts < set.MaxAttempts && set.Classes[t.job.Class].Effect != policy.Unsafe
+}
+
+// await lets whoever waits in Pick make the call of a verdict, or wait for one that is out.
+func (t *Ticket) await(v Verdict) {
 	t.out = true
-	var ctx context.Context
-	ctx, t.withdraw = context.WithCancelCause(context.Background())
-	t.verdicts <- Verdict{Kind: kind, Provider: provider, Until: until, TakenIn: takenIn, Context: ctx}
+	v.Context, t.withdraw = context.WithCancelCause(context.Background())
+	t.verdicts <- v
 }
 
 // late runs the module's timer for a job that is at its deadline. One that is held back has its timer a moment before, and
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -285,3 +285,22 @@
 		})
 	}
 }
+
+// An attempt tells whether another may follow it: never for a job that must not run twice, and not for the last one.
+func TestRepeatableAttempts(t *testing.T) {
+	for effect, want := range map[policy.Effect][]bool{
+		policy.Safe: {true, true, true, false}, policy.Keyed: {true, true, true, false}, policy.Unsafe: {false},
+	} {
+		ticket := desk(t, effect, "a", "b", "c", "d", "e").Take(work)
+		for number, repeatable := range want {
+			v := wants(t, ticket.Pick(), Call)
+			if v.Repeatable != repeatable {
+				t.Errorf("effect %d, attempt %d: repeatable %t", effect, number, v.Repeatable)
+			}
+			ticket.Report(Broken)
+		}
+		if v := ticket.Pick(); v.Kind == Call {
+			t.Errorf("effect %d: attempt %d", effect, len(want))
+		}
+	}
+}
--- /dev/null
+++ b/provider/acknowledgement.go
@@ -0,0 +1,133 @@
+package provider
+
+import (
+	"context"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/job"
+)
+
+// acknowledgement waits for the worker's answer to an attempt whose last byte is out on c.conn. It returns accepted once the
+// worker has taken the job, else how the attempt has ended. The connection is kept or closed, and is no longer c's.
+func (p *Pool) acknowledgement(j *job.Job, c *call, v decide.Verdict) decide.End {
+	conn := c.conn
+	answerBy := v.Until
+	if at := time.Now().Add(v.TakenIn); v.TakenIn > 0 && at.Before(answerBy) {
+		answerBy = at
+		conn.SetReadDeadline(at)
+	}
+	// A worker that has vanished leaves its connections open. While it does not acknowledge, idle ones are not trusted with
+	// further jobs: a new one that never comes up proves that they did not run.
+	suspect := time.AfterFunc(p.limits.Load().Dial, func() { p.mistrust(conn.of) })
+	withdrawal := p.watchWithdrawal(j, conn, v.Context)
+	answer, err := readReply(conn.br, func() { p.boundBody(conn, v.Until) })
+	suspect.Stop()
+	withdrawn := withdrawal.closed()
+	c.mu.Lock()
+	c.conn = nil
+	over := c.over
+	c.mu.Unlock()
+	if err != nil || answer.last || withdrawn {
+		p.discard(conn)
+	} else {
+		p.release(conn)
+	}
+	switch {
+	case over:
+		c.after.open = false
+		return c.end
+	case err == nil && answer.end != accepted:
+		c.after = earlierAttempts{} // a job that was not accepted has no call-backs
+		return answer.end
+	case err == nil:
+		return accepted
+	}
+	return p.unacknowledged(j, c, v, conn, answerBy, withdrawn, err)
+}
+
+// unacknowledged tells how an attempt has ended whose connection gave no acknowledgement, but err, and is closed.
+func (p *Pool) unacknowledged(j *job.Job, c *call, v decide.Verdict, conn *conn, answerBy time.Time, withdrawn bool,
+	err error) decide.End {
+	now := time.Now()
+	switch {
+	case withdrawn && context.Cause(v.Context) == decide.ErrElsewhere:
+		return p.closedUnheard(j, c, v, decide.Withdrawn)
+	case withdrawn:
+		return decide.Withdrawn
+	case !now.Before(v.Until):
+		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
+		return decide.TimedOut
+	case !now.Before(answerBy):
+		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
+		return p.closedUnheard(j, c, v, decide.Silent)
+	}
+	if conn.reused {
+		p.forgotten(conn)
+	}
+	p.log.Debug("connection broke before the acknowledgement", "provider", v.Provider, "reused", conn.reused, "idle", conn.age,
+		"err", err)
+	if v.Repeatable {
+		return p.closedUnheard(j, c, v, decide.Broken)
+	}
+	return decide.Broken
+}
+
+// closedUnheard ends an attempt whose connection was closed, by whichever side, before an acknowledgement was read, while its
+// job may go to another worker. The close gives the job up only if the worker has not acknowledged by then: an acknowledgement
+// that was on its way, lay unread here or was lost with the connection leaves the job with the worker. So the worker is told as
+// well. One that cannot be reached, or does not answer, holds up the job for no longer than a connection's round trip.
+//
+// end is how the attempt ends, unless a call-back has ended it meanwhile.
+func (p *Pool) closedUnheard(j *job.Job, c *call, v decide.Verdict, end decide.End) decide.End {
+	if j.Keeper != nil && j.Keeper.Left() {
+		return end // the next process waits for it
+	}
+	limit := min(p.roundTrip(), time.Until(v.Until))
+	if err := p.giveUp(j, v.Provider, limit, limit); err == nil {
+		c.after.open = false
+	}
+	select {
+	case <-c.ended:
+		c.after.open = false
+		return c.end
+	default:
+		return end
+	}
+}
+
+// withdrawalWatch closes an attempt's connection, or rather ends the wait for its answer, once the attempt is withdrawn.
+type withdrawalWatch struct {
+	stop func() bool
+	done chan struct{}
+	cut  bool // the wait was ended; to be read after done
+}
+
+// watchWithdrawal begins to watch ctx for an attempt on conn that awaits its acknowledgement.
+//
+// A withdrawal before the acknowledgement closes the connection, which gives the job up. If the job is to go elsewhere, a worker
+// that discovery lists is waited for instead, and told once it has acknowledged.
+func (p *Pool) watchWithdrawal(j *job.Job, conn *conn, ctx context.Context) *withdrawalWatch {
+	w := &withdrawalWatch{done: make(chan struct{})}
+	w.stop = context.AfterFunc(ctx, func() {
+		defer close(w.done)
+		if context.Cause(ctx) == decide.ErrElsewhere && p.runs(conn.of) {
+			return
+		}
+		w.cut = true
+		if j.Keeper != nil && j.Keeper.Left() {
+			conn.SetReadDeadline(time.Now().Add(ackGrace)) // to close it would give the job up
+			return
+		}
+		conn.SetReadDeadline(time.Unix(1, 0))
+	})
+	return w
+}
+
+// closed ends the watch and tells whether it has ended the wait for the answer.
+func (w *withdrawalWatch) closed() bool {
+	if !w.stop() {
+		<-w.done
+	}
+	return w.cut
+}
--- /dev/null
+++ b/provider/acknowledgement_test.go
@@ -0,0 +1,154 @@
+package provider
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+	"laddertide/directory"
+)
+
+const answerToGivingUp = "HTTP/1.1 204 N\r\n\r\n"
+
+// lateWorker acknowledges an attempt after its time for that is over, when the connection is closed already, and holds the job
+// until it is given up. heard is called with each DELETE, before its answer.
+func lateWorker(t *testing.T, takenIn time.Duration, heard func()) *fake {
+	t.Helper()
+	return newFake(t, func(n int, c net.Conn) bool {
+		if n == 1 {
+			time.Sleep(2 * takenIn)
+			say(taken)(n, c)
+			return false
+		}
+		heard()
+		return say(answerToGivingUp)(n, c)
+	})
+}
+
+// An acknowledgement may be on its way, or lie unread, when the time for it is over. It leaves the job with the worker, whom the
+// connection's end tells nothing then: the attempt ends once the worker has been told by DELETE, as the job may go elsewhere.
+func TestAcknowledgementAfterItsTime(t *testing.T) {
+	const takenIn = 50 * time.Millisecond
+	f := lateWorker(t, takenIn, func() {})
+	p := reserved(t, f)
+	v := verdict(context.Background(), 20*time.Second)
+	v.TakenIn = takenIn
+	invoke(t, p, v, decide.Silent)
+	if got := f.got(); !slices.Equal(got, []string{attemptLine, giveUpLine}) {
+		t.Errorf("sent before the attempt ended: %v", got)
+	}
+	if p.earlier["id-1"]["s-1"].open {
+		t.Error("the attempt counts as open after its worker has answered DELETE")
+	}
+}
+
+// A result that comes before the answer to DELETE counts: it is the job's own.
+func TestResultAfterTheTimeForTheAcknowledgement(t *testing.T) {
+	const takenIn = 50 * time.Millisecond
+	var p *Pool
+	f := lateWorker(t, takenIn, func() { p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")}) })
+	p = reserved(t, f)
+	v := verdict(context.Background(), 20*time.Second)
+	v.TakenIn = takenIn
+	if got := invoke(t, p, v, decide.Served); got != "r" {
+		t.Errorf("result %q", got)
+	}
+}
+
+// A worker that takes connections and answers nothing holds up the job for one round trip, and no longer. Its attempt stays open.
+func TestSilenceAfterTheTimeForTheAcknowledgement(t *testing.T) {
+	const takenIn, dial = 50 * time.Millisecond, 100 * time.Millisecond
+	f := newFake(t, func(int, net.Conn) bool { return true })
+	p := reserved(t, f)
+	p.limits.Load().Dial = dial
+	v := verdict(context.Background(), 20*time.Second)
+	v.TakenIn = takenIn
+	began := time.Now()
+	invoke(t, p, v, decide.Silent)
+	if took := time.Since(began); took < takenIn+dial || took > 5*time.Second {
+		t.Errorf("the attempt ended after %v", took)
+	}
+	if !p.earlier["id-1"]["s-1"].open {
+		t.Error("the attempt counts as given up, though its worker has not answered DELETE")
+	}
+}
+
+// A job that is taken away from a worker which discovery lists no more is given up there by DELETE as well.
+func TestElsewhereFromAnUnlistedWorker(t *testing.T) {
+	f := newFake(t, func(n int, c net.Conn) bool {
+		if n > 1 {
+			return say(answerToGivingUp)(n, c)
+		}
+		io.Copy(io.Discard, c) // until the connection is closed there: an acknowledgement that was sent just before is not read
+		return false
+	})
+	p := reserved(t, f)
+	ctx, withdraw := context.WithCancelCause(context.Background())
+	over := attempt(p, verdict(ctx, 20*time.Second))
+	if line := <-f.lines; line != attemptLine {
+		t.Fatal(line)
+	}
+	p.Directory([]directory.Entry{{Name: "s-1", Status: directory.Deleted}}, false)
+	withdraw(decide.ErrElsewhere)
+	if got := <-over; got.end != decide.Withdrawn {
+		t.Errorf("ended as %v", got.end)
+	}
+	if got := f.got(); !slices.Equal(got, []string{giveUpLine}) {
+		t.Errorf("sent before the attempt ended: %v", got)
+	}
+}
+
+// A connection may break with an acknowledgement on it that nobody has read: the job is with the worker then. The worker is told
+// before the job goes elsewhere. Of a job that goes nowhere it is not told: it may run, and its time is over soon.
+func TestConnectionThatBreaksBeforeTheAcknowledgement(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer     string // before the break
+		repeatable bool
+		want       []string
+	}{
+		"with nothing, and goes elsewhere":         {"", true, []string{attemptLine, giveUpLine}},
+		"within a line, and goes elsewhere":        {"HTTP/1.1 202 Acc", true, []string{attemptLine, giveUpLine}},
+		"with a spoilt answer, and goes elsewhere": {"HTTP/1.1 2O2 Accepted\r\n\r\n", true, []string{attemptLine, giveUpLine}},
+		"with nothing, and goes nowhere":           {"", false, []string{attemptLine}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFake(t, func(n int, conn net.Conn) bool {
+				if n > 1 {
+					return say(answerToGivingUp)(n, conn)
+				}
+				say(c.answer)(n, conn)
+				return false
+			})
+			p := reserved(t, f)
+			v := verdict(context.Background(), 20*time.Second)
+			v.Repeatable = c.repeatable
+			invoke(t, p, v, decide.Broken)
+			if got := f.got(); !slices.Equal(got, c.want) {
+				t.Errorf("sent before the attempt ended: %v", got)
+			}
+			if open := p.earlier["id-1"]["s-1"].open; open == c.repeatable {
+				t.Errorf("the attempt counts as open: %t", open)
+			}
+		})
+	}
+}
+
+// A worker that cannot be reached any more is no reason to keep the job.
+func TestConnectionThatBreaksWithItsWorker(t *testing.T) {
+	var f *fake
+	f = newFake(t, func(int, net.Conn) bool {
+		f.ln.Close()
+		return false
+	})
+	p := reserved(t, f)
+	v := verdict(context.Background(), 20*time.Second)
+	v.Repeatable = true
+	invoke(t, p, v, decide.Broken)
+	if got := f.got(); !slices.Equal(got, []string{attemptLine}) {
+		t.Errorf("sent: %v", got)
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -225,69 +225,9 @@
 		return decide.NotConnected, nil // the last byte is not out, so the provider cannot start
 	}
 	c.after = earlierAttempts{mayCallBack: true, open: true}
-	acknowledged := v.Until
-	if at := time.Now().Add(v.TakenIn); v.TakenIn > 0 && at.Before(acknowledged) {
-		acknowledged = at
-		conn.SetReadDeadline(at)
-	}
-	// A provider that has vanished leaves its connections open. While it does not acknowledge, idle ones
-	// are not trusted with further jobs: a new one that never comes up proves that they did not run.
-	suspect := time.AfterFunc(p.limits.Load().Dial, func() { p.mistrust(conn.of) })
-	// A withdrawal before the acknowledgement closes the connection, which gives the job up. But an acknowledgement that is
-	// on its way then would leave the job with the provider, while it goes elsewhere: a process that runs is waited for
-	// and told.
-	cut, looked := false, make(chan struct{})
-	stop := context.AfterFunc(v.Context, func() {
-		defer close(looked)
-		if context.Cause(v.Context) == decide.ErrElsewhere && p.runs(conn.of) {
-			return
-		}
-		cut = true
-		if j.Keeper != nil && j.Keeper.Left() {
-			conn.SetReadDeadline(time.Now().Add(ackGrace)) // to close it would give the job up
-			return
-		}
-		conn.SetReadDeadline(time.Unix(1, 0))
-	})
-	reply, err := readReply(conn.br, func() { p.boundBody(conn, v.Until) })
-	suspect.Stop()
-	if !stop() {
-		<-looked
-	}
-	withdrawn := cut
-	c.mu.Lock()
-	c.conn = nil
-	over := c.over
-	c.mu.Unlock()
-	if err != nil || reply.last || withdrawn {
-		p.discard(conn)
-	} else {
-		p.release(conn)
+	if end := p.acknowledgement(j, c, v); end != accepted {
+		return end, c.result
 	}
-	switch {
-	case over:
-		c.after.open = false
-		return c.end, c.result
-	case err != nil && withdrawn:
-		return decide.Withdrawn, nil
-	case err != nil && !time.Now().Before(v.Until):
-		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
-		return decide.TimedOut, nil
-	case err != nil && !time.Now().Before(acknowledged):
-		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
-		return decide.Silent, nil
-	case err != nil:
-		if conn.reused {
-			p.forgotten(conn)
-		}
-		p.log.Debug("connection broke before the acknowledgement", "provider", v.Provider,
-			"reused", conn.reused, "idle", conn.age, "err", err)
-		return decide.Broken, nil
-	case reply.end != accepted:
-		c.after = earlierAttempts{} // a job that was not accepted has no call-backs
-		return reply.end, nil
-	}
-
 	return p.wait(j, c, v)
 }
 
