rehearse scale: hollow schedulers own and replicate; rows of discovery, ledgers and sources

Need: the issue on the fleet's size wants hollow schedulers with the real ownership and replication, and rows for members of replicated ledgers, discovery and sources of configuration, which CAPACITY.md called not measured.

A scheduler with a replicated ledger is measured as a ledger member; connections between members of a ledger are counted by the relays. Discovery's bytes are summed over all schedulers. rehearse/configuration writes the type that the page reads, with memory, descriptors and folder of the sources and the machine. A source's rows stand once, in the table's order.

--- a/rehearse/cli/scale.go
+++ b/rehearse/cli/scale.go
@@ -64,6 +64,8 @@
 	tenants    int
 	starts     float64
 	roundTrip  float64
+	ownership  bool
+	replicas   int
 	whole      bool
 	daemonPath string
 	json       string
@@ -94,6 +96,8 @@
 	f.IntVar(&a.tenants, "tenants", 0, "how many tenants, instead of what file and scale say")
 	f.Float64Var(&a.starts, "task-starts", 0, "task starts a second, instead of what file and scale say")
 	f.Float64Var(&a.roundTrip, "round-trip-ms", 0, "between regions, instead of what the file says")
+	f.BoolVar(&a.ownership, "ownership", false, "each task has one owner among all schedulers, whatever the file says")
+	f.IntVar(&a.replicas, "ledger-replicas", 0, "each scheduler's ledger has so many replicas; with --ownership; instead of what the file says")
 	f.BoolVar(&a.whole, "whole", false, "go on until the last client has its answer, and report the service")
 	f.StringVar(&a.daemonPath, "daemon", "", "the scheduler's program; else the laddertide beside this one, else one built by go")
 	f.StringVar(&a.json, "json", "", "write the measurement to this file")
@@ -236,6 +240,12 @@
 	if a.flags.Changed("task-starts") {
 		s.Tasks.StartsPerS = a.starts
 	}
+	if a.flags.Changed("ownership") {
+		s.Schedulers.Ownership = a.ownership
+	}
+	if a.flags.Changed("ledger-replicas") {
+		s.Schedulers.LedgerReplicas = a.replicas
+	}
 	if a.flags.Changed("round-trip-ms") {
 		s.Network.RegionsRoundTripMS = a.roundTrip
 	}
--- a/rehearse/configuration/measure_test.go
+++ b/rehearse/configuration/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,12 +13,14 @@
 	"time"
 
 	"laddertide/configuration/client"
+	"laddertide/rehearse/scale/measurement"
+	system "laddertide/rehearse/scale/process"
 	wire "laddertide/wire/configuration"
 )
 
 // Cases of a measurement.
 const (
-	casePlain  = "plain"       // nothing fails
+	casePlain  = measurement.CaseWithoutFailure
 	caseLeader = "leader-kill" // the leader is killed after a third of the changes, and started again after two thirds
 	caseRegion = "region-cut"  // a region without the leader is cut off after a third of the changes, until two thirds
 )
@@ -27,39 +30,6 @@
 	changeEvery = 130 * time.Millisecond // a change begins so long after the one before did, or as that is accepted
 )
 
-// measured is a measurement as it is kept in docs/capacity. Times in force are from the moment at which a tool begins to propose to
-// the last scheduler's log line; of a region-cut they are those of the schedulers outside of the region.
-type measured struct {
-	Command       string `json:"command"`
-	Commit        string `json:"commit"`
-	Date          string `json:"date"`
-	Case          string `json:"case"`
-	Schedulers    int    `json:"schedulers"`
-	Sources       int    `json:"sources"`
-	Regions       int    `json:"regions"`
-	RoundTripMS   int64  `json:"round_trip_ms"`
-	Changes       int    `json:"changes"`
-	ChangeEveryMS int64  `json:"change_every_ms"`
-	DocumentBytes int    `json:"document_bytes"`
-
-	AcceptedP50MS float64 `json:"accepted_p50_ms"`
-	P50MS         float64 `json:"p50_ms"`
-	P99MS         float64 `json:"p99_ms"`
-	WorstMS       float64 `json:"worst_ms"`
-	AfterHealMS   float64 `json:"after_heal_worst_ms,omitempty"` // region-cut: until the newest is in force in the region
-
-	SchedulerBytesPerChange float64 `json:"scheduler_bytes_per_change"`
-	SchedulerCPUPerChange   float64 `json:"scheduler_cpu_us_per_change"`
-	SourceBytesPerChange    float64 `json:"source_bytes_per_change"`
-	SourceCPUPerChange      float64 `json:"source_cpu_us_per_change"`
-
-	IdleBytesPerSecond       float64 `json:"idle_bytes_per_second"` // a scheduler's
-	IdleCPUPercent           float64 `json:"idle_cpu_percent"`      // a scheduler's whole process, of a core
-	IdleCPUPercentOff        float64 `json:"idle_cpu_percent_off"`  // of one without the section, beside them
-	SourceIdleBytesPerSecond float64 `json:"source_idle_bytes_per_second"`
-	SourceIdleCPUPercent     float64 `json:"source_idle_cpu_percent"`
-}
-
 // TestMeasure measures how long a change takes until it is in force everywhere, and what it costs. It wants LADDERTIDE_LONG;
 // LADDERTIDE_CASE names the case (plain), LADDERTIDE_SCHEDULERS how many there are (6), LADDERTIDE_CHANGES how many changes (500),
 // and LADDERTIDE_OUT the file that the result is written to.
@@ -67,7 +37,7 @@
 	if os.Getenv("LADDERTIDE_LONG") == "" {
 		t.Skip("LADDERTIDE_LONG is not set")
 	}
-	m := &measured{Case: casePlain, Schedulers: number(t, "LADDERTIDE_SCHEDULERS", 6), Changes: number(t, "LADDERTIDE_CHANGES", 500),
+	m := &measurement.Configuration{Case: casePlain, Schedulers: number(t, "LADDERTIDE_SCHEDULERS", 6), Changes: number(t, "LADDERTIDE_CHANGES", 500),
 		Sources: regions, Regions: regions, RoundTripMS: roundTrip.Milliseconds(), ChangeEveryMS: changeEvery.Milliseconds(),
 		Date: time.Now().UTC().Format(time.RFC3339)}
 	if name := os.Getenv("LADDERTIDE_CASE"); name != "" {
@@ -102,7 +72,8 @@
 	m.SourceBytesPerChange = perChange(spent.sourceBytes, idle.sourceBytes)
 	m.SourceCPUPerChange = perChange(spent.sourceCPU, idle.sourceCPU) * 1e6
 	r.times(m, following, run)
-	m.write(t)
+	r.holdings(m)
+	write(t, m)
 }
 
 func number(t *testing.T, name string, usual int) int {
@@ -128,7 +99,7 @@
 }
 
 // makeChanges proposes changes, one after the other, and lets fail what the case says meanwhile.
-func (r *rig) makeChanges(m *measured, version uint64) *changesMade {
+func (r *rig) makeChanges(m *measurement.Configuration, version uint64) *changesMade {
 	r.t.Helper()
 	run := &changesMade{first: version + 1, cutRegion: -1}
 	leader := r.leader()
@@ -230,7 +201,7 @@
 }
 
 // times works out how long changes took.
-func (r *rig) times(m *measured, following []*schedulerProcess, run *changesMade) {
+func (r *rig) times(m *measurement.Configuration, following []*schedulerProcess, run *changesMade) {
 	accepted, inForce := make([]float64, m.Changes), make([]float64, m.Changes)
 	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	for i := range accepted {
@@ -261,16 +232,56 @@
 	m.P50MS, m.P99MS, m.WorstMS = inForce[len(inForce)/2], inForce[len(inForce)*99/100], inForce[len(inForce)-1]
 }
 
+// holdings are what the sources hold at the end: the most of all.
+func (r *rig) holdings(m *measurement.Configuration) {
+	r.t.Helper()
+	for _, p := range r.sources {
+		sample, err := system.Look(p.proc.PID())
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		m.SourceMemoryPeakBytes = max(m.SourceMemoryPeakBytes, sample.Peak)
+		m.SourceDescriptors = max(m.SourceDescriptors, float64(sample.Descriptors))
+		m.SourceStateBytes = max(m.SourceStateBytes, float64(folderBytes(r.t, filepath.Join(p.dir, "kept"))))
+	}
+}
+
+// folderBytes is how large the files of a folder are together.
+func folderBytes(t *testing.T, folder string) (bytes int64) {
+	t.Helper()
+	err := filepath.WalkDir(folder, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		info, err := entry.Info()
+		if err != nil {
+			return err
+		}
+		bytes += info.Size()
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes
+}
+
 // write keeps a measurement.
-func (m *measured) write(t *testing.T) {
+func write(t *testing.T, m *measurement.Configuration) {
 	t.Helper()
 	commit, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
 	if err != nil {
 		t.Log(err)
 	}
 	m.Commit = strings.TrimSpace(string(commit))
+	if m.Machine, err = measurement.ThisMachine(); err != nil {
+		t.Fatal(err)
+	}
 	m.Command = "LADDERTIDE_LONG=1 LADDERTIDE_CASE=" + m.Case + " LADDERTIDE_SCHEDULERS=" + strconv.Itoa(m.Schedulers) +
 		" LADDERTIDE_CHANGES=" + strconv.Itoa(m.Changes) + " go test -count=1 -run TestMeasure ./rehearse/configuration"
+	if err := m.Check(); err != nil {
+		t.Fatal(err)
+	}
 	text, err := json.MarshalIndent(m, "", "  ")
 	if err != nil {
 		t.Fatal(err)
--- a/rehearse/scale/hollow/hollow.go
+++ b/rehearse/scale/hollow/hollow.go
@@ -1,6 +1,6 @@
 // Package hollow runs schedulers without a listener for tasks, many in one process: each has the daemon's own membership
-// (peers) and watch of discovery (directory) on real sockets, and nothing else. Ownership and replication of jobs are not
-// among what it runs.
+// (peers) and watch of discovery (directory) on real sockets, and where the run wants them, ownership of jobs (owners) and
+// replicated ledgers (replicated). It holds records and replicas of other schedulers' jobs, and takes none itself.
 package hollow
 
 import (
@@ -14,9 +14,8 @@
 	"sync"
 	"time"
 
-	"laddertide/core/fleet"
+	"laddertide/core/history"
 	"laddertide/directory"
-	"laddertide/peers"
 	"laddertide/rehearse/loop"
 )
 
@@ -33,6 +32,17 @@
 	Expect      int           `json:"expect"` // members in all, those of other processes included
 	DialTimeout time.Duration `json:"dial_timeout_ns"`
 	Members     []Member      `json:"members"`
+
+	Ownership      bool    `json:"ownership"`       // members keep records of other schedulers' jobs
+	LedgerReplicas int     `json:"ledger_replicas"` // of each ledger; 0: ledgers are not replicated
+	Classes        []Class `json:"classes"`         // as in the schedulers' settings
+}
+
+// Class is a kind of jobs.
+type Class struct {
+	Name     string         `json:"name"`
+	Repeat   history.Repeat `json:"repeat"`
+	Deadline time.Duration  `json:"deadline_ns"`
 }
 
 // Member is one hollow scheduler.
@@ -41,11 +51,11 @@
 	Listen    string `json:"listen"`
 	Advertise string `json:"advertise"`
 	Discovery string `json:"discovery"`
+	Folder    string `json:"folder"` // for its ledger; it is made if it is needed
 }
 
 const (
 	mostConfig = 1 << 20
-	mostHold   = 30 * time.Second // as the daemon's default
 	lookEvery  = 50 * time.Millisecond
 )
 
@@ -64,7 +74,7 @@
 	}
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	members := make([]*peers.Peers, len(cfg.Members))
+	members := make([]*member, len(cfg.Members))
 	var starting, watching sync.WaitGroup
 	for i, m := range cfg.Members {
 		watching.Go(func() { watch(ctx, m.Discovery) })
@@ -80,9 +90,9 @@
 	starting.Wait()
 	defer watching.Wait()
 	defer func() {
-		for _, p := range members {
-			if p != nil {
-				p.Close()
+		for _, m := range members {
+			if m != nil {
+				m.close()
 			}
 		}
 	}()
@@ -108,25 +118,12 @@
 	if err := decoder.Decode(&cfg); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", file, err)
 	}
-	if len(cfg.Members) == 0 {
-		return Config{}, fmt.Errorf("%s: no members", file)
+	if err := cfg.check(); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", file, err)
 	}
 	return cfg, nil
 }
 
-// start starts one member's membership with the daemon's defaults.
-func start(ctx context.Context, cfg Config, m Member) (*peers.Peers, error) {
-	return peers.Start(ctx, peers.Config{
-		Name: m.Name,
-		Settings: peers.Settings{Listen: m.Listen, Advertise: m.Advertise, Join: cfg.Join, Cluster: cfg.Cluster,
-			Shares: peers.ByMayRun, Bans: true, Drains: true, Hold: mostHold},
-		Timing: peers.TimingOf(cfg.DialTimeout), Expect: cfg.Expect, Log: slog.New(slog.DiscardHandler),
-		Apply:   func() {},
-		Own:     func(string) fleet.Own { return fleet.Own{} },
-		Failing: func(string) {},
-	})
-}
-
 // watch follows discovery's list as a scheduler does.
 func watch(ctx context.Context, address string) {
 	watcher := &directory.Watcher{Address: address, Whole: true, Log: slog.New(slog.DiscardHandler),
@@ -135,13 +132,13 @@
 }
 
 // await waits until every member knows so many.
-func await(ctx context.Context, members []*peers.Peers, expect int) bool {
+func await(ctx context.Context, members []*member, expect int) bool {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
 		whole := true
-		for _, p := range members {
-			whole = whole && p != nil && p.Conclusion().Present >= expect
+		for _, m := range members {
+			whole = whole && m != nil && m.peers.Conclusion().Present >= expect
 		}
 		if whole {
 			return true
--- a/rehearse/scale/measurement/configuration.go
+++ b/rehearse/scale/measurement/configuration.go
@@ -22,17 +22,18 @@
 // Configuration is a measurement of changes of configuration as rehearse/configuration writes it: how long they took until
 // they were in force in all schedulers, and what they cost. Costs are means over schedulers or sources.
 type Configuration struct {
-	Command       string `json:"command"`
-	Commit        string `json:"commit"`
-	Date          string `json:"date"`
-	Case          string `json:"case"`
-	Schedulers    int    `json:"schedulers"`
-	Sources       int    `json:"sources"`
-	Regions       int    `json:"regions"`
-	RoundTripMS   int64  `json:"round_trip_ms"`
-	Changes       int    `json:"changes"`
-	ChangeEveryMS int64  `json:"change_every_ms"`
-	DocumentBytes int    `json:"document_bytes"`
+	Command       string  `json:"command"`
+	Commit        string  `json:"commit"`
+	Date          string  `json:"date"`
+	Machine       Machine `json:"machine"` // empty in files from before it was recorded
+	Case          string  `json:"case"`
+	Schedulers    int     `json:"schedulers"`
+	Sources       int     `json:"sources"`
+	Regions       int     `json:"regions"`
+	RoundTripMS   int64   `json:"round_trip_ms"`
+	Changes       int     `json:"changes"`
+	ChangeEveryMS int64   `json:"change_every_ms"`
+	DocumentBytes int     `json:"document_bytes"`
 
 	AcceptedP50MS float64 `json:"accepted_p50_ms"`
 	P50MS         float64 `json:"p50_ms"`
@@ -50,6 +51,11 @@
 	IdleCPUPercentOff        float64 `json:"idle_cpu_percent_off"`
 	SourceIdleBytesPerSecond float64 `json:"source_idle_bytes_per_second"`
 	SourceIdleCPUPercent     float64 `json:"source_idle_cpu_percent"`
+
+	// Of the sources at the end, the most of all; 0: not measured.
+	SourceMemoryPeakBytes float64 `json:"source_memory_peak_bytes,omitempty"`
+	SourceDescriptors     float64 `json:"source_descriptors,omitempty"`
+	SourceStateBytes      float64 `json:"source_state_bytes,omitempty"` // files of its folder
 }
 
 // Check returns the first mistake with the name of its field, or nil. Costs of a change are differences, and may be
@@ -81,7 +87,9 @@
 	return checkFigures([]figure{{"round_trip_ms", &roundTrip}, {"accepted_p50_ms", &c.AcceptedP50MS}, {"p50_ms", &c.P50MS},
 		{"worst_ms", &c.WorstMS}, {"after_heal_worst_ms", &c.AfterHealMS}, {"idle_bytes_per_second", &c.IdleBytesPerSecond},
 		{"idle_cpu_percent", &c.IdleCPUPercent}, {"idle_cpu_percent_off", &c.IdleCPUPercentOff},
-		{"source_idle_bytes_per_second", &c.SourceIdleBytesPerSecond}, {"source_idle_cpu_percent", &c.SourceIdleCPUPercent}})
+		{"source_idle_bytes_per_second", &c.SourceIdleBytesPerSecond}, {"source_idle_cpu_percent", &c.SourceIdleCPUPercent},
+		{"source_memory_peak_bytes", &c.SourceMemoryPeakBytes}, {"source_descriptors", &c.SourceDescriptors},
+		{"source_state_bytes", &c.SourceStateBytes}})
 }
 
 // DecodeConfiguration reads and checks one such file's content, as strictly as Decode.
--- a/rehearse/scale/members.go
+++ b/rehearse/scale/members.go
@@ -23,6 +23,7 @@
 
 // hollowMembers are the hollow schedulers of a run, in processes of their own, with a discovery of their own.
 type hollowMembers struct {
+	count     int
 	discovery *discovery.Discovery
 	processes []*daemon.Process
 	outputs   []*output
@@ -45,7 +46,7 @@
 }
 
 // startHollow starts the hollow members and waits until each knows all others. program is this kit's own.
-func startHollow(ctx context.Context, program string, dir string, plan *scenario.Plan, stage *run.Stage) (*hollowMembers, error) {
+func startHollow(ctx context.Context, program string, dir string, s *size.Size, plan *scenario.Plan, stage *run.Stage) (*hollowMembers, error) {
 	h := &hollowMembers{}
 	if len(stage.Others) == 0 {
 		return h, nil
@@ -53,13 +54,17 @@
 	if err := h.startDiscovery(plan, stage.Others); err != nil {
 		return nil, err
 	}
+	h.count = len(stage.Others)
 	for first := 0; first < len(stage.Others); first += size.HollowPerProcess {
 		some := stage.Others[first:min(len(stage.Others), first+size.HollowPerProcess)]
 		cfg := hollow.Config{Cluster: stage.Cluster, Join: stage.Join, Expect: len(plan.Schedulers) + plan.Others,
-			DialTimeout: dialTimeout}
+			DialTimeout: dialTimeout, Ownership: s.Schedulers.Ownership, LedgerReplicas: s.Schedulers.LedgerReplicas}
+		for _, c := range plan.Classes {
+			cfg.Classes = append(cfg.Classes, hollow.Class{Name: c.Name, Repeat: c.Repeat, Deadline: time.Duration(c.Deadline) * time.Microsecond})
+		}
 		for i, o := range some {
 			cfg.Members = append(cfg.Members, hollow.Member{Name: o.Name, Listen: o.Listen, Advertise: o.Advertise,
-				Discovery: h.discovery.Address(first + i)})
+				Discovery: h.discovery.Address(first + i), Folder: filepath.Join(dir, o.Name)})
 		}
 		if err := h.startProcess(program, filepath.Join(dir, fmt.Sprintf("hollow-%d.json", first)), cfg); err != nil {
 			h.close()
@@ -157,6 +162,14 @@
 	return ""
 }
 
+// discoverySent is how many bytes the members' discovery has sent.
+func (h *hollowMembers) discoverySent() (bytes int64) {
+	for i := range h.count {
+		bytes += h.discovery.Sent(i)
+	}
+	return bytes
+}
+
 func (h *hollowMembers) close() {
 	for _, p := range h.processes {
 		p.Kill()
--- a/rehearse/scale/page/configuration.go
+++ b/rehearse/scale/page/configuration.go
@@ -125,21 +125,60 @@
 	return t.String()
 }
 
-// sourceRows adds what a source of configuration takes at the size.
-func (r *report) sourceRows(t *table) {
+// sourceRow is a row of what a source of configuration takes at the size.
+func (r *report) sourceRow(t *table, row budgetRow) {
+	name := row.resource + ", " + row.unit
+	f := r.sourceFigure(row.resource)
+	if f == nil {
+		t.row(roleName(row.role), name, "", "", "none", string(notMeasured), "", row.mechanism, "")
+		return
+	}
 	c := r.plainConfiguration()
-	if c == nil {
+	if f.perChange == nil {
+		t.row(roleName(row.role), name, "measured", measured(f.idle), "none", string(noBudget),
+			fmt.Sprintf("the most of %d sources with %d schedulers after %s changes", c.Sources, c.Schedulers, number(float64(c.Changes))),
+			row.mechanism, c.Name)
 		return
 	}
 	perSecond := r.fleet.Configuration.ChangesPerDay / secondsOfDay
-	row := func(resource, unit string, idle, change float64) {
-		t.row(roleName(measurement.ConfigurationSource), resource+", "+unit,
-			fmt.Sprintf("%s + %s × changes/s", measured(idle), measured(change)), measured(idle+change*perSecond), "none",
-			string(noBudget), fmt.Sprintf("computed from %s changes with %d schedulers to %s a day", number(float64(c.Changes)),
-				c.Schedulers, number(r.fleet.Configuration.ChangesPerDay)), "`configuration/source`", c.Name)
-	}
-	row(controlBytes, bytesASecond, c.SourceIdleBytesPerSecond, c.SourceBytesPerChange)
-	row(cpu, percentOfACore, c.SourceIdleCPUPercent, percent*c.SourceCPUPerChange/microseconds)
+	t.row(roleName(row.role), name, fmt.Sprintf("%s + %s × changes/s", measured(f.idle), measured(*f.perChange)),
+		measured(f.idle+*f.perChange*perSecond), "none", string(noBudget),
+		fmt.Sprintf("computed from %s changes with %d schedulers to %s a day", number(float64(c.Changes)), c.Schedulers,
+			number(r.fleet.Configuration.ChangesPerDay)), row.mechanism, c.Name)
+}
+
+// sourceFigure is what one source of configuration takes.
+type sourceFigure struct {
+	idle      float64
+	perChange *float64 // nil: idle is all, and holds after the measurement's changes
+}
+
+// sourceFigure returns what a source takes of a resource, or nil if that was not measured.
+func (r *report) sourceFigure(resource string) *sourceFigure {
+	c := r.plainConfiguration()
+	if c == nil {
+		return nil
+	}
+	held := func(amount float64) *sourceFigure {
+		if amount == 0 {
+			return nil
+		}
+		return &sourceFigure{idle: amount}
+	}
+	switch resource {
+	case cpu:
+		perChange := percent * c.SourceCPUPerChange / microseconds
+		return &sourceFigure{c.SourceIdleCPUPercent, &perChange}
+	case controlBytes:
+		return &sourceFigure{c.SourceIdleBytesPerSecond, &c.SourceBytesPerChange}
+	case memoryPeak:
+		return held(c.SourceMemoryPeakBytes)
+	case descriptors:
+		return held(c.SourceDescriptors)
+	case state:
+		return held(c.SourceStateBytes)
+	}
+	return nil
 }
 
 // propagation is how long changes of configuration took.
--- a/rehearse/scale/page/page_test.go
+++ b/rehearse/scale/page/page_test.go
@@ -342,6 +342,28 @@
 	}
 }
 
+// A source's costs of changes are computed to the size's rate; what it holds is the most that was measured, and a row without a
+// measurement says so.
+func TestRowsOfASource(t *testing.T) {
+	s := fleetSize(t)
+	run := plainRun()
+	run.SourceIdleBytesPerSecond, run.SourceBytesPerChange, run.SourceMemoryPeakBytes = 1000, 8640, 12_000_000
+	r := newReport(s, nil, []measurement.NamedConfiguration{{Name: "a.json", Configuration: &run}}, always)
+	budgets := r.budgets()
+	for _, want := range []string{
+		"| configuration source | control bytes, bytes/s | 1,000 + 8,640 × changes/s | 1,110 |",
+		"| configuration source | memory, peak, bytes | measured | 12,000,000 | none | no budget stated | the most of 3 sources",
+		"| configuration source | descriptors, open at once |  |  | none | not measured |",
+	} {
+		if !strings.Contains(budgets, want) {
+			t.Errorf("no row\n%s\nin\n%s", want, budgets)
+		}
+	}
+	if without := newReport(s, nil, nil, always).budgets(); !strings.Contains(without, "| configuration source | CPU, % of a core |  |  | none | not measured |") {
+		t.Errorf("no measurement, and no row that says so:\n%s", without)
+	}
+}
+
 func TestFailuresShowTheWorst(t *testing.T) {
 	s := fleetSize(t)
 	point := func(during, back *float64, broken ...string) measurement.Point {
--- a/rehearse/scale/page/report.go
+++ b/rehearse/scale/page/report.go
@@ -63,6 +63,10 @@
 	t := newTable("role", "resource", "formula", "figure at the size", "budget", "verdict", "measured or computed", "mechanism",
 		"from")
 	for _, row := range budgetRows() {
+		if row.role == measurement.ConfigurationSource {
+			r.sourceRow(t, row)
+			continue
+		}
 		f := r.rowFigure(row)
 		budget := row.budget(r.fleet)
 		name := fmt.Sprintf("%s, %s", row.resource, row.unit)
@@ -88,7 +92,6 @@
 			strings.Join(f.files(), ", "))
 	}
 	r.perUnitRows(t)
-	r.sourceRows(t)
 	return t.String()
 }
 
@@ -309,12 +312,18 @@
 		for _, reason := range order {
 			why = append(why, fmt.Sprintf("%d: %s", reasons[reason], reason))
 		}
-		machine := fmt.Sprintf("%s, %d cores, %s GB", f.Machine.CPU, f.Machine.Cores, measured(float64(f.Machine.Memory)/1e9))
-		t.row(f.Name, code(f.Command), f.Commit+", "+f.Date, machine, fmt.Sprintf("%d of %d", valid, len(f.Points)),
+		t.row(f.Name, code(f.Command), f.Commit+", "+f.Date, machineText(f.Machine), fmt.Sprintf("%d of %d", valid, len(f.Points)),
 			strings.Join(why, "; "))
 	}
 	for _, c := range r.configurations {
-		t.row(c.Name, code(c.Command), c.Commit+", "+c.Date, "not recorded", "1 of 1", "")
+		t.row(c.Name, code(c.Command), c.Commit+", "+c.Date, machineText(c.Machine), "1 of 1", "")
 	}
 	return t.String()
 }
+
+func machineText(m measurement.Machine) string {
+	if m == (measurement.Machine{}) {
+		return "not recorded"
+	}
+	return fmt.Sprintf("%s, %d cores, %s GB", m.CPU, m.Cores, measured(float64(m.Memory)/1e9))
+}
--- a/rehearse/scale/plan.go
+++ b/rehearse/scale/plan.go
@@ -9,6 +9,7 @@
 	"laddertide/core/history"
 	"laddertide/core/traffic"
 	"laddertide/core/world"
+	"laddertide/rehearse/scale/hollow"
 	"laddertide/rehearse/scale/size"
 	"laddertide/rehearse/scenario"
 )
@@ -16,8 +17,8 @@
 // planOf makes the plan of a run: the scenario's draw for all that a size does not say, and the size for the rest. The
 // window begins after leadIn and ends with the plan.
 func planOf(s *size.Size, seed uint64, leadIn, window time.Duration) (*scenario.Plan, error) {
-	text := fmt.Sprintf("{name: scale-%s, seconds: %g, workers: %d, schedulers: %d, rate: %g, load: 0.5, retries: %d, peers: {}}",
-		s.Name, (leadIn + window).Seconds(), s.Workers.Count, s.Schedulers.Real, s.Tasks.StartsPerS, s.Tasks.Retries)
+	text := fmt.Sprintf("{name: scale-%s, seconds: %g, workers: %d, schedulers: %d, rate: %g, load: 0.5, retries: %d, peers: {}%s}",
+		s.Name, (leadIn + window).Seconds(), s.Workers.Count, s.Schedulers.Real, s.Tasks.StartsPerS, s.Tasks.Retries, optionalParts(s))
 	sc, err := scenario.Parse(s.Name+".yaml", []byte(text))
 	if err != nil {
 		return nil, err
@@ -36,6 +37,25 @@
 	return plan, nil
 }
 
+// Folders of a scheduler with a replicated ledger, within its own.
+const (
+	ledgerFolder = "ledger"
+	groupsFolder = "groups"
+)
+
+// optionalParts are the keys of a scenario that turn on what a size may leave off.
+func optionalParts(s *size.Size) string {
+	parts := ""
+	if s.Schedulers.Ownership {
+		parts += ", owners: {first_s: 0}" // all schedulers start for the first time
+	}
+	if n := s.Schedulers.LedgerReplicas; n > 0 {
+		operators := fmt.Sprintf("durable: {dir: %s}\nreplicated: {dir: %s, replicas: %d, max_mb: %d}\n", ledgerFolder, groupsFolder, n, hollow.LedgerMB)
+		parts += fmt.Sprintf(", operators: %q, folders: [%s, %s]", operators, ledgerFolder, groupsFolder)
+	}
+	return parts
+}
+
 // spread puts schedulers into zones, regions in turn, and sets how far zones are from each other.
 func spread(plan *scenario.Plan, s *size.Size) {
 	names, region := s.Zones()
--- a/rehearse/scale/scale.go
+++ b/rehearse/scale/scale.go
@@ -94,7 +94,7 @@
 	sess := session.Session{Program: opt.Program, Out: opt.Out, Extend: func(o *run.Options) {
 		o.Others = hollowNames(plan)
 		o.Prepare = func(ctx context.Context, stage *run.Stage) error {
-			started, err := startHollow(ctx, opt.Kit, dir, plan, stage)
+			started, err := startHollow(ctx, opt.Kit, dir, s, plan, stage)
 			if err == nil {
 				members = started
 			}
@@ -107,7 +107,7 @@
 			if opt.beside != nil {
 				others.Go(func() { opt.beside(ctx, stage) })
 			}
-			res.Window = watchWindow(ctx, stage, os.Getpid(), stage.Start.Add(opt.LeadIn), opt.Window)
+			res.Window = watchWindow(ctx, stage, members, os.Getpid(), stage.Start.Add(opt.LeadIn), opt.Window)
 			lost = members.lost()
 		}
 		if !opt.Whole {
@@ -135,8 +135,8 @@
 	p.WhyNot = whyNot(res, plan, lost)
 	p.Valid = p.WhyNot == ""
 	if res.Window.whyNot == "" {
-		u, disagreement := usage(&res.Window)
-		p.Roles = append(p.Roles, u)
+		u, disagreement := usage(&res.Window, s.Schedulers.LedgerReplicas > 0)
+		p.Roles = append(p.Roles, u, discoveryUsage(&res.Window))
 		if disagreement != "" && p.Valid {
 			p.Valid, p.WhyNot = false, "counts of bytes disagree by more than 5%: "+disagreement
 		}
--- a/rehearse/scale/scale_test.go
+++ b/rehearse/scale/scale_test.go
@@ -82,6 +82,39 @@
 	}
 }
 
+// Hollow schedulers keep records and replicas of ledgers for the real ones, whose tasks end as ever.
+func TestSmallFleetWithReplicatedLedgers(t *testing.T) {
+	opt, s := options(t), small(t)
+	opt.Whole = true
+	s.Schedulers.Ownership, s.Schedulers.LedgerReplicas = true, 3
+	res, err := Play(t.Context(), s, 1, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &res.Point
+	t.Logf("valid %t %s", p.Valid, p.WhyNot)
+	if !p.Valid && !ofTheMachine(p.WhyNot) {
+		t.Errorf("does not count: %s", p.WhyNot)
+	}
+	if p.Parameters.Members != 3 || p.Parameters.ReplicatedGroups != 5 {
+		t.Errorf("%+v", p.Parameters)
+	}
+	u := p.Usage(measurement.LedgerMember)
+	if u == nil || p.Usage(measurement.Scheduler) != nil {
+		t.Fatalf("%+v", p.Roles)
+	}
+	for _, direction := range []measurement.Direction{measurement.Sent, measurement.Received} {
+		if !slices.ContainsFunc(u.Traffic, func(c measurement.Traffic) bool {
+			return c.Kind == kindLedger && c.Direction == direction && *c.Bytes > 0
+		}) {
+			t.Errorf("no bytes of replicated ledgers were %s: %+v", direction, u.Traffic)
+		}
+	}
+	if p.Service == nil || len(p.Service.RulesBroken) > 0 || p.Service.Done == 0 {
+		t.Errorf("%+v; %v", p.Service, res.Report.Verdict.Breaches)
+	}
+}
+
 func TestFailureKeepsRulesAndSaysWhatItCost(t *testing.T) {
 	opt := options(t)
 	opt.Shorten = 0.3
--- a/rehearse/scale/size/check.go
+++ b/rehearse/scale/size/check.go
@@ -90,7 +90,29 @@
 			return mistake(r.path, "%g is not between %g and %g", r.value, r.lo, r.hi)
 		}
 	}
-	return errors.Join(s.checkClasses(), s.checkZones(), s.checkLoad())
+	return errors.Join(s.checkLedger(), s.checkClasses(), s.checkZones(), s.checkLoad())
+}
+
+// Replicas of a ledger, as the daemon takes them.
+const (
+	leastReplicas = 2
+	mostReplicas  = 7
+)
+
+func (s *Size) checkLedger() error {
+	const key = "schedulers.ledger_replicas"
+	replicas, members := s.Schedulers.LedgerReplicas, s.Schedulers.Real+s.Schedulers.Hollow
+	switch {
+	case replicas == 0:
+		return nil
+	case replicas < leastReplicas || replicas > mostReplicas:
+		return mistake(key, "%d is neither 0 nor between %d and %d", replicas, leastReplicas, mostReplicas)
+	case !s.Schedulers.Ownership:
+		return mistake(key, "a replicated ledger needs schedulers.ownership")
+	case replicas > members:
+		return mistake(key, "%d replicas are more than the %d schedulers", replicas, members)
+	}
+	return nil
 }
 
 func (s *Size) checkClasses() error {
--- a/rehearse/scale/size/size.go
+++ b/rehearse/scale/size/size.go
@@ -36,6 +36,9 @@
 	Real     int `yaml:"real"`     // processes of the daemon, which take all tasks and are measured
 	Hollow   int `yaml:"hollow"`   // members without a listener for tasks
 	Machines int `yaml:"machines"` // set aside for control
+
+	Ownership      bool `yaml:"ownership"`       // each task has one owner among all members, real and hollow
+	LedgerReplicas int  `yaml:"ledger_replicas"` // of each member's ledger; 0: ledgers are not replicated. It needs ownership
 }
 
 // Tasks are what clients ask for.
--- a/rehearse/scale/sweep.go
+++ b/rehearse/scale/sweep.go
@@ -62,6 +62,10 @@
 			func(s *size.Size, _ *Options, v float64) { s.Schedulers.Hollow = int(v) }},
 		{"changes", measurement.ChangesPerDay, fixed(0, 43_200, 86_400, 172_800, 259_200),
 			func(_ *size.Size, opt *Options, v float64) { opt.Changes = v / secondsOfDay }},
+		{"ledger-replicas", measurement.Members, fixed(2, 3, 4, 5, 7),
+			func(s *size.Size, _ *Options, v float64) {
+				s.Schedulers.Ownership, s.Schedulers.LedgerReplicas = true, int(v)
+			}},
 		{"round-trip", measurement.RoundTripMS, fixed(2, 40, 80, 120, 160),
 			func(s *size.Size, _ *Options, v float64) { s.Network.RegionsRoundTripMS = v }},
 	}
--- a/rehearse/scale/table.go
+++ b/rehearse/scale/table.go
@@ -31,7 +31,11 @@
 func rowOf(varied measurement.Parameter, p *measurement.Point) table.Row {
 	value, _ := p.Parameters.Value(varied)
 	row := table.Row{fmt.Sprintf("%g", value), p.Seed}
-	if u := p.Usage(measurement.Scheduler); u != nil && p.WindowSeconds > 0 {
+	u := p.Usage(measurement.Scheduler)
+	if u == nil {
+		u = p.Usage(measurement.LedgerMember)
+	}
+	if u != nil && p.WindowSeconds > 0 {
 		bytes, packets := control(u)
 		row = append(row, fmt.Sprintf("%.2f", 100**u.CPUSeconds/p.WindowSeconds), fmt.Sprintf("%.1f", *u.MemorySteady/megabyte),
 			fmt.Sprintf("%.1f", *u.MemoryPeak/megabyte), *u.Descriptors, fmt.Sprintf("%.0f", bytes/p.WindowSeconds),
--- a/rehearse/scale/usage.go
+++ b/rehearse/scale/usage.go
@@ -13,6 +13,7 @@
 const (
 	kindMembership         = "membership"          // packets
 	kindMembershipExchange = "membership exchange" // connections for all that a member knows
+	kindLedger             = "ledger"              // connections between members of replicated ledgers
 	kindDiscovery          = "discovery"
 	kindJob                = "job" // all connections and files but those of control
 )
@@ -35,10 +36,13 @@
 func streamBytes(c links.Counts) int64 { return c.StreamBytes }
 
 // usage makes means over schedulers of what a window counted. disagreement says where the daemon's counts and the relays'
-// are further apart than they may be.
-func usage(w *window) (u measurement.Usage, disagreement string) {
+// are further apart than they may be. A scheduler whose ledger is replicated counts as a member of that.
+func usage(w *window, replicated bool) (u measurement.Usage, disagreement string) {
 	n := len(w.begin.schedulers)
 	u = measurement.Usage{Role: measurement.Scheduler, Instances: n}
+	if replicated {
+		u.Role = measurement.LedgerMember
+	}
 	mean := func(of func(before, after *look) float64) float64 {
 		sum := 0.0
 		for i := range w.begin.schedulers {
@@ -70,7 +74,12 @@
 		control(kindMembership, side.direction, pointer(own("packets"+side.suffix)), ownPackets, measurement.DaemonCounter)
 		control(kindMembership, side.direction, relays(packetCount), packets, measurement.Relay)
 		control(kindMembershipExchange, side.direction, nil, ownStreams, measurement.DaemonCounter)
-		control(kindMembershipExchange, side.direction, nil, streams, measurement.Relay)
+		if replicated { // the daemon does not count connections between members of a ledger, and the relays count all
+			control(kindLedger, side.direction, nil, pointer(max(0, *streams-*ownStreams)), measurement.Relay)
+			streams = ownStreams
+		} else {
+			control(kindMembershipExchange, side.direction, nil, streams, measurement.Relay)
+		}
 		disagreement += apart("membership "+string(side.direction), *ownPackets+*ownStreams, *packets+*streams)
 	}
 	lists := mean(func(a, b *look) float64 { return float64(b.page.Discovery.Lists - a.page.Discovery.Lists) })
@@ -83,6 +92,18 @@
 	return u, disagreement
 }
 
+// discoveryUsage is what discovery sent to all schedulers, hollow ones included. What the kit's stand-in takes of the machine says
+// nothing of the platform's own and is left out.
+func discoveryUsage(w *window) measurement.Usage {
+	sent := w.end.hollowDiscovery - w.begin.hollowDiscovery
+	for i := range w.begin.schedulers {
+		sent += w.end.schedulers[i].discoverySent - w.begin.schedulers[i].discoverySent
+	}
+	return measurement.Usage{Role: measurement.Discovery, Instances: 1, Traffic: []measurement.Traffic{
+		{Kind: kindDiscovery, Path: measurement.Control, Direction: measurement.Sent, Bytes: pointer(float64(sent)), Source: measurement.Relay},
+	}}
+}
+
 // jobTraffic is what the system counted on connections and files, less what connections for control carried.
 func jobTraffic(own func(string) float64, mean func(func(a, b *look) float64) float64, discovery float64) []measurement.Traffic {
 	read := mean(func(a, b *look) float64 { return float64(b.system.Read - a.system.Read) })
@@ -109,7 +130,16 @@
 		Workers: float64(s.Workers.Count), Accelerators: float64(s.Workers.Accelerators), TasksRunning: float64(s.Tasks.Running),
 		TaskStartsPerSecond: s.Tasks.StartsPerS, Tenants: float64(s.Tenants.Count), Schedulers: float64(s.Schedulers.Real),
 		HollowSchedulers: float64(s.Schedulers.Hollow), Regions: float64(len(s.Regions)), RoundTripMS: s.Network.RegionsRoundTripMS,
+		Members: float64(s.Schedulers.LedgerReplicas), ReplicatedGroups: float64(ledgers(s)),
+	}
+}
+
+// ledgers is how many replicated ones there are: one of each member.
+func ledgers(s *size.Size) int {
+	if s.Schedulers.LedgerReplicas == 0 {
+		return 0
 	}
+	return s.Schedulers.Real + s.Schedulers.Hollow
 }
 
 func pointer(x float64) *float64 { return &x }
--- a/rehearse/scale/watch.go
+++ b/rehearse/scale/watch.go
@@ -36,12 +36,14 @@
 	schedulers []look
 	machine    process.Machine
 	kitCPU     time.Duration
+
+	hollowDiscovery int64 // bytes that hollow schedulers' discovery has sent
 }
 
 // takeSnapshot looks at all schedulers. The system's counts are read last at the beginning of a window and first at its end,
 // so that answering for the page is no part of it.
-func takeSnapshot(stage *run.Stage, kit int, begin bool) (snapshot, error) {
-	var s snapshot
+func takeSnapshot(stage *run.Stage, members *hollowMembers, kit int, begin bool) (snapshot, error) {
+	s := snapshot{hollowDiscovery: members.discoverySent()}
 	processes := stage.Processes()
 	s.schedulers = make([]look, len(processes))
 	parts := []func(i int, p run.Process, l *look) error{
@@ -94,13 +96,13 @@
 const sampleEvery = 500 * time.Millisecond
 
 // watchWindow counts from a time for so long. A mistake of the rig is why the window does not count.
-func watchWindow(ctx context.Context, stage *run.Stage, kit int, from time.Time, length time.Duration) (w window) {
+func watchWindow(ctx context.Context, stage *run.Stage, members *hollowMembers, kit int, from time.Time, length time.Duration) (w window) {
 	if !sleepUntil(ctx, from) {
 		w.whyNot = "the run ended before the window"
 		return w
 	}
 	var err error
-	if w.begin, err = takeSnapshot(stage, kit, true); err != nil {
+	if w.begin, err = takeSnapshot(stage, members, kit, true); err != nil {
 		w.whyNot = err.Error()
 		return w
 	}
@@ -120,7 +122,7 @@
 			return w
 		}
 	}
-	if w.end, err = takeSnapshot(stage, kit, false); err != nil {
+	if w.end, err = takeSnapshot(stage, members, kit, false); err != nil {
 		w.whyNot = err.Error()
 		return w
 	}
