rehearse scale: tasks that a failure finds in hand are its cost, not service before it

Change: tasks meant within three mean running times before the failure (half of the time before it at the most) count as during.

--- a/rehearse/scale/failures.go
+++ b/rehearse/scale/failures.go
@@ -119,7 +119,7 @@
 	if f.standsFor != nil {
 		out.StandsForSeconds = f.standsFor(s)
 	}
-	cost(&out, res, plan, opt.LeadIn, at, until)
+	cost(&out, s, res, plan, opt.LeadIn, at, until)
 	out.Messages, out.Bytes = meter.caused()
 	res.Point.Failures = []measurement.Failure{out}
 	return &res.Point, nil
@@ -128,9 +128,20 @@
 // backShare is how much of the service from before counts as back.
 const backShare = 0.97
 
+// inHandMeans is for how many mean running times before a failure tasks count as being in hand when it strikes: of running times
+// that vary as much as their mean, a twentieth is longer than three.
+const inHandMeans = 3
+
+// inHand is how long before a failure a task may have been meant that the failure still finds running; half of the time that
+// there is before the failure at the most, as some must be left to compare with.
+func inHand(s *size.Size, before time.Duration) time.Duration {
+	return min(before/2, seconds(inHandMeans*s.MeanRunS())).Truncate(time.Second)
+}
+
 // cost fills in the service before and during a failure, and when it was back: by the time for which tasks were meant, in
-// steps of a second. Worth goes by what was earned in the end.
-func cost(f *measurement.Failure, res *Result, plan *scenario.Plan, from, at, until time.Duration) {
+// steps of a second. Worth goes by what was earned in the end. What a failure finds in hand is lost to it, and counts as
+// during.
+func cost(f *measurement.Failure, s *size.Size, res *Result, plan *scenario.Plan, from, at, until time.Duration) {
 	start := time.Duration(res.Report.Figures.End) // replaced below if the setup says it
 	if len(res.Events) > 0 {
 		for i := range res.Events {
@@ -150,12 +161,13 @@
 		}
 		return earned / max(worth, math.SmallestNonzeroFloat64), worth > 0
 	}
-	before, ok := share(from, at)
+	struck := at - inHand(s, at-from)
+	before, ok := share(from, struck)
 	if !ok {
 		return
 	}
 	f.ServiceBefore = pointer(min(1, before))
-	if during, ok := share(at, until); ok {
+	if during, ok := share(struck, until); ok {
 		f.ServiceDuring = pointer(min(1, during))
 	}
 	const steady = 3 * time.Second // for which it must stay back
