configuration: a new cluster goes on from what a scheduler keeps, after a majority is lost

Need: two of three sources lost with their disks left no way on but another cluster name, a restart of every scheduler and a document from nowhere (open in docs/design/configuration.md).

--- a/core/configuration/machine.go
+++ b/core/configuration/machine.go
@@ -60,7 +60,13 @@
 	return result, !result.Fresh && (result.Code != wire.Conflict || c.Base < m.Newest())
 }
 
+// MaxFirstBase is the highest version from which the first change of a cluster can be made: versions must not run out after it.
+const MaxFirstBase = 1 << 62
+
 // Apply applies a change. It is accepted if it was made from the newest version, and was not accepted before.
+//
+// The first change of all may be made from any version up to MaxFirstBase. A cluster that takes the place of one whose majority
+// was lost so begins behind all versions that followers may have had, and they go on with it: they take newer ones alone.
 func (m *Machine) Apply(c *wire.Change) Result {
 	result := m.judge(c)
 	if !result.Fresh {
@@ -83,10 +89,11 @@
 		}
 		return Result{Code: wire.RequestReuse, Version: newest}
 	}
-	if c.Base != newest {
+	first := newest == 0 && c.Base <= MaxFirstBase
+	if c.Base != newest && !first {
 		return Result{Code: wire.Conflict, Version: newest}
 	}
-	return Result{Code: wire.Accepted, Version: newest + 1, Fresh: true}
+	return Result{Code: wire.Accepted, Version: c.Base + 1, Fresh: true}
 }
 
 // byRequest finds a change by its request id. One that is no longer remembered is a conflict by its base, so it is never
