rehearse/configuration: measure changes while a zone is lost and while all schedulers restart

Need: figures of changes under failures; only the leader's end and a cut had a case. Change: cases zone-loss and all-schedulers, each fault in a table of its own.

--- a/rehearse/configuration/measure_test.go
+++ b/rehearse/configuration/measure_test.go
@@ -21,8 +21,10 @@
 // Cases of a measurement.
 const (
 	casePlain  = measurement.CaseWithoutFailure
-	caseLeader = "leader-kill" // the leader is killed after a third of the changes, and started again after two thirds
-	caseRegion = "region-cut"  // a region without the leader is cut off after a third of the changes, until two thirds
+	caseLeader = "leader-kill"    // the leader is killed after a third of the changes, and started again after two thirds
+	caseRegion = "region-cut"     // a region without the leader is cut off after a third of the changes, until two thirds
+	caseZone   = "zone-loss"      // the source and the schedulers of such a region are killed, and started again, at those times
+	caseAll    = "all-schedulers" // all schedulers are killed after a third of the changes, and started again at once
 )
 
 const (
@@ -94,41 +96,104 @@
 	proposed, accepted []time.Time
 	first              uint64 // the version of the first one
 	last               []byte
-	healed             time.Time // region-cut
-	cutRegion          int       // -1: none
+	leader             *sourceProcess   // as the run began
+	ask                []*sourceProcess // who is there to be asked
+	following          []*schedulerProcess
+	healed             time.Time // when the region that was away was to come back
+	awayRegion         int       // -1: none
+}
+
+// fault is what fails after a third of a run's changes, and how it ends after two thirds. mend may be nil.
+type fault struct{ strike, mend func(*rig, *changesMade) }
+
+// faults are those of the cases.
+var faults = map[string]fault{
+	casePlain: {strike: func(*rig, *changesMade) {}},
+	caseLeader: {
+		strike: func(_ *rig, run *changesMade) {
+			run.ask = slices.DeleteFunc(run.ask, func(p *sourceProcess) bool { return p == run.leader })
+			run.leader.kill()
+		},
+		mend: func(_ *rig, run *changesMade) { run.leader.start() },
+	},
+	caseRegion: {
+		strike: func(r *rig, run *changesMade) {
+			run.loseRegion()
+			r.cut(run.awayRegion)
+		},
+		mend: func(r *rig, run *changesMade) {
+			r.heal()
+			run.healed = time.Now()
+		},
+	},
+	caseZone: {
+		strike: func(r *rig, run *changesMade) {
+			run.loseRegion()
+			r.eachOf(run.awayRegion, (*sourceProcess).kill, (*schedulerProcess).kill)
+		},
+		mend: func(r *rig, run *changesMade) {
+			run.healed = time.Now()
+			r.eachOf(run.awayRegion, (*sourceProcess).start, func(p *schedulerProcess) { p.start() })
+		},
+	},
+	caseAll: {
+		strike: func(_ *rig, run *changesMade) {
+			for _, p := range run.following {
+				p.kill()
+			}
+			for _, p := range run.following {
+				p.start()
+			}
+		},
+	},
+}
+
+// loseRegion chooses a region without the leader: nobody asks its source any more.
+func (c *changesMade) loseRegion() {
+	c.awayRegion = (c.leader.region + 1) % regions
+	c.ask = slices.DeleteFunc(c.ask, func(p *sourceProcess) bool { return p.region == c.awayRegion })
 }
 
 // makeChanges proposes changes, one after the other, and lets fail what the case says meanwhile.
 func (r *rig) makeChanges(m *measurement.Configuration, version uint64) *changesMade {
 	r.t.Helper()
-	run := &changesMade{first: version + 1, cutRegion: -1}
-	leader := r.leader()
-	ask := slices.Clone(r.sources)
+	during, known := faults[m.Case]
+	if !known {
+		r.t.Fatalf("there is no case %q", m.Case)
+	}
+	run := &changesMade{first: version + 1, leader: r.leader(), ask: slices.Clone(r.sources), following: r.schedulers[:m.Schedulers],
+		awayRegion: -1}
 	for i := range m.Changes {
 		switch {
-		case m.Case == caseLeader && i == m.Changes/3:
-			ask = slices.DeleteFunc(ask, func(p *sourceProcess) bool { return p == leader })
-			leader.kill()
-		case m.Case == caseLeader && i == 2*m.Changes/3:
-			leader.start()
-		case m.Case == caseRegion && i == m.Changes/3:
-			run.cutRegion = (leader.region + 1) % regions
-			ask = slices.DeleteFunc(ask, func(p *sourceProcess) bool { return p.region == run.cutRegion })
-			r.cut(run.cutRegion)
-		case m.Case == caseRegion && i == 2*m.Changes/3:
-			r.heal()
-			run.healed = time.Now()
+		case i == m.Changes/3:
+			during.strike(r, run)
+		case i == 2*m.Changes/3 && during.mend != nil:
+			during.mend(r, run)
 		}
 		run.last = r.document(i + 1)
 		began := time.Now()
 		run.proposed = append(run.proposed, began)
-		version = r.propose(version, run.last, ask, i)
+		version = r.propose(version, run.last, run.ask, i)
 		run.accepted = append(run.accepted, time.Now())
 		time.Sleep(time.Until(began.Add(changeEvery)))
 	}
 	return run
 }
 
+// eachOf does something to the source and the schedulers of a region. The scheduler without the section stays as it is.
+func (r *rig) eachOf(region int, source func(*sourceProcess), scheduler func(*schedulerProcess)) {
+	for _, p := range r.sources {
+		if p.region == region {
+			source(p)
+		}
+	}
+	for _, p := range r.schedulers {
+		if p.region == region && !p.off {
+			scheduler(p)
+		}
+	}
+}
+
 // propose makes a change, asking the next source wherever one cannot tell, and returns its version.
 func (r *rig) propose(base uint64, document []byte, ask []*sourceProcess, turn int) uint64 {
 	r.t.Helper()
@@ -217,12 +282,15 @@
 			if at == len(all) {
 				r.t.Fatalf("%s never had version %d", p.name, run.first+uint64(i))
 			}
-			if p.region != run.cutRegion {
+			if p.region != run.awayRegion {
 				inForce[i] = max(inForce[i], ms(all[at].at.Sub(run.proposed[i])))
 			}
 		}
-		if p.region == run.cutRegion {
-			healed := slices.IndexFunc(all, func(c change) bool { return c.at.After(run.healed) })
+		if p.region == run.awayRegion {
+			healed := slices.IndexFunc(all, func(c change) bool { return c.at.After(run.healed) && !c.fromDisk })
+			if healed < 0 {
+				r.t.Fatalf("%s has no version that came after its region was back", p.name)
+			}
 			m.AfterHealMS = max(m.AfterHealMS, ms(all[healed].at.Sub(run.healed)))
 		}
 	}
