--- a/core/owners/roster.go
+++ b/core/owners/roster.go
@@ -153,13 +153,16 @@
 	told      map[Process]bool  // of present: who has told what it kept
 	before    map[uint64]Roster // those that some have kept by before
 	gone      map[Process]time.Duration
-	Why       string // what is waited for, in words for operators; empty: nothing
+	proxies   map[Process]Process // processes that are over, and who tells for them
+	formers   []Former            // processes of this scheduler's name that are over, and for which it tells
+	changes   uint64              // of what State returns
+	Why       string              // what is waited for, in words for operators; empty: nothing
 }
 
 // NewRosters begins with no roster. life is how long any record counts; first and settle as above.
 func NewRosters(me Process, k int, life, first, settle, now time.Duration) *Rosters {
 	return &Rosters{me: me, k: k, life: life, first: first, settle: settle, began: now, before: make(map[uint64]Roster),
-		told: make(map[Process]bool), gone: make(map[Process]time.Duration)}
+		told: make(map[Process]bool), gone: make(map[Process]time.Duration), proxies: make(map[Process]Process)}
 }
 
 // Live takes how long any record counts, if that is longer than before: those of before still do.
@@ -172,10 +175,71 @@
 	}
 	r.remembers = true
 	r.present, r.reading = NewRoster(all, r.k), false
+	r.changes++
 	r.before[r.present.digest] = r.present
 	r.began = now
 }
 
+// Former is what a process of this scheduler's name, which is over, has left on disk: the rosters by which it kept records, and
+// what was in doubt there. A scheduler that has all of its records tells them in its place, so that nobody has to wait until they
+// count no more.
+type Former struct {
+	Process Process
+	Until   time.Duration // from then on nothing that it kept counts any more
+	Lasts   [][]Process   // as [Rosters.Lasts] of that process, and the one that was being read for
+	Unsure  [][]Process   // as [Rosters.Unsure]
+}
+
+// Inherit takes what former processes have left. All of their records that still count must be in this scheduler's table by then.
+// It is called before the first Look.
+func (r *Rosters) Inherit(formers []Former) {
+	r.formers = formers
+	for _, f := range formers {
+		for _, last := range f.Lasts {
+			r.Before(last)
+		}
+		r.Doubted(f.Unsure)
+		r.remembers = r.remembers || len(f.Lasts) > 0
+	}
+}
+
+// Tells takes word that a member tells for processes that are over. Whether it does is known once it has; until then this says that
+// they can be asked.
+func (r *Rosters) Tells(member Process, formers []Process) {
+	if len(r.proxies)+len(formers) > mostProxies {
+		clear(r.proxies) // they say so again
+	}
+	for _, p := range formers {
+		r.proxies[p] = member
+	}
+}
+
+// mostProxies is for how many processes that are over it is remembered who tells for them.
+const mostProxies = 1024
+
+// Formers are the former processes whose records may still count.
+func (r *Rosters) Formers(now time.Duration) []Former {
+	r.formers = slices.DeleteFunc(r.formers, func(f Former) bool { return now >= f.Until })
+	return r.formers
+}
+
+// Changes counts the changes of what State returns. A change that only ends doubts is none: who reads of more of them than there
+// are waits for nothing worse.
+func (r *Rosters) Changes() uint64 { return r.changes }
+
+// State is what the next process of this scheduler's name has to know of the rosters by which this one keeps, if it has this one's
+// records.
+func (r *Rosters) State() (lasts, unsure [][]Process) {
+	lasts = slices.DeleteFunc(r.Lasts(), func(last []Process) bool { return len(last) == 0 })
+	if r.reading && len(r.present.all) > 0 { // others may keep by it with this one's help
+		lasts = append(lasts, r.present.all)
+	}
+	return lasts, r.Unsure()
+}
+
+// Crowded tells whether more is in doubt than is noted: what State returns does not tell all of it.
+func (r *Rosters) Crowded() bool { return r.looked < r.crowded }
+
 // Roster is the one by which records are kept here now, or none.
 func (r *Rosters) Roster() (Roster, bool) {
 	if !r.keeps() {
@@ -244,6 +308,7 @@
 		}
 		if len(r.doubts) >= mostDoubts { // what cannot be told apart is in doubt as a whole, until none of it counts
 			r.crowded = r.looked + r.life
+			r.changes++
 			return
 		}
 		r.doubts = append(r.doubts, doubt{roster: of})
@@ -252,6 +317,7 @@
 	for _, p := range missing {
 		if !slices.Contains(r.doubts[at].missing, p) {
 			r.doubts[at].missing = append(r.doubts[at].missing, p)
+			r.changes++
 		}
 	}
 }
@@ -286,6 +352,7 @@
 			all = append(all, c.Process)
 		}
 	}
+	maps.DeleteFunc(r.proxies, func(_, member Process) bool { return !runs[member] })
 	if next := NewRoster(all, r.k); next.digest != r.next.digest {
 		r.next, r.since = next, now
 	}
@@ -337,6 +404,14 @@
 			can[c.Process] = true
 		}
 	}
+	for _, f := range r.formers {
+		can[f.Process] = true
+	}
+	for former, member := range r.proxies {
+		if can[member] {
+			can[former] = true
+		}
+	}
 	return can
 }
 
@@ -424,8 +499,12 @@
 	}
 	r.present, r.reading, r.asked = r.next, true, now
 	r.rounds++
+	r.changes++
 	clear(r.told)
 	r.told[r.me] = true
+	for _, f := range r.Formers(now) {
+		r.told[f.Process] = true
+	}
 }
 
 // Asked takes a member's call for a roster, and tells whether it is this scheduler's next one too. If so it keeps by no
@@ -532,6 +611,7 @@
 		return false
 	}
 	r.reading, r.tried, r.remembers = false, nil, true
+	r.changes++
 	for _, b := range r.before {
 		var missing []Process
 		for _, p := range b.all {
--- a/core/owners/world_test.go
+++ b/core/owners/world_test.go
@@ -47,6 +47,7 @@
 	moves    int
 	trace    []string
 	broken   string
+	disks    bool // some who come back have what their former process had kept
 }
 
 // word is one of an owner's words, or with the first three alone a taking.
@@ -146,13 +147,20 @@
 	}
 }
 
-func (w *world) start(name string, start uint64) *node {
+func (w *world) start(name string, start uint64) *node { return w.startAfter(nil, name, start) }
+
+// startAfter starts a process that has the disk of the one before it, if there is one: with all that this one has said yes to.
+func (w *world) startAfter(former *node, name string, start uint64) *node {
 	l := bounds
 	l.Expect = w.size
 	n := &node{w: w, me: Process{Name: name, Start: start}, view: fleet.New(name, fleet.Start(start), "", l, w.now), table: NewTable(1000),
 		up: true, silent: map[string]time.Duration{}, leavers: map[Process]bool{}, polls: map[uint64]*putting{}, open: map[string]*work{},
 		gone: map[string]bool{}, never: map[uint64]bool{}, nonce: start << 32, number: start << 32}
 	n.rosters = NewRosters(n.me, 3, lifeFor, lifeFor, answer, w.now)
+	if former != nil && !former.rosters.Crowded() {
+		n.table = former.table
+		n.rosters.Inherit(former.left())
+	}
 	if i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.me.Name == name }); i >= 0 {
 		w.nodes[i] = n
 	} else {
@@ -163,12 +171,21 @@
 	return n
 }
 
+// left is what a process that is over leaves of itself, and of those before it.
+func (n *node) left() []Former {
+	lasts, unsure := n.rosters.State()
+	return append(slices.Clone(n.rosters.Formers(n.w.now)), Former{Process: n.me, Until: n.w.now + lifeFor, Lasts: lasts, Unsure: unsure})
+}
+
 func (w *world) kill(n *node) { n.up = false; w.logf("%v is killed", n.me) }
 
 // send is a packet on its way.
-func (n *node) send(to string, m wire.Message) {
+func (n *node) send(to string, m wire.Message) { n.sendAs(n.me, to, m) }
+
+// sendAs is a packet that tells for a former process.
+func (n *node) sendAs(from Process, to string, m wire.Message) {
 	w := n.w
-	m.From = n.me
+	m.From = from
 	copies := 1
 	if w.rnd.IntN(100) < w.loss || w.cut[[2]string{n.me.Name, to}] {
 		copies = 0
@@ -259,7 +276,14 @@
 	ask, digest := n.rosters.Begin(w.now)
 	n.rounds()
 	n.number++
+	var formers []Process
+	for _, f := range n.rosters.Formers(w.now) {
+		formers = append(formers, f.Process)
+	}
 	for _, p := range ask {
+		if len(formers) > 0 {
+			n.send(p.Name, wire.Message{Kind: wire.Formers, Formers: formers})
+		}
 		n.send(p.Name, wire.Message{Kind: wire.Sync, Number: n.number, Roster: digest})
 	}
 	n.complete()
@@ -338,6 +362,13 @@
 			part.Code = wire.Going
 		}
 		n.send(m.From.Name, part)
+		for _, f := range n.rosters.Formers(w.now) {
+			old := part
+			old.Code, old.Lasts, old.Unsure = wire.Going, f.Lasts, f.Unsure
+			n.sendAs(f.Process, m.From.Name, old)
+		}
+	case wire.Formers:
+		n.rosters.Tells(m.From, m.Formers)
 	case wire.Part:
 		if m.Code == wire.Yes {
 			n.rosters.Force(m.Lasts[len(m.Lasts)-1])
@@ -727,7 +758,12 @@
 	case 13, 14:
 		if len(down) > 0 {
 			n := down[x%len(down)]
-			w.start(n.me.Name, n.me.Start+1)
+			if w.disks && y%4 > 0 {
+				w.logf("%v comes back with its disk", n.me)
+				w.startAfter(n, n.me.Name, n.me.Start+1)
+			} else {
+				w.start(n.me.Name, n.me.Start+1)
+			}
 		}
 	case 15:
 		if len(w.nodes) < 9 && n.view.Met() {
@@ -811,8 +847,9 @@
 const kinds, mostX, mostY = 20, 1<<9 - 1, 63
 
 // play lives through a history, and says what is wrong with it.
-func play(size int, seed uint64, acts []act) (*world, string) {
+func play(size int, seed uint64, acts []act, disks bool) (*world, string) {
 	w := newWorld(size, seed)
+	w.disks = disks
 	for _, a := range acts {
 		w.step(a.kind, a.x, a.y)
 	}
@@ -827,14 +864,19 @@
 			x, y := rapid.IntRange(0, mostX), rapid.IntRange(0, mostY)
 			return act{rapid.IntRange(0, kinds-1).Draw(t, "kind"), x.Draw(t, "x"), y.Draw(t, "y")}
 		}), 1, 60).Draw(t, "acts")
-		if w, why := play(rapid.IntRange(3, 7).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), acts); why != "" {
+		if w, why := play(rapid.IntRange(3, 7).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"), acts, rapid.Bool().Draw(t, "disks")); why != "" {
 			t.Fatalf("%s\n%s", strings.Join(w.trace, "\n"), why)
 		}
 	})
 }
 
 // TestManyHistories is the same with histories that are not drawn to be small. LADDERTIDE_LONG says which thousand to play.
-func TestManyHistories(t *testing.T) {
+func TestManyHistories(t *testing.T) { manyHistories(t, false) }
+
+// TestManyHistoriesWithDisks plays them with schedulers some of which come back with what they had kept.
+func TestManyHistoriesWithDisks(t *testing.T) { manyHistories(t, true) }
+
+func manyHistories(t *testing.T, disks bool) {
 	from, n := uint64(0), uint64(100)
 	if long := os.Getenv("LADDERTIDE_LONG"); long != "" {
 		from, _ = strconv.ParseUint(long, 10, 64)
@@ -848,14 +890,14 @@
 			acts[i] = act{rnd.IntN(kinds), rnd.IntN(mostX + 1), rnd.IntN(mostY + 1)}
 		}
 		size := 3 + rnd.IntN(5)
-		w, why := play(size, seed, acts)
+		w, why := play(size, seed, acts, disks)
 		moves += w.moves
 		if why == "" {
 			continue
 		}
 		for i, tries := 0, 0; i < len(acts) && tries < 400; i, tries = i+1, tries+1 { // shorter, as long as something is wrong
 			fewer := slices.Delete(slices.Clone(acts), i, i+1)
-			if v, wrong := play(size, seed, fewer); wrong != "" {
+			if v, wrong := play(size, seed, fewer, disks); wrong != "" {
 				w, why, acts, i = v, wrong, fewer, -1
 			}
 		}
--- a/owners/jobkeeper.go
+++ b/owners/jobkeeper.go
@@ -123,7 +123,7 @@
 	for _, keeper := range roster.Keepers(e.id) {
 		if keeper == h.me {
 			if h.keepsBy(&roster) && !h.rosters.Doubts(h.now(), e.id) {
-				h.table.Put(h.now(), &record)
+				h.keep(h.now(), &record)
 			}
 			continue
 		}
--- a/owners/net.go
+++ b/owners/net.go
@@ -111,34 +111,59 @@
 	}
 	h.whole++
 	net := h.net
-	h.work.Go(func() {
-		h.places <- struct{}{}
-		defer func() {
-			<-h.places
+	if h.records != nil {
+		h.afterWrite(func(err error) {
+			if err == nil {
+				h.work.Go(func() { h.sendWhole(net, to, b) })
+				return
+			}
 			h.mu.Lock()
 			h.whole--
 			h.mu.Unlock()
-		}()
-		if err := net.TellWhole(to, b); err != nil {
-			h.log.Debug("a message has not arrived", "to", to, "bytes", len(b), "err", err)
-		}
-	})
+		})
+		return
+	}
+	h.work.Go(func() { h.sendWhole(net, to, b) })
+}
+
+// sendWhole sends what is larger than a packet.
+func (h *Handler) sendWhole(net Network, to string, b []byte) {
+	h.places <- struct{}{}
+	defer func() {
+		<-h.places
+		h.mu.Lock()
+		h.whole--
+		h.mu.Unlock()
+	}()
+	if err := net.TellWhole(to, b); err != nil {
+		h.log.Debug("a message has not arrived", "to", to, "bytes", len(b), "err", err)
+	}
 }
 
 // deliver sends a message. Called under mu.
 func (h *Handler) deliver(to string, m *wire.Message) { h.send(to, m.Append()) }
 
-// unlock gives mu up and sends what has come together: a socket may make its writer wait.
+// unlock gives mu up and sends what has come together: a socket may make its writer wait. What was noted for the disk is written
+// before.
 func (h *Handler) unlock() {
-	out, net := h.outbox, h.net
-	h.outbox = nil
+	commit := h.flush()
+	out, net, written := h.outbox, h.net, h.written
+	h.outbox, h.written = nil, nil
 	h.mu.Unlock()
-	if net == nil {
-		return // not with the others yet, or no more: as lost
-	}
-	if len(out) > 0 {
+	send := func(err error) {
+		for _, do := range written {
+			do(err)
+		}
+		if net == nil || len(out) == 0 || err != nil {
+			return // not with the others yet, or no more, or it cannot be relied on: as lost
+		}
 		h.mail.put(net, out)
 	}
+	if commit == nil {
+		send(nil)
+		return
+	}
+	h.work.Go(func() { h.await(commit, send) })
 }
 
 // mail is what goes out. While one packet is on its way others come, and those for one scheduler go as one: under load most
@@ -254,13 +279,13 @@
 			h.reply(m, wire.Message{Code: wire.Later, Roster: r.Digest()})
 			return
 		}
-		code, stands := h.table.Put(now, m.Record)
+		code, stands := h.keep(now, m.Record)
 		if code == wire.Full {
 			h.tellFull()
 		}
 		h.reply(m, wire.Message{Code: code, Record: stands})
 	case wire.Drop:
-		h.table.Drop(now, m.Record)
+		h.discard(now, m.Record)
 		h.reply(m, wire.Message{Code: wire.Yes})
 	case wire.Read:
 		if _, ok := h.rosters.Roster(); !ok || h.rosters.Doubts(now, m.ID) {
@@ -278,6 +303,8 @@
 		h.sync(m)
 	case wire.Part:
 		h.part(m)
+	case wire.Formers:
+		h.rosters.Tells(m.From, m.Formers)
 	case wire.Where:
 		r, _ := h.rosters.Roster()
 		h.reply(m, wire.Message{Code: wire.Yes, Roster: r.Digest()})
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -19,6 +19,7 @@
 
 	core "laddertide/core/owners"
 	"laddertide/job"
+	"laddertide/owners/recordlog"
 	"laddertide/policy"
 	"laddertide/provider"
 	wire "laddertide/wire/owners"
@@ -38,6 +39,8 @@
 	// Ledger finds jobs of earlier processes, and of other schedulers whose ledgers this one has come to lead; nil: there is
 	// none.
 	Ledger Ledger
+	// Stored is what outlives this process of what it keeps for others; nil: nothing does.
+	Stored *Stored
 }
 
 // Ledger is what the next Handler keeps over the death of the program.
@@ -107,6 +110,16 @@
 	fullTold  time.Time
 	count     Counts
 
+	records       *recordlog.Log // nil: nothing is kept on disk
+	formers       []core.Former  // as they were found there
+	unwritten     []wire.Stored  // noted under mu, and not handed to records yet
+	written       []func(error)  // what is to be done once that is written
+	stateVersion  uint64
+	storedChanges uint64 // of rosters, as of the last state that was handed to records
+	stale         bool   // that one, or what followed it, was not written
+	trimAt        time.Duration
+	failureTold   time.Time
+
 	work    sync.WaitGroup
 	places  chan struct{}
 	closing chan struct{}
@@ -186,6 +199,10 @@
 	h.nonce = uint64(time.Now().UnixNano())
 	h.forgotten = h.nonce
 	h.number = h.nonce // a reply to the process before is none to this one
+	if stored := cfg.Stored; stored != nil {
+		h.records, h.stale = stored.Log, true
+		h.inherit(stored.Found)
+	}
 	h.begin()
 	return h
 }
@@ -208,6 +225,8 @@
 		first = h.life()
 	}
 	h.rosters = core.NewRosters(h.me, h.cfg.Settings.Keepers, h.life(), first, h.cfg.Answer, h.now())
+	h.rosters.Inherit(h.formers)
+	h.stale = true
 }
 
 // life is how long any record counts: as long as its job has time, and as long again as it is known.
--- /dev/null
+++ b/owners/recordlog/recordlog_test.go
@@ -0,0 +1,268 @@
+package recordlog
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	wire "laddertide/wire/owners"
+)
+
+var (
+	first  = wire.Process{Name: "a", Start: 1}
+	second = wire.Process{Name: "a", Start: 2}
+	other  = wire.Process{Name: "b", Start: 7}
+)
+
+// rig is a folder with a clock of its own.
+type rig struct {
+	t    *testing.T
+	dir  string
+	boot string
+	now  time.Duration
+}
+
+func newRig(t *testing.T) *rig { return &rig{t: t, dir: t.TempDir(), boot: "one", now: time.Hour} }
+
+func (r *rig) open() (*Log, Found) {
+	r.t.Helper()
+	l, found, err := Open(Options{Dir: r.dir, MaxBytes: 1 << 20, Log: slog.New(slog.DiscardHandler), Boot: r.boot,
+		Clock: func() time.Duration { return r.now }})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return l, found
+}
+
+func (r *rig) append(l *Log, entries ...wire.Stored) {
+	r.t.Helper()
+	if err := l.Append(entries).Wait(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func state(p wire.Process, version uint64) wire.Stored {
+	return wire.Stored{Kind: wire.StoredState, State: &wire.KeeperState{Process: p, Version: version, Lasts: [][]wire.Process{{p, other}}}}
+}
+
+func kept(id string, left time.Duration) wire.Stored {
+	return wire.Stored{Kind: wire.StoredRecord, Record: &wire.Record{ID: id, Owner: other, Nonce: 1, Term: 1, Rev: 1, Left: left, Due: time.Second,
+		Calls: []wire.Call{{Provider: "w", Ago: time.Second}}}}
+}
+
+func dropped(id string) wire.Stored {
+	return wire.Stored{Kind: wire.StoredDrop, Record: &wire.Record{ID: id, Owner: other, Nonce: 1, Term: 1}}
+}
+
+func ids(f Found) (out []string) {
+	for _, s := range f.Steps {
+		id := s.Record.ID
+		if s.Drop {
+			id = "-" + id
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+// The next process finds what was kept and dropped, in order; times have passed meanwhile, and what counts no more is left out.
+func TestNextProcessFindsWhatWasKept(t *testing.T) {
+	r := newRig(t)
+	l, found := r.open()
+	if found.Last != nil || len(found.Steps) > 0 {
+		t.Errorf("an empty folder holds %+v", found)
+	}
+	r.append(l, state(first, 1), kept("short", 2*time.Second), kept("long", time.Minute))
+	r.now += time.Second
+	r.append(l, kept("late", time.Minute), dropped("late"), state(first, 2))
+	l.Close()
+	r.now += 2 * time.Second
+	l, found = r.open()
+	defer l.Close()
+	if got, want := ids(found), []string{"long", "late", "-late"}; !reflect.DeepEqual(got, want) {
+		t.Errorf("found %v, want %v", got, want)
+	}
+	if found.Last == nil || found.Last.Process != first || found.Last.Version != 2 || len(found.Last.Lasts) != 1 {
+		t.Fatalf("state %+v", found.Last)
+	}
+	long := found.Steps[0].Record
+	if long.Left != 57*time.Second || long.Due != 0 || long.Calls[0].Ago != 4*time.Second {
+		t.Errorf("after 3 s: %+v", long)
+	}
+}
+
+// The state that counts is the one of the last process, and of that the latest, whichever was written last.
+func TestLatestStateCounts(t *testing.T) {
+	r := newRig(t)
+	l, _ := r.open()
+	r.append(l, state(first, 9), kept("j", time.Minute), state(second, 2), state(second, 1))
+	l.Close()
+	l, found := r.open()
+	defer l.Close()
+	if found.Last.Process != second || found.Last.Version != 2 || len(found.Steps) != 1 {
+		t.Errorf("%+v, %v", found.Last, ids(found))
+	}
+}
+
+// What cannot be relied on is not told: of another boot, of a process that had more in doubt than it wrote, damaged.
+func TestNothingIsReliedOnInVain(t *testing.T) {
+	partial := state(first, 1)
+	partial.State.Partial = true
+	for name, c := range map[string]struct {
+		entries []wire.Stored
+		change  func(r *rig)
+	}{
+		"another boot":     {[]wire.Stored{state(first, 1), kept("j", time.Minute)}, func(r *rig) { r.boot = "two" }},
+		"not all":          {[]wire.Stored{partial, kept("j", time.Minute)}, func(*rig) {}},
+		"no state":         {[]wire.Stored{kept("j", time.Minute)}, func(*rig) {}},
+		"a flipped bit":    {[]wire.Stored{state(first, 1), kept("j", time.Minute), kept("k", time.Minute)}, flipBit},
+		"a segment is not": {[]wire.Stored{state(first, 1), kept("j", time.Minute)}, removeAll},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			l, _ := r.open()
+			for _, e := range c.entries {
+				r.append(l, e)
+			}
+			l.Close()
+			c.change(r)
+			l, found := r.open()
+			defer l.Close()
+			if found.Last != nil || len(found.Steps) > 0 {
+				t.Errorf("relied on: %+v, %v", found.Last, ids(found))
+			}
+		})
+	}
+}
+
+func (r *rig) segments() (paths []string) {
+	r.t.Helper()
+	paths, err := filepath.Glob(filepath.Join(r.dir, "*"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return paths
+}
+
+// flipBit flips a bit in the middle of what was written.
+func flipBit(r *rig) {
+	for _, path := range r.segments() {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if at := indexOf(b, "k"+"\x01b"); at >= 0 {
+			b[at-8] ^= 4
+		} else if at := indexOf(b, "w"); at >= 0 {
+			b[at] ^= 4
+		}
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+func indexOf(b []byte, text string) int {
+	for i := range b {
+		if i+len(text) <= len(b) && string(b[i:i+len(text)]) == text {
+			return i
+		}
+	}
+	return -1
+}
+
+func removeAll(r *rig) {
+	for _, path := range r.segments() {
+		if err := os.Remove(path); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+// After a boot the first state of the new one counts, with what follows it alone.
+func TestEntriesOfTwoBoots(t *testing.T) {
+	r := newRig(t)
+	l, _ := r.open()
+	r.append(l, state(first, 5), kept("before", time.Minute))
+	l.Close()
+	r.boot, r.now = "two", time.Second
+	l, _ = r.open()
+	r.append(l, state(second, 1), kept("after", time.Minute))
+	l.Close()
+	l, found := r.open()
+	defer l.Close()
+	if got := ids(found); !reflect.DeepEqual(got, []string{"after"}) || found.Last.Process != second {
+		t.Errorf("%v, %+v", got, found.Last)
+	}
+}
+
+// A folder that another process has may still be written: it is not read.
+func TestFolderOfOneProcess(t *testing.T) {
+	r := newRig(t)
+	l, _ := r.open()
+	defer l.Close()
+	if again, _, err := Open(Options{Dir: r.dir, Log: slog.New(slog.DiscardHandler)}); err == nil {
+		again.Close()
+		t.Error("two processes have one folder")
+	}
+}
+
+// What was written long ago is removed, and the state stays.
+func TestTrimKeepsTheState(t *testing.T) {
+	r := newRig(t)
+	l, _ := r.open()
+	for range 40 {
+		var entries []wire.Stored
+		for range 100 {
+			e := kept("j", time.Minute)
+			e.Record.Calls = []wire.Call{{Provider: string(make([]byte, 200))}}
+			entries = append(entries, e)
+		}
+		r.append(l, append(entries, state(first, 1))...)
+		r.now += 10 * time.Second
+		l.Trim(time.Minute, *state(first, 3).State, slog.New(slog.DiscardHandler))
+		for deadline := time.Now().Add(10 * time.Second); l.trimming.Load() && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	l.Close()
+	size := int64(0)
+	for _, path := range r.segments() {
+		info, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += info.Size()
+	}
+	l, found := r.open()
+	defer l.Close()
+	if size > 600<<10 || found.Last == nil || found.Last.Process != first {
+		t.Errorf("%d bytes, state %+v", size, found.Last)
+	}
+}
+
+// On the system's own boot and clock the next process finds it as well.
+func TestSystemBootAndClock(t *testing.T) {
+	options := Options{Dir: t.TempDir(), MaxBytes: 1 << 20, Log: slog.New(slog.DiscardHandler)}
+	l, _, err := Open(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append([]wire.Stored{state(first, 1), kept("j", time.Hour)}).Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	l, found, err := Open(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if found.Last == nil || len(found.Steps) != 1 || found.Steps[0].Record.Left > time.Hour || found.Steps[0].Record.Left < 59*time.Minute {
+		t.Errorf("%+v", found)
+	}
+}
--- /dev/null
+++ b/owners/records.go
@@ -0,0 +1,194 @@
+package owners
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	core "laddertide/core/owners"
+	"laddertide/ledger"
+	"laddertide/owners/recordlog"
+	wire "laddertide/wire/owners"
+)
+
+// What this scheduler has said yes to as a keeper outlives its process, if the operators' file names a folder for it. Each entry is
+// on its way to the system before the packet that says yes is: see unlock.
+
+// Stored is the log of an opened folder, and what former processes have left in it.
+type Stored struct {
+	Log   *recordlog.Log
+	Found recordlog.Found
+}
+
+// OpenStored opens the folder of the settings; without one it returns nil. An error: another process has it, or it cannot be read.
+func OpenStored(set *Settings, log *slog.Logger) (*Stored, error) {
+	if set.Dir == "" {
+		return nil, nil
+	}
+	opened, found, err := recordlog.Open(recordlog.Options{Dir: set.Dir, MaxBytes: set.storedBytes(), Log: log})
+	if err != nil {
+		return nil, err
+	}
+	return &Stored{opened, found}, nil
+}
+
+// inherit takes over what former processes of this scheduler's name have left. Called before the Handler is used.
+func (h *Handler) inherit(found recordlog.Found) {
+	if found.Last == nil {
+		return
+	}
+	now := h.now()
+	longest := h.life()
+	for i := range found.Steps {
+		step := &found.Steps[i]
+		if step.Drop {
+			h.table.Drop(now, &step.Record)
+			continue
+		}
+		longest = max(longest, step.Record.Left)
+		if !h.table.Merge(now, &step.Record) {
+			h.log.Error("no room for what the process before had kept of jobs' owners: it counts as lost", "records", len(found.Steps))
+			h.table = core.NewTable(h.cfg.Settings.MaxRecords)
+			return
+		}
+	}
+	last := found.Last
+	for _, f := range last.Formers {
+		h.formers = append(h.formers, core.Former{Process: f.Process, Until: now + f.Until - h.records.Now(), Lasts: f.Lasts, Unsure: f.Unsure})
+	}
+	h.formers = append(h.formers, core.Former{Process: last.Process, Until: now + longest, Lasts: last.Lasts, Unsure: last.Unsure})
+	if more := len(h.formers) - wire.MaxFormers; more > 0 {
+		h.formers = slices.Delete(h.formers, 0, more) // what the oldest kept is in doubt until it counts no more
+	}
+	h.log.Info("what the process before had kept of jobs' owners is told in its place", "process", last.Process.Start, "records", h.table.Len(),
+		"formers", len(h.formers))
+}
+
+// state is what the next process of this scheduler's name has to know. Called under mu.
+func (h *Handler) state() wire.KeeperState {
+	h.stateVersion++
+	lasts, unsure := h.rosters.State()
+	s := wire.KeeperState{Process: h.me, Version: h.stateVersion, Partial: h.rosters.Crowded(), Lasts: lasts, Unsure: unsure}
+	for _, f := range h.rosters.Formers(h.now()) {
+		s.Formers = append(s.Formers, wire.FormerProcess{Process: f.Process, Until: h.records.Now() + f.Until - h.now(), Lasts: f.Lasts,
+			Unsure: f.Unsure})
+	}
+	return s
+}
+
+// storeRecord notes a record that is kept. Called under mu.
+func (h *Handler) storeRecord(r *wire.Record) { h.storeEntry(wire.StoredRecord, r) }
+
+// storeDrop notes a record that is kept no more. Called under mu.
+func (h *Handler) storeDrop(r *wire.Record) { h.storeEntry(wire.StoredDrop, r) }
+
+func (h *Handler) storeEntry(kind wire.StoredKind, r *wire.Record) {
+	if h.records == nil {
+		return
+	}
+	record := *r
+	record.Calls = slices.Clone(r.Calls)
+	h.unwritten = append(h.unwritten, wire.Stored{Kind: kind, Record: &record})
+}
+
+// keep puts a record into the table, and notes it if it is kept. Called under mu.
+func (h *Handler) keep(now time.Duration, r *wire.Record) (wire.Code, *wire.Record) {
+	code, stands := h.table.Put(now, r)
+	if code == wire.Yes {
+		h.storeRecord(r)
+	}
+	return code, stands
+}
+
+// merge takes a record that another keeper has. Called under mu.
+func (h *Handler) merge(now time.Duration, r *wire.Record) bool {
+	merged := h.table.Merge(now, r)
+	if merged {
+		h.storeRecord(r)
+	}
+	return merged
+}
+
+// discard drops a record. Called under mu.
+func (h *Handler) discard(now time.Duration, r *wire.Record) {
+	h.table.Drop(now, r)
+	h.storeDrop(r)
+}
+
+// afterWrite has something done once all that was noted so far under this mu is written, with the error if it is not; at once, if
+// nothing was. Called under mu; what is done is called without it.
+func (h *Handler) afterWrite(do func(err error)) { h.written = append(h.written, do) }
+
+// flush hands what was noted to the log, a changed state before the rest. Called under mu; it does not block. The order of calls is
+// that on disk.
+func (h *Handler) flush() ledger.Commit {
+	if h.records == nil || h.net == nil {
+		return nil
+	}
+	if changes := h.rosters.Changes(); h.stale || changes != h.storedChanges {
+		h.stale, h.storedChanges = false, changes
+		state := h.state()
+		h.unwritten = slices.Insert(h.unwritten, 0, wire.Stored{Kind: wire.StoredState, State: &state})
+	}
+	if len(h.unwritten) == 0 {
+		return nil
+	}
+	entries := h.unwritten
+	h.unwritten = nil
+	return h.records.Append(entries)
+}
+
+// await waits for a write, and lets what waits for it go on.
+func (h *Handler) await(commit ledger.Commit, then func(err error)) {
+	err := commit.Wait()
+	if err != nil {
+		h.mu.Lock()
+		h.stale = true // a state may be among what was not written
+		tell := time.Since(h.failureTold) >= time.Minute
+		if tell {
+			h.failureTold = time.Now()
+		}
+		h.mu.Unlock()
+		if tell {
+			h.log.Error("what is kept of jobs' owners cannot be written: nothing new is kept", "err", err)
+		}
+	}
+	then(err)
+}
+
+// trim lets go of what was written so long ago that none of it counts. Called under mu.
+func (h *Handler) trim(now time.Duration) {
+	if h.records == nil || now < h.trimAt {
+		return
+	}
+	life := h.life()
+	h.trimAt = now + life/4
+	h.records.Trim(2*life, h.state(), h.log)
+}
+
+// formersMessage says for which processes this one tells; nil: for none. Called under mu.
+func (h *Handler) formersMessage() []byte {
+	formers := h.rosters.Formers(h.now())
+	if len(formers) == 0 {
+		return nil
+	}
+	m := wire.Message{Kind: wire.Formers, From: h.me}
+	for _, f := range formers {
+		m.Formers = append(m.Formers, f.Process)
+	}
+	return m.Append()
+}
+
+// tellFormers answers a member's question in the place of former processes, with the same records. Called under mu.
+func (h *Handler) tellFormers(m *wire.Message, parts []wire.Message) {
+	for _, f := range h.rosters.Formers(h.now()) {
+		for i := range parts {
+			part := parts[i]
+			part.From, part.Code, part.Lasts, part.Unsure = f.Process, 0, nil, nil
+			if i == 0 {
+				part.Code, part.Lasts, part.Unsure = wire.Going, f.Lasts, f.Unsure
+			}
+			h.deliver(m.From.Name, &part)
+		}
+	}
+}
--- /dev/null
+++ b/owners/records_test.go
@@ -0,0 +1,178 @@
+package owners
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"laddertide/core/fleet"
+	"laddertide/job"
+	"laddertide/ledger/faultfs"
+	wire "laddertide/wire/owners"
+)
+
+func withDisks(r *ring) { r.disks = make(map[string]*faultfs.Disk) }
+
+// killAll kills members, as the others notice.
+func (r *ring) killAll(names ...string) {
+	for _, name := range names {
+		r.all[name].kill()
+		r.mu.Lock()
+		r.states[name] = fleet.Unreachable
+		r.mu.Unlock()
+	}
+}
+
+// takeable tells how many of some new jobs that must not run twice are taken.
+func (r *ring) takeable(prefix string, at ...string) (taken int) {
+	const n = 40
+	var all []*asking
+	for i := range n {
+		all = append(all, r.ask(at[i%len(at)], fmt.Sprint(prefix, i), unsafe, "x"))
+	}
+	for _, a := range all {
+		if a.answer().Kind == job.Served {
+			taken++
+		}
+	}
+	return taken
+}
+
+// Three of five are killed at once and come back a second later. With what they had kept all new jobs are taken as soon as they are
+// back, and what they knew is known: a job that was taken is not taken again. Without it ids are in doubt for as long as records count.
+func TestRecordsOutliveTheProcess(t *testing.T) {
+	for name, change := range map[string]func(*ring){"on disk": withDisks, "in memory": nil} {
+		t.Run(name, func(t *testing.T) {
+			ringTest(t, 5, change, func(r *ring) {
+				const jobs = 20
+				r.all["a"].work = time.Hour // a job of it is open when it dies
+				for i := range jobs {
+					r.ask("a", fmt.Sprint("old", i), unsafe, "x")
+				}
+				time.Sleep(answerIn)
+				r.killAll("a", "b", "c")
+				time.Sleep(time.Second)
+				for _, name := range []string{"a", "b", "c"} {
+					r.restart(name)
+				}
+				for range 3 {
+					r.settle()
+				}
+				taken := r.takeable("new", "a", "b", "c", "d", "e")
+				t.Logf("%d of 40 new jobs are taken", taken)
+				if stored := r.disks != nil; stored != (taken == 40) {
+					t.Errorf("%d of 40 new jobs are taken", taken)
+				}
+				for i := range jobs {
+					id := fmt.Sprint("old", i)
+					out := r.ask("d", id, unsafe, "x").answer()
+					if n := r.made(id); out.Kind != job.Failed || n != 1 {
+						t.Errorf("%s, which may have run: %v, %d calls", id, out.Kind, n)
+					}
+				}
+			})
+		})
+	}
+}
+
+// What a process has inherited it leaves to the next one as well, with its own.
+func TestRecordsOutliveSeveralProcesses(t *testing.T) {
+	ringTest(t, 5, withDisks, func(r *ring) {
+		for round := range 4 {
+			r.all["d"].work = time.Hour
+			for i := range 10 {
+				r.ask("d", fmt.Sprint("old", round, "-", i), unsafe, "x")
+			}
+			time.Sleep(answerIn)
+			r.killAll("a", "b", "d")
+			time.Sleep(answerIn)
+			for _, name := range []string{"a", "b", "d"} {
+				r.restart(name)
+			}
+			for range 3 {
+				r.settle()
+			}
+		}
+		if taken := r.takeable("new", "a", "b", "c", "e"); taken != 40 {
+			t.Errorf("%d of 40 new jobs are taken", taken)
+		}
+		for round := range 4 {
+			for i := range 10 {
+				id := fmt.Sprint("old", round, "-", i)
+				r.ask("c", id, unsafe, "x").answer()
+				if n := r.made(id); n != 1 {
+					t.Errorf("%s: %d calls", id, n)
+				}
+			}
+		}
+	})
+}
+
+// A disk that does not take writes makes a keeper silent: it says yes to nothing that its next process would not know.
+func TestNoYesBeforeItIsWritten(t *testing.T) {
+	var failing atomic.Bool
+	broken := errors.New("no space")
+	ringTest(t, 3, func(r *ring) {
+		withDisks(r)
+		for _, name := range []string{"a", "b"} {
+			r.disks[name] = faultfs.New()
+			r.disks[name].Fate = func(op faultfs.Op) faultfs.Fate {
+				if failing.Load() && op.Kind == faultfs.Write {
+					return faultfs.Fate{Err: broken}
+				}
+				return faultfs.Fate{}
+			}
+		}
+	}, func(r *ring) {
+		r.want(r.ask("c", "before", unsafe, "x"), job.Served, false, "while all disks take writes")
+		failing.Store(true)
+		out := r.ask("c", "during", unsafe, "x").answer()
+		if out.Kind == job.Served || r.made("during") > 0 {
+			t.Errorf("taken by a majority two of which cannot keep it: %v", out.Kind)
+		}
+		r.want(r.ask("a", "own", unsafe, "x"), job.Failed, true, "at one that is a keeper itself")
+		if n := r.made("own"); n > 0 {
+			t.Errorf("%d calls on this scheduler's own word, which is not kept", n)
+		}
+		failing.Store(false)
+		time.Sleep(time.Second)
+		r.want(r.ask("c", "after", unsafe, "x"), job.Served, false, "once the disks take writes again")
+	})
+}
+
+// Formers are told for in messages of their own, with all records: a member that hears the one and not the other knows what it lacks.
+func TestFormersAreToldWithTheirRecords(t *testing.T) {
+	ringTest(t, 4, withDisks, func(r *ring) {
+		r.want(r.ask("a", "j", unsafe, "x"), job.Served, false, "a job")
+		old := r.all["b"].me
+		r.killAll("b", "c")
+		var told atomic.Int32
+		r.mu.Lock()
+		r.lose = func(_, _ string, m *wire.Message) bool {
+			if m.Kind == wire.Part && m.From == old {
+				told.Add(1)
+				if m.Code != wire.Going || len(m.Lasts) == 0 {
+					t.Errorf("told for %v: %+v", old, m)
+				}
+			}
+			return m.Kind == wire.Part && m.From.Name == "b" && m.From != old && m.Number != 0 && told.Load() < 4
+		}
+		r.mu.Unlock()
+		r.restart("b")
+		r.restart("c")
+		for range 4 {
+			r.settle()
+		}
+		if told.Load() == 0 {
+			t.Error("nobody was told for a process that is over")
+		}
+		for name := range r.all {
+			out := r.ask(name, "j", unsafe, "x").answer()
+			if out.Kind != job.Served || r.made("j") != 1 {
+				t.Errorf("asked at %s: %v, %d calls", name, out.Kind, r.made("j"))
+			}
+		}
+	})
+}
--- a/owners/rig_test.go
+++ b/owners/rig_test.go
@@ -15,6 +15,8 @@
 	core "laddertide/core/owners"
 	"laddertide/decide"
 	"laddertide/job"
+	"laddertide/ledger/faultfs"
+	"laddertide/owners/recordlog"
 	"laddertide/policy"
 	"laddertide/provider"
 	wire "laddertide/wire/owners"
@@ -49,6 +51,8 @@
 	all    map[string]*member
 	calls  []string // made to providers: "id by scheduler"
 	log    bytes.Buffer
+	began  time.Time
+	disks  map[string]*faultfs.Disk // of members, by name; nil: they keep nothing on disk
 }
 
 // member is one of them. Its next Handler makes one call, which ends by itself after work, or by its provider's word.
@@ -72,6 +76,7 @@
 	if change != nil {
 		change(r)
 	}
+	r.began = time.Now().Add(-time.Hour)
 	for i := range n {
 		r.member(string(rune('a'+i)), 1)
 	}
@@ -115,7 +120,8 @@
 	for i, name := range []string{"safe", "keyed", "unsafe"} {
 		classes = append(classes, policy.Class{Name: name, Deadline: deadline, Effect: policy.Effect(i)})
 	}
-	m.h = New(Config{Settings: r.settings, Me: m.me, Classes: classes, Next: job.HandlerFunc(m.handle), Pool: m.pool,
+	stored := r.stored(name)
+	m.h = New(Config{Stored: stored, Settings: r.settings, Me: m.me, Classes: classes, Next: job.HandlerFunc(m.handle), Pool: m.pool,
 		Log: slog.New(slog.NewTextHandler(r, nil)), Answer: answerIn, Settle: settleIn})
 	m.pool.Unclaimed = m.h.Unclaimed
 	r.mu.Lock()
@@ -124,6 +130,29 @@
 	return m
 }
 
+// stored opens a member's disk, if it has one.
+func (r *ring) stored(name string) *Stored {
+	if r.disks == nil {
+		return nil
+	}
+	if r.disks[name] == nil {
+		r.disks[name] = faultfs.New()
+	}
+	log, found, err := recordlog.Open(recordlog.Options{FS: r.disks[name], MaxBytes: 16 << 20, Log: slog.New(slog.NewTextHandler(r, nil)),
+		Boot: "boot", Clock: func() time.Duration { return time.Since(r.began) }})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return &Stored{log, found}
+}
+
+// restart is a later process of a member that was killed.
+func (r *ring) restart(name string) *member {
+	m := r.member(name, r.all[name].me.Start+1)
+	m.h.Join(m, m.me)
+	return m
+}
+
 func (r *ring) Write(b []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/owners/settings.go
+++ b/owners/settings.go
@@ -1,9 +1,13 @@
 package owners
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"laddertide/operator"
+	"laddertide/owners/recordlog"
+	wire "laddertide/wire/owners"
 )
 
 // Settings are what the operators' file says of one owner for each job.
@@ -13,6 +17,7 @@
 	First      time.Duration // for which what must not run twice is refused where nobody remembers who kept what; below 0: as long as records count
 	MaxRecords int           // that this scheduler keeps for all; as many answers of its own
 	MaxWaits   int           // schedulers' questions for jobs of this one's that wait for their end
+	Dir        string        // a folder for what this scheduler keeps for all, so that it outlives the process; empty: it does not
 }
 
 // The defaults.
@@ -32,6 +37,7 @@
 	s.Whole("first_s", &first, 0, 86400)
 	s.Whole("max_records", &set.MaxRecords, 16, 1_000_000)
 	s.Whole("max_waits", &set.MaxWaits, 1, 1_000_000)
+	s.Text("dir", &set.Dir)
 	set.Keep = time.Duration(keep) * time.Second
 	if first >= 0 {
 		set.First = time.Duration(first) * time.Second
@@ -50,5 +56,39 @@
 
 // Memory is what this may take, in bytes, beside what any open job weighs.
 func (s *Settings) Memory() int {
-	return s.MaxRecords*recordBytes + s.MaxWaits*waitBytes + answerBytes + mostWhole*(1<<20)
+	bytes := s.MaxRecords*recordBytes + s.MaxWaits*waitBytes + answerBytes + mostWhole*(1<<20)
+	if s.Dir != "" {
+		bytes += recordlog.QueueBytes
+	}
+	return bytes
+}
+
+// Descriptors are those of the folder.
+func (s *Settings) Descriptors() int {
+	if s.Dir == "" {
+		return 0
+	}
+	return recordlog.Descriptors
+}
+
+// storedTimes is how often a record is written at the most while it counts: for its taking, each call, its end and as it is told
+// by others when members come and go; the log holds what was written within three times of that (a half, and what is trimmed late).
+const storedTimes = 3 * (wire.MaxSent + 4)
+
+// storedBytes is how large the log of records may be.
+func (s *Settings) storedBytes() int64 { return int64(s.MaxRecords) * recordBytes * storedTimes }
+
+// CheckDir says what is wrong with the folder, if there is to be one.
+func (s *Settings) CheckDir() error {
+	if s.Dir == "" {
+		return nil
+	}
+	st, err := os.Stat(s.Dir)
+	if err != nil {
+		return fmt.Errorf("owners.dir: %w", err)
+	}
+	if !st.IsDir() {
+		return fmt.Errorf("owners.dir: %s is no folder", s.Dir)
+	}
+	return nil
 }
--- a/owners/tend.go
+++ b/owners/tend.go
@@ -40,6 +40,7 @@
 	defer h.unlock()
 	now := h.now()
 	h.table.Sweep(now)
+	h.trim(now)
 	h.rosters.Look(now, ground)
 	ask, digest := h.rosters.Begin(now)
 	h.rounds()
@@ -49,8 +50,11 @@
 		if _, some := h.rosters.Puts(); !some {
 			m.Code = wire.Unknown
 		}
-		b := m.Append()
+		b, formers := m.Append(), h.formersMessage()
 		for _, p := range ask {
+			if formers != nil {
+				h.send(p.Name, formers) // before the question, so that it is answered by one who can
+			}
 			h.send(p.Name, b)
 		}
 	}
@@ -124,6 +128,7 @@
 		parts[i].Piece, parts[i].Pieces = i, len(parts)
 		h.deliver(m.From.Name, &parts[i])
 	}
+	h.tellFormers(m, parts)
 }
 
 // part takes what a member has kept. Called under mu.
@@ -155,7 +160,7 @@
 	}
 	whole := true
 	for i := range m.Records {
-		whole = h.table.Merge(now, &m.Records[i]) && whole
+		whole = h.merge(now, &m.Records[i]) && whole
 	}
 	if !whole {
 		h.tellFull()
@@ -459,6 +464,11 @@
 		}
 	}
 	h.unlock()
+	if h.records != nil {
+		if err := h.records.Close(); err != nil {
+			h.log.Warn("the log of jobs' owners is not closed in time", "err", err)
+		}
+	}
 }
 
 // mostState is how much the next process of an upgrade is told, in bytes.
@@ -515,7 +525,7 @@
 			}
 			h.rosters.Doubted(m.Unsure)
 			for j := range m.Records {
-				h.table.Merge(h.now(), &m.Records[j])
+				h.merge(h.now(), &m.Records[j])
 			}
 		case m.Record != nil && m.Outcome != nil:
 			e := &entry{h: h, id: m.ID, digest: m.Record.Digest, record: *m.Record}
--- a/owners/way.go
+++ b/owners/way.go
@@ -158,19 +158,23 @@
 	if slices.Contains(keepers, h.me) && h.keepsBy(&roster) {
 		code, stands := wire.Later, (*wire.Record)(nil)
 		if now := h.now(); !h.rosters.Doubts(now, e.id) || h.table.Holds(now, &r) {
-			code, stands = h.table.Put(h.now(), &r)
+			code, stands = h.keep(h.now(), &r)
 		}
 		if code == wire.Full {
 			h.tellFull()
 		}
-		p.poll.Hear(h.me, code, stands)
+		p.hearOwn(code, stands, by)
+	}
+	poll := p.poll
+	others := func() []wire.Process {
+		return slices.DeleteFunc(poll.Left(), func(k wire.Process) bool { return k == h.me })
 	}
 	hear := func(from wire.Process, m *wire.Message) {
 		p.poll.Hear(from, m.Code, m.Record)
 		p.look(by, false)
 	}
-	if len(p.poll.Left()) > 0 {
-		p.q = h.ask(m, 2*h.cfg.Answer, hear, p.poll.Left, func() { p.look(by, true) })
+	if len(others()) > 0 {
+		p.q = h.ask(m, 2*h.cfg.Answer, hear, others, func() { p.look(by, true) })
 	}
 	p.look(by, len(p.poll.Left()) == 0)
 	switch {
@@ -182,6 +186,25 @@
 	}
 }
 
+// hearOwn takes this scheduler's own word as a keeper. A yes counts once it is written, where it is. Called under mu.
+func (p *putting) hearOwn(code wire.Code, stands *wire.Record, by time.Time) {
+	h, poll := p.h, p.poll
+	if h.records == nil || code != wire.Yes {
+		poll.Hear(h.me, code, stands)
+		return
+	}
+	h.afterWrite(func(err error) {
+		h.mu.Lock()
+		defer h.unlock()
+		if err != nil {
+			code = wire.Later
+		}
+		if poll.Hear(h.me, code, nil); p.poll == poll {
+			p.look(by, false)
+		}
+	})
+}
+
 // keepsBy tells whether this scheduler keeps by a roster, and does not only put by it. Called under mu.
 func (h *Handler) keepsBy(r *core.Roster) bool {
 	own, ok := h.rosters.Roster()
@@ -368,7 +391,7 @@
 	left := make(map[wire.Process]bool)
 	for _, k := range roster.Keepers(r.ID) {
 		if k == h.me && h.keepsBy(&roster) {
-			h.table.Drop(h.now(), r)
+			h.discard(h.now(), r)
 		} else {
 			left[k] = true
 		}
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -292,7 +292,7 @@
 	if _, ok := s.State["dir"]; ok {
 		return mistake("state", "dir is the kit's to say")
 	}
-	if len(s.Folders) > 0 && s.Operators == "" {
+	if len(s.Folders) > 0 && s.Operators == "" && s.Owners["dir"] == nil {
 		return mistake("folders", "without operators nothing needs them")
 	}
 	for _, f := range s.Folders {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -74,7 +74,7 @@
 // handsOver tells whether this process can be followed by another one while it serves, and follow one itself. A ledger
 // has one owner, as the state on disk has, and no session of TLS or STOMP can be passed on.
 func (c *Config) handsOver() bool {
-	return c.Admin != "" && c.Dir != "" && c.Operator.Durable == nil && c.Operator.State == nil && c.Operator.TLS == nil && c.Operator.Stomp == nil
+	return c.Admin != "" && c.Dir != "" && c.Operator.Durable == nil && !c.Operator.storesRecords() && c.Operator.State == nil && c.Operator.TLS == nil && c.Operator.Stomp == nil
 }
 
 // callers is how many connections there may be to the operators' address.
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -64,7 +64,11 @@
 	}
 	op.Stomp, err = section(file, "stomp", consumer.ParseStomp, err)
 	op.Peers, err = section(file, "peers", peers.Parse, err)
-	op.Owners, err = section(file, "owners", owners.Parse, err)
+	if op.Owners, err = section(file, "owners", owners.Parse, err); err == nil && op.Owners != nil {
+		if err = op.Owners.CheckDir(); err != nil {
+			err = fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	if op.State, err = section(file, "state", returning.Parse, err); err == nil && op.State != nil {
 		if err = op.State.CheckDir(); err != nil {
 			err = fmt.Errorf("%s: %w", path, err)
@@ -134,6 +138,9 @@
 	if op.Peers != nil {
 		n += peers.Descriptors
 	}
+	if op.Owners != nil {
+		n += op.Owners.Descriptors()
+	}
 	if op.State != nil {
 		n += returning.Descriptors
 	}
@@ -234,7 +241,12 @@
 		return fmt.Errorf("%s: replicated.dir: is the folder of durable.dir", name)
 	}
 	if op.Configuration != nil {
-		if err := op.checkConfigurationDir(); err != nil {
+		if err := op.checkFolder("configuration.dir", op.Configuration.Dir); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if op.storesRecords() {
+		if err := op.checkFolder("owners.dir", op.Owners.Dir); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
@@ -245,22 +257,28 @@
 	return nil
 }
 
-// checkConfigurationDir reports if the folder of the configuration is another feature's: each locks its own.
-func (op *Operator) checkConfigurationDir() error {
-	others := make(map[string]string)
+// checkFolder reports if a feature's folder is another one's: each locks its own.
+func (op *Operator) checkFolder(key, dir string) error {
+	all := make(map[string]string)
 	if op.State != nil {
-		others["state.dir"] = op.State.Dir
+		all["state.dir"] = op.State.Dir
 	}
 	if op.Durable != nil {
-		others["durable.dir"] = op.Durable.Dir
+		all["durable.dir"] = op.Durable.Dir
 	}
 	if op.Replicated != nil {
-		others["replicated.dir"] = op.Replicated.Dir
+		all["replicated.dir"] = op.Replicated.Dir
 	}
-	for _, key := range slices.Sorted(maps.Keys(others)) {
-		if filepath.Clean(op.Configuration.Dir) == filepath.Clean(others[key]) {
-			return fmt.Errorf("configuration.dir: is %s: each needs a folder of its own", key)
+	if op.Configuration != nil {
+		all["configuration.dir"] = op.Configuration.Dir
+	}
+	for _, other := range slices.Sorted(maps.Keys(all)) {
+		if other != key && filepath.Clean(dir) == filepath.Clean(all[other]) {
+			return fmt.Errorf("%s: is %s: each needs a folder of its own", key, other)
 		}
 	}
 	return nil
 }
+
+// storesRecords tells whether records of jobs' owners are kept on disk.
+func (op *Operator) storesRecords() bool { return op.Owners != nil && op.Owners.Dir != "" }
--- a/scheduler/owners.go
+++ b/scheduler/owners.go
@@ -12,17 +12,21 @@
 
 // newOwners makes the Handler that joins a job which is asked for again to its owner, wherever that is. It goes round all
 // others: what is another's must not enter this one's ledger.
-func (s *Scheduler) newOwners(set owners.Settings, next job.Handler) *owners.Handler {
+func (s *Scheduler) newOwners(set owners.Settings, next job.Handler) (*owners.Handler, error) {
+	stored, err := owners.OpenStored(&set, s.log)
+	if err != nil {
+		return nil, err
+	}
 	timing := peers.TimingOf(s.cfg.Settings.DialTimeout)
 	cfg := owners.Config{Settings: set, Me: wire.Process{Name: s.cfg.Name}, Classes: s.cfg.Settings.Classes, Tenants: s.cfg.Settings.Tenants,
-		Next: next, Pool: s.pool, Log: s.log, Answer: timing.Answer, Settle: timing.Settle(s.cfg.Settings.Balancers)}
+		Next: next, Pool: s.pool, Log: s.log, Stored: stored, Answer: timing.Answer, Settle: timing.Settle(s.cfg.Settings.Balancers)}
 	if s.durable != nil {
 		cfg.Ledger = s.durable
 	}
 	if s.groups != nil {
 		cfg.Ledger = s.groups
 	}
-	return owners.New(cfg)
+	return owners.New(cfg), nil
 }
 
 // stopOwners lets the other schedulers know that this one will be over, unless another process goes on with it.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -170,8 +170,11 @@
 		h = s.gate(h)
 	}
 	if set := s.cfg.Operator.Owners; set != nil {
-		s.owners = s.newOwners(*set, h)
-		h = s.owners
+		o, err := s.newOwners(*set, h)
+		if err != nil {
+			return nil, err
+		}
+		s.owners, h = o, o
 	}
 	return h, nil
 }
--- a/wire/owners/owners.go
+++ b/wire/owners/owners.go
@@ -37,18 +37,19 @@
 
 // The kinds of messages. All but Told want a reply of their number; a reply goes to who asked.
 const (
-	Put   Kind = iota + 1 // Record: keep it. Reply: Code, and what stands if it is not this one
-	Drop                  // Record: its job never ran and is no more. Reply: Code
-	Read                  // ID: what do you keep of it. Reply: Code, Record
-	Ask                   // Record: what has become of this job of yours. Reply: Code, Outcome; Going: Told comes later
-	Sync                  // Roster: I am to keep by this roster. Reply: Part
-	Part                  // Roster, Piece of Pieces, Lasts, Records: what you are to keep of what I keep
-	Where                 // Reply: Roster, the one by which I keep
-	Hand                  // Job: it is yours now. Reply: Code
-	Event                 // Event: a provider's word on a job of yours. Reply: Code
-	Reply                 // Number, Code, Record, Outcome, Roster
-	Told                  // ID, Outcome: the job that you have asked about is over
-	Many                  // Bundle: several messages, each whole
+	Put     Kind = iota + 1 // Record: keep it. Reply: Code, and what stands if it is not this one
+	Drop                    // Record: its job never ran and is no more. Reply: Code
+	Read                    // ID: what do you keep of it. Reply: Code, Record
+	Ask                     // Record: what has become of this job of yours. Reply: Code, Outcome; Going: Told comes later
+	Sync                    // Roster: I am to keep by this roster. Reply: Part
+	Part                    // Roster, Piece of Pieces, Lasts, Records: what you are to keep of what I keep
+	Where                   // Reply: Roster, the one by which I keep
+	Hand                    // Job: it is yours now. Reply: Code
+	Event                   // Event: a provider's word on a job of yours. Reply: Code
+	Reply                   // Number, Code, Record, Outcome, Roster
+	Told                    // ID, Outcome: the job that you have asked about is over
+	Many                    // Bundle: several messages, each whole
+	Formers                 // Formers: I tell for these processes, which are over, with Part messages in their name
 	last
 )
 
@@ -164,6 +165,7 @@
 	Records       []Record
 	Bundle        [][]byte
 	Unsure        [][]Process // rosters, each followed by those of it who have not told
+	Formers       []Process
 }
 
 type walker struct{ walk.Walker }
@@ -293,6 +295,11 @@
 	if m.Kind == Many {
 		walk.List(&w.Walker, &m.Bundle, func(b *[]byte) { w.Data(b) })
 	}
+	if m.Kind == Formers {
+		if walk.List(&w.Walker, &m.Formers, w.process); w.Reading && len(m.Formers) > MaxFormers {
+			w.Fail("has too many former processes")
+		}
+	}
 	if w.Reading && w.Err == nil && m.lacks() {
 		w.Fail("lacks what it is about")
 	}
@@ -311,6 +318,8 @@
 		return m.Job == nil || m.Job.Record.ID == ""
 	case Event:
 		return m.ID == "" || m.Word == nil
+	case Formers:
+		return len(m.Formers) == 0
 	case Part:
 		return m.Piece < 0 || m.Pieces < 1 || m.Piece >= m.Pieces
 	}
--- /dev/null
+++ b/wire/owners/stored_test.go
@@ -0,0 +1,69 @@
+package owners
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+var storedSamples = []Stored{
+	{Kind: StoredRecord, At: time.Hour, Record: &record},
+	{Kind: StoredDrop, At: 1, Record: &ended},
+	{Kind: StoredState, At: 2, State: &KeeperState{Boot: "b-1", Process: a, Version: 1 << 63, Partial: true, Lasts: [][]Process{{a, b}, {b}},
+		Unsure: [][]Process{{a}, {b}}, Formers: []FormerProcess{{Process: b, Until: time.Minute, Lasts: [][]Process{{b}}}}}},
+	{Kind: StoredState, State: &KeeperState{Process: b}},
+}
+
+func TestStoredRoundTrip(t *testing.T) {
+	for _, s := range storedSamples {
+		if got, err := ParseStored(s.Append()); err != nil || !reflect.DeepEqual(*got, s) {
+			t.Errorf("%+v comes back as %+v, %v", s, got, err)
+		}
+	}
+}
+
+func TestStoredIsRefused(t *testing.T) {
+	whole := storedSamples[0].Append()
+	unknown := bytes.Clone(whole)
+	unknown[1] = 2 * byte(lastStored)
+	for what, b := range map[string][]byte{
+		"lacks what": (&Stored{Kind: StoredState, Record: &record}).Append(),
+		"lacks":      (&Stored{Kind: StoredRecord}).Append(),
+		"after its":  append(bytes.Clone(whole), 0),
+		"kind":       unknown,
+		"too many": (&Stored{Kind: StoredState, State: &KeeperState{Process: a,
+			Formers: make([]FormerProcess, MaxFormers+1)}}).Append(),
+		"too long": (&Stored{Kind: StoredState, State: &KeeperState{Process: a, Boot: strings.Repeat("b", MaxBoot+1)}}).Append(),
+	} {
+		if s, err := ParseStored(b); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: %+v, %v", what, s, err)
+		}
+	}
+	for cut := range whole {
+		if _, err := ParseStored(whole[:cut]); err == nil {
+			t.Errorf("the first %d of %d bytes are read", cut, len(whole))
+		}
+	}
+	other := bytes.Clone(whole)
+	other[0] = 2 * (StoredVersion + 1) // of a version to come
+	if _, err := ParseStored(other); err != ErrVersion {
+		t.Errorf("another version: %v", err)
+	}
+}
+
+func FuzzParseStored(f *testing.F) {
+	for _, s := range storedSamples {
+		f.Add(s.Append())
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := ParseStored(b)
+		if err != nil {
+			return
+		}
+		if again, err := ParseStored(s.Append()); err != nil || !bytes.Equal(s.Append(), again.Append()) {
+			t.Fatalf("%+v comes back as %+v, %v", s, again, err)
+		}
+	})
+}
