--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"laddertide/internal/testrig"
 	"laddertide/invoker"
+	"laddertide/owners/recordlog"
 )
 
 // ring is several schedulers that know each other, with the first one's provider.
@@ -197,14 +199,18 @@
 	}
 	cfg.Listen, cfg.Discovery, cfg.Limits = "127.0.0.1:1", "127.0.0.1:2", Limits{Sockets: 512, MemoryMB: 256}
 	const with = "peers: {listen: '127.0.0.1:3', cluster: t}\n"
+	folder := t.TempDir()
 	for text, want := range map[string]string{
-		with + "owners: {keeper: 3}\n":                          "owners.keeper",
-		with + "owners: {keepers: 10}\n":                        "owners.keepers",
-		with + "owners: {keep_s: 0}\n":                          "owners.keep_s",
-		with + "owners: {first_s: -1}\n":                        "owners.first_s",
-		with + "owners: {max_waits: many}\n":                    "owners.max_waits",
-		with + "owners: {max_records: 1000000}\n":               "limits.memory_mb",
-		"owners: {}\n":                                          "owners: there is no section peers",
+		with + "owners: {dir: " + folder + "/nowhere}\n":                           "owners.dir",
+		with + "owners: {dir: " + folder + "}\ndurable: {dir: " + folder + "/.}\n": "owners.dir: is durable.dir",
+		with + "owners: {dir: " + folder + "}\n":                                   "",
+		with + "owners: {keeper: 3}\n":                                             "owners.keeper",
+		with + "owners: {keepers: 10}\n":                                           "owners.keepers",
+		with + "owners: {keep_s: 0}\n":                                             "owners.keep_s",
+		with + "owners: {first_s: -1}\n":                                           "owners.first_s",
+		with + "owners: {max_waits: many}\n":                                       "owners.max_waits",
+		with + "owners: {max_records: 1000000}\n":                                  "limits.memory_mb",
+		"owners: {}\n": "owners: there is no section peers",
 		with + "owners: {keepers: 5, keep_s: 60, first_s: 0}\n": "",
 		with: "",
 	} {
@@ -240,3 +246,28 @@
 		r.end()
 	}
 }
+
+// A folder is one process's alone: a scheduler whose folder another one has does not start, and one that has it is not followed by
+// another process while it serves.
+func TestOwnersFolder(t *testing.T) {
+	folder := t.TempDir()
+	text := fmt.Sprintf("peers: {listen: '%s', cluster: t}\nowners: {dir: %s}\n", testrig.Free(t), folder)
+	r := newRig(t, text, io.Discard)
+	if r.sched.cfg.handsOver() {
+		t.Error("the folder would have two processes")
+	}
+	r.end()
+	held, _, err := recordlog.Open(recordlog.Options{Dir: folder, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatalf("the folder is not let go of: %v", err)
+	}
+	defer held.Close()
+	cfg := r.sched.cfg
+	second, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := second.chain(); err == nil || !strings.Contains(err.Error(), "is in use by process") {
+		t.Errorf("a second process with the folder: %v", err)
+	}
+}
