scheduler: the test of a next process that dies lets its worker come again

TestHeirDies/after_it failed once beside other suites: connection refused, 0.11 s after its begin. A worker repeats its call-back; the test now dials again for 2 s. What must hold is as before: the one answer, by the older process.

--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -364,7 +364,7 @@
 					break
 				}
 				if err != nil { // its connection went to the one that has died
-					back = r.dial()
+					back = r.redial()
 				}
 				body := `{"id":"stays","from":"s-0badcafe","state":"done","result":"x"}`
 				back.say("%s", post("/v1/job-events", body))
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -140,6 +140,26 @@
 	return newClient(r.t, c)
 }
 
+// redial is dial by a worker whose connection went with another process: until the older one has noticed that and listens again,
+// connections may be refused.
+func (r *rig) redial() *client {
+	r.t.Helper()
+	for deadline := time.Now().Add(redialLimit); ; time.Sleep(redialPause) {
+		c, err := net.Dial("tcp", r.cfg.Listen)
+		if err == nil {
+			return newClient(r.t, c)
+		}
+		if time.Now().After(deadline) {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+const (
+	redialLimit = 2 * time.Second // of the job's time, in which the worker must be heard
+	redialPause = 10 * time.Millisecond
+)
+
 func (c *client) say(format string, args ...any) {
 	c.t.Helper()
 	if _, err := fmt.Fprintf(c, format, args...); err != nil {
