--- a/configuration/follower/store.go
+++ b/configuration/follower/store.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"laddertide/snapshot"
+	"laddertide/wire/binarycodec"
 	wire "laddertide/wire/configuration"
 	disk "laddertide/wire/snapshot"
-	"laddertide/wire/walk"
 )
 
 // Document is one version of the configuration, whole.
@@ -123,14 +123,14 @@
 }
 
 func appendDocument(d *Document) []byte {
-	w := walk.Walker{}
-	walkDocument(&w, d)
+	w := binarycodec.Codec{}
+	codeDocument(&w, d)
 	return w.Bytes
 }
 
 func readDocument(b []byte) (d Document, err error) {
-	w := walk.Walker{Bytes: b, Reading: true}
-	walkDocument(&w, &d)
+	w := binarycodec.Codec{Bytes: b, Reading: true}
+	codeDocument(&w, &d)
 	if w.Err == nil && wire.DigestOf(d.Body) != d.Digest {
 		w.Fail("does not match its digest")
 	}
@@ -140,11 +140,11 @@
 	return d, nil
 }
 
-func walkDocument(w *walk.Walker, d *Document) {
+func codeDocument(w *binarycodec.Codec, d *Document) {
 	accepted := d.AcceptedAt.UnixMilli()
 	digest := d.Digest[:]
-	walk.Whole(w, &d.Version)
-	walk.Whole(w, &accepted)
+	binarycodec.Integers(w, &d.Version)
+	binarycodec.Integers(w, &accepted)
 	w.Data(&digest)
 	w.Data(&d.Body)
 	if w.Reading {
--- a/owners/tend.go
+++ b/owners/tend.go
@@ -7,8 +7,8 @@
 	core "laddertide/core/owners"
 	"laddertide/job"
 	"laddertide/provider"
+	"laddertide/wire/binarycodec"
 	wire "laddertide/wire/owners"
-	"laddertide/wire/walk"
 )
 
 // tend sees to rosters for as long as this scheduler is with the others.
@@ -494,16 +494,16 @@
 			size += len(all[len(all)-1])
 		}
 	}
-	w := walk.Walker{}
-	walk.List(&w, &all, func(b *[]byte) { w.Data(b) })
+	w := binarycodec.Codec{}
+	binarycodec.List(&w, &all, func(b *[]byte) { w.Data(b) })
 	return w.Bytes
 }
 
 // Resume goes on with what the process before this one knew. It is called before Join, with the same name and start.
 func (h *Handler) Resume(state []byte, me wire.Process) error {
-	w := walk.Walker{Bytes: state, Reading: true}
+	w := binarycodec.Codec{Bytes: state, Reading: true}
 	var all [][]byte
-	walk.List(&w, &all, func(b *[]byte) { w.Data(b) })
+	binarycodec.List(&w, &all, func(b *[]byte) { w.Data(b) })
 	if w.Err != nil || len(all) == 0 {
 		return errors.Join(errors.New("owners: what the process before knew makes no sense"), w.Err)
 	}
--- a/policy/checkpoint.go
+++ b/policy/checkpoint.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // A checkpoint is all that a Dispatcher will decide by, but for its settings: its random numbers, what it
@@ -17,14 +17,14 @@
 
 // Checkpoint appends the machine's state to b.
 func (d *Dispatcher) Checkpoint(b []byte) []byte {
-	w := walker{Walker: walk.Walker{Bytes: b}}
+	w := codec{Codec: binarycodec.Codec{Bytes: b}}
 	w.dispatcher(d)
 	return w.Bytes
 }
 
 // Beliefs appends the machine's state without its requests, which Inherit and Adopt leave out anyway.
 func (d *Dispatcher) Beliefs(b []byte) []byte {
-	w := walker{Walker: walk.Walker{Bytes: b}, bare: true}
+	w := codec{Codec: binarycodec.Codec{Bytes: b}, bare: true}
 	w.dispatcher(d)
 	return w.Bytes
 }
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := walker{Walker: walk.Walker{Bytes: checkpoint, Reading: true}}
+	w := codec{Codec: binarycodec.Codec{Bytes: checkpoint, Reading: true}}
 	w.dispatcher(d)
 	if w.Err == nil && len(w.Bytes) > 0 {
 		w.Fail("has bytes after its end")
@@ -133,17 +133,17 @@
 	return d.workers[r.attempts[number].worker].id, true
 }
 
-// walker is a walk over a Dispatcher.
-type walker struct {
-	walk.Walker
+// codec encodes and decodes a Dispatcher by one definition.
+type codec struct {
+	binarycodec.Codec
 	bare bool // requests are left out
 }
 
-func (w *walker) floats(s *[]float64) { walk.List(&w.Walker, s, func(v *float64) { w.Float(v) }) }
+func (w *codec) floats(s *[]float64) { binarycodec.List(&w.Codec, s, func(v *float64) { w.Float(v) }) }
 
-// place walks over a number that must be a place among n.
-func place[T ~int | ~int32](w *walker, v *T, n int) {
-	walk.Whole(&w.Walker, v)
+// place goes over a number that must be a place among n.
+func place[T ~int | ~int32](w *codec, v *T, n int) {
+	binarycodec.Integers(&w.Codec, v)
 	if !w.Reading {
 		return
 	}
@@ -155,18 +155,18 @@
 	}
 }
 
-func (w *walker) dispatcher(d *Dispatcher) {
+func (w *codec) dispatcher(d *Dispatcher) {
 	version := checkpointVersion
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	if version != checkpointVersion {
 		w.Fail(fmt.Sprintf("has version %d, not %d", version, checkpointVersion))
 		return
 	}
 	w.random(d)
-	walk.List(&w.Walker, &d.workers, w.worker)
-	walk.List(&w.Walker, &d.kinds, func(k *kindStats) {
+	binarycodec.List(&w.Codec, &d.workers, w.worker)
+	binarycodec.List(&w.Codec, &d.kinds, func(k *kindStats) {
 		w.Float(&k.slowSum, &k.slowN, &k.slowSq, &k.base, &k.guest, &k.slots)
-		walk.Whole(&w.Walker, &k.shown)
+		binarycodec.Integers(&w.Codec, &k.shown)
 	})
 	w.Float(&d.meanWork, &d.worthSeen, &d.slowdown, &d.calm, &d.workN, &d.arrived, &d.seen, &d.rate, &d.fails, &d.oks,
 		&d.solver.lambda, &d.home, &d.twice)
@@ -174,15 +174,15 @@
 		w.floats(s)
 	}
 	// mu, limit and xi are made anew by every solve; spare is memory.
-	walk.List(&w.Walker, &d.order, func(i *int32) { place(w, i, len(d.workers)) })
-	walk.List(&w.Walker, &d.cold, func(i *int32) { place(w, i, len(d.workers)) })
-	walk.List(&w.Walker, &d.spans, func(s *span) { walk.Whole(&w.Walker, &s.from, &s.to) })
-	walk.Whole(&w.Walker, &d.budget, &d.agedAt, &d.stopBy)
-	walk.Whole(&w.Walker, &d.shut, &d.asks)
+	binarycodec.List(&w.Codec, &d.order, func(i *int32) { place(w, i, len(d.workers)) })
+	binarycodec.List(&w.Codec, &d.cold, func(i *int32) { place(w, i, len(d.workers)) })
+	binarycodec.List(&w.Codec, &d.spans, func(s *span) { binarycodec.Integers(&w.Codec, &s.from, &s.to) })
+	binarycodec.Integers(&w.Codec, &d.budget, &d.agedAt, &d.stopBy)
+	binarycodec.Integers(&w.Codec, &d.shut, &d.asks)
 	w.Flag(&d.crowded, &d.dirty, &d.begun, &d.subscribed)
-	walk.List(&w.Walker, &d.zones, func(z *zone) {
-		walk.Whole(&w.Walker, &z.fails)
-		walk.Whole(&w.Walker, &z.wait, &z.until)
+	binarycodec.List(&w.Codec, &d.zones, func(z *zone) {
+		binarycodec.Integers(&w.Codec, &z.fails)
+		binarycodec.Integers(&w.Codec, &z.wait, &z.until)
 	})
 	for _, t := range []*turnedAway{&d.near, &d.far} {
 		w.Float(&t.sent, &t.full, &t.startDelay.Mean, &t.startDelay.Dev)
@@ -199,7 +199,7 @@
 }
 
 // sound checks what the machine takes for granted of the sizes of its lists.
-func (w *walker) sound(d *Dispatcher) {
+func (w *codec) sound(d *Dispatcher) {
 	kinds, drawn := len(d.kinds), len(d.order)
 	if len(d.pools) != kinds+1 || len(d.boundIn) != kinds || len(d.boundRate) != kinds || len(d.all) != drawn ||
 		len(d.bound) != drawn || len(d.spans) > kinds || len(d.classWork) != len(d.set.Classes) ||
@@ -213,10 +213,10 @@
 	}
 }
 
-// random walks over the state of the random numbers.
-func (w *walker) random(d *Dispatcher) {
+// random goes over the state of the random numbers.
+func (w *codec) random(d *Dispatcher) {
 	state, _ := d.src.MarshalBinary() // has no errors
-	walk.List(&w.Walker, &state, func(b *byte) { walk.Whole(&w.Walker, b) })
+	binarycodec.List(&w.Codec, &state, func(b *byte) { binarycodec.Integers(&w.Codec, b) })
 	if !w.Reading || w.Err != nil {
 		return
 	}
@@ -228,11 +228,11 @@
 	d.src, d.rng = src, rand.New(src)
 }
 
-func (w *walker) worker(x *worker) {
-	walk.Whole(&w.Walker, &x.id)
-	walk.Whole(&w.Walker, &x.kind, &x.zone, &x.cell, &x.tries, &x.waiting)
-	walk.Whole(&w.Walker, &x.state)
-	walk.Whole(&w.Walker, &x.started, &x.back, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
+func (w *codec) worker(x *worker) {
+	binarycodec.Integers(&w.Codec, &x.id)
+	binarycodec.Integers(&w.Codec, &x.kind, &x.zone, &x.cell, &x.tries, &x.waiting)
+	binarycodec.Integers(&w.Codec, &x.state)
+	binarycodec.Integers(&w.Codec, &x.started, &x.back, &x.sentAt, &x.occAt, &x.shutFor, &x.shutUntil, &x.awayFor, &x.awayUntil, &x.lostAt, &x.creditAt)
 	w.Flag(&x.listed, &x.occSeen)
 	w.Float(&x.weight, &x.held, &x.xi, &x.load, &x.target, &x.run, &x.slowSum, &x.slowN, &x.occ, &x.occHeld, &x.fails,
 		&x.oks, &x.credit)
@@ -241,9 +241,9 @@
 	}
 }
 
-// requests walks over the open requests and the pools that hold them. A request of before the list of pools
+// requests goes over the open requests and the pools that hold them. A request of before the list of pools
 // grew still belongs to the pool as it was: such pools come after those of the list.
-func (w *walker) requests(d *Dispatcher) {
+func (w *codec) requests(d *Dispatcher) {
 	pools := make([]*pool, 0, len(d.pools)+1)
 	number := make(map[*pool]int)
 	add := func(p *pool) {
@@ -268,7 +268,7 @@
 		}
 		more = len(pools) - n
 	}
-	walk.Whole(&w.Walker, &n, &more)
+	binarycodec.Integers(&w.Codec, &n, &more)
 	if w.Reading {
 		if n < 0 || more < 0 || n+more > len(w.Bytes) {
 			w.Fail("has too many pools")
@@ -282,7 +282,7 @@
 			add(new(pool))
 		}
 	}
-	walk.List(&w.Walker, &open, func(at **request) {
+	binarycodec.List(&w.Codec, &open, func(at **request) {
 		if w.Reading {
 			*at = new(request)
 		}
@@ -306,8 +306,8 @@
 			parked = nil
 		}
 		w.Float(&p.held, &p.limit, &p.seen, &p.wait, &p.turned.sent, &p.turned.full)
-		walk.Whole(&w.Walker, &p.at)
-		walk.List(&w.Walker, &parked, func(at **request) {
+		binarycodec.Integers(&w.Codec, &p.at)
+		binarycodec.List(&w.Codec, &parked, func(at **request) {
 			slot := 0
 			if !w.Reading {
 				slot = (*at).slot
@@ -329,17 +329,17 @@
 	}
 }
 
-func (w *walker) request(r *request, classes, workers int) {
-	walk.Whole(&w.Walker, &r.id)
+func (w *codec) request(r *request, classes, workers int) {
+	binarycodec.Integers(&w.Codec, &r.id)
 	place(w, &r.class, classes)
-	walk.Whole(&w.Walker, &r.tenant, &r.out, &r.fulls)
-	walk.Whole(&w.Walker, &r.deadline, &r.aim, &r.born, &r.wakeAt)
+	binarycodec.Integers(&w.Codec, &r.tenant, &r.out, &r.fulls)
+	binarycodec.Integers(&w.Codec, &r.deadline, &r.aim, &r.born, &r.wakeAt)
 	w.Float(&r.work, &r.slots, &r.density)
 	w.Flag(&r.hinted, &r.ended, &r.parked, &r.held)
-	walk.List(&w.Walker, &r.attempts, func(a *attempt) {
+	binarycodec.List(&w.Codec, &r.attempts, func(a *attempt) {
 		place(w, &a.worker, workers)
 		w.Flag(&a.out, &a.mayRun)
 		w.Float(&a.held, &a.blamed)
-		walk.Whole(&w.Walker, &a.sent, &a.started)
+		binarycodec.Integers(&w.Codec, &a.sent, &a.started)
 	})
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -17,8 +17,8 @@
 	"laddertide/peers"
 	"laddertide/policy"
 	"laddertide/returning"
+	"laddertide/wire/binarycodec"
 	wire "laddertide/wire/handover"
-	"laddertide/wire/walk"
 )
 
 // startPeers finds the other schedulers, if the operators' file says that there are some. What they know of bans and drains
@@ -350,8 +350,8 @@
 // beliefs is what this scheduler has learnt of providers, for another one.
 func (s *Scheduler) beliefs() []byte {
 	names, state := s.desk.Beliefs()
-	w := walk.Walker{}
-	walk.List(&w, &names, func(n *string) { w.Text(n) })
+	w := binarycodec.Codec{}
+	binarycodec.List(&w, &names, func(n *string) { w.Text(n) })
 	w.Data(&state)
 	return w.Bytes
 }
@@ -362,10 +362,10 @@
 		s.log.Warn("what a peer believes is not taken over: its clock is another", "peer", from, "ahead", skew)
 		return
 	}
-	w := walk.Walker{Bytes: b, Reading: true}
+	w := binarycodec.Codec{Bytes: b, Reading: true}
 	var names []string
 	var state []byte
-	walk.List(&w, &names, func(n *string) { w.Text(n) })
+	binarycodec.List(&w, &names, func(n *string) { w.Text(n) })
 	w.Data(&state)
 	err := w.Err
 	s.mu.Lock()
--- a/wire/walk/walk.go
+++ b/wire/binarycodec/codec.go
@@ -1,7 +1,7 @@
-// Package walk writes values to bytes, or reads them back, by one walk for both, so that they cannot disagree. It owns
-// how single values look; what they mean, and in which order they come, is the walk's. What is read may be anything: it is
+// Package binarycodec writes values to bytes, or reads them back, by one definition for both, so that they cannot disagree. It
+// owns how single values look; what they mean, and in which order they come, is the definition's. What is read may be anything: it is
 // an error at worst, and costs no more memory than its bytes are worth.
-package walk
+package binarycodec
 
 import (
 	"encoding/binary"
@@ -9,23 +9,23 @@
 	"math"
 )
 
-// Walker is a walk over values: it appends them to Bytes, or, Reading, takes them from there.
-type Walker struct {
+// Codec goes over values: it appends them to Bytes, or, Reading, takes them from there.
+type Codec struct {
 	Bytes   []byte
 	Reading bool
 	Err     error // the first thing found wrong; nothing is read after it
 }
 
 // Fail notes what is wrong.
-func (w *Walker) Fail(why string) {
+func (w *Codec) Fail(why string) {
 	if w.Err == nil {
 		w.Err = errors.New(why)
 	}
 	w.Bytes = nil
 }
 
-// Whole walks over whole numbers.
-func Whole[T ~int | ~int32 | ~int64 | ~uint8 | ~uint64](w *Walker, values ...*T) {
+// Integers goes over whole numbers.
+func Integers[T ~int | ~int32 | ~int64 | ~uint8 | ~uint64](w *Codec, values ...*T) {
 	for _, v := range values {
 		if !w.Reading {
 			w.Bytes = binary.AppendVarint(w.Bytes, int64(*v))
@@ -43,8 +43,8 @@
 	}
 }
 
-// Float walks over numbers.
-func (w *Walker) Float(values ...*float64) {
+// Float goes over numbers.
+func (w *Codec) Float(values ...*float64) {
 	for _, v := range values {
 		if !w.Reading {
 			w.Bytes = binary.LittleEndian.AppendUint64(w.Bytes, math.Float64bits(*v))
@@ -58,22 +58,22 @@
 	}
 }
 
-// Flag walks over truths.
-func (w *Walker) Flag(values ...*bool) {
+// Flag goes over truths.
+func (w *Codec) Flag(values ...*bool) {
 	for _, v := range values {
 		n := 0
 		if *v {
 			n = 1
 		}
-		Whole(w, &n)
+		Integers(w, &n)
 		*v = n != 0
 	}
 }
 
-// List walks over a slice. What each is given is valid during its call only.
-func List[T any](w *Walker, s *[]T, each func(*T)) {
+// List goes over a slice. What each is given is valid during its call only.
+func List[T any](w *Codec, s *[]T, each func(*T)) {
 	n := len(*s)
-	Whole(w, &n)
+	Integers(w, &n)
 	if !w.Reading {
 		for i := range *s {
 			each(&(*s)[i])
@@ -94,10 +94,10 @@
 	}
 }
 
-// Data walks over bytes. Those read share no memory with Bytes.
-func (w *Walker) Data(v *[]byte) {
+// Data goes over bytes. Those read share no memory with Bytes.
+func (w *Codec) Data(v *[]byte) {
 	n := len(*v)
-	Whole(w, &n)
+	Integers(w, &n)
 	switch {
 	case !w.Reading:
 		w.Bytes = append(w.Bytes, *v...)
@@ -108,8 +108,8 @@
 	}
 }
 
-// Text walks over texts.
-func (w *Walker) Text(values ...*string) {
+// Text goes over texts.
+func (w *Codec) Text(values ...*string) {
 	for _, v := range values {
 		b := []byte(*v)
 		if w.Data(&b); w.Reading {
--- a/wire/configuration/walk.go
+++ b/wire/configuration/codec.go
@@ -1,23 +1,23 @@
 package configuration
 
-import "laddertide/wire/walk"
+import "laddertide/wire/binarycodec"
 
-// walker walks over messages: one definition writes and reads each of them.
-type walker struct{ walk.Walker }
+// codec goes over messages: one definition writes and reads each of them.
+type codec struct{ binarycodec.Codec }
 
-func (w *walker) text(v *string, most int) {
+func (w *codec) text(v *string, most int) {
 	if w.Text(v); w.Reading && len(*v) > most {
 		w.Fail("has a text that is too long")
 	}
 }
 
-func (w *walker) names(values ...*string) {
+func (w *codec) names(values ...*string) {
 	for _, v := range values {
 		w.text(v, MaxName)
 	}
 }
 
-func (w *walker) digest(d *Digest) {
+func (w *codec) digest(d *Digest) {
 	b := d[:]
 	w.Data(&b)
 	if !w.Reading || w.Err != nil {
@@ -30,37 +30,37 @@
 	copy(d[:], b)
 }
 
-func (w *walker) document(b *[]byte) {
+func (w *codec) document(b *[]byte) {
 	if w.Data(b); w.Reading && len(*b) > MaxDocument {
 		w.Fail("has a document that is too large")
 	}
 }
 
-func (w *walker) whole(values ...*uint64) { walk.Whole(&w.Walker, values...) }
+func (w *codec) whole(values ...*uint64) { binarycodec.Integers(&w.Codec, values...) }
 
-func (w *walker) millis(values ...*int64) { walk.Whole(&w.Walker, values...) }
+func (w *codec) millis(values ...*int64) { binarycodec.Integers(&w.Codec, values...) }
 
-func (w *walker) code(c *Code) {
-	walk.Whole(&w.Walker, c)
+func (w *codec) code(c *Code) {
+	binarycodec.Integers(&w.Codec, c)
 	if w.Reading && (*c < Accepted || *c > Foreign) {
 		w.Fail("has an unknown code")
 	}
 }
 
-func (w *walker) rows(rows *[]Follower) {
+func (w *codec) rows(rows *[]Follower) {
 	left := MaxRows
-	walk.List(&w.Walker, rows, func(f *Follower) {
+	binarycodec.List(&w.Codec, rows, func(f *Follower) {
 		if left--; w.Reading && left < 0 {
 			w.Fail("has too many followers")
 			return
 		}
-		f.walk(w)
+		f.fields(w)
 	})
 }
 
-func (w *walker) voters(voters *[]Voter) {
+func (w *codec) voters(voters *[]Voter) {
 	left := MaxMembers
-	walk.List(&w.Walker, voters, func(v *Voter) {
+	binarycodec.List(&w.Codec, voters, func(v *Voter) {
 		if left--; w.Reading && left < 0 {
 			w.Fail("has too many members")
 			return
@@ -70,8 +70,8 @@
 	})
 }
 
-func (h *Hello) walk(w *walker) {
-	walk.Whole(&w.Walker, &h.Role)
+func (h *Hello) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &h.Role)
 	if w.Reading && (h.Role < RoleFollower || h.Role > RoleOperator) {
 		w.Fail("has an unknown role")
 	}
@@ -80,55 +80,55 @@
 	w.digest(&h.Digest)
 }
 
-func (m *Welcome) walk(w *walker) {
+func (m *Welcome) fields(w *codec) {
 	w.names(&m.Name)
 	w.whole(&m.Newest)
 	w.millis(&m.Heartbeat)
 }
 
-func (m *Rejected) walk(w *walker) {
+func (m *Rejected) fields(w *codec) {
 	w.code(&m.Code)
 	w.text(&m.Text, MaxReason)
 }
 
-func (m *Push) walk(w *walker) {
+func (m *Push) fields(w *codec) {
 	w.whole(&m.Version)
 	w.digest(&m.Digest)
 	w.millis(&m.AcceptedAt)
 	w.document(&m.Document)
 }
 
-func (m *Report) walk(w *walker) {
+func (m *Report) fields(w *codec) {
 	w.whole(&m.Version)
 	w.digest(&m.Digest)
 	w.whole(&m.Refused)
 	w.text(&m.Reason, MaxReason)
 }
 
-func (m *Beat) walk(w *walker) {
+func (m *Beat) fields(w *codec) {
 	w.whole(&m.Newest)
 	w.millis(&m.QuorumAge)
 }
 
-func (m *Propose) walk(w *walker) {
+func (m *Propose) fields(w *codec) {
 	w.names(&m.Request)
 	w.whole(&m.Base)
 	w.names(&m.Author)
 	w.document(&m.Document)
 }
 
-func (m *Proposed) walk(w *walker) {
+func (m *Proposed) fields(w *codec) {
 	w.names(&m.Request)
 	w.whole(&m.Version)
 	w.code(&m.Code)
 	w.text(&m.Text, MaxReason)
 }
 
-func (*Fetch) walk(*walker) {}
+func (*Fetch) fields(*codec) {}
 
-func (*StatusRequest) walk(*walker) {}
+func (*StatusRequest) fields(*codec) {}
 
-func (m *Status) walk(w *walker) {
+func (m *Status) fields(w *codec) {
 	w.names(&m.Member, &m.Leader)
 	w.whole(&m.Term, &m.Newest)
 	w.digest(&m.Digest)
@@ -136,7 +136,7 @@
 	w.rows(&m.Rows)
 }
 
-func (f *Follower) walk(w *walker) {
+func (f *Follower) fields(w *codec) {
 	w.names(&f.Name)
 	w.whole(&f.Start, &f.Version)
 	w.digest(&f.Digest)
@@ -147,24 +147,24 @@
 	w.names(&f.Member)
 }
 
-func (m *Raft) walk(w *walker) {
+func (m *Raft) fields(w *codec) {
 	w.whole(&m.To)
 	w.Data(&m.Bytes)
 }
 
-func (m *Member) walk(w *walker) {
+func (m *Member) fields(w *codec) {
 	w.whole(&m.Disk)
 	w.Flag(&m.Fresh)
 	w.whole(&m.Term, &m.Vote, &m.Last)
 	w.Flag(&m.Asks)
 	w.Flag(&m.Tells)
-	m.Known.walk(w)
+	m.Known.fields(w)
 	w.voters(&m.Voters)
 }
 
-func (p *Promise) walk(w *walker) {
+func (p *Promise) fields(w *codec) {
 	w.whole(&p.Disk, &p.Term, &p.Vote, &p.Last)
 	w.Flag(&p.Removed)
 }
 
-func (m *Followers) walk(w *walker) { w.rows(&m.Rows) }
+func (m *Followers) fields(w *codec) { w.rows(&m.Rows) }
--- a/wire/configuration/configuration.go
+++ b/wire/configuration/configuration.go
@@ -9,7 +9,7 @@
 	"errors"
 	"fmt"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // FormatVersion is that of all that is read and written here.
@@ -79,7 +79,7 @@
 // Message is one of the pointer types below.
 type Message interface {
 	kind() kind
-	walk(w *walker)
+	fields(w *codec)
 }
 
 type kind uint8
@@ -284,11 +284,11 @@
 
 // Append returns a message's bytes.
 func Append(m Message) []byte {
-	w := walker{}
+	w := codec{}
 	format, k := FormatVersion, m.kind()
-	walk.Whole(&w.Walker, &format)
-	walk.Whole(&w.Walker, &k)
-	m.walk(&w)
+	binarycodec.Integers(&w.Codec, &format)
+	binarycodec.Integers(&w.Codec, &k)
+	m.fields(&w)
 	return w.Bytes
 }
 
@@ -297,18 +297,18 @@
 	if len(b) > MaxFrame {
 		return nil, fmt.Errorf("configuration: a message of %d bytes is too large", len(b))
 	}
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	format, k := 0, kind(0)
-	if walk.Whole(&w.Walker, &format); w.Err == nil && format != FormatVersion {
+	if binarycodec.Integers(&w.Codec, &format); w.Err == nil && format != FormatVersion {
 		return nil, ErrFormat
 	}
-	walk.Whole(&w.Walker, &k)
+	binarycodec.Integers(&w.Codec, &k)
 	m := blank(k)
 	if w.Err == nil && m == nil {
 		w.Fail("is of an unknown kind")
 	}
 	if w.Err == nil {
-		m.walk(&w)
+		m.fields(&w)
 	}
 	if w.Err == nil && len(w.Bytes) > 0 {
 		w.Fail("has bytes after its end")
--- a/wire/configuration/records.go
+++ b/wire/configuration/records.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // Limits of what is kept.
@@ -59,7 +59,7 @@
 	Entries  [][]byte
 }
 
-func (c *Change) walk(w *walker) {
+func (c *Change) fields(w *codec) {
 	w.names(&c.Request)
 	w.whole(&c.Base)
 	w.names(&c.Author)
@@ -67,25 +67,25 @@
 	w.document(&c.Document)
 }
 
-func (p *Past) walk(w *walker) {
+func (p *Past) fields(w *codec) {
 	w.whole(&p.Version)
 	w.digest(&p.Digest)
 	w.millis(&p.AcceptedAt)
 	w.names(&p.Author, &p.Request)
 }
 
-func (s *State) walk(w *walker) {
+func (s *State) fields(w *codec) {
 	w.document(&s.Document)
-	walk.List(&w.Walker, &s.History, func(p *Past) { p.walk(w) })
+	binarycodec.List(&w.Codec, &s.History, func(p *Past) { p.fields(w) })
 	w.voters(&s.Voters)
-	walk.List(&w.Walker, &s.Removed, func(disk *uint64) { w.whole(disk) })
+	binarycodec.List(&w.Codec, &s.Removed, func(disk *uint64) { w.whole(disk) })
 	if w.Reading && (len(s.History) > MaxHistory || len(s.Removed) > MaxRemoved) {
 		w.Fail("has too long a list")
 	}
 }
 
-func (r *Record) walk(w *walker) {
-	walk.Whole(&w.Walker, &r.Kind)
+func (r *Record) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &r.Kind)
 	w.whole(&r.Number)
 	switch r.Kind {
 	case Checkpoint:
@@ -102,30 +102,30 @@
 	}
 }
 
-func (w *walker) list(many *[][]byte) {
-	walk.List(&w.Walker, many, func(b *[]byte) { w.Data(b) })
+func (w *codec) list(many *[][]byte) {
+	binarycodec.List(&w.Codec, many, func(b *[]byte) { w.Data(b) })
 }
 
 // kept is what is written to logs and disks.
-type kept interface{ walk(w *walker) }
+type kept interface{ fields(w *codec) }
 
 func write(v kept) []byte {
-	w := walker{}
+	w := codec{}
 	format := FormatVersion
-	walk.Whole(&w.Walker, &format)
-	v.walk(&w)
+	binarycodec.Integers(&w.Codec, &format)
+	v.fields(&w)
 	return w.Bytes
 }
 
 // read reads all of b, with no limit of its own: what is kept was limited as it was written.
 func read(what string, b []byte, v kept) error {
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	format := 0
-	if walk.Whole(&w.Walker, &format); w.Err == nil && format != FormatVersion {
+	if binarycodec.Integers(&w.Codec, &format); w.Err == nil && format != FormatVersion {
 		return ErrFormat
 	}
 	if w.Err == nil {
-		v.walk(&w)
+		v.fields(&w)
 	}
 	if w.Err == nil && len(w.Bytes) > 0 {
 		w.Err = errors.New("has bytes after its end")
--- a/wire/groups/groups.go
+++ b/wire/groups/groups.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // Version is that of all that is read and written here.
@@ -86,9 +86,9 @@
 	Many   [][]byte
 }
 
-type walker struct{ walk.Walker }
+type codec struct{ binarycodec.Codec }
 
-func (w *walker) names(values ...*string) {
+func (w *codec) names(values ...*string) {
 	for _, v := range values {
 		if w.Text(v); w.Reading && len(*v) > MaxName {
 			w.Fail("has a name that is too long")
@@ -96,23 +96,23 @@
 	}
 }
 
-func (w *walker) group(g *Group) {
+func (w *codec) group(g *Group) {
 	w.names(&g.Owner)
-	walk.Whole(&w.Walker, &g.Start, &g.Epoch)
-	walk.List(&w.Walker, &g.Members, func(m *Member) {
+	binarycodec.Integers(&w.Codec, &g.Start, &g.Epoch)
+	binarycodec.List(&w.Codec, &g.Members, func(m *Member) {
 		w.names(&m.Name)
-		walk.Whole(&w.Walker, &m.Disk)
+		binarycodec.Integers(&w.Codec, &m.Disk)
 	})
 	if w.Reading && w.Err == nil && (len(g.Members) == 0 || len(g.Members) > MaxMembers || g.Members[0].Name != g.Owner) {
 		w.Fail("has no such members")
 	}
 }
 
-func (w *walker) frame(f *Frame) {
+func (w *codec) frame(f *Frame) {
 	w.names(&f.From)
 	w.Flag(&f.Full)
 	left := new(MaxMessages)
-	walk.List(&w.Walker, &f.Messages, func(m *Message) {
+	binarycodec.List(&w.Codec, &f.Messages, func(m *Message) {
 		if *left--; w.Reading && *left < 0 {
 			w.Fail("has too many messages")
 			return
@@ -122,38 +122,38 @@
 	})
 }
 
-func (w *walker) record(r *Record) {
-	walk.Whole(&w.Walker, &r.Kind)
-	walk.Whole(&w.Walker, &r.Number)
+func (w *codec) record(r *Record) {
+	binarycodec.Integers(&w.Codec, &r.Kind)
+	binarycodec.Integers(&w.Codec, &r.Number)
 	switch r.Kind {
 	case Begun, Ended, Left:
 		w.group(&r.Group)
 	case State:
 		w.Data(&r.Bytes)
 	case Entries:
-		walk.List(&w.Walker, &r.Many, func(b *[]byte) { w.Data(b) })
+		binarycodec.List(&w.Codec, &r.Many, func(b *[]byte) { w.Data(b) })
 	case Disk, Anew:
-		walk.Whole(&w.Walker, &r.Disk)
+		binarycodec.Integers(&w.Codec, &r.Disk)
 	default:
 		w.Fail("is of no kind")
 	}
 }
 
-func write(each func(*walker)) []byte {
-	w := walker{}
+func write(each func(*codec)) []byte {
+	w := codec{}
 	version := Version
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	each(&w)
 	return w.Bytes
 }
 
-func read(what string, b []byte, each func(*walker)) error {
+func read(what string, b []byte, each func(*codec)) error {
 	if len(b) > MaxFrame {
 		return fmt.Errorf("groups: %s of %d bytes is too large", what, len(b))
 	}
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	version := 0
-	if walk.Whole(&w.Walker, &version); w.Err == nil && version != Version {
+	if binarycodec.Integers(&w.Codec, &version); w.Err == nil && version != Version {
 		return ErrVersion
 	}
 	if w.Err == nil {
@@ -169,20 +169,20 @@
 }
 
 // Append gives a frame's bytes.
-func (f *Frame) Append() []byte { return write(func(w *walker) { w.frame(f) }) }
+func (f *Frame) Append() []byte { return write(func(w *codec) { w.frame(f) }) }
 
 // ReadFrame reads a frame.
 func ReadFrame(b []byte) (f Frame, err error) {
-	err = read("a frame", b, func(w *walker) { w.frame(&f) })
+	err = read("a frame", b, func(w *codec) { w.frame(&f) })
 	return f, err
 }
 
 // Append gives a record's bytes.
-func (r *Record) Append() []byte { return write(func(w *walker) { w.record(r) }) }
+func (r *Record) Append() []byte { return write(func(w *codec) { w.record(r) }) }
 
 // ReadRecord reads a record.
 func ReadRecord(b []byte) (r Record, err error) {
-	err = read("a record", b, func(w *walker) { w.record(&r) })
+	err = read("a record", b, func(w *codec) { w.record(&r) })
 	return r, err
 }
 
@@ -193,15 +193,15 @@
 }
 
 // Append gives a batch's bytes.
-func (b *Batch) Append() []byte { return write(func(w *walker) { w.batch(b) }) }
+func (b *Batch) Append() []byte { return write(func(w *codec) { w.batch(b) }) }
 
-func (w *walker) batch(b *Batch) {
-	walk.Whole(&w.Walker, &b.Nonce)
-	walk.List(&w.Walker, &b.Records, func(r *[]byte) { w.Data(r) })
+func (w *codec) batch(b *Batch) {
+	binarycodec.Integers(&w.Codec, &b.Nonce)
+	binarycodec.List(&w.Codec, &b.Records, func(r *[]byte) { w.Data(r) })
 }
 
 // ReadBatch reads a batch.
 func ReadBatch(p []byte) (b Batch, err error) {
-	err = read("a batch", p, func(w *walker) { w.batch(&b) })
+	err = read("a batch", p, func(w *codec) { w.batch(&b) })
 	return b, err
 }
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // Version is that of the messages. Hello, Welcome and Refusal begin with it in all versions; of another version
@@ -37,7 +37,7 @@
 // Message is any of the messages.
 type Message interface {
 	kind() byte
-	walk(*walker)
+	fields(*codec)
 }
 
 // Numbered is a message that wants a Reply.
@@ -201,8 +201,8 @@
 
 // Append appends a message to b.
 func Append(b []byte, m Message) []byte {
-	w := walker{Walker: walk.Walker{Bytes: append(b, m.kind())}}
-	m.walk(&w)
+	w := codec{Codec: binarycodec.Codec{Bytes: append(b, m.kind())}}
+	m.fields(&w)
 	return w.Bytes
 }
 
@@ -215,8 +215,8 @@
 	if m == nil {
 		return nil, fmt.Errorf("handover: a message of unknown kind %d", b[0])
 	}
-	w := walker{Walker: walk.Walker{Bytes: b[1:], Reading: true}}
-	m.walk(&w)
+	w := codec{Codec: binarycodec.Codec{Bytes: b[1:], Reading: true}}
+	m.fields(&w)
 	if w.Err == nil && len(w.Bytes) > 0 && !w.foreign {
 		w.Fail("bytes after the end")
 	}
@@ -226,128 +226,128 @@
 	return m, nil
 }
 
-func (m *Hello) walk(w *walker) {
+func (m *Hello) fields(w *codec) {
 	if w.version(&m.Version) {
 		w.Text(&m.Name, &m.Listen)
 	}
 }
 
-func (m *Welcome) walk(w *walker) {
+func (m *Welcome) fields(w *codec) {
 	if w.version(&m.Version) {
-		m.Roster.walk(w)
+		m.Roster.fields(w)
 	}
 }
 
-func (m *Refusal) walk(w *walker) {
+func (m *Refusal) fields(w *codec) {
 	if w.version(&m.Version) {
 		w.Text(&m.Why)
 		w.Flag(&m.Later)
 	}
 }
 
-func (m *News) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number)
-	m.Roster.walk(w)
+func (m *News) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number)
+	m.Roster.fields(w)
 }
 
-func (m *Reread) walk(w *walker) { walk.Whole(&w.Walker, &m.Number) }
+func (m *Reread) fields(w *codec) { binarycodec.Integers(&w.Codec, &m.Number) }
 
-func (m *Call) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number)
+func (m *Call) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number)
 	w.Text(&m.Verb, &m.ID)
 }
 
-func (m *Event) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number, &m.Lease)
+func (m *Event) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number, &m.Lease)
 	w.Text(&m.ID, &m.From)
-	walk.Whole(&w.Walker, &m.State)
+	binarycodec.Integers(&w.Codec, &m.State)
 	w.number(&m.Share)
 	w.Data(&m.Result)
 }
 
-func (m *Reply) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number)
-	walk.Whole(&w.Walker, &m.Code)
+func (m *Reply) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number)
+	binarycodec.Integers(&w.Codec, &m.Code)
 	w.Text(&m.Why)
 }
 
-func (m *Takeover) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number)
-	m.Roster.walk(w)
-	walk.List(&w.Walker, &m.Names, func(s *string) { w.Text(s) })
+func (m *Takeover) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number)
+	m.Roster.fields(w)
+	binarycodec.List(&w.Codec, &m.Names, func(s *string) { w.Text(s) })
 	w.Data(&m.Beliefs)
-	walk.Whole(&w.Walker, &m.Conns, &m.Calls)
-	walk.List(&w.Walker, &m.Classes, func(c *Class) {
+	binarycodec.Integers(&w.Codec, &m.Conns, &m.Calls)
+	binarycodec.List(&w.Codec, &m.Classes, func(c *Class) {
 		w.Text(&c.Name)
-		walk.Whole(&w.Walker, &c.Aim, &c.Deadline, &c.Window)
+		binarycodec.Integers(&w.Codec, &c.Aim, &c.Deadline, &c.Window)
 		w.number(&c.Stretch, &c.Worth)
-		walk.Whole(&w.Walker, &c.Effect, &c.Group)
-		walk.Whole(&w.Walker, &c.Kind)
+		binarycodec.Integers(&w.Codec, &c.Effect, &c.Group)
+		binarycodec.Integers(&w.Codec, &c.Kind)
 		w.Flag(&c.Retired)
 	})
-	walk.List(&w.Walker, &m.Tenants, func(t *Tenant) {
+	binarycodec.List(&w.Codec, &m.Tenants, func(t *Tenant) {
 		w.Text(&t.Name)
 		w.number(&t.Quota)
 	})
 }
 
-func (m *Peers) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Start)
+func (m *Peers) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Start)
 	w.Data(&m.State)
 	if w.Reading && len(w.Bytes) > 0 || !w.Reading && len(m.Owners) > 0 { // a process without it says nothing of it
 		w.Data(&m.Owners)
 	}
 }
 
-func (m *Conn) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Told)
+func (m *Conn) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Told)
 	w.Flag(&m.Events)
 	w.Data(&m.Ahead)
 }
 
-func (m *Job) walk(w *walker) {
-	walk.Whole(&w.Walker, &m.Number)
-	m.Conn.walk(w)
+func (m *Job) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Number)
+	m.Conn.fields(w)
 	w.Flag(&m.Last)
 	w.Text(&m.ID, &m.Party, &m.Key, &m.Subject, &m.Protocol)
-	walk.Whole(&w.Walker, &m.Class, &m.Tenant)
-	walk.Whole(&w.Walker, &m.Deadline, &m.Left, &m.Hint)
+	binarycodec.Integers(&w.Codec, &m.Class, &m.Tenant)
+	binarycodec.Integers(&w.Codec, &m.Deadline, &m.Left, &m.Hint)
 	w.number(&m.Slots)
 	w.Data(&m.Payload)
-	walk.List(&w.Walker, &m.Fields, func(f *Field) { w.Text(&f.Name, &f.Value) })
-	walk.List(&w.Walker, &m.Past, func(p *Past) {
+	binarycodec.List(&w.Codec, &m.Fields, func(f *Field) { w.Text(&f.Name, &f.Value) })
+	binarycodec.List(&w.Codec, &m.Past, func(p *Past) {
 		w.Text(&p.Provider)
-		walk.Whole(&w.Walker, &p.Ago)
+		binarycodec.Integers(&w.Codec, &p.Ago)
 		w.Flag(&p.Begun, &p.MayRun, &p.Out)
 	})
 }
 
-func (r *Roster) walk(w *walker) {
-	walk.Whole(&w.Walker, &r.Index)
-	walk.List(&w.Walker, &r.Providers, func(p *Provider) {
+func (r *Roster) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &r.Index)
+	binarycodec.List(&w.Codec, &r.Providers, func(p *Provider) {
 		w.Text(&p.Name, &p.Address, &p.Zone, &p.Type, &p.Status)
-		walk.Whole(&w.Walker, &p.Group)
+		binarycodec.Integers(&w.Codec, &p.Group)
 		w.number(&p.Weight, &p.SinceMS)
 		w.Flag(&p.Gone, &p.Out)
-		walk.Whole(&w.Walker, &p.Back)
+		binarycodec.Integers(&w.Codec, &p.Back)
 	})
 }
 
-// walker is a walk over a message.
-type walker struct {
-	walk.Walker
+// codec encodes and decodes messages by one definition.
+type codec struct {
+	binarycodec.Codec
 	foreign bool // of another version: the rest is not read
 }
 
-// version walks over the version and tells whether the rest can be walked over.
-func (w *walker) version(v *uint64) bool {
-	walk.Whole(&w.Walker, v)
+// version goes over the version and tells whether the rest can be read.
+func (w *codec) version(v *uint64) bool {
+	binarycodec.Integers(&w.Codec, v)
 	w.foreign = w.Reading && *v != Version
 	return !w.foreign
 }
 
-// number walks over numbers; nothing that is none, or endless, is one to a decision.
-func (w *walker) number(values ...*float64) {
+// number goes over numbers; nothing that is none, or endless, is one to a decision.
+func (w *codec) number(values ...*float64) {
 	for _, v := range values {
 		if w.Float(v); math.IsNaN(*v) || math.IsInf(*v, 0) {
 			w.Fail("a number is none")
--- a/wire/owners/owners.go
+++ b/wire/owners/owners.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // Version is that of all messages here. It is of a range of its own, so that no message of wire/peers can be taken for one.
@@ -168,10 +168,10 @@
 	Formers       []Process
 }
 
-type walker struct{ walk.Walker }
+type codec struct{ binarycodec.Codec }
 
-// texts walks over texts that must be short.
-func (w *walker) texts(most int, values ...*string) {
+// texts goes over texts that must be short.
+func (w *codec) texts(most int, values ...*string) {
 	for _, v := range values {
 		if w.Text(v); w.Reading && len(*v) > most {
 			w.Fail("has a text that is too long")
@@ -179,25 +179,25 @@
 	}
 }
 
-func (w *walker) process(p *Process) {
+func (w *codec) process(p *Process) {
 	w.texts(MaxName, &p.Name)
-	walk.Whole(&w.Walker, &p.Start)
+	binarycodec.Integers(&w.Codec, &p.Start)
 }
 
-func (w *walker) outcome(o *Outcome) {
-	walk.Whole(&w.Walker, &o.Kind)
+func (w *codec) outcome(o *Outcome) {
+	binarycodec.Integers(&w.Codec, &o.Kind)
 	w.Data(&o.Result)
-	walk.Whole(&w.Walker, &o.RetryAfter)
+	binarycodec.Integers(&w.Codec, &o.RetryAfter)
 	w.texts(MaxName, &o.Why)
 	if w.Reading && len(o.Result) == 0 {
 		o.Result = nil
 	}
 }
 
-func (w *walker) record(r *Record) {
+func (w *codec) record(r *Record) {
 	w.texts(MaxID, &r.ID)
 	w.process(&r.Owner)
-	walk.Whole(&w.Walker, &r.Nonce, &r.Term, &r.Rev)
+	binarycodec.Integers(&w.Codec, &r.Nonce, &r.Term, &r.Rev)
 	digest := r.Digest[:]
 	if w.Data(&digest); w.Reading {
 		if len(digest) != len(r.Digest) {
@@ -206,12 +206,12 @@
 		}
 		copy(r.Digest[:], digest)
 	}
-	walk.Whole(&w.Walker, &r.Effect)
-	walk.Whole(&w.Walker, &r.Left, &r.Due)
+	binarycodec.Integers(&w.Codec, &r.Effect)
+	binarycodec.Integers(&w.Codec, &r.Left, &r.Due)
 	w.Flag(&r.Ledger, &r.Won, &r.Ended, &r.Kept)
-	walk.List(&w.Walker, &r.Calls, func(c *Call) {
+	binarycodec.List(&w.Codec, &r.Calls, func(c *Call) {
 		w.texts(MaxName, &c.Provider)
-		walk.Whole(&w.Walker, &c.Ago)
+		binarycodec.Integers(&w.Codec, &c.Ago)
 	})
 	if w.Reading && len(r.Calls) > MaxSent {
 		w.Fail("has too many calls")
@@ -225,20 +225,20 @@
 		}
 	}
 	w.process(&r.Over)
-	walk.Whole(&w.Walker, &r.OverTerm, &r.OverRev)
+	binarycodec.Integers(&w.Codec, &r.OverTerm, &r.OverRev)
 }
 
-func (w *walker) job(j *Job) {
+func (w *codec) job(j *Job) {
 	w.record(&j.Record)
 	w.texts(MaxName, &j.Class)
 	w.texts(MaxJob, &j.Party, &j.Key, &j.Subject, &j.Protocol)
-	walk.Whole(&w.Walker, &j.Deadline, &j.Left, &j.Hint)
+	binarycodec.Integers(&w.Codec, &j.Deadline, &j.Left, &j.Hint)
 	w.Float(&j.Slots)
 	w.Data(&j.Payload)
-	walk.List(&w.Walker, &j.Fields, func(f *Field) { w.texts(MaxJob, &f.Name, &f.Value) })
-	walk.List(&w.Walker, &j.Past, func(p *Past) {
+	binarycodec.List(&w.Codec, &j.Fields, func(f *Field) { w.texts(MaxJob, &f.Name, &f.Value) })
+	binarycodec.List(&w.Codec, &j.Past, func(p *Past) {
 		w.texts(MaxName, &p.Provider)
-		walk.Whole(&w.Walker, &p.Ago)
+		binarycodec.Integers(&w.Codec, &p.Ago)
 		w.Flag(&p.Begun, &p.MayRun, &p.Over)
 	})
 	if len(j.Payload) == 0 {
@@ -249,16 +249,16 @@
 	}
 }
 
-func (w *walker) word(e *ProviderWord) {
+func (w *codec) word(e *ProviderWord) {
 	w.texts(MaxName, &e.From)
-	walk.Whole(&w.Walker, &e.Lease)
-	walk.Whole(&w.Walker, &e.State)
+	binarycodec.Integers(&w.Codec, &e.Lease)
+	binarycodec.Integers(&w.Codec, &e.State)
 	w.Float(&e.Share)
 	w.Data(&e.Result)
 }
 
-// there walks over whether something follows, and makes it when it does.
-func there[T any](w *walker, v **T, walk func(*T)) {
+// there goes over whether something follows, and makes it when it does.
+func there[T any](w *codec, v **T, each func(*T)) {
 	is := *v != nil
 	if w.Flag(&is); !is || w.Err != nil {
 		return
@@ -266,18 +266,18 @@
 	if w.Reading {
 		*v = new(T)
 	}
-	walk(*v)
+	each(*v)
 }
 
-func (w *walker) message(m *Message) {
-	walk.Whole(&w.Walker, &m.Kind)
+func (w *codec) message(m *Message) {
+	binarycodec.Integers(&w.Codec, &m.Kind)
 	if m.Kind == 0 || m.Kind >= last {
 		w.Fail("is of no kind")
 		return
 	}
-	walk.Whole(&w.Walker, &m.Number, &m.Roster)
+	binarycodec.Integers(&w.Codec, &m.Number, &m.Roster)
 	w.process(&m.From)
-	if walk.Whole(&w.Walker, &m.Code); m.Code >= lastCode {
+	if binarycodec.Integers(&w.Codec, &m.Code); m.Code >= lastCode {
 		w.Fail("has no such word")
 		return
 	}
@@ -287,16 +287,16 @@
 	there(w, &m.Job, w.job)
 	there(w, &m.Word, w.word)
 	if m.Kind == Part {
-		walk.Whole(&w.Walker, &m.Piece, &m.Pieces)
-		walk.List(&w.Walker, &m.Lasts, func(all *[]Process) { walk.List(&w.Walker, all, w.process) })
-		walk.List(&w.Walker, &m.Unsure, func(all *[]Process) { walk.List(&w.Walker, all, w.process) })
-		walk.List(&w.Walker, &m.Records, w.record)
+		binarycodec.Integers(&w.Codec, &m.Piece, &m.Pieces)
+		binarycodec.List(&w.Codec, &m.Lasts, func(all *[]Process) { binarycodec.List(&w.Codec, all, w.process) })
+		binarycodec.List(&w.Codec, &m.Unsure, func(all *[]Process) { binarycodec.List(&w.Codec, all, w.process) })
+		binarycodec.List(&w.Codec, &m.Records, w.record)
 	}
 	if m.Kind == Many {
-		walk.List(&w.Walker, &m.Bundle, func(b *[]byte) { w.Data(b) })
+		binarycodec.List(&w.Codec, &m.Bundle, func(b *[]byte) { w.Data(b) })
 	}
 	if m.Kind == Formers {
-		if walk.List(&w.Walker, &m.Formers, w.process); w.Reading && len(m.Formers) > MaxFormers {
+		if binarycodec.List(&w.Codec, &m.Formers, w.process); w.Reading && len(m.Formers) > MaxFormers {
 			w.Fail("has too many former processes")
 		}
 	}
@@ -328,18 +328,18 @@
 
 // Append gives a message's bytes.
 func (m *Message) Append() []byte {
-	w := walker{}
+	w := codec{}
 	version := Version
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	w.message(m)
 	return w.Bytes
 }
 
 // Is tells whether bytes are meant to be a message of this package.
 func Is(b []byte) bool {
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	version := 0
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	return w.Err == nil && version >= Version
 }
 
@@ -348,9 +348,9 @@
 	if len(b) > MaxWhole {
 		return nil, fmt.Errorf("owners: a message of %d bytes is too large", len(b))
 	}
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	version := 0
-	if walk.Whole(&w.Walker, &version); w.Err == nil && version != Version {
+	if binarycodec.Integers(&w.Codec, &version); w.Err == nil && version != Version {
 		return nil, ErrVersion
 	}
 	m := &Message{}
--- a/wire/owners/stored.go
+++ b/wire/owners/stored.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // StoredVersion is that of what is stored on disk. What is of another one is not read.
@@ -54,23 +54,23 @@
 	Unsure  [][]Process
 }
 
-func (w *walker) rosters(lists *[][]Process) {
-	walk.List(&w.Walker, lists, func(all *[]Process) { walk.List(&w.Walker, all, w.process) })
+func (w *codec) rosters(lists *[][]Process) {
+	binarycodec.List(&w.Codec, lists, func(all *[]Process) { binarycodec.List(&w.Codec, all, w.process) })
 	if w.Reading && len(*lists) == 0 {
 		*lists = nil
 	}
 }
 
-func (w *walker) keeperState(s *KeeperState) {
+func (w *codec) keeperState(s *KeeperState) {
 	w.texts(MaxBoot, &s.Boot)
 	w.process(&s.Process)
-	walk.Whole(&w.Walker, &s.Version)
+	binarycodec.Integers(&w.Codec, &s.Version)
 	w.Flag(&s.Partial)
 	w.rosters(&s.Lasts)
 	w.rosters(&s.Unsure)
-	walk.List(&w.Walker, &s.Formers, func(f *FormerProcess) {
+	binarycodec.List(&w.Codec, &s.Formers, func(f *FormerProcess) {
 		w.process(&f.Process)
-		walk.Whole(&w.Walker, &f.Until)
+		binarycodec.Integers(&w.Codec, &f.Until)
 		w.rosters(&f.Lasts)
 		w.rosters(&f.Unsure)
 	})
@@ -82,13 +82,13 @@
 	}
 }
 
-func (w *walker) stored(s *Stored) {
-	walk.Whole(&w.Walker, &s.Kind)
+func (w *codec) stored(s *Stored) {
+	binarycodec.Integers(&w.Codec, &s.Kind)
 	if s.Kind == 0 || s.Kind >= lastStored {
 		w.Fail("is of no kind")
 		return
 	}
-	walk.Whole(&w.Walker, &s.At)
+	binarycodec.Integers(&w.Codec, &s.At)
 	there(w, &s.Record, w.record)
 	there(w, &s.State, w.keeperState)
 	if !w.Reading || w.Err != nil {
@@ -101,18 +101,18 @@
 
 // Append gives an entry's bytes.
 func (s *Stored) Append() []byte {
-	w := walker{}
+	w := codec{}
 	version := StoredVersion
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	w.stored(s)
 	return w.Bytes
 }
 
 // ParseStored reads an entry.
 func ParseStored(b []byte) (*Stored, error) {
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	version := 0
-	if walk.Whole(&w.Walker, &version); w.Err == nil && version != StoredVersion {
+	if binarycodec.Integers(&w.Codec, &version); w.Err == nil && version != StoredVersion {
 		return nil, ErrVersion
 	}
 	s := &Stored{}
--- a/wire/peers/peers.go
+++ b/wire/peers/peers.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"laddertide/wire/walk"
+	"laddertide/wire/binarycodec"
 )
 
 // Version is that of all messages, states and notes.
@@ -97,24 +97,24 @@
 	Disk    uint64 // what its disk is called among members of groups; 0: it keeps none
 }
 
-// note walks over a note. What is said of records, and then of a return, follows only where there is something to say.
-func (w *walker) note(n *Note) {
-	walk.Whole(&w.Walker, &n.Start)
+// note goes over a note. What is said of records, and then of a return, follows only where there is something to say.
+func (w *codec) note(n *Note) {
+	binarycodec.Integers(&w.Codec, &n.Start)
 	if w.Reading && len(w.Bytes) > 0 || !w.Reading && (n.Keeps || n.Leaving || n.ToGo > 0 || n.Disk != 0) {
 		w.Flag(&n.Keeps, &n.Leaving)
 	}
 	if w.Reading && len(w.Bytes) > 0 || !w.Reading && (n.ToGo > 0 || n.Disk != 0) {
-		walk.Whole(&w.Walker, &n.ToGo)
+		binarycodec.Integers(&w.Codec, &n.ToGo)
 	}
 	if w.Reading && len(w.Bytes) > 0 || !w.Reading && n.Disk != 0 {
-		walk.Whole(&w.Walker, &n.Disk)
+		binarycodec.Integers(&w.Codec, &n.Disk)
 	}
 }
 
-type walker struct{ walk.Walker }
+type codec struct{ binarycodec.Codec }
 
-// names walks over texts that must be short.
-func (w *walker) names(values ...*string) {
+// names goes over texts that must be short.
+func (w *codec) names(values ...*string) {
 	for _, v := range values {
 		if w.Text(v); w.Reading && len(*v) > MaxName {
 			w.Fail("has a name that is too long")
@@ -122,64 +122,64 @@
 	}
 }
 
-func (w *walker) dots(s *[]Dot) { walk.List(&w.Walker, s, w.dot) }
+func (w *codec) dots(s *[]Dot) { binarycodec.List(&w.Codec, s, w.dot) }
 
-func (w *walker) dot(d *Dot) {
+func (w *codec) dot(d *Dot) {
 	w.names(&d.By)
-	walk.Whole(&w.Walker, &d.Start, &d.Seq)
+	binarycodec.Integers(&w.Codec, &d.Start, &d.Seq)
 }
 
-func (w *walker) message(m *Message) {
-	walk.Whole(&w.Walker, &m.Kind)
+func (w *codec) message(m *Message) {
+	binarycodec.Integers(&w.Codec, &m.Kind)
 	if m.Kind == 0 || m.Kind >= last {
 		w.Fail("is of no kind")
 		return
 	}
-	walk.Whole(&w.Walker, &m.Number, &m.Start, &m.Index)
+	binarycodec.Integers(&w.Codec, &m.Number, &m.Start, &m.Index)
 	w.names(&m.From, &m.Name, &m.Provider)
-	walk.Whole(&w.Walker, &m.At, &m.Since)
+	binarycodec.Integers(&w.Codec, &m.At, &m.Since)
 	w.dots(&m.Dots)
 	if m.Kind == Ban && len(m.Dots) != 1 {
 		w.Fail("is a ban without its name")
 	}
 }
 
-func (w *walker) state(s *State) {
+func (w *codec) state(s *State) {
 	w.names(&s.From)
-	walk.Whole(&w.Walker, &s.Start)
+	binarycodec.Integers(&w.Codec, &s.Start)
 	w.Flag(&s.Met)
-	walk.List(&w.Walker, &s.Members, func(m *Member) {
+	binarycodec.List(&w.Codec, &s.Members, func(m *Member) {
 		w.names(&m.Name, &m.Address)
-		walk.Whole(&w.Walker, &m.Start)
-		walk.Whole(&w.Walker, &m.State)
+		binarycodec.Integers(&w.Codec, &m.Start)
+		binarycodec.Integers(&w.Codec, &m.State)
 		w.Float(&m.Weight)
 		w.Flag(&m.Voter)
 	})
-	walk.List(&w.Walker, &s.Bans, func(b *BanOf) {
+	binarycodec.List(&w.Codec, &s.Bans, func(b *BanOf) {
 		w.dot(&b.Dot)
 		w.names(&b.Provider)
-		walk.Whole(&w.Walker, &b.At)
+		binarycodec.Integers(&w.Codec, &b.At)
 	})
 	w.dots(&s.Undone)
-	walk.Whole(&w.Walker, &s.At)
+	binarycodec.Integers(&w.Codec, &s.At)
 	w.Data(&s.Beliefs)
 }
 
-func write(each func(*walker)) []byte {
-	w := walker{}
+func write(each func(*codec)) []byte {
+	w := codec{}
 	version := Version
-	walk.Whole(&w.Walker, &version)
+	binarycodec.Integers(&w.Codec, &version)
 	each(&w)
 	return w.Bytes
 }
 
-func read(what string, b []byte, most int, each func(*walker)) error {
+func read(what string, b []byte, most int, each func(*codec)) error {
 	if len(b) > most {
 		return fmt.Errorf("peers: %s of %d bytes is too large", what, len(b))
 	}
-	w := walker{walk.Walker{Bytes: b, Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b, Reading: true}}
 	version := 0
-	if walk.Whole(&w.Walker, &version); w.Err == nil && version != Version {
+	if binarycodec.Integers(&w.Codec, &version); w.Err == nil && version != Version {
 		return ErrVersion
 	}
 	if w.Err == nil {
@@ -195,30 +195,30 @@
 }
 
 // Append gives a message's bytes.
-func (m *Message) Append() []byte { return write(func(w *walker) { w.message(m) }) }
+func (m *Message) Append() []byte { return write(func(w *codec) { w.message(m) }) }
 
 // ReadMessage reads a message.
 func ReadMessage(b []byte) (m Message, err error) {
-	err = read("a message", b, MaxMessage, func(w *walker) { w.message(&m) })
+	err = read("a message", b, MaxMessage, func(w *codec) { w.message(&m) })
 	return m, err
 }
 
 // Append gives a state's bytes.
-func (s *State) Append() []byte { return write(func(w *walker) { w.state(s) }) }
+func (s *State) Append() []byte { return write(func(w *codec) { w.state(s) }) }
 
 // ReadState reads a state.
 func ReadState(b []byte) (s State, err error) {
-	err = read("a state", b, MaxState, func(w *walker) { w.state(&s) })
+	err = read("a state", b, MaxState, func(w *codec) { w.state(&s) })
 	return s, err
 }
 
 // Append gives a note's bytes.
 func (n *Note) Append() []byte {
-	return write(func(w *walker) { w.note(n) })
+	return write(func(w *codec) { w.note(n) })
 }
 
 // ReadNote reads a note.
 func ReadNote(b []byte) (n Note, err error) {
-	err = read("a note", b, 64, func(w *walker) { w.note(&n) })
+	err = read("a note", b, 64, func(w *codec) { w.note(&n) })
 	return n, err
 }
--- a/wire/snapshot/snapshot.go
+++ b/wire/snapshot/snapshot.go
@@ -6,7 +6,7 @@
 //
 // A file is a head of 64 bytes and a body. The head never changes its form: a mark (8 bytes), the version of the body (4),
 // zero (4), the generation (8), the body's length (8), and the SHA-256 of all of the head before it and the body. So a
-// whole file of a later version is told from a damaged one. The body is by wire/walk.
+// whole file of a later version is told from a damaged one. The body is by wire/binarycodec.
 package snapshot
 
 import (
@@ -18,9 +18,9 @@
 	"math"
 	"time"
 
+	"laddertide/wire/binarycodec"
 	"laddertide/wire/handover"
 	"laddertide/wire/peers"
-	"laddertide/wire/walk"
 )
 
 // Version is that of the bodies that are written. There is none before it.
@@ -155,7 +155,7 @@
 // Append gives a file's bytes, or a Flaw if they are more than most, or than is read.
 func Append(b []byte, generation uint64, s *State, most int) ([]byte, error) {
 	from := len(b)
-	w := walker{walk.Walker{Bytes: append(b, make([]byte, headBytes)...)}}
+	w := codec{binarycodec.Codec{Bytes: append(b, make([]byte, headBytes)...)}}
 	w.state(s)
 	file := w.Bytes[from:]
 	if len(file) > min(most, MaxFile) {
@@ -212,7 +212,7 @@
 		return generation, nil, flaw(Malformed, "has version %d and generation %d, which are never written", version, generation)
 	}
 	s = &State{}
-	w := walker{walk.Walker{Bytes: b[headBytes:], Reading: true}}
+	w := codec{binarycodec.Codec{Bytes: b[headBytes:], Reading: true}}
 	if w.state(s); w.Err == nil && len(w.Bytes) > 0 {
 		w.Fail("has bytes after its end")
 	}
@@ -222,11 +222,11 @@
 	return generation, s, nil
 }
 
-type walker struct{ walk.Walker }
+type codec struct{ binarycodec.Codec }
 
-// numbers walks over numbers. Nothing that is none, or endless, is one to a decision: it is written as 0, as no part of a
+// numbers goes over numbers. Nothing that is none, or endless, is one to a decision: it is written as 0, as no part of a
 // state may keep the others from the disk.
-func (w *walker) numbers(values ...*float64) {
+func (w *codec) numbers(values ...*float64) {
 	for _, v := range values {
 		x := *v
 		if !w.Reading && none(x) {
@@ -243,48 +243,48 @@
 
 func none(x float64) bool { return math.IsNaN(x) || math.IsInf(x, 0) }
 
-func (w *walker) dot(d *Dot) {
+func (w *codec) dot(d *Dot) {
 	w.Text(&d.By)
-	walk.Whole(&w.Walker, &d.Start, &d.Seq)
+	binarycodec.Integers(&w.Codec, &d.Start, &d.Seq)
 }
 
-func (w *walker) state(s *State) {
+func (w *codec) state(s *State) {
 	w.Text(&s.Cluster, &s.Name)
-	walk.Whole(&w.Walker, &s.Start)
+	binarycodec.Integers(&w.Codec, &s.Start)
 	for i := range s.Written.Boot {
-		walk.Whole(&w.Walker, &s.Written.Boot[i])
+		binarycodec.Integers(&w.Codec, &s.Written.Boot[i])
 	}
-	walk.Whole(&w.Walker, &s.Written.Mono, &s.Written.Wall)
-	walk.List(&w.Walker, &s.Members, func(m *Member) {
+	binarycodec.Integers(&w.Codec, &s.Written.Mono, &s.Written.Wall)
+	binarycodec.List(&w.Codec, &s.Members, func(m *Member) {
 		w.Text(&m.Name, &m.Address)
-		walk.Whole(&w.Walker, &m.Start)
-		walk.Whole(&w.Walker, &m.State)
+		binarycodec.Integers(&w.Codec, &m.Start)
+		binarycodec.Integers(&w.Codec, &m.State)
 		w.numbers(&m.Weight)
 		w.Flag(&m.Voter)
 	})
-	walk.List(&w.Walker, &s.Bans, func(b *Ban) {
+	binarycodec.List(&w.Codec, &s.Bans, func(b *Ban) {
 		w.dot(&b.Dot)
 		w.Text(&b.Provider)
-		walk.Whole(&w.Walker, &b.At)
+		binarycodec.Integers(&w.Codec, &b.At)
 	})
-	walk.List(&w.Walker, &s.Undone, w.dot)
-	walk.Whole(&w.Walker, &s.List.Index)
-	walk.Whole(&w.Walker, &s.List.Age)
-	walk.List(&w.Walker, &s.List.Providers, func(p *Provider) {
+	binarycodec.List(&w.Codec, &s.Undone, w.dot)
+	binarycodec.Integers(&w.Codec, &s.List.Index)
+	binarycodec.Integers(&w.Codec, &s.List.Age)
+	binarycodec.List(&w.Codec, &s.List.Providers, func(p *Provider) {
 		w.Text(&p.Name, &p.Address, &p.Zone, &p.Type, &p.Status)
-		walk.Whole(&w.Walker, &p.Group)
+		binarycodec.Integers(&w.Codec, &p.Group)
 		w.numbers(&p.Weight, &p.SinceMS)
 		w.Flag(&p.Gone, &p.Out)
-		walk.Whole(&w.Walker, &p.Back)
+		binarycodec.Integers(&w.Codec, &p.Back)
 	})
-	walk.List(&w.Walker, &s.Beliefs.Names, func(n *string) { w.Text(n) })
+	binarycodec.List(&w.Codec, &s.Beliefs.Names, func(n *string) { w.Text(n) })
 	w.Data(&s.Beliefs.Module)
-	walk.List(&w.Walker, &s.ColdSpent, func(c *Cold) {
+	binarycodec.List(&w.Codec, &s.ColdSpent, func(c *Cold) {
 		w.Text(&c.Provider)
-		walk.Whole(&w.Walker, &c.Since, &c.Age)
+		binarycodec.Integers(&w.Codec, &c.Since, &c.Age)
 		w.numbers(&c.Sent)
 	})
-	walk.List(&w.Walker, &s.Parts, func(p *Part) {
+	binarycodec.List(&w.Codec, &s.Parts, func(p *Part) {
 		w.Text(&p.Name)
 		w.Data(&p.Data)
 	})
