--- a/invoker/invoker.go
+++ b/attempt/attempt.go
@@ -1,7 +1,7 @@
-// Package invoker is the last Handler of a job's way: it hands the job to the desk, makes the invoker calls that the
-// desk wants made, and tells it how they ended. It owns a job for as long as that takes, and with it the job's id. It
+// Package attempt is the last Handler of a job's request path: it hands the job to the decision module, makes the attempts at
+// workers that the module wants made, and tells it how they ended. It owns a job for as long as that takes, and with it the job's id. It
 // decides nothing, knows no protocol and opens no connection itself.
-package invoker
+package attempt
 
 import (
 	"context"
--- a/invoker/invoker_test.go
+++ b/attempt/attempt_test.go
@@ -1,4 +1,4 @@
-package invoker
+package attempt
 
 import (
 	"context"
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -16,7 +16,7 @@
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/internal/testrig"
-	"laddertide/invoker"
+	"laddertide/attempt"
 	"laddertide/job"
 	"laddertide/policy"
 	"laddertide/provider"
@@ -68,7 +68,7 @@
 	r.address = ln.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	s := &Server{Settings: set, Jobs: &invoker.Handler{Desk: desk, Pool: pool, Log: log}, CallBack: pool.CallBack,
+	s := &Server{Settings: set, Jobs: &attempt.Handler{Desk: desk, Pool: pool, Log: log}, CallBack: pool.CallBack,
 		Stopping: desk.Stop, Log: log, Conns: conns, Grace: grace}
 	go func() { r.served <- s.Serve(ctx, ln) }()
 	t.Cleanup(func() { stop(); desk.Close(); pool.Close() })
--- a/scheduler/exchange_test.go
+++ b/scheduler/exchange_test.go
@@ -45,7 +45,7 @@
 
 	consumers []*consumerEnd
 	calls     *consumerEnd  // that call-backs come on
-	heard     chan *attempt // what the providers are sent
+	heard     chan *workerMessage // what the providers are sent
 	dials     atomic.Int32  // connections to them
 }
 
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stage{t: t, over: make(chan error, 1), heard: make(chan *attempt, 1000)}
+	s := &stage{t: t, over: make(chan error, 1), heard: make(chan *workerMessage, 1000)}
 	cfg.Listen, cfg.Discovery = ownAddress(), "127.0.0.1:1"
 	cfg.Limits = Limits{Sockets: 256}
 	// On a busy machine nothing may come out otherwise because it took longer.
@@ -187,8 +187,8 @@
 	c.conn = nil
 }
 
-// attempt is a message that a provider got, or the end of its connection.
-type attempt struct {
+// workerMessage is a message that a worker got, or the end of its connection.
+type workerMessage struct {
 	s    *stage
 	conn net.Conn
 	raw  []byte
@@ -221,7 +221,7 @@
 						}
 						return err
 					})
-					s.heard <- &attempt{s, c, raw, err}
+					s.heard <- &workerMessage{s, c, raw, err}
 				}
 			}()
 		}
@@ -232,7 +232,7 @@
 // left is what a provider is told of the time, which nobody can know beforehand.
 var left = regexp.MustCompile(`(?m)^X-Deadline-Ms: (\d+)\r$`)
 
-func (s *stage) next() *attempt {
+func (s *stage) next() *workerMessage {
 	s.t.Helper()
 	select {
 	case a := <-s.heard:
@@ -243,7 +243,7 @@
 	panic("unreachable")
 }
 
-func (s *stage) mask(a *attempt) *attempt {
+func (s *stage) mask(a *workerMessage) *workerMessage {
 	s.t.Helper()
 	told := left.FindAllSubmatch(a.raw, -1)
 	for _, m := range told {
@@ -256,7 +256,7 @@
 }
 
 // attempt takes the next message that a provider is sent.
-func (s *stage) attempt() *attempt {
+func (s *stage) attempt() *workerMessage {
 	s.t.Helper()
 	a := s.next()
 	for a.err != nil && len(a.raw) == 0 {
@@ -269,7 +269,7 @@
 	return a
 }
 
-func (a *attempt) say(message string) {
+func (a *workerMessage) say(message string) {
 	a.s.t.Helper()
 	a.s.note("provider", "says", []byte(message))
 	if _, err := io.WriteString(a.conn, message); err != nil {
@@ -278,14 +278,14 @@
 }
 
 // accept says that the job is taken, and gives the scheduler time to read that.
-func (a *attempt) accept() {
+func (a *workerMessage) accept() {
 	a.s.t.Helper()
 	a.say(taken)
 	time.Sleep(300 * time.Millisecond)
 }
 
 // end waits until the scheduler has closed the connection of a.
-func (a *attempt) end() {
+func (a *workerMessage) end() {
 	a.s.t.Helper()
 	for {
 		e := a.s.next()
@@ -300,7 +300,7 @@
 }
 
 // close ends the provider's connection.
-func (a *attempt) close() {
+func (a *workerMessage) close() {
 	a.s.note("provider", "closes", nil)
 	a.conn.Close()
 }
@@ -705,7 +705,7 @@
 	}},
 	"closed by the provider": {script: func(s *stage) {
 		c := s.consumer()
-		run := func(id string, end func(*attempt)) {
+		run := func(id string, end func(*workerMessage)) {
 			c.say(submit(id, "card-issue", ""))
 			a := s.attempt()
 			end(a)
@@ -713,14 +713,14 @@
 			c.hear()
 			time.Sleep(100 * time.Millisecond) // the end of the connection is known by now
 		}
-		run("with-202", func(a *attempt) {
+		run("with-202", func(a *workerMessage) {
 			a.say("HTTP/1.1 202 A\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 			a.end()
 		})
-		run("after-202", func(a *attempt) { a.accept(); a.close() })
-		run("after-10", func(a *attempt) { a.say("HTTP/1.0 202 A\r\nContent-Length: 0\r\n\r\n"); a.end() })
-		run("too-much", func(a *attempt) { a.say(taken + "more"); a.end() })
-		run("endless", func(a *attempt) { a.say("HTTP/1.1 202 A\r\n\r\nbody"); a.end() })
+		run("after-202", func(a *workerMessage) { a.accept(); a.close() })
+		run("after-10", func(a *workerMessage) { a.say("HTTP/1.0 202 A\r\nContent-Length: 0\r\n\r\n"); a.end() })
+		run("too-much", func(a *workerMessage) { a.say(taken + "more"); a.end() })
+		run("endless", func(a *workerMessage) { a.say("HTTP/1.1 202 A\r\n\r\nbody"); a.end() })
 		if n := s.dials.Load(); n != 5 {
 			s.t.Errorf("%d connections, want 5", n)
 		}
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
+	"laddertide/attempt"
 	"laddertide/internal/testrig"
-	"laddertide/invoker"
 	"laddertide/owners/recordlog"
 )
 
@@ -229,7 +229,7 @@
 	for _, text := range []string{"", with} {
 		r := newRig(t, strings.Replace(text, "127.0.0.1:3", testrig.Free(t), 1), io.Discard)
 		h, err := r.sched.chain()
-		if _, last := h.(*invoker.Handler); err != nil || !last || r.sched.owners != nil {
+		if _, last := h.(*attempt.Handler); err != nil || !last || r.sched.owners != nil {
 			t.Errorf("without the section the chain begins with %T, %v", h, err)
 		}
 		if text != "" {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"laddertide/attempt"
 	"laddertide/capture"
 	"laddertide/consumer"
 	"laddertide/core/maintenance"
@@ -26,7 +27,6 @@
 	"laddertide/directory"
 	"laddertide/durable"
 	"laddertide/figures"
-	"laddertide/invoker"
 	"laddertide/job"
 	"laddertide/jobstatus"
 	"laddertide/owners"
@@ -148,7 +148,7 @@
 // that sets their order. What the operator has turned on goes round the last one here, the innermost first; what is off
 // is not in the chain.
 func (s *Scheduler) chain() (job.Handler, error) {
-	var h job.Handler = &invoker.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
+	var h job.Handler = &attempt.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
 	if set := s.cfg.Operator.Replicated; set != nil {
 		r, err := s.newReplicated(*set, h)
 		if err != nil {
