--- a/scheduler/exchange_test.go
+++ b/scheduler/exchange_test.go
@@ -44,9 +44,9 @@
 	notes strings.Builder
 
 	consumers []*consumerEnd
-	calls     *consumerEnd  // that call-backs come on
+	calls     *consumerEnd        // that call-backs come on
 	heard     chan *workerMessage // what the providers are sent
-	dials     atomic.Int32  // connections to them
+	dials     atomic.Int32        // connections to them
 }
 
 // provider's names: both are the same listener, so whichever is chosen, the notes are the same.
