--- a/rehearse/scale/page/regressor.go
+++ b/rehearse/scale/page/regressor.go
@@ -70,6 +70,9 @@
 	return math.Abs(left-right) <= proportion*max(left, right)
 }
 
+// usualReplicas is how many replicas a ledger has if the operators' file does not say it; the size states none.
+const usualReplicas = 3
+
 // fullSize is the size of the file as parameters.
 func fullSize(s *size.Size) measurement.Parameters {
 	return measurement.Parameters{
@@ -80,6 +83,7 @@
 		Tenants:             float64(s.Tenants.Count),
 		Schedulers:          float64(s.Schedulers.Real),
 		HollowSchedulers:    float64(s.Schedulers.Hollow),
+		Members:             usualReplicas,
 		ChangesPerDay:       s.Configuration.ChangesPerDay,
 		ConfigurationBytes:  s.Configuration.VersionMB * megabyte,
 		Regions:             float64(len(s.Regions)),
@@ -113,7 +117,7 @@
 	case measurement.Discovery:
 		return []string{"workers", "schedulers", "regions", "round trip ms"}
 	case measurement.LedgerMember:
-		return []string{"starts/s a scheduler", "running a scheduler", "regions", "round trip ms"}
+		return []string{"starts/s a scheduler", "running a scheduler", "members", "regions", "round trip ms"}
 	case measurement.ConfigurationSource:
 		return []string{"schedulers", changesRegressor, "configuration bytes", "regions", "round trip ms"}
 	}
--- a/rehearse/scale/page/verdict.go
+++ b/rehearse/scale/page/verdict.go
@@ -64,6 +64,12 @@
 			rows = append(rows, budgetRow{key{other.role, r.name}, r.unit, false, false, none, other.mechanism, ""})
 		}
 	}
+	// Without tasks a member's ledgers are control: what it takes then counts against control's budget.
+	rows = append(rows,
+		budgetRow{key{measurement.LedgerMember, cpu}, percentOfACore, true, false,
+			func(s *size.Size) float64 { return s.Budget.CPUPercent }, "`replica`, `replicated`", ""},
+		budgetRow{key{measurement.LedgerMember, controlBytes}, bytesASecond, true, false, controlBytesBudget,
+			"`replica`, `replicated`", ""})
 	for _, resource := range []string{cpu, controlBytes} {
 		for _, row := range rows {
 			if row.key == (key{measurement.Scheduler, resource}) && row.control {
