figures: gauges of the configuration in force, of a refused version and of its age

Need: the configuration that is followed had no metrics (open since it was built); an alarm on it needed the page of each scheduler. Change: three gauges, renewed each second where both sections are on. TestConfigurationGauges, TestConfigurationIsGauged; go test of figures and of scheduler's configuration tests passes.

--- a/figures/figures.go
+++ b/figures/figures.go
@@ -20,22 +20,25 @@
 type figure uint8
 
 const (
-	verdicts   figure = 0
-	ends              = verdicts + figure(decide.Mistake)
-	started           = ends + figure(decide.Withdrawn) + 1
-	jobTime           = started + 1
-	callTime          = jobTime + 1
-	startTime         = callTime + 1
-	open              = startTime + 1
-	callsOut          = open + 1
-	lost              = callsOut + 1
-	present           = lost + 1
-	mayRun            = present + 1
-	bans              = mayRun + 1
-	restrained        = bans + 1
-	returnStep        = restrained + 1
-	returnTook        = returnStep + 1
-	figureEnd         = returnTook + figure(recovery.Service)
+	verdicts             figure = 0
+	ends                        = verdicts + figure(decide.Mistake)
+	started                     = ends + figure(decide.Withdrawn) + 1
+	jobTime                     = started + 1
+	callTime                    = jobTime + 1
+	startTime                   = callTime + 1
+	open                        = startTime + 1
+	callsOut                    = open + 1
+	lost                        = callsOut + 1
+	present                     = lost + 1
+	mayRun                      = present + 1
+	bans                        = mayRun + 1
+	restrained                  = bans + 1
+	returnStep                  = restrained + 1
+	returnTook                  = returnStep + 1
+	configurationVersion        = returnTook + figure(recovery.Service)
+	configurationRefused        = configurationVersion + 1
+	configurationCurrent        = configurationRefused + 1
+	figureEnd                   = configurationCurrent + 1
 )
 
 var names = [figureEnd]string{
@@ -59,7 +62,9 @@
 	started: "started", jobTime: "job_time", callTime: "call_time", startTime: "start_time",
 	open: "open", callsOut: "calls_out", lost: "figures_lost",
 	present: "peers_present", mayRun: "peers_may_run", bans: "peers_bans", restrained: "peers_restrained",
-	returnStep: "return_step",
+	returnStep:           "return_step",
+	configurationVersion: "configuration_version", configurationRefused: "configuration_refused",
+	configurationCurrent: "configuration_current_ms",
 
 	returnTook + figure(recovery.Read):   "return_read",
 	returnTook + figure(recovery.Find):   "return_find",
@@ -147,6 +152,17 @@
 	}
 }
 
+// Configuration is the version of the configuration that is in force, the one that is refused (0: none), and for how long it has not
+// been known to be the newest, in milliseconds; -1: it never was.
+func (e *Emitter) Configuration(version, refused uint64, currentMS int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for f, v := range map[figure]int{configurationVersion: int(version), configurationRefused: int(refused), configurationCurrent: int(currentMS)} {
+		s := series{figure: f, class: -1, tenant: -1}
+		e.gauge(s, v-e.gauges[s])
+	}
+}
+
 // Return is the step of the return after a loss of power that begins, by its number, and how long the one before it took.
 func (e *Emitter) Return(step int, took time.Duration) {
 	e.mu.Lock()
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+func TestConfigurationGauges(t *testing.T) {
+	var out strings.Builder
+	e := emitter(statsd, &out)
+	e.Configuration(41, 0, 20)
+	e.Configuration(42, 43, 1500)
+	ended(e)
+	for _, want := range []string{"laddertide.configuration_version:42|g", "laddertide.configuration_refused:43|g",
+		"laddertide.configuration_current_ms:1500|g"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in %s", want, out.String())
+		}
+	}
+}
+
 func TestInflux(t *testing.T) {
 	var out strings.Builder
 	e := emitter(influx, &out)
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -313,3 +313,30 @@
 	}
 	return report
 }
+
+// configurationGaugesEvery is how often the gauges of the configuration are renewed: an age changes by itself.
+const configurationGaugesEvery = time.Second
+
+// gaugeConfiguration renews the gauges of the configuration until ctx ends, if there are to be any.
+func (s *Scheduler) gaugeConfiguration(ctx context.Context) {
+	if s.figures == nil || s.cfg.Operator.Configuration == nil {
+		return
+	}
+	tick := time.NewTicker(configurationGaugesEvery)
+	defer tick.Stop()
+	for {
+		s.mu.Lock()
+		known := s.configuration
+		s.mu.Unlock()
+		report := follower.ReportOf(known.inForce)
+		if known.follower != nil {
+			report = known.follower.Report()
+		}
+		s.figures.Configuration(report.Version, report.Refused, report.CurrentMS)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
--- a/scheduler/configuration_test.go
+++ b/scheduler/configuration_test.go
@@ -305,3 +305,18 @@
 		}
 	}
 }
+
+// The version in force, and a version that is refused, are gauges where there are figures.
+func TestConfigurationIsGauged(t *testing.T) {
+	source := testrig.NewSource(t, nil)
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	out := &lines{}
+	r := newRig(t, configurationSection(t.TempDir(), source)+"figures: {flush_ms: 50}\n", out)
+	r.untilVersion(1)
+	r.until("version 1 is a gauge", func(*Scheduler) bool { return strings.Contains(out.String(), "laddertide.configuration_version:1|g") })
+	source.Push(2, document(t, `"try-limit": 4`, `"try-limit": 0`))
+	r.until("the refused version is a gauge", func(*Scheduler) bool {
+		return strings.Contains(out.String(), "laddertide.configuration_refused:2|g")
+	})
+	r.end()
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -327,6 +327,7 @@
 	}
 	defer s.leavePeers()
 	s.followConfiguration()
+	go s.gaugeConfiguration(watching)
 	stalls := stall.New(lookEvery(s.cfg.Settings.DialTimeout), 2*lookEvery(s.cfg.Settings.DialTimeout), s.catchUp, s.log)
 	s.pool.Awake = stalls.Wait
 	go stalls.Run(watching)
