owners: a hand-over is fenced by a permit of its receiver

Change: the sender asks for a permit (Offer), a reading of the receiver's own clock; the receiver takes a job by one that is not older than a hand-over lasts, and counts the job's time from it. Cost: one round trip more a job that is handed over. Mixed versions: from an earlier one only what may run twice is taken.

--- a/owners/handover.go
+++ b/owners/handover.go
@@ -179,11 +179,15 @@
 	return r.Keepers(id)
 }
 
-// offer offers a job to a scheduler and returns the code of its reply, wire.No if the offer cannot be delivered, or 0 if there
-// is no reply in time. It returns before the program ends, so that the job's client can still be answered.
+// offer offers a job to a scheduler and returns the code of its reply, wire.No if the offer cannot be delivered or is not wanted,
+// or 0 if there is no reply in time. It returns before the program ends, so that the job's client can still be answered.
 func (h *Handler) offer(j *wire.Job, to wire.Process) wire.Code {
+	permit, ok := h.askPermit(j.Record.ID, to)
+	if !ok {
+		return wire.No
+	}
 	replies := make(chan wire.Code, 1)
-	m := &wire.Message{Kind: wire.Hand, Job: j}
+	m := &wire.Message{Kind: wire.Hand, Roster: permit, Job: j}
 	h.mu.Lock()
 	net := h.net
 	if net == nil {
@@ -240,6 +244,16 @@
 		h.reply(m, wire.Message{Code: code})
 		return
 	}
+	age, valid := h.permitAge(m.Roster)
+	if early := m.Roster == 0 && core.Effect(handed.Record.Effect) != core.Unsafe; early {
+		age, valid = 0, true // by a version that asks for no permit, and running it twice harms nobody
+	}
+	if !valid {
+		h.log.Warn("a job that was handed over long ago is not taken", "id", handed.Record.ID, "from", m.From.Name)
+		h.reply(m, wire.Message{Code: wire.No})
+		return
+	}
+	handed.Left = max(0, handed.Left-age)
 	e := h.open(h.jobOf(handed, class), handed.Record.Digest, time.Now().Add(handed.Left))
 	e.given = true
 	e.again = true
--- a/owners/net.go
+++ b/owners/net.go
@@ -303,6 +303,12 @@
 		h.sync(m)
 	case wire.Part:
 		h.part(m)
+	case wire.Offer:
+		if h.leaving || h.live[m.ID] != nil {
+			h.reply(m, wire.Message{Code: wire.No})
+			return
+		}
+		h.reply(m, wire.Message{Code: wire.Yes, Roster: h.permit()})
 	case wire.Formers:
 		h.rosters.Tells(m.From, m.Formers)
 	case wire.Where:
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -110,6 +110,7 @@
 	fullTold  time.Time
 	count     Counts
 
+	permitKey     uint64
 	records       *recordlog.Log // nil: nothing is kept on disk
 	formers       []core.Former  // as they were found there
 	unwritten     []wire.Stored  // noted under mu, and not handed to records yet
@@ -199,6 +200,7 @@
 	h.nonce = uint64(time.Now().UnixNano())
 	h.forgotten = h.nonce
 	h.number = h.nonce // a reply to the process before is none to this one
+	h.permitKey = newPermitKey()
 	if stored := cfg.Stored; stored != nil {
 		h.records, h.stale = stored.Log, true
 		h.inherit(stored.Found)
--- /dev/null
+++ b/owners/permit_test.go
@@ -0,0 +1,101 @@
+package owners
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"laddertide/core/fleet"
+	"laddertide/job"
+	wire "laddertide/wire/owners"
+)
+
+// handsTo finds an id whose job a scheduler hands to another one first.
+func (r *ring) handsTo(from, to string) string {
+	h := r.all[from].h
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := 0; ; i++ {
+		id := fmt.Sprint("h", i)
+		if h.successors(id)[0].Name == to {
+			return id
+		}
+	}
+}
+
+// A scheduler that stood still while a job was handed to it reads it long after: when no record of the job counts any more, and
+// another scheduler may have run it. It does not take it.
+func TestHandedOverLongAgo(t *testing.T) {
+	for class := safe; class <= unsafe; class++ {
+		t.Run(fmt.Sprint("class ", class), func(t *testing.T) {
+			ringTest(t, 5, nil, func(r *ring) {
+				a, b := r.all["a"], r.all["b"]
+				a.script = func(_ context.Context, j *job.Job) job.Outcome { // nothing of it is sent
+					<-a.pool.Leaving().Done()
+					return job.Outcome{Kind: job.Moved}
+				}
+				id := r.handsTo("a", "b")
+				asked := r.ask("a", id, class, "x")
+				time.Sleep(answerIn)
+				goOn := make(chan func(), 1)
+				r.mu.Lock()
+				r.lose = func(_, to string, m *wire.Message) bool {
+					if m.Kind == wire.Hand && to == "b" && b.stalled == nil {
+						on := make(chan struct{}) // it stands still while the message is on its way
+						b.stalled = on
+						goOn <- func() {
+							r.mu.Lock()
+							b.stalled = nil
+							r.mu.Unlock()
+							close(on)
+						}
+					}
+					return false
+				}
+				r.mu.Unlock()
+				a.h.Stop(time.Now().Add(6 * answerIn))
+				asked.answer()
+				resume := <-goOn
+				a.kill()
+				r.state("a", fleet.Left)
+				r.state("b", fleet.Unreachable)
+				time.Sleep(deadline + keepFor + time.Second)
+				r.want(r.ask("c", id, class, "x"), job.Served, false, "an id that nobody knows any more")
+				time.Sleep(deadline + keepFor + time.Second)
+				resume()
+				r.state("b", fleet.Present)
+				time.Sleep(deadline)
+				if n := r.made(id); n != 1 {
+					t.Errorf("%d calls", n)
+				}
+			})
+		})
+	}
+}
+
+// A permit is of one process, and for a moment.
+func TestPermits(t *testing.T) {
+	ringTest(t, 2, nil, func(r *ring) {
+		of := func(m *member) uint64 {
+			m.h.mu.Lock()
+			defer m.h.mu.Unlock()
+			return m.h.permit()
+		}
+		a, b := r.all["a"], r.all["b"]
+		valid := func(permit uint64) bool {
+			a.h.mu.Lock()
+			defer a.h.mu.Unlock()
+			_, ok := a.h.permitAge(permit)
+			return ok
+		}
+		own, other := of(a), of(b)
+		if !valid(own) || valid(other) {
+			t.Errorf("its own is valid: %t, another process's: %t", valid(own), valid(other))
+		}
+		time.Sleep(a.h.handOverLead() + time.Millisecond)
+		if valid(own) || valid(0) {
+			t.Error("one that is too old, or none, is taken")
+		}
+	})
+}
--- a/wire/owners/owners.go
+++ b/wire/owners/owners.go
@@ -44,12 +44,13 @@
 	Sync                    // Roster: I am to keep by this roster. Reply: Part
 	Part                    // Roster, Piece of Pieces, Lasts, Records: what you are to keep of what I keep
 	Where                   // Reply: Roster, the one by which I keep
-	Hand                    // Job: it is yours now. Reply: Code
+	Hand                    // Job: it is yours now, by the permit in Roster. Reply: Code
 	Event                   // Event: a provider's word on a job of yours. Reply: Code
 	Reply                   // Number, Code, Record, Outcome, Roster
 	Told                    // ID, Outcome: the job that you have asked about is over
 	Many                    // Bundle: several messages, each whole
 	Formers                 // Formers: I tell for these processes, which are over, with Part messages in their name
+	Offer                   // ID: may I hand you this job. Reply: Code; Yes: Roster is a permit for a moment
 	last
 )
 
@@ -310,7 +311,7 @@
 	switch m.Kind {
 	case Put, Drop, Ask:
 		return m.Record == nil || m.Record.ID == "" || m.Record.Owner.Name == ""
-	case Read:
+	case Read, Offer:
 		return m.ID == ""
 	case Told:
 		return m.ID == "" || m.Outcome == nil
--- a/wire/owners/owners_test.go
+++ b/wire/owners/owners_test.go
@@ -33,6 +33,7 @@
 		{Kind: Reply, Number: 8, From: b, Code: No, Roster: 9, Record: &ended, Outcome: &ended.Outcome},
 		{Kind: Told, From: a, ID: "j-1", Outcome: &Outcome{Kind: 4}},
 		{Kind: Many, From: b, Bundle: [][]byte{{1, 2}, {3}}},
+		{Kind: Offer, Number: 9, From: a, ID: "j-1"},
 		{Kind: Formers, From: a, Formers: []Process{{"n1", 4}, {"n1", 9}}},
 	}
 )
