core/owners: majorities of an earlier roster meet among its living members

Need: a hole found by reading (issue on open ends, part 2): members that had been over for longer than records count were counted as having told, so two halves of those who are left could each come to a roster of its own and know nothing of the other.

Change: they are left out of the count, and a majority of the others has to have told.

--- a/core/owners/roster.go
+++ b/core/owners/roster.go
@@ -441,14 +441,18 @@
 	}
 	// Two rosters that follow one and know nothing of each other would each have to be told by a majority of that one: whoever
 	// told both told the second of the first. Of two halves the one with the first member counts.
+	//
+	// Those that have been over for so long that nothing they kept counts are left out, and not counted as having told: two
+	// majorities that have only them in common know nothing of each other.
 	for _, b := range r.before {
+		living := slices.DeleteFunc(slices.Clone(b.all), func(p Process) bool { return r.aged(now, p) })
 		n := 0
-		for _, p := range b.all {
-			if told[p] || r.aged(now, p) {
+		for _, p := range living {
+			if told[p] {
 				n++
 			}
 		}
-		if first := b.all[0]; 2*n < len(b.all) || 2*n == len(b.all) && !told[first] && !r.aged(now, first) {
+		if 2*n < len(living) || len(living) > 0 && 2*n == len(living) && !told[living[0]] {
 			return "too many of those that kept records cannot be asked"
 		}
 	}
