--- a/owners/recordlog/recordlog.go
+++ b/owners/recordlog/recordlog.go
@@ -1,5 +1,5 @@
-// Package recordlog keeps on disk what a scheduler has said yes to as a keeper of other schedulers' jobs, so that the next process
-// of its name can tell it in its place after a crash.
+// Package recordlog keeps on disk the records that a scheduler has acknowledged as their replica, so that the next process of its
+// name can tell them in its place after a crash.
 //
 // Entries are handed to the system and not synced: they outlive the process, and not the machine. So what an earlier boot of the
 // machine has left is not relied on, nor what is damaged. An entry is on its way to the system before the answer that relies on it
@@ -45,7 +45,7 @@
 // Found is what earlier processes of this boot have left.
 type Found struct {
 	// Last is the state of the process before, and its formers'; nil: there was none that can be relied on.
-	Last *wire.KeeperState
+	Last *wire.ReplicaState
 	// Steps are records that were kept and dropped, in their order. The times within them count from now; what counts no more is
 	// left out.
 	Steps []Step
@@ -66,7 +66,7 @@
 }
 
 // Open opens the log of a folder for this process alone and reads it. A folder that another process has is an error: that process
-// may still say yes. Damage is none: nothing of a damaged log is relied on.
+// may still acknowledge records. Damage is none: nothing of a damaged log is relied on.
 func Open(o Options) (*Log, Found, error) {
 	l := &Log{boot: o.Boot, clock: o.Clock}
 	if l.clock == nil {
@@ -104,7 +104,7 @@
 type reader struct {
 	boot    string
 	now     time.Duration
-	last    *wire.KeeperState
+	last    *wire.ReplicaState
 	steps   []Step
 	formers []wire.FormerProcess
 	damaged bool
@@ -153,7 +153,7 @@
 }
 
 // state takes a state. Of another boot's nothing counts; of one process the latest does.
-func (r *reader) state(s *wire.KeeperState) {
+func (r *reader) state(s *wire.ReplicaState) {
 	switch {
 	case s.Boot != r.boot:
 		*r = reader{boot: r.boot, now: r.now, damaged: r.damaged}
@@ -188,7 +188,7 @@
 
 // Trim removes what was written longer than age ago, behind the caller's back, as far as whole segments hold nothing newer; state
 // is written before. Nothing is done while an earlier call is.
-func (l *Log) Trim(age time.Duration, state wire.KeeperState, log *slog.Logger) {
+func (l *Log) Trim(age time.Duration, state wire.ReplicaState, log *slog.Logger) {
 	now := l.clock()
 	if now <= age || !l.trimming.CompareAndSwap(false, true) {
 		return
--- a/owners/recordlog/recordlog_test.go
+++ b/owners/recordlog/recordlog_test.go
@@ -45,7 +45,7 @@
 }
 
 func state(p wire.Process, version uint64) wire.Stored {
-	return wire.Stored{Kind: wire.StoredState, State: &wire.KeeperState{Process: p, Version: version, Lasts: [][]wire.Process{{p, other}}}}
+	return wire.Stored{Kind: wire.StoredState, State: &wire.ReplicaState{Process: p, Version: version, Lasts: [][]wire.Process{{p, other}}}}
 }
 
 func kept(id string, left time.Duration) wire.Stored {
--- a/owners/records.go
+++ b/owners/records.go
@@ -11,8 +11,8 @@
 	wire "laddertide/wire/owners"
 )
 
-// What this scheduler has said yes to as a keeper outlives its process, if the operators' file names a folder for it. Each entry is
-// on its way to the system before the packet that says yes is: see unlock.
+// What this scheduler has acknowledged as a replica of records outlives its process, if the operators' file names a folder for it.
+// Each entry is written before the packet that acknowledges it is sent: see unlock.
 
 // Stored is the log of an opened folder, and what former processes have left in it.
 type Stored struct {
@@ -65,10 +65,10 @@
 }
 
 // state is what the next process of this scheduler's name has to know. Called under mu.
-func (h *Handler) state() wire.KeeperState {
+func (h *Handler) state() wire.ReplicaState {
 	h.stateVersion++
 	lasts, unsure := h.rosters.State()
-	s := wire.KeeperState{Process: h.me, Version: h.stateVersion, Partial: h.rosters.Crowded(), Lasts: lasts, Unsure: unsure}
+	s := wire.ReplicaState{Process: h.me, Version: h.stateVersion, Partial: h.rosters.Crowded(), Lasts: lasts, Unsure: unsure}
 	for _, f := range h.rosters.Formers(h.now()) {
 		s.Formers = append(s.Formers, wire.FormerProcess{Process: f.Process, Until: h.records.Now() + f.Until - h.now(), Lasts: f.Lasts,
 			Unsure: f.Unsure})
@@ -100,7 +100,7 @@
 	return code, stands
 }
 
-// merge takes a record that another keeper has. Called under mu.
+// merge takes a record that another replica has. Called under mu.
 func (h *Handler) merge(now time.Duration, r *wire.Record) bool {
 	merged := h.table.Merge(now, r)
 	if merged {
--- a/owners/records_test.go
+++ b/owners/records_test.go
@@ -110,7 +110,7 @@
 	})
 }
 
-// A disk that does not take writes makes a keeper silent: it says yes to nothing that its next process would not know.
+// A disk that does not take writes makes a replica silent: it acknowledges nothing that its next process would not know.
 func TestNoYesBeforeItIsWritten(t *testing.T) {
 	var failing atomic.Bool
 	broken := errors.New("no space")
@@ -132,7 +132,7 @@
 		if out.Kind == job.Served || r.made("during") > 0 {
 			t.Errorf("taken by a majority two of which cannot keep it: %v", out.Kind)
 		}
-		r.want(r.ask("a", "own", unsafe, "x"), job.Failed, true, "at one that is a keeper itself")
+		r.want(r.ask("a", "own", unsafe, "x"), job.Failed, true, "at one that is a replica itself")
 		if n := r.made("own"); n > 0 {
 			t.Errorf("%d calls on this scheduler's own word, which is not kept", n)
 		}
--- a/owners/way.go
+++ b/owners/way.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// hearOwn takes this scheduler's own word as a keeper. A yes counts once it is written, where it is. Called under mu.
+// hearOwn takes this scheduler's own acknowledgement as a replica of a record. It counts once it is written, where there is a log.
+// Called under mu.
 func (p *putting) hearOwn(code wire.Code, stands *wire.Record, by time.Time) {
 	h, poll := p.h, p.poll
 	if h.records == nil || code != wire.Yes {
--- a/rehearse/scale/hollow/member.go
+++ b/rehearse/scale/hollow/member.go
@@ -23,7 +23,7 @@
 // The daemon's defaults.
 const (
 	mostHold       = 30 * time.Second // of what peers tell of a worker
-	recordKeepers  = 3
+	recordReplicas = 3
 	recordKeep     = 30 * time.Second
 	mostRecords    = 10_000
 	mostWaits      = 2000
@@ -121,7 +121,7 @@
 
 func newOwnership(cfg Config, m Member, timing peers.Timing, out *member) *owners.Handler {
 	with := owners.Config{
-		Settings: owners.Settings{Keepers: recordKeepers, Keep: recordKeep, MaxRecords: mostRecords, MaxWaits: mostWaits},
+		Settings: owners.Settings{Keepers: recordReplicas, Keep: recordKeep, MaxRecords: mostRecords, MaxWaits: mostWaits},
 		Me:       wire.Process{Name: m.Name}, Classes: cfg.classes(), Next: refuse{}, Pool: out.pool, Log: quiet(),
 		Answer: timing.Answer, Settle: timing.Settle(cfg.Expect),
 	}
--- a/wire/owners/stored.go
+++ b/wire/owners/stored.go
@@ -32,11 +32,11 @@
 	Kind   StoredKind
 	At     time.Duration // when it was written: the times within Record count from then
 	Record *Record       // of StoredRecord and StoredDrop
-	State  *KeeperState  // of StoredState
+	State  *ReplicaState // of StoredState
 }
 
-// KeeperState is what a process keeps by, beside its records.
-type KeeperState struct {
+// ReplicaState is what a process keeps by, beside its records.
+type ReplicaState struct {
 	Boot    string // which boot of the machine At is of
 	Process Process
 	Version uint64 // of this state: of several by one process the highest counts
@@ -61,7 +61,7 @@
 	}
 }
 
-func (w *codec) keeperState(s *KeeperState) {
+func (w *codec) replicaState(s *ReplicaState) {
 	w.texts(MaxBoot, &s.Boot)
 	w.process(&s.Process)
 	binarycodec.Integers(&w.Codec, &s.Version)
@@ -90,7 +90,7 @@
 	}
 	binarycodec.Integers(&w.Codec, &s.At)
 	there(w, &s.Record, w.record)
-	there(w, &s.State, w.keeperState)
+	there(w, &s.State, w.replicaState)
 	if !w.Reading || w.Err != nil {
 		return
 	}
--- a/wire/owners/stored_test.go
+++ b/wire/owners/stored_test.go
@@ -11,9 +11,9 @@
 var storedSamples = []Stored{
 	{Kind: StoredRecord, At: time.Hour, Record: &record},
 	{Kind: StoredDrop, At: 1, Record: &ended},
-	{Kind: StoredState, At: 2, State: &KeeperState{Boot: "b-1", Process: a, Version: 1 << 63, Partial: true, Lasts: [][]Process{{a, b}, {b}},
+	{Kind: StoredState, At: 2, State: &ReplicaState{Boot: "b-1", Process: a, Version: 1 << 63, Partial: true, Lasts: [][]Process{{a, b}, {b}},
 		Unsure: [][]Process{{a}, {b}}, Formers: []FormerProcess{{Process: b, Until: time.Minute, Lasts: [][]Process{{b}}}}}},
-	{Kind: StoredState, State: &KeeperState{Process: b}},
+	{Kind: StoredState, State: &ReplicaState{Process: b}},
 }
 
 func TestStoredRoundTrip(t *testing.T) {
@@ -33,9 +33,9 @@
 		"lacks":      (&Stored{Kind: StoredRecord}).Append(),
 		"after its":  append(bytes.Clone(whole), 0),
 		"kind":       unknown,
-		"too many": (&Stored{Kind: StoredState, State: &KeeperState{Process: a,
+		"too many": (&Stored{Kind: StoredState, State: &ReplicaState{Process: a,
 			Formers: make([]FormerProcess, MaxFormers+1)}}).Append(),
-		"too long": (&Stored{Kind: StoredState, State: &KeeperState{Process: a, Boot: strings.Repeat("b", MaxBoot+1)}}).Append(),
+		"too long": (&Stored{Kind: StoredState, State: &ReplicaState{Process: a, Boot: strings.Repeat("b", MaxBoot+1)}}).Append(),
 	} {
 		if s, err := ParseStored(b); err == nil || !strings.Contains(err.Error(), what) {
 			t.Errorf("%s: %+v, %v", what, s, err)
