--- a/core/pace/pace_test.go
+++ b/core/pollschedule/pollschedule_test.go
@@ -1,4 +1,4 @@
-package pace
+package pollschedule
 
 import (
 	"math/rand/v2"
@@ -19,11 +19,11 @@
 func herd(n int, over, each, patience, until time.Duration, seed uint64) (answered, calls int) {
 	type call struct {
 		at time.Duration
-		of *Pace
+		of *Schedule
 	}
 	var due []call
 	for i := range n {
-		p := &Pace{Over: over, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		p := &Schedule{Over: over, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
 		due = append(due, call{p.First(), p})
 	}
 	free := time.Duration(0)
@@ -50,9 +50,9 @@
 // calls. Asked at once, and again as though it cost nothing, it answers far fewer for good.
 func TestHerd(t *testing.T) {
 	const n, patience, until = 56, 2 * time.Second, 40 * time.Second
-	const each = Told / n
+	const each = NotifyLimit / n
 	for seed := range uint64(20) {
-		over := Over(80, 250*time.Millisecond, 10*time.Second)
+		over := Spread(80, 250*time.Millisecond, 10*time.Second)
 		if answered, calls := herd(n, over, each, patience, until, seed); answered < n || calls > 2*n {
 			t.Errorf("seed %d: %d of %d answered after %d calls", seed, answered, n, calls)
 		}
@@ -67,15 +67,15 @@
 // pause, then a call that is answered.
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		over := Over(rapid.IntRange(0, 1000).Draw(t, "n"), 250*time.Millisecond, 10*time.Second)
-		p := &Pace{Over: over, Rand: rand.New(rand.NewPCG(1, 2))}
-		if first := p.First(); first < 0 || first > 0 && first >= over || first+Call > Told || Silence+quick > Told {
+		over := Spread(rapid.IntRange(0, 1000).Draw(t, "n"), 250*time.Millisecond, 10*time.Second)
+		p := &Schedule{Over: over, Rand: rand.New(rand.NewPCG(1, 2))}
+		if first := p.First(); first < 0 || first > 0 && first >= over || first+CallLimit > NotifyLimit || SilenceLimit+quick > NotifyLimit {
 			t.Fatalf("the first call after %v, spread over %v", first, over)
 		}
 		for range rapid.IntRange(0, 20).Draw(t, "failed") {
-			deaf := time.Duration(rapid.Int64Range(0, int64(Call+time.Second)).Draw(t, "deaf"))
+			deaf := time.Duration(rapid.Int64Range(0, int64(CallLimit+time.Second)).Draw(t, "deaf"))
 			w := p.Failed(deaf)
-			if w < 0 || deaf+quick < Told && (w == 0 || w+deaf+quick > Told) {
+			if w < 0 || deaf+quick < NotifyLimit && (w == 0 || w+deaf+quick > NotifyLimit) {
 				t.Fatalf("waits %v after %v without a word, with calls spread over %v", w, deaf, over)
 			}
 		}
@@ -90,8 +90,8 @@
 func TestSpread(t *testing.T) {
 	var waits []time.Duration
 	for seed := range uint64(300) {
-		p := &Pace{Over: Over(300, 250*time.Millisecond, 10*time.Second), Rand: rand.New(rand.NewPCG(seed, 1))}
-		waits = append(waits, p.Failed(Silence))
+		p := &Schedule{Over: Spread(300, 250*time.Millisecond, 10*time.Second), Rand: rand.New(rand.NewPCG(seed, 1))}
+		waits = append(waits, p.Failed(SilenceLimit))
 	}
 	slices.Sort(waits)
 	for i := 0; i+30 < len(waits); i++ {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"laddertide/core/pace"
+	"laddertide/core/pollschedule"
 	"laddertide/wire/http1"
 )
 
@@ -86,9 +86,9 @@
 // Watcher follows the list at an address.
 type Watcher struct {
 	Address string
-	Index   uint64    // the version that is known already
-	Whole   bool      // the next watch starts from the whole list, whatever is known
-	Pace    pace.Pace // its Rand is made here, if it has none
+	Index   uint64                // the version that is known already
+	Whole   bool                  // the next watch starts from the whole list, whatever is known
+	Polls   pollschedule.Schedule // its Rand is made here, if it has none
 	Deliver func(List)
 	Log     *slog.Logger
 
@@ -134,13 +134,13 @@
 
 // Run follows the list until ctx ends. What was delivered stays valid while discovery is away.
 func (w *Watcher) Run(ctx context.Context) {
-	if w.Pace.Rand == nil {
-		w.Pace.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if w.Polls.Rand == nil {
+		w.Polls.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	w.mu.Lock()
 	w.poked = make(chan struct{}, 1)
 	w.mu.Unlock()
-	w.pause(ctx, w.Pace.First())
+	w.pause(ctx, w.Polls.First())
 	for ctx.Err() == nil {
 		began := time.Now()
 		before := w.wanted()
@@ -149,12 +149,12 @@
 			return
 		}
 		if got {
-			w.Pace.Came()
+			w.Polls.Came()
 		}
 		if !before && w.wanted() {
 			continue // the connection was closed to ask anew
 		}
-		wait := w.Pace.Failed(time.Since(deaf))
+		wait := w.Polls.Failed(time.Since(deaf))
 		w.Log.Warn("directory watch ended", "after", time.Since(began).Round(time.Millisecond),
 			"retry_in", wait, "index", w.Index, "err", err)
 		w.pause(ctx, wait)
@@ -185,7 +185,7 @@
 // line, has an end of its own: bytes that come meanwhile and make no whole line put off neither.
 func (w *Watcher) watch(ctx context.Context) (deaf time.Time, got bool, err error) {
 	deaf = time.Now()
-	by := deaf.Add(pace.Call)
+	by := deaf.Add(pollschedule.CallLimit)
 	conn, err := w.connect(ctx)
 	if err != nil {
 		return deaf, false, err
@@ -208,7 +208,7 @@
 			return deaf, got, err
 		}
 		deaf = time.Now()
-		by = deaf.Add(pace.Call)
+		by = deaf.Add(pollschedule.CallLimit)
 	}
 	head, err := w.ask(conn, br, path+"?watch=1&after="+strconv.FormatUint(w.Index, 10), by)
 	if err != nil {
@@ -221,7 +221,7 @@
 	lines := bufio.NewReader(body)
 	var text text
 	deaf = time.Now()
-	conn.SetReadDeadline(deaf.Add(pace.Silence))
+	conn.SetReadDeadline(deaf.Add(pollschedule.SilenceLimit))
 	for {
 		// A list without its end is the trace of a broken connection: it is asked for again, and is
 		// not one that makes no sense.
@@ -238,7 +238,7 @@
 			continue
 		}
 		deaf = time.Now()
-		if err := conn.SetReadDeadline(deaf.Add(pace.Silence)); err != nil {
+		if err := conn.SetReadDeadline(deaf.Add(pollschedule.SilenceLimit)); err != nil {
 			return deaf, got, err
 		}
 		if len(text.bytes) == 0 {
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -16,7 +16,7 @@
 
 	"pgregory.net/rapid"
 
-	"laddertide/core/pace"
+	"laddertide/core/pollschedule"
 	"laddertide/wire/http1"
 )
 
@@ -104,10 +104,10 @@
 			var told []time.Duration
 			ctx, stop := context.WithCancel(context.Background())
 			// The watch is open when the clock of the silence begins.
-			over := pace.Over(schedulers, 250*time.Millisecond, 10*time.Second)
+			over := pollschedule.Spread(schedulers, 250*time.Millisecond, 10*time.Second)
 			d.silentAt = time.Now().Add(over + after)
 			w := Watcher{Index: 1, Log: slog.New(slog.DiscardHandler), dial: d.dial,
-				Pace: pace.Pace{Over: over, Rand: rand.New(rand.NewPCG(seed, 1))},
+				Polls: pollschedule.Schedule{Over: over, Rand: rand.New(rand.NewPCG(seed, 1))},
 				Deliver: func(l List) {
 					mu.Lock()
 					defer mu.Unlock()
@@ -121,7 +121,7 @@
 			time.Sleep(5 * time.Second) // the time of a bubble stands still once this returns
 			mu.Lock()
 			defer mu.Unlock()
-			if len(told) != 1 || told[0] > pace.Told {
+			if len(told) != 1 || told[0] > pollschedule.NotifyLimit {
 				rt.Errorf("told %v after the silence began", told)
 			}
 		})
--- a/directory/told_test.go
+++ b/directory/told_test.go
@@ -19,7 +19,7 @@
 
 	"pgregory.net/rapid"
 
-	"laddertide/core/pace"
+	"laddertide/core/pollschedule"
 	"laddertide/internal/pin"
 	"laddertide/wire/http1"
 )
@@ -163,14 +163,14 @@
 			news: line(9, true, "b"),
 		}
 		after := time.Duration(rapid.IntRange(0, 40_000).Draw(rt, "back after ms")) * time.Millisecond
-		over := pace.Over(rapid.IntRange(0, 400).Draw(rt, "schedulers"), 250*time.Millisecond, 10*time.Second)
+		over := pollschedule.Spread(rapid.IntRange(0, 400).Draw(rt, "schedulers"), 250*time.Millisecond, 10*time.Second)
 		seed := rapid.Uint64().Draw(rt, "seed")
 		synctest.Test(t, func(t *testing.T) {
 			a.back = time.Now().Add(after)
 			told := time.Duration(-1)
 			ctx, stop := context.WithCancel(context.Background())
 			w := Watcher{Index: 1, Log: slog.New(slog.DiscardHandler), dial: a.dial,
-				Pace: pace.Pace{Over: over, Rand: rand.New(rand.NewPCG(seed, 1))},
+				Polls: pollschedule.Schedule{Over: over, Rand: rand.New(rand.NewPCG(seed, 1))},
 				Deliver: func(l List) {
 					a.mu.Lock()
 					defer a.mu.Unlock()
@@ -184,7 +184,7 @@
 			time.Sleep(5 * time.Second) // the time of a bubble stands still once this returns, whoever is still asleep
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			if told < 0 || told > pace.Told {
+			if told < 0 || told > pollschedule.NotifyLimit {
 				rt.Errorf("told %v after discovery was back", told)
 			}
 		})
@@ -194,9 +194,9 @@
 // A discovery that has moved is asked in time for what it has to tell by then.
 func TestToldAfterAMove(t *testing.T) {
 	for seed := range uint64(50) {
-		p := pace.Pace{Over: pace.Over(400, 250*time.Millisecond, 10*time.Second), By: pace.Moved, Rand: rand.New(rand.NewPCG(seed, 1))}
-		if first := p.First(); first+pace.Call > pace.Moved {
-			t.Fatalf("seed %d: asked after %v, so it may be told after %v", seed, first, first+pace.Call)
+		p := pollschedule.Schedule{Over: pollschedule.Spread(400, 250*time.Millisecond, 10*time.Second), By: pollschedule.MoveNotifyLimit, Rand: rand.New(rand.NewPCG(seed, 1))}
+		if first := p.First(); first+pollschedule.CallLimit > pollschedule.MoveNotifyLimit {
+			t.Fatalf("seed %d: asked after %v, so it may be told after %v", seed, first, first+pollschedule.CallLimit)
 		}
 	}
 }
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -10,7 +10,7 @@
 	"laddertide/admin"
 	"laddertide/consumer"
 	"laddertide/core/maintenance"
-	"laddertide/core/pace"
+	"laddertide/core/pollschedule"
 	"laddertide/core/recovery"
 	"laddertide/directory"
 	"laddertide/job"
@@ -41,7 +41,7 @@
 		limits.Stream, limits.Settle = timing.Stream, timing.Settle(s.cfg.Settings.Balancers)
 	}
 	if s.cfg.Settings.Subscribe {
-		limits.Ask = pace.Over(s.cfg.Settings.Balancers, s.cfg.Settings.DialTimeout, s.cfg.Settings.AskEvery)
+		limits.Ask = pollschedule.Spread(s.cfg.Settings.Balancers, s.cfg.Settings.DialTimeout, s.cfg.Settings.AskEvery)
 	}
 	limits.Ledger, limits.Owners = s.cfg.Operator.Durable != nil, s.cfg.Operator.Owners != nil
 	cfg.Limits = limits
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -22,7 +22,7 @@
 	"laddertide/capture"
 	"laddertide/consumer"
 	"laddertide/core/maintenance"
-	"laddertide/core/pace"
+	"laddertide/core/pollschedule"
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/durable"
@@ -458,11 +458,11 @@
 		Deliver: func(list directory.List) { s.hear(w, list) },
 	}
 	if s.current != nil {
-		watcher.Pace.By = pace.Moved
+		watcher.Polls.By = pollschedule.MoveNotifyLimit
 	}
 	if set := &s.cfg.Settings; set.Subscribe {
 		// Each watch is asked for at a discovery that all schedulers share, and known serves meanwhile.
-		watcher.Pace.Over = pace.Over(set.Balancers, set.DialTimeout, set.AskEvery)
+		watcher.Polls.Over = pollschedule.Spread(set.Balancers, set.DialTimeout, set.AskEvery)
 	}
 	w.list = watcher
 	go watcher.Run(ctx)
