rehearse scale: what a failure finds in hand is as old as the longest run

Change: before a failure 6 s pass of tasks that have ended by then, and the longest running time (20 s at the most) of tasks that may be in hand.

--- a/rehearse/scale/failures.go
+++ b/rehearse/scale/failures.go
@@ -29,9 +29,10 @@
 
 // Times of failures as they are played.
 const (
-	failureAt    = 10 * time.Second // after the lead-in
+	steadyFor    = 6 * time.Second  // after the lead-in, of tasks that have ended when the failure strikes
+	mostInHand   = 20 * time.Second // no longer is waited for tasks of before to end
 	failureAfter = 25 * time.Second // from a failure's end to the last arrival
-	windowPart   = 0.8              // of failureAt
+	windowPart   = 0.8              // of the time before the failure
 )
 
 var failures = []failure{
@@ -94,12 +95,13 @@
 func playFailure(ctx context.Context, s *size.Size, seed uint64, f failure, opt Options) (*measurement.Point, error) {
 	shorten := cmp.Or(opt.Shorten, 1)
 	opt.LeadIn, opt.Whole = LeadInOf(s), true
-	opt.Window = shortened(windowPart*shorten, failureAt)
+	before := steadyFor + inHand(s)
+	opt.Window = shortened(windowPart*shorten, before)
 	plan, err := planOf(s, seed, opt.LeadIn, opt.Window)
 	if err != nil {
 		return nil, err
 	}
-	at := opt.LeadIn + shortened(shorten, failureAt)
+	at := opt.LeadIn + shortened(shorten, before)
 	until := at + shortened(shorten, f.lasts)
 	struck := f.strike(plan, s, at, until)
 	plan.Length = until + shortened(shorten, failureAfter)
@@ -119,7 +121,8 @@
 	if f.standsFor != nil {
 		out.StandsForSeconds = f.standsFor(s)
 	}
-	cost(&out, s, res, plan, opt.LeadIn, at, until)
+	steadyUntil := opt.LeadIn + shortened(shorten, steadyFor)
+	cost(&out, res, plan, opt.LeadIn, steadyUntil, until)
 	out.Messages, out.Bytes = meter.caused()
 	res.Point.Failures = []measurement.Failure{out}
 	return &res.Point, nil
@@ -128,20 +131,19 @@
 // backShare is how much of the service from before counts as back.
 const backShare = 0.97
 
-// inHandMeans is for how many mean running times before a failure tasks count as being in hand when it strikes: of running times
-// that vary as much as their mean, a twentieth is longer than three.
-const inHandMeans = 3
-
-// inHand is how long before a failure a task may have been meant that the failure still finds running; half of the time that
-// there is before the failure at the most, as some must be left to compare with.
-func inHand(s *size.Size, before time.Duration) time.Duration {
-	return min(before/2, seconds(inHandMeans*s.MeanRunS())).Truncate(time.Second)
+// inHand is how long before a failure a task may have been meant that the failure still finds running: as long as any task runs.
+func inHand(s *size.Size) time.Duration {
+	longest := 0.0
+	for _, c := range s.Classes {
+		longest = max(longest, c.RunMostS)
+	}
+	return min(mostInHand, seconds(longest))
 }
 
 // cost fills in the service before and during a failure, and when it was back: by the time for which tasks were meant, in
-// steps of a second. Worth goes by what was earned in the end. What a failure finds in hand is lost to it, and counts as
-// during.
-func cost(f *measurement.Failure, s *size.Size, res *Result, plan *scenario.Plan, from, at, until time.Duration) {
+// steps of a second. Worth goes by what was earned in the end. What a failure may find in hand is its cost: tasks that were meant
+// from steadyUntil on count as during it.
+func cost(f *measurement.Failure, res *Result, plan *scenario.Plan, from, steadyUntil, until time.Duration) {
 	start := time.Duration(res.Report.Figures.End) // replaced below if the setup says it
 	if len(res.Events) > 0 {
 		for i := range res.Events {
@@ -161,13 +163,12 @@
 		}
 		return earned / max(worth, math.SmallestNonzeroFloat64), worth > 0
 	}
-	struck := at - inHand(s, at-from)
-	before, ok := share(from, struck)
+	before, ok := share(from, steadyUntil)
 	if !ok {
 		return
 	}
 	f.ServiceBefore = pointer(min(1, before))
-	if during, ok := share(struck, until); ok {
+	if during, ok := share(steadyUntil, until); ok {
 		f.ServiceDuring = pointer(min(1, during))
 	}
 	const steady = 3 * time.Second // for which it must stay back
--- a/rehearse/scale/failures_test.go
+++ b/rehearse/scale/failures_test.go
@@ -23,11 +23,10 @@
 
 // Tasks that a failure finds running were meant for a time before it. They are its cost, and no part of the service before.
 func TestTasksInHandAreTheFailuresCost(t *testing.T) {
-	s := small(t).WithRunTimes(1)
 	plan := &scenario.Plan{Length: 16 * time.Second}
 	res := courseOf(1, 1, 1, 1, 1, 0.6, 0.4, 0.2 /* struck */, 0, 0 /* over */, 0.5, 1, 1, 1, 1, 1)
 	var f measurement.Failure
-	cost(&f, s, res, plan, 0, 8*time.Second, 10*time.Second)
+	cost(&f, res, plan, 0, 5*time.Second, 10*time.Second)
 	if *f.ServiceBefore != 1 || *f.ServiceDuring < 0.239 || *f.ServiceDuring > 0.241 {
 		t.Errorf("before %g, during %g", *f.ServiceBefore, *f.ServiceDuring)
 	}
@@ -36,10 +35,17 @@
 	}
 }
 
-func TestTimeInHandLeavesHalfOfWhatWasBefore(t *testing.T) {
-	for mean, want := range map[float64]time.Duration{0.5: time.Second, 1: 3 * time.Second, 2: 5 * time.Second, 31: 5 * time.Second} {
-		if got := inHand(small(t).WithRunTimes(mean), 10*time.Second); got != want {
-			t.Errorf("tasks that run %g s: %s, want %s", mean, got, want)
-		}
+// A task is in hand for as long as any of the size runs, of which not all is waited for.
+func TestTimeInHandIsTheLongestRun(t *testing.T) {
+	s := small(t).WithRunTimes(1)
+	longest := 0.0
+	for _, c := range s.Classes {
+		longest = max(longest, c.RunMostS)
+	}
+	if got := inHand(s); got != seconds(longest) || longest < 2 {
+		t.Errorf("%s, and the longest task runs %g s", got, longest)
+	}
+	if got := inHand(whole(t)); got != mostInHand {
+		t.Errorf("of the whole size %s", got)
 	}
 }
