--- /dev/null
+++ b/core/owners/returns_test.go
@@ -0,0 +1,82 @@
+package owners
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestReturnsWithDisks plays what the drawn histories of all troubles seldom come to: jobs are taken, some schedulers are killed and
+// back before the jobs' time is over, most of them with their disks, members come and go meanwhile, and the same ids are asked for
+// again. No two takings of one id win. LADDERTIDE_LONG says which thousand to play.
+func TestReturnsWithDisks(t *testing.T) {
+	from, n := uint64(0), uint64(150)
+	if long := os.Getenv("LADDERTIDE_LONG"); long != "" {
+		from, _ = strconv.ParseUint(long, 10, 64)
+		from, n = 1000*from, 1000
+	}
+	wins, refused := 0, 0
+	for seed := from; seed < from+n; seed++ {
+		w := newWorld(3+int(seed%4), seed)
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		for range 8 {
+			w.returns(rnd)
+		}
+		wins += w.wins
+		for _, node := range w.nodes {
+			refused += int(node.table.Counts.Refused)
+		}
+		if why := w.settle(); why != "" {
+			t.Fatalf("history %d:\n%s\n%s", seed, strings.Join(w.trace, "\n"), why)
+		}
+	}
+	if wins == 0 || refused == 0 {
+		t.Errorf("%d takings won, %d were refused: this asks for nothing", wins, refused)
+	}
+	t.Logf("%d takings won, %d were refused", wins, refused)
+}
+
+// returns is one round of it.
+func (w *world) returns(rnd *rand.Rand) {
+	due := w.now + longest
+	for id := range ids {
+		w.askAt(rnd, id, due)
+	}
+	w.run(time.Duration(rnd.IntN(4)) * answer)
+	var killed []*node
+	for _, n := range w.nodes {
+		if n.up && rnd.IntN(5) < 3 {
+			w.kill(n)
+			killed = append(killed, n)
+		}
+	}
+	w.run(time.Duration(rnd.IntN(6)) * answer / 2)
+	for _, n := range killed {
+		if rnd.IntN(8) == 0 {
+			w.start(n.me.Name, n.me.Start+1) // its disk is lost
+		} else {
+			w.startAfter(n, n.me.Name, n.me.Start+1)
+		}
+		w.run(time.Duration(rnd.IntN(3)) * answer / 2)
+	}
+	if rnd.IntN(3) == 0 { // a link that fails one way, for a while
+		a, b := w.nodes[rnd.IntN(len(w.nodes))], w.nodes[rnd.IntN(len(w.nodes))]
+		w.cut[[2]string{a.me.Name, b.me.Name}] = a != b
+	} else {
+		clear(w.cut)
+	}
+	for range 4 {
+		w.run(time.Duration(1+rnd.IntN(4)) * answer)
+		w.askAt(rnd, rnd.IntN(ids), due)
+	}
+}
+
+// askAt asks for a job at one that is up.
+func (w *world) askAt(rnd *rand.Rand, id int, due time.Duration) {
+	if n := w.nodes[rnd.IntN(len(w.nodes))]; n.up {
+		n.taken(id, due)
+	}
+}
