--- a/capture/capture.go
+++ b/capture/capture.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"sync"
 	"time"
 
@@ -51,12 +50,7 @@
 	if set.Dir == "" {
 		return nil
 	}
-	if info, err := os.Stat(set.Dir); err != nil {
-		return fmt.Errorf("capture.dir: %w", err)
-	} else if !info.IsDir() {
-		return fmt.Errorf("capture.dir: %s is not a folder", set.Dir)
-	}
-	return nil
+	return operator.CheckFolder("capture.dir", set.Dir)
 }
 
 // segment is how large one may become; all of them together fill MaxBytes.
--- a/configuration/follower/settings.go
+++ b/configuration/follower/settings.go
@@ -1,9 +1,7 @@
 package follower
 
 import (
-	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -64,16 +62,7 @@
 }
 
 // CheckDir says what is wrong with the folder.
-func (s *Settings) CheckDir() error {
-	st, err := os.Stat(s.Dir)
-	if err != nil {
-		return fmt.Errorf("configuration.dir: %w", err)
-	}
-	if !st.IsDir() {
-		return fmt.Errorf("configuration.dir: %s is no folder", s.Dir)
-	}
-	return nil
-}
+func (s *Settings) CheckDir() error { return operator.CheckFolder("configuration.dir", s.Dir) }
 
 // mostAsking is how many questions for the state of all followers are under way at once.
 const mostAsking = 2
--- a/durable/settings.go
+++ b/durable/settings.go
@@ -1,8 +1,6 @@
 package durable
 
 import (
-	"fmt"
-	"os"
 	"slices"
 	"time"
 
@@ -46,16 +44,7 @@
 }
 
 // CheckDir says what is wrong with the folder.
-func (s *Settings) CheckDir() error {
-	st, err := os.Stat(s.Dir)
-	if err != nil {
-		return fmt.Errorf("durable.dir: %w", err)
-	}
-	if !st.IsDir() {
-		return fmt.Errorf("durable.dir: %s is no folder", s.Dir)
-	}
-	return nil
-}
+func (s *Settings) CheckDir() error { return operator.CheckFolder("durable.dir", s.Dir) }
 
 // Of tells whether jobs of a class are durable.
 func (s *Settings) Of(class string) bool {
--- a/owners/settings.go
+++ b/owners/settings.go
@@ -1,8 +1,6 @@
 package owners
 
 import (
-	"fmt"
-	"os"
 	"time"
 
 	"laddertide/operator"
@@ -83,12 +81,5 @@
 	if s.Dir == "" {
 		return nil
 	}
-	st, err := os.Stat(s.Dir)
-	if err != nil {
-		return fmt.Errorf("owners.dir: %w", err)
-	}
-	if !st.IsDir() {
-		return fmt.Errorf("owners.dir: %s is no folder", s.Dir)
-	}
-	return nil
+	return operator.CheckFolder("owners.dir", s.Dir)
 }
--- a/replicated/settings.go
+++ b/replicated/settings.go
@@ -1,9 +1,6 @@
 package replicated
 
 import (
-	"fmt"
-	"os"
-
 	"laddertide/operator"
 )
 
@@ -35,13 +32,4 @@
 func (s *Settings) Memory() int { return s.MaxMB << 20 / 2 }
 
 // CheckDir says what is wrong with the folder.
-func (s *Settings) CheckDir() error {
-	st, err := os.Stat(s.Dir)
-	if err != nil {
-		return fmt.Errorf("replicated.dir: %w", err)
-	}
-	if !st.IsDir() {
-		return fmt.Errorf("replicated.dir: %s is no folder", s.Dir)
-	}
-	return nil
-}
+func (s *Settings) CheckDir() error { return operator.CheckFolder("replicated.dir", s.Dir) }
--- a/returning/settings.go
+++ b/returning/settings.go
@@ -1,8 +1,6 @@
 package returning
 
 import (
-	"fmt"
-	"os"
 	"time"
 
 	"laddertide/core/recovery"
@@ -39,16 +37,7 @@
 }
 
 // CheckDir says what is wrong with the folder.
-func (s *Settings) CheckDir() error {
-	st, err := os.Stat(s.Dir)
-	if err != nil {
-		return fmt.Errorf("state.dir: %w", err)
-	}
-	if !st.IsDir() {
-		return fmt.Errorf("state.dir: %s is no folder", s.Dir)
-	}
-	return nil
-}
+func (s *Settings) CheckDir() error { return operator.CheckFolder("state.dir", s.Dir) }
 
 // Descriptors are the folder's lock, the folder, and the file that is written.
 const Descriptors = 3
