--- a/owners/recordlog/recordlog.go
+++ b/owners/recordlog/recordlog.go
@@ -106,7 +106,6 @@
 	now     time.Duration
 	last    *wire.ReplicaState
 	steps   []Step
-	formers []wire.FormerProcess
 	damaged bool
 }
 
