--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -13,10 +13,10 @@
 	"testing"
 	"time"
 
+	"laddertide/attempt"
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/internal/testrig"
-	"laddertide/attempt"
 	"laddertide/job"
 	"laddertide/policy"
 	"laddertide/provider"
