rehearse/scale/measurement: one strict decoder for both kinds of file

Need: files of configuration were read by a copy of Decode which had left out the bound of 16 MiB, while its comment said it was as strict.

Change: one decoder under both, with the bound.

--- a/rehearse/scale/measurement/configuration.go
+++ b/rehearse/scale/measurement/configuration.go
@@ -1,11 +1,7 @@
 package measurement
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -94,16 +90,8 @@
 
 // DecodeConfiguration reads and checks one such file's content, as strictly as Decode.
 func DecodeConfiguration(raw []byte) (*Configuration, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	var c Configuration
-	if err := decoder.Decode(&c); err != nil {
-		return nil, err
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("something follows the object")
-	}
-	if err := c.Check(); err != nil {
+	if err := decode(raw, &c); err != nil {
 		return nil, err
 	}
 	return &c, nil
--- a/rehearse/scale/measurement/configuration_test.go
+++ b/rehearse/scale/measurement/configuration_test.go
@@ -1,9 +1,11 @@
 package measurement
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -58,3 +60,11 @@
 		t.Errorf("got %v, %v", configurations, err)
 	}
 }
+
+// A file that is too large is refused before it is parsed, as with every other measurement.
+func TestLargeConfigurationIsRefused(t *testing.T) {
+	_, err := DecodeConfiguration(bytes.Repeat([]byte(" "), MaxFile+1))
+	if err == nil || !strings.Contains(err.Error(), strconv.Itoa(MaxFile)) {
+		t.Fatalf("error %v, and the bound of %d bytes is wanted in it", err, MaxFile)
+	}
+}
--- a/rehearse/scale/measurement/file.go
+++ b/rehearse/scale/measurement/file.go
@@ -14,24 +14,35 @@
 // MaxFile is how many bytes a file may have.
 const MaxFile = 16 << 20
 
-// Decode reads and checks one file's content. It fails at unknown fields and at anything that follows the object.
+// checked is a measurement that can say what is wrong with it.
+type checked interface {
+	Check() error
+}
+
+// Decode reads and checks one file's content. It fails at more than MaxFile bytes, at unknown fields and at anything that
+// follows the object.
 func Decode(raw []byte) (*File, error) {
+	var f File
+	if err := decode(raw, &f); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// decode is Decode for each kind of measurement.
+func decode(raw []byte, into checked) error {
 	if len(raw) > MaxFile {
-		return nil, fmt.Errorf("over %d bytes", MaxFile)
+		return fmt.Errorf("over %d bytes", MaxFile)
 	}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
-	var f File
-	if err := decoder.Decode(&f); err != nil {
-		return nil, err
+	if err := decoder.Decode(into); err != nil {
+		return err
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("something follows the object")
+		return errors.New("something follows the object")
 	}
-	if err := f.Check(); err != nil {
-		return nil, err
-	}
-	return &f, nil
+	return into.Check()
 }
 
 // Encode writes a file as indented JSON, after it was checked.
