scheduler: TestUpgradeInACrowd counts each held connection once

It counts lines of the kernel's table of sockets, which changes while it is read: of the counts that were too high, 64 to 264 lines were repeats of an inode, and 41 to 145 sockets were held. The program never held too many.

Change: sockets are told apart by their inodes. The bound is the same.

--- a/scheduler/midupgrade_test.go
+++ b/scheduler/midupgrade_test.go
@@ -145,8 +145,9 @@
 }
 
 // accepted is how many connections of a port are held by whoever accepted them: those that wait in the kernel's queue
-// have no inode yet, and a connection that two processes hold counts once.
-func accepted(t *testing.T, address string) (n int) {
+// have no inode yet, and a connection that two processes hold counts once. The kernel's table changes while it is read and lists
+// some sockets twice then, so they are told apart by their inodes.
+func accepted(t *testing.T, address string) int {
 	t.Helper()
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
@@ -158,15 +159,16 @@
 	if err != nil {
 		t.Skip("the system does not tell: ", err)
 	}
+	inodes := make(map[string]bool)
 	lines := bufio.NewScanner(strings.NewReader(string(raw)))
 	for lines.Scan() {
 		// sl local remote state queues timer retransmits uid timeout inode
 		f := strings.Fields(lines.Text())
 		if len(f) > 9 && strings.HasSuffix(f[1], fmt.Sprintf(":%04X", number)) && f[3] != "0A" && f[9] != "0" {
-			n++
+			inodes[f[9]] = true
 		}
 	}
-	return n
+	return len(inodes)
 }
 
 // A crowd that never ends a job presses all through an upgrade: true jobs, one of them written slowly, have their answers,
