attempt: a job's final verdict is its answer, whatever its attempt waits for

Cause: the request path made each attempt itself and looked for a verdict only between attempts. The module's final verdict (its deadline, the end of the process, a leave) lay unread for as long as the attempt in hand took: up to 1 s to give up an earlier attempt at the same worker, up to the dial timeout to tell a worker after a connection without an acknowledgement, up to the job's deadline to be heard by one that is to let go of a job, or a disk that does not answer.

Change: the request path waits for verdicts and for nothing else; each attempt has a goroutine of its own, which may outlive the job. Verdict.Over ends with the job's final verdict: nothing is sent after it, whether or not the settings let an attempt be withdrawn. A call that is out at the job's deadline is reported as timed out by the desk itself.

The tests' check that nothing is left of a job waits for the end of the attempt now, which may come after the answer; it checks the same.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"time"
@@ -21,125 +22,177 @@
 	Log  *slog.Logger
 }
 
-// Handle implements job.Handler. A job whose id is out already is mistaken.
+// request is a job between its arrival and its final verdict.
+//
+// Its request path waits for verdicts and for nothing else. Each attempt has a goroutine of its own, which may outlive the job: a
+// worker that hangs, a connection that does not come up or a disk that does not answer holds up the attempt, never the answer.
+type request struct {
+	*Handler
+	job    *job.Job
+	ticket *decide.Ticket
+	made   past
+	lease  uint64 // of the last attempt
+	result []byte // of the attempt that served the job; set before that is reported
+}
+
+// Handle implements job.Handler. A job whose id is out already is mistaken. It returns with the job's final verdict, whatever an
+// attempt is waiting for by then.
 func (h *Handler) Handle(ctx context.Context, j *job.Job) (out job.Outcome) {
-	if err := h.Pool.Reserve(j.ID); err != nil {
+	began := time.Now()
+	if err := h.Pool.Reserve(j.ID, j.Left); errors.Is(err, provider.ErrLingers) {
+		h.Log.Debug("job not taken", "id", j.ID, "err", err)
+		return job.Outcome{Kind: job.Failed}
+	} else if err != nil {
 		return job.Outcome{Kind: job.Mistaken, Why: err.Error()}
 	}
 	defer h.Pool.Free(j.ID)
-	var made past
-	ticket, lease := h.enter(j, &made)
-	calling := false
+	r := &request{Handler: h, job: j}
+	r.enter(max(0, j.Left-time.Since(began)))
 	defer func() {
-		if r := recover(); r != nil {
-			// The module must still hear how the call ended, and the consumer gets its answer. A call that panicked
-			// may have run. The job is over first: else the module might want another call, which nobody would make.
-			ticket.Leave()
-			end := decide.NotSent // if one is wanted already
-			if calling {
-				end = decide.Broken
-			}
-			ticket.Report(end)
-			h.Log.Error("panic while carrying a job", "panic", r, "stack", string(debug.Stack()))
+		if p := recover(); p != nil {
+			r.failed(p, decide.Broken) // one that is out may have run
 			out = job.Outcome{Kind: job.Failed}
 		}
 	}()
 	if ctx.Err() != nil {
-		ticket.Leave() // before the first verdict: no call begins for a consumer that has left
+		r.ticket.Leave() // before the first verdict: no call begins for a client that has left
 	}
-	stop := context.AfterFunc(ctx, ticket.Leave)
+	stop := context.AfterFunc(ctx, r.ticket.Leave)
 	defer stop()
-	// Jobs that go on in another process leave this desk as though their consumers had left.
+	// Jobs that go on in another process leave this desk as though their clients had left.
 	leaving := h.Pool.Leaving()
-	stay := context.AfterFunc(leaving, ticket.Release)
+	stay := context.AfterFunc(leaving, r.ticket.Release)
 	defer stay()
-	var result []byte
-	began := time.Now()
 	for {
-		v := ticket.Pick()
-		if v.Kind == decide.Left && ctx.Err() == nil && leaving.Err() != nil {
-			return job.Outcome{Kind: job.Moved, Past: made.list()}
-		}
-		if v.Kind != decide.Call && v.Kind != decide.Await {
+		v := r.ticket.Pick()
+		switch {
+		case v.Kind == decide.Left && ctx.Err() == nil && leaving.Err() != nil:
+			return job.Outcome{Kind: job.Moved, Past: r.made.list()}
+		case v.Kind == decide.Call && leaving.Err() != nil:
+			r.ticket.Leave()
+			r.ticket.Report(decide.NotSent)
+		case v.Kind == decide.Call || v.Kind == decide.Await:
+			done := h.Pool.Use(j.ID)
+			go func() {
+				defer done()
+				r.attempt(v)
+			}()
+		default:
 			h.Log.Debug("job over", "id", j.ID, "class", j.Class, "verdict", v.Kind, "took", time.Since(began))
-			return outcome(v, result)
-		}
-		if v.Kind == decide.Call && leaving.Err() != nil {
-			ticket.Leave()
-			ticket.Report(decide.NotSent)
-			continue
-		}
-		if j.Keeper != nil && v.Kind == decide.Call {
-			var err error
-			if lease, err = j.Keeper.Sending(v.Provider); err != nil {
-				h.Log.Debug("call not made", "id", j.ID, "provider", v.Provider, "err", err)
-				ticket.Report(decide.NotSent)
-				continue
-			}
-		}
-		var end decide.End
-		sent := time.Now()
-		calling = true
-		if v.Kind == decide.Call {
-			made.sending(v.Provider)
-			end, result = h.Pool.Invoke(j, lease, v, made.hear(ticket.Hear))
-		} else {
-			end, result = h.Pool.Await(j, lease, v, made.hear(ticket.Hear))
-		}
-		calling = false
-		switch end {
-		case provider.Moved:
-			ticket.Leave()
-			ticket.Report(decide.Withdrawn)
-			continue
-		case provider.Unsent:
-			made.unsent()
-			ticket.Leave()
-			ticket.Report(decide.NotSent)
-			continue
-		}
-		made.over(end)
-		h.Log.Debug("call over", "id", j.ID, "provider", v.Provider, "end", end, "took", time.Since(sent))
-		if j.Keeper != nil && end != decide.Served {
-			j.Keeper.Over(lease, end.Proves())
-		}
-		if ticket.Report(end); leaving.Err() != nil {
-			ticket.Release()
+			return r.outcome(v)
 		}
 	}
 }
 
-// enter hands a job to the desk: as a new one, or as what an earlier process has made of it. lease is that of the call
-// which is out then.
-func (h *Handler) enter(j *job.Job, made *past) (ticket *decide.Ticket, lease uint64) {
+// enter hands the job to the desk: as a new one, or as what an earlier process has made of it.
+func (r *request) enter(left time.Duration) {
+	j := r.job
 	facts := decide.Job{
-		Class: j.Class, Tenant: j.Tenant, Left: j.Left, Hint: j.Hint, Slots: j.Slots,
+		Class: j.Class, Tenant: j.Tenant, Left: left, Hint: j.Hint, Slots: j.Slots,
 		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
 	}
 	if j.Keeper == nil {
-		return h.Desk.Take(facts), 0
+		r.ticket = r.Desk.Take(facts)
+		return
 	}
 	before, resumed := j.Keeper.Past()
 	if !resumed {
-		return h.Desk.Take(facts), 0
+		r.ticket = r.Desk.Take(facts)
+		return
 	}
-	made.carryOver(before)
+	r.made.carryOver(before)
 	past := make([]decide.Past, len(before))
 	for i, p := range before {
 		past[i] = decide.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
-		lease = p.Lease
+		r.lease = p.Lease
 		if !p.Out {
-			h.Pool.Recall(j.ID, p.Provider, p.MayRun)
+			r.Pool.Recall(j.ID, p.Provider, p.MayRun)
 		}
 	}
-	return h.Desk.Resume(facts, past), lease
+	r.ticket = r.Desk.Resume(facts, past)
+}
+
+// attempt makes the call of a verdict, or waits for the one that an earlier process has made, and reports how it ended. Attempts of
+// one job are made one after the other.
+func (r *request) attempt(v decide.Verdict) {
+	calling := false
+	defer func() {
+		if p := recover(); p != nil {
+			end := decide.NotSent
+			if calling {
+				end = decide.Broken // it may have run
+			}
+			r.failed(p, end)
+		}
+	}()
+	j := r.job
+	if v.Kind == decide.Call && !r.mayBegin(v) {
+		r.ticket.Report(decide.NotSent)
+		return
+	}
+	began := time.Now()
+	var end decide.End
+	calling = true
+	if v.Kind == decide.Call {
+		r.made.sending(v.Provider)
+		end, r.result = r.Pool.Invoke(j, r.lease, v, r.made.hear(r.ticket.Hear))
+	} else {
+		end, r.result = r.Pool.Await(j, r.lease, v, r.made.hear(r.ticket.Hear))
+	}
+	r.over(v, end, time.Since(began))
+}
+
+// mayBegin lets the job's Keeper take note of a call before anything of it is sent. It tells whether anything may be.
+func (r *request) mayBegin(v decide.Verdict) bool {
+	if r.job.Keeper == nil {
+		return true
+	}
+	lease, err := r.job.Keeper.Sending(v.Provider)
+	if err != nil {
+		r.Log.Debug("call not made", "id", r.job.ID, "provider", v.Provider, "err", err)
+		return false
+	}
+	r.lease = lease
+	return true
+}
+
+// over reports the end of a call to the job's Keeper and to the module, or takes the job out of this process.
+func (r *request) over(v decide.Verdict, end decide.End, took time.Duration) {
+	switch end {
+	case provider.Moved:
+		r.ticket.Leave()
+		r.ticket.Report(decide.Withdrawn)
+		return
+	case provider.Unsent:
+		r.made.unsent()
+		r.ticket.Leave()
+		r.ticket.Report(decide.NotSent)
+		return
+	}
+	r.made.over(end)
+	r.Log.Debug("call over", "id", r.job.ID, "provider", v.Provider, "end", end, "took", took)
+	if r.job.Keeper != nil && end != decide.Served {
+		r.job.Keeper.Over(r.lease, end.Proves())
+	}
+	r.ticket.Report(end)
+	if r.Pool.Leaving().Err() != nil {
+		r.ticket.Release()
+	}
+}
+
+// failed ends a job whose carrying panicked. The module must still hear how a call that is out has ended, after the job is over:
+// else it might want another one.
+func (r *request) failed(panicked any, end decide.End) {
+	r.ticket.Fail()
+	r.ticket.Report(end)
+	r.Log.Error("panic while carrying a job", "id", r.job.ID, "panic", panicked, "stack", string(debug.Stack()))
 }
 
-// outcome is what a final verdict means for the job; result is that of its last call.
-func outcome(v decide.Verdict, result []byte) job.Outcome {
+// outcome is what a final verdict means for the job.
+func (r *request) outcome(v decide.Verdict) job.Outcome {
 	switch v.Kind {
 	case decide.Answer:
-		return job.Outcome{Kind: job.Served, Result: result}
+		return job.Outcome{Kind: job.Served, Result: r.result}
 	case decide.Rejection:
 		return job.Outcome{Kind: job.Rejected, RetryAfter: v.RetryAfter}
 	case decide.Left:
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -47,24 +47,30 @@
 			r.jobs <- h.Method + " " + h.Target
 		})
 	})
-	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
+	r.provide(address)
 	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	return r
 }
 
+// provide makes an address that of the one worker.
+func (r *rig) provide(address string) {
+	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
+}
+
 func newJob(class int) *job.Job {
 	return &job.Job{ID: "id-1", Class: class, Left: 30 * time.Second, Hint: time.Millisecond, Slots: 1, Subject: "/x"}
 }
 
-// idle checks that nothing is left of the job: it is not open, and its id can be used again.
+// idle checks that nothing is left of the job once its attempt is over, which may be after its answer: its id can be used again,
+// and it is not open.
 func (r *rig) idle(want decide.End) {
 	r.t.Helper()
+	if err := r.Pool.Reserve("id-1", time.Minute); err != nil {
+		r.t.Error(err)
+	}
 	if c := r.Desk.Counts(); c.Open != 0 || c.Ends[want] != 1 {
 		r.t.Errorf("counts %+v", c)
 	}
-	if err := r.Pool.Reserve("id-1"); err != nil {
-		r.t.Error(err)
-	}
 }
 
 const taken = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
@@ -140,7 +146,7 @@
 			c.Write([]byte("HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 		})
 	})
-	r.Pool.Directory([]directory.Entry{{Name: "s-1", Address: address, Status: directory.Serving}}, true)
+	r.provide(address)
 	j := newJob(0)
 	j.Left = 5 * time.Second
 	r.Handle(context.Background(), j)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -90,6 +90,7 @@
 	TakenIn    time.Duration   // Call: the most that the acknowledgement may take; 0: no such limit
 	Repeatable bool            // Call: another attempt may follow if this one ends without an answer
 	Context    context.Context // Call, Await: ends when the call is to be withdrawn
+	Over       <-chan struct{} // Call, Await: closed when the job has its final verdict; nil: never
 	RetryAfter time.Duration   // Rejection: how long to stay away; 0: not told
 }
 
@@ -327,6 +328,7 @@
 	job      Job
 	deadline time.Time
 	verdicts chan Verdict
+	over     chan struct{} // closed with the final verdict
 
 	// Guarded by the desk's mutex.
 	attempts int
@@ -339,8 +341,9 @@
 	final    bool
 }
 
-// Take hands a job to the module. The caller must call Pick, and Report after each Call verdict, until
-// a verdict is final.
+// Take hands a job to the module. The caller must call Pick until a verdict is final, and Report how the call of each Call or
+// Await verdict ended. It must not wait for that before the next Pick: a job's final verdict may come while a call is still out, and
+// whatever holds up the call must not hold up the answer.
 func (d *Desk) Take(job Job) *Ticket {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -355,7 +358,7 @@
 func (d *Desk) ticket(job Job) *Ticket {
 	d.next++
 	d.counts.Jobs++
-	t := &Ticket{desk: d, id: d.next, job: job, verdicts: make(chan Verdict, 2)}
+	t := &Ticket{desk: d, id: d.next, job: job, verdicts: make(chan Verdict, 2), over: make(chan struct{})}
 	d.tickets[t.id] = t
 	d.tell(t, Event{Kind: Taken})
 	return t
@@ -437,31 +440,51 @@
 		return v
 	default:
 	}
-	timer := time.NewTimer(time.Until(t.deadline))
+	timer := time.NewTimer(time.Until(t.deadline) + reportGrace)
 	defer timer.Stop()
 	select {
 	case v := <-t.verdicts:
 		return v
 	case <-timer.C:
 	}
-	// The module sets a timer for everything that it holds back. Should it ever lose a job, the
-	// consumer still gets its one answer in time.
-	t.desk.mu.Lock()
-	defer t.desk.mu.Unlock()
-	select {
-	case v := <-t.verdicts:
+	return t.overdue()
+}
+
+// reportGrace is how long after a job's deadline its call may still report how it ended: that says more than that it is late.
+const reportGrace = 3 * time.Millisecond
+
+// overdue makes the final verdict on a job whose time is over. The module sets a timer for everything that it holds back, and a
+// call that is out ends with the job's time. Should the module ever lose a job, or something hold up a call, the client still gets
+// its one answer in time.
+func (t *Ticket) overdue() Verdict {
+	d := t.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := t.waiting(); ok {
+		return v
+	}
+	if t.out {
+		d.log.Debug("call held up beyond its job's deadline", "id", t.job.ID, "provider", d.names[t.provider])
+		d.report(t, TimedOut)
+	} else {
+		d.late(t)
+	}
+	if v, ok := t.waiting(); ok {
 		return v
-	default:
 	}
-	t.desk.late(t)
+	d.log.Error("job left undecided at its deadline", "job", uint64(t.id))
+	d.end(t, Failure)
+	return <-t.verdicts
+}
+
+// waiting returns the next verdict if there is one already.
+func (t *Ticket) waiting() (Verdict, bool) {
 	select {
 	case v := <-t.verdicts:
-		return v
+		return v, true
 	default:
+		return Verdict{}, false
 	}
-	t.desk.log.Error("job left undecided at its deadline", "job", uint64(t.id))
-	t.desk.gone(t)
-	return Verdict{Kind: Failure}
 }
 
 // News is what a provider says of a job that it has, before the call is reported.
@@ -508,9 +531,13 @@
 // Report tells how the invoker call of the last verdict ended. Each call has one end: later ones are
 // passed over.
 func (t *Ticket) Report(end End) {
-	d := t.desk
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	t.desk.mu.Lock()
+	defer t.desk.mu.Unlock()
+	t.desk.report(t, end)
+}
+
+// report takes the end of a call. Called under mu.
+func (d *Desk) report(t *Ticket, end End) {
 	if !t.out {
 		return
 	}
@@ -537,7 +564,14 @@
 func (t *Ticket) Leave() {
 	t.desk.mu.Lock()
 	defer t.desk.mu.Unlock()
-	t.desk.gone(t)
+	t.desk.end(t, Left)
+}
+
+// Fail gives the job up: it has failed, and may have run. A call that is out is withdrawn and must be reported.
+func (t *Ticket) Fail() {
+	t.desk.mu.Lock()
+	defer t.desk.mu.Unlock()
+	t.desk.end(t, Failure)
 }
 
 // Release is Leave for a job that nothing is out for. One that has a call is released by whoever makes that.
@@ -545,15 +579,16 @@
 	t.desk.mu.Lock()
 	defer t.desk.mu.Unlock()
 	if !t.out {
-		t.desk.gone(t)
+		t.desk.end(t, Left)
 	}
 }
 
-func (d *Desk) gone(t *Ticket) {
+// end gives a job a final verdict that is not the module's, and tells the module that the job is over. Called under mu.
+func (d *Desk) end(t *Ticket, verdict VerdictKind) {
 	if t.final {
 		return
 	}
-	d.settle(t, Verdict{Kind: Left})
+	d.settle(t, Verdict{Kind: verdict})
 	d.step(Step{Input: Gone, Now: d.now(), Number: t.id, own: &t.job})
 }
 
@@ -563,6 +598,7 @@
 	d.counts.Verdicts[v.Kind]++
 	d.tell(t, Event{Kind: Decided, Verdict: v.Kind})
 	t.verdicts <- v // has room for a last call and for this
+	close(t.over)
 	d.drop(t)
 }
 
@@ -596,6 +632,7 @@
 // await lets whoever waits in Pick make the call of a verdict, or wait for one that is out.
 func (t *Ticket) await(v Verdict) {
 	t.out = true
+	v.Over = t.over
 	v.Context, t.withdraw = context.WithCancelCause(context.Background())
 	t.verdicts <- v
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -149,7 +149,7 @@
 // A job that the module loses is answered at its deadline all the same.
 func TestUndecided(t *testing.T) {
 	d := desk(t, policy.Safe, "a")
-	ticket := &Ticket{desk: d, id: 99, deadline: time.Now(), verdicts: make(chan Verdict, 2)}
+	ticket := &Ticket{desk: d, id: 99, deadline: time.Now(), verdicts: make(chan Verdict, 2), over: make(chan struct{})}
 	wants(t, ticket.Pick(), Failure)
 }
 
--- a/owners/rig_test.go
+++ b/owners/rig_test.go
@@ -328,7 +328,7 @@
 
 // await waits for the word on a call of a process before.
 func (m *member) await(ctx context.Context, j *job.Job, past []job.Past) job.Outcome {
-	if m.pool.Reserve(j.ID) != nil {
+	if m.pool.Reserve(j.ID, 0) != nil {
 		return job.Outcome{Kind: job.Mistaken}
 	}
 	defer m.pool.Free(j.ID)
--- a/provider/call.go
+++ b/provider/call.go
@@ -98,29 +98,6 @@
 	lastAnswer  = 250 * time.Millisecond // from the last look to the answer of a provider that is back
 )
 
-// ErrBusy is returned for a job whose id is out already.
-var ErrBusy = errors.New("a job with this id is out already")
-
-// Reserve claims a job's id for as long as its consumer waits, so that call-backs find one call only.
-func (p *Pool) Reserve(id string) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, ok := p.calls[id]; ok {
-		return ErrBusy
-	}
-	p.calls[id] = nil
-	p.earlier[id] = nil
-	return nil
-}
-
-// Free gives the id up.
-func (p *Pool) Free(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.calls, id)
-	delete(p.earlier, id)
-}
-
 // CallBack takes a call-back as the provider worded it, or says why it is none.
 func (p *Pool) CallBack(message []byte) error {
 	ev, err := ParseEvent(message)
@@ -183,8 +160,11 @@
 // Invoke makes one invoker call for a reserved job and blocks until it has ended. Nothing of the job
 // is left with the provider, or it has been told so, unless the end says that it ran there. lease is the number that
 // its Keeper gave the call.
+//
+// It may outlive the job: what it waits for at workers it waits for to its end, within bounds of its own. So no answer may wait
+// for it.
 func (p *Pool) Invoke(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
-	if v.Context.Err() != nil {
+	if withdrawn(v) {
 		return decide.NotSent, nil
 	}
 	if end := p.settle(j, v); end != accepted {
@@ -197,7 +177,7 @@
 	c := newCall(j, lease, v, hear)
 	c.conn = conn
 	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
-	if v.Context.Err() != nil {              // the connection, too, may have taken its time
+	if withdrawn(v) {                        // the connection, too, may have taken its time
 		p.release(conn)
 		return decide.NotSent, nil
 	}
@@ -231,6 +211,19 @@
 	return p.wait(j, c, v)
 }
 
+// withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, or its job is over.
+func withdrawn(v decide.Verdict) bool { return v.Context.Err() != nil || jobOver(v) }
+
+// jobOver tells whether the job of a verdict has its final one.
+func jobOver(v decide.Verdict) bool {
+	select {
+	case <-v.Over:
+		return true
+	default:
+		return false
+	}
+}
+
 // connect returns a connection for an attempt, once what is known of the provider is no older than the connection; or nil,
 // and how the attempt has ended.
 func (p *Pool) connect(v decide.Verdict) (*conn, decide.End) {
@@ -239,7 +232,7 @@
 		if err != nil {
 			p.log.Debug("no connection", "provider", v.Provider, "err", err)
 			left := v.Context.Err() != nil && context.Cause(v.Context) != decide.ErrElsewhere
-			if left || errors.Is(err, errCrowded) { // neither says anything of the provider
+			if left || jobOver(v) || errors.Is(err, errCrowded) { // neither says anything of the provider
 				return nil, decide.NotSent
 			}
 			return nil, decide.NotConnected
@@ -333,8 +326,12 @@
 		return g.end, nil // the next process waits for it
 	}
 	if g.must == unheard {
-		// Not waited for: a silent provider would make the consumer's answer late, and the job goes no further.
-		go p.giveUp(j, v.Provider, endingLimit, endingLimit)
+		// The end is not to wait for that, as the job's answer may wait for the end, and the job goes no further.
+		done := p.Use(j.ID)
+		go func() {
+			defer done()
+			p.giveUp(j, v.Provider, endingLimit, endingLimit)
+		}()
 		return g.end, nil
 	}
 	return p.giveUpFor(g, j, c, v, timer)
@@ -368,7 +365,9 @@
 func (p *Pool) giveUpFor(g givingUp, j *job.Job, c *call, v decide.Verdict, timer *time.Timer) (decide.End, []byte) {
 	for {
 		told := make(chan error, 1)
+		done := p.Use(j.ID)
 		go func() {
+			defer done()
 			err := p.giveUp(j, v.Provider, endingLimit, endingLimit)
 			if err != nil {
 				err = p.giveUp(j, v.Provider, lastLook, lastAnswer)
@@ -395,6 +394,8 @@
 		select {
 		case <-c.ended:
 			return c.ending()
+		case <-v.Over: // the job goes nowhere any more, so nothing depends on what its worker has heard
+			return g.late, nil
 		case <-timer.C:
 			return decide.TimedOut, nil
 		case <-time.After(lastAnswer):
--- a/provider/earlier_test.go
+++ b/provider/earlier_test.go
@@ -19,7 +19,7 @@
 func reserved(t *testing.T, f *fake) *Pool {
 	t.Helper()
 	p := pool(f.ln.Addr().String())
-	if err := p.Reserve(newJob().ID); err != nil {
+	if err := p.Reserve(newJob().ID, 0); err != nil {
 		t.Fatal(err)
 	}
 	return p
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -44,6 +44,7 @@
 	open      int                                   // connections, those being made included
 	calls     map[string]*call                      // by request id
 	earlier   map[string]map[string]earlierAttempts // of reserved jobs, by request id and provider
+	reserved  map[string]*reservation               // by request id
 	closed    bool
 
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
@@ -77,7 +78,7 @@
 func NewPool(limits Limits, log *slog.Logger) *Pool {
 	p := &Pool{log: log,
 		providers: make(map[string]*provider), calls: make(map[string]*call),
-		earlier: make(map[string]map[string]earlierAttempts)}
+		earlier: make(map[string]map[string]earlierAttempts), reserved: make(map[string]*reservation)}
 	p.Tune(limits)
 	p.move.transit = make(map[string]chan struct{})
 	p.Retain()
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -335,11 +335,11 @@
 
 func TestReserve(t *testing.T) {
 	p := pool("127.0.0.1:1")
-	if p.Reserve("x") != nil || p.Reserve("x") != ErrBusy {
+	if p.Reserve("x", 0) != nil || p.Reserve("x", 0) != ErrBusy {
 		t.Fatal("an id is out twice")
 	}
 	p.Free("x")
-	if p.Reserve("x") != nil {
+	if p.Reserve("x", 0) != nil {
 		t.Fatal("an id is not given up")
 	}
 }
