netfault: a broken connection is no time-out, and a moment's failure costs a moment

A client's connection that the kernel had given up looked like a read deadline, so its leave was not seen and attempts went on for it; a session did not end its jobs. A look at a socket that a signal interrupts (EINTR) counted as bytes that wait, and the read after it had no deadline: a request could have hung for as long as its client said nothing. A connection to a worker that failed for a moment on this machine (ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH) ended the attempt at once, spoke against the worker, and burnt all four attempts in a moment. Each failure to accept closed an idle connection and wrote a line, 100 a second.

Change: one package says what errors mean: only os.ErrDeadlineExceeded is a deadline. Looks at sockets are repeated after EINTR. Connections to workers are tried again every 5 ms within the dial timeout where the failure may pass, and say nothing of the worker where this machine is short of something. Room is made only for a shortage, and the log tells once a second, with the count.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/wire/http1"
 )
 
@@ -118,7 +119,6 @@
 	}
 	s.whole(c)
 	var syntax *http1.SyntaxError
-	var ne net.Error
 	switch {
 	case err == nil:
 		s.answer(c, head)
@@ -126,7 +126,7 @@
 		s.write(c, status, "too large")
 	case errors.As(err, &syntax):
 		s.write(c, 400, "malformed call")
-	case errors.As(err, &ne) && ne.Timeout():
+	case netfault.DeadlinePassed(err):
 		s.write(c, 408, "no whole call in time")
 		return
 	default:
--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -22,6 +22,7 @@
 
 	"laddertide/configuration/stream"
 	core "laddertide/core/configuration"
+	"laddertide/internal/netfault"
 	wire "laddertide/wire/configuration"
 )
 
@@ -257,7 +258,7 @@
 	for {
 		m, err := c.Read(timing.Silent, wire.MaxFrame)
 		if err != nil {
-			if isTimeout(err) {
+			if netfault.DeadlinePassed(err) {
 				err = errSilent
 			}
 			return useful, err
@@ -347,9 +348,3 @@
 		f.cfg.Log.Warn("no source of configuration yet: trying on", "version", version, "err", err)
 	}
 }
-
-// isTimeout tells whether an error is that a deadline has passed.
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -1,10 +1,10 @@
 package consumer
 
 import (
-	"errors"
 	"io"
-	"syscall"
 	"time"
+
+	"laddertide/internal/netfault"
 )
 
 // A connection is closed in three steps: a last look for bytes that have arrived, the end of this side's half
@@ -28,31 +28,17 @@
 func (c *conn) lookAgain() error {
 	c.SetReadDeadline(time.Now().Add(lastLook))
 	_, err := c.br.Peek(1)
-	if isTimeout(err) && c.pending() {
+	if netfault.DeadlinePassed(err) && c.pending() {
 		c.SetReadDeadline(time.Now().Add(partLimit)) // it does not wait: there is something to read
 		_, err = c.br.Peek(1)
 	}
 	return err
 }
 
-// pending tells whether a read of the socket would return at once, with bytes or with an error, the end of the
-// connection among them. It does not wait and takes nothing away. Of a connection that is encrypted it says no.
+// pending tells whether a read of the socket would return at once. Of a connection that is encrypted it says no.
 func (c *conn) pending() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	pending := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		pending = !errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && pending
+	waiting, known := netfault.Waiting(c.Conn)
+	return known && waiting
 }
 
 // part ends this side's half of the connection and lets the peer take its last answer before the connection closes.
--- /dev/null
+++ b/consumer/faults_test.go
@@ -0,0 +1,121 @@
+package consumer
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/job"
+)
+
+// failure is an error as package net makes it of what a system call returns.
+func failure(call string, errno syscall.Errno) error {
+	return &net.OpError{Op: call, Net: "tcp", Err: os.NewSyscallError(call, errno)}
+}
+
+// faultyListener fails to accept a number of times, and hands out connections whose reads are short and fail as told.
+type faultyListener struct {
+	net.Listener
+	failures []syscall.Errno // of accept, in order, before the first connection
+	broken   atomic.Pointer[error]
+}
+
+func (l *faultyListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		errno := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, failure("accept4", errno)
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &faultyConn{c.(*net.TCPConn), l}, nil
+}
+
+// faultyConn reads a byte at a time. Once its listener says so, a read that ends for whatever reason fails with that error instead.
+type faultyConn struct {
+	*net.TCPConn
+	ln *faultyListener
+}
+
+func (c *faultyConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b[:min(1, len(b))])
+	if broken := c.ln.broken.Load(); broken != nil && err == io.EOF {
+		return 0, *broken
+	}
+	return n, err
+}
+
+// serveFaulty serves on a listener with faults until the test ends.
+func serveFaulty(t *testing.T, ln *faultyListener, jobs job.Handler) *rig {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Listener = tcp
+	r := &rig{t: t, address: tcp.Addr().String(), served: make(chan error, 1)}
+	s := newBench(t, usual).s // its settings
+	server := &Server{Settings: s.Settings, Jobs: jobs, Stopping: func(time.Time) {}, Log: s.Log, Conns: 10, Grace: 500 * time.Millisecond}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	go func() { r.served <- server.Serve(ctx, ln) }()
+	t.Cleanup(stop)
+	return r
+}
+
+func echo(_ context.Context, j *job.Job) job.Outcome {
+	return job.Outcome{Kind: job.Served, Result: []byte(j.ID)}
+}
+
+// A moment in which no connection can be accepted, for whatever reason, costs that moment: clients that came in it are served, with
+// reads as short as they may be.
+func TestConnectionsThatCannotBeAccepted(t *testing.T) {
+	r := serveFaulty(t, &faultyListener{failures: []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS,
+		syscall.ENOMEM, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.EPROTO, syscall.EINTR, syscall.ETIMEDOUT}}, job.HandlerFunc(echo))
+	c := r.dial()
+	for _, id := range []string{"first", "second"} {
+		c.say(ask(id, "check"))
+		if _, got := c.hear(200); got != id {
+			t.Errorf("%q", got)
+		}
+	}
+	r.stop()
+	if err := <-r.served; err != nil {
+		t.Error(err)
+	}
+}
+
+// A client's connection that breaks has ended, whichever error says so: nothing goes on for it.
+func TestConnectionThatBreaksIsALeave(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPIPE, syscall.ENETUNREACH} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			taken, left := make(chan struct{}), make(chan struct{})
+			ln := &faultyListener{}
+			err := failure("read", errno)
+			ln.broken.Store(&err)
+			r := serveFaulty(t, ln, job.HandlerFunc(func(ctx context.Context, _ *job.Job) job.Outcome {
+				close(taken)
+				<-ctx.Done()
+				close(left)
+				return job.Outcome{Kind: job.Gone}
+			}))
+			c := r.dial()
+			c.say(ask("breaks", "check"))
+			<-taken
+			c.Close()
+			select {
+			case <-left:
+			case <-time.After(20 * time.Second):
+				t.Fatal("the job goes on")
+			}
+		})
+	}
+}
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/job"
 	"laddertide/wire/http1"
 )
@@ -57,7 +58,7 @@
 		return false
 	}
 	if err != nil {
-		if isTimeout(err) {
+		if netfault.DeadlinePassed(err) {
 			s.Log.Debug("unfinished request", "from", c.RemoteAddr(), "err", err)
 			s.write(c, answer{status: 408, last: true})
 		}
--- a/consumer/leave.go
+++ b/consumer/leave.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"errors"
+
+	"laddertide/internal/netfault"
 )
 
 // A client that closes its connection has left, and nothing may be sent on for it any more. The end of the connection
@@ -32,7 +34,7 @@
 func (c *conn) hasLeft() bool {
 	for !c.broken && c.pending() {
 		if err := c.readMore(); err != nil {
-			return !isTimeout(err)
+			return !netfault.DeadlinePassed(err)
 		}
 	}
 	return false
@@ -51,7 +53,7 @@
 		for err == nil && c.dropped < partBytes {
 			err = c.readMore()
 		}
-		if err != nil && !isTimeout(err) {
+		if err != nil && !netfault.DeadlinePassed(err) {
 			gone()
 		}
 	}()
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/job"
 	"laddertide/policy"
 )
@@ -59,6 +60,9 @@
 	readBy  time.Time     // while ending: by when a message that has begun is to be whole
 	overdue atomic.Bool   // the grace is over: what comes is answered at once
 	warned  time.Time     // when the log last told that all are busy
+
+	unaccepted     int       // times that a connection could not be accepted
+	toldUnaccepted time.Time // when the log last told so
 }
 
 // conn is a connection that was accepted.
@@ -149,6 +153,7 @@
 	strangers   = time.Second // for a new connection's first byte while stopping
 	MaxAhead    = 16 << 10    // that is kept of what comes while an answer is owed, beside the buffer
 	retryAccept = 10 * time.Millisecond
+	tellEvery   = time.Second // the log tells of one kind of trouble
 )
 
 // Serve accepts connections until ctx ends, then until all that was taken is answered. The listeners share all that
@@ -207,10 +212,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
-			s.Log.Error("cannot accept a connection", "err", err)
-			s.makeRoom()
-			timer := time.NewTimer(retryAccept)
-			<-timer.C
+			s.acceptFailed(err)
 			continue
 		}
 		c := newConn(nc, nil)
@@ -228,6 +230,27 @@
 	}
 }
 
+// acceptFailed waits a moment after a connection could not be accepted. Where something is short that connections take, the one that
+// is missed least gives it back.
+func (s *Server) acceptFailed(err error) {
+	s.mu.Lock()
+	s.unaccepted++
+	tell := time.Since(s.toldUnaccepted) > tellEvery
+	if tell {
+		s.toldUnaccepted = time.Now()
+	}
+	failures := s.unaccepted
+	s.mu.Unlock()
+	if tell {
+		s.Log.Error("cannot accept a connection", "err", err, "failures", failures)
+	}
+	if netfault.Shortage(err) {
+		s.makeRoom()
+	}
+	timer := time.NewTimer(retryAccept)
+	<-timer.C
+}
+
 // takePlace waits for a place. If all are taken and nobody can be moved, the next consumer waits in the backlog: a
 // rejection is no way out, as that is a decision of the module's.
 func (s *Server) takePlace() {
@@ -279,7 +302,7 @@
 		}
 	}
 	if least == nil {
-		if len(s.conns)-s.leaving >= cap(s.room) && time.Since(s.warned) > time.Second {
+		if len(s.conns)-s.leaving >= cap(s.room) && time.Since(s.warned) > tellEvery {
 			s.warned = time.Now()
 			s.Log.Warn("all connections are busy: new ones wait", "open", len(s.conns))
 		}
@@ -411,7 +434,7 @@
 		return true
 	}
 	s.Log.Debug("handshake failed", "from", c.RemoteAddr(), "err", err)
-	if !isTimeout(err) {
+	if !netfault.DeadlinePassed(err) {
 		// The alert that says why is out. It must not be overtaken by a reset.
 		s.mu.Lock()
 		c.Conn = g.Plain()
@@ -441,14 +464,14 @@
 	c.SetReadDeadline(limit)
 	s.mu.Unlock()
 	_, err := c.br.Peek(1)
-	if isTimeout(err) {
+	if netfault.DeadlinePassed(err) {
 		if s.succeeded() {
 			return false // it goes over as it is
 		}
 		err = c.lookAgain() // a request that crosses with the close is still taken if it is here by now
 	}
 	if err != nil {
-		c.broken = !isTimeout(err)
+		c.broken = !netfault.DeadlinePassed(err)
 		return false
 	}
 	s.enter(c, reading)
@@ -464,8 +487,3 @@
 	s.limitReading(c)
 	return true
 }
-
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/job"
 	"laddertide/operator"
 	"laddertide/wire/http1"
@@ -142,7 +143,7 @@
 	switch {
 	case errors.As(err, &syntax) || errors.As(err, &large):
 		m = &mistake{why: err.Error()}
-	case isTimeout(err):
+	case netfault.DeadlinePassed(err):
 		m = &mistake{why: "no whole frame, or heart-beat, in time"}
 	case !errors.As(err, &m) && err != nil:
 		n.over(job.ErrLeft)
@@ -290,7 +291,7 @@
 			n.limitReading()
 			return false, nil
 		}
-		if !isTimeout(err) {
+		if !netfault.DeadlinePassed(err) {
 			return false, err
 		}
 		if closing {
--- /dev/null
+++ b/internal/netfault/netfault.go
@@ -0,0 +1,63 @@
+// Package netfault says what errors of sockets mean, and what is waiting on one. Its functions may be called from any goroutine.
+package netfault
+
+import (
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"syscall"
+)
+
+// DeadlinePassed reports whether an error says that a deadline passed that was set on a connection. A connection that the kernel has
+// given up fails with ETIMEDOUT, which is a time-out by net.Error too: that one is broken.
+func DeadlinePassed(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// shortages are what accept, socket and connect fail with while this machine, or process, is short of something. See accept(2),
+// socket(2) and connect(2).
+var shortages = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+	syscall.EAGAIN}
+
+// passing are what they fail with otherwise while something passes that a moment later may be over.
+var passing = []syscall.Errno{syscall.EINTR, syscall.ECONNABORTED, syscall.ENETUNREACH, syscall.ENETDOWN}
+
+// Shortage reports whether an error says that this machine or process is short of something that a connection needs. It says
+// nothing of the other side.
+func Shortage(err error) bool { return isOne(err, shortages) }
+
+// Momentary reports whether the call that failed may go through a moment later.
+func Momentary(err error) bool { return Shortage(err) || isOne(err, passing) }
+
+func isOne(err error, of []syscall.Errno) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(of, errno)
+}
+
+// Waiting reports whether a read of a connection's socket would return at once, with bytes or with an error, the end of the
+// connection among them. It does not wait and takes nothing away. known is false for a connection without a socket of its own, such
+// as an encrypted one.
+func Waiting(c net.Conn) (waiting, known bool) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true, true // it is closed
+	}
+	err = raw.Control(func(fd uintptr) { waiting = peek(int(fd)) })
+	return waiting || err != nil, true
+}
+
+// peek looks at what is waiting on a socket. A signal may interrupt it, which says nothing of the socket.
+func peek(fd int) bool {
+	for {
+		var b [1]byte
+		_, _, err := recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return !errors.Is(err, syscall.EAGAIN)
+		}
+	}
+}
+
+var recvfrom = syscall.Recvfrom // for tests
--- /dev/null
+++ b/internal/netfault/netfault_test.go
@@ -0,0 +1,94 @@
+package netfault
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failure is an error as package net makes it of what a system call returns.
+func failure(call string, errno syscall.Errno) error {
+	return &net.OpError{Op: call, Net: "tcp", Err: os.NewSyscallError(call, errno)}
+}
+
+func TestMeanings(t *testing.T) {
+	for _, c := range []struct {
+		err                           error
+		deadline, shortage, momentary bool
+	}{
+		{err: failure("read", syscall.ETIMEDOUT)},
+		{err: failure("read", syscall.EHOSTUNREACH)},
+		{err: failure("read", syscall.ECONNRESET)},
+		{err: failure("connect", syscall.ECONNREFUSED)},
+		{err: failure("connect", syscall.ETIMEDOUT)},
+		{err: io.EOF},
+		{err: nil},
+		{err: &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}, deadline: true},
+		{err: fmt.Errorf("in a message: %w", os.ErrDeadlineExceeded), deadline: true},
+		{err: failure("accept4", syscall.EMFILE), shortage: true, momentary: true},
+		{err: failure("accept4", syscall.ENFILE), shortage: true, momentary: true},
+		{err: failure("socket", syscall.ENOBUFS), shortage: true, momentary: true},
+		{err: failure("socket", syscall.ENOMEM), shortage: true, momentary: true},
+		{err: failure("connect", syscall.EADDRNOTAVAIL), shortage: true, momentary: true},
+		{err: failure("connect", syscall.ENETUNREACH), momentary: true},
+		{err: failure("connect", syscall.EINTR), momentary: true},
+		{err: failure("accept4", syscall.ECONNABORTED), momentary: true},
+	} {
+		if DeadlinePassed(c.err) != c.deadline || Shortage(c.err) != c.shortage || Momentary(c.err) != c.momentary {
+			t.Errorf("%v: deadline passed %t, shortage %t, momentary %t", c.err, DeadlinePassed(c.err), Shortage(c.err), Momentary(c.err))
+		}
+	}
+}
+
+func TestWaiting(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	is := func(want bool, when string) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) { // bytes take a moment to arrive
+			if waiting, known := Waiting(c); waiting == want && known {
+				return
+			} else if time.Now().After(end) {
+				t.Fatalf("%s: waiting %t, known %t", when, waiting, known)
+			}
+		}
+	}
+	is(false, "nothing was sent")
+	interrupted := 0
+	recvfrom = func(fd int, b []byte, flags int) (int, syscall.Sockaddr, error) {
+		if interrupted++; interrupted%3 != 0 {
+			return -1, nil, syscall.EINTR
+		}
+		return syscall.Recvfrom(fd, b, flags)
+	}
+	defer func() { recvfrom = syscall.Recvfrom }()
+	is(false, "a signal interrupts the look")
+	io.WriteString(far, "x")
+	is(true, "a byte")
+	c.Read(make([]byte, 1))
+	is(false, "it was read")
+	far.Close()
+	is(true, "the end")
+	c.Close()
+	is(true, "closed here")
+	pipe, _ := net.Pipe()
+	if _, known := Waiting(pipe); known {
+		t.Error("a pipe has no socket")
+	}
+}
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"laddertide/internal/netfault"
 	"laddertide/wire/groups"
 	wire "laddertide/wire/peers"
 )
@@ -71,11 +72,10 @@
 		// A deadline on every read, so that none is for ever; there is nothing to do when it passes.
 		s.udp.SetReadDeadline(time.Now().Add(time.Minute))
 		n, from, err := s.udp.ReadFrom(buf)
-		var ne net.Error
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
-		case errors.As(err, &ne) && ne.Timeout():
+		case netfault.DeadlinePassed(err):
 			continue
 		case err != nil: // such as word that somebody else's socket is closed
 			select {
--- /dev/null
+++ b/provider/faults_test.go
@@ -0,0 +1,95 @@
+package provider
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"laddertide/decide"
+)
+
+// failure is an error as package net makes it of what a system call returns.
+func failure(call string, errno syscall.Errno) error {
+	return &net.OpError{Op: call, Net: "tcp", Err: os.NewSyscallError(call, errno)}
+}
+
+// failing lets a pool's first connections fail with an error, and tells how many have been tried.
+func failing(p *Pool, times int64, err error) (tried *atomic.Int64) {
+	tried = new(atomic.Int64)
+	dial := p.dial
+	p.dial = func(ctx context.Context, address string, until time.Time) (net.Conn, error) {
+		if tried.Add(1) <= times {
+			return nil, err
+		}
+		return dial(ctx, address, until)
+	}
+	return tried
+}
+
+// A connection that fails for a moment on this machine is tried again: the attempt goes to the worker that was drawn.
+func TestConnectionThatFailsForAMoment(t *testing.T) {
+	for _, c := range []struct {
+		call  string
+		errno syscall.Errno
+	}{{"socket", syscall.ENFILE}, {"socket", syscall.EMFILE}, {"socket", syscall.ENOBUFS}, {"connect", syscall.EADDRNOTAVAIL},
+		{"connect", syscall.ENETUNREACH}, {"connect", syscall.EINTR}} {
+		f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
+		p := pool(f.ln.Addr().String())
+		tried := failing(p, 3, failure(c.call, c.errno))
+		invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
+		if tried.Load() != 4 || len(f.lines) != 1 {
+			t.Errorf("%s %v: %d connections tried, %d jobs sent", c.call, c.errno, tried.Load(), len(f.lines))
+		}
+		p.Close()
+		if n := p.Open(); n != 0 {
+			t.Errorf("%s %v: %d connections are counted as open", c.call, c.errno, n)
+		}
+	}
+}
+
+// One that goes on failing ends the attempt when a connection's time is over. It speaks against the worker only if the machine was
+// not short of something.
+func TestConnectionThatGoesOnFailing(t *testing.T) {
+	for errno, want := range map[syscall.Errno]decide.End{syscall.ENFILE: decide.NotSent, syscall.EADDRNOTAVAIL: decide.NotSent,
+		syscall.ENETUNREACH: decide.NotConnected, syscall.ECONNREFUSED: decide.NotConnected, syscall.EHOSTUNREACH: decide.NotConnected} {
+		p := pool("127.0.0.1:1")
+		p.Tune(Limits{Dial: 50 * time.Millisecond, Idle: time.Minute, Conns: 10})
+		tried := failing(p, 1<<62, failure("connect", errno))
+		invoke(t, p, verdict(context.Background(), 20*time.Second), want)
+		if again := tried.Load() > 1; again != (errno != syscall.ECONNREFUSED && errno != syscall.EHOSTUNREACH) {
+			t.Errorf("%v: tried %d times", errno, tried.Load())
+		}
+	}
+}
+
+// brokenConn fails its reads with an error once the far side has ended it.
+type brokenConn struct {
+	net.Conn
+	err error
+}
+
+func (c *brokenConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		err = c.err
+	}
+	return n, err
+}
+
+// A connection that breaks after the job's last byte may have run it, whichever error says so.
+func TestConnectionThatBreaksWithTheJobOut(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.ENETUNREACH} {
+		f := newFake(t, func(int, net.Conn) bool { return false })
+		p := pool(f.ln.Addr().String())
+		dial := p.dial
+		p.dial = func(ctx context.Context, address string, until time.Time) (net.Conn, error) {
+			c, err := dial(ctx, address, until)
+			return &brokenConn{c, failure("read", errno)}, err
+		}
+		invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
+	}
+}
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -6,16 +6,17 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"laddertide/directory"
+	"laddertide/internal/netfault"
 )
 
 // Limits bound what a Pool holds.
@@ -47,6 +48,8 @@
 	reserved  map[string]*reservation               // by request id
 	closed    bool
 
+	dial func(ctx context.Context, address string, until time.Time) (net.Conn, error) // TCP, but in tests
+
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
 	brokeAt  time.Time     // the last of them
 
@@ -76,7 +79,7 @@
 
 // NewPool returns a Pool without providers.
 func NewPool(limits Limits, log *slog.Logger) *Pool {
-	p := &Pool{log: log,
+	p := &Pool{log: log, dial: dialTCP,
 		providers: make(map[string]*provider), calls: make(map[string]*call),
 		earlier: make(map[string]map[string]earlierAttempts), reserved: make(map[string]*reservation)}
 	p.Tune(limits)
@@ -235,12 +238,14 @@
 	address := pr.address
 	p.mu.Unlock()
 
-	dialer := net.Dialer{Timeout: p.limits.Load().Dial, Deadline: until, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+	nc, err := p.connectTo(ctx, address, until)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if netfault.Shortage(err) {
+			return nil, fmt.Errorf("%w: %w", errCrowded, err)
+		}
 		if ne, ok := err.(net.Error); ok && ne.Timeout() {
 			p.mistrust(pr)
 		}
@@ -249,6 +254,40 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 2048), of: pr}, nil
 }
 
+// dialAgain is the pause after a connection failed for a reason that may pass.
+const dialAgain = 5 * time.Millisecond
+
+// connectTo makes a connection, within the dial timeout. What fails for a moment on this machine is tried again until then: it
+// says nothing of the worker, and nothing was sent.
+func (p *Pool) connectTo(ctx context.Context, address string, until time.Time) (net.Conn, error) {
+	if limit := p.limits.Load().Dial; limit > 0 {
+		if by := time.Now().Add(limit); until.IsZero() || by.Before(until) {
+			until = by
+		}
+	}
+	for failures := 0; ; failures++ {
+		nc, err := p.dial(ctx, address, until)
+		if err == nil || !netfault.Momentary(err) || time.Until(until) < dialAgain {
+			return nc, err
+		}
+		if failures == 0 {
+			p.log.Debug("a connection fails for the moment: tried again", "address", address, "err", err)
+		}
+		timer := time.NewTimer(dialAgain)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, err
+		}
+	}
+}
+
+func dialTCP(ctx context.Context, address string, until time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // trusted is how long a connection may have been idle to carry a job. Something on the way may forget idle
 // connections far sooner than the settings say and tell nobody: then each job written to one ends as a reset.
 // What was seen is forgotten by and by. Called under mu.
@@ -329,20 +368,6 @@
 // alive tells whether an idle connection is still open and silent, without waiting: one that its peer
 // has closed would take a job's bytes and break, and the job might count as run.
 func (c *conn) alive() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	waiting, _ := netfault.Waiting(c.Conn)
+	return !waiting
 }
