directory: lists of the largest fleets are taken

Cause, by reading: a list over 256 KiB on a watch, or 64 KiB as an answer, was refused and asked for again for ever. Indented that is a fleet of some 1,100 workers, or 300; fleets are to have up to 3,200. Whatever such a list told, drains among it, was never known.

Change: a list may have 4 MiB in both forms. All other bodies keep their bound.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,7 +80,9 @@
 const (
 	path        = "/catalog/members"
 	dialTimeout = time.Second
-	maxList     = 256 << 10
+	// maxList bounds a list: several thousand workers at about 250 bytes each, indented and with long names. A list that is passed
+	// over as too long hides every drain in it.
+	maxList = 4 << 20
 )
 
 // Watcher follows the list at an address.
@@ -327,7 +329,7 @@
 	if _, err := conn.Write(req); err != nil {
 		return nil, err
 	}
-	head, err := http1.ReadResponseHead(br)
+	head, err := http1.ReadResponseHeadUpTo(br, maxList)
 	if err == nil && head.Status != 200 {
 		err = fmt.Errorf("discovery answered %d", head.Status)
 	}
--- a/wire/http1/http1.go
+++ b/wire/http1/http1.go
@@ -97,9 +97,18 @@
 	Continue       bool // the sender waits for 100 before it sends the body
 
 	length  int64 // of the body; -1: until the connection ends
+	most    int64 // that the body may have; 0: MaxBody
 	chunked bool
 }
 
+// maxBody returns the most bytes that the body may have.
+func (h *Head) maxBody() int64 {
+	if h.most > 0 {
+		return h.most
+	}
+	return MaxBody
+}
+
 // part is a part of a message that is made of lines.
 type part struct {
 	name string
@@ -218,8 +227,11 @@
 	return h, h.frame(version, false)
 }
 
-// ReadResponseHead reads a response up to its body, passing over interim ones.
-func ReadResponseHead(br *bufio.Reader) (*Head, error) {
+// ReadResponseHead reads a response up to its body, passing over interim ones. A body of over MaxBody bytes is an error.
+func ReadResponseHead(br *bufio.Reader) (*Head, error) { return ReadResponseHeadUpTo(br, MaxBody) }
+
+// ReadResponseHeadUpTo is ReadResponseHead for a response whose body may have up to most bytes.
+func ReadResponseHeadUpTo(br *bufio.Reader, most int64) (*Head, error) {
 	for range 8 {
 		budget := MaxHead
 		s, err := line(br, &budget, inHead)
@@ -232,7 +244,7 @@
 		if !isVersion(version) || err != nil || len(digits) != 3 || status < 100 {
 			return nil, bad("malformed status line")
 		}
-		h := &Head{Status: status}
+		h := &Head{Status: status, most: most}
 		if h.Fields, err = fields(br, &budget, inHead); err != nil {
 			return nil, err
 		}
@@ -284,7 +296,7 @@
 			}
 		}
 	case lengths > 0:
-		if h.length > MaxBody {
+		if h.length > h.maxBody() {
 			return tooLarge("body")
 		}
 	case response && h.Status != 204 && h.Status != 304:
@@ -313,7 +325,7 @@
 			if n == 0 {
 				return body, nil
 			}
-			if int64(len(body))+n > MaxBody {
+			if int64(len(body))+n > h.maxBody() {
 				return nil, tooLarge("body")
 			}
 			from := len(body)
@@ -324,8 +336,8 @@
 			c.left = 0
 		}
 	case h.length < 0:
-		body, err := io.ReadAll(io.LimitReader(br, MaxBody+1))
-		if err == nil && len(body) > MaxBody {
+		body, err := io.ReadAll(io.LimitReader(br, h.maxBody()+1))
+		if err == nil && int64(len(body)) > h.maxBody() {
 			err = tooLarge("body")
 		}
 		return body, err
