core/starttime: starts of workers by a clock that may have been stepped

Cause, by reading: a worker counted as cold by the difference of its start's date and this machine's clock, read once at the scheduler's start. With that clock ahead by an hour each worker that had just started passed for a warm one; behind by an hour it was cold, and its attempts were given up as if sent to the process before, for an hour. A worker put back by hand was dated by the system's clock as it is then, and compared with the other. The deadline of a TLS connection's writes and the age of a source's contact with its quorum were differences of wall readings as well.

Change: core/starttime learns from starts that are news how far the own clock is ahead at the most, and never dates one in the future; the translated start of a worker does not move once told. Dates of all decisions are by the desk's clock; spans are on the monotonic clock.

Not kept: a scheduler that starts with its clock ahead takes the cold workers of its first list for older than they are until some start is news.

--- a/configuration/source/source.go
+++ b/configuration/source/source.go
@@ -93,7 +93,7 @@
 
 	senders map[string]*sender
 	latest  latest
-	contact atomic.Int64 // when there was contact with a quorum last, in milliseconds since 1970
+	contact atomic.Pointer[time.Time] // when there was contact with a quorum last, on the monotonic clock
 
 	wake    chan struct{}
 	mu      sync.Mutex // guards what follows
@@ -217,10 +217,16 @@
 }
 
 // publish lets other goroutines know when there was contact with a quorum.
-func (s *Source) publish() { s.contact.Store(s.node.quorumContact().UnixMilli()) }
+func (s *Source) publish() { s.contact.Store(new(s.node.quorumContact())) }
 
 // quorumAge is how long there has been no contact with a quorum, in milliseconds.
-func (s *Source) quorumAge() int64 { return max(0, time.Now().UnixMilli()-s.contact.Load()) }
+func (s *Source) quorumAge() int64 {
+	contact := s.contact.Load()
+	if contact == nil {
+		contact = &time.Time{} // never
+	}
+	return max(0, time.Since(*contact).Milliseconds())
+}
 
 // Bounds of what waits for the loop.
 const (
--- /dev/null
+++ b/core/starttime/starttime.go
@@ -0,0 +1,69 @@
+// Package starttime decides when workers started, by a scheduler's own clock. Discovery dates each start by the clock of the fleet,
+// and a machine's own may have been stepped away from that, by seconds or by an hour, before its scheduler started or after. A worker
+// that has just started must not pass for one that started long ago: it would be sent more than it can do.
+//
+// It does no I/O; the time is an argument. It is not safe for concurrent use.
+package starttime
+
+import "time"
+
+// Clock translates dates of starts. All times are spans since 1970; now is the scheduler's own clock, which is set once from the
+// machine's and runs on by the monotonic clock. The zero value is ready for use.
+//
+// What is known of the own clock: a start is told after it happened. So the own clock is ahead of the fleet's by no more than now less
+// the date of any start; and the least of these, over starts that are news when they are told, comes close to the truth, as the news
+// of some start takes hardly any time. Starts that were listed before this scheduler looked say nothing but that they are not in the
+// future.
+type Clock struct {
+	workers map[string]worker
+	ahead   time.Duration // the most by which the own clock is ahead, plus the time that news takes at the least
+	bounded bool          // ahead is known
+}
+
+// worker is a start as it was dated, and as it is translated. That does not change, however much better the clock is known later: a
+// start that moved would be another one to those who hear of it.
+type worker struct {
+	dated, started time.Duration
+}
+
+// Started returns when a worker started whose last start is dated so. 0 means long ago, in both. news says that this start was not
+// listed when the list was heard before: it has happened since.
+func (c *Clock) Started(name string, dated, now time.Duration, news bool) time.Duration {
+	if w, known := c.workers[name]; known && w.dated == dated {
+		return w.started
+	}
+	w := worker{dated: dated}
+	if dated > 0 {
+		c.learn(now-dated, news)
+		w.started = min(dated+c.ahead, now)
+	}
+	if c.workers == nil {
+		c.workers = make(map[string]worker)
+	}
+	c.workers[name] = w
+	return w.started
+}
+
+// learn takes how long ago a start seems to be.
+func (c *Clock) learn(age time.Duration, news bool) {
+	certain := age < 0 // it cannot be in the future
+	if !news && !certain || c.bounded && age >= c.ahead {
+		return
+	}
+	c.ahead, c.bounded = age, true
+}
+
+// Ahead returns by how much the own clock is ahead of the fleet's at the most, and whether that is known at all. It is below 0 if the
+// own clock is behind.
+func (c *Clock) Ahead() (time.Duration, bool) { return c.ahead, c.bounded }
+
+// Only forgets all workers but those of these names.
+func (c *Clock) Only(names []string) {
+	kept := make(map[string]worker, len(names))
+	for _, name := range names {
+		if w, known := c.workers[name]; known {
+			kept[name] = w
+		}
+	}
+	c.workers = kept
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -143,16 +143,18 @@
 	return c
 }
 
-// New returns a Desk on a new Dispatcher.
-func New(set policy.Settings, log *slog.Logger) (*Desk, error) {
+// New returns a Desk on a new Dispatcher. Its clock begins at what the system's says now.
+func New(set policy.Settings, log *slog.Logger) (*Desk, error) { return NewAt(set, log, time.Now()) }
+
+// NewAt is New with a clock that begins at another date, as after a step of the system's.
+func NewAt(set policy.Settings, log *slog.Logger, date time.Time) (*Desk, error) {
 	restrict(&set)
 	disp, err := policy.New(set)
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
 	return &Desk{
-		set: set, log: log, disp: disp, origin: now, unix: time.Duration(now.UnixNano()),
+		set: set, log: log, disp: disp, origin: time.Now(), unix: time.Duration(date.UnixNano()),
 		tickets: make(map[policy.RequestID]*Ticket),
 		ids:     make(map[string]policy.WorkerID),
 	}, nil
@@ -234,8 +236,15 @@
 	d.closed = true
 }
 
-// now is Unix time that never runs backwards, whatever is done to the system's clock: it is read once
-// and carried on by the monotonic clock. The directory's start times are Unix time as well.
+// Now is the desk's clock: the time since 1970 by the system's clock when the desk was made, carried on by the monotonic clock. It
+// never runs backwards, whatever is done to the system's clock meanwhile. All dates that the module is given are by this clock.
+func (d *Desk) Now() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now()
+}
+
+// now is Now. Called under mu.
 func (d *Desk) now() time.Duration {
 	d.last = max(d.last, d.unix+time.Since(d.origin))
 	return d.last
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"time"
 
 	"laddertide/admin"
 	"laddertide/core/maintenance"
@@ -107,7 +106,7 @@
 	if verb == "disable" {
 		p, known = s.list.TakeOut(name)
 	} else {
-		p, known = s.list.PutBack(name, time.Duration(time.Now().UnixNano()))
+		p, known = s.list.PutBack(name, s.desk.Now())
 	}
 	if !known {
 		return admin.ErrUnknown
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"laddertide/consumer"
 	"laddertide/directory"
@@ -27,7 +28,8 @@
 	Settings  policy.Settings
 	Operator  Operator // features that the operator has turned on
 
-	tree map[string]any // the file as it stands; nil: there was none
+	tree       map[string]any // the file as it stands; nil: there was none
+	clockAhead time.Duration  // by which the machine's clock is ahead of the real time, in tests
 }
 
 // Limits are the machine's.
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -201,7 +201,7 @@
 		if set.Bans {
 			out = s.peers.Out(name)
 		}
-		p, differs := s.list.Set(name, out, held[name], time.Duration(time.Now().UnixNano()))
+		p, differs := s.list.Set(name, out, held[name], s.desk.Now())
 		if !differs {
 			continue
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -23,6 +23,7 @@
 	"laddertide/consumer"
 	"laddertide/core/maintenance"
 	"laddertide/core/pollschedule"
+	"laddertide/core/starttime"
 	"laddertide/decide"
 	"laddertide/directory"
 	"laddertide/durable"
@@ -68,9 +69,11 @@
 	Reread func()
 
 	// list is what discovery and the operators have said, under mu; index is discovery's last.
-	list  maintenance.List[directory.Entry]
-	index uint64
-	ready atomic.Bool
+	list     maintenance.List[directory.Entry]
+	index    uint64
+	starts   starttime.Clock // of workers, by the desk's clock
+	followed bool            // discovery has been heard, so that what it tells now is news
+	ready    atomic.Bool
 
 	// Of the return, under mu.
 	number   uint64    // of this process; 0: the clock's
@@ -97,7 +100,7 @@
 	s := &Scheduler{cfg: cfg, log: log}
 	s.recallConfiguration()
 	cfg = s.cfg
-	desk, err := decide.New(cfg.Settings, log)
+	desk, err := decide.NewAt(cfg.Settings, log, time.Now().Add(cfg.clockAhead))
 	if err != nil {
 		return nil, err
 	}
@@ -211,17 +214,21 @@
 func (s *Scheduler) deliver(kind policy.ListKind, list directory.List) {
 	s.index = list.Index
 	s.heardList()
+	now := s.desk.Now()
 	names := make([]string, len(list.Entries))
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		names[i] = e.Name
+		s.starts.Started(e.Name, e.Since(), now, s.followed)
 		before := s.own(e.Name)
 		s.list.Hear(e.Name, *e, e.Status == directory.Deleted)
 		s.stopped(e.Name, before, s.own(e.Name))
 	}
 	if kind != policy.ListDelta {
 		s.list.Only(names)
+		s.starts.Only(names)
 	}
+	s.followed = s.followed || kind != policy.ListCached
 	changed := s.review() // an own word can end a peer's
 	for i := range list.Entries {
 		p, _ := s.list.Get(names[i])
@@ -252,6 +259,7 @@
 func (s *Scheduler) tell(kind policy.ListKind, list directory.List) {
 	entries := make([]policy.Entry, len(list.Entries))
 	names := make([]string, len(list.Entries))
+	now := s.desk.Now()
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		names[i] = e.Name
@@ -264,7 +272,8 @@
 		}
 		entries[i] = policy.Entry{
 			State: state, Kind: place(s.cfg.Settings.KindNames, e.Type), Zone: place(s.cfg.Settings.ZoneNames, e.Zone),
-			Cell: e.Group, Weight: e.Weight, Started: e.Since(), Back: e.Back,
+			Cell: e.Group, Weight: e.Weight, Back: e.Back,
+			Started: s.starts.Started(e.Name, e.Since(), now, false),
 		}
 	}
 	s.pool.Directory(list.Entries, kind != policy.ListDelta)
--- a/tlslistener/tlslistener.go
+++ b/tlslistener/tlslistener.go
@@ -242,21 +242,25 @@
 // write breaks the connection.
 type writeDeadlineConn struct {
 	net.Conn
-	deadline atomic.Int64 // Unix time in nanoseconds, as the user of the connection set it
+	deadline atomic.Int64 // nanoseconds after epoch, as the user of the connection set it
 }
 
+// epoch is when the clock of deadlines began. It is monotonic: the system's clock may be stepped between a deadline's setting and its
+// use.
+var epoch = time.Now()
+
 func (c *writeDeadlineConn) SetWriteDeadline(t time.Time) error {
-	c.deadline.Store(t.UnixNano())
+	c.deadline.Store(int64(t.Sub(epoch)))
 	return c.Conn.SetWriteDeadline(t)
 }
 
 func (c *writeDeadlineConn) SetDeadline(t time.Time) error {
-	c.deadline.Store(t.UnixNano())
+	c.deadline.Store(int64(t.Sub(epoch)))
 	return c.Conn.SetDeadline(t)
 }
 
 func (c *writeDeadlineConn) Write(b []byte) (int, error) {
-	if now := time.Now(); c.deadline.Load() < now.UnixNano() {
+	if now := time.Now(); c.deadline.Load() < int64(now.Sub(epoch)) {
 		c.Conn.SetWriteDeadline(now.Add(writeTimeout))
 	}
 	return c.Conn.Write(b)
