--- /dev/null
+++ b/rehearse/scenario/troubles.go
@@ -0,0 +1,310 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"laddertide/core/traffic"
+)
+
+// agree is how long schedulers may take to say the same of each other after the last trouble: one that was cut off alone
+// doubts each of the others for up to six times as long as one whose doubt is confirmed, looks for one that it has lost
+// every half a second, and waits for all to have heard. met is how long a start may be news to some.
+const (
+	agree = 16 * time.Second
+	met   = 4 * time.Second
+)
+
+// mostWait is how long the end of a worker waits for its cue.
+const mostWait = 4 * time.Second
+
+// drawTroubles makes the timetable. Each trouble draws from a stream of its own.
+func (p *Plan) drawTroubles(s *Scenario, times float64) {
+	if s.Rude.Given {
+		p.Steps = append(p.Steps, Step{At: 0, Do: Rude, Value: s.Rude.Lo})
+	}
+	end := time.Duration(0) // of the trouble before
+	// The ends of workers wait for one cue and the other by turns, so that a day with two of them plays both. A process
+	// that dies can say what it held, so a crash comes first with that.
+	arriving := len(s.Troubles) > 0 && s.Troubles[0].Kind != "crash"
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		c := Chance(p.Seed, fmt.Sprintf("trouble %d %s", i, t.Kind))
+		at := seconds(t.At.or(6, 8).draw(c))
+		if t.After.Given {
+			at = end + seconds(t.After.draw(c))
+		}
+		length := seconds(t.For.or(0, 0).draw(c))
+		every := seconds(t.Every.or(6, 6).draw(c))
+		to := at + length
+		two := func(on, off Step) {
+			on.At, off.At = at, to
+			p.Steps = append(p.Steps, on, off)
+		}
+		part := t.Part.or(1, 1).draw(c)
+		if t.Part.Given {
+			part = min(1, part*times)
+		}
+		some := sample(c, len(p.Workers), part)
+		switch t.Kind {
+		case "provider-cut", "provider-slow", "provider-reset", "discovery-cut", "discovery-slow", "discovery-reset":
+			// All of them meet the same schedulers, so that one can lose several links at once.
+			whom := sample(Chance(p.Seed, "routes"), len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			st := Step{Do: Route, Schedulers: whom, There: t.Way != "back", Back: t.Way != "there", Note: t.Kind + " " + t.Way}
+			if strings.HasPrefix(t.Kind, "provider") {
+				st.Workers = some
+			}
+			switch {
+			case strings.HasSuffix(t.Kind, "slow"):
+				st.Down = seconds(t.Delay.draw(c))
+			case strings.HasSuffix(t.Kind, "reset"):
+				st.Bytes = int64(t.Bytes.draw(c))
+			}
+			on := st
+			on.Value = 1
+			two(on, st)
+			p.Relays = true
+		case "crash", "vanish", "mute":
+			on := Step{Do: Act(t.Kind), Workers: some, Wait: min(mostWait, length/2), Arriving: arriving}
+			arriving = !arriving
+			two(on, Step{Do: Return, Workers: some})
+		case "cut":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Cut, Workers: some, Schedulers: at}, Step{Do: Mend, Workers: some, Schedulers: at})
+		case "full":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Full, Schedulers: at, Value: 1}, Step{Do: Full, Schedulers: at})
+		case "slow":
+			two(Step{Do: Slow, Workers: some, Value: t.Factor.draw(c)}, Step{Do: Slow, Workers: some, Value: 1})
+		case "burst":
+			size := t.Times.draw(c)
+			p.Traffic.Bursts = append(p.Traffic.Bursts, traffic.Burst{At: at, Length: length, Size: size,
+				Rise: min(length/3, 500*time.Millisecond), Fall: min(length/3, 500*time.Millisecond)})
+		case "stale":
+			two(Step{Do: Stale, Value: t.Delay.draw(c)}, Step{Do: Stale})
+		case "lost-roster":
+			two(Step{Do: Silence, Value: 1}, Step{Do: Silence})
+		case "drain":
+			for j, w := range some {
+				stay := t.Stay.or(6, 6)
+				if j%3 == 0 {
+					// One who never asks discovery is deemed told at last, while the worker still drains.
+					stay.Lo = stay.Hi
+				}
+				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Drain, Workers: []int{w}, Down: length,
+					Stay: seconds(stay.draw(c))})
+			}
+			to = at + time.Duration(len(some))*every + length
+		case "retune":
+			all := make([]int, len(p.Schedulers))
+			for j := range all {
+				all[j] = j
+			}
+			p.Steps = append(p.Steps, Step{At: at, Do: Retune, Schedulers: all})
+			to = at + 2*time.Second
+		case "hand":
+			for j, w := range some {
+				p.Steps = append(p.Steps, Step{At: at + time.Duration(j)*every, Do: Hand, Workers: []int{w}, Down: length})
+			}
+			p.Admin, to = true, at+time.Duration(len(some))*every+length
+		case "restart", "kill", "old-roster", "reload", "upgrade":
+			p.Admin = p.Admin || t.Kind == "upgrade"
+			n := t.Count.or(float64(len(p.Schedulers)), 0).Lo
+			do := map[string]Act{"restart": Term, "kill": Kill, "old-roster": Kill, "reload": Reload, "upgrade": Upgrade}[t.Kind]
+			if t.Kind != "restart" && t.Kind != "upgrade" && !t.Count.Given {
+				n = 1
+			}
+			order := c.Perm(len(p.Schedulers))
+			for j := range int(n) {
+				st := Step{At: at + time.Duration(j)*every, Do: do, Schedulers: []int{order[j%len(order)]}, Down: length, Old: t.Kind == "old-roster"}
+				if do == Reload { // a new configuration goes to all of them
+					st.Schedulers = order
+				}
+				p.Steps = append(p.Steps, st)
+				to = st.At + length
+			}
+			to += time.Second
+		case "blackout":
+			to = p.drawBlackouts(c, t, at)
+		case "kills":
+			to = p.drawKills(c, t, at)
+		case "pauses":
+			to = p.drawPauses(c, t, at)
+		case "peer-troubles":
+			to = p.drawPeerTroubles(c, t, at)
+		case "peer-cut":
+			n := t.Count.or(1, 1).whole(c)
+			side := sample(c, len(p.Schedulers), t.Part.or(0.5, 0.5).draw(c))
+			for k := range n {
+				on := at + time.Duration(k)*(length+every)
+				to = on + length
+				p.Steps = append(p.Steps, Step{At: on, Do: Part, Schedulers: side, Value: 1}, Step{At: to, Do: Part, Schedulers: side})
+			}
+		case "peer-oneway":
+			side := sample(c, len(p.Schedulers), t.Part.or(0.5, 0.5).draw(c))
+			two(Step{Do: Mute1, Schedulers: side, Value: 1}, Step{Do: Mute1, Schedulers: side})
+		case "peer-lossy":
+			two(Step{Do: Lossy, Value: t.Loss.draw(c), Down: seconds(t.Delay.or(0.02, 0.02).draw(c))}, Step{Do: Lossy})
+		case "peer-strangers":
+			two(Step{Do: Intrude, Value: t.Rate.draw(c)}, Step{Do: Intrude})
+		case "herd":
+			p.Steps = append(p.Steps, Step{At: at, Do: Kill, Schedulers: sample(c, len(p.Schedulers), part), Down: length})
+			to += time.Second
+		case "pause":
+			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
+			two(Step{Do: Pause, Schedulers: at, Value: 1}, Step{Do: Pause, Schedulers: at})
+		case "rude":
+			two(Step{Do: Rude, Value: t.Rate.draw(c)}, Step{Do: Rude})
+		}
+		end = to
+		p.Shades = append(p.Shades, Shade{t.Kind, at, to})
+	}
+}
+
+// drawKills makes kills of all schedulers in turn, and returns when the last one is over. Some are followed by another
+// of the next process, which may be at its recovery still.
+func (p *Plan) drawKills(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	order := c.Perm(len(p.Schedulers))
+	kill := func(at time.Duration, whom int) time.Duration {
+		down := seconds(t.For.draw(c))
+		p.Steps = append(p.Steps, Step{At: at, Do: Kill, Schedulers: []int{whom}, Down: down, Early: true})
+		return at + down
+	}
+	twice := t.Twice.or(0, 0).draw(c)
+	for j := range t.Count.whole(c) {
+		whom := order[j%len(order)]
+		up := kill(at, whom)
+		if c.Float64() < twice {
+			up = kill(up+time.Duration(c.Float64()*float64(time.Second)), whom)
+		}
+		to = max(to, up)
+		at += seconds(t.Every.draw(c))
+	}
+	return to + time.Second
+}
+
+// drawBlackouts takes the power away from all at one instant, or from a part of the zones, and gives it back; with every_s
+// again, maybe before all are back. It returns when the last one is.
+func (p *Plan) drawBlackouts(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	p.Power = true
+	part := t.Part.or(1, 1).draw(c)
+	dark := make(map[int]bool)
+	for _, z := range sample(c, len(p.Zones), part) {
+		dark[z] = true
+	}
+	zone := make(map[string]bool)
+	for z := range dark {
+		zone[p.Zones[z]] = true
+	}
+	over := t.For.draw(c)
+	lost, rolled := t.Lost.or(0, 0).draw(c), t.Rolled.or(0, 0).draw(c)
+	for range t.Count.or(1, 1).whole(c) {
+		back := at
+		up := func() time.Duration {
+			d := seconds(over * c.Float64())
+			back = max(back, at+d)
+			return d
+		}
+		for i, s := range p.Schedulers {
+			if !dark[s.Zone] {
+				continue
+			}
+			st := Step{At: at, Do: Kill, Schedulers: []int{i}, Down: up(), Early: true}
+			switch x := c.Float64(); {
+			case x < lost:
+				st.Disk = Lose
+			case x < lost+rolled:
+				st.Disk = Back
+				// What it is put back to is taken while nobody writes.
+				p.Steps = append(p.Steps, Step{At: max(0, at-keptBefore), Do: Kill, Schedulers: []int{i}, Down: time.Second / 2, Disk: Keep})
+			}
+			p.Steps = append(p.Steps, st)
+		}
+		for i, w := range p.Workers {
+			if zone[w.Zone] {
+				p.Steps = append(p.Steps, Step{At: at, Do: Crash, Workers: []int{i}}, Step{At: at + up(), Do: Return, Workers: []int{i}})
+			}
+		}
+		if part >= 1 {
+			until := up()
+			if t.Delay.Given {
+				until = back - at + seconds(t.Delay.draw(c))
+			}
+			p.Steps = append(p.Steps, Step{At: at, Do: Silence, Value: 1}, Step{At: at + until, Do: Silence})
+			back = max(back, at+until)
+		}
+		to = max(to, back)
+		at += seconds(t.Every.or(over/2, over/2).draw(c))
+	}
+	return to
+}
+
+// keptBefore is how long before a blackout a disk is kept that is put back to that.
+const keptBefore = 6 * time.Second
+
+// drawPauses stops all schedulers in turn, one after another, and returns when the last one goes on.
+func (p *Plan) drawPauses(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	order := c.Perm(len(p.Schedulers))
+	free := make([]time.Duration, len(p.Schedulers)) // when it goes on
+	for j := range t.Count.whole(c) {
+		whom := order[j%len(order)]
+		at = max(at, free[whom])
+		free[whom] = at + seconds(t.For.draw(c))
+		p.Steps = append(p.Steps, Step{At: at, Do: Pause, Schedulers: []int{whom}, Value: 1},
+			Step{At: free[whom], Do: Pause, Schedulers: []int{whom}})
+		to = max(to, free[whom])
+		at += seconds(t.Every.draw(c))
+	}
+	return to
+}
+
+// drawPeerTroubles has schedulers killed and stopped, and links between them cut or dead one way, at the same time as it
+// comes. One trouble with links ends before the next begins, as the kit has one state for each link; so it is with what
+// befalls one process.
+func (p *Plan) drawPeerTroubles(c *rand.Rand, t *Trouble, at time.Duration) (to time.Duration) {
+	free, links := make([]time.Duration, len(p.Schedulers)), time.Duration(0)
+	for range t.Count.whole(c) {
+		long, kind := seconds(t.For.draw(c)), c.IntN(4)
+		side := sample(c, len(p.Schedulers), 0.2+0.3*c.Float64())
+		whom := c.IntN(len(p.Schedulers))
+		if kind < 2 {
+			for range p.Schedulers { // the next one to which nothing happens now
+				if free[whom] <= at {
+					break
+				}
+				whom = (whom + 1) % len(p.Schedulers)
+			}
+			at = max(at, free[whom])
+		} else {
+			at = max(at, links)
+		}
+		end := at + long
+		switch kind {
+		case 0:
+			p.Steps = append(p.Steps, Step{At: at, Do: Kill, Schedulers: []int{whom}, Down: long})
+			free[whom] = end + time.Second
+		case 1:
+			p.Steps = append(p.Steps, Step{At: at, Do: Pause, Schedulers: []int{whom}, Value: 1},
+				Step{At: end, Do: Pause, Schedulers: []int{whom}})
+			free[whom] = end
+		case 2:
+			p.Steps = append(p.Steps, Step{At: at, Do: Part, Schedulers: side, Value: 1}, Step{At: end, Do: Part, Schedulers: side})
+			links = end + 100*time.Millisecond
+		case 3:
+			p.Steps = append(p.Steps, Step{At: at, Do: Mute1, Schedulers: side, Value: 1}, Step{At: end, Do: Mute1, Schedulers: side})
+			links = end + 100*time.Millisecond
+		}
+		to = max(to, end)
+		at += seconds(t.Every.draw(c))
+	}
+	return to + time.Second
+}
+
+// sample draws a part of n things, one at least, in the order drawn.
+func sample(c *rand.Rand, n int, part float64) []int {
+	k := min(n, max(1, int(math.Round(part*float64(n)))))
+	return c.Perm(n)[:k]
+}
