--- a/rehearse/cli/soak.go
+++ b/rehearse/cli/soak.go
@@ -256,7 +256,7 @@
 	verdict := map[int]string{Kept: "kept", Broken: "BROKEN", RanLate: "does not count: the kit was late"}[code]
 	f := &run.Figures
 	return fmt.Sprintf("seed %-5d %2d schedulers, %2d workers, deadlines to %.4g s, %.0f jobs/s; %s: %d jobs, service %.3f: %s",
-		plan.Seed, run.Schedulers, run.Workers, float64(longest)/1e6, run.Rate, strings.Join(names, " "), f.Jobs.Asked, f.Service, verdict)
+		plan.Seed, run.Schedulers, run.Workers, float64(longest)/1e6, run.Rate, strings.Join(names, " "), f.Totals.Asked, f.Service, verdict)
 }
 
 // explain prints a broken rule, all that the history has of its request, and what the schedulers logged of it.
