--- a/internal/purity/main.go
+++ b/internal/purity/main.go
@@ -30,11 +30,17 @@
 		fmt.Fprintln(os.Stderr, "purity:", err)
 		os.Exit(1)
 	}
-	for _, b := range breaches {
+	walls, daemon, err := checkDates(".", "laddertide/cmd/laddertide")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "purity:", err)
+		os.Exit(1)
+	}
+	for _, b := range slices.Concat(breaches, walls) {
 		fmt.Fprintln(os.Stderr, b)
 	}
 	fmt.Printf("purity: %d packages looked at (%s), %d breaches\n", len(looked), strings.Join(looked, " "), len(breaches))
-	if len(breaches) > 0 {
+	fmt.Printf("dates as numbers: %d packages looked at, %d functions may, %d breaches\n", len(daemon), len(dated), len(walls))
+	if len(breaches)+len(walls) > 0 {
 		os.Exit(1)
 	}
 }
@@ -67,8 +73,13 @@
 	GoFiles, CgoFiles, IgnoredGoFiles []string
 }
 
-// check looks at the packages that the patterns match below dir, and tells which those were.
+// check looks at the packages that the patterns match below dir, and at all that they import, and tells which those were.
 func check(dir string, patterns ...string) (breaches []breach, looked []string, err error) {
+	return inspect(dir, (*checker).look, patterns...)
+}
+
+// inspect has each package looked at that the patterns match below dir or that those import, apart from the standard library's.
+func inspect(dir string, look func(*checker, *listed, types.Importer) error, patterns ...string) (breaches []breach, looked []string, err error) {
 	cmd := exec.Command("go", append([]string{"list", "-export", "-deps",
 		"-json=ImportPath,Dir,Export,Standard,GoFiles,CgoFiles,IgnoredGoFiles"}, patterns...)...)
 	cmd.Dir = dir
@@ -99,7 +110,7 @@
 			continue
 		}
 		looked = append(looked, p.ImportPath)
-		if err := c.look(&p, imports); err != nil {
+		if err := look(&c, &p, imports); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -135,13 +146,11 @@
 			c.add(filepath.Join(p.Dir, name), 1, "not built here, so it cannot be looked at")
 		}
 	}
-	var files []*ast.File
-	for _, name := range slices.Concat(p.GoFiles, p.CgoFiles) {
-		f, err := parser.ParseFile(c.fset, filepath.Join(p.Dir, name), nil, parser.SkipObjectResolution)
-		if err != nil {
-			return err
-		}
-		files = append(files, f)
+	files, err := c.parse(p)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
 		for _, spec := range f.Imports {
 			path, err := strconv.Unquote(spec.Path.Value)
 			if err != nil {
@@ -171,6 +180,18 @@
 	return nil
 }
 
+// parse reads the files of a package that are built here.
+func (c *checker) parse(p *listed) (files []*ast.File, err error) {
+	for _, name := range slices.Concat(p.GoFiles, p.CgoFiles) {
+		f, err := parser.ParseFile(c.fset, filepath.Join(p.Dir, name), nil, parser.SkipObjectResolution)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, f)
+	}
+	return files, nil
+}
+
 func (c *checker) at(pos token.Pos, what string) {
 	at := c.fset.Position(pos)
 	c.add(at.Filename, at.Line, what)
--- a/internal/purity/main_test.go
+++ b/internal/purity/main_test.go
@@ -132,3 +132,57 @@
 		t.Error("nothing to look at is no error")
 	}
 }
+
+// Dates as numbers are found in all that a program is made of, wherever they stand, unless their function is named.
+func TestDates(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"go.mod": "module laddertide\n\ngo 1.26\n",
+		"cmd/main.go": `package main
+
+import (
+	"time"
+
+	"laddertide/decide"
+)
+
+func main() {
+	decide.NewAt(time.Now())
+	began := time.Now().UnixNano()
+	f := time.Time.UnixMilli
+	_, _ = f, time.Since(time.Unix(0, began))
+}
+`,
+		"decide/decide.go": `package decide
+
+import "time"
+
+func NewAt(t time.Time) int64 { return t.Unix() }
+
+var made = time.Now().UnixMicro()
+`,
+	} {
+		name = filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	breaches, looked, err := checkDates(dir, "laddertide/cmd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, b := range breaches {
+		if b.file != "internal/purity/wall.go" { // names of functions that this module has not
+			got = append(got, b.String())
+		}
+	}
+	want := []string{"cmd/main.go:11: a date as a number in laddertide/cmd.main", "cmd/main.go:12: a date as a number in laddertide/cmd.main",
+		"decide/decide.go:7: a date as a number in a declaration"}
+	if !slices.Equal(got, want) || len(looked) != 2 {
+		t.Errorf("%q in %q", got, looked)
+	}
+}
--- /dev/null
+++ b/internal/purity/wall.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"go/ast"
+	"go/types"
+	"slices"
+	"strings"
+)
+
+// The wall clock. A machine's wall clock may be stepped, by seconds or by an hour, while its monotonic clock runs on. Spans (deadlines,
+// windows, waits, ages) are differences of time.Time values that carry both; a reading that is turned into a number has lost the
+// monotonic one. So each place that makes a number of a date is named here, with what the date is for.
+
+// dates are the methods of time.Time that give a date as a number.
+var dates = []string{"Unix", "UnixMilli", "UnixMicro", "UnixNano"}
+
+// dated are the functions that may use them, by package and name, each with its reason.
+var dated = map[string]string{
+	"laddertide/decide.NewAt":             "where the clock of decisions begins; it runs on by the monotonic clock",
+	"(*laddertide/returning.Room).now":    "where the clock of the return begins; it runs on by the monotonic clock",
+	"(*laddertide/returning.Room).cold":   "the same, to tell which starts came before",
+	"(*laddertide/returning.Room).next":   "one of several numbers that this process's own may grow from",
+	"laddertide/internal/uptime.system":   "the wall's part of a moment that outlives the process",
+	"laddertide/internal/uptime.fallback": "the same, where the system has no clock of its boot",
+	"laddertide/figures.stamp":            "the date of a figure, for metrics systems",
+
+	// Numbers of processes: they grow from one process of a name to the next. After a step back the others say so, and it takes a later one.
+	"laddertide/peers.Start":                 "the number of this process",
+	"laddertide/configuration/source.New":    "the number of this process",
+	"laddertide/configuration/follower.Open": "the number of this process",
+	"laddertide/owners.New":                  "the first number of this process's takings",
+	"(*laddertide/peers.Peers).Failed":       "the number of a lesson; after a step back lessons are passed over for so long",
+
+	// Dates of other machines, or for them: shown, or compared with a warning. No span follows from them.
+	"(*laddertide/peers.Peers).Ban":                       "the date of a ban",
+	"(*laddertide/peers.Peers).Enable":                    "the date of its end",
+	"(*laddertide/peers.delegate).LocalState":             "this machine's date, for the other's warning that clocks differ",
+	"(*laddertide/peers.delegate).MergeRemoteState":       "the difference to the other's date: beliefs are not taken over if it is large",
+	"(*laddertide/configuration/source.node).proposeHere": "the date of a version",
+	"laddertide/configuration/follower.codeDocument":      "the same, on disk",
+	"laddertide/configuration/follower.pushOf":            "the same, in a message",
+	"laddertide/cmd/laddertide.printKept":                 "the same, for operators",
+	"(*laddertide/core/configuration.Table).rowsOf":       "how far a follower is behind, by dates of two machines, for operators",
+}
+
+// checkDates finds the uses of dates in the packages of this module that a program is made of, where they are not named above. A
+// function that is named and uses none is a breach too: the list must stay true.
+func checkDates(dir, program string) (breaches []breach, looked []string, err error) {
+	used := make(map[string]bool)
+	module, _, _ := strings.Cut(program, "/")
+	look := func(c *checker, p *listed, imports types.Importer) error {
+		if !strings.HasPrefix(p.ImportPath, module+"/") {
+			return nil
+		}
+		files, err := c.parse(p)
+		if err != nil {
+			return err
+		}
+		info := types.Info{Uses: map[*ast.Ident]types.Object{}, Defs: map[*ast.Ident]types.Object{}}
+		conf := types.Config{Importer: imports, FakeImportC: true}
+		if _, err := conf.Check(p.ImportPath, c.fset, files, &info); err != nil {
+			return err
+		}
+		for _, f := range files {
+			c.findDates(f, &info, used)
+		}
+		return nil
+	}
+	breaches, looked, err = inspect(dir, look, program)
+	if err != nil {
+		return nil, nil, err
+	}
+	for in := range dated {
+		if !used[in] {
+			breaches = append(breaches, breach{"internal/purity/wall.go", 1, in + " makes no number of a date"})
+		}
+	}
+	return breaches, looked, nil
+}
+
+// findDates finds the uses of dates in one file. used collects the functions that are named and have one.
+func (c *checker) findDates(f *ast.File, info *types.Info, used map[string]bool) {
+	for _, decl := range f.Decls {
+		in := "a declaration"
+		if fn, ok := decl.(*ast.FuncDecl); ok {
+			if obj, ok := info.Defs[fn.Name].(*types.Func); ok {
+				in = obj.FullName()
+			}
+		}
+		ast.Inspect(decl, func(n ast.Node) bool {
+			id, ok := n.(*ast.Ident)
+			switch {
+			case !ok || !isDate(info.Uses[id]):
+			case dated[in] != "":
+				used[in] = true
+			default:
+				c.at(id.Pos(), "a date as a number in "+in)
+			}
+			return true
+		})
+	}
+}
+
+// isDate tells whether an object is one of the methods of dates.
+func isDate(obj types.Object) bool {
+	f, ok := obj.(*types.Func)
+	if !ok || f.Pkg() == nil || f.Pkg().Path() != "time" || f.Signature().Recv() == nil {
+		return false
+	}
+	return slices.Contains(dates, f.Name())
+}
