durable: what a worker says of an attempt that is out counts, whoever waits for it

Cause: call-backs that belong to no attempt in hand were acknowledged; only repeats of one that had ended its job were looked up. After a job is left to the next process (0.1 s before the end of the grace, while the listener is still open) its attempt is out and in nobody's hand, and a worker says once that it is done. The same hole, far shorter, was there between the end of an attempt in hand and its record.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -577,11 +577,24 @@
 	return e.h.left
 }
 
-// unclaimed takes call-backs of calls that are not out: repeats of a word that ended a job, which must be on disk
-// before it is acknowledged again, and words of leases that do not stand, which change nothing.
+// unclaimed takes call-backs that belong to no attempt here: repeats of one that ended a job, which must be on disk before it is
+// acknowledged again, and those of leases that do not stand, which change nothing. One of a lease that stands is of a job that is left
+// to the next process, or of an attempt that has just been given up: a result is the job's end all the same, and is kept; anything else
+// that ends an attempt is to be said again, to whoever waits for it then.
 func (h *Handler) unclaimed(ev provider.Event) error {
 	h.mu.Lock()
-	seq, fence, _ := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
+	seq, fence, stands := h.table.Word(ev.ID, ev.From, leases.Fence(ev.Lease))
+	if stands && h.left && ev.State > provider.Running && ev.State != provider.Done {
+		h.mu.Unlock()
+		return job.ErrLater
+	}
+	if stands && ev.State == provider.Done {
+		step, err := h.table.End(h.clock(), seq, leases.Outcome{Kind: leases.Served, Result: ev.Result})
+		if err != nil {
+			h.log.Warn("a result that belongs to no attempt is no use", "id", ev.ID, "provider", ev.From, "err", err)
+		}
+		h.append(step)
+	}
 	var commit ledger.Commit
 	if fence != 0 {
 		commit = h.kept(seq)
