consumer: a request that crosses the close of a resting connection is not read

Its client sends a request again on a new connection only if nobody has read it; one that was read and has no answer is lost.

Change: what comes after that shutdown stays unread until the client has ended its half, or its time is over; it is dropped then, so that the close resets nothing.

--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -8,16 +8,17 @@
 )
 
 // A connection is closed in three steps: a last look for bytes that have arrived, the end of this side's half
-// (shutdown for writing), and a bounded wait in which whatever still arrives is read and dropped. To close with bytes
-// unread makes the kernel reset the connection, and a reset discards answers that the client has not read yet. A
-// request that arrives after the shutdown was never taken: its client finds the end of the connection in place of an
+// (shutdown for writing), and a bounded wait. To close with bytes unread makes the kernel reset the connection, and a reset discards
+// answers that the client has not read yet; so whatever still arrives is read and dropped in the end. A request that arrives
+// after the shutdown of a connection between messages was never taken: its client finds the end of the connection in place of an
 // answer and sends it again on a new one.
 const (
 	lastLook     = 5 * time.Millisecond   // for a request that is on its way while its connection closes
 	partLimit    = 500 * time.Millisecond // for the client to end its half too
 	crowdedLimit = 50 * time.Millisecond  // the same, for a connection whose place is needed
 	partBytes    = 8 << 20                // what may still come in that time
-	afterEnd     = 200 * time.Millisecond // for connections that close when the time to answer is over
+	afterEnd     = 150 * time.Millisecond // for connections that close when the time to answer is over
+	lookForEnd   = 5 * time.Millisecond   // between looks at whether a client has ended its half
 )
 
 // aLongTimeAgo is a deadline that ends a read at once.
@@ -41,23 +42,54 @@
 	return known && waiting
 }
 
-// part ends this side's half of the connection and lets the peer take its last answer before the connection closes.
-// What still comes is read for a moment and dropped.
-func (s *Server) part(c *conn) {
+// partResting is part for a connection between messages. What still comes is not read until the client has ended its half too, or
+// its time is over: a request that crosses the end of this half was not taken, and its client sends it again on a new connection only
+// if nobody has read it.
+func (s *Server) partResting(c *conn) {
 	if c.passed {
 		return
 	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	shut := ok && half.CloseWrite() == nil
+	if _, known := netfault.Waiting(c.Conn); !ok || !known { // encrypted: what comes has been read by then
+		s.part(c)
+		return
+	}
+	shut := half.CloseWrite() == nil
+	until := s.partBy(c)
+	s.enter(c, parting)
+	if shut && netfault.AwaitWaiting(c.Conn) {
+		for time.Now().Before(until) && !netfault.Ended(c.Conn) {
+			time.Sleep(lookForEnd)
+		}
+		c.SetReadDeadline(time.Now().Add(lookForEnd))
+		io.CopyN(io.Discard, c.br, partBytes) // to close with bytes unread would reset the connection
+	}
+}
+
+// partBy sets the time by which a connection that parts is closed, and returns it.
+func (s *Server) partBy(c *conn) time.Time {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	limit := partLimit
 	if c.woken {
 		if limit = crowdedLimit; c.told == 0 && c.stage == idle {
 			limit = 0 // nothing was sent on it, so nothing can be lost
 		}
 	}
-	c.SetReadDeadline(time.Now().Add(limit))
-	s.mu.Unlock()
+	by := time.Now().Add(limit)
+	c.SetReadDeadline(by)
+	return by
+}
+
+// part ends this side's half of the connection and lets the peer take its last answer before the connection closes.
+// What still comes is read for a moment and dropped.
+func (s *Server) part(c *conn) {
+	if c.passed {
+		return
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	shut := ok && half.CloseWrite() == nil
+	s.partBy(c)
 	s.enter(c, parting)
 	if !shut {
 		return
--- a/consumer/closing_test.go
+++ b/consumer/closing_test.go
@@ -23,6 +23,7 @@
 	net.Listener
 	beforeLook     func(*hookedConn) // a read has run into its deadline
 	afterShutdown  func(*hookedConn)
+	afterRead      func(n int) // nil: nobody asks
 	shutdownCalled atomic.Int32
 }
 
@@ -42,6 +43,9 @@
 
 func (c *hookedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if c.ln.afterRead != nil {
+		c.ln.afterRead(n)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.looks++
 		if c.ln.beforeLook != nil {
@@ -291,3 +295,34 @@
 	defer r.server.mu.Unlock()
 	return r.server.ending
 }
+
+// A request that arrives after the shutdown is not read while its client may find out that it was not taken: a client sends it
+// again on a new connection only if nobody has read it. It was read and dropped at once, and counted as lost.
+func TestRequestAfterShutdownIsNotReadBeforeItsClientCloses(t *testing.T) {
+	var c *client
+	var shutdown time.Time
+	sent, early := make(chan struct{}), make(chan time.Duration, 100)
+	ln := &hookedListener{afterShutdown: func(x *hookedConn) {
+		shutdown = time.Now()
+		io.WriteString(c, ask("crossing", "check"))
+		x.arrived()
+		close(sent)
+	}, afterRead: func(n int) {
+		if after := time.Since(shutdown); n > 0 && !shutdown.IsZero() && after < partLimit/2 {
+			early <- after
+		}
+	}}
+	r := newClosingRig(t, 10, ln)
+	c = r.rest()
+	closings["idle for its time"](r, c)
+	<-sent
+	if _, err := c.br.ReadByte(); err != io.EOF {
+		t.Fatal(err)
+	}
+	time.Sleep(partLimit / 4)
+	if len(early) > 0 {
+		t.Errorf("it was read %v after the shutdown", <-early)
+	}
+	c.Close()
+	r.gone(c, 10*time.Second)
+}
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -402,7 +402,7 @@
 		s.enter(c, idle)
 	}
 	if s.pass(c); !c.broken {
-		s.part(c)
+		s.partResting(c)
 	}
 }
 
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -7,6 +7,8 @@
 	"os"
 	"slices"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // DeadlinePassed reports whether an error says that a deadline passed that was set on a connection. A connection that the kernel has
@@ -61,3 +63,41 @@
 }
 
 var recvfrom = syscall.Recvfrom // for tests
+
+// AwaitWaiting blocks until Waiting would report true, or until the connection's read deadline passes. It reports which.
+func AwaitWaiting(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true // it is closed
+	}
+	waiting := false
+	raw.Read(func(fd uintptr) bool {
+		waiting = peek(int(fd))
+		return waiting
+	})
+	return waiting
+}
+
+// Ended reports whether the other side has ended its half of a connection, or the connection is broken, whatever bytes wait before
+// that. It takes nothing away.
+func Ended(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		ended = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended || err != nil
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -442,7 +442,7 @@
 	longestWait = 3 * time.Second
 	beforeKill  = 350 * time.Millisecond // for the last answers to go out, also on a busy machine
 	exitBefore  = 50 * time.Millisecond  // the kill, whatever holds up the end of this process
-	tellAfter   = 100 * time.Millisecond // the last answer, workers are still told of jobs that are given up
+	tellAfter   = 50 * time.Millisecond  // the last answer, workers are still told of jobs that are given up
 )
 
 // ExitLimit is how long after the word to stop the process must have ended. All is answered by then.
