core/world: a cold worker bears what the operators' term says

Need: the budget of a worker in slow start is N calls and 2 x root of N + 2 more, for under 30 calls 3 x root of N + 3.

--- a/core/world/plain_test.go
+++ b/core/world/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"testing"
 )
 
 // plain is a worker written down once more, without a thought for speed: it keeps what remains of each job, asks at
@@ -274,3 +275,26 @@
 		p.extra += c.cost.Seconds()
 	}
 }
+
+// A cold process bears what the multiple gives, and as many calls more as chance may bring.
+func TestWhatAColdProcessBears(t *testing.T) {
+	for _, c := range []struct {
+		capacity float64
+		mean     Time
+		want     float64 // calls of mean work
+	}{
+		{3, sec, 9 + 3*3 + 3},
+		{100.0 / 3, sec, 100 + 2*10 + 2},
+		{100.0 / 3, 100 * sec, 1 + 3*1 + 3},
+		{0, sec, 3},
+	} {
+		s := Spec{FallMultiple: 3, FallWindow: sec, FallMean: c.mean}
+		if got := float64(s.bears(c.capacity)) / float64(c.mean); math.Abs(got-c.want) > 0.01 {
+			t.Errorf("capacity %.1f, calls of %v: %.2f, want %.2f", c.capacity, c.mean, got, c.want)
+		}
+	}
+	s := Spec{FallMultiple: 3, FallWindow: sec, FallSlack: 200 * ms}
+	if got := s.bears(1); got != 3*sec+200*ms {
+		t.Errorf("%v", got)
+	}
+}
--- a/core/world/worker.go
+++ b/core/world/worker.go
@@ -266,7 +266,7 @@
 	} else {
 		w.sends = append(w.sends, send{w.now, cost})
 	}
-	budget := Time(w.spec.FallMultiple*w.capacity(w.now)*float64(w.spec.FallWindow)) + w.spec.FallSlack
+	budget := w.spec.bears(w.capacity(w.now))
 	if w.sent <= budget {
 		return into
 	}
@@ -277,6 +277,25 @@
 	return into
 }
 
+// fewCalls is the number of calls under which chance is allowed more.
+const fewCalls = 30
+
+// bears is the work that a cold process of this capacity can be sent within FallWindow. Beside what the multiple gives, which is N calls
+// of mean work, it allows for chance: twice the root of N and two calls more, three times the root and three more for under 30.
+func (s *Spec) bears(capacity float64) Time {
+	budget := Time(s.FallMultiple * capacity * float64(s.FallWindow))
+	if s.FallMean <= 0 {
+		return budget + s.FallSlack
+	}
+	calls := float64(budget) / float64(s.FallMean)
+	times := 2.0
+	if calls < fewCalls {
+		times = 3
+	}
+	chance := times*math.Sqrt(calls) + times
+	return budget + s.FallSlack + Time(chance*float64(s.FallMean))
+}
+
 // Cancel gives an attempt up: its work stops. known is false if it is over already, or was never here.
 func (w *Worker) Cancel(now Time, attempt int64, into []Effect) (effects []Effect, known bool) {
 	into = w.Advance(now, into)
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -36,6 +36,7 @@
 	FallMultiple float64
 	FallWindow   Time
 	FallSlack    Time // in work, for chance
+	FallMean     Time // the mean work of a call, for the chance that calls allow for; 0: FallSlack alone
 }
 
 // Job is an attempt at a job.
