rehearse/clients: a request counts as read only if the system shows that it was

Cause: after a scheduler has ended its half, the kit took a request for read if no reset came within 25 ms.

Change: the kit looks at the receive queue of the scheduler's end.

--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"laddertide/core/history"
+	"laddertide/rehearse/loop"
 	"laddertide/wire/stomp"
 )
 
@@ -285,8 +286,12 @@
 }
 
 // wasRead tells of a connection that the scheduler has closed whether it had read all that was sent there. Where bytes
-// come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset.
+// come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset. A scheduler that has
+// ended its half alone may leave them unread, which the system shows.
 func (c *conn) wasRead() bool {
+	if unread, known := loop.Unread(c.nc); known && unread > 0 {
+		return false
+	}
 	for until := time.Now().Add(readLook); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		if state, err := c.state(); err != nil || state != tcpCloseWait {
 			return false
