--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -170,7 +170,7 @@
 		return
 	}
 	r.made.over(end)
-	r.Log.Debug("call over", "id", r.job.ID, "provider", v.Provider, "end", end, "took", took)
+	r.Log.Debug("call over", "id", r.job.ID, "provider", v.Provider, "end", end, "took", took, "withdrawn", context.Cause(v.Context))
 	if r.job.Keeper != nil && end != decide.Served {
 		r.job.Keeper.Over(r.lease, end.Proves())
 	}
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -402,8 +402,28 @@
 		s.enter(c, idle)
 	}
 	if s.pass(c); !c.broken {
+		s.Log.Debug("connection closed between messages", "from", c.RemoteAddr(), "messages", c.told, "why", s.whyClosed(c))
 		s.partResting(c)
+		return
+	}
+	s.Log.Debug("connection ended by the client, or broken", "from", c.RemoteAddr(), "messages", c.told)
+}
+
+// whyClosed is the reason for which a connection between messages is closed here, in words.
+func (s *Server) whyClosed(c *conn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case c.passed:
+		return "the next process has it"
+	case c.woken:
+		return "its place is needed"
+	case s.ending:
+		return "this process ends"
+	case c.told == 0:
+		return "it said nothing in time"
 	}
+	return "idle for its time"
 }
 
 // greeter is a connection that makes a handshake before its first message.
