--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -289,10 +289,10 @@
 // come to a connection that is closed, or are unread when it is, the scheduler's machine answers them with a reset. A scheduler that has
 // ended its half alone may leave them unread, which the system shows.
 func (c *conn) wasRead() bool {
-	if unread, known := loop.Unread(c.nc); known && unread > 0 {
-		return false
-	}
 	for until := time.Now().Add(readLook); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if unread, known := loop.Unread(c.nc); known && unread > 0 { // on a busy machine it takes a moment to arrive
+			return false
+		}
 		if state, err := c.state(); err != nil || state != tcpCloseWait {
 			return false
 		}
