--- a/replicated/replicated_test.go
+++ b/replicated/replicated_test.go
@@ -42,6 +42,8 @@
 	ways   func(from, to string) string // the address by which one is reached from another; nil: its own
 	all    []*house
 
+	log logged // what the schedulers have logged, shown if a test fails
+
 	mu   sync.Mutex
 	cut  map[[2]string]bool
 	open map[net.Conn][2]string
@@ -49,6 +51,33 @@
 	goes map[string]chan struct{} // closed when a job's call ends
 }
 
+// mostLogged is how many bytes of log a failed test shows.
+const mostLogged = 64 << 10
+
+// logged keeps the newest lines of a log.
+type logged struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// Write implements io.Writer.
+func (l *logged) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, line...)
+	if len(l.text) > 2*mostLogged {
+		l.text = append(l.text[:0], l.text[len(l.text)-mostLogged:]...)
+	}
+	return len(line), nil
+}
+
+// String is the newest part of the log.
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.text[max(0, len(l.text)-mostLogged):])
+}
+
 // house is a scheduler.
 type house struct {
 	*Handler
@@ -74,6 +103,9 @@
 		h.Join(1, h)
 	}
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.log.String())
+		}
 		w.mu.Lock()
 		for _, c := range w.goes {
 			over(c)
@@ -92,6 +124,22 @@
 	return w
 }
 
+// describe tells which groups a scheduler leads.
+func (h *house) describe() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current, has := h.own.Current()
+	text := fmt.Sprintf("current %v %v, counts %+v;", current, has, h.node.Counts())
+	for id, l := range h.all {
+		text += fmt.Sprintf(" leads %v (%d bytes, over %v, carried %v", id, l.g.Bytes(), l.over, l.h != nil)
+		if l.h != nil {
+			text += fmt.Sprintf(" %+v", l.h.Counts())
+		}
+		text += ")"
+	}
+	return text
+}
+
 func over(c chan struct{}) {
 	select {
 	case <-c:
@@ -103,7 +151,7 @@
 func (h *house) start() {
 	t := h.w.t
 	t.Helper()
-	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	log := slog.New(slog.NewTextHandler(&h.w.log, &slog.HandlerOptions{Level: slog.LevelDebug})).With("at", h.name)
 	var err error
 	next := h.w.next
 	if next == nil {
@@ -111,7 +159,7 @@
 	}
 	h.Handler, err = New(Config{Name: h.name, Settings: Settings{Replicas: h.w.copies, Dir: h.dir, MaxMB: h.w.maxMB},
 		Durable: durable.Settings{Keep: h.w.keep, MaxMB: 4096, MaxOpen: 2000}, All: policy.Settings{Classes: classes, Balancers: len(h.w.all)}, Next: next,
-		Pool: provider.NewPool(provider.Limits{}, quiet), Log: quiet, Label: "town", Answer: h.w.answer, Settle: 4 * h.w.answer})
+		Pool: provider.NewPool(provider.Limits{}, log), Log: log, Label: "town", Answer: h.w.answer, Settle: 4 * h.w.answer})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,6 +242,9 @@
 	w.t.Helper()
 	for by := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(by) {
+			for _, h := range w.all {
+				w.t.Logf("%s: %s", h.name, h.describe())
+			}
 			w.t.Fatalf("not in time: %s", what)
 		}
 	}
@@ -402,6 +453,40 @@
 	}
 }
 
+// fillLog has a scheduler take jobs of 500 kB until they are refused as a member's log is full, and stays so for some answers' time: for
+// a moment it may be what is on its way to the disk that fills it.
+func (w *town) fillLog(a *house) {
+	w.t.Helper()
+	const mostJobs = 100 // 50 MB, into a log of 16
+	for n := 0; n < mostJobs; {
+		id := fmt.Sprint("job", n)
+		over(w.gate(id))
+		switch {
+		case a.Handle(w.t.Context(), order(id, 2, 500<<10)).Kind != job.Rejected:
+			n++
+		case a.anyFull():
+			if time.Sleep(4 * w.answer); a.anyFull() {
+				return
+			}
+		default: // its next group is not led yet
+			time.Sleep(time.Millisecond)
+		}
+	}
+	w.t.Fatal("50 MB went into a log of 16")
+}
+
+// anyFull tells whether a member of a group that a scheduler leads has told that its log is full.
+func (h *house) anyFull() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.all {
+		if l.g.Full() {
+			return true
+		}
+	}
+	return false
+}
+
 // TestFullLog: where half of a member's log is used nothing new is taken, what is open ends, and all is well once its groups
 // are over; nobody falls out.
 func TestFullLog(t *testing.T) {
@@ -409,15 +494,7 @@
 	a := w.all[0]
 	held := a.ask("held", 0)
 	w.until("it is out", func() bool { return w.ran("held") == 1 })
-	refused := false
-	for i := 0; !refused; i++ {
-		id := fmt.Sprint("job", i)
-		over(w.gate(id))
-		refused = a.Handle(t.Context(), order(id, 2, 500<<10)).Kind == job.Rejected
-		if i > 100 {
-			t.Fatal("50 MB went into a log of 16")
-		}
-	}
+	w.fillLog(a)
 	over(w.gate("held"))
 	if got := <-held; got.Kind != job.Served {
 		t.Errorf("what was open: %v", got.Kind)
