core/judge: a stall of the kit does not excuse what came too fast even so

A worker falls with the first job over its budget, so the work was never more than one job over it, and any stall made that room.

Change: the time that the sending took is compared in place of the work: if what is over the budget was sent within less than a window even with all stalls of the kit added, somebody is to blame. The story of a stall of 0.5 s before a flood of 0.1 s was excused; it is blamed now, and one of 1 s is excused.

--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -635,6 +635,8 @@
 	{name: "work from before the window does not count", want: PushedOver, events: append(append(flood(6000, 4, "n22"),
 		flood(7100, 4, "n1")...), wrote(5900, 8, backWord), fell(7191, "s-0", 2))},
 	{name: "what had piled up as the kit stood still", events: append(flood(6000, 10, "n1"), wrote(5900, 8, backWord),
+		stall(5000, 5999), fell(6091, "s-0", 2))},
+	{name: "too fast, though the kit stood still", want: PushedOver, events: append(flood(6000, 10, "n1"), wrote(5900, 8, backWord),
 		stall(5500, 5999), fell(6091, "s-0", 2))},
 	{name: "nothing was sent", events: []ev{fell(6091, "s-0", 2)}},
 }
--- a/core/judge/news.go
+++ b/core/judge/news.go
@@ -271,6 +271,34 @@
 	}
 }
 
+// sentTooFast reports whether a process that fell over was sent more than it bears within a window, even if all the time for which the
+// kit stood still is added to the time that the sending took: what was sent while the kit stood still arrived at once. attempts are in
+// the order in which they arrived.
+func (c *court) sentTooFast(fell *history.Event, attempts []int32) bool {
+	var sent int64
+	for i := len(attempts) - 1; i >= 0; i-- {
+		ev := &c.events[c.attempts[attempts[i]].ev]
+		if ev.T > c.late(fell.T) {
+			continue
+		}
+		sent += workOf(ev)
+		if sent <= fell.Budget {
+			continue
+		}
+		asleep := c.clock.asleep(fell.T) - c.clock.asleep(ev.T-c.rules.FallWindow)
+		return fell.T-ev.T+asleep < c.rules.FallWindow
+	}
+	return false
+}
+
+// workOf is the work that an attempt costs its worker.
+func workOf(attempt *history.Event) int64 {
+	if attempt.Cost > 0 {
+		return attempt.Cost
+	}
+	return attempt.Work
+}
+
 func (c *court) judgeFall(l life, fell *history.Event, attempts []int32) {
 	var all, knowing int64
 	by := make(map[string]int64)
@@ -281,10 +309,7 @@
 		if ev.T <= since || ev.T > c.late(fell.T) {
 			continue
 		}
-		cost := ev.Cost
-		if cost <= 0 {
-			cost = ev.Work
-		}
+		cost := workOf(ev)
 		all += cost
 		sender := c.sender(a)
 		for _, it := range c.news(sender, l.name).items {
@@ -295,10 +320,7 @@
 			}
 		}
 	}
-	// While the kit stood still, what was sent over a longer time arrived at once.
-	asleep := c.clock.asleep(fell.T) - c.clock.asleep(since)
-	if asleep > 0 && fell.Budget > 0 && c.rules.FallWindow > 0 &&
-		float64(all) <= float64(fell.Budget)*float64(c.rules.FallWindow+asleep)/float64(c.rules.FallWindow) {
+	if asleep := c.clock.asleep(fell.T) - c.clock.asleep(since); asleep > 0 && !c.sentTooFast(fell, attempts) {
 		c.note("Worker %s fell over as the kit had stood still for %s; nobody is blamed for it.", l.name, seconds(asleep))
 		return
 	}
