replicated, groups: a group without jobs begins anew before it pins a full log

Cause: all groups of a process share its log on disk, which is removed from its beginning only. An owner that takes no jobs never began another group, so its first one held all that was written after it, on each of its members: half of max_mb later no member took a durable job any more, until a member changed.

Change: the next group also begins once the log on disk has grown by an eighth of max_mb since the current one began, and, where a member's log is full, after the time that a group is given to be led. A log that is full because of jobs that are open costs an owner one small group in that time.

--- a/core/groups/groups.go
+++ b/core/groups/groups.go
@@ -4,7 +4,8 @@
 //
 // A group's members never change. When one of them is gone, or the group's log has grown, or more copies are wanted, the
 // owner begins another group for the jobs that come from then on; the older one takes no more, and ends when nothing in it
-// is known any more. A process that starts anew begins a group of its own, whoever leads those of before.
+// is known any more. All groups of a process share its log on disk, which is removed from its beginning only: so a group in
+// which nothing happens is replaced as well once much stands behind its beginning. A process that starts anew begins a group of its own, whoever leads those of before.
 package groups
 
 import (
@@ -28,6 +29,7 @@
 	Expect   int           // schedulers that there are, as far as the settings know
 	Settle   time.Duration // for which a member must have been gone, or back, before another group begins for it
 	Bytes    int64         // of a group's log, after which the next one begins
+	Behind   int64         // of the log on disk that stand behind a group's beginning, after which the next one begins
 	Age      time.Duration // after which the next one begins, if there is anything in this one
 	Retry    time.Duration // for a group to be led
 }
@@ -92,9 +94,16 @@
 	o.led = is
 }
 
-// Next tells whether another group is to begin now, and which. bytes and empty are of the current one: how large its log is,
-// and whether no job is in it.
-func (o *Own) Next(now time.Duration, all []Candidate, bytes int64, empty bool) (wire.Group, bool) {
+// Status is what an owner knows of its current group.
+type Status struct {
+	Bytes  int64 // size of the group's log
+	Behind int64 // bytes that the log on disk has grown by since the group began
+	Full   bool  // the log on disk of a member is full
+	Empty  bool  // no job is in the group
+}
+
+// Next tells whether another group is to begin now, and which.
+func (o *Own) Next(now time.Duration, all []Candidate, current Status) (wire.Group, bool) {
 	best := Choose(o.me, all, o.limits.Replicas)
 	reached := 1
 	for _, m := range best {
@@ -121,7 +130,10 @@
 	case !o.led:
 		return wire.Group{}, false
 	case !same && now-o.worse >= o.limits.Settle:
-	case bytes >= o.limits.Bytes, now-o.begun >= o.limits.Age && !empty:
+	case current.Bytes >= o.limits.Bytes, now-o.begun >= o.limits.Age && !current.Empty:
+	case current.Behind >= o.limits.Behind:
+	case current.Full && now-o.begun >= o.limits.Retry:
+		// This group may be the one before which nothing can be removed there.
 	default:
 		return wire.Group{}, false
 	}
--- a/core/groups/groups_test.go
+++ b/core/groups/groups_test.go
@@ -65,7 +65,7 @@
 const settle, age, retry = time.Second, time.Minute, 4 * time.Second
 
 func newOwn() *Own {
-	return NewOwn(self, 7, Limits{Replicas: 3, Expect: 3, Settle: settle, Bytes: 1000, Age: age, Retry: retry})
+	return NewOwn(self, 7, Limits{Replicas: 3, Expect: 3, Settle: settle, Bytes: 1000, Behind: 2000, Age: age, Retry: retry})
 }
 
 func TestNext(t *testing.T) {
@@ -75,9 +75,11 @@
 		at    time.Duration
 		all   []Candidate
 		bytes int64
-		full  bool // there is something in it
-		lead  bool // it is led before it is looked at
-		lost  bool // it is led no more
+		full  bool  // there is something in it
+		disk  bool  // a member's log is full
+		after int64 // bytes on disk behind its beginning
+		lead  bool  // it is led before it is looked at
+		lost  bool  // it is led no more
 		begin bool
 	}
 	begun := look{at: settle, all: []Candidate{b, c}, begin: true}
@@ -90,6 +92,9 @@
 		"nothing changes":                  {begun, {at: 2 * settle, all: []Candidate{b, c}, lead: true}, {at: 10 * age, all: []Candidate{b, c}}},
 		"by age, with something in it":     {begun, {at: settle + age - 1, all: []Candidate{b, c}, lead: true, full: true}, {at: settle + age, all: []Candidate{b, c}, full: true, begin: true}},
 		"by bytes":                         {begun, {at: 2 * settle, all: []Candidate{b, c}, lead: true, bytes: 999}, {at: 2 * settle, all: []Candidate{b, c}, bytes: 1000, begin: true}},
+		"much stands behind it":            {begun, {at: 2 * settle, all: []Candidate{b, c}, lead: true, after: 1999}, {at: 2 * settle, all: []Candidate{b, c}, after: 2000, begin: true}},
+		"a member's log is full": {begun, {at: 2 * settle, all: []Candidate{b, c}, lead: true, disk: true}, {at: settle + retry - 1, all: []Candidate{b, c}, disk: true},
+			{at: settle + retry, all: []Candidate{b, c}, disk: true, begin: true}, {at: settle + retry, all: []Candidate{b, c}, lead: true, disk: true}},
 		"one leaves, another one is there": {begun, {at: 2 * settle, all: []Candidate{b, gone(c), d}, lead: true}, {at: 3*settle - 1, all: []Candidate{b, gone(c), d}}, {at: 3 * settle, all: []Candidate{b, gone(c), d}, begin: true}},
 		"one is gone for a moment":         {begun, {at: 2 * settle, all: []Candidate{b, gone(c), d}, lead: true}, {at: 3*settle - 1, all: []Candidate{b, c}}, {at: 3 * settle, all: []Candidate{b, gone(c), d}}},
 		"a third one comes": {{at: settle, all: []Candidate{b}, begin: true}, {at: 2 * settle, all: []Candidate{b, c}, lead: true},
@@ -108,7 +113,7 @@
 				if l.lead || l.lost {
 					own.Led(l.at, id, l.lead)
 				}
-				g, ok := own.Next(l.at, l.all, l.bytes, !l.full)
+				g, ok := own.Next(l.at, l.all, Status{Bytes: l.bytes, Behind: l.after, Full: l.disk, Empty: !l.full})
 				if ok != l.begin {
 					t.Fatalf("look %d: %v, %+v", i, ok, g)
 				}
@@ -125,6 +130,15 @@
 	}
 }
 
+func drawStatus(t *rapid.T) Status {
+	return Status{
+		Bytes:  int64(rapid.IntRange(0, 1500).Draw(t, "bytes")),
+		Behind: int64(rapid.IntRange(0, 3000).Draw(t, "behind")),
+		Full:   rapid.Bool().Draw(t, "full"),
+		Empty:  rapid.Bool().Draw(t, "empty"),
+	}
+}
+
 func other(c Candidate) Candidate { c.Disk += 100; return c }
 
 // TestMajority: whatever comes and goes, no group begins without a majority of its members at hand, nor of those that there
@@ -149,7 +163,7 @@
 			if led && id.Epoch == 0 {
 				t.Fatal("another one's word was taken")
 			}
-			if g, ok := own.Next(now, all, int64(rapid.IntRange(0, 1500).Draw(t, "bytes")), rapid.Bool().Draw(t, "empty")); ok {
+			if g, ok := own.Next(now, all, drawStatus(t)); ok {
 				n := 0
 				for _, m := range g.Members {
 					if up[m.Name] {
--- a/replicated/replicated.go
+++ b/replicated/replicated.go
@@ -60,6 +60,8 @@
 	disk    *ledger.Store
 	origin  time.Time
 
+	smallest int64 // that the log on disk was since the current group began, in bytes; tend's own
+
 	mu      sync.Mutex
 	me      wire.Member
 	net     Network
@@ -99,9 +101,9 @@
 	if err = h.wires.Check(); err == nil {
 		h.node, err = replica.New(replica.Config{Name: cfg.Name, Disk: disk, Net: h.wires, Log: h.log,
 			// A leader that is not heard for as long as the membership needs to doubt it is not there.
-			Tick: cfg.Answer / 2, Elect: electTicks, Most: int64(cfg.Settings.MaxMB) << 20 / 8, Forget: 2 * h.life(),
+			Tick: cfg.Answer / 2, Elect: electTicks, Most: h.share(8), Forget: 2 * h.life(),
 			// The other half is for what becomes of the jobs that are open.
-			Room: int64(cfg.Settings.MaxMB) << 20 / 2, Key: durable.TakenID, Led: h.led, Gone: h.gone})
+			Room: h.share(2), Key: durable.TakenID, Led: h.led, Gone: h.gone})
 	}
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
@@ -139,7 +141,7 @@
 	h.mu.Lock()
 	h.net = net
 	h.own = groups.NewOwn(h.me, start, groups.Limits{Replicas: h.cfg.Settings.Replicas, Expect: h.cfg.All.Balancers, Settle: h.cfg.Settle,
-		Bytes: int64(h.cfg.Settings.MaxMB) << 20 / 16, Age: h.life(), Retry: 4 * h.cfg.Settle})
+		Bytes: h.share(16), Behind: h.share(8), Age: h.life(), Retry: 4 * h.cfg.Settle})
 	h.mu.Unlock()
 	go h.node.Run()
 	h.work.Go(h.tend)
@@ -388,33 +390,34 @@
 	h.mu.Lock()
 	now := h.now()
 	current, is := h.own.Current()
-	groups := make(map[wire.ID]*led, len(h.all))
+	leading := make(map[wire.ID]*led, len(h.all))
 	for id, l := range h.all {
 		if l.h != nil && !l.over {
-			groups[id] = &led{g: l.g, h: l.h}
+			leading[id] = &led{g: l.g, h: l.h}
 		}
 	}
 	h.mu.Unlock()
-	empty := make(map[wire.ID]bool, len(groups))
-	for id, l := range groups {
+	empty := make(map[wire.ID]bool, len(leading))
+	for id, l := range leading {
 		c := l.h.Counts()
 		empty[id] = c.Open == 0 && c.Kept == 0
 	}
-	var bytes int64
-	if l := groups[current]; is && l != nil {
-		bytes = l.g.Bytes()
+	status := groups.Status{Empty: true, Behind: h.grownBehind()}
+	if l := leading[current]; is && l != nil {
+		status.Bytes, status.Full, status.Empty = l.g.Bytes(), l.g.Full(), empty[current]
 	}
 	h.mu.Lock()
 	begin, ok := wire.Group{}, false
 	if met && !h.leaving {
-		begin, ok = h.own.Next(now, all, bytes, !is || groups[current] == nil || empty[current])
+		begin, ok = h.own.Next(now, all, status)
 	}
 	current, _ = h.own.Current()
 	h.mu.Unlock()
 	if ok {
+		h.smallest = h.disk.Size()
 		h.node.Begin(begin)
 	}
-	for id, l := range groups {
+	for id, l := range leading {
 		// A job that is on its way into the one before is lost with it, and told so: nothing of it was sent.
 		if id != current && empty[id] {
 			l.g.Over()
@@ -422,6 +425,17 @@
 	}
 }
 
+// grownBehind is by how many bytes the log on disk has grown since the current group began, less what was removed meanwhile. Called by
+// tend alone.
+func (h *Handler) grownBehind() int64 {
+	size := h.disk.Size()
+	h.smallest = min(h.smallest, size)
+	return size - h.smallest
+}
+
+// share is a part of the most that the log on disk may be, in bytes.
+func (h *Handler) share(parts int64) int64 { return int64(h.cfg.Settings.MaxMB) << 20 / parts }
+
 // Stop tells that the program ends at by. What is open is left to whoever leads next.
 func (h *Handler) Stop(by time.Time) {
 	h.mu.Lock()
