--- /dev/null
+++ b/core/score/follow.go
@@ -0,0 +1,204 @@
+package score
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"laddertide/core/history"
+)
+
+// ask enters a request of a client. A retry whose first try the history does not have counts as a job of its own.
+func (c *counter) ask(ev *history.Event) {
+	c.rep.Totals.Requests++
+	first := cmp.Or(ev.First, ev.Request)
+	n, known := c.byFirst[first]
+	if !known {
+		n = len(c.jobs)
+		c.byFirst[first] = n
+		unknown := history.Class{Name: ev.Class, Aim: ev.Limit, Deadline: ev.Limit}
+		class := c.class(ev.Class, unknown)
+		cl := &c.classSetups[class]
+		j := job{due: ev.Due, work: max(0, ev.Work), class: class, tenant: c.tenant(ev.Tenant)}
+		j.deadline = j.due + cl.Deadline
+		j.aim = min(j.deadline, j.due+cl.Aim+int64(cl.Stretch*float64(j.work)))
+		c.jobs = append(c.jobs, j)
+		c.late.add(ev.T - ev.Due)
+	} else {
+		c.rep.Totals.ClientRetries++
+	}
+	tr := &try{request: ev.Request, job: n}
+	c.tries[ev.Request] = tr
+	c.jobs[n].last = tr
+}
+
+// follow notes what became of a try. The first whole answer stands; once the client has hung up nothing counts.
+func (c *counter) follow(tr *try, ev *history.Event) {
+	if ev.Kind == history.KindSent {
+		tr.sends++
+		if tr.sends > 1 {
+			c.rep.Totals.Resent++
+		}
+		if c.durable(tr) {
+			switch tr.sends {
+			case 1:
+				c.rep.Totals.Durable++
+			case 2:
+				c.rep.Totals.AskedAgain++
+			}
+		}
+		if i, ok := c.schedulers[ev.Scheduler]; ok {
+			c.rep.Schedulers[i].Sent++
+		}
+	}
+	if c.owned() {
+		c.followOwned(tr, ev)
+	}
+	if tr.final {
+		return
+	}
+	tr.at = ev.T
+	switch ev.Kind {
+	case history.KindSent:
+		tr.end, tr.at = unanswered, 0
+	case history.KindUnsent, history.KindBroken, history.KindTurned:
+		tr.end = failed
+	case history.KindGaveUp:
+		tr.end, tr.final = unanswered, true
+	case history.KindAnswer:
+		// Whoever is told that a job goes on asks again, and may submit it again where any scheduler knows that it was refused.
+		tr.final = !(c.durable(tr) && ev.Status == 502 && ev.After > 0 || c.owned() && (ev.Status == 429 || ev.Status == 503))
+		c.statuses[strconv.Itoa(ev.Status)]++
+		switch ev.Status {
+		case 200:
+			tr.end, tr.result = inTime, ev.Result
+			if j := &c.jobs[tr.job]; j.served == nil && ev.T <= j.deadline {
+				j.served = tr
+			}
+		case 429, 503:
+			tr.end = refused
+		default:
+			tr.end = failed
+		}
+	}
+}
+
+// durable says whether a try is of a class whose jobs outlive their scheduler's process.
+func (c *counter) durable(tr *try) bool {
+	return c.owned() || slices.Contains(c.setup.Durable, c.classSetups[c.jobs[tr.job].class].Name)
+}
+
+// owned says whether any scheduler may be asked for any job.
+func (c *counter) owned() bool { return c.setup.Rules.Keep > 0 }
+
+// followOwned counts what clients of owned jobs see.
+func (c *counter) followOwned(tr *try, ev *history.Event) {
+	o := &c.rep.Owned
+	switch ev.Kind {
+	case history.KindSent:
+		if tr.at1 == "" {
+			tr.at1 = ev.Scheduler
+			o.Asked++
+		}
+		if ev.Scheduler != tr.at1 && !tr.far {
+			tr.far = true
+			o.Elsewhere++
+		}
+	case history.KindAnswer:
+		tr.last = ev.Status
+		if ev.Status == 502 && ev.After > 0 {
+			o.Waits++
+			if tr.waits == 0 {
+				tr.waits = ev.T
+				o.ToldToWait++
+			}
+			return
+		}
+		if tr.waits > 0 && !tr.final {
+			c.waits.add(ev.T - tr.waits)
+			if ev.Status == 200 {
+				o.WaitedServed++
+			}
+		}
+	}
+}
+
+func (c *counter) finishOwned() {
+	o := &c.rep.Owned
+	if !c.owned() {
+		*o = Owned{}
+		return
+	}
+	o.Kills = c.rep.Totals.Kills
+	o.Wait50, o.Wait99, o.WaitMost = c.waits.at(50), c.waits.at(99), ms(c.waits.most)
+	for _, tr := range c.tries {
+		switch {
+		case tr.last == 429 || tr.last == 503:
+			o.Refused++
+		case tr.last/100 == 5 && tr.end == failed:
+			o.Failed++
+		}
+	}
+}
+
+func (c *counter) attempt(ev *history.Event) {
+	t := &c.rep.Totals
+	w, okW := c.workers[ev.Worker]
+	s, okS := c.schedulers[ev.Scheduler]
+	if okW && ev.Kind == history.KindAttempt && ev.Note == "" {
+		c.attempts[ev.Attempt] = &attempt{worker: w, life: c.load.lives[w], request: ev.Request, state: waiting}
+		c.load.change(w, ev.T, 1, 1)
+	}
+	if c.tries[ev.Request] == nil {
+		t.Strange++
+		return
+	}
+	t.Attempts++
+	c.sentFor[ev.Request]++
+	if c.sentFor[ev.Request] > 1 {
+		t.SchedulerRetries++
+	}
+	if ev.Kind == history.KindVoid {
+		t.Void++
+	}
+	if okW {
+		c.rep.Workers[w].Attempts++
+	}
+	if okS {
+		c.rep.Schedulers[s].Attempts++
+	}
+	if okW && okS && c.rep.Workers[w].Zone != c.rep.Schedulers[s].Zone {
+		t.Crossings++
+	}
+}
+
+func (c *counter) over(ev *history.Event) {
+	a := c.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	if c.load.alive(a.worker, a.life) {
+		switch a.state {
+		case waiting:
+			c.load.change(a.worker, ev.T, -1, -1)
+		case running:
+			c.load.change(a.worker, ev.T, 0, -1)
+		}
+	}
+	a.state = gone
+	w := &c.rep.Workers[a.worker]
+	w.Work += seconds(max(0, ev.Work))
+	if c.tries[a.request] == nil {
+		return
+	}
+	if ev.State == history.StateFull {
+		c.rep.Totals.Full++
+		w.Full++
+	}
+	if ev.Effect {
+		c.rep.Totals.Effects++
+	}
+	if ev.Work > 0 {
+		c.overs = append(c.overs, over{a.request, ev.Result, ev.State == history.StateDone, ev.Work})
+	}
+}
--- /dev/null
+++ b/scheduler/successor.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"net"
+
+	"laddertide/consumer"
+	"laddertide/core/maintenance"
+	"laddertide/directory"
+	"laddertide/handover"
+	"laddertide/job"
+	"laddertide/policy"
+	wire "laddertide/wire/handover"
+)
+
+// roster is the list as the next process must know it. Called under mu.
+func (s *Scheduler) roster() wire.Roster {
+	r := wire.Roster{Index: s.index}
+	for _, p := range s.list.All() {
+		e := &p.Entry
+		r.Providers = append(r.Providers, wire.Provider{Name: p.Name, Address: e.Address, Zone: e.Zone, Type: e.Type,
+			Status: string(e.Status), Group: e.Group, Weight: e.Weight, SinceMS: e.SinceMS, Gone: p.Gone, Out: p.Out, Back: p.Back})
+	}
+	return r
+}
+
+// adopt takes the older process's list in place of this one's. Called under mu.
+func (s *Scheduler) adopt(r *wire.Roster) {
+	all := make([]maintenance.Provider[directory.Entry], len(r.Providers))
+	for i, p := range r.Providers {
+		all[i] = maintenance.Provider[directory.Entry]{Name: p.Name, Gone: p.Gone, Out: p.Out, Back: p.Back,
+			Entry: directory.Entry{Name: p.Name, Address: p.Address, Zone: p.Zone, Type: p.Type, Group: p.Group,
+				Status: directory.Status(p.Status), Weight: p.Weight, SinceMS: p.SinceMS}}
+	}
+	s.list.Adopt(all)
+	s.index = r.Index
+	s.retell()
+}
+
+// inherit makes this process the one that decides, unless it has been told to stop.
+func (s *Scheduler) inherit(m *wire.Takeover) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.standing {
+		return false
+	}
+	// Places of classes mean here what they meant there.
+	of := s.cfg.Settings
+	of.Classes, of.Tenants = nil, nil
+	for _, c := range m.Classes {
+		of.Classes = append(of.Classes, policy.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window,
+			Stretch: c.Stretch, Worth: c.Worth, Effect: policy.Effect(c.Effect), Group: policy.Group(c.Group), Kind: c.Kind,
+			Retired: c.Retired})
+	}
+	for _, t := range m.Tenants {
+		of.Tenants = append(of.Tenants, policy.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	next := s.cfg
+	var err error
+	if next.Settings, err = s.cfg.Settings.After(&of); err == nil {
+		err = s.desk.Inherit(of, m.Names, m.Beliefs)
+		if err := s.retune(next); err != nil {
+			s.log.Error("settings of the process before do not go with this one's", "err", err)
+		}
+	}
+	if err != nil {
+		s.log.Warn("what the process before believed of providers is not taken over", "err", err)
+	}
+	s.adopt(&m.Roster)
+	s.standing = false
+	s.log.Info("taking over", "connections", m.Conns, "calls", m.Calls, "providers", len(m.Roster.Providers))
+	return true
+}
+
+// succeed hands over to the process that stands by, if there is one: it serves from here on.
+func (s *Scheduler) succeed(held int) consumer.Heir {
+	s.mu.Lock()
+	s.stopping = true
+	next := s.heir
+	if next == nil {
+		by := s.stopBy
+		s.mu.Unlock()
+		if s.owners != nil { // it may have gone a moment ago
+			s.owners.Stop(by)
+		}
+		return nil
+	}
+	s.handing = make(chan struct{}) // operators' calls wait: the roster is on its way
+	if s.configuration.follower != nil {
+		s.mu.Unlock()
+		s.leaveConfiguration() // what is in force stays so until the next process has read it
+		s.mu.Lock()
+	}
+	s.limit(standby)
+	s.pool.Leave() // nothing is sent from here any more
+	names, beliefs := s.desk.Beliefs()
+	m := &wire.Takeover{Roster: s.roster(), Names: names, Beliefs: beliefs, Conns: held, Calls: s.pool.Open()}
+	for _, c := range s.cfg.Settings.Classes {
+		m.Classes = append(m.Classes, wire.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window,
+			Stretch: c.Stretch, Worth: c.Worth, Effect: byte(c.Effect), Group: byte(c.Group), Kind: c.Kind, Retired: c.Retired})
+	}
+	for _, t := range s.cfg.Settings.Tenants {
+		m.Tenants = append(m.Tenants, wire.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	known := s.handPeers()
+	s.mu.Unlock()
+	if known != nil {
+		next.Send(known, nil) // without it the next process finds the others by itself
+	}
+	reply, err := next.Ask(m, nil, takeLimit)
+	if err == nil && reply.Code != wire.Yes {
+		err = errors.New(reply.Why)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.handing)
+	s.handing = nil
+	if err != nil {
+		s.log.Error("the process that stood by does not take over", "err", err)
+		go s.resumeConfiguration()
+		s.heir = nil
+		next.Close()
+		s.pool.Retain()
+		s.limit(whole)
+		if s.owners != nil {
+			go s.owners.Stop(s.stopBy)
+		}
+		return nil
+	}
+	s.handed = true
+	s.log.Info("handing over", "connections", held, "calls", m.Calls)
+	return &heir{s, next}
+}
+
+// heir is the next process as the server sees it.
+type heir struct {
+	s    *Scheduler
+	peer *handover.Peer
+}
+
+// Conn implements consumer.Heir.
+func (h *heir) Conn(c *net.TCPConn, k consumer.Kept) error {
+	return h.check(h.peer.Send(&wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, c))
+}
+
+// Job implements consumer.Heir. It returns once the next process hears of the job's call.
+func (h *heir) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
+	defer h.s.pool.Arrived(j.ID)
+	m := &wire.Job{Conn: wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, Last: last,
+		ID: j.ID, Party: j.Party, Key: j.Key, Subject: j.Subject, Protocol: j.Protocol,
+		Class: j.Class, Tenant: j.Tenant, Deadline: j.Deadline, Left: j.Left, Hint: j.Hint, Slots: j.Slots, Payload: j.Payload, Fields: j.Fields}
+	for _, p := range past {
+		m.Past = append(m.Past, wire.Past{Provider: p.Provider, Ago: p.Ago, Begun: p.Begun, MayRun: p.MayRun, Out: p.Out})
+	}
+	reply, err := h.peer.Ask(m, c, jobLimit)
+	if errors.Is(err, handover.ErrNotSent) {
+		return h.check(err)
+	}
+	if err != nil {
+		h.s.log.Warn("no word of a job that was handed over", "id", j.ID, "err", err) // it is not this one's any more
+		return nil
+	}
+	if reply.Code != wire.Yes {
+		return h.check(errors.New(reply.Why))
+	}
+	return nil
+}
+
+// check lets calls be made here again if the next process cannot go on with them.
+func (h *heir) check(err error) error {
+	if err != nil {
+		h.s.pool.Retain()
+	}
+	return err
+}
+
+// jobOf is a job that the older process has handed over.
+func (s *Scheduler) jobOf(m *wire.Job) (*job.Job, error) {
+	s.mu.Lock()
+	set := s.cfg.Settings
+	s.mu.Unlock()
+	if m.Class < 0 || m.Class >= len(set.Classes) || m.Tenant < 0 {
+		return nil, fmt.Errorf("scheduler: there is no class %d or tenant %d", m.Class, m.Tenant)
+	}
+	return &job.Job{ID: m.ID, Party: m.Party, Key: m.Key, Subject: m.Subject, Protocol: m.Protocol, Class: m.Class,
+		ClassName: set.Classes[m.Class].Name, Tenant: m.Tenant, Deadline: m.Deadline, Left: max(0, m.Left), Hint: m.Hint,
+		Slots: m.Slots, Payload: m.Payload, Fields: m.Fields}, nil
+}
+
+func pastOf(m *wire.Job) []job.Past {
+	out := make([]job.Past, len(m.Past))
+	for i, p := range m.Past {
+		out[i] = job.Past{Provider: p.Provider, Ago: p.Ago, Begun: p.Begun, MayRun: p.MayRun, Out: p.Out}
+	}
+	return out
+}
