consumer: test of requests that cross the close of a connection that carried nothing

Need: a request that was read and whose connection closes with no answer is lost, on new connections too. Requests that cross the close of a resting connection are left unread while the client may find out, and are read after that.

--- a/consumer/closing_test.go
+++ b/consumer/closing_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"laddertide/job"
 	"laddertide/policy"
 )
@@ -326,3 +328,51 @@
 	c.Close()
 	r.gone(c, 10*time.Second)
 }
+
+// tcpClose is the state of a connection that was reset, as the system counts states.
+const tcpClose = 7
+
+// reset tells whether a client's connection was reset, also after it was ended in order.
+func (c *client) reset() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	var info *unix.TCPInfo
+	raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return err == nil && info.State == tcpClose
+}
+
+// A connection that has carried nothing and makes room closes at once. A request that arrives after its shutdown was read and dropped
+// all the same, and counted as lost: it must be left unread, so that the system resets the connection, as nothing was sent on it that
+// a reset could take away.
+func TestRequestOnANewConnectionIsNotReadAfterShutdown(t *testing.T) {
+	for name, end := range closings {
+		t.Run(name, func(t *testing.T) {
+			var c *client
+			var shut atomic.Bool
+			read := make(chan int, 100)
+			r := newClosingRig(t, 10, &hookedListener{afterShutdown: func(x *hookedConn) {
+				io.WriteString(c, ask("crossing", "check"))
+				x.arrived()
+				shut.Store(true)
+			}, afterRead: func(n int) {
+				if n > 0 && shut.Load() {
+					read <- n
+				}
+			}})
+			c = r.dial()
+			for r.told(c) < 0 { // it is not accepted yet
+				time.Sleep(time.Millisecond)
+			}
+			end(r, c)
+			r.gone(c, 10*time.Second)
+			if len(read) > 0 {
+				t.Errorf("%d bytes were read after the shutdown", <-read)
+			}
+			if !c.reset() {
+				t.Error("the system has not reset the connection: its client takes the request for read")
+			}
+		})
+	}
+}
