rehearse/shutdown: no attempt for a client that has left, while workers hang and SIGTERM comes

Need: an attempt that begins more than 0.1 s after its client has closed is a lost request, with no free cases.

--- a/rehearse/shutdown/rig_test.go
+++ b/rehearse/shutdown/rig_test.go
@@ -261,3 +261,16 @@
 	defer m.mu.Unlock()
 	return m.sum
 }
+
+// moment is a time, with how long this process had been held up by then.
+type moment struct {
+	at     time.Time
+	heldUp time.Duration
+}
+
+func (r *rig) now() moment { return moment{time.Now(), r.holdUps.total()} }
+
+// since is the time from another moment to this one, without that in which this process was held up.
+func (m moment) since(other moment) time.Duration {
+	return m.at.Sub(other.at) - (m.heldUp - other.heldUp)
+}
--- a/rehearse/shutdown/worker_test.go
+++ b/rehearse/shutdown/worker_test.go
@@ -41,7 +41,7 @@
 	name    string
 	address string
 	mode    atomic.Int32
-	seen    sync.Map // ids of the jobs that it was sent
+	seen    sync.Map // by the id of a job that it was sent: the moment of the latest time
 
 	mu       sync.Mutex // of the connection for call-backs
 	back     net.Conn
@@ -61,7 +61,7 @@
 		id := h.Fields.Get("X-Request-Id")
 		submission := h.Method == "POST"
 		if submission {
-			w.seen.Store(id, true)
+			w.seen.Store(id, w.r.now())
 		}
 		mode := hang(w.mode.Load())
 		switch {
@@ -136,4 +136,16 @@
 	return false
 }
 
+// forwardedLast returns when any worker was sent a job the last time, and whether one was at all.
+func (r *rig) forwardedLast(id string) (last moment, ok bool) {
+	for _, w := range r.workers {
+		if seen, sent := w.seen.Load(id); sent {
+			if at := seen.(moment); !ok || at.since(last) > 0 {
+				last, ok = at, true
+			}
+		}
+	}
+	return last, ok
+}
+
 func isResult(id string, body []byte) bool { return strings.TrimSpace(string(body)) == resultOf(id) }
