replica: a disk that fails for a while costs a scheduler no part in its groups

Cause: one failed write or sync of the groups' log ended a scheduler's part in all groups until its next start. A disk without room for a moment on most members ended the groups themselves, and with them jobs that had been taken. Records that nobody waits for, a group's beginning among them, could get lost in such a failure without any notice, so that a later start knew the group's entries, but not the group.

Change: what is not known to be on disk is kept and written again in its order, until the disk takes it (replica/writes.go); the log's count of failures tells of lost records that nobody waits for. After the time in which members wait for a leader this member leads nothing and begins no group, so jobs are refused at once; later it takes part again by itself. A closed log, or one that is as large as it may be, ends the part as before. The model disk of the tests says closed for a dead process.

--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -35,6 +35,8 @@
 	t    *testing.T
 	all  [3]*member
 	ends [3]*end
+
+	hears [3]atomic.Pointer[Node] // the processes that run
 }
 
 func newDiskRig(t *testing.T) *diskRig {
@@ -50,6 +52,11 @@
 		r.ends[i] = newEnd(t, time.Second, nil)
 		r.ends[i].Dial = func(to string) (net.Conn, error) { return net.Dial("tcp", r.ends[to[0]-'a'].address()) }
 		r.ends[i].Most = 8
+		r.ends[i].Hear = func(f *wire.Frame) {
+			if n := r.hears[i].Load(); n != nil {
+				n.Hear(f)
+			}
+		}
 		r.open(i)
 	}
 	of := wire.Group{ID: wire.ID{Owner: "a", Start: 1, Epoch: 1}}
@@ -87,7 +94,7 @@
 }
 
 func (r *diskRig) run(i int) {
-	r.ends[i].Streams.Hear = r.all[i].Hear
+	r.hears[i].Store(r.all[i].Node)
 	go r.all[i].Run()
 }
 
--- a/replica/group.go
+++ b/replica/group.go
@@ -33,6 +33,7 @@
 	lastNonce  uint64
 	leaderSeen time.Time
 	ended      bool
+	relead     bool // it was led here until the disk failed
 }
 
 // finishedGroup is a group in which this member takes no part any more.
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.cfg.Disk.AppendLazy(g.number, (&wire.Record{Kind: wire.Begun, Number: g.number, Group: group}).Append())
+	n.appendLog(false, g.number, (&wire.Record{Kind: wire.Begun, Number: g.number, Group: group}).Append())
 	return g, nil
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -92,6 +92,7 @@
 	now := time.Now()
 	n.logFull = n.cfg.Room > 0 && n.cfg.Disk.Size() >= n.cfg.Room
 	for _, g := range n.groups {
+		g.leadAgain()
 		g.protect(g.raft.Tick)
 		n.dirty[g] = true
 		if g.leader != 0 {
--- a/replica/node.go
+++ b/replica/node.go
@@ -25,6 +25,7 @@
 	AppendLazy(seq uint64, records ...[]byte)
 	Trim(oldest uint64, mark []byte) error
 	Size() int64
+	Stats() ledger.Stats
 	Close() error
 	Replay(each func([]byte) error, damaged func(ledger.Damage)) error
 }
@@ -80,9 +81,13 @@
 	logFull       bool // see Config.Room
 	fullMembers   map[string]bool
 	pendingWrites []ledger.Commit
-	pendingBytes  int // in pendingWrites
 	writeErr      error
 
+	unconfirmed      []logWrite // appended, and not known to be on disk, in order
+	unconfirmedBytes int
+	failuresSeen     uint64 // of the disk, as all before was known to be on it
+	diskFails        atomic.Bool
+
 	trimmedTo atomic.Uint64 // oldest number that the log was trimmed to
 
 	queueMu      sync.Mutex // guards the queue
@@ -99,11 +104,11 @@
 
 // Bounds of what waits.
 const (
-	maxQueued       = 1 << 16   // functions in the queue
-	maxQueuedFrames = 256       // frames of other schedulers among them
-	maxPendingBytes = 2 << 20   // on their way to the disk: half of what the log takes
-	maxRecordBytes  = 256 << 10 // of entries in one record on disk
-	maxFrameBytes   = 1 << 20   // of messages in one frame
+	maxQueued           = 1 << 16   // functions in the queue
+	maxQueuedFrames     = 256       // frames of other schedulers among them
+	maxUnconfirmedBytes = 2 << 20   // on their way to the disk: half of what the log takes
+	maxRecordBytes      = 256 << 10 // of entries in one record on disk
+	maxFrameBytes       = 1 << 20   // of messages in one frame
 )
 
 // Counts are the current numbers of groups, and numbers of events since the start.
@@ -138,6 +143,9 @@
 // Disk returns the number that identifies this process's disk among members.
 func (n *Node) Disk() uint64 { return n.diskID }
 
+// DiskFails reports whether the log on disk takes no writes at the moment: this process takes no part in any group until it does.
+func (n *Node) DiskFails() bool { return n.diskFails.Load() }
+
 // Counts returns the counts at this moment.
 func (n *Node) Counts() Counts {
 	n.mu.Lock()
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -27,7 +26,7 @@
 	lies            bool // it says that it has synced, and has not
 }
 
-var errDead = errors.New("the process is dead")
+var errDead = fmt.Errorf("the process is dead: %w", ledger.ErrClosed)
 
 type done struct{ err error }
 
@@ -64,6 +63,7 @@
 
 func (d *disk) Trim(uint64, []byte) error { return nil }
 func (d *disk) Size() int64               { return 0 }
+func (d *disk) Stats() ledger.Stats       { return ledger.Stats{} }
 func (d *disk) Close() error              { return nil }
 func (d *disk) Replay(each func([]byte) error, _ func(ledger.Damage)) error {
 	for _, b := range d.synced {
--- a/replica/persist.go
+++ b/replica/persist.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"cmp"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -16,36 +15,21 @@
 
 // appendLog appends records of a group to the log on disk. If sync is set awaitWrites waits for them.
 func (n *Node) appendLog(sync bool, number uint64, records ...[]byte) {
-	if !sync {
-		n.cfg.Disk.AppendLazy(number, records...)
-		return
-	}
 	size := 0
 	for _, r := range records {
 		size += len(r)
 	}
-	if n.pendingBytes > 0 && n.pendingBytes+size > maxPendingBytes {
+	if n.unconfirmedBytes > 0 && n.unconfirmedBytes+size > maxUnconfirmedBytes {
+		n.pendingWrites = append(n.pendingWrites, n.cfg.Disk.Append(0)) // without records: done with all that was appended before
 		n.awaitWrites()
 	}
-	n.pendingWrites = append(n.pendingWrites, n.cfg.Disk.Append(number, records...))
-	n.pendingBytes += size
-}
-
-// awaitWrites waits for all pending writes, or for Close, as a disk that hangs must not block that. It sets writeErr unless all
-// of them have succeeded.
-func (n *Node) awaitWrites() {
-	for _, c := range n.pendingWrites {
-		select {
-		case <-c.Done():
-			if err := c.Wait(); err != nil && n.writeErr == nil {
-				n.writeErr = err
-			}
-		case <-n.stop:
-			n.writeErr = cmp.Or(n.writeErr, ErrNotLed)
-		}
+	n.unconfirmed = append(n.unconfirmed, logWrite{number, records})
+	n.unconfirmedBytes += size
+	if sync {
+		n.pendingWrites = append(n.pendingWrites, n.cfg.Disk.Append(number, records...))
+	} else {
+		n.cfg.Disk.AppendLazy(number, records...)
 	}
-	n.pendingWrites = nil
-	n.pendingBytes = 0
 }
 
 // persist appends the new entries and hard state of a group, which must be on disk before messages that follow from them are
--- a/replicated/replicated.go
+++ b/replicated/replicated.go
@@ -408,7 +408,7 @@
 	}
 	h.mu.Lock()
 	begin, ok := wire.Group{}, false
-	if met && !h.leaving {
+	if met && !h.leaving && !h.node.DiskFails() {
 		begin, ok = h.own.Next(now, all, status)
 	}
 	current, _ = h.own.Current()
