scheduler: test of a hand-over after the system's clock was stepped

Need: a machine's wall clock may be stepped, by seconds or by an hour. The process that takes over reads it anew, and takes times by the clock of the process before for its own.

--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -48,3 +48,41 @@
 		t.Errorf("back %v after it was put back", p.Back-before)
 	}
 }
+
+// A process that takes over after the system's clock was stepped goes on by the clock of the process before: what had just started, or
+// had just been put back, counts as cold there too, and not as something of the future.
+func TestUpgradeAfterAStepOfTheClock(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			r := newUpgradeRig(t, io.Discard)
+			began := time.Now()
+			r.hear(directory.List{Index: 42, Snapshot: true, Entries: r.cfg.Known.Entries})
+			e := r.cfg.Known.Entries[0]
+			e.Name, e.SinceMS = "s-new", float64(began.UnixMilli())
+			r.hear(directory.List{Index: 43, Entries: []directory.Entry{e}})
+			back := r.cfg.Known.Entries[0].Name
+			r.sched.mu.Lock()
+			for _, verb := range []string{"disable", "enable"} {
+				if err := r.sched.ownHand(verb, back); err != nil {
+					t.Error(err)
+				}
+			}
+			r.sched.cfg.clockAhead = step
+			r.sched.mu.Unlock()
+			r.cfg.clockAhead = step
+			next := r.follow(io.Discard)
+			r.upgrade(next)
+			next.sched.mu.Lock()
+			defer next.sched.mu.Unlock()
+			now := next.sched.desk.Now()
+			within := time.Since(began) + 5*time.Millisecond
+			if age := now - next.sched.starts.Started(e.Name, e.Since(), now, false); age < 0 || age > within {
+				t.Errorf("a worker that started within %v counts as one of %v ago", within, age)
+			}
+			p, _ := next.sched.list.Get(back)
+			if age := now - p.Back; age < 0 || age > within {
+				t.Errorf("a worker that was put back within %v counts as put back %v ago", within, age)
+			}
+		})
+	}
+}
