scheduler: who takes over after a step of the system's clock goes on by the older clock

Cause: beliefs, starts and returns from maintenance are handed over as times by the older process's clock, which is the system's as that started, carried on by the monotonic clock. The next process took them for times by its own, which is read after the step. What the older had learnt of the difference to the fleet's clock was lost, too.

Change: if the system's clock has moved by 0.1 s or more against the older process's, or that is known to be off from the fleet's by 3 s or more, its clock and all starts are told in a message of their own before the takeover.

Not covered: a process that starts with its clock ahead and none to take over from.

--- a/core/starttime/starttime.go
+++ b/core/starttime/starttime.go
@@ -5,7 +5,11 @@
 // It does no I/O; the time is an argument. It is not safe for concurrent use.
 package starttime
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Clock translates dates of starts. All times are spans since 1970; now is the scheduler's own clock, which is set once from the
 // machine's and runs on by the monotonic clock. The zero value is ready for use.
@@ -57,6 +61,31 @@
 // own clock is behind.
 func (c *Clock) Ahead() (time.Duration, bool) { return c.ahead, c.bounded }
 
+// Start is a start that a Clock knows, as it was dated and as it is translated.
+type Start struct {
+	Name           string
+	Dated, Started time.Duration
+}
+
+// Starts returns all starts that are known, sorted by name.
+func (c *Clock) Starts() []Start {
+	starts := make([]Start, 0, len(c.workers))
+	for name, w := range c.workers {
+		starts = append(starts, Start{Name: name, Dated: w.dated, Started: w.started})
+	}
+	slices.SortFunc(starts, func(a, b Start) int { return strings.Compare(a.Name, b.Name) })
+	return starts
+}
+
+// Continue returns a Clock that knows what another one does: what its Ahead and Starts return.
+func Continue(ahead time.Duration, known bool, starts []Start) Clock {
+	c := Clock{workers: make(map[string]worker, len(starts)), ahead: ahead, bounded: known}
+	for _, s := range starts {
+		c.workers[s.Name] = worker{dated: s.Dated, started: s.Started}
+	}
+	return c
+}
+
 // Only forgets all workers but those of these names.
 func (c *Clock) Only(names []string) {
 	kept := make(map[string]worker, len(names))
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -244,6 +244,19 @@
 	return d.now()
 }
 
+// Apart returns by how much a date of the system's clock is ahead of the desk's clock: by what the former was stepped since the desk was
+// made.
+func (d *Desk) Apart(date time.Time) time.Duration { return time.Duration(date.UnixNano()) - d.Now() }
+
+// Continue has the desk go on by the clock of another one, which says now at this moment. It comes right before Inherit, as the times that
+// the module has by then are those of the old clock.
+func (d *Desk) Continue(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unix = now - time.Since(d.origin)
+	d.last = now
+}
+
 // now is Now. Called under mu.
 func (d *Desk) now() time.Duration {
 	d.last = max(d.last, d.unix+time.Since(d.origin))
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -32,6 +32,7 @@
 	stopBy   time.Time // by when all is to be answered, once stopping
 
 	before   *wire.Peers         // what older knew of the other schedulers; nil: nothing
+	clock    *olderClock         // the clock of older; nil: it is like this process's
 	takeover chan *wire.Takeover // older's word that this one serves now
 	opened   chan struct{}       // closed once server can adopt
 }
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"laddertide/admin"
 	"laddertide/consumer"
@@ -70,6 +71,13 @@
 			s.mu.Unlock()
 			return nil
 		}
+	case *wire.Clock:
+		if standing {
+			s.mu.Lock()
+			s.clock = &olderClock{Clock: m, received: time.Now()}
+			s.mu.Unlock()
+			return nil
+		}
 	case *wire.Takeover:
 		if standing {
 			s.rereadConfiguration() // the older process has let go of it
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -56,6 +56,9 @@
 	for _, t := range m.Tenants {
 		of.Tenants = append(of.Tenants, policy.Tenant{Name: t.Name, Quota: t.Quota})
 	}
+	if s.clock != nil {
+		s.continueClock(s.clock)
+	}
 	next := s.cfg
 	var err error
 	if next.Settings, err = s.cfg.Settings.After(&of); err == nil {
@@ -103,8 +106,11 @@
 	for _, t := range s.cfg.Settings.Tenants {
 		m.Tenants = append(m.Tenants, wire.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	known := s.handPeers()
+	known, clock := s.handPeers(), s.handClock()
 	s.mu.Unlock()
+	if clock != nil {
+		next.Send(clock, nil)
+	}
 	if known != nil {
 		next.Send(known, nil) // without it the next process finds the others by itself
 	}
--- /dev/null
+++ b/scheduler/successor_clock.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"time"
+
+	"laddertide/core/starttime"
+	wire "laddertide/wire/handover"
+)
+
+// A process that takes over goes on with what the one before believed, and all times in that are by the clock of that one: the system's
+// as it started, carried on by the monotonic clock. If the system's clock has been stepped since, the next process, which reads it anew,
+// would take what has just started for long warm, or for something of the future.
+
+const (
+	clockStep = 100 * time.Millisecond // of the system's clock since this process's start: from this on the next process is told
+	clockOff  = 3 * time.Second        // from the fleet's clock: the same; news of a start may take nearly as long
+)
+
+// olderClock is the clock of the process before.
+type olderClock struct {
+	*wire.Clock
+	received time.Time
+}
+
+// handClock is what the next process must know of this one's clock; nil: its own is like it. Called under mu.
+func (s *Scheduler) handClock() *wire.Clock {
+	apart := s.desk.Apart(time.Now().Add(s.cfg.clockAhead))
+	ahead, known := s.starts.Ahead()
+	if apart.Abs() < clockStep && (!known || ahead.Abs() < clockOff) {
+		return nil
+	}
+	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", apart.Round(time.Millisecond),
+		"ahead_of_fleet", ahead.Round(time.Millisecond))
+	m := &wire.Clock{Ahead: ahead, Known: known}
+	for _, start := range s.starts.Starts() {
+		m.Starts = append(m.Starts, wire.Start(start))
+	}
+	m.Now = s.desk.Now()
+	return m
+}
+
+// continueClock goes on by the clock of the process before. Called under mu.
+func (s *Scheduler) continueClock(c *olderClock) {
+	starts := make([]starttime.Start, len(c.Starts))
+	for i, start := range c.Starts {
+		starts[i] = starttime.Start(start)
+	}
+	s.starts = starttime.Continue(c.Ahead, c.Known, starts)
+	s.desk.Continue(c.Now + time.Since(c.received))
+}
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -107,6 +107,19 @@
 		State  []byte
 		Owners []byte // what it keeps of jobs' owners, in the words of wire/owners
 	}
+	// Clock comes before Takeover where the next process may not count times by its own clock, as the system's was stepped: the clock of
+	// the process before as it sends this, and by that clock when providers started. Without it both clocks are alike.
+	Clock struct {
+		Now    time.Duration // since 1970
+		Ahead  time.Duration // of the fleet's clock, at the most
+		Known  bool          // Ahead is known
+		Starts []Start
+	}
+	// Start is when a provider started, as discovery dates it and by Clock.
+	Start struct {
+		Name           string
+		Dated, Started time.Duration // since 1970; 0: long ago
+	}
 	// Conn is a connection between messages. Its descriptor comes with it.
 	Conn struct {
 		Told   int
@@ -178,10 +191,11 @@
 func (*Conn) kind() byte     { return 10 }
 func (*Job) kind() byte      { return 11 }
 func (*Peers) kind() byte    { return 12 }
+func (*Clock) kind() byte    { return 13 }
 
 func blank(kind byte) Message {
 	for _, m := range [...]Message{&Hello{}, &Welcome{}, &Refusal{}, &News{}, &Reread{}, &Call{}, &Event{}, &Reply{},
-		&Takeover{}, &Conn{}, &Job{}, &Peers{}} {
+		&Takeover{}, &Conn{}, &Job{}, &Peers{}, &Clock{}} {
 		if m.kind() == kind {
 			return m
 		}
@@ -299,6 +313,15 @@
 	}
 }
 
+func (m *Clock) fields(w *codec) {
+	binarycodec.Integers(&w.Codec, &m.Now, &m.Ahead)
+	w.Flag(&m.Known)
+	binarycodec.List(&w.Codec, &m.Starts, func(s *Start) {
+		w.Text(&s.Name)
+		binarycodec.Integers(&w.Codec, &s.Dated, &s.Started)
+	})
+}
+
 func (m *Conn) fields(w *codec) {
 	binarycodec.Integers(&w.Codec, &m.Told)
 	w.Flag(&m.Events)
--- a/wire/handover/handover_test.go
+++ b/wire/handover/handover_test.go
@@ -23,6 +23,7 @@
 	&Reply{Number: 10, Code: Elsewhere, Why: "moved"},
 	&Takeover{Number: 12, Roster: roster, Names: []string{"s-1", ""}, Beliefs: []byte{1, 2, 3}, Conns: 200, Calls: 3, Tenants: []Tenant{{"p", 13}},
 		Classes: []Class{{Name: "settle", Aim: 1, Deadline: 2, Window: 3, Stretch: 2, Worth: 8, Effect: 1, Kind: -1, Retired: true}}},
+	&Clock{Now: 1 << 60, Ahead: -5, Known: true, Starts: []Start{{Name: "s-1", Dated: 7, Started: 9}, {}}},
 	&Conn{Told: 4, Events: true, Ahead: []byte("POST ")},
 	&Job{Number: 11, Conn: Conn{Told: 1}, Last: true, ID: "j", Party: "p\xe9", Subject: "/x\xff", Protocol: "HTTP/1.1",
 		Class: 2, Tenant: 1,
