consumer: what crosses the close of a connection is never read

Cause: partResting read and dropped what had come once the client had ended its half, or the time for that was over, so that no reset would take away an answer. So a request that crossed the close was read 0.05 or 0.5 s later, with no answer.

Change: it is never read. The reset comes after the time that a client has to take its last answer and the end behind it; a client's system that has these keeps them through a reset.

Encrypted connections are read, as before.

--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -42,9 +42,10 @@
 	return known && waiting
 }
 
-// partResting is part for a connection between messages. What still comes is not read until the client has ended its half too, or
-// its time is over: a request that crosses the end of this half was not taken, and its client sends it again on a new connection only
-// if nobody has read it. On a connection on which nothing was sent it is never read: there is no answer that a reset could discard.
+// partResting is part for a connection between messages. What still comes is never read: a request that crosses the end of this half was
+// not taken, and its client sends it again on a new connection only if nobody has read it. To close with bytes unread resets the
+// connection, after the client has had time to take its last answer and the end behind it; the reset discards neither where they have
+// arrived.
 func (s *Server) partResting(c *conn) {
 	if c.passed {
 		return
@@ -61,21 +62,9 @@
 		for time.Now().Before(until) && !netfault.Ended(c.Conn) {
 			time.Sleep(lookForEnd)
 		}
-		if s.untold(c) {
-			return
-		}
-		c.SetReadDeadline(time.Now().Add(lookForEnd))
-		io.CopyN(io.Discard, c.br, partBytes) // to close with bytes unread would reset the connection
 	}
 }
 
-// untold reports whether nothing was sent on a connection.
-func (s *Server) untold(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return c.told == 0
-}
-
 // partBy sets the time by which a connection that parts is closed, and returns it.
 func (s *Server) partBy(c *conn) time.Time {
 	s.mu.Lock()
