peering, source: two tests that failed beside load wait for what they need

TestUpgradeDescriptors dialed 320 connections once and then waited until the port is half full; those that say nothing are closed after 2 s. TestInForceEverywhere awaits that a follower which refuses version 4 has version 3; a source keeps and pushes the newest version alone, so one that is behind never has 3.

Change: connections to the port are made again until the test ends, so the port is also pressed while the process after it takes over; all followers must have version 3 before version 4 is proposed.

--- a/configuration/source/source_test.go
+++ b/configuration/source/source_test.go
@@ -339,6 +339,9 @@
 			for i, name := range c.names {
 				c.change(name, uint64(i), fmt.Sprint("document ", i))
 			}
+			for _, f := range all { // one that is behind gets the newest version alone
+				eventually(t, f.name+" has the version before the last", hasVersion(f, 3))
+			}
 			c.change("a", 3, "not s4")
 			for _, f := range all {
 				want := uint64(4)
--- a/rehearse/peering/measure_test.go
+++ b/rehearse/peering/measure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -208,6 +209,41 @@
 	}
 }
 
+// press keeps so many connections to a port until the test ends: connections that say nothing are closed there after a while, and those
+// are made again. It needs no more than one dial a connection at a time.
+func press(t *testing.T, to string, connections int) {
+	ctx, end := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	t.Cleanup(func() {
+		end()
+		all.Wait()
+	})
+	for range connections {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				hold(ctx, to)
+			}
+		})
+	}
+}
+
+// pressAgain is the time before a connection that could not be made is tried again.
+const pressAgain = 20 * time.Millisecond
+
+// hold keeps a connection until it is closed at the other end, or ctx ends.
+func hold(ctx context.Context, to string) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", to)
+	if err != nil {
+		time.Sleep(pressAgain)
+		return
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	io.Copy(io.Discard, c)
+}
+
 // TestUpgradeDescriptors: the port of jobs is full to its bound while a second process takes over from the first. Both
 // together stay within the limit that the scheduler counts them off.
 func TestUpgradeDescriptors(t *testing.T) {
@@ -215,13 +251,7 @@
 	r.plan.Sockets = 160
 	r.startAll()
 	p := r.all[0]
-	for range 2 * r.plan.Sockets { // more than there is room for
-		c, err := net.Dial("tcp", p.listen)
-		if err != nil {
-			break
-		}
-		defer c.Close()
-	}
+	press(t, p.listen, 2*r.plan.Sockets)
 	var most, both atomic.Int64
 	count := func(pid int) int64 {
 		open, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "fd")) // none once it has ended
