scheduler: a step of the clock that is undone before a hand-over is told, too

A step that was undone in between was not told. And the module of the next process kept what it had by its own clock, where it could not read the beliefs of the one before.

Change: the older process also looks as it admits the next one; the module begins anew with the clock that it goes on by; what is told, and when, is core/starttime's.

Result: TestUpgradeAfterAStepOfTheClock also has an undone step, which failed in its three cases before, and a process that cannot read the beliefs; passes, with the race detector. Suites of decide and core/starttime pass.

--- a/core/starttime/starttime.go
+++ b/core/starttime/starttime.go
@@ -61,6 +61,20 @@
 // own clock is behind.
 func (c *Clock) Ahead() (time.Duration, bool) { return c.ahead, c.bounded }
 
+const (
+	// step is how far the system's clock may be from the scheduler's own before a process that would begin by the former is told of the
+	// latter.
+	step = 100 * time.Millisecond
+	// off is the same for the own clock and the fleet's. News of a start may take nearly as long.
+	off = 3 * time.Second
+)
+
+// Differs reports whether the process that goes on from here has to be told of this clock and its starts, where it would begin by the
+// system's clock, which is apart from this one by so much.
+func (c *Clock) Differs(apart time.Duration) bool {
+	return apart.Abs() >= step || c.bounded && c.ahead.Abs() >= off
+}
+
 // Start is a start that a Clock knows, as it was dated and as it is translated.
 type Start struct {
 	Name           string
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -248,13 +248,13 @@
 // made.
 func (d *Desk) Apart(date time.Time) time.Duration { return time.Duration(date.UnixNano()) - d.Now() }
 
-// Continue has the desk go on by the clock of another one, which says now at this moment. It comes right before Inherit, as the times that
-// the module has by then are those of the old clock.
-func (d *Desk) Continue(now time.Duration) {
+// Continue has the desk go on by the clock of another one, which says now at this moment. The module begins anew, as the times that it has
+// are those of the clock before: the list of providers must be told again. It is an error, and changes nothing, if a job has been taken
+// already.
+func (d *Desk) Continue(now time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unix = now - time.Since(d.origin)
-	d.last = now
+	return d.goOn(d.set, nil, now, policy.New)
 }
 
 // now is Now. Called under mu.
@@ -292,7 +292,9 @@
 // not of set, the settings that the other desk had, or if a job has been taken already. The list of providers must be told
 // again, and settings of one's own put in force by Retune.
 func (d *Desk) Inherit(set policy.Settings, names []string, state []byte) error {
-	return d.goOn(set, names, func(set policy.Settings) (*policy.Dispatcher, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
 		return policy.Inherit(set, state, len(names))
 	})
 }
@@ -300,7 +302,9 @@
 // Adopt lets the module begin with what another scheduler's, which goes on, has learnt of providers. It is an error, and
 // changes nothing, where that one's settings were others, or if a job has been taken already. The list must be told again.
 func (d *Desk) Adopt(set policy.Settings, names []string, state []byte) error {
-	return d.goOn(set, names, func(set policy.Settings) (*policy.Dispatcher, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
 		return policy.Adopt(set, state, len(names), d.now())
 	})
 }
@@ -308,14 +312,15 @@
 // Recall lets the module begin with what that of an earlier process had learnt, age ago; health tells that what it knew of
 // providers' still counts. As with Adopt.
 func (d *Desk) Recall(set policy.Settings, names []string, state []byte, age time.Duration, health bool) error {
-	return d.goOn(set, names, func(set policy.Settings) (*policy.Dispatcher, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
 		return policy.Recall(set, state, len(names), d.now(), age, health)
 	})
 }
 
-func (d *Desk) goOn(set policy.Settings, names []string, from func(policy.Settings) (*policy.Dispatcher, error)) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// goOn replaces the module, unless a job has been taken already, and sets the desk's clock. Called under mu.
+func (d *Desk) goOn(set policy.Settings, names []string, now time.Duration, from func(policy.Settings) (*policy.Dispatcher, error)) error {
 	d.fit(&set)
 	if d.next > 0 {
 		return errors.New("decide: there are jobs already")
@@ -332,7 +337,8 @@
 		return errors.New("decide: two providers have one name")
 	}
 	d.disp, d.names, d.ids, d.set = disp, names, ids, set
-	d.step(Step{Input: Anew, Now: d.now()})
+	d.unix, d.last = now-time.Since(d.origin), now
+	d.step(Step{Input: Anew, Now: now})
 	return nil
 }
 
--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laddertide/directory"
+	wire "laddertide/wire/handover"
 )
 
 // The module is told that a worker which has just started is one that has, whatever this machine's clock was set to when the scheduler
@@ -50,39 +51,88 @@
 }
 
 // A process that takes over after the system's clock was stepped goes on by the clock of the process before: what had just started, or
-// had just been put back, counts as cold there too, and not as something of the future.
+// had just been put back, counts as cold there too, and not as something of the future. So it does if the step has been undone after it
+// had read the clock, or if it cannot read the beliefs of the process before.
 func TestUpgradeAfterAStepOfTheClock(t *testing.T) {
 	for _, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second} {
-		t.Run(step.String(), func(t *testing.T) {
-			r := newUpgradeRig(t, io.Discard)
-			began := time.Now()
-			r.hear(directory.List{Index: 42, Snapshot: true, Entries: r.cfg.Known.Entries})
-			e := r.cfg.Known.Entries[0]
-			e.Name, e.SinceMS = "s-new", float64(began.UnixMilli())
-			r.hear(directory.List{Index: 43, Entries: []directory.Entry{e}})
-			back := r.cfg.Known.Entries[0].Name
+		t.Run(step.String(), func(t *testing.T) { newSteppedRig(t, step).upgrades(0) })
+		t.Run(step.String()+", undone", func(t *testing.T) { newSteppedRig(t, step).upgrades(-step) })
+		t.Run(step.String()+", without beliefs", func(t *testing.T) {
+			r := newSteppedRig(t, step)
+			next := r.follow(io.Discard)
 			r.sched.mu.Lock()
-			for _, verb := range []string{"disable", "enable"} {
-				if err := r.sched.ownHand(verb, back); err != nil {
-					t.Error(err)
-				}
-			}
-			r.sched.cfg.clockAhead = step
+			clock, roster := r.sched.handClock(), r.sched.roster()
 			r.sched.mu.Unlock()
-			r.cfg.clockAhead = step
-			next := r.follow(io.Discard)
-			r.upgrade(next)
-			next.sched.mu.Lock()
-			defer next.sched.mu.Unlock()
-			now := next.sched.desk.Now()
-			within := time.Since(began) + 5*time.Millisecond
-			if age := now - next.sched.starts.Started(e.Name, e.Since(), now, false); age < 0 || age > within {
-				t.Errorf("a worker that started within %v counts as one of %v ago", within, age)
+			if clock == nil {
+				t.Fatal("the step is not told")
 			}
-			p, _ := next.sched.list.Get(back)
-			if age := now - p.Back; age < 0 || age > within {
-				t.Errorf("a worker that was put back within %v counts as put back %v ago", within, age)
+			next.sched.mu.Lock()
+			next.sched.clock = &olderClock{Clock: clock, received: time.Now()}
+			next.sched.mu.Unlock()
+			if !next.sched.inherit(&wire.Takeover{Roster: roster, Beliefs: []byte("of another version")}) {
+				t.Fatal("it does not take over")
 			}
+			r.checkCold(next)
 		})
 	}
 }
+
+// steppedRig is a scheduler whose system's clock was stepped after its start, and after two of its workers began anew.
+type steppedRig struct {
+	*rig
+	began   time.Time
+	started directory.Entry // of a worker
+	back    string          // a worker that was put back
+}
+
+func newSteppedRig(t *testing.T, step time.Duration) *steppedRig {
+	t.Helper()
+	r := &steppedRig{rig: newUpgradeRig(t, io.Discard), began: time.Now()}
+	r.hear(directory.List{Index: 42, Snapshot: true, Entries: r.cfg.Known.Entries})
+	r.started = r.cfg.Known.Entries[0]
+	r.started.Name, r.started.SinceMS = "s-new", float64(r.began.UnixMilli())
+	r.hear(directory.List{Index: 43, Entries: []directory.Entry{r.started}})
+	r.back = r.cfg.Known.Entries[0].Name
+	r.sched.mu.Lock()
+	for _, verb := range []string{"disable", "enable"} {
+		if err := r.sched.ownHand(verb, r.back); err != nil {
+			t.Error(err)
+		}
+	}
+	r.sched.mu.Unlock()
+	r.step(step)
+	return r
+}
+
+// step steps the system's clock, for processes that start later, too.
+func (r *steppedRig) step(by time.Duration) {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	r.sched.cfg.clockAhead += by
+	r.cfg.clockAhead += by
+}
+
+// upgrades lets a process take over. The clock is stepped once more before that, as it stands by.
+func (r *steppedRig) upgrades(andThen time.Duration) {
+	r.t.Helper()
+	next := r.follow(io.Discard)
+	r.step(andThen)
+	r.upgrade(next)
+	r.checkCold(next)
+}
+
+// checkCold checks that a process takes the workers that began anew for ones that have just done so.
+func (r *steppedRig) checkCold(next *rig) {
+	r.t.Helper()
+	next.sched.mu.Lock()
+	defer next.sched.mu.Unlock()
+	now := next.sched.desk.Now()
+	within := time.Since(r.began) + 5*time.Millisecond
+	if age := now - next.sched.starts.Started(r.started.Name, r.started.Since(), now, false); age < 0 || age > within {
+		r.t.Errorf("a worker that started within %v counts as one of %v ago", within, age)
+	}
+	p, _ := next.sched.list.Get(r.back)
+	if age := now - p.Back; age < 0 || age > within {
+		r.t.Errorf("a worker that was put back within %v counts as put back %v ago", within, age)
+	}
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -31,10 +31,12 @@
 	stopping bool
 	stopBy   time.Time // by when all is to be answered, once stopping
 
-	before   *wire.Peers         // what older knew of the other schedulers; nil: nothing
-	clock    *olderClock         // the clock of older; nil: it is like this process's
-	takeover chan *wire.Takeover // older's word that this one serves now
-	opened   chan struct{}       // closed once server can adopt
+	before *wire.Peers // what older knew of the other schedulers; nil: nothing
+	clock  *olderClock // the clock of older; nil: it is like this process's
+
+	heirApart time.Duration       // by how much the system's clock was ahead as the heir was admitted
+	takeover  chan *wire.Takeover // older's word that this one serves now
+	opened    chan struct{}       // closed once server can adopt
 }
 
 const (
@@ -238,6 +240,7 @@
 		case s.stopping:
 			return &wire.Refusal{Version: wire.Version, Why: "this process is stopping", Later: true}
 		}
+		s.heirApart = s.clockApart()
 		return &wire.Welcome{Version: wire.Version, Roster: s.roster()}
 	}, s.admitted)
 }
--- a/scheduler/successor_clock.go
+++ b/scheduler/successor_clock.go
@@ -11,25 +11,23 @@
 // as it started, carried on by the monotonic clock. If the system's clock has been stepped since, the next process, which reads it anew,
 // would take what has just started for long warm, or for something of the future.
 
-const (
-	clockStep = 100 * time.Millisecond // of the system's clock since this process's start: from this on the next process is told
-	clockOff  = 3 * time.Second        // from the fleet's clock: the same; news of a start may take nearly as long
-)
-
 // olderClock is the clock of the process before.
 type olderClock struct {
 	*wire.Clock
 	received time.Time
 }
 
-// handClock is what the next process must know of this one's clock; nil: its own is like it. Called under mu.
+// clockApart is by how much the system's clock is ahead of this process's. Called under mu.
+func (s *Scheduler) clockApart() time.Duration { return s.desk.Apart(time.Now().Add(s.cfg.clockAhead)) }
+
+// handClock is what the next process must know of this one's clock; nil: its own is like it. The next process has read the system's clock
+// shortly before it was admitted. Called under mu.
 func (s *Scheduler) handClock() *wire.Clock {
-	apart := s.desk.Apart(time.Now().Add(s.cfg.clockAhead))
 	ahead, known := s.starts.Ahead()
-	if apart.Abs() < clockStep && (!known || ahead.Abs() < clockOff) {
+	if !s.starts.Differs(s.heirApart) && !s.starts.Differs(s.clockApart()) {
 		return nil
 	}
-	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", apart.Round(time.Millisecond),
+	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", s.heirApart.Round(time.Millisecond),
 		"ahead_of_fleet", ahead.Round(time.Millisecond))
 	m := &wire.Clock{Ahead: ahead, Known: known}
 	for _, start := range s.starts.Starts() {
@@ -41,10 +39,13 @@
 
 // continueClock goes on by the clock of the process before. Called under mu.
 func (s *Scheduler) continueClock(c *olderClock) {
+	if err := s.desk.Continue(c.Now + time.Since(c.received)); err != nil {
+		s.log.Error("the clock of the process before is not taken over", "err", err)
+		return
+	}
 	starts := make([]starttime.Start, len(c.Starts))
 	for i, start := range c.Starts {
 		starts[i] = starttime.Start(start)
 	}
 	s.starts = starttime.Continue(c.Ahead, c.Known, starts)
-	s.desk.Continue(c.Now + time.Since(c.received))
 }
