peering: descriptors of two processes are counted at one moment

The test counted one process after the other. Its log shows 74 connections that went over within 7 ms; the most that both held in other plays is 103, and 103 and 74 with a few more make 181: those that went over in between were counted in both.

Change: both processes stand still while they are counted (SIGSTOP), so the bound holds or is broken at that moment.

--- a/rehearse/peering/measure_test.go
+++ b/rehearse/peering/measure_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"laddertide/rehearse/daemon"
 	"laddertide/rehearse/daemon/daemontest"
 )
 
@@ -246,6 +247,40 @@
 	io.Copy(io.Discard, c)
 }
 
+// countEvery is the time between two counts of descriptors. The processes stand still during each.
+const countEvery = 3 * time.Millisecond
+
+// openTogether counts the descriptors of two processes at one moment: they stand still meanwhile, so that none that goes from one to
+// the other is counted twice.
+func openTogether(a, b *daemon.Process) (ofA, ofB int64) {
+	for _, p := range []*daemon.Process{a, b} {
+		p.Signal(syscall.SIGSTOP) // an error says that it has ended
+		defer p.Signal(syscall.SIGCONT)
+	}
+	for !standsStill(a) || !standsStill(b) {
+		time.Sleep(100 * time.Microsecond)
+	}
+	return openOf(a), openOf(b)
+}
+
+// openOf counts a process's descriptors: none once it has ended.
+func openOf(p *daemon.Process) int64 {
+	open, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.PID()), "fd"))
+	return int64(len(open))
+}
+
+// standsStill reports whether a process is stopped, or has ended.
+func standsStill(p *daemon.Process) bool {
+	select {
+	case <-p.Done():
+		return true
+	default:
+	}
+	stat, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.PID()), "stat"))
+	_, state, found := strings.Cut(string(stat), ") ")
+	return err != nil || !found || strings.HasPrefix(state, "T") || strings.HasPrefix(state, "Z")
+}
+
 // TestUpgradeDescriptors: the port of jobs is full to its bound while a second process takes over from the first. Both
 // together stay within the limit that the scheduler counts them off.
 func TestUpgradeDescriptors(t *testing.T) {
@@ -255,12 +290,8 @@
 	p := r.all[0]
 	press(t, p.listen, 2*r.plan.Sockets)
 	var most, both atomic.Int64
-	count := func(pid int) int64 {
-		open, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(pid), "fd")) // none once it has ended
-		return int64(len(open))
-	}
 	old := p.proc
-	full := func() bool { return count(old.PID()) > int64(r.plan.Sockets/2) }
+	full := func() bool { return openOf(old) > int64(r.plan.Sockets/2) }
 	r.until("the port is full", full)
 	p.admin = free(t, r.nets)
 	p.start()
@@ -269,7 +300,7 @@
 	go func() {
 		defer close(counted)
 		for {
-			a, b := count(old.PID()), count(p.proc.PID())
+			a, b := openTogether(old, p.proc)
 			most.Store(max(most.Load(), a+b))
 			if a > 0 && b > 0 {
 				both.Add(1)
@@ -277,7 +308,7 @@
 			select {
 			case <-over:
 				return
-			case <-time.After(time.Millisecond):
+			case <-time.After(countEvery):
 			}
 		}
 	}()
