attempt, consumer: the system is asked whether the client has left before an attempt goes out

Need: no attempt may begin more than 0.1 s after its client has left. What ends a job's context is a goroutine that reads the client's connection. After a hold-up of the process it is one of many that may run, and one that is about to send may run before it; nothing but chance stood between the two.

Change: the context of a job carries a check (job.WithLeaveCheck), which asks the system for the end of the client's connection, without reading; an attempt looks at its beginning and again right before its first byte. It holds for HTTP, STOMP and, by the connection beneath, for encrypted ones. Durable and handed-over jobs have contexts of their own and none. An attempt that ends by it tells the module of the leave first, which had rejected the job otherwise.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -28,6 +28,7 @@
 // worker that hangs, a connection that does not come up or a disk that does not answer holds up the attempt, never the answer.
 type request struct {
 	*Handler
+	ctx    context.Context // its client's
 	job    *job.Job
 	ticket *decide.Ticket
 	made   past
@@ -46,7 +47,7 @@
 		return job.Outcome{Kind: job.Mistaken, Why: err.Error()}
 	}
 	defer h.Pool.Free(j.ID)
-	r := &request{Handler: h, job: j}
+	r := &request{Handler: h, ctx: ctx, job: j}
 	r.enter(max(0, j.Left-time.Since(began)))
 	defer func() {
 		if p := recover(); p != nil {
@@ -134,6 +135,7 @@
 	var end decide.End
 	calling = true
 	if v.Kind == decide.Call {
+		v.Context = job.WithLeaveCheck(v.Context, func() bool { return job.HasLeft(r.ctx) })
 		r.made.sending(v.Provider)
 		end, r.result = r.Pool.Invoke(j, r.lease, v, r.made.hear(r.ticket.Hear))
 	} else {
@@ -169,6 +171,9 @@
 		r.ticket.Report(decide.NotSent)
 		return
 	}
+	if end == decide.NotSent && r.ctx.Err() != nil {
+		r.ticket.Leave() // the module must know why, and the goroutine that tells it may not have run yet
+	}
 	r.made.over(end)
 	r.Log.Debug("call over", "id", r.job.ID, "provider", v.Provider, "end", end, "took", took, "withdrawn", context.Cause(v.Context))
 	if r.job.Keeper != nil && end != decide.Served {
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,6 +162,31 @@
 	}
 }
 
+// No further attempt begins for a client that has closed its connection, though nothing has told the job's context yet: after a
+// hold-up of the process, whoever goes on first may be the one that sends.
+func TestNoFurtherAttemptForAClientThatHasLeft(t *testing.T) {
+	r := newRig(t, slog.New(slog.DiscardHandler), 3, "")
+	var attempts, closed atomic.Int32
+	r.provide(testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(*http1.Head) {
+			attempts.Add(1)
+			closed.Store(1)
+			c.Write([]byte("HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		})
+	}))
+	ctx, over := context.WithCancelCause(context.Background())
+	defer over(nil)
+	checked := job.WithLeaveCheck(ctx, func() bool {
+		if closed.Load() == 1 {
+			over(job.ErrLeft)
+		}
+		return closed.Load() == 1
+	})
+	if got := r.Handle(checked, newJob(0)); got.Kind != job.Gone || attempts.Load() != 1 {
+		t.Errorf("%+v after %d attempts, wants it gone after one", got, attempts.Load())
+	}
+}
+
 // Once nobody waits for a job, it is given up at its provider. One that nobody waits for from the start ends as well.
 func TestGone(t *testing.T) {
 	r := newRig(t, slog.New(slog.DiscardHandler), 1, taken)
--- a/consumer/job.go
+++ b/consumer/job.go
@@ -31,7 +31,7 @@
 	}
 	stop := watch(c, func() { over(job.ErrLeft) })
 	defer stop()
-	return s.handle(ctx, j)
+	return s.handle(c.checked(ctx, over), j)
 }
 
 // handle is the same for every protocol: whoever knows the protocol puts the outcome into words.
--- a/consumer/leave.go
+++ b/consumer/leave.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 
 	"laddertide/internal/netfault"
+	"laddertide/job"
 )
 
 // A client that closes its connection has left, and nothing may be sent on for it any more. The end of the connection
@@ -40,6 +42,18 @@
 	return false
 }
 
+// checked returns ctx with a check of whether the client has closed c, for what is about to be sent on: the watch may not have run
+// yet since the client did. over ends ctx.
+func (c *conn) checked(ctx context.Context, over context.CancelCauseFunc) context.Context {
+	return job.WithLeaveCheck(ctx, func() bool {
+		left := netfault.Ended(c.Conn)
+		if left {
+			over(job.ErrLeft)
+		}
+		return left
+	})
+}
+
 // watch runs gone if the client closes c while its request is out. A blocked read is the only way to
 // see that, so a request has this second goroutine while it waits. The function that it returns ends
 // the watch and must be called before c is read again.
--- a/consumer/leave_test.go
+++ b/consumer/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -181,3 +182,33 @@
 	t.Cleanup(func() { near.Close(); far.Close() })
 	return near, far
 }
+
+// A handler that looks for the client's leave sees it at once, also when bytes of a next message stand before the end, and
+// before any other goroutine has run that was to tell of it. The job's context ends with that.
+func TestLeaveIsSeenAtOnce(t *testing.T) {
+	checked := make(chan bool, 2)
+	var leave func()
+	look := func(ctx context.Context, _ *job.Job) job.Outcome {
+		before := job.HasLeft(ctx)
+		leave()
+		checked <- !before && job.HasLeft(ctx) && errors.Is(context.Cause(ctx), job.ErrLeft)
+		return job.Outcome{Kind: job.Gone}
+	}
+	c := newServer(t, look).dial()
+	leave = func() {
+		c.say("POST /")
+		c.Close()
+	}
+	c.say(ask("http", "check"))
+	if !<-checked {
+		t.Error("HTTP: not seen")
+	}
+	b := newBench(t, usual)
+	b.s.Jobs = job.HandlerFunc(look)
+	p := b.connect("1.2", "0,0")
+	leave = func() { p.Close() }
+	p.job("stomp")
+	if !<-checked {
+		t.Error("STOMP: not seen")
+	}
+}
--- a/consumer/stomp_answer.go
+++ b/consumer/stomp_answer.go
@@ -96,7 +96,7 @@
 	defer over(job.ErrAnswered)
 	stop := context.AfterFunc(t.to.ctx, func() { over(job.ErrLeft) })
 	defer stop()
-	return n.s.word(n.s.handle(ctx, t.j))
+	return n.s.word(n.s.handle(n.c.checked(ctx, over), t.j))
 }
 
 // message sends an answer to the subscription that asked for it.
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -83,8 +83,11 @@
 }
 
 // Ended reports whether the other side has ended its half of a connection, or the connection is broken, whatever bytes wait before
-// that. It takes nothing away.
+// that. It takes nothing away. Of an encrypted connection it looks at the one beneath.
 func Ended(c net.Conn) bool {
+	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = encrypted.NetConn()
+	}
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/netfault/netfault_test.go
+++ b/internal/netfault/netfault_test.go
@@ -89,3 +89,33 @@
 		t.Error("a pipe has no socket")
 	}
 }
+
+// encrypted is a connection over another one.
+type encrypted struct{ net.Conn }
+
+func (e encrypted) NetConn() net.Conn { return e.Conn }
+
+// The end of the other side shows before the bytes in front of it are read, on the connection beneath an encrypted one, too.
+func TestEnded(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	far, err := net.Dial("tcp", testrig.Listen(t, func(c net.Conn) {
+		accepted <- c
+		<-t.Context().Done()
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	near := <-accepted
+	for _, c := range []net.Conn{near, encrypted{near}} {
+		if Ended(c) {
+			t.Errorf("%T has ended from the start", c)
+		}
+	}
+	fmt.Fprint(far, "unread")
+	far.Close()
+	for _, c := range []net.Conn{near, encrypted{near}} {
+		if !Ended(c) {
+			t.Errorf("%T has not ended", c)
+		}
+	}
+}
--- /dev/null
+++ b/job/leave.go
@@ -0,0 +1,22 @@
+package job
+
+import "context"
+
+// leaveCheckKey is the key of a context's leave check.
+type leaveCheckKey struct{}
+
+// WithLeaveCheck returns a copy of ctx with a function that looks whether the client of a job has left. A context ends only once a
+// goroutine has run that was told so by the system, and after a hold-up of the process others may run before. hasLeft must not
+// block, and ends ctx if it reports true.
+func WithLeaveCheck(ctx context.Context, hasLeft func() bool) context.Context {
+	return context.WithValue(ctx, leaveCheckKey{}, hasLeft)
+}
+
+// HasLeft reports whether ctx has ended or its leave check, if it has one, says that the client has left. It does not block.
+func HasLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	hasLeft, ok := ctx.Value(leaveCheckKey{}).(func() bool)
+	return ok && hasLeft()
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -211,8 +211,8 @@
 	return p.wait(j, c, v)
 }
 
-// withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, or its job is over.
-func withdrawn(v decide.Verdict) bool { return v.Context.Err() != nil || jobOver(v) }
+// withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, its job is over, or its client has left.
+func withdrawn(v decide.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
 
 // jobOver tells whether the job of a verdict has its final one.
 func jobOver(v decide.Verdict) bool {
