consumer: tests that a job's time runs from its arrival, and while it waits for room

Need: a worker is told at most what the client has left. A request that lay unread while the process stood still, or while its connection waited to be accepted, has its whole time once it is read, and so has a SEND that waits until its session may have one more job.

--- a/consumer/arrival_test.go
+++ b/consumer/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,9 @@
 	"laddertide/job"
 )
 
+// arrivalStep is what the system's count of the time since an arrival may be short of.
+const arrivalStep = 20 * time.Millisecond
+
 // The time of a request that waits behind another one on its connection runs from its last byte on, also where it did not
 // fit into the buffer.
 func TestPipelinedDeadline(t *testing.T) {
@@ -61,3 +65,49 @@
 		t.Errorf("the last byte came at %v", got)
 	}
 }
+
+// The time of a request runs from its arrival at the machine: while its connection waits to be accepted, and while it lies unread.
+// The server is held up here by a listener that accepts late, as a process does that stands still.
+func TestDeadlineRunsFromTheArrival(t *testing.T) {
+	const waits, deadline = 400 * time.Millisecond, 5 * time.Second
+	left := make(chan time.Duration, 10)
+	handle := func(_ context.Context, j *job.Job) job.Outcome {
+		left <- j.Left
+		return job.Outcome{Kind: job.Served}
+	}
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := make(chan struct{})
+	r := newServerOn(t, &gatedListener{tcp, gate}, handle)
+	c := r.dial()
+	c.say(ask("waits", "check", "X-Deadline-Ms: 5000\r\n"))
+	time.Sleep(waits)
+	close(gate)
+	c.hear(200)
+	if got := <-left; got > deadline-waits+arrivalStep {
+		t.Errorf("%v are left of %v after %v", got, deadline, waits)
+	}
+	c.say(ask("does-not-wait", "check", "X-Deadline-Ms: 5000\r\n"))
+	c.hear(200)
+	if got := <-left; got <= deadline-waits {
+		t.Errorf("a request that did not wait has %v of %v", got, deadline)
+	}
+}
+
+// The time of a SEND runs while it waits for the end of another job, as its session has as many as it may.
+func TestStompDeadlineRunsWhileAJobWaits(t *testing.T) {
+	const waits, deadline = 400 * time.Millisecond, 5 * time.Second
+	b := newBench(t, Stomp{MaxJobs: 1, MaxFrame: 1024})
+	p := b.connect("1.2", "0,0")
+	p.job("first")
+	<-b.taken
+	p.job("second", "deadline-ms", "5000")
+	time.Sleep(waits)
+	b.outcome("first") <- job.Outcome{Kind: job.Served}
+	if j := <-b.taken; j.Left > deadline-waits+arrivalStep {
+		t.Errorf("%v are left of %v after %v", j.Left, deadline, waits)
+	}
+	b.outcome("second") <- job.Outcome{Kind: job.Served}
+}
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -416,6 +416,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newServerOn(t, ln, handle)
+}
+
+func newServerOn(t *testing.T, ln net.Listener, handle job.HandlerFunc) *rig {
+	t.Helper()
 	s := &Server{Settings: policy.Settings{Classes: []policy.Class{{Name: "check", Deadline: 5 * time.Second}},
 		MaxRetryAfter: 2 * time.Second}, Jobs: handle, Stopping: func(time.Time) {}, Log: slog.New(slog.DiscardHandler),
 		Conns: 10, Grace: time.Second}
