consumer: a job's time runs from its arrival at the machine, and while a SEND waits for room

Cause: a deadline was counted from the read. What lay unread while the process stood still, or while its connection waited to be accepted, had its whole time afterwards, and its worker was told that. A SEND that waited until its session might have one more job kept all its time, too.

Change: the system tells how long ago the latest bytes came (TCP_INFO, less one tick of its count); a read counts from then.

--- a/consumer/arrival.go
+++ b/consumer/arrival.go
@@ -5,20 +5,20 @@
 // maxArrivals bounds the reads that an arrivalLog tells apart; later ones count as one.
 const maxArrivals = 32
 
-// arrivalLog tells when bytes of a connection were read from its socket, by their place in the stream. Requests that a
+// arrivalLog tells when bytes of a connection arrived at its socket, by their place in the stream. Requests that a
 // client sends at once wait behind each other, and their time runs meanwhile.
 type arrivalLog struct {
 	total int64     // bytes read so far
 	reads []arrival // of those, in order, what has not been taken out of the buffer for long
 }
 
-// arrival is a read: all bytes up to end were there by then.
+// arrival is of one read: all bytes up to end were there by then.
 type arrival struct {
 	end int64
 	at  time.Time
 }
 
-// add notes a read of n bytes.
+// add notes a read of n bytes, the last of which arrived at a time.
 func (l *arrivalLog) add(n int, at time.Time) {
 	l.total += int64(n)
 	if len(l.reads) < maxArrivals {
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -103,12 +103,14 @@
 	return c.readSocket(b)
 }
 
-// readSocket reads what has not been read yet.
+// readSocket reads what has not been read yet. It counts as arrived when the system had it: the process may have stood still since, or
+// the connection may have waited to be accepted.
 func (c *conn) readSocket(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.hears()
-		c.arrivals.add(n, time.Now())
+		now := time.Now() // before the system is asked: a standstill in between makes the bytes older, not younger
+		c.arrivals.add(n, now.Add(-sinceArrival(c.Conn)))
 	}
 	return n, err
 }
--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -83,6 +83,7 @@
 	receipt string
 	to      *sub
 	bytes   int
+	arrived time.Time // with its COMMIT, if it has one: its job's time runs from then on
 }
 
 // session is a connection that speaks STOMP. One goroutine reads it, each job has its own.
@@ -243,6 +244,7 @@
 		if f.Command == stomp.Beat {
 			continue
 		}
+		n.c.arrived = n.c.arrivals.taken(n.c.br.Buffered()+len(n.c.ahead), time.Now())
 		if done, err := n.frame(&f); done || err != nil {
 			return err
 		}
@@ -377,6 +379,7 @@
 			return fail(why)
 		}
 		for _, t := range list {
+			t.arrived = n.c.arrived
 			n.begin(t)
 		}
 	case stomp.DISCONNECT:
@@ -400,7 +403,7 @@
 // check makes what it is of a SEND, or says why it can be nothing: whatever can be answered is.
 func (n *session) check(f *stomp.Frame) (t *sent, why string) {
 	h := f.Headers
-	t = &sent{id: h.Get("request-id"), tenant: h.Get("tenant"), receipt: h.Get("receipt"), bytes: len(f.Body)}
+	t = &sent{id: h.Get("request-id"), tenant: h.Get("tenant"), receipt: h.Get("receipt"), bytes: len(f.Body), arrived: n.c.arrived}
 	for i := range h {
 		t.bytes += len(h[i].Name) + len(h[i].Value) // one text of it keeps them all
 	}
--- a/rehearse/peering/measure_test.go
+++ b/rehearse/peering/measure_test.go
@@ -253,13 +253,7 @@
 // openTogether counts the descriptors of two processes at one moment: they stand still meanwhile, so that none that goes from one to
 // the other is counted twice.
 func openTogether(a, b *daemon.Process) (ofA, ofB int64) {
-	for _, p := range []*daemon.Process{a, b} {
-		p.Signal(syscall.SIGSTOP) // an error says that it has ended
-		defer p.Signal(syscall.SIGCONT)
-	}
-	for !standsStill(a) || !standsStill(b) {
-		time.Sleep(100 * time.Microsecond)
-	}
+	defer daemontest.Stop(a, b)()
 	return openOf(a), openOf(b)
 }
 
@@ -269,18 +263,6 @@
 	return int64(len(open))
 }
 
-// standsStill reports whether a process is stopped, or has ended.
-func standsStill(p *daemon.Process) bool {
-	select {
-	case <-p.Done():
-		return true
-	default:
-	}
-	stat, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.PID()), "stat"))
-	_, state, found := strings.Cut(string(stat), ") ")
-	return err != nil || !found || strings.HasPrefix(state, "T") || strings.HasPrefix(state, "Z")
-}
-
 // TestUpgradeDescriptors: the port of jobs is full to its bound while a second process takes over from the first. Both
 // together stay within the limit that the scheduler counts them off.
 func TestUpgradeDescriptors(t *testing.T) {
--- a/rehearse/shutdown/client_test.go
+++ b/rehearse/shutdown/client_test.go
@@ -56,10 +56,23 @@
 	return &conn{c, bufio.NewReader(c)}, nil
 }
 
-// send sends a job.
-func (c *conn) send(id string, of class) error {
+// send sends a job with all the time that its class allows.
+func (c *conn) send(id string, of class) error { return c.sendWith(id, of, of.deadline) }
+
+// mustDial is dial for a scheduler that takes connections.
+func (r *rig) mustDial() *conn {
+	r.t.Helper()
+	c, err := r.dial()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+// sendWith sends a job that has a time.
+func (c *conn) sendWith(id string, of class, deadline time.Duration) error {
 	_, err := fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: rainier-haul\r\nIdempotency-Key: k%s\r\n"+
-		"X-Deadline-Ms: %d\r\nX-Cost-Hint: 30000\r\nContent-Length: 1\r\n\r\nx", id, of.name, id, of.deadline.Milliseconds())
+		"X-Deadline-Ms: %d\r\nX-Cost-Hint: 30000\r\nContent-Length: 1\r\n\r\nx", id, of.name, id, deadline.Milliseconds())
 	return err
 }
 
--- a/rehearse/shutdown/leave_test.go
+++ b/rehearse/shutdown/leave_test.go
@@ -83,12 +83,12 @@
 	running.Wait()
 	late, forwarded := 0, 0
 	for _, l := range left {
-		at, ok := r.forwardedLast(l.id)
+		last, ok := r.forwardedLast(l.id)
 		if !ok {
 			continue
 		}
 		forwarded++
-		if since := at.since(l.left); since > leaveLimit+leaveSlack {
+		if since := last.at.since(l.left); since > leaveLimit+leaveSlack {
 			late++
 			t.Errorf("%s: its client %s, and an attempt began %v later", l.id, l.how, since)
 		}
--- a/rehearse/shutdown/worker_test.go
+++ b/rehearse/shutdown/worker_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,13 +42,19 @@
 	name    string
 	address string
 	mode    atomic.Int32
-	seen    sync.Map // by the id of a job that it was sent: the moment of the latest time
+	seen    sync.Map // by the id of a job that it was sent: its latest submission
 
 	mu       sync.Mutex // of the connection for call-backs
 	back     net.Conn
 	backRead *bufio.Reader
 }
 
+// submission is an attempt as its worker saw it.
+type submission struct {
+	at   moment
+	left time.Duration // as it was told
+}
+
 func newWorker(r *rig, name string) *worker {
 	w := &worker{r: r, name: name}
 	w.address = testrig.Listen(r.t, w.serve)
@@ -59,20 +66,21 @@
 func (w *worker) serve(c net.Conn) {
 	testrig.Requests(c, func(h *http1.Head) {
 		id := h.Fields.Get("X-Request-Id")
-		submission := h.Method == "POST"
-		if submission {
-			w.seen.Store(id, w.r.holdUps.moment(time.Now()))
+		submits := h.Method == "POST"
+		if submits {
+			left, _ := strconv.Atoi(h.Fields.Get("X-Deadline-Ms"))
+			w.seen.Store(id, submission{w.r.holdUps.moment(time.Now()), time.Duration(left) * time.Millisecond})
 		}
 		mode := hang(w.mode.Load())
 		switch {
-		case mode == silent, mode == acknowledgesOnly && !submission:
+		case mode == silent, mode == acknowledgesOnly && !submits:
 		case mode == halfHead:
 			fmt.Fprint(c, "HTTP/1.1 202 Acc")
 		case mode == trickle:
 			w.trickle(c)
 		default:
 			c.Write(http1.AppendResponse(nil, 202, nil, nil, false))
-			if mode == healthy && submission {
+			if mode == healthy && submits {
 				time.AfterFunc(workTime, func() { w.done(id) })
 			}
 		}
@@ -136,12 +144,12 @@
 	return false
 }
 
-// forwardedLast returns when any worker was sent a job the last time, and whether one was at all.
-func (r *rig) forwardedLast(id string) (last moment, ok bool) {
+// forwardedLast returns the last submission of a job to any worker, and whether there was one at all.
+func (r *rig) forwardedLast(id string) (last submission, ok bool) {
 	for _, w := range r.workers {
 		if seen, sent := w.seen.Load(id); sent {
-			if at := seen.(moment); !ok || at.since(last) > 0 {
-				last, ok = at, true
+			if s := seen.(submission); !ok || s.at.since(last.at) > 0 {
+				last, ok = s, true
 			}
 		}
 	}
