consumer: a job's time runs while it goes over to the next process

A job that is handed over tells what it has left as it is sent; what passed until the next process read it, and until its connection had a place there, was not counted.

Change: the next process takes off the wait for a place, and bounds what is left by the deadline less the time since the request arrived at the socket, which comes along with the job. The message stays as it is.

--- a/consumer/arrival_test.go
+++ b/consumer/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -111,3 +112,23 @@
 	}
 	b.outcome("second") <- job.Outcome{Kind: job.Served}
 }
+
+// The time of a job runs while it is on its way from one process to the next, and while it waits for a place there.
+func TestDeadlineRunsDuringAHandOver(t *testing.T) {
+	const waits, deadline = 400 * time.Millisecond, 5 * time.Second
+	left := make(chan time.Duration, 1)
+	r := newClosingRig(t, 10, &hookedListener{}, func(s *Server) {
+		s.Jobs = job.HandlerFunc(func(_ context.Context, j *job.Job) job.Outcome {
+			left <- j.Left
+			return job.Outcome{Kind: job.Served}
+		})
+	})
+	near, far := pair(t)
+	io.WriteString(far, ask("moves", "check"))
+	near.Read(make([]byte, 4096)) // as the process before has
+	time.Sleep(waits)
+	r.server.Adopt(near, Kept{Told: 1}, false, &job.Job{ID: "moves", Deadline: deadline, Left: deadline - margin, Keeper: job.Inherit(nil, func() {})})
+	if got := <-left; got > deadline-waits+arrivalStep {
+		t.Errorf("%v are left of %v after %v", got, deadline, waits)
+	}
+}
--- a/consumer/move.go
+++ b/consumer/move.go
@@ -115,9 +115,11 @@
 	s.heir, s.ending = nil, true
 }
 
-// Adopt goes on with a connection of another process, and with the job that was taken on it there, if any.
+// Adopt goes on with a connection of another process, and with the job that was taken on it there, if any. The job's time has run since
+// it arrived there, however long it was on its way.
 func (s *Server) Adopt(nc net.Conn, k Kept, last bool, j *job.Job) {
 	s.once.Do(s.prepare)
+	began := time.Now()
 	c := newConn(nc, k.Ahead)
 	c.told, c.events = k.Told, k.Events
 	s.mu.Lock()
@@ -131,6 +133,9 @@
 		if !itsOwn {
 			s.takePlace()
 		}
+		if j != nil {
+			j.Left = max(0, min(j.Left-time.Since(began), j.Deadline-margin-sinceArrival(nc)))
+		}
 		s.serve(c, j, last)
 	}()
 }
