standin: the sabotage "hedge" sends no second attempt once the job is over

Cause: beside load the judge found answers/sent-after-answer as well as duplicates/two-out in the run of TestSabotageIsFound/hedge: the sabotage slept for 50 ms and then sent, also if the job had been answered meanwhile, and 52 ms after an answer is past what the judge allows. The judge is right; the stand-in did more than its name says.

Change: it sends only while the job is open. What the test wants is unchanged.

--- a/rehearse/standin/sabotage.go
+++ b/rehearse/standin/sabotage.go
@@ -192,7 +192,11 @@
 	s.mu.Unlock()
 	go func() {
 		if second {
-			time.Sleep(50 * time.Millisecond)
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-j.ctx.Done(): // it is over: a second attempt now would be something else
+				return
+			}
 		}
 		blurt(address, text)
 	}()
