provider, rehearse/shutdown: the last look at the client comes right before the first byte

Its rig took a worker's reading for the sending, and that came up to 0.24 s late. With the moment at which the attempt arrived at the worker's machine (TCP_INFO) the rig judges the scheduler alone, and the fault turns out to be real: the program before the leave check sends attempts 0.13 to 0.18 s after their client has left when it gets no processor.

Change: the rig goes by the arrival, and no hold-ups are taken off any more. The pool looks for withdrawals and leaves after its lock, not before, and makes the message only then. netfault.SinceArrival is one function for both.

--- a/consumer/move.go
+++ b/consumer/move.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/job"
 )
 
@@ -134,7 +135,7 @@
 			s.takePlace()
 		}
 		if j != nil {
-			j.Left = max(0, min(j.Left-time.Since(began), j.Deadline-margin-sinceArrival(nc)))
+			j.Left = max(0, min(j.Left-time.Since(began), j.Deadline-margin-netfault.SinceArrival(nc)))
 		}
 		s.serve(c, j, last)
 	}()
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -110,7 +110,7 @@
 	if n > 0 {
 		c.hears()
 		now := time.Now() // before the system is asked: a standstill in between makes the bytes older, not younger
-		c.arrivals.add(n, now.Add(-sinceArrival(c.Conn)))
+		c.arrivals.add(n, now.Add(-netfault.SinceArrival(c.Conn)))
 	}
 	return n, err
 }
--- a/consumer/arrival_linux.go
+++ b/internal/netfault/arrival.go
@@ -1,4 +1,4 @@
-package consumer
+package netfault
 
 import (
 	"net"
@@ -11,9 +11,9 @@
 // arrivalTick is the longest step in which Linux counts the time since an arrival (a jiffy, at 100 Hz).
 const arrivalTick = 10 * time.Millisecond
 
-// sinceArrival returns how long ago the latest bytes came to a connection's socket, less what the system's count may be too long by;
+// SinceArrival returns how long ago the latest bytes came to a connection's socket, less what the system's count may be too long by;
 // 0 if it does not tell. Of an encrypted connection it looks at the one beneath. See tcp(7), TCP_INFO.
-func sinceArrival(c net.Conn) time.Duration {
+func SinceArrival(c net.Conn) time.Duration {
 	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = encrypted.NetConn()
 	}
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -1,4 +1,4 @@
-// Package netfault says what errors of sockets mean, and what is waiting on one. Its functions may be called from any goroutine.
+// Package netfault says what errors of sockets mean, and what the system knows of one. Its functions may be called from any goroutine.
 package netfault
 
 import (
--- a/provider/call.go
+++ b/provider/call.go
@@ -176,11 +176,6 @@
 	}
 	c := newCall(j, lease, v, hear)
 	c.conn = conn
-	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
-	if withdrawn(v) {                        // the connection, too, may have taken its time
-		p.release(conn)
-		return decide.NotSent, nil
-	}
 	p.mu.Lock()
 	// The connection may have taken its time: what the directory has said meanwhile counts.
 	if !conn.of.serving {
@@ -199,6 +194,10 @@
 	defer p.close(j, c)
 
 	conn.SetDeadline(v.Until)
+	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
+	if withdrawn(v) {                        // the connection, too, may have taken its time
+		return p.unsent(c)
+	}
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was out", "provider", v.Provider, "written", n, "err", err)
 		p.discard(conn)
@@ -211,6 +210,21 @@
 	return p.wait(j, c, v)
 }
 
+// unsent lets go of the connection of a call of which nothing was sent. A call-back of an earlier one at the same provider may have
+// ended it by then.
+func (p *Pool) unsent(c *call) (decide.End, []byte) {
+	c.mu.Lock()
+	conn, over := c.conn, c.over
+	c.conn = nil
+	c.mu.Unlock()
+	if over {
+		p.discard(conn) // its deadline is another's
+		return c.end, c.result
+	}
+	p.release(conn)
+	return decide.NotSent, nil
+}
+
 // withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, its job is over, or its client has left.
 func withdrawn(v decide.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
 
--- a/rehearse/shutdown/holdup_test.go
+++ b/rehearse/shutdown/holdup_test.go
@@ -59,33 +59,17 @@
 	return m.sum + m.late(now)
 }
 
-// moment is a time, with how long this process had been held up by then.
-type moment struct {
-	at     time.Time
-	heldUp time.Duration
-}
-
-func (m *holdUpMeter) moment(now time.Time) moment { return moment{now, m.total(now)} }
-
-// since is the time from another moment to this one, without that in which this process was held up.
-func (m moment) since(other moment) time.Duration {
-	return m.at.Sub(other.at) - (m.heldUp - other.heldUp)
-}
-
-// A worker that reads a job just after a hold-up, and a client that leaves just after that, do so before or after the meter's
-// tick. Neither counts the hold-up as time between the two.
+// A hold-up counts as soon as it is over, whether the meter's tick comes before or after whoever asks.
 func TestHoldUpBesideItsTick(t *testing.T) {
 	const heldUp = 150 * time.Millisecond
 	began := time.Now()
 	after := began.Add(heldUp)
 	m := &holdUpMeter{last: began}
-	before, read := m.moment(began), m.moment(after)
-	m.tick(after.Add(time.Millisecond))
-	left := m.moment(after.Add(2 * time.Millisecond))
-	if since := read.since(left); since != -time.Millisecond {
-		t.Errorf("read %v after the leave, wants 1 ms before it, as 1 ms of the 2 was held up", since)
+	if got := m.total(after); got != heldUp-holdUpTick {
+		t.Errorf("%v before the tick", got)
 	}
-	if since := read.since(before); since != holdUpTick {
-		t.Errorf("read %v after what came before the hold-up, wants a tick", since)
+	m.tick(after.Add(time.Millisecond))
+	if got := m.total(after.Add(holdUpTick)); got != heldUp-holdUpTick+time.Millisecond {
+		t.Errorf("%v after the tick", got)
 	}
 }
--- a/rehearse/shutdown/leave_test.go
+++ b/rehearse/shutdown/leave_test.go
@@ -12,7 +12,7 @@
 
 const (
 	leaveLimit  = 100 * time.Millisecond // from a client's leave on, in which an attempt may still begin
-	leaveSlack  = 25 * time.Millisecond  // for the way of the attempt to the worker's clock
+	leaveSlack  = 25 * time.Millisecond  // for the way of the attempt, and the system's count of the time since
 	leavers     = 60                     // clients
 	leavesFor   = 2500 * time.Millisecond
 	leaveAfter  = 260 * time.Millisecond // at the latest
@@ -23,7 +23,7 @@
 type leave struct {
 	id   string
 	how  string
-	left moment
+	left time.Time
 }
 
 // ways are the ways in which a client leaves.
@@ -88,7 +88,7 @@
 			continue
 		}
 		forwarded++
-		if since := last.at.since(l.left); since > leaveLimit+leaveSlack {
+		if since := last.at.Sub(l.left); since > leaveLimit+leaveSlack {
 			late++
 			t.Errorf("%s: its client %s, and an attempt began %v later", l.id, l.how, since)
 		}
@@ -113,5 +113,5 @@
 	time.Sleep(time.Duration(rng.Int64N(int64(leaveAfter))))
 	way := ways[rng.IntN(len(ways))]
 	way.end(c)
-	return leave{id: id, how: way.name, left: r.holdUps.moment(time.Now())}, true
+	return leave{id: id, how: way.name, left: time.Now()}, true
 }
--- a/rehearse/shutdown/standstill_test.go
+++ b/rehearse/shutdown/standstill_test.go
@@ -11,7 +11,7 @@
 
 const (
 	standstill      = 300 * time.Millisecond
-	standstillSlack = 40 * time.Millisecond // for the system's count of the time, and for the way to the worker's clock
+	standstillSlack = 40 * time.Millisecond // for the system's count of the time, and for the way to the worker
 	standstillJobs  = 12                    // on connections that are open before, and as many on new ones
 )
 
@@ -37,9 +37,9 @@
 	for range standstillJobs {
 		clients = append(clients, r.mustDial())
 	}
-	sent := make([]moment, len(clients))
+	sent := make([]time.Time, len(clients))
 	for i, c := range clients {
-		sent[i] = r.holdUps.moment(time.Now())
+		sent[i] = time.Now()
 		if err := c.sendWith(stillID(i), r.classes[i%len(r.classes)], standstill+timesLeft[i%len(timesLeft)]); err != nil {
 			t.Fatal(err)
 		}
@@ -59,7 +59,7 @@
 			t.Logf("%s, sent with %v: status %d, not forwarded", stillID(i), deadline, head.Status)
 			continue
 		}
-		passed := s.at.since(sent[i])
+		passed := s.at.Sub(sent[i])
 		t.Logf("%s, sent with %v: status %d, forwarded after %v with %v", stillID(i), deadline, head.Status, passed, s.left)
 		if passed+s.left > deadline+standstillSlack {
 			t.Errorf("%s: its worker was told %v too much", stillID(i), passed+s.left-deadline)
--- a/rehearse/shutdown/worker_test.go
+++ b/rehearse/shutdown/worker_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
@@ -49,9 +50,9 @@
 	backRead *bufio.Reader
 }
 
-// submission is an attempt as its worker saw it.
+// submission is an attempt as it came to its worker.
 type submission struct {
-	at   moment
+	at   time.Time     // when it came to the worker's machine, however late the worker read it
 	left time.Duration // as it was told
 }
 
@@ -69,7 +70,7 @@
 		submits := h.Method == "POST"
 		if submits {
 			left, _ := strconv.Atoi(h.Fields.Get("X-Deadline-Ms"))
-			w.seen.Store(id, submission{w.r.holdUps.moment(time.Now()), time.Duration(left) * time.Millisecond})
+			w.seen.Store(id, submission{time.Now().Add(-netfault.SinceArrival(c)), time.Duration(left) * time.Millisecond})
 		}
 		mode := hang(w.mode.Load())
 		switch {
@@ -148,7 +149,7 @@
 func (r *rig) forwardedLast(id string) (last submission, ok bool) {
 	for _, w := range r.workers {
 		if seen, sent := w.seen.Load(id); sent {
-			if s := seen.(submission); !ok || s.at.since(last.at) > 0 {
+			if s := seen.(submission); !ok || s.at.After(last.at) {
 				last, ok = s, true
 			}
 		}
