--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -10,16 +10,16 @@
 	"runtime/debug"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 	"laddertide/provider"
 )
 
-// Handler is the desk and the pool as a job.Handler.
+// Handler is the engine and the pool as a job.Handler.
 type Handler struct {
-	Desk *decide.Desk
-	Pool *provider.Pool
-	Log  *slog.Logger
+	Engine *dispatch.Engine
+	Pool   *provider.Pool
+	Log    *slog.Logger
 }
 
 // request is a job between its arrival and its final verdict.
@@ -30,7 +30,7 @@
 	*Handler
 	ctx    context.Context // its client's
 	job    *job.Job
-	ticket *decide.Ticket
+	ticket *dispatch.Ticket
 	made   past
 	lease  uint64 // of the last attempt
 	result []byte // of the attempt that served the job; set before that is reported
@@ -51,7 +51,7 @@
 	r.enter(max(0, j.Left-time.Since(began)))
 	defer func() {
 		if p := recover(); p != nil {
-			r.failed(p, decide.Broken) // one that is out may have run
+			r.failed(p, dispatch.Broken) // one that is out may have run
 			out = job.Outcome{Kind: job.Failed}
 		}
 	}()
@@ -60,19 +60,19 @@
 	}
 	stop := context.AfterFunc(ctx, r.ticket.Leave)
 	defer stop()
-	// Jobs that go on in another process leave this desk as though their clients had left.
+	// Jobs that go on in another process leave this engine as though their clients had left.
 	leaving := h.Pool.Leaving()
 	stay := context.AfterFunc(leaving, r.ticket.Release)
 	defer stay()
 	for {
 		v := r.ticket.Pick()
 		switch {
-		case v.Kind == decide.Left && ctx.Err() == nil && leaving.Err() != nil:
+		case v.Kind == dispatch.Left && ctx.Err() == nil && leaving.Err() != nil:
 			return job.Outcome{Kind: job.Moved, Past: r.made.list()}
-		case v.Kind == decide.Call && leaving.Err() != nil:
+		case v.Kind == dispatch.Call && leaving.Err() != nil:
 			r.ticket.Leave()
-			r.ticket.Report(decide.NotSent)
-		case v.Kind == decide.Call || v.Kind == decide.Await:
+			r.ticket.Report(dispatch.NotSent)
+		case v.Kind == dispatch.Call || v.Kind == dispatch.Await:
 			done := h.Pool.Use(j.ID)
 			go func() {
 				defer done()
@@ -85,56 +85,56 @@
 	}
 }
 
-// enter hands the job to the desk: as a new one, or as what an earlier process has made of it.
+// enter hands the job to the engine: as a new one, or as what an earlier process has made of it.
 func (r *request) enter(left time.Duration) {
 	j := r.job
-	facts := decide.Job{
+	facts := dispatch.Job{
 		Class: j.Class, Tenant: j.Tenant, Left: left, Hint: j.Hint, Slots: j.Slots,
 		ID: j.ID, Party: j.Party, Deadline: j.Deadline,
 	}
 	if j.Keeper == nil {
-		r.ticket = r.Desk.Take(facts)
+		r.ticket = r.Engine.Take(facts)
 		return
 	}
 	before, resumed := j.Keeper.Past()
 	if !resumed {
-		r.ticket = r.Desk.Take(facts)
+		r.ticket = r.Engine.Take(facts)
 		return
 	}
 	r.made.carryOver(before)
-	past := make([]decide.Past, len(before))
+	past := make([]dispatch.Past, len(before))
 	for i, p := range before {
-		past[i] = decide.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
+		past[i] = dispatch.Past{Provider: p.Provider, Ago: p.Ago, Began: p.Begun, Begun: p.Ago, MayRun: p.MayRun, Out: p.Out}
 		r.lease = p.Lease
 		if !p.Out {
 			r.Pool.Recall(j.ID, p.Provider, p.MayRun)
 		}
 	}
-	r.ticket = r.Desk.Resume(facts, past)
+	r.ticket = r.Engine.Resume(facts, past)
 }
 
 // attempt makes the call of a verdict, or waits for the one that an earlier process has made, and reports how it ended. Attempts of
 // one job are made one after the other.
-func (r *request) attempt(v decide.Verdict) {
+func (r *request) attempt(v dispatch.Verdict) {
 	calling := false
 	defer func() {
 		if p := recover(); p != nil {
-			end := decide.NotSent
+			end := dispatch.NotSent
 			if calling {
-				end = decide.Broken // it may have run
+				end = dispatch.Broken // it may have run
 			}
 			r.failed(p, end)
 		}
 	}()
 	j := r.job
-	if v.Kind == decide.Call && !r.mayBegin(v) {
-		r.ticket.Report(decide.NotSent)
+	if v.Kind == dispatch.Call && !r.mayBegin(v) {
+		r.ticket.Report(dispatch.NotSent)
 		return
 	}
 	began := time.Now()
-	var end decide.End
+	var end dispatch.End
 	calling = true
-	if v.Kind == decide.Call {
+	if v.Kind == dispatch.Call {
 		v.Context = job.WithLeaveCheck(v.Context, func() bool { return job.HasLeft(r.ctx) })
 		r.made.sending(v.Provider)
 		end, r.result = r.Pool.Invoke(j, r.lease, v, r.made.hear(r.ticket.Hear))
@@ -145,7 +145,7 @@
 }
 
 // mayBegin lets the job's Keeper take note of a call before anything of it is sent. It tells whether anything may be.
-func (r *request) mayBegin(v decide.Verdict) bool {
+func (r *request) mayBegin(v dispatch.Verdict) bool {
 	if r.job.Keeper == nil {
 		return true
 	}
@@ -159,24 +159,24 @@
 }
 
 // over reports the end of a call to the job's Keeper and to the module, or takes the job out of this process.
-func (r *request) over(v decide.Verdict, end decide.End, took time.Duration) {
+func (r *request) over(v dispatch.Verdict, end dispatch.End, took time.Duration) {
 	switch end {
 	case provider.Moved:
 		r.ticket.Leave()
-		r.ticket.Report(decide.Withdrawn)
+		r.ticket.Report(dispatch.Withdrawn)
 		return
 	case provider.Unsent:
 		r.made.unsent()
 		r.ticket.Leave()
-		r.ticket.Report(decide.NotSent)
+		r.ticket.Report(dispatch.NotSent)
 		return
 	}
-	if end == decide.NotSent && r.ctx.Err() != nil {
+	if end == dispatch.NotSent && r.ctx.Err() != nil {
 		r.ticket.Leave() // the module must know why, and the goroutine that tells it may not have run yet
 	}
 	r.made.over(end)
 	r.Log.Debug("call over", "id", r.job.ID, "provider", v.Provider, "end", end, "took", took, "withdrawn", context.Cause(v.Context))
-	if r.job.Keeper != nil && end != decide.Served {
+	if r.job.Keeper != nil && end != dispatch.Served {
 		r.job.Keeper.Over(r.lease, end.Proves())
 	}
 	r.ticket.Report(end)
@@ -187,22 +187,22 @@
 
 // failed ends a job whose carrying panicked. The module must still hear how a call that is out has ended, after the job is over:
 // else it might want another one.
-func (r *request) failed(panicked any, end decide.End) {
+func (r *request) failed(panicked any, end dispatch.End) {
 	r.ticket.Fail()
 	r.ticket.Report(end)
 	r.Log.Error("panic while carrying a job", "id", r.job.ID, "panic", panicked, "stack", string(debug.Stack()))
 }
 
 // outcome is what a final verdict means for the job.
-func (r *request) outcome(v decide.Verdict) job.Outcome {
+func (r *request) outcome(v dispatch.Verdict) job.Outcome {
 	switch v.Kind {
-	case decide.Answer:
+	case dispatch.Answer:
 		return job.Outcome{Kind: job.Served, Result: r.result}
-	case decide.Rejection:
+	case dispatch.Rejection:
 		return job.Outcome{Kind: job.Rejected, RetryAfter: v.RetryAfter}
-	case decide.Left:
+	case dispatch.Left:
 		return job.Outcome{Kind: job.Gone}
-	case decide.Mistake:
+	case dispatch.Mistake:
 		return job.Outcome{Kind: job.Mistaken, Why: "no provider can use this request"}
 	}
 	return job.Outcome{Kind: job.Failed}
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/policy"
@@ -18,7 +18,7 @@
 	"laddertide/wire/http1"
 )
 
-// rig is a desk and a pool with one provider, which answers what the test tells it to.
+// rig is an engine and a pool with one provider, which answers what the test tells it to.
 type rig struct {
 	Handler
 	t    *testing.T
@@ -27,7 +27,7 @@
 
 func newRig(t *testing.T, log *slog.Logger, attempts int, answer string) *rig {
 	t.Helper()
-	desk, err := decide.New(policy.Settings{
+	engine, err := dispatch.New(policy.Settings{
 		Balancers: 1, MaxAttempts: attempts, Cancel: true, TellsStart: true, WorthByWork: true,
 		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second,
 		Classes: []policy.Class{
@@ -39,9 +39,9 @@
 		t.Fatal(err)
 	}
 	r := &rig{t: t, jobs: make(chan string, 10)}
-	r.Desk, r.Log = desk, slog.New(slog.DiscardHandler)
+	r.Engine, r.Log = engine, slog.New(slog.DiscardHandler)
 	r.Pool = provider.NewPool(provider.Limits{Dial: time.Second, Idle: time.Minute, Conns: 10}, log)
-	t.Cleanup(func() { desk.Close(); r.Pool.Close() })
+	t.Cleanup(func() { engine.Close(); r.Pool.Close() })
 	address := testrig.Listen(t, func(c net.Conn) {
 		testrig.Requests(c, func(h *http1.Head) {
 			c.Write([]byte(answer))
@@ -49,7 +49,7 @@
 		})
 	})
 	r.provide(address)
-	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
+	engine.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	return r
 }
 
@@ -64,12 +64,12 @@
 
 // idle checks that nothing is left of the job once its attempt is over, which may be after its answer: its id can be used again,
 // and it is not open.
-func (r *rig) idle(want decide.End) {
+func (r *rig) idle(want dispatch.End) {
 	r.t.Helper()
 	if err := r.Pool.Reserve("id-1", time.Minute); err != nil {
 		r.t.Error(err)
 	}
-	if c := r.Desk.Counts(); c.Open != 0 || c.Ends[want] != 1 {
+	if c := r.Engine.Counts(); c.Open != 0 || c.Ends[want] != 1 {
 		r.t.Errorf("counts %+v", c)
 	}
 }
@@ -81,13 +81,13 @@
 	for _, c := range []struct {
 		answer string
 		class  int
-		end    decide.End
+		end    dispatch.End
 		want   job.Outcome
 	}{
-		{"HTTP/1.1 400 R\r\nContent-Length: 0\r\n\r\n", 1, decide.Unusable,
+		{"HTTP/1.1 400 R\r\nContent-Length: 0\r\n\r\n", 1, dispatch.Unusable,
 			job.Outcome{Kind: job.Mistaken, Why: "no provider can use this request"}},
-		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 1, decide.Failed, job.Outcome{Kind: job.Failed}},
-		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 0, decide.Failed, job.Outcome{Kind: job.Rejected}},
+		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 1, dispatch.Failed, job.Outcome{Kind: job.Failed}},
+		{"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", 0, dispatch.Failed, job.Outcome{Kind: job.Rejected}},
 	} {
 		r := newRig(t, slog.New(slog.DiscardHandler), 1, c.answer)
 		got := r.Handle(context.Background(), newJob(c.class))
@@ -106,7 +106,7 @@
 	if got := r.Handle(context.Background(), newJob(1)); got.Kind != job.Served || string(got.Result) != "r" {
 		t.Errorf("%+v", got)
 	}
-	r.idle(decide.Served)
+	r.idle(dispatch.Served)
 }
 
 // An id is out once only. The second job with it goes no further, and takes nothing from the first.
@@ -119,8 +119,8 @@
 	if got.Kind != job.Mistaken || got.Why != "a job with this id is out already" {
 		t.Errorf("%+v", got)
 	}
-	if n := r.Desk.Counts().Jobs; n != 1 {
-		t.Errorf("the desk had %d jobs", n)
+	if n := r.Engine.Counts().Jobs; n != 1 {
+		t.Errorf("the engine had %d jobs", n)
 	}
 	if err := r.Pool.CallBack([]byte(`{"id":"id-1","from":"s-1","state":"done"}`)); err != nil {
 		t.Fatal(err)
@@ -202,14 +202,14 @@
 	if got := <-r.jobs; got != "DELETE /jobs/id-1" {
 		t.Error(got)
 	}
-	r.idle(decide.Withdrawn)
+	r.idle(dispatch.Withdrawn)
 	r.Pool.Free("id-1")
 	if got := r.Handle(ctx, newJob(1)); got.Kind != job.Gone {
 		t.Errorf("%+v", got)
 	}
 }
 
-// A panic in a call ends one job: the desk hears how its call ended, as one that may have run, and that there is no other
+// A panic in a call ends one job: the engine hears how its call ended, as one that may have run, and that there is no other
 // to be made, and its id is free.
 func TestPanic(t *testing.T) {
 	r := newRig(t, nil, 4, taken) // whatever the pool logs
@@ -217,5 +217,5 @@
 	if got := r.Handle(context.Background(), newJob(0)); got.Kind != job.Failed {
 		t.Errorf("%+v", got)
 	}
-	r.idle(decide.Broken)
+	r.idle(dispatch.Broken)
 }
--- a/attempt/past.go
+++ b/attempt/past.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 )
 
@@ -33,9 +33,9 @@
 }
 
 // hear notes that the last call's job has begun, on its way to next.
-func (p *past) hear(next func(decide.News)) func(decide.News) {
-	return func(n decide.News) {
-		if n.Kind == decide.Begun {
+func (p *past) hear(next func(dispatch.News)) func(dispatch.News) {
+	return func(n dispatch.News) {
+		if n.Kind == dispatch.Begun {
 			p.mu.Lock()
 			p.calls[len(p.calls)-1].Begun = true
 			p.mu.Unlock()
@@ -45,7 +45,7 @@
 }
 
 // over notes how the last call ended.
-func (p *past) over(end decide.End) {
+func (p *past) over(end dispatch.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := &p.calls[len(p.calls)-1]
--- a/attempt/verdict_test.go
+++ b/attempt/verdict_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/wire/http1"
@@ -38,7 +38,7 @@
 		end  func(r *rig, leave context.CancelCauseFunc)
 		want job.Kind
 	}{
-		"the process ends":  {func(r *rig, _ context.CancelCauseFunc) { r.Desk.Stop(time.Now()) }, job.Failed},
+		"the process ends":  {func(r *rig, _ context.CancelCauseFunc) { r.Engine.Stop(time.Now()) }, job.Failed},
 		"the client leaves": {func(_ *rig, leave context.CancelCauseFunc) { leave(job.ErrLeft) }, job.Gone},
 	}
 	for name, end := range ends {
@@ -65,7 +65,7 @@
 				t.Error("the id is free while an attempt may begin")
 			}
 			keeper.begin <- nil // too late: nothing may be sent any more
-			r.idle(decide.NotSent)
+			r.idle(dispatch.NotSent)
 			if len(r.jobs) > 0 {
 				t.Errorf("%s after the answer", <-r.jobs)
 			}
@@ -84,7 +84,7 @@
 	}
 	<-keeper.asked
 	keeper.begin <- errors.New("the disk fails")
-	r.idle(decide.TimedOut)
+	r.idle(dispatch.TimedOut)
 }
 
 // A job that comes with the id of one that was answered waits until nothing of that one is out any more. A call-back that comes late
--- a/capture/capture.go
+++ b/capture/capture.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/operator"
 	"laddertide/policy"
 )
@@ -86,7 +86,7 @@
 	text   []byte
 }
 
-// Recorder is the ring. It observes a desk.
+// Recorder is the ring. It observes an engine.
 type Recorder struct {
 	set  Settings
 	log  *slog.Logger
@@ -129,15 +129,15 @@
 	}
 }
 
-// Observe implements decide.Observer. It writes to memory only.
-func (r *Recorder) Observe(ev *decide.Event) {
-	if ev.Kind != decide.Stepped {
+// Observe implements dispatch.Observer. It writes to memory only.
+func (r *Recorder) Observe(ev *dispatch.Event) {
+	if ev.Kind != dispatch.Stepped {
 		return
 	}
 	s := ev.Step
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Input == decide.None {
+	if s.Input == dispatch.None {
 		r.of = s.Settings()
 		r.seed = fmt.Sprintf("%016x", r.of.Seed)
 		r.of.Seed = 0 // it is told once, as seed
@@ -146,14 +146,14 @@
 		return
 	}
 	r.w.providers = s.Providers()
-	if s.Input == decide.Anew {
+	if s.Input == dispatch.Anew {
 		r.of = s.Settings()
 		r.of.Seed = 0
 		r.anew = true
 		r.begin(s)
 		return
 	}
-	if s.Input == decide.List && s.List != policy.ListFailed {
+	if s.Input == dispatch.List && s.List != policy.ListFailed {
 		r.w.index = s.Index
 	}
 	if r.closed {
@@ -194,7 +194,7 @@
 }
 
 // begin begins a segment with the state after s.
-func (r *Recorder) begin(s *decide.Step) {
+func (r *Recorder) begin(s *dispatch.Step) {
 	r.closed, r.retryAt = true, s.Now+retryAfter
 	r.scratch = s.Checkpoint(r.scratch[:0])
 	text, err := json.Marshal(head{Capture: version, Segment: r.number + 1, Gap: r.gap, Anew: r.anew, Origin: int64(r.w.origin),
--- a/capture/capture_test.go
+++ b/capture/capture_test.go
@@ -14,7 +14,7 @@
 
 	"pgregory.net/rapid"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/pin"
 	"laddertide/operator"
 	"laddertide/policy"
@@ -24,10 +24,10 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// desk returns a desk with providers, and what records it.
-func desk(t *testing.T, set Settings, log *slog.Logger) (*decide.Desk, *Recorder) {
+// engine returns an engine with providers, and what records it.
+func engine(t *testing.T, set Settings, log *slog.Logger) (*dispatch.Engine, *Recorder) {
 	t.Helper()
-	d, err := decide.New(policy.Settings{
+	d, err := dispatch.New(policy.Settings{
 		Seed: 0xfedcba9876543210, Balancers: 2, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, MaxRetryAfter: time.Second,
 		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second, Probes: true, Subscribe: true,
 		Classes: []policy.Class{{Name: "check", Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
@@ -44,13 +44,13 @@
 }
 
 // work is a good many jobs, several at a time, that end in all ways.
-func work(d *decide.Desk, jobs int) {
-	var open []*decide.Ticket
+func work(d *dispatch.Engine, jobs int) {
+	var open []*dispatch.Ticket
 	for i := range jobs {
-		j := decide.Job{ID: fmt.Sprintf("j%d", i), Class: i % 2, Party: "x\ny\"\xff", Left: 5 * time.Second,
+		j := dispatch.Job{ID: fmt.Sprintf("j%d", i), Class: i % 2, Party: "x\ny\"\xff", Left: 5 * time.Second,
 			Deadline: 5 * time.Second, Hint: time.Duration(i) * time.Millisecond, Slots: 0.1 + float64(i%3)}
 		if i%7 == 3 { // an earlier process had it, and sent it to a provider that has left, or not
-			open = append(open, d.Resume(j, []decide.Past{{Provider: "a", Ago: time.Second, MayRun: i%14 == 3},
+			open = append(open, d.Resume(j, []dispatch.Past{{Provider: "a", Ago: time.Second, MayRun: i%14 == 3},
 				{Provider: fmt.Sprintf("left\n%d", i%3), Ago: time.Second / 2, Began: i%3 == 0, Out: i%4 > 0, MayRun: i%4 == 0}}))
 		} else {
 			open = append(open, d.Take(j))
@@ -60,18 +60,18 @@
 		}
 		t := open[0]
 		open = open[1:]
-		end := decide.Served
+		end := dispatch.Served
 		if i%5 == 0 && i < 100 { // all of them twice; to be left alone or shut out takes providers their time
-			end = decide.End(i / 5 % int(decide.Withdrawn+1))
+			end = dispatch.End(i / 5 % int(dispatch.Withdrawn+1))
 		}
-		for ; ; end = decide.Served {
+		for ; ; end = dispatch.Served {
 			if i%11 == 0 {
 				t.Leave()
 			}
-			if v := t.Pick(); v.Kind != decide.Call && v.Kind != decide.Await {
+			if v := t.Pick(); v.Kind != dispatch.Call && v.Kind != dispatch.Await {
 				break
 			}
-			t.Hear(decide.News{Kind: decide.Begun})
+			t.Hear(dispatch.News{Kind: dispatch.Begun})
 			t.Report(end)
 		}
 	}
@@ -97,7 +97,7 @@
 // All that the module was told is there: a replay decides the same over segments that came and went, whose states
 // are those that the lines lead to, and the ring stays within its bytes.
 func TestRing(t *testing.T) {
-	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 3}, quiet)
+	d, r := engine(t, Settings{MaxBytes: 128 << 10, Files: 3}, quiet)
 	work(d, 30)
 	if res := check(t, r.text(), 60); res.Segments != 1 || res.Gaps != 0 {
 		t.Fatalf("%+v", res)
@@ -125,9 +125,9 @@
 
 // A panic in the module is part of what happened: a replay meets the same, and goes on as the module did.
 func TestPanic(t *testing.T) {
-	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 4}, quiet)
+	d, r := engine(t, Settings{MaxBytes: 128 << 10, Files: 4}, quiet)
 	work(d, 10)
-	d.Take(decide.Job{ID: "odd", Tenant: -1, Left: time.Second, Slots: 1}) // none such gets past the codec
+	d.Take(dispatch.Job{ID: "odd", Tenant: -1, Left: time.Second, Slots: 1}) // none such gets past the codec
 	work(d, 100)
 	text := r.text()
 	if res := check(t, text, 200); res.Segments < 2 || res.Gaps > 0 || bytes.Count(text, []byte(`"panic":true`)) != 1 {
@@ -141,8 +141,8 @@
 
 // Every line is JSON by itself, with the keys that tell what happened.
 func TestLines(t *testing.T) {
-	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
-	d.Take(decide.Job{ID: "9b1f03aa5c7e2d41", Party: "willamette-crews", Left: time.Second, Deadline: 5 * time.Second, Slots: 1})
+	d, r := engine(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
+	d.Take(dispatch.Job{ID: "9b1f03aa5c7e2d41", Party: "willamette-crews", Left: time.Second, Deadline: 5 * time.Second, Slots: 1})
 	lines := bytes.Split(bytes.TrimSpace(r.text()), []byte("\n"))
 	var got struct {
 		T                          json.Number
@@ -175,7 +175,7 @@
 
 // A replay of whatever is no capture ends, says so, and never passes for one without a difference.
 func TestGarbage(t *testing.T) {
-	d, r := desk(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
+	d, r := engine(t, Settings{MaxBytes: 128 << 10, Files: 2}, quiet)
 	work(d, 30)
 	sound := r.text()
 	rapid.Check(t, func(t *rapid.T) {
@@ -212,7 +212,7 @@
 func TestFiles(t *testing.T) {
 	set := Settings{MaxBytes: 160 << 10, Files: 4, Dir: t.TempDir()}
 	for range 2 {
-		d, r := desk(t, set, quiet)
+		d, r := engine(t, set, quiet)
 		r.Start()
 		for range 4 {
 			work(d, 100)
@@ -247,7 +247,7 @@
 func TestDiskGone(t *testing.T) {
 	set := Settings{MaxBytes: 160 << 10, Files: 4, Dir: filepath.Join(t.TempDir(), "captures")}
 	var log bytes.Buffer
-	d, r := desk(t, set, slog.New(slog.NewTextHandler(&log, nil)))
+	d, r := engine(t, set, slog.New(slog.NewTextHandler(&log, nil)))
 	r.Start()
 	work(d, 20)
 	time.Sleep(2 * writeEvery)
@@ -272,7 +272,7 @@
 // A disk that takes nothing costs memory up to a bound, and events that the next segment tells of.
 func TestDiskStuck(t *testing.T) {
 	set := Settings{MaxBytes: 4 << 20, Files: 4, Dir: t.TempDir()}
-	d, r := desk(t, set, quiet)
+	d, r := engine(t, set, quiet)
 	for range 10 {
 		work(d, 500) // nothing is started, so nothing is written
 	}
@@ -298,7 +298,7 @@
 // A state too large for a segment is told once, and nothing is recorded; it must not cost the jobs anything.
 func TestStateTooLarge(t *testing.T) {
 	var log bytes.Buffer
-	d, r := desk(t, Settings{MaxBytes: 64 << 10, Files: 2}, slog.New(slog.NewTextHandler(&log, nil)))
+	d, r := engine(t, Settings{MaxBytes: 64 << 10, Files: 2}, slog.New(slog.NewTextHandler(&log, nil)))
 	entries, names := make([]policy.Entry, 300), make([]string, 300)
 	for i := range names {
 		names[i] = fmt.Sprintf("s-%d", i)
--- a/capture/line.go
+++ b/capture/line.go
@@ -12,7 +12,7 @@
 	"time"
 	"unicode/utf8"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/policy"
 )
 
@@ -101,10 +101,10 @@
 
 // Words for the module's inputs, and for what came back of a call: the protocol's where it has one.
 var (
-	inputs = [...]string{decide.List: "list", decide.Request: "request", decide.Note: "started", decide.Outcome: "end",
-		decide.Gone: "left", decide.Timer: "timer", decide.Stop: "stop", decide.Resume: "resumed"}
-	outs = map[decide.End]string{decide.Served: "done", decide.Failed: "failed", decide.TurnedAway: "returned",
-		decide.Broken: "lost"}
+	inputs = [...]string{dispatch.List: "list", dispatch.Request: "request", dispatch.Note: "started", dispatch.Outcome: "end",
+		dispatch.Gone: "left", dispatch.Timer: "timer", dispatch.Stop: "stop", dispatch.Resume: "resumed"}
+	outs = map[dispatch.End]string{dispatch.Served: "done", dispatch.Failed: "failed", dispatch.TurnedAway: "returned",
+		dispatch.Broken: "lost"}
 )
 
 // Decisions about a line's own request.
@@ -131,10 +131,10 @@
 }
 
 // opens tells whether a job begins with an input.
-func opens(in decide.Input) bool { return in == decide.Request || in == decide.Resume }
+func opens(in dispatch.Input) bool { return in == dispatch.Request || in == dispatch.Resume }
 
 // choice appends what a step led to for its own request.
-func (w *writer) choice(b []byte, s *decide.Step) []byte {
+func (w *writer) choice(b []byte, s *dispatch.Step) []byte {
 	decision, to := "", ""
 	for i := range s.Actions {
 		if a := &s.Actions[i]; s.Number != 0 && a.Request == s.Number {
@@ -165,7 +165,7 @@
 }
 
 // actions appends all that a step led to.
-func (w *writer) actions(b []byte, s *decide.Step) []byte {
+func (w *writer) actions(b []byte, s *dispatch.Step) []byte {
 	if s.Failed {
 		b = append(b, `,"panic":true`...)
 	}
@@ -194,7 +194,7 @@
 		b = number(number(append(b, `["cancel"`...), int64(a.Request)), int64(a.Attempt))
 	case policy.SetTimer:
 		b = number(number(append(b, `["timer"`...), int64(a.Token)), int64(a.At-w.origin))
-	default: // none that the desk's settings lead to
+	default: // none that the engine's settings lead to
 		b = number(number(append(b, `["other"`...), int64(a.Kind)), int64(a.Worker))
 		b = append(append(append(b, `,"`...), hex.EncodeToString(a.Data)...), '"')
 	}
@@ -202,7 +202,7 @@
 }
 
 // line appends an event, with its line end.
-func (w *writer) line(b []byte, s *decide.Step) []byte {
+func (w *writer) line(b []byte, s *dispatch.Step) []byte {
 	whole := func(key string, v int64) {
 		b = strconv.AppendInt(append(append(append(b, `,"`...), key...), `":`...), v, 10)
 	}
@@ -220,10 +220,10 @@
 	whole("index", int64(w.index))
 	attempt := -1
 	switch s.Input {
-	case decide.Note:
+	case dispatch.Note:
 		attempt = s.Note.Attempt
 		word("to", w.provider(s.Note.Worker))
-	case decide.Outcome:
+	case dispatch.Outcome:
 		attempt = s.Outcome.Attempt
 		word("to", w.provider(s.Outcome.Worker))
 		out, ok := outs[s.End]
@@ -241,27 +241,27 @@
 		whole("attempt", int64(attempt))
 	}
 	switch s.Input {
-	case decide.Request, decide.Resume:
+	case dispatch.Request, dispatch.Resume:
 		q := &s.Request
 		b = strconv.AppendInt(append(b, `,"as":[`...), int64(q.Class), 10)
 		b = append(strconv.AppendInt(append(b, ','), int64(q.Tenant), 10), ']')
 		whole("left", int64(q.Left))
 		whole("hint", int64(q.Hint))
 		b = strconv.AppendFloat(append(b, `,"slots":`...), q.Slots, 'g', -1, 64)
-		if s.Input == decide.Resume {
+		if s.Input == dispatch.Resume {
 			b = w.past(b, s.Past)
 		}
-	case decide.Outcome:
+	case dispatch.Outcome:
 		whole("status", int64(s.Outcome.Status))
 		whole("elapsed", int64(s.Outcome.Elapsed))
 		if s.Outcome.Closed {
 			b = append(b, `,"closed":true`...)
 		}
-	case decide.Timer:
+	case dispatch.Timer:
 		whole("token", int64(s.Token))
-	case decide.Stop:
+	case dispatch.Stop:
 		whole("by", int64(s.By-w.origin))
-	case decide.List:
+	case dispatch.List:
 		whole("kind", int64(s.List))
 		b = append(b, `,"entries":[`...)
 		for i := range s.Entries {
@@ -305,7 +305,7 @@
 }
 
 // others appends the ids of other requests that the step decided, so that a search for an id finds them all.
-func (w *writer) others(b []byte, s *decide.Step) []byte {
+func (w *writer) others(b []byte, s *dispatch.Step) []byte {
 	first := true
 	for i := range s.Actions {
 		a := &s.Actions[i]
@@ -392,7 +392,7 @@
 }
 
 // step turns a line into the call that it records.
-func (l *line) step(w *writer, ids map[string]policy.WorkerID) (*decide.Step, error) {
+func (l *line) step(w *writer, ids map[string]policy.WorkerID) (*dispatch.Step, error) {
 	t, err := parseMillis(l.T.String())
 	if err != nil {
 		return nil, err
@@ -401,10 +401,10 @@
 	if input <= 0 {
 		return nil, fmt.Errorf("event %q is not known", l.Event)
 	}
-	s := &decide.Step{Input: decide.Input(input), Now: w.origin + t, Number: policy.RequestID(l.N)}
+	s := &dispatch.Step{Input: dispatch.Input(input), Now: w.origin + t, Number: policy.RequestID(l.N)}
 	worker := ids[l.To]
 	switch s.Input {
-	case decide.Request, decide.Resume:
+	case dispatch.Request, dispatch.Resume:
 		if c := l.As[0]; c < 0 || c >= len(w.set.Classes) || w.set.Classes[c].Name != l.Class || l.N == 0 {
 			return nil, errors.New("the class or number makes no sense")
 		}
@@ -422,19 +422,19 @@
 			}
 			s.Past = append(s.Past, p)
 		}
-	case decide.Note:
+	case dispatch.Note:
 		s.Note = policy.Note{Request: s.Number, Attempt: l.Attempt, Worker: worker, Started: true}
-	case decide.Outcome:
+	case dispatch.Outcome:
 		if l.Status > uint8(policy.Moot) {
 			return nil, errors.New("the status is not known")
 		}
 		s.Outcome = policy.Outcome{Request: s.Number, Attempt: l.Attempt, Worker: worker, Status: policy.Status(l.Status),
 			Closed: l.Closed, Elapsed: time.Duration(l.Elapsed)}
-	case decide.Timer:
+	case dispatch.Timer:
 		s.Token = l.Token
-	case decide.Stop:
+	case dispatch.Stop:
 		s.By = w.origin + time.Duration(l.By)
-	case decide.List:
+	case dispatch.List:
 		s.List, s.Index = policy.ListKind(l.Kind), l.Index
 		for _, e := range l.Entries {
 			id, ok := ids[e.name]
@@ -451,7 +451,7 @@
 }
 
 // recorded is what choice and actions have written, for comparison.
-func (l *line) recorded(input decide.Input) []byte {
+func (l *line) recorded(input dispatch.Input) []byte {
 	var b []byte
 	if opens(input) {
 		if l.To != "" {
--- a/capture/replay.go
+++ b/capture/replay.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/policy"
 )
 
@@ -111,7 +111,7 @@
 	}
 	var l line
 	err := json.Unmarshal(text, &l)
-	var s *decide.Step
+	var s *dispatch.Step
 	if err == nil {
 		s, err = l.step(&r.w, r.ids)
 	}
@@ -134,8 +134,8 @@
 }
 
 // holder is who a line's call was made to. A request's own call is part of what its line led to.
-func (r *replay) holder(s *decide.Step, l *line) string {
-	if s.Input != decide.Note && s.Input != decide.Outcome {
+func (r *replay) holder(s *dispatch.Step, l *line) string {
+	if s.Input != dispatch.Note && s.Input != dispatch.Outcome {
 		return l.To
 	}
 	id, ok := r.disp.Holder(s.Number, l.Attempt)
@@ -146,7 +146,7 @@
 }
 
 // play makes a call and returns what it led to.
-func (r *replay) play(s *decide.Step) []byte {
+func (r *replay) play(s *dispatch.Step) []byte {
 	func() {
 		defer func() {
 			if recover() != nil {
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"laddertide/attempt"
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/policy"
@@ -47,7 +47,7 @@
 				Effect: policy.Keyed, Window: time.Minute},
 		},
 	}
-	desk, err := decide.New(set, log)
+	engine, err := dispatch.New(set, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +60,7 @@
 		})
 	})
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: worker, Status: directory.Serving}}, true)
-	desk.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
+	engine.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}}, []string{"s-1"})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -68,10 +68,10 @@
 	r.address = ln.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	s := &Server{Settings: set, Jobs: &attempt.Handler{Desk: desk, Pool: pool, Log: log}, CallBack: pool.CallBack,
-		Stopping: desk.Stop, Log: log, Conns: conns, Grace: grace}
+	s := &Server{Settings: set, Jobs: &attempt.Handler{Engine: engine, Pool: pool, Log: log}, CallBack: pool.CallBack,
+		Stopping: engine.Stop, Log: log, Conns: conns, Grace: grace}
 	go func() { r.served <- s.Serve(ctx, ln) }()
-	t.Cleanup(func() { stop(); desk.Close(); pool.Close() })
+	t.Cleanup(func() { stop(); engine.Close(); pool.Close() })
 	return r
 }
 
--- a/core/leases/table_test.go
+++ b/core/leases/table_test.go
@@ -34,27 +34,27 @@
 	return Clock{Boot: [16]byte{2}, Mono: int64(time.Second), Wall: int64(1000*time.Hour + d + step)}
 }
 
-// desk is a Table and what it had written.
-type desk struct {
+// engine is a Table and what it had written.
+type engine struct {
 	*testing.T
 	*Table
 	log []Record
 }
 
-func newDesk(t *testing.T, o Options) *desk {
+func newEngine(t *testing.T, o Options) *engine {
 	t.Helper()
 	table, err := New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	table.Recover(at(0))
-	return &desk{T: t, Table: table}
+	return &engine{T: t, Table: table}
 }
 
-func (d *desk) keep(s Step) { d.log = append(d.log, s.Records...) }
+func (d *engine) keep(s Step) { d.log = append(d.log, s.Records...) }
 
 // take takes a new job with a minute left.
-func (d *desk) take(now Clock, id, class string) Seq {
+func (d *engine) take(now Clock, id, class string) Seq {
 	d.Helper()
 	got, s := d.Take(now, Spec{ID: id, Class: class, Left: time.Minute, Body: []byte(id)})
 	if got.Kind != Fresh {
@@ -64,7 +64,7 @@
 	return got.Seq
 }
 
-func (d *desk) lease(now Clock, seq Seq, provider string) Fence {
+func (d *engine) lease(now Clock, seq Seq, provider string) Fence {
 	d.Helper()
 	f, s, err := d.Lease(now, seq, provider, 5*time.Second)
 	if err != nil {
@@ -74,7 +74,7 @@
 	return f
 }
 
-func (d *desk) over(now Clock, seq Seq, f Fence, never bool) {
+func (d *engine) over(now Clock, seq Seq, f Fence, never bool) {
 	d.Helper()
 	s := d.Over(now, seq, f, never)
 	if len(s.Records) != 1 {
@@ -83,7 +83,7 @@
 	d.keep(s)
 }
 
-func (d *desk) end(now Clock, seq Seq, result string) {
+func (d *engine) end(now Clock, seq Seq, result string) {
 	d.Helper()
 	s, err := d.End(now, seq, Outcome{Kind: Served, Result: []byte(result)})
 	if err != nil || !s.Sync {
@@ -93,7 +93,7 @@
 }
 
 // restart makes a Table of what was written; lost says which records cannot be read.
-func (d *desk) restart(now Clock, lost func(r *Record) bool, whose bool) (*desk, []Resumed, []Missing) {
+func (d *engine) restart(now Clock, lost func(r *Record) bool, whose bool) (*engine, []Resumed, []Missing) {
 	d.Helper()
 	table, err := New(d.opt)
 	if err != nil {
@@ -112,7 +112,7 @@
 		}
 	}
 	resumed, missing := table.Recover(now)
-	return &desk{T: d.T, Table: table, log: slices.Clone(d.log)}, resumed, missing
+	return &engine{T: d.T, Table: table, log: slices.Clone(d.log)}, resumed, missing
 }
 
 func TestOptions(t *testing.T) {
@@ -171,7 +171,7 @@
 		{"read", "pass pass", Fail, Again},
 		{"issue", "lease pass pass", Fail, Wait},
 	} {
-		d := newDesk(t, options())
+		d := newEngine(t, options())
 		now := time.Second
 		seq := d.take(at(now), "a", c.class)
 		var f Fence
@@ -221,7 +221,7 @@
 
 // A boot whose id is not known is never the same one: Mono tells nothing across processes then.
 func TestUnknownBoot(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	c := at(time.Second)
 	c.Boot = [16]byte{}
 	d.take(c, "a", "read")
@@ -233,7 +233,7 @@
 
 // The clock was set back since, which a later record shows though the earlier one does not.
 func TestStepShownByALaterRecord(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(time.Second), "a", "pay")
 	d.over(at(2*time.Second), seq, d.lease(at(2*time.Second), seq, "x"), false)
 	d.take(at(50*time.Second), "b", "read")
@@ -245,7 +245,7 @@
 
 // A worker goes silent, its lease runs out, and it finishes later.
 func TestSilentWorker(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	issue, read := d.take(at(0), "i", "issue"), d.take(at(0), "r", "read")
 	fi, fr := d.lease(at(0), issue, "x"), d.lease(at(0), read, "x")
 	d.Beat(at(3*time.Second), issue, fi)
@@ -310,7 +310,7 @@
 
 // A lease that was out at the death begins its time anew: nobody could hear its worker.
 func TestLeaseAfterRestart(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "issue")
 	f := d.lease(at(0), seq, "x")
 	d, got, _ := d.restart(at(20*time.Second), nil, false)
@@ -331,7 +331,7 @@
 
 // A worker started anew under the same name says done for the old lease.
 func TestWorkerAnew(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "read")
 	old := d.lease(at(0), seq, "x")
 	d.over(at(time.Second), seq, old, false)
@@ -358,7 +358,7 @@
 
 // The id of a job that ended keep_s ago comes again, here and after a restart.
 func TestKeep(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "read")
 	d.end(at(10*time.Second), seq, "one")
 	spec := Spec{ID: "a", Class: "read", Left: time.Minute}
@@ -373,7 +373,7 @@
 	inFirst := at
 	inSecond := func(d time.Duration) Clock { return reboot(15*time.Second, 0).plus(d - 15*time.Second) }
 	for _, c := range []struct {
-		again *desk
+		again *engine
 		now   func(time.Duration) Clock
 	}{
 		{d, inFirst},
@@ -420,7 +420,7 @@
 
 // Two join one job and one leaves.
 func TestJoin(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "issue")
 	spec := Spec{ID: "a", Class: "issue", Left: time.Second}
 	for range 2 {
@@ -468,7 +468,7 @@
 
 // Each rule of Lease.
 func TestLeaseRules(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	refused := func(now Clock, seq Seq, provider string, want error) {
 		t.Helper()
 		if f, s, err := d.Lease(now, seq, provider, 0); !errors.Is(err, want) || f != 0 || len(s.Records) > 0 {
@@ -504,7 +504,7 @@
 
 // The disk took so long to write a lease that it must not be used any more.
 func TestStands(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "pay")
 	d.over(at(time.Second), seq, d.lease(at(time.Second), seq, "x"), false)
 	f := d.lease(at(40*time.Second), seq, "x")
@@ -538,7 +538,7 @@
 
 // The oldest answered ones go first, then the oldest.
 func TestBounds(t *testing.T) {
-	ids := func(d *desk) (s string) {
+	ids := func(d *engine) (s string) {
 		for v := range d.Snapshot(at(0)) {
 			s += v.Spec.ID
 		}
@@ -546,7 +546,7 @@
 	}
 	o := options()
 	o.KeepCount = 3
-	d := newDesk(t, o)
+	d := newEngine(t, o)
 	seqs := map[string]Seq{}
 	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
 		seqs[id] = d.take(at(0), id, "read")
@@ -572,7 +572,7 @@
 
 	o = options()
 	o.KeepBytes = 10000
-	d = newDesk(t, o)
+	d = newEngine(t, o)
 	for i := range 50 {
 		seq := d.take(at(0), fmt.Sprint(i), "read")
 		d.end(at(0), seq, strings.Repeat("r", i*20))
@@ -590,7 +590,7 @@
 
 	o = options()
 	o.MaxOpen = 1
-	d = newDesk(t, o)
+	d = newEngine(t, o)
 	d.take(at(0), "a", "read")
 	if got, _ := d.Take(at(0), Spec{ID: "b", Class: "read"}); got.Kind != Full {
 		t.Errorf("%v with all places taken", got.Kind)
@@ -598,7 +598,7 @@
 }
 
 func TestInvalid(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	for _, s := range []Spec{{Class: "read"}, {ID: "a", Class: "none"},
 		{ID: strings.Repeat("a", MaxText+1), Class: "read"},
 		{ID: "a", Class: "read", Party: strings.Repeat("a", MaxText+1)},
@@ -626,7 +626,7 @@
 
 // A write that fails: the job never came, the lease was never given.
 func TestFailedWrites(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	got, taken := d.Take(at(0), Spec{ID: "a", Class: "issue", Left: time.Minute, Body: []byte("a")})
 	d.Take(at(0), Spec{ID: "a", Class: "issue"})
 	s := d.Withdrawn(at(0), got.Seq)
@@ -640,7 +640,7 @@
 		t.Errorf("%+v, %+v", resumed, missing)
 	}
 	// That word alone is nothing that is missing.
-	alone := &desk{T: t, Table: d.Table, log: s.Records}
+	alone := &engine{T: t, Table: d.Table, log: s.Records}
 	if _, resumed, missing := alone.restart(at(0), nil, false); len(resumed) != 0 || len(missing) != 0 {
 		t.Errorf("%+v, %+v", resumed, missing)
 	}
@@ -680,7 +680,7 @@
 
 // Numbers go on over restarts, also when all records but a Mark are gone, and over a Mark that cannot be read.
 func TestNumbersGoOn(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	var f Fence
 	for i := range 3 {
 		seq := d.take(at(0), fmt.Sprint(i), "read")
@@ -694,7 +694,7 @@
 	if mark.Floor != 4 || mark.Seq != 4 || mark.Fence < f {
 		t.Errorf("%+v", mark)
 	}
-	e := &desk{T: t, Table: d.Table, log: []Record{mark}}
+	e := &engine{T: t, Table: d.Table, log: []Record{mark}}
 	e, _, _ = e.restart(at(0), nil, false)
 	seq := e.take(at(0), "a", "read")
 	if g := e.lease(at(0), seq, "x"); g <= f || seq != 4 {
@@ -703,7 +703,7 @@
 	// Records below the floor, which a store may drop in part, are neither jobs nor missing; nor are those of a job
 	// whose end could not be written before it was forgotten.
 	for _, log := range [][]Record{d.log[2:], d.log[:3]} {
-		e = &desk{T: t, Table: d.Table, log: append(slices.Clone(log), mark)}
+		e = &engine{T: t, Table: d.Table, log: append(slices.Clone(log), mark)}
 		e, resumed, missing := e.restart(at(0), nil, false)
 		if c := e.Counts(); len(resumed) != 0 || len(missing) != 0 || c.Open != 0 || c.Kept != 0 {
 			t.Errorf("%+v, %+v, %+v", resumed, missing, c)
@@ -711,7 +711,7 @@
 	}
 	// A Mark that came with a lease covers the others of its block, whatever became of their records.
 	marks := slices.DeleteFunc(slices.Clone(d.log), func(r Record) bool { return r.Kind != Mark })
-	e = &desk{T: t, Table: d.Table, log: marks}
+	e = &engine{T: t, Table: d.Table, log: marks}
 	e, _, _ = e.restart(at(0), nil, false)
 	if g := e.lease(at(0), e.take(at(0), "a", "read"), "x"); len(d.log) < 9 || len(e.log) != 4 || g <= f {
 		t.Errorf("lease %d after %d, by the mark alone", g, f)
@@ -722,12 +722,12 @@
 		t.Errorf("lease %d after the lost mark of %d", g, mark.Fence)
 	}
 	// The last numbers of all.
-	e = &desk{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: numbers - 1, Fence: numbers - 1}}}
+	e = &engine{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: numbers - 1, Fence: numbers - 1}}}
 	e, _, _ = e.restart(at(0), nil, false)
 	if got, _ := e.Take(at(0), Spec{ID: "a", Class: "read"}); got.Kind != Full {
 		t.Errorf("%+v", got)
 	}
-	e = &desk{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: 1, Fence: numbers - 1}}}
+	e = &engine{T: t, Table: d.Table, log: []Record{{Kind: Mark, Seq: 1, Fence: numbers - 1}}}
 	e, _, _ = e.restart(at(0), nil, false)
 	if _, _, err := e.Lease(at(0), e.take(at(0), "a", "read"), "x", 0); !errors.Is(err, ErrNumbers) {
 		t.Error(err)
@@ -767,7 +767,7 @@
 		{"issue", "take lease end answer", 3, "ended"},
 	} {
 		for _, whose := range []bool{false, true} {
-			d := newDesk(t, options())
+			d := newEngine(t, options())
 			d.lease(at(0), d.take(at(0), "another", "read"), "x") // and the Mark
 			from := len(d.log)
 			var seq Seq
@@ -832,7 +832,7 @@
 
 // A class that is no longer in the settings: what was taken fails rather than go by other rules.
 func TestClassGone(t *testing.T) {
-	d := newDesk(t, options())
+	d := newEngine(t, options())
 	seq := d.take(at(0), "a", "read")
 	d.lease(at(0), seq, "x")
 	d.opt.Classes = d.opt.Classes[1:]
--- a/core/recovery/order.go
+++ b/core/recovery/order.go
@@ -30,12 +30,12 @@
 	away    Away
 	doubt   bool
 	more    time.Duration // until when the step Admit goes on, past its bound: a crowd is about to go
-	desk    *pacer
+	engine  *pacer
 }
 
 // New begins the order of return. The seed is for the spread of times to stay away.
 func New(lim Limits, seed uint64, now time.Duration) *Machine {
-	m := &Machine{lim: lim, began: now, since: now, passed: make(map[What]By), calls: -1, desk: newPacer(lim, seed, now)}
+	m := &Machine{lim: lim, began: now, since: now, passed: make(map[What]By), calls: -1, engine: newPacer(lim, seed, now)}
 	if !lim.Ledger {
 		m.ledger = Missing
 	}
@@ -76,7 +76,7 @@
 	if heard {
 		m.heard, m.index = true, index
 	}
-	m.desk.bring(now, serving, part)
+	m.engine.bring(now, serving, part)
 	m.advance(now)
 }
 
@@ -120,7 +120,7 @@
 	m.advance(now)
 	s := Status{Step: m.step, Since: m.since, Wait: m.wait, Doubt: m.doubt, Without: slices.Clone(m.without), Wake: m.wait.Until}
 	s.Allowed = Allowed{
-		Health:    m.step >= Admit && (m.step == Service || m.desk.slots() > 0),
+		Health:    m.step >= Admit && (m.step == Service || m.engine.slots() > 0),
 		CallBacks: m.step >= Carry, Old: m.step >= Ready, New: m.step >= Admit, Never: now >= m.held(),
 		Durable: m.step >= Carry && m.lim.Ledger && m.own(), Paced: m.step < Service,
 	}
@@ -128,9 +128,9 @@
 		s.Wake = at
 	}
 	if m.step >= Ready && m.step < Service {
-		at := max(m.desk.warm(), m.desk.turn)
-		if m.desk.waiting() > 0 {
-			at = now + m.desk.every()
+		at := max(m.engine.warm(), m.engine.turn)
+		if m.engine.waiting() > 0 {
+			at = now + m.engine.every()
 		}
 		if at > now && (s.Wake == 0 || at < s.Wake) {
 			s.Wake = at
@@ -178,7 +178,7 @@
 		switch {
 		case m.wait.For == Nothing:
 			m.next(now)
-		case m.wait.Until > 0 && now >= m.wait.Until && m.wait.For == ForPace && m.desk.shrinks(now):
+		case m.wait.Until > 0 && now >= m.wait.Until && m.wait.For == ForPace && m.engine.shrinks(now):
 			m.more = now + m.lim.back()
 		case m.wait.Until > 0 && now >= m.wait.Until:
 			m.pass(ByBound)
@@ -243,9 +243,9 @@
 	case Carry:
 		_ = wants(m.lim.Ledger && m.own() && m.calls != 0, ForListeners)
 	case Ready:
-		_ = wants(m.desk.slots() == 0, ForProvider)
+		_ = wants(m.engine.slots() == 0, ForProvider)
 	case Admit:
-		_ = wants(!m.desk.calm(now), ForPace)
+		_ = wants(!m.engine.calm(now), ForPace)
 	}
 	return m.wait
 }
--- a/core/recovery/order_test.go
+++ b/core/recovery/order_test.go
@@ -399,7 +399,7 @@
 	}
 	m.Offer(410*time.Millisecond, Job{ID: 7, Work: 0.05, Due: 2 * time.Second, Old: true})
 	m.Listening(420*time.Millisecond, 0)
-	enter, _ := m.Next(420 * time.Millisecond) // decide.Resume for each
+	enter, _ := m.Next(420 * time.Millisecond) // dispatch.Resume for each
 	for _, c := range m.Changes() {
 		fmt.Println(c)
 	}
--- a/core/recovery/pace.go
+++ b/core/recovery/pace.go
@@ -21,7 +21,7 @@
 	Cold float64 // of what cold ones bear (fleet.Conclusion): it shares that with all that may run
 }
 
-// Job is one that may enter the desk.
+// Job is one that may enter the engine.
 type Job struct {
 	ID    uint64
 	Class int
@@ -49,7 +49,7 @@
 	RetryAfter time.Duration // 0: not told
 }
 
-// Offer takes a job that wants to enter the desk: those of before once their owners are known, new ones as they come. The
+// Offer takes a job that wants to enter the engine: those of before once their owners are known, new ones as they come. The
 // time is that of TurnAway.
 func (m *Machine) Offer(now time.Duration, j Job) (Answer, time.Duration) {
 	m.advance(now)
@@ -60,19 +60,19 @@
 		if m.never(j) && now < m.held() {
 			return MayRun, 0
 		}
-		m.desk.enter(now, j)
+		m.engine.enter(now, j)
 		return Enters, 0
 	case j.Old:
-		m.desk.offer(j)
+		m.engine.offer(j)
 		return Waits, 0
 	case m.never(j) && now < m.held():
 		return MayRun, 0
 	case m.step < Admit:
-		return TurnAway, m.desk.away(now, m.opens(now), j.Work)
-	case m.desk.slots() == 0 || m.desk.waiting() >= m.desk.most(now, j):
-		return TurnAway, m.desk.away(now, now, j.Work)
+		return TurnAway, m.engine.away(now, m.opens(now), j.Work)
+	case m.engine.slots() == 0 || m.engine.waiting() >= m.engine.most(now, j):
+		return TurnAway, m.engine.away(now, now, j.Work)
 	}
-	m.desk.offer(j)
+	m.engine.offer(j)
 	return Waits, 0
 }
 
@@ -95,26 +95,26 @@
 	return at
 }
 
-// Next tells which jobs enter the desk now, in this order, and which cannot be in time any more. Once nothing here has a
+// Next tells which jobs enter the engine now, in this order, and which cannot be in time any more. Once nothing here has a
 // say, all that wait enter.
 func (m *Machine) Next(now time.Duration) (enter []uint64, tell []Told) {
 	m.advance(now)
 	if m.step < Carry {
 		return nil, nil
 	}
-	return m.desk.next(now, m.step)
+	return m.engine.next(now, m.step)
 }
 
-// Ended tells that a job which had entered has left the desk, and whether it was served.
-func (m *Machine) Ended(now time.Duration, id uint64, served bool) { m.desk.ended(now, id, served) }
+// Ended tells that a job which had entered has left the engine, and whether it was served.
+func (m *Machine) Ended(now time.Duration, id uint64, served bool) { m.engine.ended(now, id, served) }
 
 // Waiting is how many jobs wait to enter, and how many of them are of before.
-func (m *Machine) Waiting() (all, old int) { return m.desk.waiting(), m.desk.old }
+func (m *Machine) Waiting() (all, old int) { return m.engine.waiting(), m.engine.old }
 
 // buckets divide the longest deadline: times to enter are planned no finer than that.
 const buckets = 64
 
-// pacer lets jobs enter the desk. Two rules keep what is late from making the rest late: no more are in the desk than
+// pacer lets jobs enter the engine. Two rules keep what is late from making the rest late: no more are in the engine than
 // providers have slots for, once over, so that a slot which falls free has its next job here, and each that leaves lets
 // one in; and a job that cannot be in time behind those that come before it is told so at once. What is offered beyond
 // that changes nothing for those that are in.
@@ -131,10 +131,10 @@
 	backlog float64 // work of queue
 
 	in              map[uint64]Job
-	inWork, inSlots float64 // of those in the desk, but for calls of before
+	inWork, inSlots float64 // of those in the engine, but for calls of before
 	inJobs          int
 
-	// How much longer jobs take than they were said to: what providers could have done while the desk was full, over what
+	// How much longer jobs take than they were said to: what providers could have done while the engine was full, over what
 	// was done, fading.
 	could, did float64
 	at         time.Duration
@@ -219,7 +219,7 @@
 	return int(min(math.MaxInt32, 2*p.slots()*max(0, (j.Due-now).Seconds())/w)) + 1
 }
 
-// drag is how much longer jobs take than they were said to. Where little was seen they take as long: as much as the desk
+// drag is how much longer jobs take than they were said to. Where little was seen they take as long: as much as the engine
 // holds counts for that.
 func (p *pacer) drag() float64 {
 	few := p.inWork + p.slots()*p.every().Seconds()
--- a/core/recovery/pace_test.go
+++ b/core/recovery/pace_test.go
@@ -33,7 +33,7 @@
 	m          *Machine // nil: whatever comes enters
 	jobs       map[uint64]Job
 	lives      map[uint64]int
-	desk       []uint64 // first come first served, as far as there are slots
+	engine     []uint64 // first come first served, as far as there are slots
 	left       map[uint64]float64
 	again      map[time.Duration][]Job // their ID is how often the client comes with all of its time yet
 	next       uint64
@@ -78,9 +78,9 @@
 	j.ID = w.next
 	w.jobs[j.ID], w.lives[j.ID] = j, lives
 	if w.m == nil {
-		w.desk = append(w.desk, j.ID)
+		w.engine = append(w.engine, j.ID)
 	} else if a, wait := w.m.Offer(now, j); a == Enters {
-		w.desk = append(w.desk, j.ID)
+		w.engine = append(w.engine, j.ID)
 	} else if a == TurnAway {
 		w.tell(now, Told{j.ID, wait})
 	}
@@ -102,13 +102,13 @@
 func (w *town) step(now time.Duration, share, slow float64) {
 	if w.m != nil {
 		enter, tell := w.m.Next(now)
-		w.desk = append(w.desk, enter...)
+		w.engine = append(w.engine, enter...)
 		for _, t := range tell {
 			w.tell(now, t)
 		}
 	}
-	kept := w.desk[:0]
-	for _, id := range w.desk {
+	kept := w.engine[:0]
+	for _, id := range w.engine {
 		if w.left[id] == 0 && now >= w.jobs[id].Due { // its client gives up
 			w.tell(now, Told{ID: id})
 			if w.m != nil {
@@ -135,7 +135,7 @@
 		}
 		kept = append(kept, id)
 	}
-	w.desk = kept
+	w.engine = kept
 }
 
 func sum(s []float64) (n float64) {
--- a/core/recovery/recovery.go
+++ b/core/recovery/recovery.go
@@ -1,5 +1,5 @@
 // Package recovery says in which order service returns after a power loss: what a scheduler waits for before each step,
-// for how long at most, what may be done meanwhile, and at which pace work of before and new work may enter the desk. It
+// for how long at most, what may be done meanwhile, and at which pace work of before and new work may enter the engine. It
 // owns the order, the bounds and the pace; it does no I/O, time is an argument, and chance comes from a seed. Which provider
 // gets a job, whether it goes again, and whether a client is told that a repeat is harmless stays with the module. What is
 // lost where a line is wrong is in docs/design/recovery.md.
@@ -8,7 +8,7 @@
 //
 // [New] begins at the step [Read]. The host tells what it finds, in any order ([Machine.Snapshot], [Machine.Ledger],
 // [Machine.Fleet], [Machine.List], [Machine.Settled], [Machine.Listening]), and asks [Machine.Look] after each and at the
-// time that it names. What is allowed follows from the step alone. Jobs come by [Machine.Offer], enter the desk as
+// time that it names. What is allowed follows from the step alone. Jobs come by [Machine.Offer], enter the engine as
 // [Machine.Next] says, and are told of by [Machine.Ended]. A step never goes back.
 package recovery
 
@@ -129,7 +129,7 @@
 type Allowed struct {
 	Health    bool // GET /_health says 200: jobs can be taken
 	CallBacks bool // a call-back may be acknowledged: its job would be known
-	Old       bool // jobs of before may enter the desk, as Next says
+	Old       bool // jobs of before may enter the engine, as Next says
 	New       bool // new ones too
 	Never     bool // new ones that must never run twice may be taken
 	Durable   bool // jobs may be taken for good: the ledger is this scheduler's, and is read
--- a/decide/decide.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,6 @@
 // Package decide lets network code use the decision module in blocking style: take a job, pick what
 // to do with it, report how it went. All of the module's events, actions and timers stay in here.
-package decide
+package dispatch
 
 import (
 	"context"
@@ -98,14 +98,14 @@
 // be reported before the first one has been told, as it may not have two calls out.
 var ErrElsewhere = errors.New("the job goes to another provider")
 
-// Desk owns the module. All its methods may be called from any goroutine.
-type Desk struct {
+// Engine owns the module. All its methods may be called from any goroutine.
+type Engine struct {
 	set policy.Settings
 	log *slog.Logger
 
 	mu      sync.Mutex
 	disp    *policy.Dispatcher
-	origin  time.Time     // when the desk was made, on the monotonic clock
+	origin  time.Time     // when the engine was made, on the monotonic clock
 	unix    time.Duration // the same on the module's clock, Unix time
 	last    time.Duration
 	acts    []policy.Action
@@ -134,7 +134,7 @@
 }
 
 // Counts returns the counts and begins anew.
-func (d *Desk) Counts() Counts {
+func (d *Engine) Counts() Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.counts
@@ -143,17 +143,17 @@
 	return c
 }
 
-// New returns a Desk on a new Dispatcher. Its clock begins at what the system's says now.
-func New(set policy.Settings, log *slog.Logger) (*Desk, error) { return NewAt(set, log, time.Now()) }
+// New returns an Engine on a new Dispatcher. Its clock begins at what the system's says now.
+func New(set policy.Settings, log *slog.Logger) (*Engine, error) { return NewAt(set, log, time.Now()) }
 
 // NewAt is New with a clock that begins at another date, as after a step of the system's.
-func NewAt(set policy.Settings, log *slog.Logger, date time.Time) (*Desk, error) {
+func NewAt(set policy.Settings, log *slog.Logger, date time.Time) (*Engine, error) {
 	restrict(&set)
 	disp, err := policy.New(set)
 	if err != nil {
 		return nil, err
 	}
-	return &Desk{
+	return &Engine{
 		set: set, log: log, disp: disp, origin: time.Now(), unix: time.Duration(date.UnixNano()),
 		tickets: make(map[policy.RequestID]*Ticket),
 		ids:     make(map[string]policy.WorkerID),
@@ -167,7 +167,7 @@
 }
 
 // fit is restrict, and what is known beside the settings: the others.
-func (d *Desk) fit(set *policy.Settings) {
+func (d *Engine) fit(set *policy.Settings) {
 	restrict(set)
 	set.Peers = d.lesson != nil
 	if d.present > 0 {
@@ -177,7 +177,7 @@
 
 // Share lets the module go on as one of so many schedulers that share the work, with this part, above 0, of what all that
 // may be sending may send to a cold provider.
-func (d *Desk) Share(present int, part float64) {
+func (d *Engine) Share(present int, part float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	present, part = max(1, present), min(max(part, 1e-6), 1)
@@ -192,7 +192,7 @@
 
 // Lessons lets the module tell of providers that fail what they are sent, and hear the same by Failing. tell is called on
 // a goroutine of its own.
-func (d *Desk) Lessons(tell func(provider string)) error {
+func (d *Engine) Lessons(tell func(provider string)) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lesson = tell
@@ -200,7 +200,7 @@
 }
 
 // Failing takes word that a provider fails what another scheduler sends it.
-func (d *Desk) Failing(provider string) {
+func (d *Engine) Failing(provider string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	id, ok := d.ids[provider]
@@ -213,13 +213,13 @@
 }
 
 // Retune lets the module go on under other settings, which must come After those that it has.
-func (d *Desk) Retune(set policy.Settings) error {
+func (d *Engine) Retune(set policy.Settings) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.retune(set)
 }
 
-func (d *Desk) retune(set policy.Settings) error {
+func (d *Engine) retune(set policy.Settings) error {
 	d.fit(&set)
 	if err := d.disp.Retune(set); err != nil {
 		return err
@@ -230,44 +230,44 @@
 }
 
 // Close stops the module's timers from having any effect.
-func (d *Desk) Close() {
+func (d *Engine) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
 }
 
-// Now is the desk's clock: the time since 1970 by the system's clock when the desk was made, carried on by the monotonic clock. It
+// Now is the engine's clock: the time since 1970 by the system's clock when the engine was made, carried on by the monotonic clock. It
 // never runs backwards, whatever is done to the system's clock meanwhile. All dates that the module is given are by this clock.
-func (d *Desk) Now() time.Duration {
+func (d *Engine) Now() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.now()
 }
 
-// Apart returns by how much a date of the system's clock is ahead of the desk's clock: by what the former was stepped since the desk was
+// Apart returns by how much a date of the system's clock is ahead of the engine's clock: by what the former was stepped since the engine was
 // made.
-func (d *Desk) Apart(date time.Time) time.Duration { return time.Duration(date.UnixNano()) - d.Now() }
+func (d *Engine) Apart(date time.Time) time.Duration { return time.Duration(date.UnixNano()) - d.Now() }
 
-// Continue has the desk go on by the clock of another one, which says now at this moment. The module begins anew, as the times that it has
+// Continue has the engine go on by the clock of another one, which says now at this moment. The module begins anew, as the times that it has
 // are those of the clock before: the list of providers must be told again. It is an error, and changes nothing, if a job has been taken
 // already.
-func (d *Desk) Continue(now time.Duration) error {
+func (d *Engine) Continue(now time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.goOn(d.set, nil, now, policy.New)
 }
 
 // now is Now. Called under mu.
-func (d *Desk) now() time.Duration {
+func (d *Engine) now() time.Duration {
 	d.last = max(d.last, d.unix+time.Since(d.origin))
 	return d.last
 }
 
 // at turns a time of the module's clock into one for timers.
-func (d *Desk) at(t time.Duration) time.Time { return d.origin.Add(t - d.unix) }
+func (d *Engine) at(t time.Duration) time.Time { return d.origin.Add(t - d.unix) }
 
 // Directory takes news of the providers, of the directory's version index.
-func (d *Desk) Directory(kind policy.ListKind, index uint64, entries []policy.Entry, names []string) {
+func (d *Engine) Directory(kind policy.ListKind, index uint64, entries []policy.Entry, names []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i, name := range names {
@@ -281,17 +281,17 @@
 	d.step(Step{Input: List, Now: d.now(), List: kind, Index: index, Entries: entries, Names: names})
 }
 
-// Beliefs are the module's state, and the providers' names by its numbers for them, for a desk that goes on from here.
-func (d *Desk) Beliefs() (names []string, state []byte) {
+// Beliefs are the module's state, and the providers' names by its numbers for them, for an engine that goes on from here.
+func (d *Engine) Beliefs() (names []string, state []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return append([]string(nil), d.names...), d.disp.Beliefs(nil)
 }
 
-// Inherit lets the module go on from what another desk's believed. It is an error, and changes nothing, if the state is
-// not of set, the settings that the other desk had, or if a job has been taken already. The list of providers must be told
+// Inherit lets the module go on from what another engine's believed. It is an error, and changes nothing, if the state is
+// not of set, the settings that the other engine had, or if a job has been taken already. The list of providers must be told
 // again, and settings of one's own put in force by Retune.
-func (d *Desk) Inherit(set policy.Settings, names []string, state []byte) error {
+func (d *Engine) Inherit(set policy.Settings, names []string, state []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
@@ -301,7 +301,7 @@
 
 // Adopt lets the module begin with what another scheduler's, which goes on, has learnt of providers. It is an error, and
 // changes nothing, where that one's settings were others, or if a job has been taken already. The list must be told again.
-func (d *Desk) Adopt(set policy.Settings, names []string, state []byte) error {
+func (d *Engine) Adopt(set policy.Settings, names []string, state []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
@@ -311,7 +311,7 @@
 
 // Recall lets the module begin with what that of an earlier process had learnt, age ago; health tells that what it knew of
 // providers' still counts. As with Adopt.
-func (d *Desk) Recall(set policy.Settings, names []string, state []byte, age time.Duration, health bool) error {
+func (d *Engine) Recall(set policy.Settings, names []string, state []byte, age time.Duration, health bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.goOn(set, names, d.now(), func(set policy.Settings) (*policy.Dispatcher, error) {
@@ -319,8 +319,8 @@
 	})
 }
 
-// goOn replaces the module, unless a job has been taken already, and sets the desk's clock. Called under mu.
-func (d *Desk) goOn(set policy.Settings, names []string, now time.Duration, from func(policy.Settings) (*policy.Dispatcher, error)) error {
+// goOn replaces the module, unless a job has been taken already, and sets the engine's clock. Called under mu.
+func (d *Engine) goOn(set policy.Settings, names []string, now time.Duration, from func(policy.Settings) (*policy.Dispatcher, error)) error {
 	d.fit(&set)
 	if d.next > 0 {
 		return errors.New("decide: there are jobs already")
@@ -343,7 +343,7 @@
 }
 
 // Stop tells that the program ends at by. Every job has its final verdict by then.
-func (d *Desk) Stop(by time.Time) {
+func (d *Engine) Stop(by time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.step(Step{Input: Stop, Now: d.now(), By: d.unix + by.Sub(d.origin)})
@@ -351,7 +351,7 @@
 
 // known finds a provider's number. One that the directory no longer names is made known to the module as one that has
 // left: what was sent there may yet end.
-func (d *Desk) known(name string, now time.Duration) policy.WorkerID {
+func (d *Engine) known(name string, now time.Duration) policy.WorkerID {
 	id, ok := d.ids[name]
 	if !ok {
 		id = d.number(name)
@@ -362,7 +362,7 @@
 }
 
 // number gives a provider its number.
-func (d *Desk) number(name string) policy.WorkerID {
+func (d *Engine) number(name string) policy.WorkerID {
 	id := policy.WorkerID(len(d.names))
 	d.ids[name] = id
 	d.names = append(d.names, name)
@@ -370,7 +370,7 @@
 }
 
 // send hands a call to whoever waits in Pick.
-func (d *Desk) send(t *Ticket, a *policy.Action) {
+func (d *Engine) send(t *Ticket, a *policy.Action) {
 	t.attempts++
 	t.begun, t.provider, t.sent = false, a.Worker, d.now()
 	until := t.deadline
@@ -385,7 +385,7 @@
 
 // late runs the module's timer for a job that is at its deadline. One that is held back has its timer a moment before, and
 // on a busy machine that may not have had its turn: what would have been a rejection must not become a failure.
-func (d *Desk) late(t *Ticket) {
+func (d *Engine) late(t *Ticket) {
 	if d.tickets[t.id] == t && !t.out {
 		now := max(d.now(), d.unix+t.deadline.Sub(d.origin))
 		d.step(Step{Input: Timer, Now: now, Token: uint64(t.id), Number: t.id, own: &t.job})
@@ -393,7 +393,7 @@
 }
 
 // tick runs a timer of the module's that came due.
-func (d *Desk) tick(token uint64) {
+func (d *Engine) tick(token uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
@@ -412,11 +412,11 @@
 
 // step lets the module take one event and does what it wants done. A panic in there must not end the
 // program, and with it every job that is open: those that it leaves undecided fail at their deadline.
-func (d *Desk) step(s Step) {
+func (d *Engine) step(s Step) {
 	told := false
 	tell := func(acts []policy.Action) {
 		if told = true; d.observer != nil {
-			s.desk, s.Actions = d, acts
+			s.engine, s.Actions = d, acts
 			d.scratch = s
 			d.notify(Event{Kind: Stepped, Now: s.Now, Step: &d.scratch})
 		}
@@ -436,7 +436,7 @@
 }
 
 // carry does what the module wants done.
-func (d *Desk) carry(acts []policy.Action) {
+func (d *Engine) carry(acts []policy.Action) {
 	for i := range acts {
 		a := &acts[i]
 		switch a.Kind {
--- a/decide/decide_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-func desk(t *testing.T, effect policy.Effect, providers ...string) *Desk {
+func engine(t *testing.T, effect policy.Effect, providers ...string) *Engine {
 	t.Helper()
 	d, err := New(policy.Settings{
 		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true,
@@ -42,14 +42,14 @@
 	return v
 }
 
-func (d *Desk) held() int {
+func (d *Engine) held() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.tickets)
 }
 
 func TestServed(t *testing.T) {
-	d := desk(t, policy.Unsafe, "a", "b")
+	d := engine(t, policy.Unsafe, "a", "b")
 	ticket := d.Take(work)
 	v := wants(t, ticket.Pick(), Call)
 	if v.Provider != "a" && v.Provider != "b" || time.Until(v.Until) > work.Left {
@@ -72,7 +72,7 @@
 func TestEndsAndRepeats(t *testing.T) {
 	for end, again := range map[End]bool{NotConnected: true, TurnedAway: true, NotSent: true,
 		Failed: false, Broken: false, Silent: false, TimedOut: false, Withdrawn: false} {
-		ticket := desk(t, policy.Unsafe, "a", "b", "c").Take(work)
+		ticket := engine(t, policy.Unsafe, "a", "b", "c").Take(work)
 		wants(t, ticket.Pick(), Call)
 		ticket.Report(end)
 		if again {
@@ -85,7 +85,7 @@
 
 // A consumer that leaves ends the job; a call that is out is withdrawn, and still reported once.
 func TestLeave(t *testing.T) {
-	d := desk(t, policy.Safe, "a")
+	d := engine(t, policy.Safe, "a")
 	ticket := d.Take(work)
 	v := wants(t, ticket.Pick(), Call)
 	ticket.Leave()
@@ -110,16 +110,16 @@
 
 // A provider that the directory has as gone or draining gets nothing from that moment on.
 func TestDirectoryActsAtOnce(t *testing.T) {
-	for _, news := range []func(d *Desk){
-		func(d *Desk) {
+	for _, news := range []func(d *Engine){
+		func(d *Engine) {
 			d.Directory(policy.ListDelta, 0, []policy.Entry{{State: policy.Draining}}, []string{"a"})
 		},
-		func(d *Desk) {
+		func(d *Engine) {
 			d.Directory(policy.ListDelta, 0, []policy.Entry{{State: policy.Gone}}, []string{"a"})
 		},
-		func(d *Desk) { d.Directory(policy.ListFull, 0, make([]policy.Entry, 1), []string{"b"}) },
+		func(d *Engine) { d.Directory(policy.ListFull, 0, make([]policy.Entry, 1), []string{"b"}) },
 	} {
-		d := desk(t, policy.Safe, "a", "b")
+		d := engine(t, policy.Safe, "a", "b")
 		news(d)
 		for range 20 {
 			ticket := d.Take(work)
@@ -134,13 +134,13 @@
 // With nobody to send to a job is rejected in time, by the module's own timer. That comes well before the deadline
 // here, as on a busy machine the two might change places.
 func TestRejectionWithoutProviders(t *testing.T) {
-	ticket := desk(t, policy.Unsafe).Take(Job{Left: 4 * time.Second, Hint: time.Millisecond, Slots: 1})
+	ticket := engine(t, policy.Unsafe).Take(Job{Left: 4 * time.Second, Hint: time.Millisecond, Slots: 1})
 	wants(t, ticket.Pick(), Rejection)
 }
 
 // A job that is held back is rejected at its deadline at the latest, even if the module's timer has not had its turn.
 func TestTimerTooLate(t *testing.T) {
-	d := desk(t, policy.Unsafe)
+	d := engine(t, policy.Unsafe)
 	ticket := d.Take(Job{Left: 200 * time.Millisecond, Hint: time.Millisecond, Slots: 1})
 	d.Close() // as if none of the timers came through
 	wants(t, ticket.Pick(), Rejection)
@@ -148,14 +148,14 @@
 
 // A job that the module loses is answered at its deadline all the same.
 func TestUndecided(t *testing.T) {
-	d := desk(t, policy.Safe, "a")
-	ticket := &Ticket{desk: d, id: 99, deadline: time.Now(), verdicts: make(chan Verdict, 2), over: make(chan struct{})}
+	d := engine(t, policy.Safe, "a")
+	ticket := &Ticket{engine: d, id: 99, deadline: time.Now(), verdicts: make(chan Verdict, 2), over: make(chan struct{})}
 	wants(t, ticket.Pick(), Failure)
 }
 
 // A panic in the module costs the job that it met, which fails in time, and nothing else.
 func TestPanicInTheModule(t *testing.T) {
-	d := desk(t, policy.Safe, "a")
+	d := engine(t, policy.Safe, "a")
 	d.mu.Lock()
 	sound := d.disp
 	d.disp = nil
@@ -171,7 +171,7 @@
 
 // The module compares its clock with start times in Unix time, and it must not run backwards.
 func TestClock(t *testing.T) {
-	d := desk(t, policy.Safe)
+	d := engine(t, policy.Safe)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if off := d.now() - time.Duration(time.Now().UnixNano()); off.Abs() > time.Second {
@@ -186,7 +186,7 @@
 // A request that no provider can use goes to one of them only, and shuts none of them out: consumers that
 // send such requests would otherwise take the healthy providers from all others.
 func TestUnusable(t *testing.T) {
-	d := desk(t, policy.Safe, "a", "b", "c")
+	d := engine(t, policy.Safe, "a", "b", "c")
 	for range 20 {
 		ticket := d.Take(work)
 		wants(t, ticket.Pick(), Call)
@@ -224,7 +224,7 @@
 		99:      {Stepped, Taken, Stepped, Sent, Started, Stepped, Ended, Decided, Stepped},
 		Started: {Stepped, Taken, Stepped, Sent},
 	} {
-		d := desk(t, policy.Safe, "a")
+		d := engine(t, policy.Safe, "a")
 		o := &seen{at: at}
 		d.Observe(o)
 		ticket := d.Take(work)
@@ -260,7 +260,7 @@
 		"a safe one with all calls made":    {policy.Safe, slices.Repeat([]Past{{Provider: "a", MayRun: true}}, 4), 0, Rejection},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := desk(t, c.effect, "a", "b")
+			d := engine(t, c.effect, "a", "b")
 			ticket := d.Resume(work, c.past)
 			v := ticket.Pick()
 			if n := len(c.past); n > 0 && c.past[n-1].Out {
@@ -291,7 +291,7 @@
 	for effect, want := range map[policy.Effect][]bool{
 		policy.Safe: {true, true, true, false}, policy.Keyed: {true, true, true, false}, policy.Unsafe: {false},
 	} {
-		ticket := desk(t, effect, "a", "b", "c", "d", "e").Take(work)
+		ticket := engine(t, effect, "a", "b", "c", "d", "e").Take(work)
 		for number, repeatable := range want {
 			v := wants(t, ticket.Pick(), Call)
 			if v.Repeatable != repeatable {
--- a/decide/observe.go
+++ b/dispatch/observe.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"runtime/debug"
@@ -7,8 +7,8 @@
 	"laddertide/policy"
 )
 
-// Observer is told what passes through a desk, in its order. It is called under the desk's mutex: it must not
-// block nor call the desk, and the event is valid during the call only.
+// Observer is told what passes through an engine, in its order. It is called under the engine's mutex: it must not
+// block nor call the engine, and the event is valid during the call only.
 type Observer interface{ Observe(*Event) }
 
 // Observers are told one after the other.
@@ -38,7 +38,7 @@
 	Decided
 )
 
-// Event is something that passed through the desk.
+// Event is something that passed through the engine.
 type Event struct {
 	Kind     EventKind
 	Now      time.Duration // on the module's clock
@@ -89,11 +89,11 @@
 	Actions []policy.Action
 	Failed  bool // the module panicked
 
-	desk *Desk
-	own  *Job // of Number; it may be forgotten by now
+	engine *Engine
+	own    *Job // of Number; it may be forgotten by now
 }
 
-// Play makes the call on disp and returns the actions. It is what the desk does, and what a replay does again.
+// Play makes the call on disp and returns the actions. It is what the engine does, and what a replay does again.
 func (s *Step) Play(disp *policy.Dispatcher, acts []policy.Action) []policy.Action {
 	switch s.Input {
 	case List:
@@ -116,21 +116,21 @@
 	return acts
 }
 
-// Settings are those that the module has, after what the desk overrides.
-func (s *Step) Settings() policy.Settings { return s.desk.set }
+// Settings are those that the module has, after what the engine overrides.
+func (s *Step) Settings() policy.Settings { return s.engine.set }
 
 // Checkpoint appends the module's state after the step.
-func (s *Step) Checkpoint(b []byte) []byte { return s.desk.disp.Checkpoint(b) }
+func (s *Step) Checkpoint(b []byte) []byte { return s.engine.disp.Checkpoint(b) }
 
 // Providers are the names that the module's workers go by, in the order of their ids.
-func (s *Step) Providers() []string { return s.desk.names }
+func (s *Step) Providers() []string { return s.engine.names }
 
 // Job is the step's own job, or an open one, by its number; nil: neither.
 func (s *Step) Job(number policy.RequestID) *Job {
 	if s.own != nil && number == s.Number {
 		return s.own
 	}
-	if t := s.desk.tickets[number]; t != nil {
+	if t := s.engine.tickets[number]; t != nil {
 		return &t.job
 	}
 	return nil
@@ -138,16 +138,16 @@
 
 // Observe makes o the observer of all that follows. It is called once, before anything else, and tells o of a step
 // without an input.
-func (d *Desk) Observe(o Observer) {
+func (d *Engine) Observe(o Observer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observer = o
-	d.scratch = Step{Now: d.now(), desk: d}
+	d.scratch = Step{Now: d.now(), engine: d}
 	d.notify(Event{Kind: Stepped, Now: d.scratch.Now, Step: &d.scratch})
 }
 
 // notify tells the observer of e. One that panics is told nothing more: no job depends on it.
-func (d *Desk) notify(e Event) {
+func (d *Engine) notify(e Event) {
 	defer func() {
 		if r := recover(); r != nil {
 			d.observer = nil
@@ -159,7 +159,7 @@
 }
 
 // tell tells the observer of something that happened to a job.
-func (d *Desk) tell(t *Ticket, e Event) {
+func (d *Engine) tell(t *Ticket, e Event) {
 	if d.observer == nil {
 		return
 	}
--- a/decide/one_call_test.go
+++ b/dispatch/one_call_test.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"testing"
@@ -57,7 +57,7 @@
 		rapid.Check(inBubble{t}, func(r *rapid.T) {
 			effect := rapid.SampledFrom([]policy.Effect{policy.Safe, policy.Keyed}).Draw(r, "effect")
 			providers := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(r, "providers")]
-			d := desk(t, effect, providers...)
+			d := engine(t, effect, providers...)
 			defer d.Close()
 			var jobs []*carried
 			for range rapid.IntRange(5, 60).Draw(r, "events") {
@@ -78,7 +78,7 @@
 }
 
 // playCarried lets one drawn thing happen.
-func playCarried(r *rapid.T, d *Desk, jobs *[]*carried, providers []string) {
+func playCarried(r *rapid.T, d *Engine, jobs *[]*carried, providers []string) {
 	event := rapid.IntRange(0, 9).Draw(r, "event")
 	switch {
 	case event < 2 || len(*jobs) == 0:
--- a/decide/share_test.go
+++ b/dispatch/share_test.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 
 // What is known of the others outlasts a change of settings, and a provider that fails is told of by name.
 func TestShareAndLessons(t *testing.T) {
-	d := desk(t, policy.Safe, "a", "b", "c", "d", "e")
+	d := engine(t, policy.Safe, "a", "b", "c", "d", "e")
 	told := make(chan string, 100)
 	if err := d.Lessons(func(provider string) { told <- provider }); err != nil {
 		t.Fatal(err)
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	check("after new settings")
-	other := desk(t, policy.Safe, "x", "e", "a") // other numbers for the same names
+	other := engine(t, policy.Safe, "x", "e", "a") // other numbers for the same names
 	if err := other.Lessons(func(string) {}); err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +59,7 @@
 	}
 	other.Failing("e")
 	other.Failing("nobody")
-	b := func(d *Desk) string { d.mu.Lock(); defer d.mu.Unlock(); return string(d.disp.Checkpoint(nil)) }
+	b := func(d *Engine) string { d.mu.Lock(); defer d.mu.Unlock(); return string(d.disp.Checkpoint(nil)) }
 	before := b(other)
 	other.Failing("e")
 	if b(other) == before {
@@ -67,9 +67,9 @@
 	}
 }
 
-// A desk takes a peer's beliefs before its first job only, and only under like settings.
+// An engine takes a peer's beliefs before its first job only, and only under like settings.
 func TestAdopt(t *testing.T) {
-	donor, d := desk(t, policy.Safe, "a", "b"), desk(t, policy.Safe, "b")
+	donor, d := engine(t, policy.Safe, "a", "b"), engine(t, policy.Safe, "b")
 	names, state := donor.Beliefs()
 	if err := d.Adopt(d.set, names, state); err != nil {
 		t.Fatal(err)
@@ -83,7 +83,7 @@
 	if err := d.Adopt(d.set, names, state); err == nil {
 		t.Error("beliefs are taken over while there are jobs")
 	}
-	other := desk(t, policy.Safe, "a")
+	other := engine(t, policy.Safe, "a")
 	set := other.set
 	set.Classes = append(set.Classes, set.Classes[0])
 	if err := other.Adopt(set, names, state); err == nil {
--- a/decide/ticket.go
+++ b/dispatch/ticket.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"context"
@@ -9,14 +9,14 @@
 
 // Ticket is a job that was taken, until its final verdict.
 type Ticket struct {
-	desk     *Desk
+	engine   *Engine
 	id       policy.RequestID
 	job      Job
 	deadline time.Time
 	verdicts chan Verdict
 	over     chan struct{} // closed with the final verdict
 
-	// Guarded by the desk's mutex.
+	// Guarded by the engine's mutex.
 	attempts int
 	out      bool // an invoker call is to be reported
 	begun    bool // its provider has begun with the job
@@ -30,7 +30,7 @@
 // Take hands a job to the module. The caller must call Pick until a verdict is final, and Report how the call of each Call or
 // Await verdict ended. It must not wait for that before the next Pick: a job's final verdict may come while a call is still out, and
 // whatever holds up the call must not hold up the answer.
-func (d *Desk) Take(job Job) *Ticket {
+func (d *Engine) Take(job Job) *Ticket {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.ticket(job)
@@ -41,10 +41,10 @@
 }
 
 // ticket opens a ticket for a job.
-func (d *Desk) ticket(job Job) *Ticket {
+func (d *Engine) ticket(job Job) *Ticket {
 	d.next++
 	d.counts.Jobs++
-	t := &Ticket{desk: d, id: d.next, job: job, verdicts: make(chan Verdict, 2), over: make(chan struct{})}
+	t := &Ticket{engine: d, id: d.next, job: job, verdicts: make(chan Verdict, 2), over: make(chan struct{})}
 	d.tickets[t.id] = t
 	d.tell(t, Event{Kind: Taken})
 	return t
@@ -68,7 +68,7 @@
 
 // Resume hands a job to the module that an earlier process had taken. If a call of it is out, the first verdict is Await;
 // else it goes on as after Take.
-func (d *Desk) Resume(job Job, past []Past) *Ticket {
+func (d *Engine) Resume(job Job, past []Past) *Ticket {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.ticket(job)
@@ -123,7 +123,7 @@
 // call that is out ends with the job's time. Should the module ever lose a job, or something hold up a call, the client still gets
 // its one answer in time.
 func (t *Ticket) overdue() Verdict {
-	d := t.desk
+	d := t.engine
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if v, ok := t.waiting(); ok {
@@ -172,7 +172,7 @@
 
 // Hear takes news of the job. It must come from the provider that has the job now.
 func (t *Ticket) Hear(n News) {
-	d := t.desk
+	d := t.engine
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !t.out {
@@ -197,13 +197,13 @@
 // Report tells how the invoker call of the last verdict ended. Each call has one end: later ones are
 // passed over.
 func (t *Ticket) Report(end End) {
-	t.desk.mu.Lock()
-	defer t.desk.mu.Unlock()
-	t.desk.report(t, end)
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
+	t.engine.report(t, end)
 }
 
 // report takes the end of a call. Called under mu.
-func (d *Desk) report(t *Ticket, end End) {
+func (d *Engine) report(t *Ticket, end End) {
 	if !t.out {
 		return
 	}
@@ -228,29 +228,29 @@
 
 // Leave tells that the consumer has gone away. A call that is out is withdrawn and must be reported.
 func (t *Ticket) Leave() {
-	t.desk.mu.Lock()
-	defer t.desk.mu.Unlock()
-	t.desk.end(t, Left)
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
+	t.engine.end(t, Left)
 }
 
 // Fail gives the job up: it has failed, and may have run. A call that is out is withdrawn and must be reported.
 func (t *Ticket) Fail() {
-	t.desk.mu.Lock()
-	defer t.desk.mu.Unlock()
-	t.desk.end(t, Failure)
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
+	t.engine.end(t, Failure)
 }
 
 // Release is Leave for a job that nothing is out for. One that has a call is released by whoever makes that.
 func (t *Ticket) Release() {
-	t.desk.mu.Lock()
-	defer t.desk.mu.Unlock()
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
 	if !t.out {
-		t.desk.end(t, Left)
+		t.engine.end(t, Left)
 	}
 }
 
 // end gives a job a final verdict that is not the module's, and tells the module that the job is over. Called under mu.
-func (d *Desk) end(t *Ticket, verdict VerdictKind) {
+func (d *Engine) end(t *Ticket, verdict VerdictKind) {
 	if t.final {
 		return
 	}
@@ -259,7 +259,7 @@
 }
 
 // settle gives t its final verdict. A call that is out is still to be reported.
-func (d *Desk) settle(t *Ticket, v Verdict) {
+func (d *Engine) settle(t *Ticket, v Verdict) {
 	t.final = true
 	d.counts.Verdicts[v.Kind]++
 	d.tell(t, Event{Kind: Decided, Verdict: v.Kind})
@@ -269,7 +269,7 @@
 }
 
 // drop forgets a ticket that nothing is owed to or by.
-func (d *Desk) drop(t *Ticket) {
+func (d *Engine) drop(t *Ticket) {
 	if t.final && !t.out {
 		delete(d.tickets, t.id)
 	}
@@ -277,7 +277,7 @@
 
 // repeatable tells whether another attempt may follow the one that is out.
 func (t *Ticket) repeatable() bool {
-	set := &t.desk.set
+	set := &t.engine.set
 	return t.attempts < set.MaxAttempts && set.Classes[t.job.Class].Effect != policy.Unsafe
 }
 
--- a/figures/figures.go
+++ b/figures/figures.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"laddertide/core/recovery"
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/policy"
 )
 
@@ -21,8 +21,8 @@
 
 const (
 	verdicts             figure = 0
-	ends                        = verdicts + figure(decide.Mistake)
-	started                     = ends + figure(decide.Withdrawn) + 1
+	ends                        = verdicts + figure(dispatch.Mistake)
+	started                     = ends + figure(dispatch.Withdrawn) + 1
 	jobTime                     = started + 1
 	callTime                    = jobTime + 1
 	startTime                   = callTime + 1
@@ -42,22 +42,22 @@
 )
 
 var names = [figureEnd]string{
-	verdicts + figure(decide.Answer) - 1:    "answered",
-	verdicts + figure(decide.Rejection) - 1: "rejected",
-	verdicts + figure(decide.Failure) - 1:   "failed",
-	verdicts + figure(decide.Left) - 1:      "left",
-	verdicts + figure(decide.Mistake) - 1:   "mistakes",
+	verdicts + figure(dispatch.Answer) - 1:    "answered",
+	verdicts + figure(dispatch.Rejection) - 1: "rejected",
+	verdicts + figure(dispatch.Failure) - 1:   "failed",
+	verdicts + figure(dispatch.Left) - 1:      "left",
+	verdicts + figure(dispatch.Mistake) - 1:   "mistakes",
 
-	ends + figure(decide.NotConnected): "call_not_connected",
-	ends + figure(decide.TurnedAway):   "call_turned_away",
-	ends + figure(decide.NotSent):      "call_not_sent",
-	ends + figure(decide.Unusable):     "call_unusable",
-	ends + figure(decide.Served):       "call_served",
-	ends + figure(decide.Failed):       "call_failed",
-	ends + figure(decide.Broken):       "call_broken",
-	ends + figure(decide.Silent):       "call_silent",
-	ends + figure(decide.TimedOut):     "call_timed_out",
-	ends + figure(decide.Withdrawn):    "call_withdrawn",
+	ends + figure(dispatch.NotConnected): "call_not_connected",
+	ends + figure(dispatch.TurnedAway):   "call_turned_away",
+	ends + figure(dispatch.NotSent):      "call_not_sent",
+	ends + figure(dispatch.Unusable):     "call_unusable",
+	ends + figure(dispatch.Served):       "call_served",
+	ends + figure(dispatch.Failed):       "call_failed",
+	ends + figure(dispatch.Broken):       "call_broken",
+	ends + figure(dispatch.Silent):       "call_silent",
+	ends + figure(dispatch.TimedOut):     "call_timed_out",
+	ends + figure(dispatch.Withdrawn):    "call_withdrawn",
 
 	started: "started", jobTime: "job_time", callTime: "call_time", startTime: "start_time",
 	open: "open", callsOut: "calls_out", lost: "figures_lost",
@@ -105,7 +105,7 @@
 	return &pending{counts: make(map[series]int), timers: make(map[series][]time.Duration)}
 }
 
-// Emitter notes what the desk tells and writes it out from a goroutine of its own, once every flush.
+// Emitter notes what the engine tells and writes it out from a goroutine of its own, once every flush.
 type Emitter struct {
 	set   Settings
 	tags  tags
@@ -178,9 +178,9 @@
 // Start begins to write, until Close.
 func (e *Emitter) Start() { go e.run() }
 
-// Observe implements decide.Observer. It counts in memory and leaves the rest to the flusher.
-func (e *Emitter) Observe(ev *decide.Event) {
-	if ev.Kind == decide.Stepped {
+// Observe implements dispatch.Observer. It counts in memory and leaves the rest to the flusher.
+func (e *Emitter) Observe(ev *dispatch.Event) {
+	if ev.Kind == dispatch.Stepped {
 		return
 	}
 	e.mu.Lock()
@@ -189,18 +189,18 @@
 	calls := series{figure: callsOut, class: -1, tenant: -1, server: ev.Provider}
 	jobs := series{figure: open, class: s.class, tenant: s.tenant}
 	switch ev.Kind {
-	case decide.Taken:
+	case dispatch.Taken:
 		e.gauge(jobs, 1)
-	case decide.Sent:
+	case dispatch.Sent:
 		e.gauge(calls, 1)
-	case decide.Started:
+	case dispatch.Started:
 		e.count(s, started)
 		e.time(s, startTime, ev.Took)
-	case decide.Ended:
+	case dispatch.Ended:
 		e.gauge(calls, -1)
 		e.count(s, ends+figure(ev.End))
 		e.time(s, callTime, ev.Took)
-	case decide.Decided:
+	case dispatch.Decided:
 		e.gauge(jobs, -1)
 		e.count(s, verdicts+figure(ev.Verdict)-1)
 		e.time(s, jobTime, ev.Took)
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -13,7 +13,7 @@
 
 	"pgregory.net/rapid"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/pin"
 	"laddertide/operator"
 	"laddertide/policy"
@@ -43,16 +43,16 @@
 	var out strings.Builder
 	e := emitter(statsd, &out)
 	for _, tenant := range []int{0, 1, 2, 2} {
-		job := &decide.Job{Class: 1, Tenant: tenant, ID: "id", Party: "x\ny"}
-		e.Observe(&decide.Event{Kind: decide.Taken, Job: job})
-		e.Observe(&decide.Event{Kind: decide.Decided, Job: job, Verdict: decide.Rejection, Took: 1500 * time.Microsecond})
-	}
-	job := &decide.Job{}
-	for _, ev := range []decide.Event{{Kind: decide.Taken}, {Kind: decide.Sent}, {Kind: decide.Started, Took: time.Second},
-		{Kind: decide.Ended, End: decide.Served, Took: 2 * time.Second}, {Kind: decide.Decided, Verdict: decide.Answer, Took: 3 * time.Second},
-		{Kind: decide.Taken}, {Kind: decide.Sent}} {
+		job := &dispatch.Job{Class: 1, Tenant: tenant, ID: "id", Party: "x\ny"}
+		e.Observe(&dispatch.Event{Kind: dispatch.Taken, Job: job})
+		e.Observe(&dispatch.Event{Kind: dispatch.Decided, Job: job, Verdict: dispatch.Rejection, Took: 1500 * time.Microsecond})
+	}
+	job := &dispatch.Job{}
+	for _, ev := range []dispatch.Event{{Kind: dispatch.Taken}, {Kind: dispatch.Sent}, {Kind: dispatch.Started, Took: time.Second},
+		{Kind: dispatch.Ended, End: dispatch.Served, Took: 2 * time.Second}, {Kind: dispatch.Decided, Verdict: dispatch.Answer, Took: 3 * time.Second},
+		{Kind: dispatch.Taken}, {Kind: dispatch.Sent}} {
 		ev.Job = job
-		if ev.Kind != decide.Taken {
+		if ev.Kind != dispatch.Taken {
 			ev.Provider = "s-0badcafe"
 		}
 		e.Observe(&ev)
@@ -114,7 +114,7 @@
 	var out strings.Builder
 	e := emitter(influx, &out)
 	for _, took := range []time.Duration{time.Second, 3 * time.Second} {
-		e.Observe(&decide.Event{Kind: decide.Decided, Verdict: decide.Failure, Job: &decide.Job{Class: 1, Tenant: 1}, Took: took,
+		e.Observe(&dispatch.Event{Kind: dispatch.Decided, Verdict: dispatch.Failure, Job: &dispatch.Job{Class: 1, Tenant: 1}, Took: took,
 			Provider: "s 1"})
 	}
 	ended(e)
@@ -169,9 +169,9 @@
 	e := emitter(statsd, &out)
 	sound := e.write
 	e.write = deaf{}
-	job := &decide.Job{}
+	job := &dispatch.Job{}
 	for range mostSamples + 5 {
-		e.Observe(&decide.Event{Kind: decide.Decided, Verdict: decide.Answer, Job: job})
+		e.Observe(&dispatch.Event{Kind: dispatch.Decided, Verdict: dispatch.Answer, Job: job})
 	}
 	e.flush()
 	e.write = sound
@@ -192,10 +192,10 @@
 	defer w.Close()
 	e := New(Settings{Format: statsd, Target: stderr, Flush: time.Millisecond, BatchBytes: 1400}, of, w, quiet)
 	e.Start()
-	job := &decide.Job{}
+	job := &dispatch.Job{}
 	began := time.Now()
 	for range 200000 {
-		e.Observe(&decide.Event{Kind: decide.Decided, Verdict: decide.Answer, Job: job})
+		e.Observe(&dispatch.Event{Kind: dispatch.Decided, Verdict: dispatch.Answer, Job: job})
 	}
 	e.Close()
 	if took := time.Since(began); took > 5*time.Second {
--- a/internal/purity/main_test.go
+++ b/internal/purity/main_test.go
@@ -143,17 +143,17 @@
 import (
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 )
 
 func main() {
-	decide.NewAt(time.Now())
+	dispatch.NewAt(time.Now())
 	began := time.Now().UnixNano()
 	f := time.Time.UnixMilli
 	_, _ = f, time.Since(time.Unix(0, began))
 }
 `,
-		"decide/decide.go": `package decide
+		"dispatch/dispatch.go": `package dispatch
 
 import "time"
 
@@ -181,7 +181,7 @@
 		}
 	}
 	want := []string{"cmd/main.go:11: a date as a number in laddertide/cmd.main", "cmd/main.go:12: a date as a number in laddertide/cmd.main",
-		"decide/decide.go:7: a date as a number in a declaration"}
+		"dispatch/dispatch.go:7: a date as a number in a declaration"}
 	if !slices.Equal(got, want) || len(looked) != 2 {
 		t.Errorf("%q in %q", got, looked)
 	}
--- a/internal/purity/wall.go
+++ b/internal/purity/wall.go
@@ -16,8 +16,8 @@
 
 // dated are the functions that may use them, by package and name, each with its reason.
 var dated = map[string]string{
-	"(*laddertide/decide.Desk).Apart":     "how far the system's clock was stepped, for the next process",
-	"laddertide/decide.NewAt":             "where the clock of decisions begins; it runs on by the monotonic clock",
+	"(*laddertide/dispatch.Engine).Apart": "how far the system's clock was stepped, for the next process",
+	"laddertide/dispatch.NewAt":           "where the clock of decisions begins; it runs on by the monotonic clock",
 	"(*laddertide/returning.Room).now":    "where the clock of the return begins; it runs on by the monotonic clock",
 	"(*laddertide/returning.Room).cold":   "the same, to tell which starts came before",
 	"(*laddertide/returning.Room).next":   "one of several numbers that this process's own may grow from",
--- a/jobstatus/jobstatus.go
+++ b/jobstatus/jobstatus.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/operator"
 	"laddertide/policy"
 )
@@ -48,10 +48,10 @@
 )
 
 // ends are the states after a call. What comes back on the call's own connection says the same as a call-back would.
-var ends = map[decide.End]State{
-	decide.Served: Done, decide.Failed: Failed, decide.Unusable: Failed, decide.TurnedAway: Returned, decide.Broken: Lost,
-	decide.NotConnected: Waiting, decide.NotSent: Waiting, // never sent
-	decide.Silent: TimedOut, decide.TimedOut: TimedOut, decide.Withdrawn: TimedOut,
+var ends = map[dispatch.End]State{
+	dispatch.Served: Done, dispatch.Failed: Failed, dispatch.Unusable: Failed, dispatch.TurnedAway: Returned, dispatch.Broken: Lost,
+	dispatch.NotConnected: Waiting, dispatch.NotSent: Waiting, // never sent
+	dispatch.Silent: TimedOut, dispatch.TimedOut: TimedOut, dispatch.Withdrawn: TimedOut,
 }
 
 // entry is a job.
@@ -61,14 +61,14 @@
 	class  int
 	state  State
 	server string
-	share  float64     // -1: not told
-	told   bool        // the provider has said how the call ends
-	job    *decide.Job // while it is open
+	share  float64       // -1: not told
+	told   bool          // the provider has said how the call ends
+	job    *dispatch.Job // while it is open
 	ended  time.Time
 	place  *list.Element // among the ended
 }
 
-// Store holds the jobs. It observes a desk.
+// Store holds the jobs. It observes an engine.
 type Store struct {
 	set     Settings
 	classes []string
@@ -95,14 +95,14 @@
 	}
 }
 
-// Observe implements decide.Observer.
-func (s *Store) Observe(ev *decide.Event) {
-	if ev.Kind == decide.Stepped || ev.Job.Party == "" {
+// Observe implements dispatch.Observer.
+func (s *Store) Observe(ev *dispatch.Event) {
+	if ev.Kind == dispatch.Stepped || ev.Job.Party == "" {
 		return // a job of no tenant can be asked for by nobody
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ev.Kind == decide.Taken {
+	if ev.Kind == dispatch.Taken {
 		s.forget(s.jobs[ev.Job.ID]) // an ended one, as an id is out once only
 		id := strings.Clone(ev.Job.ID)
 		s.jobs[id] = &entry{id: id, tenant: sha256.Sum256([]byte(ev.Job.Party)), class: ev.Job.Class, state: Waiting,
@@ -114,17 +114,17 @@
 		return // of a job that is over
 	}
 	switch ev.Kind {
-	case decide.Sent:
+	case dispatch.Sent:
 		e.state, e.server, e.share, e.told = Waiting, ev.Provider, -1, false
-	case decide.Started:
+	case dispatch.Started:
 		if e.state == Waiting { // not a repeat that comes late
 			e.state = Started
 		}
-	case decide.Progress:
+	case dispatch.Progress:
 		if !e.told {
 			e.state, e.share = Running, max(e.share, ev.Share)
 		}
-	case decide.Ends, decide.Ended:
+	case dispatch.Ends, dispatch.Ended:
 		if e.told {
 			return
 		}
@@ -132,7 +132,7 @@
 		if e.state = ends[ev.End]; e.state == Waiting {
 			e.server = ""
 		}
-	case decide.Decided:
+	case dispatch.Decided:
 		s.end(e)
 	}
 }
--- a/jobstatus/jobstatus_test.go
+++ b/jobstatus/jobstatus_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/policy"
 )
 
-func desk(t *testing.T, set Settings, providers ...string) (*decide.Desk, *Store) {
+func engine(t *testing.T, set Settings, providers ...string) (*dispatch.Engine, *Store) {
 	t.Helper()
 	of := policy.Settings{
 		Balancers: 1, MaxAttempts: 4, Cancel: true, TellsStart: true, WorthByWork: true, ColdFrom: 0.3, WarmWithin: 9 * time.Second,
@@ -21,7 +21,7 @@
 		Classes: []policy.Class{{Name: "check", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1},
 			{Name: "issue", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: policy.Unsafe, Kind: -1}},
 	}
-	d, err := decide.New(of, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d, err := dispatch.New(of, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,8 +34,8 @@
 
 var usual = Settings{Keep: time.Minute, MaxEntries: 100}
 
-func take(d *decide.Desk, id string, class int) *decide.Ticket {
-	return d.Take(decide.Job{ID: id, Party: "acme", Class: class, Left: time.Second, Hint: time.Millisecond, Slots: 1})
+func take(d *dispatch.Engine, id string, class int) *dispatch.Ticket {
+	return d.Take(dispatch.Job{ID: id, Party: "acme", Class: class, Left: time.Second, Hint: time.Millisecond, Slots: 1})
 }
 
 func (s *Store) expect(t *testing.T, id, state, server, share string) {
@@ -60,31 +60,31 @@
 
 // What the provider says moves a job on; repeats and what comes late do not move it back.
 func TestLife(t *testing.T) {
-	d, s := desk(t, usual, "a")
+	d, s := engine(t, usual, "a")
 	ticket := take(d, "j", 0)
 	s.expect(t, "j", "waiting", "a", "")
-	hear := func(kind decide.NewsKind, share float64, end decide.End) {
-		ticket.Hear(decide.News{Kind: kind, Share: share, End: end})
+	hear := func(kind dispatch.NewsKind, share float64, end dispatch.End) {
+		ticket.Hear(dispatch.News{Kind: kind, Share: share, End: end})
 	}
 	ticket.Pick()
-	hear(decide.Begun, 0, 0)
+	hear(dispatch.Begun, 0, 0)
 	s.expect(t, "j", "started", "a", "")
-	hear(decide.Progressed, -1, 0)
+	hear(dispatch.Progressed, -1, 0)
 	s.expect(t, "j", "running", "a", "")
-	hear(decide.Progressed, 0.4, 0)
-	hear(decide.Begun, 0, 0)
-	hear(decide.Progressed, 0.2, 0)
+	hear(dispatch.Progressed, 0.4, 0)
+	hear(dispatch.Begun, 0, 0)
+	hear(dispatch.Progressed, 0.2, 0)
 	s.expect(t, "j", "running", "a", "0.4")
-	hear(decide.Ending, 0, decide.Failed)
-	hear(decide.Progressed, 0.9, 0)
+	hear(dispatch.Ending, 0, dispatch.Failed)
+	hear(dispatch.Progressed, 0.9, 0)
 	s.expect(t, "j", "failed", "a", "")
-	ticket.Report(decide.Failed) // it is safe to repeat, so it is sent again
+	ticket.Report(dispatch.Failed) // it is safe to repeat, so it is sent again
 	s.expect(t, "j", "waiting", "a", "")
 	ticket.Pick()
-	hear(decide.Progressed, 0.1, 0)
+	hear(dispatch.Progressed, 0.1, 0)
 	s.expect(t, "j", "running", "a", "0.1")
-	ticket.Report(decide.Served)
-	hear(decide.Begun, 0, 0)
+	ticket.Report(dispatch.Served)
+	hear(dispatch.Begun, 0, 0)
 	ticket.Leave()
 	s.expect(t, "j", "done", "a", "")
 	if b, ok := s.Get("j", "acme"); !ok || string(b) != `{"id":"j","tenant":"acme","class":"check","state":"done","server":"a"}` {
@@ -99,40 +99,40 @@
 
 // What a job reads once no call of it is out, by how the last one ended.
 func TestEnds(t *testing.T) {
-	for end, want := range map[decide.End][2]string{
-		decide.Served: {"done", "a"}, decide.Failed: {"failed", "a"}, decide.Unusable: {"failed", "a"}, decide.TurnedAway: {"returned", "a"},
-		decide.Broken: {"lost", "a"}, decide.Silent: {"timed_out", "a"}, decide.TimedOut: {"timed_out", "a"}, decide.Withdrawn: {"timed_out", "a"},
-		decide.NotConnected: {"timed_out", ""}, decide.NotSent: {"timed_out", ""},
+	for end, want := range map[dispatch.End][2]string{
+		dispatch.Served: {"done", "a"}, dispatch.Failed: {"failed", "a"}, dispatch.Unusable: {"failed", "a"}, dispatch.TurnedAway: {"returned", "a"},
+		dispatch.Broken: {"lost", "a"}, dispatch.Silent: {"timed_out", "a"}, dispatch.TimedOut: {"timed_out", "a"}, dispatch.Withdrawn: {"timed_out", "a"},
+		dispatch.NotConnected: {"timed_out", ""}, dispatch.NotSent: {"timed_out", ""},
 	} {
-		d, s := desk(t, usual, "a")
+		d, s := engine(t, usual, "a")
 		ticket := take(d, "j", 1) // its one provider does not get it twice
 		ticket.Pick()
 		ticket.Report(end)
 		ticket.Leave()
 		s.expect(t, "j", want[0], want[1], "")
 	}
-	d, s := desk(t, usual)
+	d, s := engine(t, usual)
 	ticket := take(d, "none", 0) // nobody to send it to
 	s.expect(t, "none", "waiting", "", "")
 	ticket.Pick()
 	s.expect(t, "none", "timed_out", "", "")
-	d, s = desk(t, usual, "a")
+	d, s = engine(t, usual, "a")
 	ticket = take(d, "left", 0)
 	ticket.Pick()
-	ticket.Hear(decide.News{Kind: decide.Begun})
+	ticket.Hear(dispatch.News{Kind: dispatch.Begun})
 	ticket.Leave() // its call is still out
-	ticket.Hear(decide.News{Kind: decide.Ending, End: decide.Served})
+	ticket.Hear(dispatch.News{Kind: dispatch.Ending, End: dispatch.Served})
 	s.expect(t, "left", "timed_out", "a", "")
 }
 
 // Ended jobs are kept for their time and up to their number, oldest out first; open ones stay.
 func TestKept(t *testing.T) {
-	d, s := desk(t, Settings{Keep: 300 * time.Millisecond, MaxEntries: 2}, "a")
+	d, s := engine(t, Settings{Keep: 300 * time.Millisecond, MaxEntries: 2}, "a")
 	open := take(d, "open", 0)
 	end := func(id string) {
 		ticket := take(d, id, 0)
 		ticket.Pick()
-		ticket.Report(decide.Served)
+		ticket.Report(dispatch.Served)
 	}
 	for _, id := range []string{"1", "2", "1", "3"} { // a later job takes the place of an ended one of its id
 		end(id)
@@ -152,10 +152,10 @@
 
 // Long names of consumers' own making are not kept, and a job without a tenant is told to nobody.
 func TestTenants(t *testing.T) {
-	d, s := desk(t, usual, "a")
+	d, s := engine(t, usual, "a")
 	long := strings.Repeat("x", 10000)
-	d.Take(decide.Job{ID: "long", Party: long, Left: time.Second, Slots: 1})
-	d.Take(decide.Job{ID: "none", Left: time.Second, Slots: 1})
+	d.Take(dispatch.Job{ID: "long", Party: long, Left: time.Second, Slots: 1})
+	d.Take(dispatch.Job{ID: "none", Left: time.Second, Slots: 1})
 	if _, ok := s.Get("long", long); !ok {
 		t.Error("not told to its tenant")
 	}
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -1,5 +1,5 @@
 // Package owners makes any scheduler of a fleet the right one to ask: a job that is asked for again, anywhere, is joined to
-// the one scheduler that owns it. It owns the Handler between front and desk that does so, the records which this scheduler
+// the one scheduler that owns it. It owns the Handler between front and engine that does so, the records which this scheduler
 // keeps for all, and the answers of its own jobs for as long as they are known. Whose job a job is, and what becomes of one
 // whose owner cannot be asked, is decided by core/owners; which provider gets it, and whether it goes again, is the decision
 // module's; it words no answer and opens no connection.
--- a/owners/putting.go
+++ b/owners/putting.go
@@ -253,7 +253,7 @@
 	return p.verdict
 }
 
-// may tells whether the job may enter the desk by now.
+// may tells whether the job may enter the engine by now.
 func (p *putting) may(e *entry) bool {
 	select {
 	case <-p.done:
--- a/owners/rig_test.go
+++ b/owners/rig_test.go
@@ -13,7 +13,7 @@
 
 	"laddertide/core/fleet"
 	core "laddertide/core/owners"
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 	"laddertide/ledger/faultfs"
 	"laddertide/owners/recordlog"
@@ -335,10 +335,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(m.pool.Leaving(), cancel)()
-	end, result := m.pool.Await(j, 0, decide.Verdict{Provider: past[len(past)-1].Provider, Until: time.Now().Add(j.Left), Context: ctx},
-		func(decide.News) {})
+	end, result := m.pool.Await(j, 0, dispatch.Verdict{Provider: past[len(past)-1].Provider, Until: time.Now().Add(j.Left), Context: ctx},
+		func(dispatch.News) {})
 	switch end {
-	case decide.Served:
+	case dispatch.Served:
 		return job.Outcome{Kind: job.Served, Result: result}
 	case provider.Moved:
 		return job.Outcome{Kind: job.Moved, Past: past}
--- a/provider/acknowledgement.go
+++ b/provider/acknowledgement.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 )
 
 // acknowledgement waits for the worker's answer to an attempt whose last byte is out on c.conn. It returns accepted once the
 // worker has taken the job, else how the attempt has ended. The connection is kept or closed, and is no longer c's.
-func (p *Pool) acknowledgement(j *job.Job, c *call, v decide.Verdict) decide.End {
+func (p *Pool) acknowledgement(j *job.Job, c *call, v dispatch.Verdict) dispatch.End {
 	conn := c.conn
 	answerBy := v.Until
 	if at := time.Now().Add(v.TakenIn); v.TakenIn > 0 && at.Before(answerBy) {
@@ -47,20 +47,20 @@
 }
 
 // unacknowledged tells how an attempt has ended whose connection gave no acknowledgement, but err, and is closed.
-func (p *Pool) unacknowledged(j *job.Job, c *call, v decide.Verdict, conn *conn, answerBy time.Time, withdrawn bool,
-	err error) decide.End {
+func (p *Pool) unacknowledged(j *job.Job, c *call, v dispatch.Verdict, conn *conn, answerBy time.Time, withdrawn bool,
+	err error) dispatch.End {
 	now := time.Now()
 	switch {
-	case withdrawn && context.Cause(v.Context) == decide.ErrElsewhere:
-		return p.closedUnheard(j, c, v, decide.Withdrawn)
+	case withdrawn && context.Cause(v.Context) == dispatch.ErrElsewhere:
+		return p.closedUnheard(j, c, v, dispatch.Withdrawn)
 	case withdrawn:
-		return decide.Withdrawn
+		return dispatch.Withdrawn
 	case !now.Before(v.Until):
 		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
-		return decide.TimedOut
+		return dispatch.TimedOut
 	case !now.Before(answerBy):
 		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
-		return p.closedUnheard(j, c, v, decide.Silent)
+		return p.closedUnheard(j, c, v, dispatch.Silent)
 	}
 	if conn.reused {
 		p.forgotten(conn)
@@ -68,9 +68,9 @@
 	p.log.Debug("connection broke before the acknowledgement", "provider", v.Provider, "reused", conn.reused, "idle", conn.age,
 		"err", err)
 	if v.Repeatable {
-		return p.closedUnheard(j, c, v, decide.Broken)
+		return p.closedUnheard(j, c, v, dispatch.Broken)
 	}
-	return decide.Broken
+	return dispatch.Broken
 }
 
 // closedUnheard ends an attempt whose connection was closed, by whichever side, before an acknowledgement was read, while its
@@ -79,7 +79,7 @@
 // well. One that cannot be reached, or does not answer, holds up the job for no longer than a connection's round trip.
 //
 // end is how the attempt ends, unless a call-back has ended it meanwhile.
-func (p *Pool) closedUnheard(j *job.Job, c *call, v decide.Verdict, end decide.End) decide.End {
+func (p *Pool) closedUnheard(j *job.Job, c *call, v dispatch.Verdict, end dispatch.End) dispatch.End {
 	if j.Keeper != nil && j.Keeper.Left() {
 		return end // the next process waits for it
 	}
@@ -111,7 +111,7 @@
 	w := &withdrawalWatch{done: make(chan struct{})}
 	w.stop = context.AfterFunc(ctx, func() {
 		defer close(w.done)
-		if context.Cause(ctx) == decide.ErrElsewhere && p.runs(conn.of) {
+		if context.Cause(ctx) == dispatch.ErrElsewhere && p.runs(conn.of) {
 			return
 		}
 		w.cut = true
--- a/provider/acknowledgement_test.go
+++ b/provider/acknowledgement_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 )
 
 const answerToGivingUp = "HTTP/1.1 204 N\r\n\r\n"
@@ -37,7 +37,7 @@
 	p := reserved(t, f)
 	v := verdict(context.Background(), 20*time.Second)
 	v.TakenIn = takenIn
-	invoke(t, p, v, decide.Silent)
+	invoke(t, p, v, dispatch.Silent)
 	if got := f.got(); !slices.Equal(got, []string{attemptLine, giveUpLine}) {
 		t.Errorf("sent before the attempt ended: %v", got)
 	}
@@ -54,7 +54,7 @@
 	p = reserved(t, f)
 	v := verdict(context.Background(), 20*time.Second)
 	v.TakenIn = takenIn
-	if got := invoke(t, p, v, decide.Served); got != "r" {
+	if got := invoke(t, p, v, dispatch.Served); got != "r" {
 		t.Errorf("result %q", got)
 	}
 }
@@ -68,7 +68,7 @@
 	v := verdict(context.Background(), 20*time.Second)
 	v.TakenIn = takenIn
 	began := time.Now()
-	invoke(t, p, v, decide.Silent)
+	invoke(t, p, v, dispatch.Silent)
 	if took := time.Since(began); took < takenIn+dial || took > 5*time.Second {
 		t.Errorf("the attempt ended after %v", took)
 	}
@@ -93,8 +93,8 @@
 		t.Fatal(line)
 	}
 	p.Directory([]directory.Entry{{Name: "s-1", Status: directory.Deleted}}, false)
-	withdraw(decide.ErrElsewhere)
-	if got := <-over; got.end != decide.Withdrawn {
+	withdraw(dispatch.ErrElsewhere)
+	if got := <-over; got.end != dispatch.Withdrawn {
 		t.Errorf("ended as %v", got.end)
 	}
 	if got := f.got(); !slices.Equal(got, []string{giveUpLine}) {
@@ -126,7 +126,7 @@
 			p := reserved(t, f)
 			v := verdict(context.Background(), 20*time.Second)
 			v.Repeatable = c.repeatable
-			invoke(t, p, v, decide.Broken)
+			invoke(t, p, v, dispatch.Broken)
 			if got := f.got(); !slices.Equal(got, c.want) {
 				t.Errorf("sent before the attempt ended: %v", got)
 			}
@@ -147,7 +147,7 @@
 	p := reserved(t, f)
 	v := verdict(context.Background(), 20*time.Second)
 	v.Repeatable = true
-	invoke(t, p, v, decide.Broken)
+	invoke(t, p, v, dispatch.Broken)
 	if got := f.got(); !slices.Equal(got, []string{attemptLine}) {
 		t.Errorf("sent: %v", got)
 	}
--- a/provider/call.go
+++ b/provider/call.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 )
 
@@ -38,7 +38,7 @@
 	provider string
 	lease    uint64     // 0: it has none
 	keeper   job.Keeper // nil: the job has none
-	hear     func(decide.News)
+	hear     func(dispatch.News)
 	expired  chan struct{}   // closed when its lease has run out
 	repeated bool            // an earlier attempt at the same worker may still send call-backs
 	after    earlierAttempts // what will be known of it once it is over; of the goroutine that makes it
@@ -47,11 +47,11 @@
 	conn     *conn // while its acknowledgement is awaited
 	over     bool
 	moved    bool // it goes on in another process
-	end      decide.End
+	end      dispatch.End
 	result   []byte
 	ended    chan struct{}
 	doubtful bool
-	doubtEnd decide.End    // how it ends once it is given up
+	doubtEnd dispatch.End  // how it ends once it is given up
 	doubted  chan struct{} // closed by the first ambiguous call-back
 }
 
@@ -68,13 +68,13 @@
 		if c.keeper != nil {
 			c.keeper.Begun(c.lease)
 		}
-		c.hear(decide.News{Kind: decide.Begun})
+		c.hear(dispatch.News{Kind: dispatch.Begun})
 		return true
 	case Running:
 		if c.keeper != nil {
 			c.keeper.Beat(c.lease)
 		}
-		c.hear(decide.News{Kind: decide.Progressed, Share: ev.Share})
+		c.hear(dispatch.News{Kind: dispatch.Progressed, Share: ev.Share})
 		return true
 	}
 	if c.ambiguous(ev) {
@@ -82,7 +82,7 @@
 		return true
 	}
 	c.over, c.end, c.result = true, ends[ev.State], ev.Result
-	c.hear(decide.News{Kind: decide.Ending, End: c.end})
+	c.hear(dispatch.News{Kind: dispatch.Ending, End: c.end})
 	close(c.ended)
 	if c.conn != nil {
 		// The acknowledgement must be on its way: wait for it a moment longer, to keep the connection.
@@ -155,7 +155,7 @@
 	}
 }
 
-var ends = [...]decide.End{Done: decide.Served, Failed: decide.Failed, Returned: decide.TurnedAway, Lost: decide.Broken}
+var ends = [...]dispatch.End{Done: dispatch.Served, Failed: dispatch.Failed, Returned: dispatch.TurnedAway, Lost: dispatch.Broken}
 
 // Invoke makes one invoker call for a reserved job and blocks until it has ended. Nothing of the job
 // is left with the provider, or it has been told so, unless the end says that it ran there. lease is the number that
@@ -163,9 +163,9 @@
 //
 // It may outlive the job: what it waits for at workers it waits for to its end, within bounds of its own. So no answer may wait
 // for it.
-func (p *Pool) Invoke(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
+func (p *Pool) Invoke(j *job.Job, lease uint64, v dispatch.Verdict, hear func(dispatch.News)) (dispatch.End, []byte) {
 	if withdrawn(v) {
-		return decide.NotSent, nil
+		return dispatch.NotSent, nil
 	}
 	if end := p.settle(j, v); end != accepted {
 		return end, nil
@@ -181,7 +181,7 @@
 	if !conn.of.serving {
 		p.mu.Unlock()
 		p.release(conn)
-		return decide.NotConnected, nil
+		return dispatch.NotConnected, nil
 	}
 	if p.move.ctx.Err() != nil {
 		p.mu.Unlock()
@@ -201,7 +201,7 @@
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was out", "provider", v.Provider, "written", n, "err", err)
 		p.discard(conn)
-		return decide.NotConnected, nil // the last byte is not out, so the provider cannot start
+		return dispatch.NotConnected, nil // the last byte is not out, so the provider cannot start
 	}
 	c.after = earlierAttempts{mayCallBack: true, open: true}
 	if end := p.acknowledgement(j, c, v); end != accepted {
@@ -212,7 +212,7 @@
 
 // unsent lets go of the connection of a call of which nothing was sent. A call-back of an earlier one at the same provider may have
 // ended it by then.
-func (p *Pool) unsent(c *call) (decide.End, []byte) {
+func (p *Pool) unsent(c *call) (dispatch.End, []byte) {
 	c.mu.Lock()
 	conn, over := c.conn, c.over
 	c.conn = nil
@@ -222,14 +222,14 @@
 		return c.end, c.result
 	}
 	p.release(conn)
-	return decide.NotSent, nil
+	return dispatch.NotSent, nil
 }
 
 // withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, its job is over, or its client has left.
-func withdrawn(v decide.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
+func withdrawn(v dispatch.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
 
 // jobOver tells whether the job of a verdict has its final one.
-func jobOver(v decide.Verdict) bool {
+func jobOver(v dispatch.Verdict) bool {
 	select {
 	case <-v.Over:
 		return true
@@ -240,16 +240,16 @@
 
 // connect returns a connection for an attempt, once what is known of the provider is no older than the connection; or nil,
 // and how the attempt has ended.
-func (p *Pool) connect(v decide.Verdict) (*conn, decide.End) {
+func (p *Pool) connect(v dispatch.Verdict) (*conn, dispatch.End) {
 	for {
 		conn, err := p.acquire(v.Context, v.Provider, true, v.Until)
 		if err != nil {
 			p.log.Debug("no connection", "provider", v.Provider, "err", err)
-			left := v.Context.Err() != nil && context.Cause(v.Context) != decide.ErrElsewhere
+			left := v.Context.Err() != nil && context.Cause(v.Context) != dispatch.ErrElsewhere
 			if left || jobOver(v) || errors.Is(err, errCrowded) { // neither says anything of the provider
-				return nil, decide.NotSent
+				return nil, dispatch.NotSent
 			}
-			return nil, decide.NotConnected
+			return nil, dispatch.NotConnected
 		}
 		if p.Awake != nil {
 			p.Awake(v.Until) // what is known of the provider may be old
@@ -278,7 +278,7 @@
 	return endingLimit
 }
 
-func newCall(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) *call {
+func newCall(j *job.Job, lease uint64, v dispatch.Verdict, hear func(dispatch.News)) *call {
 	return &call{provider: v.Provider, lease: lease, keeper: j.Keeper, hear: hear, ended: make(chan struct{}),
 		expired: make(chan struct{}), doubted: make(chan struct{})}
 }
@@ -296,7 +296,7 @@
 
 // Await blocks until a call has ended that an earlier process has made for a reserved job, like Invoke after the
 // acknowledgement.
-func (p *Pool) Await(j *job.Job, lease uint64, v decide.Verdict, hear func(decide.News)) (decide.End, []byte) {
+func (p *Pool) Await(j *job.Job, lease uint64, v dispatch.Verdict, hear func(dispatch.News)) (dispatch.End, []byte) {
 	c := newCall(j, lease, v, hear)
 	c.after = earlierAttempts{mayCallBack: true, open: true}
 	p.mu.Lock()
@@ -312,7 +312,7 @@
 }
 
 // wait waits for the end of a call that was acknowledged.
-func (p *Pool) wait(j *job.Job, c *call, v decide.Verdict) (decide.End, []byte) {
+func (p *Pool) wait(j *job.Job, c *call, v dispatch.Verdict) (dispatch.End, []byte) {
 	timer := time.NewTimer(time.Until(v.Until))
 	defer timer.Stop()
 	var g givingUp
@@ -325,16 +325,16 @@
 	case <-c.ended:
 		return c.ending()
 	case <-v.Context.Done():
-		g = givingUp{end: decide.Withdrawn, late: decide.Withdrawn}
-		if context.Cause(v.Context) == decide.ErrElsewhere {
+		g = givingUp{end: dispatch.Withdrawn, late: dispatch.Withdrawn}
+		if context.Cause(v.Context) == dispatch.ErrElsewhere {
 			g.must = untilHeard
 		}
 	case <-c.expired: // it may have run, and the job may go elsewhere
-		g = givingUp{end: decide.Broken, late: decide.Broken, must: tried}
+		g = givingUp{end: dispatch.Broken, late: dispatch.Broken, must: tried}
 	case <-c.doubted:
-		g = givingUp{end: c.doubtEnd, late: decide.TimedOut, must: untilHeard}
+		g = givingUp{end: c.doubtEnd, late: dispatch.TimedOut, must: untilHeard}
 	case <-timer.C:
-		g = givingUp{end: decide.TimedOut}
+		g = givingUp{end: dispatch.TimedOut}
 	}
 	if j.Keeper != nil && j.Keeper.Left() {
 		return g.end, nil // the next process waits for it
@@ -352,15 +352,15 @@
 }
 
 // ending is how a call ended by the word of its provider.
-func (c *call) ending() (decide.End, []byte) {
+func (c *call) ending() (dispatch.End, []byte) {
 	c.after.open = false
 	return c.end, c.result
 }
 
 // givingUp says how a call that is given up ends.
 type givingUp struct {
-	end  decide.End // once its provider has heard so
-	late decide.End // if the job's time is over before
+	end  dispatch.End // once its provider has heard so
+	late dispatch.End // if the job's time is over before
 	must hearing
 }
 
@@ -376,7 +376,7 @@
 // giveUpFor gives up a call of a job that goes on. One that has not heard may count the job as its own: it may be back just
 // now, too late for a connection that was tried before, or refuse connections as all of them are taken. The job would be out
 // twice if it went on. timer ends with the job's time.
-func (p *Pool) giveUpFor(g givingUp, j *job.Job, c *call, v decide.Verdict, timer *time.Timer) (decide.End, []byte) {
+func (p *Pool) giveUpFor(g givingUp, j *job.Job, c *call, v dispatch.Verdict, timer *time.Timer) (dispatch.End, []byte) {
 	for {
 		told := make(chan error, 1)
 		done := p.Use(j.ID)
@@ -411,7 +411,7 @@
 		case <-v.Over: // the job goes nowhere any more, so nothing depends on what its worker has heard
 			return g.late, nil
 		case <-timer.C:
-			return decide.TimedOut, nil
+			return dispatch.TimedOut, nil
 		case <-time.After(lastAnswer):
 		}
 	}
--- a/provider/earlier.go
+++ b/provider/earlier.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 )
 
@@ -43,7 +43,7 @@
 // settle sees to it that no earlier attempt of the job is open at the worker. It returns accepted if so, else how the attempt
 // ends that was to go there: nothing of it has been sent. It blocks for as long as the worker takes to answer, a second and
 // a connection's time at most.
-func (p *Pool) settle(j *job.Job, v decide.Verdict) decide.End {
+func (p *Pool) settle(j *job.Job, v dispatch.Verdict) dispatch.End {
 	p.mu.Lock()
 	open := p.earlier[j.ID][v.Provider].open
 	p.mu.Unlock()
@@ -53,10 +53,10 @@
 	err := p.giveUp(j, v.Provider, p.roundTrip(), min(endingLimit, time.Until(v.Until)))
 	switch {
 	case errors.Is(err, errCrowded):
-		return decide.NotSent
+		return dispatch.NotSent
 	case err != nil:
 		p.log.Debug("an earlier attempt could not be given up", "id", j.ID, "provider", v.Provider, "err", err)
-		return decide.NotConnected
+		return dispatch.NotConnected
 	}
 	p.note(j.ID, v.Provider, earlierAttempts{mayCallBack: true})
 	return accepted
@@ -76,8 +76,8 @@
 	}
 	c.doubtful = true
 	c.doubtEnd = ends[ev.State]
-	if c.doubtEnd == decide.TurnedAway {
-		c.doubtEnd = decide.Broken // the proof that it never ran may be about the earlier attempt
+	if c.doubtEnd == dispatch.TurnedAway {
+		c.doubtEnd = dispatch.Broken // the proof that it never ran may be about the earlier attempt
 	}
 	close(c.doubted)
 }
--- a/provider/earlier_test.go
+++ b/provider/earlier_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 )
 
 const (
@@ -27,15 +27,15 @@
 
 // attemptEnd is how an attempt ended, and with which result.
 type attemptEnd struct {
-	end    decide.End
+	end    dispatch.End
 	result string
 }
 
 // attempt makes an attempt while the test goes on.
-func attempt(p *Pool, v decide.Verdict) <-chan attemptEnd {
+func attempt(p *Pool, v dispatch.Verdict) <-chan attemptEnd {
 	over := make(chan attemptEnd, 1)
 	go func() {
-		end, result := p.Invoke(newJob(), 0, v, func(decide.News) {})
+		end, result := p.Invoke(newJob(), 0, v, func(dispatch.News) {})
 		over <- attemptEnd{end, string(result)}
 	}()
 	return over
@@ -58,17 +58,17 @@
 	for name, c := range map[string]struct {
 		answer string // to the first attempt; empty: none
 		then   func(*Pool)
-		want   decide.End
+		want   dispatch.End
 		told   bool // by DELETE, before the second attempt
 	}{
-		"reset":         {"close", nil, decide.Broken, true},
-		"silent":        {"", nil, decide.Silent, true},
-		"half a line":   {"HTTP/1.1 202 Acc", nil, decide.Silent, true},
-		"failed":        {taken, event(Failed), decide.Failed, false},
-		"lost":          {taken, event(Lost), decide.Broken, false},
-		"returned":      {taken, event(Returned), decide.TurnedAway, false},
-		"answers 500":   {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", nil, decide.Failed, false},
-		"turns it away": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", nil, decide.TurnedAway, false},
+		"reset":         {"close", nil, dispatch.Broken, true},
+		"silent":        {"", nil, dispatch.Silent, true},
+		"half a line":   {"HTTP/1.1 202 Acc", nil, dispatch.Silent, true},
+		"failed":        {taken, event(Failed), dispatch.Failed, false},
+		"lost":          {taken, event(Lost), dispatch.Broken, false},
+		"returned":      {taken, event(Returned), dispatch.TurnedAway, false},
+		"answers 500":   {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", nil, dispatch.Failed, false},
+		"turns it away": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", nil, dispatch.TurnedAway, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var p *Pool
@@ -83,7 +83,7 @@
 			})
 			p = reserved(t, f)
 			v := verdict(context.Background(), 20*time.Second)
-			if c.want == decide.Silent {
+			if c.want == dispatch.Silent {
 				v.TakenIn = 100 * time.Millisecond
 			}
 			invoke(t, p, v, c.want)
@@ -99,7 +99,7 @@
 				}
 			}
 			p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
-			if got := <-second; got != (attemptEnd{decide.Served, "r"}) {
+			if got := <-second; got != (attemptEnd{dispatch.Served, "r"}) {
 				t.Errorf("the second attempt ended as %+v", got)
 			}
 			if len(f.lines) > 0 {
@@ -113,9 +113,9 @@
 func TestNoSecondAttemptWithoutAnAnswer(t *testing.T) {
 	f := newFake(t, func(n int, conn net.Conn) bool { return n > 1 }) // resets the job, and is silent from then on
 	p := reserved(t, f)
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Broken)
 	began := time.Now()
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.NotConnected)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.NotConnected)
 	if took := time.Since(began); took < endingLimit/2 {
 		t.Errorf("the answer was awaited for %v only", took)
 	}
@@ -132,7 +132,7 @@
 // of the first attempt cannot be told from the end of a second one there. It does not end that: the second is given up, and
 // ends once the worker has heard so, as one that may have run. So nothing of the job is out, whichever was meant.
 func TestRepeatedCallBackEndsNoSecondAttempt(t *testing.T) {
-	for state, want := range map[State]decide.End{Returned: decide.Broken, Lost: decide.Broken, Failed: decide.Failed} {
+	for state, want := range map[State]dispatch.End{Returned: dispatch.Broken, Lost: dispatch.Broken, Failed: dispatch.Failed} {
 		for _, early := range []bool{true, false} { // before the acknowledgement of the second attempt, or after
 			var p *Pool
 			repeat := func() { p.Event(Event{ID: "id-1", From: "s-1", State: state}) }
@@ -185,8 +185,8 @@
 		return say(taken)(n, conn)
 	})
 	p = reserved(t, f)
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
-	if got := invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Served); got != "r" {
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Failed)
+	if got := invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Served); got != "r" {
 		t.Errorf("result %q", got)
 	}
 }
@@ -201,9 +201,9 @@
 		return n >= 3 || say(taken)(n, conn)
 	})
 	p = reserved(t, f)
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.TurnedAway)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.TurnedAway)
 	v := verdict(context.Background(), 400*time.Millisecond)
-	invoke(t, p, v, decide.TimedOut)
+	invoke(t, p, v, dispatch.TimedOut)
 	if late := time.Since(v.Until); late < 0 || late > 5*time.Second {
 		t.Errorf("ended %v after its time", late)
 	}
@@ -221,8 +221,8 @@
 	})
 	p = reserved(t, f)
 	for ; lease <= 2; lease++ {
-		end, _ := p.Invoke(newJob(), lease, verdict(context.Background(), 20*time.Second), func(decide.News) {})
-		if end != decide.Failed {
+		end, _ := p.Invoke(newJob(), lease, verdict(context.Background(), 20*time.Second), func(dispatch.News) {})
+		if end != dispatch.Failed {
 			t.Fatalf("lease %d: end %v", lease, end)
 		}
 	}
@@ -243,8 +243,8 @@
 	})
 	p := reserved(t, f)
 	p.limits.Load().Dial = 0
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Broken)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Failed)
 	if got := f.got(); !slices.Equal(got, []string{attemptLine, giveUpLine, attemptLine}) {
 		t.Errorf("sent: %v", got)
 	}
@@ -264,7 +264,7 @@
 		sent <- []string{<-f.lines, <-f.lines}
 		p.Event(Event{ID: "id-1", From: "s-1", State: Done})
 	}()
-	invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Served)
+	invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Served)
 	if got := <-sent; !slices.Equal(got, []string{giveUpLine, attemptLine}) {
 		t.Errorf("sent: %v", got)
 	}
--- a/provider/endless_test.go
+++ b/provider/endless_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 )
 
 // endless writes a start, and after that the same again and again until the other side has closed the connection. pause is what
@@ -42,21 +42,21 @@
 	for name, c := range map[string]struct {
 		start, again string
 		pause        time.Duration
-		want         decide.End
+		want         dispatch.End
 	}{
-		"line, flood":           {"HTTP/1.1 503 ", block, flood, decide.Broken},
-		"line, trickle":         {"HTTP/1.1 503 ", "x", trickle, decide.Silent},
-		"fields, flood":         {"HTTP/1.1 503 B\r\n", "A: " + block + "\r\n", flood, decide.Broken},
-		"fields, trickle":       {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n", "A: b\r\n", trickle, decide.Silent},
-		"interim, flood":        {"", "HTTP/1.1 100 C\r\n\r\n", flood, decide.Broken},
-		"body, flood":           {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000000\r\n\r\n", block, flood, decide.Broken},
-		"body, trickle":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000\r\n\r\n", "x", trickle, decide.TurnedAway},
-		"chunks, flood":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, flood, decide.TurnedAway},
-		"chunks, trickle":       {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", trickle, decide.Failed},
-		"chunk sizes, flood":    {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", block, flood, decide.Failed},
-		"trailer, flood":        {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", flood, decide.Failed},
-		"until closed, flood":   {"HTTP/1.1 500 E\r\n\r\n", block, flood, decide.Failed},
-		"until closed, trickle": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n\r\n", "x", trickle, decide.TurnedAway},
+		"line, flood":           {"HTTP/1.1 503 ", block, flood, dispatch.Broken},
+		"line, trickle":         {"HTTP/1.1 503 ", "x", trickle, dispatch.Silent},
+		"fields, flood":         {"HTTP/1.1 503 B\r\n", "A: " + block + "\r\n", flood, dispatch.Broken},
+		"fields, trickle":       {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n", "A: b\r\n", trickle, dispatch.Silent},
+		"interim, flood":        {"", "HTTP/1.1 100 C\r\n\r\n", flood, dispatch.Broken},
+		"body, flood":           {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000000\r\n\r\n", block, flood, dispatch.Broken},
+		"body, trickle":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 60000\r\n\r\n", "x", trickle, dispatch.TurnedAway},
+		"chunks, flood":         {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, flood, dispatch.TurnedAway},
+		"chunks, trickle":       {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", trickle, dispatch.Failed},
+		"chunk sizes, flood":    {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", block, flood, dispatch.Failed},
+		"trailer, flood":        {"HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", flood, dispatch.Failed},
+		"until closed, flood":   {"HTTP/1.1 500 E\r\n\r\n", block, flood, dispatch.Failed},
+		"until closed, trickle": {"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\n\r\n", "x", trickle, dispatch.TurnedAway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -65,7 +65,7 @@
 			p := pool(f.ln.Addr().String())
 			p.limits.Load().Dial = 500 * time.Millisecond
 			v := verdict(context.Background(), time.Minute)
-			if c.want == decide.Silent {
+			if c.want == dispatch.Silent {
 				v.TakenIn = time.Second
 			}
 			began := time.Now()
@@ -92,7 +92,7 @@
 	second := attempt(p, verdict(context.Background(), time.Minute))
 	<-over // the connection is closed, and the job goes on
 	p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
-	if got := <-second; got != (attemptEnd{decide.Served, "r"}) {
+	if got := <-second; got != (attemptEnd{dispatch.Served, "r"}) {
 		t.Errorf("ended as %+v", got)
 	}
 }
--- a/provider/faults_test.go
+++ b/provider/faults_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 )
 
@@ -35,7 +35,7 @@
 		f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
 		p := pool(f.ln.Addr().String())
 		tried := failing(p, 3, testrig.Failure(c.call, c.errno))
-		invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Failed)
+		invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Failed)
 		if tried.Load() != 4 || len(f.lines) != 1 {
 			t.Errorf("%s %v: %d connections tried, %d jobs sent", c.call, c.errno, tried.Load(), len(f.lines))
 		}
@@ -49,8 +49,8 @@
 // One that goes on failing ends the attempt when a connection's time is over. It speaks against the worker only if the machine was
 // not short of something.
 func TestConnectionThatGoesOnFailing(t *testing.T) {
-	for errno, want := range map[syscall.Errno]decide.End{syscall.ENFILE: decide.NotSent, syscall.EADDRNOTAVAIL: decide.NotSent,
-		syscall.ENETUNREACH: decide.NotConnected, syscall.ECONNREFUSED: decide.NotConnected, syscall.EHOSTUNREACH: decide.NotConnected} {
+	for errno, want := range map[syscall.Errno]dispatch.End{syscall.ENFILE: dispatch.NotSent, syscall.EADDRNOTAVAIL: dispatch.NotSent,
+		syscall.ENETUNREACH: dispatch.NotConnected, syscall.ECONNREFUSED: dispatch.NotConnected, syscall.EHOSTUNREACH: dispatch.NotConnected} {
 		p := pool("127.0.0.1:1")
 		p.Tune(Limits{Dial: 50 * time.Millisecond, Idle: time.Minute, Conns: 10})
 		tried := failing(p, 1<<62, testrig.Failure("connect", errno))
@@ -85,6 +85,6 @@
 			c, err := dial(ctx, address, until)
 			return &brokenConn{c, testrig.Failure("read", errno)}, err
 		}
-		invoke(t, p, verdict(context.Background(), 20*time.Second), decide.Broken)
+		invoke(t, p, verdict(context.Background(), 20*time.Second), dispatch.Broken)
 	}
 }
--- a/provider/http.go
+++ b/provider/http.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 	"laddertide/wire/http1"
 )
@@ -63,10 +63,10 @@
 }
 
 // accepted is no end: the provider has taken the job.
-const accepted decide.End = 255
+const accepted dispatch.End = 255
 
 type reply struct {
-	end  decide.End
+	end  dispatch.End
 	last bool // the connection ends
 }
 
@@ -84,15 +84,15 @@
 			head.Close = true
 		}
 	}
-	r := reply{end: decide.Failed, last: head.Close}
+	r := reply{end: dispatch.Failed, last: head.Close}
 	switch {
 	case head.Status == 202:
 		r.end = accepted
 	case (head.Status == 503 || head.Status == 504) && head.Fields.Get("X-Not-Run") == "1":
-		r.end = decide.TurnedAway
+		r.end = dispatch.TurnedAway
 	case head.Status/100 == 4 && head.Status != 408 && head.Status != 429:
 		// It is the request that is no use, not the provider, and the next one would say the same.
-		r.end = decide.Unusable
+		r.end = dispatch.Unusable
 	}
 	return r, nil
 }
--- a/provider/leave.go
+++ b/provider/leave.go
@@ -5,14 +5,14 @@
 	"errors"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/job"
 )
 
-// Ends of a call that no desk is told: the job goes on in another process.
+// Ends of a call that no engine is told: the job goes on in another process.
 const (
-	Moved  decide.End = 253 // the provider has the job, and has not been told anything
-	Unsent decide.End = 254 // nothing was sent
+	Moved  dispatch.End = 253 // the provider has the job, and has not been told anything
+	Unsent dispatch.End = 254 // nothing was sent
 )
 
 // transitLimit is how long a call-back waits for its job to arrive in the other process.
--- a/provider/left_test.go
+++ b/provider/left_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
@@ -50,7 +50,7 @@
 			released = time.Now()
 		}
 		for attempt := range 3 { // the further ones on a connection that was kept
-			invoke(t, p, v, decide.TurnedAway)
+			invoke(t, p, v, dispatch.TurnedAway)
 			if got, left := <-told, v.Until.Sub(released); got > left {
 				t.Errorf("attempt %d, held up for %v: told %v, %v was left", attempt, hold, got, left)
 			}
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -15,8 +15,8 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 	"laddertide/job"
 	"laddertide/wire/http1"
 )
@@ -80,8 +80,8 @@
 	return p
 }
 
-func verdict(ctx context.Context, left time.Duration) decide.Verdict {
-	return decide.Verdict{Provider: "s-1", Until: time.Now().Add(left), Context: ctx}
+func verdict(ctx context.Context, left time.Duration) dispatch.Verdict {
+	return dispatch.Verdict{Provider: "s-1", Until: time.Now().Add(left), Context: ctx}
 }
 
 func newJob() *job.Job {
@@ -120,9 +120,9 @@
 		"X-Deadline-Ms: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
-func invoke(t *testing.T, p *Pool, v decide.Verdict, want decide.End) string {
+func invoke(t *testing.T, p *Pool, v dispatch.Verdict, want dispatch.End) string {
 	t.Helper()
-	end, result := p.Invoke(newJob(), 0, v, func(decide.News) {})
+	end, result := p.Invoke(newJob(), 0, v, func(dispatch.News) {})
 	if end != want {
 		t.Fatalf("end %d, want %d", end, want)
 	}
@@ -133,23 +133,23 @@
 // two that carry X-Not-Run prove that it never ran, and a break after the last byte proves nothing. An
 // error of the request's own is not held against the provider.
 func TestAnswers(t *testing.T) {
-	for answer, want := range map[string]decide.End{
-		"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n":                 decide.Failed,
-		"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n": decide.TurnedAway,
-		"HTTP/1.1 504 T\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n": decide.TurnedAway,
-		"HTTP/1.1 503 B\r\nContent-Length: 0\r\n\r\n":                 decide.Failed,
-		"HTTP/1.1 503 B\r\nX-Not-Run: 0\r\nContent-Length: 0\r\n\r\n": decide.Failed,
-		"HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n": decide.Failed,
-		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx":               decide.Failed, // no result of a job
-		"HTTP/1.1 500 E\r\n\r\nno end in sight":                       decide.Failed,
-		"HTTP/1.1 2":                                                  decide.TimedOut,
-		"close":                                                       decide.Broken,
-		"HTTP/1.1 400 R\r\nContent-Length: 0\r\n\r\n":                 decide.Unusable,
-		"HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n":                 decide.Unusable,
-		"HTTP/1.1 429 M\r\nContent-Length: 0\r\n\r\n":                 decide.Failed,
+	for answer, want := range map[string]dispatch.End{
+		"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n":                 dispatch.Failed,
+		"HTTP/1.1 503 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n": dispatch.TurnedAway,
+		"HTTP/1.1 504 T\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n": dispatch.TurnedAway,
+		"HTTP/1.1 503 B\r\nContent-Length: 0\r\n\r\n":                 dispatch.Failed,
+		"HTTP/1.1 503 B\r\nX-Not-Run: 0\r\nContent-Length: 0\r\n\r\n": dispatch.Failed,
+		"HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n": dispatch.Failed,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx":               dispatch.Failed, // no result of a job
+		"HTTP/1.1 500 E\r\n\r\nno end in sight":                       dispatch.Failed,
+		"HTTP/1.1 2":                                                  dispatch.TimedOut,
+		"close":                                                       dispatch.Broken,
+		"HTTP/1.1 400 R\r\nContent-Length: 0\r\n\r\n":                 dispatch.Unusable,
+		"HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n":                 dispatch.Unusable,
+		"HTTP/1.1 429 M\r\nContent-Length: 0\r\n\r\n":                 dispatch.Failed,
 	} {
 		left := 10 * time.Second
-		if want == decide.TimedOut {
+		if want == dispatch.TimedOut {
 			left = 50 * time.Millisecond
 		}
 		f := newFake(t, say(answer))
@@ -161,14 +161,14 @@
 	f := newFake(t, say(taken))
 	p := pool(f.ln.Addr().String())
 	p.Directory([]directory.Entry{{Name: "s-1", Address: f.ln.Addr().String(), Status: directory.Draining}}, false)
-	invoke(t, p, verdict(context.Background(), time.Second), decide.NotConnected) // drains
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.NotConnected) // drains
 	f.ln.Close()
 	p.Directory([]directory.Entry{{Name: "s-1", Address: f.ln.Addr().String(), Status: directory.Serving}}, false)
-	invoke(t, p, verdict(context.Background(), time.Second), decide.NotConnected) // refused
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.NotConnected) // refused
 	p.limits.Load().Conns = 0
-	invoke(t, p, verdict(context.Background(), time.Second), decide.NotSent) // our own limit, not its fault
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.NotSent) // our own limit, not its fault
 	p.Directory(nil, true)
-	invoke(t, p, verdict(context.Background(), time.Second), decide.NotConnected) // left the list
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.NotConnected) // left the list
 	if p.open != 0 {
 		t.Fatalf("%d connections are counted", p.open)
 	}
@@ -212,8 +212,8 @@
 		for n := range 2 { // the second time on the same connection
 			j := newJob()
 			j.ID = fmt.Sprint("job-", n+1)
-			end, result := p.Invoke(j, 0, verdict(context.Background(), time.Second), func(decide.News) {})
-			if end != decide.Served || string(result) != "the Answer" {
+			end, result := p.Invoke(j, 0, verdict(context.Background(), time.Second), func(dispatch.News) {})
+			if end != dispatch.Served || string(result) != "the Answer" {
 				t.Fatalf("end %d, result %q", end, result)
 			}
 		}
@@ -226,15 +226,15 @@
 // A job that is given up must end at its provider: by DELETE once it was taken, by closing before.
 func TestGiveUp(t *testing.T) {
 	for _, acknowledged := range []bool{true, false} {
-		for _, want := range []decide.End{decide.TimedOut, decide.Withdrawn} {
+		for _, want := range []dispatch.End{dispatch.TimedOut, dispatch.Withdrawn} {
 			ctx, withdraw := context.WithCancel(context.Background())
 			defer withdraw()
 			left := 200 * time.Millisecond
-			if want == decide.Withdrawn {
+			if want == dispatch.Withdrawn {
 				left = 10 * time.Second
 			}
 			f := newFake(t, func(n int, c net.Conn) bool {
-				if want == decide.Withdrawn && n == 1 {
+				if want == dispatch.Withdrawn && n == 1 {
 					time.AfterFunc(10*time.Millisecond, withdraw)
 				}
 				return !acknowledged || say(taken)(n, c)
@@ -280,7 +280,7 @@
 	p.release(first) // used first
 	v := verdict(context.Background(), 10*time.Second)
 	v.TakenIn = 100 * time.Millisecond
-	invoke(t, p, v, decide.Silent)
+	invoke(t, p, v, dispatch.Silent)
 	if p.open != 0 || len(first.of.idle) != 0 {
 		t.Fatalf("%d connections are trusted", p.open)
 	}
@@ -291,7 +291,7 @@
 func TestDyingConnection(t *testing.T) {
 	f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
 	p := pool(f.ln.Addr().String())
-	invoke(t, p, verdict(context.Background(), time.Second), decide.Failed)
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.Failed)
 	c := p.providers["s-1"].idle[0]
 	if !c.alive() {
 		t.Fatal("an open connection counts as dead")
@@ -300,7 +300,7 @@
 	for c.alive() {
 		time.Sleep(time.Millisecond)
 	}
-	invoke(t, p, verdict(context.Background(), time.Second), decide.Failed)
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.Failed)
 	if p.open != 1 {
 		t.Fatalf("%d connections are counted", p.open)
 	}
@@ -316,7 +316,7 @@
 	f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
 	p := pool(f.ln.Addr().String())
 	p.limits.Load().Conns = 1
-	invoke(t, p, verdict(context.Background(), time.Second), decide.Failed)
+	invoke(t, p, verdict(context.Background(), time.Second), dispatch.Failed)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -372,7 +372,7 @@
 		return say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")(0, c)
 	})
 	p := pool(f.ln.Addr().String())
-	for _, want := range []decide.End{decide.Failed, decide.Broken, decide.Failed, decide.Failed, decide.Failed} {
+	for _, want := range []dispatch.End{dispatch.Failed, dispatch.Broken, dispatch.Failed, dispatch.Failed, dispatch.Failed} {
 		invoke(t, p, verdict(context.Background(), 5*time.Second), want)
 		time.Sleep(3 * leastIdle)
 	}
@@ -392,9 +392,9 @@
 	go func() {
 		<-f.lines                          // the job
 		time.Sleep(100 * time.Millisecond) // acknowledged by now: else the connection's end would tell
-		withdraw(decide.ErrElsewhere)
+		withdraw(dispatch.ErrElsewhere)
 	}()
-	invoke(t, p, verdict(ctx, 5*time.Second), decide.Withdrawn)
+	invoke(t, p, verdict(ctx, 5*time.Second), dispatch.Withdrawn)
 	if len(f.lines) != 1 || <-f.lines != "DELETE /jobs/id-1" {
 		t.Fatal("the call ended before its provider was told")
 	}
@@ -411,10 +411,10 @@
 		go func() {
 			<-f.lines
 			time.Sleep(100 * time.Millisecond)
-			withdraw(decide.ErrElsewhere)
+			withdraw(dispatch.ErrElsewhere)
 		}()
 		v := verdict(ctx, left)
-		invoke(t, p, v, decide.Withdrawn)
+		invoke(t, p, v, dispatch.Withdrawn)
 		if late := time.Since(v.Until); late > 500*time.Millisecond {
 			t.Errorf("with %s left: held %s past its time", left, late)
 		}
@@ -431,9 +431,9 @@
 	go func() {
 		<-f.lines
 		time.Sleep(100 * time.Millisecond)
-		withdraw(decide.ErrElsewhere)
+		withdraw(dispatch.ErrElsewhere)
 	}()
-	invoke(t, p, verdict(ctx, 5*time.Second), decide.Withdrawn)
+	invoke(t, p, verdict(ctx, 5*time.Second), dispatch.Withdrawn)
 	if len(f.lines) != 2 || len(f.conns) != 2 {
 		t.Fatalf("told %d times on %d connections", len(f.lines), len(f.conns))
 	}
@@ -452,9 +452,9 @@
 	ctx, withdraw := context.WithCancelCause(context.Background())
 	go func() {
 		<-f.lines // the job
-		withdraw(decide.ErrElsewhere)
+		withdraw(dispatch.ErrElsewhere)
 	}()
-	invoke(t, p, verdict(ctx, 5*time.Second), decide.Withdrawn)
+	invoke(t, p, verdict(ctx, 5*time.Second), dispatch.Withdrawn)
 	if len(f.lines) != 1 || <-f.lines != "DELETE /jobs/id-1" {
 		t.Fatal("the call ended before its provider was told")
 	}
@@ -471,11 +471,11 @@
 		time.Sleep(100 * time.Millisecond)
 		f.ln.Close()
 		(<-f.conns).Close()
-		withdraw(decide.ErrElsewhere)
+		withdraw(dispatch.ErrElsewhere)
 		time.Sleep(600 * time.Millisecond)
 		p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
 	}()
-	if got := invoke(t, p, verdict(ctx, 20*time.Second), decide.Served); got != "r" {
+	if got := invoke(t, p, verdict(ctx, 20*time.Second), dispatch.Served); got != "r" {
 		t.Fatalf("result %q", got)
 	}
 }
@@ -511,7 +511,7 @@
 // then it says nothing.
 func TestLeavingWhileConnecting(t *testing.T) {
 	address := deaf(t)
-	for cause, want := range map[error]decide.End{decide.ErrElsewhere: decide.NotConnected, nil: decide.NotSent} {
+	for cause, want := range map[error]dispatch.End{dispatch.ErrElsewhere: dispatch.NotConnected, nil: dispatch.NotSent} {
 		ctx, withdraw := context.WithCancelCause(context.Background())
 		time.AfterFunc(50*time.Millisecond, func() { withdraw(cause) })
 		invoke(t, pool(address), verdict(ctx, 4*time.Second), want)
@@ -523,7 +523,7 @@
 func TestLateNews(t *testing.T) {
 	f := newFake(t, say(taken))
 	p := pool(f.ln.Addr().String())
-	heard := make(chan decide.News, 10)
+	heard := make(chan dispatch.News, 10)
 	found := make(chan *call, 1)
 	go func() {
 		<-f.lines
@@ -531,7 +531,7 @@
 		defer p.mu.Unlock()
 		found <- p.calls["id-1"]
 	}()
-	if end, _ := p.Invoke(newJob(), 0, verdict(context.Background(), 100*time.Millisecond), func(n decide.News) { heard <- n }); end != decide.TimedOut {
+	if end, _ := p.Invoke(newJob(), 0, verdict(context.Background(), 100*time.Millisecond), func(n dispatch.News) { heard <- n }); end != dispatch.TimedOut {
 		t.Fatalf("end %d", end)
 	}
 	c := <-found
@@ -558,20 +558,20 @@
 func TestCrossingsBeforeTheFirstByte(t *testing.T) {
 	for name, cross := range map[string]struct {
 		do   func(p *Pool, withdraw context.CancelCauseFunc)
-		want decide.End
+		want dispatch.End
 	}{
-		"leaves":    {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(nil) }, decide.NotSent},
-		"elsewhere": {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(decide.ErrElsewhere) }, decide.NotSent},
+		"leaves":    {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(nil) }, dispatch.NotSent},
+		"elsewhere": {func(_ *Pool, withdraw context.CancelCauseFunc) { withdraw(dispatch.ErrElsewhere) }, dispatch.NotSent},
 		"drains": {func(p *Pool, _ context.CancelCauseFunc) {
 			p.Directory([]directory.Entry{{Name: "s-1", Address: p.Address("s-1"), Status: directory.Draining}}, false)
-		}, decide.NotConnected},
-		"is gone": {func(p *Pool, _ context.CancelCauseFunc) { p.Directory(nil, true) }, decide.NotConnected},
+		}, dispatch.NotConnected},
+		"is gone": {func(p *Pool, _ context.CancelCauseFunc) { p.Directory(nil, true) }, dispatch.NotConnected},
 	} {
 		for _, kept := range []bool{false, true} {
 			f := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
 			p := pool(f.ln.Addr().String())
 			if kept {
-				invoke(t, p, verdict(context.Background(), 10*time.Second), decide.Failed)
+				invoke(t, p, verdict(context.Background(), 10*time.Second), dispatch.Failed)
 				<-f.lines
 			}
 			ctx, withdraw := context.WithCancelCause(context.Background())
--- a/provider/second_answer_test.go
+++ b/provider/second_answer_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"laddertide/decide"
+	"laddertide/dispatch"
 	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
@@ -47,7 +47,7 @@
 }
 
 // carries makes an attempt that must come on the connection of that number, and answers it there.
-func carries(t *testing.T, p *Pool, requests <-chan request, number int, answer string, want decide.End) net.Conn {
+func carries(t *testing.T, p *Pool, requests <-chan request, number int, answer string, want dispatch.End) net.Conn {
 	t.Helper()
 	over := attempt(p, verdict(context.Background(), 20*time.Second))
 	r := <-requests
@@ -70,9 +70,9 @@
 		if rests {
 			p.limits.Load().Rest = time.Hour // the second answer is still to come when the next attempt goes out
 		}
-		first := carries(t, p, requests, 1, fails, decide.Failed)
+		first := carries(t, p, requests, 1, fails, dispatch.Failed)
 		if rests {
-			second := carries(t, p, requests, 2, fails, decide.Failed)
+			second := carries(t, p, requests, 2, fails, dispatch.Failed)
 			first.Write([]byte(turnsAway))
 			second.Write([]byte(turnsAway))
 			p.limits.Load().Rest = 0
@@ -88,7 +88,7 @@
 		if rests {
 			next = 3
 		}
-		carries(t, p, requests, next, fails, decide.Failed)
+		carries(t, p, requests, next, fails, dispatch.Failed)
 		if p.open != 1 {
 			t.Errorf("rests %v: %d connections are counted", rests, p.open)
 		}
@@ -98,7 +98,7 @@
 // A second answer that comes while the attempt waits is seen before the attempt's first byte.
 func TestSecondAnswerWhileHeldUp(t *testing.T) {
 	p, requests := answering(t)
-	first := carries(t, p, requests, 1, fails, decide.Failed)
+	first := carries(t, p, requests, 1, fails, dispatch.Failed)
 	kept := p.providers["s-1"].idle[0]
 	p.Awake = func(time.Time) {
 		first.Write([]byte(turnsAway))
@@ -106,7 +106,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	carries(t, p, requests, 2, fails, decide.Failed)
+	carries(t, p, requests, 2, fails, dispatch.Failed)
 }
 
 // A second answer that comes only once the next attempt is out, after the rest, cannot be told from that one's: HTTP/1.1 has
@@ -114,8 +114,8 @@
 // connection that carries nothing else any more.
 func TestSecondAnswerAfterTheNextAttempt(t *testing.T) {
 	p, requests := answering(t)
-	carries(t, p, requests, 1, fails, decide.Failed)
-	conn := carries(t, p, requests, 1, fails, decide.Failed) // the second answer to the first attempt
+	carries(t, p, requests, 1, fails, dispatch.Failed)
+	conn := carries(t, p, requests, 1, fails, dispatch.Failed) // the second answer to the first attempt
 	p.limits.Load().Rest = time.Hour
 	other := attempt(p, verdict(context.Background(), 20*time.Second))
 	r := <-requests
@@ -130,7 +130,7 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 	p.Event(Event{ID: "id-1", From: "s-1", State: Done, Result: []byte("r")})
-	if got := <-other; got != (attemptEnd{decide.Served, "r"}) {
+	if got := <-other; got != (attemptEnd{dispatch.Served, "r"}) {
 		t.Errorf("the third attempt ended as %+v", got)
 	}
 }
--- a/rehearse/fleet/silence_test.go
+++ b/rehearse/fleet/silence_test.go
@@ -14,8 +14,8 @@
 
 	"laddertide/core/history"
 	"laddertide/core/world"
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 	"laddertide/job"
 	"laddertide/provider"
 	"laddertide/wire/http1"
@@ -274,14 +274,14 @@
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	defer pool.Close()
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: r.Address(0, 0), Status: directory.Serving}}, true)
-	invoke := func(id string) (decide.End, time.Duration) {
+	invoke := func(id string) (dispatch.End, time.Duration) {
 		r.job(id, 0)
 		j := &job.Job{ID: id, Subject: "/api/x?y=1", Payload: []byte("body"), Protocol: http1.Protocol,
 			Fields: []job.Field{{Name: "X-Request-Id", Value: id}}}
 		began := time.Now()
-		v := decide.Verdict{Provider: "s-1", Until: began.Add(patience), TakenIn: 400 * time.Millisecond,
+		v := dispatch.Verdict{Provider: "s-1", Until: began.Add(patience), TakenIn: 400 * time.Millisecond,
 			Context: context.Background()}
-		end, _ := pool.Invoke(j, 0, v, func(decide.News) {})
+		end, _ := pool.Invoke(j, 0, v, func(dispatch.News) {})
 		return end, time.Since(began)
 	}
 	go func() { // stands for the daemon's listener
@@ -294,33 +294,33 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}()
-	if end, took := invoke("a"); end != decide.Served {
+	if end, took := invoke("a"); end != dispatch.Served {
 		t.Fatalf("a calm call ended with %d after %v", end, took)
 	}
 	must(t, r.Vanish(0))
 	// The first one goes into the connection that is left from before.
 	end, took := invoke("b")
 	t.Logf("vanished, on a connection from before: end %d after %v", end, took)
-	if end != decide.Silent {
-		t.Errorf("end %d, want %d", end, decide.Silent)
+	if end != dispatch.Silent {
+		t.Errorf("end %d, want %d", end, dispatch.Silent)
 	}
 	end, took = invoke("c")
 	t.Logf("vanished, on a new connection: end %d after %v", end, took)
-	if end != decide.NotConnected || took < 250*time.Millisecond {
-		t.Errorf("end %d after %v, want %d", end, took, decide.NotConnected)
+	if end != dispatch.NotConnected || took < 250*time.Millisecond {
+		t.Errorf("end %d after %v, want %d", end, took, dispatch.NotConnected)
 	}
 	must(t, r.Return(0))
 	end, took = invoke("d")
 	t.Logf("back: end %d after %v", end, took)
-	if end != decide.Served {
-		t.Errorf("end %d, want %d", end, decide.Served)
+	if end != dispatch.Served {
+		t.Errorf("end %d, want %d", end, dispatch.Served)
 	}
 	must(t, r.Mute(0))
 	pool.Directory([]directory.Entry{{Name: "s-1", Address: r.Address(0, 0), Status: directory.Serving, SinceMS: 1}}, true)
 	end, took = invoke("e")
 	t.Logf("mute, on a new connection: end %d after %v", end, took)
-	if end != decide.Silent || took < 400*time.Millisecond {
-		t.Errorf("end %d after %v, want %d", end, took, decide.Silent)
+	if end != dispatch.Silent || took < 400*time.Millisecond {
+		t.Errorf("end %d after %v, want %d", end, took, dispatch.Silent)
 	}
 	voids := map[string]bool{}
 	for _, ev := range r.history(0, history.KindVoid) {
--- a/rehearse/scale/page/promises.go
+++ b/rehearse/scale/page/promises.go
@@ -54,7 +54,7 @@
 			"policy", "", float64(s.Tasks.Jobs), 0, loads(measurement.TaskStartsPerSecond)},
 		{fmt.Sprintf("%s task starts a second", number(size.TaskStartsPerSecond)), "`consumer`, `policy`, `provider`", "policy",
 			"", 0, s.Tasks.StartsPerS * secondsOfDay, loads(measurement.TaskStartsPerSecond)},
-		{fmt.Sprintf("%s tasks running", number(size.TasksRunning)), "`decide`, `provider`", "policy", "", 0, 0,
+		{fmt.Sprintf("%s tasks running", number(size.TasksRunning)), "`dispatch`, `provider`", "policy", "", 0, 0,
 			loads(measurement.TasksRunning)},
 		{fmt.Sprintf("gangs of up to %d", largestGang(s)), "", "", "nothing places several tasks at once or none",
 			0, float64(s.Tasks.Jobs), nil},
--- a/returning/gate.go
+++ b/returning/gate.go
@@ -33,7 +33,7 @@
 	if g.Known != nil && g.Known(j.ID) {
 		return g.join(ctx, j)
 	}
-	before := false // a call that others have made, before this job came here, is waited for at the desk
+	before := false // a call that others have made, before this job came here, is waited for at the engine
 	if j.Keeper != nil {
 		past, resumed := j.Keeper.Past()
 		before = resumed && len(past) > 0
@@ -160,7 +160,7 @@
 	r.look()
 }
 
-// leave takes note that nobody waits for a job any more: nothing of it is in the desk, nor will be.
+// leave takes note that nobody waits for a job any more: nothing of it is in the engine, nor will be.
 func (r *Room) leave(id uint64) {
 	r.mu.Lock()
 	if w, waits := r.waiting[id]; waits {
@@ -173,7 +173,7 @@
 	r.look()
 }
 
-// ended tells that a job has left the desk.
+// ended tells that a job has left the engine.
 func (r *Room) ended(id uint64, served bool) {
 	r.tell(func(now time.Duration) { r.m.Ended(now, id, served) })
 }
--- a/returning/returning_test.go
+++ b/returning/returning_test.go
@@ -142,7 +142,7 @@
 			t.Errorf("not healthy: %+v", r.Report())
 		}
 		short := make(chan job.Outcome, 1)
-		for i := range 40 { // the desk is full
+		for i := range 40 { // the engine is full
 			go ask("f"+string(rune('a'+i)), 0)
 		}
 		synctest.Wait()
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -106,7 +106,7 @@
 	if verb == "disable" {
 		p, known = s.list.TakeOut(name)
 	} else {
-		p, known = s.list.PutBack(name, s.desk.Now())
+		p, known = s.list.PutBack(name, s.engine.Now())
 	}
 	if !known {
 		return admin.ErrUnknown
--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -23,7 +23,7 @@
 			r.hear(directory.List{Index: 43, Entries: []directory.Entry{e}})
 			r.sched.mu.Lock()
 			defer r.sched.mu.Unlock()
-			now := r.sched.desk.Now()
+			now := r.sched.engine.Now()
 			old := now - r.sched.starts.Started(e.Name, e.Since(), now, false)
 			if old < 0 || old > age+time.Since(began)+time.Millisecond {
 				t.Errorf("a worker that started %v ago counts as one of %v ago", age, old)
@@ -39,13 +39,13 @@
 	name := r.cfg.Known.Entries[0].Name
 	r.sched.mu.Lock()
 	defer r.sched.mu.Unlock()
-	before := r.sched.desk.Now()
+	before := r.sched.engine.Now()
 	for _, verb := range []string{"disable", "enable"} {
 		if err := r.sched.ownHand(verb, name); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if p, _ := r.sched.list.Get(name); p.Back < before || p.Back > r.sched.desk.Now() {
+	if p, _ := r.sched.list.Get(name); p.Back < before || p.Back > r.sched.engine.Now() {
 		t.Errorf("back %v after it was put back", p.Back-before)
 	}
 }
@@ -126,7 +126,7 @@
 	r.t.Helper()
 	next.sched.mu.Lock()
 	defer next.sched.mu.Unlock()
-	now := next.sched.desk.Now()
+	now := next.sched.engine.Now()
 	within := time.Since(r.began) + 5*time.Millisecond
 	if age := now - next.sched.starts.Started(r.started.Name, r.started.Since(), now, false); age < 0 || age > within {
 		r.t.Errorf("a worker that started within %v counts as one of %v ago", within, age)
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -67,7 +67,7 @@
 // somebody behind does not know. Called under mu.
 func (s *Scheduler) retune(next Config) error {
 	set := &next.Settings
-	if err := s.desk.Retune(*set); err != nil {
+	if err := s.engine.Retune(*set); err != nil {
 		return err
 	}
 	if s.figures != nil {
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -73,7 +73,7 @@
 	if trust.Speeds <= 0 || len(st.Beliefs.Module) == 0 || string(st.Part(partClasses)) != s.classNames() {
 		return
 	}
-	err := s.desk.Recall(s.cfg.Settings, st.Beliefs.Names, st.Beliefs.Module, s.room.Away().Most, trust.Health)
+	err := s.engine.Recall(s.cfg.Settings, st.Beliefs.Names, st.Beliefs.Module, s.room.Away().Most, trust.Health)
 	if err != nil {
 		s.log.Warn("what the process before believed of providers is not taken over", "err", err)
 	}
@@ -98,7 +98,7 @@
 
 // compose is the state as it is now.
 func (s *Scheduler) compose() snapshot.State {
-	names, module := s.desk.Beliefs()
+	names, module := s.engine.Beliefs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := snapshot.State{Beliefs: snapshot.Beliefs{Names: names, Module: module},
@@ -298,7 +298,7 @@
 	}
 	each := 1 / float64(s.room.Expect())
 	part := recovery.Part{Work: each, Cold: each}
-	if s.peers != nil && s.cfg.Operator.Peers.Shares != peers.Off { // as the desk has it
+	if s.peers != nil && s.cfg.Operator.Peers.Shares != peers.Off { // as the engine has it
 		c := s.peers.Conclusion()
 		part.Work = 1 / float64(c.Claims)
 		if part.Cold = part.Work; s.cfg.Operator.Peers.Shares == peers.ByMayRun {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,8 +24,8 @@
 	"laddertide/core/maintenance"
 	"laddertide/core/pollschedule"
 	"laddertide/core/starttime"
-	"laddertide/decide"
 	"laddertide/directory"
+	"laddertide/dispatch"
 	"laddertide/durable"
 	"laddertide/figures"
 	"laddertide/job"
@@ -42,10 +42,10 @@
 
 // Scheduler is one scheduler, ready to serve.
 type Scheduler struct {
-	cfg  Config
-	log  *slog.Logger
-	desk *decide.Desk
-	pool *provider.Pool
+	cfg    Config
+	log    *slog.Logger
+	engine *dispatch.Engine
+	pool   *provider.Pool
 
 	// What the operator has turned on; nil: off.
 	figures *figures.Emitter
@@ -71,7 +71,7 @@
 	// list is what discovery and the operators have said, under mu; index is discovery's last.
 	list     maintenance.List[directory.Entry]
 	index    uint64
-	starts   starttime.Clock // of workers, by the desk's clock
+	starts   starttime.Clock // of workers, by the engine's clock
 	followed bool            // discovery has been heard, so that what it tells now is news
 	ready    atomic.Bool
 
@@ -100,21 +100,21 @@
 	s := &Scheduler{cfg: cfg, log: log}
 	s.recallConfiguration()
 	cfg = s.cfg
-	desk, err := decide.NewAt(cfg.Settings, log, time.Now().Add(cfg.clockAhead))
+	engine, err := dispatch.NewAt(cfg.Settings, log, time.Now().Add(cfg.clockAhead))
 	if err != nil {
 		return nil, err
 	}
-	s.desk = desk
+	s.engine = engine
 	s.observe()
 	s.pool = provider.NewPool(limitsOf(&cfg.Settings, cfg.calls()), log)
 	s.deliver(policy.ListCached, cfg.Known)
 	return s, nil
 }
 
-// observe makes what the operator has turned on and lets the desk tell it what passes.
+// observe makes what the operator has turned on and lets the engine tell it what passes.
 func (s *Scheduler) observe() {
 	op := &s.cfg.Operator
-	var all decide.Observers
+	var all dispatch.Observers
 	if op.Figures != nil {
 		var stderr io.Writer = os.Stderr
 		if op.Stderr != nil {
@@ -132,7 +132,7 @@
 		all = append(all, s.status)
 	}
 	if all != nil {
-		s.desk.Observe(all)
+		s.engine.Observe(all)
 	}
 }
 
@@ -151,7 +151,7 @@
 // that sets their order. What the operator has turned on goes round the last one here, the innermost first; what is off
 // is not in the chain.
 func (s *Scheduler) chain() (job.Handler, error) {
-	var h job.Handler = &attempt.Handler{Desk: s.desk, Pool: s.pool, Log: s.log}
+	var h job.Handler = &attempt.Handler{Engine: s.engine, Pool: s.pool, Log: s.log}
 	if set := s.cfg.Operator.Replicated; set != nil {
 		r, err := s.newReplicated(*set, h)
 		if err != nil {
@@ -182,7 +182,7 @@
 	return h, nil
 }
 
-// startObservers begins what they do apart from the desk.
+// startObservers begins what they do apart from the engine.
 func (s *Scheduler) startObservers() {
 	if s.figures != nil {
 		s.figures.Start()
@@ -214,7 +214,7 @@
 func (s *Scheduler) deliver(kind policy.ListKind, list directory.List) {
 	s.index = list.Index
 	s.heardList()
-	now := s.desk.Now()
+	now := s.engine.Now()
 	names := make([]string, len(list.Entries))
 	for i := range list.Entries {
 		e := &list.Entries[i]
@@ -259,7 +259,7 @@
 func (s *Scheduler) tell(kind policy.ListKind, list directory.List) {
 	entries := make([]policy.Entry, len(list.Entries))
 	names := make([]string, len(list.Entries))
-	now := s.desk.Now()
+	now := s.engine.Now()
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		names[i] = e.Name
@@ -277,7 +277,7 @@
 		}
 	}
 	s.pool.Directory(list.Entries, kind != policy.ListDelta)
-	s.desk.Directory(kind, list.Index, entries, names)
+	s.engine.Directory(kind, list.Index, entries, names)
 	s.listed()
 }
 
@@ -307,7 +307,7 @@
 		return err
 	}
 	defer s.pool.Close()
-	defer s.desk.Close()
+	defer s.engine.Close()
 	// The directory is followed to the very end: what is answered after the word to stop is sent
 	// by the same rules.
 	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -344,7 +344,7 @@
 	s.watching = watching
 	s.follow(s.cfg.Discovery, s.index, s.room != nil)
 	s.mu.Unlock()
-	stopping := s.desk.Stop
+	stopping := s.engine.Stop
 	if s.durable != nil {
 		defer s.durable.Close()
 		// Before there is an address that providers could call back: what they say must find its job.
@@ -353,7 +353,7 @@
 				return err
 			}
 		}
-		stopping = func(by time.Time) { s.desk.Stop(by); s.durable.Stop(by) }
+		stopping = func(by time.Time) { s.engine.Stop(by); s.durable.Stop(by) }
 	}
 	if s.room != nil {
 		stopping = alsoStop(stopping, func(time.Time) { s.room.Stop() })
@@ -570,18 +570,18 @@
 		case <-timer.C:
 			timer.Reset(summaryEvery)
 		}
-		c := s.desk.Counts()
+		c := s.engine.Counts()
 		if c.Jobs == 0 && c.Open == 0 {
 			continue
 		}
 		s.log.Info("summary", "jobs", c.Jobs, "open", c.Open,
-			"answered", c.Verdicts[decide.Answer], "rejected", c.Verdicts[decide.Rejection],
-			"failed", c.Verdicts[decide.Failure], "left", c.Verdicts[decide.Left],
-			"mistakes", c.Verdicts[decide.Mistake],
-			"served", c.Ends[decide.Served], "not_connected", c.Ends[decide.NotConnected],
-			"turned_away", c.Ends[decide.TurnedAway], "unusable", c.Ends[decide.Unusable], "broken", c.Ends[decide.Broken],
-			"call_failed", c.Ends[decide.Failed], "silent", c.Ends[decide.Silent], "timed_out", c.Ends[decide.TimedOut],
-			"withdrawn", c.Ends[decide.Withdrawn]+c.Ends[decide.NotSent])
+			"answered", c.Verdicts[dispatch.Answer], "rejected", c.Verdicts[dispatch.Rejection],
+			"failed", c.Verdicts[dispatch.Failure], "left", c.Verdicts[dispatch.Left],
+			"mistakes", c.Verdicts[dispatch.Mistake],
+			"served", c.Ends[dispatch.Served], "not_connected", c.Ends[dispatch.NotConnected],
+			"turned_away", c.Ends[dispatch.TurnedAway], "unusable", c.Ends[dispatch.Unusable], "broken", c.Ends[dispatch.Broken],
+			"call_failed", c.Ends[dispatch.Failed], "silent", c.Ends[dispatch.Silent], "timed_out", c.Ends[dispatch.TimedOut],
+			"withdrawn", c.Ends[dispatch.Withdrawn]+c.Ends[dispatch.NotSent])
 	}
 }
 
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -62,7 +62,7 @@
 	next := s.cfg
 	var err error
 	if next.Settings, err = s.cfg.Settings.After(&of); err == nil {
-		err = s.desk.Inherit(of, m.Names, m.Beliefs)
+		err = s.engine.Inherit(of, m.Names, m.Beliefs)
 		if err := s.retune(next); err != nil {
 			s.log.Error("settings of the process before do not go with this one's", "err", err)
 		}
@@ -97,7 +97,7 @@
 	}
 	s.limit(standby)
 	s.pool.Leave() // nothing is sent from here any more
-	names, beliefs := s.desk.Beliefs()
+	names, beliefs := s.engine.Beliefs()
 	m := &wire.Takeover{Roster: s.roster(), Names: names, Beliefs: beliefs, Conns: held, Calls: s.pool.Open()}
 	for _, c := range s.cfg.Settings.Classes {
 		m.Classes = append(m.Classes, wire.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Window: c.Window,
--- a/scheduler/successor_clock.go
+++ b/scheduler/successor_clock.go
@@ -18,7 +18,9 @@
 }
 
 // clockApart is by how much the system's clock is ahead of this process's. Called under mu.
-func (s *Scheduler) clockApart() time.Duration { return s.desk.Apart(time.Now().Add(s.cfg.clockAhead)) }
+func (s *Scheduler) clockApart() time.Duration {
+	return s.engine.Apart(time.Now().Add(s.cfg.clockAhead))
+}
 
 // handClock is what the next process must know of this one's clock; nil: its own is like it. The next process has read the system's clock
 // shortly before it was admitted. Called under mu.
@@ -33,13 +35,13 @@
 	for _, start := range s.starts.Starts() {
 		m.Starts = append(m.Starts, wire.Start(start))
 	}
-	m.Now = s.desk.Now()
+	m.Now = s.engine.Now()
 	return m
 }
 
 // continueClock goes on by the clock of the process before. Called under mu.
 func (s *Scheduler) continueClock(c *olderClock) {
-	if err := s.desk.Continue(c.Now + time.Since(c.received)); err != nil {
+	if err := s.engine.Continue(c.Now + time.Since(c.received)); err != nil {
 		s.log.Error("the clock of the process before is not taken over", "err", err)
 		return
 	}
