figures: the package is metrics

The section of the operators' file and the names that are exported keep their words.

Change: renames alone. Measured: the tests of metrics and purity, and those of the scheduler's operators' file, pass.

--- a/internal/purity/wall.go
+++ b/internal/purity/wall.go
@@ -23,7 +23,7 @@
 	"(*laddertide/returning.Room).next":   "one of several numbers that this process's own may grow from",
 	"laddertide/internal/uptime.system":   "the wall's part of a moment that outlives the process",
 	"laddertide/internal/uptime.fallback": "the same, where the system has no clock of its boot",
-	"laddertide/figures.stamp":            "the date of a figure, for metrics systems",
+	"laddertide/metrics.stamp":            "the date of a figure, for metrics systems",
 
 	// Numbers of processes: they grow from one process of a name to the next. After a step back the others say so, and it takes a later one.
 	"laddertide/peers.Start":                 "the number of this process",
--- a/figures/figures.go
+++ b/metrics/metrics.go
@@ -1,6 +1,6 @@
-// Package figures tells the operators' metrics system what the scheduler does: counters, gauges and timers with
+// Package metrics tells the operators' metrics system what the scheduler does: counters, gauges and timers with
 // tags for class, tenant and server, as statsd or Influx lines.
-package figures
+package metrics
 
 import (
 	"io"
--- a/figures/target.go
+++ b/metrics/target.go
@@ -1,4 +1,4 @@
-package figures
+package metrics
 
 import (
 	"io"
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -319,7 +319,7 @@
 
 // gaugeConfiguration renews the gauges of the configuration until ctx ends, if there are to be any.
 func (s *Scheduler) gaugeConfiguration(ctx context.Context) {
-	if s.figures == nil || s.cfg.Operator.Configuration == nil {
+	if s.metrics == nil || s.cfg.Operator.Configuration == nil {
 		return
 	}
 	tick := time.NewTicker(configurationGaugesEvery)
@@ -332,7 +332,7 @@
 		if known.follower != nil {
 			report = known.follower.Report()
 		}
-		s.figures.Configuration(report.Version, report.Refused, report.CurrentMS)
+		s.metrics.Configuration(report.Version, report.Refused, report.CurrentMS)
 		select {
 		case <-ctx.Done():
 			return
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -13,8 +13,8 @@
 	"laddertide/configuration/follower"
 	"laddertide/consumer"
 	"laddertide/durable"
-	"laddertide/figures"
 	"laddertide/jobstatus"
+	"laddertide/metrics"
 	"laddertide/operator"
 	"laddertide/owners"
 	"laddertide/peers"
@@ -25,7 +25,7 @@
 
 // Operator is what the operator's file turns on. A part that is nil is off.
 type Operator struct {
-	Figures    *figures.Settings
+	Figures    *metrics.Settings
 	TLS        *tlslistener.Settings
 	Capture    *capture.Settings
 	JobStatus  *jobstatus.Settings
@@ -49,7 +49,7 @@
 	if err != nil {
 		return op, err
 	}
-	op.Figures, err = section(file, "figures", figures.Parse, err)
+	op.Figures, err = section(file, "figures", metrics.Parse, err)
 	op.TLS, err = section(file, "tls", tlslistener.Parse, err)
 	if op.Capture, err = section(file, "capture", capture.Parse, err); err == nil && op.Capture != nil {
 		if err = op.Capture.CheckDir(); err != nil {
@@ -166,7 +166,7 @@
 
 func (op *Operator) memory() (n int) {
 	if op.Figures != nil {
-		n += figures.MemoryBytes
+		n += metrics.MemoryBytes
 	}
 	if op.Capture != nil {
 		n += op.Capture.Memory()
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -157,8 +157,8 @@
 	}
 	c := s.peers.Conclusion()
 	s.fleetNews()
-	if s.figures != nil {
-		s.figures.Fleet(c.Present, c.MayRun, s.peers.Bans(), c.Held)
+	if s.metrics != nil {
+		s.metrics.Fleet(c.Present, c.MayRun, s.peers.Bans(), c.Held)
 	}
 	switch s.cfg.Operator.Peers.Shares {
 	case peers.ByMayRun:
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -70,8 +70,8 @@
 	if err := s.engine.Retune(*set); err != nil {
 		return err
 	}
-	if s.figures != nil {
-		s.figures.Follow(*set)
+	if s.metrics != nil {
+		s.metrics.Follow(*set)
 	}
 	if s.status != nil {
 		s.status.Follow(*set)
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -318,8 +318,8 @@
 
 // stepped tells the others, and the figures, of a step that begins.
 func (s *Scheduler) stepped(step recovery.Step, took time.Duration) {
-	if s.figures != nil {
-		s.figures.Return(int(step), took)
+	if s.metrics != nil {
+		s.metrics.Return(int(step), took)
 	}
 	s.mu.Lock()
 	p := s.peers
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,9 +27,9 @@
 	"laddertide/directory"
 	"laddertide/dispatch"
 	"laddertide/durable"
-	"laddertide/figures"
 	"laddertide/job"
 	"laddertide/jobstatus"
+	"laddertide/metrics"
 	"laddertide/owners"
 	"laddertide/peers"
 	"laddertide/policy"
@@ -48,7 +48,7 @@
 	pool   *provider.Pool
 
 	// What the operator has turned on; nil: off.
-	figures *figures.Emitter
+	metrics *metrics.Emitter
 	capture *capture.Recorder
 	status  *jobstatus.Store
 	durable *durable.Handler    // from Serve on
@@ -120,8 +120,8 @@
 		if op.Stderr != nil {
 			stderr = op.Stderr
 		}
-		s.figures = figures.New(*op.Figures, s.cfg.Settings, stderr, s.log)
-		all = append(all, s.figures)
+		s.metrics = metrics.New(*op.Figures, s.cfg.Settings, stderr, s.log)
+		all = append(all, s.metrics)
 	}
 	if op.Capture != nil {
 		s.capture = capture.New(*op.Capture, s.log)
@@ -184,8 +184,8 @@
 
 // startObservers begins what they do apart from the engine.
 func (s *Scheduler) startObservers() {
-	if s.figures != nil {
-		s.figures.Start()
+	if s.metrics != nil {
+		s.metrics.Start()
 	}
 	if s.capture != nil {
 		s.capture.Start()
@@ -194,8 +194,8 @@
 
 // closeObservers lets go of what the operator has turned on, after the last answer.
 func (s *Scheduler) closeObservers() {
-	if s.figures != nil {
-		s.figures.Close()
+	if s.metrics != nil {
+		s.metrics.Close()
 	}
 	if s.capture != nil {
 		s.capture.Close()
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -13,7 +13,7 @@
 
 	"laddertide/capture"
 	"laddertide/directory"
-	"laddertide/figures"
+	"laddertide/metrics"
 	"laddertide/policy"
 )
 
@@ -159,9 +159,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	figures, capture := figures.Settings{Format: "statsd", Target: "stderr", Flush: time.Second, BatchBytes: 1400},
+	statsd, capture := metrics.Settings{Format: "statsd", Target: "stderr", Flush: time.Second, BatchBytes: 1400},
 		capture.Settings{MaxBytes: 768 << 10, Files: 4}
-	if op.Figures == nil || *op.Figures != figures || op.Capture == nil || *op.Capture != capture || op.TLS != nil || op.JobStatus != nil {
+	if op.Figures == nil || *op.Figures != statsd || op.Capture == nil || *op.Capture != capture || op.TLS != nil || op.JobStatus != nil {
 		t.Errorf("%+v", op)
 	}
 	deploy, err := os.ReadFile("../deploy/balancer.toml")
