consumer, scheduler: the process that takes over is the successor, not an heir

Change: renames alone (Heir, disinherit, succeeded and what was named after them); FindSuccessor is the server's hook, as its old name is the interface's now.

Measured: the tests of consumer, and those of scheduler and owners about upgrades, hand-overs and crossings, pass.

--- a/consumer/drain.go
+++ b/consumer/drain.go
@@ -28,9 +28,9 @@
 	// The front needs a moment to notice: new connections and requests keep coming, and are served as always.
 	// Connections that stayed open longer would bring jobs that cannot end in time.
 	s.tellStopping(end, window)
-	if s.Successor != nil {
-		if heir := s.Successor(len(s.room)); heir != nil {
-			s.handOver(heir, listeners, end)
+	if s.FindSuccessor != nil {
+		if successor := s.FindSuccessor(len(s.room)); successor != nil {
+			s.handOver(successor, listeners, end)
 			return end
 		}
 	}
--- a/consumer/move.go
+++ b/consumer/move.go
@@ -9,9 +9,9 @@
 	"laddertide/job"
 )
 
-// Heir is another process that goes on with what this one has. Once a method returns without an error, the connection
-// is the heir's and is closed here; an error means that it has it not.
-type Heir interface {
+// Successor is another process that goes on with what this one has. Once a method returns without an error, the connection
+// is the successor's and is closed here; an error means that it has it not.
+type Successor interface {
 	// Conn takes a connection between messages.
 	Conn(c *net.TCPConn, k Kept) error
 	// Job takes a job and the connection on which its consumer waits. last says that it ends with the answer.
@@ -25,14 +25,14 @@
 	Ahead  []byte // what has been read of its next message
 }
 
-// handOver returns once the heir has all that can be handed over, and nothing else is owed to anyone. end is when that has to be so.
-func (s *Server) handOver(heir Heir, listeners []net.Listener, end time.Time) {
+// handOver returns once the successor has all that can be handed over, and nothing else is owed to anyone. end is when that has to be so.
+func (s *Server) handOver(successor Successor, listeners []net.Listener, end time.Time) {
 	for _, ln := range listeners {
-		ln.Close() // the heir accepts from the same queue
+		ln.Close() // the successor accepts from the same queue
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heir = heir
+	s.successor = successor
 	close(s.moving)
 	s.readBy = end.Add(-beforeEnd)
 	for c := range s.conns {
@@ -54,66 +54,66 @@
 	return false
 }
 
-// succeeded tells whether there is an heir.
-func (s *Server) succeeded() bool {
+// hasSuccessor reports whether there is a successor.
+func (s *Server) hasSuccessor() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heir != nil
+	return s.successor != nil
 }
 
-// kept is what the heir must know of c, and its socket; false if c is not to go over. One that has been told to make room
+// kept is what the successor must know of c, and its socket; false if c is not to go over. One that has been told to make room
 // goes over with a job only.
-func (s *Server) kept(c *conn, job bool) (Heir, *net.TCPConn, Kept, bool) {
+func (s *Server) kept(c *conn, job bool) (Successor, *net.TCPConn, Kept, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if s.heir == nil || !ok || c.woken && !job || c.broken {
+	if s.successor == nil || !ok || c.woken && !job || c.broken {
 		return nil, nil, Kept{}, false
 	}
 	ahead, _ := c.br.Peek(c.br.Buffered())
-	return s.heir, tcp, Kept{Told: c.told, Events: c.events, Ahead: slices.Concat(ahead, c.ahead)}, true
+	return s.successor, tcp, Kept{Told: c.told, Events: c.events, Ahead: slices.Concat(ahead, c.ahead)}, true
 }
 
-// pass hands a connection that is between messages to the heir, if there is one.
+// pass hands a connection that is between messages to the successor, if there is one.
 func (s *Server) pass(c *conn) {
-	heir, tcp, k, ok := s.kept(c, false)
+	successor, tcp, k, ok := s.kept(c, false)
 	if !ok {
 		return
 	}
-	if err := heir.Conn(tcp, k); err != nil {
-		s.disinherit(err)
+	if err := successor.Conn(tcp, k); err != nil {
+		s.dropSuccessor(err)
 		return
 	}
 	c.passed = true
 }
 
-// passJob hands a job and its connection to the heir, and with them the duty to answer. It reports false if the job stays here.
+// passJob hands a job and its connection to the successor, and with them the duty to answer. It reports false if the job stays here.
 func (s *Server) passJob(c *conn, j *job.Job, past []job.Past, last bool) bool {
-	<-s.moving // the heir is about to be told that it takes over
-	heir, tcp, k, ok := s.kept(c, true)
+	<-s.moving // the successor is about to be told that it takes over
+	successor, tcp, k, ok := s.kept(c, true)
 	if !ok {
 		return false
 	}
 	if !c.takeAnswer() {
 		return true
 	}
-	if err := heir.Job(tcp, k, last, j, past); err != nil {
+	if err := successor.Job(tcp, k, last, j, past); err != nil {
 		c.owed.Store(true)
-		s.disinherit(err)
+		s.dropSuccessor(err)
 		return false
 	}
 	c.passed = true
 	return true
 }
 
-// disinherit goes on without the heir: what is left is answered here.
-func (s *Server) disinherit(err error) {
+// dropSuccessor goes on without the successor: what is left is answered here.
+func (s *Server) dropSuccessor(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heir != nil {
+	if s.successor != nil {
 		s.Log.Error("the next process does not take over: what is left is answered here", "err", err)
 	}
-	s.heir, s.ending = nil, true
+	s.successor, s.ending = nil, true
 }
 
 // Adopt goes on with a connection of another process, and with the job that was taken on it there, if any. The job's time has run since
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -32,9 +32,9 @@
 	Grace    time.Duration // from the word to stop until all answers must be out
 	Held     int           // of the places, those that an earlier process still holds connections on; see Adopt and Released
 
-	// Successor hands over to the process that stands by, at the word to stop: from then on jobs are Moved. held is how
-	// many places are taken. Nil, or a nil Heir: there is no such process.
-	Successor func(held int) Heir
+	// FindSuccessor hands over to the process that stands by, at the word to stop: from then on jobs are Moved. held is how
+	// many places are taken. Nil, or a nil Successor: there is no such process.
+	FindSuccessor func(held int) Successor
 
 	// Unfinished is the answer to jobs that the Handlers have not answered when the grace is over. The zero value promises nothing.
 	Unfinished job.Outcome
@@ -45,21 +45,21 @@
 	// Status describes a job to its tenant, or says that there is none. Nil: nobody can ask.
 	Status func(id, tenant string) (description []byte, ok bool)
 
-	tuned   atomic.Pointer[policy.Settings] // those in force, swapped whole; nil: Settings
-	once    sync.Once
-	mu      sync.Mutex
-	heir    Heir          // takes all that is between messages, and jobs
-	moving  chan struct{} // closed once heir is set, or it is known that there is none
-	conns   map[*conn]struct{}
-	leaving int           // of them, those that were told to make room
-	room    chan struct{} // a place for each connection
-	busy    int           // connections with a message being read or worked on
-	quiet   *sync.Cond    // busy has become 0
-	ending  bool          // connections close once they are between messages
-	closing bool          // and new connections that have said nothing close too
-	readBy  time.Time     // while ending: by when a message that has begun is to be whole
-	overdue atomic.Bool   // the grace is over: what comes is answered at once
-	warned  time.Time     // when the log last told that all are busy
+	tuned     atomic.Pointer[policy.Settings] // those in force, swapped whole; nil: Settings
+	once      sync.Once
+	mu        sync.Mutex
+	successor Successor     // takes all that is between messages, and jobs
+	moving    chan struct{} // closed once successor is set, or it is known that there is none
+	conns     map[*conn]struct{}
+	leaving   int           // of them, those that were told to make room
+	room      chan struct{} // a place for each connection
+	busy      int           // connections with a message being read or worked on
+	quiet     *sync.Cond    // busy has become 0
+	ending    bool          // connections close once they are between messages
+	closing   bool          // and new connections that have said nothing close too
+	readBy    time.Time     // while ending: by when a message that has begun is to be whole
+	overdue   atomic.Bool   // the grace is over: what comes is answered at once
+	warned    time.Time     // when the log last told that all are busy
 
 	unaccepted     int       // times that a connection could not be accepted
 	toldUnaccepted time.Time // when the log last told so
@@ -480,14 +480,14 @@
 	case s.ending:
 		limit = time.Now()
 	}
-	if c.woken || s.heir != nil {
+	if c.woken || s.successor != nil {
 		limit = time.Now()
 	}
 	c.SetReadDeadline(limit)
 	s.mu.Unlock()
 	_, err := c.br.Peek(1)
 	if netfault.DeadlinePassed(err) {
-		if s.succeeded() {
+		if s.hasSuccessor() {
 			return false // it goes over as it is
 		}
 		err = c.lookAgain() // a request that crosses with the close is still taken if it is here by now
--- a/owners/owners_test.go
+++ b/owners/owners_test.go
@@ -252,20 +252,20 @@
 				first[class] = r.ask("a", fmt.Sprint("j", class), class, "x")
 			}
 			time.Sleep(answerIn)
-			heirs := make(map[string]bool)
+			successors := make(map[string]bool)
 			r.mu.Lock()
 			r.lose = func(from, to string, m *wire.Message) bool {
 				if m.Kind == wire.Hand {
-					heirs[to] = true
+					successors[to] = true
 				}
-				return silent && (m.Kind == wire.Hand || m.Kind == wire.Reply && to == "a" && heirs[from] && m.Record == nil && m.Roster == 0)
+				return silent && (m.Kind == wire.Hand || m.Kind == wire.Reply && to == "a" && successors[from] && m.Record == nil && m.Roster == 0)
 			}
 			r.mu.Unlock()
 			a.h.Stop(time.Now().Add(6 * answerIn))
 			time.Sleep(2 * answerIn)
 			if silent {
 				for class, ask := range first {
-					r.want(ask, job.Failed, class != 0 || ask.answer().RetryAfter > 0, "its heir says nothing")
+					r.want(ask, job.Failed, class != 0 || ask.answer().RetryAfter > 0, "its successor says nothing")
 				}
 				r.mu.Lock()
 				r.lose = nil
@@ -504,7 +504,7 @@
 		time.Sleep(answerIn)
 		a.h.Stop(time.Now().Add(4 * answerIn))
 		r.want(first, job.Failed, true, "handed over")
-		r.want(r.ask("b", "k", unsafe, "x"), job.Failed, false, "a panic at the heir's")
+		r.want(r.ask("b", "k", unsafe, "x"), job.Failed, false, "a panic at the successor's")
 	})
 }
 
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -91,10 +91,10 @@
 		return s.passCall(owner, verb, name)
 	}
 	err := s.ownHand(verb, name)
-	heir, roster := s.heir, s.roster()
+	successor, roster := s.successor, s.roster()
 	s.mu.Unlock()
-	if err == nil && heir != nil {
-		s.tellHeir(heir, roster)
+	if err == nil && successor != nil {
+		s.tellSuccessor(successor, roster)
 	}
 	return err
 }
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -150,7 +150,7 @@
 	s.inForceNow(d)
 	s.log.Info("configuration in force", "version", d.Version, "digest", d.Digest, "accepted", d.AcceptedAt.UTC().Format(time.RFC3339Nano),
 		"classes", strings.Join(classes(&next.Settings), ","), "attempts", next.Settings.MaxAttempts)
-	s.rereadHeir()
+	s.rereadSuccessor()
 	return nil
 }
 
--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -17,14 +17,14 @@
 	"laddertide/wire/http1"
 )
 
-// closingHeir lets each client close its connection in the moment in which that is about to go to the next process.
-type closingHeir struct {
-	consumer.Heir
+// closingSuccessor lets each client close its connection in the moment in which that is about to go to the next process.
+type closingSuccessor struct {
+	consumer.Successor
 	clients map[string]net.Conn // by their own address
 	t       *testing.T
 }
 
-func (h *closingHeir) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
+func (h *closingSuccessor) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
 	client := h.clients[c.RemoteAddr().String()]
 	client.Close()
 	raw, err := c.SyscallConn()
@@ -39,7 +39,7 @@
 			ended = n == 0 && err == nil
 		})
 	}
-	return h.Heir.Job(c, k, last, j, past)
+	return h.Successor.Job(c, k, last, j, past)
 }
 
 // Clients that leave while their connection is on its way to the next process have nothing begun for them there: their
@@ -47,27 +47,27 @@
 func TestLeaveDuringHandOver(t *testing.T) {
 	const clients = 30
 	r := newUpgradeRig(t, io.Discard)
-	heir := &closingHeir{clients: make(map[string]net.Conn), t: t}
+	successor := &closingSuccessor{clients: make(map[string]net.Conn), t: t}
 	var all []*client
 	for range clients {
 		c := r.dial()
 		c.say("GET /_health HTTP/1.1\r\n\r\n")
 		c.hear(200)
-		heir.clients[c.LocalAddr().String()] = c.Conn
+		successor.clients[c.LocalAddr().String()] = c.Conn
 		all = append(all, c)
 	}
 	next := r.follow(io.Discard)
 	var sent sync.Once
 	server := r.sched.server
-	server.Successor = func(held int) consumer.Heir {
-		heir.Heir = r.sched.succeed(held)
+	server.FindSuccessor = func(held int) consumer.Successor {
+		successor.Successor = r.sched.succeed(held)
 		sent.Do(func() { // nothing is sent from the older process any more
 			for i, c := range all {
 				fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nX-Request-Id: gone-%d\r\nX-Class: card-issue\r\nContent-Length: 0\r\n\r\n", i)
 			}
 			time.Sleep(50 * time.Millisecond) // most have been read by then; the others go over unread, and stay
 		})
-		return heir
+		return successor
 	}
 	r.upgrade(next)
 	for _, c := range all {
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -21,22 +21,22 @@
 // stands by until the first is told to stop, and then goes on with all that it has.
 type succession struct {
 	// Guarded by the scheduler's mutex.
-	older    *handover.Peer // the process before, until it has gone
-	standing bool           // older serves
-	heir     *handover.Peer // the process after
-	handed   bool           // heir serves
-	handing  chan struct{}  // not nil while heir is asked to serve; closed then
-	place    *handover.Place
-	listener *net.TCPListener // what the next process is given
-	stopping bool
-	stopBy   time.Time // by when all is to be answered, once stopping
+	older     *handover.Peer // the process before, until it has gone
+	standing  bool           // older serves
+	successor *handover.Peer // the process after
+	handed    bool           // successor serves
+	handing   chan struct{}  // not nil while successor is asked to serve; closed then
+	place     *handover.Place
+	listener  *net.TCPListener // what the next process is given
+	stopping  bool
+	stopBy    time.Time // by when all is to be answered, once stopping
 
 	before *wire.Peers // what older knew of the other schedulers; nil: nothing
 	clock  *olderClock // the clock of older; nil: it is like this process's
 
-	heirApart time.Duration       // by how much the system's clock was ahead as the heir was admitted
-	takeover  chan *wire.Takeover // older's word that this one serves now
-	opened    chan struct{}       // closed once server can adopt
+	successorApart time.Duration       // by how much the system's clock was ahead as the successor was admitted
+	takeover       chan *wire.Takeover // older's word that this one serves now
+	opened         chan struct{}       // closed once server can adopt
 }
 
 const (
@@ -163,7 +163,7 @@
 	if !s.cfg.handsOver() {
 		return
 	}
-	server.Successor = s.succeed
+	server.FindSuccessor = s.succeed
 	tcp, ok := ln.(*net.TCPListener)
 	if !ok {
 		return
@@ -195,28 +195,28 @@
 			s.log.Info("the process before this one has gone")
 		}()
 	}
-	go s.expectHeir()
+	go s.expectSuccessor()
 }
 
 // part lets go of the other processes: this one has nothing left.
 func (s *Scheduler) part() {
 	s.mu.Lock()
-	older, heir, place := s.older, s.heir, s.place
+	older, successor, place := s.older, s.successor, s.place
 	s.stopping = true
 	s.mu.Unlock()
 	if older != nil {
 		older.Close()
 	}
-	if heir != nil {
-		heir.Finish()
+	if successor != nil {
+		successor.Finish()
 	}
 	if place != nil {
 		place.Close()
 	}
 }
 
-// expectHeir lets the next process find this one, for as long as it serves.
-func (s *Scheduler) expectHeir() {
+// expectSuccessor lets the next process find this one, for as long as it serves.
+func (s *Scheduler) expectSuccessor() {
 	place, err := handover.Listen(s.cfg.Dir)
 	if err != nil {
 		s.log.Warn("no process can follow this one without a break", "err", err)
@@ -235,12 +235,12 @@
 		switch {
 		case hello.Name != s.cfg.Name || hello.Listen != s.cfg.Listen:
 			return &wire.Refusal{Version: wire.Version, Why: "this is another scheduler: " + s.cfg.Name}
-		case s.heir != nil:
+		case s.successor != nil:
 			return &wire.Refusal{Version: wire.Version, Why: "another process stands by already", Later: true}
 		case s.stopping:
 			return &wire.Refusal{Version: wire.Version, Why: "this process is stopping", Later: true}
 		}
-		s.heirApart = s.clockApart()
+		s.successorApart = s.clockApart()
 		return &wire.Welcome{Version: wire.Version, Roster: s.roster()}
 	}, s.admitted)
 }
@@ -248,24 +248,24 @@
 // admitted notes who stands by.
 func (s *Scheduler) admitted(peer *handover.Peer) {
 	s.mu.Lock()
-	s.heir = peer
+	s.successor = peer
 	roster := s.roster()
 	s.mu.Unlock()
 	s.log.Info("another process stands by to take over")
 	go func() {
 		err := peer.Run(func(r handover.Received) error { return s.hearPeer(context.Background(), peer, r) })
 		s.mu.Lock()
-		if s.heir == peer && !s.handed {
-			s.heir = nil
+		if s.successor == peer && !s.handed {
+			s.successor = nil
 			s.log.Warn("the process that stood by has gone: this one serves on", "err", err)
 		}
 		s.mu.Unlock()
 	}()
-	s.tellHeir(peer, roster) // what has changed since the welcome
+	s.tellSuccessor(peer, roster) // what has changed since the welcome
 }
 
-// tellHeir tells who stands by of the bans. One that does not answer must not take over with an older list.
-func (s *Scheduler) tellHeir(peer *handover.Peer, roster wire.Roster) {
+// tellSuccessor tells who stands by of the bans. One that does not answer must not take over with an older list.
+func (s *Scheduler) tellSuccessor(peer *handover.Peer, roster wire.Roster) {
 	if _, err := peer.Ask(&wire.News{Roster: roster}, nil, askLimit); err != nil {
 		s.log.Warn("the process that stands by does not answer: it is let go", "err", err)
 		peer.Close()
@@ -276,7 +276,7 @@
 func (s *Scheduler) owner() *handover.Peer {
 	switch {
 	case s.handed:
-		return s.heir
+		return s.successor
 	case s.standing:
 		return s.older
 	}
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -159,7 +159,7 @@
 	s.settled()
 	peer, handed := s.older, s.handed
 	if handed {
-		peer = s.heir
+		peer = s.successor
 	}
 	s.mu.Unlock()
 	// A job on its way is known to nobody until one of the two says that it listens.
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -166,7 +166,7 @@
 	}
 	r.sched.mu.Lock() // as though its process were gone: nobody is found, and nobody is heard
 	r.sched.place.Close()
-	r.sched.heir.Close()
+	r.sched.successor.Close()
 	r.sched.mu.Unlock()
 	next.until("it serves", func(s *Scheduler) bool { return s.place != nil })
 	next.sched.mu.Lock()
@@ -228,13 +228,13 @@
 	}
 }
 
-// fakeHeir stands by for a rig as a process that does what the test wants; what it is sent comes out of got.
-type fakeHeir struct {
+// fakeSuccessor stands by for a rig as a process that does what the test wants; what it is sent comes out of got.
+type fakeSuccessor struct {
 	*handover.Peer
 	got chan wire.Message
 }
 
-func (r *rig) fakeHeir(take func(*fakeHeir, wire.Message)) *fakeHeir {
+func (r *rig) fakeSuccessor(take func(*fakeSuccessor, wire.Message)) *fakeSuccessor {
 	r.t.Helper()
 	peer, _, file, err := handover.Join(r.cfg.Dir, wire.Hello{Name: r.cfg.Name, Listen: r.cfg.Listen})
 	if err != nil {
@@ -242,7 +242,7 @@
 	}
 	file.Close()
 	r.t.Cleanup(peer.Close)
-	f := &fakeHeir{peer, make(chan wire.Message, 100)}
+	f := &fakeSuccessor{peer, make(chan wire.Message, 100)}
 	go peer.Run(func(m handover.Received) error {
 		if m.File != nil {
 			m.File.Close()
@@ -257,14 +257,14 @@
 		f.got <- m.Message
 		return nil
 	})
-	r.until("the heir is known", func(s *Scheduler) bool { return s.heir != nil })
+	r.until("the successor is known", func(s *Scheduler) bool { return s.successor != nil })
 	return f
 }
 
-func (f *fakeHeir) yes(number uint64) { f.Send(&wire.Reply{Number: number, Code: wire.Yes}, nil) }
+func (f *fakeSuccessor) yes(number uint64) { f.Send(&wire.Reply{Number: number, Code: wire.Yes}, nil) }
 
 // next waits for a message of a type.
-func next[M wire.Message](t *testing.T, f *fakeHeir) M {
+func next[M wire.Message](t *testing.T, f *fakeSuccessor) M {
 	t.Helper()
 	for {
 		select {
@@ -273,7 +273,7 @@
 				return m
 			}
 		case <-time.After(20 * time.Second):
-			t.Fatal("the heir is not sent it")
+			t.Fatal("the successor is not sent it")
 		}
 	}
 }
@@ -296,7 +296,7 @@
 // A call-back for a job that is on its way is not acknowledged before the next process has heard it.
 func TestCallBackOfAJobOnItsWay(t *testing.T) {
 	r := newUpgradeRig(t, io.Discard)
-	heir := r.fakeHeir(func(f *fakeHeir, m wire.Message) {
+	successor := r.fakeSuccessor(func(f *fakeSuccessor, m wire.Message) {
 		if m, ok := m.(*wire.Takeover); ok {
 			f.yes(m.Number)
 		}
@@ -304,24 +304,24 @@
 	r.submit(r.dial(), "moving", "card-issue", "rainier-haul", "")
 	back, rest := r.halfEvent("moving")
 	r.stop()
-	j := next[*wire.Job](t, heir)
+	j := next[*wire.Job](t, successor)
 	if j.ID != "moving" || len(j.Past) != 1 || !j.Past[0].Out || j.Past[0].Provider != "s-0badcafe" {
 		t.Fatalf("%+v", j)
 	}
 	back.say("%s", rest)
 	select {
-	case m := <-heir.got:
+	case m := <-successor.got:
 		if ev, ok := m.(*wire.Event); ok {
 			t.Fatalf("asked about %s before the job has arrived", ev.ID)
 		}
 	case <-time.After(100 * time.Millisecond):
 	}
-	heir.yes(j.Number)
-	ev := next[*wire.Event](t, heir)
+	successor.yes(j.Number)
+	ev := next[*wire.Event](t, successor)
 	if ev.ID != "moving" || string(ev.Result) != "x" {
 		t.Fatalf("%+v", ev)
 	}
-	heir.yes(ev.Number)
+	successor.yes(ev.Number)
 	back.hear(204)
 	if err := <-r.served; err != nil {
 		t.Fatal(err)
@@ -329,21 +329,21 @@
 }
 
 // A next process that dies as it takes over, or never says that it does, costs no job: the older one answers it.
-func TestHeirDies(t *testing.T) {
-	for name, take := range map[string]func(*fakeHeir, wire.Message){
-		"at the takeover": func(f *fakeHeir, m wire.Message) { f.Close() },
-		"after it": func(f *fakeHeir, m wire.Message) {
+func TestSuccessorDies(t *testing.T) {
+	for name, take := range map[string]func(*fakeSuccessor, wire.Message){
+		"at the takeover": func(f *fakeSuccessor, m wire.Message) { f.Close() },
+		"after it": func(f *fakeSuccessor, m wire.Message) {
 			if m, ok := m.(*wire.Takeover); ok {
 				f.yes(m.Number)
 				f.Close()
 			}
 		},
-		"silent": func(*fakeHeir, wire.Message) {},
-		"lies":   func(f *fakeHeir, m wire.Message) { f.Send(&wire.Takeover{}, nil) },
+		"silent": func(*fakeSuccessor, wire.Message) {},
+		"lies":   func(f *fakeSuccessor, m wire.Message) { f.Send(&wire.Takeover{}, nil) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newUpgradeRig(t, io.Discard)
-			r.fakeHeir(take)
+			r.fakeSuccessor(take)
 			c := r.dial()
 			r.submit(c, "stays", "card-issue", "rainier-haul", "")
 			back, rest := r.halfEvent("stays")
--- a/scheduler/owners.go
+++ b/scheduler/owners.go
@@ -33,9 +33,9 @@
 func (s *Scheduler) stopOwners(by time.Time) {
 	s.mu.Lock()
 	s.stopBy = by
-	heir := s.heir
+	successor := s.successor
 	s.mu.Unlock()
-	if heir == nil {
+	if successor == nil {
 		s.owners.Stop(by)
 	}
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -151,8 +151,8 @@
 	}
 	if entries := s.review(); len(entries) > 0 {
 		s.tell(policy.ListDelta, directory.List{Index: s.index, Entries: entries})
-		if heir := s.heir; heir != nil {
-			go s.tellHeir(heir, s.roster())
+		if successor := s.successor; successor != nil {
+			go s.tellSuccessor(successor, s.roster())
 		}
 	}
 	c := s.peers.Conclusion()
@@ -251,10 +251,10 @@
 		return "", err
 	}
 	s.mu.Lock()
-	heir, roster := s.heir, s.roster()
+	successor, roster := s.successor, s.roster()
 	s.mu.Unlock()
-	if heir != nil {
-		s.tellHeir(heir, roster)
+	if successor != nil {
+		s.tellSuccessor(successor, roster)
 	}
 	return spread(heard), nil
 }
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -48,7 +48,7 @@
 	if version > 0 {
 		s.log.Warn("the file's settings are passed over: those of the configuration's log are in force", "version", version)
 	}
-	s.rereadHeir()
+	s.rereadSuccessor()
 	if s.watching != nil && newest != cfg.Discovery {
 		// What was heard before says nothing about this one's versions, so it starts from its whole list.
 		s.follow(cfg.Discovery, 0, true)
@@ -56,10 +56,10 @@
 	return nil
 }
 
-// rereadHeir lets the process that stands by read again what its own start has read. Called under mu.
-func (s *Scheduler) rereadHeir() {
-	if heir := s.heir; heir != nil {
-		go heir.Ask(&wire.Reread{}, nil, askLimit)
+// rereadSuccessor lets the process that stands by read again what its own start has read. Called under mu.
+func (s *Scheduler) rereadSuccessor() {
+	if successor := s.successor; successor != nil {
+		go successor.Ask(&wire.Reread{}, nil, askLimit)
 	}
 }
 
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -77,10 +77,10 @@
 }
 
 // succeed hands over to the process that stands by, if there is one: it serves from here on.
-func (s *Scheduler) succeed(held int) consumer.Heir {
+func (s *Scheduler) succeed(held int) consumer.Successor {
 	s.mu.Lock()
 	s.stopping = true
-	next := s.heir
+	next := s.successor
 	if next == nil {
 		by := s.stopBy
 		s.mu.Unlock()
@@ -125,7 +125,7 @@
 	if err != nil {
 		s.log.Error("the process that stood by does not take over", "err", err)
 		go s.resumeConfiguration()
-		s.heir = nil
+		s.successor = nil
 		next.Close()
 		s.pool.Retain()
 		s.limit(whole)
@@ -136,22 +136,22 @@
 	}
 	s.handed = true
 	s.log.Info("handing over", "connections", held, "calls", m.Calls)
-	return &heir{s, next}
+	return &successor{s, next}
 }
 
-// heir is the next process as the server sees it.
-type heir struct {
+// successor is the next process as the server sees it.
+type successor struct {
 	s    *Scheduler
 	peer *handover.Peer
 }
 
-// Conn implements consumer.Heir.
-func (h *heir) Conn(c *net.TCPConn, k consumer.Kept) error {
+// Conn implements consumer.Successor.
+func (h *successor) Conn(c *net.TCPConn, k consumer.Kept) error {
 	return h.check(h.peer.Send(&wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, c))
 }
 
-// Job implements consumer.Heir. It returns once the next process hears of the job's call.
-func (h *heir) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
+// Job implements consumer.Successor. It returns once the next process hears of the job's call.
+func (h *successor) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
 	defer h.s.pool.Arrived(j.ID)
 	m := &wire.Job{Conn: wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, Last: last,
 		ID: j.ID, Party: j.Party, Key: j.Key, Subject: j.Subject, Protocol: j.Protocol,
@@ -174,7 +174,7 @@
 }
 
 // check lets calls be made here again if the next process cannot go on with them.
-func (h *heir) check(err error) error {
+func (h *successor) check(err error) error {
 	if err != nil {
 		h.s.pool.Retain()
 	}
--- a/scheduler/successor_clock.go
+++ b/scheduler/successor_clock.go
@@ -26,10 +26,10 @@
 // shortly before it was admitted. Called under mu.
 func (s *Scheduler) handClock() *wire.Clock {
 	ahead, known := s.starts.Ahead()
-	if !s.starts.Differs(s.heirApart) && !s.starts.Differs(s.clockApart()) {
+	if !s.starts.Differs(s.successorApart) && !s.starts.Differs(s.clockApart()) {
 		return nil
 	}
-	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", s.heirApart.Round(time.Millisecond),
+	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", s.successorApart.Round(time.Millisecond),
 		"ahead_of_fleet", ahead.Round(time.Millisecond))
 	m := &wire.Clock{Ahead: ahead, Known: known}
 	for _, start := range s.starts.Starts() {
