consumer, tlslistener: what crosses the close of a TLS connection is left unread

Cause: a resting connection that closes is not read any more but where it is encrypted: there the end of the peer's half was looked for by reading.

Change: the connection beneath is looked at, as tlslistener.Conn gives it out (that of crypto/tls is wrapped and told nothing, so the check of leaves and the time since an arrival had not held for TLS either; they do now). Bytes of a TLS alert that lie unread reset the connection as well, once its client has ended it.

--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -51,15 +51,16 @@
 		return
 	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if _, known := netfault.Waiting(c.Conn); !ok || !known { // encrypted: what comes has been read by then
+	socket := netfault.Socket(c.Conn) // an encrypted connection would read what it looks at
+	if _, known := netfault.Waiting(socket); !ok || !known {
 		s.part(c)
 		return
 	}
 	shut := half.CloseWrite() == nil
 	until := s.partBy(c)
 	s.enter(c, parting)
-	if shut && netfault.AwaitWaiting(c.Conn) {
-		for time.Now().Before(until) && !netfault.Ended(c.Conn) {
+	if shut && netfault.AwaitWaiting(socket) {
+		for time.Now().Before(until) && !netfault.Ended(socket) {
 			time.Sleep(lookForEnd)
 		}
 	}
--- a/internal/netfault/arrival.go
+++ b/internal/netfault/arrival.go
@@ -14,10 +14,7 @@
 // SinceArrival returns how long ago the latest bytes came to a connection's socket, less what the system's count may be too long by;
 // 0 if it does not tell. Of an encrypted connection it looks at the one beneath. See tcp(7), TCP_INFO.
 func SinceArrival(c net.Conn) time.Duration {
-	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = encrypted.NetConn()
-	}
-	socket, ok := c.(syscall.Conn)
+	socket, ok := Socket(c).(syscall.Conn)
 	if !ok {
 		return 0
 	}
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -35,6 +35,14 @@
 	return errors.As(err, &errno) && slices.Contains(of, errno)
 }
 
+// Socket returns the connection beneath an encrypted one, and any other as it is.
+func Socket(c net.Conn) net.Conn {
+	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return encrypted.NetConn()
+	}
+	return c
+}
+
 // Waiting reports whether a read of a connection's socket would return at once, with bytes or with an error, the end of the
 // connection among them. It does not wait and takes nothing away. known is false for a connection without a socket of its own, such
 // as an encrypted one.
@@ -85,10 +93,7 @@
 // Ended reports whether the other side has ended its half of a connection, or the connection is broken, whatever bytes wait before
 // that. It takes nothing away. Of an encrypted connection it looks at the one beneath.
 func Ended(c net.Conn) bool {
-	if encrypted, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = encrypted.NetConn()
-	}
-	socket, ok := c.(syscall.Conn)
+	socket, ok := Socket(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/tlslistener/tlslistener.go
+++ b/tlslistener/tlslistener.go
@@ -287,6 +287,9 @@
 // Plain returns the underlying TCP connection, for its orderly close after a failed handshake.
 func (c *Conn) Plain() net.Conn { return c.tcp }
 
+// NetConn returns the same, for what the system tells of it: the one that crypto/tls has is wrapped.
+func (c *Conn) NetConn() net.Conn { return c.tcp }
+
 // CloseWrite sends the close_notify alert and then shuts down the writing side of the TCP connection.
 func (c *Conn) CloseWrite() error {
 	err := c.Conn.CloseWrite()
--- a/tlslistener/tlslistener_test.go
+++ b/tlslistener/tlslistener_test.go
@@ -15,6 +15,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"laddertide/internal/netfault"
 )
 
 // listen opens a listener with a self-signed certificate.
@@ -65,6 +67,18 @@
 	return <-greeted, peer
 }
 
+// TestEndShows checks that the system's knowledge of the TCP connection beneath can be had.
+func TestEndShows(t *testing.T) {
+	c, peer := pair(t, listen(t))
+	if netfault.Ended(c) {
+		t.Error("ended from the start")
+	}
+	peer.Close()
+	if !netfault.Ended(c) {
+		t.Error("not ended after its peer's close")
+	}
+}
+
 // TestDeadlines checks that an expired read deadline ends no later read, and that the expired deadline of a write does not
 // fail a write that a read has to make.
 func TestDeadlines(t *testing.T) {
