scheduler: the page and the gauges tell the configuration that is in force here

The page went by the follower, which takes note of a version only once it has been put in force.

Change: where the follower is behind, version, digest and date are those in force; the page and the gauges share that.

--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -290,6 +290,21 @@
 	FleetError string          `json:"fleet_error,omitempty"`
 }
 
+// report is what is known of the configuration. The version is the one that is in force here: the follower notes a new one only once it
+// has been put in force.
+func (f *followed) report() follower.Report {
+	inForce := follower.ReportOf(f.inForce)
+	if f.follower == nil { // another process has the folder
+		return inForce
+	}
+	report := f.follower.Report()
+	if report.Version < inForce.Version {
+		report.Version, report.Digest, report.Accepted = inForce.Version, inForce.Digest, inForce.Accepted
+		report.Newest = max(report.Newest, inForce.Version)
+	}
+	return report
+}
+
 // configurationReport shows operators the configuration in force; nil: the section is off. It asks a source who is behind.
 func (s *Scheduler) configurationReport() *ConfigurationReport {
 	if s.cfg.Operator.Configuration == nil {
@@ -298,11 +313,8 @@
 	s.mu.Lock()
 	known := s.configuration
 	s.mu.Unlock()
-	report := &ConfigurationReport{Folder: known.found}
-	if known.follower == nil { // another process has the folder
-		report.Report = follower.ReportOf(known.inForce)
-	} else {
-		report.Report = known.follower.Report()
+	report := &ConfigurationReport{Folder: known.found, Report: known.report()}
+	if known.follower != nil {
 		var err error
 		if report.Fleet, err = known.follower.Fleet(context.Background()); err != nil {
 			report.FleetError = err.Error()
@@ -328,10 +340,7 @@
 		s.mu.Lock()
 		known := s.configuration
 		s.mu.Unlock()
-		report := follower.ReportOf(known.inForce)
-		if known.follower != nil {
-			report = known.follower.Report()
-		}
+		report := known.report()
 		s.metrics.Configuration(report.Version, report.Refused, report.CurrentMS)
 		select {
 		case <-ctx.Done():
--- a/scheduler/configuration_test.go
+++ b/scheduler/configuration_test.go
@@ -226,6 +226,24 @@
 	next.end()
 }
 
+// The page tells the version that is in force, also in the moment before the follower has taken note of that. Operators saw the version
+// before, with the age of the one in force; an upgrade's test failed by it on a busy machine.
+func TestPageTellsTheVersionInForce(t *testing.T) {
+	source := testrig.NewSource(t, nil)
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r := newRig(t, configurationSection(t.TempDir(), source), io.Discard)
+	r.untilVersion(1)
+	r.sched.mu.Lock()
+	inForce := r.sched.configuration.inForce
+	inForce.Version = 2
+	r.sched.inForceNow(inForce)
+	r.sched.mu.Unlock()
+	if page := r.configurationPage(); page.Version != 2 || page.Newest != 2 {
+		t.Errorf("%+v", page)
+	}
+	r.end()
+}
+
 // A successor that has not heard of the last change before it takes over reads it from the folder.
 func TestASuccessorReadsTheFolderAtTheTakeover(t *testing.T) {
 	source, dir := testrig.NewSource(t, nil), t.TempDir()
