peers, core/fleet: a stop whose time is over ends by itself, once

While a stop whose time was over was still in the register, each conclusion asked for another one. It left the register only when whoever applies what is in force looked at that provider: the scheduler's review does, at its next turn; a process that does not review, and the test's stub, never. In simulated time nothing went on any more.

Change: a conclusion ends the stops whose time is over and asks for one Apply if there were any. Stops.Next is gone, Stops.Expire stands in its place.

Measured: TestStopEndsWithoutApply hangs before (15 s, given up), passes after in simulated time; the tests of stops of both packages pass.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -826,10 +826,13 @@
 	}
 	s = NewStops(10*time.Second, 1)
 	s.Hear(3, stop, lag)
-	if s.Hear(4, Stop{Provider: "q", Since: lag.Since, Index: 50}, lag) || s.Dropped != 1 || s.Next() != 3+10*time.Second ||
+	if s.Hear(4, Stop{Provider: "q", Since: lag.Since, Index: 50}, lag) || s.Dropped != 1 || s.Expire(2+10*time.Second) ||
 		!slices.Equal(s.Providers(), []string{"p"}) {
 		t.Error("a full register takes no more")
 	}
+	if !s.Expire(3+10*time.Second) || len(s.Providers()) > 0 || !s.Known(3+10*time.Second, stop) || s.Expire(3+10*time.Second) {
+		t.Error("a stop ends by its time, once, and goes on as an echo")
+	}
 	if s.Hear(3, Stop{Provider: "p", Index: 38}, Own{Index: 39, Serving: true}) {
 		t.Error("the own list was newer")
 	}
--- a/core/fleet/stops.go
+++ b/core/fleet/stops.go
@@ -74,16 +74,32 @@
 func (s *Stops) Holds(now time.Duration, provider string, own Own) bool {
 	h, ok := s.all[provider]
 	if ok && (now >= h.until || answered(h.Stop, own)) {
-		delete(s.all, provider)
-		if len(s.over) >= s.most {
-			s.forget()
-		}
-		s.over[provider] = held{h.Stop, now + s.hold}
+		s.end(now, h.Stop)
 		return false
 	}
 	return ok
 }
 
+// Expire ends the stops whose time is over, and reports whether there were any.
+func (s *Stops) Expire(now time.Duration) (ended bool) {
+	for _, provider := range s.Providers() {
+		if h := s.all[provider]; now >= h.until {
+			s.end(now, h.Stop)
+			ended = true
+		}
+	}
+	return ended
+}
+
+// end ends a stop that holds.
+func (s *Stops) end(now time.Duration, stop Stop) {
+	delete(s.all, stop.Provider)
+	if len(s.over) >= s.most {
+		s.forget()
+	}
+	s.over[stop.Provider] = held{stop, now + s.hold}
+}
+
 // forget lets go of the ended stop with the oldest word: an echo of it costs its time once more at worst.
 func (s *Stops) forget() {
 	oldest := ""
@@ -115,13 +131,3 @@
 
 // Providers are those that there is a stop of, which may have ended.
 func (s *Stops) Providers() []string { return slices.Sorted(maps.Keys(s.all)) }
-
-// Next is when the first of them ends by its time; 0: there is none.
-func (s *Stops) Next() (at time.Duration) {
-	for _, h := range s.all {
-		if at == 0 || h.until < at {
-			at = h.until
-		}
-	}
-	return at
-}
--- a/peers/loop.go
+++ b/peers/loop.go
@@ -60,7 +60,7 @@
 	after := p.view.Conclude(now)
 	p.conclusion = after
 	changed := p.changedStates()
-	nextStop := p.stops.Next()
+	stopEnded := p.stops.Expire(now) // here, so that each is told of once, whatever Apply does with it
 	p.mu.Unlock()
 	for _, m := range changed {
 		p.log.Info("scheduler "+m.State.String(), "peer", m.Name, "address", m.Address, "start", m.Start)
@@ -69,8 +69,7 @@
 		p.log.Info("schedulers", "self", after.Self, "present", after.Present, "may_run", after.MayRun, "majority", after.Majority,
 			"share", fmt.Sprintf("%.4f", after.Share))
 	}
-	stopDue := nextStop != 0 && nextStop <= now
-	if after != before || stopDue {
+	if after != before || stopEnded {
 		p.requestApply()
 	}
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -327,6 +327,23 @@
 	})
 }
 
+// TestStopEndsWithoutApply: a stop whose time is over ends by itself. It was asked for over and over until whoever applies what is in
+// force looked at that provider, which kept a processor busy meanwhile; here nobody ever looks, and time would stand still.
+func TestStopEndsWithoutApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory(7)
+		all, err := m.many(3)
+		defer func() { closeAll(all) }()
+		if err != nil {
+			t.Fatal(err)
+		}
+		within(t, time.Minute, "all know each other", whole(all))
+		all[0].Stopped("w", 3, 4000)
+		within(t, 2*time.Second, "all have heard it", func() bool { return slices.Contains(all[1].Named(), "w") })
+		within(t, all[0].cfg.Settings.Hold+5*time.Second, "it ends", func() bool { return !slices.Contains(all[1].Named(), "w") })
+	})
+}
+
 // TestStopsAfterAMove: a discovery that has moved counts from anew. A peer's word by the old count holds for its time, no
 // longer, and one by the new count is heard after that.
 func TestStopsAfterAMove(t *testing.T) {
