--- a/rehearse/configuration/configuration_test.go
+++ b/rehearse/configuration/configuration_test.go
@@ -41,9 +41,15 @@
 func TestTheLeaderDiesAfterItsYes(t *testing.T) {
 	r := newRig(t, schedulers)
 	r.startAll()
-	leader := r.leader()
 	document := r.document(1)
-	answer := leader.propose(&wire.Propose{Request: client.NewRequest(), Base: 0, Author: "rig", Document: document})
+	m := &wire.Propose{Request: client.NewRequest(), Base: 0, Author: "rig", Document: document}
+	var leader *sourceProcess
+	var answer wire.Proposed
+	r.until("a leader has an answer", func() bool {
+		leader = r.leader()
+		answer = leader.propose(m)
+		return answer.Code != wire.Uncertain // else another one was elected meanwhile: it is asked for the same
+	})
 	leader.kill()
 	if answer.Code != wire.Accepted {
 		t.Fatalf("%+v", answer)
