rehearse/shutdown: a job whose time is over goes to no worker

With the slack of the terms the test could not fail for the jobs that were over by 0.05 s, though its comment speaks of them.

Change: a job whose time was over when the scheduler went on must not be sent at all, which no busy machine changes.

--- a/rehearse/shutdown/standstill_test.go
+++ b/rehearse/shutdown/standstill_test.go
@@ -59,6 +59,9 @@
 			t.Logf("%s, sent with %v: status %d, not forwarded", stillID(i), deadline, head.Status)
 			continue
 		}
+		if deadline < standstill {
+			t.Errorf("%s: sent to a worker though its time was over", stillID(i))
+		}
 		passed := s.at.Sub(sent[i])
 		t.Logf("%s, sent with %v: status %d, forwarded after %v with %v", stillID(i), deadline, head.Status, passed, s.left)
 		if passed+s.left > deadline+standstillSlack {
