job, provider, owners: a permission is looked at again right before the first byte

Callers saw: a scheduler that had stood still for 8.5 s sent two settle jobs that others had gone on with and served meanwhile (TestOwnersStandStill, once).

Cause: that a job is still this scheduler's was asked before its attempt had a connection. Behind that come the end of an earlier attempt, the connection and the wait for news after a standstill, and nothing asked again. Whatever made the process stand still in there left it a permission from before.

The old test meets this only if a connection comes up at the moment of the stop and is seen before its dial timeout as the process goes on.

Change: job.Keeper has MayStillSend, which the pool asks right before the first byte, beside the look for the client's leave. owners answers it by the age of what a majority confirmed. The attempt ends as not sent, so the module picks again and Sending confirms anew. For a ledger it allows all, as before.

--- /dev/null
+++ b/attempt/stale_test.go
@@ -0,0 +1,74 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"laddertide/directory"
+	"laddertide/dispatch"
+	"laddertide/internal/testrig"
+	"laddertide/job"
+	"laddertide/policy"
+	"laddertide/wire/http1"
+)
+
+// staleKeeper is a job's Keeper whose first permission does not hold for as long as the attempt's connection takes.
+type staleKeeper struct {
+	job.Inherited
+	asked atomic.Int32
+	over  []bool // by call of Over: it is proven that nothing ran
+}
+
+func (k *staleKeeper) Past() ([]job.Past, bool) { return nil, false }
+
+func (k *staleKeeper) Sending(string) (uint64, error) { return uint64(k.asked.Add(1)), nil }
+
+func (k *staleKeeper) MayStillSend(lease uint64) error {
+	if lease == 1 {
+		return errors.New("it was allowed too long ago")
+	}
+	return nil
+}
+
+func (k *staleKeeper) Over(_ uint64, never bool) { k.over = append(k.over, never) }
+
+// TestAnotherAttemptAfterAStalePermission guards against a job that fails as one permission did not hold: its Keeper is asked anew, and
+// the job is served.
+func TestAnotherAttemptAfterAStalePermission(t *testing.T) {
+	r := newRig(t, slog.New(slog.DiscardHandler), 2, taken)
+	second := testrig.Listen(t, func(c net.Conn) {
+		testrig.Requests(c, func(h *http1.Head) {
+			c.Write([]byte(taken))
+			r.jobs <- h.Method + " " + h.Target
+		})
+	})
+	r.Pool.Directory([]directory.Entry{{Name: "s-2", Address: second, Status: directory.Serving}}, false)
+	r.Engine.Directory(policy.ListCached, 0, []policy.Entry{{Weight: 4}, {Weight: 4}}, []string{"s-1", "s-2"})
+	keeper := &staleKeeper{}
+	j := newJob(1) // one that must not run twice
+	j.Keeper = keeper
+	answered := make(chan job.Outcome, 1)
+	go func() { answered <- r.Handle(context.Background(), j) }()
+	select {
+	case <-r.jobs:
+	case got := <-answered:
+		t.Fatalf("%+v without an attempt", got)
+	}
+	for _, worker := range []string{"s-1", "s-2"} { // the other one's has no effect
+		if err := r.Pool.CallBack(fmt.Appendf(nil, `{"id":"id-1","from":%q,"state":"done","result":"r"}`, worker)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := <-answered; got.Kind != job.Served {
+		t.Errorf("%v, want %v", got.Kind, job.Served)
+	}
+	r.idle(dispatch.NotSent)
+	if asked := keeper.asked.Load(); asked != 2 || len(keeper.over) != 1 || !keeper.over[0] {
+		t.Errorf("asked %d times, told of attempts that never ran: %v", asked, keeper.over)
+	}
+}
--- a/durable/entry.go
+++ b/durable/entry.go
@@ -63,6 +63,9 @@
 	return uint64(fence), nil
 }
 
+// MayStillSend implements job.Keeper.
+func (e *entry) MayStillSend(uint64) error { return nil }
+
 // address is where a provider is reached. It is kept with the lease, as the directory of the next process may not name
 // one any more that has left meanwhile, and has the job all the same.
 func (h *Handler) address(provider string) string {
--- a/job/inherited.go
+++ b/job/inherited.go
@@ -25,6 +25,9 @@
 // Sending numbers no calls.
 func (i *Inherited) Sending(string) (uint64, error) { return 0, nil }
 
+// MayStillSend allows all attempts: nobody else knows the job.
+func (i *Inherited) MayStillSend(uint64) error { return nil }
+
 func (i *Inherited) Begun(uint64) {}
 
 func (i *Inherited) Beat(uint64) {}
--- a/job/job.go
+++ b/job/job.go
@@ -80,6 +80,10 @@
 	Awaiting()
 	// Sending must return before a byte of a call goes out. It blocks. An error means that nothing may be sent.
 	Sending(provider string) (lease uint64, err error)
+	// MayStillSend returns an error if what Sending allowed may not be done any more. It is asked right before the first byte, as
+	// what comes in between may take long, and the process may stand still meanwhile. It does not block. After an error the
+	// attempt ends as not sent, and Sending is asked again before the next one.
+	MayStillSend(lease uint64) error
 	// Begun and Beat take a provider's word that the job began there, and that it goes on.
 	Begun(lease uint64)
 	Beat(lease uint64)
--- a/owners/jobkeeper.go
+++ b/owners/jobkeeper.go
@@ -96,6 +96,7 @@
 		return errOver
 	case core.Short:
 		if !e.effect.Waits() {
+			e.exempt()
 			return nil // it may go out without a majority
 		}
 		e.retractCall()
@@ -105,6 +106,26 @@
 	return errMoved
 }
 
+// exempt notes that a call may go out without a majority.
+func (e *entry) exempt() {
+	e.h.mu.Lock()
+	defer e.h.unlock()
+	e.exempted = time.Now()
+}
+
+// MayStillSend implements job.Keeper. A call that was allowed may not go out once the job may be another scheduler's.
+func (e *entry) MayStillSend(uint64) error {
+	e.h.mu.Lock()
+	defer e.h.unlock()
+	if err := e.checkSending(); err != nil {
+		return err
+	}
+	if e.mayHaveMoved() && time.Since(e.exempted) > core.Fresh(e.h.cfg.Settle) {
+		return errStale
+	}
+	return nil
+}
+
 // retractCall removes the last call, of which nothing goes out.
 func (e *entry) retractCall() {
 	e.h.mu.Lock()
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -147,6 +147,7 @@
 	recorded  bool        // it has been put
 	owned     bool        // enough have said yes
 	confirmed time.Time   // when they did
+	exempted  time.Time   // when a call was last allowed without them
 	ran       bool        // the next Handler has had it
 	lost      bool        // it is another's
 	rival     wire.Record // that one's
@@ -187,6 +188,7 @@
 	errOver  = errors.New("owners: its time is over")
 	errLeft  = errors.New("owners: handed over")
 
+	errStale  = errors.New("owners: that the job is this scheduler's was confirmed too long ago")
 	errNobody = errors.New("owners: nobody waits for the job any more")
 )
 
--- a/provider/call.go
+++ b/provider/call.go
@@ -195,7 +195,7 @@
 
 	conn.SetDeadline(v.Until)
 	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
-	if withdrawn(v) {                        // the connection, too, may have taken its time
+	if !p.mayStillSend(j, lease, v) {        // the connection, too, may have taken its time
 		return p.unsent(c)
 	}
 	if n, err := conn.Write(message); n < len(message) {
@@ -225,6 +225,17 @@
 	return dispatch.NotSent, nil
 }
 
+// mayStillSend takes the last look before the first byte of an attempt: whatever allowed the attempt did so before it had a connection.
+func (p *Pool) mayStillSend(j *job.Job, lease uint64, v dispatch.Verdict) bool {
+	if j.Keeper != nil {
+		if err := j.Keeper.MayStillSend(lease); err != nil {
+			p.log.Debug("attempt not sent: it was allowed too long ago", "id", j.ID, "provider", v.Provider, "err", err)
+			return false
+		}
+	}
+	return !withdrawn(v)
+}
+
 // withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, its job is over, or its client has left.
 func withdrawn(v dispatch.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
 
--- /dev/null
+++ b/provider/stale_test.go
@@ -0,0 +1,37 @@
+package provider
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"laddertide/dispatch"
+	"laddertide/job"
+)
+
+// withdrawnKeeper is a job's Keeper that has allowed an attempt and takes that back while the attempt waits for its connection.
+type withdrawnKeeper struct{ job.Inherited }
+
+func (*withdrawnKeeper) MayStillSend(uint64) error { return errors.New("it was allowed too long ago") }
+
+// TestAttemptAllowedTooLongAgo guards against attempts that go out by a permission that was withdrawn while they waited. Nothing is
+// sent, and the connection is kept for others.
+func TestAttemptAllowedTooLongAgo(t *testing.T) {
+	f := newFake(t, say(taken))
+	p := pool(f.ln.Addr().String())
+	v := verdict(context.Background(), 5*time.Second)
+	for range 2 { // on a new connection and on a kept one
+		j := newJob()
+		j.Keeper = &withdrawnKeeper{}
+		if end, _ := p.Invoke(j, 1, v, func(dispatch.News) {}); end != dispatch.NotSent {
+			t.Errorf("end %v, want %v", end, dispatch.NotSent)
+		}
+	}
+	other := newJob()
+	other.Subject = "/other"
+	go p.Invoke(other, 0, v, func(dispatch.News) {})
+	if first := <-f.lines; first != "POST /other" || p.Open() != 1 {
+		t.Errorf("the first message is %q, and %d connections are open", first, p.Open())
+	}
+}
