durable, replicated: a lease is looked at again right before the first byte

Callers could see: a job that another scheduler goes on with is sent by its former one as well, and a job in a ledger is sent after its lease was given up, its time was over or it was left to the next process.

A lease was looked at once, when it was on disk, and its attempt may wait long after that. The next leader of a replicated ledger gives up what its predecessor sent and sends the job anew at once; a lease that was kept says nothing of that.

Change: MayStillSend asks the table whether the lease stands. Where others keep the ledger a lease counts for five ticks from when it was handed to the store: members that heard of their leader elect nobody else before. After that the attempt ends as not sent, and the next one needs a lease that a majority keeps.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -51,6 +51,7 @@
 
 	hosted    bool                         // others keep the records, too, and one of them may lead next
 	full      func() bool                  // see Host; nil: nobody else says so
+	fresh     time.Duration                // see Host
 	elsewhere bool                         // providers' words on what was open go to another scheduler
 	lost      uint64                       // ends that could not be written
 	unkept    map[leases.Seq]ledger.Commit // of ends that are not known to be on disk; see kept
@@ -71,6 +72,7 @@
 	errEnded = errors.New("durable: the job has ended")
 	errDisk  = errors.New("durable: not on disk in time")
 	errLeft  = errors.New("durable: left to the next process")
+	errStale = errors.New("durable: the lease was kept too long ago")
 )
 
 // atTheEnd is how long after a job's time is over its end is still waited for on its way to the disk: a job that fails
--- a/durable/entry.go
+++ b/durable/entry.go
@@ -20,6 +20,7 @@
 	again  bool          // an earlier process had it
 	taken  ledger.Commit // of its taking; nil: an earlier process had it
 	cancel context.CancelCauseFunc
+	leased time.Time // when the last lease was on its way to the disk; guarded by the Handler's mutex
 
 	listening func() // is to be called once its call's listener is there, or it has ended; nil: nobody asks
 
@@ -38,6 +39,7 @@
 		h.mu.Unlock()
 		return 0, errLeft
 	}
+	e.leased = time.Now()
 	fence, step, err := h.table.Lease(h.clock(), e.seq, to, h.set.Lease, h.address(to))
 	commit := h.append(step)
 	h.mu.Unlock()
@@ -63,8 +65,20 @@
 	return uint64(fence), nil
 }
 
-// MayStillSend implements job.Keeper.
-func (e *entry) MayStillSend(uint64) error { return nil }
+// MayStillSend implements job.Keeper. A lease may have ended, or its job been left to the next process, while the attempt had no
+// connection; where others keep the ledger as well, another scheduler may have gone on with the job.
+func (e *entry) MayStillSend(lease uint64) error {
+	h := e.h
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.left:
+		return errLeft
+	case h.fresh > 0 && time.Since(e.leased) > h.fresh:
+		return errStale
+	}
+	return h.table.Stands(h.clock(), e.seq, leases.Fence(lease))
+}
 
 // address is where a provider is reached. It is kept with the lease, as the directory of the next process may not name
 // one any more that has left meanwhile, and has the job all the same.
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -64,6 +64,8 @@
 	// Elsewhere tells that another scheduler has sent the jobs, so that providers' words go there: what may run twice is given
 	// up where it is, and goes on from here.
 	Elsewhere bool
+	// Fresh is for how long after it was handed to the store a lease proves that no other scheduler goes on with its job; 0: for ever.
+	Fresh time.Duration
 	// Full tells that nothing new may be taken. It must not block.
 	Full func() bool
 }
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h.hosted, h.elsewhere, h.full = true, host.Elsewhere, host.Full
+	h.hosted, h.elsewhere, h.full, h.fresh = true, host.Elsewhere, host.Full, host.Fresh
 	return h, h.read(replayed(host.Records))
 }
 
--- a/replicated/replicated.go
+++ b/replicated/replicated.go
@@ -101,7 +101,7 @@
 	if err = h.wires.Check(); err == nil {
 		h.node, err = replica.New(replica.Config{Name: cfg.Name, Disk: disk, Net: h.wires, Log: h.log,
 			// A leader that is not heard for as long as the membership needs to doubt it is not there.
-			Tick: cfg.Answer / 2, Elect: electTicks, Most: h.share(8), Forget: 2 * h.life(),
+			Tick: h.tick(), Elect: electTicks, Most: h.share(8), Forget: 2 * h.life(),
 			// The other half is for what becomes of the jobs that are open.
 			Room: h.share(2), Key: durable.TakenID, Led: h.led, Gone: h.gone})
 	}
@@ -151,6 +151,13 @@
 // time of an answer that is 3 answers, and 6 at the most.
 const electTicks = 6
 
+// tick is the heartbeat interval of a leader.
+func (h *Handler) tick() time.Duration { return h.cfg.Answer / 2 }
+
+// termLeft is for how long after a majority was asked to keep a record nobody else can be elected: they have heard of their leader
+// after that. One tick is for clocks that do not run alike.
+func (h *Handler) termLeft() time.Duration { return (electTicks - 1) * h.tick() }
+
 // life is for how long a job is known at most.
 func (h *Handler) life() time.Duration {
 	longest := time.Duration(0)
@@ -188,7 +195,7 @@
 	began, g, mine := time.Now(), l.g, l.g.Owner == h.me.Name
 	for tries := 0; ; tries++ {
 		d, err := durable.Resume(h.cfg.Durable, h.cfg.All, h.cfg.Next, h.cfg.Pool, h.log, durable.Host{Store: store{g}, Records: records,
-			Elsewhere: !mine, Full: g.Full})
+			Elsewhere: !mine, Full: g.Full, Fresh: h.termLeft()})
 		if err != nil {
 			h.log.Error("a group's jobs cannot go on here", "group", g.ID, "err", err)
 			return
--- /dev/null
+++ b/replicated/stale_test.go
@@ -0,0 +1,42 @@
+package replicated
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"laddertide/job"
+)
+
+// TestLeaseOfAFormerLeader guards against an attempt that a scheduler sends by a lease which a majority kept, after another scheduler
+// has gone on with the job: the attempt waited for its connection meanwhile, and its scheduler has not heard that it leads no more.
+func TestLeaseOfAFormerLeader(t *testing.T) {
+	goOn, looked := make(chan struct{}), make(chan error, 2)
+	var owner *house
+	w := newTown(t, 3, time.Minute, func(w *town) {
+		w.next = func(ctx context.Context, j *job.Job) job.Outcome {
+			if past, _ := j.Keeper.Past(); len(past) > 0 {
+				return owner.w.all[1].carry(ctx, j)
+			}
+			lease, err := j.Keeper.Sending("w")
+			if err != nil {
+				return job.Outcome{Kind: job.Rejected}
+			}
+			looked <- j.Keeper.MayStillSend(lease)
+			<-goOn
+			looked <- j.Keeper.MayStillSend(lease)
+			return job.Outcome{Kind: job.Failed}
+		}
+	})
+	owner = w.all[0]
+	owner.ask("j", 0)
+	if err := <-looked; err != nil {
+		t.Fatal(err)
+	}
+	w.part(owner.name)
+	w.until("another one goes on with the job", func() bool { return w.ran("j") > 0 })
+	close(goOn)
+	if err := <-looked; err == nil {
+		t.Error("it may be sent by its former leader as well")
+	}
+}
