provider: the looks before the first byte are taken again after a hold-up

Callers could see: a job at a worker that drains, after the scheduler had heard of the drain; or a job for a client that had left.

Cause: the directory's list was looked at once the connection was there, the job's Keeper and its client after that. A process held up between two of them sends by the first, which is old by then; only hold-ups of over a second are noticed by the stall detector.

Change: one place, lastLook, has all looks and the message, which tells what is left. If they took longer than 50 ms they are taken again, after the wait for news and a look at the connection.

--- a/provider/call.go
+++ b/provider/call.go
@@ -177,26 +177,15 @@
 	c := newCall(j, lease, v, hear)
 	c.conn = conn
 	p.mu.Lock()
-	// The connection may have taken its time: what the directory has said meanwhile counts.
-	if !conn.of.serving {
-		p.mu.Unlock()
-		p.release(conn)
-		return dispatch.NotConnected, nil
-	}
-	if p.move.ctx.Err() != nil {
-		p.mu.Unlock()
-		p.discard(conn)
-		return Unsent, nil
-	}
 	c.repeated = p.earlier[j.ID][v.Provider].mayCallBack
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
 	defer p.close(j, c)
 
 	conn.SetDeadline(v.Until)
-	message := jobMessage(j, lease, v.Until) // after all that may take time: it tells what is left
-	if !p.mayStillSend(j, lease, v) {        // the connection, too, may have taken its time
-		return p.unsent(c)
+	message, end := p.lastLook(j, c, v) // after all that may take time
+	if end != accepted {
+		return p.unsent(c, end)
 	}
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was out", "provider", v.Provider, "written", n, "err", err)
@@ -210,30 +199,69 @@
 	return p.wait(j, c, v)
 }
 
-// unsent lets go of the connection of a call of which nothing was sent. A call-back of an earlier one at the same provider may have
-// ended it by then.
-func (p *Pool) unsent(c *call) (dispatch.End, []byte) {
-	c.mu.Lock()
-	conn, over := c.conn, c.over
-	c.conn = nil
-	c.mu.Unlock()
-	if over {
-		p.discard(conn) // its deadline is another's
-		return c.end, c.result
+// heldUp is how long the last look before the first byte may take before it is taken again.
+const heldUp = 50 * time.Millisecond
+
+// lastLook looks whether an attempt that has its connection may still be sent, and returns its message, which tells what is left of
+// the job's time; or how the attempt ends. Whatever allowed the attempt did so before it had a connection, and the process may have
+// stood still since, or stand still between two of these looks: then all are taken again.
+func (p *Pool) lastLook(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
+	for {
+		if p.Awake != nil {
+			p.Awake(v.Until)
+		}
+		began := time.Now()
+		message = jobMessage(j, c.lease, v.Until)
+		if end = p.mayStillSend(j, c, v); end != accepted {
+			return nil, end
+		}
+		if time.Since(began) < heldUp {
+			return message, accepted
+		}
+		if !time.Now().Before(v.Until) || !c.conn.alive() { // a connection that has ended would take the message all the same
+			return nil, dispatch.NotSent
+		}
 	}
-	p.release(conn)
-	return dispatch.NotSent, nil
 }
 
-// mayStillSend takes the last look before the first byte of an attempt: whatever allowed the attempt did so before it had a connection.
-func (p *Pool) mayStillSend(j *job.Job, lease uint64, v dispatch.Verdict) bool {
+// mayStillSend returns accepted if nothing speaks against sending an attempt now, else how the attempt ends.
+func (p *Pool) mayStillSend(j *job.Job, c *call, v dispatch.Verdict) dispatch.End {
 	if j.Keeper != nil {
-		if err := j.Keeper.MayStillSend(lease); err != nil {
+		if err := j.Keeper.MayStillSend(c.lease); err != nil {
 			p.log.Debug("attempt not sent: it was allowed too long ago", "id", j.ID, "provider", v.Provider, "err", err)
-			return false
+			return dispatch.NotSent
 		}
 	}
-	return !withdrawn(v)
+	p.mu.Lock()
+	serving, leaving := c.conn.of.serving, p.move.ctx.Err() != nil
+	p.mu.Unlock()
+	switch {
+	case leaving:
+		return Unsent
+	case !serving:
+		return dispatch.NotConnected
+	case withdrawn(v):
+		return dispatch.NotSent
+	}
+	return accepted
+}
+
+// unsent lets go of the connection of a call of which nothing was sent, and returns how the call ends. A call-back of an earlier one at
+// the same provider may have ended it by then.
+func (p *Pool) unsent(c *call, end dispatch.End) (dispatch.End, []byte) {
+	c.mu.Lock()
+	conn, over := c.conn, c.over
+	c.conn = nil
+	c.mu.Unlock()
+	if over || end == Unsent {
+		p.discard(conn) // its deadline may be another's; or the next process has its place
+	} else {
+		p.release(conn)
+	}
+	if over {
+		return c.end, c.result
+	}
+	return end, nil
 }
 
 // withdrawn tells whether nothing may be sent any more by a verdict: its call is withdrawn, its job is over, or its client has left.
--- a/provider/stale_test.go
+++ b/provider/stale_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"laddertide/directory"
 	"laddertide/dispatch"
 	"laddertide/job"
 )
@@ -35,3 +36,23 @@
 		t.Errorf("the first message is %q, and %d connections are open", first, p.Open())
 	}
 }
+
+// TestWorkerDrainsDuringTheLastLook guards against a job that goes to a worker which drains: the word of that came while the process was
+// held up between the looks before the first byte.
+func TestWorkerDrainsDuringTheLastLook(t *testing.T) {
+	f := newFake(t, say(taken))
+	p := pool(f.ln.Addr().String())
+	drained := false
+	ctx := job.WithLeaveCheck(context.Background(), func() bool {
+		if p.Open() > 0 && !drained { // the look for the client's leave, with the connection up
+			drained = true
+			p.Directory([]directory.Entry{{Name: "s-1", Address: f.ln.Addr().String(), Status: directory.Draining}}, true)
+			time.Sleep(2 * heldUp)
+		}
+		return false
+	})
+	invoke(t, p, verdict(ctx, 5*time.Second), dispatch.NotConnected)
+	if !drained {
+		t.Error("nobody looked for the client's leave")
+	}
+}
