stall: a standstill during the wait for news is waited for as well

Callers could see: an attempt at a worker that a scheduler would have known to drain, had it read what came while it stood still the second time.

Cause: who waits for news after a standstill waited for one refresh. If the process stands still again meanwhile, that refresh ends by its time limit as the process goes on, and all who waited went on with what was known before. TestOwnersStandStillConnected showed it: "could not be read in time: going on with what is known", and the attempts right after that.

Change: Wait looks again for a standstill when a refresh has ended, until its deadline.

--- a/stall/stall.go
+++ b/stall/stall.go
@@ -98,25 +98,34 @@
 }
 
 // Wait returns at once unless the process has stalled. After a stall it blocks until the refresh has ended or deadline has
-// passed, whichever is first.
+// passed, whichever is first. If the process stalls again meanwhile it blocks for the refresh of that stall as well.
 func (d *Detector) Wait(deadline time.Time) {
-	if d.stalledFor(time.Since(d.origin)) > 0 {
-		d.check()
-	}
-	d.mu.Lock()
-	refreshing := d.refreshing
-	d.mu.Unlock()
+	refreshing := d.refreshInProgress()
 	if refreshing == nil {
 		return
 	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
-	select {
-	case <-refreshing:
-	case <-timer.C:
+	for refreshing != nil {
+		select {
+		case <-refreshing:
+		case <-timer.C:
+			return
+		}
+		refreshing = d.refreshInProgress()
 	}
 }
 
+// refreshInProgress returns what is closed when the refresh after the latest stall ends; nil: there is none in progress.
+func (d *Detector) refreshInProgress() chan struct{} {
+	if d.stalledFor(time.Since(d.origin)) > 0 {
+		d.check()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refreshing
+}
+
 // Stalls returns the number of stalls detected so far.
 func (d *Detector) Stalls() int {
 	d.mu.Lock()
--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -63,3 +63,23 @@
 		stop()
 	})
 }
+
+// TestStallDuringRefresh guards against waiters that go on when the refresh after a stall ends, though the process has stalled again
+// meanwhile: what that refresh brought may be old.
+func TestStallDuringRefresh(t *testing.T) {
+	const first, second = 3 * interval, 100 * time.Millisecond // nothing checks the time, so the first one contains a stall
+	synctest.Test(t, func(t *testing.T) {
+		lengths := []time.Duration{first, second}
+		refreshes := 0
+		d := New(interval, time.Minute, func(context.Context) {
+			refreshes++
+			time.Sleep(lengths[refreshes-1])
+		}, slog.New(slog.DiscardHandler))
+		time.Sleep(3 * interval)
+		began := time.Now()
+		d.Wait(began.Add(time.Hour))
+		if took := time.Since(began); took != first+second || refreshes != 2 {
+			t.Errorf("waited for %v with %d refreshes, not for %v with 2", took, refreshes, first+second)
+		}
+	})
+}
