durable: a start while the ledger's folder takes no writes waits for it

Callers saw: after SIGKILL in the time of a disk that takes no writes the next process ended with code 1 ("allocate ledger/.ledger.new: file too large"), and nobody was there for what its predecessor had taken.

Cause: the first write of a start, which makes what was read last, was waited for, and its error ended the program, whatever it was.

Change: where the error may pass (ledger.Temporary: no room, quota, size limit, device, memory, descriptors, or no answer within 2 s) the process serves. Attempts that are out have their listener, and clients are joined to open jobs; nothing of the durable classes is sent or taken (503 with Retry-After) until a write, tried four times a second, succeeds. Jobs of before whose time is over by then are ended. /_health stays 200 and says why. One line at its beginning and one at its end. What cannot pass ends the start as before; so does a read that fails.

Not looked at yet: owners.dir, state, configuration, replicated.

--- a/consumer/http.go
+++ b/consumer/http.go
@@ -116,6 +116,11 @@
 		if s.Healthy != nil && !s.Healthy() {
 			return text(503, "not yet: it comes back after a loss of power, or has nobody to serve"), true
 		}
+		if s.Limitation != nil {
+			if why := s.Limitation(); why != "" {
+				return text(200, "serving, but "+why), true
+			}
+		}
 		return text(200, "serving"), true
 	case pathEvents:
 		if head.Method != "POST" {
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -39,6 +39,8 @@
 	// Unfinished is the answer to jobs that the Handlers have not answered when the grace is over. The zero value promises nothing.
 	Unfinished job.Outcome
 
+	// Limitation tells which jobs are not taken and why, for GET /_health; empty, or nil: all are.
+	Limitation func() string
 	// Healthy tells whether jobs can be taken, for GET /_health. Nil: they can.
 	Healthy func() bool
 
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -58,6 +58,9 @@
 	warned    time.Time
 
 	// Of a start, by one goroutine: what an earlier process has left.
+	writable chan struct{} // closed once the ledger has taken a write
+	startErr error         // why it has not since the start; nil: it has, or has not been asked to. Guarded by mu
+
 	records int // that were read
 	began   time.Time
 	resumed []restored
@@ -92,6 +95,10 @@
 		return h.late(spec)
 	}
 	taking, step := h.take(spec)
+	stayAway := time.Duration(0)
+	if h.startErr != nil {
+		stayAway = askAgain
+	}
 	var commit ledger.Commit
 	var e *entry
 	switch taking.Kind {
@@ -120,7 +127,7 @@
 	case leases.Conflict:
 		return job.Outcome{Kind: job.Conflict}
 	case leases.Full:
-		return job.Outcome{Kind: job.Rejected}
+		return job.Outcome{Kind: job.Rejected, RetryAfter: stayAway}
 	case leases.Invalid:
 		return job.Outcome{Kind: job.Mistaken, Why: "the job is too large to be kept"}
 	}
@@ -206,9 +213,9 @@
 		Left: j.Left, Hint: j.Hint, Slots: j.Slots, Body: encodeBody(j)}
 }
 
-// take takes a job into the table, unless it is a new one and the ledger has no room for more. Called under mu.
+// take takes a job into the table, unless it is a new one and the ledger has no room for more or takes no writes yet. Called under mu.
 func (h *Handler) take(spec leases.Spec) (leases.Taking, leases.Step) {
-	if _, known := h.table.Find(h.clock(), spec.ID); !known && (h.store.Size() >= h.set.full() || h.full != nil && h.full()) {
+	if _, known := h.table.Find(h.clock(), spec.ID); !known && (h.startErr != nil || h.store.Size() >= h.set.full() || h.full != nil && h.full()) {
 		return leases.Taking{Kind: leases.Full}, leases.Step{}
 	}
 	return h.table.Take(h.clock(), spec)
@@ -389,6 +396,9 @@
 // kept is what to wait for before a job's end is told; nil: it is on disk. Called under mu.
 func (h *Handler) kept(seq leases.Seq) ledger.Commit {
 	c := h.unkept[seq]
+	if c == nil && h.startErr != nil { // what was read may not be on disk
+		return unwritable{h.startErr}
+	}
 	if c != nil && over(c) && c.Wait() == nil {
 		delete(h.unkept, seq)
 		return nil
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -106,7 +106,7 @@
 	clock func() leases.Clock) (*Handler, error) {
 	h := &Handler{set: set, classes: all.Classes, tenants: all.Tenants, pool: pool, next: next, log: log, store: store,
 		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]ledger.Commit),
-		ending: make(chan struct{})}
+		ending: make(chan struct{}), writable: make(chan struct{})}
 	var err error
 	if h.durable, err = set.check(&all); err != nil {
 		return nil, err
@@ -168,8 +168,8 @@
 	for _, m := range missing {
 		h.log.Warn("the ledger lacks a record", "job", m.ID, "number", uint64(m.Seq), "what", m.What)
 	}
-	if err := commit.Wait(); err != nil {
-		return fmt.Errorf("durable: %w", err)
+	if err := h.firstWrite(commit); err != nil {
+		return err
 	}
 	if !h.hosted {
 		h.pool.Unclaimed = h.unclaimed
@@ -235,10 +235,20 @@
 	h.resumed = nil
 }
 
-// GoOn lets the jobs go on of which nothing is out: as pace says, or a few at a time.
+// GoOn lets the jobs go on of which nothing is out, as pace says or a few at a time, once the folder takes writes.
 func (h *Handler) GoOn(pace Pace) {
 	again := h.again
 	h.again = nil
+	h.ended.Go(h.tend)
+	if h.Unwritable() == nil {
+		h.goOn(again, pace)
+		return
+	}
+	h.ended.Go(func() { h.goOn(h.awaitWritable(again), pace) })
+}
+
+// goOn lets jobs go on of which nothing is out.
+func (h *Handler) goOn(again []*entry, pace Pace) {
 	if pace == nil {
 		h.ended.Go(func() { h.resume(again) })
 	} else {
@@ -252,7 +262,6 @@
 			}, func(stayAway time.Duration) { go h.end(e, e.late(stayAway)) })
 		}
 	}
-	h.ended.Go(h.tend)
 }
 
 // late is the end of a job that cannot be in time. That a repeat does no harm may only be told of one that has not run.
--- /dev/null
+++ b/durable/writable.go
@@ -0,0 +1,108 @@
+package durable
+
+import (
+	"fmt"
+	"time"
+
+	"laddertide/core/leases"
+	"laddertide/ledger"
+)
+
+// A process may start while the ledger's folder takes no writes. What it reads there is owed all the same: it listens for the attempts
+// that are out, lets clients join the jobs that are open, and sends or takes nothing until the folder takes writes.
+
+const (
+	firstWriteLimit = 2 * time.Second        // for the first write of a start
+	writeAgain      = 250 * time.Millisecond // between attempts to write
+)
+
+// unwritable is a ledger.Commit of a ledger that takes no writes.
+type unwritable struct{ err error }
+
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// Done implements ledger.Commit.
+func (unwritable) Done() <-chan struct{} { return closed }
+
+// Wait implements ledger.Commit.
+func (u unwritable) Wait() error { return u.err }
+
+// firstWrite waits until what was read is known to be on disk. If the folder takes no writes for the moment that is waited for in the
+// background; an error says that this would be no use.
+func (h *Handler) firstWrite(commit ledger.Commit) error {
+	err := h.wait(commit, time.Now().Add(firstWriteLimit))
+	switch {
+	case err == nil:
+		close(h.writable)
+		return nil
+	case h.hosted || err != errDisk && !ledger.Temporary(err):
+		return fmt.Errorf("durable: %w", err)
+	}
+	h.log.Error("the ledger's folder takes no writes: jobs of before are waited for, and no new ones are taken until it does", "err", err,
+		"dir", h.set.Dir)
+	h.mu.Lock()
+	h.startErr = err
+	h.mu.Unlock()
+	h.ended.Go(func() { h.awaitWrite(commit) })
+	return nil
+}
+
+// awaitWrite tries to write until that succeeds or the Handler is closed. commit is the first attempt's.
+func (h *Handler) awaitWrite(commit ledger.Commit) {
+	began := time.Now()
+	for {
+		select {
+		case <-commit.Done():
+		case <-h.ending:
+			return
+		}
+		if commit.Wait() == nil {
+			break
+		}
+		select {
+		case <-time.After(writeAgain):
+		case <-h.ending:
+			return
+		}
+		h.mu.Lock()
+		commit = h.append(leases.Step{Sync: true})
+		h.mu.Unlock()
+	}
+	h.mu.Lock()
+	h.startErr = nil
+	h.mu.Unlock()
+	close(h.writable)
+	h.log.Info("the ledger's folder takes writes: going on", "after", time.Since(began).Round(time.Millisecond), "dir", h.set.Dir)
+}
+
+// Unwritable returns why new jobs are not taken since the start; nil: they are.
+func (h *Handler) Unwritable() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.startErr
+}
+
+// awaitWritable waits until the folder takes writes and returns the jobs that can go on then. Those whose time is over before are
+// ended. The jobs are ordered by their deadlines.
+func (h *Handler) awaitWritable(jobs []*entry) []*entry {
+	for len(jobs) > 0 {
+		first := jobs[0]
+		timer := time.NewTimer(time.Until(first.due))
+		select {
+		case <-h.writable:
+			timer.Stop()
+			return jobs
+		case <-h.ending:
+			timer.Stop()
+			return nil
+		case <-timer.C:
+			jobs = jobs[1:]
+			h.work.Go(func() { h.end(first, first.late(0)) })
+		}
+	}
+	return nil
+}
--- a/rehearse/peering/owners_test.go
+++ b/rehearse/peering/owners_test.go
@@ -218,9 +218,9 @@
 }
 
 // busy counts jobs that workers have, or have something to tell of.
-func (o *owned) busy() (n int) {
-	for w := range o.plan.Workers {
-		n += o.world.Fleet.Busy(w)
+func (r *rig) busy() (n int) {
+	for w := range r.plan.Workers {
+		n += r.world.Fleet.Busy(w)
 	}
 	return n
 }
--- a/rehearse/peering/rig_test.go
+++ b/rehearse/peering/rig_test.go
@@ -69,7 +69,8 @@
 	alone               bool // it is started without the section peers
 	join                []string
 	discovery           string
-	known               []byte // the list that it starts with; nil: what discovery's agent has
+	program             daemon.Program // it is started by; the zero value: the daemon's serve
+	known               []byte         // the list that it starts with; nil: what discovery's agent has
 	proc                *daemon.Process
 	log                 *logFile
 	answersOfAllItsJobs sync.WaitGroup
@@ -212,7 +213,11 @@
 	}
 	env := append(os.Environ(), "GW_NAME="+p.name, "GW_LISTEN="+p.listen, "GW_ADMIN="+p.admin, "GW_CONFIG=config.json",
 		"GW_DISCOVERY="+p.discovery, "TMPDIR="+filepath.Join(dir, "tmp"))
-	p.proc, err = daemon.Start(daemon.Program{Path: daemontest.Program, Args: []string{"serve", "--fleet", "operators.yaml"}}, dir, env,
+	program := p.program
+	if program.Path == "" {
+		program = daemon.Program{Path: daemontest.Program, Args: []string{"serve", "--fleet", "operators.yaml"}}
+	}
+	p.proc, err = daemon.Start(program, dir, env,
 		daemon.Limits{MemoryMB: 192, Sockets: 1024}, p.log)
 	if err != nil {
 		t.Fatal(err)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// ledgerLimitation tells why no durable jobs are taken, for GET /_health; empty: they are.
+func (s *Scheduler) ledgerLimitation() string {
+	if err := s.durable.Unwritable(); err != nil {
+		return "durable jobs are refused, as the ledger's folder takes no writes: " + err.Error()
+	}
+	return ""
+}
+
 // SnapshotLedger copies the ledger of durable jobs into a folder that is empty or not there yet, while it serves.
 func (s *Scheduler) SnapshotLedger(dst string) error {
 	s.mu.Lock()
@@ -395,6 +403,9 @@
 	if s.status != nil {
 		server.Status = s.status.Get
 	}
+	if s.durable != nil {
+		server.Limitation = s.ledgerLimitation
+	}
 	s.log.Info("serving", "name", s.cfg.Name, "listen", ln.Addr(), "providers", len(s.cfg.Known.Entries))
 	if secure != nil {
 		s.log.Info("serving with encryption", "listen", secure.Addr())
