durable: an end that is not on disk is not told as final

Callers saw: a job that was answered with 200 or 502 while the disk took no writes was sent again 3 to 6 s later, by the process that came after SIGKILL.

Cause: "if it cannot be kept, it is told all the same". The ledger then has the job as taken or out, and its worker, or the next one, is asked again. Only where other schedulers keep the ledger as well was the client told to ask again.

Change: without its end on disk a job's client is told that it goes on (502 with Retry-After), as where others keep the ledger. A result is waited for first, up to the client's time, as the disk may take it yet.

A reserve in the ledger for ends would not help here: with a size limit of 0 or an error of the device no write succeeds. For ENOSPC alone it would let answers go out in time; not done.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -118,12 +118,8 @@
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		// What is told must not change. If it cannot be kept, it is told all the same, but for one that says that
-		// nothing will happen: after a crash the job may go on.
-		if h.wait(commit, due) != nil && taking.Outcome.Kind == leases.Rejected {
-			taking.Outcome = leases.Outcome{Kind: leases.Failed}
-		}
-		return h.told(taking.Seq, taking.Outcome)
+		out, _ := h.tellable(taking.Seq, j.Class, taking.Outcome, commit, due)
+		return h.told(taking.Seq, out)
 	case leases.Conflict:
 		return job.Outcome{Kind: job.Conflict}
 	case leases.Full:
@@ -289,27 +285,17 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	by := e.due.Add(atTheEnd)
-	if werr := h.wait(commit, by); werr != nil {
-		// Its consumer must have its answer in time, kept or not. But what is not kept may go on after a restart: then
-		// it must not have been told that nothing ran.
-		if kept.Kind == leases.Rejected {
-			kept = leases.Outcome{Kind: leases.Failed}
-		}
-		if h.hosted { // whoever leads next may end it otherwise
-			kept = leases.Outcome{Kind: leases.Failed, RetryAfter: askAgain}
-		}
+	kept, err = h.tellable(e.seq, e.job.Class, kept, commit, e.due.Add(atTheEnd))
+	if err != nil {
 		h.mu.Lock()
 		h.lost++
 		h.mu.Unlock()
-		h.trouble("ends of jobs are not kept", werr)
+		h.trouble("ends of jobs are not kept", err)
 	}
 	h.mu.Lock()
 	delete(h.live, e.seq)
 	h.mu.Unlock()
-	if e.out = h.told(e.seq, kept); h.hosted && kept.Kind == leases.Failed {
-		e.out.RetryAfter = kept.RetryAfter
-	}
+	e.out = h.told(e.seq, kept)
 	close(e.done)
 }
 
@@ -349,7 +335,7 @@
 
 // told is an outcome for a front.
 func (h *Handler) told(seq leases.Seq, k leases.Outcome) job.Outcome {
-	out := job.Outcome{Kind: job.Failed}
+	out := job.Outcome{Kind: job.Failed, RetryAfter: k.RetryAfter}
 	switch k.Kind {
 	case leases.Served:
 		out = job.Outcome{Kind: job.Served, Result: k.Result}
--- /dev/null
+++ b/durable/tellable_test.go
@@ -0,0 +1,81 @@
+package durable
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"laddertide/job"
+	"laddertide/ledger/faultfs"
+)
+
+// TestNothingIsSentAfterItsAnswer guards against a job that is answered while its end cannot be written and is sent again by the process
+// that comes after a kill. Whoever is told that the job goes on may ask again.
+func TestNothingIsSentAfterItsAnswer(t *testing.T) {
+	const work, early = 100 * time.Millisecond, 300 * time.Millisecond
+	for class := range townClasses {
+		for _, c := range []struct {
+			name  string
+			fails bool // the worker's answer is not a result, and nothing else is sent
+			heals time.Duration
+		}{
+			{"served, the disk heals in time", false, early},
+			{"served, the disk does not heal", false, time.Hour},
+			{"failed, the disk does not heal", true, time.Hour},
+		} {
+			t.Run(fmt.Sprint(townClasses[class].Name, ", ", c.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					disk, bad, sends := faultfs.New(), &failing{}, 0
+					disk.Fate = bad.fate
+					next := func(ctx context.Context, j *job.Job) job.Outcome {
+						lease, err := j.Keeper.Sending("w1")
+						if err != nil {
+							return job.Outcome{Kind: job.Rejected}
+						}
+						sends++
+						bad.set(syscall.EFBIG)
+						time.Sleep(work)
+						if c.fails {
+							j.Keeper.Over(lease, false)
+							return job.Outcome{Kind: job.Failed}
+						}
+						j.Keeper.Done(lease, []byte("result"))
+						return job.Outcome{Kind: job.Served, Result: []byte("result")}
+					}
+					s := openShop(t, disk, settings(), true, next)
+					time.AfterFunc(c.heals, func() { bad.Store(nil) })
+					began := time.Now()
+					out := s.Handle(t.Context(), order("a", class))
+					took := time.Since(began)
+					if out.Kind == job.Served && string(out.Result) != "result" || took > townDeadline+atTheEnd {
+						t.Errorf("%+v after %v", out, took)
+					}
+					if c.heals == early && out.Kind != job.Served {
+						t.Errorf("the disk took writes again in time: %+v", out)
+					}
+					final := out.RetryAfter == 0
+					after := disk.Killed()
+					s.Close()
+					second := openShop(t, after, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+						if past, _ := j.Keeper.Past(); len(past) > 0 && past[len(past)-1].Out { // its worker says nothing any more
+							j.Keeper.Awaiting()
+							j.Keeper.Over(past[len(past)-1].Lease, false)
+						}
+						if _, err := j.Keeper.Sending("w2"); err == nil {
+							sends++
+						}
+						return job.Outcome{Kind: job.Failed}
+					})
+					time.Sleep(time.Second)
+					if final && sends > 1 || townClasses[class].Name == "issue" && sends > 1 {
+						t.Errorf("sent %d times, and its client was told %+v", sends, out)
+					}
+					second.shut(t)
+				})
+			})
+		}
+	}
+}
--- a/durable/writable.go
+++ b/durable/writable.go
@@ -6,6 +6,7 @@
 
 	"laddertide/core/leases"
 	"laddertide/ledger"
+	"laddertide/policy"
 )
 
 // A process may start while the ledger's folder takes no writes. What it reads there is owed all the same: it listens for the attempts
@@ -106,3 +107,25 @@
 	}
 	return nil
 }
+
+// tellable waits until a job's end is kept, no longer than by, and returns what its clients may be told, and why the end is not kept.
+// What is not kept may go on in the next process: a client that has been told an end would see its job sent after that, and a client
+// that was told that nothing ran would see it run. So these are told that the job goes on. A result is waited for, as the disk may take
+// it yet. One that must not run twice is never sent again, so its result may be told at once; but where others keep the ledger, one of
+// them may have ended the job otherwise.
+func (h *Handler) tellable(seq leases.Seq, class int, out leases.Outcome, commit ledger.Commit, by time.Time) (leases.Outcome, error) {
+	err := h.wait(commit, by)
+	sentAgain := h.hosted || class < 0 || h.classes[class].Effect != policy.Unsafe
+	for err != nil && out.Kind == leases.Served && sentAgain && time.Until(by) > 0 {
+		time.Sleep(min(writeAgain, time.Until(by)))
+		h.mu.Lock()
+		commit = h.kept(seq)
+		h.mu.Unlock()
+		err = h.wait(commit, by)
+	}
+	switch {
+	case err == nil, out.Kind == leases.Served && !sentAgain:
+		return out, err
+	}
+	return leases.Outcome{Kind: leases.Failed, RetryAfter: askAgain}, err
+}
