rehearse/peering: starts of other features while nothing can be written

Need: the same question as for durable at each place that writes before service begins.

Measured: owners.dir, state, state with durable, capture and replicated start with a size limit of 0 and serve once it is lifted, on the program as it is. Not run: configuration's follower and source.

--- a/rehearse/peering/full_test.go
+++ b/rehearse/peering/full_test.go
@@ -66,3 +66,58 @@
 		t.Errorf("/_health: %q", body)
 	}
 }
+
+// TestStartsWhileNothingCanBeWritten guards against other features whose folders take no writes as a process starts: it serves what
+// needs no write, and all once writes go on.
+func TestStartsWhileNothingCanBeWritten(t *testing.T) {
+	for name, extra := range map[string]string{
+		"owners":            "owners: {keep_s: 5, first_s: 0, dir: f}\n",
+		"state":             "state: {dir: f}\n",
+		"state and durable": "state: {dir: f}\ndurable: {dir: d, keep_s: 60}\n",
+		"capture":           "capture: {dir: f}\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1)
+			p := r.all[0]
+			p.extra = extra
+			for _, folder := range []string{"d", "f"} {
+				if err := os.MkdirAll(filepath.Join(r.dir, p.name, folder), 0o700); err != nil {
+					t.Fatal(err)
+				}
+			}
+			serves := func() bool {
+				status, _, _ := p.request(r.task("limit-check", quick, nil))
+				return status == 200
+			}
+			p.start()
+			p.ready()
+			r.until("it serves", serves)
+			p.kill()
+			p.startFull()
+			time.Sleep(2 * time.Second)
+			select {
+			case <-p.proc.Done():
+				t.Fatalf("the process has ended: %s", p.proc.LastWords())
+			default:
+			}
+			p.full(false)
+			r.until("it serves again", serves)
+		})
+	}
+}
+
+// TestReplicatedStartsWhileNothingCanBeWritten is the same for the ledgers that several schedulers keep.
+func TestReplicatedStartsWhileNothingCanBeWritten(t *testing.T) {
+	r := newReplicated(t, 3)
+	p := r.all[2]
+	p.kill()
+	p.startFull()
+	time.Sleep(2 * time.Second)
+	select {
+	case <-p.proc.Done():
+		t.Fatalf("the process has ended: %s", p.proc.LastWords())
+	default:
+	}
+	p.full(false)
+	p.takes()
+}
