consumer: connections that wait to be accepted are answered before a listener closes

By the platform's rule a request is taken once its last byte is on a connection that the machine accepted.

Cause: the listener closed as soon as nothing was being answered. Where all places were taken by jobs in hand, connections with requests waited behind them and were reset with the listener, at the very moment at which the places came free.

Change: the listener stays open until poll says that it has nothing to accept, at the longest until 0.1 s after the grace, as for answers. Also of TLS and STOMP.

--- a/consumer/drain.go
+++ b/consumer/drain.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"laddertide/internal/netfault"
 )
 
 // The end of a process. From the word to stop all that follows is counted in spans of real time, and each step has an end that
@@ -15,6 +18,7 @@
 	beforeEnd    = 50 * time.Millisecond   // of the grace, for what becomes whole last
 	handlersLast = 100 * time.Millisecond  // after the grace, for the answers that the Handlers give at its end
 	answerLimit  = 100 * time.Millisecond  // for an answer to be written after that
+	backlogLook  = 2 * time.Millisecond    // between looks for connections that are not accepted yet
 )
 
 // drain returns once nothing is owed to anyone any more. end is when that had to be so.
@@ -45,6 +49,7 @@
 	// Call-backs come on connections that are accepted here, so the listener stays open until the
 	// last job is answered.
 	s.waitUntil(end.Add(handlersLast), func() bool { return s.busy == 0 })
+	s.awaitBacklog(listeners, end.Add(handlersLast))
 	for _, ln := range listeners {
 		ln.Close()
 	}
@@ -54,6 +59,18 @@
 	return end
 }
 
+// awaitBacklog returns once the listeners have no connections that wait to be accepted, and nothing is being answered, or at a time. Where
+// all places were taken by jobs in hand those that wait have requests, which would be lost with the listener. Called under mu, which it
+// lets go of meanwhile.
+func (s *Server) awaitBacklog(listeners []net.Listener, until time.Time) {
+	waits := func() bool { return s.busy > 0 || slices.ContainsFunc(listeners, netfault.Backlogged) }
+	for time.Now().Before(until) && waits() {
+		s.mu.Unlock()
+		time.Sleep(backlogLook)
+		s.mu.Lock()
+	}
+}
+
 // awaitParting returns once nothing is owed on any connection. What is still open soon after the end of the grace is answered here.
 // Called under mu.
 func (s *Server) awaitParting(end time.Time) {
--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"laddertide/internal/netfault"
@@ -47,6 +48,11 @@
 	Stomp
 }
 
+// SyscallConn implements syscall.Conn.
+func (l StompListener) SyscallConn() (syscall.RawConn, error) {
+	return netfault.RawListener(l.Listener)
+}
+
 const (
 	maxSubs = 16  // of a session
 	maxTxs  = 4   // that have begun
--- a/tlslistener/tlslistener.go
+++ b/tlslistener/tlslistener.go
@@ -14,8 +14,10 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"laddertide/internal/netfault"
 	"laddertide/operator"
 )
 
@@ -128,6 +130,9 @@
 	lastError string // of the latest files that were refused, so that each error is logged once
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) { return netfault.RawListener(l.Listener) }
+
 // Listen opens the listener at the port of the settings, on the host of plainAddress, and reads its certificates. A
 // certificate that is not valid by its dates is logged and used all the same, so that the plain listener can serve.
 func Listen(set Settings, plainAddress string, log *slog.Logger) (*Listener, error) {
