durable: an end that is not on disk is told as final when the job's time is over

Both rules have to hold: one final answer in time, also on a failing disk, and nothing sent after it.

Cause: "ask again" is no answer where no time is left to ask.

Change: an end that is not kept is held back until it is, or until the job's time is over: then it is told as it is, as no process sends a job whose time is over. Whoever asks for the same job meanwhile waits with it. A result of a job that must not run twice is told at once, as ever. If the process ends first, the client is told that the job goes on, which it may.

TestRejectedOnABadDisk asserted that a job whose client was told "failed" goes on after a crash: the fault itself. It now has both moments: a crash before the answer, where the job goes on as it asserted and nobody has been told anything, and one after it, where the job must not go on.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -108,7 +108,7 @@
 	case leases.Joined:
 		e = h.live[taking.Seq]
 	case leases.Known:
-		commit = h.kept(taking.Seq)
+		commit, e = h.kept(taking.Seq), h.live[taking.Seq]
 	}
 	h.mu.Unlock()
 	switch taking.Kind {
@@ -118,8 +118,9 @@
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		out, _ := h.tellable(taking.Seq, j.Class, taking.Outcome, commit, due)
-		return h.told(taking.Seq, out)
+		if e == nil { // it has been told
+			return h.told(taking.Seq, unkeptOutcome(taking.Outcome, h.wait(commit, due)))
+		}
 	case leases.Conflict:
 		return job.Outcome{Kind: job.Conflict}
 	case leases.Full:
@@ -285,7 +286,7 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	kept, err = h.tellable(e.seq, e.job.Class, kept, commit, e.due.Add(atTheEnd))
+	kept, err = h.tellable(e, kept, commit)
 	if err != nil {
 		h.mu.Lock()
 		h.lost++
--- a/durable/durable_test.go
+++ b/durable/durable_test.go
@@ -291,7 +291,7 @@
 		fails func(taken bool, op faultfs.Op) faultfs.Fate
 		out   job.Kind // what the next Handler makes of it, as nothing can be sent
 		told  job.Kind
-		goes  bool // on after a crash
+		goes  bool // on after a crash, which then comes before anybody has been told
 	}{
 		{"its end is not kept", func(taken bool, op faultfs.Op) (f faultfs.Fate) {
 			if taken {
@@ -309,51 +309,66 @@
 			return faultfs.Fate{Err: syscall.EIO, Done: 1 << 20}
 		}, job.Rejected, job.Failed, true},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			disk := faultfs.New()
-			disk.Coin = func(int) int { return 1 }
-			var mu sync.Mutex
-			armed, taken := false, false
-			disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
-				mu.Lock()
-				defer mu.Unlock()
-				if armed {
-					f = c.fails(taken, op)
+		for _, early := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				disk := faultfs.New()
+				disk.Coin = func(int) int { return 1 }
+				var mu sync.Mutex
+				armed, taken := false, false
+				disk.Fate = func(op faultfs.Op) (f faultfs.Fate) {
+					mu.Lock()
+					defer mu.Unlock()
+					if armed {
+						f = c.fails(taken, op)
+					}
+					return f
 				}
-				return f
-			}
-			s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
-				time.Sleep(50 * time.Millisecond)
+				s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+					time.Sleep(50 * time.Millisecond)
+					mu.Lock()
+					taken = true
+					mu.Unlock()
+					if _, err := j.Keeper.Sending("w1"); err == nil {
+						t.Errorf("%s: it is sent", c.name)
+					}
+					return job.Outcome{Kind: c.out}
+				})
 				mu.Lock()
-				taken = true
+				armed = true
 				mu.Unlock()
-				if _, err := j.Keeper.Sending("w1"); err == nil {
-					t.Errorf("%s: it is sent", c.name)
+				told, first := make(chan job.Outcome, 3), s
+				go func() {
+					for range 3 {
+						told <- first.Handle(t.Context(), order("a", 2))
+					}
+				}()
+				if early {
+					time.Sleep(townDeadline / 2)
+					if c.goes && len(told) > 0 {
+						t.Errorf("%s: told %v while it may go on after a crash", c.name, <-told)
+					}
+				} else {
+					for range 3 {
+						if out := <-told; out.Kind != c.told {
+							t.Errorf("%s: told %v, want %v", c.name, out.Kind, c.told)
+						}
+					}
 				}
-				return job.Outcome{Kind: c.out}
-			})
-			mu.Lock()
-			armed = true
-			mu.Unlock()
-			for range 3 {
-				if out := s.Handle(t.Context(), order("a", 2)); out.Kind != c.told {
-					t.Errorf("%s: told %v, want %v", c.name, out.Kind, c.told)
+				after := disk.Crash(func(int) int { return 0 })
+				s.leave()
+				s.Close()
+				ran := false
+				s = openShop(t, after, settings(), true, func(context.Context, *job.Job) job.Outcome {
+					ran = true
+					return job.Outcome{Kind: job.Failed}
+				})
+				synctest.Wait()
+				if ran != (c.goes && early) {
+					t.Errorf("%s, crash before the answer %v: goes on: %v", c.name, early, ran)
 				}
-			}
-			after := disk.Crash(func(int) int { return 0 })
-			s.leave()
-			s.Close()
-			ran := false
-			s = openShop(t, after, settings(), true, func(context.Context, *job.Job) job.Outcome {
-				ran = true
-				return job.Outcome{Kind: job.Failed}
+				s.shut(t)
 			})
-			synctest.Wait()
-			if ran != c.goes {
-				t.Errorf("%s: goes on: %v", c.name, ran)
-			}
-			s.shut(t)
-		})
+		}
 	}
 }
 
--- a/durable/tellable_test.go
+++ b/durable/tellable_test.go
@@ -56,7 +56,9 @@
 					if c.heals == early && out.Kind != job.Served {
 						t.Errorf("the disk took writes again in time: %+v", out)
 					}
-					final := out.RetryAfter == 0
+					if out.RetryAfter > 0 || c.fails != (out.Kind == job.Failed) {
+						t.Errorf("not its final answer: %+v", out)
+					}
 					after := disk.Killed()
 					s.Close()
 					second := openShop(t, after, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
@@ -70,7 +72,7 @@
 						return job.Outcome{Kind: job.Failed}
 					})
 					time.Sleep(time.Second)
-					if final && sends > 1 || townClasses[class].Name == "issue" && sends > 1 {
+					if sends > 1 {
 						t.Errorf("sent %d times, and its client was told %+v", sends, out)
 					}
 					second.shut(t)
--- a/durable/writable.go
+++ b/durable/writable.go
@@ -108,24 +108,44 @@
 	return nil
 }
 
-// tellable waits until a job's end is kept, no longer than by, and returns what its clients may be told, and why the end is not kept.
-// What is not kept may go on in the next process: a client that has been told an end would see its job sent after that, and a client
-// that was told that nothing ran would see it run. So these are told that the job goes on. A result is waited for, as the disk may take
-// it yet. One that must not run twice is never sent again, so its result may be told at once; but where others keep the ledger, one of
-// them may have ended the job otherwise.
-func (h *Handler) tellable(seq leases.Seq, class int, out leases.Outcome, commit ledger.Commit, by time.Time) (leases.Outcome, error) {
+// goesOn is what a client is told of a job that another process may go on with.
+var goesOn = leases.Outcome{Kind: leases.Failed, RetryAfter: askAgain}
+
+// tellable waits until a job's end is kept and returns what its clients may be told, and why the end is not kept. What is not kept may go
+// on in the process that comes after a kill: a client that was told an end would see its job sent after that, and one that was told
+// that nothing ran would see it run. So an end is held back until it is kept or the job's time is over, as no process sends it then, or until this process ends. One
+// that must not run twice is never sent again, so its result may be told at once. Where others keep the ledger one of them may have ended
+// the job otherwise: its client is to ask again.
+func (h *Handler) tellable(e *entry, out leases.Outcome, commit ledger.Commit) (leases.Outcome, error) {
+	by := e.due.Add(atTheEnd)
 	err := h.wait(commit, by)
-	sentAgain := h.hosted || class < 0 || h.classes[class].Effect != policy.Unsafe
-	for err != nil && out.Kind == leases.Served && sentAgain && time.Until(by) > 0 {
-		time.Sleep(min(writeAgain, time.Until(by)))
+	for err != nil && h.holdsBack(e, out) && time.Now().Before(e.due) {
+		select {
+		case <-time.After(min(writeAgain, time.Until(e.due))):
+		case <-h.ending:
+			return goesOn, err
+		}
 		h.mu.Lock()
-		commit = h.kept(seq)
+		commit = h.kept(e.seq)
 		h.mu.Unlock()
 		err = h.wait(commit, by)
 	}
-	switch {
-	case err == nil, out.Kind == leases.Served && !sentAgain:
-		return out, err
+	if err != nil && h.hosted {
+		return goesOn, err
+	}
+	return unkeptOutcome(out, err), err
+}
+
+// holdsBack reports whether an end that is not kept must not be told yet.
+func (h *Handler) holdsBack(e *entry, out leases.Outcome) bool {
+	sentAgain := e.job.Class < 0 || h.classes[e.job.Class].Effect != policy.Unsafe
+	return !h.hosted && (sentAgain || out.Kind != leases.Served)
+}
+
+// unkeptOutcome returns what may be told of an end that was not kept for the reason err; nil: it was. That nothing ran may not be.
+func unkeptOutcome(out leases.Outcome, err error) leases.Outcome {
+	if err != nil && out.Kind == leases.Rejected {
+		return leases.Outcome{Kind: leases.Failed}
 	}
-	return leases.Outcome{Kind: leases.Failed, RetryAfter: askAgain}, err
+	return out
 }
