--- a/policy/shed.go
+++ b/policy/shed.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Parts of the host's connections for requests that open ones may take. The rest is for those that are accepted only to be
-// refused: who waits to be accepted runs out of time without an answer.
+// Parts of the host's connections for requests that open ones may take. The rest is for those that are
+// accepted only to be refused: who waits to be accepted runs out of time without an answer.
 const (
 	mostWaiting = 1.0 / 2 // with more open than this none waits for a worker
 	mostOpen    = 7.0 / 8 // with more open than this none is taken on
@@ -17,8 +17,9 @@
 	return max(1, int(of*float64(connections)))
 }
 
-// shed refuses a request if more than limit keep a connection: of those that wait for a worker the one with the least
-// worth for a slot-second, and of equals the newest. What is out at a worker stays. A limit of 0 is none.
+// shed refuses a request if more than limit keep a connection: of those that wait for a worker the one with
+// the least worth for a slot-second, and of equals the newest. What is out at a worker stays. A limit of 0 is
+// none.
 func (d *Dispatcher) shed(now time.Duration, limit int, acts []Action) []Action {
 	if limit == 0 || len(d.open) <= limit {
 		return acts
