consumer: a new connection whose request may be on its way goes after resting ones

Cause: in a crowd those that have said nothing made room first, most silent first, however new they are, and connections between messages after them. A client sends what crosses the close of a connection between messages once more; what was to be the first on a new one is lost to it.

Change: one that was heard of within 150 ms (accepted, or a byte came) goes after all connections between messages; only those on which call-backs come are kept longer. Where all others are new as well, the most silent of them still goes: some crowd could else keep everybody out.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -151,8 +151,11 @@
 // A usual consumer speaks as soon as it has connected, so a connection that does not say its first message in
 // good time is a stray. One that has carried a message is kept: between messages it owes nothing.
 const (
-	firstByte   = 2 * time.Second         // for a new connection's first byte
-	firstLimit  = 2500 * time.Millisecond // and for all of its first message, from its opening
+	firstByte  = 2 * time.Second         // for a new connection's first byte
+	firstLimit = 2500 * time.Millisecond // and for all of its first message, from its opening
+
+	firstOnItsWay = 150 * time.Millisecond // for which a client's machine may stand still between connecting and writing
+
 	readLimit   = 2500 * time.Millisecond // from a later message's first byte to its last
 	idleLimit   = 60 * time.Second
 	writeLimit  = 5 * time.Second
@@ -329,7 +332,9 @@
 
 // worth ranks connections that may be told to close, those that are missed least first; 0: not this one. Of one rank the
 // most silent goes. A stranger is no better or worse for what it has said so far: one that has just been accepted has had
-// no turn yet, and a message that is written slowly looks like one that never ends, but for its silence.
+// no turn yet, and a message that is written slowly looks like one that never ends, but for its silence. One whose first
+// message may be on its way goes after those between messages: a client sends what crosses their close once more, but not
+// what it was to be the first on a new connection.
 func (c *conn) worth() int {
 	switch {
 	case c.woken || c.stage == working || c.stage == reading && c.told > 0:
@@ -337,6 +342,8 @@
 	case c.stage == parting:
 		return 1
 	case c.events:
+		return 5
+	case c.told == 0 && time.Since(epoch)-time.Duration(c.heard.Load()) < firstOnItsWay:
 		return 4
 	case c.told <= 1:
 		return 2
