scheduler: a failing test for the first list by a clock that is ahead

It was listed by reading alone. TestFirstListByAClockThatIsAhead has the wall clock 3 s and 1 h ahead at the start: a worker that started 0.5 s ago counts as one of 3.5 s and of 1 h (it passes with 0). It is listed; it would be sent more than a cold one can do.

--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,30 @@
 	}
 }
 
+// A worker of the first list that has just started counts as no older than it is where the machine's clock is ahead: it would be sent more
+// than it can do.
+func TestFirstListByAClockThatIsAhead(t *testing.T) {
+	for _, ahead := range []time.Duration{0, 3 * time.Second, time.Hour} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			const age = 500 * time.Millisecond
+			began := time.Now()
+			r := startRig(t, "", io.Discard, func(cfg *Config) {
+				cfg.clockAhead = ahead
+				cfg.Known.Entries = slices.Clone(cfg.Known.Entries)
+				cfg.Known.Entries[0].SinceMS = float64(began.Add(-age).UnixMilli())
+			})
+			e := r.cfg.Known.Entries[0]
+			r.sched.mu.Lock()
+			defer r.sched.mu.Unlock()
+			now := r.sched.engine.Now()
+			old := now - r.sched.starts.Started(e.Name, e.Since(), now, false)
+			if old < 0 || old > age+time.Since(began)+time.Millisecond {
+				t.Errorf("a worker that started %v ago counts as one of %v ago", age, old)
+			}
+		})
+	}
+}
+
 // A worker that an operator puts back counts as cold from that moment by the clock of all decisions, not by the system's, which may have
 // been stepped since the start.
 func TestPutBackByTheClockOfDecisions(t *testing.T) {
