--- a/consumer/closing.go
+++ b/consumer/closing.go
@@ -13,21 +13,21 @@
 // after the shutdown of a connection between messages was never taken: its client finds the end of the connection in place of an
 // answer and sends it again on a new one.
 const (
-	lastLook     = 5 * time.Millisecond   // for a request that is on its way while its connection closes
-	partLimit    = 500 * time.Millisecond // for the client to end its half too
-	crowdedLimit = 50 * time.Millisecond  // the same, for a connection whose place is needed
-	partBytes    = 8 << 20                // what may still come in that time
-	afterEnd     = 150 * time.Millisecond // for connections that close when the time to answer is over
-	lookForEnd   = 5 * time.Millisecond   // between looks at whether a client has ended its half
+	finalReadWait = 5 * time.Millisecond   // for a request that is on its way while its connection closes
+	partLimit     = 500 * time.Millisecond // for the client to end its half too
+	crowdedLimit  = 50 * time.Millisecond  // the same, for a connection whose slot is needed
+	partBytes     = 8 << 20                // what may still come in that time
+	afterEnd      = 150 * time.Millisecond // for connections that close when the time to answer is over
+	lookForEnd    = 5 * time.Millisecond   // between looks at whether a client has ended its half
 )
 
 // aLongTimeAgo is a deadline that ends a read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// lookAgain looks once more for the first byte of a message, for lastLook. A deadline that has passed hides what has
+// lookAgain looks once more for the first byte of a message, for finalReadWait. A deadline that has passed hides what has
 // arrived since, and on a busy machine long may lie between the two; so the socket itself is asked in the end.
 func (c *conn) lookAgain() error {
-	c.SetReadDeadline(time.Now().Add(lastLook))
+	c.SetReadDeadline(time.Now().Add(finalReadWait))
 	_, err := c.br.Peek(1)
 	if netfault.DeadlinePassed(err) && c.pending() {
 		c.SetReadDeadline(time.Now().Add(partLimit)) // it does not wait: there is something to read
@@ -71,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := partLimit
-	if c.woken {
+	if c.evicted {
 		if limit = crowdedLimit; c.told == 0 && c.stage == idle {
 			limit = 0 // nothing was sent on it, so nothing can be lost
 		}
@@ -102,7 +102,7 @@
 func (s *Server) closeAll(end time.Time) {
 	limit := partLimit
 	if left := time.Until(end) + afterEnd; left < limit {
-		limit = max(left, 2*lastLook)
+		limit = max(left, 2*finalReadWait)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/consumer/closing_test.go
+++ b/consumer/closing_test.go
@@ -148,7 +148,7 @@
 			}
 		}
 	},
-	"to make room": func(r *closingRig, _ *client) { r.server.makeRoom() },
+	"to make room": func(r *closingRig, _ *client) { r.server.evict() },
 }
 
 // A request that arrives after the last look, in the moment before the shutdown, is served.
--- a/consumer/consumer_test.go
+++ b/consumer/consumer_test.go
@@ -332,7 +332,7 @@
 		t.Fatalf("the idle connection: %v", err)
 	}
 	again := r.dial() // still there for the call-back, and in no hurry
-	time.Sleep(10 * lastLook)
+	time.Sleep(10 * finalReadWait)
 	again.say(event("e1", "done"))
 	again.hear(204)
 	if h, _ := c.hear(200); !h.Close {
--- a/consumer/crowd_test.go
+++ b/consumer/crowd_test.go
@@ -52,11 +52,11 @@
 	for range 10 {
 		before := make(map[*conn]bool)
 		for c := range s.conns {
-			before[c] = c.woken
+			before[c] = c.evicted
 		}
-		s.makeRoom()
+		s.evict()
 		for c := range s.conns {
-			if c.woken && !before[c] {
+			if c.evicted && !before[c] {
 				order = append(order, names[c])
 			}
 		}
--- a/consumer/drain.go
+++ b/consumer/drain.go
@@ -33,7 +33,7 @@
 	// Connections that stayed open longer would bring jobs that cannot end in time.
 	s.tellStopping(end, window)
 	if s.FindSuccessor != nil {
-		if successor := s.FindSuccessor(len(s.room)); successor != nil {
+		if successor := s.FindSuccessor(len(s.slots)); successor != nil {
 			s.handOver(successor, listeners, end)
 			return end
 		}
@@ -74,7 +74,7 @@
 }
 
 // awaitBacklog returns once the listeners have no connections that wait to be accepted, and nothing is being answered, or at a time. Where
-// all places were taken by jobs in hand those that wait have requests, which would be lost with the listener. Called under mu, which it
+// all slots were taken by jobs in hand those that wait have requests, which would be lost with the listener. Called under mu, which it
 // lets go of meanwhile.
 func (s *Server) awaitBacklog(listeners []net.Listener, until time.Time) {
 	waits := func() bool { return s.busy > 0 || slices.ContainsFunc(listeners, netfault.Backlogged) }
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	s.mu.Lock()
-	a.last = a.last || last || s.ending || c.woken || c.broken
+	a.last = a.last || last || s.ending || c.evicted || c.broken
 	s.mu.Unlock()
 	if !s.write(c, a) {
 		return false
--- a/consumer/move.go
+++ b/consumer/move.go
@@ -61,13 +61,13 @@
 	return s.successor != nil
 }
 
-// kept is what the successor must know of c, and its socket; false if c is not to go over. One that has been told to make room
+// kept is what the successor must know of c, and its socket; false if c is not to go over. One that is evicted
 // goes over with a job only.
 func (s *Server) kept(c *conn, job bool) (Successor, *net.TCPConn, Kept, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if s.successor == nil || !ok || c.woken && !job || c.broken {
+	if s.successor == nil || !ok || c.evicted && !job || c.broken {
 		return nil, nil, Kept{}, false
 	}
 	ahead, _ := c.br.Peek(c.br.Buffered())
@@ -135,7 +135,7 @@
 	s.mu.Unlock()
 	go func() {
 		if !itsOwn {
-			s.takePlace()
+			s.takeSlot()
 		}
 		if j != nil {
 			j.Left = max(0, min(j.Left-time.Since(began), j.Deadline-margin-netfault.SinceArrival(nc)))
@@ -150,6 +150,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ; s.Held > 0; s.Held-- {
-		<-s.room
+		<-s.slots
 	}
 }
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -30,10 +30,10 @@
 	Log      *slog.Logger
 	Conns    int           // connections that may be open at once
 	Grace    time.Duration // from the word to stop until all answers must be out
-	Held     int           // of the places, those that an earlier process still holds connections on; see Adopt and Released
+	Held     int           // of these slots, those that an earlier process still holds connections on; see Adopt and Released
 
 	// FindSuccessor hands over to the process that stands by, at the word to stop: from then on jobs are Moved. held is how
-	// many places are taken. Nil, or a nil Successor: there is no such process.
+	// many slots are taken. Nil, or a nil Successor: there is no such process.
 	FindSuccessor func(held int) Successor
 
 	// Unfinished is the answer to jobs that the Handlers have not answered when the grace is over. The zero value promises nothing.
@@ -53,8 +53,8 @@
 	successor Successor     // takes all that is between messages, and jobs
 	moving    chan struct{} // closed once successor is set, or it is known that there is none
 	conns     map[*conn]struct{}
-	leaving   int           // of them, those that were told to make room
-	room      chan struct{} // a place for each connection
+	leaving   int           // of them, those that are evicted
+	slots     chan struct{} // one is taken for each connection
 	busy      int           // connections with a message being read or worked on
 	callBacks int           // connections that have carried a call-back
 	quiet     *sync.Cond    // busy has become 0
@@ -76,12 +76,12 @@
 	heard  atomic.Int64 // when its last byte came, or its last answer went out; on the clock of silence
 
 	// Guarded by the server's mutex.
-	stage  stage
-	since  time.Time // when it last fell idle
-	told   int       // messages that it has carried
-	events bool      // one of them was a call-back
-	woken  bool      // it has been told to make room
-	readBy time.Time // while reading: by when the message in hand is to be whole
+	stage   stage
+	since   time.Time // when it last fell idle
+	told    int       // messages that it has carried
+	events  bool      // one of them was a call-back
+	evicted bool      // it is evicted
+	readBy  time.Time // while reading: by when the message in hand is to be whole
 
 	owed         atomic.Bool // an answer, which belongs to whoever takes it; see takeAnswer
 	answerInTime func()      // answers what is open, as the grace is over; set by sessions of protocols with several jobs at once
@@ -202,22 +202,22 @@
 
 func (s *Server) prepare() {
 	s.conns = make(map[*conn]struct{})
-	s.room = make(chan struct{}, max(1, s.Conns))
+	s.slots = make(chan struct{}, max(1, s.Conns))
 	s.quiet = sync.NewCond(&s.mu)
 	s.moving = make(chan struct{})
-	s.Held = min(s.Held, cap(s.room))
+	s.Held = min(s.Held, cap(s.slots))
 	for range s.Held {
-		s.room <- struct{}{}
+		s.slots <- struct{}{}
 	}
 }
 
-// accept takes connections while there is room for them.
+// accept takes connections while there are slots for them.
 func (s *Server) accept(ln net.Listener) error {
 	for {
-		s.takePlace()
+		s.takeSlot()
 		nc, err := ln.Accept()
 		if err != nil {
-			<-s.room
+			<-s.slots
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
@@ -230,10 +230,10 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
-		crowded := len(s.conns)-s.leaving > cap(s.room)*4/5
+		crowded := len(s.conns)-s.leaving > cap(s.slots)*4/5
 		s.mu.Unlock()
 		if crowded {
-			s.makeRoom() // ahead of need: it takes a moment, and a crowd comes faster than that
+			s.evict() // ahead of need: it takes a moment, and a crowd comes faster than that
 		}
 		go s.serve(c, nil, false)
 	}
@@ -254,103 +254,12 @@
 		s.Log.Error("cannot accept a connection", "err", err, "failures", failures)
 	}
 	if netfault.Shortage(err) {
-		s.makeRoom()
+		s.evict()
 	}
 	timer := time.NewTimer(retryAccept)
 	<-timer.C
 }
 
-// takePlace waits for a place. If all are taken and nobody can be moved, the next consumer waits in the backlog: a
-// rejection is no way out, as that is a decision of the module's.
-func (s *Server) takePlace() {
-	select {
-	case s.room <- struct{}{}:
-		return
-	default:
-	}
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case s.room <- struct{}{}:
-			return
-		case <-timer.C:
-		}
-		if !s.roomIsComing() {
-			s.makeRoom()
-		}
-		timer.Reset(2 * crowdedLimit) // one that was told to may have read a request instead
-	}
-}
-
-// slotsForJobs is how many connections there can be that wait for the answer to a job, 1 at least. Those on which workers report what
-// becomes of jobs are no use to clients, and those of an earlier process are not here yet.
-func (s *Server) slotsForJobs() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(1, cap(s.room)-s.callBacks-s.Held)
-}
-
-// roomIsComing tells whether a connection that was told to make room is about to close: its place comes free within
-// crowdedLimit, so no other has to go.
-func (s *Server) roomIsComing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.woken && (c.stage == idle || c.stage == parting) {
-			return true
-		}
-	}
-	return false
-}
-
-// makeRoom tells the connection to close that is missed least. Crowds that connect and say nothing, or never
-// end what they say, must not keep usual consumers out, and least of all call-backs: without them the
-// jobs of all who wait would not end.
-func (s *Server) makeRoom() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var least *conn
-	rank := 0
-	for c := range s.conns {
-		r := c.worth()
-		if r > 0 && (least == nil || r < rank || r == rank && c.heard.Load() < least.heard.Load()) {
-			least, rank = c, r
-		}
-	}
-	if least == nil {
-		if len(s.conns)-s.leaving >= cap(s.room) && time.Since(s.warned) > tellEvery {
-			s.warned = time.Now()
-			s.Log.Warn("all connections are busy: new ones wait", "open", len(s.conns))
-		}
-		return
-	}
-	least.woken = true
-	s.leaving++
-	least.SetReadDeadline(time.Now())
-}
-
-// worth ranks connections that may be told to close, those that are missed least first; 0: not this one. Of one rank the
-// most silent goes. A stranger is no better or worse for what it has said so far: one that has just been accepted has had
-// no turn yet, and a message that is written slowly looks like one that never ends, but for its silence. One whose first
-// message may be on its way goes after those between messages: a client sends what crosses their close once more, but not
-// what it was to be the first on a new connection.
-func (c *conn) worth() int {
-	switch {
-	case c.woken || c.stage == working || c.stage == reading && c.told > 0:
-		return 0
-	case c.stage == parting:
-		return 1
-	case c.events:
-		return 5
-	case c.told == 0 && time.Since(epoch)-time.Duration(c.heard.Load()) < firstOnItsWay:
-		return 4
-	case c.told <= 1:
-		return 2
-	}
-	return 3
-}
-
 // enter moves c to another stage.
 func (s *Server) enter(c *conn, next stage) {
 	s.mu.Lock()
@@ -391,7 +300,7 @@
 		s.enter(c, parting)
 		s.mu.Lock()
 		delete(s.conns, c)
-		if c.woken {
+		if c.evicted {
 			s.leaving--
 		}
 		if c.events {
@@ -399,7 +308,7 @@
 		}
 		s.quiet.Broadcast()
 		s.mu.Unlock()
-		<-s.room
+		<-s.slots
 	}()
 	if g, ok := c.Conn.(greeter); ok && !s.greet(c, g) {
 		return
@@ -440,8 +349,8 @@
 	switch {
 	case c.passed:
 		return "the next process has it"
-	case c.woken:
-		return "its place is needed"
+	case c.evicted:
+		return "its slot is needed"
 	case s.ending:
 		return "this process ends"
 	case c.told == 0:
@@ -465,7 +374,7 @@
 	if s.ending {
 		limit = c.opened.Add(strangers)
 	}
-	if c.woken || s.closing {
+	if c.evicted || s.closing {
 		limit = time.Now()
 	}
 	c.SetDeadline(limit)
@@ -502,7 +411,7 @@
 	case s.ending:
 		limit = time.Now()
 	}
-	if c.woken || s.successor != nil {
+	if c.evicted || s.successor != nil {
 		limit = time.Now()
 	}
 	c.SetReadDeadline(limit)
@@ -525,8 +434,8 @@
 	if c.told == 0 {
 		c.readBy = c.opened.Add(firstLimit)
 	}
-	if c.woken && c.told == 0 {
-		c.readBy = time.Now().Add(lastLook)
+	if c.evicted && c.told == 0 {
+		c.readBy = time.Now().Add(finalReadWait)
 	}
 	s.limitReading(c)
 	return true
--- a/consumer/stomp.go
+++ b/consumer/stomp.go
@@ -286,9 +286,9 @@
 		if n.hear > 0 {
 			limit = time.Now().Add(beatsLate * n.hear)
 		}
-		closing := n.c.woken || s.ending && !busy
+		closing := n.c.evicted || s.ending && !busy
 		if closing {
-			limit = time.Now().Add(lastLook)
+			limit = time.Now().Add(finalReadWait)
 		}
 		n.c.SetReadDeadline(limit)
 		s.mu.Unlock()
@@ -307,7 +307,7 @@
 		}
 		n.mu.Lock()
 		s.mu.Lock()
-		roused := n.c.woken || s.ending || busy && n.open == 0
+		roused := n.c.evicted || s.ending || busy && n.open == 0
 		s.mu.Unlock()
 		n.mu.Unlock()
 		if !roused {
