--- a/provider/call.go
+++ b/provider/call.go
@@ -93,9 +93,9 @@
 
 const (
 	ackGrace    = 50 * time.Millisecond
-	endingLimit = time.Second // for telling a provider that a job is given up
-	lastLook    = 50 * time.Millisecond
-	lastAnswer  = 250 * time.Millisecond // from the last look to the answer of a provider that is back
+	endingLimit = time.Second            // for telling a provider that a job is given up
+	lastConnect = 50 * time.Millisecond  // for the last try to connect
+	lastAnswer  = 250 * time.Millisecond // from there to the answer of a provider that is back
 )
 
 // CallBack takes a call-back as the provider worded it, or says why it is none.
@@ -183,7 +183,7 @@
 	defer p.close(j, c)
 
 	conn.SetDeadline(v.Until)
-	message, end := p.lastLook(j, c, v) // after all that may take time
+	message, end := p.finalCheck(j, c, v) // after all that may take time
 	if end != accepted {
 		return p.unsent(c, end)
 	}
@@ -202,10 +202,10 @@
 // heldUp is how long the last look before the first byte may take before it is taken again.
 const heldUp = 50 * time.Millisecond
 
-// lastLook looks whether an attempt that has its connection may still be sent, and returns its message, which tells what is left of
+// finalCheck looks whether an attempt that has its connection may still be sent, and returns its message, which tells what is left of
 // the job's time; or how the attempt ends. Whatever allowed the attempt did so before it had a connection, and the process may have
 // stood still since, or stand still between two of these looks: then all are taken again.
-func (p *Pool) lastLook(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
+func (p *Pool) finalCheck(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
 	for {
 		if p.Awake != nil {
 			p.Awake(v.Until)
@@ -423,7 +423,7 @@
 			defer done()
 			err := p.giveUp(j, v.Provider, endingLimit, endingLimit)
 			if err != nil {
-				err = p.giveUp(j, v.Provider, lastLook, lastAnswer)
+				err = p.giveUp(j, v.Provider, lastConnect, lastAnswer)
 			}
 			told <- err
 		}()
