consumer: a crowd that connects in one moment is evicted together

Cause, from a trace of the slots by stage and rank every 20 ms: 67 connections that came in one moment and said nothing stood before the requests in the backlog. While all slots are taken one connection was evicted at a time, and nothing more for 0.1 s if that one read a request instead of closing; what went first were, since, connections between messages.

Change: an eighth of the slots may be on its way back at once, and who waits for a slot looks again after 10 ms. Connections of call-backs still go one by one, and only when nothing else can. How new a connection is counts from its opening, not from its last byte: one that writes a byte now and then is no newcomer.

TestCrowdIsEvictedTogether fails before (one is evicted).

--- a/consumer/crowd_test.go
+++ b/consumer/crowd_test.go
@@ -25,6 +25,7 @@
 		t.Cleanup(func() { a.Close(); b.Close() })
 		c := newConn(a, nil)
 		c.stage, c.told, c.events = st, told, events
+		c.opened = c.opened.Add(-silent)
 		c.heard.Add(-int64(silent))
 		s.conns[c] = struct{}{}
 		names[c] = name
@@ -67,6 +68,53 @@
 	}
 }
 
+// A crowd that connects in one moment and says nothing stands before everybody else in the backlog. It was evicted one after the other, while
+// requests with short deadlines behind it ran out of time. Connections of call-backs still go one by one.
+func TestCrowdIsEvictedTogether(t *testing.T) {
+	const slots = 40
+	for name, c := range map[string]struct {
+		events bool
+		want   int
+	}{"strangers": {false, slots / evictTogether}, "call-backs": {true, 1}} {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{Conns: slots, Log: slog.New(slog.DiscardHandler)}
+			s.prepare()
+			for range slots {
+				a, b := net.Pipe()
+				t.Cleanup(func() { a.Close(); b.Close() })
+				x := newConn(a, nil)
+				x.events = c.events
+				s.conns[x] = struct{}{}
+				s.slots <- struct{}{}
+			}
+			evicted := func() (n int) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				for x := range s.conns {
+					if x.evicted {
+						n++
+					}
+				}
+				return n
+			}
+			took := make(chan struct{})
+			go func() {
+				s.takeSlot()
+				close(took)
+			}()
+			for evicted() < c.want {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(10 * finalReadWait) // it looks again and again meanwhile
+			<-s.slots
+			<-took
+			if got := evicted(); got != c.want {
+				t.Errorf("%d of %d were evicted at once, want %d", got, slots, c.want)
+			}
+		})
+	}
+}
+
 // A client connects, its machine stands still for a moment, and then it writes its request. Meanwhile a crowd connects and says
 // nothing. Connections between messages make room: the new one was closed under the request.
 func TestNewConnectionInACrowd(t *testing.T) {
--- a/consumer/slots.go
+++ b/consumer/slots.go
@@ -4,6 +4,10 @@
 
 // Connection slots: how many connections may be open, which are evicted for others where they run out, and how many of them jobs can have.
 
+// evictTogether is the part of the slots, one of so many, that may be on its way back at once: a crowd that connects in one moment and says
+// nothing stands before all others in the backlog, and one after the other it would take as long as they have.
+const evictTogether = 8
+
 // takeSlot waits for a slot. If all are taken and nobody can be evicted, the next consumer waits in the backlog: a
 // rejection is no way out, as that is a decision of the module's.
 func (s *Server) takeSlot() {
@@ -20,10 +24,12 @@
 			return
 		case <-timer.C:
 		}
-		if !s.slotIsComing() {
+		if s.slotsComing() == 0 {
 			s.evict()
 		}
-		timer.Reset(2 * crowdedLimit) // one that was told to may have read a request instead
+		for s.slotsComing() < cap(s.slots)/evictTogether && s.evictUpTo(rankNewcomer) {
+		}
+		timer.Reset(2 * finalReadWait) // one that was told to may have read a request instead
 	}
 }
 
@@ -35,30 +41,33 @@
 	return max(1, cap(s.slots)-s.callBacks-s.Held)
 }
 
-// slotIsComing tells whether a connection that is evicted is about to close: its slot comes free within
-// crowdedLimit, so no other has to go.
-func (s *Server) slotIsComing() bool {
+// slotsComing is how many connections that are evicted are about to close: their slots come free within crowdedLimit.
+func (s *Server) slotsComing() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	coming := 0
 	for c := range s.conns {
 		if c.evicted && (c.stage == idle || c.stage == parting) {
-			return true
+			coming++
 		}
 	}
-	return false
+	return coming
 }
 
 // evict tells the connection to close that is missed least. Crowds that connect and say nothing, or never
 // end what they say, must not keep usual consumers out, and least of all call-backs: without them the
 // jobs of all who wait would not end.
-func (s *Server) evict() {
+func (s *Server) evict() { s.evictUpTo(rankCallBacks) }
+
+// evictUpTo is evict for connections up to a rank. It reports whether there is one.
+func (s *Server) evictUpTo(most int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var least *conn
-	rank := 0
+	rank := rankNever
 	for c := range s.conns {
 		r := c.evictionRank()
-		if r > 0 && (least == nil || r < rank || r == rank && c.heard.Load() < least.heard.Load()) {
+		if r > 0 && r <= most && (least == nil || r < rank || r == rank && c.heard.Load() < least.heard.Load()) {
 			least, rank = c, r
 		}
 	}
@@ -67,14 +76,25 @@
 			s.warned = time.Now()
 			s.Log.Warn("all connections are busy: new ones wait", "open", len(s.conns))
 		}
-		return
+		return false
 	}
 	least.evicted = true
 	s.leaving++
 	least.SetReadDeadline(time.Now())
+	return true
 }
 
-// evictionRank ranks connections that may be told to close, those that are missed least first; 0: not this one. Of one rank the
+// Ranks of connections in the order in which they are evicted.
+const (
+	rankNever     = iota
+	rankParting   // its last answer is out
+	rankStranger  // it has carried nothing, or one message and nothing since
+	rankKept      // it is between messages
+	rankNewcomer  // its first message may be on its way
+	rankCallBacks // it is between messages in which workers report
+)
+
+// evictionRank ranks connections that may be told to close, those that are missed least first. Of one rank the
 // most silent goes. A stranger is no better or worse for what it has said so far: one that has just been accepted has had
 // no turn yet, and a message that is written slowly looks like one that never ends, but for its silence. One whose first
 // message may be on its way goes after those between messages: a client sends what crosses their close once more, but not
@@ -82,15 +102,15 @@
 func (c *conn) evictionRank() int {
 	switch {
 	case c.evicted || c.stage == working || c.stage == reading && c.told > 0:
-		return 0
+		return rankNever
 	case c.stage == parting:
-		return 1
+		return rankParting
 	case c.events:
-		return 5
-	case c.told == 0 && time.Since(epoch)-time.Duration(c.heard.Load()) < firstOnItsWay:
-		return 4
+		return rankCallBacks
+	case c.told == 0 && time.Since(c.opened) < firstOnItsWay:
+		return rankNewcomer
 	case c.told <= 1:
-		return 2
+		return rankStranger
 	}
-	return 3
+	return rankKept
 }
