--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -44,9 +44,9 @@
 	fewSockets   = 64 // the least with which a scheduler is of use
 )
 
-// places is how many accepted connections there may be. Each may hold a message of full size, and all of them
+// connectionSlots is how many accepted connections there may be. Each may hold a message of full size, and all of them
 // together no more than half of the memory, after what the operator's features take.
-func (c *Config) places() int {
+func (c *Config) connectionSlots() int {
 	n := (c.Limits.Sockets - c.descriptors()) * 5 / 8
 	if mb := c.Limits.MemoryMB; mb > 0 {
 		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+consumer.MaxAhead+c.Operator.connBytes()))
--- a/scheduler/midupgrade_test.go
+++ b/scheduler/midupgrade_test.go
@@ -175,7 +175,7 @@
 // and both processes together never hold more connections than the limit on descriptors leaves to the port of jobs.
 func TestUpgradeInACrowd(t *testing.T) {
 	r := newUpgradeRig(t, io.Discard)
-	places, limit := r.cfg.places(), r.cfg.Limits.Sockets-r.cfg.descriptors()-r.cfg.calls()
+	places, limit := r.cfg.connectionSlots(), r.cfg.Limits.Sockets-r.cfg.descriptors()-r.cfg.calls()
 	var hold []net.Conn
 	defer func() {
 		for _, c := range hold {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,12 +8,10 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +25,6 @@
 	"laddertide/directory"
 	"laddertide/dispatch"
 	"laddertide/durable"
-	"laddertide/internal/netfault"
 	"laddertide/job"
 	"laddertide/jobstatus"
 	"laddertide/metrics"
@@ -38,7 +35,6 @@
 	"laddertide/replicated"
 	"laddertide/returning"
 	"laddertide/stall"
-	"laddertide/tlslistener"
 )
 
 // Scheduler is one scheduler, ready to serve.
@@ -376,26 +372,15 @@
 		stopping = alsoStop(stopping, s.stopOwners)
 		s.pool.Unclaimed = s.alsoOwners(s.pool.Unclaimed)
 	}
-	listeners := []net.Listener{ln}
-	var secure *tlslistener.Listener
-	if set := s.cfg.Operator.TLS; set != nil {
-		if secure, err = tlslistener.Listen(*set, s.cfg.Listen, s.log); err != nil {
-			return fmt.Errorf("scheduler: tls: %w", err)
-		}
-		listeners = append(listeners, secure)
-	}
-	if set := s.cfg.Operator.Stomp; set != nil {
-		sessions, err := s.stompDoor(watching, set)
-		if err != nil {
-			return fmt.Errorf("scheduler: stomp: %w", err)
-		}
-		defer sessions.Close()
-		listeners = append(listeners, consumer.StompListener{Listener: sessions, Stomp: *set})
+	listeners, err := s.listeners(watching, ln)
+	if err != nil {
+		return err
 	}
+	defer closeListeners(listeners[1:])
 	s.mu.Lock()
 	server := &consumer.Server{
 		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
-		Conns: s.cfg.places(), Grace: s.grace(), Unfinished: s.unfinished(),
+		Conns: s.cfg.connectionSlots(), Grace: s.grace(), Unfinished: s.unfinished(),
 	}
 	s.server = server
 	s.mu.Unlock()
@@ -408,13 +393,7 @@
 		server.Limitation = s.ledgerLimitation
 	}
 	s.log.Info("serving", "name", s.cfg.Name, "listen", ln.Addr(), "providers", len(s.cfg.Known.Entries))
-	if secure != nil {
-		s.log.Info("serving with encryption", "listen", secure.Addr())
-		go secure.Run(watching)
-	}
-	if set := s.cfg.Operator.Stomp; set != nil {
-		s.log.Info("serving STOMP", "listen", listeners[len(listeners)-1].Addr())
-	}
+	s.logListeners(watching, listeners)
 	began := time.Now()
 	go s.summarise(watching)
 	s.open(server, ln, before)
@@ -432,62 +411,6 @@
 	return nil
 }
 
-// stompDoor opens the port that speaks STOMP. Its certificate, if it is encrypted, is that of the other encrypted port.
-func (s *Scheduler) stompDoor(ctx context.Context, set *consumer.Stomp) (net.Listener, error) {
-	if !set.TLS {
-		host, _, _ := net.SplitHostPort(s.cfg.Listen)
-		return netfault.Listen(net.JoinHostPort(host, strconv.Itoa(set.Port)))
-	}
-	own := *s.cfg.Operator.TLS
-	own.Port = set.Port
-	ln, err := tlslistener.Listen(own, s.cfg.Listen, s.log)
-	if err == nil {
-		go ln.Run(ctx)
-	}
-	return ln, err
-}
-
-// The platform kills a program this long after the longest deadline of a job, counted as at most longestWait,
-// from the word to stop. What it finds unanswered then is lost.
-const (
-	killAfter   = 700 * time.Millisecond
-	longestWait = 3 * time.Second
-	beforeKill  = 350 * time.Millisecond // for the last answers to go out, also on a busy machine
-	exitBefore  = 50 * time.Millisecond  // the kill, whatever holds up the end of this process
-	tellAfter   = 50 * time.Millisecond  // the last answer, workers are still told of jobs that are given up
-)
-
-// ExitLimit is how long after the word to stop the process must have ended. All is answered by then.
-func (s *Scheduler) ExitLimit() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.grace() + beforeKill - exitBefore
-}
-
-// grace is the time from the word to stop until all is answered.
-func (s *Scheduler) grace() time.Duration {
-	longest := time.Duration(0)
-	for _, c := range s.cfg.Settings.Classes {
-		if !c.Retired {
-			longest = max(longest, c.Deadline)
-		}
-	}
-	return min(longest, longestWait) + killAfter - beforeKill
-}
-
-// unfinished is the answer to jobs that are held up beyond the end of this process's time. Where jobs are kept, or owned, they may go
-// on without it: their clients are to ask again.
-func (s *Scheduler) unfinished() job.Outcome {
-	out := job.Outcome{Kind: job.Failed}
-	if op := &s.cfg.Operator; op.Durable != nil || op.Replicated != nil || op.Owners != nil {
-		out.RetryAfter = askAgain
-	}
-	return out
-}
-
-// askAgain is when a client may ask for such a job: the next process serves by then.
-const askAgain = time.Second
-
 // follow starts a watch at once, whatever the present one waits for. That goes on until the new one has
 // brought a list, so that nothing it still has to tell is missed. Called under mu.
 func (s *Scheduler) follow(address string, index uint64, whole bool) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -147,7 +147,7 @@
 		{Limits{Sockets: 1024, MemoryMB: 32}, 170, 256}, {Limits{Sockets: 1024}, 640, 256},
 	} {
 		cfg := Config{Limits: c.limits}
-		if p, n := cfg.places(), cfg.calls(); p != c.places || n != c.calls {
+		if p, n := cfg.connectionSlots(), cfg.calls(); p != c.places || n != c.calls {
 			t.Errorf("%+v: %d places, %d calls", c.limits, p, n)
 		}
 	}
