judge: what came to a worker that served again is no break of drain, whatever a relay held up

Trace: s- hung at 7.169 s, all schedulers were told that it is gone at 15.20 to 15.26 s, it was back as life 2 at 18.655 s and the attempts came to life 2. At 17.720 s relays began that reset connections, until 31.1 s. Where a relay may have held an attempt up the judge takes the soonest time at which it may have been sent, the relay's begin, and asked by that whether the news had been lifted. An attempt that came after the worker served again need not have been sent before, so nobody can be blamed for it.

Two stories: one that is excused now fails before; one that stays a break (it came while the worker was gone) holds the rule.

--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -525,6 +525,10 @@
 	{name: "after the time, as the kit stood still",
 		events: append(jobs("s-0", 7060), wrote(5000, 7, drainingWord), stall(6000, 6100))},
 	{name: "after a loss", want: SentAfterDrain, events: append(jobs("s-0", 7060), wrote(5000, 7, deletedWord))},
+	{name: "serving again by the time that it came, while a relay that may hold it up had begun before", events: append(jobs("s-0", 9000),
+		wrote(5000, 7, deletedWord), relay(7100, "s-0", true), wrote(8000, 8, backWord))},
+	{name: "after a loss, while a relay may hold it up", want: SentAfterDrain, events: append(jobs("s-0", 9000),
+		wrote(5000, 7, deletedWord), relay(7100, "s-0", true), wrote(9100, 8, backWord))},
 	{name: "the first byte counts", events: []ev{ask(7000, "a", "look"), sent(7000, "a"), func() ev {
 		e := attemptAt(7500, 1, "a", "s-0")
 		e.From = 7040 * ms
