--- a/consumer/backlog_test.go
+++ b/frontend/backlog_test.go
@@ -1,4 +1,4 @@
-package consumer
+package frontend
 
 import (
 	"bufio"
--- a/consumer/server.go
+++ b/frontend/server.go
@@ -1,7 +1,7 @@
-// Package consumer serves the consumers' side: it takes their requests, makes a job of each, hands that to the Handlers
+// Package frontend serves the clients' side: it takes their requests, makes a job of each, hands that to the Handlers
 // of jobs, and words their outcome as the one answer. Providers' call-backs come to the same address and are passed on.
 // It owns the connections that it accepts and the duty to answer on them; what becomes of a job is never its to say.
-package consumer
+package frontend
 
 import (
 	"bufio"
--- a/rehearse/scale/page/verdict.go
+++ b/rehearse/scale/page/verdict.go
@@ -40,7 +40,7 @@
 	rows := []budgetRow{
 		scheduler(cpu, percentOfACore, true, func(s *size.Size) float64 { return s.Budget.CPUPercent },
 			"`peers`, `directory`"),
-		scheduler(cpu, percentOfACore, false, none, "`dispatch`, `policy`, `provider`, `consumer`"),
+		scheduler(cpu, percentOfACore, false, none, "`dispatch`, `policy`, `provider`, `frontend`"),
 		scheduler(memoryPeak, bytesUnit, true, memoryBudget, "the process as a whole"),
 		scheduler(memoryPeak, bytesUnit, false, memoryBudget, "the process as a whole"),
 		scheduler(controlBytes, bytesASecond, true, controlBytesBudget, "`peers`, `directory`"),
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"laddertide/consumer"
 	"laddertide/directory"
+	"laddertide/frontend"
 	"laddertide/internal/wire"
 	"laddertide/policy"
 	"laddertide/wire/http1"
@@ -49,7 +49,7 @@
 func (c *Config) connectionSlots() int {
 	n := (c.Limits.Sockets - c.descriptors()) * 5 / 8
 	if mb := c.Limits.MemoryMB; mb > 0 {
-		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+consumer.MaxAhead+c.Operator.connBytes()))
+		n = min(n, (int(mb*(1<<20))-c.Operator.memory())/2/(http1.MaxBody+http1.MaxHead+frontend.MaxAhead+c.Operator.connBytes()))
 	}
 	return n
 }
--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"laddertide/consumer"
 	"laddertide/directory"
+	"laddertide/frontend"
 	"laddertide/internal/testrig"
 	"laddertide/job"
 	"laddertide/wire/http1"
@@ -19,12 +19,12 @@
 
 // closingSuccessor lets each client close its connection in the moment in which that is about to go to the next process.
 type closingSuccessor struct {
-	consumer.Successor
+	frontend.Successor
 	clients map[string]net.Conn // by their own address
 	t       *testing.T
 }
 
-func (h *closingSuccessor) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
+func (h *closingSuccessor) Job(c *net.TCPConn, k frontend.Kept, last bool, j *job.Job, past []job.Past) error {
 	client := h.clients[c.RemoteAddr().String()]
 	client.Close()
 	raw, err := c.SyscallConn()
@@ -59,7 +59,7 @@
 	next := r.follow(io.Discard)
 	var sent sync.Once
 	server := r.sched.server
-	server.FindSuccessor = func(held int) consumer.Successor {
+	server.FindSuccessor = func(held int) frontend.Successor {
 		successor.Successor = r.sched.succeed(held)
 		sent.Do(func() { // nothing is sent from the older process any more
 			for i, c := range all {
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"laddertide/admin"
-	"laddertide/consumer"
+	"laddertide/frontend"
 	"laddertide/handover"
 	"laddertide/internal/netfault"
 	wire "laddertide/wire/handover"
@@ -159,7 +159,7 @@
 }
 
 // open begins to serve: server is about to accept. before is the older process's last word, if there was one.
-func (s *Scheduler) open(server *consumer.Server, ln net.Listener, before *wire.Takeover) {
+func (s *Scheduler) open(server *frontend.Server, ln net.Listener, before *wire.Takeover) {
 	defer s.ready.Store(true)
 	if !s.cfg.handsOver() {
 		return
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"laddertide/admin"
-	"laddertide/consumer"
+	"laddertide/frontend"
 	"laddertide/handover"
 	"laddertide/job"
 	"laddertide/provider"
@@ -90,7 +90,7 @@
 		}
 	case *wire.Conn:
 		if before && !standing && conn != nil {
-			s.server.Adopt(conn, consumer.Kept{Told: m.Told, Events: m.Events, Ahead: m.Ahead}, false, nil)
+			s.server.Adopt(conn, frontend.Kept{Told: m.Told, Events: m.Events, Ahead: m.Ahead}, false, nil)
 			return nil
 		}
 	case *wire.Job:
@@ -102,7 +102,7 @@
 				return nil
 			}
 			j.Keeper = job.Inherit(pastOf(m), func() { reply(m.Number, wire.Yes, "") })
-			s.server.Adopt(conn, consumer.Kept{Told: m.Conn.Told, Events: m.Conn.Events, Ahead: m.Conn.Ahead}, m.Last, j)
+			s.server.Adopt(conn, frontend.Kept{Told: m.Conn.Told, Events: m.Conn.Events, Ahead: m.Conn.Ahead}, m.Last, j)
 			return nil
 		}
 	}
--- a/scheduler/listeners.go
+++ b/scheduler/listeners.go
@@ -6,7 +6,7 @@
 	"net"
 	"strconv"
 
-	"laddertide/consumer"
+	"laddertide/frontend"
 	"laddertide/internal/netfault"
 	"laddertide/tlslistener"
 )
@@ -28,13 +28,13 @@
 			closeListeners(all[1:])
 			return nil, fmt.Errorf("scheduler: stomp: %w", err)
 		}
-		all = append(all, consumer.StompListener{Listener: sessions, Stomp: *set})
+		all = append(all, frontend.StompListener{Listener: sessions, Stomp: *set})
 	}
 	return all, nil
 }
 
 // listenStomp opens the port that speaks STOMP. Its certificate, if it is encrypted, is that of the other encrypted port.
-func (s *Scheduler) listenStomp(ctx context.Context, set *consumer.Stomp) (net.Listener, error) {
+func (s *Scheduler) listenStomp(ctx context.Context, set *frontend.Stomp) (net.Listener, error) {
 	if !set.TLS {
 		host, _, _ := net.SplitHostPort(s.cfg.Listen)
 		return netfault.Listen(net.JoinHostPort(host, strconv.Itoa(set.Port)))
@@ -56,7 +56,7 @@
 		case *tlslistener.Listener:
 			s.log.Info("serving with encryption", "listen", ln.Addr())
 			go ln.Run(ctx)
-		case consumer.StompListener:
+		case frontend.StompListener:
 			s.log.Info("serving STOMP", "listen", ln.Addr())
 		}
 	}
--- a/scheduler/operator.go
+++ b/scheduler/operator.go
@@ -11,8 +11,8 @@
 
 	"laddertide/capture"
 	"laddertide/configuration/follower"
-	"laddertide/consumer"
 	"laddertide/durable"
+	"laddertide/frontend"
 	"laddertide/jobstatus"
 	"laddertide/metrics"
 	"laddertide/operator"
@@ -30,7 +30,7 @@
 	Capture    *capture.Settings
 	JobStatus  *jobstatus.Settings
 	Durable    *durable.Settings
-	Stomp      *consumer.Stomp
+	Stomp      *frontend.Stomp
 	Peers      *peers.Settings
 	Owners     *owners.Settings
 	State      *returning.Settings
@@ -62,7 +62,7 @@
 			err = fmt.Errorf("%s: %w", path, err)
 		}
 	}
-	op.Stomp, err = section(file, "stomp", consumer.ParseStomp, err)
+	op.Stomp, err = section(file, "stomp", frontend.ParseStomp, err)
 	op.Peers, err = section(file, "peers", peers.Parse, err)
 	if op.Owners, err = section(file, "owners", owners.Parse, err); err == nil && op.Owners != nil {
 		if err = op.Owners.CheckDir(); err != nil {
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"laddertide/admin"
-	"laddertide/consumer"
 	"laddertide/core/maintenance"
 	"laddertide/core/pollschedule"
 	"laddertide/core/recovery"
 	"laddertide/directory"
+	"laddertide/frontend"
 	"laddertide/job"
 	"laddertide/peers"
 	"laddertide/returning"
@@ -172,7 +172,7 @@
 
 // comeBack lets the order of return go on beside the server, and gives a context that ends with ctx, or with what makes it
 // impossible. returned ends that and waits for it.
-func (s *Scheduler) comeBack(ctx, serving context.Context, server *consumer.Server) (context.Context, func() error) {
+func (s *Scheduler) comeBack(ctx, serving context.Context, server *frontend.Server) (context.Context, func() error) {
 	if s.room == nil {
 		return ctx, func() error { return nil }
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,13 +18,13 @@
 
 	"laddertide/attempt"
 	"laddertide/capture"
-	"laddertide/consumer"
 	"laddertide/core/maintenance"
 	"laddertide/core/pollschedule"
 	"laddertide/core/starttime"
 	"laddertide/directory"
 	"laddertide/dispatch"
 	"laddertide/durable"
+	"laddertide/frontend"
 	"laddertide/job"
 	"laddertide/jobstatus"
 	"laddertide/metrics"
@@ -60,7 +60,7 @@
 	current  *watch          // the one that the list comes from
 	next     *watch          // the one that takes over with its first list
 
-	server *consumer.Server // from Serve on
+	server *frontend.Server // from Serve on
 
 	// Reread reads the configuration again and gives it to Reload. It is set before Serve; nil: there is no file.
 	Reread func()
@@ -378,7 +378,7 @@
 	}
 	defer closeListeners(listeners[1:])
 	s.mu.Lock()
-	server := &consumer.Server{
+	server := &frontend.Server{
 		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
 		Conns: s.cfg.connectionSlots(), Grace: s.grace(), Unfinished: s.unfinished(),
 	}
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net"
 
-	"laddertide/consumer"
 	"laddertide/core/maintenance"
 	"laddertide/directory"
+	"laddertide/frontend"
 	"laddertide/handover"
 	"laddertide/job"
 	"laddertide/policy"
@@ -77,7 +77,7 @@
 }
 
 // succeed hands over to the process that stands by, if there is one: it serves from here on.
-func (s *Scheduler) succeed(held int) consumer.Successor {
+func (s *Scheduler) succeed(held int) frontend.Successor {
 	s.mu.Lock()
 	s.stopping = true
 	next := s.successor
@@ -145,13 +145,13 @@
 	peer *handover.Peer
 }
 
-// Conn implements consumer.Successor.
-func (h *successor) Conn(c *net.TCPConn, k consumer.Kept) error {
+// Conn implements frontend.Successor.
+func (h *successor) Conn(c *net.TCPConn, k frontend.Kept) error {
 	return h.check(h.peer.Send(&wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, c))
 }
 
-// Job implements consumer.Successor. It returns once the next process hears of the job's call.
-func (h *successor) Job(c *net.TCPConn, k consumer.Kept, last bool, j *job.Job, past []job.Past) error {
+// Job implements frontend.Successor. It returns once the next process hears of the job's call.
+func (h *successor) Job(c *net.TCPConn, k frontend.Kept, last bool, j *job.Job, past []job.Past) error {
 	defer h.s.pool.Arrived(j.ID)
 	m := &wire.Job{Conn: wire.Conn{Told: k.Told, Events: k.Events, Ahead: k.Ahead}, Last: last,
 		ID: j.ID, Party: j.Party, Key: j.Key, Subject: j.Subject, Protocol: j.Protocol,
