--- /dev/null
+++ b/internal/knownred/main.go
@@ -0,0 +1,153 @@
+// Knownred reads KNOWN-RED.txt, the list of what fails for a fault that is known and not mended yet. It checks that each entry is complete
+// and that its command would run as it stands, and prints the tests among the entries as the regular expression that go test -skip takes.
+// The entries themselves go to standard error. It plays nothing.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+)
+
+// file is the list, at the root of the project.
+const file = "KNOWN-RED.txt"
+
+func main() {
+	text, err := os.ReadFile(file)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		fmt.Fprintln(os.Stderr, "knownred:", err)
+		os.Exit(1)
+	}
+	entries, err := parse(string(text))
+	for _, e := range entries {
+		if err == nil {
+			err = e.check()
+		}
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", file, err)
+		os.Exit(1)
+	}
+	if len(entries) > 0 {
+		fmt.Fprintf(os.Stderr, "known failures:\n%s", text)
+	}
+	fmt.Println(skipped(entries))
+}
+
+// entry is one line of the list.
+type entry struct {
+	line, name, command string
+}
+
+var form = regexp.MustCompile(`^([^|]+) \| command: ([^|]+) \| seed: [^|]+ \| seen: [^|]+ \| issue: [0-9]+$`)
+
+// parse reads the list, an entry a line.
+func parse(text string) ([]entry, error) {
+	var entries []entry
+	for line := range strings.Lines(text) {
+		line = strings.TrimSuffix(line, "\n")
+		m := form.FindStringSubmatch(line)
+		if m == nil {
+			return nil, fmt.Errorf("each entry is 'test, play or day | command: ... | seed: ... | seen: ... | issue: NUMBER': %s", line)
+		}
+		entries = append(entries, entry{line: line, name: m[1], command: m[2]})
+	}
+	return entries, nil
+}
+
+var testName = regexp.MustCompile(`^Test[A-Za-z0-9_]+$`)
+
+// skipped is a regular expression that matches the tests among the entries and nothing else.
+func skipped(entries []entry) string {
+	var names []string
+	for _, e := range entries {
+		if testName.MatchString(e.name) {
+			names = append(names, e.name)
+		}
+	}
+	if len(names) == 0 {
+		return "^$"
+	}
+	return "^(" + strings.Join(names, "|") + ")$"
+}
+
+// Where the programs that commands start with lie.
+const (
+	kit       = "../given/kit/" // not there in CI
+	rehearsal = "bin/rehearse"
+)
+
+// check returns an error with the entry's line if its command would not run.
+func (e *entry) check() error {
+	words := strings.Fields(e.command)
+	var err error
+	switch {
+	case strings.HasPrefix(e.command, "go test "):
+		err = checkTest(words)
+	case words[0] == rehearsal:
+		err = checkRehearsal(words[1:])
+	case strings.HasPrefix(words[0], kit):
+		err = checkKit(words[0])
+	default:
+		err = fmt.Errorf("the command begins neither with go test, nor %s, nor %s", rehearsal, kit)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, e.line)
+	}
+	return nil
+}
+
+// checkTest finds the test of -run in the packages that the command names.
+func checkTest(words []string) error {
+	list := []string{"test"}
+	name := ""
+	for i := 2; i < len(words); i++ {
+		switch {
+		case words[i] == "-run" && i+1 < len(words):
+			i++
+			name = strings.Trim(words[i], "^$")
+		case strings.HasPrefix(words[i], "./"):
+			list = append(list, words[i])
+		}
+	}
+	if !testName.MatchString(name) || len(list) == 1 {
+		return errors.New("the command names no test and package")
+	}
+	list = append(list, "-list", "^"+name+"$")
+	out, err := exec.Command("go", list...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("go test -list: %w: %s", err, out)
+	}
+	for line := range strings.Lines(string(out)) {
+		if strings.TrimSpace(line) == name {
+			return nil
+		}
+	}
+	return fmt.Errorf("there is no test %s", name)
+}
+
+// noDaemon names a scheduler that is not there: a rehearsal finds everything else in order before it looks for that.
+const noDaemon = "not/there/laddertide"
+
+// checkRehearsal has the command's words read by the program itself.
+func checkRehearsal(words []string) error {
+	args := append([]string{"run", "./cmd/rehearse"}, words...)
+	out, err := exec.Command("go", append(args, "--daemon", noDaemon)...).CombinedOutput()
+	if err == nil || strings.Contains(string(out), noDaemon) {
+		return nil
+	}
+	return errors.New(strings.TrimSpace(string(out)))
+}
+
+// checkKit looks for a program of the operators' kit, if the kit is there.
+func checkKit(program string) error {
+	if _, err := os.Stat(kit); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	_, err := os.Stat(program)
+	return err
+}
