netfault: connections that say nothing can be left to the system for a second

Change: DeferAccept (TCP_DEFER_ACCEPT, tcp(7)) has the system hand a connection over once something has come on it, or after a second. HandshakeTime tells for how long its client was silent before that: the round-trip time that the system measured in the handshake, which for a deferred connection ends with its first byte or its answer to the repeated SYN-ACK.

Beyond the queue of half-open connections the system uses SYN cookies: they come at once, as new ones.

--- /dev/null
+++ b/internal/netfault/deferral_test.go
@@ -0,0 +1,134 @@
+package netfault
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// deferringListener is a listener that leaves silent connections to the system.
+func deferringListener(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	if err := DeferAccept(ln, true); err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func connect(t *testing.T, ln net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func accept(t *testing.T, ln net.Listener) net.Conn {
+	t.Helper()
+	ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// A connection on which something comes goes before one that came first and is silent. That one comes a second after it was up.
+func TestDeferAccept(t *testing.T) {
+	ln := deferringListener(t)
+	began := time.Now()
+	silent := connect(t, ln)
+	speaks := connect(t, ln)
+	if _, err := speaks.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	first, second := accept(t, ln), accept(t, ln)
+	if first.RemoteAddr().String() != speaks.LocalAddr().String() || second.RemoteAddr().String() != silent.LocalAddr().String() {
+		t.Fatal("the silent connection came first")
+	}
+	if waiting, _ := Waiting(first); !waiting {
+		t.Error("the first one was handed over without its byte")
+	}
+	if took := HandshakeTime(first); took >= time.Second {
+		t.Errorf("%v for a handshake that ended with the first byte", took)
+	}
+	if took := HandshakeTime(second); took < time.Second*9/10 || took > time.Since(began)+arrivalTick {
+		t.Errorf("%v for the silent one's, of %v since it was asked for", took, time.Since(began))
+	}
+}
+
+// Once it is off, connections come at once, and so do, DeferredAtMost later, all that were kept back.
+func TestDeferAcceptEnds(t *testing.T) {
+	ln := deferringListener(t)
+	kept := connect(t, ln)
+	if err := DeferAccept(ln, false); err != nil {
+		t.Fatal(err)
+	}
+	off := time.Now()
+	later := connect(t, ln)
+	if at := accept(t, ln); at.RemoteAddr().String() != later.LocalAddr().String() {
+		t.Fatal("the connection that was kept back came first")
+	}
+	time.Sleep(time.Until(off.Add(DeferredAtMost)))
+	if !Backlogged(ln) {
+		t.Errorf("not there %v after the deferral's end", DeferredAtMost)
+	}
+	if at := accept(t, ln); at.RemoteAddr().String() != kept.LocalAddr().String() {
+		t.Error("another connection came")
+	}
+}
+
+// With its queue of half-open connections full the system answers with SYN cookies: silent connections come at once, as new ones.
+func TestDeferAcceptBeyondTheQueue(t *testing.T) {
+	const backlog, crowd = 8, 40
+	ln := deferringListener(t)
+	raw, err := RawListener(ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), backlog) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for range crowd {
+			if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+				t.Cleanup(func() { c.Close() })
+			}
+		}
+	}()
+	c := accept(t, ln)
+	if waiting, _ := Waiting(c); waiting {
+		t.Error("something has come on it")
+	}
+	if took := HandshakeTime(c); took >= time.Second/2 {
+		t.Errorf("%v for the handshake of a new connection", took)
+	}
+	for range crowd - 1 {
+		accept(t, ln)
+	}
+}
+
+// A listener without a socket of its own is left as it is.
+func TestDeferAcceptWithoutSocket(t *testing.T) {
+	if err := DeferAccept(struct{ net.Listener }{}, true); !errors.Is(err, errors.ErrUnsupported) {
+		t.Errorf("got %v", err)
+	}
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	if took := HandshakeTime(near); took != 0 {
+		t.Errorf("%v for a connection that had no handshake", took)
+	}
+}
