frontend: a new connection is not evicted while slots are free

Cause: with more than four fifths of the slots taken accept evicts one more connection ahead of need, of any rank. Where all others have a job in hand that is the one just accepted, whose request is on its way, though nobody waits for its slot.

Change: ahead of need only connections up to those between messages are evicted. New ones go when a slot is waited for, as before.

TestNewConnectionIsKeptWhileSlotsAreFree failed before (5 of 5 with the race detector and GOMAXPROCS=1): "closed unread with 1 of 16 slots free", "answer <nil>, EOF; want 200".

--- /dev/null
+++ b/frontend/crowd_order_test.go
@@ -0,0 +1,47 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"laddertide/job"
+)
+
+// newBusyRig is a server of which some slots are taken by jobs that last as long as the test; all other jobs are served at once.
+func newBusyRig(t *testing.T, slots, working int, ln *hookedListener, changes ...func(*Server)) *closingRig {
+	t.Helper()
+	const held = "held"
+	taken, over := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	hold := func(s *Server) {
+		s.Jobs = job.HandlerFunc(func(_ context.Context, j *job.Job) job.Outcome {
+			if j.ID == held {
+				taken <- struct{}{}
+				<-over
+			}
+			return job.Outcome{Kind: job.Served, Result: []byte(j.ID)}
+		})
+	}
+	r := newClosingRig(t, slots, ln, append(changes, hold)...)
+	for range working {
+		r.dial().say(ask(held, "check"))
+		<-taken
+	}
+	return r
+}
+
+// TestNewConnectionIsKeptWhileSlotsAreFree guards against a new connection that is closed unread while nobody needs its slot.
+func TestNewConnectionIsKeptWhileSlotsAreFree(t *testing.T) {
+	const slots, working = 16, 14 // as policy.mostOpen lets jobs take
+	ln := &hookedListener{}
+	r := newBusyRig(t, slots, working, ln)
+	c := r.dial()
+	time.Sleep(firstOnItsWay / 2) // its client's machine stands still
+	if ln.shutdownCalled.Load() > 0 {
+		t.Errorf("closed unread with %d of %d slots free", slots-working-1, slots)
+	}
+	c.say(ask("new", "check"))
+	c.hear(200)
+}
+
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -233,7 +233,7 @@
 		crowded := len(s.conns)-s.leaving > cap(s.slots)*4/5
 		s.mu.Unlock()
 		if crowded {
-			s.evict() // ahead of need: it takes a moment, and a crowd comes faster than that
+			s.evictUpTo(rankKept) // ahead of need: it takes a moment, and a crowd comes faster than that
 		}
 		go s.serve(c, nil, false)
 	}
