frontend: a whole request is answered though its connection is evicted

Callers saw 408 for a request whose last byte had long arrived: the connection was evicted between two reads of it.

Cause: who is evicted while its first message is being read gets a read deadline that has passed, and a deadline hides what has arrived. A message larger than the buffer of 2 KiB takes several reads. One evicted before its first byte had 5 ms, whatever had arrived by then.

Change: an evicted connection is read on as long as the system has bytes of it, for 50 ms (crowdedLimit) at most, and 1 ms is waited for the rest of a message that has begun (restWait). So one that has sent a part and stopped gives its slot back in 1 ms instead of 5 ms.

--- a/frontend/closing.go
+++ b/frontend/closing.go
@@ -16,6 +16,7 @@
 	finalReadWait = 5 * time.Millisecond   // for a request that is on its way while its connection closes
 	partLimit     = 500 * time.Millisecond // for the client to end its half too
 	crowdedLimit  = 50 * time.Millisecond  // the same, for a connection whose slot is needed
+	restWait      = time.Millisecond       // for the rest of a message that has begun on a connection whose slot is needed
 	partBytes     = 8 << 20                // what may still come in that time
 	afterEnd      = 150 * time.Millisecond // for connections that close when the time to answer is over
 	lookForEnd    = 5 * time.Millisecond   // between looks at whether a client has ended its half
@@ -36,6 +37,28 @@
 	return err
 }
 
+// finishReading gives the message that is being read the time to become whole from what has arrived, as the connection is evicted: whatever
+// the system has is read, for crowdedLimit at most. Called under the server's mutex.
+func (c *conn) finishReading() {
+	by := time.Now().Add(crowdedLimit)
+	c.readBy = by
+	c.finishBy.Store(int64(by.Sub(epoch)))
+	c.SetReadDeadline(time.Now().Add(restWait))
+}
+
+// readsOn reports whether an evicted connection is to be read further although its read deadline has passed: a deadline hides what has arrived.
+func (c *conn) readsOn() bool {
+	if time.Since(epoch) >= time.Duration(c.finishBy.Load()) {
+		return false
+	}
+	waiting, known := netfault.Waiting(netfault.Socket(c.Conn))
+	if !waiting || !known {
+		return false
+	}
+	c.SetReadDeadline(time.Now().Add(restWait))
+	return true
+}
+
 // pending tells whether a read of the socket would return at once. Of a connection that is encrypted it says no.
 func (c *conn) pending() bool {
 	waiting, known := netfault.Waiting(c.Conn)
--- a/frontend/closing_test.go
+++ b/frontend/closing_test.go
@@ -25,7 +25,8 @@
 	net.Listener
 	beforeLook     func(*hookedConn) // a read has run into its deadline
 	afterShutdown  func(*hookedConn)
-	afterRead      func(n int) // nil: nobody asks
+	beforeRead     func() // nil, as the next: nobody asks
+	afterRead      func(n int)
 	shutdownCalled atomic.Int32
 }
 
@@ -44,6 +45,9 @@
 }
 
 func (c *hookedConn) Read(b []byte) (int, error) {
+	if c.ln.beforeRead != nil {
+		c.ln.beforeRead()
+	}
 	n, err := c.TCPConn.Read(b)
 	if c.ln.afterRead != nil {
 		c.ln.afterRead(n)
--- a/frontend/crowd_order_test.go
+++ b/frontend/crowd_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,19 @@
 	c.hear(200)
 }
 
+// TestWholeRequestIsAnsweredThoughEvicted guards against a 408 for a whole request whose connection is evicted between two reads.
+func TestWholeRequestIsAnsweredThoughEvicted(t *testing.T) {
+	ln := &hookedListener{}
+	r := newBusyRig(t, 8, 0, ln)
+	reads := 0
+	ln.beforeRead = func() {
+		if reads++; reads == 2 {
+			r.server.evictUpTo(rankNewcomer)
+		}
+	}
+	r.server.mu.Lock() // it is not accepted before all of it is there
+	c := r.dial()
+	c.say("POST /api/x HTTP/1.1\r\nX-Request-Id: large\r\nX-Class: check\r\nContent-Length: 4096\r\n\r\n" + strings.Repeat("x", 4096))
+	r.server.mu.Unlock()
+	c.hear(200)
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -83,8 +83,9 @@
 	evicted bool      // it is evicted
 	readBy  time.Time // while reading: by when the message in hand is to be whole
 
-	owed         atomic.Bool // an answer, which belongs to whoever takes it; see takeAnswer
-	answerInTime func()      // answers what is open, as the grace is over; set by sessions of protocols with several jobs at once
+	finishBy     atomic.Int64 // by when it reads what has come of its first message, on the clock of silence; 0: it is not evicted
+	owed         atomic.Bool  // an answer, which belongs to whoever takes it; see takeAnswer
+	answerInTime func()       // answers what is open, as the grace is over; set by sessions of protocols with several jobs at once
 
 	// Its goroutine's own, and that of the watch while there is one.
 	stomp    *Stomp // it speaks STOMP
@@ -110,6 +111,9 @@
 // the connection may have waited to be accepted.
 func (c *conn) readSocket(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	for netfault.DeadlinePassed(err) && c.readsOn() {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.hears()
 		now := time.Now() // before the system is asked: a standstill in between makes the bytes older, not younger
@@ -435,7 +439,8 @@
 		c.readBy = c.opened.Add(firstLimit)
 	}
 	if c.evicted && c.told == 0 {
-		c.readBy = time.Now().Add(finalReadWait)
+		c.finishReading()
+		return true
 	}
 	s.limitReading(c)
 	return true
--- a/frontend/slots.go
+++ b/frontend/slots.go
@@ -41,13 +41,13 @@
 	return max(1, cap(s.slots)-s.callBacks-s.Held)
 }
 
-// slotsComing is how many connections that are evicted are about to close: their slots come free within crowdedLimit.
+// slotsComing is how many connections that are evicted are about to close, unless a whole request has come on them.
 func (s *Server) slotsComing() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	coming := 0
 	for c := range s.conns {
-		if c.evicted && (c.stage == idle || c.stage == parting) {
+		if c.evicted && c.stage != working && !(c.stage == reading && c.told > 0) {
 			coming++
 		}
 	}
@@ -80,6 +80,10 @@
 	}
 	least.evicted = true
 	s.leaving++
+	if least.stage == reading {
+		least.finishReading()
+		return true
+	}
 	least.SetReadDeadline(time.Now())
 	return true
 }
