frontend: silent connections do not stand before requests in the accept queue

Callers saw no answer (TestDaemonAnswersACrowdWithHungWorkers): a client's repeat with 1 to 59 ms left, its request whole 4 to 22 us after its connection was up, heard nothing for the 58 ms longer that it waited.

By order of events: age = silent connections before it x 5.5 ms / free slots (120 slots, 105 working: 77 ms behind 200, 117 ms behind 300; finalReadWait 1, 5, 20 ms: 32, 119, 419 ms). The queue is served in order and a silent connection keeps its slot for the 5 ms of a last look.

Change: the scheduler's listeners for clients leave silent connections to the system (DeferSilent), where they take no descriptor and stand before nobody. One that comes without a byte after half a second or more of its client's silence, as the system measured it, gets a slot while less than half of the slots are taken and is closed at once otherwise. Its times run from when it was up, so it has its close within the 3 s that bad clients are owed. What is younger is never closed there: with SYN cookies, in a process without the option, where the system does not know it (one warning) connections come as before. Before the end of the window for newcomers the option is taken off, and the listener stays open until all that were kept back have come (1.1 s), so that their clients find the end of their connection in order.

TestRequestBehindACrowdIsAnsweredInTime/silent failed before: "no answer within 758ms behind 300 connections"; with silent connections kept back but not closed as they come TestRequestAmongSilentConnectionsHandedOver is what fails. TestSilentClientsAtTheEnd fails without the wait for those kept back: 11 clients of 12 never heard of the end.

--- a/frontend/crowd_order_test.go
+++ b/frontend/crowd_order_test.go
@@ -12,6 +12,9 @@
 	"laddertide/wire/http1"
 )
 
+// deferSilent has a server leave silent connections to the system, as the scheduler does.
+func deferSilent(s *Server) { s.DeferSilent = true }
+
 // newBusyRig is a server of which some slots are taken by jobs that last as long as the test; all other jobs are served at once.
 func newBusyRig(t *testing.T, slots, working int, ln *hookedListener, changes ...func(*Server)) *closingRig {
 	t.Helper()
@@ -45,6 +48,7 @@
 	)
 	whole := ask("x", "none")
 	for name, says := range map[string]string{
+		"silent":              "",
 		"one byte":            whole[:1],
 		"half a head":         whole[:40],
 		"a head, no body":     whole[:len(whole)-4],
@@ -52,7 +56,7 @@
 		"an unknown class":    whole,
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newBusyRig(t, slots, working, &hookedListener{})
+			r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
 			r.server.mu.Lock() // accept stands still until all are in the queue
 			for range crowd {
 				r.dial().say(says)
--- /dev/null
+++ b/frontend/deferral.go
@@ -0,0 +1,86 @@
+package frontend
+
+import (
+	"net"
+	"time"
+
+	"laddertide/internal/netfault"
+)
+
+// A crowd that connects and says nothing must not stand before requests in a listener's queue, which is served in order. So the system
+// keeps a connection back until something comes on it; one that comes without a byte has been silent for long, and is closed at once where
+// slots are getting scarce.
+
+const (
+	longSilent = 500 * time.Millisecond // for a client that has connected
+
+	slotsForSilent = 2 // the part of the slots that connections may have taken while silent ones still get one: one of so many
+)
+
+// deferSilent has the system keep back connections on which nothing has come yet. Where it can't they come as they are.
+func (s *Server) deferSilent(listeners []net.Listener) {
+	for _, ln := range listeners {
+		if err := netfault.DeferAccept(ln, true); err != nil {
+			s.Log.Warn("silent connections are not kept back by the system: a crowd of them delays others", "listen", ln.Addr(), "err", err)
+			continue
+		}
+		s.deferring = append(s.deferring, ln)
+	}
+}
+
+// endDeferral has connections come at once again, DeferredAtMost before the end of a window or now if that is sooner: a client that has
+// connected and not spoken finds its connection closed in order then, where the close of the listener would reset it. It returns when all
+// that were kept back have come; the zero time: none were.
+func (s *Server) endDeferral(window time.Time) (handedOver time.Time) {
+	if len(s.deferring) == 0 {
+		return time.Time{}
+	}
+	timer := time.NewTimer(time.Until(window.Add(-netfault.DeferredAtMost)))
+	<-timer.C
+	for _, ln := range s.deferring {
+		if err := netfault.DeferAccept(ln, false); err != nil {
+			s.Log.Debug("silent connections are kept back until the listener closes", "listen", ln.Addr(), "err", err)
+		}
+	}
+	handedOver = time.Now().Add(netfault.DeferredAtMost)
+	time.AfterFunc(netfault.DeferredAtMost, s.wakeWaits)
+	return handedOver
+}
+
+// wakeWaits has all that wait in waitUntil look at their condition again.
+func (s *Server) wakeWaits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quiet.Broadcast()
+}
+
+// acceptOne returns the next connection that is worth a slot, and for how long its client was silent before it was handed over.
+func (s *Server) acceptOne(ln net.Listener) (net.Conn, time.Duration, error) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return nil, 0, err
+		}
+		silent := netfault.HandshakeTime(nc)
+		if silent < longSilent || !s.silentExceed() || received(nc) {
+			return nc, silent, nil
+		}
+		nc.Close()
+		s.mu.Lock()
+		s.closedSilent++
+		s.mu.Unlock()
+	}
+}
+
+// silentExceed reports whether so many connections are open that silent ones get no slot.
+func (s *Server) silentExceed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)-s.leaving >= cap(s.slots)/slotsForSilent
+}
+
+// received reports whether anything has come on a connection that nothing has been read of. Where that is not known it says yes.
+func received(nc net.Conn) bool {
+	waiting, known := netfault.Waiting(netfault.Socket(nc))
+	return waiting || !known
+}
--- /dev/null
+++ b/frontend/deferral_test.go
@@ -0,0 +1,142 @@
+package frontend
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/internal/netfault"
+)
+
+// owedToBadClients is in which a client that says nothing is owed an error or a close, from when it has connected.
+const owedToBadClients = 3 * time.Second
+
+// TestRequestAmongSilentConnectionsHandedOver guards against whole requests that run out of time as the system hands over a crowd that has
+// been silent for a second. The silent ones have their close in the time that they are owed.
+func TestRequestAmongSilentConnectionsHandedOver(t *testing.T) {
+	const (
+		slots, working = 8, 7
+		crowd          = 300
+		deadline       = 758 * time.Millisecond // with the slack of the rules on sockets, and of answers
+	)
+	r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
+	var silent []*client
+	for range crowd {
+		silent = append(silent, r.dial())
+	}
+	connected := time.Now()
+	if _, err := silent[0].br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("a silent connection: %v", err)
+	}
+	c := r.dial()
+	c.SetDeadline(time.Now().Add(deadline))
+	c.say(ask("among", "check", "X-Deadline-Ms: 700\r\n"))
+	c.hear(200)
+	for _, s := range silent {
+		s.SetDeadline(connected.Add(owedToBadClients))
+		if _, err := s.br.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Fatalf("a silent connection: %v", err)
+		}
+	}
+}
+
+// TestSlowClientIsServedWhereSlotsAreFree guards against a client that is closed unread because it takes a second to write its request,
+// and against one that is kept for ever.
+func TestSlowClientIsServedWhereSlotsAreFree(t *testing.T) {
+	const slots, working = 8, 2
+	for name, pause := range map[string]time.Duration{
+		"before it is handed over": 300 * time.Millisecond,
+		"after it is handed over":  netfault.DeferredAtMost + 100*time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
+			c := r.dial()
+			time.Sleep(pause)
+			c.say(ask("slow", "check"))
+			c.hear(200)
+		})
+	}
+	t.Run("never", func(t *testing.T) {
+		t.Parallel()
+		r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
+		c := r.dial()
+		c.SetDeadline(time.Now().Add(owedToBadClients))
+		if _, err := c.br.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("a connection that says nothing: %v", err)
+		}
+	})
+	t.Run("half a head late", func(t *testing.T) {
+		t.Parallel()
+		r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
+		c := r.dial()
+		c.SetDeadline(time.Now().Add(owedToBadClients))
+		time.Sleep(900 * time.Millisecond)
+		c.say("POST /api/x HTTP/1.1\r\n")
+		c.hear(408)
+	})
+}
+
+// TestSilentClientsAtTheEnd guards against clients that have connected and said nothing when a process ends: they find the end of
+// their connection and no reset, while requests are answered. Graces are those of deadlines of 0.7 s and 2 s.
+func TestSilentClientsAtTheEnd(t *testing.T) {
+	for name, grace := range map[string]time.Duration{"short": 1050 * time.Millisecond, "long": 2350 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const clients, every = 24, 25 * time.Millisecond
+			r := newClosingRig(t, 100, &hookedListener{}, deferSilent, func(s *Server) { s.Grace = grace })
+			var all sync.WaitGroup
+			var stopped time.Time
+			for i := range clients {
+				if i == clients/2 {
+					r.stop()
+					stopped = time.Now()
+				}
+				if i >= clients/2 && time.Since(stopped) > grace/2 {
+					break // this machine is too busy to connect in time
+				}
+				c := r.dial()
+				all.Go(func() {
+					if i%2 == 1 {
+						c.say(ask("late", "check"))
+						c.hear(200)
+					}
+					if _, err := c.br.ReadByte(); !errors.Is(err, io.EOF) {
+						t.Errorf("client %d: %v", i, err)
+					}
+				})
+				time.Sleep(every)
+			}
+			all.Wait()
+			if err := <-r.served; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Where the system can't keep silent connections back, the log says so once for each listener, and connections come as they are.
+func TestDeferralRefused(t *testing.T) {
+	var log bytes.Buffer
+	r := newClosingRig(t, 4, &hookedListener{}, deferSilent, func(s *Server) {
+		s.Log = slog.New(slog.NewTextHandler(&log, nil))
+		s.deferSilent([]net.Listener{struct{ net.Listener }{listenerAt{}}})
+	})
+	if n := strings.Count(log.String(), "are not kept back by the system"); n != 1 {
+		t.Errorf("%d warnings: %s", n, log.String())
+	}
+	c := r.dial()
+	c.say(ask("usual", "check"))
+	c.hear(200)
+}
+
+// listenerAt is a listener that has an address and nothing else.
+type listenerAt struct{ net.Listener }
+
+func (listenerAt) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
--- a/frontend/drain.go
+++ b/frontend/drain.go
@@ -39,6 +39,7 @@
 		}
 	}
 	close(s.moving)
+	handedOver := s.endDeferral(window)
 	timer := time.NewTimer(time.Until(window))
 	<-timer.C
 	s.mu.Lock()
@@ -48,9 +49,9 @@
 	s.dismiss(false)
 	// Call-backs come on connections that are accepted here, so the listener stays open until the
 	// last job is answered.
-	s.waitUntil(end, func() bool { return s.busy == 0 })
+	s.waitUntil(end, func() bool { return s.busy == 0 && !time.Now().Before(handedOver) })
 	s.ignoreConnections(listeners)
-	s.awaitBacklog(listeners, end.Add(handlersLast))
+	s.awaitBacklog(listeners, handedOver, end.Add(handlersLast))
 	for _, ln := range listeners {
 		ln.Close()
 	}
@@ -73,11 +74,13 @@
 	}
 }
 
-// awaitBacklog returns once the listeners have no connections that wait to be accepted, and nothing is being answered, or at a time. Where
-// all slots were taken by jobs in hand those that wait have requests, which would be lost with the listener. Called under mu, which it
-// lets go of meanwhile.
-func (s *Server) awaitBacklog(listeners []net.Listener, until time.Time) {
-	waits := func() bool { return s.busy > 0 || slices.ContainsFunc(listeners, netfault.Backlogged) }
+// awaitBacklog returns once the listeners have no connections that wait to be accepted, all that were deferred have come by handedOver, and
+// nothing is being answered, or at a time. Where all slots were taken by jobs in hand those that wait have requests, which would be lost with
+// the listener. Called under mu, which it lets go of meanwhile.
+func (s *Server) awaitBacklog(listeners []net.Listener, handedOver, until time.Time) {
+	waits := func() bool {
+		return s.busy > 0 || time.Now().Before(handedOver) || slices.ContainsFunc(listeners, netfault.Backlogged)
+	}
 	for time.Now().Before(until) && waits() {
 		s.mu.Unlock()
 		time.Sleep(backlogLook)
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -32,6 +32,9 @@
 	Grace    time.Duration // from the word to stop until all answers must be out
 	Held     int           // of these slots, those that an earlier process still holds connections on; see Adopt and Released
 
+	// DeferSilent has the system keep connections back on which nothing has come yet, for a second at most; see netfault.DeferAccept.
+	DeferSilent bool
+
 	// FindSuccessor hands over to the process that stands by, at the word to stop: from then on jobs are Moved. held is how
 	// many slots are taken. Nil, or a nil Successor: there is no such process.
 	FindSuccessor func(held int) Successor
@@ -53,18 +56,20 @@
 	successor Successor     // takes all that is between messages, and jobs
 	moving    chan struct{} // closed once successor is set, or it is known that there is none
 	conns     map[*conn]struct{}
-	leaving   int           // of them, those that are evicted
-	wanted    int           // slots that are waited for
-	slots     chan struct{} // one is taken for each connection
-	busy      int           // connections with a message being read or worked on
-	callBacks int           // connections that have carried a call-back
-	quiet     *sync.Cond    // busy has become 0
-	ending    bool          // connections close once they are between messages
-	closing   bool          // and new connections that have said nothing close too
-	readBy    time.Time     // while ending: by when a message that has begun is to be whole
-	overdue   atomic.Bool   // the grace is over: what comes is answered at once
-	warned    time.Time     // when the log last told that all are busy
-
+	leaving   int            // of them, those that are evicted
+	wanted    int            // slots that are waited for
+	slots     chan struct{}  // one is taken for each connection
+	busy      int            // connections with a message being read or worked on
+	callBacks int            // connections that have carried a call-back
+	quiet     *sync.Cond     // busy has become 0
+	ending    bool           // connections close once they are between messages
+	closing   bool           // and new connections that have said nothing close too
+	deferring []net.Listener // those with connections kept back by the system
+	readBy    time.Time      // while ending: by when a message that has begun is to be whole
+	overdue   atomic.Bool    // the grace is over: what comes is answered at once
+	warned    time.Time      // when the log last told that all are busy
+
+	closedSilent   int       // connections that were closed as they were accepted, after a long silence
 	unaccepted     int       // times that a connection could not be accepted
 	toldUnaccepted time.Time // when the log last told so
 }
@@ -132,9 +137,14 @@
 
 // newConn is a connection that opens now. ahead is what was read of it before.
 func newConn(nc net.Conn, ahead []byte) *conn {
+	return newConnSince(nc, ahead, time.Now())
+}
+
+// newConnSince is a connection that has been open since a time.
+func newConnSince(nc net.Conn, ahead []byte, opened time.Time) *conn {
 	now := time.Now()
-	c := &conn{Conn: nc, opened: now, since: now}
-	c.hears()
+	c := &conn{Conn: nc, opened: opened, since: opened}
+	c.heard.Store(int64(opened.Sub(epoch)))
 	var from io.Reader = c
 	if len(ahead) > 0 {
 		from = io.MultiReader(bytes.NewReader(ahead), c)
@@ -175,6 +185,9 @@
 // bounds a server.
 func (s *Server) Serve(ctx context.Context, listeners ...net.Listener) error {
 	s.once.Do(s.prepare)
+	if s.DeferSilent {
+		s.deferSilent(listeners)
+	}
 	accepting := make(chan error, len(listeners))
 	for _, ln := range listeners {
 		go func() { accepting <- s.accept(ln) }()
@@ -221,7 +234,7 @@
 func (s *Server) accept(ln net.Listener) error {
 	for {
 		s.takeSlot()
-		nc, err := ln.Accept()
+		nc, silent, err := s.acceptOne(ln)
 		if err != nil {
 			<-s.slots
 			if errors.Is(err, net.ErrClosed) {
@@ -230,7 +243,7 @@
 			s.acceptFailed(err)
 			continue
 		}
-		c := newConn(nc, nil)
+		c := newConnSince(nc, nil, time.Now().Add(-silent))
 		if ln, ok := ln.(StompListener); ok {
 			c.stomp = &ln.Stomp
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -380,7 +380,7 @@
 	s.mu.Lock()
 	server := &frontend.Server{
 		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
-		Conns: s.cfg.connectionSlots(), Grace: s.grace(), Unfinished: s.unfinished(),
+		Conns: s.cfg.connectionSlots(), DeferSilent: true, Grace: s.grace(), Unfinished: s.unfinished(),
 	}
 	s.server = server
 	s.mu.Unlock()
