--- a/rehearse/clients/rude.go
+++ b/rehearse/clients/rude.go
@@ -48,7 +48,7 @@
 	Host       string // empty: api.internal
 	Class      string // a class and a tenant that exist, so that nothing is wrong but what is meant to be
 	Tenant     string
-	Kinds      []string      // which of RudeKinds come; empty: all
+	Kinds      []string      // which of RudeKinds and CrowdKinds come; empty: all of RudeKinds
 	Open       *OpenRequests // whose ids are stolen; nil: none are
 	Slack      time.Duration // that every limit is longer by; 0: 50 ms
 }
@@ -102,11 +102,14 @@
 	return id, ok
 }
 
-// kinds are the bad clients. Each is unfit for a worker in itself, so that a scheduler that passes one on is at fault.
-var kinds = []struct {
+// badClient is a kind of bad client.
+type badClient struct {
 	name string
 	play func(*rude, Scheduler, *rand.Rand)
-}{
+}
+
+// kinds are the bad clients. Each is unfit for a worker in itself, so that a scheduler that passes one on is at fault.
+var kinds = []badClient{
 	{"endless-head", (*rude).endlessHead},
 	{"stopped-head", (*rude).stoppedHead},
 	{"garbage", (*rude).garbage},
@@ -124,16 +127,48 @@
 	{"hidden", (*rude).hidden},
 }
 
+// crowds are bad clients that come in hundreds at once, and only where they are asked for by name.
+var crowds = []badClient{
+	{"crowd-byte", (*rude).crowdByte},
+	{"crowd-head", (*rude).crowdHead},
+	{"crowd-body", (*rude).crowdBody},
+}
+
 // RudeKinds names the bad clients, as the Note of what they see has them. The Note of one whose stolen id was not in
 // use any more when it was answered ends in -late: a scheduler may have passed that on.
-func RudeKinds() []string {
+func RudeKinds() []string { return namesOf(kinds) }
+
+// CrowdKinds names the bad clients that come only where RudeConfig.Kinds names them.
+func CrowdKinds() []string { return namesOf(crowds) }
+
+func namesOf(of []badClient) []string {
 	var out []string
-	for _, k := range kinds {
+	for _, k := range of {
 		out = append(out, k.name)
 	}
 	return out
 }
 
+// CheckKinds reports an error if a kind of bad client is unknown.
+func CheckKinds(names []string) error {
+	known := append(RudeKinds(), CrowdKinds()...)
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return fmt.Errorf("clients: no bad client is called %q; there are %s", name, strings.Join(known, ", "))
+		}
+	}
+	return nil
+}
+
+// chosen are the bad clients that come.
+func (cfg *RudeConfig) chosen() []badClient {
+	if len(cfg.Kinds) == 0 {
+		return kinds
+	}
+	named := func(k badClient) bool { return slices.Contains(cfg.Kinds, k.name) }
+	return slices.DeleteFunc(slices.Concat(kinds, crowds), func(k badClient) bool { return !named(k) })
+}
+
 // rude is one run of bad clients.
 type rude struct {
 	RudeConfig
@@ -154,10 +189,8 @@
 			return err
 		}
 	}
-	for _, name := range cfg.Kinds {
-		if !slices.Contains(RudeKinds(), name) {
-			return fmt.Errorf("clients: no bad client is called %q; there are %s", name, strings.Join(RudeKinds(), ", "))
-		}
+	if err := CheckKinds(cfg.Kinds); err != nil {
+		return err
 	}
 	if cfg.Host == "" {
 		cfg.Host = "api.internal"
@@ -167,7 +200,8 @@
 	}
 	r := &rude{RudeConfig: cfg, ctx: ctx}
 	chance := traffic.Stream(cfg.Seed, "strangers")
-	var deck []int
+	chosen := cfg.chosen()
+	var deck []badClient
 	for at := time.Duration(0); cfg.Rate > 0; {
 		at += time.Duration(chance.ExpFloat64() / cfg.Rate * float64(time.Second))
 		if at >= cfg.Length || !r.sleep(cfg.Start+at-cfg.Record.Since()) {
@@ -175,14 +209,10 @@
 		}
 		// Kinds come in shuffled rounds, so that a short run meets all of them.
 		if len(deck) == 0 {
-			for i, k := range kinds {
-				if len(cfg.Kinds) == 0 || slices.Contains(cfg.Kinds, k.name) {
-					deck = append(deck, i)
-				}
-			}
+			deck = slices.Clone(chosen)
 			chance.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
 		}
-		kind := kinds[deck[0]]
+		kind := deck[0]
 		deck = deck[1:]
 		to := cfg.Schedulers[chance.IntN(len(cfg.Schedulers))]
 		own := rand.New(rand.NewPCG(chance.Uint64(), 0))
@@ -427,6 +457,24 @@
 	r.hundreds(chance, func(*rand.Rand) { r.meet(s, "silent", "", strangerLimit, nil, nil) })
 }
 
+// crowdByte sends the first byte of a request on each connection.
+func (r *rude) crowdByte(s Scheduler, chance *rand.Rand) {
+	r.hundreds(chance, func(*rand.Rand) { r.meet(s, "crowd-byte", "", strangerLimit, say("P"), nil) })
+}
+
+// crowdHead sends half a head on each connection.
+func (r *rude) crowdHead(s Scheduler, chance *rand.Rand) {
+	r.hundreds(chance, func(own *rand.Rand) {
+		head := r.head(own)
+		r.meet(s, "crowd-head", "", strangerLimit, say(head[:len(head)/2]), nil)
+	})
+}
+
+// crowdBody sends a head without its body on each connection.
+func (r *rude) crowdBody(s Scheduler, chance *rand.Rand) {
+	r.hundreds(chance, func(own *rand.Rand) { r.meet(s, "crowd-body", "", strangerLimit, say(r.head(own)), nil) })
+}
+
 func (r *rude) pipeline(s Scheduler, chance *rand.Rand) {
 	var b strings.Builder
 	for range fewestCrowd {
--- a/rehearse/clients/rude_test.go
+++ b/rehearse/clients/rude_test.go
@@ -192,6 +192,25 @@
 	}
 }
 
+// Kinds that are asked for by name come in hundreds, and by themselves not at all.
+func TestCrowdsComeWhereTheyAreNamed(t *testing.T) {
+	t.Parallel()
+	s := newStrict(t, &strict{hang: true})
+	events := rudely(t, s, RudeConfig{Kinds: CrowdKinds(), Rate: 5, Length: time.Second, Seed: 1})
+	came := make(map[string]int)
+	for _, e := range events {
+		came[e.Note]++
+	}
+	for _, kind := range CrowdKinds() {
+		if came[kind] < fewestCrowd {
+			t.Errorf("%s came %d times", kind, came[kind])
+		}
+		if slices.Contains(RudeKinds(), kind) {
+			t.Errorf("%s comes by itself", kind)
+		}
+	}
+}
+
 // The same request again, on the same connection for as long as the scheduler leaves it open.
 func TestTurnedAwayAndBackAtOnce(t *testing.T) {
 	t.Parallel()
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -78,6 +78,11 @@
 		// In the folder in which the scheduler runs.
 		opt.Program.Args = append(slices.Clone(opt.Program.Args), "--fleet", scenario.OperatorsFile)
 	}
+	for _, step := range plan.Steps {
+		if err := clients.CheckKinds(step.Clients); err != nil {
+			return nil, err
+		}
+	}
 	arrivals, err := traffic.Draw(plan.Traffic)
 	if err != nil {
 		return nil, err
@@ -274,7 +279,7 @@
 				r.all.Go(func() {
 					r.must(clients.Rude(ctx, clients.RudeConfig{Schedulers: r.clientSide(), Record: r.rec, Rate: st.Value,
 						Seed: r.plan.Seed, Start: start + st.At, Length: r.plan.Length - st.At, Class: r.plan.Classes[0].Name,
-						Tenant: r.plan.Tenants[0].Name, Open: r.open}))
+						Tenant: r.plan.Tenants[0].Name, Kinds: st.Clients, Open: r.open}))
 				})
 			}
 			continue
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -57,9 +57,10 @@
 	Stay       time.Duration // with Drain: how long it does so at least
 
 	// With Route.
-	There, Back bool   // what fails: the way from Schedulers, the way to them
-	Bytes       int64  // connections are reset after so many; 0: they are cut, or with Down held up for so long
-	Note        string // in words
+	There, Back bool     // what fails: the way from Schedulers, the way to them
+	Bytes       int64    // connections are reset after so many; 0: they are cut, or with Down held up for so long
+	Note        string   // in words
+	Clients     []string // with Rude: the kinds of bad clients that come; empty: all that come by themselves
 
 	Disk string // with Kill: Keep it as it is, Lose it, or put it back as it was kept
 
--- a/rehearse/scenario/scenario.go
+++ b/rehearse/scenario/scenario.go
@@ -69,24 +69,25 @@
 
 // Trouble is one thing that goes wrong. Which fields count depends on its kind.
 type Trouble struct {
-	Kind   string `yaml:"kind"`
-	At     Range  `yaml:"at_s"`    // from the first arrival on
-	For    Range  `yaml:"for_s"`   // how long it lasts, or one of its parts is down
-	After  Range  `yaml:"after_s"` // instead of at_s: from the end of the trouble before it in the file
-	Part   Range  `yaml:"part"`    // of the workers
-	Count  Range  `yaml:"count"`   // of the schedulers, or how often
-	Every  Range  `yaml:"every_s"` // between one and the next
-	Times  Range  `yaml:"times"`   // of the usual rate
-	Factor Range  `yaml:"factor"`  // of the usual running time
-	Delay  Range  `yaml:"delay_s"` // of discovery's news
-	Rate   Range  `yaml:"rate"`    // of bad clients a second
-	Stay   Range  `yaml:"stay_s"`  // how long a worker drains at least; every third one for the longest time
-	Twice  Range  `yaml:"twice"`   // the share of kills after which the next process is killed within a second as well
-	Loss   Range  `yaml:"loss"`    // of packets between schedulers
-	Way    string `yaml:"way"`     // there: from the scheduler on; back: to it; empty: both ways
-	Bytes  Range  `yaml:"bytes"`   // after which a connection is reset
-	Lost   Range  `yaml:"lost"`    // the part of schedulers whose disks are gone after a blackout
-	Rolled Range  `yaml:"rolled"`  // the part whose disks are put back to what they were some seconds before it
+	Kind    string   `yaml:"kind"`
+	At      Range    `yaml:"at_s"`    // from the first arrival on
+	For     Range    `yaml:"for_s"`   // how long it lasts, or one of its parts is down
+	After   Range    `yaml:"after_s"` // instead of at_s: from the end of the trouble before it in the file
+	Part    Range    `yaml:"part"`    // of the workers
+	Count   Range    `yaml:"count"`   // of the schedulers, or how often
+	Every   Range    `yaml:"every_s"` // between one and the next
+	Times   Range    `yaml:"times"`   // of the usual rate
+	Factor  Range    `yaml:"factor"`  // of the usual running time
+	Delay   Range    `yaml:"delay_s"` // of discovery's news
+	Rate    Range    `yaml:"rate"`    // of bad clients a second
+	Clients []string `yaml:"clients"` // the kinds of bad clients that come; empty: all that come by themselves
+	Stay    Range    `yaml:"stay_s"`  // how long a worker drains at least; every third one for the longest time
+	Twice   Range    `yaml:"twice"`   // the share of kills after which the next process is killed within a second as well
+	Loss    Range    `yaml:"loss"`    // of packets between schedulers
+	Way     string   `yaml:"way"`     // there: from the scheduler on; back: to it; empty: both ways
+	Bytes   Range    `yaml:"bytes"`   // after which a connection is reset
+	Lost    Range    `yaml:"lost"`    // the part of schedulers whose disks are gone after a blackout
+	Rolled  Range    `yaml:"rolled"`  // the part whose disks are put back to what they were some seconds before it
 }
 
 // Kinds are the troubles, each with the fields that it needs and those that it may have.
@@ -110,7 +111,7 @@
 	"upgrade":     {[]string{"every_s"}, []string{"count"}},                   // a second process takes over, of one scheduler after another
 	"hand":        {[]string{"every_s", "for_s"}, []string{"part"}},           // workers are taken out, replaced and put back by hand
 	"retune":      {nil, nil},                                                 // SIGHUP with a broken file, then with other settings
-	"rude":        {[]string{"rate", "for_s"}, nil},
+	"rude":        {[]string{"rate", "for_s"}, []string{"clients"}},
 
 	// The power goes, for all or for a part of the zones, discovery with all of them; everyone comes back by himself within
 	// for_s, and discovery delay_s after all others.
@@ -387,6 +388,9 @@
 			return err
 		}
 	}
+	if len(t.Clients) > 0 && !slices.Contains(kind.May, "clients") {
+		return &strictyaml.Mistake{Path: at("clients"), What: "a trouble of kind " + t.Kind + " has no such key"}
+	}
 	switch {
 	case t.Way != "" && !slices.Contains(kind.May, "way"):
 		return &strictyaml.Mistake{Path: at("way"), What: "a trouble of kind " + t.Kind + " has no such key"}
--- a/rehearse/scenario/troubles.go
+++ b/rehearse/scenario/troubles.go
@@ -159,7 +159,7 @@
 			at := sample(c, len(p.Schedulers), t.Count.or(1, 1).Lo/float64(len(p.Schedulers)))
 			two(Step{Do: Pause, Schedulers: at, Value: 1}, Step{Do: Pause, Schedulers: at})
 		case "rude":
-			two(Step{Do: Rude, Value: t.Rate.draw(c)}, Step{Do: Rude})
+			two(Step{Do: Rude, Value: t.Rate.draw(c), Clients: t.Clients}, Step{Do: Rude})
 		}
 		end = to
 		p.Shades = append(p.Shades, Shade{t.Kind, at, to})
