frontend, metrics: operators see how old requests are when they are read

Change: request_age (timer: the first request of a connection, from the arrival of its last byte at the machine to its reading) and closed_unread (counter) in the figures, and one line a second in the log while connections are closed unread, with p50, p99 and the most of these ages.

--- /dev/null
+++ b/frontend/accepting_test.go
@@ -0,0 +1,70 @@
+package frontend
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// acceptCounts counts what an AcceptObserver is told.
+type acceptCounts struct {
+	mu     sync.Mutex
+	ages   []time.Duration
+	unread int
+}
+
+func (a *acceptCounts) FirstRequest(age time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ages = append(a.ages, age)
+}
+
+func (a *acceptCounts) ClosedUnread() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unread++
+}
+
+// Operators see how old requests are when they are read, once for each connection, and how many connections are closed unread.
+func TestOperatorsSeeACrowd(t *testing.T) {
+	const waited, crowd = 50 * time.Millisecond, 10
+	var log bytes.Buffer
+	var counts acceptCounts
+	r := newBusyRig(t, 4, 2, &hookedListener{}, func(s *Server) {
+		s.Log, s.Accepts = slog.New(slog.NewTextHandler(&log, nil)), &counts
+	})
+	r.server.mu.Lock() // accept stands still
+	c := r.dial()
+	c.say(ask("waits", "check"))
+	time.Sleep(waited)
+	r.server.mu.Unlock()
+	c.hear(200)
+	c.say(ask("next", "check"))
+	c.hear(200)
+	for range crowd {
+		r.dial()
+	}
+	last := r.dial()
+	last.say(ask("last", "check"))
+	last.hear(200)
+	counts.mu.Lock()
+	defer counts.mu.Unlock()
+	if n := len(counts.ages); n != 4 { // the two jobs that are held, and two of three here
+		t.Errorf("%d requests", n)
+	}
+	// What the system counts in ticks may be too short by one.
+	if age := counts.ages[2]; age < waited-20*time.Millisecond {
+		t.Errorf("%v for a request that waited for %v", age, waited)
+	}
+	if counts.unread < crowd-4 {
+		t.Errorf("%d of %d were closed unread", counts.unread, crowd)
+	}
+	r.server.crowd.mu.Lock()
+	defer r.server.crowd.mu.Unlock()
+	if text := log.String(); strings.Count(text, "connections are closed unread") != 1 || !strings.Contains(text, "age_max=") {
+		t.Errorf("the log has %s", text)
+	}
+}
--- a/frontend/deferral.go
+++ b/frontend/deferral.go
@@ -66,9 +66,7 @@
 			return nc, silent, nil
 		}
 		nc.Close()
-		s.mu.Lock()
-		s.closedSilent++
-		s.mu.Unlock()
+		s.crowd.closedUnread()
 	}
 }
 
--- a/frontend/http.go
+++ b/frontend/http.go
@@ -65,6 +65,9 @@
 		return false // it was never whole, so nothing was taken
 	}
 	c.arrived = c.arrivals.taken(c.br.Buffered()+len(c.ahead), time.Now())
+	if c.told == 0 {
+		s.crowd.firstRequest(time.Since(c.arrived))
+	}
 	c.owed.Store(true)
 	s.enter(c, working)
 	a, ok := s.route(c, head, body)
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -32,6 +32,8 @@
 	Grace    time.Duration // from the word to stop until all answers must be out
 	Held     int           // of these slots, those that an earlier process still holds connections on; see Adopt and Released
 
+	Accepts AcceptObserver // is told how connections fare before their first request is read; nil: nobody is
+
 	// DeferSilent has the system keep connections back on which nothing has come yet, for a second at most; see netfault.DeferAccept.
 	DeferSilent bool
 
@@ -69,7 +71,7 @@
 	overdue   atomic.Bool    // the grace is over: what comes is answered at once
 	warned    time.Time      // when the log last told that all are busy
 
-	closedSilent   int       // connections that were closed as they were accepted, after a long silence
+	crowd          crowdLog
 	unaccepted     int       // times that a connection could not be accepted
 	toldUnaccepted time.Time // when the log last told so
 }
@@ -220,6 +222,7 @@
 }
 
 func (s *Server) prepare() {
+	s.crowd.log, s.crowd.observer = s.Log, s.Accepts
 	s.conns = make(map[*conn]struct{})
 	s.slots = make(chan struct{}, max(1, s.Conns))
 	s.quiet = sync.NewCond(&s.mu)
@@ -354,6 +357,7 @@
 		s.enter(c, idle)
 	}
 	if s.pass(c); !c.broken {
+		s.noteUnread(c)
 		s.Log.Debug("connection closed between messages", "from", c.RemoteAddr(), "messages", c.told, "why", s.whyClosed(c))
 		s.partResting(c)
 		return
@@ -361,6 +365,16 @@
 	s.Log.Debug("connection ended by the client, or broken", "from", c.RemoteAddr(), "messages", c.told)
 }
 
+// noteUnread notes a connection that closes for others before anything has come on it.
+func (s *Server) noteUnread(c *conn) {
+	s.mu.Lock()
+	unread := c.evicted && c.told == 0
+	s.mu.Unlock()
+	if unread {
+		s.crowd.closedUnread()
+	}
+}
+
 // whyClosed is the reason for which a connection between messages is closed here, in words.
 func (s *Server) whyClosed(c *conn) string {
 	s.mu.Lock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -38,7 +38,9 @@
 	configurationVersion        = returnTook + figure(recovery.Service)
 	configurationRefused        = configurationVersion + 1
 	configurationCurrent        = configurationRefused + 1
-	figureEnd                   = configurationCurrent + 1
+	requestAge                  = configurationCurrent + 1
+	closedUnread                = requestAge + 1
+	figureEnd                   = closedUnread + 1
 )
 
 var names = [figureEnd]string{
@@ -65,6 +67,7 @@
 	returnStep:           "return_step",
 	configurationVersion: "configuration_version", configurationRefused: "configuration_refused",
 	configurationCurrent: "configuration_current_ms",
+	requestAge:           "request_age", closedUnread: "closed_unread",
 
 	returnTook + figure(recovery.Read):   "return_read",
 	returnTook + figure(recovery.Find):   "return_find",
@@ -175,6 +178,20 @@
 	e.time(series{class: -1, tenant: -1}, returnTook+figure(step-1), took)
 }
 
+// FirstRequest implements frontend.AcceptObserver.
+func (e *Emitter) FirstRequest(age time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.time(series{class: -1, tenant: -1}, requestAge, age)
+}
+
+// ClosedUnread implements frontend.AcceptObserver.
+func (e *Emitter) ClosedUnread() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.count(series{class: -1, tenant: -1}, closedUnread)
+}
+
 // Start begins to write, until Close.
 func (e *Emitter) Start() { go e.run() }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -37,6 +37,20 @@
 	e.Close()
 }
 
+// What the listeners for clients tell has no tags: its connections have said nothing yet.
+func TestAcceptedConnections(t *testing.T) {
+	var out strings.Builder
+	e := emitter(statsd, &out)
+	e.FirstRequest(12 * time.Millisecond)
+	e.ClosedUnread()
+	e.ClosedUnread()
+	ended(e)
+	want := "laddertide.closed_unread:2|c\nladdertide.request_age:12|ms"
+	if got := strings.TrimSpace(out.String()); got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
 // A flush adds counters up, gives every timer's sample, and tells gauges as they are. A refusal without a send
 // has no server; tenants that the settings do not name share one tag.
 func TestStatsd(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -382,6 +382,9 @@
 		Settings: s.cfg.Settings, Jobs: jobs, CallBack: s.pool.CallBack, Stopping: stopping, Log: s.log,
 		Conns: s.cfg.connectionSlots(), DeferSilent: true, Grace: s.grace(), Unfinished: s.unfinished(),
 	}
+	if s.metrics != nil {
+		server.Accepts = s.metrics
+	}
 	s.server = server
 	s.mu.Unlock()
 	ctx, returned := s.comeBack(ctx, watching, server)
