handover: processes that say nothing keep no next one from standing by

Operators saw, of an upgrade behind a process that hung as it began to stand by: `WARN no hand-over: this process listens for itself`, so two processes with the port open and a break for what the older one had.

Cause: the place of the hand-over greeted one process after the other. One that connected and said nothing kept all others waiting for 2 s, which is as long as the next one waits for its answer; and one that had said who it is and then nothing kept them waiting for the 0.6 s in which it may say that it knows the bans.

The first words are read side by side, of 4 processes at most, and one more takes the place of the oldest. Answers still go out one after the other, and the word of the bans to who stands by is no part of them: whoever asks meanwhile is told at once to ask again.

--- a/handover/handover.go
+++ b/handover/handover.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -314,8 +315,17 @@
 	return nil, nil, nil, err
 }
 
+// MaxGreeted is how many processes may have connected to a Place and not have their answer yet.
+const MaxGreeted = 4
+
 // Place is where a process that serves is found by its successor.
-type Place struct{ ln *net.UnixListener }
+type Place struct {
+	ln        *net.UnixListener
+	answering sync.Mutex // held while a process is answered
+
+	mu      sync.Mutex
+	greeted []*Peer // those that have no answer yet, oldest first; at most MaxGreeted
+}
 
 // Listen takes the place of whatever process was found there before, in one go: at no time is nobody found.
 func Listen(dir string) (*Place, error) {
@@ -340,14 +350,14 @@
 		ln.Close()
 		return nil, err
 	}
-	return &Place{ln}, nil
+	return &Place{ln: ln}, nil
 }
 
 // Close ends Serve. The file stays; nobody answers there.
 func (p *Place) Close() { p.ln.Close() }
 
 // Serve lets welcome have each process that says its first word, one after the other. welcome says what it is answered:
-// a Welcome, with the socket of door, or a Refusal; admitted is told of the former once the answer is out.
+// a Welcome, with the socket of door, or a Refusal; admitted is told of the former once the answer is out. Processes that say nothing keep nobody waiting: beyond MaxGreeted the oldest is let go.
 func (p *Place) Serve(door syscall.Conn, welcome func(*wire.Hello) wire.Message, admitted func(*Peer)) {
 	for {
 		c, err := p.ln.AcceptUnix()
@@ -355,28 +365,65 @@
 			return
 		}
 		peer := newPeer(c)
-		r, err := peer.first()
-		if r.File != nil {
-			r.File.Close()
-		}
-		hello, ok := r.Message.(*wire.Hello)
-		if err != nil || !ok {
-			peer.Close()
-			continue
-		}
-		var answer wire.Message = &wire.Refusal{Version: wire.Version, Why: fmt.Sprintf("this process speaks version %d, not %d",
-			wire.Version, hello.Version)}
-		if hello.Version == wire.Version {
-			answer = welcome(hello)
-		}
-		if _, ok := answer.(*wire.Welcome); ok {
-			if peer.Send(answer, door) == nil {
-				admitted(peer)
-				continue
+		p.enter(peer)
+		go func() {
+			defer p.leave(peer)
+			if hello := peer.hello(); hello == nil || !p.answer(peer, hello, door, welcome, admitted) {
+				peer.Close()
 			}
-		} else {
-			peer.Send(answer, nil)
-		}
-		peer.Close()
+		}()
+	}
+}
+
+// enter notes a process that has no answer yet, and lets go of the oldest if there are too many.
+func (p *Place) enter(peer *Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.greeted = append(p.greeted, peer)
+	if len(p.greeted) > MaxGreeted {
+		p.greeted[0].Close() // whoever is to follow says its first word as soon as it has connected
+		p.greeted = slices.Delete(p.greeted, 0, 1)
+	}
+}
+
+// leave notes that a process has its answer, or will have none.
+func (p *Place) leave(peer *Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.greeted, peer); i >= 0 {
+		p.greeted = slices.Delete(p.greeted, i, i+1)
+	}
+}
+
+// hello reads the first word of a process that has connected; nil: it does not say who it is.
+func (p *Peer) hello() *wire.Hello {
+	r, err := p.first()
+	if r.File != nil {
+		r.File.Close()
+	}
+	if hello, ok := r.Message.(*wire.Hello); ok && err == nil {
+		return hello
+	}
+	return nil
+}
+
+// answer answers a process's first word, and tells whether it is admitted.
+func (p *Place) answer(peer *Peer, hello *wire.Hello, door syscall.Conn, welcome func(*wire.Hello) wire.Message, admitted func(*Peer)) bool {
+	p.answering.Lock()
+	defer p.answering.Unlock()
+	var answer wire.Message = &wire.Refusal{Version: wire.Version, Why: fmt.Sprintf("this process speaks version %d, not %d",
+		wire.Version, hello.Version)}
+	if hello.Version == wire.Version {
+		answer = welcome(hello)
+	}
+	if _, ok := answer.(*wire.Welcome); !ok {
+		peer.Send(answer, nil)
+		return false
+	}
+	if peer.Send(answer, door) != nil {
+		return false
 	}
+	p.leave(peer)
+	admitted(peer)
+	return true
 }
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -11,6 +11,7 @@
 
 	"laddertide/directory"
 	"laddertide/frontend"
+	"laddertide/handover"
 	"laddertide/internal/wire"
 	"laddertide/policy"
 	"laddertide/wire/http1"
@@ -64,7 +65,7 @@
 		n += 1 + c.callers()
 	}
 	if c.handsOver() {
-		n += 2 + standbyDescriptors + 1 + c.callers() // the place and the other process; and all that this one has
+		n += 2 + handover.MaxGreeted + standbyDescriptors + 1 + c.callers() // the place and the other process, who asks; and all that this one has
 	}
 	return n
 }
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -262,7 +262,7 @@
 		}
 		s.mu.Unlock()
 	}()
-	s.tellSuccessor(peer, roster) // what has changed since the welcome
+	go s.tellSuccessor(peer, roster) // what has changed since the welcome; who asks next does not wait for its yes
 }
 
 // tellSuccessor tells who stands by of the bans. One that does not answer must not take over with an older list.
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -378,3 +378,34 @@
 		})
 	}
 }
+
+// TestSilentSuccessorsKeepNobodyOut: processes that say who they are, and nothing more, do not keep the next one from standing by
+// within the time that it tries.
+func TestSilentSuccessorsKeepNobodyOut(t *testing.T) {
+	r := newUpgradeRig(t, io.Discard)
+	hello := wire.Append([]byte{0}, &wire.Hello{Version: wire.Version, Name: r.cfg.Name, Listen: r.cfg.Listen})
+	at := &net.UnixAddr{Name: filepath.Join(r.cfg.Dir, "laddertide.handover"), Net: "unixpacket"}
+	for range testrig.SilentConns {
+		c, err := net.DialUnix("unixpacket", nil, at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.Write(hello)
+	}
+	began := time.Now()
+	for {
+		peer, _, file, err := handover.Join(r.cfg.Dir, wire.Hello{Name: r.cfg.Name, Listen: r.cfg.Listen})
+		if err == nil {
+			file.Close()
+			peer.Close()
+			break
+		}
+		var refused *handover.Refused
+		if !errors.As(err, &refused) || !refused.Later || time.Since(began) > joinLimit {
+			t.Fatalf("behind %d silent processes the next one is not let in: %v after %s", testrig.SilentConns, err, time.Since(began))
+		}
+		time.Sleep(joinRetry)
+	}
+	t.Logf("let in after %s", time.Since(began))
+}
