configuration/source: silent connections take no member's, follower's or tool's

Whoever connected to a source behind a crowd of silent connections was closed on at once: a tool said `the source does not answer, or has another key`, a scheduler went to another source, and a member whose connection had to be made anew could not tell the others anything until the crowd's time was over (3 s without a byte, up to three heartbeats more within a message).

Cause: beyond the connections of all kinds (294 with three members and the defaults) the newest was refused, whoever the others were.

TestSilentConnectionsKeepNobodyOut: 300 connections that say nothing, a byte or half of their first message, then a member, a follower and a tool.

A new connection takes the place of the one that has been there longest without saying who it is. There are always 16 such places at least, as each kind has a bound of its own below the sum, and who has something to say says it at once.

--- a/configuration/source/accept.go
+++ b/configuration/source/accept.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"laddertide/configuration/stream"
@@ -31,7 +32,7 @@
 		}
 		s.serving.Go(func() {
 			defer s.close(conn)
-			err := s.serve(ctx, stream.New(conn, s.seals, s.writeLimit()))
+			err := s.serve(ctx, conn)
 			if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 				s.log.Warn("a connection was ended", "from", conn.RemoteAddr(), "err", err)
 			}
@@ -42,22 +43,51 @@
 // maxMembers is how many connections of members there may be: one of each, and its next one.
 func (s *Source) maxMembers() int { return 2 * len(s.cfg.Members) }
 
-// open notes a connection, if there is room for one more of any kind.
+// open notes a connection. Where there are as many as there may be of all kinds, it takes the place of the one that has been there
+// longest without saying who it is, of which there are maxTools at least: what is to be said is said at once.
 func (s *Source) open(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= s.cfg.MaxFollowers+2*maxTools+s.maxMembers() {
+	if s.closed {
 		return false
 	}
+	if len(s.conns) >= s.cfg.MaxFollowers+2*maxTools+s.maxMembers() {
+		if len(s.unheard) == 0 {
+			return false
+		}
+		s.evict(s.unheard[0])
+	}
 	s.conns[conn] = true
+	s.unheard = append(s.unheard, conn)
 	return true
 }
 
-func (s *Source) close(conn net.Conn) {
+// evict closes a connection and forgets it. Called under mu.
+func (s *Source) evict(conn net.Conn) {
 	conn.Close()
-	s.mu.Lock()
 	delete(s.conns, conn)
-	s.mu.Unlock()
+	s.unheard = without(s.unheard, conn)
+}
+
+// without is a list without a connection, which may not be in it.
+func without(all []net.Conn, conn net.Conn) []net.Conn {
+	if i := slices.Index(all, conn); i >= 0 {
+		return slices.Delete(all, i, i+1)
+	}
+	return all
+}
+
+// heard notes that a connection has said who it is.
+func (s *Source) heard(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unheard = without(s.unheard, conn)
+}
+
+func (s *Source) close(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evict(conn)
 }
 
 // enter counts a connection in a role, if there is room; leave counts it out.
@@ -79,7 +109,8 @@
 }
 
 // serve hears who has made a connection, and serves it.
-func (s *Source) serve(ctx context.Context, c *stream.Conn) error {
+func (s *Source) serve(ctx context.Context, conn net.Conn) error {
+	c := stream.New(conn, s.seals, s.writeLimit())
 	m, err := c.Read(helloWait, wire.MaxSmall)
 	if err != nil {
 		return err
@@ -88,6 +119,7 @@
 	if !is {
 		return fmt.Errorf("configuration: a connection begins with %T", m)
 	}
+	s.heard(conn)
 	if why := s.foreign(hello); why != "" {
 		c.Write(&wire.Rejected{Code: wire.Foreign, Text: why})
 		return errors.New("configuration: " + why)
--- /dev/null
+++ b/configuration/source/silent_test.go
@@ -0,0 +1,57 @@
+package source
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"laddertide/configuration/client"
+	"laddertide/configuration/stream"
+	"laddertide/internal/testrig"
+	wire "laddertide/wire/configuration"
+)
+
+// introduced makes a connection in a role and returns the source's answer, which must come before three heartbeats are over: then
+// whoever waits for it goes elsewhere.
+func (c *cluster) introduced(hello *wire.Hello) (wire.Message, error) {
+	c.t.Helper()
+	conn, err := net.Dial("tcp", c.addresses["a"])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { conn.Close() })
+	hello.Cluster = "test"
+	s := stream.New(conn, nil, patience)
+	if err := s.Write(hello); err != nil {
+		return nil, err
+	}
+	return s.Read(silentBeats*DefaultHeartbeat, wire.MaxSmall)
+}
+
+// TestSilentConnectionsKeepNobodyOut: a crowd that says nothing takes no connection from a member, a follower or a tool.
+func TestSilentConnectionsKeepNobodyOut(t *testing.T) {
+	c := newCluster(t, 3, func(c *cluster) { c.heartbeat = DefaultHeartbeat })
+	c.change("a", 0, "one")
+	hello := wire.Append(&wire.Hello{Role: wire.RoleFollower, Cluster: "test", Name: "s1", Start: 1})
+	testrig.Silent(t, "tcp", c.addresses["a"], append(binary.BigEndian.AppendUint32(nil, uint32(len(hello))), hello...))
+	for _, hello := range []*wire.Hello{{Role: wire.RoleMember, Name: "b"}, {Role: wire.RoleFollower, Name: "s1", Start: 1}} {
+		began := time.Now()
+		m, err := c.introduced(hello)
+		if _, welcome := m.(*wire.Welcome); !welcome {
+			t.Errorf("%s behind %d silent connections: %+v, %v after %s", hello.Name, testrig.SilentConns, m, err, time.Since(began))
+		}
+		t.Logf("%s is served after %s", hello.Name, time.Since(began))
+	}
+	began := time.Now()
+	tool, err := client.Dial(context.Background(), client.Options{Address: c.addresses["a"], Cluster: "test"})
+	if err != nil {
+		t.Fatalf("a tool behind %d silent connections: %v after %s", testrig.SilentConns, err, time.Since(began))
+	}
+	defer tool.Close()
+	if _, err := tool.Newest(); err != nil {
+		t.Error(err)
+	}
+	t.Logf("a tool is served after %s", time.Since(began))
+}
--- a/configuration/source/source.go
+++ b/configuration/source/source.go
@@ -100,6 +100,7 @@
 	queue   []func()
 	bytes   int // of messages in it
 	conns   map[net.Conn]bool
+	unheard []net.Conn // those of conns that have not said who they are, oldest first
 	counts  map[wire.Role]int
 	closed  bool
 	serving sync.WaitGroup
