replica: connections that begin and say nothing take no member's of a group

A scheduler could not be told anything by a member of its groups that made its connection anew, for as long as 32 connections to the peers' port had begun as those of members and said nothing more: 16 s with D = 250 ms. A leader that is not heard is given up, and durable jobs get 503 or `502` where that takes the majority.

Cause: beyond 32 connections the newest was refused, and one of which no frame has come may be silent for 16 times the limit of a frame.

TestSilentStreamsKeepNoGroupOut: 300 connections to the port that say nothing, the first byte, or that and half of a frame's length, then one of a member, which sends one frame.

A new connection takes the place of the oldest of which no whole frame has come, for whoever makes one has a frame to send.

--- /dev/null
+++ b/peers/silent_test.go
@@ -0,0 +1,91 @@
+package peers
+
+import (
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"laddertide/internal/testrig"
+	"laddertide/replica"
+	"laddertide/wire/groups"
+)
+
+// silentTiming is of a fleet whose settings give a connection a quarter of a second.
+var silentTiming = TimingOf(250 * time.Millisecond)
+
+// TestSilentConnectionsKeepNobodyOut: an exchange behind a crowd that says nothing is heard within the time that an exchange has.
+func TestSilentConnectionsKeepNobodyOut(t *testing.T) {
+	for name, marked := range map[string]func(net.Conn){"without groups": nil, "with groups": func(c net.Conn) { c.Close() }} {
+		t.Run(name, func(t *testing.T) {
+			s, err := listen("127.0.0.1:0", silentTiming, marked)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Shutdown()
+			heard := make(chan struct{})
+			go exchanges(s, "whole", heard)
+			testrig.Silent(t, "tcp", s.tcp.Addr().String(), []byte("whole"))
+			began := time.Now()
+			c, err := net.Dial("tcp", s.tcp.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, "whole")
+			select {
+			case <-heard:
+				t.Logf("heard after %s", time.Since(began))
+			case <-time.After(silentTiming.Stream):
+				t.Errorf("an exchange behind %d silent connections is not heard in %s", testrig.SilentConns, silentTiming.Stream)
+			}
+		})
+	}
+}
+
+// exchanges reads connections side by side, as the membership does, and closes heard at the first that says all of a text.
+func exchanges(s *sockets, text string, heard chan struct{}) {
+	for {
+		select {
+		case c := <-s.StreamCh():
+			go func() {
+				defer c.Close()
+				if _, err := io.ReadFull(c, make([]byte, len(text))); err == nil {
+					close(heard)
+				}
+			}()
+		case <-s.closing:
+			return
+		}
+	}
+}
+
+// TestSilentStreamsKeepNoGroupOut: a frame of a member of a group is heard behind a crowd of connections that begin as those of members
+// and say nothing more. It goes out once: one that is lost is said again a tick later, and must be heard before its leader is given up.
+func TestSilentStreamsKeepNoGroupOut(t *testing.T) {
+	const most = 32
+	heard := make(chan string, 1)
+	in := &replica.Streams{Limit: 4 * silentTiming.Answer, Log: slog.New(slog.DiscardHandler), Most: most,
+		Hear: func(f *groups.Frame) { heard <- f.From }}
+	s, err := listen("127.0.0.1:0", silentTiming, in.Serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	defer s.Shutdown()
+	address := s.tcp.Addr().String()
+	testrig.Silent(t, "tcp", address, binary.BigEndian.AppendUint32([]byte{groups.FirstByte}, 1000))
+	began := time.Now()
+	out := &replica.Streams{Limit: 4 * silentTiming.Answer, Log: slog.New(slog.DiscardHandler),
+		Dial: func(string) (net.Conn, error) { return net.Dial("tcp", address) }}
+	defer out.Close()
+	out.Send("b", &groups.Frame{From: "a"})
+	select {
+	case <-heard:
+		t.Logf("heard after %s", time.Since(began))
+	case <-time.After(in.Limit):
+		t.Errorf("a frame behind %d silent connections is not heard in %s", testrig.SilentConns, in.Limit)
+	}
+}
--- a/replica/streams.go
+++ b/replica/streams.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 	Label string   // of the installation: what is sealed for another one does not open here
 	Limit time.Duration
 	Log   *slog.Logger
-	Most  int // connections that others may have open
+	Most  int // connections that others may have open; one more takes the place of the oldest of which nothing was heard
 
 	once  sync.Once
 	seals []cipher.AEAD
@@ -35,6 +36,7 @@
 	mu     sync.Mutex
 	out    map[string]*stream
 	in     map[net.Conn]bool
+	mute   []net.Conn // those of in from which no whole frame has come, oldest first
 	closed bool
 	all    sync.WaitGroup
 }
@@ -174,19 +176,14 @@
 		c.Close()
 		return
 	}
-	s.mu.Lock()
-	if s.closed || len(s.in) >= s.Most {
-		s.mu.Unlock()
+	if !s.enter(c) {
 		c.Close()
 		return
 	}
-	s.in[c] = true
-	s.mu.Unlock()
 	s.all.Go(func() {
 		err := s.read(c)
-		c.Close()
 		s.mu.Lock()
-		delete(s.in, c)
+		s.drop(c)
 		s.mu.Unlock()
 		if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 			s.Log.Debug("a connection between groups has ended", "from", c.RemoteAddr(), "err", err)
@@ -194,10 +191,43 @@
 	})
 }
 
+// enter notes a connection. Where there are as many as there may be, it takes the place of the oldest mute one: whoever makes one has
+// a frame to send at once.
+func (s *Streams) enter(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if len(s.in) >= s.Most {
+		if len(s.mute) == 0 {
+			return false
+		}
+		s.drop(s.mute[0])
+	}
+	s.in[c] = true
+	s.mute = append(s.mute, c)
+	return true
+}
+
+// drop closes a connection and forgets it. Called under mu.
+func (s *Streams) drop(c net.Conn) {
+	c.Close()
+	delete(s.in, c)
+	s.unmute(c)
+}
+
+// unmute notes that a frame has come on a connection. Called under mu.
+func (s *Streams) unmute(c net.Conn) {
+	if i := slices.Index(s.mute, c); i >= 0 {
+		s.mute = slices.Delete(s.mute, i, i+1)
+	}
+}
+
 func (s *Streams) read(c net.Conn) error {
 	br := bufio.NewReaderSize(c, 32<<10)
 	var head [headBytes]byte
-	for {
+	for first := true; ; first = false {
 		// A leader is heard of several times in that; one with nothing to say makes its connection anew.
 		c.SetReadDeadline(time.Now().Add(16 * s.Limit))
 		if _, err := io.ReadFull(br, head[:]); err != nil {
@@ -224,6 +254,11 @@
 		if err != nil {
 			return err
 		}
+		if first {
+			s.mu.Lock()
+			s.unmute(c)
+			s.mu.Unlock()
+		}
 		s.Hear(&f)
 	}
 }
