peers: the end of a process does not wait for silent connections

A scheduler with `replicated` that had answered everything went on for up to 2 s where anybody had connected to its port for the other schedulers and said nothing. The platform gives such a process no more than a moment, so it was killed before its state was closed.

Cause: with groups the first byte of a connection tells whom it is for, and the end of the sockets waited for those who wait for that byte, each for as long as an exchange may take.

TestSilentConnectionsDoNotHoldUpTheEnd: 300 connections of which a third says nothing, then the end, where an exchange may take an hour, so that whatever waits for it never ends.

The end closes these connections. Without groups nobody waits so, and exchanges under way go on to their end as before.

--- a/peers/silent_test.go
+++ b/peers/silent_test.go
@@ -13,6 +13,9 @@
 	"laddertide/wire/groups"
 )
 
+// patience is how long a test waits for what must happen; a busy machine takes its time.
+const patience = 20 * time.Second
+
 // silentTiming is of a fleet whose settings give a connection a quarter of a second.
 var silentTiming = TimingOf(250 * time.Millisecond)
 
@@ -89,3 +92,26 @@
 		t.Errorf("a frame behind %d silent connections is not heard in %s", testrig.SilentConns, in.Limit)
 	}
 }
+
+// TestSilentConnectionsDoNotHoldUpTheEnd: a process ends without waiting for the first byte of those who say nothing.
+func TestSilentConnectionsDoNotHoldUpTheEnd(t *testing.T) {
+	timing := silentTiming
+	timing.Stream = time.Hour // what waits for an exchange's time never ends
+	s, err := listen("127.0.0.1:0", timing, func(c net.Conn) { c.Close() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	testrig.Silent(t, "tcp", s.tcp.Addr().String(), []byte{groups.FirstByte, 0})
+	began := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		s.Shutdown()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		t.Logf("ended after %s", time.Since(began))
+	case <-time.After(patience):
+		t.Fatalf("behind %d silent connections it has not ended after %s", testrig.SilentConns, patience)
+	}
+}
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -132,6 +132,7 @@
 		}
 		if s.marked != nil {
 			s.all.Go(func() { s.sort(b) })
+			s.endUnsorted() // it may have come after Shutdown looked
 			continue
 		}
 		select {
@@ -162,6 +163,21 @@
 	}
 }
 
+// endUnsorted closes connections whose first byte sort may be waiting for, if the sockets are being closed: Shutdown waits for it.
+func (s *sockets) endUnsorted() {
+	select {
+	case <-s.closing:
+	default:
+		return
+	}
+	s.mu.Lock()
+	open := slices.Clone(s.open)
+	s.mu.Unlock()
+	for _, b := range open {
+		b.Close()
+	}
+}
+
 // free gives the connection without its bounds: whoever has it sets deadlines of its own, and counts it.
 func (b *bound) free() net.Conn {
 	b.once.Do(func() {
@@ -323,6 +339,9 @@
 	s.once.Do(func() { close(s.closing) })
 	s.tcp.Close()
 	s.udp.Close()
+	if s.marked != nil {
+		s.endUnsorted()
+	}
 	s.all.Wait()
 	return nil
 }
