admin: a call is not closed on unread while others have their answers

An operator's call was reset or closed before it was read: beside three calls that took their time (a ban that a silent peer does not confirm takes 0.7 s), and behind callers that had their answers and did not go. Those kept their places for 0.2 s each.

Cause: who was to lose its place was chosen before anybody came for it, so with 4 places the fourth connection was closed on as soon as it was accepted, if it was the only one whose call was not whole. And one that has its answer was not among those that may be.

A connection is accepted first. If there is no place for it, the one that has been quiet for longest goes: its call is not whole, or it has its answer, and nothing of it waits to be read. If all are being answered it waits for a place. It is one descriptor more.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/url"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -36,8 +37,9 @@
 	Places          int                               // connections that may be open at once
 	Log             *slog.Logger
 
-	mu      sync.Mutex
-	waiting []net.Conn // those whose call is not whole yet, oldest first
+	mu    sync.Mutex
+	open  map[net.Conn]bool // those that have a place
+	quiet []net.Conn        // those of open whose call is not whole yet, or is answered; the longest so first
 }
 
 const (
@@ -46,64 +48,99 @@
 	partLimit   = 200 * time.Millisecond  // for a caller to take the answer before the connection closes
 	partBytes   = http1.MaxHead + http1.MaxBody
 	retryAccept = 10 * time.Millisecond
+	retryPlace  = 2 * time.Millisecond // while all places are taken by calls that are being answered
 )
 
+// Descriptors is how many there are with so many places: the listener's, and that of a connection that waits for its place.
+func Descriptors(places int) int { return 2 + places }
+
 // Serve answers until ln is closed.
 func (s *Server) Serve(ln net.Listener) {
-	room := make(chan struct{}, s.Places)
 	for {
-		select {
-		case room <- struct{}{}:
-		default:
-			// A call is a matter of milliseconds; who has been there longest without one keeps others waiting.
-			s.dropOldest()
-			room <- struct{}{}
-		}
 		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			<-room
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
 			s.Log.Error("cannot accept an operator's call", "err", err)
 			time.Sleep(retryAccept)
 			continue
 		}
-		s.mu.Lock()
-		s.waiting = append(s.waiting, c)
-		s.mu.Unlock()
-		go func() {
-			defer func() {
-				if r := recover(); r != nil {
-					s.Log.Error("panic in an operator's call", "panic", r, "stack", string(debug.Stack()))
-				}
-				s.whole(c)
-				c.Close()
-				<-room
-			}()
-			s.call(c)
-		}()
+		for !s.enter(c) {
+			time.Sleep(retryPlace)
+		}
+		go s.serve(c)
 	}
 }
 
-func (s *Server) dropOldest() {
+// serve answers the call of a connection that has a place.
+func (s *Server) serve(c net.Conn) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.Log.Error("panic in an operator's call", "panic", r, "stack", string(debug.Stack()))
+		}
+		s.leave(c)
+	}()
+	s.call(c)
+}
+
+// enter gives a connection a place, if there is one. A call is a matter of milliseconds: who has been there longest without one, or
+// with its answer, keeps others waiting, and loses its place.
+func (s *Server) enter(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.waiting) > 0 {
-		s.waiting[0].Close()
-		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
+	if len(s.open) >= s.Places && !s.evict() {
+		return false
+	}
+	if s.open == nil {
+		s.open = make(map[net.Conn]bool)
+	}
+	s.open[c] = true
+	s.quiet = append(s.quiet, c)
+	return true
+}
+
+// evict closes the connection that has been quiet for longest, if there is one of which nothing is still to be read. Called under mu.
+func (s *Server) evict() bool {
+	for _, c := range s.quiet {
+		if unread, _ := netfault.Waiting(c); !unread {
+			s.drop(c)
+			return true
+		}
+	}
+	return false
+}
+
+// drop closes a connection and gives up its place. Called under mu.
+func (s *Server) drop(c net.Conn) {
+	c.Close()
+	delete(s.open, c)
+	if i := slices.Index(s.quiet, c); i >= 0 {
+		s.quiet = slices.Delete(s.quiet, i, i+1)
 	}
 }
 
+func (s *Server) leave(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(c)
+}
+
 // whole notes that a connection's call is there, or never will be.
 func (s *Server) whole(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, x := range s.waiting {
-		if x == c {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(s.quiet, c); i >= 0 {
+		s.quiet = slices.Delete(s.quiet, i, i+1)
+	}
+}
+
+// answered notes that nothing is to be done for a connection any more but to wait for its caller to go.
+func (s *Server) answered(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[c] {
+		s.quiet = append(s.quiet, c)
 	}
 }
 
@@ -134,6 +171,7 @@
 	}
 	// To close with bytes unread would reset the connection, and that can overtake the answer.
 	if half, ok := c.(*net.TCPConn); ok && half.CloseWrite() == nil {
+		s.answered(c)
 		c.SetReadDeadline(time.Now().Add(partLimit))
 		for left := partBytes; left > 0; {
 			n, err := br.Discard(min(left, br.Size()))
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"laddertide/internal/testrig"
 	"laddertide/wire/http1"
 )
 
@@ -141,3 +142,67 @@
 		t.Fatalf("%+v, %v", h, err)
 	}
 }
+
+// answerWithin is how long a call waits for its answer at most, as the operators' page says.
+const answerWithin = time.Second
+
+// TestCrowdsKeepNoCallWaiting: behind a crowd that says nothing, or a part of a call, and behind one that has its answers and stays, a
+// call is answered in its time.
+func TestCrowdsKeepNoCallWaiting(t *testing.T) {
+	const ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	for name, crowd := range map[string]func(address string){
+		"silent": func(address string) { testrig.Silent(t, "tcp", address, []byte(ready)) },
+		"answered": func(address string) {
+			for range testrig.SilentConns {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { c.Close() })
+				io.WriteString(c, ready)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, 4, nil)
+			crowd(address)
+			began := time.Now()
+			h, _ := call(t, address, ready)
+			took := time.Since(began)
+			if t.Logf("answered after %s", took); h.Status != 200 || took > answerWithin {
+				t.Errorf("behind %d connections a call is answered %d after %s", testrig.SilentConns, h.Status, took)
+			}
+		})
+	}
+}
+
+// TestCallBesideCallsThatTakeTime: a call has its answer while others, one less than there are places, wait for theirs.
+func TestCallBesideCallsThatTakeTime(t *testing.T) {
+	const places = 4
+	release, begun := make(chan struct{}), make(chan struct{}, places)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	defer close(release)
+	s := &Server{Ready: func() error { return nil }, Places: places, Log: slog.New(slog.DiscardHandler),
+		Disable: func(string) (string, error) {
+			begun <- struct{}{}
+			<-release
+			return "", nil
+		}}
+	go s.Serve(ln)
+	for range places - 1 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "PUT /-/auth-workers/s-1/disable HTTP/1.1\r\nHost: x\r\n\r\n")
+		<-begun
+	}
+	if h, _ := call(t, ln.Addr().String(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"); h.Status != 200 {
+		t.Errorf("%+v", h)
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"laddertide/admin"
 	"laddertide/directory"
 	"laddertide/frontend"
 	"laddertide/handover"
@@ -62,10 +63,10 @@
 func (c *Config) descriptors() int {
 	n := c.Operator.descriptors()
 	if c.Admin != "" {
-		n += 1 + c.callers()
+		n += admin.Descriptors(c.callers())
 	}
 	if c.handsOver() {
-		n += 2 + handover.MaxGreeted + standbyDescriptors + 1 + c.callers() // the place and the other process, who asks; and all that this one has
+		n += 2 + handover.MaxGreeted + standbyDescriptors + admin.Descriptors(c.callers()) // the place and the other process, who asks; and all that this one has
 	}
 	return n
 }
