configuration/follower: the end of a process does not wait for a source that says nothing

A scheduler that had answered everything went on for up to 3 s where the source that it was just connecting to had taken the connection and not said who it is. The platform gives such a process no more than a moment.

Cause: the end closed the connection only of a source that had introduced itself, and Close waits for the goroutine that reads.

TestSilentSourceDoesNotHoldUpTheEnd: a source that reads the first byte and says nothing, all times an hour, then Close. The connection is closed by the end from its first message on.

--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -210,6 +210,8 @@
 		return nil, nil, err
 	}
 	c := stream.New(raw, f.seals, f.timing.Write)
+	release := context.AfterFunc(f.ctx, func() { c.Close() }) // also if the source says nothing
+	defer release()
 	report := f.report()
 	welcome, err := f.introduce(c, &wire.Hello{Role: wire.RoleFollower, Cluster: f.cfg.Settings.Cluster, Name: f.cfg.Name, Start: f.start,
 		Version: report.Version, Digest: report.Digest})
