configuration/follower: a source that says nothing keeps no scheduler from the others

A scheduler with an empty folder began with its file's settings (`WARN no source of configuration in time`) though other sources answered, if the first one in its order took connections and said nothing; so does one that hangs.

Cause: a start waits 2 s for a source, and a source that had taken the connection was waited for as long as for heartbeats, 3 s.

TestSilentSourceKeepsNoOther: a silent source first, then one that answers; no heartbeat is missed within an hour, so that only a source that was introduced may be waited for by these.

The first word of a source is waited for as long as a connection, 1 s. Two silent ones before a good one still take longer than 2 s.

--- a/configuration/follower/follower.go
+++ b/configuration/follower/follower.go
@@ -227,7 +227,7 @@
 	if err := c.Write(hello); err != nil {
 		return nil, err
 	}
-	m, err := c.Read(f.timing.Silent, wire.MaxSmall)
+	m, err := c.Read(f.timing.Dial, wire.MaxSmall) // a source that says who it is does so at once
 	if err != nil {
 		return nil, err
 	}
--- a/configuration/follower/silent_test.go
+++ b/configuration/follower/silent_test.go
@@ -10,6 +10,37 @@
 	"laddertide/internal/testrig"
 )
 
+// startWait is how long a scheduler with an empty folder waits for a source, as the operators' page says.
+const startWait = 2 * time.Second
+
+// TestSilentSourceKeepsNoOther: a source that takes connections and says nothing is left for another one before a scheduler with an
+// empty folder begins without any, and not when heartbeats would be missed.
+func TestSilentSourceKeepsNoOther(t *testing.T) {
+	silent := testrig.Listen(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	good := testrig.NewSource(t, nil)
+	good.Push(1, "one")
+	seed := uint64(0)
+	sources := []string{silent, good.Address}
+	for shuffled(sources, seed)[0] != silent {
+		seed++
+	}
+	h := &host{}
+	f, _, err := Open(Config{Settings: Settings{Dir: t.TempDir(), Cluster: "c", Sources: sources}, Name: "n1", Seed: seed,
+		Log: slog.New(slog.DiscardHandler), Check: h.check, Apply: h.apply})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left := f.timing.Dial + f.timing.RetryFirst; left >= startWait {
+		t.Errorf("another source is asked after %s, and a start waits for %s", left, startWait)
+	}
+	f.timing.Silent = time.Hour // whoever waits for heartbeats before there is a source to send them does not end
+	t.Cleanup(func() { f.Close() })
+	began := time.Now()
+	f.Start(Document{})
+	until(t, "a version is in force that another source has", inForce(f, 1))
+	t.Logf("in force after %s", time.Since(began))
+}
+
 // TestSilentSourceDoesNotHoldUpTheEnd: Close does not wait for a source that takes a connection and does not say who it is.
 func TestSilentSourceDoesNotHoldUpTheEnd(t *testing.T) {
 	hello := make(chan struct{})
