configuration/source: tools that ask nothing keep no other tool out

`laddertide config` and the schedulers' pages had `the source does not serve this tool: too many` for up to a minute where 16 tools had connected and asked nothing: stopped ones, say.

Cause: a tool may rest for a minute between two questions, and beyond 16 of them the newest was refused.

TestSilentToolsKeepNoToolOut: 300 tools that introduce themselves and ask nothing, then one that asks. A new tool takes the place of the one that has rested for longest; one whose question is being answered keeps its own. Members and followers keep theirs by heartbeats, as before.

--- a/configuration/source/accept.go
+++ b/configuration/source/accept.go
@@ -66,7 +66,7 @@
 func (s *Source) evict(conn net.Conn) {
 	conn.Close()
 	delete(s.conns, conn)
-	s.unheard = without(s.unheard, conn)
+	s.unheard, s.resting = without(s.unheard, conn), without(s.resting, conn)
 }
 
 // without is a list without a connection, which may not be in it.
@@ -77,11 +77,12 @@
 	return all
 }
 
-// heard notes that a connection has said who it is.
-func (s *Source) heard(conn net.Conn) {
+// heard notes that a connection has said who it is, and tells whether it still has its place.
+func (s *Source) heard(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unheard = without(s.unheard, conn)
+	return s.conns[conn]
 }
 
 func (s *Source) close(conn net.Conn) {
@@ -90,22 +91,39 @@
 	s.evict(conn)
 }
 
-// enter counts a connection in a role, if there is room; leave counts it out.
+// enter counts a connection in a role, if there is room; leave counts it out. A tool takes the place of the one that has asked nothing for
+// longest.
 func (s *Source) enter(role wire.Role) bool {
 	most := map[wire.Role]int{wire.RoleFollower: s.cfg.MaxFollowers, wire.RoleMember: s.maxMembers(), wire.RoleOperator: maxTools}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.counts[role] >= most[role] {
-		return false
+		if role != wire.RoleOperator || len(s.resting) == 0 {
+			return false
+		}
+		s.evict(s.resting[0])
+		s.counts[role]--
 	}
 	s.counts[role]++
 	return true
 }
 
-func (s *Source) leave(role wire.Role) {
+func (s *Source) leave(role wire.Role, conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts[role]--
+	if s.conns[conn] { // else another one has its place
+		s.counts[role]--
+	}
+}
+
+// rests notes whether a tool asks nothing now.
+func (s *Source) rests(conn net.Conn, now bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resting = without(s.resting, conn)
+	if now && s.conns[conn] {
+		s.resting = append(s.resting, conn)
+	}
 }
 
 // serve hears who has made a connection, and serves it.
@@ -119,7 +137,9 @@
 	if !is {
 		return fmt.Errorf("configuration: a connection begins with %T", m)
 	}
-	s.heard(conn)
+	if !s.heard(conn) {
+		return net.ErrClosed
+	}
 	if why := s.foreign(hello); why != "" {
 		c.Write(&wire.Rejected{Code: wire.Foreign, Text: why})
 		return errors.New("configuration: " + why)
@@ -128,7 +148,7 @@
 		c.Write(&wire.Rejected{Code: wire.TooMany, Text: "as many connections of this kind as there may be"})
 		return nil
 	}
-	defer s.leave(hello.Role)
+	defer s.leave(hello.Role, conn)
 	newest, _ := s.latest.get()
 	if err := c.Write(&wire.Welcome{Name: s.cfg.Name, Newest: newest.Version, Heartbeat: s.cfg.Heartbeat.Milliseconds()}); err != nil {
 		return err
@@ -139,7 +159,7 @@
 	case wire.RoleFollower:
 		return s.serveFollower(ctx, c, hello)
 	default:
-		return s.serveTool(ctx, c)
+		return s.serveTool(ctx, c, conn)
 	}
 }
 
--- a/configuration/source/silent_test.go
+++ b/configuration/source/silent_test.go
@@ -55,3 +55,22 @@
 	}
 	t.Logf("a tool is served after %s", time.Since(began))
 }
+
+// TestSilentToolsKeepNoToolOut: tools that have introduced themselves and ask nothing take no connection from one that asks.
+func TestSilentToolsKeepNoToolOut(t *testing.T) {
+	c := newCluster(t, 3, func(c *cluster) { c.heartbeat = DefaultHeartbeat })
+	c.change("a", 0, "one")
+	for range testrig.SilentConns {
+		c.introduced(&wire.Hello{Role: wire.RoleOperator, Name: "silent"})
+	}
+	began := time.Now()
+	tool, err := c.tool("a")
+	if err != nil {
+		t.Fatalf("behind %d silent tools: %v", testrig.SilentConns, err)
+	}
+	defer tool.Close()
+	if p, err := tool.Newest(); err != nil || p.Version != 1 {
+		t.Errorf("behind %d silent tools: %+v, %v", testrig.SilentConns, p, err)
+	}
+	t.Logf("a tool is answered after %s", time.Since(began))
+}
--- a/configuration/source/source.go
+++ b/configuration/source/source.go
@@ -101,6 +101,7 @@
 	bytes   int // of messages in it
 	conns   map[net.Conn]bool
 	unheard []net.Conn // those of conns that have not said who they are, oldest first
+	resting []net.Conn // those of tools that ask nothing now, the longest so first
 	counts  map[wire.Role]int
 	closed  bool
 	serving sync.WaitGroup
--- a/configuration/source/tools.go
+++ b/configuration/source/tools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"laddertide/configuration/stream"
@@ -13,9 +14,11 @@
 const toolWait = time.Minute
 
 // serveTool answers an operator's tool, one question after the other.
-func (s *Source) serveTool(ctx context.Context, c *stream.Conn) error {
+func (s *Source) serveTool(ctx context.Context, c *stream.Conn, conn net.Conn) error {
 	for {
+		s.rests(conn, true)
 		m, err := c.Read(toolWait, wire.MaxDocument+wire.MaxSmall)
+		s.rests(conn, false)
 		if err != nil {
 			return err
 		}
