--- /dev/null
+++ b/frontend/flood_test.go
@@ -0,0 +1,75 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// TestFloodOfSilentConnections guards against a flood that connects and says nothing: it takes no more slots and descriptors than there
+// are, little memory, and a request behind it is answered in its time.
+func TestFloodOfSilentConnections(t *testing.T) {
+	const (
+		slots, working = 16, 8
+		flood          = 3000
+		deadline       = 758 * time.Millisecond // with the slack of the rules on sockets, and of answers
+		memory         = 16 << 20               // for all of this process, the test's own side of the connections with it
+	)
+	r := newBusyRig(t, slots, working, &hookedListener{}, deferSilent)
+	before, bytes := descriptors(t), inUse()
+	var silent []net.Conn
+	for range flood {
+		c, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		silent = append(silent, c)
+	}
+	connected := time.Now()
+	most, mostBytes, slowest := 0, uint64(0), time.Duration(0)
+	for time.Since(connected) < 1500*time.Millisecond { // all are handed over meanwhile
+		most, mostBytes = max(most, descriptors(t)-before-flood), max(mostBytes, inUse())
+		began := time.Now()
+		c := r.dial()
+		c.SetDeadline(began.Add(deadline))
+		c.say(ask("behind", "check", "X-Deadline-Ms: 700\r\n"))
+		c.hear(200)
+		slowest = max(slowest, time.Since(began))
+		c.Close()
+	}
+	t.Logf("descriptors %d, memory %d KiB, slowest answer %v", most, (mostBytes-bytes)>>10, slowest)
+	if most > slots+1 { // and the one that looks
+		t.Errorf("%d descriptors of the server for %d slots", most, slots)
+	}
+	if mostBytes > bytes+memory {
+		t.Errorf("%d bytes more in use", mostBytes-bytes)
+	}
+	for i, s := range silent {
+		s.SetDeadline(connected.Add(owedToBadClients))
+		if _, err := s.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Fatalf("silent connection %d: %v", i, err)
+		}
+	}
+}
+
+// descriptors is how many this process has open.
+func descriptors(t *testing.T) int {
+	t.Helper()
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
+
+// inUse is how much memory this process has in use.
+func inUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
