rehearse/fleet: two can wait for an arriving job at once

The fleet had one place for who waits: a second Await took it from the first, which then never heard of its job. Nobody met it, as the plan waits for one cue at a time; steps that wait side by side do. Now there is a list, and an arriving job is the cue for one of them.

TestTwoCuesAtOnce on the old code: "2000 jobs at worker 0 were no cue", with the worker by chance, 2 of 2; with this change 30 of 30 with the other tests of cues, and once with the race detector.

--- a/rehearse/fleet/cue.go
+++ b/rehearse/fleet/cue.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"laddertide/core/history"
@@ -23,23 +25,52 @@
 	cueHold = 100 * time.Millisecond // how long an arriving job waits at most for what it is the cue for
 )
 
-// trap waits for an arriving job.
+// trap waits for a job that arrives at any of some workers.
 type trap struct {
 	workers []int
-	hit     chan struct{} // one place
-	played  chan struct{}
+	taken   atomic.Bool   // by the first such job
+	hit     chan struct{} // closed when it was taken
+	played  chan struct{} // closed when the job need not be held any longer
+}
+
+// traps are those that wait now. Each arriving job looks at them, so looking takes no lock.
+type traps struct {
+	changing sync.Mutex
+	list     atomic.Pointer[[]*trap]
+}
+
+func (t *traps) set(one *trap) {
+	t.changing.Lock()
+	defer t.changing.Unlock()
+	list := append(slices.Clone(t.all()), one)
+	t.list.Store(&list)
+}
+
+func (t *traps) remove(one *trap) {
+	t.changing.Lock()
+	defer t.changing.Unlock()
+	list := slices.DeleteFunc(slices.Clone(t.all()), func(other *trap) bool { return other == one })
+	t.list.Store(&list)
+}
+
+func (t *traps) all() []*trap {
+	if list := t.list.Load(); list != nil {
+		return *list
+	}
+	return nil
 }
 
 // Await waits for a cue at any of some workers, for a while at most or until ctx ends, and tells whether it came. What
-// it is the cue for must then be played at once; played is to be called when it was, and in any case.
+// it is the cue for must then be played at once; played is to be called when it was, and in any case. Several may wait at once; an
+// arriving job is the cue for one of them.
 func (f *Fleet) Await(ctx context.Context, workers []int, cue Cue, within time.Duration) (came bool, played func()) {
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	if cue == Arriving {
-		t := &trap{workers, make(chan struct{}, 1), make(chan struct{})}
-		f.trap.Store(t)
+		t := &trap{workers: workers, hit: make(chan struct{}), played: make(chan struct{})}
+		f.traps.set(t)
 		played = func() {
-			f.trap.CompareAndSwap(t, nil)
+			f.traps.remove(t)
 			close(t.played)
 		}
 		select {
@@ -80,19 +111,24 @@
 
 // cued holds a job that has just arrived while what it is the cue for is played.
 func (w *worker) cued(a *attempt) {
-	t := w.f.trap.Load()
-	if t == nil || !a.unsafe || !slices.Contains(t.workers, w.index) {
+	if !a.unsafe {
 		return
 	}
-	select {
-	case t.hit <- struct{}{}:
-	default:
-		return // another one was
+	for _, t := range w.f.traps.all() {
+		if slices.Contains(t.workers, w.index) && t.taken.CompareAndSwap(false, true) {
+			close(t.hit)
+			hold(t.played)
+			return
+		}
 	}
+}
+
+// hold waits until something was played, for a while at most.
+func hold(played <-chan struct{}) {
 	timer := time.NewTimer(cueHold)
 	defer timer.Stop()
 	select {
-	case <-t.played:
+	case <-played:
 	case <-timer.C:
 	}
 }
--- a/rehearse/fleet/cue_test.go
+++ b/rehearse/fleet/cue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -73,3 +74,42 @@
 		}
 	}
 }
+
+// Two wait for an arriving job at once: each has its cue at its own worker.
+func TestTwoCuesAtOnce(t *testing.T) {
+	const most = 2_000 // jobs
+	specs := []world.Spec{plain("s-1"), plain("s-2")}
+	for i := range specs {
+		specs[i].Queue = most
+	}
+	r := newRig(t, 1, specs, unsafeOnly)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	came := make(chan int, 2)
+	for worker := range 2 {
+		go func() {
+			ok, played := r.Await(ctx, []int{worker}, Arriving, patience)
+			played()
+			if !ok {
+				worker = -1
+			}
+			came <- worker
+		}()
+	}
+	for worker := range 2 {
+		wire := r.dial(0, worker)
+		for i, heard := 0, false; !heard; i++ { // jobs that come before the wait has begun are no cue
+			wire.ask(r.job(fmt.Sprintf("job-%d-%d", worker, i), time.Hour), "202")
+			select {
+			case who := <-came:
+				if heard = true; who != worker {
+					t.Fatalf("a job at worker %d was the cue for %d (-1: for none)", worker, who)
+				}
+			case <-time.After(time.Millisecond):
+			}
+			if i == most {
+				t.Fatalf("%d jobs at worker %d were no cue", i, worker)
+			}
+		}
+	}
+}
--- a/rehearse/fleet/fleet.go
+++ b/rehearse/fleet/fleet.go
@@ -68,8 +68,8 @@
 	lives    []atomic.Int64 // of schedulers
 	attempts atomic.Int64
 	closed   atomic.Bool
-	trap     atomic.Pointer[trap] // nil: none
-	running  sync.WaitGroup       // goroutines of connections and senders
+	traps    traps
+	running  sync.WaitGroup // goroutines of connections and senders
 }
 
 // New binds all listeners; until Start they refuse.
