rehearse/run: bad clients that come all the time outlive the plan's last step

A scenario with the key rude has a step at 0 that begins them and none that ends them. The timetable ended them itself as it returned, which is when the last step had been played: with no other step, at once. Now the timetable goes on until the run ends.

TestBadClientsOutliveTheTimetable on the old code: "0 bad clients came, and no more within 30s"; now 5 of 5 with the race detector.

--- /dev/null
+++ b/rehearse/run/rig_test.go
@@ -0,0 +1,58 @@
+package run
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"laddertide/rehearse/book"
+	"laddertide/rehearse/fleet"
+	"laddertide/rehearse/loop"
+	"laddertide/rehearse/record"
+	"laddertide/rehearse/scenario"
+)
+
+// patience is for what happens soon on a machine that has nothing else to do.
+const patience = 30 * time.Second
+
+// newRig makes a run with workers on sockets and two schedulers of which no process has been started, so that no job ever comes. Its
+// plan has these steps alone.
+func newRig(t *testing.T, steps ...scenario.Step) *run {
+	t.Helper()
+	calm, err := scenario.Get("calm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := calm.Draw(1, scenario.Changes{Workers: 4, Schedulers: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan.Steps = steps
+	r := &run{plan: plan, rec: record.New(nil), book: book.New(), net: loop.NewNet()}
+	r.ctx, r.stop = context.WithCancelCause(context.Background())
+	var at []fleet.SchedulerAt
+	for i, s := range plan.Schedulers {
+		listen, err := freeAddress(r.net)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.posts = append(r.posts, &post{r: r, i: i, name: s.Name, listen: listen})
+		at = append(at, fleet.SchedulerAt{Name: s.Name, Zone: plan.Zones[s.Zone], CallBack: listen})
+	}
+	if r.world, err = NewWorld(plan, at, r.net, r.rec, r.book, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	r.fleet, r.discovery = r.world.Fleet, r.world.Discovery
+	t.Cleanup(func() {
+		r.stop(nil)
+		r.all.Wait()
+		r.world.Close()
+	})
+	return r
+}
+
+// begin plays the rig's timetable from now on.
+func (r *run) begin() {
+	start := r.rec.Since()
+	r.all.Go(func() { r.timetable(start) })
+}
--- /dev/null
+++ b/rehearse/run/rude_test.go
@@ -0,0 +1,43 @@
+package run
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"laddertide/rehearse/scenario"
+)
+
+// Bad clients that come all the time go on coming when the last step has been played.
+func TestBadClientsOutliveTheTimetable(t *testing.T) {
+	r := newRig(t, scenario.Step{Do: scenario.Rude, Value: 200})
+	came := make(chan struct{}, 1)
+	for _, p := range r.posts {
+		listener, err := net.Listen("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				conn.Close()
+				select {
+				case came <- struct{}{}:
+				default:
+				}
+			}
+		}()
+	}
+	r.begin()
+	for n := range 50 {
+		select {
+		case <-came:
+		case <-time.After(patience):
+			t.Fatalf("%d bad clients came, and no more within %s", n, patience)
+		}
+	}
+}
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -286,6 +286,7 @@
 		}
 		r.do(st)
 	}
+	<-r.ctx.Done() // bad clients and strangers go on until then
 }
 
 func (r *run) do(st scenario.Step) {
