rehearse/run: a step that waits for its cue holds up no other

The timetable played its steps one after the other, and one with a wait waited in its turn for its cue: up to 4 s, in which nothing else of the plan was played. Then all that was due by then came together. A step for a scheduler whose process is just being started held up the others as well.

Now a step that waits does so beside the others, and what is done to a scheduler has a queue for each scheduler. What must keep its order does: steps for one scheduler, and workers return after the end that the same trouble has brought them (steps have the number of their trouble for that). A step that still waits when the run ends is not played any more; before, it was, while the run was taken apart.

The tests on the old code, each after 30 s: TestAWaitingStepHoldsUpNoOther, TestASchedulerThatStartsHoldsUpNoOtherStep and TestARunEndsWhileAStepWaits "not within 30s: the second step is played" (the last one: "the last step"), TestWorkersReturnAfterTheirEnd "the workers are back"; TestStepsForOneSchedulerKeepTheirOrder passed there too and guards what was right.

--- a/rehearse/run/post.go
+++ b/rehearse/run/post.go
@@ -200,12 +200,44 @@
 	return p.proc, true
 }
 
-// restart is a planned one: SIGTERM, SIGKILL if that was not enough, and the next process.
+// play does what a step says to this scheduler. It returns once the signal of a step that is one has been sent; all that takes
+// longer goes on beside it, until ctx ends.
+func (p *post) play(ctx context.Context, step scenario.Step) {
+	switch step.Do {
+	case scenario.Pause:
+		p.pause(step.Value > 0)
+	case scenario.Full:
+		p.r.must(p.full(step.Value > 0))
+	case scenario.Term:
+		p.restart(ctx, step)
+	case scenario.Kill:
+		p.kill(ctx, step)
+	case scenario.Reload:
+		p.r.all.Go(func() { p.reload(ctx) })
+	case scenario.Upgrade:
+		p.r.all.Go(func() { p.upgrade(ctx) })
+	case scenario.Retune:
+		p.r.all.Go(func() { p.retune(ctx) })
+	}
+}
+
+// restart is a planned one: SIGTERM, maybe after SIGHUP, SIGKILL if that was not enough, and the next process.
 func (p *post) restart(ctx context.Context, st scenario.Step) {
-	if st.AfterHup && p.settled(ctx) {
-		p.moveDiscovery()
-		sleep(ctx, st.Between)
+	if !st.AfterHup {
+		p.terminate(ctx, st)
+		return
 	}
+	p.r.all.Go(func() {
+		if p.settled(ctx) {
+			p.moveDiscovery()
+			sleep(ctx, st.Between)
+		}
+		p.terminate(ctx, st)
+	})
+}
+
+// terminate sends SIGTERM and sees to the rest.
+func (p *post) terminate(ctx context.Context, st scenario.Step) {
 	proc, ok := p.asking(history.KindTerm, func(proc *daemon.Process) { proc.Signal(syscall.SIGTERM) })
 	if !ok {
 		return
@@ -213,6 +245,11 @@
 	if st.Twice {
 		time.AfterFunc(st.Between, func() { proc.Signal(syscall.SIGTERM) })
 	}
+	p.r.all.Go(func() { p.replaceProcess(ctx, proc) })
+}
+
+// replaceProcess waits for the end of a process that was told to end, kills it if it takes too long, and starts the next one.
+func (p *post) replaceProcess(ctx context.Context, proc *daemon.Process) {
 	select {
 	case p.r.terms <- p.i:
 	case <-ctx.Done():
@@ -256,16 +293,20 @@
 func (p *post) kill(ctx context.Context, st scenario.Step) {
 	note := map[string]string{scenario.Lose: history.DiskLost, scenario.Back: history.DiskBack}[st.Disk]
 	proc, ok := p.telling(history.Event{Kind: history.KindKill, Note: note}, st.Early, (*daemon.Process).Kill)
-	if !ok {
-		return
+	if ok {
+		p.r.all.Go(func() { p.revive(ctx, proc, st) })
 	}
-	<-proc.Done()
+}
+
+// revive starts the next process some time after the end of one that was killed.
+func (p *post) revive(ctx context.Context, killed *daemon.Process, st scenario.Step) {
+	<-killed.Done()
 	p.r.must(p.disk(st.Disk))
 	p.mu.Lock()
 	p.old = st.Old
 	p.mu.Unlock()
 	if sleep(ctx, st.Down) {
-		p.again(proc)
+		p.again(killed)
 	}
 }
 
--- a/rehearse/run/rig_test.go
+++ b/rehearse/run/rig_test.go
@@ -54,5 +54,5 @@
 // begin plays the rig's timetable from now on.
 func (r *run) begin() {
 	start := r.rec.Since()
-	r.all.Go(func() { r.timetable(start) })
+	r.all.Go(func() { r.playSteps(start) })
 }
--- a/rehearse/run/run.go
+++ b/rehearse/run/run.go
@@ -190,7 +190,7 @@
 		return clients.Stats{}, err
 	}
 	r.all.Go(func() { r.rec.Watch(r.ctx) })
-	r.all.Go(func() { r.timetable(start) })
+	r.all.Go(func() { r.playSteps(start) })
 	if r.links != nil && r.plan.Rules.Agree > 0 {
 		for _, p := range r.posts {
 			r.all.Go(func() { p.views(r.ctx) })
@@ -245,129 +245,6 @@
 	return time.Duration(r.plan.Rules.Keep) * time.Microsecond
 }
 
-// timetable does the plan's steps, each at its time.
-func (r *run) timetable(start time.Duration) {
-	steps := slices.Clone(r.plan.Steps)
-	slices.SortStableFunc(steps, func(a, b scenario.Step) int { return int(a.At - b.At) })
-	var rude, intruding context.CancelFunc
-	for _, st := range steps {
-		if !sleep(r.ctx, start+st.At-r.rec.Since()) {
-			return
-		}
-		if st.Do == scenario.Intrude {
-			if intruding != nil {
-				intruding()
-				intruding = nil
-			}
-			if st.Value > 0 && r.links != nil {
-				var ctx context.Context
-				ctx, intruding = context.WithCancel(r.ctx)
-				defer intruding()
-				r.all.Go(func() { r.strangers(ctx, st.Value) })
-			}
-			continue
-		}
-		if st.Do == scenario.Rude {
-			if rude != nil {
-				rude()
-				rude = nil
-			}
-			if st.Value > 0 {
-				var ctx context.Context
-				ctx, rude = context.WithCancel(r.ctx)
-				defer rude()
-				r.all.Go(func() {
-					r.must(clients.Rude(ctx, clients.RudeConfig{Schedulers: r.clientSide(), Record: r.rec, Rate: st.Value,
-						Seed: r.plan.Seed, Start: start + st.At, Length: r.plan.Length - st.At, Class: r.plan.Classes[0].Name,
-						Tenant: r.plan.Tenants[0].Name, Kinds: st.Clients, Open: r.open}))
-				})
-			}
-			continue
-		}
-		r.do(st)
-	}
-	<-r.ctx.Done() // bad clients and strangers go on until then
-}
-
-func (r *run) do(st scenario.Step) {
-	if st.Wait > 0 {
-		cue := fleet.Held
-		if st.Arriving {
-			cue = fleet.Arriving
-		}
-		_, played := r.fleet.Await(r.ctx, st.Workers, cue, st.Wait)
-		defer played()
-	}
-	for _, w := range st.Workers {
-		if r.fleet.Fallen(w) {
-			continue // it stays down
-		}
-		var err error
-		switch st.Do {
-		case scenario.Crash:
-			err = r.fleet.Crash(w)
-		case scenario.Vanish:
-			err = r.fleet.Vanish(w)
-		case scenario.Mute:
-			err = r.fleet.Mute(w)
-		case scenario.Return:
-			err = r.fleet.Return(w)
-		case scenario.Slow:
-			r.fleet.Slow(w, st.Value)
-		case scenario.Cut, scenario.Mend:
-			for _, s := range st.Schedulers {
-				err = errors.Join(err, r.fleet.Cut(s, w, st.Do == scenario.Cut))
-			}
-		case scenario.Hand:
-			r.all.Go(func() { r.maintain(w, st.Down) })
-		case scenario.Drain:
-			r.all.Go(func() { r.release(w, st.Stay, st.Down) })
-		}
-		r.must(err)
-	}
-	switch st.Do {
-	case scenario.Stale:
-		r.discovery.Lag(time.Duration(st.Value * float64(time.Second)))
-	case scenario.Silence:
-		for i := range r.posts {
-			if st.Value == 0 {
-				r.discovery.Break(i) // it comes back as one that was started anew
-			}
-			r.discovery.Silence(i, st.Value > 0)
-		}
-	case scenario.Full:
-		for _, s := range st.Schedulers {
-			r.must(r.posts[s].full(st.Value > 0))
-		}
-	case scenario.Part, scenario.Mute1, scenario.Lossy:
-		r.link(st)
-	case scenario.Route:
-		r.route(st)
-	case scenario.Pause:
-		for _, s := range st.Schedulers {
-			r.posts[s].pause(st.Value > 0)
-		}
-	case scenario.Term, scenario.Kill, scenario.Reload, scenario.Upgrade, scenario.Retune:
-		for _, s := range st.Schedulers {
-			p := r.posts[s]
-			r.all.Go(func() {
-				switch st.Do {
-				case scenario.Term:
-					p.restart(r.ctx, st)
-				case scenario.Kill:
-					p.kill(r.ctx, st)
-				case scenario.Reload:
-					p.reload(r.ctx)
-				case scenario.Upgrade:
-					p.upgrade(r.ctx)
-				case scenario.Retune:
-					p.retune(r.ctx)
-				}
-			})
-		}
-	}
-}
-
 // must ends a run that the kit itself cannot play on.
 func (r *run) must(err error) {
 	if err != nil {
--- /dev/null
+++ b/rehearse/run/timetable_test.go
@@ -0,0 +1,147 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	"laddertide/core/history"
+	"laddertide/rehearse/daemon"
+	"laddertide/rehearse/scenario"
+)
+
+// never is a time that no test waits for.
+const never = time.Hour
+
+// A step that waits for a cue which never comes holds up no step after it.
+func TestAWaitingStepHoldsUpNoOther(t *testing.T) {
+	r := newRig(t,
+		scenario.Step{Do: scenario.Crash, Workers: []int{0}, Wait: never, Arriving: true},
+		scenario.Step{At: time.Millisecond, Do: scenario.Crash, Workers: []int{1}})
+	r.begin()
+	until(t, "the second step is played", func() bool { return !r.alive(1) })
+	if !r.alive(0) {
+		t.Error("the first step was played without its cue, an hour early")
+	}
+}
+
+// A step for a scheduler that cannot be played yet, as a process is being started, holds up no step for anything else.
+func TestASchedulerThatStartsHoldsUpNoOtherStep(t *testing.T) {
+	r := newRig(t,
+		scenario.Step{Do: scenario.Pause, Schedulers: []int{0}, Value: 1},
+		scenario.Step{At: time.Millisecond, Do: scenario.Crash, Workers: []int{1}})
+	r.posts[0].mu.Lock() // as it is while a process is started
+	defer r.posts[0].mu.Unlock()
+	r.begin()
+	until(t, "the second step is played", func() bool { return !r.alive(1) })
+}
+
+// Workers whose end waits for its cue return after that end, even if the time of their return is over by then. The end that
+// another trouble has in store for them is none of its business.
+func TestWorkersReturnAfterTheirEnd(t *testing.T) {
+	r := newRig(t,
+		scenario.Step{Do: scenario.Crash, Workers: []int{0}, Trouble: 1, Wait: 50 * time.Millisecond},
+		scenario.Step{Do: scenario.Crash, Workers: []int{1}, Trouble: 2},
+		scenario.Step{Do: scenario.Vanish, Workers: []int{1}, Trouble: 3, Wait: never},
+		scenario.Step{At: time.Millisecond, Do: scenario.Return, Workers: []int{0}, Trouble: 1},
+		scenario.Step{At: time.Millisecond, Do: scenario.Return, Workers: []int{1}, Trouble: 2})
+	r.begin()
+	for worker := range 2 {
+		until(t, "the workers are back", func() bool { return r.alive(worker) && r.fleet.Life(worker) == 2 })
+	}
+}
+
+// Steps for one scheduler are played in their order.
+func TestStepsForOneSchedulerKeepTheirOrder(t *testing.T) {
+	const rounds = 100
+	var steps []scenario.Step
+	for i := range rounds {
+		steps = append(steps, scenario.Step{At: time.Duration(i), Do: scenario.Pause, Schedulers: []int{0}, Value: float64(1 - i%2)})
+	}
+	steps = append(steps, scenario.Step{At: rounds, Do: scenario.Kill, Schedulers: []int{0}, Early: true, Down: never})
+	r := newRig(t, steps...)
+	proc := startSleeper(t, r.posts[0])
+	r.begin()
+	select {
+	case <-proc.Done():
+	case <-time.After(patience):
+		t.Fatalf("not killed within %s", patience)
+	}
+	got := 0
+	for _, ev := range r.end(t) {
+		if ev.Kind != history.KindPause {
+			continue
+		}
+		if ev.On != (got%2 == 0) {
+			t.Fatalf("stop or release %d of %d was played out of order", got+1, rounds)
+		}
+		got++
+	}
+	if got != rounds {
+		t.Errorf("%d stops and releases were played, want %d", got, rounds)
+	}
+}
+
+// A step whose cue does not come before the run ends is not played, and nobody waits for it any longer.
+func TestARunEndsWhileAStepWaits(t *testing.T) {
+	for _, arriving := range []bool{true, false} {
+		r := newRig(t,
+			scenario.Step{Do: scenario.Crash, Workers: []int{0}, Trouble: 1, Wait: never, Arriving: arriving},
+			scenario.Step{At: time.Millisecond, Do: scenario.Return, Workers: []int{0}, Trouble: 1},
+			scenario.Step{At: 2 * time.Millisecond, Do: scenario.Crash, Workers: []int{1}})
+		r.begin()
+		until(t, "the last step is played", func() bool { return !r.alive(1) })
+		r.end(t)
+		if !r.alive(0) {
+			t.Error("the step was played after the run's end")
+		}
+	}
+}
+
+// alive tells whether a worker's process is there.
+func (r *run) alive(worker int) bool { return r.fleet.State(worker).Alive }
+
+// end ends the rig's run and returns its history, without a setup.
+func (r *run) end(t *testing.T) []history.Event {
+	t.Helper()
+	r.stop(nil)
+	ended := make(chan struct{})
+	go func() {
+		r.all.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatalf("the run has not ended within %s", patience)
+	}
+	events, err := r.rec.Close(history.Event{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
+// startSleeper gives a scheduler a process that does nothing.
+func startSleeper(t *testing.T, p *post) *daemon.Process {
+	t.Helper()
+	proc, err := daemon.Start(daemon.Program{Path: "/bin/sleep", Args: []string{"3600"}}, t.TempDir(), nil, daemon.Limits{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		proc.Kill()
+		<-proc.Done()
+	})
+	p.proc = proc
+	return proc
+}
+
+// until waits until something holds.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", patience, what)
+		}
+	}
+}
--- a/rehearse/scenario/plan.go
+++ b/rehearse/scenario/plan.go
@@ -50,6 +50,7 @@
 type Step struct {
 	At         time.Duration // from the first arrival on
 	Do         Act
+	Trouble    int // the place, from 1, of the trouble that it belongs to; 0: none
 	Workers    []int
 	Schedulers []int
 	Value      float64
--- a/rehearse/scenario/troubles.go
+++ b/rehearse/scenario/troubles.go
@@ -31,7 +31,7 @@
 	// that dies can say what it held, so a crash comes first with that.
 	arriving := len(s.Troubles) > 0 && s.Troubles[0].Kind != "crash"
 	for i := range s.Troubles {
-		t := &s.Troubles[i]
+		t, first := &s.Troubles[i], len(p.Steps)
 		c := Chance(p.Seed, fmt.Sprintf("trouble %d %s", i, t.Kind))
 		at := seconds(t.At.or(6, 8).draw(c))
 		if t.After.Given {
@@ -161,6 +161,9 @@
 		case "rude":
 			two(Step{Do: Rude, Value: t.Rate.draw(c), Clients: t.Clients}, Step{Do: Rude})
 		}
+		for j := range p.Steps[first:] {
+			p.Steps[first+j].Trouble = i + 1
+		}
 		end = to
 		p.Shades = append(p.Shades, Shade{t.Kind, at, to})
 	}
--- a/rehearse/soak/soak_test.go
+++ b/rehearse/soak/soak_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -74,3 +76,48 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// An end of workers that waits for its cue is the only one of its trouble, and the workers return in the same trouble, not before the
+// wait is over.
+func TestEndsThatWaitHaveTheirReturn(t *testing.T) {
+	scenarios := make(map[string]*scenario.Scenario)
+	for _, name := range scenario.Names() {
+		s, err := scenario.Get(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		scenarios[name] = s
+	}
+	for seed := range uint64(100) {
+		s, err := Scenario(seed, nil, Long)
+		if err != nil {
+			t.Fatal(err)
+		}
+		scenarios[fmt.Sprintf("soak %d", seed)] = s
+	}
+	waiting := 0
+	for name, s := range scenarios {
+		plan, err := s.Draw(7, scenario.Changes{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends := make(map[int]bool)
+		for _, end := range plan.Steps {
+			if end.Wait == 0 {
+				continue
+			}
+			waiting++
+			back := func(step scenario.Step) bool {
+				return step.Do == scenario.Return && step.Trouble == end.Trouble && step.At >= end.At+end.Wait &&
+					reflect.DeepEqual(step.Workers, end.Workers)
+			}
+			if ends[end.Trouble] || !slices.ContainsFunc(plan.Steps, back) {
+				t.Errorf("%s: trouble %d has another end, or no return after this one: %+v", name, end.Trouble, end)
+			}
+			ends[end.Trouble] = true
+		}
+	}
+	if waiting < len(scenarios)/4 {
+		t.Errorf("%d steps wait in %d scenarios", waiting, len(scenarios))
+	}
+}
