rehearse: the history and the report have when each step was planned and done

A history had what a step did and not when the plan had wanted it, so nobody saw that a plan was played up to 4.1 s late; and a step that was done without the cue that it had waited for passed for one on its cue.

Now each step is an event of the history (kind step: planned, due, done, its wait and whether its cue came), once for each scheduler that it meets. Due is when it is planned, or when its cue came or the time for that was over. The table, the page, the JSON (kit.steps, steps_uncued, step_late_max_ms) and the line of a soak tell of them; each step without its cue has a note. Histories from before have none and are read as they were.

--- a/core/history/history.go
+++ b/core/history/history.go
@@ -10,6 +10,7 @@
 const (
 	KindSetup   Kind = "setup"   // Setup
 	KindTrouble Kind = "trouble" // Note: its name; From, Until: when it begins and ends; Worker, Scheduler: whom it meets, if one
+	KindStep    Kind = "step"    // Note: what the plan has the kit do, Scheduler: to whom, if to one; From: when by the plan, Until: when it was due (From; or when its cue came, or the time for that was over), T: when it was done; Limit: how long it waits for its cue at most (0: it has none), On: that came
 	KindStall   Kind = "stall"   // From, Until: the kit's own clock stood still, so what was seen in between may be late
 	KindEnd     Kind = "end"     // Partial, Note: why
 )
--- a/core/score/figures.go
+++ b/core/score/figures.go
@@ -175,6 +175,10 @@
 	case history.KindTrouble:
 		c.rep.Troubles = append(c.rep.Troubles, Trouble{Name: ev.Note, Worker: ev.Worker, Scheduler: ev.Scheduler,
 			From: ev.From, Until: ev.Until})
+	case history.KindStep:
+		step := Step{What: ev.Note, Scheduler: ev.Scheduler, Planned: ev.From, Due: ev.Until, Done: ev.T, Wait: ev.Limit, Cued: ev.On}
+		c.rep.Steps = append(c.rep.Steps, step)
+		c.rep.Kit.StepLateMax = max(c.rep.Kit.StepLateMax, ms(step.Late()))
 	case history.KindStall:
 		c.rep.Stalls = append(c.rep.Stalls, Span{From: ev.From, Until: ev.Until})
 		c.rep.Kit.Stalls++
--- a/core/score/score.go
+++ b/core/score/score.go
@@ -29,6 +29,7 @@
 	Schedulers []Scheduler
 
 	Troubles  []Trouble
+	Steps     []Step // of the plan, in the order in which they were played
 	Stalls    []Span // the kit stood still
 	Strangers Strangers
 	Owned     Owned
@@ -122,6 +123,7 @@
 // Kit is how late the kit itself was.
 type Kit struct {
 	LateP50, LateP99, LateMax float64 // ms from the intended send time to the sending, of first tries
+	StepLateMax               float64 // ms from when a step of the plan was due to when it was done
 	Stalls                    int
 	StallTotal, StallLongest  float64 // ms
 }
@@ -162,6 +164,23 @@
 	From, Until       int64  // microseconds
 }
 
+// Step is one thing that the plan had the kit do. Times are microseconds.
+type Step struct {
+	What      string
+	Scheduler string // to whom, if to one
+	Planned   int64  // when the plan wanted it
+	Due       int64  // when it had to be done: as planned, or when its cue came or the time for that was over
+	Done      int64
+	Wait      int64 // how long it waits for its cue at most; 0: it has none
+	Cued      bool  // its cue came
+}
+
+// Late is how late it was, in microseconds.
+func (s *Step) Late() int64 { return max(0, s.Done-s.Due) }
+
+// Uncued tells whether it was done without the cue that it had waited for.
+func (s *Step) Uncued() bool { return s.Wait > 0 && !s.Cued }
+
 // Span is a stretch of time, in microseconds.
 type Span struct {
 	From, Until int64
--- a/core/score/score_test.go
+++ b/core/score/score_test.go
@@ -371,6 +371,25 @@
 	}
 }
 
+// How late a step was counts from when it was due, which for one that waits is its cue or the end of its wait.
+func TestStepsOfThePlan(t *testing.T) {
+	r := begin(setup()).add(
+		history.Event{T: 2100, Kind: history.KindStep, Note: "pause", Scheduler: "n1", From: 2000, Until: 2000},
+		history.Event{T: 6300, Kind: history.KindStep, Note: "crash", From: 1000, Until: 6000, Limit: 5000},
+		history.Event{T: 7000, Kind: history.KindStep, Note: "vanish", From: 1000, Until: 6990, Limit: 9000, On: true}).figures(second)
+	want := []Step{{What: "pause", Scheduler: "n1", Planned: 2000, Due: 2000, Done: 2100},
+		{What: "crash", Planned: 1000, Due: 6000, Done: 6300, Wait: 5000},
+		{What: "vanish", Planned: 1000, Due: 6990, Done: 7000, Wait: 9000, Cued: true}}
+	if !reflect.DeepEqual(r.Steps, want) || r.Kit.StepLateMax != 0.3 {
+		t.Errorf("the worst was %v ms late; %+v", r.Kit.StepLateMax, r.Steps)
+	}
+	for i, uncued := range []bool{false, true, false} {
+		if r.Steps[i].Uncued() != uncued {
+			t.Errorf("%+v", r.Steps[i])
+		}
+	}
+}
+
 // A worker's queue and jobs as means over quarters of a second: one job runs from 0 to 500 ms, a second waits from 125
 // to 500 ms and runs until the worker dies at 625 ms. What its end is told to have been later changes nothing.
 func TestQueueAndHeldJobs(t *testing.T) {
--- a/rehearse/cli/soak.go
+++ b/rehearse/cli/soak.go
@@ -254,6 +254,9 @@
 		longest = max(longest, c.Deadline)
 	}
 	verdict := map[int]string{Kept: "kept", Broken: "BROKEN", RanLate: "does not count: the kit was late"}[code]
+	if waiting, uncued := run.Cues(); uncued > 0 {
+		verdict += fmt.Sprintf(" (%d of %d steps that wait for a cue had none)", uncued, waiting)
+	}
 	f := &run.Figures
 	return fmt.Sprintf("seed %-5d %2d schedulers, %2d workers, deadlines to %.4g s, %.0f jobs/s; %s: %d jobs, service %.3f: %s",
 		plan.Seed, run.Schedulers, run.Workers, float64(longest)/1e6, run.Rate, strings.Join(names, " "), f.Totals.Asked, f.Service, verdict)
--- a/rehearse/fleet/cue.go
+++ b/rehearse/fleet/cue.go
@@ -30,6 +30,7 @@
 	workers []int
 	taken   atomic.Bool   // by the first such job
 	hit     chan struct{} // closed when it was taken
+	at      time.Duration // when that job arrived; not before hit is closed
 	played  chan struct{} // closed when the job need not be held any longer
 }
 
@@ -60,10 +61,10 @@
 	return nil
 }
 
-// Await waits for a cue at any of some workers, for a while at most or until ctx ends, and tells whether it came. What
-// it is the cue for must then be played at once; played is to be called when it was, and in any case. Several may wait at once; an
-// arriving job is the cue for one of them.
-func (f *Fleet) Await(ctx context.Context, workers []int, cue Cue, within time.Duration) (came bool, played func()) {
+// Await waits for a cue at any of some workers, for a while at most or until ctx ends, and tells whether it came, and
+// at which time of the record. What it is the cue for must then be played at once; played is to be called when it was, and in any
+// case. Several may wait at once; an arriving job is the cue for one of them.
+func (f *Fleet) Await(ctx context.Context, workers []int, cue Cue, within time.Duration) (came bool, at time.Duration, played func()) {
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	if cue == Arriving {
@@ -75,24 +76,24 @@
 		}
 		select {
 		case <-t.hit:
-			return true, played
+			return true, t.at, played
 		case <-timer.C:
 		case <-ctx.Done():
 		}
-		return false, played
+		return false, 0, played
 	}
 	tick := time.NewTicker(cueLook)
 	defer tick.Stop()
 	for {
 		if slices.ContainsFunc(workers, func(i int) bool { return f.workers[i].holdsUnsafe() }) {
-			return true, func() {}
+			return true, f.now(), func() {}
 		}
 		select {
 		case <-tick.C:
 		case <-timer.C:
-			return false, func() {}
+			return false, 0, func() {}
 		case <-ctx.Done():
-			return false, func() {}
+			return false, 0, func() {}
 		}
 	}
 }
@@ -116,6 +117,7 @@
 	}
 	for _, t := range w.f.traps.all() {
 		if slices.Contains(t.workers, w.index) && t.taken.CompareAndSwap(false, true) {
+			t.at = w.f.now()
 			close(t.hit)
 			hold(t.played)
 			return
--- a/rehearse/fleet/cue_test.go
+++ b/rehearse/fleet/cue_test.go
@@ -27,7 +27,7 @@
 		} else {
 			time.AfterFunc(50*time.Millisecond, func() { wire.Write([]byte(r.job("a", time.Hour))) })
 		}
-		came, played := r.Await(context.Background(), []int{1, 0}, c.cue, patience)
+		came, _, played := r.Await(context.Background(), []int{1, 0}, c.cue, patience)
 		if !came {
 			t.Fatalf("cue %d did not come", c.cue)
 		}
@@ -58,7 +58,7 @@
 		wire.ask(r.job("a", time.Hour), "202")
 		sent := time.AfterFunc(10*time.Millisecond, func() { wire.Write([]byte(next)) })
 		for _, cue := range []Cue{Held, Arriving} {
-			came, played := r.Await(context.Background(), []int{0}, cue, 50*time.Millisecond)
+			came, _, played := r.Await(context.Background(), []int{0}, cue, 50*time.Millisecond)
 			played()
 			if came {
 				t.Errorf("cue %d came", cue)
@@ -67,7 +67,7 @@
 		sent.Stop()
 		ctx, stop := context.WithCancel(context.Background())
 		stop()
-		if came, played := r.Await(ctx, []int{0}, Arriving, time.Hour); came {
+		if came, _, played := r.Await(ctx, []int{0}, Arriving, time.Hour); came {
 			t.Error("a cue came after the end")
 		} else {
 			played()
@@ -88,7 +88,7 @@
 	came := make(chan int, 2)
 	for worker := range 2 {
 		go func() {
-			ok, played := r.Await(ctx, []int{worker}, Arriving, patience)
+			ok, _, played := r.Await(ctx, []int{worker}, Arriving, patience)
 			played()
 			if !ok {
 				worker = -1
--- a/rehearse/report/json.go
+++ b/rehearse/report/json.go
@@ -122,6 +122,9 @@
 	StallsMS     float64 `json:"stalls_ms"`
 	LongestStall float64 `json:"longest_stall_ms"`
 	CPU          float64 `json:"cpu_s"`
+	Steps        int     `json:"steps"`            // of the plan that were done
+	StepsUncued  int     `json:"steps_uncued"`     // of them: without the cue that they had waited for
+	StepLateMax  float64 `json:"step_late_max_ms"` // from when one was due until it was done
 }
 
 type jsonStrangers struct {
@@ -202,11 +205,12 @@
 		WastedS: finite(t.WorkWasted, 3), Statuses: countsJSON(t.Statuses),
 		Kit: jsonKit{LateP50: finite(f.Kit.LateP50, 3), LateMax: finite(f.Kit.LateMax, 3), Stalls: f.Kit.Stalls,
 			StallsMS: finite(f.Kit.StallTotal, 3), LongestStall: finite(f.Kit.StallLongest, 3),
-			CPU: finite(r.KitCPU, 3)},
+			CPU: finite(r.KitCPU, 3), Steps: len(f.Steps), StepLateMax: finite(f.Kit.StepLateMax, 3)},
 		Strangers: jsonStrangers{Seen: f.Strangers.Seen, Ignored: f.Strangers.Ignored,
 			Kinds: countsJSON(f.Strangers.Kinds)},
 		Troubles: []jsonTrouble{}, Breaches: []jsonBreach{}, Notes: []string{},
 	}
+	_, out.Kit.StepsUncued = r.Cues()
 	if o := &f.Owned; o.Asked > 0 {
 		out.Owned = &jsonOwned{Asked: o.Asked, Elsewhere: o.Elsewhere, ToldToWait: o.ToldToWait, WaitedServed: o.WaitedServed,
 			Waits: o.Waits, Wait50: finite(o.Wait50, 3), Wait99: finite(o.Wait99, 3), WaitMost: finite(o.WaitMost, 3),
--- a/rehearse/report/page.go
+++ b/rehearse/report/page.go
@@ -211,13 +211,17 @@
 
 func (r *Run) kitPairs() []pair {
 	k := &r.Figures.Kit
-	return []pair{
+	out := []pair{
 		{"lateness of sending, p50", millis(k.LateP50) + " ms"}, {"p99", millis(k.LateP99) + " ms"},
 		{"worst", millis(k.LateMax) + " ms"},
 		{"stalls", fmt.Sprintf("%d, together %s ms, the longest %s ms", k.Stalls, millis(k.StallTotal),
 			millis(k.StallLongest))},
 		{"CPU", fmt.Sprintf("%.2f s", finite(r.KitCPU, 3))},
 	}
+	if steps := r.steps(); steps != "" {
+		out = append(out, pair{"plan", steps})
+	}
+	return out
 }
 
 // processRows joins what the system says of the schedulers' processes with what the history does.
--- a/rehearse/report/report.go
+++ b/rehearse/report/report.go
@@ -147,6 +147,33 @@
 	return out
 }
 
+// steps words how the plan was played; empty: it had no steps, or the history is of a kit that did not write them down.
+func (r *Run) steps() string {
+	f := &r.Figures
+	if len(f.Steps) == 0 {
+		return ""
+	}
+	text := fmt.Sprintf("%d steps, the worst done %s ms late", len(f.Steps), millis(f.Kit.StepLateMax))
+	if waiting, uncued := r.Cues(); waiting > 0 {
+		text += fmt.Sprintf("; %d of %d that wait for a cue had none", uncued, waiting)
+	}
+	return text
+}
+
+// Cues counts the steps that wait for a cue, and those of them that were done without.
+func (r *Run) Cues() (waiting, uncued int) {
+	for i := range r.Figures.Steps {
+		s := &r.Figures.Steps[i]
+		if s.Wait > 0 {
+			waiting++
+		}
+		if s.Uncued() {
+			uncued++
+		}
+	}
+	return waiting, uncued
+}
+
 // clip makes a text of others fit for a line: nothing that steers a terminal, and no wider than so many columns.
 func clip(s string, most int) string {
 	var b strings.Builder
--- a/rehearse/report/report_test.go
+++ b/rehearse/report/report_test.go
@@ -128,6 +128,30 @@
 	}
 }
 
+// How the plan was played is said, unless the history is of a kit that did not write that down.
+func TestPlayedPlanIsShown(t *testing.T) {
+	r := sample(day(7, 13, 2, 5, 22))
+	if got := render(t, r); strings.Contains(got, "plan ") {
+		t.Errorf("a plan that nobody knows of: %s", got)
+	}
+	r.Figures.Steps = []score.Step{{What: "pause"}, {What: "crash", Wait: 5000}, {What: "mute", Wait: 5000, Cued: true}}
+	r.Figures.Kit.StepLateMax = 1.25
+	const want = "3 steps, the worst done 1.25 ms late; 1 of 2 that wait for a cue had none"
+	if got := flat(render(t, r)); !strings.Contains(got, "plan "+want) {
+		t.Errorf("no %q in\n%s", want, got)
+	}
+	if got := pageOf(t, r); !strings.Contains(got, want) {
+		t.Errorf("no %q in the page", want)
+	}
+	var b bytes.Buffer
+	if err := Encode(&b, []Run{r}); err != nil {
+		t.Fatal(err)
+	}
+	if want := `"steps":3,"steps_uncued":1,"step_late_max_ms":1.25`; !strings.Contains(b.String(), want) {
+		t.Errorf("no %s in %s", want, b.String())
+	}
+}
+
 // Names come from files and sockets: they must not steer a terminal, nor break the table.
 func TestTableBearsOddNamesAndLargeFigures(t *testing.T) {
 	r := sample(day(7, 13, 2, 5, 22))
--- a/rehearse/report/table.go
+++ b/rehearse/report/table.go
@@ -246,6 +246,9 @@
 			"p99 %s ms, worst %s ms, %d stalls of %s ms", finite(r.Daemon.CPUSeconds, 3), finite(r.Daemon.PeakMB, 3),
 			r.Daemon.Descriptors, crashes, finite(r.KitCPU, 3), millis(k.LateP50), millis(k.LateP99), millis(k.LateMax),
 			k.Stalls, millis(k.StallTotal)))
+	if steps := r.steps(); steps != "" {
+		line("plan", steps)
+	}
 	for i, s := range r.Daemon.Schedulers {
 		if i == 8 {
 			line("", fmt.Sprintf("and %d more schedulers", len(r.Daemon.Schedulers)-i))
--- a/rehearse/run/rig_test.go
+++ b/rehearse/run/rig_test.go
@@ -51,8 +51,9 @@
 	return r
 }
 
-// begin plays the rig's timetable from now on.
-func (r *run) begin() {
-	start := r.rec.Since()
+// begin plays the rig's timetable from now on, and returns when that is.
+func (r *run) begin() (start time.Duration) {
+	start = r.rec.Since()
 	r.all.Go(func() { r.playSteps(start) })
+	return start
 }
--- a/rehearse/run/timetable.go
+++ b/rehearse/run/timetable.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"laddertide/core/history"
 	"laddertide/rehearse/clients"
 	"laddertide/rehearse/fleet"
 	"laddertide/rehearse/scenario"
@@ -49,13 +50,21 @@
 	for {
 		select {
 		case play := <-queue:
-			play()
+			if ctx.Err() == nil {
+				play()
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// entry is what the history has of a step that is played at its time.
+func (t *timetable) entry(step scenario.Step) history.Event {
+	planned := (t.start + step.At).Microseconds()
+	return history.Event{Kind: history.KindStep, Note: string(step.Do), From: planned, Until: planned, Limit: step.Wait.Microseconds()}
+}
+
 // begin plays a step whose time has come, or has it played when nothing that it must wait for is left.
 func (t *timetable) begin(step scenario.Step) {
 	end, waits := t.ends[step.Trouble]
@@ -71,12 +80,12 @@
 		t.run.all.Go(func() {
 			select {
 			case <-end:
-				t.play(step)
+				t.play(step, t.entry(step))
 			case <-t.run.ctx.Done():
 			}
 		})
 	default:
-		t.play(step)
+		t.play(step, t.entry(step))
 	}
 }
 
@@ -86,16 +95,23 @@
 	if step.Arriving {
 		cue = fleet.Arriving
 	}
-	within := t.start + step.At + step.Wait - t.run.rec.Since()
-	_, played := t.run.fleet.Await(t.run.ctx, step.Workers, cue, within)
+	due := t.start + step.At + step.Wait
+	came, at, played := t.run.fleet.Await(t.run.ctx, step.Workers, cue, due-t.run.rec.Since())
 	defer played()
-	if t.run.ctx.Err() == nil {
-		t.play(step)
+	if t.run.ctx.Err() != nil {
+		return
 	}
+	if came {
+		due = at
+	}
+	entry := t.entry(step)
+	entry.Until, entry.On = due.Microseconds(), came
+	t.play(step, entry)
 }
 
-// play plays a step now, or puts it into the queues of its schedulers.
-func (t *timetable) play(step scenario.Step) {
+// play plays a step now, or has its schedulers' queues play it, and writes that down when it is done: in entry, once for each scheduler
+// that has a queue for it.
+func (t *timetable) play(step scenario.Step, entry history.Event) {
 	on := step.Value > 0
 	switch step.Do {
 	case scenario.Crash, scenario.Vanish, scenario.Mute, scenario.Return, scenario.Slow, scenario.Cut, scenario.Mend, scenario.Hand,
@@ -115,9 +131,16 @@
 		t.visit(step)
 	case scenario.Pause, scenario.Full, scenario.Term, scenario.Kill, scenario.Reload, scenario.Upgrade, scenario.Retune:
 		for _, scheduler := range step.Schedulers {
-			t.queues[scheduler] <- func() { t.run.posts[scheduler].play(t.run.ctx, step) }
+			post, own := t.run.posts[scheduler], entry
+			own.Scheduler = post.name
+			t.queues[scheduler] <- func() {
+				post.play(t.run.ctx, step)
+				t.run.rec.Add(own)
+			}
 		}
+		return
 	}
+	t.run.rec.Add(entry)
 }
 
 // playOnWorker does what a step says to one worker. One that was pushed over stays down.
--- a/rehearse/run/timetable_test.go
+++ b/rehearse/run/timetable_test.go
@@ -1,10 +1,15 @@
 package run
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"laddertide/core/history"
+	"laddertide/core/traffic"
+	"laddertide/rehearse/book"
 	"laddertide/rehearse/daemon"
 	"laddertide/rehearse/scenario"
 )
@@ -97,6 +102,69 @@
 	}
 }
 
+// The history has of each step when the plan wanted it, when it was due, and when it was done: of one that waits, when its cue came, or that
+// there was none.
+func TestStepsAreWrittenDown(t *testing.T) {
+	const wait = 20 * time.Millisecond
+	r := newRig(t,
+		scenario.Step{At: 1 * time.Millisecond, Do: scenario.Crash, Workers: []int{0}, Trouble: 1, Wait: wait},
+		scenario.Step{At: 2 * time.Millisecond, Do: scenario.Vanish, Workers: []int{1}, Trouble: 2, Wait: never, Arriving: true},
+		scenario.Step{At: 3 * time.Millisecond, Do: scenario.Mute, Workers: []int{2}, Trouble: 3, Wait: never},
+		scenario.Step{At: 4 * time.Millisecond, Do: scenario.Pause, Schedulers: []int{0, 1}, Value: 1},
+		scenario.Step{At: 5 * time.Millisecond, Do: scenario.Slow, Workers: []int{3}, Value: 2})
+	start := r.begin()
+	until(t, "a step is done without its cue", func() bool { return !r.alive(0) })
+	var sent [3]int64 // by worker: before its cue
+	for _, worker := range []int{1, 2} {
+		sent[worker] = r.rec.Now()
+		until(t, "a step is done on its cue", func() bool {
+			r.sendUnsafe(t, worker)
+			return !r.alive(worker)
+		})
+	}
+	steps := make(map[string]history.Event)
+	for _, ev := range r.end(t) {
+		if ev.Kind == history.KindStep {
+			steps[ev.Note+ev.Scheduler] = ev
+		}
+	}
+	at := func(milliseconds int64) int64 { return start.Microseconds() + 1000*milliseconds }
+	for name, want := range map[string]struct {
+		planned, due int64 // the earliest time that it may have been due
+		cued         bool
+	}{
+		"crash":   {at(1), at(1) + wait.Microseconds(), false},
+		"vanish":  {at(2), sent[1], true},
+		"mute":    {at(3), sent[2], true},
+		"pausen1": {at(4), at(4), false},
+		"pausen2": {at(4), at(4), false},
+		"slow":    {at(5), at(5), false},
+	} {
+		step := steps[name]
+		if step.From != want.planned || step.On != want.cued || step.T < step.Until || step.Until < want.due ||
+			!want.cued && step.Until != want.due {
+			t.Errorf("%s: want %+v, got it planned at %d, due at %d, done at %d, cue %v", name, want, step.From, step.Until, step.T, step.On)
+		}
+	}
+	if len(steps) != 6 {
+		t.Errorf("%d steps, want 6: %v", len(steps), steps)
+	}
+}
+
+// sendUnsafe sends a job that must never run twice to a worker, and waits for no answer.
+func (r *run) sendUnsafe(t *testing.T, worker int) {
+	t.Helper()
+	class := slices.IndexFunc(r.plan.Classes, func(c traffic.Class) bool { return c.Repeat == history.NonIdempotent })
+	id := fmt.Sprintf("job-%d", r.rec.Now())
+	r.book.Write(id, book.Sum("POST", "/", id, "", []byte("body")), book.Job{Class: class, Work: never, Slots: 1, Memory: 0.1})
+	conn, err := net.DialTimeout("tcp", r.fleet.Address(0, worker), time.Second)
+	if err != nil {
+		return // it is down
+	}
+	t.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody", id)
+}
+
 // alive tells whether a worker's process is there.
 func (r *run) alive(worker int) bool { return r.fleet.State(worker).Alive }
 
--- a/rehearse/session/session.go
+++ b/rehearse/session/session.go
@@ -141,6 +141,7 @@
 	out.Rate, _ = setup.Drawn["rate"].(float64)
 	out.Late = out.Figures.Kit.LateP99 > float64(late)/float64(time.Millisecond)
 	out.Partial = out.Verdict.Partial
+	out.Notes = append(out.Notes, uncued(out.Figures.Steps)...)
 	for _, b := range out.Verdict.Breaches {
 		if _, told := out.Stories[b.Request]; b.Request != "" && !told && len(out.Stories) < 50 {
 			out.Stories[b.Request] = judge.Story(events, b.Request)
