rehearse: a run with a step of the plan over 50 ms late does not count

Such a run passed for one that counts. A stall of the kit excuses no step. Only steps in the history can be late, so those of earlier kits are judged as before.

--- a/rehearse/cli/soak.go
+++ b/rehearse/cli/soak.go
@@ -254,6 +254,9 @@
 		longest = max(longest, c.Deadline)
 	}
 	verdict := map[int]string{Kept: "kept", Broken: "BROKEN", RanLate: "does not count: the kit was late"}[code]
+	if late := run.Figures.Kit.StepLateMax; late > float64(session.StepLateLimit.Milliseconds()) {
+		verdict += fmt.Sprintf(" (a step of the plan was done %.0f ms late)", late)
+	}
 	if waiting, uncued := run.Cues(); uncued > 0 {
 		verdict += fmt.Sprintf(" (%d of %d steps that wait for a cue had none)", uncued, waiting)
 	}
--- a/rehearse/experiment/compare.go
+++ b/rehearse/experiment/compare.go
@@ -324,7 +324,7 @@
 		case o.Partial:
 			return h.name + " was cut off"
 		case o.Late:
-			return fmt.Sprintf("the kit was late with %s (p99 %.3g ms), in %s", h.name, o.LateMS, tried(len(h.half)))
+			return fmt.Sprintf("the kit was late with %s (p99 %.3g ms, worst step of the plan %.3g ms), in %s", h.name, o.LateMS, o.Kit.StepLateMax, tried(len(h.half)))
 		}
 	}
 	return ""
--- a/rehearse/experiment/outcome.go
+++ b/rehearse/experiment/outcome.go
@@ -48,7 +48,8 @@
 	WorkDoneS        float64 `json:"work_done_s"`
 	WastedS          float64 `json:"wasted_s"`
 	Kit              struct {
-		CPU float64 `json:"cpu_s"`
+		CPU         float64 `json:"cpu_s"`
+		StepLateMax float64 `json:"step_late_max_ms"`
 	} `json:"kit"`
 }
 
--- a/rehearse/report/report.go
+++ b/rehearse/report/report.go
@@ -136,8 +136,8 @@
 	if r.Late {
 		k := &r.Figures.Kit
 		out = append(out,
-			fmt.Sprintf("LATE: the kit itself could not keep up (p99 %s ms, worst %s ms, %d stalls of %s ms); "+
-				"this run does not count.", millis(k.LateP99), millis(k.LateMax), k.Stalls, millis(k.StallTotal)))
+			fmt.Sprintf("LATE: the kit itself could not keep up (p99 %s ms, worst %s ms, %d stalls of %s ms; worst step of the plan %s ms); "+
+				"this run does not count.", millis(k.LateP99), millis(k.LateMax), k.Stalls, millis(k.StallTotal), millis(k.StepLateMax)))
 	}
 	for _, notes := range [][]string{r.Notes, r.Verdict.Notes} {
 		for _, n := range notes {
--- a/rehearse/scale/scale.go
+++ b/rehearse/scale/scale.go
@@ -165,7 +165,7 @@
 		return lost
 	case res.Report.Late:
 		k := &res.Report.Figures.Kit
-		return fmt.Sprintf("the kit was late: p99 %.1f ms, %d stalls", k.LateP99, k.Stalls)
+		return fmt.Sprintf("the kit was late: p99 %.1f ms, %d stalls, worst step of the plan %.1f ms", k.LateP99, k.Stalls, k.StepLateMax)
 	case w.end.machine.Swapped > w.begin.machine.Swapped:
 		return fmt.Sprintf("the machine swapped %d pages", w.end.machine.Swapped-w.begin.machine.Swapped)
 	}
--- a/rehearse/session/session.go
+++ b/rehearse/session/session.go
@@ -32,6 +32,10 @@
 // LateLimit is the kit's own lateness (the p99 of how late clients began to send) past which a run does not count.
 const LateLimit = 20 * time.Millisecond
 
+// StepLateLimit is how late the kit may be with a step of the plan: with a later one, another plan was played than the seed's, and
+// the run does not count.
+const StepLateLimit = 50 * time.Millisecond
+
 // Session is how runs are played.
 type Session struct {
 	Program  daemon.Program
@@ -139,8 +143,10 @@
 		}
 	}
 	out.Rate, _ = setup.Drawn["rate"].(float64)
-	out.Late = out.Figures.Kit.LateP99 > float64(late)/float64(time.Millisecond)
+	kit := &out.Figures.Kit
+	out.Late = kit.LateP99 > milliseconds(late) || kit.StepLateMax > milliseconds(StepLateLimit)
 	out.Partial = out.Verdict.Partial
+	out.Notes = append(out.Notes, lateSteps(out.Figures.Steps)...)
 	out.Notes = append(out.Notes, uncued(out.Figures.Steps)...)
 	for _, b := range out.Verdict.Breaches {
 		if _, told := out.Stories[b.Request]; b.Request != "" && !told && len(out.Stories) < 50 {
--- a/rehearse/session/steps_test.go
+++ b/rehearse/session/steps_test.go
@@ -46,6 +46,28 @@
 	}
 }
 
+// A run in which a step was done more than 50 ms after it was due does not count, and says which.
+func TestALateStepDoesNotCount(t *testing.T) {
+	step := func(planned, due, done int64) history.Event {
+		return history.Event{T: done, Kind: history.KindStep, Note: "pause", Scheduler: "n1", From: planned, Until: due}
+	}
+	if notes, late := judged(t, step(6_000_000, 6_000_000, 6_050_000), step(1_000_000, 5_000_000, 5_050_000)); late || len(notes) > 0 {
+		t.Errorf("50 ms: late %v, %q", late, notes)
+	}
+	const want = "the step pause n1, due at 6.000 s, was done 51 ms late"
+	if notes, late := judged(t, step(6_000_000, 6_000_000, 6_050_501)); !late || !slices.Equal(notes, []string{want}) {
+		t.Errorf("51 ms: late %v, %q, want %q", late, notes, want)
+	}
+	var many []history.Event
+	for range 8 {
+		many = append(many, step(6_000_000, 6_000_000, 10_000_000))
+	}
+	notes, late := judged(t, many...)
+	if !late || len(notes) != mostLateSteps+1 || notes[mostLateSteps] != "3 more steps were done over 50ms late" {
+		t.Errorf("8 late steps: late %v, %q", late, notes)
+	}
+}
+
 // A history of a kit that did not write steps down is read as before.
 func TestHistoriesWithoutSteps(t *testing.T) {
 	if notes, late := judged(t); len(notes) > 0 || late {
