rehearse/clients: a request that its scheduler's close crossed does not count as read

Cause, by reading, two orders of events in which nothing of a request was there when its scheduler ended its half, and which the kit took for a request that was read: - The kit looked for that end, was held up, and wrote only then; the end came between the two.

Change: loop.Write looks and writes without another goroutine between the two. As a second witness it asks the system what is acknowledged: each segment acknowledges all that came before it, so an end of which nothing of the request is acknowledged had left the scheduler before. loop.Unreached asks the same when the end is seen. Nothing else is excused: if any byte of a request was there before the end, it is judged as before, which a new case holds. What the write has found counts also if the goroutine that reads the connection looked earlier.

What is left: an end that comes between the look and the write, less than a system call apart, at a scheduler that reads and drops and whose machine acknowledges that by the next look. It counts as read, as before.

--- a/rehearse/clients/client.go
+++ b/rehearse/clients/client.go
@@ -128,9 +128,8 @@
 		if fresh {
 			age = max(1, (k.Record.Since() - c.opened).Microseconds())
 		}
-		c.noteEnd()
 		c.nc.SetWriteDeadline(time.Now().Add(min(writeLimit, patience)))
-		if n, err := c.nc.Write(*buf); err != nil {
+		if n, err := c.write(*buf); err != nil {
 			out, after, note := t.cut(wait, n, err)
 			c.drop()
 			if k.ctx.Err() != nil {
@@ -245,8 +244,9 @@
 	defer timer.Stop()
 	// The connection's own goroutine may have seen the answer before this one came to look at the clock.
 	late := func(a answer) answer {
-		// A close that was seen before the request was out has crossed it.
-		a.read = a.read && a.t >= sent
+		// A close that was seen before the request was out has crossed it. What the write has found may not have been known to that
+		// goroutine.
+		a.read = a.read && a.t >= sent && !c.ended.Load()
 		a.t = max(a.t, sent)
 		return a
 	}
--- a/rehearse/clients/conn.go
+++ b/rehearse/clients/conn.go
@@ -43,7 +43,8 @@
 	opened time.Duration
 	chance float64 // by which its idle time is drawn
 
-	ended atomic.Bool // the scheduler had ended its half before the last request was written
+	ended atomic.Bool  // the scheduler had ended its half before any of the last request was there
+	size  atomic.Int64 // of the last request
 
 	in   io.LimitedReader // of nc; N is set anew for each answer
 	br   *bufio.Reader
@@ -241,7 +242,7 @@
 		case wait == nil:
 			return
 		case err != nil:
-			c.deliver(answer{t: now, read: errors.Is(err, io.EOF) && !c.ended.Load() && c.wasRead(), note: cause(err)}, false)
+			c.deliver(answer{t: now, read: errors.Is(err, io.EOF) && c.wasRead(), note: cause(err)}, false)
 			return
 		}
 		a, more := c.parse()
@@ -259,16 +260,20 @@
 // readLook is how long a machine may take to turn away what came to a connection that its program has closed.
 const readLook = 25 * time.Millisecond
 
-// noteEnd notes, before a request is written, whether the scheduler has ended its half of the connection. Such a request
-// crosses that end for certain, also where the scheduler reads what still comes and drops it: whether it was sent on
-// shows at the workers.
-func (c *conn) noteEnd() {
-	state, err := loop.StateOf(c.nc)
-	c.ended.Store(err == nil && state == loop.CloseWait)
+// write writes a request, and notes whether the scheduler had ended its half of the connection before any of it was there. Such a
+// request crosses that end for certain, also where the scheduler reads what still comes and drops it: whether it was sent on shows at
+// the workers.
+func (c *conn) write(request []byte) (n int, err error) {
+	c.size.Store(int64(len(request)))
+	n, crossed, err := loop.Write(c.nc, request)
+	c.ended.Store(crossed)
+	return n, err
 }
 
 // wasRead tells of a connection that the scheduler has closed whether it had read all that was sent there.
-func (c *conn) wasRead() bool { return loop.WasRead(c.nc, readLook) }
+func (c *conn) wasRead() bool {
+	return !c.ended.Load() && !loop.Unreached(c.nc, int(c.size.Load())) && loop.WasRead(c.nc, readLook)
+}
 
 // renew begins an answer.
 func (c *conn) renew() { c.held, c.in.N = c.br.Buffered(), maxAnswer }
--- a/rehearse/clients/insist.go
+++ b/rehearse/clients/insist.go
@@ -86,9 +86,8 @@
 	buf := k.bodies.Get().(*[]byte)
 	defer k.bodies.Put(buf)
 	*buf = t.request((*buf)[:0], left)
-	c.noteEnd()
 	c.nc.SetWriteDeadline(time.Now().Add(writeLimit))
-	if n, err := c.nc.Write(*buf); err != nil {
+	if n, err := c.write(*buf); err != nil {
 		out, after, note := t.cut(wait, n, err)
 		c.drop()
 		if k.ctx.Err() == nil {
--- a/rehearse/clients/read_test.go
+++ b/rehearse/clients/read_test.go
@@ -1,9 +1,16 @@
 package clients
 
 import (
+	"context"
 	"io"
 	"net"
+	"slices"
 	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"laddertide/rehearse/record"
 )
 
 // A close by a scheduler that had the request is told from one that crossed it, whichever came first.
@@ -20,29 +27,45 @@
 		want bool
 	}{
 		"read": {func(c *conn, client, scheduler net.Conn) {
-			client.Write(request)
+			c.write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)))
 			scheduler.Close()
 		}, true},
+		"half closed before all of it was there, read and dropped": {func(c *conn, client, scheduler net.Conn) {
+			long := slices.Repeat(request, 1<<20) // more than the buffers take
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				c.write(long)
+			}()
+			io.ReadFull(scheduler, make([]byte, len(request)))
+			scheduler.(*net.TCPConn).CloseWrite()
+			io.ReadFull(scheduler, make([]byte, len(long)-len(request)))
+			<-written
+		}, true},
+		"half closed, and the request has not arrived": {func(c *conn, client, scheduler net.Conn) {
+			losesAll(t, scheduler.(*net.TCPConn))
+			c.write(request)
+			scheduler.(*net.TCPConn).CloseWrite()
+		}, false},
 		"not all read": {func(c *conn, client, scheduler net.Conn) {
-			client.Write(request)
+			c.write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)-1))
 			scheduler.Close()
 		}, false},
 		"half closed before, read and dropped": {func(c *conn, client, scheduler net.Conn) {
 			scheduler.(*net.TCPConn).CloseWrite()
-			c.noteEnd()
-			client.Write(request)
+			c.write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)))
 		}, false},
 		"read before the half close": {func(c *conn, client, scheduler net.Conn) {
-			client.Write(request)
+			c.write(request)
 			io.ReadFull(scheduler, make([]byte, len(request)))
 			scheduler.(*net.TCPConn).CloseWrite()
 		}, true},
 		"closed before": {func(c *conn, client, scheduler net.Conn) {
 			scheduler.Close()
-			client.Write(request)
+			c.write(request)
 		}, false},
 	} {
 		client, err := net.Dial("tcp4", ln.Addr().String())
@@ -56,9 +79,42 @@
 		k := &conn{nc: client.(*net.TCPConn)}
 		c.play(k, client, scheduler)
 		client.Read(make([]byte, 1)) // the close is seen
-		if got := !k.ended.Load() && k.wasRead(); got != c.want {
+		if got := k.wasRead(); got != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
 		client.Close()
 	}
 }
+
+// losesAll has a connection's socket drop whatever comes from now on, as a machine that is late would for a while.
+func losesAll(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failed error
+	nothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &nothing})
+	})
+	if err != nil || failed != nil {
+		t.Fatal(err, failed)
+	}
+}
+
+// TestWriteKnowsMoreThanTheReader guards against a request that counts as read as the goroutine that saw the close looked before the write
+// had told that the two crossed.
+func TestWriteKnowsMoreThanTheReader(t *testing.T) {
+	t.Parallel()
+	for _, crossed := range []bool{false, true} {
+		k := &kit{Config: Config{Record: record.New(io.Discard)}, ctx: context.Background()}
+		c, wait := &conn{place: &place{kit: k}}, newPending()
+		c.ended.Store(crossed)
+		sent := k.Record.Since()
+		wait.came <- answer{t: sent + 1, read: true}
+		if a, over := (&one{kit: k}).await(c, wait, sent, time.Minute); over || a.read == crossed {
+			t.Errorf("crossed %t: read %t, over %t", crossed, a.read, over)
+		}
+	}
+}
--- a/rehearse/clients/roam.go
+++ b/rehearse/clients/roam.go
@@ -149,9 +149,8 @@
 	if what != "body" {
 		k.Book.Steal(t.id, class, k.Plan.Tenants[a.Tenant].Name)
 	}
-	c.noteEnd()
 	c.nc.SetWriteDeadline(time.Now().Add(writeLimit))
-	if _, err := c.nc.Write(text); err != nil {
+	if _, err := c.write(text); err != nil {
 		c.drop()
 		return
 	}
