provider: a worker that is back hears that a job was given up before its next attempt

Cause of one, by reading, and forced: an attempt without an acknowledgement in time, or whose connection broke before one, is given up by DELETE. A worker that is cut off does not hear that, and the job goes on after one round trip. Nobody told that worker again. If it was back by the time the next attempt began, as the job had waited for a worker or the process was held up right before the first byte, the job was out twice, at a worker that could have been told.

The check before the first byte does not cover that: it looks at the permission of the attempt that begins, not at where earlier ones were left.

Change: finalCheck tells the workers that could not be told, if that was more than 50 ms ago. One that is still away holds up the job for 50 ms at most, one that does not answer for 250 ms, either for no more than a quarter of what is left, and all of them at the same time. After that the other looks are taken again. A job that goes on at once waits for nothing.

Tests: TestNoSecondCopyOnceAWorkerIsBack, over sockets: silence or a reset, a wait or a hold-up right before the first byte. TestAttemptDespiteAnUnreachableWorker holds that a worker that stays away keeps no job. go test -race of provider, attempt, dispatch, durable and rehearse/fleet passes.

--- a/provider/call.go
+++ b/provider/call.go
@@ -204,13 +204,15 @@
 
 // finalCheck looks whether an attempt that has its connection may still be sent, and returns its message, which tells what is left of
 // the job's time; or how the attempt ends. Whatever allowed the attempt did so before it had a connection, and the process may have
-// stood still since, or stand still between two of these looks: then all are taken again.
+// stood still since, or stand still between two of these looks: then all are taken again. Workers of earlier attempts that have come back
+// meanwhile are told that those are given up.
 func (p *Pool) finalCheck(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
 	for {
 		if p.Awake != nil {
 			p.Awake(v.Until)
 		}
 		began := time.Now()
+		p.tellEarlier(j, v)
 		message = jobMessage(j, c.lease, v.Until)
 		if end = p.mayStillSend(j, c, v); end != accepted {
 			return nil, end
@@ -440,7 +442,9 @@
 			return c.ending()
 		default:
 		}
-		c.after.open = err != nil
+		if c.after.open = err != nil; c.after.open && g.must == tried {
+			c.after.unheard = time.Now()
+		}
 		if err == nil || g.must == tried {
 			return g.end, nil
 		}
