core/starttime: a first list's cold workers count as such by a clock that is ahead

Callers saw: nothing yet.

Cause: until some start was news the own clock was taken for right, though every date in a list is evidence: no start is in the fleet's future.

Change: a start counts as late as it may have been. The youngest start of a list bounds how far the own clock is ahead, and so do the terms, which speak of steps of seconds (10 s here) or of an hour; an hour only if no start is dated after what the fleet's time would be then. News bounds it as before. A process that takes over is always told of the clock and starts of the one before: it would translate them anew, and a start that moves is another one to the module, which gives up what was sent before. One that follows an earlier version, which told nothing, keeps the dates.

--- a/core/starttime/starttime.go
+++ b/core/starttime/starttime.go
@@ -15,15 +15,25 @@
 // machine's and runs on by the monotonic clock. The zero value is ready for use.
 //
 // What is known of the own clock: a start is told after it happened. So the own clock is ahead of the fleet's by no more than now less
-// the date of any start; and the least of these, over starts that are news when they are told, comes close to the truth, as the news
-// of some start takes hardly any time. Starts that were listed before this scheduler looked say nothing but that they are not in the
-// future.
+// the date of any start. The starts of the first list bound it by the age of the youngest; a start that is news when it is told comes
+// close to the truth, as the news of some start takes hardly any time. Before that the own clock is taken for one that may have been
+// stepped ahead by seconds or by an hour: by an hour only if no start is dated after what the fleet's time would be then.
+//
+// A start counts as late as the least of these bounds allows, as it may have been then. To take a warm worker for a cold one costs
+// a part of its capacity while it would warm up; the other way round it falls.
 type Clock struct {
 	workers map[string]worker
-	ahead   time.Duration // the most by which the own clock is ahead, plus the time that news takes at the least
-	bounded bool          // ahead is known
+	ahead   time.Duration // the least by which starts bound how far the own clock is ahead, if bounded
+	bounded bool
+	close   bool // ahead is close to the truth: some start was news, or in the future
 }
 
+// The steps of a clock that are reckoned with until a start is news.
+const (
+	seconds = 10 * time.Second // a step of seconds, at the most
+	hour    = time.Hour        // the other one, give or take seconds
+)
+
 // worker is a start as it was dated, and as it is translated. That does not change, however much better the clock is known later: a
 // start that moved would be another one to those who hear of it.
 type worker struct {
@@ -38,8 +48,10 @@
 	}
 	w := worker{dated: dated}
 	if dated > 0 {
-		c.learn(now-dated, news)
-		w.started = min(dated+c.ahead, now)
+		c.Bound(dated, now)
+		c.close = c.close || news
+		most, _ := c.Ahead()
+		w.started = min(dated+most, now)
 	}
 	if c.workers == nil {
 		c.workers = make(map[string]worker)
@@ -48,31 +60,31 @@
 	return w.started
 }
 
-// learn takes how long ago a start seems to be.
-func (c *Clock) learn(age time.Duration, news bool) {
-	certain := age < 0 // it cannot be in the future
-	if !news && !certain || c.bounded && age >= c.ahead {
+// Bound takes the date of a start as evidence of the own clock. All dates of a list are taken before the first of its starts is
+// translated, as a translation does not change.
+func (c *Clock) Bound(dated, now time.Duration) {
+	if dated <= 0 {
 		return
 	}
-	c.ahead, c.bounded = age, true
+	age := now - dated
+	if !c.bounded || age < c.ahead {
+		c.ahead, c.bounded = age, true
+	}
+	c.close = c.close || age < 0 // the own clock is behind
 }
 
-// Ahead returns by how much the own clock is ahead of the fleet's at the most, and whether that is known at all. It is below 0 if the
-// own clock is behind.
-func (c *Clock) Ahead() (time.Duration, bool) { return c.ahead, c.bounded }
-
-const (
-	// step is how far the system's clock may be from the scheduler's own before a process that would begin by the former is told of the
-	// latter.
-	step = 100 * time.Millisecond
-	// off is the same for the own clock and the fleet's. News of a start may take nearly as long.
-	off = 3 * time.Second
-)
-
-// Differs reports whether the process that goes on from here has to be told of this clock and its starts, where it would begin by the
-// system's clock, which is apart from this one by so much.
-func (c *Clock) Differs(apart time.Duration) bool {
-	return apart.Abs() >= step || c.bounded && c.ahead.Abs() >= off
+// Ahead returns by how much the own clock is ahead of the fleet's at the most, and whether that is close to the truth. It is below 0 if
+// the own clock is behind.
+func (c *Clock) Ahead() (most time.Duration, isClose bool) {
+	switch {
+	case c.close:
+		return c.ahead, true
+	case !c.bounded:
+		return hour + seconds, false
+	case c.ahead >= hour-seconds:
+		return min(c.ahead, hour+seconds), false
+	}
+	return min(c.ahead, seconds), false
 }
 
 // Start is a start that a Clock knows, as it was dated and as it is translated.
@@ -91,9 +103,13 @@
 	return starts
 }
 
-// Continue returns a Clock that knows what another one does: what its Ahead and Starts return.
-func Continue(ahead time.Duration, known bool, starts []Start) Clock {
-	c := Clock{workers: make(map[string]worker, len(starts)), ahead: ahead, bounded: known}
+// Continue returns a Clock that knows what another one does: what its Ahead and Starts return. A bound that is not close is learnt again,
+// from the next list.
+func Continue(ahead time.Duration, isClose bool, starts []Start) Clock {
+	c := Clock{workers: make(map[string]worker, len(starts))}
+	if isClose {
+		c.ahead, c.bounded, c.close = ahead, true, true
+	}
 	for _, s := range starts {
 		c.workers[s.Name] = worker{dated: s.Dated, started: s.Started}
 	}
--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -57,6 +58,76 @@
 	}
 }
 
+// By a clock that is right, a worker that started half a minute ago is not taken for a cold one; nor is one that started some seconds more
+// than the time in which it warms up before the youngest, in whatever order they are listed.
+func TestFirstListByAClockThatIsRight(t *testing.T) {
+	for _, ages := range [][]time.Duration{
+		{15 * time.Second, time.Second, 2 * time.Hour},
+		{30 * time.Second, 30 * time.Second},
+	} {
+		t.Run(fmt.Sprint(ages), func(t *testing.T) {
+			began := time.Now()
+			r := startRig(t, "", io.Discard, func(cfg *Config) {
+				e := cfg.Known.Entries[0]
+				cfg.Known.Entries = nil
+				for i, age := range ages {
+					e.Name, e.SinceMS = fmt.Sprint("s-", i), float64(began.Add(-age).UnixMilli())
+					cfg.Known.Entries = append(cfg.Known.Entries, e)
+				}
+			})
+			r.sched.mu.Lock()
+			defer r.sched.mu.Unlock()
+			now, warm := r.sched.engine.Now(), r.cfg.Settings.WarmWithin
+			for i, age := range ages {
+				p, _ := r.sched.list.Get(fmt.Sprint("s-", i))
+				old := now - r.sched.starts.Started(p.Name, p.Entry.Since(), now, false)
+				if old > age+time.Since(began)+time.Millisecond || age > warm && old < warm {
+					t.Errorf("a worker that started %v ago counts as one of %v ago", age, old)
+				}
+			}
+		})
+	}
+}
+
+// A process that takes over counts the starts of workers as the one before did, though it knows less of its clock: one that moved would be
+// another start, and what was sent before it given up. A process of an earlier version, which did not tell its clock, counted them as dated.
+func TestUpgradeMovesNoStart(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		t.Run(fmt.Sprintf("told %t", told), func(t *testing.T) {
+			r := newUpgradeRig(t, io.Discard)
+			dated := func(name string, ago time.Duration) directory.Entry {
+				e := r.cfg.Known.Entries[0]
+				e.Name, e.SinceMS = name, float64(time.Now().Add(-ago).UnixMilli())
+				return e
+			}
+			young, news := dated("s-young", 20*time.Second), dated("s-news", 5*time.Second)
+			r.hear(directory.List{Index: 42, Snapshot: true, Entries: []directory.Entry{young}})
+			r.hear(directory.List{Index: 43, Entries: []directory.Entry{news}})
+			next := r.follow(io.Discard)
+			r.sched.mu.Lock()
+			clock, roster := r.sched.handClock(), r.sched.roster()
+			r.sched.mu.Unlock()
+			if told {
+				next.sched.mu.Lock()
+				next.sched.clock = &olderClock{Clock: clock, received: time.Now()}
+				next.sched.mu.Unlock()
+			}
+			if !next.sched.inherit(&wire.Takeover{Roster: roster}) {
+				t.Fatal("it does not take over")
+			}
+			for _, e := range []directory.Entry{young, news} {
+				want := e.Since()
+				if told {
+					want = startedAt(r, &e)
+				}
+				if got := startedAt(next, &e); got != want {
+					t.Errorf("the start of %s moved by %v", e.Name, got-want)
+				}
+			}
+		})
+	}
+}
+
 // A worker that an operator puts back counts as cold from that moment by the clock of all decisions, not by the system's, which may have
 // been stepped since the start.
 func TestPutBackByTheClockOfDecisions(t *testing.T) {
@@ -161,3 +232,10 @@
 		r.t.Errorf("a worker that was put back within %v counts as put back %v ago", within, age)
 	}
 }
+
+// startedAt is when a scheduler has a worker's start, by its clock.
+func startedAt(r *rig, e *directory.Entry) time.Duration {
+	r.sched.mu.Lock()
+	defer r.sched.mu.Unlock()
+	return r.sched.starts.Started(e.Name, e.Since(), r.sched.engine.Now(), false)
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -33,11 +33,10 @@
 	stopBy    time.Time // by when all is to be answered, once stopping
 
 	before *wire.Peers // what older knew of the other schedulers; nil: nothing
-	clock  *olderClock // the clock of older; nil: it is like this process's
+	clock  *olderClock // the clock of older; nil: an earlier version's, which is like this process's
 
-	successorApart time.Duration       // by how much the system's clock was ahead as the successor was admitted
-	takeover       chan *wire.Takeover // older's word that this one serves now
-	opened         chan struct{}       // closed once server can adopt
+	takeover chan *wire.Takeover // older's word that this one serves now
+	opened   chan struct{}       // closed once server can adopt
 }
 
 const (
@@ -241,7 +240,6 @@
 		case s.stopping:
 			return &wire.Refusal{Version: wire.Version, Why: "this process is stopping", Later: true}
 		}
-		s.successorApart = s.clockApart()
 		return &wire.Welcome{Version: wire.Version, Roster: s.roster()}
 	}, s.admitted)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -220,6 +220,7 @@
 	s.index = list.Index
 	s.heardList()
 	now := s.engine.Now()
+	s.boundClock(list.Entries, now)
 	names := make([]string, len(list.Entries))
 	for i := range list.Entries {
 		e := &list.Entries[i]
@@ -247,6 +248,13 @@
 	s.tell(kind, list)
 }
 
+// boundClock takes all dates of a list as evidence of this machine's clock, before one of them is translated.
+func (s *Scheduler) boundClock(entries []directory.Entry, now time.Duration) {
+	for i := range entries {
+		s.starts.Bound(entries[i].Since(), now)
+	}
+}
+
 // effective is what the pool and the module hear of a provider: one that is taken out drains, whatever discovery says.
 func (s *Scheduler) effective(p maintenance.Provider[directory.Entry]) directory.Entry {
 	e := p.Entry
@@ -265,6 +273,7 @@
 	entries := make([]policy.Entry, len(list.Entries))
 	names := make([]string, len(list.Entries))
 	now := s.engine.Now()
+	s.boundClock(list.Entries, now) // those of a process before have not been heard by this one
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		names[i] = e.Name
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"laddertide/core/maintenance"
 	"laddertide/directory"
@@ -56,9 +57,7 @@
 	for _, t := range m.Tenants {
 		of.Tenants = append(of.Tenants, policy.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	if s.clock != nil {
-		s.continueClock(s.clock)
-	}
+	s.continueClock(s.clock)
 	next := s.cfg
 	var err error
 	if next.Settings, err = s.cfg.Settings.After(&of); err == nil {
@@ -107,10 +106,10 @@
 		m.Tenants = append(m.Tenants, wire.Tenant{Name: t.Name, Quota: t.Quota})
 	}
 	known, clock := s.handPeers(), s.handClock()
+	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", s.clockApart().Round(time.Millisecond),
+		"ahead_of_fleet_at_most", clock.Ahead.Round(time.Millisecond))
 	s.mu.Unlock()
-	if clock != nil {
-		next.Send(clock, nil)
-	}
+	next.Send(clock, nil)
 	if known != nil {
 		next.Send(known, nil) // without it the next process finds the others by itself
 	}
--- a/scheduler/successor_clock.go
+++ b/scheduler/successor_clock.go
@@ -9,7 +9,8 @@
 
 // A process that takes over goes on with what the one before believed, and all times in that are by the clock of that one: the system's
 // as it started, carried on by the monotonic clock. If the system's clock has been stepped since, the next process, which reads it anew,
-// would take what has just started for long warm, or for something of the future.
+// would take what has just started for long warm, or for something of the future. Nor may it translate dates of starts anew: what it
+// knows of its clock is less, and a start that moves is another one to the module, which gives up what was sent before it.
 
 // olderClock is the clock of the process before.
 type olderClock struct {
@@ -22,16 +23,10 @@
 	return s.engine.Apart(time.Now().Add(s.cfg.clockAhead))
 }
 
-// handClock is what the next process must know of this one's clock; nil: its own is like it. The next process has read the system's clock
-// shortly before it was admitted. Called under mu.
+// handClock is what the next process must know of this one's clock. Called under mu.
 func (s *Scheduler) handClock() *wire.Clock {
-	ahead, known := s.starts.Ahead()
-	if !s.starts.Differs(s.successorApart) && !s.starts.Differs(s.clockApart()) {
-		return nil
-	}
-	s.log.Info("the next process goes on by this one's clock", "system_clock_stepped_by", s.successorApart.Round(time.Millisecond),
-		"ahead_of_fleet", ahead.Round(time.Millisecond))
-	m := &wire.Clock{Ahead: ahead, Known: known}
+	m := new(wire.Clock)
+	m.Ahead, m.Known = s.starts.Ahead()
 	for _, start := range s.starts.Starts() {
 		m.Starts = append(m.Starts, wire.Start(start))
 	}
@@ -39,8 +34,13 @@
 	return m
 }
 
-// continueClock goes on by the clock of the process before. Called under mu.
+// continueClock goes on by the clock of the process before. An earlier version tells it only where it is not like this process's; starts
+// count as they are dated then, as they did there. Called under mu.
 func (s *Scheduler) continueClock(c *olderClock) {
+	if c == nil {
+		s.starts = starttime.Continue(0, true, nil)
+		return
+	}
 	if err := s.engine.Continue(c.Now + time.Since(c.received)); err != nil {
 		s.log.Error("the clock of the process before is not taken over", "err", err)
 		return
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -107,12 +107,12 @@
 		State  []byte
 		Owners []byte // what it keeps of jobs' owners, in the words of wire/owners
 	}
-	// Clock comes before Takeover where the next process may not count times by its own clock, as the system's was stepped: the clock of
-	// the process before as it sends this, and by that clock when providers started. Without it both clocks are alike.
+	// Clock comes before Takeover: the clock of the process before as it sends this, and by that clock when providers started. Earlier
+	// versions leave it out where the system's clock was not stepped. Without it both clocks are alike.
 	Clock struct {
 		Now    time.Duration // since 1970
 		Ahead  time.Duration // of the fleet's clock, at the most
-		Known  bool          // Ahead is known
+		Known  bool          // Ahead is close to the truth
 		Starts []Start
 	}
 	// Start is when a provider started, as discovery dates it and by Clock.
