scheduler: a state keeps the clock of the process that made it

Callers would see: with the section `state` a restart makes the next process forget the speed and health of each worker that has a start. Since starts count as late as the clock may be ahead, a new process, which knows less of its clock, dates them otherwise than the one before, and a start that moves is a new process to the module.

Change: the state has a part "clock", the message that a process of an upgrade is told. In the same boot of the machine the next process goes on by that clock, carried on by the time since boot, with all that was known of it. After a boot, or from the state of an earlier version, it begins with the system's, as before.

Result: TestStateKeepsStartsOverAStepOfTheClock failed before in all four cases (no step: "the start of s-older moved by -6.99s"; an hour: "moved by 59m53s") and passes.

--- a/scheduler/clock_test.go
+++ b/scheduler/clock_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"laddertide/directory"
+	"laddertide/ledger/faultfs"
+	"laddertide/returning"
 	wire "laddertide/wire/handover"
 )
 
@@ -233,6 +235,52 @@
 	}
 }
 
+// A process that begins with the state of the one before, in the same boot of the machine, counts starts as that one did, whatever the
+// system's clock was stepped by meanwhile: it is by these that it was learnt what workers do.
+func TestStateKeepsStartsOverAStepOfTheClock(t *testing.T) {
+	for _, step := range []time.Duration{0, 3 * time.Second, time.Hour, -time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			disk := faultfs.New()
+			start := func(ahead time.Duration) *rig {
+				return startRig(t, fmt.Sprintf("state: {dir: %s}\n", t.TempDir()), io.Discard, func(cfg *Config) {
+					cfg.clockAhead = ahead
+					cfg.Operator.State = &returning.Settings{Every: time.Hour, MaxBytes: 4 << 20, FS: disk, Wall: time.Now}
+				})
+			}
+			before := start(0)
+			entry := before.cfg.Known.Entries[0]
+			dated := func(name string, ago time.Duration) directory.Entry {
+				entry.Name, entry.SinceMS = name, float64(time.Now().Add(-ago).UnixMilli())
+				return entry
+			}
+			older, young := dated("s-older", time.Minute), dated("s-young", 20*time.Second)
+			before.hear(directory.List{Index: 42, Snapshot: true, Entries: []directory.Entry{older, young}})
+			news := dated("s-news", 500*time.Millisecond)
+			before.hear(directory.List{Index: 43, Entries: []directory.Entry{news}})
+			if err := before.sched.room.Save(); err != nil {
+				t.Fatal(err)
+			}
+			before.stop()
+			if err := <-before.served; err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			next := start(step)
+			for _, e := range []directory.Entry{older, young, news} {
+				want := startedAt(before, &e)
+				if got := startedAt(next, &e); got != want {
+					t.Errorf("the start of %s moved by %v", e.Name, got-want)
+				}
+			}
+			next.sched.mu.Lock()
+			defer next.sched.mu.Unlock()
+			if apart := next.sched.engine.Apart(time.Now()); apart.Abs() > time.Since(began)+100*time.Millisecond {
+				t.Errorf("it goes on by a clock that is %v behind that of the process before, which was the system's", apart)
+			}
+		})
+	}
+}
+
 // startedAt is when a scheduler has a worker's start, by its clock.
 func startedAt(r *rig, e *directory.Entry) time.Duration {
 	r.sched.mu.Lock()
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -23,8 +23,11 @@
 // The section state: what the room of the return is told by the others, and they by it. Without it s.room is nil, and nothing
 // here does anything.
 
-// Parts of the state: the names of classes, by the places that beliefs have.
-const partClasses = "classes"
+// Parts of the state.
+const (
+	partClasses = "classes" // their names, by the places that beliefs have
+	partClock   = "clock"   // this scheduler's clock as the state was made: a message of wire/handover
+)
 
 // openState opens the state that the process before has left, and begins with what of it counts.
 func (s *Scheduler) openState() error {
@@ -53,6 +56,7 @@
 	defer s.mu.Unlock()
 	s.room = room
 	if st, trust := room.Found(); st != nil {
+		s.recallClock(st)
 		s.recall(st, trust)
 		if trust.List && len(st.List.Providers) > 0 {
 			s.adopt((*wire.Roster)(&st.List.Roster))
@@ -79,6 +83,24 @@
 	}
 }
 
+// recallClock goes on by the clock of the process before, which the time since boot carries on: it knows more of the fleet's clock than this
+// process, and what it believed is by that. After a boot, or from the state of an earlier version, this process has a clock of its own.
+// Called under mu.
+func (s *Scheduler) recallClock(st *snapshot.State) {
+	away := s.room.Away()
+	part := st.Part(partClock)
+	if away.Power != recovery.No || !away.Known || len(part) == 0 {
+		return
+	}
+	m, err := wire.Parse(part)
+	c, isClock := m.(*wire.Clock)
+	if err != nil || !isClock {
+		s.log.Warn("the clock of the process before is not taken over", "err", err)
+		return
+	}
+	s.continueClock(&olderClock{Clock: c, received: time.Now().Add(-away.Most)})
+}
+
 func (s *Scheduler) classNames() string {
 	var names []string
 	for _, c := range s.cfg.Settings.Classes {
@@ -102,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := snapshot.State{Beliefs: snapshot.Beliefs{Names: names, Module: module},
-		Parts: []snapshot.Part{{Name: partClasses, Data: []byte(s.classNames())}}}
+		Parts: []snapshot.Part{{Name: partClasses, Data: []byte(s.classNames())}, {Name: partClock, Data: wire.Append(nil, s.handClock())}}}
 	st.List.Roster = snapshot.Roster(s.roster())
 	if s.current != nil {
 		st.List.Age = time.Since(s.listedAt)
