frontend: who has had his answer and stays keeps no slot that is waited for

Cause: whether such a connection is evicted before its 400 or after it is a matter of microseconds. After it, it is between messages, and took the 5 ms of a last look and 5 ms more for its client's end; means those that carried one message at most to close at once, and its code had those that carried none.

Change: one that has carried a single message is not waited for while a slot is; what crosses its close is sent once more, as it always was. One that parts already and is evicted keeps the 5 ms of those that have carried more.

--- a/frontend/closing.go
+++ b/frontend/closing.go
@@ -25,10 +25,10 @@
 // aLongTimeAgo is a deadline that ends a read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// lookAgain looks once more for the first byte of a message, for finalReadWait. A deadline that has passed hides what has
+// lookAgain looks once more for the first byte of a message, for a time. A deadline that has passed hides what has
 // arrived since, and on a busy machine long may lie between the two; so the socket itself is asked in the end.
-func (c *conn) lookAgain() error {
-	c.SetReadDeadline(time.Now().Add(finalReadWait))
+func (c *conn) lookAgain(wait time.Duration) error {
+	c.SetReadDeadline(time.Now().Add(wait))
 	_, err := c.br.Peek(1)
 	if netfault.DeadlinePassed(err) && c.pending() {
 		c.SetReadDeadline(time.Now().Add(partLimit)) // it does not wait: there is something to read
@@ -37,6 +37,17 @@
 	return err
 }
 
+// finalWait is how long a connection that closes is looked at for a request that is on its way. One that has had its answer and stays is
+// not waited for while its slot is: its client sends what crosses the close once more.
+func (s *Server) finalWait(c *conn) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.evicted && c.told == 1 && s.wanted > 0 {
+		return 0
+	}
+	return finalReadWait
+}
+
 // finishReading gives the message that is being read the time to become whole from what has arrived, as the connection is evicted: whatever
 // the system has is read, for crowdedLimit at most. Called under the server's mutex.
 func (c *conn) finishReading() {
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -450,7 +450,7 @@
 		if s.hasSuccessor() {
 			return false // it goes over as it is
 		}
-		err = c.lookAgain() // a request that crosses with the close is still taken if it is here by now
+		err = c.lookAgain(s.finalWait(c)) // a request that crosses with the close is still taken if it is here by now
 	}
 	if err != nil {
 		c.broken = !netfault.DeadlinePassed(err)
--- a/frontend/slots.go
+++ b/frontend/slots.go
@@ -58,7 +58,7 @@
 // lingerWanted is how long a connection that has had its last answer may still wait for its client to end its half when its slot is wanted. A
 // client that has had several answers may be sending its next request, which must be dropped in order; see partResting.
 func (c *conn) lingerWanted() time.Duration {
-	if c.told == 0 {
+	if c.told <= 1 {
 		return 0
 	}
 	return finalReadWait
@@ -115,8 +115,8 @@
 	case reading:
 		least.finishReading()
 	case parting:
-		least.closeBy = time.Now()
-		fallthrough
+		least.closeBy = time.Now().Add(least.lingerWanted())
+		least.SetReadDeadline(least.closeBy)
 	default:
 		least.SetReadDeadline(time.Now())
 	}
