core/starttime: a step of seconds is reckoned with as 5 s and not as 10 s

Cause: a worker that just got warm counted as one that had just started, for 9 s. How much of its capacity is used then grows fast with the age that it counts as.

Change: `seconds` is 5 s. A clock that is 5 to 10 s ahead is no longer reckoned with until some start is news.

--- a/core/starttime/starttime.go
+++ b/core/starttime/starttime.go
@@ -30,8 +30,8 @@
 
 // The steps of a clock that are reckoned with until a start is news.
 const (
-	seconds = 10 * time.Second // a step of seconds, at the most
-	hour    = time.Hour        // the other one, give or take seconds
+	seconds = 5 * time.Second // a step of seconds, at the most
+	hour    = time.Hour       // the other one, give or take seconds
 )
 
 // worker is a start as it was dated, and as it is translated. That does not change, however much better the clock is known later: a
