--- a/provider/call.go
+++ b/provider/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"laddertide/dispatch"
-	"laddertide/internal/netfault"
 	"laddertide/job"
 )
 
@@ -426,7 +425,7 @@
 			defer done()
 			err := p.giveUp(j, v.Provider, endingLimit, endingLimit)
 			if err != nil {
-				err = p.giveUp(j, v.Provider, p.lastConnect, p.lastAnswer)
+				err = p.giveUp(j, v.Provider, lastConnect, lastAnswer)
 			}
 			told <- err
 		}()
@@ -490,14 +489,8 @@
 	} else {
 		p.discard(conn)
 	}
-	switch {
-	case err != nil && conn.reused:
+	if err != nil && conn.reused {
 		p.mistrust(conn.of) // the next word goes out on a new one, as a machine that is back resets all that are older
-	case netfault.DeadlinePassed(err):
-		return errUnanswered
 	}
 	return err
 }
-
-// errUnanswered says that a worker took a new connection and gave no answer on it.
-var errUnanswered = errors.New("the worker takes connections and does not answer")
--- a/provider/earlier.go
+++ b/provider/earlier.go
@@ -81,7 +81,7 @@
 	for i, name := range workers {
 		all.Go(func() {
 			left := time.Until(v.Until) / 4
-			failed[i] = p.tellReturned(j, name, min(p.lastConnect, left), left) != nil
+			failed[i] = p.giveUp(j, name, min(lastConnect, left), min(lastAnswer, left)) != nil
 		})
 	}
 	all.Wait()
@@ -95,18 +95,6 @@
 	}
 }
 
-// tellReturned tells a worker that could not be told before and may be back just now that a job is given up there. It connects within
-// connect, in two tries: one that begins while the worker is away is lost with its first packet, as the system sends the next one
-// a second later. The worker's answer has until left is over, and no longer than lastAnswer.
-func (p *Pool) tellReturned(j *job.Job, name string, connect, left time.Duration) (err error) {
-	for range 2 {
-		if err = p.giveUp(j, name, connect/2, min(p.lastAnswer, left)); err == nil || errors.Is(err, errUnanswered) {
-			break
-		}
-	}
-	return err
-}
-
 // unheardBefore returns the workers, but for one, that may hold an earlier attempt of a job, as they could not be told a while ago that it
 // is given up.
 func (p *Pool) unheardBefore(id, except string) (workers []string) {
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -51,8 +51,6 @@
 
 	dial func(ctx context.Context, address string, until time.Time) (net.Conn, error) // TCP, but in tests
 
-	lastConnect, lastAnswer time.Duration // as the constants, but in tests
-
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
 	brokeAt  time.Time     // the last of them
 
@@ -85,7 +83,7 @@
 
 // NewPool returns a Pool without providers.
 func NewPool(limits Limits, log *slog.Logger) *Pool {
-	p := &Pool{log: log, dial: dialTCP, lastConnect: lastConnect, lastAnswer: lastAnswer,
+	p := &Pool{log: log, dial: dialTCP,
 		providers: make(map[string]*provider), calls: make(map[string]*call),
 		earlier: make(map[string]map[string]earlierAttempts), reserved: make(map[string]*reservation)}
 	p.Tune(limits)
