--- a/provider/call.go
+++ b/provider/call.go
@@ -204,15 +204,13 @@
 
 // finalCheck looks whether an attempt that has its connection may still be sent, and returns its message, which tells what is left of
 // the job's time; or how the attempt ends. Whatever allowed the attempt did so before it had a connection, and the process may have
-// stood still since, or stand still between two of these looks: then all are taken again. Workers of earlier attempts that have come back
-// meanwhile are told that those are given up.
+// stood still since, or stand still between two of these looks: then all are taken again.
 func (p *Pool) finalCheck(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
 	for {
 		if p.Awake != nil {
 			p.Awake(v.Until)
 		}
 		began := time.Now()
-		p.tellEarlier(j, v)
 		message = jobMessage(j, c.lease, v.Until)
 		if end = p.mayStillSend(j, c, v); end != accepted {
 			return nil, end
@@ -442,9 +440,7 @@
 			return c.ending()
 		default:
 		}
-		if c.after.open = err != nil; c.after.open && g.must == tried {
-			c.after.unheard = time.Now()
-		}
+		c.after.open = err != nil
 		if err == nil || g.must == tried {
 			return g.end, nil
 		}
--- a/provider/earlier.go
+++ b/provider/earlier.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync"
 	"time"
 
 	"laddertide/dispatch"
@@ -17,8 +16,6 @@
 type earlierAttempts struct {
 	mayCallBack bool // one was acknowledged, or may have been: a call-back about it may still come, or come again
 	open        bool // the last has neither ended nor been given up, as far as is known
-
-	unheard time.Time // when the worker could last not be told that it is given up, and its job went on without that; zero: it never was so
 }
 
 // Recall notes an attempt that an earlier process has made for a reserved job and that is over. mayRun tells that nothing
@@ -65,49 +62,6 @@
 	return accepted
 }
 
-// triedLately is for how long a worker that could not be told counts as one that still cannot.
-const triedLately = 50 * time.Millisecond
-
-// tellEarlier tells those workers that could not be told before that earlier attempts of a job are given up there: they may be back by now,
-// as the job has waited for a worker, or the process was held up. One that still cannot be reached, or does not answer, holds up the
-// job for lastConnect or lastAnswer, and for no more than a quarter of the time that is left.
-func (p *Pool) tellEarlier(j *job.Job, v dispatch.Verdict) {
-	workers := p.unheardBefore(j.ID, v.Provider)
-	if len(workers) == 0 || j.Keeper != nil && j.Keeper.Left() {
-		return
-	}
-	var all sync.WaitGroup
-	failed := make([]bool, len(workers))
-	for i, name := range workers {
-		all.Go(func() {
-			left := time.Until(v.Until) / 4
-			failed[i] = p.giveUp(j, name, min(lastConnect, left), min(lastAnswer, left)) != nil
-		})
-	}
-	all.Wait()
-	now := time.Now()
-	for i, name := range workers {
-		last := earlierAttempts{mayCallBack: true}
-		if failed[i] {
-			last.open, last.unheard = true, now
-		}
-		p.note(j.ID, name, last)
-	}
-}
-
-// unheardBefore returns the workers, but for one, that may hold an earlier attempt of a job, as they could not be told a while ago that it
-// is given up.
-func (p *Pool) unheardBefore(id, except string) (workers []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, last := range p.earlier[id] {
-		if name != except && last.open && !last.unheard.IsZero() && time.Since(last.unheard) > triedLately {
-			workers = append(workers, name)
-		}
-	}
-	return workers
-}
-
 // ambiguous tells whether a call-back may be about an earlier attempt at the same worker, and would end this one if it were
 // believed. Any result is one of this job's, whichever attempt it comes from.
 func (c *call) ambiguous(ev Event) bool {
