--- a/provider/acknowledgement.go
+++ b/provider/acknowledgement.go
@@ -20,18 +20,15 @@
 	// A worker that has vanished leaves its connections open. While it does not acknowledge, idle ones are not trusted with
 	// further jobs: a new one that never comes up proves that they did not run.
 	suspect := time.AfterFunc(p.limits.Load().Dial, func() { p.mistrust(conn.of) })
-	if j.Keeper == nil { // an attempt of a job that is kept may be the next process's to wait for
-		p.awaits(conn)
-	}
 	withdrawal := p.watchWithdrawal(j, conn, v.Context)
 	answer, err := readReply(conn.br, func() { p.boundBody(conn, v.Until) })
 	suspect.Stop()
-	withdrawn, lost := withdrawal.closed(), p.heard(conn)
+	withdrawn := withdrawal.closed()
 	c.mu.Lock()
 	c.conn = nil
 	over := c.over
 	c.mu.Unlock()
-	if err != nil || answer.last || withdrawn || lost {
+	if err != nil || answer.last || withdrawn {
 		p.discard(conn)
 	} else {
 		p.release(conn)
@@ -46,11 +43,11 @@
 	case err == nil:
 		return accepted
 	}
-	return p.unacknowledged(j, c, v, conn, answerBy, withdrawn, lost, err)
+	return p.unacknowledged(j, c, v, conn, answerBy, withdrawn, err)
 }
 
 // unacknowledged tells how an attempt has ended whose connection gave no acknowledgement, but err, and is closed.
-func (p *Pool) unacknowledged(j *job.Job, c *call, v dispatch.Verdict, conn *conn, answerBy time.Time, withdrawn, lost bool,
+func (p *Pool) unacknowledged(j *job.Job, c *call, v dispatch.Verdict, conn *conn, answerBy time.Time, withdrawn bool,
 	err error) dispatch.End {
 	now := time.Now()
 	switch {
@@ -61,7 +58,7 @@
 	case !now.Before(v.Until):
 		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
 		return dispatch.TimedOut
-	case !now.Before(answerBy), lost:
+	case !now.Before(answerBy):
 		p.log.Debug("no acknowledgement", "provider", v.Provider, "reused", conn.reused)
 		return p.closedUnheard(j, c, v, dispatch.Silent)
 	}
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -43,7 +43,6 @@
 	mu        sync.Mutex
 	providers map[string]*provider                  // by name
 	open      int                                   // connections, those being made included
-	unheard   []*conn                               // those on which an acknowledgement is awaited that may be given up, longest first
 	calls     map[string]*call                      // by request id
 	earlier   map[string]map[string]earlierAttempts // of reserved jobs, by request id and provider
 	reserved  map[string]*reservation               // by request id
@@ -76,9 +75,6 @@
 	reused bool
 	since  time.Time     // when it last fell idle
 	age    time.Duration // how long it had been idle when it was last taken
-
-	sent time.Time // when the last attempt went out; guarded by the Pool's mutex, as is lost
-	lost bool      // closed for a job of another provider
 }
 
 // NewPool returns a Pool without providers.
@@ -234,7 +230,7 @@
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.open >= p.limits.Load().Conns && !p.reclaim() && !(job && p.reclaimUnheard(pr)) {
+	if p.open >= p.limits.Load().Conns && !p.reclaim() {
 		p.mu.Unlock()
 		return nil, errCrowded
 	}
@@ -330,45 +326,6 @@
 	return true
 }
 
-// silentDials is how many times as long as a connection may take an acknowledgement is awaited where connections are short. It is what
-// attempts have that may go elsewhere; the others have until their deadlines where there are connections to spare.
-const silentDials = 2
-
-// reclaimUnheard closes the connection on which an acknowledgement has been awaited for longest, if that is too long, for a job of
-// another provider. It closes none for one that is silent itself. Called under mu.
-func (p *Pool) reclaimUnheard(pr *provider) bool {
-	most := silentDials * p.limits.Load().Dial
-	silent := func(c *conn) bool { return most > 0 && time.Since(c.sent) >= most }
-	if len(p.unheard) == 0 || !silent(p.unheard[0]) ||
-		slices.ContainsFunc(p.unheard, func(c *conn) bool { return c.of == pr && silent(c) }) {
-		return false
-	}
-	c := p.unheard[0]
-	p.unheard = slices.Delete(p.unheard, 0, 1)
-	c.lost = true
-	p.open--
-	c.Close()
-	return true
-}
-
-// awaits notes that an attempt has gone out on a connection.
-func (p *Pool) awaits(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.sent = time.Now()
-	p.unheard = append(p.unheard, c)
-}
-
-// heard notes that the wait for an acknowledgement is over, and tells whether its connection was lost to another job.
-func (p *Pool) heard(c *conn) (lost bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if i := slices.Index(p.unheard, c); i >= 0 {
-		p.unheard = slices.Delete(p.unheard, i, i+1)
-	}
-	return c.lost
-}
-
 // release keeps a connection on which nothing is out for later.
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
@@ -404,10 +361,8 @@
 func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !c.lost { // else it is not counted any more
-		p.open--
-	}
+	p.open--
+	p.mu.Unlock()
 }
 
 // alive tells whether an idle connection is still open and silent, without waiting: one that its peer
