frontend: a handshake's time takes less off the time for a first message

Change: 0.2 s of it are not, and no more than a deferral's length is. Bad clients still have their error or close within 3 s.

--- a/frontend/deferral.go
+++ b/frontend/deferral.go
@@ -14,6 +14,9 @@
 const (
 	longSilent = 500 * time.Millisecond // for a client that has connected
 
+	// deferralExcused is the part of a handshake that is not taken off the time for a first message, so that slow networks have all of it.
+	deferralExcused = 200 * time.Millisecond
+
 	slotsForSilent = 2 // the part of the slots that connections may have taken while silent ones still get one: one of so many
 )
 
@@ -85,9 +88,9 @@
 // newConnSince is a connection that is accepted now, whose client had connected some time before. A stranger has been silent since then.
 func newConnSince(nc net.Conn, ago time.Duration, stranger bool) *conn {
 	c := newConn(nc, nil)
-	c.connected = c.opened.Add(-ago)
+	c.connected = c.opened.Add(-min(max(0, ago-deferralExcused), netfault.DeferredAtMost))
 	if stranger {
-		c.opened = c.connected
+		c.opened = c.opened.Add(-ago)
 		c.heard.Store(int64(c.opened.Sub(epoch)))
 	}
 	return c
