frontend: silent connections have four fifths of the slots, parts of requests that are old no wait

Now they get them up to the four fifths at which connections are evicted ahead of need; one that has been silent for half a second is not waited for when its slot is. - TestRequestBehindACrowdIsAnsweredInTime/half_a_head and /one_byte: "no answer within 758ms behind 300 connections". Each was waited for 1 ms, more on a busy machine. Now the rest of a message is waited for only if its last byte came within the last 10 ms or so.

--- a/frontend/closing.go
+++ b/frontend/closing.go
@@ -42,7 +42,8 @@
 func (s *Server) finalWait(c *conn) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.evicted && c.told == 1 && s.wanted > 0 {
+	longSilentNow := c.told == 0 && time.Since(c.opened) >= longSilent
+	if c.evicted && s.wanted > 0 && (c.told == 1 || longSilentNow) {
 		return 0
 	}
 	return finalReadWait
@@ -54,7 +55,11 @@
 	by := time.Now().Add(crowdedLimit)
 	c.readBy = by
 	c.finishBy.Store(int64(by.Sub(epoch)))
-	c.SetReadDeadline(time.Now().Add(restWait))
+	wait := restWait
+	if netfault.SinceArrival(c.Conn) > 0 {
+		wait = 0 // what was to come at once would be here
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
 }
 
 // readsOn reports whether an evicted connection is to be read further although its read deadline has passed: a deadline hides what has arrived.
--- a/frontend/deferral.go
+++ b/frontend/deferral.go
@@ -16,8 +16,6 @@
 
 	// deferralExcused is the part of a handshake that is not taken off the time for a first message, so that slow networks have all of it.
 	deferralExcused = 200 * time.Millisecond
-
-	slotsForSilent = 2 // the part of the slots that connections may have taken while silent ones still get one: one of so many
 )
 
 // deferSilent has the system keep back connections on which nothing has come yet, if all of them would come before a process that is told to
@@ -100,7 +98,7 @@
 func (s *Server) silentExceed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)-s.leaving >= cap(s.slots)/slotsForSilent
+	return len(s.conns)-s.leaving > cap(s.slots)*4/5
 }
 
 // received reports whether anything has come on a connection that nothing has been read of. Where that is not known it says yes.
