provider: a worker that could not be told of a given-up job is told in the background

Cause: an attempt without an acknowledgement is given up by DELETE, for one round trip. A worker that was cut off did not hear that, and nobody told it again. The job waited for a worker and went elsewhere after the cut was over.

Each worker has a bounded list of what it is to be told, and one sender, which tries every 35 ms until the worker has confirmed. A connection has 25 ms to come up and 250 ms for the answer. No job waits. An entry ends with its job's answer, the process, a hand-over, or as the job goes to that worker again; what is under way then is answered or reset before the next attempt's first byte. Attempts of an earlier process are told as their job goes elsewhere. 16 workers are tried at a time.

Evidence: without the sender all four cases of TestCancellationOnceAWorkerIsBack fail ("the worker could be told that the job is given up, and was not"), as do TestCancellationsOfManyJobs and TestCancellationOfAnEarlierProcess; without dropCancellation TestCancellationNeverReachesANewAttempt fails.

--- a/provider/acknowledgement.go
+++ b/provider/acknowledgement.go
@@ -76,7 +76,8 @@
 // closedUnheard ends an attempt whose connection was closed, by whichever side, before an acknowledgement was read, while its
 // job may go to another worker. The close gives the job up only if the worker has not acknowledged by then: an acknowledgement
 // that was on its way, lay unread here or was lost with the connection leaves the job with the worker. So the worker is told as
-// well. One that cannot be reached, or does not answer, holds up the job for no longer than a connection's round trip.
+// well. One that cannot be reached, or does not answer, holds up the job for no longer than a connection's round trip, and is told in the
+// background from then on.
 //
 // end is how the attempt ends, unless a call-back has ended it meanwhile.
 func (p *Pool) closedUnheard(j *job.Job, c *call, v dispatch.Verdict, end dispatch.End) dispatch.End {
@@ -86,6 +87,8 @@
 	limit := min(p.roundTrip(), time.Until(v.Until))
 	if err := p.giveUp(j, v.Provider, limit, limit); err == nil {
 		c.after.open = false
+	} else {
+		c.unheard = true
 	}
 	select {
 	case <-c.ended:
--- a/provider/call.go
+++ b/provider/call.go
@@ -42,6 +42,7 @@
 	expired  chan struct{}   // closed when its lease has run out
 	repeated bool            // an earlier attempt at the same worker may still send call-backs
 	after    earlierAttempts // what will be known of it once it is over; of the goroutine that makes it
+	unheard  bool            // its job goes on, and its worker could not be told that it is given up; of the same goroutine
 
 	mu       sync.Mutex
 	conn     *conn // while its acknowledgement is awaited
@@ -170,6 +171,7 @@
 	if end := p.settle(j, v); end != accepted {
 		return end, nil
 	}
+	p.cancelEarlier(j, v)
 	conn, end := p.connect(v)
 	if conn == nil {
 		return end, nil
@@ -180,7 +182,7 @@
 	c.repeated = p.earlier[j.ID][v.Provider].mayCallBack
 	p.calls[j.ID] = c // before the first byte, as call-backs may come before the acknowledgement
 	p.mu.Unlock()
-	defer p.close(j, c)
+	defer p.close(j, c, v)
 
 	conn.SetDeadline(v.Until)
 	message, end := p.finalCheck(j, c, v) // after all that may take time
@@ -268,14 +270,7 @@
 func withdrawn(v dispatch.Verdict) bool { return jobOver(v) || job.HasLeft(v.Context) }
 
 // jobOver tells whether the job of a verdict has its final one.
-func jobOver(v dispatch.Verdict) bool {
-	select {
-	case <-v.Over:
-		return true
-	default:
-		return false
-	}
-}
+func jobOver(v dispatch.Verdict) bool { return isClosed(v.Over) }
 
 // connect returns a connection for an attempt, once what is known of the provider is no older than the connection; or nil,
 // and how the attempt has ended.
@@ -322,8 +317,8 @@
 		expired: make(chan struct{}), doubted: make(chan struct{})}
 }
 
-// close lets go of a call that has ended.
-func (p *Pool) close(j *job.Job, c *call) {
+// close lets go of a call that has ended. A worker that was to be told and has not heard is told in the background.
+func (p *Pool) close(j *job.Job, c *call, v dispatch.Verdict) {
 	p.note(j.ID, c.provider, c.after)
 	p.mu.Lock()
 	p.calls[j.ID] = nil
@@ -331,6 +326,9 @@
 	c.mu.Lock()
 	c.over = true // a call-back that has found the call already is too late: the next call may be out by then
 	c.mu.Unlock()
+	if c.unheard && c.after.open {
+		p.cancelLater(j, c.provider, v.Over)
+	}
 }
 
 // Await blocks until a call has ended that an earlier process has made for a reserved job, like Invoke after the
@@ -342,7 +340,7 @@
 	c.repeated = p.earlier[j.ID][v.Provider].mayCallBack
 	p.calls[j.ID] = c
 	p.mu.Unlock()
-	defer p.close(j, c)
+	defer p.close(j, c, v)
 	p.Arrived(j.ID) // if it was about to go over to another process, and has stayed
 	if j.Keeper != nil {
 		j.Keeper.Awaiting()
@@ -441,7 +439,11 @@
 		default:
 		}
 		c.after.open = err != nil
-		if err == nil || g.must == tried {
+		if err == nil {
+			return g.end, nil
+		}
+		if g.must == tried {
+			c.unheard = true
 			return g.end, nil
 		}
 		select {
@@ -475,15 +477,24 @@
 	if err != nil {
 		return err
 	}
-	conn.SetDeadline(now.Add(whole))
+	return p.giveUpOn(conn, j, now.Add(whole), p.discard)
+}
+
+// giveUpOn does the same on a connection, which it keeps or closes. unanswered closes one on which no answer came by then.
+func (p *Pool) giveUpOn(conn *conn, j *job.Job, by time.Time, unanswered func(*conn)) error {
+	conn.SetDeadline(by)
+	_, err := conn.Write(giveUpMessage(j))
 	var answer reply
-	if _, err = conn.Write(giveUpMessage(j)); err == nil {
-		answer, err = readReply(conn.br, func() { p.boundBody(conn, now.Add(whole)) })
+	if err == nil {
+		answer, err = readReply(conn.br, func() { p.boundBody(conn, by) })
 	}
-	if err == nil && !answer.last {
-		p.release(conn)
-	} else {
+	switch {
+	case err != nil:
+		unanswered(conn)
+	case answer.last:
 		p.discard(conn)
+	default:
+		p.release(conn)
 	}
 	if err != nil && conn.reused {
 		p.mistrust(conn.of) // the next word goes out on a new one, as a machine that is back resets all that are older
--- /dev/null
+++ b/provider/cancellation_test.go
@@ -0,0 +1,369 @@
+package provider
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/dispatch"
+	"laddertide/internal/testrig"
+	"laddertide/job"
+	"laddertide/rehearse/loop"
+	"laddertide/wire/http1"
+)
+
+const patience = 20 * time.Second // for what must happen, also on a busy machine
+
+// cutWorker is a worker that takes a job and is cut off before anybody hears so: its acknowledgement is lost, and nothing reaches it
+// until the test lets it be back.
+type cutWorker struct {
+	t     *testing.T
+	door  *loop.Door
+	reset bool        // the connection that brings the job breaks
+	heard chan string // the target of each DELETE
+
+	holdOne <-chan struct{} // if it is not nil, one DELETE is answered once it is closed
+
+	mu    sync.Mutex
+	lines []string // "METHOD target" of each message
+}
+
+func newCutWorker(t *testing.T, reset bool) *cutWorker {
+	t.Helper()
+	w := &cutWorker{t: t, reset: reset, heard: make(chan string, 4096)}
+	door, err := loop.NewDoor(loop.NewNet().Next(), func(c net.Conn) { go w.serve(c) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(door.Close)
+	w.door = door
+	w.bear(loop.Accepting)
+	return w
+}
+
+func (w *cutWorker) bear(to loop.Bearing) {
+	if err := w.door.Set(to); err != nil {
+		w.t.Error(err)
+	}
+}
+
+func (w *cutWorker) serve(c net.Conn) {
+	defer c.Close()
+	testrig.Requests(c, func(h *http1.Head) {
+		w.mu.Lock()
+		w.lines = append(w.lines, h.Method+" "+h.Target)
+		w.mu.Unlock()
+		if h.Method == "DELETE" {
+			w.mu.Lock()
+			hold := w.holdOne
+			w.holdOne = nil
+			w.mu.Unlock()
+			w.heard <- h.Target
+			if hold != nil {
+				<-hold
+			}
+			say(answerToGivingUp)(0, c)
+			return
+		}
+		w.bear(loop.Silent)
+		if w.reset {
+			loop.Reset(c)
+		}
+	})
+}
+
+func (w *cutWorker) got() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.lines)
+}
+
+// awaitCancellation waits until the worker has heard that a job is given up.
+func (w *cutWorker) awaitCancellation() {
+	w.t.Helper()
+	select {
+	case <-w.heard:
+	case <-time.After(patience):
+		w.t.Error("the worker could be told that the job is given up, and was not")
+	}
+}
+
+// silent fails if the worker hears that a job is given up within a time.
+func (w *cutWorker) silent(within time.Duration) {
+	w.t.Helper()
+	select {
+	case target := <-w.heard:
+		w.t.Error("the worker was told DELETE", target)
+	case <-time.After(within):
+	}
+}
+
+// cutPool is a pool with a worker s-1 that is cut off as it gets its first job, and a worker s-2 that fails each.
+func cutPool(t *testing.T, first *cutWorker) *Pool {
+	t.Helper()
+	second := newFake(t, say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))
+	p := pool(first.door.Address())
+	p.limits.Load().Dial = 250 * time.Millisecond
+	p.Directory([]directory.Entry{{Name: "s-2", Address: second.ln.Addr().String(), Status: directory.Serving}}, false)
+	t.Cleanup(p.Close)
+	if err := p.Reserve("id-1", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// loseJob makes an attempt at a worker that is cut off as it gets it.
+func loseJob(t *testing.T, p *Pool, first *cutWorker, j *job.Job) dispatch.Verdict {
+	t.Helper()
+	v := verdict(context.Background(), time.Minute)
+	v.Repeatable, v.TakenIn = true, 250*time.Millisecond
+	want := dispatch.Silent
+	if first.reset {
+		want = dispatch.Broken
+	}
+	if end, _ := p.Invoke(j, 0, v, func(dispatch.News) {}); end != want {
+		t.Fatalf("end %d, want %d", end, want)
+	}
+	return v
+}
+
+// TestCancellationOnceAWorkerIsBack guards against a second attempt while the first is out: its worker could not be told that the job
+// is given up there, but can be before the second one begins, as the process is held up right before that, or the job waits for a worker.
+func TestCancellationOnceAWorkerIsBack(t *testing.T) {
+	for name, c := range map[string]struct{ reset, heldUp bool }{
+		"no acknowledgement, held up before the first byte": {heldUp: true},
+		"no acknowledgement, waits for a worker":            {},
+		"connection reset, held up before the first byte":   {reset: true, heldUp: true},
+		"connection reset, waits for a worker":              {reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := newCutWorker(t, c.reset)
+			p := cutPool(t, first)
+			v := loseJob(t, p, first, newJob())
+			comesBack := func() {
+				first.bear(loop.Accepting)
+				first.awaitCancellation()
+			}
+			if !c.heldUp {
+				comesBack()
+			}
+			held := false
+			v.Provider, v.TakenIn = "s-2", 0
+			v.Context = job.WithLeaveCheck(context.Background(), func() bool {
+				if c.heldUp && p.Open() > 0 && !held { // the look for the client's leave, with the connection up
+					held = true
+					comesBack()
+				}
+				return false
+			})
+			invoke(t, p, v, dispatch.Failed)
+			if held != c.heldUp {
+				t.Error("nobody looked for the client's leave")
+			}
+		})
+	}
+}
+
+// TestCancellationsOfManyJobs guards against jobs that are forgotten where a worker that is cut off has many.
+func TestCancellationsOfManyJobs(t *testing.T) {
+	const jobs = 200
+	first := newCutWorker(t, false)
+	first.bear(loop.Silent)
+	p := cutPool(t, first)
+	for n := range jobs {
+		j := newJob()
+		j.ID = fmt.Sprintf("id-of-many-%d", n)
+		if err := p.Reserve(j.ID, time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		p.cancelLater(j, "s-1", nil)
+	}
+	first.bear(loop.Accepting)
+	heard := make(map[string]bool)
+	for deadline := time.After(patience); len(heard) < jobs; {
+		select {
+		case target := <-first.heard:
+			heard[target] = true
+		case <-deadline:
+			t.Fatalf("%d of %d jobs were given up", len(heard), jobs)
+		}
+	}
+}
+
+// TestCancellationNeverReachesANewAttempt guards against a DELETE for an earlier attempt that ends the next one at the same worker: one that
+// is under way has been answered, or its connection is reset, before the next attempt's first byte, and none is sent after it.
+func TestCancellationNeverReachesANewAttempt(t *testing.T) {
+	first := newCutWorker(t, false)
+	p := cutPool(t, first)
+	calls := &socketCalls{}
+	p.dial = calls.dial
+	loseJob(t, p, first, newJob())
+	answers := make(chan struct{})
+	defer close(answers)
+	first.mu.Lock()
+	first.holdOne = answers
+	first.mu.Unlock()
+	first.bear(loop.Accepting)
+	first.awaitCancellation() // and is not answered
+	over := attempt(p, verdict(context.Background(), time.Minute))
+	for deadline := time.Now().Add(patience); !slices.Contains(first.got()[1:], attemptLine); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the new attempt did not come")
+		}
+	}
+	unanswered := calls.index(0, "DELETE")
+	closed, next := calls.index(unanswered, "close"), calls.index(unanswered, "POST")
+	if closed < 0 || closed > next || calls.list()[closed].socket != calls.list()[unanswered].socket {
+		t.Errorf("the new attempt was sent while a DELETE was under way: %v", calls.list())
+	}
+	first.bear(loop.Accepting) // it has fallen silent as it got the job
+	time.Sleep(4 * cancelInterval)
+	if after := calls.index(next, "DELETE"); after >= 0 {
+		t.Errorf("a DELETE followed the new attempt: %v", calls.list())
+	}
+	p.Event(Event{ID: "id-1", From: "s-1", State: Done})
+	if got := <-over; got.end != dispatch.Served {
+		t.Errorf("the new attempt ended as %v", got.end)
+	}
+}
+
+// TestCancellationEnds guards against messages about a job that is answered, or another process's, and against a process that goes on
+// sending after its end.
+func TestCancellationEnds(t *testing.T) {
+	for name, end := range map[string]func(*Pool, *leftKeeper){
+		"answered":                      func(p *Pool, _ *leftKeeper) { p.Free("id-1") },
+		"left to the next process":      func(_ *Pool, k *leftKeeper) { k.left.Store(true) },
+		"the process hands its jobs on": func(p *Pool, _ *leftKeeper) { p.Leave() },
+		"the process ends":              func(p *Pool, _ *leftKeeper) { p.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := newCutWorker(t, false)
+			p := cutPool(t, first)
+			keeper := &leftKeeper{}
+			j := newJob()
+			j.Keeper = keeper
+			loseJob(t, p, first, j)
+			end(p, keeper)
+			for deadline := time.Now().Add(patience); p.cancelling(); time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the sender goes on")
+				}
+			}
+			first.bear(loop.Accepting)
+			first.silent(4 * cancelInterval)
+		})
+	}
+}
+
+// TestCancellationOfAnEarlierProcess guards against a worker that is not told of an attempt that an earlier process has left open there,
+// as its job goes elsewhere.
+func TestCancellationOfAnEarlierProcess(t *testing.T) {
+	first := newCutWorker(t, false)
+	p := cutPool(t, first)
+	p.Recall("id-1", "s-1", true)
+	v := verdict(context.Background(), time.Minute)
+	v.Provider = "s-2"
+	invoke(t, p, v, dispatch.Failed)
+	first.awaitCancellation()
+}
+
+// TestAttemptDespiteAnUnreachableWorker guards against a job that is kept by a worker that stays away, and an id that is.
+func TestAttemptDespiteAnUnreachableWorker(t *testing.T) {
+	first := newCutWorker(t, true)
+	p := cutPool(t, first)
+	v := loseJob(t, p, first, newJob())
+	v.Provider = "s-2"
+	invoke(t, p, v, dispatch.Failed)
+	p.Free("id-1")
+	if err := p.Reserve("id-1", patience); err != nil {
+		t.Error(err)
+	}
+}
+
+// leftKeeper is a job's Keeper whose process may leave the job to the next one.
+type leftKeeper struct {
+	job.Inherited
+	left atomic.Bool
+}
+
+func (k *leftKeeper) Left() bool { return k.left.Load() }
+
+// cancelling tells whether a worker is still to be told of anything.
+func (p *Pool) cancelling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.cancellers) > 0
+}
+
+// socketCall is a call at a connection to a worker: the method of a message that was written, or close.
+type socketCall struct {
+	socket int
+	call   string
+}
+
+// socketCalls are the calls at all connections, in their order.
+type socketCalls struct {
+	mu      sync.Mutex
+	sockets int
+	calls   []socketCall
+}
+
+func (s *socketCalls) add(socket int, call string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, socketCall{socket, call})
+}
+
+func (s *socketCalls) list() []socketCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// index is where a call stands first, from one index on; -1: nowhere.
+func (s *socketCalls) index(from int, call string) int {
+	for i, made := range s.list() {
+		if i >= from && made.call == call {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *socketCalls) dial(ctx context.Context, address string, until time.Time) (net.Conn, error) {
+	c, err := dialTCP(ctx, address, until)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sockets++
+	return &watchedSocket{c.(*net.TCPConn), s.sockets, s}, nil
+}
+
+type watchedSocket struct {
+	*net.TCPConn
+	number int
+	calls  *socketCalls
+}
+
+func (w *watchedSocket) Write(message []byte) (int, error) {
+	method, _, _ := strings.Cut(string(message), " ")
+	w.calls.add(w.number, method)
+	return w.TCPConn.Write(message)
+}
+
+func (w *watchedSocket) Close() error {
+	err := w.TCPConn.Close()
+	w.calls.add(w.number, "close")
+	return err
+}
--- a/provider/earlier.go
+++ b/provider/earlier.go
@@ -44,6 +44,7 @@
 // ends that was to go there: nothing of it has been sent. It blocks for as long as the worker takes to answer, a second and
 // a connection's time at most.
 func (p *Pool) settle(j *job.Job, v dispatch.Verdict) dispatch.End {
+	p.dropCancellation(j.ID, v.Provider)
 	p.mu.Lock()
 	open := p.earlier[j.ID][v.Provider].open
 	p.mu.Unlock()
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -48,6 +48,9 @@
 	reserved  map[string]*reservation               // by request id
 	closed    bool
 
+	cancellers  map[string]*canceller // by worker; those with a sender
+	cancelSlots chan struct{}         // holds an element for each worker that is being sent a cancellation
+
 	dial func(ctx context.Context, address string, until time.Time) (net.Conn, error) // TCP, but in tests
 
 	idleMost time.Duration // kept connections that stood idle longer have broken under a job; 0: none did
@@ -81,7 +84,8 @@
 func NewPool(limits Limits, log *slog.Logger) *Pool {
 	p := &Pool{log: log, dial: dialTCP,
 		providers: make(map[string]*provider), calls: make(map[string]*call),
-		earlier: make(map[string]map[string]earlierAttempts), reserved: make(map[string]*reservation)}
+		earlier: make(map[string]map[string]earlierAttempts), reserved: make(map[string]*reservation),
+		cancellers: make(map[string]*canceller), cancelSlots: make(chan struct{}, cancelWorkers)}
 	p.Tune(limits)
 	p.move.transit = make(map[string]chan struct{})
 	p.Retain()
@@ -204,7 +208,20 @@
 // HTTP/1.1 tells answers apart by their order alone. A provider's second answer to one message, a while after the first, would
 // be read as the answer to the next message on that connection. So connections rest, and one on which anything has come
 // meanwhile is closed.
+//
+// A new one that is not up in time says that the provider has vanished, and with it its idle connections.
 func (p *Pool) acquire(ctx context.Context, name string, job bool, until time.Time) (*conn, error) {
+	c, err := p.connection(ctx, name, job, until)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		p.mu.Lock()
+		p.drain(p.providers[name])
+		p.mu.Unlock()
+	}
+	return c, err
+}
+
+// connection does the same and concludes nothing from a new connection that is not up in time.
+func (p *Pool) connection(ctx context.Context, name string, job bool, until time.Time) (*conn, error) {
 	p.mu.Lock()
 	pr := p.providers[name]
 	switch {
@@ -246,9 +263,6 @@
 		if netfault.Shortage(err) {
 			return nil, fmt.Errorf("%w: %w", errCrowded, err)
 		}
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
-			p.mistrust(pr)
-		}
 		return nil, err
 	}
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 2048), of: pr}, nil
@@ -365,6 +379,14 @@
 	p.mu.Unlock()
 }
 
+// abort closes a connection with a reset: what the worker has not received of it never arrives.
+func (p *Pool) abort(c *conn) {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // if that fails, it is closed as any other
+	}
+	p.discard(c)
+}
+
 // alive tells whether an idle connection is still open and silent, without waiting: one that its peer
 // has closed would take a job's bytes and break, and the job might count as run.
 func (c *conn) alive() bool {
