rehearse/shutdown: a scheduler is killed at each step of a durable job

Change: TestKilledAtEachStepOfADurableJob, a real scheduler with a ledger. It is killed as the attempt has come to its worker, at the 202, at the call-back with the result, at its acknowledgement, at the client's answer, each up to 4 ms later, and again 2 to 120 ms into the next start. The client asks again. There must be one answer in time, and the result that was acknowledged; a card-issue goes out once. The rig can start its scheduler again, with an operators' file.

--- a/rehearse/shutdown/rig_test.go
+++ b/rehearse/shutdown/rig_test.go
@@ -51,6 +51,8 @@
 	classes  []class
 	earliest time.Duration // from SIGTERM to the earliest SIGKILL
 	workers  []*worker
+	dir      string // of the scheduler's files
+	flags    []string
 	process  *daemon.Process
 	log      *testrig.Log
 	holdUps  *holdUpMeter
@@ -59,34 +61,48 @@
 // newRig starts a scheduler with so many workers. The longest deadline of its classes is longest.
 func newRig(t *testing.T, workers int, longest time.Duration) *rig {
 	t.Helper()
-	r := &rig{t: t, listen: testrig.Free(t), classes: classesFor(longest), log: &testrig.Log{},
-		earliest: min(longest, longestCounted) + killAfterDeadline, holdUps: newHoldUpMeter(t)}
+	r := prepareRig(t, longest)
 	for i := range workers {
 		r.workers = append(r.workers, newWorker(r, fmt.Sprintf("s-%08x", i+1)))
 	}
-	dir := t.TempDir()
-	config := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(config, r.config(), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	env := append(os.Environ(), "GW_CONFIG="+config, "GW_LISTEN="+r.listen, "TMPDIR="+dir)
-	process, err := daemon.Start(daemon.Program{Path: daemontest.Program, Args: []string{"serve", "--log-level", "debug"}}, dir, env,
-		daemon.Limits{}, r.log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.process = process
+	r.start()
+	r.awaitReady()
+	return r
+}
+
+// prepareRig returns a rig without workers whose scheduler is not started yet.
+func prepareRig(t *testing.T, longest time.Duration) *rig {
+	t.Helper()
+	r := &rig{t: t, listen: testrig.Free(t), classes: classesFor(longest), log: &testrig.Log{}, dir: t.TempDir(),
+		earliest: min(longest, longestCounted) + killAfterDeadline, holdUps: newHoldUpMeter(t)}
 	t.Cleanup(func() {
-		process.Kill()
-		<-process.Done()
+		if r.process != nil {
+			r.process.Kill()
+			<-r.process.Done()
+		}
 		if t.Failed() && os.Getenv("SHUTDOWN_LOG") != "" {
 			t.Log(r.log.String())
 		}
 	})
-	r.awaitReady()
 	return r
 }
 
+// start starts the scheduler, or starts it again after its process has ended.
+func (r *rig) start() {
+	r.t.Helper()
+	config := filepath.Join(r.dir, "config.json")
+	if err := os.WriteFile(config, r.config(), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	env := append(os.Environ(), "GW_CONFIG="+config, "GW_LISTEN="+r.listen, "TMPDIR="+r.dir)
+	program := daemon.Program{Path: daemontest.Program, Args: append([]string{"serve", "--log-level", "debug"}, r.flags...)}
+	process, err := daemon.Start(program, r.dir, env, daemon.Limits{}, r.log)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.process = process
+}
+
 func (r *rig) awaitReady() {
 	r.t.Helper()
 	for began := time.Now(); time.Since(began) < startLimit; time.Sleep(5 * time.Millisecond) {
