--- a/rehearse/shutdown/kill_test.go
+++ b/rehearse/shutdown/kill_test.go
@@ -45,10 +45,9 @@
 // killed is a scheduler with a ledger that is killed at a step of its one job, and again a while after its next process has started.
 type killed struct {
 	*rig
-	at     step
-	after  time.Duration // from that step to the kill
-	again  time.Duration // from the start of the next process to its kill; 0: it is not killed
-	worker string
+	at    step
+	after time.Duration // from that step to the kill
+	again time.Duration // from the start of the next process to its kill; 0: it is not killed
 
 	once         sync.Once
 	restarted    chan struct{} // closed once the last process has been started
