--- /dev/null
+++ b/attempt/second_worker_test.go
@@ -0,0 +1,152 @@
+package attempt
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"laddertide/directory"
+	"laddertide/dispatch"
+	"laddertide/internal/testrig"
+	"laddertide/job"
+	"laddertide/policy"
+	"laddertide/provider"
+	"laddertide/wire/http1"
+)
+
+// acknowledgeLimit is how long an acknowledgement is waited for by the scheduler of these tests.
+const acknowledgeLimit = 200 * time.Millisecond
+
+// pair is two workers of one installation that does not allow second copies: an attempt must not arrive at one while the other has
+// acknowledged the job and has neither ended it nor heard that it is given up.
+type pair struct {
+	t    *testing.T
+	rig  *rig
+	lose func(p *pair, name string, c net.Conn) // what becomes of the first attempt's acknowledgement on its way
+
+	mu       sync.Mutex
+	attempts []string          // the workers that got one, in their order
+	holds    map[string]string // by job: the worker that has acknowledged it
+	heard    int               // DELETEs
+}
+
+func newPair(t *testing.T, lose func(*pair, string, net.Conn)) *pair {
+	t.Helper()
+	engine, err := dispatch.New(policy.Settings{
+		Balancers: 1, MaxAttempts: 3, Cancel: true, TellsStart: true, WorthByWork: true, DialTimeout: acknowledgeLimit / 2,
+		ColdFrom: 0.3, WarmWithin: 9 * time.Second, FallMultiple: 3, FallWindow: time.Second,
+		Classes: []policy.Class{{Name: "check", Aim: time.Minute, Stretch: 2, Deadline: time.Minute, Worth: 1, Kind: -1}},
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t}
+	r.Engine, r.Log = engine, slog.New(slog.DiscardHandler)
+	r.Pool = provider.NewPool(provider.Limits{Dial: time.Second, Idle: time.Minute, Conns: 10}, r.Log)
+	t.Cleanup(func() { engine.Close(); r.Pool.Close() })
+	p := &pair{t: t, rig: r, lose: lose, holds: make(map[string]string)}
+	var entries []directory.Entry
+	for _, name := range []string{"s-1", "s-2"} {
+		address := testrig.Listen(t, func(c net.Conn) { p.serve(name, c) })
+		entries = append(entries, directory.Entry{Name: name, Address: address, Status: directory.Serving})
+	}
+	p.list(entries...)
+	return p
+}
+
+// list makes entries all that discovery has.
+func (p *pair) list(entries ...directory.Entry) {
+	p.rig.Pool.Directory(entries, true)
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name)
+	}
+	p.rig.Engine.Directory(policy.ListCached, 0, make([]policy.Entry, len(names)), names)
+}
+
+// serve is the machine of a worker.
+func (p *pair) serve(name string, c net.Conn) {
+	testrig.Requests(c, func(h *http1.Head) {
+		if id, isDelete := strings.CutPrefix(h.Target, "/jobs/"); isDelete && h.Method == "DELETE" {
+			p.giveUp(name, id)
+			c.Write([]byte("HTTP/1.1 204 N\r\n\r\n"))
+			return
+		}
+		p.take(name, h.Fields.Get("X-Request-Id"), c)
+	})
+}
+
+func (p *pair) giveUp(name, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard++
+	if p.holds[id] == name {
+		delete(p.holds, id)
+	}
+}
+
+// take acknowledges an attempt. The first one's acknowledgement is lost on its way, and the worker goes on with the job.
+func (p *pair) take(name, id string, c net.Conn) {
+	p.mu.Lock()
+	if other := p.holds[id]; other != "" {
+		p.t.Errorf("%s gets an attempt of %s, which %s has acknowledged and was not told to give up", name, id, other)
+	}
+	p.holds[id] = name
+	p.attempts = append(p.attempts, name)
+	first := len(p.attempts) == 1
+	p.mu.Unlock()
+	if first {
+		p.lose(p, name, c)
+		return
+	}
+	c.Write([]byte(taken))
+	p.end(id)
+	p.rig.Pool.CallBack(fmt.Appendf(nil, `{"id":%q,"from":%q,"state":"done","result":"r"}`, id, name))
+}
+
+// end ends a job that its worker has done.
+func (p *pair) end(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.holds, id)
+}
+
+// TestNoSecondCopyAsAnAcknowledgementIsLost guards against a job that goes to a second worker while a first one has acknowledged it: the
+// acknowledgement crosses the end of the scheduler's wait for it, goes with a reset, or is not waited for any more. The bench counts that
+// as a second copy, and saw it on days with zones cut off.
+func TestNoSecondCopyAsAnAcknowledgementIsLost(t *testing.T) {
+	for name, lose := range map[string]func(*pair, string, net.Conn){
+		"it crosses the end of the wait": func(_ *pair, _ string, c net.Conn) {
+			time.Sleep(acknowledgeLimit + 50*time.Millisecond)
+			c.Write([]byte(taken))
+		},
+		"it goes with a reset": func(_ *pair, _ string, c net.Conn) {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"discovery lists the worker no more": func(p *pair, name string, _ net.Conn) {
+			other := map[string]string{"s-1": "s-2", "s-2": "s-1"}[name]
+			p.list(directory.Entry{Name: other, Address: p.rig.Pool.Address(other), Status: directory.Serving})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, lose)
+			j := newJob(0)
+			j.Protocol = http1.Protocol
+			j.Fields = []job.Field{{Name: "X-Request-Id", Value: j.ID}}
+			if out := p.rig.Handle(context.Background(), j); out.Kind != job.Served {
+				t.Errorf("%+v", out)
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if len(p.attempts) != 2 || p.heard == 0 {
+				t.Errorf("attempts at %v, %d DELETEs", p.attempts, p.heard)
+			}
+		})
+	}
+}
