durable: a job whose clients were told that it failed is not answered as rejected later

Callers saw a durable job answered with 502 and, asked again once the disk took writes, with 503.

Cause: that nothing ran is not promised while the end cannot be written, so such clients are told a failure; the table of jobs kept the rejection, wrote it when the disk healed, and told it to whoever asked again, in this process or the next.

Change: what clients were told becomes the job's end (leases.Table.Revise), and is what is written. A replay takes a failure in place of an earlier rejection, as a slow write of the first may still reach the disk; any other second end is an error as before.

--- a/core/leases/replay.go
+++ b/core/leases/replay.go
@@ -74,6 +74,10 @@
 		}
 		a.out, a.may = false, !r.Never
 	case Ended:
+		if j.outcome != nil && revises(r.Outcome.Kind, j.outcome.Kind) {
+			t.revise(j, r.Outcome)
+			return nil
+		}
 		if j.outcome != nil {
 			if o := j.outcome; o.Kind != r.Outcome.Kind || !bytes.Equal(o.Result, r.Outcome.Result) {
 				return fmt.Errorf("leases: job %d: a second end, %v after %v", r.Seq, r.Outcome.Kind, o.Kind)
--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -175,6 +175,28 @@
 	return Step{[]Record{{Kind: Ended, Seq: seq, Clock: now, Outcome: out}}, true}, nil
 }
 
+// Revise changes the end of a job that was rejected, for a host that could not write that in time and has told its clients that the job
+// failed. What is no job's, or another end, stays as it is. The Step has the end to be written; nothing waits for it.
+func (t *Table) Revise(now Clock, seq Seq, out Outcome) Step {
+	j := t.jobs[seq]
+	if j == nil || j.outcome == nil || !revises(out.Kind, j.outcome.Kind) {
+		return Step{}
+	}
+	t.revise(j, out)
+	return Step{[]Record{{Kind: Ended, Seq: seq, Clock: now, Outcome: out}}, true}
+}
+
+// revises reports whether an end may take the place of an earlier one of the same job: one that promises less.
+func revises(kind, earlier Kind) bool { return kind == Failed && earlier == Rejected }
+
+// revise gives a job that has ended another outcome.
+func (t *Table) revise(j *job, out Outcome) {
+	change := int64(len(out.Result) + len(out.Why) - len(j.outcome.Result) - len(j.outcome.Why))
+	j.size += change
+	t.counts.KeptBytes += change
+	j.outcome = &out
+}
+
 // EndAgain is the record of a job's end once more, for a host whose first write of it failed; false: it has none.
 func (t *Table) EndAgain(seq Seq) (Record, bool) {
 	j := t.jobs[seq]
--- a/core/leases/table_test.go
+++ b/core/leases/table_test.go
@@ -863,6 +863,8 @@
 		{"taken as two", []Record{taken, other}, true},
 		{"taken as two of an id", []Record{taken, another}, true},
 		{"two ends", []Record{taken, ended(Served), ended(Failed)}, true},
+		{"rejected, then told as failed", []Record{taken, ended(Rejected), ended(Failed), ended(Failed)}, false},
+		{"failed, then rejected", []Record{taken, ended(Failed), ended(Rejected)}, true},
 		{"a lease after the end", []Record{taken, ended(Served), leased(1)}, true},
 		{"leases out of order", []Record{taken, leased(2), leased(1)}, true},
 		{"no kind", []Record{taken, {Kind: 9, Seq: 1}}, true},
@@ -956,3 +958,35 @@
 		}
 	})
 }
+
+// TestRevise holds what may take the place of an end: a failure that of a rejection, in the table as it runs and in one that reads its
+// records, with what the texts of both weigh.
+func TestRevise(t *testing.T) {
+	for _, c := range []struct{ first, second, want Kind }{
+		{Rejected, Failed, Failed}, {Served, Failed, Served}, {Failed, Rejected, Failed}, {Rejected, Served, Rejected},
+	} {
+		table, _ := New(options())
+		replayed, _ := New(options())
+		read := func(s Step) {
+			for _, r := range s.Records {
+				if err := replayed.Replay(r); err != nil {
+					t.Errorf("%v: %v", c, err)
+				}
+			}
+		}
+		taking, step := table.Take(at(0), Spec{ID: "a", Class: "issue", Left: time.Minute})
+		read(step)
+		step, _ = table.End(at(1), taking.Seq, Outcome{Kind: c.first, Why: "why"})
+		read(step)
+		read(table.Revise(at(2), taking.Seq, Outcome{Kind: c.second}))
+		replayed.Recover(at(3))
+		for name, table := range map[string]*Table{"as it runs": table, "as it is read": replayed} {
+			if j, _ := table.Get(at(3), taking.Seq); j.Outcome.Kind != c.want {
+				t.Errorf("%s: %v became %v, want %v", name, c.first, j.Outcome.Kind, c.want)
+			}
+		}
+		if a, b := table.Counts().KeptBytes, replayed.Counts().KeptBytes; a != b {
+			t.Errorf("%v: %d and %d bytes", c, a, b)
+		}
+	}
+}
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -294,6 +294,9 @@
 		h.trouble("ends of jobs are not kept", err)
 	}
 	h.mu.Lock()
+	if kept.RetryAfter == 0 { // it is what clients are told from now on
+		h.append(h.table.Revise(h.clock(), e.seq, kept))
+	}
 	delete(h.live, e.seq)
 	h.mu.Unlock()
 	e.out = h.told(e.seq, kept)
