durable: an end that a client was told is told again, whoever asks and when

Cause: what may be told of an end stood in four places with four rules. A job that must not run twice is answered before its end is on disk, others once their time is over; late and Find looked only whether the end is on disk.

Change: one rule, in answer.go: an end may be told if it is on disk, or if a client has been told it. That it was is noted with the end that is not on disk yet; that nobody carries the job any more does not prove it, as the end of a job that was left to the next process may come by its worker's word. A client that asks while the first answer waits for the disk gets the same answer. A start without writes says "ask again" of a rejection that it read, and not "failed". Where other schedulers keep the ledger, an end that is not kept is not told to those who ask again either.

--- a/durable/answer_test.go
+++ b/durable/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"syscall"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"laddertide/job"
 	"laddertide/ledger/faultfs"
+	"laddertide/provider"
 )
 
 // attempted is a next Handler whose attempt ends in a given way after 0.1 s. The disk takes no writes from the attempt's first byte on.
@@ -53,6 +55,36 @@
 	}
 }
 
+// TestToldOnceIsToldAgain guards against a job that was answered while its end could not be written and that is answered in another way
+// when its client asks again (soak seed 102022: a card-issue had 200, and 502 after the process had left its jobs to the next one).
+func TestToldOnceIsToldAgain(t *testing.T) {
+	eachEnd(t, func(t *testing.T, class int, kind job.Kind) {
+		disk, bad := faultfs.New(), &failing{}
+		disk.Fate = bad.fate
+		s := openShop(t, disk, settings(), true, attempted(kind, bad))
+		first := s.Handle(t.Context(), order("a", class))
+		asks := func(when string) {
+			t.Helper()
+			if out := s.Handle(t.Context(), order("a", class)); !same(out, first) || out.RetryAfter != 0 {
+				t.Errorf("%s: told %v %q, then %v %q, again in %v", when, first.Kind, first.Result, out.Kind, out.Result, out.RetryAfter)
+			}
+			if out, known := s.Find("a"); !known || out == nil || !same(*out, first) {
+				t.Errorf("%s: told %v, found %+v", when, first.Kind, out)
+			}
+		}
+		asks("while the disk takes no writes")
+		s.leave()
+		asks("after the jobs were left to the next process")
+		bad.Store(nil)
+		time.Sleep(time.Second)
+		asks("once the disk takes writes")
+		s.Close()
+		s = openShop(t, disk, settings(), true, mustNotRun(t))
+		asks("in the next process")
+		s.shut(t)
+	})
+}
+
 // TestToldAgainOnceItIsKept guards against a job that was rejected while that could not be written, that was answered as failed for that
 // reason, and that is answered as rejected once the disk takes writes.
 func TestToldAgainOnceItIsKept(t *testing.T) {
@@ -74,3 +106,98 @@
 		s.shut(t)
 	})
 }
+
+// TestOneAnswerToAllWhoAsk guards against an answer to a client that asks again while the first one still waits for the disk.
+func TestOneAnswerToAllWhoAsk(t *testing.T) {
+	eachEnd(t, func(t *testing.T, class int, kind job.Kind) {
+		disk, bad := faultfs.New(), &failing{}
+		disk.Fate = bad.fate
+		s := openShop(t, disk, settings(), true, attempted(kind, bad))
+		answers := make(chan job.Outcome, 2)
+		ask := func() { answers <- s.Handle(t.Context(), order("a", class)) }
+		go ask()
+		time.Sleep(500 * time.Millisecond) // its attempt has ended
+		s.leave()
+		go ask()
+		if a, b := <-answers, <-answers; !same(a, b) || a.RetryAfter != b.RetryAfter {
+			t.Errorf("%+v, and %+v", a, b)
+		}
+		bad.Store(nil)
+		time.Sleep(time.Second)
+		s.shut(t)
+	})
+}
+
+// TestNotToldBeforeItIsKept guards against an answer from an end that came after its job was left to the next process and that is not on
+// disk: that process may go on with the job.
+func TestNotToldBeforeItIsKept(t *testing.T) {
+	for class := range townClasses {
+		synctest.Test(t, func(t *testing.T) {
+			disk, bad := faultfs.New(), &failing{}
+			disk.Fate = bad.fate
+			sent := make(chan uint64, 1)
+			s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+				lease, err := j.Keeper.Sending("w1")
+				if err != nil {
+					t.Error(err)
+				}
+				sent <- lease
+				<-ctx.Done()
+				return job.Outcome{Kind: job.Gone}
+			})
+			answered := make(chan job.Outcome, 1)
+			go func() { answered <- s.Handle(t.Context(), order("a", class)) }()
+			lease := <-sent
+			s.leave()
+			if out := <-answered; out.Kind != job.Failed || out.RetryAfter == 0 {
+				t.Errorf("as the job is left: %+v", out)
+			}
+			bad.set(syscall.ENOSPC)
+			done := provider.Event{ID: "a", From: "w1", Lease: lease, State: provider.Done, Result: []byte("result")}
+			if err := s.unclaimed(done); !errors.Is(err, job.ErrLater) {
+				t.Errorf("its result: %v", err)
+			}
+			if out := s.Handle(t.Context(), order("a", class)); out.Kind != job.Failed || out.RetryAfter == 0 {
+				t.Errorf("its result is not kept: %+v", out)
+			}
+			if out, known := s.Find("a"); !known || out != nil {
+				t.Errorf("its result is not kept, and it is found as %+v", out)
+			}
+			bad.Store(nil)
+			time.Sleep(time.Second)
+			if out := s.Handle(t.Context(), order("a", class)); out.Kind != job.Served || string(out.Result) != "result" {
+				t.Errorf("its result is kept: %+v", out)
+			}
+			s.shut(t)
+		})
+	}
+}
+
+// TestToldAgainByAStartWithoutWrites guards against another answer from a process whose folder takes no writes when it starts.
+func TestToldAgainByAStartWithoutWrites(t *testing.T) {
+	eachEnd(t, func(t *testing.T, class int, kind job.Kind) {
+		disk, bad := faultfs.New(), &failing{}
+		disk.Fate = bad.fate
+		s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+			defer bad.Store(nil)
+			return attempted(kind, bad)(ctx, j)
+		})
+		first := s.Handle(t.Context(), order("a", class))
+		time.Sleep(time.Second) // its end is kept
+		after := disk.Killed()
+		s.Close()
+		after.Fate = bad.fate
+		bad.set(syscall.ENOSPC)
+		s = openShop(t, after, settings(), true, mustNotRun(t))
+		out := s.Handle(t.Context(), order("a", class))
+		if mayAskAgain := out.Kind == job.Failed && out.RetryAfter > 0; !mayAskAgain && !same(out, first) {
+			t.Errorf("told %v, then %v", first.Kind, out.Kind)
+		}
+		bad.Store(nil)
+		time.Sleep(time.Second)
+		if out := s.Handle(t.Context(), order("a", class)); !same(out, first) || out.RetryAfter != 0 {
+			t.Errorf("once the disk takes writes: told %v, then %v", first.Kind, out.Kind)
+		}
+		s.shut(t)
+	})
+}
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -49,12 +49,12 @@
 	live  map[leases.Seq]*entry // open jobs
 	left  bool                  // what is open is left to the next process
 
-	hosted    bool                         // others keep the records, too, and one of them may lead next
-	full      func() bool                  // see Host; nil: nobody else says so
-	fresh     time.Duration                // see Host
-	elsewhere bool                         // providers' words on what was open go to another scheduler
-	lost      uint64                       // ends that could not be written
-	unkept    map[leases.Seq]ledger.Commit // of ends that are not known to be on disk; see kept
+	hosted    bool                      // others keep the records, too, and one of them may lead next
+	full      func() bool               // see Host; nil: nobody else says so
+	fresh     time.Duration             // see Host
+	elsewhere bool                      // providers' words on what was open go to another scheduler
+	lost      uint64                    // ends that could not be written
+	unkept    map[leases.Seq]*unkeptEnd // ends that are not known to be on disk; see kept
 	warned    time.Time
 
 	// Of a start, by one goroutine: what an earlier process has left.
@@ -91,8 +91,12 @@
 	spec := Spec(j)
 	h.mu.Lock()
 	if h.left {
-		defer h.mu.Unlock()
-		return h.late(spec)
+		out, e := h.late(spec)
+		h.mu.Unlock()
+		if e != nil {
+			return h.await(ctx, e)
+		}
+		return out
 	}
 	taking, step := h.take(spec)
 	stayAway := time.Duration(0)
@@ -105,10 +109,8 @@
 	case leases.Fresh:
 		commit = h.append(step)
 		e = h.open(taking.Seq, *j, due)
-	case leases.Joined:
+	case leases.Joined, leases.Known:
 		e = h.live[taking.Seq]
-	case leases.Known:
-		commit, e = h.kept(taking.Seq), h.live[taking.Seq]
 	}
 	h.mu.Unlock()
 	switch taking.Kind {
@@ -118,8 +120,8 @@
 		e.taken = commit
 		h.carry(e)
 	case leases.Known:
-		if e == nil { // it has been told
-			return h.told(taking.Seq, unkeptOutcome(taking.Outcome, h.wait(commit, due)))
+		if e == nil {
+			return h.tellAgain(taking.Seq, taking.Outcome, due)
 		}
 	case leases.Conflict:
 		return job.Outcome{Kind: job.Conflict}
@@ -128,6 +130,11 @@
 	case leases.Invalid:
 		return job.Outcome{Kind: job.Mistaken, Why: "the job is too large to be kept"}
 	}
+	return h.await(ctx, e)
+}
+
+// await returns the answer of a job that is carried, once it is there, or Gone if its client leaves before.
+func (h *Handler) await(ctx context.Context, e *entry) job.Outcome {
 	select {
 	case <-e.done:
 		return e.out
@@ -185,23 +192,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	j, known := h.table.Find(h.clock(), id)
-	if known && j.State >= leases.StateEnded && h.kept(j.Seq) == nil {
+	if known && j.State >= leases.StateEnded && h.tellable(j.Seq, j.Outcome) {
 		return new(h.told(j.Seq, j.Outcome)), true
 	}
 	return nil, known
 }
 
-// late answers a job that comes when what is open has been left to the next process. Called under mu.
-func (h *Handler) late(spec leases.Spec) job.Outcome {
-	switch j, known := h.table.Find(h.clock(), spec.ID); {
+// late answers a job that comes when what is open has been left to the next process. An entry instead of an answer is that of a job that
+// has ended and whose answer is about to be told. Called under mu.
+func (h *Handler) late(spec leases.Spec) (job.Outcome, *entry) {
+	j, known := h.table.Find(h.clock(), spec.ID)
+	switch {
 	case !known: // it is not taken any more
-		return job.Outcome{Kind: job.Rejected}
+		return job.Outcome{Kind: job.Rejected}, nil
 	case j.Spec.Digest != spec.Digest:
-		return job.Outcome{Kind: job.Conflict}
-	case j.State >= leases.StateEnded && h.kept(j.Seq) == nil:
-		return h.told(j.Seq, j.Outcome)
+		return job.Outcome{Kind: job.Conflict}, nil
+	case j.State < leases.StateEnded:
+		return goesOn, nil
+	case h.live[j.Seq] != nil:
+		return job.Outcome{}, h.live[j.Seq]
+	case h.tellable(j.Seq, j.Outcome):
+		return h.told(j.Seq, j.Outcome), nil
 	}
-	return job.Outcome{Kind: job.Failed, RetryAfter: askAgain}
+	return goesOn, nil
 }
 
 // Spec is a job as the ledger has it.
@@ -268,7 +281,7 @@
 		// It goes on in the next process, where its consumer may ask again.
 		delete(h.live, e.seq)
 		h.mu.Unlock()
-		e.out = job.Outcome{Kind: job.Failed, RetryAfter: askAgain}
+		e.out = goesOn
 		close(e.done)
 		return
 	}
@@ -286,20 +299,16 @@
 		kept = outcome(out) // it was forgotten at once, for want of room
 	}
 	h.mu.Unlock()
-	kept, err = h.tellable(e, kept, commit)
-	if err != nil {
+	if err = h.awaitKept(e, kept, commit); err != nil {
 		h.mu.Lock()
 		h.lost++
 		h.mu.Unlock()
 		h.trouble("ends of jobs are not kept", err)
 	}
 	h.mu.Lock()
-	if kept.RetryAfter == 0 { // it is what clients are told from now on
-		h.append(h.table.Revise(h.clock(), e.seq, kept))
-	}
+	e.out = h.tell(e.seq, kept, err)
 	delete(h.live, e.seq)
 	h.mu.Unlock()
-	e.out = h.told(e.seq, kept)
 	close(e.done)
 }
 
@@ -315,9 +324,6 @@
 	close(e.done)
 }
 
-// askAgain is when the consumer of a job that the next process goes on with should ask for it again.
-const askAgain = time.Second
-
 // unended tells whether a job has no end yet. Called under mu.
 func (h *Handler) unended(seq leases.Seq) bool {
 	j, ok := h.table.Get(h.clock(), seq)
@@ -377,25 +383,12 @@
 	commit := h.store.Append(uint64(seq), records...)
 	for i := range step.Records {
 		if r := &step.Records[i]; r.Kind == leases.Ended {
-			h.unkept[r.Seq] = commit
+			h.unkeptEnd(r.Seq).commit = commit
 		}
 	}
 	return commit
 }
 
-// kept is what to wait for before a job's end is told; nil: it is on disk. Called under mu.
-func (h *Handler) kept(seq leases.Seq) ledger.Commit {
-	c := h.unkept[seq]
-	if c == nil && h.startErr != nil { // what was read may not be on disk
-		return unwritable{h.startErr}
-	}
-	if c != nil && over(c) && c.Wait() == nil {
-		delete(h.unkept, seq)
-		return nil
-	}
-	return c
-}
-
 // over tells whether a commit has become what it will.
 func over(c ledger.Commit) bool {
 	select {
@@ -480,8 +473,8 @@
 func (h *Handler) keepAgain() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for seq, c := range h.unkept {
-		if h.kept(seq) == nil || !over(c) {
+	for seq, end := range h.unkept {
+		if h.kept(seq) == nil || !over(end.commit) {
 			continue
 		}
 		if r, ok := h.table.EndAgain(seq); ok {
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -105,7 +105,7 @@
 func newHandler(set Settings, all policy.Settings, next job.Handler, pool *provider.Pool, log *slog.Logger, store Store,
 	clock func() leases.Clock) (*Handler, error) {
 	h := &Handler{set: set, classes: all.Classes, tenants: all.Tenants, pool: pool, next: next, log: log, store: store,
-		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]ledger.Commit),
+		clock: clock, live: make(map[leases.Seq]*entry), unkept: make(map[leases.Seq]*unkeptEnd),
 		ending: make(chan struct{}), writable: make(chan struct{})}
 	var err error
 	if h.durable, err = set.check(&all); err != nil {
--- a/durable/writable.go
+++ b/durable/writable.go
@@ -6,7 +6,6 @@
 
 	"laddertide/core/leases"
 	"laddertide/ledger"
-	"laddertide/policy"
 )
 
 // A process may start while the ledger's folder takes no writes. What it reads there is owed all the same: it listens for the attempts
@@ -107,45 +106,3 @@
 	}
 	return nil
 }
-
-// goesOn is what a client is told of a job that another process may go on with.
-var goesOn = leases.Outcome{Kind: leases.Failed, RetryAfter: askAgain}
-
-// tellable waits until a job's end is kept and returns what its clients may be told, and why the end is not kept. What is not kept may go
-// on in the process that comes after a kill: a client that was told an end would see its job sent after that, and one that was told
-// that nothing ran would see it run. So an end is held back until it is kept or the job's time is over, as no process sends it then, or until this process ends. One
-// that must not run twice is never sent again, so its result may be told at once. Where others keep the ledger one of them may have ended
-// the job otherwise: its client is to ask again.
-func (h *Handler) tellable(e *entry, out leases.Outcome, commit ledger.Commit) (leases.Outcome, error) {
-	by := e.due.Add(atTheEnd)
-	err := h.wait(commit, by)
-	for err != nil && h.holdsBack(e, out) && time.Now().Before(e.due) {
-		select {
-		case <-time.After(min(writeAgain, time.Until(e.due))):
-		case <-h.ending:
-			return goesOn, err
-		}
-		h.mu.Lock()
-		commit = h.kept(e.seq)
-		h.mu.Unlock()
-		err = h.wait(commit, by)
-	}
-	if err != nil && h.hosted {
-		return goesOn, err
-	}
-	return unkeptOutcome(out, err), err
-}
-
-// holdsBack reports whether an end that is not kept must not be told yet.
-func (h *Handler) holdsBack(e *entry, out leases.Outcome) bool {
-	sentAgain := e.job.Class < 0 || h.classes[e.job.Class].Effect != policy.Unsafe
-	return !h.hosted && (sentAgain || out.Kind != leases.Served)
-}
-
-// unkeptOutcome returns what may be told of an end that was not kept for the reason err; nil: it was. That nothing ran may not be.
-func unkeptOutcome(out leases.Outcome, err error) leases.Outcome {
-	if err != nil && out.Kind == leases.Rejected {
-		return leases.Outcome{Kind: leases.Failed}
-	}
-	return out
-}
