durable: ends that clients were told are written until the process ends

Callers saw a durable job served and, asked again at the next process, failed, though the ledger's folder took writes again before the first process ended.

Cause: what the disk did not take is written again every 0.25 s by a goroutine that ends as the Handler closes; ends that were open then were not written any more, and the next process knows nothing else of them.

Open: where the disk takes no write up to the end of the process, the next one does not know the end.

--- a/durable/answer_test.go
+++ b/durable/answer_test.go
@@ -201,3 +201,45 @@
 		s.shut(t)
 	})
 }
+
+// TestToldEndsAreKeptAsTheProcessEnds guards against a next process that knows nothing of what its predecessor has told, though the disk
+// took writes again before that one ended.
+func TestToldEndsAreKeptAsTheProcessEnds(t *testing.T) {
+	for _, heals := range []time.Duration{0, 200 * time.Millisecond} { // after the begin of Close
+		eachEnd(t, func(t *testing.T, class int, kind job.Kind) {
+			disk, bad := faultfs.New(), &failing{}
+			disk.Fate = bad.fate
+			s := openShop(t, disk, settings(), true, attempted(kind, bad))
+			first := s.Handle(t.Context(), order("a", class))
+			s.Stop(time.Now().Add(time.Second))
+			time.AfterFunc(heals, func() { bad.Store(nil) })
+			if heals == 0 {
+				synctest.Wait()
+			}
+			s.Close()
+			s = openShop(t, disk, settings(), true, mustNotRun(t))
+			if out := s.Handle(t.Context(), order("a", class)); !same(out, first) || out.RetryAfter != 0 {
+				t.Errorf("told %v %q, then %v %q", first.Kind, first.Result, out.Kind, out.Result)
+			}
+			s.shut(t)
+		})
+	}
+}
+
+// TestCloseIsBounded guards against an end of the process that waits for a disk that takes no writes.
+func TestCloseIsBounded(t *testing.T) {
+	for _, left := range []time.Duration{-time.Second, 100 * time.Millisecond, time.Minute} { // to the end of the program
+		synctest.Test(t, func(t *testing.T) {
+			disk, bad := faultfs.New(), &failing{}
+			disk.Fate = bad.fate
+			s := openShop(t, disk, settings(), true, attempted(job.Served, bad))
+			s.Handle(t.Context(), order("a", 2))
+			s.Stop(time.Now().Add(left))
+			began := time.Now()
+			s.Close()
+			if took, most := time.Since(began), max(0, min(left, keepTimeout)); took > most {
+				t.Errorf("%v, with %v left", took, left)
+			}
+		})
+	}
+}
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -49,6 +49,8 @@
 	live  map[leases.Seq]*entry // open jobs
 	left  bool                  // what is open is left to the next process
 
+	endsBy time.Time // when the program ends; zero: not known
+
 	hosted    bool                      // others keep the records, too, and one of them may lead next
 	full      func() bool               // see Host; nil: nobody else says so
 	fresh     time.Duration             // see Host
@@ -469,24 +471,11 @@
 	return nil
 }
 
-// keepAgain writes once more what the disk did not take before.
-func (h *Handler) keepAgain() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for seq, end := range h.unkept {
-		if h.kept(seq) == nil || !over(end.commit) {
-			continue
-		}
-		if r, ok := h.table.EndAgain(seq); ok {
-			h.append(leases.Step{Records: []leases.Record{r}, Sync: true}) // by itself, as together they may be too large
-		} else {
-			delete(h.unkept, seq) // it is forgotten
-		}
-	}
-}
-
 // Stop tells that the program ends at by: shortly before, what is open is left to the next process.
 func (h *Handler) Stop(by time.Time) {
+	h.mu.Lock()
+	h.endsBy = by
+	h.mu.Unlock()
 	h.ended.Go(func() {
 		timer := time.NewTimer(time.Until(by) - leaveBefore)
 		defer timer.Stop()
@@ -528,6 +517,7 @@
 	h.mu.Unlock()
 	close(h.ending)
 	h.ended.Wait()
+	h.keepTold()
 	return h.store.Close()
 }
 
