durable: a failing test of what the next process tells after a kill on a full disk

A job is told as served when its time is over, its end not on disk, and its process is killed there. The next process reads the job as open with its time over, ends it as failed, and tells that to whoever asks again; its worker, which was not acknowledged, says the result again a moment later, for nothing.

Not mended here: that a job whose time is over has failed after a restart is what the pages say (docs/operate/durable.md), and to wait for its worker's word would change that for all restarts.

--- a/durable/answer_test.go
+++ b/durable/answer_test.go
@@ -243,3 +243,40 @@
 		})
 	}
 }
+
+// TestToldAgainAfterAKillOnAFullDisk holds a next process to what its predecessor has told, though no disk has it: the worker, whose
+// result was not acknowledged, says it again.
+func TestToldAgainAfterAKillOnAFullDisk(t *testing.T) {
+	for class := range townClasses {
+		t.Run(townClasses[class].Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				disk, bad, lease := faultfs.New(), &failing{}, uint64(0)
+				disk.Fate = bad.fate
+				s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+					var err error
+					if lease, err = j.Keeper.Sending("w1"); err != nil {
+						t.Error(err)
+					}
+					bad.set(syscall.ENOSPC)
+					if j.Keeper.Done(lease, []byte("result")) == nil {
+						t.Error("its result is acknowledged, and not on disk")
+					}
+					return job.Outcome{Kind: job.Served, Result: []byte("result")}
+				})
+				first := s.Handle(t.Context(), order("a", class))
+				after := disk.Killed()
+				s.Close()
+				s = openShop(t, after, settings(), true, func(_ context.Context, j *job.Job) job.Outcome {
+					j.Keeper.Awaiting()
+					j.Keeper.Done(lease, []byte("result"))
+					return job.Outcome{Kind: job.Served, Result: []byte("result")}
+				})
+				s.unclaimed(provider.Event{ID: "a", From: "w1", Lease: lease, State: provider.Done, Result: []byte("result")})
+				if out := s.Handle(t.Context(), order("a", class)); !same(out, first) {
+					t.Errorf("told %v %q, then %v %q", first.Kind, first.Result, out.Kind, out.Result)
+				}
+				s.shut(t)
+			})
+		})
+	}
+}
