scheduler: no refusal is shown beside a newer version that is in force

TestConfigurationIsPushed failed once beside load: the operators' page had version 9 in force and still refused 8, with its reason.

Cause, by reading before and forced now: a version is in force in the scheduler before its follower notes that (Apply, then took), and only the follower took the refusal off. The page put the new version into the follower's older report and left the refusal in it.

Change: where the scheduler is ahead of the follower's report, the refusal goes too; the follower does the same a moment later.

Evidence: TestNoRefusalBesideANewerVersion holds that moment; before: version 3 in force, refused 2.

--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -291,7 +291,7 @@
 }
 
 // report is what is known of the configuration. The version is the one that is in force here: the follower notes a new one only once it
-// has been put in force.
+// has been put in force, and takes off the refusal of an earlier one then.
 func (f *followed) report() follower.Report {
 	inForce := follower.ReportOf(f.inForce)
 	if f.follower == nil { // another process has the folder
@@ -301,6 +301,7 @@
 	if report.Version < inForce.Version {
 		report.Version, report.Digest, report.Accepted = inForce.Version, inForce.Digest, inForce.Accepted
 		report.Newest = max(report.Newest, inForce.Version)
+		report.Refused, report.Reason = 0, ""
 	}
 	return report
 }
--- a/scheduler/configuration_test.go
+++ b/scheduler/configuration_test.go
@@ -108,6 +108,26 @@
 	r.end()
 }
 
+// TestNoRefusalBesideANewerVersion guards against a page that has a version in force and still refuses an earlier one: the follower notes a
+// version a moment after it was put in force.
+func TestNoRefusalBesideANewerVersion(t *testing.T) {
+	source := testrig.NewSource(t, nil)
+	source.Push(1, document(t, `"try-limit": 4`, `"try-limit": 3`))
+	r := newRig(t, configurationSection(t.TempDir(), source), io.Discard)
+	r.untilVersion(1)
+	source.Push(2, `{}`)
+	var moment followed
+	r.until("it is refused", func(s *Scheduler) bool {
+		moment = s.configuration
+		return moment.report().Refused == 2
+	})
+	moment.inForce.Version = 3 // put in force, and not noted yet
+	if page := moment.report(); page.Version != 3 || page.Newest != 3 || page.Refused != 0 || page.Reason != "" {
+		t.Errorf("%+v", page)
+	}
+	r.end()
+}
+
 // Jobs go on under a pushed change as they do under a reread file: what was taken keeps its class.
 func TestJobsUnderAPushedChange(t *testing.T) {
 	source := testrig.NewSource(t, nil)
