--- a/durable/answer_test.go
+++ b/durable/answer_test.go
@@ -136,15 +136,7 @@
 			disk, bad := faultfs.New(), &failing{}
 			disk.Fate = bad.fate
 			sent := make(chan uint64, 1)
-			s := openShop(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
-				lease, err := j.Keeper.Sending("w1")
-				if err != nil {
-					t.Error(err)
-				}
-				sent <- lease
-				<-ctx.Done()
-				return job.Outcome{Kind: job.Gone}
-			})
+			s := openShop(t, disk, settings(), true, heldUntilLeft(t, sent))
 			answered := make(chan job.Outcome, 1)
 			go func() { answered <- s.Handle(t.Context(), order("a", class)) }()
 			lease := <-sent
--- a/durable/leave_test.go
+++ b/durable/leave_test.go
@@ -12,6 +12,19 @@
 	"laddertide/provider"
 )
 
+// heldUntilLeft is a next Handler that sends a job, tells its lease, and holds it until nobody waits for it here any more.
+func heldUntilLeft(t *testing.T, sent chan<- uint64) job.HandlerFunc {
+	return func(ctx context.Context, j *job.Job) job.Outcome {
+		lease, err := j.Keeper.Sending("w1")
+		if err != nil {
+			t.Error(err)
+		}
+		sent <- lease
+		<-ctx.Done()
+		return job.Outcome{Kind: job.Gone}
+	}
+}
+
 // Users of durable jobs that must not run twice heard that one had failed which a worker had done, and whose result the scheduler had
 // acknowledged: 26 ms before, at the end of its grace, the scheduler had left the job to its next process, so no attempt of it was
 // known here any more. A call-back that belongs to no attempt was acknowledged and dropped, and a worker says it once only. A soak
@@ -25,15 +38,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			disk, set := faultfs.New(), settings()
 			sent := make(chan uint64, 1)
-			s := openShop(t, disk, set, true, func(ctx context.Context, j *job.Job) job.Outcome {
-				lease, err := j.Keeper.Sending("w1")
-				if err != nil {
-					t.Error(err)
-				}
-				sent <- lease
-				<-ctx.Done()
-				return job.Outcome{Kind: job.Gone}
-			})
+			s := openShop(t, disk, set, true, heldUntilLeft(t, sent))
 			answered := make(chan job.Outcome, 1)
 			go func() { answered <- s.Handle(t.Context(), order("left", 1)) }()
 			lease := <-sent
