rehearse/peering: TestReload waits until the whole cut is seen

Cause, by the log of that run: the machine held up n1, which was alone and so restrained from 5.3 s on; at 9.228 s it had noticed one of the three schedulers that were cut off (present 4, share 0.1), which met the test's condition (cut and restrained); the test took that as the state before the reload, which came at 9.259 s. The other two were noticed at 9.293 and 11.294 s, so the state of before never came again.

The test is as strict: it now waits for the cut with all that it cuts off, and the comparison after the reload is unchanged.

--- a/rehearse/peering/peering_test.go
+++ b/rehearse/peering/peering_test.go
@@ -454,7 +454,10 @@
 	r.startAll()
 	few, many := r.all[:2], r.all[2:]
 	r.links.Between(names(few), names(many), links.Fault{Cut: true})
-	r.until("the cut is seen", func() bool { f, _ := few[0].fleet(); return f.Self == "cut" && f.Restrained })
+	r.until("the whole cut is seen", func() bool {
+		f, _ := few[0].fleet()
+		return f.Self == "cut" && f.Restrained && f.Present == len(few)
+	})
 	before, _ := few[0].fleet()
 	few[0].signal(syscall.SIGHUP)
 	r.until("the file is read", func() bool { return few[0].log.has("configuration reread") })
