provider: ask the module again right before the first byte, within the window of a key

Callers saw: a settle applied twice. Cause: the window was looked at when the attempt was decided. The pool then waited for the worker's answer to the DELETE of an earlier attempt, and finalCheck asked for drains, leaves and the Keeper, not for the window. Change: finalCheck asks the module (Dispatcher.SendPermission, by the same function that allowed the attempt: window, group, number of attempts, deadline, state of the worker); the write's deadline is the end of the window. An attempt that is turned back ends as not sent.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -94,6 +94,11 @@
 	Context    context.Context // of the attempt: ends when it is to be withdrawn
 	JobOver    <-chan struct{} // of the attempt: closed when the job has its final verdict; nil: never
 	RetryAfter time.Duration   // of a rejection: how long the client should wait before a retry; 0: not given
+
+	// MayStillSend reports whether a new attempt, of which nothing has been sent, is still allowed, and by when its last byte must have
+	// reached the provider; zero: by Until. It is called right before the first byte, as the steps in between may take long. If it returns
+	// false, the attempt ends as NotSent. nil: always allowed.
+	MayStillSend func() (by time.Time, allowed bool)
 }
 
 // ErrOtherProvider is the cause of an attempt's withdrawal when the job is to go to another provider. The end of the attempt must not be
@@ -385,7 +390,8 @@
 		}
 	}
 	d.notifyJobEvent(t, Event{Kind: Sent})
-	t.handOut(Verdict{Kind: Attempt, Provider: d.providerNames[a.Worker], Until: until, AckTimeout: a.AckTimeout, Repeatable: t.repeatable()})
+	t.handOut(Verdict{Kind: Attempt, Provider: d.providerNames[a.Worker], Until: until, AckTimeout: a.AckTimeout, Repeatable: t.repeatable(),
+		MayStillSend: t.mayStillSend})
 }
 
 // runLateTimer runs the module's timer for a job that has reached its deadline. A job that is held back has its timer set shortly before
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -280,6 +280,21 @@
 	return t.attempts < set.MaxAttempts && set.Classes[t.job.Class].Effect != policy.Unsafe
 }
 
+// mayStillSend implements Verdict.MayStillSend for the attempt in flight.
+func (t *Ticket) mayStillSend() (by time.Time, allowed bool) {
+	d := t.engine
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.decided || !t.inFlight {
+		return time.Time{}, false
+	}
+	end, allowed := d.dispatcher.SendPermission(d.now(), t.id)
+	if !allowed || end == 0 {
+		return time.Time{}, allowed
+	}
+	return d.at(end), true
+}
+
 // handOut hands the job's owner a verdict with an attempt to make or to wait for.
 func (t *Ticket) handOut(v Verdict) {
 	t.inFlight = true
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -246,9 +246,35 @@
 // allowed reports whether r may be sent to worker i: the four rules, then reachability and health. Every
 // send must pass it.
 func (d *Dispatcher) allowed(now time.Duration, r *request, i int) bool {
+	// The attempt reaches the worker only after its connection is up, up to DialTimeout later.
+	if !d.permitted(now, r, i, r.attempts, now+windowMargin+d.set.DialTimeout) {
+		return false
+	}
+	w := &d.workers[i]
+	c := &d.set.Classes[r.class]
+	if c.Kind >= 0 && w.kind != c.Kind {
+		return false
+	}
+	// Rule 4: a cold worker gets no more than this dispatcher's share of its budget.
+	if d.warmShare(w, now) < 1 && !d.hasCredit(w, now) {
+		return false
+	}
+	if w.connectRetryAt > now || d.zoneUnreachable(w, now) {
+		return false
+	}
+	// Health: none while the worker is ejected, then one job at a time while it is on probation.
+	if !d.ignoreHealth && (w.ejectedUntil > now || (w.ejectedFor > 0 && w.inFlight > 0)) {
+		return false
+	}
+	return true
+}
+
+// permitted reports whether rules 1 to 3 allow an attempt of r at worker i after the earlier ones, if it
+// reaches the worker at arrival.
+func (d *Dispatcher) permitted(now time.Duration, r *request, i int, earlier []attempt, arrival time.Duration) bool {
 	w := &d.workers[i]
 	// Rule 1: no attempt for a request that has ended or whose client has given up.
-	if r.ended || now >= r.deadline || len(r.attempts) >= d.set.MaxAttempts {
+	if r.ended || now >= r.deadline || len(earlier) >= d.set.MaxAttempts {
 		return false
 	}
 	// Rule 3: no attempt at a worker once the list shows it as draining or gone.
@@ -257,8 +283,8 @@
 	}
 	// Rule 2: no effect happens twice.
 	c := &d.set.Classes[r.class]
-	for k := range r.attempts {
-		a := &r.attempts[k]
+	for k := range earlier {
+		a := &earlier[k]
 		if c.Effect == Unsafe && int(a.worker) == i {
 			return false // a late notification of that attempt could not be told from one of this attempt
 		}
@@ -273,29 +299,37 @@
 			return false
 		case Keyed:
 			first := &d.workers[a.worker]
-			// A repeat reaches the worker only after its connection is up, up to DialTimeout later.
-			if now-a.sent+windowMargin+d.set.DialTimeout > c.Window ||
+			if arrival > a.sent+c.Window ||
 				(c.Group == GroupZone && first.zone != w.zone) ||
 				(c.Group == GroupCell && first.cell != w.cell) {
 				return false
 			}
 		}
 	}
-	if c.Kind >= 0 && w.kind != c.Kind {
-		return false
-	}
-	// Rule 4: a cold worker gets no more than this dispatcher's share of its budget.
-	if d.warmShare(w, now) < 1 && !d.hasCredit(w, now) {
-		return false
+	return true
+}
+
+// SendPermission reports whether the rules still allow the attempt in flight of a request, of which nothing
+// has been sent yet, and by when its last byte must have reached its worker; 0: no limit but the request's
+// deadline. The host may have waited since the Send, and the list may have changed.
+func (d *Dispatcher) SendPermission(now time.Duration, id RequestID) (by time.Duration, permitted bool) {
+	r := d.requests[id]
+	if r == nil || r.inFlight == 0 {
+		return 0, false
 	}
-	if w.connectRetryAt > now || d.zoneUnreachable(w, now) {
-		return false
+	last := len(r.attempts) - 1
+	earlier := r.attempts[:last]
+	if !d.permitted(now, r, int(r.attempts[last].worker), earlier, now+windowMargin) {
+		return 0, false
 	}
-	// Health: none while the worker is ejected, then one job at a time while it is on probation.
-	if !d.ignoreHealth && (w.ejectedUntil > now || (w.ejectedFor > 0 && w.inFlight > 0)) {
-		return false
+	c := &d.set.Classes[r.class]
+	for k := range earlier {
+		a := &earlier[k]
+		if end := a.sent + c.Window; c.Effect == Keyed && (a.inFlight || a.mayHaveRun) && (by == 0 || end < by) {
+			by = end
+		}
 	}
-	return true
+	return by, true
 }
 
 // send starts an attempt of r at worker i. It is the only function that creates a Send.
--- a/provider/call.go
+++ b/provider/call.go
@@ -179,10 +179,11 @@
 	defer p.finishCall(j, c, v)
 
 	conn.SetDeadline(v.Until)
-	message, end := p.finalCheck(j, c, v) // after all steps that may take time
+	message, sendBy, end := p.finalCheck(j, c, v) // after all steps that may take time
 	if end != accepted {
 		return p.endUnsent(c, end)
 	}
+	conn.SetWriteDeadline(sendBy)
 	if n, err := conn.Write(message); n < len(message) {
 		p.log.Debug("connection broke before the job was sent", "provider", v.Provider, "written", n, "err", err)
 		p.discard(conn)
@@ -198,34 +199,35 @@
 // finalCheckLimit is how long the final check before the first byte may take before it is repeated.
 const finalCheckLimit = 50 * time.Millisecond
 
-// finalCheck checks whether an attempt that has its connection may still be sent, and returns its message, which contains the time that the
-// job has left; or how the attempt ends. The attempt was allowed before it had a connection, and the process may have been paused since, or
-// be paused between two of these checks: then all of them are repeated.
-func (p *Pool) finalCheck(j *job.Job, c *call, v dispatch.Verdict) (message []byte, end dispatch.End) {
+// finalCheck checks whether an attempt that has its connection may still be sent. It returns its message, which contains the time that the
+// job has left, and by when its last byte must have reached the worker; or how the attempt ends. The attempt was allowed before it had a
+// connection, and the process may have been paused since, or be paused between two of these checks: then all of them are repeated.
+func (p *Pool) finalCheck(j *job.Job, c *call, v dispatch.Verdict) (message []byte, by time.Time, end dispatch.End) {
 	for {
 		if p.AwaitCurrent != nil {
 			p.AwaitCurrent(v.Until)
 		}
 		began := time.Now()
 		message = jobMessage(j, c.lease, v.Until)
-		if end = p.mayStillSend(j, c, v); end != accepted {
-			return nil, end
+		if by, end = p.mayStillSend(j, c, v); end != accepted {
+			return nil, by, end
 		}
 		if time.Since(began) < finalCheckLimit {
-			return message, accepted
+			return message, by, accepted
 		}
 		if !time.Now().Before(v.Until) || !c.conn.alive() { // a write to a closed connection would succeed nevertheless
-			return nil, dispatch.NotSent
+			return nil, by, dispatch.NotSent
 		}
 	}
 }
 
-// mayStillSend returns accepted if an attempt may be sent now, else how the attempt ends.
-func (p *Pool) mayStillSend(j *job.Job, c *call, v dispatch.Verdict) dispatch.End {
+// mayStillSend returns accepted if an attempt may be sent now, and by when its last byte must have reached the worker; else how the attempt
+// ends.
+func (p *Pool) mayStillSend(j *job.Job, c *call, v dispatch.Verdict) (by time.Time, end dispatch.End) {
 	if j.Keeper != nil {
 		if err := j.Keeper.MayStillSend(c.lease); err != nil {
 			p.log.Debug("attempt not sent: it was allowed too long ago", "id", j.ID, "provider", v.Provider, "err", err)
-			return dispatch.NotSent
+			return by, dispatch.NotSent
 		}
 	}
 	p.mu.Lock()
@@ -233,13 +235,23 @@
 	p.mu.Unlock()
 	switch {
 	case leaving:
-		return Unsent
+		return by, Unsent
 	case !serving:
-		return dispatch.NotConnected
+		return by, dispatch.NotConnected
 	case withdrawn(v):
-		return dispatch.NotSent
+		return by, dispatch.NotSent
+	case v.MayStillSend == nil:
+		return v.Until, accepted
 	}
-	return accepted
+	by, allowed := v.MayStillSend()
+	if !allowed {
+		p.log.Debug("attempt not sent: the decision module no longer allows it", "id", j.ID, "provider", v.Provider)
+		return by, dispatch.NotSent
+	}
+	if by.IsZero() || by.After(v.Until) {
+		by = v.Until
+	}
+	return by, accepted
 }
 
 // endUnsent gives back the connection of an attempt of which nothing was sent, and returns how the attempt ends. A call-back about an
