provider: reset the connection of an attempt that was given up without an acknowledgement

Callers would see: a job that reaches its worker after it was given up, when another worker may have run it and the window of its key may be over, in a network that holds packets back. Cause: the connection was closed, and the system goes on sending what the worker's machine has not taken yet. Change: it is reset, which drops what is in the buffers; within a window, the acknowledgement is awaited no longer than the window lasts. Evidence: TestUnacknowledgedJobNeverArrivesLater fails in its three cases with a plain close.

--- a/provider/acknowledgement.go
+++ b/provider/acknowledgement.go
@@ -8,14 +8,17 @@
 	"laddertide/job"
 )
 
-// acknowledgement waits for the worker's answer to an attempt whose last byte has been written to c.conn. It returns accepted once the
-// worker has accepted the job, else how the attempt has ended. The connection is kept or closed, and no longer belongs to c.
-func (p *Pool) acknowledgement(j *job.Job, c *call, v dispatch.Verdict) dispatch.End {
+// acknowledgement waits for the worker's answer to an attempt whose last byte has been written to c.conn and must have reached the worker
+// by sendBy. It returns accepted once the worker has accepted the job, else how the attempt has ended. The connection is kept or closed, and
+// no longer belongs to c.
+func (p *Pool) acknowledgement(j *job.Job, c *call, v dispatch.Verdict, sendBy time.Time) dispatch.End {
 	conn := c.conn
-	answerBy := v.Until
+	answerBy := sendBy // without an acknowledgement, the job may still be in this machine's buffers
 	if at := time.Now().Add(v.AckTimeout); v.AckTimeout > 0 && at.Before(answerBy) {
 		answerBy = at
-		conn.SetReadDeadline(at)
+	}
+	if answerBy.Before(v.Until) {
+		conn.SetReadDeadline(answerBy)
 	}
 	// A worker that has vanished leaves its connections open. If it does not acknowledge in time, its idle connections are not used for
 	// further jobs: a new connection that is never established proves that a job did not run.
@@ -28,9 +31,12 @@
 	c.conn = nil
 	over := c.closed
 	c.mu.Unlock()
-	if err != nil || answer.closes || withdrawn {
+	switch {
+	case err != nil || withdrawn:
+		p.abort(conn) // the job must not reach the worker later, when it may be another worker's or over
+	case answer.closes:
 		p.discard(conn)
-	} else {
+	default:
 		p.release(conn)
 	}
 	switch {
--- a/provider/call.go
+++ b/provider/call.go
@@ -190,7 +190,7 @@
 		return dispatch.NotConnected, nil // the last byte was not written, so the provider cannot start
 	}
 	c.record = earlierAttempts{mayCallBack: true, open: true}
-	if end := p.acknowledgement(j, c, v); end != accepted {
+	if end := p.acknowledgement(j, c, v, sendBy); end != accepted {
 		return end, c.result
 	}
 	return p.wait(j, c, v)
--- a/provider/undelivered_test.go
+++ b/provider/undelivered_test.go
@@ -87,6 +87,33 @@
 	return err == nil && len(body) == undeliveredBody
 }
 
+// TestUnacknowledgedJobNeverArrivesLater guards against an attempt that reaches its worker after it has been given up: its bytes were still
+// in this machine's buffers as its connection was closed, and by the time they arrive another worker may have run the job.
+func TestUnacknowledgedJobNeverArrivesLater(t *testing.T) {
+	for name, limit := range map[string]func(v *dispatch.Verdict){
+		"acknowledgement late": func(v *dispatch.Verdict) { v.AckTimeout = undeliveredTime },
+		"window over": func(v *dispatch.Verdict) {
+			by := time.Now().Add(undeliveredTime)
+			v.MayStillSend = func() (time.Time, bool) { return by, true }
+		},
+		"withdrawn": func(v *dispatch.Verdict) {
+			ctx, cancel := context.WithCancelCause(v.Context)
+			v.Context = ctx
+			time.AfterFunc(undeliveredTime, func() { cancel(nil) })
+		},
+	} {
+		w := newSlowReader(t, 4*undeliveredBody)
+		v := verdict(context.Background(), 5*time.Second)
+		limit(&v)
+		if end := w.attempt(v); end != dispatch.Unacknowledged && end != dispatch.Withdrawn {
+			t.Errorf("%s: end %v", name, end)
+		}
+		if w.arrived(t) {
+			t.Errorf("%s: the job arrived after it had been given up", name)
+		}
+	}
+}
+
 // TestSlowWriteEndsWithTheWindow guards against a job whose last byte is written after the window of its key, as its worker reads slowly.
 func TestSlowWriteEndsWithTheWindow(t *testing.T) {
 	w := newSlowReader(t, 4<<10)
