job: an attempt of another process holds the time of its send, not its age

Callers would see: a keyed job that is sent again after its window by a process that went on with it. Cause: the age of an earlier attempt was a span that stood still while its job waited for a place, for its turn or on its way. Change: job.PastAttempt.Sent; ages stand in messages and records only. A message of an upgrade adds its time in transit, an offer between schedulers the age of its permit. The paths of owners and durable are changed by the same type and were read, not played.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -104,7 +104,8 @@
 	r.attempts.addEarlier(earlier)
 	past := make([]dispatch.PastAttempt, len(earlier))
 	for i, p := range earlier {
-		past[i] = dispatch.PastAttempt{Provider: p.Provider, Age: p.Age, Started: p.Started, StartedAgo: p.Age, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight}
+		age := time.Since(p.Sent)
+		past[i] = dispatch.PastAttempt{Provider: p.Provider, Age: age, Started: p.Started, StartedAgo: age, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight}
 		r.lease = p.Lease
 		if !p.InFlight {
 			r.Pool.AddEarlierAttempt(j.ID, p.Provider, p.MayHaveRun)
--- a/attempt/past.go
+++ b/attempt/past.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,25 +12,18 @@
 // attemptLog holds the attempts made for a job, including those of previous processes, for a process that may take the job over.
 type attemptLog struct {
 	mu       sync.Mutex
-	attempts []attemptRecord
-}
-
-type attemptRecord struct {
-	sent time.Time
-	job.PastAttempt
+	attempts []job.PastAttempt
 }
 
 func (p *attemptLog) addEarlier(earlier []job.PastAttempt) {
-	for _, b := range earlier {
-		p.attempts = append(p.attempts, attemptRecord{time.Now().Add(-b.Age), b})
-	}
+	p.attempts = append(p.attempts, earlier...)
 }
 
 // begin records an attempt that is about to be made.
 func (p *attemptLog) begin(provider string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.attempts = append(p.attempts, attemptRecord{time.Now(), job.PastAttempt{Provider: provider, InFlight: true}})
+	p.attempts = append(p.attempts, job.PastAttempt{Provider: provider, Sent: time.Now(), InFlight: true})
 }
 
 // recordStart returns a function that passes reports on to next and records when the job of the last attempt has started.
@@ -63,10 +57,5 @@
 func (p *attemptLog) list() []job.PastAttempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]job.PastAttempt, len(p.attempts))
-	for i, c := range p.attempts {
-		out[i] = c.PastAttempt
-		out[i].Age = time.Since(c.sent)
-	}
-	return out
+	return slices.Clone(p.attempts)
 }
--- a/durable/recover.go
+++ b/durable/recover.go
@@ -321,7 +321,7 @@
 		if !a.AgeKnown {
 			ago = unknownAge
 		}
-		e.past = append(e.past, job.PastAttempt{Provider: a.Provider, Lease: uint64(a.Fence), Age: ago, Started: a.Begun,
+		e.past = append(e.past, job.PastAttempt{Provider: a.Provider, Lease: uint64(a.Fence), Sent: at.Add(-ago), Started: a.Begun,
 			MayHaveRun: a.MayHaveRun && !a.InFlight, InFlight: a.InFlight})
 	}
 	return e, why
--- a/job/job.go
+++ b/job/job.go
@@ -105,10 +105,10 @@
 type PastAttempt struct {
 	Provider   string
 	Lease      uint64
-	Age        time.Duration // since it was sent
-	Started    bool          // its provider has reported that it started
-	MayHaveRun bool          // it has ended, and may have run
-	InFlight   bool          // it is not known to have ended; at most the last one
+	Sent       time.Time // when it was sent, or earlier
+	Started    bool      // its provider has reported that it started
+	MayHaveRun bool      // it has ended, and may have run
+	InFlight   bool      // it is not known to have ended; at most the last one
 }
 
 // Handler handles jobs. It answers each exactly once, itself or through the next Handler, and blocks until then: the returned outcome is
--- a/owners/handover.go
+++ b/owners/handover.go
@@ -139,7 +139,7 @@
 		j.Fields = append(j.Fields, wire.Field{Name: f.Name, Value: f.Value})
 	}
 	for _, p := range past[:min(wire.MaxAttempts, len(past))] {
-		j.PastAttempts = append(j.PastAttempts, wire.PastAttempt{Provider: p.Provider, Age: p.Age, Started: p.Started, MayHaveRun: p.MayHaveRun, Ended: !p.InFlight})
+		j.PastAttempts = append(j.PastAttempts, wire.PastAttempt{Provider: p.Provider, Age: time.Since(p.Sent), Started: p.Started, MayHaveRun: p.MayHaveRun, Ended: !p.InFlight})
 	}
 	return j
 }
@@ -258,11 +258,12 @@
 	e := h.newEntry(h.jobOf(handed, class), handed.Record.Digest, time.Now().Add(handed.TimeLeft))
 	e.handedOver = true
 	e.carriedBefore = true
+	written := time.Now().Add(-age) // the permit is older than the message
 	for _, p := range handed.PastAttempts {
-		e.earlier = append(e.earlier, job.PastAttempt{Provider: p.Provider, Age: p.Age, Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: !p.Ended})
+		e.earlier = append(e.earlier, job.PastAttempt{Provider: p.Provider, Sent: written.Add(-p.Age), Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: !p.Ended})
 	}
 	for _, c := range handed.Record.Attempts {
-		e.attempts = append(e.attempts, attempt{provider: c.Provider, at: time.Now().Add(-c.Age)})
+		e.attempts = append(e.attempts, attempt{provider: c.Provider, at: written.Add(-c.Age)})
 	}
 	e.record = core.TakeoverRecord(&handed.Record, h.me, e.nonce)
 	p := h.startPut(e)
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -316,7 +316,7 @@
 			e.inherited = e.carriedBefore
 			for _, p := range e.earlier {
 				if p.InFlight || p.MayHaveRun {
-					e.attempts = append(e.attempts, attempt{provider: p.Provider, at: time.Now().Add(-p.Age), ended: !p.InFlight})
+					e.attempts = append(e.attempts, attempt{provider: p.Provider, at: p.Sent, ended: !p.InFlight})
 				}
 			}
 		}
--- a/owners/owners_test.go
+++ b/owners/owners_test.go
@@ -537,7 +537,7 @@
 		var own []*pendingRequest
 		for i := range arrived { // two clients of each job
 			arrived[i] = make(chan struct{})
-			keeper := job.NewInheritedKeeper([]job.PastAttempt{{Provider: "w-a", Age: time.Second, InFlight: true}}, func() { close(arrived[i]) })
+			keeper := job.NewInheritedKeeper([]job.PastAttempt{{Provider: "w-a", Sent: time.Now().Add(-time.Second), InFlight: true}}, func() { close(arrived[i]) })
 			own = append(own, r.requestJob("a", &job.Job{ID: ids[i%3], Class: i % 3, ClassName: []string{"safe", "keyed", "unsafe"}[i%3], TimeLeft: deadline,
 				Payload: []byte("x"), Keeper: keeper}))
 		}
--- a/owners/rig_test.go
+++ b/owners/rig_test.go
@@ -316,7 +316,7 @@
 	case <-ctx.Done():
 		return job.Outcome{Kind: job.Gone}
 	case <-m.pool.HandoverContext().Done():
-		return job.Outcome{Kind: job.Moved, PastAttempts: append(past, job.PastAttempt{Provider: "w-" + m.me.Name, Age: time.Since(sent), InFlight: true})}
+		return job.Outcome{Kind: job.Moved, PastAttempts: append(past, job.PastAttempt{Provider: "w-" + m.me.Name, Sent: sent, InFlight: true})}
 	case <-m.dead:
 		return job.Outcome{}
 	}
--- a/owners/way.go
+++ b/owners/way.go
@@ -106,7 +106,7 @@
 	h.dropAtKeepers(&r)
 	e.recorded, e.owned = false, false
 	if len(e.attempts) > 0 && !e.inherited { // a job that may run twice, sent before its owner was known
-		e.earlier, e.carriedBefore = e.ownAttempts(time.Now()), true
+		e.earlier, e.carriedBefore = e.ownAttempts(), true
 	}
 	h.nonce++
 	e.nonce = h.nonce
@@ -158,10 +158,10 @@
 	if e.inherited { // its earlier attempts are in the record
 		e.attempts = nil
 	}
-	e.inherited, e.earlier = false, e.ownAttempts(now)
+	e.inherited, e.earlier = false, e.ownAttempts()
 	for _, c := range rival.Attempts {
 		e.attempts = append(e.attempts, attempt{provider: c.Provider, at: now.Add(-c.Age)})
-		e.earlier = append(e.earlier, job.PastAttempt{Provider: c.Provider, Age: c.Age, MayHaveRun: true})
+		e.earlier = append(e.earlier, job.PastAttempt{Provider: c.Provider, Sent: now.Add(-c.Age), MayHaveRun: true})
 	}
 	e.carriedBefore = len(e.earlier) > 0
 	h.succeedRecord(e, rival)
@@ -172,9 +172,9 @@
 
 // ownAttempts returns the attempts that this scheduler made before it was known that another one owned the job: they are given up, and
 // count among those that may have run. Called under mu.
-func (e *entry) ownAttempts(now time.Time) (past []job.PastAttempt) {
+func (e *entry) ownAttempts() (past []job.PastAttempt) {
 	for _, c := range e.attempts {
-		past = append(past, job.PastAttempt{Provider: c.provider, Age: now.Sub(c.at), MayHaveRun: true})
+		past = append(past, job.PastAttempt{Provider: c.provider, Sent: c.at, MayHaveRun: true})
 	}
 	return past
 }
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -101,7 +101,7 @@
 				reply(m.Number, wire.No, err.Error())
 				return nil
 			}
-			j.Keeper = job.NewInheritedKeeper(pastAttempts(m), func() { reply(m.Number, wire.Yes, "") })
+			j.Keeper = job.NewInheritedKeeper(pastAttempts(m, conn), func() { reply(m.Number, wire.Yes, "") })
 			s.server.Adopt(conn, frontend.ConnState{Messages: m.Conn.Messages, CarriesCallBacks: m.Conn.CarriesCallBacks, ReadAhead: m.Conn.ReadAhead}, m.CloseAfter, j)
 			return nil
 		}
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -10,6 +10,7 @@
 	"laddertide/directory"
 	"laddertide/frontend"
 	"laddertide/handover"
+	"laddertide/internal/netfault"
 	"laddertide/job"
 	"laddertide/policy"
 	wire "laddertide/wire/handover"
@@ -156,7 +157,7 @@
 		ID: j.ID, TenantName: j.TenantName, Key: j.Key, Subject: j.Subject, Protocol: j.Protocol,
 		Class: j.Class, Tenant: j.Tenant, Deadline: j.Deadline, TimeLeft: j.TimeLeft, WorkHint: j.Hint, Slots: j.Slots, Payload: j.Payload, Fields: j.Fields}
 	for _, p := range past {
-		m.PastAttempts = append(m.PastAttempts, wire.PastAttempt{Provider: p.Provider, Age: p.Age, Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight})
+		m.PastAttempts = append(m.PastAttempts, wire.PastAttempt{Provider: p.Provider, Age: time.Since(p.Sent), Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight})
 	}
 	reply, err := h.peer.Ask(m, c, jobTimeout)
 	if errors.Is(err, handover.ErrNotSent) {
@@ -193,10 +194,19 @@
 		Slots: m.Slots, Payload: m.Payload, Fields: m.Fields}, nil
 }
 
-func pastAttempts(m *wire.Job) []job.PastAttempt {
+// pastAttempts returns the attempts that the previous process has made for a job, whose client waits on conn.
+func pastAttempts(m *wire.Job, conn net.Conn) []job.PastAttempt {
 	out := make([]job.PastAttempt, len(m.PastAttempts))
+	written := time.Now().Add(-transitTime(m, conn))
 	for i, p := range m.PastAttempts {
-		out[i] = job.PastAttempt{Provider: p.Provider, Age: p.Age, Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight}
+		out[i] = job.PastAttempt{Provider: p.Provider, Sent: written.Add(-p.Age), Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight}
 	}
 	return out
 }
+
+// transitTime returns how long ago, at least, the previous process wrote a message with a job: the time that the job had left then, less the
+// time that it has left now, counted from the arrival of its request at this machine.
+func transitTime(m *wire.Job, conn net.Conn) time.Duration {
+	left := m.Deadline - netfault.SinceArrival(conn)
+	return max(0, m.TimeLeft-left)
+}
