frontend: TestIdleConnectionsAreEvicted waits for idle connections, not for 20 ms

Cause: the test failed once, beside a build and other packages' tests: it gave a connection 20 ms to count as idle after its answer, and a connection that does not yet is not evicted, so the one with call-backs was. Forced on a scratch copy: with 30 ms before a connection counts as idle it fails in the same line. Change: the test waits until the server counts all connections as idle. What it checks is as before.

--- a/frontend/consumer_test.go
+++ b/frontend/consumer_test.go
@@ -30,6 +30,7 @@
 	jobs    chan string // "METHOD target" of the requests that the provider receives
 	stop    context.CancelFunc
 	served  chan error
+	server  *Server // of newRig
 }
 
 func newRig(t *testing.T, conns int) *rig {
@@ -70,6 +71,7 @@
 	r.stop = stop
 	s := &Server{Settings: set, Jobs: &attempt.Handler{Engine: engine, Pool: pool, Log: log}, CallBack: pool.HandleCallBack,
 		OnShutdown: engine.Stop, Log: log, MaxConns: conns, Grace: grace}
+	r.server = s
 	go func() { r.served <- s.Serve(ctx, ln) }()
 	t.Cleanup(func() { stop(); engine.Close(); pool.Close() })
 	return r
@@ -293,6 +295,26 @@
 	}
 }
 
+// awaitAllIdle waits until no connection of the server has a message in progress, except those that are being closed.
+func (r *rig) awaitAllIdle() {
+	r.t.Helper()
+	for range 4000 {
+		r.server.mu.Lock()
+		busy := 0
+		for c := range r.server.conns {
+			if !c.evicted && c.stage != idle {
+				busy++
+			}
+		}
+		r.server.mu.Unlock()
+		if busy == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal("connections stay busy")
+}
+
 // With all slots taken an idle connection is evicted: silent connections keep no client out.
 func TestIdleConnectionsAreEvicted(t *testing.T) {
 	r := newRig(t, 3)
@@ -306,7 +328,7 @@
 		c := r.dial()
 		c.send("GET /_health HTTP/1.1\r\n\r\n")
 		c.expect(200)
-		time.Sleep(20 * time.Millisecond) // its answer arrives a moment before it counts as idle
+		r.awaitAllIdle() // its answer arrives a moment before it counts as idle
 	}
 	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
 		t.Fatalf("the oldest connection: %v", err)
