handover: one message that cannot be sent or handled costs no other request

Cause: the frontend took an infinite number; Append dropped the codec's error and sent the message without its beginning; the next process ended the connection at the first message that it could not read or did not expect, and with it the sockets that lay unread, while the older one took its jobs for handed over. Change: slots that are not finite count as not given. Append returns the error, and such a message is not sent in part. A message that cannot be decoded or handled is refused by its number and costs no other; a job that is refused is answered as failed by the process that has it. A reread, or a roster, that reaches a process which serves already does not end the hand-over; a process that has handed over passes SIGHUP on and keeps its settings. TestRandomJobs no longer passes over messages that Parse refuses: Append has to refuse them.

--- a/frontend/http.go
+++ b/frontend/http.go
@@ -169,8 +169,11 @@
 	for out.Kind == job.Moved {
 		moved := *j
 		moved.TimeLeft -= time.Since(started)
-		if s.handOverJob(c, &moved, out.PastAttempts, last) {
+		switch s.handOverJob(c, &moved, out.PastAttempts, last) {
+		case transferred:
 			return answer{}, false
+		case refused:
+			return s.answerFor(job.Outcome{Kind: job.Failed})
 		}
 		if s.graceOver.Load() {
 			return s.answerFor(s.Unfinished)
--- a/frontend/job.go
+++ b/frontend/job.go
@@ -94,7 +94,7 @@
 	}
 	for pair := range strings.SplitSeq(get(w.extras), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); name == "slots" && err == nil && v > 0 {
+		if v, err := strconv.ParseFloat(value, 64); name == "slots" && err == nil && v > 0 && v <= math.MaxFloat64 {
 			j.Slots = v
 		}
 	}
--- a/frontend/move.go
+++ b/frontend/move.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -9,8 +10,12 @@
 	"laddertide/job"
 )
 
+// ErrJobRefused is the error of a Successor that cannot continue one job and still takes the others.
+var ErrJobRefused = errors.New("frontend: the next process cannot continue this job")
+
 // Successor is another process that takes over the connections and jobs of this one. Once a method returns without an error, the
-// successor owns the connection, and it is closed in this process; after an error it stays with this process.
+// successor owns the connection, and it is closed in this process; after an error it stays with this process. After an error other than
+// ErrJobRefused nothing more is handed over.
 type Successor interface {
 	// HandOverConn hands over an idle connection.
 	HandOverConn(c *net.TCPConn, k ConnState) error
@@ -88,24 +93,38 @@
 	c.handedOver = true
 }
 
-// handOverJob hands a job and its connection over to the successor, and with them the duty to answer. It reports false if the job stays
-// here.
-func (s *Server) handOverJob(c *conn, j *job.Job, past []job.PastAttempt, last bool) bool {
+// transfer is what has become of a job that was to be handed over.
+type transfer uint8
+
+const (
+	transferred transfer = iota // another process answers it, or it has been answered
+	kept                        // it continues here
+	refused                     // no process can continue it: it is answered here as it is
+)
+
+// handOverJob hands a job and its connection over to the successor, and with them the duty to answer.
+func (s *Server) handOverJob(c *conn, j *job.Job, past []job.PastAttempt, last bool) transfer {
 	<-s.successorKnown // the successor is about to be notified of the handover
 	successor, tcp, k, ok := s.handoverState(c, true)
 	if !ok {
-		return false
+		return kept
 	}
 	if !c.claimAnswer() {
-		return true
+		return transferred
 	}
-	if err := successor.HandOverJob(tcp, k, last, j, past); err != nil {
+	err := successor.HandOverJob(tcp, k, last, j, past)
+	switch {
+	case err == nil:
+		c.handedOver = true
+		return transferred
+	case errors.Is(err, ErrJobRefused):
 		c.answerOwed.Store(true)
-		s.dropSuccessor(err)
-		return false
+		s.Log.Warn("a job cannot continue in the next process: it is answered as failed", "id", j.ID, "err", err)
+		return refused
 	}
-	c.handedOver = true
-	return true
+	c.answerOwed.Store(true)
+	s.dropSuccessor(err)
+	return kept
 }
 
 // dropSuccessor continues without the successor after an error: the rest is answered here.
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -27,10 +27,12 @@
 	finishLimit = 500 * time.Millisecond // for the other side to read the rest
 )
 
-// ErrPeerEnded means that the other process has ended, ErrNotSent that a message was not sent completely.
+// ErrPeerEnded means that the other process has ended, ErrNotSent that a message was not sent completely, ErrUnsendable that it can never be
+// sent and that nothing of it was; others still can.
 var (
-	ErrPeerEnded = errors.New("handover: the other process has gone")
-	ErrNotSent   = errors.New("handover: message not sent to the other process")
+	ErrPeerEnded  = errors.New("handover: the other process has gone")
+	ErrNotSent    = errors.New("handover: message not sent to the other process")
+	ErrUnsendable = errors.New("handover: message cannot be sent")
 )
 
 // Received is a message and the socket that accompanied it, if any.
@@ -85,7 +87,7 @@
 }
 
 // Send sends a message, and a copy of c's socket if c is not nil. An error means that the message was not sent completely;
-// with ErrNotSent, the other process has ended or the connection has been closed.
+// with ErrNotSent, the other process has ended or the connection has been closed; with ErrUnsendable, the connection is as before.
 func (p *Peer) Send(m wire.Message, c syscall.Conn) error {
 	if c == nil {
 		return p.send(m, nil)
@@ -106,13 +108,16 @@
 	p.writeMu.Lock()
 	defer p.writeMu.Unlock()
 	b := append(p.sendBuffer[:0], 0) // the mark of the first packet
-	b = wire.Append(b, m)
+	b, err := wire.Append(b, m)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnsendable, err)
+	}
 	p.sendBuffer = b[:0]
 	if cap(b) > 4*maxPacket {
 		p.sendBuffer = nil
 	}
 	if len(b) > wire.MaxMessage {
-		return fmt.Errorf("handover: a message of %d bytes is too large", len(b))
+		return fmt.Errorf("%w: %d bytes are too many", ErrUnsendable, len(b))
 	}
 	for first := true; first || len(b) > 1; first = false {
 		n := min(len(b), maxPacket)
@@ -162,12 +167,20 @@
 }
 
 // Run passes each message to take, in order, until the connection ends; replies go to the waiting call of Ask. take owns the
-// socket that accompanies a message. An error of take closes the connection.
+// socket that accompanies a message. An error of take closes the connection. A message that cannot be decoded is refused by a Reply, if it
+// has a number, and costs no other.
 func (p *Peer) Run(take func(Received) error) error {
 	defer p.Close()
 	p.conn.SetReadDeadline(time.Time{})
 	for {
 		r, err := p.receive()
+		var malformed *wire.MalformedError
+		if errors.As(err, &malformed) {
+			if malformed.Number != 0 {
+				p.Send(&wire.Reply{Number: malformed.Number, Code: wire.No, Reason: malformed.Error()}, nil)
+			}
+			continue
+		}
 		if err == nil {
 			if reply, ok := r.Message.(*wire.Reply); ok && r.File == nil {
 				p.mu.Lock()
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -268,12 +268,19 @@
 }
 
 // updateSuccessor sends the roster with the bans to the standby process. One that does not confirm it must not take over
-// with an older list.
+// with an older list. Once it is asked to take over, it gets the roster of that moment instead, and its connection carries jobs.
 func (s *Scheduler) updateSuccessor(peer *handover.Peer, roster wire.Roster) {
-	if _, err := peer.Ask(&wire.RosterChange{Roster: roster}, nil, askTimeout); err != nil {
-		s.log.Warn("the standby process does not answer: its connection is closed", "err", err)
-		peer.Close()
+	_, err := peer.Ask(&wire.RosterChange{Roster: roster}, nil, askTimeout)
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handedOver || s.handingOver != nil {
+		return
 	}
+	s.log.Warn("the standby process does not answer: its connection is closed", "err", err)
+	peer.Close()
 }
 
 // otherServing returns the process that serves, if it is not this one. Called under mu.
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -15,7 +15,8 @@
 	wire "laddertide/wire/handover"
 )
 
-// handleHandoverMessage handles a message of the previous or the next process.
+// handleHandoverMessage handles a message of the previous or the next process. A message that cannot be handled is refused by a Reply, if
+// it has a number: it must not cost the jobs and connections that follow it.
 func (s *Scheduler) handleHandoverMessage(ctx context.Context, from *handover.Peer, r handover.Received) error {
 	s.mu.Lock()
 	fromPrevious := from == s.previous
@@ -25,8 +26,8 @@
 	if r.File != nil {
 		var err error
 		conn, err = net.FileConn(r.File)
-		if r.File.Close(); err != nil {
-			return err
+		if r.File.Close(); err != nil { // its message is refused below
+			s.log.Warn("a socket of the other process cannot be used", "message", fmt.Sprintf("%T", r.Message), "err", err)
 		}
 	}
 	reply := func(number uint64, code wire.Code, why string) {
@@ -46,20 +47,20 @@
 		}()
 		return nil
 	case *wire.RosterChange:
-		if standingBy {
-			s.mu.Lock()
-			s.adoptRoster(&m.Roster)
-			s.mu.Unlock()
+		if fromPrevious {
+			s.adoptRosterStandingBy(&m.Roster)
 			reply(m.Number, wire.Yes, "")
 			return nil
 		}
 	case *wire.RereadConfig:
-		if standingBy {
+		if fromPrevious { // this process may have taken over since it was asked: then it serves by the new file as well
 			go func() {
 				if s.RereadFile != nil {
 					s.RereadFile()
 				}
-				s.rereadConfiguration()
+				if standingBy {
+					s.rereadConfiguration()
+				}
 				reply(m.Number, wire.Yes, "")
 			}()
 			return nil
@@ -109,7 +110,11 @@
 	if conn != nil {
 		conn.Close()
 	}
-	return fmt.Errorf("scheduler: unexpected %T from the other process", r.Message)
+	s.log.Warn("a message of the other process is refused", "message", fmt.Sprintf("%T", r.Message))
+	if number := wire.NumberOf(r.Message); number != 0 {
+		reply(number, wire.No, fmt.Sprintf("scheduler: unexpected %T", r.Message))
+	}
+	return nil
 }
 
 func codeOf(err error) (wire.Code, string) {
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -387,7 +387,10 @@
 // joining.
 func TestSilentSuccessorsDoNotBlockTheNext(t *testing.T) {
 	r := newUpgradeRig(t, io.Discard)
-	hello := wire.Append([]byte{0}, &wire.Hello{Version: wire.Version, Name: r.cfg.Name, Listen: r.cfg.Listen})
+	hello, err := wire.Append([]byte{0}, &wire.Hello{Version: wire.Version, Name: r.cfg.Name, Listen: r.cfg.Listen})
+	if err != nil {
+		t.Fatal(err)
+	}
 	at := &net.UnixAddr{Name: filepath.Join(r.cfg.HandoverDir, "laddertide.handover"), Net: "unixpacket"}
 	for range testrig.SilentConns {
 		c, err := net.DialUnix("unixpacket", nil, at)
--- a/scheduler/retune.go
+++ b/scheduler/retune.go
@@ -20,6 +20,11 @@
 func (s *Scheduler) Reload(cfg Config) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awaitHandover()
+	if s.handedOver { // the jobs that are still to be handed over keep the classes that the next process knows
+		s.requestSuccessorReread()
+		return nil
+	}
 	if err := checkKeys("", s.cfg.tree, cfg.tree); err != nil {
 		return fmt.Errorf("config: %w", err)
 	}
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -118,13 +118,22 @@
 	}
 }
 
+// clockPart returns this process's clock for the next one; empty: it cannot be encoded. Called under mu.
+func (s *Scheduler) clockPart() []byte {
+	part, err := wire.Append(nil, s.clockMessage())
+	if err != nil {
+		s.log.Warn("the clock of this process is not saved", "err", err)
+	}
+	return part
+}
+
 // currentState returns the state to be saved.
 func (s *Scheduler) currentState() snapshot.State {
 	names, checkpoint := s.engine.CheckpointEstimates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := snapshot.State{Estimates: snapshot.Estimates{Names: names, Checkpoint: checkpoint},
-		Parts: []snapshot.Part{{Name: partClasses, Data: []byte(s.classNames())}, {Name: partClock, Data: wire.Append(nil, s.clockMessage())}}}
+		Parts: []snapshot.Part{{Name: partClasses, Data: []byte(s.classNames())}, {Name: partClock, Data: s.clockPart()}}}
 	st.List.Roster = snapshot.Roster(s.roster())
 	if s.current != nil {
 		st.List.Age = time.Since(s.listReceivedAt)
--- a/scheduler/successor.go
+++ b/scheduler/successor.go
@@ -40,6 +40,16 @@
 	s.publishAll()
 }
 
+// adoptRosterStandingBy replaces this process's list with that of the previous process, unless this one has taken over since: the takeover
+// had a newer list.
+func (s *Scheduler) adoptRosterStandingBy(r *wire.Roster) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.standingBy {
+		s.adoptRoster(r)
+	}
+}
+
 // takeOver makes this process the serving one, unless it has been stopped.
 func (s *Scheduler) takeOver(m *wire.Takeover) bool {
 	s.mu.Lock()
@@ -160,15 +170,16 @@
 		m.PastAttempts = append(m.PastAttempts, wire.PastAttempt{Provider: p.Provider, Age: time.Since(p.Sent), Started: p.Started, MayHaveRun: p.MayHaveRun, InFlight: p.InFlight})
 	}
 	reply, err := h.peer.Ask(m, c, jobTimeout)
-	if errors.Is(err, handover.ErrNotSent) {
+	switch {
+	case errors.Is(err, handover.ErrUnsendable):
+		return fmt.Errorf("%w: %w", frontend.ErrJobRefused, err)
+	case errors.Is(err, handover.ErrNotSent):
 		return h.resumeOnError(err)
-	}
-	if err != nil {
+	case err != nil:
 		h.s.log.Warn("no confirmation of a job that was handed over", "id", j.ID, "err", err) // the job is not this process's any more
 		return nil
-	}
-	if reply.Code != wire.Yes {
-		return h.resumeOnError(errors.New(reply.Reason))
+	case reply.Code != wire.Yes:
+		return fmt.Errorf("%w: %s", frontend.ErrJobRefused, reply.Reason)
 	}
 	return nil
 }
--- a/wire/binarycodec/codec.go
+++ b/wire/binarycodec/codec.go
@@ -13,10 +13,10 @@
 type Codec struct {
 	Bytes   []byte
 	Reading bool
-	Err     error // the first error; nothing is decoded after it
+	Err     error // the first error; nothing is encoded or decoded after it
 }
 
-// Fail records an error, unless there is one already, and ends decoding.
+// Fail records an error, unless there is one already, and ends encoding or decoding: nothing is left of the bytes.
 func (w *Codec) Fail(why string) {
 	if w.Err == nil {
 		w.Err = errors.New(why)
@@ -24,11 +24,27 @@
 	w.Bytes = nil
 }
 
+// Encoded returns what has been encoded, or the first error.
+func (w *Codec) Encoded() ([]byte, error) {
+	if w.Err != nil {
+		return nil, w.Err
+	}
+	return w.Bytes, nil
+}
+
+// write appends encoded values. After an error it appends nothing, as what follows must not look like a whole message.
+func (w *Codec) write(b ...byte) {
+	if w.Err == nil {
+		w.Bytes = append(w.Bytes, b...)
+	}
+}
+
 // Integers encodes or decodes integers, as signed varints.
 func Integers[T ~int | ~int32 | ~int64 | ~uint8 | ~uint64](w *Codec, values ...*T) {
 	for _, v := range values {
 		if !w.Reading {
-			w.Bytes = binary.AppendVarint(w.Bytes, int64(*v))
+			var encoded [binary.MaxVarintLen64]byte
+			w.write(encoded[:binary.PutVarint(encoded[:], int64(*v))]...)
 			continue
 		}
 		x, n := binary.Varint(w.Bytes)
@@ -47,7 +63,9 @@
 func (w *Codec) Float(values ...*float64) {
 	for _, v := range values {
 		if !w.Reading {
-			w.Bytes = binary.LittleEndian.AppendUint64(w.Bytes, math.Float64bits(*v))
+			var encoded [8]byte
+			binary.LittleEndian.PutUint64(encoded[:], math.Float64bits(*v))
+			w.write(encoded[:]...)
 			continue
 		}
 		if len(w.Bytes) < 8 {
@@ -100,7 +118,7 @@
 	Integers(w, &n)
 	switch {
 	case !w.Reading:
-		w.Bytes = append(w.Bytes, *v...)
+		w.write(*v...)
 	case n < 0 || n > len(w.Bytes):
 		w.Fail("ends early")
 	default:
--- a/wire/handover/handover.go
+++ b/wire/handover/handover.go
@@ -44,6 +44,7 @@
 type Numbered interface {
 	Message
 	SetNumber(uint64)
+	number() uint64
 }
 
 type (
@@ -213,21 +214,53 @@
 // SetNumber implements Numbered.
 func (m *Takeover) SetNumber(n uint64) { m.Number = n }
 
-// Append appends a message to b.
-func Append(b []byte, m Message) []byte {
+func (m *RosterChange) number() uint64    { return m.Number }
+func (m *RereadConfig) number() uint64    { return m.Number }
+func (m *OperatorRequest) number() uint64 { return m.Number }
+func (m *Event) number() uint64           { return m.Number }
+func (m *Job) number() uint64             { return m.Number }
+func (m *Takeover) number() uint64        { return m.Number }
+
+// NumberOf returns the number of a message that is answered by a Reply; 0: it is not one.
+func NumberOf(m Message) uint64 {
+	if numbered, ok := m.(Numbered); ok {
+		return numbered.number()
+	}
+	return 0
+}
+
+// Append appends a message to b. It returns an error for a message that Parse would refuse.
+func Append(b []byte, m Message) ([]byte, error) {
 	w := codec{Codec: binarycodec.Codec{Bytes: append(b, m.kind())}}
 	m.fields(&w)
-	return w.Bytes
+	encoded, err := w.Encoded()
+	if err != nil {
+		return nil, fmt.Errorf("handover: message of kind %d: %w", m.kind(), err)
+	}
+	return encoded, nil
+}
+
+// MalformedError is the error of Parse for a message that begins as one of this package and cannot be decoded.
+type MalformedError struct {
+	Kind   byte
+	Number uint64 // of a Numbered message, to reply to it; 0: unknown
+	Err    error
+}
+
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("handover: message of kind %d: %v", e.Kind, e.Err)
 }
 
-// Parse decodes a message, which must take all of b. What it returns shares no memory with b.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+// Parse decodes a message, which must take all of b. What it returns shares no memory with b. The error is a *MalformedError.
 func Parse(b []byte) (Message, error) {
 	if len(b) == 0 {
-		return nil, errors.New("handover: an empty message")
+		return nil, &MalformedError{Err: errors.New("is empty")}
 	}
 	m := newMessage(b[0])
 	if m == nil {
-		return nil, fmt.Errorf("handover: a message of unknown kind %d", b[0])
+		return nil, &MalformedError{Kind: b[0], Err: errors.New("is of an unknown kind")}
 	}
 	w := codec{Codec: binarycodec.Codec{Bytes: b[1:], Reading: true}}
 	m.fields(&w)
@@ -235,7 +268,11 @@
 		w.Fail("has bytes after its end")
 	}
 	if w.Err != nil {
-		return nil, fmt.Errorf("handover: message of kind %d: %w", b[0], w.Err)
+		malformed := &MalformedError{Kind: b[0], Err: w.Err}
+		if numbered, ok := m.(Numbered); ok {
+			malformed.Number = numbered.number()
+		}
+		return nil, malformed
 	}
 	return m, nil
 }
--- a/wire/handover/handover_test.go
+++ b/wire/handover/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"math"
 	"reflect"
 	"testing"
 
@@ -34,10 +36,20 @@
 var roster = Roster{Index: 41, Providers: []Provider{{Name: "s-1", Address: "127.0.0.1:1", Zone: "a", Type: "t",
 	Status: "SERVING", Group: -1, Weight: 2, SinceMS: 1.5e12, Unlisted: true, Banned: true, BanLiftedAt: 5}, {}}}
 
+// mustAppend encodes a message.
+func mustAppend(t testing.TB, b []byte, m Message) []byte {
+	t.Helper()
+	b, err := Append(b, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 // Encoded messages are decoded unchanged; truncated ones and ones with trailing bytes are errors.
 func TestRoundTrip(t *testing.T) {
 	for _, m := range samples {
-		b := Append(nil, m)
+		b := mustAppend(t, nil, m)
 		got, err := Parse(b)
 		if err != nil || !reflect.DeepEqual(got, m) {
 			t.Errorf("%+v, %v; want %+v", got, err, m)
@@ -56,37 +68,56 @@
 // Only the version of a message of another version is decoded.
 func TestAnotherVersion(t *testing.T) {
 	for _, m := range []Message{&Hello{Version: Version + 1}, &Welcome{Version: Version + 1}, &Refusal{Version: 0}} {
-		b := append(Append(nil, m)[:2], "what that version has"...)
+		b := append(mustAppend(t, nil, m)[:2], "what that version has"...)
 		if got, err := Parse(b); err != nil || !reflect.DeepEqual(got, m) {
 			t.Errorf("%+v, %v", got, err)
 		}
 	}
 }
 
+// TestRandomJobs guards against messages that are sent and cannot be decoded: Append refuses a message, or Parse returns it unchanged.
 func TestRandomJobs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := rapid.Make[Job]().Draw(t, "job")
-		b := Append(nil, &m)
-		got, err := Parse(b)
-		if err != nil { // NaN and infinite values, which a message cannot contain
+		m.Slots = rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.Inf(1), math.Inf(-1), math.NaN()})).Draw(t, "slots")
+		finite := !math.IsNaN(m.Slots) && !math.IsInf(m.Slots, 0)
+		b, err := Append(nil, &m)
+		if (err == nil) != finite || err != nil && len(b) > 0 {
+			t.Fatalf("%v slots: %d bytes, %v", m.Slots, len(b), err)
+		}
+		if err != nil {
 			return
 		}
-		if again := Append(nil, got); !bytes.Equal(b, again) {
-			t.Fatalf("%q, then %q", b, again)
+		got, err := Parse(b)
+		if err != nil {
+			t.Fatalf("%q cannot be decoded: %v", b, err)
+		}
+		if again, err := Append(nil, got); err != nil || !bytes.Equal(b, again) {
+			t.Fatalf("%q, then %q, %v", b, again, err)
 		}
 	})
 }
 
+// TestMalformedJobHasItsNumber guards against a job that is refused without a reply, as its message cannot be decoded.
+func TestMalformedJobHasItsNumber(t *testing.T) {
+	b := mustAppend(t, nil, &Job{Number: 300, ID: "j"})
+	_, err := Parse(b[:len(b)-1])
+	var malformed *MalformedError
+	if !errors.As(err, &malformed) || malformed.Number != 300 || malformed.Kind != (*Job)(nil).kind() {
+		t.Errorf("%+v", err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, m := range samples {
-		f.Add(Append(nil, m))
+		f.Add(mustAppend(f, nil, m))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := Parse(b)
 		if err != nil {
 			return
 		}
-		again, err := Parse(Append(nil, m))
+		again, err := Parse(mustAppend(t, nil, m))
 		if err != nil || !reflect.DeepEqual(m, again) {
 			t.Fatalf("%+v, then %+v, %v", m, again, err)
 		}
--- a/wire/owners/owners.go
+++ b/wire/owners/owners.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"laddertide/wire/binarycodec"
@@ -235,7 +236,9 @@
 	w.texts(MaxName, &j.Class)
 	w.texts(MaxJob, &j.TenantName, &j.Key, &j.Subject, &j.Protocol)
 	binarycodec.Integers(&w.Codec, &j.Deadline, &j.TimeLeft, &j.WorkHint)
-	w.Float(&j.Slots)
+	if w.Float(&j.Slots); w.Reading && (math.IsNaN(j.Slots) || math.IsInf(j.Slots, 0)) {
+		j.Slots = 0 // not given; earlier versions took it from clients
+	}
 	w.Data(&j.Payload)
 	binarycodec.List(&w.Codec, &j.Fields, func(f *Field) { w.texts(MaxJob, &f.Name, &f.Value) })
 	binarycodec.List(&w.Codec, &j.PastAttempts, func(p *PastAttempt) {
--- a/wire/owners/owners_test.go
+++ b/wire/owners/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -51,6 +52,18 @@
 	}
 }
 
+// TestSlotsThatAreNotFinite guards against a job of an earlier version that cannot be handed on, as its number of slots is not finite.
+func TestSlotsThatAreNotFinite(t *testing.T) {
+	for _, slots := range []float64{math.Inf(1), math.Inf(-1), math.NaN()} {
+		given := job
+		given.Slots = slots
+		m, err := Parse((&Message{Kind: HandOver, From: a, Job: &given}).Append())
+		if err != nil || m.Job.Slots != 0 {
+			t.Errorf("%v slots: %+v, %v", slots, m, err)
+		}
+	}
+}
+
 func TestInvalidInput(t *testing.T) {
 	whole := samples[0].Append()
 	with := func(change func(m *Message, r *Record, j *Job)) []byte {
