durable, replicated: a stored job is found by its id, whatever has become of its class

Cause: whether a request is for a stored job was asked by the index of its class, and a changed class has a new index. The same where the file of a later process does not name the class, and in replicated ledgers. Change: both Handlers look for the id first; the class decides whether a new job is stored.

--- a/core/leases/table.go
+++ b/core/leases/table.go
@@ -100,7 +100,7 @@
 // result says why not. For Fresh, the record of the Step must be on disk before the job is used (rule B1). For Known, if
 // the job's end may not be on disk yet, the Step has Sync set and no records (rule B3).
 func (t *Table) Take(now Clock, spec Spec) (TakeResult, Step) {
-	if j := t.byID[spec.ID]; j != nil && j.outcome != nil && elapsedSince(now, j.since) >= t.opt.Keep {
+	if j := t.byID[spec.ID]; j != nil && t.isExpired(now, j) {
 		t.drop(j)
 	}
 	if j := t.byID[spec.ID]; j != nil {
@@ -138,6 +138,17 @@
 	return TakeResult{Kind: Fresh, Seq: j.seq}, Step{[]Record{{Kind: Taken, Seq: j.seq, Clock: now, Spec: spec}}, true}
 }
 
+// Holds reports whether Take would find a job with that id, whatever its class.
+func (t *Table) Holds(now Clock, id string) bool {
+	j := t.byID[id]
+	return j != nil && !t.isExpired(now, j)
+}
+
+// isExpired reports whether a job has ended so long ago that it may be forgotten.
+func (t *Table) isExpired(now Clock, j *job) bool {
+	return j.outcome != nil && elapsedSince(now, j.since) >= t.opt.Keep
+}
+
 // Withdraw removes a job whose Taken could not be written and of which no lease was used, as if it had never been taken,
 // also for clients that joined it. As a failed write may have reached the disk nevertheless, the Step has an end for the
 // job, which the host writes if it can; no effect waits for it.
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -86,14 +86,19 @@
 // no time before that, and its client waits slightly longer than the deadline.
 const endWriteGrace = 25 * time.Millisecond
 
-// Handle implements job.Handler.
+// Handle implements job.Handler. The class of a request decides whether a new job is stored. Whether the request is for a stored job is
+// decided by its id alone: the job may have been taken while its class was another one.
 func (h *Handler) Handle(ctx context.Context, j *job.Job) job.Outcome {
-	if !h.IsDurable(j.Class) {
+	if !h.IsDurable(j.Class) && !h.holds(j.ID) {
 		return h.next.Handle(ctx, j)
 	}
 	due := time.Now().Add(j.TimeLeft)
 	spec := NewSpec(j)
 	h.mu.Lock()
+	if !h.IsDurable(j.Class) && !h.table.Holds(h.clock(), j.ID) { // it has been forgotten meanwhile
+		h.mu.Unlock()
+		return h.next.Handle(ctx, j)
+	}
 	if h.leftToNext {
 		out, e := h.answerAfterLeave(spec)
 		h.mu.Unlock()
@@ -188,7 +193,14 @@
 	return known
 }
 
-// IsDurable reports whether jobs of a class are durable.
+// holds reports whether a job with that id is open, or has ended and is still known.
+func (h *Handler) holds(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Holds(h.clock(), id)
+}
+
+// IsDurable reports whether new jobs of a class are durable.
 func (h *Handler) IsDurable(class int) bool { return class < len(h.durable) && h.durable[class] }
 
 // Find reports whether the ledger has a job with that id, and returns its outcome; nil: not available to clients yet.
--- a/owners/owners.go
+++ b/owners/owners.go
@@ -45,7 +45,7 @@
 
 // Ledger is the storage of durable jobs in the next Handler. It outlives the process.
 type Ledger interface {
-	// IsDurable reports whether jobs of a class are stored.
+	// IsDurable reports whether new jobs of a class are stored.
 	IsDurable(class int) bool
 	// Find reports whether the ledger has a job, and returns its answer, or nil while that may not be given out yet.
 	Find(id string) (out *job.Outcome, known bool)
--- a/replicated/replicated.go
+++ b/replicated/replicated.go
@@ -271,15 +271,16 @@
 
 // Handle implements job.Handler.
 func (h *Handler) Handle(ctx context.Context, j *job.Job) job.Outcome {
-	if j.Class >= len(h.durable) || !h.durable[j.Class] {
-		return h.cfg.Next.Handle(ctx, j)
-	}
+	// Whether a job is stored is asked by its id, before its class: the class may have changed since the job was taken.
 	if d := h.handlerOf(j.ID); d != nil {
 		return d.Handle(ctx, j)
 	}
 	if h.isUnresumed(j.ID) { // the leader of its group knows its outcome, or will know it
 		return job.Outcome{Kind: job.Failed, RetryAfter: 2 * h.cfg.AnswerTime}
 	}
+	if !h.IsDurable(j.Class) {
+		return h.cfg.Next.Handle(ctx, j)
+	}
 	h.mu.Lock()
 	var l *ledGroup
 	if h.currentGroup != nil && !h.leaving {
@@ -350,7 +351,7 @@
 // Carries reports whether this scheduler carries a job or has ended it.
 func (h *Handler) Carries(id string) bool { return h.handlerOf(id) != nil }
 
-// IsDurable reports whether jobs of a class are stored.
+// IsDurable reports whether new jobs of a class are stored.
 func (h *Handler) IsDurable(class int) bool { return class < len(h.durable) && h.durable[class] }
 
 // HandleUnclaimed handles a provider's event that belongs to no attempt here. An event for a job that another scheduler carries is forwarded.
--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -67,3 +67,57 @@
 	}
 	next.stopAndWait()
 }
+
+// TestDurableJobOverReloads guards against a durable job that runs a second time, as its class was changed by a reload and its client asks
+// again: while the job is out, after its end, after further changes, and at the next process.
+func TestDurableJobOverReloads(t *testing.T) {
+	text := fmt.Sprintf("durable: {dir: %s}\n", t.TempDir())
+	worth := func(w string) Config {
+		return changedExample(t, `"worth": 8.0`, `"worth": `+w) // of settle
+	}
+	r := startRig(t, text, io.Discard, func(cfg *Config) { *cfg = withTree(*cfg) })
+	asks := func(r *rig, when string, status int) {
+		t.Helper()
+		c := r.dial()
+		c.askJob("d1", "settle", "rainier-haul", "x")
+		if got := c.receive(status); status == 200 && got != "the result" {
+			t.Errorf("%s: answered %q", when, got)
+		}
+	}
+	reload := func(cfg Config) {
+		t.Helper()
+		if err := r.sched.Reload(cfg); err != nil {
+			t.Fatal(err)
+		}
+	}
+	broken, waits := r.dial(), r.dial()
+	r.submit(broken, "d1", "settle", "rainier-haul", "")
+	broken.Close()
+	reload(worth("9.0"))
+	waits.askJob("d1", "settle", "rainier-haul", "x")
+	r.until("the second client waits", func(s *Scheduler) bool { return s.durable.Counts().Joins == 1 })
+	r.event("d1", "done", `,"result":"the result"`)
+	if got := waits.receive(200); got != "the result" {
+		t.Errorf("while it is out: answered %q", got)
+	}
+	asks(r, "after its end", 200)
+	reload(worth("7.0"))
+	asks(r, "after another change", 200)
+	reload(changedExample(t, `"repeat": "idempotency_key"`, `"repeat": "non_idempotent"`))
+	asks(r, "with another effect", 200)
+	reload(changedExample(t, `"name": "settle"`, `"name": "settle-2"`))
+	asks(r, "without the class", 400) // docs/operate/service.md: requests of a class that is gone get 400
+	reload(changedExample(t))
+	asks(r, "with the class as it was", 200)
+	if len(r.jobs) > 0 {
+		t.Errorf("sent again: %s", <-r.jobs)
+	}
+	r.stopAndWait()
+
+	next := startRig(t, text, io.Discard, func(cfg *Config) { cfg.Settings = worth("9.0").Settings })
+	asks(next, "in the next process, with another file", 200)
+	if len(next.jobs) > 0 {
+		t.Errorf("sent again: %s", <-next.jobs)
+	}
+	next.stopAndWait()
+}
