--- a/durable/durable_test.go
+++ b/durable/durable_test.go
@@ -39,6 +39,17 @@
 }
 
 func openHandlerSized(t *testing.T, disk *faultfs.Disk, set Settings, most int64, start bool, next job.HandlerFunc) *testHandler {
+	t.Helper()
+	return openHandlerWith(t, disk, set, testClasses, most, start, next)
+}
+
+// openHandlerOf is like openHandler with other classes, and resumes the open jobs.
+func openHandlerOf(t *testing.T, disk *faultfs.Disk, set Settings, classes []policy.Class, next job.HandlerFunc) *testHandler {
+	t.Helper()
+	return openHandlerWith(t, disk, set, classes, 1<<20, true, next)
+}
+
+func openHandlerWith(t *testing.T, disk *faultfs.Disk, set Settings, classes []policy.Class, most int64, start bool, next job.HandlerFunc) *testHandler {
 	t.Helper()
 	s := &testHandler{disk: disk, log: new(bytes.Buffer)}
 	log := slog.New(slog.NewTextHandler(s.log, nil))
@@ -49,7 +60,7 @@
 	clock := func() leases.Clock {
 		return leases.Clock{Boot: [16]byte{1}, Mono: time.Now().UnixNano(), Wall: time.Now().UnixNano()}
 	}
-	all := policy.Settings{Classes: testClasses}
+	all := policy.Settings{Classes: classes}
 	s.Handler, err = newHandler(set, all, next, provider.NewPool(provider.Limits{}, log), log, store, clock)
 	if err == nil {
 		err = s.read(store)
--- a/durable/retuned_test.go
+++ b/durable/retuned_test.go
@@ -9,6 +9,7 @@
 
 	"laddertide/job"
 	"laddertide/ledger/faultfs"
+	"laddertide/policy"
 )
 
 // TestStoredJobOfAChangedClassRunsOnce guards against a stored job that runs a second time (review/3: a card-issue, after a reload that changed
@@ -100,3 +101,49 @@
 		s.closeAndWait(t)
 	})
 }
+
+// TestStartWithRetiredClasses guards against a start that fails, or resumes a job by an earlier definition of its class, as the settings hold
+// retired classes: those of the file, where the configuration in force has other ones of the same names.
+func TestStartWithRetiredClasses(t *testing.T) {
+	retired := func(c policy.Class) policy.Class {
+		c.Retired = true
+		return c
+	}
+	read, pay, issue := testClasses[0], testClasses[1], testClasses[2]
+	stricter := pay
+	stricter.Effect = policy.Unsafe
+	for name, c := range map[string]struct {
+		classes []policy.Class
+		want    int // index of the class by which a job of pay is resumed
+	}{
+		"changed":             {[]policy.Class{read, retired(pay), issue, stricter}, 3},
+		"changed twice":       {[]policy.Class{retired(pay), read, retired(stricter), issue, pay}, 4},
+		"changed and back":    {[]policy.Class{pay, read, issue, retired(stricter)}, 0},
+		"gone":                {[]policy.Class{read, retired(pay), issue}, 1},
+		"changed, then gone":  {[]policy.Class{read, retired(pay), issue, retired(stricter)}, 3},
+		"as it was, and last": {[]policy.Class{read, issue, pay}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				disk := faultfs.New()
+				s := openHandler(t, disk, settings(), true, func(ctx context.Context, j *job.Job) job.Outcome {
+					<-ctx.Done()
+					return job.Outcome{Kind: job.Failed}
+				})
+				go s.Handle(t.Context(), newJob("a", 1))
+				synctest.Wait()
+				s.leaveOpenJobs()
+				s.closeAndWait(t)
+				classes := make(chan int, 1)
+				s = openHandlerOf(t, disk, settings(), c.classes, func(_ context.Context, j *job.Job) job.Outcome {
+					classes <- j.Class
+					return job.Outcome{Kind: job.Failed}
+				})
+				if got := <-classes; got != c.want {
+					t.Errorf("resumed by class %d, want %d", got, c.want)
+				}
+				s.closeAndWait(t)
+			})
+		})
+	}
+}
