--- a/handover/handover.go
+++ b/handover/handover.go
@@ -167,39 +167,39 @@
 }
 
 // Run passes each message to take, in order, until the connection ends; replies go to the waiting call of Ask. take owns the
-// socket that accompanies a message. An error of take closes the connection. A message that cannot be decoded is refused by a Reply, if it
-// has a number, and costs no other.
-func (p *Peer) Run(take func(Received) error) error {
+// socket that accompanies a message. A message that cannot be decoded is refused by a Reply, if it has a number, and costs no other.
+func (p *Peer) Run(take func(Received)) error {
 	defer p.Close()
 	p.conn.SetReadDeadline(time.Time{})
 	for {
 		r, err := p.receive()
 		var malformed *wire.MalformedError
-		if errors.As(err, &malformed) {
+		switch reply, isReply := r.Message.(*wire.Reply); {
+		case errors.As(err, &malformed):
 			if malformed.Number != 0 {
 				p.Send(&wire.Reply{Number: malformed.Number, Code: wire.No, Reason: malformed.Error()}, nil)
 			}
-			continue
-		}
-		if err == nil {
-			if reply, ok := r.Message.(*wire.Reply); ok && r.File == nil {
-				p.mu.Lock()
-				answer := p.waiting[reply.Number]
-				delete(p.waiting, reply.Number)
-				p.mu.Unlock()
-				if answer != nil {
-					answer <- *reply
-				}
-				continue
-			}
-			err = take(r)
-		}
-		if err != nil {
+		case err != nil:
 			return err
+		case isReply && r.File == nil:
+			p.deliver(reply)
+		default:
+			take(r)
 		}
 	}
 }
 
+// deliver passes a reply to the call of Ask that waits for it.
+func (p *Peer) deliver(reply *wire.Reply) {
+	p.mu.Lock()
+	answer := p.waiting[reply.Number]
+	delete(p.waiting, reply.Number)
+	p.mu.Unlock()
+	if answer != nil {
+		answer <- *reply
+	}
+}
+
 // receive reads a complete message.
 func (p *Peer) receive() (r Received, err error) {
 	defer func() {
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -73,12 +73,11 @@
 	}
 	older, newer := peers[0], peers[1]
 	taken := make(chan wire.Message, 10)
-	go newer.Run(func(r Received) error {
+	go newer.Run(func(r Received) {
 		taken <- r.Message
 		newer.Send(&wire.Reply{Number: wire.NumberOf(r.Message)}, nil)
-		return nil
 	})
-	go older.Run(func(Received) error { return nil })
+	go older.Run(func(Received) {})
 
 	good := &wire.Job{ID: "good", Slots: 1}
 	whole, err := wire.Append([]byte{0}, &wire.Job{Number: 77, ID: "cut"})
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -131,7 +131,7 @@
 	s.mu.Unlock()
 	ended := make(chan error, 1)
 	go func() {
-		ended <- peer.Run(func(r handover.Received) error { return s.handleHandoverMessage(ctx, peer, r) })
+		ended <- peer.Run(func(r handover.Received) { s.handleHandoverMessage(peer, r) })
 	}()
 	s.log.Info("standing by: another process serves", "name", s.cfg.Name, "listen", ln.Addr(), "providers", len(welcome.Roster.Providers))
 	s.ready.Store(true)
@@ -256,7 +256,7 @@
 	s.mu.Unlock()
 	s.log.Info("another process stands by to take over")
 	go func() {
-		err := peer.Run(func(r handover.Received) error { return s.handleHandoverMessage(context.Background(), peer, r) })
+		err := peer.Run(func(r handover.Received) { s.handleHandoverMessage(peer, r) })
 		s.mu.Lock()
 		if s.successor == peer && !s.handedOver {
 			s.successor = nil
--- a/scheduler/handover_messages.go
+++ b/scheduler/handover_messages.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -15,106 +14,146 @@
 	wire "laddertide/wire/handover"
 )
 
+// incoming is a message of the previous or the next process that is being handled.
+type incoming struct {
+	*Scheduler
+	from         *handover.Peer
+	conn         net.Conn // the socket that came with it; nil: none
+	fromPrevious bool
+	standingBy   bool // the previous process serves
+}
+
 // handleHandoverMessage handles a message of the previous or the next process. A message that cannot be handled is refused by a Reply, if
 // it has a number: it must not cost the jobs and connections that follow it.
-func (s *Scheduler) handleHandoverMessage(ctx context.Context, from *handover.Peer, r handover.Received) error {
+func (s *Scheduler) handleHandoverMessage(from *handover.Peer, r handover.Received) {
 	s.mu.Lock()
-	fromPrevious := from == s.previous
-	standingBy := fromPrevious && s.standingBy
+	in := incoming{Scheduler: s, from: from, fromPrevious: from == s.previous}
+	in.standingBy = in.fromPrevious && s.standingBy
 	s.mu.Unlock()
-	var conn net.Conn
 	if r.File != nil {
-		var err error
-		conn, err = net.FileConn(r.File)
-		if r.File.Close(); err != nil { // its message is refused below
+		conn, err := net.FileConn(r.File)
+		r.File.Close()
+		if err != nil { // its message is refused below
 			s.log.Warn("a socket of the other process cannot be used", "message", fmt.Sprintf("%T", r.Message), "err", err)
+		} else {
+			in.conn = conn
 		}
 	}
-	reply := func(number uint64, code wire.Code, why string) {
-		from.Send(&wire.Reply{Number: number, Code: code, Reason: why}, nil)
+	if !in.handle(r.Message) {
+		in.refuse(r.Message)
 	}
-	switch m := r.Message.(type) {
+}
+
+// reply answers a numbered message.
+func (in *incoming) reply(number uint64, code wire.Code, why string) {
+	in.from.Send(&wire.Reply{Number: number, Code: code, Reason: why}, nil)
+}
+
+// refuse answers a message that was not handled.
+func (in *incoming) refuse(m wire.Message) {
+	if in.conn != nil {
+		in.conn.Close()
+	}
+	in.log.Warn("a message of the other process is refused", "message", fmt.Sprintf("%T", m))
+	if number := wire.NumberOf(m); number != 0 {
+		in.reply(number, wire.No, fmt.Sprintf("scheduler: unexpected %T", m))
+	}
+}
+
+// handle handles a message, and reports false if it is none that this process can handle now.
+func (in *incoming) handle(m wire.Message) bool {
+	switch m := m.(type) {
 	case *wire.OperatorRequest:
 		go func() {
-			code, why := codeOf(s.handleForwardedCall(m))
-			reply(m.Number, code, why)
+			code, why := codeOf(in.handleForwardedCall(m))
+			in.reply(m.Number, code, why)
 		}()
-		return nil
+		return true
 	case *wire.Event:
 		go func() {
-			code, why := s.handleForwardedEvent(m)
-			reply(m.Number, code, why)
+			code, why := in.handleForwardedEvent(m)
+			in.reply(m.Number, code, why)
 		}()
-		return nil
+		return true
+	}
+	if !in.fromPrevious {
+		return false
+	}
+	switch m := m.(type) {
 	case *wire.RosterChange:
-		if fromPrevious {
-			s.adoptRosterStandingBy(&m.Roster)
-			reply(m.Number, wire.Yes, "")
-			return nil
-		}
+		in.adoptRosterStandingBy(&m.Roster)
+		in.reply(m.Number, wire.Yes, "")
+		return true
 	case *wire.RereadConfig:
-		if fromPrevious { // this process may have taken over since it was asked: then it serves by the new file as well
-			go func() {
-				if s.RereadFile != nil {
-					s.RereadFile()
-				}
-				if standingBy {
-					s.rereadConfiguration()
-				}
-				reply(m.Number, wire.Yes, "")
-			}()
-			return nil
-		}
+		go in.reread(m) // this process may have taken over since it was asked: then it serves by the new file as well
+		return true
+	}
+	if in.standingBy {
+		return in.handleStandingBy(m)
+	}
+	return in.conn != nil && in.handleServing(m)
+}
+
+// reread reads this process's configuration again.
+func (in *incoming) reread(m *wire.RereadConfig) {
+	if in.RereadFile != nil {
+		in.RereadFile()
+	}
+	if in.standingBy {
+		in.rereadConfiguration()
+	}
+	in.reply(m.Number, wire.Yes, "")
+}
+
+// handleStandingBy handles a message by which the previous process prepares, or makes, this one the serving process.
+func (in *incoming) handleStandingBy(m wire.Message) bool {
+	switch m := m.(type) {
 	case *wire.Peers:
-		if standingBy {
-			s.mu.Lock()
-			s.previousPeers = m
-			s.mu.Unlock()
-			return nil
-		}
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.previousPeers = m
+		return true
 	case *wire.Clock:
-		if standingBy {
-			s.mu.Lock()
-			s.previousClock = &receivedClock{Clock: m, received: time.Now()}
-			s.mu.Unlock()
-			return nil
-		}
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.previousClock = &receivedClock{Clock: m, received: time.Now()}
+		return true
 	case *wire.Takeover:
-		if standingBy {
-			s.rereadConfiguration() // the previous process has released the folder
-		}
-		if standingBy && s.takeOver(m) {
-			s.takeover <- m
-			<-s.canAdopt
-			reply(m.Number, wire.Yes, "")
-			return nil
+		in.rereadConfiguration() // the previous process has released the folder
+		if !in.takeOver(m) {
+			return false
 		}
+		in.takeover <- m
+		<-in.canAdopt
+		in.reply(m.Number, wire.Yes, "")
+		return true
+	}
+	return false
+}
+
+// handleServing handles a connection that the previous process hands over, with or without a job.
+func (in *incoming) handleServing(m wire.Message) bool {
+	switch m := m.(type) {
 	case *wire.Conn:
-		if fromPrevious && !standingBy && conn != nil {
-			s.server.Adopt(conn, frontend.ConnState{Messages: m.Messages, CarriesCallBacks: m.CarriesCallBacks, ReadAhead: m.ReadAhead}, false, nil)
-			return nil
-		}
+		in.server.Adopt(in.conn, connState(m), false, nil)
+		return true
 	case *wire.Job:
-		if fromPrevious && !standingBy && conn != nil {
-			j, err := s.jobFromMessage(m)
-			if err != nil {
-				conn.Close()
-				reply(m.Number, wire.No, err.Error())
-				return nil
-			}
-			j.Keeper = job.NewInheritedKeeper(pastAttempts(m, conn), func() { reply(m.Number, wire.Yes, "") })
-			s.server.Adopt(conn, frontend.ConnState{Messages: m.Conn.Messages, CarriesCallBacks: m.Conn.CarriesCallBacks, ReadAhead: m.Conn.ReadAhead}, m.CloseAfter, j)
-			return nil
+		j, err := in.jobFromMessage(m)
+		if err != nil {
+			in.conn.Close()
+			in.reply(m.Number, wire.No, err.Error())
+			return true
 		}
+		j.Keeper = job.NewInheritedKeeper(pastAttempts(m, in.conn), func() { in.reply(m.Number, wire.Yes, "") })
+		in.server.Adopt(in.conn, connState(&m.Conn), m.CloseAfter, j)
+		return true
 	}
-	if conn != nil {
-		conn.Close()
-	}
-	s.log.Warn("a message of the other process is refused", "message", fmt.Sprintf("%T", r.Message))
-	if number := wire.NumberOf(r.Message); number != 0 {
-		reply(number, wire.No, fmt.Sprintf("scheduler: unexpected %T", r.Message))
-	}
-	return nil
+	return false
+}
+
+// connState returns the state of a connection that is handed over.
+func connState(m *wire.Conn) frontend.ConnState {
+	return frontend.ConnState{Messages: m.Messages, CarriesCallBacks: m.CarriesCallBacks, ReadAhead: m.ReadAhead}
 }
 
 func codeOf(err error) (wire.Code, string) {
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -245,19 +245,18 @@
 	file.Close()
 	r.t.Cleanup(peer.Close)
 	f := &fakeSuccessor{peer, make(chan wire.Message, 100)}
-	go peer.Run(func(m handover.Received) error {
+	go peer.Run(func(m handover.Received) {
 		if m.File != nil {
 			m.File.Close()
 		}
 		if news, ok := m.Message.(*wire.RosterChange); ok {
 			f.confirm(news.Number)
-			return nil
+			return
 		}
 		if take != nil {
 			take(f, m.Message)
 		}
 		f.received <- m.Message
-		return nil
 	})
 	r.until("the successor is known", func(s *Scheduler) bool { return s.successor != nil })
 	return f
