--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -271,7 +271,8 @@
 
 // permitted reports whether rules 1 to 3 allow an attempt of r at worker i after the earlier ones, if it
 // reaches the worker at arrival.
-func (d *Dispatcher) permitted(now time.Duration, r *request, i int, earlier []attempt, arrival time.Duration) bool {
+func (d *Dispatcher) permitted(now time.Duration, r *request, i int, earlier []attempt,
+	arrival time.Duration) bool {
 	w := &d.workers[i]
 	// Rule 1: no attempt for a request that has ended or whose client has given up.
 	if r.ended || now >= r.deadline || len(earlier) >= d.set.MaxAttempts {
