--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -289,7 +289,7 @@
 		if c.Effect == Unsafe && int(a.worker) == i {
 			return false // a late notification of that attempt could not be told from one of this attempt
 		}
-		if !a.inFlight && !a.mayHaveRun {
+		if !a.mayRun() {
 			continue
 		}
 		if a.inFlight && !d.set.SecondCopies {
@@ -310,6 +310,9 @@
 	return true
 }
 
+// mayRun reports whether an attempt has run, runs or will run, as far as known.
+func (a *attempt) mayRun() bool { return a.inFlight || a.mayHaveRun }
+
 // SendPermission reports whether the rules still allow the attempt in flight of a request, of which nothing
 // has been sent yet, and by when its last byte must have reached its worker; 0: no limit but the request's
 // deadline. The host may have waited since the Send, and the list may have changed.
@@ -323,11 +326,12 @@
 	if !d.permitted(now, r, int(r.attempts[last].worker), earlier, now+windowMargin) {
 		return 0, false
 	}
-	c := &d.set.Classes[r.class]
-	for k := range earlier {
-		a := &earlier[k]
-		if end := a.sent + c.Window; c.Effect == Keyed && (a.inFlight || a.mayHaveRun) && (by == 0 || end < by) {
-			by = end
+	if c := &d.set.Classes[r.class]; c.Effect == Keyed {
+		for k := range earlier {
+			a := &earlier[k]
+			if end := a.sent + c.Window; a.mayRun() && (by == 0 || end < by) {
+				by = end
+			}
 		}
 	}
 	return by, true
