policy: which definition of a class counts for its name is one function

Cause: owners had its own loop for it, and the mend of the start with retired classes wrote it again in an I/O package. Change: policy.ClassIndex, used by durable and owners; the answers are the same.

--- a/durable/recover.go
+++ b/durable/recover.go
@@ -114,7 +114,7 @@
 	opt := leases.Options{MaxOpen: set.MaxOpen, Keep: set.Keep, KeepCount: endedCount, KeepBytes: endedBytes,
 		MaxJoiners: maxJoiners}
 	for i, c := range all.Classes {
-		if classIndex(all.Classes, c.Name) != i {
+		if policy.ClassIndex(all.Classes, c.Name) != i {
 			continue // an earlier definition of a class that has been changed
 		}
 		opt.Classes = append(opt.Classes, leases.Class{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group],
@@ -302,7 +302,7 @@
 func (h *Handler) restore(r *leases.Resumed, at time.Time) (e *entry, why string) {
 	j := job.Job{ID: r.Spec.ID, ClassName: r.Spec.Class, TenantName: r.Spec.Tenant, Deadline: r.Spec.Deadline, TimeLeft: r.TimeLeft,
 		Hint: r.Spec.WorkHint, Slots: r.Spec.Slots, Key: r.Spec.Key}
-	j.Class = classIndex(h.classes, j.ClassName)
+	j.Class = policy.ClassIndex(h.classes, j.ClassName)
 	j.Tenant = slices.IndexFunc(h.tenants, func(t policy.Tenant) bool { return t.Name == j.TenantName })
 	if j.Tenant < 0 {
 		j.Tenant = len(h.tenants)
@@ -330,17 +330,6 @@
 	return e, why
 }
 
-// classIndex returns the index of the class in use with a name, else of the last retired one with it; -1: there is none.
-func classIndex(classes []policy.Class, name string) int {
-	last := -1
-	for i := range classes {
-		if c := &classes[i]; c.Name == name && (!c.Retired || last < 0 || classes[last].Retired) {
-			last = i
-		}
-	}
-	return last
-}
-
 // unknownAge is the assumed age of an attempt whose age the clocks do not tell: longer than any window.
 const unknownAge = 30 * 24 * time.Hour
 
--- a/owners/handover.go
+++ b/owners/handover.go
@@ -5,6 +5,7 @@
 
 	core "laddertide/core/owners"
 	"laddertide/job"
+	"laddertide/policy"
 	wire "laddertide/wire/owners"
 )
 
@@ -289,11 +290,9 @@
 
 // classIndex returns the index of the class with a name, unless it is retired, or -1. Called under mu.
 func (h *Handler) classIndex(name string) int {
-	index := -1
-	for i, c := range h.cfg.Classes {
-		if c.Name == name && !c.Retired {
-			index = i
-		}
+	index := policy.ClassIndex(h.cfg.Classes, name)
+	if index >= 0 && h.cfg.Classes[index].Retired {
+		return -1
 	}
 	return index
 }
--- a/policy/retune.go
+++ b/policy/retune.go
@@ -53,6 +53,17 @@
 	return out, out.Validate()
 }
 
+// ClassIndex returns the index of the class in use with a name, else of the last retired one; -1: none.
+func ClassIndex(classes []Class, name string) int {
+	index := -1
+	for i := range classes {
+		if c := &classes[i]; c.Name == name && (!c.Retired || index < 0 || classes[index].Retired) {
+			index = i
+		}
+	}
+	return index
+}
+
 // ValidateNames returns an error if a class in use has no name, or the name of another class in use.
 func (s *Settings) ValidateNames() error {
 	seen := make(map[string]bool)
