--- a/attempt/window_test.go
+++ b/attempt/window_test.go
@@ -92,6 +92,9 @@
 	if len(worker.attempts) > 0 {
 		t.Errorf("%d attempts %v or more after the first one, whose window is %v; log:\n%s", len(worker.attempts), answersHeld, keyWindow, log)
 	}
+	if c := r.Engine.Counts(); c.Open != 0 || c.Verdicts[dispatch.Rejection]+c.Verdicts[dispatch.Failure] != 1 {
+		t.Errorf("the job has not one answer: %+v", c)
+	}
 	if !strings.Contains(log.String(), "no longer allows it") {
 		t.Log("no attempt was turned back at the last check: this machine was too slow for that")
 	}
--- a/scheduler/refused_test.go
+++ b/scheduler/refused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"strings"
@@ -171,3 +172,45 @@
 	next.finishAll(all)
 	next.stopAndWait()
 }
+
+// TestUnconfirmedRosterDuringHandover guards against a connection that carries jobs and is closed, as the next process has not confirmed a
+// roster which it was sent while it stood by. Before the hand-over it is closed: the next process must not take over with an older list.
+func TestUnconfirmedRosterDuringHandover(t *testing.T) {
+	for name, handedOver := range map[string]bool{"standing by": false, "handed over": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newUpgradeRig(t, io.Discard)
+			peer, _, file, err := handover.Join(r.cfg.HandoverDir, wire.Hello{Name: r.cfg.Name, Listen: r.cfg.Listen})
+			if err != nil {
+				t.Fatal(err)
+			}
+			file.Close()
+			t.Cleanup(peer.Close)
+			confirmed := make(chan struct{})
+			var once sync.Once
+			go peer.Run(func(m handover.Received) { // confirms the first roster alone
+				once.Do(func() {
+					peer.Send(&wire.Reply{Number: wire.NumberOf(m.Message), Code: wire.Yes}, nil)
+					close(confirmed)
+				})
+			})
+			<-confirmed
+			r.sched.mu.Lock()
+			r.sched.handedOver = handedOver
+			next, roster := r.sched.successor, r.sched.roster()
+			r.sched.mu.Unlock()
+			r.sched.updateSuccessor(next, roster)
+			closed := false
+			select {
+			case <-next.Done():
+				closed = true
+			default:
+			}
+			if closed == handedOver {
+				t.Errorf("closed: %v", closed)
+			}
+			r.sched.mu.Lock()
+			r.sched.handedOver = false
+			r.sched.mu.Unlock()
+		})
+	}
+}
