--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -39,7 +39,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	r := &rig{trouble: os.Getenv("TROUBLE") != "0", dir: dir, host: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), began: time.Now(), record: bufio.NewWriter(f)}
+	r := &rig{given: map[string]bool{}, trouble: os.Getenv("TROUBLE") != "0", dir: dir, host: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)), began: time.Now(), record: bufio.NewWriter(f)}
 	defer r.endRecord()
 	defer r.cleanup()
 	stop := make(chan os.Signal, 1)
--- a/review/standins-2/rig.go
+++ b/review/standins-2/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -20,8 +21,9 @@
 // rig is one play of a case.
 type rig struct {
 	trouble bool
-	dir     string // temporary
-	host    string // a loopback address of this play's own, so that nobody else takes its free ports
+	dir     string          // temporary
+	given   map[string]bool // addresses that were given to schedulers, which listen there later
+	host    string          // a loopback address of this play's own, so that nobody else takes its free ports
 	began   time.Time
 
 	mu        sync.Mutex
@@ -89,16 +91,23 @@
 	return path
 }
 
-// freePort returns a loopback address with a port that is free now, for TCP and UDP.
+// freePort returns a loopback address with a port that is free, for TCP and UDP. It is below the ports that the system gives to
+// connections, and is given once.
 func (r *rig) freePort() string {
-	for range 50 {
-		ln, err := net.Listen("tcp", r.host+":0")
-		r.must(err)
-		address := ln.Addr().String()
+	for range 200 {
+		address := fmt.Sprintf("%s:%d", r.host, 12000+rand.IntN(20000))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		pc, err := net.ListenPacket("udp", address)
 		ln.Close()
-		if err == nil {
-			pc.Close()
+		if err != nil {
+			continue
+		}
+		pc.Close()
+		if !r.given[address] {
+			r.given[address] = true
 			return address
 		}
 	}
@@ -107,10 +116,14 @@
 }
 
 func (r *rig) listen() net.Listener {
-	ln, err := net.Listen("tcp", r.host+":0")
-	r.must(err)
-	r.onCleanup = append(r.onCleanup, func() { ln.Close() })
-	return ln
+	for {
+		ln, err := net.Listen("tcp", r.host+":0")
+		r.must(err)
+		r.onCleanup = append(r.onCleanup, func() { ln.Close() })
+		if !r.given[ln.Addr().String()] {
+			return ln
+		}
+	}
 }
 
 // proc is a process of the project's program.
