--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -125,25 +125,3 @@
 	}
 	return second.status != 200 || second.body != a.body
 }
-
-// shorterDeadline has a client's connection reset. The client asks again for its job, with less time than the first time.
-func shorterDeadline(r *rig) bool {
-	d := r.newDiscovery()
-	s := r.newScheduler("n0", d.address, siteSettings(1, limitCheck(), settle(), cardIssue()), "durable:\n  dir: "+r.folder("ledger")+"\n")
-	workers := r.workers(3, d, func(string) string { return s.listen })
-	for _, w := range workers {
-		w.runTime = func(string) time.Duration { return 8 * time.Second }
-	}
-	s.run()
-	q := request{id: "settle-1", class: "settle", key: "key-1", deadline: 25 * time.Second, body: "{}"}
-	network := r.newRelay(s.listen)
-	if r.trouble {
-		time.AfterFunc(time.Second, network.resetAll)
-	}
-	if a := r.ask("client", network.address, q, 25*time.Second+lostAfter); a.err == nil {
-		return false
-	}
-	q.deadline = 3 * time.Second
-	a := r.ask("client, again", network.address, q, q.deadline+lostAfter)
-	return a.err != nil
-}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,8 +16,8 @@
 	"6":  forgottenEarly,
 	"7":  resultLostAtRestart,
 	"8":  askedBeforeTakeover,
-	"9":  classGone,
-	"10": shorterDeadline,
+	"9":  keptElsewhereNoLonger,
+	"10": classGone,
 }
 
 // The exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
--- a/review/standins-2/replicated.go
+++ b/review/standins-2/replicated.go
@@ -7,13 +7,13 @@
 	"time"
 )
 
-// replicatedFleet is three schedulers that keep durable jobs together, in the bounds of their machines.
-func (r *rig) replicatedFleet() *fleet {
+// replicatedFleet is schedulers that keep durable jobs together, in the bounds of their machines.
+func (r *rig) replicatedFleet(schedulers int) *fleet {
 	var addresses []string
-	for range 3 {
+	for range schedulers {
 		addresses = append(addresses, r.freePort())
 	}
-	return r.newFleet(3, 6, func(i int, f *fleet) string {
+	return r.newFleet(schedulers, 6, func(i int, f *fleet) string {
 		return peersSection(i, addresses) + "owners:\n  max_records: 2000\n" + firstStart +
 			"durable:\n  dir: " + r.folder(fmt.Sprintf("ledger%d", i)) + "\n  max_open: 500\n" +
 			"replicated:\n  dir: " + r.folder(fmt.Sprintf("groups%d", i)) + "\n  max_mb: 16\n"
@@ -44,7 +44,7 @@
 // askedBeforeTakeover kills one scheduler, which is started again at once. The clients of its jobs ask the others again. If its next process
 // itself goes on with its jobs, which is as well, the same is done with the second scheduler.
 func askedBeforeTakeover(r *rig) bool {
-	f := r.replicatedFleet()
+	f := r.replicatedFleet(3)
 	f.runTime = func(string) time.Duration { return 1500 * time.Millisecond }
 	f.start()
 	for round := range 2 {
@@ -103,3 +103,45 @@
 	}
 	return broken
 }
+
+// keptElsewhereNoLonger has clients' answers lost in the network. They ask again 45 s later, other schedulers than the first time.
+func keptElsewhereNoLonger(r *rig) bool {
+	f := r.replicatedFleet(5)
+	f.runTime = func(string) time.Duration { return 500 * time.Millisecond }
+	f.start()
+	network := f.r.newRelay(f.schedulers[0].listen)
+	network.setCut(r.trouble)
+	const jobs = 8
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	broken, served := false, 0
+	for i := range jobs {
+		clients.Go(func() {
+			q := request{id: fmt.Sprintf("card-issue-%d", i), class: "card-issue", deadline: 8 * time.Second, body: "{}"}
+			who := fmt.Sprintf("client %d", i)
+			a := r.ask(who, network.address, q, q.deadline+lostAfter)
+			if a.err != nil {
+				time.Sleep(45 * time.Second)
+				for k := range 2 {
+					s := f.schedulers[1+(i+k)%4]
+					if a = r.ask(who+", again, at "+s.name, s.listen, q, q.deadline+lostAfter); a.status != 502 {
+						break
+					}
+				}
+			}
+			runs := f.runsOf(q.id)
+			mu.Lock()
+			defer mu.Unlock()
+			if at := f.acknowledgedAt(q.id); at != "" {
+				served++
+				r.note("%s: ran %v, the last result was acknowledged at %s s; its client got: %v", q.id, runs, at, a)
+			}
+			broken = broken || len(runs) > 1
+		})
+	}
+	clients.Wait()
+	if served < jobs {
+		r.giveUp("%d of %d jobs were served", served, jobs)
+	}
+	return broken
+}
--- a/review/standins-2/servers.go
+++ b/review/standins-2/servers.go
@@ -203,12 +203,11 @@
 	address string
 	mu      sync.Mutex
 	cut     bool
-	open    map[*net.TCPConn]bool // clients' connections
 }
 
 func (r *rig) newRelay(to string) *relay {
 	ln := r.listen()
-	p := &relay{r: r, address: ln.Addr().String(), open: map[*net.TCPConn]bool{}}
+	p := &relay{r: r, address: ln.Addr().String()}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -227,27 +226,8 @@
 	p.mu.Unlock()
 }
 
-// resetAll resets all connections of clients.
-func (p *relay) resetAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		p.r.note("network: a client's connection is reset")
-		c.SetLinger(0)
-		c.Close()
-	}
-}
-
 func (p *relay) serve(c *net.TCPConn, to string) {
-	p.mu.Lock()
-	p.open[c] = true
-	p.mu.Unlock()
-	defer func() {
-		c.Close()
-		p.mu.Lock()
-		delete(p.open, c)
-		p.mu.Unlock()
-	}()
+	defer c.Close()
 	s, err := net.Dial("tcp", to)
 	if err != nil {
 		return
