--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -32,6 +32,12 @@
 		case 5, 11, 17:
 			q.class, q.deadline = "card-issue", 8*time.Second
 		}
+		switch sent % 25 { // the accounts' shares: 44%, 40% and 16%
+		case 2, 5, 7, 10, 12, 14, 17, 19, 22, 24:
+			q.tenant = "puget-delivery"
+		case 3, 9, 15, 21:
+			q.tenant = "willamette-crews"
+		}
 		all.Go(func() {
 			if a := send(to, q.message(), q.deadline); a.status == 200 {
 				mu.Lock()
@@ -47,10 +53,10 @@
 	d := r.newDiscovery()
 	ledger := r.folder("ledger")
 	s := r.newScheduler("n0", d.address, siteSettings(1, limitCheck(), settle(), cardIssue()), "durable:\n  dir: "+ledger+"\n")
-	workers := r.workers(8, d, func(string) string { return s.listen })
+	workers := r.workers(13, d, func(string) string { return s.listen })
 	for _, w := range workers {
 		w.runTime = func(class string) time.Duration {
-			return map[string]time.Duration{"limit-check": 240 * time.Millisecond, "settle": 600 * time.Millisecond, "card-issue": 480 * time.Millisecond}[class]
+			return map[string]time.Duration{"limit-check": 240 * time.Millisecond, "settle": 1500 * time.Millisecond, "card-issue": 480 * time.Millisecond}[class]
 		}
 		w.result = func(id string) string { return id + " " + strings.Repeat("x", 60_000) }
 	}
@@ -104,6 +110,7 @@
 		w.runTime = func(string) time.Duration { return 4 * time.Second }
 	}
 	s.run()
+	time.Sleep(2 * time.Second) // no SIGHUP within its first second
 	q := request{id: "card-of-driver-1", class: "card-issue", deadline: 8 * time.Second, body: "{}"}
 	began := time.Now()
 	first := make(chan answer, 1)
--- a/review/standins-2/clients.go
+++ b/review/standins-2/clients.go
@@ -70,6 +70,7 @@
 	id, class, key string
 	deadline       time.Duration
 	body           string
+	tenant         string // rainier-haul, if it is left out
 }
 
 func (q request) message() string {
@@ -77,8 +78,12 @@
 	if q.key != "" {
 		key = "Idempotency-Key: " + q.key + "\r\n"
 	}
-	return fmt.Sprintf("POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: rainier-haul\r\n"+
-		"X-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s", q.id, q.class, q.deadline.Milliseconds(), key, len(q.body), q.body)
+	tenant := "rainier-haul"
+	if q.tenant != "" {
+		tenant = q.tenant
+	}
+	return fmt.Sprintf("POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\n"+
+		"X-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s", q.id, q.class, tenant, q.deadline.Milliseconds(), key, len(q.body), q.body)
 }
 
 // ask sends a job and waits for its answer, a little beyond the client's own patience so that a late answer is seen.
--- a/review/standins-2/owners.go
+++ b/review/standins-2/owners.go
@@ -27,19 +27,15 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	without := map[string]string{} // jobs whose clients have no result in their time
-	const jobs = 40
+	const jobs, termAfter = 40, 32 // the rest comes in the 0.3 s after SIGTERM
 	f.runTimeOf = map[string]time.Duration{}
 	for i := range jobs {
-		class, deadline := "settle", 25*time.Second
-		if i%4 == 3 {
-			class, deadline = "card-issue", 8*time.Second
-		}
-		q := request{id: fmt.Sprintf("%s-%d", class, i), class: class, deadline: deadline, body: "{}"}
-		if class == "settle" {
-			q.key = "key-" + q.id
+		if i == termAfter && r.trouble {
+			n0.signal(syscall.SIGTERM)
 		}
+		q := request{id: fmt.Sprintf("settle-%d", i), class: "settle", key: fmt.Sprintf("key-%d", i), deadline: 25 * time.Second, body: "{}"}
 		f.mu.Lock()
-		f.runTimeOf[q.id] = 2600*time.Millisecond + time.Duration(i)*30*time.Millisecond
+		f.runTimeOf[q.id] = 1600*time.Millisecond + time.Duration(i*7%jobs)*50*time.Millisecond // 2.6 s in the mean
 		f.mu.Unlock()
 		wg.Go(func() {
 			final := f.askAgain("client "+q.id, q, time.Now().Add(q.deadline), n0)
@@ -51,13 +47,12 @@
 				without[q.id] = final.String()
 			}
 		})
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(time.Second / 29)
 	}
 	if r.trouble {
-		n0.signal(syscall.SIGTERM)
 		<-n0.done
 		r.note("platform: n0 has ended")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(350 * time.Millisecond)
 		n0.launch()
 	}
 	wg.Wait()
--- a/review/standins-2/rig.go
+++ b/review/standins-2/rig.go
@@ -257,8 +257,9 @@
 			"fall-multiple": 3.0, "stop-sending-within": 2000000},
 		"permissions": map[string]any{"cancel": true, "dial-timeout": 250000, "idle-close": 10000000, "try-limit": 4,
 			"retry-after": true, "max-retry-after": 2000000},
-		"lanes":   lanes,
-		"parties": []map[string]any{{"name": "rainier-haul", "quota-rps": 13.0}},
+		"lanes": lanes,
+		"parties": []map[string]any{{"name": "rainier-haul", "quota-rps": 13.0}, {"name": "puget-delivery", "quota-rps": 12.0},
+			{"name": "willamette-crews", "quota-rps": 5.0}},
 	}
 }
 
