review: case 10 is a replicated job's result that is refused ten times

Change: case 10 is that one, a part of the former 13, with a check of its own; its stand-ins take the place of those of the upgrade.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p bin
 go build -o bin/review2 ./review/standins-2
-go build -o bin/review2-upgrade ./review/standins-2/upgrade
+go build -o bin/review2-refused ./review/standins-2/refused
--- a/review/standins-2/upgrade/clients.go
+++ b/review/standins-2/refused/clients.go
@@ -14,8 +14,8 @@
 	to       string // address
 	id       string
 	class    string
-	key      string
 	deadline time.Duration
+	patience time.Duration // for how long the client reads on; 0: half a second over the deadline
 }
 
 // reply is what became of a request.
@@ -54,14 +54,18 @@
 	return a.sendOn(conn)
 }
 
-// sendOn makes a request on a connection and waits for the answer, for half a second over the deadline.
+// sendOn makes a request on a connection and waits for the answer.
 func (a ask) sendOn(conn net.Conn) (out reply) {
 	began := time.Now()
 	defer func() { out.took = time.Since(began) }()
-	conn.SetDeadline(began.Add(a.deadline + 500*time.Millisecond))
+	patience := a.patience
+	if patience == 0 {
+		patience = a.deadline + 500*time.Millisecond
+	}
+	conn.SetDeadline(began.Add(patience))
 	body := "payload"
 	if _, err := fmt.Fprintf(conn, "POST /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: rainier-haul\r\n"+
-		"X-Deadline-Ms: %d\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", a.id, a.class, a.deadline.Milliseconds(), a.key, len(body), body); err != nil {
+		"X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", a.id, a.class, a.deadline.Milliseconds(), len(body), body); err != nil {
 		return reply{err: err}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/review/standins-2/upgrade/rig.go
+++ b/review/standins-2/refused/rig.go
@@ -1,7 +1,7 @@
-// Command upgrade plays case 10 of the review: it starts the project's scheduler as two processes, the second of which takes over from the
-// first, and plays the workers, discovery and the clients around them by the operators' pages.
+// Command refused plays case 10 of the review: it starts three schedulers that keep each other's ledgers as separate processes, and plays the
+// workers, discovery and the clients around them by the operators' pages.
 //
-//	review2-upgrade RECORD
+//	review2-refused RECORD
 //
 // It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves out the
 // disruption.
@@ -33,7 +33,7 @@
 
 func main() {
 	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: review2-upgrade RECORD, from the root of the repository")
+		fmt.Fprintln(os.Stderr, "usage: review2-refused RECORD, from the root of the repository")
 		os.Exit(int(unable))
 	}
 	os.Exit(int(run(os.Args[1])))
@@ -63,7 +63,7 @@
 				result <- unable
 			}
 		}()
-		result <- takeover(r)
+		result <- refused(r)
 	}()
 	v := unable
 	select {
@@ -151,6 +151,7 @@
 type scheduler struct {
 	name, listen, admin, discovery, tmp, fleet string
 	settings                                   object
+	memory                                     int // MB; 0: 192
 }
 
 // process is a scheduler process.
@@ -168,6 +169,9 @@
 	if s.admin != "" {
 		file["admin"] = s.admin
 	}
+	if s.memory > 0 {
+		file["limits"].(object)["memory_mb"] = s.memory
+	}
 	raw, err := json.Marshal(file)
 	must(err)
 	must(os.WriteFile(config, raw, 0o600))
--- a/review/standins-2/upgrade/servers.go
+++ b/review/standins-2/refused/servers.go
@@ -27,12 +27,13 @@
 	given    map[string]bool // jobs that the scheduler has given up
 
 	acknowledged map[string]int // results that the scheduler has acknowledged, by request id
+	refused      map[string]int // calls with a result that were answered otherwise
 }
 
 // newWorker starts a worker for the schedulers that listen at these addresses.
 func newWorker(r *rig, name string, schedulers []string, runtime func(string) time.Duration, result func(string) string) *worker {
 	w := &worker{rig: r, name: name, runtime: runtime, result: result, attempts: make(map[string]int),
-		runs: make(map[string]int), given: make(map[string]bool), acknowledged: make(map[string]int), quiet: func(string) bool { return true }}
+		runs: make(map[string]int), given: make(map[string]bool), acknowledged: make(map[string]int), refused: make(map[string]int), quiet: func(string) bool { return true }}
 	for _, callBack := range schedulers {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		must(err)
@@ -112,8 +113,13 @@
 				}
 				return
 			}
+			if what["state"] == "done" {
+				w.mu.Lock()
+				w.refused[id]++
+				w.mu.Unlock()
+			}
 		}
-		time.Sleep(250 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 	}
 }
 
