capacity-page: rounding errors are no figures, so all machines give one page

Cause: docs/CAPACITY.md printed the rounding errors of exact lines, such as an intercept of 1.42e-14 with an interval. They differ between machines: with Go's default flags on arm64 the compiler fuses multiplications and additions. TestPageIsGeneratedFromItsFiles and TestCapacityPageFlags failed there, each time; where fusing is switched off in the environment they pass.

Change: slope puts 0 where a figure is under 1e-12 of the largest measurement (lines, residuals, means of equal runs, the highest point), which replaces the test for exact lines by the total's share. A cell is printed from 13 digits, as one halfway between two depended on the last.

TestRoundingErrorsAreNoFigures, TestRoundingErrorsOfMeans and TestPageDoesNotDependOnLastDigits move inputs by their last digit, so they hold on any machine; they fail before.

--- a/rehearse/scale/page/format.go
+++ b/rehearse/scale/page/format.go
@@ -15,11 +15,16 @@
 // number prints a figure that is given, all of it.
 func number(x float64) string { return commas(strconv.FormatFloat(x, 'f', -1, 64)) }
 
+// sure is how many digits of a figure are the same on all machines. The last ones are not, and would decide how one halfway between two
+// is printed.
+const sure = 13
+
 // measured prints a figure that was measured.
 func measured(x float64) string {
 	if x == 0 || math.IsNaN(x) || math.IsInf(x, 0) {
 		return strconv.FormatFloat(x, 'g', significant, 64)
 	}
+	x, _ = strconv.ParseFloat(strconv.FormatFloat(x, 'e', sure-1, 64), 64)
 	digits := significant - 1 - int(math.Floor(math.Log10(math.Abs(x))))
 	if digits > 9 {
 		return strconv.FormatFloat(x, 'g', significant, 64)
--- a/rehearse/scale/page/page_test.go
+++ b/rehearse/scale/page/page_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -27,6 +28,54 @@
 	}
 }
 
+// The last digit of a figure is not the same on all kinds of machines: the page must not depend on it.
+func TestPageDoesNotDependOnLastDigits(t *testing.T) {
+	s := fleetSize(t)
+	tables := func(nudge func(x *float64)) map[string]string {
+		files, err := measurement.ReadAll(filepath.Join(root, Folder))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			for i := range f.Points {
+				nudge(&f.Points[i].WindowSeconds)
+				for _, u := range f.Points[i].Roles {
+					nudge(u.CPUSeconds)
+					for _, counted := range u.Traffic {
+						nudge(counted.Messages)
+						nudge(counted.Bytes)
+					}
+				}
+			}
+		}
+		return newReport(s, files, nil, always).tables()
+	}
+	want := tables(func(*float64) {})
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(70, seed))
+		got := tables(func(x *float64) {
+			if x != nil && *x != 0 {
+				*x = math.Nextafter(*x, math.Inf(random.IntN(2)-1))
+			}
+		})
+		for name := range got {
+			if got[name] != want[name] {
+				t.Errorf("seed %d, table %s: %s", seed, name, firstDifference(want[name], got[name]))
+			}
+		}
+	}
+}
+
+func TestMeasuredFiguresHalfwayBetweenTwo(t *testing.T) {
+	for x, want := range map[float64]string{80310.5: "80,310", 80311.5: "80,312", -80310.5: "-80,310", 100: "100", 0.0625e-20: "6.25e-22"} {
+		for _, off := range []float64{-2e-16, 0, 4e-16} {
+			if got := measured(x * (1 + off)); got != want {
+				t.Errorf("%.17g is printed as %s, want %s", x*(1+off), got, want)
+			}
+		}
+	}
+}
+
 func firstDifference(was, should string) string {
 	a, b := strings.Split(was, "\n"), strings.Split(should, "\n")
 	for i := range min(len(a), len(b)) {
--- a/rehearse/scale/slope/exponent.go
+++ b/rehearse/scale/slope/exponent.go
@@ -13,8 +13,6 @@
 	// exponentSamples and exponentPoints are the fewest samples and parameters that an exponent is fitted to.
 	exponentSamples = 5
 	exponentPoints  = 4
-	// exact is the share of the total sum of squares under which residuals are rounding errors.
-	exact = 1e-18
 )
 
 // Exponent is p of y = a + b·x^p.
@@ -28,7 +26,7 @@
 	if len(samples) < exponentSamples || distinct(samples) < exponentPoints || samples[0].X < 0 {
 		return Exponent{}
 	}
-	if straight.residual <= exact*straight.total {
+	if straight.residual == 0 {
 		return Exponent{Estimate: Estimate{Value: 1, Low: 1, High: 1}, Known: straight.total > 0}
 	}
 	exponents, sums := profile(samples)
--- a/rehearse/scale/slope/line.go
+++ b/rehearse/scale/slope/line.go
@@ -15,7 +15,11 @@
 	return func(x float64) float64 { return math.Pow(x, p) }
 }
 
-// line is a least squares fit of y on a transform of x.
+// rounding is the share of the largest y under which a figure is the rounding errors of arithmetic. No resource is measured to so many digits,
+// and the errors are not the same on all machines: some round once where others round twice, as in a·b + c.
+const rounding = 1e-12
+
+// line is a least squares fit of y on a transform of x. Its figures have no rounding errors in place of 0.
 type line struct {
 	of               transform
 	intercept, slope float64
@@ -24,6 +28,7 @@
 	spread           float64 // sum of squares of the regressor round its mean
 	residual         float64 // sum of squares of the residuals
 	total            float64 // sum of squares of y round its mean
+	least            float64 // of y; what is less is rounding errors
 }
 
 func fitLine(samples []Sample, of transform) line {
@@ -41,9 +46,33 @@
 		l.residual += square(ys[i] - l.intercept - l.slope*xs[i])
 		l.total += square(ys[i] - meanY)
 	}
+	l.clear(xs, ys, meanY)
 	return l
 }
 
+// clear puts 0 where there are rounding errors alone.
+func (l *line) clear(xs, ys []float64, meanY float64) {
+	reach, largest := 0.0, 0.0
+	for i := range xs {
+		reach = max(reach, math.Abs(xs[i]-l.mean))
+		largest = max(largest, math.Abs(ys[i]))
+	}
+	l.least = rounding * largest
+	squares := l.n * square(l.least)
+	if math.Abs(l.slope)*reach <= l.least {
+		l.slope, l.intercept = 0, meanY
+	}
+	if math.Abs(l.intercept) <= l.least {
+		l.intercept = 0
+	}
+	if l.residual <= squares {
+		l.residual = 0
+	}
+	if l.total <= squares {
+		l.total = 0
+	}
+}
+
 func (l line) at(x float64) float64 { return l.intercept + l.slope*l.of(x) }
 
 func (l line) freedom() float64 { return l.n - 2 }
--- a/rehearse/scale/slope/slope.go
+++ b/rehearse/scale/slope/slope.go
@@ -141,7 +141,11 @@
 	if err != nil {
 		return Top{}, err
 	}
-	return Top{X: highest, Measured: stat.Mean(measured, nil), Predicted: f.Predict(highest)}, nil
+	top := Top{X: highest, Measured: stat.Mean(measured, nil), Predicted: f.Predict(highest)}
+	if math.Abs(top.Measured-top.Predicted.Value) <= rounding*math.Abs(top.Measured) {
+		top.Measured = top.Predicted.Value
+	}
+	return top, nil
 }
 
 // Moved tells whether a slope differs from an earlier one by at least the share of it.
@@ -162,8 +166,11 @@
 			end++
 		}
 		n := end - start
-		x := samples[start].X
-		out = append(out, Residual{X: x, Mean: sum / float64(n), Line: l.at(x), N: n})
+		r := Residual{X: samples[start].X, Mean: sum / float64(n), Line: l.at(samples[start].X), N: n}
+		if math.Abs(r.Difference()) <= l.least {
+			r.Line = r.Mean
+		}
+		out = append(out, r)
 		start = end
 	}
 	return out
@@ -210,6 +217,10 @@
 	if len(values) < 2 {
 		return around(mean, 0)
 	}
+	deviation := stat.StdDev(values, nil)
+	if deviation <= rounding*math.Abs(mean) {
+		return around(mean, 0)
+	}
 	n := float64(len(values))
-	return around(mean, studentT(n-1)*stat.StdDev(values, nil)/math.Sqrt(n))
+	return around(mean, studentT(n-1)*deviation/math.Sqrt(n))
 }
--- a/rehearse/scale/slope/slope_test.go
+++ b/rehearse/scale/slope/slope_test.go
@@ -61,6 +61,62 @@
 	}
 }
 
+// The last digit of a measurement, or of a step of the arithmetic, is not the same on all machines. Nothing that is told may depend on it.
+func TestRoundingErrorsAreNoFigures(t *testing.T) {
+	random := rand.New(rand.NewPCG(70, 1))
+	for _, c := range []struct{ intercept, slope float64 }{{0, 3}, {0, 0.1}, {72, 3}, {0.1, 0}, {90, 0}, {1e9 / 3, 0}, {-1e-6, 1e-7}, {0, -1e5 / 7}} {
+		for range 50 {
+			var samples []Sample
+			for _, x := range []float64{10, 18, 30, 54, 100} {
+				for range 3 {
+					y := c.intercept + c.slope*x
+					samples = append(samples, Sample{X: x, Y: math.Nextafter(y, math.Inf(random.IntN(2)-1))})
+				}
+			}
+			f := fit(t, samples)
+			for name, e := range map[string]struct {
+				got  Estimate
+				want float64
+			}{"slope": {f.Slope, c.slope}, "intercept": {f.Intercept, c.intercept}, "prediction": {f.Predict(200), c.intercept + c.slope*200}} {
+				near(t, name, e.got.Value, e.want, 1e-12*max(math.Abs(c.intercept), 200*math.Abs(c.slope)))
+				if e.got.Low != e.got.High || e.want == 0 && e.got.Value != 0 {
+					t.Fatalf("%s of %g + %g·x is %+v", name, c.intercept, c.slope, e.got)
+				}
+			}
+			for _, r := range f.Residuals {
+				if r.Difference() != 0 {
+					t.Fatalf("%g + %g·x misses %g at %g", c.intercept, c.slope, r.Difference(), r.X)
+				}
+			}
+			if f.StandardError != 0 || f.RSquared != 1 || f.Exponent != (Exponent{Estimate{1, 1, 1}, c.slope != 0}) {
+				t.Fatalf("%g + %g·x: standard error %g, R² %g, exponent %+v", c.intercept, c.slope, f.StandardError, f.RSquared, f.Exponent)
+			}
+		}
+	}
+}
+
+func TestRoundingErrorsOfMeans(t *testing.T) {
+	up := func(x float64) float64 { return math.Nextafter(x, math.Inf(1)) }
+	if m := Mean([]float64{0.1, up(0.1), 0.1}); m.Low != m.High {
+		t.Errorf("the mean of three times 0.1 is %+v", m)
+	}
+	top, err := CheckTop([]Sample{{1, 3}, {2, 6}, {3, 9}, {4, 12}, {5, up(15)}})
+	if err != nil || !top.Inside() || top.Error() != 0 {
+		t.Errorf("the last digit of the highest point is taken for a miss: %+v, %v", top, err)
+	}
+}
+
+// What is small beside the largest measurement, and yet no rounding error, stays.
+func TestSmallFiguresStay(t *testing.T) {
+	const large, small = 2e7, 1e-3 // bytes
+	f := fit(t, []Sample{{1, large}, {2, large + small}, {3, large + 2*small}, {4, large + 3*small}, {5, large + 4*small}})
+	near(t, "slope", f.Slope.Value, small, 1e-3*small)
+	f = fit(t, []Sample{{1, large + small}, {2, 2 * large}, {3, 3 * large}, {4, 4 * large}, {5, 5 * large}})
+	if f.StandardError == 0 || f.Slope.Low == f.Slope.High || f.Residuals[0].Difference() == 0 || f.RSquared > 1 {
+		t.Errorf("a miss by %g is taken for a rounding error: %+v", small, f)
+	}
+}
+
 // noisy are three runs at each of six points of a + b·x^p, with normal noise of a share of the value.
 func noisy(seed uint64, a, b, p, share float64) []Sample {
 	random := rand.New(rand.NewPCG(seed, 1))
