review: case 8 kills up to four schedulers, as two were once not enough

Cause: where the killed scheduler's next process leads its group again, all is well and the round holds.

Change: up to four rounds, a scheduler each.

--- a/review/standins-2/replicated.go
+++ b/review/standins-2/replicated.go
@@ -42,12 +42,12 @@
 }
 
 // askedBeforeTakeover kills one scheduler, which is started again at once. The clients of its jobs ask the others again. If its next process
-// itself goes on with its jobs, which is as well, the same is done with the second scheduler.
+// itself goes on with its jobs, which is as well, the same is done with the next scheduler, four times at most.
 func askedBeforeTakeover(r *rig) bool {
 	f := r.replicatedFleet(3)
 	f.runTime = func(string) time.Duration { return 1500 * time.Millisecond }
 	f.start()
-	for round := range 2 {
+	for round := range 4 {
 		if f.killOwner(round) {
 			return true
 		}
@@ -57,7 +57,7 @@
 
 // killOwner plays one round, and reports whether jobs were served whose clients had no final answer in their time.
 func (f *fleet) killOwner(round int) bool {
-	r, owner := f.r, f.schedulers[round]
+	r, owner := f.r, f.schedulers[round%3]
 	others := []*scheduler{f.schedulers[(round+1)%3], f.schedulers[(round+2)%3]}
 	const jobs = 8
 	without := make([]bool, jobs)
